--- /dev/null
+++ b/lib/entry/calls.c
@@ -0,0 +1,614 @@
+#include "entry/calls_internal.h"
+
+#include <assert.h>
+#include <string.h>
+
+GwCalls *
+GwCalls_Create(const GwNodeParams *params)
+{
+    GwCalls *c = g_new0(GwCalls, 1);
+    c->params = *params;
+    c->rng = GwRng_Make(params->seed ^ 0xca115);
+    c->tickets = GwTickets_Create(params);
+    c->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return c;
+}
+
+void
+GwCalls_Free(GwCalls *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < c->service_count; i++) {
+        GwHeap_Free(&c->services[i].local);
+        GwHeap_Free(&c->services[i].relayed);
+    }
+    GwHeap_Free(&c->timers);
+    g_hash_table_destroy(c->open);
+    GwTickets_Free(c->tickets);
+    g_free(c);
+}
+
+/* ---- a new configuration ---------------------------------------------- */
+
+static uint32_t
+find_service_calls(const GwCalls *c, const char *name)
+{
+    for (uint32_t i = 0; i < c->service_count; i++) {
+        if (strcmp(c->services[i].name, name) == 0) {
+            return i;
+        }
+    }
+    return GW_NONE;
+}
+
+/* Takes waiting calls out of the queues and gives each call the new index
+ * of its service, GW_NONE where the service is gone. */
+static void
+renumber_calls(GwCalls *c, const uint32_t *new_index, GPtrArray *waiting)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+
+    g_hash_table_iter_init(&iter, c->open);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwCall *call = value;
+        if (call->queue_place != GW_HEAP_OUT) {
+            GwCalls_Dequeue(c, call);
+            g_ptr_array_add(waiting, call);
+        }
+        if (call->service != GW_NONE) {
+            call->service = new_index[call->service];
+        }
+    }
+}
+
+static void
+init_service(GwCalls *c, GwServiceCalls *service, const char *name)
+{
+    memset(service, 0, sizeof(*service));
+    g_strlcpy(service->name, name, GW_NAME_MAX);
+    GwRetryBudget_Init(&service->budget, c->params.retry_budget_percent);
+}
+
+/* Service indices belong to one configuration: everything kept by index is
+ * carried over by name. Call GwCalls_Pump or Tick afterwards; a waiting call
+ * of a removed service is refused by the next Tick. */
+void
+GwCalls_Configure(GwCalls *c, int64_t now_us, const GwConfig *config)
+{
+    uint32_t new_index[GW_MAX_SERVICES];
+    GwServiceCalls services[GW_MAX_SERVICES];
+    GPtrArray *waiting = g_ptr_array_new();
+
+    for (uint32_t i = 0; i < c->service_count; i++) {
+        new_index[i] = GwConfig_FindService(config, c->services[i].name);
+    }
+    renumber_calls(c, new_index, waiting);
+    for (uint32_t i = 0; i < config->service_count; i++) {
+        const char *name = config->services[i].name;
+        uint32_t old = find_service_calls(c, name);
+        if (old == GW_NONE) {
+            init_service(c, &services[i], name);
+        }
+        else {
+            services[i] = c->services[old];
+        }
+    }
+    for (uint32_t i = 0; i < c->service_count; i++) {
+        if (new_index[i] == GW_NONE) {
+            GwHeap_Free(&c->services[i].local);
+            GwHeap_Free(&c->services[i].relayed);
+        }
+    }
+    c->service_count = config->service_count;
+    memcpy(c->services, services, sizeof(services[0]) * c->service_count);
+    for (uint32_t i = 0; i < waiting->len; i++) {
+        GwCall *call = g_ptr_array_index(waiting, i);
+        if (call->service != GW_NONE) {
+            GwCalls_Enqueue(c, call);
+        }
+        else {
+            call->state = GW_CALL_BACKOFF;
+            call->due_us = now_us;
+            GwHeap_Move(&c->timers, &call->timer_place, now_us);
+        }
+    }
+    g_ptr_array_free(waiting, TRUE);
+}
+
+/* ---- arrival ------------------------------------------------------------ */
+
+static void
+refuse_event(const GwCallsEnv *env, const GwCallEvent *ev, GwOutcome outcome,
+             GwReason reason, uint32_t retry_after_ms)
+{
+    GwAction *action = GwActions_Add(env->out, GW_ACTION_FINISH);
+    action->u.finish = (GwFinishAction){.call = ev->call,
+                                        .outcome = outcome,
+                                        .reason = reason,
+                                        .retry_after_ms = retry_after_ms,
+                                        .ticket = ev->ticket};
+}
+
+/* Opens the call. The deadline is at most the service's longest: units are
+ * held until deadlines, so nobody may ask for an unbounded one. */
+static GwCall *
+open_call(GwCalls *c, const GwCallsEnv *env, const GwCallEvent *ev,
+          uint32_t service)
+{
+    const GwService *conf = &env->config->services[service];
+    int64_t longest = env->now_us + (int64_t)conf->deadline_max_ms * 1000;
+    GwCall *call = g_new0(GwCall, 1);
+
+    call->call = ev->call;
+    call->service = service;
+    call->idempotent =
+        GwConfig_IsIdempotent(env->config, service, ev->method, ev->path);
+    call->relayed = ev->relayed;
+    call->to_owner = ev->to_owner;
+    call->relay_from = ev->relay_from;
+    call->grant = ev->grant;
+    call->arrived_us = env->now_us;
+    call->deadline_us = ev->deadline_us < longest ? ev->deadline_us : longest;
+    call->due_us = call->deadline_us;
+    call->timer_place = GW_HEAP_OUT;
+    call->queue_place = GW_HEAP_OUT;
+    g_hash_table_insert(c->open, &call->call, call);
+    return call;
+}
+
+static void
+start_or_wait(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    if (c->waiting_count >= c->params.queue_max) {
+        GwCalls_FinishNotRun(c, env, call, GW_REASON_QUEUE_FULL,
+                             GW_RETRY_AFTER_MS);
+        return;
+    }
+    GwCalls_Enqueue(c, call);
+    GwCalls_SetDue(c, env, call);
+    GwCalls_Pump(c, env);
+}
+
+/* Answers a resend from the record of its ticket. */
+static void
+answer_from_record(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                   const GwRecord *record)
+{
+    GwCallEnd end = {0};
+
+    if (record->state == GW_RECORD_RUNNING) {
+        GwCall *first = g_hash_table_lookup(c->open, &record->call);
+        assert(first != NULL);
+        call->state = GW_CALL_ATTACHED;
+        call->next_attached = first->next_attached;
+        first->next_attached = call;
+        /* Its own deadline may be earlier than the first one's. */
+        GwCalls_SetDue(c, env, call);
+        return;
+    }
+    if (record->state == GW_RECORD_ANSWERED) {
+        end.outcome = GW_OUTCOME_ANSWERED;
+        end.answer_of = record->call;
+        end.answer_attempt = record->attempt;
+    }
+    else {
+        end.outcome = GW_OUTCOME_UNKNOWN;
+        end.reason = record->reason;
+    }
+    GwCalls_Finish(c, env, call, &end);
+}
+
+/* A ticket of another start: only that process may know whether it ran. */
+static void
+relay_to_owner(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    const GwMember *owner =
+        GwMembers_Find(env->members, call->ticket.owner.node);
+
+    if (call->relayed || owner == NULL ||
+        !GwNodeId_Equal(owner->info.id, call->ticket.owner) ||
+        owner->info.state == GW_MEMBER_DEAD) {
+        GwCalls_FinishUnknown(c, env, call, GW_REASON_OWNER_GONE);
+        return;
+    }
+    GwCalls_StartOwner(c, env, call, owner);
+}
+
+/* Whether new work is refused now; a resend is still answered. */
+static GwReason
+refusal_of_new(const GwCallsEnv *env)
+{
+    if (env->leaving) {
+        return GW_REASON_LEAVING;
+    }
+    return env->ready ? GW_REASON_NONE : GW_REASON_NOT_READY;
+}
+
+static void
+begin_ticket(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    GwReason refusal = refusal_of_new(env);
+
+    if (refusal != GW_REASON_NONE) {
+        GwCalls_FinishNotRun(c, env, call, refusal, 0);
+        return;
+    }
+    if (GwTickets_Begin(c->tickets, env->now_us, call->ticket.seq,
+                        call->call) == NULL) {
+        GwCalls_FinishNotRun(c, env, call, GW_REASON_TABLE_FULL,
+                             c->params.ticket_retention_ms);
+        return;
+    }
+    start_or_wait(c, env, call);
+}
+
+/* A non-idempotent call from a caller, or relayed here by its ticket. */
+static void
+arrive_with_ticket(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                   const GwCallEvent *ev)
+{
+    GwRecord *record = NULL;
+
+    call->ticket = ev->ticket;
+    if (ev->ticket.seq == 0) {
+        call->ticket = GwTickets_Mint(c->tickets, env->now_us);
+    }
+    switch (GwTickets_Check(c->tickets, env->now_us, &call->ticket, &record)) {
+    case GW_TICKET_NEW:
+        begin_ticket(c, env, call);
+        break;
+    case GW_TICKET_KNOWN:
+        answer_from_record(c, env, call, record);
+        break;
+    case GW_TICKET_OLD:
+        GwCalls_FinishUnknown(c, env, call, GW_REASON_OLD_TICKET);
+        break;
+    case GW_TICKET_OTHER:
+        relay_to_owner(c, env, call);
+        break;
+    case GW_TICKET_BAD:
+        GwCalls_FinishNotRun(c, env, call, GW_REASON_BAD_TICKET, 0);
+        break;
+    }
+}
+
+/* An idempotent call, or one that another region shifted here: that region's
+ * entry owns its ticket and guards against a second run. */
+static void
+arrive_plain(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    GwReason refusal = refusal_of_new(env);
+
+    if (refusal != GW_REASON_NONE) {
+        GwCalls_FinishNotRun(c, env, call, refusal, 0);
+        return;
+    }
+    start_or_wait(c, env, call);
+}
+
+/* Takes a call in. It ends in exactly one FINISH action, now or later. */
+void
+GwCalls_Arrive(GwCalls *c, const GwCallsEnv *env, const GwCallEvent *ev)
+{
+    if (env->config == NULL) {
+        refuse_event(env, ev, GW_OUTCOME_NOT_RUN, GW_REASON_NOT_READY,
+                     GW_RETRY_AFTER_MS);
+        return;
+    }
+    uint32_t service = GwConfig_FindService(env->config, ev->service);
+    if (service == GW_NONE) {
+        /* With a ticket the call may have run before the service went. */
+        GwOutcome outcome =
+            ev->ticket.seq == 0 ? GW_OUTCOME_NOT_RUN : GW_OUTCOME_UNKNOWN;
+        refuse_event(env, ev, outcome, GW_REASON_NO_SERVICE, 0);
+        return;
+    }
+    GwCall *call = open_call(c, env, ev, service);
+    bool shifted = ev->relayed && !ev->to_owner;
+    if (call->idempotent || shifted) {
+        arrive_plain(c, env, call);
+    }
+    else {
+        arrive_with_ticket(c, env, call, ev);
+    }
+}
+
+/* ---- attempts ----------------------------------------------------------- */
+
+static GwAttempt *
+find_attempt(GwCall *call, uint32_t number)
+{
+    for (uint32_t i = 0; i < GW_ATTEMPTS_AT_ONCE; i++) {
+        if (call->attempts[i].active && call->attempts[i].number == number) {
+            return &call->attempts[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+has_active_attempt(const GwCall *call)
+{
+    return call->attempts[0].active || call->attempts[1].active;
+}
+
+/* Another attempt at once when the budget pays for it, else after a
+ * back-off that doubles: a call is not given up while its deadline can still
+ * be met, since a missing answer costs more than a late one. */
+static void
+retry(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    if (GwRetryBudget_Draw(&c->services[call->service].budget)) {
+        GwCalls_Enqueue(c, call);
+        GwCalls_SetDue(c, env, call);
+        GwCalls_Pump(c, env);
+        return;
+    }
+    int64_t base = GW_BACKOFF_MIN_US << call->attempts_made;
+    call->state = GW_CALL_BACKOFF;
+    call->due_us = env->now_us + GwRng_Jitter(&c->rng, base, base);
+    GwCalls_SetDue(c, env, call);
+}
+
+/* Retries are made by one layer: the entry that a caller spoke to, or the
+ * owner of the ticket. An entry that a call was shifted to reports back. */
+static bool
+may_retry(const GwCalls *c, const GwCallsEnv *env, const GwCall *call)
+{
+    return call->service != GW_NONE && call->attempts_made < GW_ATTEMPTS_MAX &&
+           !(call->relayed && !call->to_owner) &&
+           !GwCalls_IsHopeless(c, call, env->now_us);
+}
+
+static void
+attempt_not_run(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                GwAttemptKind kind, const GwAttemptEvent *ev)
+{
+    call->last_reason = ev->reason;
+    call->last_retry_after_ms = ev->retry_after_ms;
+    if (kind == GW_ATTEMPT_OWNER) {
+        /* Not reaching the owner proves nothing: an earlier sending may have
+         * run there. Only the owner's own refusal is proof. */
+#if GW_MUTANT != 2
+        if (ev->reason == GW_REASON_PEER_CONNECT) {
+            GwCalls_FinishUnknown(c, env, call, GW_REASON_OWNER_GONE);
+            return;
+        }
+#endif
+        GwCalls_FinishNotRun(c, env, call, ev->reason, ev->retry_after_ms);
+        return;
+    }
+    if (may_retry(c, env, call)) {
+        retry(c, env, call);
+        return;
+    }
+    GwCalls_FinishNotRun(c, env, call, ev->reason,
+                         ev->retry_after_ms > 0 ? ev->retry_after_ms
+                                                : GW_RETRY_AFTER_MS);
+}
+
+/* A non-idempotent call whose attempt may have run is over: to send it
+ * again could book twice. */
+static void
+attempt_unknown(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                const GwAttemptEvent *ev)
+{
+    call->may_have_run = true;
+#if GW_MUTANT == 3
+    if (may_retry(c, env, call)) {
+#else
+    if (call->idempotent && may_retry(c, env, call)) {
+#endif
+        retry(c, env, call);
+        return;
+    }
+    GwCalls_FinishUnknown(c, env, call, ev->reason);
+}
+
+static void
+attempt_answered(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                 const GwAttempt *attempt)
+{
+    if (call->service != GW_NONE) {
+        GwServiceCalls *service = &c->services[call->service];
+        uint32_t percentile =
+            env->config->services[call->service].hedge_percentile;
+        if (attempt->kind == GW_ATTEMPT_BACKEND) {
+            GwLatency_Add(&service->latency, env->now_us - attempt->started_us,
+                          percentile);
+        }
+        GwRetryBudget_Pay(&service->budget);
+    }
+    GwCallEnd end = {.outcome = GW_OUTCOME_ANSWERED,
+                     .answer_of = call->call,
+                     .answer_attempt = attempt->number};
+    GwCalls_Finish(c, env, call, &end);
+}
+
+/* The end of an attempt. Late ends of calls that are over are ignored: their
+ * unit was accounted for when the call ended. */
+void
+GwCalls_Attempt(GwCalls *c, const GwCallsEnv *env, const GwAttemptEvent *ev)
+{
+    GwCall *call = g_hash_table_lookup(c->open, &ev->call);
+    GwAttempt *attempt = call == NULL ? NULL : find_attempt(call, ev->attempt);
+
+    if (attempt == NULL) {
+        return;
+    }
+    GwAttempt ended = *attempt;
+    attempt->active = false;
+    if (ended.kind != GW_ATTEMPT_OWNER) {
+        int64_t hold =
+            ev->outcome == GW_OUTCOME_UNKNOWN ? ended.give_up_us : env->now_us;
+        GwSteer_Done(env->steer, env->now_us, ended.use, ev, hold);
+    }
+    if (ev->outcome == GW_OUTCOME_ANSWERED) {
+        attempt_answered(c, env, call, &ended);
+        return;
+    }
+    if (has_active_attempt(call)) {
+        call->may_have_run |= ev->outcome == GW_OUTCOME_UNKNOWN;
+        GwCalls_SetDue(c, env, call);
+        return;
+    }
+    if (ev->outcome == GW_OUTCOME_NOT_RUN) {
+        attempt_not_run(c, env, call, ended.kind, ev);
+    }
+    else {
+        attempt_unknown(c, env, call, ev);
+    }
+}
+
+/* ---- time ----------------------------------------------------------------- */
+
+/* Treats an attempt past its end as UNKNOWN, without waiting for the host to
+ * say so. */
+static void
+give_up_attempts(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    uint64_t handle = call->call;
+
+    for (uint32_t i = 0; i < GW_ATTEMPTS_AT_ONCE; i++) {
+        GwAttempt *attempt = &call->attempts[i];
+        if (!attempt->active || attempt->give_up_us > env->now_us) {
+            continue;
+        }
+        GwAction *action = GwActions_Add(env->out, GW_ACTION_CANCEL);
+        action->u.cancel.call = handle;
+        action->u.cancel.attempt = attempt->number;
+        GwAttemptEvent ev = {.call = handle,
+                             .attempt = attempt->number,
+                             .outcome = GW_OUTCOME_UNKNOWN,
+                             .reason = GW_REASON_SILENT};
+        GwCalls_Attempt(c, env, &ev);
+        if (g_hash_table_lookup(c->open, &handle) == NULL) {
+            return;
+        }
+    }
+}
+
+static void
+past_deadline(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    bool at_risk =
+        call->state == GW_CALL_RUNNING || call->state == GW_CALL_ATTACHED;
+
+    if (at_risk) {
+        GwCalls_FinishUnknown(c, env, call, GW_REASON_SILENT);
+        return;
+    }
+    GwReason reason = call->last_reason != GW_REASON_NONE ? call->last_reason
+                                                          : GW_REASON_DEADLINE;
+    GwCalls_FinishNotRun(c, env, call, reason, GW_RETRY_AFTER_MS);
+}
+
+/* Takes an attached call out of the list of the call it waits for. */
+static void
+detach(GwCalls *c, GwCall *call)
+{
+    GwRecord *record = GwTickets_Find(c->tickets, call->ticket.seq);
+    GwCall *at =
+        record == NULL ? NULL : g_hash_table_lookup(c->open, &record->call);
+
+    while (at != NULL && at->next_attached != call) {
+        at = at->next_attached;
+    }
+    if (at != NULL) {
+        at->next_attached = call->next_attached;
+    }
+    call->next_attached = NULL;
+}
+
+static void
+call_due(GwCalls *c, const GwCallsEnv *env, GwCall *call)
+{
+    if (call->service == GW_NONE && call->state == GW_CALL_BACKOFF) {
+        GwCalls_FinishNotRun(c, env, call, GW_REASON_NO_SERVICE, 0);
+        return;
+    }
+    if (call->state == GW_CALL_ATTACHED) {
+        detach(c, call);
+    }
+    if (env->now_us >= call->deadline_us) {
+        past_deadline(c, env, call);
+        return;
+    }
+    switch (call->state) {
+    case GW_CALL_WAITING:
+        /* The estimate it was due by may have fallen since. */
+        if (GwCalls_IsHopeless(c, call, env->now_us)) {
+            past_deadline(c, env, call);
+        }
+        else {
+            GwCalls_SetDue(c, env, call);
+        }
+        break;
+    case GW_CALL_BACKOFF:
+        GwCalls_Enqueue(c, call);
+        GwCalls_SetDue(c, env, call);
+        break;
+    case GW_CALL_RUNNING: {
+        uint64_t handle = call->call;
+        if (call->service != GW_NONE && !call->attempts[1].active) {
+            GwCalls_Hedge(c, env, call);
+        }
+        give_up_attempts(c, env, call);
+        if (g_hash_table_lookup(c->open, &handle) != NULL &&
+            call->state == GW_CALL_RUNNING) {
+            GwCalls_SetDue(c, env, call);
+        }
+        break;
+    }
+    case GW_CALL_ATTACHED:
+        GwCalls_FinishUnknown(c, env, call, GW_REASON_SILENT);
+        break;
+    }
+}
+
+void
+GwCalls_Tick(GwCalls *c, const GwCallsEnv *env)
+{
+    while (GwHeap_TopKey(&c->timers) <= env->now_us) {
+        call_due(c, env, GwHeap_Top(&c->timers));
+    }
+    GwTickets_Expire(c->tickets, env->now_us);
+    GwCalls_Pump(c, env);
+}
+
+/* The caller hung up. A waiting call is dropped; one that runs goes on, so
+ * that its outcome is there for a resend. */
+void
+GwCalls_Gone(GwCalls *c, const GwCallsEnv *env, uint64_t handle)
+{
+    GwCall *call = g_hash_table_lookup(c->open, &handle);
+
+    if (call != NULL && call->state == GW_CALL_WAITING &&
+        call->next_attached == NULL) {
+        GwCalls_FinishNotRun(c, env, call, GW_REASON_CALLER_GONE, 0);
+    }
+}
+
+GwResult
+GwCalls_Mint(GwCalls *c, int64_t now_us, uint32_t count, GwTicket *out)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        out[i] = GwTickets_Mint(c->tickets, now_us);
+    }
+    return count;
+}
+
+const uint32_t *
+GwCalls_Queued(const GwCalls *c)
+{
+    return c->queued;
+}
+
+uint32_t
+GwCalls_Open(const GwCalls *c)
+{
+    return g_hash_table_size(c->open);
+}
--- a/lib/godwitridge.h
+++ b/lib/godwitridge.h
@@ -57,7 +57,8 @@
     X(NO_GRANT, 17, "no-grant")                                               \
     X(CALLER_GONE, 18, "caller-gone")                                         \
     X(BAD_REQUEST, 19, "bad-request")                                         \
-    X(TOO_LARGE, 20, "too-large")
+    X(TOO_LARGE, 20, "too-large")                                             \
+    X(PEER_CONNECT, 21, "peer-connect")
 
 typedef enum {
 #define GW_REASON_ENUM(sym, num, name) GW_REASON_##sym = (num),
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -39,7 +39,7 @@
     uint32_t incarnation;
     GwMemberState state;
     uint32_t region;                /* hash of the region's name */
-    uint32_t domain;                /* hash of the failure domain's name */
+    char domain[GW_NAME_MAX];       /* the failure domain's name */
     char name[GW_NAME_MAX];         /* the instance's name */
     char peer_address[GW_ADDR_MAX]; /* inner protocol, ip:port */
     char call_address[GW_ADDR_MAX]; /* callers' HTTP, ip:port */
