Add the fixture: a small cluster on virtual time

Cause: properties are to be judged on the real decision code under delays, loss, pauses, crashes and store failures, repeatable to the microsecond. Change: tests/fakes: one seeded queue, fake table, list, backend servers and callers, and a judge that reads only their journals.

--- /dev/null
+++ b/tests/fakes/cluster.h
@@ -0,0 +1,171 @@
+/* A small cluster on virtual time: nodes of the real decision code, a seeded
+ * queue of messages, fakes of the backend servers, the table and the list.
+ * One seed gives one run, to the microsecond. */
+#ifndef FAKES_CLUSTER_H
+#define FAKES_CLUSTER_H
+
+#include "common/heap.h"
+#include "common/rng.h"
+#include "godwitridge.h"
+
+#include <glib.h>
+
+#define FAKE_MS          1000LL
+#define FAKE_SEC         1000000LL
+#define FAKE_REGIONS_MAX 8
+
+typedef struct {
+    uint64_t seed;
+    uint32_t node_count;   /* dealt out to regions in turn */
+    uint32_t region_count; /* names r0, r1, ... */
+    uint32_t domains_per_region;
+    const char *config_text; /* version 1, in the table from the start */
+    int64_t domain_delay_us; /* one way */
+    int64_t region_delay_us;
+    uint32_t loss_permille; /* of control messages */
+    uint32_t duplicate_permille;
+    int64_t service_time_us;    /* median; drawn from 0.5 to 1.5 of it, with a
+                              * tail of 4 times in one of 50 */
+    uint32_t shed_over_percent; /* a server refuses over slots*this/100 */
+    int64_t list_lag_us;
+    bool count_bytes; /* encode each message and add up its size */
+    uint32_t policy;
+    void (*tune)(GwNodeParams *params); /* last word on parameters */
+} FakeClusterParams;
+
+typedef enum {
+    FAKE_STORE_OK = 0,
+    FAKE_STORE_AWAY = 1,  /* no effect, no answer */
+    FAKE_STORE_LOSES = 2, /* takes effect, no answer (writes) */
+    FAKE_STORE_SLOW = 3,  /* answers after 900 ms */
+    FAKE_STORE_FLAKY = 4, /* each of the above by chance */
+} FakeStoreMode;
+
+typedef struct {
+    uint64_t id;
+    char address[GW_ADDR_MAX];
+    uint32_t slots;
+    uint32_t in_flight;
+    uint32_t most_in_flight;
+    uint32_t runs;
+    bool down;      /* connections are refused */
+    bool silent;    /* reads, runs, never answers */
+    bool resets;    /* runs and breaks the connection */
+    bool lies_idle; /* reports no load */
+    bool no_reports;
+    bool draining;
+    uint32_t slow_factor; /* 0 and 1: as usual */
+} FakeBackend;
+
+typedef struct {
+    GwNode *node; /* NULL when crashed or never started */
+    GwNodeParams params;
+    uint32_t region;
+    uint32_t domain;
+    uint32_t epoch; /* raised by each start; events of old ones are void */
+    int64_t paused_until_us;
+    bool stopped; /* left gracefully */
+    bool leaving;
+    bool listed_wrongly; /* the list leaves it out although it lives */
+    uint64_t messages_sent;
+    uint64_t bytes_sent;
+    int64_t config_at_us; /* when its last version came into force */
+    uint64_t config_version;
+    uint64_t version_falls; /* times its version went down */
+} FakeNode;
+
+/* What became of one logical call of a caller. */
+typedef struct {
+    uint64_t key;
+    uint32_t node;
+    bool idempotent;
+    bool done;
+    GwOutcome outcome;
+    GwReason reason;
+    GwTicket ticket;
+    int64_t sent_us;
+    int64_t ended_us;
+    bool wrong_answer;
+    uint32_t service;
+} FakeCallerCall;
+
+typedef struct {
+    uint32_t sent;
+    uint32_t answered;
+    uint32_t not_run;
+    uint32_t unknown;
+    uint32_t unfinished; /* without an outcome though its entry lives */
+    uint32_t doubled;
+    uint32_t false_refusals;
+    uint32_t wrong_answers;
+    uint32_t over_slots; /* servers that had more in flight than slots */
+} FakeJudgement;
+
+typedef struct FakeCluster_s FakeCluster;
+struct FakeCluster_s {
+    FakeClusterParams params;
+    GwRng rng;
+    int64_t now_us;
+    FakeNode *nodes;
+    GwHeap queue;
+    GHashTable *rows;  /* key -> GwRow, owned */
+    GHashTable *hosts; /* host call handle -> FakeHostCall, owned */
+    GPtrArray *backends;
+    GHashTable *runs; /* caller key -> times run (non-idempotent) */
+    GPtrArray *calls; /* FakeCallerCall, owned */
+    FakeStoreMode store;
+    uint64_t table_reads;
+    uint64_t table_writes;
+    uint64_t next_handle;
+    bool cut[FAKE_REGIONS_MAX][FAKE_REGIONS_MAX];
+    uint32_t isolated;     /* 1 + a node cut off from all others; 0 none */
+    uint32_t most_shifted; /* most relayed in flight at once, all regions */
+    uint32_t shifted;
+    void (*watch)(FakeCluster *c); /* called after each step */
+    void *watch_ctx;
+};
+
+FakeCluster *
+FakeCluster_Create(const FakeClusterParams *params);
+void
+FakeCluster_Free(FakeCluster *c);
+void
+FakeCluster_Run(FakeCluster *c, int64_t until_us);
+
+void
+FakeCluster_Start(FakeCluster *c, uint32_t node);
+void
+FakeCluster_Crash(FakeCluster *c, uint32_t node);
+void
+FakeCluster_Pause(FakeCluster *c, uint32_t node, int64_t for_us);
+void
+FakeCluster_Leave(FakeCluster *c, uint32_t node);
+void
+FakeCluster_CutRegions(FakeCluster *c, uint32_t a, uint32_t b, bool cut);
+/* Writes the next version as an operator's accepted change, and offers it to
+ * `node` as its admin side does; GW_NONE offers it to nobody. */
+uint64_t
+FakeCluster_Change(FakeCluster *c, const char *text, uint32_t node);
+
+FakeBackend *
+FakeCluster_Backend(FakeCluster *c, uint32_t i);
+/* Sends a call now; the ticket may be of an earlier call (a resend). `key`
+ * 0 makes a new key. Returns its index in c->calls. */
+uint32_t
+FakeCluster_Call(FakeCluster *c, uint32_t node, const char *service,
+                 bool idempotent, const GwTicket *ticket, uint64_t key,
+                 int64_t deadline_us);
+FakeCallerCall *
+FakeCluster_CallAt(FakeCluster *c, uint32_t i);
+GwResult
+FakeCluster_Mint(FakeCluster *c, uint32_t node, GwTicket *out);
+FakeJudgement
+FakeCluster_Judge(const FakeCluster *c);
+
+/* A configuration document: `backends` servers per region and service of
+ * `slots` each; shifts between all regions with `cap` when it is not 0. */
+char *
+FakeConfig_Text(uint32_t regions, uint32_t services, uint32_t backends,
+                uint32_t slots, uint32_t cap, uint32_t seats);
+
+#endif
--- /dev/null
+++ b/tests/fakes/cluster_calls.c
@@ -0,0 +1,409 @@
+/* Callers, backend servers and relays of the fixture, and the judgement from
+ * their journals. */
+#include "fakes/cluster_internal.h"
+
+#include <string.h>
+
+#define BACKEND_ONE_WAY_US 150
+
+FakeBackend *
+FakeCluster_Backend(FakeCluster *c, uint32_t i)
+{
+    return g_ptr_array_index(c->backends, i);
+}
+
+FakeCallerCall *
+FakeCluster_CallAt(FakeCluster *c, uint32_t i)
+{
+    return g_ptr_array_index(c->calls, i);
+}
+
+GwResult
+FakeCluster_Mint(FakeCluster *c, uint32_t node, GwTicket *out)
+{
+    FakeNode *n = &c->nodes[node];
+
+    if (n->node == NULL || n->paused_until_us > c->now_us) {
+        return GW_ERR(IO);
+    }
+    return GwNode_MintTickets(n->node, c->now_us, 1, out);
+}
+
+static FakeHostCall *
+new_host_call(FakeCluster *c, uint32_t node)
+{
+    FakeHostCall *host = g_new0(FakeHostCall, 1);
+    host->handle = ++c->next_handle;
+    host->node = node;
+    host->epoch = c->nodes[node].epoch;
+    host->caller_call = GW_NONE;
+    g_hash_table_insert(c->hosts, &host->handle, host);
+    return host;
+}
+
+static void
+step_call(FakeCluster *c, const FakeHostCall *host, bool to_owner,
+          uint64_t grant)
+{
+    GwEvent event = {.kind = GW_EVENT_CALL};
+    GwCallEvent *call = &event.u.call;
+
+    call->call = host->handle;
+    g_strlcpy(call->service, host->service, GW_NAME_MAX);
+    g_strlcpy(call->method, host->idempotent ? "GET" : "POST",
+              sizeof(call->method));
+    g_strlcpy(call->path, "/x", GW_PATH_MAX);
+    call->ticket = host->ticket;
+    call->deadline_us = host->deadline_us;
+    if (host->caller_call == GW_NONE) {
+        call->relayed = true;
+        call->to_owner = to_owner;
+        call->relay_from = c->nodes[host->from_node].params.id;
+        call->grant = grant;
+    }
+    FakeCluster_Step(c, host->node, &event);
+}
+
+/* A caller's call arrives at an entry now. */
+uint32_t
+FakeCluster_Call(FakeCluster *c, uint32_t node, const char *service,
+                 bool idempotent, const GwTicket *ticket, uint64_t key,
+                 int64_t deadline_us)
+{
+    FakeCallerCall *call = g_new0(FakeCallerCall, 1);
+    uint32_t index = c->calls->len;
+
+    call->node = node;
+    call->idempotent = idempotent;
+    call->key = key != 0 ? key : index + 1;
+    call->sent_us = c->now_us;
+    call->service = (uint32_t)(service[1] - '0');
+    g_ptr_array_add(c->calls, call);
+    if (c->nodes[node].node == NULL ||
+        c->nodes[node].paused_until_us > c->now_us) {
+        /* Connection refused or never accepted: nothing was sent. */
+        call->done = true;
+        call->outcome = GW_OUTCOME_NOT_RUN;
+        call->reason = GW_REASON_CONNECT;
+        call->ended_us = c->now_us;
+        return index;
+    }
+    FakeHostCall *host = new_host_call(c, node);
+    host->key = call->key;
+    host->idempotent = idempotent;
+    host->deadline_us = deadline_us;
+    host->caller_call = index;
+    g_strlcpy(host->service, service, GW_NAME_MAX);
+    if (ticket != NULL) {
+        host->ticket = *ticket;
+        call->ticket = *ticket;
+    }
+    step_call(c, host, false, 0);
+    return index;
+}
+
+static FakeHostCall *
+live_host_call(FakeCluster *c, uint64_t handle)
+{
+    FakeHostCall *host = g_hash_table_lookup(c->hosts, &handle);
+    if (host == NULL || c->nodes[host->node].node == NULL ||
+        c->nodes[host->node].epoch != host->epoch) {
+        return NULL;
+    }
+    return host;
+}
+
+static void
+post_end(FakeCluster *c, uint32_t node, uint32_t epoch, uint64_t handle,
+         uint32_t attempt, int64_t at_us, GwAttemptEvent end)
+{
+    FakeEvent *ev = FakeCluster_Post(c, FAKE_ATTEMPT_END, at_us, node);
+    ev->epoch = epoch;
+    ev->end = end;
+    ev->end.call = handle;
+    ev->end.attempt = attempt;
+}
+
+/* ---- backend servers ------------------------------------------------------ */
+
+static uint32_t
+backend_by_id(const FakeCluster *c, uint64_t id)
+{
+    for (uint32_t i = 0; i < c->backends->len; i++) {
+        const FakeBackend *b = g_ptr_array_index(c->backends, i);
+        if (b->id == id) {
+            return i;
+        }
+    }
+    return GW_NONE;
+}
+
+void
+FakeCalls_Dispatch(FakeCluster *c, uint32_t node,
+                   const GwDispatchAction *dispatch)
+{
+    FakeEvent *ev = FakeCluster_Post(c, FAKE_BACKEND_IN,
+                                     c->now_us + BACKEND_ONE_WAY_US, node);
+    ev->handle = dispatch->call;
+    ev->attempt = dispatch->attempt;
+    ev->backend = backend_by_id(c, dispatch->backend);
+    ev->give_up_us = dispatch->give_up_us;
+}
+
+static int64_t
+service_time(FakeCluster *c, const FakeBackend *b)
+{
+    int64_t base = c->params.service_time_us;
+    int64_t time = GwRng_Jitter(&c->rng, base / 2, base);
+
+    if (GwRng_Below(&c->rng, 50) == 0) {
+        time *= 4;
+    }
+    return b->slow_factor > 1 ? time * b->slow_factor : time;
+}
+
+static void
+count_run(FakeCluster *c, const FakeHostCall *host)
+{
+    if (!host->idempotent) {
+        gpointer key = (gpointer)(uintptr_t)host->key;
+        uintptr_t runs = (uintptr_t)g_hash_table_lookup(c->runs, key);
+        g_hash_table_insert(c->runs, key, (gpointer)(runs + 1));
+    }
+}
+
+/* The request is at the server. From here on it may run whatever becomes of
+ * the entry that sent it. */
+void
+FakeCalls_BackendIn(FakeCluster *c, const FakeEvent *ev)
+{
+    FakeBackend *b = FakeCluster_Backend(c, ev->backend);
+    const FakeHostCall *host = g_hash_table_lookup(c->hosts, &ev->handle);
+    uint32_t limit = b->slots * c->params.shed_over_percent / 100;
+    GwAttemptEvent end = {.outcome = GW_OUTCOME_NOT_RUN};
+
+    if (host == NULL) {
+        return;
+    }
+    if (b->down || (limit > 0 && b->in_flight >= limit)) {
+        end.reason = b->down ? GW_REASON_CONNECT : GW_REASON_SHED;
+        end.draining = b->draining;
+        post_end(c, ev->node, ev->epoch, ev->handle, ev->attempt,
+                 c->now_us + BACKEND_ONE_WAY_US, end);
+        return;
+    }
+    b->in_flight++;
+    b->runs++;
+    if (b->in_flight > b->most_in_flight) {
+        b->most_in_flight = b->in_flight;
+    }
+    count_run(c, host);
+    int64_t time = service_time(c, b);
+    int64_t ends = c->now_us + time;
+    bool cut_short = ends > ev->give_up_us;
+    FakeEvent *done = FakeCluster_Post(
+        c, FAKE_BACKEND_DONE, cut_short ? ev->give_up_us : ends, ev->node);
+    done->epoch = ev->epoch;
+    done->handle = ev->handle;
+    done->attempt = ev->attempt;
+    done->backend = ev->backend;
+    done->run_counted = !cut_short;
+}
+
+/* The server is through, or its deadline stopped it (no answer then). */
+void
+FakeCalls_BackendDone(FakeCluster *c, const FakeEvent *ev)
+{
+    FakeBackend *b = FakeCluster_Backend(c, ev->backend);
+    GwAttemptEvent end = {.outcome = GW_OUTCOME_ANSWERED, .body_len = 64};
+
+    b->in_flight--;
+    if (b->silent || !ev->run_counted) {
+        return;
+    }
+    if (b->resets) {
+        end.outcome = GW_OUTCOME_UNKNOWN;
+        end.reason = GW_REASON_BROKEN;
+    }
+    end.draining = b->draining;
+    end.has_load = !b->no_reports;
+    end.reported_load = b->lies_idle ? 0 : b->in_flight;
+    post_end(c, ev->node, ev->epoch, ev->handle, ev->attempt,
+             c->now_us + BACKEND_ONE_WAY_US, end);
+}
+
+/* ---- relays --------------------------------------------------------------- */
+
+static uint32_t
+node_by_id(const FakeCluster *c, uint64_t id)
+{
+    for (uint32_t i = 0; i < c->params.node_count; i++) {
+        if (c->nodes[i].params.id.node == id) {
+            return i;
+        }
+    }
+    return GW_NONE;
+}
+
+void
+FakeCalls_Relay(FakeCluster *c, uint32_t node, const GwRelayAction *relay)
+{
+    uint32_t to = node_by_id(c, relay->to.node);
+    FakeEvent *ev = FakeCluster_Post(
+        c, FAKE_RELAY_IN, c->now_us + FakeCluster_Delay(c, node, to), to);
+
+    ev->relay = *relay;
+    ev->handle = relay->call;
+    ev->backend = node; /* where it came from */
+}
+
+/* A relayed call at its target. A dead process refuses the connection: proven
+ * not run. A cut link loses it without a word. */
+void
+FakeCalls_RelayIn(FakeCluster *c, const FakeEvent *ev)
+{
+    uint32_t from = ev->backend;
+    FakeHostCall *origin = live_host_call(c, ev->handle);
+    FakeNode *n = &c->nodes[ev->node];
+
+    if (origin == NULL || FakeCluster_IsCut(c, from, ev->node)) {
+        return;
+    }
+    if (n->node == NULL || !GwNodeId_Equal(n->params.id, ev->relay.to)) {
+        GwAttemptEvent end = {.outcome = GW_OUTCOME_NOT_RUN,
+                              .reason = GW_REASON_PEER_CONNECT};
+        post_end(c, from, origin->epoch, ev->handle, ev->relay.attempt,
+                 c->now_us + FakeCluster_Delay(c, ev->node, from), end);
+        return;
+    }
+    FakeHostCall *host = new_host_call(c, ev->node);
+    host->key = origin->key;
+    host->idempotent = origin->idempotent;
+    host->ticket = ev->relay.to_owner ? origin->ticket : (GwTicket){0};
+    host->deadline_us = ev->relay.give_up_us;
+    host->from_node = from;
+    host->from_epoch = origin->epoch;
+    host->from_handle = ev->handle;
+    host->from_attempt = ev->relay.attempt;
+    g_strlcpy(host->service, origin->service, GW_NAME_MAX);
+    if (!ev->relay.to_owner) {
+        host->counted_shift = true;
+        c->shifted++;
+        c->most_shifted = MAX(c->most_shifted, c->shifted);
+    }
+    step_call(c, host, ev->relay.to_owner, ev->relay.grant);
+}
+
+/* ---- outcomes ------------------------------------------------------------- */
+
+static void
+finish_relayed(FakeCluster *c, FakeHostCall *host,
+               const GwFinishAction *finish)
+{
+    uint32_t from = host->from_node;
+    GwAttemptEvent end = {.outcome = finish->outcome,
+                          .reason = finish->reason,
+                          .retry_after_ms = finish->retry_after_ms};
+
+    if (host->counted_shift) {
+        c->shifted--;
+    }
+    if (FakeCluster_IsCut(c, host->node, from)) {
+        return;
+    }
+    post_end(c, from, host->from_epoch, host->from_handle, host->from_attempt,
+             c->now_us + FakeCluster_Delay(c, host->node, from), end);
+}
+
+/* The final outcome of a call at the entry that holds it. The answer sent is
+ * that of the call it names: an answer to another key is a wrong one. */
+void
+FakeCalls_Finish(FakeCluster *c, uint32_t node, const GwFinishAction *finish)
+{
+    FakeHostCall *host = g_hash_table_lookup(c->hosts, &finish->call);
+
+    g_assert(host != NULL && host->node == node);
+    if (host->caller_call == GW_NONE) {
+        finish_relayed(c, host, finish);
+        return;
+    }
+    FakeCallerCall *call = FakeCluster_CallAt(c, host->caller_call);
+    g_assert(!call->done);
+    call->done = true;
+    call->outcome = finish->outcome;
+    call->reason = finish->reason;
+    call->ticket = finish->ticket;
+    call->ended_us = c->now_us;
+    if (finish->outcome == GW_OUTCOME_ANSWERED) {
+        const FakeHostCall *of =
+            g_hash_table_lookup(c->hosts, &finish->answer_of);
+        call->wrong_answer = of == NULL || of->key != call->key;
+    }
+}
+
+static void
+judge_call(const FakeCluster *c, const FakeCallerCall *call, FakeJudgement *j)
+{
+    uintptr_t runs = (uintptr_t)g_hash_table_lookup(
+        c->runs, (gpointer)(uintptr_t)call->key);
+
+    j->sent++;
+    if (!call->done) {
+        /* An entry that died took its callers' connections with it. */
+        j->unfinished +=
+            c->nodes[call->node].node != NULL &&
+            c->nodes[call->node].params.id.start <= (uint64_t)call->sent_us;
+        return;
+    }
+    switch (call->outcome) {
+    case GW_OUTCOME_ANSWERED:
+        j->answered++;
+        j->wrong_answers += call->wrong_answer;
+        j->wrong_answers += !call->idempotent && runs == 0;
+        break;
+    case GW_OUTCOME_NOT_RUN:
+        j->not_run++;
+        break;
+    case GW_OUTCOME_UNKNOWN:
+        j->unknown++;
+        break;
+    }
+}
+
+/* A refusal is false when its key ran, unless another sending of the key had
+ * an outcome that allows for the run. */
+static bool
+has_excuse(const FakeCluster *c, uint64_t key)
+{
+    for (uint32_t i = 0; i < c->calls->len; i++) {
+        const FakeCallerCall *call = g_ptr_array_index(c->calls, i);
+        bool refused = call->done && call->outcome == GW_OUTCOME_NOT_RUN;
+        if (call->key == key && !refused) {
+            return true;
+        }
+    }
+    return false;
+}
+
+FakeJudgement
+FakeCluster_Judge(const FakeCluster *c)
+{
+    FakeJudgement j = {0};
+    GHashTableIter iter;
+    gpointer key = NULL;
+    gpointer runs = NULL;
+
+    for (uint32_t i = 0; i < c->calls->len; i++) {
+        judge_call(c, g_ptr_array_index(c->calls, i), &j);
+    }
+    g_hash_table_iter_init(&iter, c->runs);
+    while (g_hash_table_iter_next(&iter, &key, &runs)) {
+        j.doubled += (uintptr_t)runs > 1;
+        j.false_refusals += !has_excuse(c, (uint64_t)(uintptr_t)key);
+    }
+    for (uint32_t i = 0; i < c->backends->len; i++) {
+        const FakeBackend *b = g_ptr_array_index(c->backends, i);
+        j.over_slots += b->most_in_flight > b->slots;
+    }
+    return j;
+}
