Parse the steering configuration, every field checked

Cause: entries and operators need one reader of the document that refuses what is wrong by field path, bound and value. Two backend servers may not share an address.

--- /dev/null
+++ b/lib/config/checks.c
@@ -0,0 +1,132 @@
+#include "config/checks.h"
+
+#include <string.h>
+
+/* Refuses a second operation with the method and path of the last one: the
+ * two could disagree on whether it may be repeated. */
+bool
+GwChecks_Operation(const GwService *service, const GwReadAt *at,
+                   GError **error)
+{
+    uint32_t last = service->operation_count - 1;
+    const GwOperation *op = &service->operations[last];
+    for (uint32_t i = 0; i < last; i++) {
+        const GwOperation *other = &service->operations[i];
+        if (strcmp(other->method, op->method) == 0 &&
+            strcmp(other->path, op->path) == 0) {
+            return GwRead_Fail(at, "path", GW_RESULT_DUPLICATE, error,
+                               "%s %s is already operations[%u]", op->method,
+                               op->path, i);
+        }
+    }
+    return true;
+}
+
+/* Refuses a second backend server of one name in a service, and a second use
+ * of one address: the server would get its slots twice over. */
+bool
+GwChecks_Backend(const GwConfig *c, const GwReadAt *at, GError **error)
+{
+    uint32_t last = c->backend_count - 1;
+    const GwBackend *b = &c->backends[last];
+    for (uint32_t i = 0; i < last; i++) {
+        const GwBackend *other = &c->backends[i];
+        if (other->id == b->id) {
+            return GwRead_Fail(at, "name", GW_RESULT_DUPLICATE, error,
+                               "\"%s\" is already in places[%u]", b->name,
+                               other->place);
+        }
+        if (strcmp(other->address, b->address) == 0) {
+            return GwRead_Fail(at, "address", GW_RESULT_DUPLICATE, error,
+                               "%s is already that of %s in places[%u]",
+                               b->address, other->name, other->place);
+        }
+    }
+    return true;
+}
+
+/* Refuses a second region of one name. */
+bool
+GwChecks_Region(GwConfig *c, uint32_t i, const GwReadAt *at, GError **error)
+{
+    const char *name = c->regions[i].name;
+    uint32_t first = GwConfig_FindRegion(c, name);
+    return first == i ||
+           GwRead_Fail(at, "name", GW_RESULT_DUPLICATE, error,
+                       "\"%s\" is already regions[%u]", name, first);
+}
+
+/* Refuses a second service of one name. */
+bool
+GwChecks_Service(GwConfig *c, uint32_t i, const GwReadAt *at, GError **error)
+{
+    const char *name = c->services[i].name;
+    uint32_t first = GwConfig_FindService(c, name);
+    return first == i ||
+           GwRead_Fail(at, "name", GW_RESULT_DUPLICATE, error,
+                       "\"%s\" is already services[%u]", name, first);
+}
+
+/* Refuses a second place of one service in one region. */
+bool
+GwChecks_Place(GwConfig *c, uint32_t i, const GwReadAt *at, GError **error)
+{
+    const GwPlace *place = &c->places[i];
+    uint32_t first = GwConfig_FindPlace(c, place->service, place->region);
+    return first == i || GwRead_Fail(at, "region", GW_RESULT_DUPLICATE, error,
+                                     "%s in %s is already places[%u]",
+                                     c->services[place->service].name,
+                                     c->regions[place->region].name, first);
+}
+
+/* Refuses a second shift between the same ends, one within a region, one to
+ * where the service has no place, and moving more than all of the calls. */
+bool
+GwChecks_Shift(GwConfig *c, uint32_t i, const GwReadAt *at, GError **error)
+{
+    const GwShift *shift = &c->shifts[i];
+    const char *to = c->regions[shift->to].name;
+    uint32_t first =
+        GwConfig_FindShift(c, shift->service, shift->from, shift->to);
+    if (first != i) {
+        return GwRead_Fail(at, "to", GW_RESULT_DUPLICATE, error,
+                           "the same shift is already shifts[%u]", first);
+    }
+    if (shift->from == shift->to) {
+        return GwRead_Fail(at, "to", GW_RESULT_INVALID, error,
+                           "\"%s\" is where the shift is from", to);
+    }
+    if (GwConfig_FindPlace(c, shift->service, shift->to) == GW_NONE) {
+        return GwRead_Fail(at, "to", GW_RESULT_NOT_FOUND, error,
+                           "%s has no place in \"%s\"",
+                           c->services[shift->service].name, to);
+    }
+    uint32_t moved = 0;
+    for (uint32_t j = 0; j <= i; j++) {
+        const GwShift *other = &c->shifts[j];
+        if (other->service == shift->service && other->from == shift->from) {
+            moved += other->percent;
+        }
+    }
+    return moved <= 100 ||
+           GwRead_Fail(at, "percent", GW_RESULT_OUT_OF_BOUNDS, error,
+                       "all shifts of %s from %s move %u percent, above 100",
+                       c->services[shift->service].name,
+                       c->regions[shift->from].name, moved);
+}
+
+/* Refuses a second limit of one link, and one within a region. */
+bool
+GwChecks_Link(GwConfig *c, uint32_t i, const GwReadAt *at, GError **error)
+{
+    const GwLink *link = &c->links[i];
+    uint32_t first = GwConfig_FindLink(c, link->from, link->to);
+    if (first != i) {
+        return GwRead_Fail(at, "to", GW_RESULT_DUPLICATE, error,
+                           "the same link is already links[%u]", first);
+    }
+    return link->from != link->to ||
+           GwRead_Fail(at, "to", GW_RESULT_INVALID, error,
+                       "\"%s\" is where the link is from",
+                       c->regions[link->to].name);
+}
