Carry an operator's change to a certain outcome

Cause: an answer of the table can be lost after the write took effect, or the write can arrive late; the operator must never read a false accept or refusal, and one request id must apply once. Change: lib/config/change: a pure state machine over one transaction of four rows. Refusals are fenced by a void row of the request id. A request id used for another change is refused.

--- /dev/null
+++ b/lib/config/change.c
@@ -0,0 +1,405 @@
+#include "config/change.h"
+
+#include "config/change_internal.h"
+#include "config/sync.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* 1 to 64 of A-Z a-z 0-9 . _ -; it becomes part of a row's key. */
+bool
+GwRequestId_IsValid(const char *id)
+{
+    size_t len = strlen(id);
+    if (len == 0 || len >= GW_REQUEST_ID_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < len; i++) {
+        if (!g_ascii_isalnum(id[i]) && strchr("._-", id[i]) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Ends the run. */
+static void
+finish(GwChange *c, GwChangeOutcome outcome, uint64_t version)
+{
+    c->state = CHANGE_END;
+    c->result.outcome = outcome;
+    c->result.version = version;
+}
+
+static void
+set_reason(GwChange *c, GwResultCode code, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+
+static void
+set_reason(GwChange *c, GwResultCode code, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    g_vsnprintf(c->result.message, sizeof(c->result.message), format, args);
+    va_end(args);
+    c->result.code = code;
+}
+
+static void
+accept(GwChange *c, uint64_t version)
+{
+    set_reason(c, GW_RESULT_OK, "version %" PRIu64, version);
+    if (c->text != NULL && version == c->head_version + 1) {
+        c->result.document = c->text;
+    }
+    finish(c, GW_CHANGE_ACCEPTED, version);
+}
+
+/* Turns to refusing, for the reason that is set. A transaction of this
+ * request id, from here or from another entry that died over it, may still
+ * be on its way to the table. It would take effect after the operator was
+ * told "refused". A void row in place of the request id's makes it fail,
+ * since each such transaction needs that row to be absent. */
+static void
+refuse(GwChange *c)
+{
+    c->refusing = true;
+    c->state = CHANGE_FENCE;
+#if GW_MUTANT == 60
+    finish(c, GW_CHANGE_REFUSED, c->head_version);
+#endif
+}
+
+/* Sets the reason from an error, and frees it. */
+static void
+take_error(GwChange *c, GError *error)
+{
+    if (error == NULL) {
+        set_reason(c, GW_RESULT_INVALID, "the change can't be made");
+        return;
+    }
+    set_reason(c, (GwResultCode)error->code, "%s", error->message);
+    g_error_free(error);
+}
+
+static void
+begin(GwChange *c, const GwChangeAsk *ask)
+{
+    c->ask = *ask;
+    c->tries = GW_CHANGE_TRIES;
+    c->rebases = GW_CHANGE_REBASES;
+    c->state = CHANGE_READ_OP;
+}
+
+/* Starts a change. A document that is faulty by itself is refused at once:
+ * no transaction can ever hold it. */
+GwChange *
+GwChange_Create(const GwChangeAsk *ask)
+{
+    GwChange *c = g_new0(GwChange, 1);
+    begin(c, ask);
+    if (!GwRequestId_IsValid(ask->request_id)) {
+        set_reason(c, GW_RESULT_INVALID,
+                   "request_id: 1 to %d of A-Z a-z 0-9 . _ -",
+                   GW_REQUEST_ID_MAX - 1);
+        finish(c, GW_CHANGE_REFUSED, 0);
+        return c;
+    }
+    if (ask->kind == GW_CHANGE_DOCUMENT) {
+        GError *error = NULL;
+        GwConfig *parsed = GwConfig_Parse(
+            ask->document, (uint32_t)strlen(ask->document), 1, &error);
+        if (parsed == NULL) {
+            take_error(c, error);
+            finish(c, GW_CHANGE_REFUSED, 0);
+        }
+        GwConfig_Free(parsed);
+    }
+    return c;
+}
+
+GwChange *
+GwChange_CreateResolve(const char *request_id)
+{
+    GwChangeAsk ask = {.kind = GW_CHANGE_DOCUMENT};
+    GwChange *c = g_new0(GwChange, 1);
+    g_strlcpy(ask.request_id, request_id, sizeof(ask.request_id));
+    begin(c, &ask);
+    c->resolving = true;
+    c->refusing = true;
+    set_reason(c, GW_RESULT_NOT_FOUND,
+               "nothing was applied under this request id, and nothing "
+               "can be any more");
+    if (!GwRequestId_IsValid(request_id)) {
+        set_reason(c, GW_RESULT_INVALID, "request_id: not a request id");
+        finish(c, GW_CHANGE_REFUSED, 0);
+    }
+    return c;
+}
+
+void
+GwChange_Free(GwChange *c)
+{
+    if (c != NULL) {
+        g_free(c->text);
+        g_free(c);
+    }
+}
+
+const GwChangeResult *
+GwChange_Result(const GwChange *c)
+{
+    return &c->result;
+}
+
+/* A request without an answer: the same step again, or pending. */
+static void
+on_lost(GwChange *c)
+{
+    if (c->tries > 0) {
+        c->tries--;
+        return;
+    }
+    set_reason(c, GW_RESULT_PENDING,
+               "the platform's table does not answer; ask again for "
+               "operation %s",
+               c->ask.request_id);
+    finish(c, GW_CHANGE_PENDING, c->head_version);
+}
+
+/* Settles the run by the row of the request id. */
+static void
+on_op_found(GwChange *c, const char *value)
+{
+    uint64_t version = 0;
+    uint64_t content = 0;
+    int code = 0;
+    int at = 0;
+    if (sscanf(value, "void %d %n", &code, &at) == 1) {
+        if (!c->refusing || c->resolving) {
+            set_reason(c, (GwResultCode)code,
+                       "refused before under this request id: %s", value + at);
+        }
+        finish(c, GW_CHANGE_REFUSED, c->head_version);
+        return;
+    }
+    if (sscanf(value, "%" SCNu64 " %" SCNx64, &version, &content) != 2) {
+        set_reason(c, GW_RESULT_CORRUPT, "the row of the request id: %.40s",
+                   value);
+        finish(c, GW_CHANGE_PENDING, c->head_version);
+        return;
+    }
+    bool same = c->resolving || content == c->ask.content;
+#if GW_MUTANT == 67
+    same = true;
+#endif
+    if (same) {
+        accept(c, version);
+        return;
+    }
+    set_reason(c, GW_RESULT_DUPLICATE,
+               "the request id was used for another change, version %" PRIu64,
+               version);
+    finish(c, GW_CHANGE_REFUSED, version);
+}
+
+/* The row of the request id is not there. Before the first write that is
+ * what was hoped for; after a lost one the same write goes out again, which
+ * is harmless, as only one of the two can find the row absent. */
+static void
+on_op_absent(GwChange *c)
+{
+    if (c->refusing) {
+        refuse(c);
+    }
+    else if (c->raced) {
+        c->raced = false;
+        bool rebase = c->ask.kind == GW_CHANGE_EDIT && !c->ask.has_base;
+        if (rebase && c->rebases > 0) {
+            c->rebases--;
+            c->state = CHANGE_READ_HEAD;
+            return;
+        }
+        set_reason(c, GW_RESULT_CONFLICT,
+                   "another change came first, after version %" PRIu64,
+                   c->head_version);
+        refuse(c);
+    }
+    else if (c->text != NULL) {
+        c->state = CHANGE_WRITE;
+    }
+    else {
+        c->state = CHANGE_READ_HEAD;
+    }
+}
+
+static void
+on_head(GwChange *c, const GwRow *row)
+{
+    c->head_version = 0;
+    c->head_checksum = 0;
+    c->head_row = row == NULL ? 0 : row->version;
+    if (row != NULL && sscanf(row->value, "%" SCNu64 " %" SCNx64,
+                              &c->head_version, &c->head_checksum) != 2) {
+        set_reason(c, GW_RESULT_CORRUPT, "the head row: %.40s", row->value);
+        refuse(c);
+        return;
+    }
+    if (c->ask.has_base && c->ask.base_version != c->head_version) {
+        set_reason(c, GW_RESULT_CONFLICT,
+                   "base version %" PRIu64
+                   " is not the present version %" PRIu64,
+                   c->ask.base_version, c->head_version);
+        refuse(c);
+        return;
+    }
+    c->state = CHANGE_READ_DOC;
+    if (c->ask.kind == GW_CHANGE_DOCUMENT) {
+        GwChange_Make(c, c->ask.document);
+    }
+    else if (c->ask.kind == GW_CHANGE_EDIT && c->head_version == 0) {
+        set_reason(c, GW_RESULT_NOT_READY,
+                   "no document is in force yet; apply one first");
+        refuse(c);
+    }
+}
+
+static void
+on_doc(GwChange *c, const GwRow *row)
+{
+    uint64_t wanted = c->ask.kind == GW_CHANGE_ROLLBACK
+                          ? c->ask.rollback_version
+                          : c->head_version;
+    if (row == NULL) {
+        set_reason(c, GW_RESULT_NOT_FOUND,
+                   "there is no document of version %" PRIu64, wanted);
+        refuse(c);
+        return;
+    }
+    if (c->ask.kind == GW_CHANGE_EDIT &&
+        XXH64(row->value, strlen(row->value), 0) != c->head_checksum) {
+        set_reason(c, GW_RESULT_CORRUPT,
+                   "the document of version %" PRIu64
+                   " does not match its checksum",
+                   wanted);
+        refuse(c);
+        return;
+    }
+    GwChange_Make(c, row->value);
+}
+
+/* Makes and checks the new document, and gets ready to write it. */
+void
+GwChange_Make(GwChange *c, const char *text)
+{
+    GError *error = NULL;
+    g_free(c->text);
+    c->text = c->ask.kind == GW_CHANGE_EDIT
+                  ? c->ask.make(c->ask.ctx, text, &error)
+                  : g_strdup(text);
+    if (c->text == NULL) {
+        take_error(c, error);
+        refuse(c);
+        return;
+    }
+    GwConfig *parsed = GwConfig_Parse(c->text, (uint32_t)strlen(c->text),
+                                      c->head_version + 1, &error);
+    if (parsed == NULL) {
+        take_error(c, error);
+        refuse(c);
+        return;
+    }
+    c->checksum = parsed->checksum;
+    GwConfig_Free(parsed);
+    c->state = CHANGE_WRITE;
+}
+
+/* The transaction's answer. A conflict may be this change's own earlier
+ * write that took effect late, whichever row the answer names; so the row of
+ * the request id is read before anything is said. */
+static void
+on_write(GwChange *c, GwTableStatus status)
+{
+    if (status == GW_TABLE_DONE) {
+        accept(c, c->head_version + 1);
+        return;
+    }
+    c->raced = status == GW_TABLE_CONFLICT;
+    c->state = CHANGE_READ_OP;
+#if GW_MUTANT == 62
+    if (c->raced) {
+        accept(c, c->head_version + 1);
+    }
+#elif GW_MUTANT == 64
+    if (c->raced) {
+        finish(c, GW_CHANGE_REFUSED, c->head_version);
+    }
+#endif
+}
+
+static void
+on_fence(GwChange *c, GwTableStatus status)
+{
+    if (status == GW_TABLE_DONE) {
+        finish(c, GW_CHANGE_REFUSED, c->head_version);
+        return;
+    }
+    c->state = CHANGE_READ_OP;
+    on_lost(c); /* a read that lags would else let this go on for ever */
+#if GW_MUTANT == 66
+    finish(c, GW_CHANGE_REFUSED, c->head_version);
+#endif
+}
+
+/* Takes the reply to the last request. */
+void
+GwChange_Reply(GwChange *c, const GwTableReply *reply)
+{
+    ChangeState asked = c->state;
+    const GwRow *row = reply->row_count > 0 && reply->rows[0].version != 0
+                           ? &reply->rows[0]
+                           : NULL;
+    if (reply->status == GW_TABLE_LOST) {
+        on_lost(c);
+        if (c->state == CHANGE_END) {
+            return;
+        }
+#if GW_MUTANT == 63
+        if (asked == CHANGE_WRITE) {
+            accept(c, c->head_version + 1);
+            return;
+        }
+#endif
+        if (asked == CHANGE_WRITE || asked == CHANGE_FENCE) {
+            c->state = CHANGE_READ_OP;
+        }
+        return;
+    }
+    switch (asked) {
+    case CHANGE_READ_OP:
+        if (row != NULL) {
+            on_op_found(c, row->value);
+        }
+        else {
+            on_op_absent(c);
+        }
+        break;
+    case CHANGE_READ_HEAD:
+        on_head(c, row);
+        break;
+    case CHANGE_READ_DOC:
+        on_doc(c, row);
+        break;
+    case CHANGE_WRITE:
+        on_write(c, reply->status);
+        break;
+    case CHANGE_FENCE:
+        on_fence(c, reply->status);
+        break;
+    case CHANGE_END:
+        break;
+    }
+}
