--- /dev/null
+++ b/lib/platform/list.h
@@ -0,0 +1,20 @@
+/* Blocking client of the platform's list of instances. */
+#ifndef GW_PLATFORM_LIST_H
+#define GW_PLATFORM_LIST_H
+
+#include "godwitridge.h"
+
+typedef struct GwListClient_s GwListClient;
+
+GwListClient *
+GwListClient_Create(const char *url, uint32_t timeout_ms);
+void
+GwListClient_Free(GwListClient *client);
+/* Reads the list; GW_ERR(STORE_AWAY) or GW_ERR(PARSE) leave it empty. Any
+ * thread. */
+GwResult
+GwListClient_Read(GwListClient *client, GwListEvent *list);
+void
+GwListEvent_Clear(GwListEvent *list);
+
+#endif
