--- a/lib/admin/admin.h
+++ b/lib/admin/admin.h
@@ -22,6 +22,8 @@
     void (*offer_config)(void *ctx, uint64_t version, const char *text,
                          uint32_t len);
     char *(*status)(void *ctx); /* JSON */
+    /* The look-up answer for a service, or NULL; may be left out. */
+    char *(*entries)(void *ctx, const char *service);
 } GwAdminHost;
 
 GwAdmin *
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -38,7 +38,9 @@
     X(STORE_BACK, 701, INFO, "the platform's table answers again") \
     /* 800: administration */ \
     X(ADMIN_ACCEPTED, 800, INFO, "a change was accepted") \
-    X(ADMIN_REFUSED, 801, INFO, "a change was refused")
+    X(ADMIN_REFUSED, 801, INFO, "a change was refused") \
+    X(ADMIN_PENDING, 802, WARN, "a change's outcome is not known yet") \
+    X(ADMIN_DENIED, 803, WARN, "a request without the token was denied")
 /* clang-format on */
 
 typedef enum {
