Give operators godwitctl

Cause: operators need one command line for every change and reading. Change: programs/godwitctl.c over lib/admin/ctl: apply, rollback, typed changes, get, diff by item, history, operation, status, entries, call, dump and metrics; exit codes tell accepted, refused, usage, pending and unreachable apart. The admin server of the tests moved to tests/fakes. Not run against a daemon. Conclusion: usable as soon as the daemon serves the calls.

--- /dev/null
+++ b/lib/admin/ctl.h
@@ -0,0 +1,42 @@
+/* The commands of godwitctl. */
+#ifndef GW_ADMIN_CTL_H
+#define GW_ADMIN_CTL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum {
+    GW_CTL_OK = 0,
+    GW_CTL_REFUSED = 1,
+    GW_CTL_USAGE = 2,
+    GW_CTL_PENDING = 3,
+    GW_CTL_UNREACHABLE = 4
+} GwCtlExit;
+
+/* Options as given on the command line; NULL and -1: not given. */
+typedef struct {
+    char *admin_address;
+    char *call_address;
+    char *token_file;
+    char *base_version;
+    char *request_id;
+    char *operator_name;
+    char *body_file;
+    int json;
+    int wait;
+    int timeout_ms;
+    int wait_ms;
+    int deadline_ms;
+    int cap;
+    int percent;
+    int limit;
+} GwCtlOptions;
+
+/* Runs a command; argv[0] is its name. */
+GwCtlExit
+GwCtl_Run(const GwCtlOptions *options, int argc, const char *const *argv);
+/* Prints the usage of a command, or of all when NULL or not known. */
+GwCtlExit
+GwCtl_Help(const char *command);
+
+#endif
--- /dev/null
+++ b/lib/admin/ctl_read.c
@@ -0,0 +1,230 @@
+/* Commands that only read. */
+#include "admin/ctl_internal.h"
+#include "admin/diff.h"
+#include "config/model.h"
+#include "godwitridge_errors.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Turns a reply's code into an error; true when it is OK. */
+static bool
+check_code(uint32_t code, const char *message, GError **error)
+{
+    if (code == GW_RESULT_OK) {
+        return true;
+    }
+    g_set_error(error, GW_ERROR, (int)code, "%s", message);
+    return false;
+}
+
+/* Reads a document; NULL with `error`. */
+static Gw__Admin__GetReply *
+read_document(const GwCtl *ctl, uint64_t version, GError **error)
+{
+    Gw__Admin__GetRequest request = GW__ADMIN__GET_REQUEST__INIT;
+    request.version = version;
+    Gw__Admin__GetReply *reply = (Gw__Admin__GetReply *)GwAdminClient_Call(
+        ctl->client, "Get", &request.base, &gw__admin__get_reply__descriptor,
+        error);
+    if (reply != NULL && !check_code(reply->code, reply->message, error)) {
+        gw__admin__get_reply__free_unpacked(reply, NULL);
+        return NULL;
+    }
+    return reply;
+}
+
+GwCtlExit
+GwCtl_Get(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    uint64_t version = 0;
+    if (ctl->argc == 1 &&
+        !GwCtl_Number("VERSION", ctl->argv[0], INT64_MAX, &version)) {
+        return GW_CTL_USAGE;
+    }
+    Gw__Admin__GetReply *reply = read_document(ctl, version, &error);
+    if (reply == NULL) {
+        return GwCtl_Fail(error);
+    }
+    (void)fprintf(stderr, "version %" PRIu64 "\n", reply->version);
+    puts(reply->document);
+    gw__admin__get_reply__free_unpacked(reply, NULL);
+    return GW_CTL_OK;
+}
+
+GwCtlExit
+GwCtl_Diff(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    char *text = NULL;
+    if (!g_file_get_contents(ctl->argv[0], &text, NULL, &error)) {
+        GwCtl_Usage("%s", error->message);
+        g_error_free(error);
+        return GW_CTL_USAGE;
+    }
+    Gw__Admin__GetReply *reply = read_document(ctl, 0, &error);
+    char *diff =
+        reply == NULL ? NULL : GwDiff_Text(reply->document, text, &error);
+    if (reply != NULL) {
+        gw__admin__get_reply__free_unpacked(reply, NULL);
+    }
+    g_free(text);
+    if (diff == NULL) {
+        return GwCtl_Fail(error);
+    }
+    (void)fputs(diff, stdout);
+    g_free(diff);
+    return GW_CTL_OK;
+}
+
+static void
+show_entry(const GwCtl *ctl, const Gw__Admin__HistoryEntry *e)
+{
+    if (ctl->options->json) {
+        struct json_object *out = json_object_new_object();
+        json_object_object_add(out, "version",
+                               json_object_new_int64((int64_t)e->version));
+        json_object_object_add(out, "operator",
+                               json_object_new_string(e->operator_name));
+        json_object_object_add(out, "request_id",
+                               json_object_new_string(e->request_id));
+        json_object_object_add(out, "when_ms",
+                               json_object_new_int64(e->when_ms));
+        json_object_object_add(out, "what", json_object_new_string(e->what));
+        puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
+        json_object_put(out);
+        return;
+    }
+    GDateTime *when = g_date_time_new_from_unix_utc(e->when_ms / 1000);
+    char *text =
+        when == NULL ? g_strdup("-") : g_date_time_format(when, "%FT%TZ");
+    printf("%" PRIu64 "  %s  %s  %s  %s\n", e->version, text, e->operator_name,
+           e->request_id, e->what);
+    g_free(text);
+    if (when != NULL) {
+        g_date_time_unref(when);
+    }
+}
+
+GwCtlExit
+GwCtl_History(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    Gw__Admin__HistoryRequest request = GW__ADMIN__HISTORY_REQUEST__INIT;
+    request.limit = (uint32_t)MAX(ctl->options->limit, 0);
+    Gw__Admin__HistoryReply *reply =
+        (Gw__Admin__HistoryReply *)GwAdminClient_Call(
+            ctl->client, "History", &request.base,
+            &gw__admin__history_reply__descriptor, &error);
+    if (reply == NULL) {
+        return GwCtl_Fail(error);
+    }
+    for (size_t i = 0; i < reply->n_entries; i++) {
+        show_entry(ctl, reply->entries[i]);
+    }
+    bool good = check_code(reply->code, reply->code_name, &error);
+    gw__admin__history_reply__free_unpacked(reply, NULL);
+    return good ? GW_CTL_OK : GwCtl_Fail(error);
+}
+
+/* Prints the JSON of a call whose reply is text. */
+static GwCtlExit
+show_text(const GwCtl *ctl, const char *method,
+          const ProtobufCMessage *request)
+{
+    GError *error = NULL;
+    Gw__Admin__TextReply *reply = (Gw__Admin__TextReply *)GwAdminClient_Call(
+        ctl->client, method, request, &gw__admin__text_reply__descriptor,
+        &error);
+    if (reply == NULL) {
+        return GwCtl_Fail(error);
+    }
+    bool good = check_code(reply->code, reply->message, &error);
+    if (good) {
+        puts(reply->json);
+    }
+    gw__admin__text_reply__free_unpacked(reply, NULL);
+    return good ? GW_CTL_OK : GwCtl_Fail(error);
+}
+
+GwCtlExit
+GwCtl_Status(const GwCtl *ctl)
+{
+    Gw__Admin__StatusRequest request = GW__ADMIN__STATUS_REQUEST__INIT;
+    return show_text(ctl, "Status", &request.base);
+}
+
+GwCtlExit
+GwCtl_Operation(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    Gw__Admin__OperationRequest request = GW__ADMIN__OPERATION_REQUEST__INIT;
+    request.request_id = (char *)ctl->argv[0];
+    Gw__Admin__ChangeReply *reply =
+        (Gw__Admin__ChangeReply *)GwAdminClient_Call(
+            ctl->client, "GetOperation", &request.base,
+            &gw__admin__change_reply__descriptor, &error);
+    if (reply == NULL) {
+        return GwCtl_Fail(error);
+    }
+    GwCtlExit code = GwCtl_ShowChange(ctl, ctl->argv[0], reply);
+    gw__admin__change_reply__free_unpacked(reply, NULL);
+    return code;
+}
+
+static GwCtlExit
+show_page(const GwCtl *ctl, const char *path)
+{
+    GError *error = NULL;
+    char *text = GwAdminClient_Page(ctl->client, path, &error);
+    if (text == NULL) {
+        return GwCtl_Fail(error);
+    }
+    puts(text);
+    g_free(text);
+    return GW_CTL_OK;
+}
+
+GwCtlExit
+GwCtl_Dump(const GwCtl *ctl)
+{
+    return show_page(ctl, "/dump");
+}
+
+GwCtlExit
+GwCtl_Metrics(const GwCtl *ctl)
+{
+    return show_page(ctl, "/metrics");
+}
+
+/* Through the callers' address when it is given, else by a call. */
+GwCtlExit
+GwCtl_Entries(const GwCtl *ctl)
+{
+    if (ctl->options->call_address == NULL) {
+        Gw__Admin__EntriesRequest request = GW__ADMIN__ENTRIES_REQUEST__INIT;
+        request.service = (char *)ctl->argv[0];
+        return show_text(ctl, "Entries", &request.base);
+    }
+    GError *error = NULL;
+    char *service = g_uri_escape_string(ctl->argv[0], NULL, FALSE);
+    char *url = g_strdup_printf("http://%s/v1/entries/%s",
+                                ctl->options->call_address, service);
+    const GwFetch fetch = {.method = "GET", .url = url};
+    GwFetched got = {0};
+    bool good = GwAdminClient_Fetch(ctl->client, &fetch, &got, &error);
+    bool found = good && got.status == 200;
+    if (good) {
+        puts(got.body->str);
+    }
+    GwFetched_Clear(&got);
+    g_free(url);
+    g_free(service);
+    if (!good) {
+        return GwCtl_Fail(error);
+    }
+    return found ? GW_CTL_OK : GW_CTL_REFUSED;
+}
--- /dev/null
+++ b/programs/godwitctl.c
@@ -0,0 +1,103 @@
+/* The operators' command line.
+ *
+ * Exit codes:
+ *   0  accepted, or what was asked for was printed
+ *   1  refused; of a call: not run
+ *   2  usage
+ *   3  pending; of a call: unknown
+ *   4  the entry instance is unreachable */
+#include "admin/ctl.h"
+
+#include <curl/curl.h>
+#include <popt.h>
+#include <stdio.h>
+
+#define TIMEOUT_DEFAULT_MS 15000
+#define WAIT_DEFAULT_MS    30000
+
+static int
+count_args(const char **args)
+{
+    int count = 0;
+    while (args != NULL && args[count] != NULL) {
+        count++;
+    }
+    return count;
+}
+
+static GwCtlExit
+run(poptContext ctx, const GwCtlOptions *o, const int *help)
+{
+    int rc = poptGetNextOpt(ctx);
+    if (rc < -1) {
+        (void)fprintf(stderr, "godwitctl: %s: %s\n", poptBadOption(ctx, 0),
+                      poptStrerror(rc));
+        return GW_CTL_USAGE;
+    }
+    const char **args = poptGetArgs(ctx);
+    int argc = count_args(args);
+    if (*help) {
+        if (argc == 0) {
+            poptPrintHelp(ctx, stdout, 0);
+        }
+        return GwCtl_Help(argc > 0 ? args[0] : NULL);
+    }
+    if (o->timeout_ms <= 0 || o->wait_ms <= 0) {
+        (void)fprintf(stderr, "godwitctl: times must be above 0\n");
+        return GW_CTL_USAGE;
+    }
+    return GwCtl_Run(o, argc, args);
+}
+
+int
+main(int argc, const char **argv)
+{
+    GwCtlOptions o = {.admin_address = "127.0.0.1:7003",
+                      .timeout_ms = TIMEOUT_DEFAULT_MS,
+                      .wait_ms = WAIT_DEFAULT_MS,
+                      .cap = -1,
+                      .percent = -1,
+                      .limit = -1};
+    int help = 0;
+    /* clang-format off */
+    const struct poptOption options[] = {
+        {"admin", 'a', POPT_ARG_STRING, &o.admin_address, 0,
+         "admin address of an entry instance", "IP:PORT"},
+        {"token-file", 't', POPT_ARG_STRING, &o.token_file, 0,
+         "file with the operators' token", "FILE"},
+        {"json", 'j', POPT_ARG_NONE, &o.json, 0, "print JSON", NULL},
+        {"timeout-ms", 0, POPT_ARG_INT, &o.timeout_ms, 0,
+         "longest wait for one reply (15000)", "N"},
+        {"call-address", 'c', POPT_ARG_STRING, &o.call_address, 0,
+         "callers' address of an entry instance", "IP:PORT"},
+        {"base", 'b', POPT_ARG_STRING, &o.base_version, 0,
+         "refuse unless this version is in force", "VERSION"},
+        {"request-id", 'r', POPT_ARG_STRING, &o.request_id, 0,
+         "id of the change; one id never applies twice", "ID"},
+        {"operator", 'o', POPT_ARG_STRING, &o.operator_name, 0,
+         "name for the log of changes (the user's)", "NAME"},
+        {"wait", 'w', POPT_ARG_NONE, &o.wait, 0,
+         "wait until every live member has the version", NULL},
+        {"wait-ms", 0, POPT_ARG_INT, &o.wait_ms, 0,
+         "longest wait of --wait (30000)", "N"},
+        {"cap", 0, POPT_ARG_INT, &o.cap, 0, "requests in flight", "N"},
+        {"percent", 0, POPT_ARG_INT, &o.percent, 0,
+         "share that moves although the local place could carry it", "P"},
+        {"limit", 0, POPT_ARG_INT, &o.limit, 0, "lines of history", "N"},
+        {"body", 0, POPT_ARG_STRING, &o.body_file, 0, "body of a call",
+         "FILE"},
+        {"deadline-ms", 0, POPT_ARG_INT, &o.deadline_ms, 0,
+         "deadline of a call (5000)", "N"},
+        {"help", 'h', POPT_ARG_NONE, &help, 0, "help, also of a COMMAND",
+         NULL},
+        POPT_TABLEEND,
+    };
+    /* clang-format on */
+    poptContext ctx = poptGetContext("godwitctl", argc, argv, options, 0);
+    poptSetOtherOptionHelp(ctx, "[OPTION...] COMMAND [ARGUMENT...]");
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    GwCtlExit code = run(ctx, &o, &help);
+    curl_global_cleanup();
+    poptFreeContext(ctx);
+    return (int)code;
+}
--- /dev/null
+++ b/tests/fakes/admin_server.h
@@ -0,0 +1,28 @@
+/* An admin server on a table in memory, and a client of it. */
+#ifndef GW_TESTS_ADMIN_SERVER_H
+#define GW_TESTS_ADMIN_SERVER_H
+
+#include "admin/client.h"
+#include "admin/http_internal.h"
+#include "fakes/change_table.h"
+
+#define ADMIN_SERVER_TOKEN "not-a-real-token"
+
+typedef struct {
+    ChangeTable *table;
+    Fate fate; /* of every request to the table */
+    GwAdmin *admin;
+    char address[32];
+    GwAdminClient *client;
+    uint64_t offered; /* last version put in force */
+    uint32_t logged_event;
+    char logged[512];
+} AdminServer;
+
+/* One at a time. */
+AdminServer *
+AdminServer_Start(void);
+void
+AdminServer_Stop(AdminServer *server);
+
+#endif
--- a/tests/unit/test_admin.c
+++ b/tests/unit/test_admin.c
@@ -2,13 +2,12 @@
 #include "admin/edit.h"
 #include "admin/http_internal.h"
 #include "common/log_events.h"
-#include "fakes/change_table.h"
+#include "fakes/admin_server.h"
 #include "godwitridge_errors.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
 
-#define TOKEN "not-a-real-token"
 #define DOC                                                                   \
     "{\"regions\": [{\"name\": \"ogre\", \"seats\": 2}, {\"name\": "          \
     "\"riga\", \"seats\": 2}], \"services\": [{\"name\": \"vatdesk\", "       \
@@ -16,91 +15,18 @@
     "\"region\": \"ogre\", \"backends\": [{\"name\": \"vd-1\", "              \
     "\"address\": \"127.0.0.1:9001\", \"slots\": 6}]}]}"
 
-/* A server on a table in memory, and a client of it. */
-typedef struct {
-    ChangeTable *table;
-    Fate fate;
-    GwAdminHost host;
-    GwAdmin *admin;
-    GwAdminClient *client;
-    uint64_t offered; /* version */
-    char logged[512];
-    uint32_t logged_event;
-} Fixture;
-
-static Fixture *fix;
-
-static void
-table_do(void *table, const GwTableRequest *request, GwTableReply *reply)
-{
-    ChangeTable_Do(table, request, fix->fate, reply);
-}
-
-static void
-log_text(uint32_t event, const char *text)
-{
-    fix->logged_event = event;
-    g_strlcpy(fix->logged, text, sizeof(fix->logged));
-}
-
-static int64_t
-now_ms(void)
-{
-    return 1000;
-}
-
-static char *
-a_page(void *ctx)
-{
-    return g_strdup("{}");
-}
-
-static char *
-no_config(void *ctx, uint64_t *version)
-{
-    *version = 0;
-    return NULL;
-}
-
-static void
-offered(void *ctx, uint64_t version, const char *text, uint32_t len)
-{
-    fix->offered = version;
-}
+static AdminServer *fix;
 
 static void
 set_up(void)
 {
-    fix = g_new0(Fixture, 1);
-    fix->table = ChangeTable_Create();
-    fix->host = (GwAdminHost){.dump = a_page,
-                              .metrics = a_page,
-                              .token = TOKEN,
-                              .config_text = no_config,
-                              .offer_config = offered,
-                              .status = a_page};
-    const GwRpc rpc = {.host = &fix->host,
-                       .table = fix->table,
-                       .table_do = table_do,
-                       .table_clear = ChangeTable_ClearReply,
-                       .log = log_text,
-                       .now_ms = now_ms};
-    GError *error = NULL;
-    fix->admin = GwAdminHttp_Start(&rpc, "127.0.0.1:0", &error);
-    cr_assert_not_null(fix->admin, "%s", error != NULL ? error->message : "");
-    char address[32];
-    g_snprintf(address, sizeof(address), "127.0.0.1:%u",
-               GwAdminHttp_Port(fix->admin));
-    fix->client = GwAdminClient_Create(address, TOKEN, 10000);
+    fix = AdminServer_Start();
 }
 
 static void
 tear_down(void)
 {
-    GwAdminClient_Free(fix->client);
-    GwAdmin_Stop(fix->admin);
-    ChangeTable_Free(fix->table);
-    g_free(fix);
+    AdminServer_Stop(fix);
 }
 
 TestSuite(admin, .init = set_up, .fini = tear_down);
@@ -168,7 +94,7 @@
     cr_expect_eq(fix->logged_event, GW_LOG_ADMIN_ACCEPTED);
     cr_expect_not_null(strstr(fix->logged, "operator=liga request=two"));
     cr_expect_not_null(strstr(fix->logged, "drain_place vatdesk ogre"));
-    cr_expect_null(strstr(fix->logged, TOKEN));
+    cr_expect_null(strstr(fix->logged, ADMIN_SERVER_TOKEN));
     Gw__Admin__GetReply *present = get(0);
     cr_expect_eq(present->version, 2);
     cr_expect_not_null(strstr(present->document, "\"drain\":true"));
@@ -233,11 +159,8 @@
 
 Test(admin, a_caller_without_the_token_is_denied)
 {
-    char address[32];
     GError *error = NULL;
-    g_snprintf(address, sizeof(address), "127.0.0.1:%u",
-               GwAdminHttp_Port(fix->admin));
-    GwAdminClient *other = GwAdminClient_Create(address, "wrong", 10000);
+    GwAdminClient *other = GwAdminClient_Create(fix->address, "wrong", 10000);
     cr_expect_null(GwAdminClient_Page(other, "/dump", &error));
     cr_assert_not_null(error);
     cr_expect_eq(error->code, GW_RESULT_DENIED);
@@ -248,7 +171,7 @@
     g_free(metrics);
     GwAdminClient_Free(other);
     char *dump = GwAdminClient_Page(fix->client, "/dump", NULL);
-    cr_expect_str_eq(dump, "{}");
+    cr_expect_not_null(strstr(dump, "members"));
     g_free(dump);
 }
 
