--- a/lib/config/parse.c
+++ b/lib/config/parse.c
@@ -259,8 +259,8 @@
                        GError **error);
 
 /* One array of the document: how it is read and held against the items
- * before it. `count` grows item by item, so that a check sees only items
- * that are read. */
+ * before it. `count` grows before each item is read: so a check sees only
+ * items up to its own, and what a half-read item owns is freed. */
 typedef struct {
     const char *key;
     GwReadBound bound;
@@ -275,11 +275,11 @@
 {
     for (uint32_t i = 0; i < total; i++) {
         GwReadAt item;
+        *section->count = i + 1;
         if (!GwRead_Item(root, section->key, i, &item, error) ||
             !section->read(c, i, &item, error)) {
             return false;
         }
-        *section->count = i + 1;
         if (!section->check(c, i, &item, error)) {
             return false;
         }
