--- a/lib/admin/apply.c
+++ b/lib/admin/apply.c
@@ -8,14 +8,17 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define RETRY_PAUSE_US 50000
+#define RETRY_PAUSE_US     50000
+#define RETRY_PAUSE_MAX_US 800000
 
 /* Carries a change to its result. Blocks; each request waits at most the
- * time-out of the table's client. */
+ * timeout of the table's client, with growing pauses after lost ones, so
+ * that a short outage is outlasted. */
 static void
 run_change(const GwRpc *rpc, GwChange *change)
 {
     GwTableRequest request;
+    uint64_t pause_us = RETRY_PAUSE_US;
     while (GwChange_Next(change, &request)) {
         GwTableReply reply = {0};
         rpc->table_do(rpc->table, &request, &reply);
@@ -24,7 +27,8 @@
         rpc->table_clear(&reply);
         GwChange_ClearRequest(&request);
         if (lost) {
-            g_usleep(RETRY_PAUSE_US);
+            g_usleep(pause_us);
+            pause_us = MIN(pause_us * 2, RETRY_PAUSE_MAX_US);
         }
     }
 }
--- a/lib/admin/ctl_apply.c
+++ b/lib/admin/ctl_apply.c
@@ -53,9 +53,8 @@
         show_json(request_id, reply);
     }
     else {
-        printf("%s: version %" PRIu64 " (%s) %s\nrequest id %s\n",
-               outcome_name(reply->outcome), reply->version, reply->code_name,
-               reply->message, request_id);
+        printf("%s (%s): %s\nrequest id %s\n", outcome_name(reply->outcome),
+               reply->code_name, reply->message, request_id);
     }
     return reply->outcome == GW__ADMIN__OUTCOME__ACCEPTED  ? GW_CTL_OK
            : reply->outcome == GW__ADMIN__OUTCOME__PENDING ? GW_CTL_PENDING
--- a/lib/admin/http.c
+++ b/lib/admin/http.c
@@ -7,7 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define THREADS    "8"
+#define THREADS    "16"
 #define TIMEOUT_MS "10000"
 #define BEARER     "Bearer "
 
