--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 #   check    unit tests, properties, sessions          SAN=address|thread
 #   lint     formatter and linters, warnings are errors
 #   format   rewrite sources in the house format
+#   proto    regenerate the committed protobuf-c code (needs protoc-c)
 #   fuzz     short seeded run of every decoder         FUZZ_RUNS=20000
 #   bench    decisions and the caller's path, measured
 #   slopes   cost of control by number of nodes
@@ -53,7 +54,7 @@
 STANDLIB := $(O)/libstandin.a
 
 .PHONY: all deps demo check check-long lint format fuzz bench slopes mutants \
-        install clean tests
+        install clean tests proto
 .SECONDARY:
 
 all: $(LIB) $(programs) $(standins)
@@ -149,6 +150,9 @@
 fuzz:
 	fuzz/run.sh $(FUZZ_RUNS)
 
+proto:
+	protoc-c --proto_path=proto --c_out=lib/wire proto/inner.proto
+
 install: all
 	install -d $(DESTDIR)$(PREFIX)/{bin,lib/pkgconfig,include/godwitridge} \
 	    $(DESTDIR)$(PREFIX)/share/man/man1
