--- /dev/null
+++ b/lib/common/log.c
@@ -0,0 +1,115 @@
+#include "common/log.h"
+
+#include <glib.h>
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define LOG_LINE_MAX 1024
+
+static log4c_category_t *category;
+/* log4c's appenders keep no lock of their own, and two threads would tear
+ * each other's lines. */
+static GMutex line_mutex;
+
+/* The whole line is made by GwLog_Event; the layout adds the time. */
+static const char *
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+    static char line[LOG_LINE_MAX + 32];
+    int64_t ms = (int64_t)event->evt_timestamp.tv_sec * 1000 +
+                 event->evt_timestamp.tv_usec / 1000;
+    g_snprintf(line, sizeof(line), "time_ms=%" G_GINT64_FORMAT " %s\n", ms,
+               event->evt_msg);
+    return line;
+}
+
+static const log4c_layout_type_t line_layout = {
+    .name = "gw-line",
+    .format = format_line,
+};
+
+static int
+append_stderr(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t stderr_appender = {
+    .name = "gw-stderr",
+    .append = append_stderr,
+};
+
+static int
+priority_of(const char *level)
+{
+    if (strcmp(level, "error") == 0) {
+        return LOG4C_PRIORITY_ERROR;
+    }
+    if (strcmp(level, "warn") == 0) {
+        return LOG4C_PRIORITY_WARN;
+    }
+    return LOG4C_PRIORITY_INFO;
+}
+
+int
+GwLog_Start(const char *level)
+{
+    if (log4c_init() != 0) {
+        return -1;
+    }
+    log4c_layout_t *layout = log4c_layout_get("gw-line");
+    log4c_layout_set_type(layout, &line_layout);
+    log4c_appender_t *appender = log4c_appender_get("gw-stderr");
+    log4c_appender_set_type(appender, &stderr_appender);
+    log4c_appender_set_layout(appender, layout);
+    log4c_category_t *c = log4c_category_get("godwitridge");
+    log4c_category_set_appender(c, appender);
+    log4c_category_set_additivity(c, 0);
+    log4c_category_set_priority(c, priority_of(level));
+    category = c;
+    return 0;
+}
+
+/* Threads that log must have ended. */
+void
+GwLog_Stop(void)
+{
+    category = NULL;
+    log4c_fini();
+}
+
+static int
+priority_of_event(uint32_t event)
+{
+    switch (GwLogEvent_Level(event)) {
+    case GW_LEVEL_ERROR:
+        return LOG4C_PRIORITY_ERROR;
+    case GW_LEVEL_WARN:
+        return LOG4C_PRIORITY_WARN;
+    case GW_LEVEL_INFO:
+        return LOG4C_PRIORITY_INFO;
+    }
+    return LOG4C_PRIORITY_INFO;
+}
+
+/* Does nothing before GwLog_Start: tests and tools are silent. */
+void
+GwLog_Event(uint32_t event, const char *format, ...)
+{
+    char line[LOG_LINE_MAX];
+    va_list args;
+
+    if (category == NULL) {
+        return;
+    }
+    int len = g_snprintf(line, sizeof(line), "event=%u name=%s ", event,
+                         GwLogEvent_Name(event));
+    va_start(args, format);
+    g_vsnprintf(line + len, sizeof(line) - (gulong)len, format, args);
+    va_end(args);
+    g_mutex_lock(&line_mutex);
+    log4c_category_log(category, priority_of_event(event), "%s", line);
+    g_mutex_unlock(&line_mutex);
+}
--- /dev/null
+++ b/lib/platform/http.c
@@ -0,0 +1,135 @@
+#include "platform/http_internal.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#define ANSWER_MAX (64u << 20)
+#define IDLE_MAX   8
+
+struct GwHttpClient_s {
+    char *url;
+    uint32_t timeout_ms;
+    GMutex mutex;
+    GPtrArray *idle; /* of CURL * */
+};
+
+GwHttpClient *
+GwHttpClient_Create(const char *url, uint32_t timeout_ms)
+{
+    GwHttpClient *client = g_new0(GwHttpClient, 1);
+    client->url = g_strdup(url);
+    client->timeout_ms = timeout_ms;
+    client->idle = g_ptr_array_new_with_free_func(curl_easy_cleanup);
+    g_mutex_init(&client->mutex);
+    return client;
+}
+
+/* Requests must have ended. */
+void
+GwHttpClient_Free(GwHttpClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    g_ptr_array_free(client->idle, TRUE);
+    g_mutex_clear(&client->mutex);
+    g_free(client->url);
+    g_free(client);
+}
+
+static CURL *
+take_handle(GwHttpClient *client)
+{
+    CURL *easy = NULL;
+    g_mutex_lock(&client->mutex);
+    if (client->idle->len > 0) {
+        easy = g_ptr_array_steal_index(client->idle, client->idle->len - 1);
+    }
+    g_mutex_unlock(&client->mutex);
+    return easy != NULL ? easy : curl_easy_init();
+}
+
+/* A handle whose exchange failed is dropped with its connection: one that
+ * went silent for good would cost every later request a timeout. */
+static void
+give_handle(GwHttpClient *client, CURL *easy, bool good)
+{
+    g_mutex_lock(&client->mutex);
+    if (good && client->idle->len < IDLE_MAX) {
+        g_ptr_array_add(client->idle, easy);
+        easy = NULL;
+    }
+    g_mutex_unlock(&client->mutex);
+    curl_easy_cleanup(easy);
+}
+
+static size_t
+take_body(char *bytes, size_t size, size_t count, void *arg)
+{
+    GString *body = arg;
+    size_t len = size * count;
+    if (body->len + len > ANSWER_MAX) {
+        return 0;
+    }
+    g_string_append_len(body, bytes, (gssize)len);
+    return len;
+}
+
+static void
+prepare(const GwHttpClient *client, CURL *easy, const GwHttpAsk *ask,
+        GString *body)
+{
+    curl_easy_reset(easy);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)client->timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, ask->method);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
+    /* libcurl silently sends a request again when a reused connection turns
+     * out closed. A conditional write that took effect the first time would
+     * then read as a conflict, "nothing written". It never does so on a new
+     * connection. */
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, ask->once ? 1L : 0L);
+    if (ask->body != NULL) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, ask->body);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)ask->body_len);
+    }
+}
+
+uint32_t
+GwHttpClient_Do(GwHttpClient *client, const GwHttpAsk *ask, GString *body)
+{
+    CURL *easy = take_handle(client);
+    struct curl_slist *headers = NULL;
+    long status = 0;
+
+    if (easy == NULL) {
+        return 0;
+    }
+    char *url = g_strconcat(client->url, ask->path, NULL);
+    headers = curl_slist_append(headers, "Expect:");
+    headers = curl_slist_append(headers, "Content-Type: application/json");
+    if (ask->header != NULL) {
+        headers = curl_slist_append(headers, ask->header);
+    }
+    prepare(client, easy, ask, body);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    bool good = curl_easy_perform(easy) == CURLE_OK;
+    if (good) {
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    }
+    give_handle(client, easy, good);
+    curl_slist_free_all(headers);
+    g_free(url);
+    return (uint32_t)status;
+}
+
+char *
+GwHttp_Escape(const char *text)
+{
+    return g_uri_escape_string(text, NULL, FALSE);
+}
--- /dev/null
+++ b/lib/runtime/answer.c
@@ -0,0 +1,160 @@
+#include "runtime/answer.h"
+
+#include <glib.h>
+
+#define ANSWER_OVERHEAD 256 /* bytes, of one entry besides its body */
+
+typedef struct {
+    uint64_t call;
+    uint64_t attempt;
+} Key;
+
+typedef struct {
+    Key key;
+    int64_t until_us;
+} Kept;
+
+struct GwAnswers_s {
+    GHashTable *by_key; /* Key * to GwAnswer * */
+    GQueue kept;        /* Kept *, by time */
+    uint64_t bytes;     /* of what is kept */
+    uint64_t max_bytes;
+};
+
+GwAnswer *
+GwAnswer_Create(uint32_t status, const char *content_type, uint8_t *body,
+                uint32_t body_len)
+{
+    GwAnswer *answer = g_new0(GwAnswer, 1);
+    answer->refs = 1;
+    answer->status = status;
+    g_strlcpy(answer->content_type, content_type, GW_TYPE_MAX);
+    answer->body = body;
+    answer->body_len = body_len;
+    return answer;
+}
+
+GwAnswer *
+GwAnswer_Ref(GwAnswer *answer)
+{
+    g_atomic_int_inc(&answer->refs);
+    return answer;
+}
+
+/* NULL is allowed. */
+void
+GwAnswer_Unref(GwAnswer *answer)
+{
+    if (answer != NULL && g_atomic_int_dec_and_test(&answer->refs)) {
+        g_free(answer->body);
+        g_free(answer);
+    }
+}
+
+static guint
+key_hash(gconstpointer p)
+{
+    const Key *key = p;
+    return (guint)(key->call * 31 + key->attempt);
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+    const Key *x = a;
+    const Key *y = b;
+    return x->call == y->call && x->attempt == y->attempt;
+}
+
+GwAnswers *
+GwAnswers_Create(uint64_t max_bytes)
+{
+    GwAnswers *answers = g_new0(GwAnswers, 1);
+    answers->by_key = g_hash_table_new_full(key_hash, key_equal, g_free,
+                                            (GDestroyNotify)GwAnswer_Unref);
+    g_queue_init(&answers->kept);
+    answers->max_bytes = max_bytes;
+    return answers;
+}
+
+void
+GwAnswers_Free(GwAnswers *answers)
+{
+    g_queue_clear_full(&answers->kept, g_free);
+    g_hash_table_destroy(answers->by_key);
+    g_free(answers);
+}
+
+/* Takes its own reference. */
+void
+GwAnswers_Put(GwAnswers *answers, uint64_t call, uint32_t attempt,
+              GwAnswer *answer)
+{
+    Key *key = g_new(Key, 1);
+    *key = (Key){.call = call, .attempt = attempt};
+    g_hash_table_replace(answers->by_key, key, GwAnswer_Ref(answer));
+}
+
+static GwAnswer *
+find(const GwAnswers *answers, uint64_t call, uint32_t attempt)
+{
+    Key key = {.call = call, .attempt = attempt};
+    return g_hash_table_lookup(answers->by_key, &key);
+}
+
+GwAnswer *
+GwAnswers_Get(GwAnswers *answers, uint64_t call, uint32_t attempt)
+{
+    GwAnswer *answer = find(answers, call, attempt);
+    return answer != NULL ? GwAnswer_Ref(answer) : NULL;
+}
+
+/* An answer for which there is no room is dropped. A resend of its ticket
+ * then gets "unknown": true, if less than could be. */
+void
+GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
+               int64_t until_us)
+{
+    const GwAnswer *answer = find(answers, call, attempt);
+    if (answer == NULL) {
+        return;
+    }
+    uint64_t size = answer->body_len + ANSWER_OVERHEAD;
+    if (answers->bytes + size > answers->max_bytes) {
+        GwAnswers_Drop(answers, call, attempt);
+        return;
+    }
+    Kept *kept = g_new(Kept, 1);
+    *kept = (Kept){.key = {call, attempt}, .until_us = until_us};
+    g_queue_push_tail(&answers->kept, kept);
+    answers->bytes += size;
+}
+
+void
+GwAnswers_Drop(GwAnswers *answers, uint64_t call, uint32_t attempt)
+{
+    Key key = {.call = call, .attempt = attempt};
+    g_hash_table_remove(answers->by_key, &key);
+}
+
+void
+GwAnswers_Expire(GwAnswers *answers, int64_t now_us)
+{
+    Kept *kept;
+    while ((kept = g_queue_peek_head(&answers->kept)) != NULL &&
+           kept->until_us <= now_us) {
+        const GwAnswer *answer =
+            find(answers, kept->key.call, (uint32_t)kept->key.attempt);
+        if (answer != NULL) {
+            answers->bytes -= answer->body_len + ANSWER_OVERHEAD;
+        }
+        g_hash_table_remove(answers->by_key, &kept->key);
+        g_free(g_queue_pop_head(&answers->kept));
+    }
+}
+
+uint32_t
+GwAnswers_Count(const GwAnswers *answers)
+{
+    return g_hash_table_size(answers->by_key);
+}
--- /dev/null
+++ b/lib/runtime/link.c
@@ -0,0 +1,545 @@
+/* One connection of the inner protocol: socket, handshake, reading, writing.
+ * Runs on the network thread only. */
+#include "runtime/net_internal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/random.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_CHUNK      65536
+#define USER_TIMEOUT_MS 3000
+
+void
+Frame_Free(Frame *frame)
+{
+    if (frame == NULL) {
+        return;
+    }
+    g_free(frame->bytes);
+    g_free(frame);
+}
+
+Link *
+Link_Create(GwNet *net, const char *address)
+{
+    Link *link = g_new0(Link, 1);
+    link->serial = ++net->next_serial;
+    link->fd = -1;
+    link->accepted = address == NULL;
+    if (address != NULL) {
+        g_strlcpy(link->address, address, sizeof(link->address));
+    }
+    g_queue_init(&link->queue);
+    g_queue_init(&link->urgent);
+    link->calls =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    return link;
+}
+
+static void
+drop_frames(GQueue *queue)
+{
+    Frame *frame;
+    while ((frame = g_queue_pop_head(queue)) != NULL) {
+        Frame_Free(frame);
+    }
+}
+
+void
+Link_Free(Link *link)
+{
+    if (link->fd >= 0) {
+        close(link->fd);
+    }
+    drop_frames(&link->queue);
+    drop_frames(&link->urgent);
+    Frame_Free(link->current);
+    GwFrame_Free(&link->in);
+    g_hash_table_destroy(link->calls);
+    g_free(link);
+}
+
+/* Calls that were written may have run; those still queued, or written in
+ * part, have not: a peer acts on whole frames only. */
+static void
+report_lost(GwNet *net, Link *link, GQueue *unsent)
+{
+    GHashTableIter iter;
+    gpointer id;
+    Frame *frame;
+
+    g_hash_table_iter_init(&iter, link->calls);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        net->host.call_lost(net->host.ctx, *(uint64_t *)id, true);
+    }
+    g_hash_table_remove_all(link->calls);
+    if (link->current != NULL && link->current->call != 0) {
+        net->host.call_lost(net->host.ctx, link->current->call, false);
+    }
+    while ((frame = g_queue_pop_head(unsent)) != NULL) {
+        if (frame->call != 0) {
+            net->host.call_lost(net->host.ctx, frame->call, false);
+        }
+        Frame_Free(frame);
+    }
+}
+
+void
+Link_Close(GwNet *net, Link *link)
+{
+    GQueue unsent = G_QUEUE_INIT;
+    Frame *frame;
+
+    if (link->fd >= 0) {
+        close(link->fd);
+        link->fd = -1;
+    }
+    pthread_mutex_lock(&net->peer_lock);
+    while ((frame = g_queue_pop_head(&link->queue)) != NULL) {
+        g_queue_push_tail(&unsent, frame);
+    }
+    link->queue_bytes = 0;
+    pthread_mutex_unlock(&net->peer_lock);
+    report_lost(net, link, &unsent);
+    Frame_Free(link->current);
+    link->current = NULL;
+    drop_frames(&link->urgent);
+    GwFrame_Free(&link->in);
+    link->state = LINK_IDLE;
+    link->ping_us = 0;
+    link->want_write = false;
+}
+
+/* A path that swallows packets for good must not hold the connection: data
+ * that stays unacknowledged closes it. */
+static void
+set_options(int fd)
+{
+    int one = 1;
+    int idle_s = 10;
+    int interval_s = 2;
+    int probes = 3;
+    unsigned timeout_ms = USER_TIMEOUT_MS;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+               sizeof(interval_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void
+watch(GwNet *net, Link *link, int op)
+{
+    struct epoll_event event = {
+        .events = EPOLLIN | (link->want_write ? (uint32_t)EPOLLOUT : 0),
+        .data.ptr = link,
+    };
+    epoll_ctl(net->epoll_fd, op, link->fd, &event);
+}
+
+static void
+want_write(GwNet *net, Link *link, bool want)
+{
+    if (link->want_write != want) {
+        link->want_write = want;
+        watch(net, link, EPOLL_CTL_MOD);
+    }
+}
+
+static void
+push_urgent(Link *link, const GwEnvelope *envelope)
+{
+    Frame *frame = g_new0(Frame, 1);
+    frame->bytes = GwCodec_Frame(envelope, &frame->len);
+    g_queue_push_tail(&link->urgent, frame);
+}
+
+static void
+push_hello(GwNet *net, Link *link)
+{
+    GwEnvelope envelope = {.kind = GW_ENVELOPE_HELLO};
+    link->own = (GwHello){
+        .from = net->params.id,
+        .region = net->params.region,
+        .domain = net->params.domain,
+    };
+    if (getrandom(link->own.nonce, GW_NONCE_LEN, 0) != GW_NONCE_LEN) {
+        g_error("no random numbers");
+    }
+    envelope.u.hello = link->own;
+    push_urgent(link, &envelope);
+}
+
+/* Does nothing when the address is bad: the queue is dropped with the
+ * connect timeout. */
+void
+Link_Connect(GwNet *net, Link *link, int64_t now_us)
+{
+    struct sockaddr_storage to;
+    socklen_t len;
+
+    link->deadline_us = now_us + CONNECT_TIMEOUT_US;
+    link->state = LINK_CONNECTING;
+    if (!GwNet_ParseAddress(link->address, &to, &len)) {
+        return;
+    }
+    link->fd =
+        socket(to.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (link->fd < 0) {
+        return;
+    }
+    set_options(link->fd);
+    int rc = connect(link->fd, (struct sockaddr *)&to, len);
+    if (rc != 0 && errno != EINPROGRESS) {
+        close(link->fd);
+        link->fd = -1;
+        link->deadline_us = now_us;
+        return;
+    }
+    push_hello(net, link);
+    link->want_write = true;
+    watch(net, link, EPOLL_CTL_ADD);
+}
+
+void
+Link_Accept(GwNet *net, Link *link, int fd, int64_t now_us)
+{
+    link->fd = fd;
+    link->state = LINK_HELLO;
+    link->deadline_us = now_us + HANDSHAKE_TIMEOUT_US;
+    set_options(fd);
+    push_hello(net, link);
+    link->want_write = true;
+    watch(net, link, EPOLL_CTL_ADD);
+}
+
+/* The delay of the test hook towards the node that was met. */
+static int64_t
+delay_towards(const GwNet *net, const GwHello *remote)
+{
+    uint32_t region = remote->region;
+    if (region == net->params.region) {
+        if (remote->domain == net->params.domain) {
+            return 0;
+        }
+        region = 0;
+    }
+    for (uint32_t i = 0; i < net->params.delay_count; i++) {
+        if (net->params.delays[i].region == region) {
+            return net->params.delays[i].one_way_us;
+        }
+    }
+    return 0;
+}
+
+static bool
+on_hello(GwNet *net, Link *link, const GwHello *hello)
+{
+    GwEnvelope proof = {.kind = GW_ENVELOPE_PROOF};
+    GwKey key = {.bytes = net->key, .len = net->params.key_len};
+
+    link->remote = *hello;
+    if (link->accepted) {
+        GwHandshake_Prove(key, GW_ROLE_ACCEPTOR, hello, &link->own,
+                          proof.u.proof);
+    }
+    else {
+        GwHandshake_Prove(key, GW_ROLE_CONNECTOR, &link->own, hello,
+                          proof.u.proof);
+    }
+    push_urgent(link, &proof);
+    link->state = LINK_PROOF;
+    return true;
+}
+
+static bool
+on_proof(GwNet *net, Link *link, const uint8_t *mac)
+{
+    GwKey key = {.bytes = net->key, .len = net->params.key_len};
+    bool good;
+
+    if (link->accepted) {
+        good = GwHandshake_Check(key, GW_ROLE_CONNECTOR, &link->remote,
+                                 &link->own, mac);
+    }
+    else {
+        good = GwHandshake_Check(key, GW_ROLE_ACCEPTOR, &link->own,
+                                 &link->remote, mac);
+    }
+    if (!good) {
+        atomic_fetch_add(&net->refused, 1);
+        return false;
+    }
+    link->delay_us = delay_towards(net, &link->remote);
+    link->state = LINK_READY;
+    return true;
+}
+
+static void
+on_reply(GwNet *net, Link *link, GwCallReply *reply)
+{
+    if (g_hash_table_remove(link->calls, &reply->id)) {
+        net->host.reply(net->host.ctx, reply);
+    }
+}
+
+static bool
+on_ready_envelope(GwNet *net, Link *link, GwEnvelope *envelope)
+{
+    const GwNetHost *host = &net->host;
+
+    switch (envelope->kind) {
+    case GW_ENVELOPE_CONTROL:
+        host->control(host->ctx, envelope->u.control);
+        return true;
+    case GW_ENVELOPE_CALL:
+        host->call(host->ctx, link->serial, link->remote.from,
+                   &envelope->u.call);
+        return link->accepted;
+    case GW_ENVELOPE_REPLY:
+        on_reply(net, link, &envelope->u.reply);
+        return true;
+    case GW_ENVELOPE_CANCEL:
+        host->cancel(host->ctx, link->serial, envelope->u.cancel);
+        return true;
+    case GW_ENVELOPE_PING:
+        push_urgent(link, &(GwEnvelope){.kind = GW_ENVELOPE_PONG});
+        return true;
+    case GW_ENVELOPE_PONG:
+        return true;
+    case GW_ENVELOPE_HELLO:
+    case GW_ENVELOPE_PROOF:
+        return false;
+    }
+    return false;
+}
+
+/* Until both sides have proved the key, only the next step of the handshake
+ * is heard; anything else closes the connection. */
+static bool
+on_envelope(GwNet *net, Link *link, GwEnvelope *envelope)
+{
+    switch (link->state) {
+    case LINK_HELLO:
+        return envelope->kind == GW_ENVELOPE_HELLO &&
+               on_hello(net, link, &envelope->u.hello);
+    case LINK_PROOF:
+        return envelope->kind == GW_ENVELOPE_PROOF &&
+               on_proof(net, link, envelope->u.proof);
+    case LINK_READY:
+        return on_ready_envelope(net, link, envelope);
+    case LINK_IDLE:
+    case LINK_CONNECTING:
+        return false;
+    }
+    return false;
+}
+
+static bool
+take_frames(GwNet *net, Link *link)
+{
+    const uint8_t *payload;
+    uint32_t len;
+    GwResult r;
+
+    while ((r = GwFrame_Next(&link->in, &payload, &len)) == 1) {
+        GwEnvelope envelope;
+        if (link->state != LINK_READY && len > EARLY_FRAME_MAX) {
+            return false;
+        }
+        if (GwResult_IsError(GwCodec_Parse(payload, len, &envelope))) {
+            return false;
+        }
+        atomic_fetch_add_explicit(&net->frames_in, 1, memory_order_relaxed);
+        bool keep = on_envelope(net, link, &envelope);
+        GwEnvelope_Clear(&envelope);
+        if (!keep) {
+            return false;
+        }
+    }
+    return !GwResult_IsError(r);
+}
+
+bool
+Link_OnReadable(GwNet *net, Link *link, int64_t now_us)
+{
+    static uint8_t chunk[READ_CHUNK];
+
+    ssize_t n = recv(link->fd, chunk, sizeof(chunk), 0);
+    if (n < 0) {
+        return errno == EAGAIN || errno == EINTR;
+    }
+    if (n == 0) {
+        return false;
+    }
+    link->ping_us = 0;
+    atomic_fetch_add_explicit(&net->bytes_in, (uint64_t)n,
+                              memory_order_relaxed);
+    GwFrame_Feed(&link->in, chunk, (size_t)n);
+    if (!take_frames(net, link)) {
+        return false;
+    }
+    /* A stranger must not make this process buffer a large frame. */
+    if (link->state != LINK_READY &&
+        link->in.len - link->in.start > EARLY_FRAME_MAX) {
+        return false;
+    }
+    return Link_Flush(net, link, now_us);
+}
+
+/* The next queued frame whose delay is over. A call meant for an earlier
+ * start of the peer is not sent to this one. */
+static Frame *
+next_queued(GwNet *net, Link *link, int64_t now_us)
+{
+    Frame *frame = NULL;
+
+    pthread_mutex_lock(&net->peer_lock);
+    Frame *head = g_queue_peek_head(&link->queue);
+    if (head != NULL && head->queued_us + link->delay_us <= now_us) {
+        frame = g_queue_pop_head(&link->queue);
+        link->queue_bytes -= frame->len;
+    }
+    pthread_mutex_unlock(&net->peer_lock);
+    return frame;
+}
+
+static Frame *
+next_frame(GwNet *net, Link *link, int64_t now_us)
+{
+    if (link->urgent.length > 0) {
+        return g_queue_pop_head(&link->urgent);
+    }
+    while (link->state == LINK_READY) {
+        Frame *frame = next_queued(net, link, now_us);
+        if (frame == NULL) {
+            return NULL;
+        }
+        if (frame->call == 0 || GwNodeId_Equal(frame->to, link->remote.from)) {
+            link->ping_due = !link->accepted;
+            return frame;
+        }
+        net->host.call_lost(net->host.ctx, frame->call, false);
+        Frame_Free(frame);
+    }
+    return NULL;
+}
+
+static void
+written_whole(GwNet *net, Link *link)
+{
+    Frame *frame = link->current;
+    if (frame->call != 0) {
+        uint64_t *id = g_new(uint64_t, 1);
+        *id = frame->call;
+        g_hash_table_add(link->calls, id);
+    }
+    atomic_fetch_add_explicit(&net->frames_out, 1, memory_order_relaxed);
+    atomic_fetch_add_explicit(&net->bytes_out, frame->len,
+                              memory_order_relaxed);
+    Frame_Free(frame);
+    link->current = NULL;
+}
+
+/* A ping follows what was sent, so that a connection something in between
+ * has lost track of is found out and replaced although the kernel still
+ * thinks it well. */
+static void
+ping_if_due(Link *link, int64_t now_us)
+{
+    if (!link->ping_due || link->ping_us != 0 ||
+        now_us - link->last_ping_us < PING_EVERY_US) {
+        return;
+    }
+    push_urgent(link, &(GwEnvelope){.kind = GW_ENVELOPE_PING});
+    link->ping_due = false;
+    link->ping_us = now_us;
+    link->last_ping_us = now_us;
+}
+
+/* 1: written, 0: the socket is full, -1: broken. */
+static int
+write_current(Link *link)
+{
+    Frame *frame = link->current;
+    while (frame->written < frame->len) {
+        ssize_t n = send(link->fd, frame->bytes + frame->written,
+                         frame->len - frame->written, MSG_NOSIGNAL);
+        if (n < 0) {
+            return errno == EAGAIN || errno == EINTR ? 0 : -1;
+        }
+        frame->written += (size_t)n;
+    }
+    return 1;
+}
+
+bool
+Link_Flush(GwNet *net, Link *link, int64_t now_us)
+{
+    if (link->state == LINK_CONNECTING || link->fd < 0) {
+        return true;
+    }
+    for (;;) {
+        if (link->current == NULL) {
+            link->current = next_frame(net, link, now_us);
+        }
+        if (link->current == NULL) {
+            ping_if_due(link, now_us);
+            if (link->urgent.length == 0) {
+                want_write(net, link, false);
+                return true;
+            }
+            continue;
+        }
+        int rc = write_current(link);
+        if (rc < 0) {
+            return false;
+        }
+        if (rc == 0) {
+            want_write(net, link, true);
+            return true;
+        }
+        written_whole(net, link);
+    }
+}
+
+bool
+Link_OnWritable(GwNet *net, Link *link, int64_t now_us)
+{
+    if (link->state == LINK_CONNECTING) {
+        int error = 0;
+        socklen_t len = sizeof(error);
+        getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+        if (error != 0) {
+            return false;
+        }
+        link->state = LINK_HELLO;
+        link->deadline_us = now_us + HANDSHAKE_TIMEOUT_US;
+    }
+    return Link_Flush(net, link, now_us);
+}
+
+bool
+Link_IsOverdue(GwNet *net, Link *link, int64_t now_us)
+{
+    if (link->state == LINK_IDLE) {
+        return false;
+    }
+    if (link->state != LINK_READY) {
+        return now_us >= link->deadline_us;
+    }
+    if (link->ping_us != 0 && now_us - link->ping_us > SILENT_US) {
+        atomic_fetch_add(&net->closed_silent, 1);
+        return true;
+    }
+    return false;
+}
--- a/lib/wire/codec.c
+++ b/lib/wire/codec.c
@@ -95,6 +95,8 @@
     Gw__Inner__Hello pb = GW__INNER__HELLO__INIT;
     pb.nonce = (ProtobufCBinaryData){GW_NONCE_LEN, copy.nonce};
     pb.from = &from;
+    pb.region = hello->region;
+    pb.domain = hello->domain;
     Gw__Inner__Envelope env = GW__INNER__ENVELOPE__INIT;
     env.body_case = GW__INNER__ENVELOPE__BODY_HELLO;
     env.hello = &pb;
@@ -178,6 +180,26 @@
     return GwCodec_PackFrame(&env, len);
 }
 
+static uint8_t *
+frame_ping(size_t *len)
+{
+    Gw__Inner__Ping pb = GW__INNER__PING__INIT;
+    Gw__Inner__Envelope env = GW__INNER__ENVELOPE__INIT;
+    env.body_case = GW__INNER__ENVELOPE__BODY_PING;
+    env.ping = &pb;
+    return GwCodec_PackFrame(&env, len);
+}
+
+static uint8_t *
+frame_pong(size_t *len)
+{
+    Gw__Inner__Pong pb = GW__INNER__PONG__INIT;
+    Gw__Inner__Envelope env = GW__INNER__ENVELOPE__INIT;
+    env.body_case = GW__INNER__ENVELOPE__BODY_PONG;
+    env.pong = &pb;
+    return GwCodec_PackFrame(&env, len);
+}
+
 /* The envelope keeps what it owns. */
 uint8_t *
 GwCodec_Frame(const GwEnvelope *envelope, size_t *len)
@@ -195,6 +217,10 @@
         return frame_reply(&envelope->u.reply, len);
     case GW_ENVELOPE_CANCEL:
         return frame_cancel(envelope->u.cancel, len);
+    case GW_ENVELOPE_PING:
+        return frame_ping(len);
+    case GW_ENVELOPE_PONG:
+        return frame_pong(len);
     }
     g_assert_not_reached();
 }
@@ -275,6 +301,8 @@
         return false;
     }
     memcpy(hello->nonce, pb->nonce.data, GW_NONCE_LEN);
+    hello->region = pb->region;
+    hello->domain = pb->domain;
     return GwCodec_GetNodeId(pb->from, &hello->from);
 }
 
@@ -316,6 +344,10 @@
         out->u.cancel = pb->cancel->id;
         ok = true;
         break;
+    case GW__INNER__ENVELOPE__BODY_PING:
+    case GW__INNER__ENVELOPE__BODY_PONG:
+        ok = true;
+        break;
     default:
         error = GW_ERR(PARSE);
         break;
@@ -356,6 +388,8 @@
     case GW_ENVELOPE_HELLO:
     case GW_ENVELOPE_PROOF:
     case GW_ENVELOPE_CANCEL:
+    case GW_ENVELOPE_PING:
+    case GW_ENVELOPE_PONG:
         break;
     }
     *envelope = (GwEnvelope){0};
--- a/lib/wire/codec.h
+++ b/lib/wire/codec.h
@@ -45,12 +45,16 @@
     GW_ENVELOPE_CONTROL = 3,
     GW_ENVELOPE_CALL = 4,
     GW_ENVELOPE_REPLY = 5,
-    GW_ENVELOPE_CANCEL = 6
+    GW_ENVELOPE_CANCEL = 6,
+    GW_ENVELOPE_PING = 7,
+    GW_ENVELOPE_PONG = 8
 } GwEnvelopeKind;
 
 typedef struct {
     uint8_t nonce[GW_NONCE_LEN];
     GwNodeId from;
+    uint32_t region; /* hashes of names, as in GwMemberInfo */
+    uint32_t domain;
 } GwHello;
 
 typedef struct {
--- a/lib/wire/inner.pb-c.c
+++ b/lib/wire/inner.pb-c.c
@@ -7,2011 +7,2712 @@
 #endif
 
 #include "inner.pb-c.h"
-void
-gw__inner__node_id__init(Gw__Inner__NodeId *message)
+void   gw__inner__node_id__init
+                     (Gw__Inner__NodeId         *message)
 {
-    static const Gw__Inner__NodeId init_value = GW__INNER__NODE_ID__INIT;
-    *message = init_value;
+  static const Gw__Inner__NodeId init_value = GW__INNER__NODE_ID__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__node_id__get_packed_size(const Gw__Inner__NodeId *message)
+size_t gw__inner__node_id__get_packed_size
+                     (const Gw__Inner__NodeId *message)
 {
-    assert(message->base.descriptor == &gw__inner__node_id__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__node_id__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__node_id__pack(const Gw__Inner__NodeId *message, uint8_t *out)
+size_t gw__inner__node_id__pack
+                     (const Gw__Inner__NodeId *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__node_id__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__node_id__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__node_id__pack_to_buffer(const Gw__Inner__NodeId *message,
-                                   ProtobufCBuffer *buffer)
+size_t gw__inner__node_id__pack_to_buffer
+                     (const Gw__Inner__NodeId *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__node_id__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__node_id__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__NodeId *
-gw__inner__node_id__unpack(ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       gw__inner__node_id__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__NodeId *)protobuf_c_message_unpack(
-        &gw__inner__node_id__descriptor, allocator, len, data);
+  return (Gw__Inner__NodeId *)
+     protobuf_c_message_unpack (&gw__inner__node_id__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__node_id__free_unpacked(Gw__Inner__NodeId *message,
-                                  ProtobufCAllocator *allocator)
+void   gw__inner__node_id__free_unpacked
+                     (Gw__Inner__NodeId *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__node_id__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__node_id__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__member_info__init(Gw__Inner__MemberInfo *message)
+void   gw__inner__member_info__init
+                     (Gw__Inner__MemberInfo         *message)
 {
-    static const Gw__Inner__MemberInfo init_value =
-        GW__INNER__MEMBER_INFO__INIT;
-    *message = init_value;
+  static const Gw__Inner__MemberInfo init_value = GW__INNER__MEMBER_INFO__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__member_info__get_packed_size(const Gw__Inner__MemberInfo *message)
+size_t gw__inner__member_info__get_packed_size
+                     (const Gw__Inner__MemberInfo *message)
 {
-    assert(message->base.descriptor == &gw__inner__member_info__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__member_info__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__member_info__pack(const Gw__Inner__MemberInfo *message,
-                             uint8_t *out)
+size_t gw__inner__member_info__pack
+                     (const Gw__Inner__MemberInfo *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__member_info__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__member_info__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__member_info__pack_to_buffer(const Gw__Inner__MemberInfo *message,
-                                       ProtobufCBuffer *buffer)
+size_t gw__inner__member_info__pack_to_buffer
+                     (const Gw__Inner__MemberInfo *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__member_info__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__member_info__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__MemberInfo *
-gw__inner__member_info__unpack(ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       gw__inner__member_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__MemberInfo *)protobuf_c_message_unpack(
-        &gw__inner__member_info__descriptor, allocator, len, data);
+  return (Gw__Inner__MemberInfo *)
+     protobuf_c_message_unpack (&gw__inner__member_info__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__member_info__free_unpacked(Gw__Inner__MemberInfo *message,
-                                      ProtobufCAllocator *allocator)
+void   gw__inner__member_info__free_unpacked
+                     (Gw__Inner__MemberInfo *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__member_info__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__member_info__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__digest__init(Gw__Inner__Digest *message)
+void   gw__inner__digest__init
+                     (Gw__Inner__Digest         *message)
 {
-    static const Gw__Inner__Digest init_value = GW__INNER__DIGEST__INIT;
-    *message = init_value;
+  static const Gw__Inner__Digest init_value = GW__INNER__DIGEST__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__digest__get_packed_size(const Gw__Inner__Digest *message)
+size_t gw__inner__digest__get_packed_size
+                     (const Gw__Inner__Digest *message)
 {
-    assert(message->base.descriptor == &gw__inner__digest__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__digest__pack(const Gw__Inner__Digest *message, uint8_t *out)
+size_t gw__inner__digest__pack
+                     (const Gw__Inner__Digest *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__digest__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__digest__pack_to_buffer(const Gw__Inner__Digest *message,
-                                  ProtobufCBuffer *buffer)
+size_t gw__inner__digest__pack_to_buffer
+                     (const Gw__Inner__Digest *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__digest__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Digest *
-gw__inner__digest__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       gw__inner__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Digest *)protobuf_c_message_unpack(
-        &gw__inner__digest__descriptor, allocator, len, data);
+  return (Gw__Inner__Digest *)
+     protobuf_c_message_unpack (&gw__inner__digest__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__digest__free_unpacked(Gw__Inner__Digest *message,
-                                 ProtobufCAllocator *allocator)
+void   gw__inner__digest__free_unpacked
+                     (Gw__Inner__Digest *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__digest__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__drain_hint__init(Gw__Inner__DrainHint *message)
+void   gw__inner__drain_hint__init
+                     (Gw__Inner__DrainHint         *message)
 {
-    static const Gw__Inner__DrainHint init_value = GW__INNER__DRAIN_HINT__INIT;
-    *message = init_value;
+  static const Gw__Inner__DrainHint init_value = GW__INNER__DRAIN_HINT__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__drain_hint__get_packed_size(const Gw__Inner__DrainHint *message)
+size_t gw__inner__drain_hint__get_packed_size
+                     (const Gw__Inner__DrainHint *message)
 {
-    assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__drain_hint__pack(const Gw__Inner__DrainHint *message, uint8_t *out)
+size_t gw__inner__drain_hint__pack
+                     (const Gw__Inner__DrainHint *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__drain_hint__pack_to_buffer(const Gw__Inner__DrainHint *message,
-                                      ProtobufCBuffer *buffer)
+size_t gw__inner__drain_hint__pack_to_buffer
+                     (const Gw__Inner__DrainHint *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__DrainHint *
-gw__inner__drain_hint__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       gw__inner__drain_hint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__DrainHint *)protobuf_c_message_unpack(
-        &gw__inner__drain_hint__descriptor, allocator, len, data);
+  return (Gw__Inner__DrainHint *)
+     protobuf_c_message_unpack (&gw__inner__drain_hint__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__drain_hint__free_unpacked(Gw__Inner__DrainHint *message,
-                                     ProtobufCAllocator *allocator)
+void   gw__inner__drain_hint__free_unpacked
+                     (Gw__Inner__DrainHint *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__drain_hint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__heartbeat__init(Gw__Inner__Heartbeat *message)
+void   gw__inner__heartbeat__init
+                     (Gw__Inner__Heartbeat         *message)
 {
-    static const Gw__Inner__Heartbeat init_value = GW__INNER__HEARTBEAT__INIT;
-    *message = init_value;
+  static const Gw__Inner__Heartbeat init_value = GW__INNER__HEARTBEAT__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__heartbeat__get_packed_size(const Gw__Inner__Heartbeat *message)
+size_t gw__inner__heartbeat__get_packed_size
+                     (const Gw__Inner__Heartbeat *message)
 {
-    assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__heartbeat__pack(const Gw__Inner__Heartbeat *message, uint8_t *out)
+size_t gw__inner__heartbeat__pack
+                     (const Gw__Inner__Heartbeat *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__heartbeat__pack_to_buffer(const Gw__Inner__Heartbeat *message,
-                                     ProtobufCBuffer *buffer)
+size_t gw__inner__heartbeat__pack_to_buffer
+                     (const Gw__Inner__Heartbeat *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Heartbeat *
-gw__inner__heartbeat__unpack(ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       gw__inner__heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Heartbeat *)protobuf_c_message_unpack(
-        &gw__inner__heartbeat__descriptor, allocator, len, data);
+  return (Gw__Inner__Heartbeat *)
+     protobuf_c_message_unpack (&gw__inner__heartbeat__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__heartbeat__free_unpacked(Gw__Inner__Heartbeat *message,
-                                    ProtobufCAllocator *allocator)
+void   gw__inner__heartbeat__free_unpacked
+                     (Gw__Inner__Heartbeat *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__config_ask__init(Gw__Inner__ConfigAsk *message)
+void   gw__inner__config_ask__init
+                     (Gw__Inner__ConfigAsk         *message)
 {
-    static const Gw__Inner__ConfigAsk init_value = GW__INNER__CONFIG_ASK__INIT;
-    *message = init_value;
+  static const Gw__Inner__ConfigAsk init_value = GW__INNER__CONFIG_ASK__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__config_ask__get_packed_size(const Gw__Inner__ConfigAsk *message)
+size_t gw__inner__config_ask__get_packed_size
+                     (const Gw__Inner__ConfigAsk *message)
 {
-    assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__config_ask__pack(const Gw__Inner__ConfigAsk *message, uint8_t *out)
+size_t gw__inner__config_ask__pack
+                     (const Gw__Inner__ConfigAsk *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__config_ask__pack_to_buffer(const Gw__Inner__ConfigAsk *message,
-                                      ProtobufCBuffer *buffer)
+size_t gw__inner__config_ask__pack_to_buffer
+                     (const Gw__Inner__ConfigAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__ConfigAsk *
-gw__inner__config_ask__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       gw__inner__config_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__ConfigAsk *)protobuf_c_message_unpack(
-        &gw__inner__config_ask__descriptor, allocator, len, data);
+  return (Gw__Inner__ConfigAsk *)
+     protobuf_c_message_unpack (&gw__inner__config_ask__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__config_ask__free_unpacked(Gw__Inner__ConfigAsk *message,
-                                     ProtobufCAllocator *allocator)
+void   gw__inner__config_ask__free_unpacked
+                     (Gw__Inner__ConfigAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__config_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__config_doc__init(Gw__Inner__ConfigDoc *message)
+void   gw__inner__config_doc__init
+                     (Gw__Inner__ConfigDoc         *message)
 {
-    static const Gw__Inner__ConfigDoc init_value = GW__INNER__CONFIG_DOC__INIT;
-    *message = init_value;
+  static const Gw__Inner__ConfigDoc init_value = GW__INNER__CONFIG_DOC__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__config_doc__get_packed_size(const Gw__Inner__ConfigDoc *message)
+size_t gw__inner__config_doc__get_packed_size
+                     (const Gw__Inner__ConfigDoc *message)
 {
-    assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__config_doc__pack(const Gw__Inner__ConfigDoc *message, uint8_t *out)
+size_t gw__inner__config_doc__pack
+                     (const Gw__Inner__ConfigDoc *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__config_doc__pack_to_buffer(const Gw__Inner__ConfigDoc *message,
-                                      ProtobufCBuffer *buffer)
+size_t gw__inner__config_doc__pack_to_buffer
+                     (const Gw__Inner__ConfigDoc *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__ConfigDoc *
-gw__inner__config_doc__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       gw__inner__config_doc__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__ConfigDoc *)protobuf_c_message_unpack(
-        &gw__inner__config_doc__descriptor, allocator, len, data);
+  return (Gw__Inner__ConfigDoc *)
+     protobuf_c_message_unpack (&gw__inner__config_doc__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__config_doc__free_unpacked(Gw__Inner__ConfigDoc *message,
-                                     ProtobufCAllocator *allocator)
+void   gw__inner__config_doc__free_unpacked
+                     (Gw__Inner__ConfigDoc *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__config_doc__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__unit__init(Gw__Inner__Unit *message)
+void   gw__inner__unit__init
+                     (Gw__Inner__Unit         *message)
 {
-    static const Gw__Inner__Unit init_value = GW__INNER__UNIT__INIT;
-    *message = init_value;
+  static const Gw__Inner__Unit init_value = GW__INNER__UNIT__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__unit__get_packed_size(const Gw__Inner__Unit *message)
+size_t gw__inner__unit__get_packed_size
+                     (const Gw__Inner__Unit *message)
 {
-    assert(message->base.descriptor == &gw__inner__unit__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__unit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__unit__pack(const Gw__Inner__Unit *message, uint8_t *out)
+size_t gw__inner__unit__pack
+                     (const Gw__Inner__Unit *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__unit__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__unit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__unit__pack_to_buffer(const Gw__Inner__Unit *message,
-                                ProtobufCBuffer *buffer)
+size_t gw__inner__unit__pack_to_buffer
+                     (const Gw__Inner__Unit *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__unit__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__unit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Unit *
-gw__inner__unit__unpack(ProtobufCAllocator *allocator, size_t len,
-                        const uint8_t *data)
+       gw__inner__unit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Unit *)protobuf_c_message_unpack(
-        &gw__inner__unit__descriptor, allocator, len, data);
+  return (Gw__Inner__Unit *)
+     protobuf_c_message_unpack (&gw__inner__unit__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__unit__free_unpacked(Gw__Inner__Unit *message,
-                               ProtobufCAllocator *allocator)
+void   gw__inner__unit__free_unpacked
+                     (Gw__Inner__Unit *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__unit__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__unit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__loan_ask__init(Gw__Inner__LoanAsk *message)
+void   gw__inner__loan_ask__init
+                     (Gw__Inner__LoanAsk         *message)
 {
-    static const Gw__Inner__LoanAsk init_value = GW__INNER__LOAN_ASK__INIT;
-    *message = init_value;
+  static const Gw__Inner__LoanAsk init_value = GW__INNER__LOAN_ASK__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__loan_ask__get_packed_size(const Gw__Inner__LoanAsk *message)
+size_t gw__inner__loan_ask__get_packed_size
+                     (const Gw__Inner__LoanAsk *message)
 {
-    assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__loan_ask__pack(const Gw__Inner__LoanAsk *message, uint8_t *out)
+size_t gw__inner__loan_ask__pack
+                     (const Gw__Inner__LoanAsk *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__loan_ask__pack_to_buffer(const Gw__Inner__LoanAsk *message,
-                                    ProtobufCBuffer *buffer)
+size_t gw__inner__loan_ask__pack_to_buffer
+                     (const Gw__Inner__LoanAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__LoanAsk *
-gw__inner__loan_ask__unpack(ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       gw__inner__loan_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__LoanAsk *)protobuf_c_message_unpack(
-        &gw__inner__loan_ask__descriptor, allocator, len, data);
+  return (Gw__Inner__LoanAsk *)
+     protobuf_c_message_unpack (&gw__inner__loan_ask__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__loan_ask__free_unpacked(Gw__Inner__LoanAsk *message,
-                                   ProtobufCAllocator *allocator)
+void   gw__inner__loan_ask__free_unpacked
+                     (Gw__Inner__LoanAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__loan_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__loan_give__init(Gw__Inner__LoanGive *message)
+void   gw__inner__loan_give__init
+                     (Gw__Inner__LoanGive         *message)
 {
-    static const Gw__Inner__LoanGive init_value = GW__INNER__LOAN_GIVE__INIT;
-    *message = init_value;
+  static const Gw__Inner__LoanGive init_value = GW__INNER__LOAN_GIVE__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__loan_give__get_packed_size(const Gw__Inner__LoanGive *message)
+size_t gw__inner__loan_give__get_packed_size
+                     (const Gw__Inner__LoanGive *message)
 {
-    assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__loan_give__pack(const Gw__Inner__LoanGive *message, uint8_t *out)
+size_t gw__inner__loan_give__pack
+                     (const Gw__Inner__LoanGive *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__loan_give__pack_to_buffer(const Gw__Inner__LoanGive *message,
-                                     ProtobufCBuffer *buffer)
+size_t gw__inner__loan_give__pack_to_buffer
+                     (const Gw__Inner__LoanGive *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__LoanGive *
-gw__inner__loan_give__unpack(ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       gw__inner__loan_give__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__LoanGive *)protobuf_c_message_unpack(
-        &gw__inner__loan_give__descriptor, allocator, len, data);
+  return (Gw__Inner__LoanGive *)
+     protobuf_c_message_unpack (&gw__inner__loan_give__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__loan_give__free_unpacked(Gw__Inner__LoanGive *message,
-                                    ProtobufCAllocator *allocator)
+void   gw__inner__loan_give__free_unpacked
+                     (Gw__Inner__LoanGive *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__loan_give__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__loan_return__init(Gw__Inner__LoanReturn *message)
+void   gw__inner__loan_return__init
+                     (Gw__Inner__LoanReturn         *message)
 {
-    static const Gw__Inner__LoanReturn init_value =
-        GW__INNER__LOAN_RETURN__INIT;
-    *message = init_value;
+  static const Gw__Inner__LoanReturn init_value = GW__INNER__LOAN_RETURN__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__loan_return__get_packed_size(const Gw__Inner__LoanReturn *message)
+size_t gw__inner__loan_return__get_packed_size
+                     (const Gw__Inner__LoanReturn *message)
 {
-    assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__loan_return__pack(const Gw__Inner__LoanReturn *message,
-                             uint8_t *out)
+size_t gw__inner__loan_return__pack
+                     (const Gw__Inner__LoanReturn *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__loan_return__pack_to_buffer(const Gw__Inner__LoanReturn *message,
-                                       ProtobufCBuffer *buffer)
+size_t gw__inner__loan_return__pack_to_buffer
+                     (const Gw__Inner__LoanReturn *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__LoanReturn *
-gw__inner__loan_return__unpack(ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       gw__inner__loan_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__LoanReturn *)protobuf_c_message_unpack(
-        &gw__inner__loan_return__descriptor, allocator, len, data);
+  return (Gw__Inner__LoanReturn *)
+     protobuf_c_message_unpack (&gw__inner__loan_return__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__loan_return__free_unpacked(Gw__Inner__LoanReturn *message,
-                                      ProtobufCAllocator *allocator)
+void   gw__inner__loan_return__free_unpacked
+                     (Gw__Inner__LoanReturn *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__loan_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__seat__init(Gw__Inner__Seat *message)
+void   gw__inner__seat__init
+                     (Gw__Inner__Seat         *message)
 {
-    static const Gw__Inner__Seat init_value = GW__INNER__SEAT__INIT;
-    *message = init_value;
+  static const Gw__Inner__Seat init_value = GW__INNER__SEAT__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__seat__get_packed_size(const Gw__Inner__Seat *message)
+size_t gw__inner__seat__get_packed_size
+                     (const Gw__Inner__Seat *message)
 {
-    assert(message->base.descriptor == &gw__inner__seat__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__seat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__seat__pack(const Gw__Inner__Seat *message, uint8_t *out)
+size_t gw__inner__seat__pack
+                     (const Gw__Inner__Seat *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__seat__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__seat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__seat__pack_to_buffer(const Gw__Inner__Seat *message,
-                                ProtobufCBuffer *buffer)
+size_t gw__inner__seat__pack_to_buffer
+                     (const Gw__Inner__Seat *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__seat__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__seat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Seat *
-gw__inner__seat__unpack(ProtobufCAllocator *allocator, size_t len,
-                        const uint8_t *data)
+       gw__inner__seat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Seat *)protobuf_c_message_unpack(
-        &gw__inner__seat__descriptor, allocator, len, data);
+  return (Gw__Inner__Seat *)
+     protobuf_c_message_unpack (&gw__inner__seat__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__seat__free_unpacked(Gw__Inner__Seat *message,
-                               ProtobufCAllocator *allocator)
+void   gw__inner__seat__free_unpacked
+                     (Gw__Inner__Seat *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__seat__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__seat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__control__init(Gw__Inner__Control *message)
+void   gw__inner__control__init
+                     (Gw__Inner__Control         *message)
 {
-    static const Gw__Inner__Control init_value = GW__INNER__CONTROL__INIT;
-    *message = init_value;
+  static const Gw__Inner__Control init_value = GW__INNER__CONTROL__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__control__get_packed_size(const Gw__Inner__Control *message)
+size_t gw__inner__control__get_packed_size
+                     (const Gw__Inner__Control *message)
 {
-    assert(message->base.descriptor == &gw__inner__control__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__control__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__control__pack(const Gw__Inner__Control *message, uint8_t *out)
+size_t gw__inner__control__pack
+                     (const Gw__Inner__Control *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__control__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__control__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__control__pack_to_buffer(const Gw__Inner__Control *message,
-                                   ProtobufCBuffer *buffer)
+size_t gw__inner__control__pack_to_buffer
+                     (const Gw__Inner__Control *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__control__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__control__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Control *
-gw__inner__control__unpack(ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       gw__inner__control__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Control *)protobuf_c_message_unpack(
-        &gw__inner__control__descriptor, allocator, len, data);
+  return (Gw__Inner__Control *)
+     protobuf_c_message_unpack (&gw__inner__control__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__control__free_unpacked(Gw__Inner__Control *message,
-                                  ProtobufCAllocator *allocator)
+void   gw__inner__control__free_unpacked
+                     (Gw__Inner__Control *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__control__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__control__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__ticket__init(Gw__Inner__Ticket *message)
+void   gw__inner__ticket__init
+                     (Gw__Inner__Ticket         *message)
 {
-    static const Gw__Inner__Ticket init_value = GW__INNER__TICKET__INIT;
-    *message = init_value;
+  static const Gw__Inner__Ticket init_value = GW__INNER__TICKET__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__ticket__get_packed_size(const Gw__Inner__Ticket *message)
+size_t gw__inner__ticket__get_packed_size
+                     (const Gw__Inner__Ticket *message)
 {
-    assert(message->base.descriptor == &gw__inner__ticket__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__ticket__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__ticket__pack(const Gw__Inner__Ticket *message, uint8_t *out)
+size_t gw__inner__ticket__pack
+                     (const Gw__Inner__Ticket *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__ticket__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__ticket__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__ticket__pack_to_buffer(const Gw__Inner__Ticket *message,
-                                  ProtobufCBuffer *buffer)
+size_t gw__inner__ticket__pack_to_buffer
+                     (const Gw__Inner__Ticket *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__ticket__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__ticket__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Ticket *
-gw__inner__ticket__unpack(ProtobufCAllocator *allocator, size_t len,
-                          const uint8_t *data)
+       gw__inner__ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Ticket *)protobuf_c_message_unpack(
-        &gw__inner__ticket__descriptor, allocator, len, data);
+  return (Gw__Inner__Ticket *)
+     protobuf_c_message_unpack (&gw__inner__ticket__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__ticket__free_unpacked(Gw__Inner__Ticket *message,
-                                 ProtobufCAllocator *allocator)
+void   gw__inner__ticket__free_unpacked
+                     (Gw__Inner__Ticket *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__ticket__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__ticket__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__call_request__init(Gw__Inner__CallRequest *message)
+void   gw__inner__call_request__init
+                     (Gw__Inner__CallRequest         *message)
 {
-    static const Gw__Inner__CallRequest init_value =
-        GW__INNER__CALL_REQUEST__INIT;
-    *message = init_value;
+  static const Gw__Inner__CallRequest init_value = GW__INNER__CALL_REQUEST__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__call_request__get_packed_size(const Gw__Inner__CallRequest *message)
+size_t gw__inner__call_request__get_packed_size
+                     (const Gw__Inner__CallRequest *message)
 {
-    assert(message->base.descriptor == &gw__inner__call_request__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__call_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__call_request__pack(const Gw__Inner__CallRequest *message,
-                              uint8_t *out)
+size_t gw__inner__call_request__pack
+                     (const Gw__Inner__CallRequest *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__call_request__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__call_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__call_request__pack_to_buffer(const Gw__Inner__CallRequest *message,
-                                        ProtobufCBuffer *buffer)
+size_t gw__inner__call_request__pack_to_buffer
+                     (const Gw__Inner__CallRequest *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__call_request__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__call_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__CallRequest *
-gw__inner__call_request__unpack(ProtobufCAllocator *allocator, size_t len,
-                                const uint8_t *data)
+       gw__inner__call_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__CallRequest *)protobuf_c_message_unpack(
-        &gw__inner__call_request__descriptor, allocator, len, data);
+  return (Gw__Inner__CallRequest *)
+     protobuf_c_message_unpack (&gw__inner__call_request__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__call_request__free_unpacked(Gw__Inner__CallRequest *message,
-                                       ProtobufCAllocator *allocator)
+void   gw__inner__call_request__free_unpacked
+                     (Gw__Inner__CallRequest *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__call_request__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__call_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__call_reply__init(Gw__Inner__CallReply *message)
+void   gw__inner__call_reply__init
+                     (Gw__Inner__CallReply         *message)
 {
-    static const Gw__Inner__CallReply init_value = GW__INNER__CALL_REPLY__INIT;
-    *message = init_value;
+  static const Gw__Inner__CallReply init_value = GW__INNER__CALL_REPLY__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__call_reply__get_packed_size(const Gw__Inner__CallReply *message)
+size_t gw__inner__call_reply__get_packed_size
+                     (const Gw__Inner__CallReply *message)
 {
-    assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__call_reply__pack(const Gw__Inner__CallReply *message, uint8_t *out)
+size_t gw__inner__call_reply__pack
+                     (const Gw__Inner__CallReply *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__call_reply__pack_to_buffer(const Gw__Inner__CallReply *message,
-                                      ProtobufCBuffer *buffer)
+size_t gw__inner__call_reply__pack_to_buffer
+                     (const Gw__Inner__CallReply *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__CallReply *
-gw__inner__call_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       gw__inner__call_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__CallReply *)protobuf_c_message_unpack(
-        &gw__inner__call_reply__descriptor, allocator, len, data);
+  return (Gw__Inner__CallReply *)
+     protobuf_c_message_unpack (&gw__inner__call_reply__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__call_reply__free_unpacked(Gw__Inner__CallReply *message,
-                                     ProtobufCAllocator *allocator)
+void   gw__inner__call_reply__free_unpacked
+                     (Gw__Inner__CallReply *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__call_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__call_cancel__init(Gw__Inner__CallCancel *message)
+void   gw__inner__call_cancel__init
+                     (Gw__Inner__CallCancel         *message)
 {
-    static const Gw__Inner__CallCancel init_value =
-        GW__INNER__CALL_CANCEL__INIT;
-    *message = init_value;
+  static const Gw__Inner__CallCancel init_value = GW__INNER__CALL_CANCEL__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__call_cancel__get_packed_size(const Gw__Inner__CallCancel *message)
+size_t gw__inner__call_cancel__get_packed_size
+                     (const Gw__Inner__CallCancel *message)
 {
-    assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__call_cancel__pack(const Gw__Inner__CallCancel *message,
-                             uint8_t *out)
+size_t gw__inner__call_cancel__pack
+                     (const Gw__Inner__CallCancel *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__call_cancel__pack_to_buffer(const Gw__Inner__CallCancel *message,
-                                       ProtobufCBuffer *buffer)
+size_t gw__inner__call_cancel__pack_to_buffer
+                     (const Gw__Inner__CallCancel *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__CallCancel *
-gw__inner__call_cancel__unpack(ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       gw__inner__call_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__CallCancel *)protobuf_c_message_unpack(
-        &gw__inner__call_cancel__descriptor, allocator, len, data);
+  return (Gw__Inner__CallCancel *)
+     protobuf_c_message_unpack (&gw__inner__call_cancel__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__call_cancel__free_unpacked(Gw__Inner__CallCancel *message,
-                                      ProtobufCAllocator *allocator)
+void   gw__inner__call_cancel__free_unpacked
+                     (Gw__Inner__CallCancel *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__call_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__hello__init(Gw__Inner__Hello *message)
+void   gw__inner__hello__init
+                     (Gw__Inner__Hello         *message)
 {
-    static const Gw__Inner__Hello init_value = GW__INNER__HELLO__INIT;
-    *message = init_value;
+  static const Gw__Inner__Hello init_value = GW__INNER__HELLO__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__hello__get_packed_size(const Gw__Inner__Hello *message)
+size_t gw__inner__hello__get_packed_size
+                     (const Gw__Inner__Hello *message)
 {
-    assert(message->base.descriptor == &gw__inner__hello__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__hello__pack(const Gw__Inner__Hello *message, uint8_t *out)
+size_t gw__inner__hello__pack
+                     (const Gw__Inner__Hello *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__hello__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__hello__pack_to_buffer(const Gw__Inner__Hello *message,
-                                 ProtobufCBuffer *buffer)
+size_t gw__inner__hello__pack_to_buffer
+                     (const Gw__Inner__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__hello__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Hello *
-gw__inner__hello__unpack(ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       gw__inner__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Hello *)protobuf_c_message_unpack(
-        &gw__inner__hello__descriptor, allocator, len, data);
+  return (Gw__Inner__Hello *)
+     protobuf_c_message_unpack (&gw__inner__hello__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__hello__free_unpacked(Gw__Inner__Hello *message,
-                                ProtobufCAllocator *allocator)
+void   gw__inner__hello__free_unpacked
+                     (Gw__Inner__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__hello__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__proof__init(Gw__Inner__Proof *message)
+void   gw__inner__proof__init
+                     (Gw__Inner__Proof         *message)
 {
-    static const Gw__Inner__Proof init_value = GW__INNER__PROOF__INIT;
-    *message = init_value;
+  static const Gw__Inner__Proof init_value = GW__INNER__PROOF__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__proof__get_packed_size(const Gw__Inner__Proof *message)
+size_t gw__inner__proof__get_packed_size
+                     (const Gw__Inner__Proof *message)
 {
-    assert(message->base.descriptor == &gw__inner__proof__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__proof__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__proof__pack(const Gw__Inner__Proof *message, uint8_t *out)
+size_t gw__inner__proof__pack
+                     (const Gw__Inner__Proof *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__proof__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__proof__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__proof__pack_to_buffer(const Gw__Inner__Proof *message,
-                                 ProtobufCBuffer *buffer)
+size_t gw__inner__proof__pack_to_buffer
+                     (const Gw__Inner__Proof *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__proof__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__proof__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Proof *
-gw__inner__proof__unpack(ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       gw__inner__proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Gw__Inner__Proof *)protobuf_c_message_unpack(
-        &gw__inner__proof__descriptor, allocator, len, data);
+  return (Gw__Inner__Proof *)
+     protobuf_c_message_unpack (&gw__inner__proof__descriptor,
+                                allocator, len, data);
 }
-void
-gw__inner__proof__free_unpacked(Gw__Inner__Proof *message,
-                                ProtobufCAllocator *allocator)
+void   gw__inner__proof__free_unpacked
+                     (Gw__Inner__Proof *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__proof__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__proof__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-gw__inner__envelope__init(Gw__Inner__Envelope *message)
+void   gw__inner__ping__init
+                     (Gw__Inner__Ping         *message)
 {
-    static const Gw__Inner__Envelope init_value = GW__INNER__ENVELOPE__INIT;
-    *message = init_value;
+  static const Gw__Inner__Ping init_value = GW__INNER__PING__INIT;
+  *message = init_value;
 }
-size_t
-gw__inner__envelope__get_packed_size(const Gw__Inner__Envelope *message)
+size_t gw__inner__ping__get_packed_size
+                     (const Gw__Inner__Ping *message)
 {
-    assert(message->base.descriptor == &gw__inner__envelope__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &gw__inner__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-gw__inner__envelope__pack(const Gw__Inner__Envelope *message, uint8_t *out)
+size_t gw__inner__ping__pack
+                     (const Gw__Inner__Ping *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &gw__inner__envelope__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &gw__inner__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-gw__inner__envelope__pack_to_buffer(const Gw__Inner__Envelope *message,
-                                    ProtobufCBuffer *buffer)
+size_t gw__inner__ping__pack_to_buffer
+                     (const Gw__Inner__Ping *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &gw__inner__envelope__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &gw__inner__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Inner__Ping *
+       gw__inner__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Inner__Ping *)
+     protobuf_c_message_unpack (&gw__inner__ping__descriptor,
+                                allocator, len, data);
+}
+void   gw__inner__ping__free_unpacked
+                     (Gw__Inner__Ping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__inner__pong__init
+                     (Gw__Inner__Pong         *message)
+{
+  static const Gw__Inner__Pong init_value = GW__INNER__PONG__INIT;
+  *message = init_value;
+}
+size_t gw__inner__pong__get_packed_size
+                     (const Gw__Inner__Pong *message)
+{
+  assert(message->base.descriptor == &gw__inner__pong__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__inner__pong__pack
+                     (const Gw__Inner__Pong *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__inner__pong__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__inner__pong__pack_to_buffer
+                     (const Gw__Inner__Pong *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__inner__pong__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Inner__Pong *
+       gw__inner__pong__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Inner__Pong *)
+     protobuf_c_message_unpack (&gw__inner__pong__descriptor,
+                                allocator, len, data);
+}
+void   gw__inner__pong__free_unpacked
+                     (Gw__Inner__Pong *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__pong__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__inner__envelope__init
+                     (Gw__Inner__Envelope         *message)
+{
+  static const Gw__Inner__Envelope init_value = GW__INNER__ENVELOPE__INIT;
+  *message = init_value;
+}
+size_t gw__inner__envelope__get_packed_size
+                     (const Gw__Inner__Envelope *message)
+{
+  assert(message->base.descriptor == &gw__inner__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__inner__envelope__pack
+                     (const Gw__Inner__Envelope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__inner__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__inner__envelope__pack_to_buffer
+                     (const Gw__Inner__Envelope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__inner__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Gw__Inner__Envelope *
-gw__inner__envelope__unpack(ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
-{
-    return (Gw__Inner__Envelope *)protobuf_c_message_unpack(
-        &gw__inner__envelope__descriptor, allocator, len, data);
-}
-void
-gw__inner__envelope__free_unpacked(Gw__Inner__Envelope *message,
-                                   ProtobufCAllocator *allocator)
-{
-    if (!message)
-        return;
-    assert(message->base.descriptor == &gw__inner__envelope__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor
-    gw__inner__node_id__field_descriptors[2] = {
-        {
-            "node", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__NodeId, node), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "start", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__NodeId, start), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+       gw__inner__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Inner__Envelope *)
+     protobuf_c_message_unpack (&gw__inner__envelope__descriptor,
+                                allocator, len, data);
+}
+void   gw__inner__envelope__free_unpacked
+                     (Gw__Inner__Envelope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__inner__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor gw__inner__node_id__field_descriptors[2] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__NodeId, node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__NodeId, start),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__node_id__field_indices_by_name[] = {
-    0, /* field[0] = node */
-    1, /* field[1] = start */
-};
-static const ProtobufCIntRange gw__inner__node_id__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor gw__inner__node_id__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.NodeId",
-    "NodeId",
-    "Gw__Inner__NodeId",
-    "gw.inner",
-    sizeof(Gw__Inner__NodeId),
-    2,
-    gw__inner__node_id__field_descriptors,
-    gw__inner__node_id__field_indices_by_name,
-    1,
-    gw__inner__node_id__number_ranges,
-    (ProtobufCMessageInit)gw__inner__node_id__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__member_info__field_descriptors[8] = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, id),
-            &gw__inner__node_id__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "state", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, state), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "region", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, region), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "domain", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, domain), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "name", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, name), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "peer_address", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, peer_address), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "call_address", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__MemberInfo, call_address), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
+  0,   /* field[0] = node */
+  1,   /* field[1] = start */
 };
-static const unsigned gw__inner__member_info__field_indices_by_name[] = {
-    7, /* field[7] = call_address */
-    4, /* field[4] = domain */
-    0, /* field[0] = id */
-    1, /* field[1] = incarnation */
-    5, /* field[5] = name */
-    6, /* field[6] = peer_address */
-    3, /* field[3] = region */
-    2, /* field[2] = state */
-};
-static const ProtobufCIntRange gw__inner__member_info__number_ranges[1 + 1] = {
-    {1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor gw__inner__member_info__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.MemberInfo",
-    "MemberInfo",
-    "Gw__Inner__MemberInfo",
-    "gw.inner",
-    sizeof(Gw__Inner__MemberInfo),
-    8,
-    gw__inner__member_info__field_descriptors,
-    gw__inner__member_info__field_indices_by_name,
+static const ProtobufCIntRange gw__inner__node_id__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__inner__node_id__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.NodeId",
+  "NodeId",
+  "Gw__Inner__NodeId",
+  "gw.inner",
+  sizeof(Gw__Inner__NodeId),
+  2,
+  gw__inner__node_id__field_descriptors,
+  gw__inner__node_id__field_indices_by_name,
+  1,  gw__inner__node_id__number_ranges,
+  (ProtobufCMessageInit) gw__inner__node_id__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__member_info__field_descriptors[8] =
+{
+  {
+    "id",
     1,
-    gw__inner__member_info__number_ranges,
-    (ProtobufCMessageInit)gw__inner__member_info__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, id),
+    &gw__inner__node_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, incarnation),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_address",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__MemberInfo, call_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__inner__member_info__field_indices_by_name[] = {
+  7,   /* field[7] = call_address */
+  4,   /* field[4] = domain */
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+  5,   /* field[5] = name */
+  6,   /* field[6] = peer_address */
+  3,   /* field[3] = region */
+  2,   /* field[2] = state */
+};
+static const ProtobufCIntRange gw__inner__member_info__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gw__inner__member_info__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.MemberInfo",
+  "MemberInfo",
+  "Gw__Inner__MemberInfo",
+  "gw.inner",
+  sizeof(Gw__Inner__MemberInfo),
+  8,
+  gw__inner__member_info__field_descriptors,
+  gw__inner__member_info__field_indices_by_name,
+  1,  gw__inner__member_info__number_ranges,
+  (ProtobufCMessageInit) gw__inner__member_info__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor gw__inner__digest__field_descriptors[6] =
-    {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Digest, id), &gw__inner__node_id__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Digest, service), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "free_slots", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Digest, free_slots), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "in_flight", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Digest, in_flight), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "queued", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Digest, queued), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "seq", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Digest, seq), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Digest, id),
+    &gw__inner__node_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Digest, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_slots",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Digest, free_slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Digest, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Digest, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Digest, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__digest__field_indices_by_name[] = {
-    2, /* field[2] = free_slots */
-    0, /* field[0] = id */
-    3, /* field[3] = in_flight */
-    4, /* field[4] = queued */
-    5, /* field[5] = seq */
-    1, /* field[1] = service */
-};
-static const ProtobufCIntRange gw__inner__digest__number_ranges[1 + 1] = {
-    {1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor gw__inner__digest__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Digest",
-    "Digest",
-    "Gw__Inner__Digest",
-    "gw.inner",
-    sizeof(Gw__Inner__Digest),
-    6,
-    gw__inner__digest__field_descriptors,
-    gw__inner__digest__field_indices_by_name,
+  2,   /* field[2] = free_slots */
+  0,   /* field[0] = id */
+  3,   /* field[3] = in_flight */
+  4,   /* field[4] = queued */
+  5,   /* field[5] = seq */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange gw__inner__digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__inner__digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Digest",
+  "Digest",
+  "Gw__Inner__Digest",
+  "gw.inner",
+  sizeof(Gw__Inner__Digest),
+  6,
+  gw__inner__digest__field_descriptors,
+  gw__inner__digest__field_indices_by_name,
+  1,  gw__inner__digest__number_ranges,
+  (ProtobufCMessageInit) gw__inner__digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__drain_hint__field_descriptors[2] =
+{
+  {
+    "backend",
     1,
-    gw__inner__digest__number_ranges,
-    (ProtobufCMessageInit)gw__inner__digest__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__drain_hint__field_descriptors[2] = {
-        {
-            "backend", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__DrainHint, backend), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "ttl_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__DrainHint, ttl_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__DrainHint, backend),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__DrainHint, ttl_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__drain_hint__field_indices_by_name[] = {
-    0, /* field[0] = backend */
-    1, /* field[1] = ttl_ms */
-};
-static const ProtobufCIntRange gw__inner__drain_hint__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor gw__inner__drain_hint__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.DrainHint",
-    "DrainHint",
-    "Gw__Inner__DrainHint",
-    "gw.inner",
-    sizeof(Gw__Inner__DrainHint),
-    2,
-    gw__inner__drain_hint__field_descriptors,
-    gw__inner__drain_hint__field_indices_by_name,
+  0,   /* field[0] = backend */
+  1,   /* field[1] = ttl_ms */
+};
+static const ProtobufCIntRange gw__inner__drain_hint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__inner__drain_hint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.DrainHint",
+  "DrainHint",
+  "Gw__Inner__DrainHint",
+  "gw.inner",
+  sizeof(Gw__Inner__DrainHint),
+  2,
+  gw__inner__drain_hint__field_descriptors,
+  gw__inner__drain_hint__field_indices_by_name,
+  1,  gw__inner__drain_hint__number_ranges,
+  (ProtobufCMessageInit) gw__inner__drain_hint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__heartbeat__field_descriptors[6] =
+{
+  {
+    "seq",
     1,
-    gw__inner__drain_hint__number_ranges,
-    (ProtobufCMessageInit)gw__inner__drain_hint__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__heartbeat__field_descriptors[6] = {
-        {
-            "seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Heartbeat, seq), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Heartbeat, target),
-            &gw__inner__node_id__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "config_version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Heartbeat, config_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "updates", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Heartbeat, n_updates),
-            offsetof(Gw__Inner__Heartbeat, updates),
-            &gw__inner__member_info__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "digests", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Heartbeat, n_digests),
-            offsetof(Gw__Inner__Heartbeat, digests),
-            &gw__inner__digest__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "drains", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Heartbeat, n_drains),
-            offsetof(Gw__Inner__Heartbeat, drains),
-            &gw__inner__drain_hint__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Heartbeat, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Heartbeat, target),
+    &gw__inner__node_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Heartbeat, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "updates",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Heartbeat, n_updates),
+    offsetof(Gw__Inner__Heartbeat, updates),
+    &gw__inner__member_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digests",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Heartbeat, n_digests),
+    offsetof(Gw__Inner__Heartbeat, digests),
+    &gw__inner__digest__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drains",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Heartbeat, n_drains),
+    offsetof(Gw__Inner__Heartbeat, drains),
+    &gw__inner__drain_hint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__heartbeat__field_indices_by_name[] = {
-    2, /* field[2] = config_version */
-    4, /* field[4] = digests */
-    5, /* field[5] = drains */
-    0, /* field[0] = seq */
-    1, /* field[1] = target */
-    3, /* field[3] = updates */
-};
-static const ProtobufCIntRange gw__inner__heartbeat__number_ranges[1 + 1] = {
-    {1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor gw__inner__heartbeat__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Heartbeat",
-    "Heartbeat",
-    "Gw__Inner__Heartbeat",
-    "gw.inner",
-    sizeof(Gw__Inner__Heartbeat),
-    6,
-    gw__inner__heartbeat__field_descriptors,
-    gw__inner__heartbeat__field_indices_by_name,
+  2,   /* field[2] = config_version */
+  4,   /* field[4] = digests */
+  5,   /* field[5] = drains */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = target */
+  3,   /* field[3] = updates */
+};
+static const ProtobufCIntRange gw__inner__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__inner__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Heartbeat",
+  "Heartbeat",
+  "Gw__Inner__Heartbeat",
+  "gw.inner",
+  sizeof(Gw__Inner__Heartbeat),
+  6,
+  gw__inner__heartbeat__field_descriptors,
+  gw__inner__heartbeat__field_indices_by_name,
+  1,  gw__inner__heartbeat__number_ranges,
+  (ProtobufCMessageInit) gw__inner__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__config_ask__field_descriptors[1] =
+{
+  {
+    "version",
     1,
-    gw__inner__heartbeat__number_ranges,
-    (ProtobufCMessageInit)gw__inner__heartbeat__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__ConfigAsk, version),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__config_ask__field_descriptors[1] = {
-        {
-            "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__ConfigAsk, version), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__config_ask__field_indices_by_name[] = {
-    0, /* field[0] = version */
-};
-static const ProtobufCIntRange gw__inner__config_ask__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor gw__inner__config_ask__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.ConfigAsk",
-    "ConfigAsk",
-    "Gw__Inner__ConfigAsk",
-    "gw.inner",
-    sizeof(Gw__Inner__ConfigAsk),
-    1,
-    gw__inner__config_ask__field_descriptors,
-    gw__inner__config_ask__field_indices_by_name,
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange gw__inner__config_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__inner__config_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.ConfigAsk",
+  "ConfigAsk",
+  "Gw__Inner__ConfigAsk",
+  "gw.inner",
+  sizeof(Gw__Inner__ConfigAsk),
+  1,
+  gw__inner__config_ask__field_descriptors,
+  gw__inner__config_ask__field_indices_by_name,
+  1,  gw__inner__config_ask__number_ranges,
+  (ProtobufCMessageInit) gw__inner__config_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__config_doc__field_descriptors[3] =
+{
+  {
+    "version",
     1,
-    gw__inner__config_ask__number_ranges,
-    (ProtobufCMessageInit)gw__inner__config_ask__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__config_doc__field_descriptors[3] = {
-        {
-            "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__ConfigDoc, version), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "checksum", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__ConfigDoc, checksum), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__ConfigDoc, text), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__ConfigDoc, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checksum",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__ConfigDoc, checksum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__ConfigDoc, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__config_doc__field_indices_by_name[] = {
-    1, /* field[1] = checksum */
-    2, /* field[2] = text */
-    0, /* field[0] = version */
-};
-static const ProtobufCIntRange gw__inner__config_doc__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor gw__inner__config_doc__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.ConfigDoc",
-    "ConfigDoc",
-    "Gw__Inner__ConfigDoc",
-    "gw.inner",
-    sizeof(Gw__Inner__ConfigDoc),
-    3,
-    gw__inner__config_doc__field_descriptors,
-    gw__inner__config_doc__field_indices_by_name,
+  1,   /* field[1] = checksum */
+  2,   /* field[2] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange gw__inner__config_doc__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__inner__config_doc__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.ConfigDoc",
+  "ConfigDoc",
+  "Gw__Inner__ConfigDoc",
+  "gw.inner",
+  sizeof(Gw__Inner__ConfigDoc),
+  3,
+  gw__inner__config_doc__field_descriptors,
+  gw__inner__config_doc__field_indices_by_name,
+  1,  gw__inner__config_doc__number_ranges,
+  (ProtobufCMessageInit) gw__inner__config_doc__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__unit__field_descriptors[3] =
+{
+  {
+    "kind",
     1,
-    gw__inner__config_doc__number_ranges,
-    (ProtobufCMessageInit)gw__inner__config_doc__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__inner__unit__field_descriptors[3] = {
-    {
-        "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                              /* quantifier_offset */
-        offsetof(Gw__Inner__Unit, kind), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "owner", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-        0, /* quantifier_offset */
-        offsetof(Gw__Inner__Unit, owner), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "index", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0, /* quantifier_offset */
-        offsetof(Gw__Inner__Unit, index), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Unit, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Unit, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Unit, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__unit__field_indices_by_name[] = {
-    2, /* field[2] = index */
-    0, /* field[0] = kind */
-    1, /* field[1] = owner */
-};
-static const ProtobufCIntRange gw__inner__unit__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor gw__inner__unit__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Unit",
-    "Unit",
-    "Gw__Inner__Unit",
-    "gw.inner",
-    sizeof(Gw__Inner__Unit),
-    3,
-    gw__inner__unit__field_descriptors,
-    gw__inner__unit__field_indices_by_name,
+  2,   /* field[2] = index */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = owner */
+};
+static const ProtobufCIntRange gw__inner__unit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__inner__unit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Unit",
+  "Unit",
+  "Gw__Inner__Unit",
+  "gw.inner",
+  sizeof(Gw__Inner__Unit),
+  3,
+  gw__inner__unit__field_descriptors,
+  gw__inner__unit__field_indices_by_name,
+  1,  gw__inner__unit__number_ranges,
+  (ProtobufCMessageInit) gw__inner__unit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__loan_ask__field_descriptors[5] =
+{
+  {
+    "seq",
     1,
-    gw__inner__unit__number_ranges,
-    (ProtobufCMessageInit)gw__inner__unit__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__loan_ask__field_descriptors[5] = {
-        {
-            "seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanAsk, seq), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanAsk, service), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "from_region", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanAsk, from_region), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "count", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanAsk, count), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "kind", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanAsk, kind), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanAsk, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanAsk, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanAsk, from_region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanAsk, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanAsk, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__loan_ask__field_indices_by_name[] = {
-    3, /* field[3] = count */
-    2, /* field[2] = from_region */
-    4, /* field[4] = kind */
-    0, /* field[0] = seq */
-    1, /* field[1] = service */
-};
-static const ProtobufCIntRange gw__inner__loan_ask__number_ranges[1 + 1] = {
-    {1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor gw__inner__loan_ask__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.LoanAsk",
-    "LoanAsk",
-    "Gw__Inner__LoanAsk",
-    "gw.inner",
-    sizeof(Gw__Inner__LoanAsk),
-    5,
-    gw__inner__loan_ask__field_descriptors,
-    gw__inner__loan_ask__field_indices_by_name,
+  3,   /* field[3] = count */
+  2,   /* field[2] = from_region */
+  4,   /* field[4] = kind */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange gw__inner__loan_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__inner__loan_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.LoanAsk",
+  "LoanAsk",
+  "Gw__Inner__LoanAsk",
+  "gw.inner",
+  sizeof(Gw__Inner__LoanAsk),
+  5,
+  gw__inner__loan_ask__field_descriptors,
+  gw__inner__loan_ask__field_indices_by_name,
+  1,  gw__inner__loan_ask__number_ranges,
+  (ProtobufCMessageInit) gw__inner__loan_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__loan_give__field_descriptors[6] =
+{
+  {
+    "seq",
     1,
-    gw__inner__loan_ask__number_ranges,
-    (ProtobufCMessageInit)gw__inner__loan_ask__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__loan_give__field_descriptors[6] = {
-        {
-            "seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanGive, seq), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "loan", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanGive, loan), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanGive, service), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "term_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanGive, term_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "kind", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanGive, kind), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "units", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__LoanGive, n_units),
-            offsetof(Gw__Inner__LoanGive, units), &gw__inner__unit__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanGive, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loan",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanGive, loan),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanGive, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanGive, term_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanGive, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__LoanGive, n_units),
+    offsetof(Gw__Inner__LoanGive, units),
+    &gw__inner__unit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__loan_give__field_indices_by_name[] = {
-    4, /* field[4] = kind */
-    1, /* field[1] = loan */
-    0, /* field[0] = seq */
-    2, /* field[2] = service */
-    3, /* field[3] = term_ms */
-    5, /* field[5] = units */
-};
-static const ProtobufCIntRange gw__inner__loan_give__number_ranges[1 + 1] = {
-    {1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor gw__inner__loan_give__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.LoanGive",
-    "LoanGive",
-    "Gw__Inner__LoanGive",
-    "gw.inner",
-    sizeof(Gw__Inner__LoanGive),
-    6,
-    gw__inner__loan_give__field_descriptors,
-    gw__inner__loan_give__field_indices_by_name,
+  4,   /* field[4] = kind */
+  1,   /* field[1] = loan */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = service */
+  3,   /* field[3] = term_ms */
+  5,   /* field[5] = units */
+};
+static const ProtobufCIntRange gw__inner__loan_give__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__inner__loan_give__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.LoanGive",
+  "LoanGive",
+  "Gw__Inner__LoanGive",
+  "gw.inner",
+  sizeof(Gw__Inner__LoanGive),
+  6,
+  gw__inner__loan_give__field_descriptors,
+  gw__inner__loan_give__field_indices_by_name,
+  1,  gw__inner__loan_give__number_ranges,
+  (ProtobufCMessageInit) gw__inner__loan_give__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__loan_return__field_descriptors[2] =
+{
+  {
+    "loan",
     1,
-    gw__inner__loan_give__number_ranges,
-    (ProtobufCMessageInit)gw__inner__loan_give__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__loan_return__field_descriptors[2] = {
-        {
-            "loan", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__LoanReturn, loan), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "units", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__LoanReturn, n_units),
-            offsetof(Gw__Inner__LoanReturn, units),
-            &gw__inner__unit__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__LoanReturn, loan),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__LoanReturn, n_units),
+    offsetof(Gw__Inner__LoanReturn, units),
+    &gw__inner__unit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__loan_return__field_indices_by_name[] = {
-    0, /* field[0] = loan */
-    1, /* field[1] = units */
-};
-static const ProtobufCIntRange gw__inner__loan_return__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor gw__inner__loan_return__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.LoanReturn",
-    "LoanReturn",
-    "Gw__Inner__LoanReturn",
-    "gw.inner",
-    sizeof(Gw__Inner__LoanReturn),
-    2,
-    gw__inner__loan_return__field_descriptors,
-    gw__inner__loan_return__field_indices_by_name,
+  0,   /* field[0] = loan */
+  1,   /* field[1] = units */
+};
+static const ProtobufCIntRange gw__inner__loan_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__inner__loan_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.LoanReturn",
+  "LoanReturn",
+  "Gw__Inner__LoanReturn",
+  "gw.inner",
+  sizeof(Gw__Inner__LoanReturn),
+  2,
+  gw__inner__loan_return__field_descriptors,
+  gw__inner__loan_return__field_indices_by_name,
+  1,  gw__inner__loan_return__number_ranges,
+  (ProtobufCMessageInit) gw__inner__loan_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__seat__field_descriptors[3] =
+{
+  {
+    "seat",
     1,
-    gw__inner__loan_return__number_ranges,
-    (ProtobufCMessageInit)gw__inner__loan_return__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__inner__seat__field_descriptors[3] = {
-    {
-        "seat", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                              /* quantifier_offset */
-        offsetof(Gw__Inner__Seat, seat), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "claim", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0, /* quantifier_offset */
-        offsetof(Gw__Inner__Seat, claim), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "row_version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0, /* quantifier_offset */
-        offsetof(Gw__Inner__Seat, row_version), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Seat, seat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Seat, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Seat, row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__seat__field_indices_by_name[] = {
-    1, /* field[1] = claim */
-    2, /* field[2] = row_version */
-    0, /* field[0] = seat */
-};
-static const ProtobufCIntRange gw__inner__seat__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor gw__inner__seat__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Seat",
-    "Seat",
-    "Gw__Inner__Seat",
-    "gw.inner",
-    sizeof(Gw__Inner__Seat),
-    3,
-    gw__inner__seat__field_descriptors,
-    gw__inner__seat__field_indices_by_name,
-    1,
-    gw__inner__seat__number_ranges,
-    (ProtobufCMessageInit)gw__inner__seat__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__control__field_descriptors[9] = {
-        {
-            "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Control, kind), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "from", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Control, from),
-            &gw__inner__node_id__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "heartbeat", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, heartbeat),
-            &gw__inner__heartbeat__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "config_ask", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, config_ask),
-            &gw__inner__config_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "doc", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, doc),
-            &gw__inner__config_doc__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "ask", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, ask),
-            &gw__inner__loan_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "give", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, give),
-            &gw__inner__loan_give__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "giveback", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, giveback),
-            &gw__inner__loan_return__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "seat", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Control, body_case),
-            offsetof(Gw__Inner__Control, seat), &gw__inner__seat__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+  1,   /* field[1] = claim */
+  2,   /* field[2] = row_version */
+  0,   /* field[0] = seat */
 };
-static const unsigned gw__inner__control__field_indices_by_name[] = {
-    5, /* field[5] = ask */
-    3, /* field[3] = config_ask */
-    4, /* field[4] = doc */
-    1, /* field[1] = from */
-    6, /* field[6] = give */
-    7, /* field[7] = giveback */
-    2, /* field[2] = heartbeat */
-    0, /* field[0] = kind */
-    8, /* field[8] = seat */
-};
-static const ProtobufCIntRange gw__inner__control__number_ranges[1 + 1] = {
-    {1, 0}, {0, 9}};
-const ProtobufCMessageDescriptor gw__inner__control__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Control",
-    "Control",
-    "Gw__Inner__Control",
-    "gw.inner",
-    sizeof(Gw__Inner__Control),
-    9,
-    gw__inner__control__field_descriptors,
-    gw__inner__control__field_indices_by_name,
+static const ProtobufCIntRange gw__inner__seat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__inner__seat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Seat",
+  "Seat",
+  "Gw__Inner__Seat",
+  "gw.inner",
+  sizeof(Gw__Inner__Seat),
+  3,
+  gw__inner__seat__field_descriptors,
+  gw__inner__seat__field_indices_by_name,
+  1,  gw__inner__seat__number_ranges,
+  (ProtobufCMessageInit) gw__inner__seat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__control__field_descriptors[9] =
+{
+  {
+    "kind",
     1,
-    gw__inner__control__number_ranges,
-    (ProtobufCMessageInit)gw__inner__control__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Control, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Control, from),
+    &gw__inner__node_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, heartbeat),
+    &gw__inner__heartbeat__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_ask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, config_ask),
+    &gw__inner__config_ask__descriptor,
     NULL,
-    NULL /* reserved[123] */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doc",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, doc),
+    &gw__inner__config_doc__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, ask),
+    &gw__inner__loan_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "give",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, give),
+    &gw__inner__loan_give__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "giveback",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, giveback),
+    &gw__inner__loan_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seat",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Control, body_case),
+    offsetof(Gw__Inner__Control, seat),
+    &gw__inner__seat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__inner__control__field_indices_by_name[] = {
+  5,   /* field[5] = ask */
+  3,   /* field[3] = config_ask */
+  4,   /* field[4] = doc */
+  1,   /* field[1] = from */
+  6,   /* field[6] = give */
+  7,   /* field[7] = giveback */
+  2,   /* field[2] = heartbeat */
+  0,   /* field[0] = kind */
+  8,   /* field[8] = seat */
+};
+static const ProtobufCIntRange gw__inner__control__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor gw__inner__control__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Control",
+  "Control",
+  "Gw__Inner__Control",
+  "gw.inner",
+  sizeof(Gw__Inner__Control),
+  9,
+  gw__inner__control__field_descriptors,
+  gw__inner__control__field_indices_by_name,
+  1,  gw__inner__control__number_ranges,
+  (ProtobufCMessageInit) gw__inner__control__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor gw__inner__ticket__field_descriptors[3] =
-    {
-        {
-            "owner", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Ticket, owner),
-            &gw__inner__node_id__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "minted_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Ticket, minted_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "seq", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Ticket, seq), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+{
+  {
+    "owner",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Ticket, owner),
+    &gw__inner__node_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "minted_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Ticket, minted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Ticket, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__ticket__field_indices_by_name[] = {
-    1, /* field[1] = minted_ms */
-    0, /* field[0] = owner */
-    2, /* field[2] = seq */
-};
-static const ProtobufCIntRange gw__inner__ticket__number_ranges[1 + 1] = {
-    {1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor gw__inner__ticket__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Ticket",
-    "Ticket",
-    "Gw__Inner__Ticket",
-    "gw.inner",
-    sizeof(Gw__Inner__Ticket),
-    3,
-    gw__inner__ticket__field_descriptors,
-    gw__inner__ticket__field_indices_by_name,
+  1,   /* field[1] = minted_ms */
+  0,   /* field[0] = owner */
+  2,   /* field[2] = seq */
+};
+static const ProtobufCIntRange gw__inner__ticket__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__inner__ticket__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Ticket",
+  "Ticket",
+  "Gw__Inner__Ticket",
+  "gw.inner",
+  sizeof(Gw__Inner__Ticket),
+  3,
+  gw__inner__ticket__field_descriptors,
+  gw__inner__ticket__field_indices_by_name,
+  1,  gw__inner__ticket__number_ranges,
+  (ProtobufCMessageInit) gw__inner__ticket__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__call_request__field_descriptors[10] =
+{
+  {
+    "id",
     1,
-    gw__inner__ticket__number_ranges,
-    (ProtobufCMessageInit)gw__inner__ticket__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__call_request__field_descriptors[10] = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, service), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "method", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, method), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "path", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, path), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "ticket", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, ticket),
-            &gw__inner__ticket__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "deadline_left_ms", 6, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, deadline_left_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "to_owner", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, to_owner), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "grant", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, grant), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "content_type", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, content_type), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "body", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallRequest, body), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, ticket),
+    &gw__inner__ticket__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_left_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, deadline_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_owner",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, to_owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallRequest, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__call_request__field_indices_by_name[] = {
-    9, /* field[9] = body */
-    8, /* field[8] = content_type */
-    5, /* field[5] = deadline_left_ms */
-    7, /* field[7] = grant */
-    0, /* field[0] = id */
-    2, /* field[2] = method */
-    3, /* field[3] = path */
-    1, /* field[1] = service */
-    4, /* field[4] = ticket */
-    6, /* field[6] = to_owner */
+  9,   /* field[9] = body */
+  8,   /* field[8] = content_type */
+  5,   /* field[5] = deadline_left_ms */
+  7,   /* field[7] = grant */
+  0,   /* field[0] = id */
+  2,   /* field[2] = method */
+  3,   /* field[3] = path */
+  1,   /* field[1] = service */
+  4,   /* field[4] = ticket */
+  6,   /* field[6] = to_owner */
 };
 static const ProtobufCIntRange gw__inner__call_request__number_ranges[1 + 1] =
-    {{1, 0}, {0, 10}};
-const ProtobufCMessageDescriptor gw__inner__call_request__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.CallRequest",
-    "CallRequest",
-    "Gw__Inner__CallRequest",
-    "gw.inner",
-    sizeof(Gw__Inner__CallRequest),
-    10,
-    gw__inner__call_request__field_descriptors,
-    gw__inner__call_request__field_indices_by_name,
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor gw__inner__call_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.CallRequest",
+  "CallRequest",
+  "Gw__Inner__CallRequest",
+  "gw.inner",
+  sizeof(Gw__Inner__CallRequest),
+  10,
+  gw__inner__call_request__field_descriptors,
+  gw__inner__call_request__field_indices_by_name,
+  1,  gw__inner__call_request__number_ranges,
+  (ProtobufCMessageInit) gw__inner__call_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__call_reply__field_descriptors[8] =
+{
+  {
+    "id",
     1,
-    gw__inner__call_request__number_ranges,
-    (ProtobufCMessageInit)gw__inner__call_request__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__call_reply__field_descriptors[8] = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "outcome", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, outcome), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "reason", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, reason), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "retry_after_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, retry_after_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "status", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, status), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "content_type", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, content_type), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "body", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, body), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "ticket", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallReply, ticket),
-            &gw__inner__ticket__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallReply, ticket),
+    &gw__inner__ticket__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__call_reply__field_indices_by_name[] = {
-    6, /* field[6] = body */
-    5, /* field[5] = content_type */
-    0, /* field[0] = id */
-    1, /* field[1] = outcome */
-    2, /* field[2] = reason */
-    3, /* field[3] = retry_after_ms */
-    4, /* field[4] = status */
-    7, /* field[7] = ticket */
-};
-static const ProtobufCIntRange gw__inner__call_reply__number_ranges[1 + 1] = {
-    {1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor gw__inner__call_reply__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.CallReply",
-    "CallReply",
-    "Gw__Inner__CallReply",
-    "gw.inner",
-    sizeof(Gw__Inner__CallReply),
-    8,
-    gw__inner__call_reply__field_descriptors,
-    gw__inner__call_reply__field_indices_by_name,
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  0,   /* field[0] = id */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = reason */
+  3,   /* field[3] = retry_after_ms */
+  4,   /* field[4] = status */
+  7,   /* field[7] = ticket */
+};
+static const ProtobufCIntRange gw__inner__call_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gw__inner__call_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.CallReply",
+  "CallReply",
+  "Gw__Inner__CallReply",
+  "gw.inner",
+  sizeof(Gw__Inner__CallReply),
+  8,
+  gw__inner__call_reply__field_descriptors,
+  gw__inner__call_reply__field_indices_by_name,
+  1,  gw__inner__call_reply__number_ranges,
+  (ProtobufCMessageInit) gw__inner__call_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__call_cancel__field_descriptors[1] =
+{
+  {
+    "id",
     1,
-    gw__inner__call_reply__number_ranges,
-    (ProtobufCMessageInit)gw__inner__call_reply__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__CallCancel, id),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__call_cancel__field_descriptors[1] = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__CallCancel, id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__call_cancel__field_indices_by_name[] = {
-    0, /* field[0] = id */
-};
-static const ProtobufCIntRange gw__inner__call_cancel__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor gw__inner__call_cancel__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.CallCancel",
-    "CallCancel",
-    "Gw__Inner__CallCancel",
-    "gw.inner",
-    sizeof(Gw__Inner__CallCancel),
-    1,
-    gw__inner__call_cancel__field_descriptors,
-    gw__inner__call_cancel__field_indices_by_name,
-    1,
-    gw__inner__call_cancel__number_ranges,
-    (ProtobufCMessageInit)gw__inner__call_cancel__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__inner__hello__field_descriptors[2] =
-    {
-        {
-            "nonce", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Hello, nonce), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "from", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Hello, from), &gw__inner__node_id__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+  0,   /* field[0] = id */
 };
-static const unsigned gw__inner__hello__field_indices_by_name[] = {
-    1, /* field[1] = from */
-    0, /* field[0] = nonce */
-};
-static const ProtobufCIntRange gw__inner__hello__number_ranges[1 + 1] = {
-    {1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor gw__inner__hello__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Hello",
-    "Hello",
-    "Gw__Inner__Hello",
-    "gw.inner",
-    sizeof(Gw__Inner__Hello),
-    2,
-    gw__inner__hello__field_descriptors,
-    gw__inner__hello__field_indices_by_name,
+static const ProtobufCIntRange gw__inner__call_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__inner__call_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.CallCancel",
+  "CallCancel",
+  "Gw__Inner__CallCancel",
+  "gw.inner",
+  sizeof(Gw__Inner__CallCancel),
+  1,
+  gw__inner__call_cancel__field_descriptors,
+  gw__inner__call_cancel__field_indices_by_name,
+  1,  gw__inner__call_cancel__number_ranges,
+  (ProtobufCMessageInit) gw__inner__call_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__hello__field_descriptors[4] =
+{
+  {
+    "nonce",
     1,
-    gw__inner__hello__number_ranges,
-    (ProtobufCMessageInit)gw__inner__hello__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Hello, nonce),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Hello, from),
+    &gw__inner__node_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Hello, region),
     NULL,
-    NULL /* reserved[123] */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Hello, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__inner__hello__field_indices_by_name[] = {
+  3,   /* field[3] = domain */
+  1,   /* field[1] = from */
+  0,   /* field[0] = nonce */
+  2,   /* field[2] = region */
+};
+static const ProtobufCIntRange gw__inner__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__inner__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Hello",
+  "Hello",
+  "Gw__Inner__Hello",
+  "gw.inner",
+  sizeof(Gw__Inner__Hello),
+  4,
+  gw__inner__hello__field_descriptors,
+  gw__inner__hello__field_indices_by_name,
+  1,  gw__inner__hello__number_ranges,
+  (ProtobufCMessageInit) gw__inner__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor gw__inner__proof__field_descriptors[1] =
-    {
-        {
-            "mac", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof(Gw__Inner__Proof, mac), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
+{
+  {
+    "mac",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Inner__Proof, mac),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__inner__proof__field_indices_by_name[] = {
-    0, /* field[0] = mac */
-};
-static const ProtobufCIntRange gw__inner__proof__number_ranges[1 + 1] = {
-    {1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor gw__inner__proof__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Proof",
-    "Proof",
-    "Gw__Inner__Proof",
-    "gw.inner",
-    sizeof(Gw__Inner__Proof),
-    1,
-    gw__inner__proof__field_descriptors,
-    gw__inner__proof__field_indices_by_name,
-    1,
-    gw__inner__proof__number_ranges,
-    (ProtobufCMessageInit)gw__inner__proof__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    gw__inner__envelope__field_descriptors[6] = {
-        {
-            "hello", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Envelope, body_case),
-            offsetof(Gw__Inner__Envelope, hello),
-            &gw__inner__hello__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "proof", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Envelope, body_case),
-            offsetof(Gw__Inner__Envelope, proof),
-            &gw__inner__proof__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "control", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Envelope, body_case),
-            offsetof(Gw__Inner__Envelope, control),
-            &gw__inner__control__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "call", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Envelope, body_case),
-            offsetof(Gw__Inner__Envelope, call),
-            &gw__inner__call_request__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "reply", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Envelope, body_case),
-            offsetof(Gw__Inner__Envelope, reply),
-            &gw__inner__call_reply__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "cancel", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof(Gw__Inner__Envelope, body_case),
-            offsetof(Gw__Inner__Envelope, cancel),
-            &gw__inner__call_cancel__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
+  0,   /* field[0] = mac */
 };
-static const unsigned gw__inner__envelope__field_indices_by_name[] = {
-    3, /* field[3] = call */
-    5, /* field[5] = cancel */
-    2, /* field[2] = control */
-    0, /* field[0] = hello */
-    1, /* field[1] = proof */
-    4, /* field[4] = reply */
-};
-static const ProtobufCIntRange gw__inner__envelope__number_ranges[1 + 1] = {
-    {1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor gw__inner__envelope__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "gw.inner.Envelope",
-    "Envelope",
-    "Gw__Inner__Envelope",
-    "gw.inner",
-    sizeof(Gw__Inner__Envelope),
-    6,
-    gw__inner__envelope__field_descriptors,
-    gw__inner__envelope__field_indices_by_name,
+static const ProtobufCIntRange gw__inner__proof__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__inner__proof__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Proof",
+  "Proof",
+  "Gw__Inner__Proof",
+  "gw.inner",
+  sizeof(Gw__Inner__Proof),
+  1,
+  gw__inner__proof__field_descriptors,
+  gw__inner__proof__field_indices_by_name,
+  1,  gw__inner__proof__number_ranges,
+  (ProtobufCMessageInit) gw__inner__proof__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define gw__inner__ping__field_descriptors NULL
+#define gw__inner__ping__field_indices_by_name NULL
+#define gw__inner__ping__number_ranges NULL
+const ProtobufCMessageDescriptor gw__inner__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Ping",
+  "Ping",
+  "Gw__Inner__Ping",
+  "gw.inner",
+  sizeof(Gw__Inner__Ping),
+  0,
+  gw__inner__ping__field_descriptors,
+  gw__inner__ping__field_indices_by_name,
+  0,  gw__inner__ping__number_ranges,
+  (ProtobufCMessageInit) gw__inner__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define gw__inner__pong__field_descriptors NULL
+#define gw__inner__pong__field_indices_by_name NULL
+#define gw__inner__pong__number_ranges NULL
+const ProtobufCMessageDescriptor gw__inner__pong__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Pong",
+  "Pong",
+  "Gw__Inner__Pong",
+  "gw.inner",
+  sizeof(Gw__Inner__Pong),
+  0,
+  gw__inner__pong__field_descriptors,
+  gw__inner__pong__field_indices_by_name,
+  0,  gw__inner__pong__number_ranges,
+  (ProtobufCMessageInit) gw__inner__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__inner__envelope__field_descriptors[8] =
+{
+  {
+    "hello",
     1,
-    gw__inner__envelope__number_ranges,
-    (ProtobufCMessageInit)gw__inner__envelope__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, hello),
+    &gw__inner__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, proof),
+    &gw__inner__proof__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "control",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, control),
+    &gw__inner__control__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, call),
+    &gw__inner__call_request__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, reply),
+    &gw__inner__call_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, cancel),
+    &gw__inner__call_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ping",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, ping),
+    &gw__inner__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pong",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Inner__Envelope, body_case),
+    offsetof(Gw__Inner__Envelope, pong),
+    &gw__inner__pong__descriptor,
     NULL,
-    NULL /* reserved[123] */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__inner__envelope__field_indices_by_name[] = {
+  3,   /* field[3] = call */
+  5,   /* field[5] = cancel */
+  2,   /* field[2] = control */
+  0,   /* field[0] = hello */
+  6,   /* field[6] = ping */
+  7,   /* field[7] = pong */
+  1,   /* field[1] = proof */
+  4,   /* field[4] = reply */
+};
+static const ProtobufCIntRange gw__inner__envelope__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gw__inner__envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.inner.Envelope",
+  "Envelope",
+  "Gw__Inner__Envelope",
+  "gw.inner",
+  sizeof(Gw__Inner__Envelope),
+  8,
+  gw__inner__envelope__field_descriptors,
+  gw__inner__envelope__field_indices_by_name,
+  1,  gw__inner__envelope__number_ranges,
+  (ProtobufCMessageInit) gw__inner__envelope__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
