--- a/lib/runtime/dispatch.c
+++ b/lib/runtime/dispatch.c
@@ -209,7 +209,7 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
-    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, ask->target);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)left_ms);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)left_ms);
@@ -289,6 +289,7 @@
         return;
     }
     end->outcome = GW_OUTCOME_ANSWERED;
+    end->reason = GW_REASON_NONE;
     end->answer = GwAnswer_Create((uint32_t)status, got->content_type,
                                   g_memdup2(got->body->str, got->body->len),
                                   (uint32_t)got->body->len);
@@ -316,7 +317,7 @@
     int64_t now_us = GwNet_NowUs();
     Received got = {.body = g_string_new(NULL)};
     struct curl_slist *headers = request_headers(ask, now_us);
-    char *url = g_strconcat("http://", ask->address, ask->target, NULL);
+    char *url = g_strconcat("http://", ask->address, "/", NULL);
     bool aborted = false;
 
     set_options(slot, ask, &got, now_us);
--- /dev/null
+++ b/tests/fakes/raw_server.h
@@ -0,0 +1,39 @@
+/* A backend server as raw bytes: what each connection does is a list of
+ * steps, one a request. */
+#ifndef GW_TESTS_FAKES_RAW_SERVER_H
+#define GW_TESTS_FAKES_RAW_SERVER_H
+
+#include <stdatomic.h>
+#include <stdint.h>
+
+typedef enum {
+    RAW_END = 0, /* no more requests expected: wait for the client */
+    RAW_ANSWER,  /* read a request, send the text, go on */
+    RAW_CUT,     /* read a request, send the text, close */
+    RAW_CLOSE,   /* close without reading */
+    RAW_STALL    /* read a request and say nothing until the end */
+} RawKind;
+
+typedef struct {
+    RawKind kind;
+    const char *text;
+} RawStep;
+
+#define RAW_CONNECTIONS_MAX 4
+#define RAW_STEPS_MAX       4
+
+typedef struct RawServer_s RawServer;
+
+RawServer *
+RawServer_Start(const RawStep plan[RAW_CONNECTIONS_MAX][RAW_STEPS_MAX]);
+/* ip:port */
+const char *
+RawServer_Address(const RawServer *server);
+uint32_t
+RawServer_Requests(RawServer *server);
+uint32_t
+RawServer_Connections(RawServer *server);
+void
+RawServer_Stop(RawServer *server);
+
+#endif
