--- a/lib/runtime/net.c
+++ b/lib/runtime/net.c
@@ -316,18 +316,26 @@
 }
 
 void
-GwNet_Free(GwNet *net)
+GwNet_Stop(GwNet *net)
 {
     uint64_t one = 1;
 
-    if (net == NULL) {
+    if (net == NULL || !net->running) {
         return;
     }
     atomic_store(&net->stop, true);
-    if (net->running) {
-        (void)!write(net->event_fd, &one, sizeof(one));
-        pthread_join(net->thread, NULL);
+    (void)!write(net->event_fd, &one, sizeof(one));
+    pthread_join(net->thread, NULL);
+    net->running = false;
+}
+
+void
+GwNet_Free(GwNet *net)
+{
+    if (net == NULL) {
+        return;
     }
+    GwNet_Stop(net);
     GPtrArray *links = all_links(net);
     for (guint i = 0; i < links->len; i++) {
         Link_Free(g_ptr_array_index(links, i));
--- a/lib/runtime/net.h
+++ b/lib/runtime/net.h
@@ -47,7 +47,10 @@
 GwNet_Create(const GwNetParams *params, const GwNetHost *host, GError **error);
 void
 GwNet_Start(GwNet *net);
-/* Ends the thread and frees everything; no callback runs afterwards. */
+/* Ends the thread; no callback runs afterwards. Sending is still allowed
+ * and does nothing. */
+void
+GwNet_Stop(GwNet *net);
 void
 GwNet_Free(GwNet *net);
 
--- /dev/null
+++ b/lib/runtime/pollers.c
@@ -0,0 +1,239 @@
+/* Background exchanges: table requests, the list of instances, the health
+ * of this region's backend servers. */
+#include "runtime/runtime_internal.h"
+
+#include <curl/curl.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#define HEALTH_TIMEOUT_MS 500
+#define HEALTH_BODY_MAX   4096
+#define NAP_MS            20
+
+typedef struct {
+    GwTableRequest *request;
+    int64_t asked_us;
+} TableJob;
+
+/* While the process closes nothing is begun any more. */
+void
+Pollers_OnTable(GwRuntime *rt, GwTableRequest *request)
+{
+    TableJob *job = g_new0(TableJob, 1);
+    job->request = request;
+    job->asked_us = GwNet_NowUs();
+    GwCounter_Add(&rt->metrics.table_requests, 1);
+    g_thread_pool_push(rt->table_pool, job, NULL);
+}
+
+static void
+free_request(GwTableRequest *request)
+{
+    for (uint32_t i = 0; i < request->row_count; i++) {
+        g_free(request->rows[i].value);
+    }
+    g_free(request);
+}
+
+/* A request that waited long behind others that timed out is given up
+ * unsent: the node has made newer ones, and the queue stays short. */
+void
+Pollers_RunTable(gpointer data, gpointer arg)
+{
+    GwRuntime *rt = arg;
+    TableJob *job = data;
+    GwTableReply reply = {
+        .token = job->request->token,
+        .status = GW_TABLE_LOST,
+    };
+    int64_t limit_us = (int64_t)rt->settings->platform_timeout_ms * 3000;
+
+    if (!atomic_load(&rt->closing) &&
+        GwNet_NowUs() - job->asked_us < limit_us) {
+        GwTableClient_Do(rt->table, job->request, &reply);
+    }
+    if (reply.status == GW_TABLE_LOST) {
+        GwCounter_Add(&rt->metrics.table_lost, 1);
+    }
+    GwEvent event = {.kind = GW_EVENT_TABLE, .u.table = &reply};
+    Runtime_Step(rt, &event);
+    GwTableReply_Clear(&reply);
+    free_request(job->request);
+    g_free(job);
+}
+
+/* Sleeps in short naps, so that a stop is soon noticed. */
+static void
+nap_until(GwRuntime *rt, int64_t until_us)
+{
+    while (!atomic_load(&rt->closing) && GwNet_NowUs() < until_us) {
+        g_usleep(NAP_MS * 1000);
+    }
+}
+
+void *
+Pollers_ListThread(void *arg)
+{
+    GwRuntime *rt = arg;
+
+    while (!atomic_load(&rt->closing)) {
+        GwListEvent list = {0};
+        int64_t next_us =
+            GwNet_NowUs() + (int64_t)rt->settings->list_poll_ms * 1000;
+        if (!GwResult_IsError(GwListClient_Read(rt->list, &list))) {
+            GwEvent event = {.kind = GW_EVENT_LIST, .u.list = &list};
+            Runtime_Step(rt, &event);
+        }
+        GwListEvent_Clear(&list);
+        Snapshot_FreeRetired(rt);
+        nap_until(rt, next_us);
+    }
+    return NULL;
+}
+
+typedef struct {
+    CURL *easy;
+    uint64_t backend;
+    bool reachable;
+    GString *body;
+} Reading;
+
+static size_t
+take_body(char *bytes, size_t size, size_t count, void *arg)
+{
+    GString *body = arg;
+    size_t len = size * count;
+    if (body->len + len > HEALTH_BODY_MAX) {
+        return 0;
+    }
+    g_string_append_len(body, bytes, (gssize)len);
+    return len;
+}
+
+static void
+begin_reading(CURLM *multi, const PolledBackend *backend, Reading *reading)
+{
+    char url[GW_ADDR_MAX + 32];
+    g_snprintf(url, sizeof(url), "http://%s/health", backend->address);
+    reading->backend = backend->id;
+    reading->body = g_string_new(NULL);
+    reading->easy = curl_easy_init();
+    curl_easy_setopt(reading->easy, CURLOPT_URL, url);
+    curl_easy_setopt(reading->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(reading->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(reading->easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(reading->easy, CURLOPT_TIMEOUT_MS,
+                     (long)HEALTH_TIMEOUT_MS);
+    curl_easy_setopt(reading->easy, CURLOPT_WRITEFUNCTION, take_body);
+    curl_easy_setopt(reading->easy, CURLOPT_WRITEDATA, reading->body);
+    curl_easy_setopt(reading->easy, CURLOPT_PRIVATE, reading);
+    curl_multi_add_handle(multi, reading->easy);
+}
+
+static void
+run_readings(CURLM *multi)
+{
+    int running = 1;
+    int left = 0;
+    CURLMsg *msg;
+
+    while (running > 0) {
+        if (curl_multi_perform(multi, &running) != CURLM_OK) {
+            break;
+        }
+        if (running > 0) {
+            curl_multi_poll(multi, NULL, 0, NAP_MS, NULL);
+        }
+    }
+    while ((msg = curl_multi_info_read(multi, &left)) != NULL) {
+        Reading *reading = NULL;
+        long status = 0;
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &reading);
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+        reading->reachable = msg->data.result == CURLE_OK && status == 200;
+    }
+}
+
+static void
+parse_health(const Reading *reading, GwHealthEvent *health)
+{
+    json_object *root = json_tokener_parse(reading->body->str);
+    json_object *value = NULL;
+
+    if (json_object_is_type(root, json_type_object)) {
+        if (json_object_object_get_ex(root, "draining", &value)) {
+            health->draining = json_object_get_boolean(value) != 0;
+        }
+        if (json_object_object_get_ex(root, "load", &value) &&
+            json_object_is_type(value, json_type_int) &&
+            json_object_get_int64(value) >= 0) {
+            health->has_load = true;
+            health->reported_load = (uint32_t)json_object_get_int64(value);
+        }
+    }
+    json_object_put(root);
+}
+
+static void
+end_reading(GwRuntime *rt, CURLM *multi, Reading *reading)
+{
+    GwEvent event = {
+        .kind = GW_EVENT_HEALTH,
+        .u.health =
+            {
+                .backend = reading->backend,
+                .reachable = reading->reachable,
+            },
+    };
+    if (reading->reachable) {
+        parse_health(reading, &event.u.health);
+    }
+    Runtime_Step(rt, &event);
+    curl_multi_remove_handle(multi, reading->easy);
+    curl_easy_cleanup(reading->easy);
+    g_string_free(reading->body, TRUE);
+}
+
+static PolledBackend *
+copy_polled(GwRuntime *rt, uint32_t *count)
+{
+    PolledBackend *backends = NULL;
+    const Snapshot *snapshot = Snapshot_Enter(rt);
+    *count = snapshot != NULL ? snapshot->backend_count : 0;
+    if (*count > 0) {
+        backends = g_memdup2(snapshot->backends, *count * sizeof(*backends));
+    }
+    Snapshot_Leave();
+    return backends;
+}
+
+/* All servers at once: one that does not answer must not delay the readings
+ * of the others. */
+void *
+Pollers_HealthThread(void *arg)
+{
+    GwRuntime *rt = arg;
+    CURLM *multi = curl_multi_init();
+
+    Snapshot_RegisterThread();
+    while (!atomic_load(&rt->closing)) {
+        uint32_t count;
+        int64_t next_us =
+            GwNet_NowUs() + (int64_t)rt->settings->health_poll_ms * 1000;
+        PolledBackend *backends = copy_polled(rt, &count);
+        Reading *readings = g_new0(Reading, count);
+        for (uint32_t i = 0; i < count; i++) {
+            begin_reading(multi, &backends[i], &readings[i]);
+        }
+        run_readings(multi);
+        for (uint32_t i = 0; i < count; i++) {
+            end_reading(rt, multi, &readings[i]);
+        }
+        g_free(readings);
+        g_free(backends);
+        nap_until(rt, next_us);
+    }
+    Snapshot_UnregisterThread();
+    curl_multi_cleanup(multi);
+    return NULL;
+}
--- /dev/null
+++ b/lib/runtime/runtime_internal.h
@@ -0,0 +1,235 @@
+/* State shared by the files of the runtime.
+ *
+ * Order of locks; a thread that holds one takes only later ones:
+ *
+ *   1. node_lock   one GwNode_Step, mint, dump, or copying a publication
+ *   2. call_lock   table of open calls, relays, kept answers
+ *   3. OpenCall.mutex  mailbox and attempts of one call
+ *   4. locks inside GwNet (peer lock), GwDispatcher, GwAbort, retired
+ *
+ * No lock is held over I/O. Actions are carried out, and events logged, with
+ * no lock. A step made while carrying out actions of another one is fine:
+ * each has its own list. */
+#ifndef GW_RUNTIME_INTERNAL_H
+#define GW_RUNTIME_INTERNAL_H
+
+#include "admin/admin.h"
+#include "common/log.h"
+#include "common/metrics.h"
+#include "platform/list.h"
+#include "platform/table.h"
+#include "runtime/dispatch.h"
+#include "runtime/net.h"
+#include "runtime/net_internal.h"
+#include "runtime/runtime.h"
+
+#include <civetweb.h>
+#include <glib.h>
+#include <pthread.h>
+
+#define KEPT_ANSWERS_MAX_BYTES (64u << 20)
+#define HEDGE_THREADS          64
+#define RELAY_QUEUE_MAX        1024
+#define RELAY_SWEEP_TICKS      5
+#define DEADLINE_DEFAULT_MS    5000
+#define OVERDUE_US             5000000
+
+/* What the look-up and other readers see: immutable, RCU-published. */
+typedef struct {
+    uint64_t id;
+    char address[GW_ADDR_MAX];
+} PolledBackend;
+
+typedef struct {
+    char name[GW_NAME_MAX];
+    uint32_t deadline_max_ms;
+    char *entries; /* the look-up answer up to where tickets follow */
+} ServiceView;
+
+typedef struct {
+    uint64_t config_version;
+    uint32_t service_count;
+    ServiceView services[GW_MAX_SERVICES];
+    uint32_t backend_count; /* of this region's places */
+    PolledBackend *backends;
+    GBytes *text;
+} Snapshot;
+
+/* A call that this process drives. Counted: the table, its thread and
+ * running attempts each hold a reference. */
+typedef struct {
+    int refs;
+    uint64_t handle;
+    GwCallRequest request; /* what came in; body owned */
+    int64_t deadline_us;
+    char request_id[GW_TICKET_TEXT_MAX];
+    pthread_mutex_t mutex;
+    pthread_cond_t wake;
+    GQueue mailbox;      /* GwDispatchAction *, for the driving thread */
+    GHashTable *aborts;  /* attempt to GwAbort */
+    GHashTable *answers; /* attempt to GwAnswer */
+    uint32_t running;    /* dispatches posted and not ended */
+    bool relayed_on;     /* has been relayed to a peer */
+    bool finished;
+    GwFinishAction finish;
+    GwAnswer *answer; /* that finish names, or NULL */
+} OpenCall;
+
+/* A call relayed to a peer that has not answered. */
+typedef struct {
+    uint64_t id;
+    uint64_t call;
+    uint32_t attempt;
+    int64_t give_up_us;
+    char address[GW_ADDR_MAX];
+} Relay;
+
+typedef struct {
+    GwCounter answered;
+    GwCounter not_run;
+    GwCounter unknown;
+    GwCounter attempts;
+    GwCounter relays_out;
+    GwCounter relays_in;
+    GwCounter lookups;
+    GwCounter table_requests;
+    GwCounter table_lost;
+    GwCounter answers_missing;
+    GwCounter overdue;
+    GwHistogram step_us;
+    GwHistogram call_us;
+    GwHistogram attempt_us;
+} RuntimeMetrics;
+
+struct GwRuntime_s {
+    const GwSettings *settings;
+    GwNodeParams params;
+    char *admin_token;
+
+    pthread_mutex_t node_lock;
+    GwNode *node;
+    Snapshot *snapshot; /* RCU; written under node_lock */
+
+    pthread_mutex_t retired_lock;
+    GPtrArray *retired; /* snapshots to free after a grace period */
+
+    pthread_mutex_t call_lock;
+    GHashTable *open;       /* handle to OpenCall */
+    GHashTable *relays;     /* id to Relay */
+    GHashTable *relayed_in; /* RelayKey to handle */
+    GwAnswers *answers;
+    uint64_t next_handle;
+    uint64_t next_relay;
+
+    GwNet *net;
+    GwDispatcher *dispatcher;
+    GwTableClient *table;
+    GwListClient *list;
+    GThreadPool *hedge_pool;
+    GThreadPool *relay_pool;
+    GThreadPool *table_pool;
+    pthread_t list_thread;
+    pthread_t health_thread;
+    bool threads_running;
+    struct mg_context *http;
+    GwAdmin *admin;
+
+    uint32_t ticks; /* of the network thread */
+    atomic_uint relays_active;
+    atomic_bool leaving;
+    atomic_bool stopped;
+    atomic_bool closing; /* no new background work */
+    RuntimeMetrics metrics;
+};
+
+/* runtime.c */
+void
+Runtime_Step(GwRuntime *rt, const GwEvent *event);
+
+/* snapshot.c. A reader registers its thread once, and brackets each use. */
+void
+Snapshot_Publish(GwRuntime *rt); /* with node_lock */
+const Snapshot *
+Snapshot_Enter(GwRuntime *rt);
+void
+Snapshot_Leave(void);
+void
+Snapshot_RegisterThread(void);
+void
+Snapshot_UnregisterThread(void);
+void
+Snapshot_FreeRetired(GwRuntime *rt); /* waits; no lock held */
+void
+Snapshot_Free(Snapshot *snapshot);
+const ServiceView *
+Snapshot_Service(const Snapshot *snapshot, const char *name);
+
+/* call.c */
+OpenCall *
+Call_Open(GwRuntime *rt, GwCallRequest *request, int64_t deadline_us);
+/* Steps the event and blocks until the final outcome. */
+void
+Call_Drive(GwRuntime *rt, OpenCall *call, const GwCallEvent *event);
+void
+Call_Close(GwRuntime *rt, OpenCall *call);
+void
+Call_Unref(OpenCall *call);
+/* A new reference, or NULL when the call is not open. */
+OpenCall *
+Call_Find(GwRuntime *rt, uint64_t handle);
+void
+Call_OnDispatch(GwRuntime *rt, const GwDispatchAction *action);
+void
+Call_OnCancel(GwRuntime *rt, uint64_t handle, uint32_t attempt);
+void
+Call_OnFinish(GwRuntime *rt, const GwFinishAction *action);
+void
+Call_PutAnswer(OpenCall *call, uint32_t attempt, GwAnswer *answer);
+void
+Call_RunHedge(gpointer data, gpointer rt);
+void
+Call_ReportNotRun(GwRuntime *rt, uint64_t handle, uint32_t attempt,
+                  GwReason reason);
+
+/* relay.c */
+void
+Relay_OnAction(GwRuntime *rt, const GwRelayAction *action);
+/* Gives up relays of the call; of one attempt, or of all with 0. */
+void
+Relay_Cancel(GwRuntime *rt, uint64_t call, uint32_t attempt);
+void
+Relay_Sweep(GwRuntime *rt, int64_t now_us);
+void
+Relay_OnReply(void *rt, GwCallReply *reply);
+void
+Relay_OnLost(void *rt, uint64_t id, bool sent);
+void
+Relay_OnCall(void *rt, uint64_t link, GwNodeId from, GwCallRequest *call);
+void
+Relay_OnPeerCancel(void *rt, uint64_t link, uint64_t id);
+void
+Relay_Serve(gpointer data, gpointer rt);
+guint
+RelayKey_Hash(gconstpointer key);
+gboolean
+RelayKey_Equal(gconstpointer a, gconstpointer b);
+
+/* caller.c */
+bool
+Caller_Start(GwRuntime *rt, GError **error);
+
+/* pollers.c */
+void
+Pollers_OnTable(GwRuntime *rt, GwTableRequest *request); /* takes it over */
+void
+Pollers_RunTable(gpointer data, gpointer rt);
+void *
+Pollers_ListThread(void *rt);
+void *
+Pollers_HealthThread(void *rt);
+
+/* report.c */
+GwAdminHost
+Report_AdminHost(GwRuntime *rt);
+
+#endif
--- /dev/null
+++ b/lib/runtime/snapshot.c
@@ -0,0 +1,187 @@
+/* The RCU-published copy of what look-ups and pollers read. */
+#include "runtime/runtime_internal.h"
+
+#include <json-c/json.h>
+#include <string.h>
+#include <urcu/urcu-memb.h>
+
+static void
+add_text(json_object *object, const char *name, const char *text)
+{
+    json_object_object_add(object, name, json_object_new_string(text));
+}
+
+static json_object *
+entry_json(const GwLookupEntry *entry)
+{
+    json_object *item = json_object_new_object();
+    add_text(item, "name", entry->name);
+    add_text(item, "address", entry->address);
+    add_text(item, "failure_domain", entry->domain);
+    json_object_object_add(item, "local",
+                           json_object_new_boolean(entry->local_region));
+    return item;
+}
+
+/* The answer without its closing brace: tickets are added a request. */
+static char *
+lookup_text(const GwLookup *lookup)
+{
+    json_object *root = json_object_new_object();
+    json_object *entries = json_object_new_array();
+    json_object_object_add(root, "config_version",
+                           json_object_new_uint64(lookup->config_version));
+    json_object_object_add(root, "ttl_ms",
+                           json_object_new_int64(lookup->ttl_ms));
+    for (uint32_t i = 0; i < lookup->count; i++) {
+        json_object_array_add(entries, entry_json(&lookup->entries[i]));
+    }
+    json_object_object_add(root, "entries", entries);
+    char *text =
+        g_strdup(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+    json_object_put(root);
+    text[strlen(text) - 1] = '\0';
+    return text;
+}
+
+static void
+copy_services(const GwNode *node, const GwConfig *config, Snapshot *s)
+{
+    for (uint32_t i = 0; i < config->service_count; i++) {
+        const GwService *service = &config->services[i];
+        ServiceView *view = &s->services[s->service_count];
+        GwLookup lookup = {0};
+        if (s->service_count == GW_MAX_SERVICES ||
+            GwResult_IsError(GwNode_Lookup(node, service->name, &lookup))) {
+            continue;
+        }
+        g_strlcpy(view->name, service->name, GW_NAME_MAX);
+        view->deadline_max_ms = service->deadline_max_ms;
+        view->entries = lookup_text(&lookup);
+        s->service_count++;
+    }
+}
+
+static void
+copy_backends(const GwRuntime *rt, const GwConfig *config, Snapshot *s)
+{
+    s->backends = g_new0(PolledBackend, config->backend_count);
+    for (uint32_t i = 0; i < config->backend_count; i++) {
+        const GwBackend *backend = &config->backends[i];
+        const GwPlace *place = &config->places[backend->place];
+        const char *region = config->regions[place->region].name;
+        if (strcmp(region, rt->params.region) != 0) {
+            continue;
+        }
+        PolledBackend *polled = &s->backends[s->backend_count++];
+        polled->id = backend->id;
+        g_strlcpy(polled->address, backend->address, GW_ADDR_MAX);
+    }
+}
+
+static Snapshot *
+copy_out(const GwRuntime *rt, const Snapshot *old)
+{
+    Snapshot *s = g_new0(Snapshot, 1);
+    const GwConfig *config = GwNode_Config(rt->node);
+
+    if (config == NULL) {
+        return s;
+    }
+    s->config_version = config->version;
+    copy_services(rt->node, config, s);
+    copy_backends(rt, config, s);
+    if (old != NULL && old->text != NULL &&
+        old->config_version == config->version) {
+        s->text = g_bytes_ref(old->text);
+    }
+    else {
+        s->text = g_bytes_new(config->text, config->text_len);
+    }
+    return s;
+}
+
+/* Readers of the old copy may still be at work; it is freed later, since
+ * waiting for them here would hold the node lock. */
+void
+Snapshot_Publish(GwRuntime *rt)
+{
+    Snapshot *old = rt->snapshot;
+    Snapshot *fresh = copy_out(rt, old);
+
+    rcu_set_pointer(&rt->snapshot, fresh);
+    pthread_mutex_lock(&rt->retired_lock);
+    if (old != NULL) {
+        g_ptr_array_add(rt->retired, old);
+    }
+    pthread_mutex_unlock(&rt->retired_lock);
+}
+
+/* NULL before the first publication. Valid until Snapshot_Leave. */
+const Snapshot *
+Snapshot_Enter(GwRuntime *rt)
+{
+    urcu_memb_read_lock();
+    return rcu_dereference(rt->snapshot);
+}
+
+void
+Snapshot_Leave(void)
+{
+    urcu_memb_read_unlock();
+}
+
+void
+Snapshot_RegisterThread(void)
+{
+    urcu_memb_register_thread();
+}
+
+void
+Snapshot_UnregisterThread(void)
+{
+    urcu_memb_unregister_thread();
+}
+
+void
+Snapshot_Free(Snapshot *snapshot)
+{
+    if (snapshot == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < snapshot->service_count; i++) {
+        g_free(snapshot->services[i].entries);
+    }
+    g_free(snapshot->backends);
+    if (snapshot->text != NULL) {
+        g_bytes_unref(snapshot->text);
+    }
+    g_free(snapshot);
+}
+
+void
+Snapshot_FreeRetired(GwRuntime *rt)
+{
+    pthread_mutex_lock(&rt->retired_lock);
+    GPtrArray *retired = rt->retired;
+    rt->retired = g_ptr_array_new();
+    pthread_mutex_unlock(&rt->retired_lock);
+    if (retired->len > 0) {
+        urcu_memb_synchronize_rcu();
+    }
+    for (guint i = 0; i < retired->len; i++) {
+        Snapshot_Free(g_ptr_array_index(retired, i));
+    }
+    g_ptr_array_free(retired, TRUE);
+}
+
+const ServiceView *
+Snapshot_Service(const Snapshot *snapshot, const char *name)
+{
+    for (uint32_t i = 0; i < snapshot->service_count; i++) {
+        if (strcmp(snapshot->services[i].name, name) == 0) {
+            return &snapshot->services[i];
+        }
+    }
+    return NULL;
+}
--- a/tests/stubs/settings_stub.c
+++ b/tests/stubs/settings_stub.c
@@ -26,6 +26,10 @@
     s->health_poll_ms = 1000;
     s->list_poll_ms = 1000;
     s->platform_timeout_ms = 1000;
+    g_strlcpy(s->cluster_key_file, "/tmp/gw-stub.key",
+              sizeof(s->cluster_key_file));
+    g_strlcpy(s->admin_token_file, "/tmp/gw-stub.key",
+              sizeof(s->admin_token_file));
     g_strfreev(parts);
     return s;
 }
