--- a/lib/runtime/call.c
+++ b/lib/runtime/call.c
@@ -421,5 +421,4 @@
     g_hash_table_remove(rt->open, &call->handle);
     pthread_mutex_unlock(&rt->call_lock);
     Call_Unref(call);
-    Call_Unref(call);
 }
--- a/lib/runtime/runtime.c
+++ b/lib/runtime/runtime.c
@@ -182,7 +182,8 @@
     pthread_mutex_init(&rt->call_lock, NULL);
     pthread_mutex_init(&rt->retired_lock, NULL);
     rt->retired = g_ptr_array_new();
-    rt->open = g_hash_table_new(g_int64_hash, g_int64_equal);
+    rt->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                     (GDestroyNotify)Call_Unref);
     rt->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
     rt->relayed_in =
         g_hash_table_new_full(RelayKey_Hash, RelayKey_Equal, g_free, g_free);
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -191,7 +191,7 @@
 Call_ReportNotRun(GwRuntime *rt, uint64_t handle, uint32_t attempt,
                   GwReason reason);
 
-/* relay.c */
+/* relay.c. An `arg` is the GwRuntime. */
 void
 Relay_OnAction(GwRuntime *rt, const GwRelayAction *action);
 /* Gives up relays of the call; of one attempt, or of all with 0. */
@@ -200,15 +200,15 @@
 void
 Relay_Sweep(GwRuntime *rt, int64_t now_us);
 void
-Relay_OnReply(void *rt, GwCallReply *reply);
+Relay_OnReply(void *arg, GwCallReply *reply);
 void
-Relay_OnLost(void *rt, uint64_t id, bool sent);
+Relay_OnLost(void *arg, uint64_t id, bool sent);
 void
-Relay_OnCall(void *rt, uint64_t link, GwNodeId from, GwCallRequest *call);
+Relay_OnCall(void *arg, uint64_t link, GwNodeId from, GwCallRequest *call);
 void
-Relay_OnPeerCancel(void *rt, uint64_t link, uint64_t id);
+Relay_OnPeerCancel(void *arg, uint64_t link, uint64_t id);
 void
-Relay_Serve(gpointer data, gpointer rt);
+Relay_Serve(gpointer data, gpointer arg);
 guint
 RelayKey_Hash(gconstpointer key);
 gboolean
@@ -222,11 +222,11 @@
 void
 Pollers_OnTable(GwRuntime *rt, GwTableRequest *request); /* takes it over */
 void
-Pollers_RunTable(gpointer data, gpointer rt);
+Pollers_RunTable(gpointer data, gpointer arg);
 void *
-Pollers_ListThread(void *rt);
+Pollers_ListThread(void *arg);
 void *
-Pollers_HealthThread(void *rt);
+Pollers_HealthThread(void *arg);
 
 /* report.c */
 GwAdminHost
