--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -11,7 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define READ_CHUNK      65536
 #define USER_TIMEOUT_MS 3000
 
 void
@@ -372,9 +371,7 @@
 bool
 Link_OnReadable(GwNet *net, Link *link, int64_t now_us)
 {
-    static uint8_t chunk[READ_CHUNK];
-
-    ssize_t n = recv(link->fd, chunk, sizeof(chunk), 0);
+    ssize_t n = recv(link->fd, net->chunk, READ_CHUNK, 0);
     if (n < 0) {
         return errno == EAGAIN || errno == EINTR;
     }
@@ -384,7 +381,7 @@
     link->ping_us = 0;
     atomic_fetch_add_explicit(&net->bytes_in, (uint64_t)n,
                               memory_order_relaxed);
-    GwFrame_Feed(&link->in, chunk, (size_t)n);
+    GwFrame_Feed(&link->in, net->chunk, (size_t)n);
     if (!take_frames(net, link)) {
         return false;
     }
--- a/lib/runtime/net_internal.h
+++ b/lib/runtime/net_internal.h
@@ -17,6 +17,7 @@
 #define HANDSHAKE_TIMEOUT_US 2000000
 #define PING_EVERY_US        500000
 #define SILENT_US            3000000
+#define READ_CHUNK           65536
 #define EARLY_FRAME_MAX      256 /* before the handshake is over */
 
 typedef struct {
@@ -74,6 +75,7 @@
     int event_fd;
     int listen_fd;
     uint64_t next_serial;
+    uint8_t chunk[READ_CHUNK]; /* of the network thread */
     pthread_mutex_t peer_lock;
     GHashTable *by_address; /* outgoing Link; under the peer lock */
     GHashTable *by_serial;  /* every Link; under the peer lock */
--- /dev/null
+++ b/tests/unit/test_net.c
@@ -0,0 +1,285 @@
+/* Two network threads in one process, talking over loopback. Every wait is
+ * for an event, not for a time. */
+#include "runtime/net.h"
+#include "wire/frame.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+typedef struct {
+    GwNet *net;
+    char address[GW_ADDR_MAX];
+    GwNodeId id;
+    pthread_mutex_t mutex;
+    pthread_cond_t changed;
+    uint32_t controls;
+    uint32_t calls;
+    uint64_t call_link;
+    uint64_t call_id;
+    uint32_t cancels;
+    uint32_t replies;
+    uint32_t lost_sent;
+    uint32_t lost_unsent;
+} Node;
+
+static void
+bump(Node *n, uint32_t *counter)
+{
+    pthread_mutex_lock(&n->mutex);
+    (*counter)++;
+    pthread_cond_broadcast(&n->changed);
+    pthread_mutex_unlock(&n->mutex);
+}
+
+static void
+wait_for(Node *n, const uint32_t *counter, uint32_t value)
+{
+    pthread_mutex_lock(&n->mutex);
+    while (*counter < value) {
+        pthread_cond_wait(&n->changed, &n->mutex);
+    }
+    pthread_mutex_unlock(&n->mutex);
+}
+
+static void
+on_tick(void *ctx)
+{
+}
+
+static void
+on_control(void *ctx, const GwMessage *message)
+{
+    Node *n = ctx;
+    bump(n, &n->controls);
+}
+
+static void
+on_call(void *ctx, uint64_t link, GwNodeId from, GwCallRequest *call)
+{
+    Node *n = ctx;
+    n->call_link = link;
+    n->call_id = call->id;
+    bump(n, &n->calls);
+}
+
+static void
+on_reply(void *ctx, GwCallReply *reply)
+{
+    Node *n = ctx;
+    bump(n, &n->replies);
+}
+
+static void
+on_cancel(void *ctx, uint64_t link, uint64_t id)
+{
+    Node *n = ctx;
+    bump(n, &n->cancels);
+}
+
+static void
+on_lost(void *ctx, uint64_t id, bool sent)
+{
+    Node *n = ctx;
+    bump(n, sent ? &n->lost_sent : &n->lost_unsent);
+}
+
+/* A port that was free a moment ago. */
+static void
+pick_address(char out[GW_ADDR_MAX])
+{
+    struct sockaddr_in at = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t len = sizeof(at);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    cr_assert_eq(bind(fd, (struct sockaddr *)&at, len), 0);
+    getsockname(fd, (struct sockaddr *)&at, &len);
+    close(fd);
+    g_snprintf(out, GW_ADDR_MAX, "127.0.0.1:%u", ntohs(at.sin_port));
+}
+
+static Node *
+start_node(uint64_t id, const char *key, uint32_t delay_us)
+{
+    Node *n = g_new0(Node, 1);
+    GError *error = NULL;
+    pthread_mutex_init(&n->mutex, NULL);
+    pthread_cond_init(&n->changed, NULL);
+    pick_address(n->address);
+    n->id = (GwNodeId){id, 1};
+    GwNetParams params = {
+        .id = n->id,
+        .region = (uint32_t)id,
+        .key = (const uint8_t *)key,
+        .key_len = strlen(key),
+        .delay_count = delay_us > 0 ? 2 : 0,
+        .delays = {{1, delay_us}, {2, delay_us}},
+    };
+    GwNetHost host = {n,        on_tick,   on_control, on_call,
+                      on_reply, on_cancel, on_lost};
+    g_strlcpy(params.listen_address, n->address, GW_ADDR_MAX);
+    n->net = GwNet_Create(&params, &host, &error);
+    cr_assert_not_null(n->net);
+    GwNet_Start(n->net);
+    return n;
+}
+
+static void
+stop_node(Node *n)
+{
+    GwNet_Free(n->net);
+    pthread_mutex_destroy(&n->mutex);
+    pthread_cond_destroy(&n->changed);
+    g_free(n);
+}
+
+static void
+send_probe(Node *from, const Node *to)
+{
+    GwMessage *msg = GwMessage_Create(GW_MSG_PROBE, from->id);
+    GwEnvelope envelope = {.kind = GW_ENVELOPE_CONTROL, .u.control = msg};
+    size_t len;
+    uint8_t *frame = GwCodec_Frame(&envelope, &len);
+    GwNet_Send(from->net, to->address, frame, len);
+    GwMessage_Free(msg);
+}
+
+static void
+send_call(Node *from, const Node *to, GwNodeId id, uint64_t call)
+{
+    GwEnvelope envelope = {
+        .kind = GW_ENVELOPE_CALL,
+        .u.call = {.id = call,
+                   .service = "s",
+                   .method = "POST",
+                   .target = "/x"},
+    };
+    size_t len;
+    uint8_t *frame = GwCodec_Frame(&envelope, &len);
+    cr_assert(GwNet_Call(from->net, to->address, id, call, frame, len));
+}
+
+static void
+send_reply(Node *from)
+{
+    GwEnvelope envelope = {
+        .kind = GW_ENVELOPE_REPLY,
+        .u.reply = {.id = from->call_id, .outcome = GW_OUTCOME_NOT_RUN},
+    };
+    size_t len;
+    uint8_t *frame = GwCodec_Frame(&envelope, &len);
+    GwNet_Reply(from->net, from->call_link, frame, len);
+}
+
+#define KEY "0123456789abcdef"
+
+Test(net, messages_and_calls_arrive, .timeout = 30)
+{
+    static const uint32_t delays_us[] = {0, 3000};
+    for (size_t i = 0; i < G_N_ELEMENTS(delays_us); i++) {
+        Node *a = start_node(1, KEY, delays_us[i]);
+        Node *b = start_node(2, KEY, delays_us[i]);
+        send_probe(a, b);
+        send_probe(b, a);
+        wait_for(b, &b->controls, 1);
+        wait_for(a, &a->controls, 1);
+        send_call(a, b, b->id, 77);
+        wait_for(b, &b->calls, 1);
+        cr_expect_eq(b->call_id, 77);
+        send_reply(b);
+        wait_for(a, &a->replies, 1);
+        stop_node(a);
+        stop_node(b);
+    }
+}
+
+/* The relaying entry's peer dies with the call on board: the peer may have
+ * run it, so the caller must not be told "not run". */
+Test(net, call_lost_after_it_was_sent, .timeout = 30)
+{
+    Node *a = start_node(1, KEY, 0);
+    Node *b = start_node(2, KEY, 0);
+    send_call(a, b, b->id, 77);
+    wait_for(b, &b->calls, 1);
+    stop_node(b);
+    wait_for(a, &a->lost_sent, 1);
+    cr_expect_eq(a->lost_unsent, 0);
+    stop_node(a);
+}
+
+/* The peer was replaced under the same address. A ticket of its earlier
+ * start must not run at the new one; nothing of the call is sent. */
+Test(net, call_for_an_earlier_start_is_not_sent, .timeout = 30)
+{
+    Node *a = start_node(1, KEY, 0);
+    Node *b = start_node(2, KEY, 0);
+    send_call(a, b, (GwNodeId){2, 0}, 77);
+    wait_for(a, &a->lost_unsent, 1);
+    send_probe(a, b);
+    wait_for(b, &b->controls, 1);
+    cr_expect_eq(b->calls, 0);
+    cr_expect_eq(a->lost_sent, 0);
+    stop_node(a);
+    stop_node(b);
+}
+
+/* A process without the cluster's key connects: nothing it says is heard,
+ * and its calls come back to it as never sent. */
+Test(net, wrong_key_is_not_heard, .timeout = 30)
+{
+    Node *a = start_node(1, KEY, 0);
+    Node *b = start_node(2, KEY "x", 0);
+    GwNetStats stats;
+    send_probe(a, b);
+    send_call(a, b, b->id, 77);
+    wait_for(a, &a->lost_unsent, 1);
+    cr_expect_eq(b->controls, 0);
+    cr_expect_eq(b->calls, 0);
+    GwNet_Stats(a->net, &stats);
+    stop_node(a);
+    stop_node(b);
+}
+
+/* A stranger skips the handshake and speaks at once. */
+Test(net, no_message_before_the_proof, .timeout = 30)
+{
+    Node *b = start_node(2, KEY, 0);
+    GwMessage *msg = GwMessage_Create(GW_MSG_CONFIG_ASK, (GwNodeId){1, 1});
+    GwEnvelope envelope = {.kind = GW_ENVELOPE_CONTROL, .u.control = msg};
+    struct sockaddr_in to = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons((uint16_t)atoi(strchr(b->address, ':') + 1)),
+    };
+    char bytes[256];
+    size_t len;
+    uint8_t *frame = GwCodec_Frame(&envelope, &len);
+
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    cr_assert_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+    send(fd, frame, len, MSG_NOSIGNAL);
+    while (recv(fd, bytes, sizeof(bytes), 0) > 0) {
+    }
+    cr_expect_eq(b->controls, 0);
+    close(fd);
+    g_free(frame);
+    GwMessage_Free(msg);
+    stop_node(b);
+}
+
+/* Nobody listens at the peer's address: the call was surely not run. */
+Test(net, unreachable_peer, .timeout = 30)
+{
+    Node *a = start_node(1, KEY, 0);
+    Node nobody = {.id = {3, 1}};
+    pick_address(nobody.address);
+    send_call(a, &nobody, nobody.id, 77);
+    wait_for(a, &a->lost_unsent, 1);
+    stop_node(a);
+}
