--- /dev/null
+++ b/fuzz/run.sh
@@ -0,0 +1,41 @@
+#!/bin/bash
+# Builds every fuzz target with libFuzzer and runs each for a number of
+# inputs from a fixed seed. Non-zero when one has a finding.
+# usage: run.sh RUNS
+set -uo pipefail
+cd "$(dirname "$0")/.."
+runs=${1:-20000}
+out=build-fuzz
+mkdir -p "$out"
+pkgs=(glib-2.0 json-c libprotobuf-c libcurl popt log4c libxxhash liburcu
+      liburcu-memb)
+read -ra cflags < <(pkg-config --cflags "${pkgs[@]}")
+read -ra libs < <(pkg-config --libs "${pkgs[@]}")
+san=-fsanitize=fuzzer,address,undefined
+failed=0
+
+# Sources under lib that are linked in; the sections that a target does not
+# use are dropped, so that it needs no daemon.
+mapfile -t sources < <(ls lib/common/*.c lib/wire/*.c lib/platform/*.c \
+    lib/config/*.c 2>/dev/null)
+
+for target in fuzz/fuzz_*.c; do
+    name=$(basename "$target" .c)
+    if ! clang -std=gnu11 -D_GNU_SOURCE -g -O1 $san \
+        -fno-sanitize-recover=undefined -ffunction-sections \
+        -Wl,--gc-sections -Ilib -Itests "${cflags[@]}" -o "$out/$name" \
+        "$target" "${sources[@]}" "${libs[@]}" -lm -pthread; then
+        echo "FAIL  $name: does not build"
+        failed=1
+        continue
+    fi
+    if "$out/$name" -seed=1 -runs="$runs" -max_len=4096 \
+        -artifact_prefix="$out/$name-" >"$out/$name.log" 2>&1; then
+        echo "ok    $name: $runs runs"
+    else
+        echo "FAIL  $name"
+        tail -30 "$out/$name.log"
+        failed=1
+    fi
+done
+exit "$failed"
--- a/lib/platform/table.c
+++ b/lib/platform/table.c
@@ -1,6 +1,7 @@
 #include "platform/table.h"
 
 #include "platform/http_internal.h"
+#include "platform/table_internal.h"
 
 #include <json-c/json.h>
 #include <string.h>
@@ -91,46 +92,79 @@
     return true;
 }
 
-static void
-do_list(GwTableClient *client, const GwTableRequest *request,
-        GwTableReply *reply, GString *body)
+static bool
+get_versions(json_object *root, const GwTableRequest *request,
+             GwTableReply *reply)
 {
-    char *prefix = GwHttp_Escape(request->rows[0].key);
-    char *path = g_strconcat("/table/rows?prefix=", prefix, NULL);
-    GwHttpAsk ask = {.method = "GET", .path = path};
-    if (GwHttpClient_Do(client->http, &ask, body) == 200) {
-        json_object *root = json_tokener_parse(body->str);
-        reply->status = get_rows(root, reply) ? GW_TABLE_DONE : GW_TABLE_LOST;
-        json_object_put(root);
+    json_object *versions = member(root, "versions", json_type_array);
+    if (versions == NULL ||
+        json_object_array_length(versions) != request->row_count) {
+        return false;
     }
-    g_free(path);
-    g_free(prefix);
+    reply->rows = g_new0(GwRow, request->row_count);
+    reply->row_count = request->row_count;
+    for (uint32_t i = 0; i < request->row_count; i++) {
+        json_object *version = json_object_array_get_idx(versions, i);
+        g_strlcpy(reply->rows[i].key, request->rows[i].key, GW_ROW_KEY_MAX);
+        reply->rows[i].version = json_object_get_uint64(version);
+    }
+    return true;
 }
 
 /* An absent row is DONE with version 0. */
 static void
-do_get(GwTableClient *client, const GwTableRequest *request,
-       GwTableReply *reply, GString *body)
+interpret_get(const GwTableRequest *request, uint32_t http_status,
+              json_object *root, GwTableReply *reply)
 {
-    char *key = GwHttp_Escape(request->rows[0].key);
-    char *path = g_strconcat("/table/row?key=", key, NULL);
-    GwHttpAsk ask = {.method = "GET", .path = path};
-    uint32_t status = GwHttpClient_Do(client->http, &ask, body);
-    if (status == 200 || status == 404) {
+    if (http_status != 200 && http_status != 404) {
+        return;
+    }
+    reply->rows = g_new0(GwRow, 1);
+    reply->row_count = 1;
+    g_strlcpy(reply->rows[0].key, request->rows[0].key, GW_ROW_KEY_MAX);
+    if (http_status == 404 || get_row(root, &reply->rows[0])) {
+        reply->status = GW_TABLE_DONE;
+    }
+}
+
+/* Only a whole 200 says that it was written and only a whole 409 that it was
+ * not. Anything else, a 500 included, leaves the writer in doubt: it reads
+ * the rows back before it builds on either. */
+static void
+interpret_txn(const GwTableRequest *request, uint32_t http_status,
+              json_object *root, GwTableReply *reply)
+{
+    if (http_status == 200 && get_versions(root, request, reply)) {
+        reply->status = GW_TABLE_DONE;
+    }
+    else if (http_status == 409 && root != NULL) {
+        reply->status = GW_TABLE_CONFLICT;
         reply->rows = g_new0(GwRow, 1);
         reply->row_count = 1;
-        g_strlcpy(reply->rows[0].key, request->rows[0].key, GW_ROW_KEY_MAX);
-        reply->status = GW_TABLE_DONE;
+        get_row(root, &reply->rows[0]);
     }
-    if (status == 200) {
-        json_object *root = json_tokener_parse(body->str);
-        if (!get_row(root, &reply->rows[0])) {
-            reply->status = GW_TABLE_LOST;
+}
+
+void
+GwTable_Interpret(const GwTableRequest *request, uint32_t http_status,
+                  const char *text, GwTableReply *reply)
+{
+    json_object *root = json_tokener_parse(text);
+
+    switch (request->op) {
+    case GW_TABLE_LIST:
+        if (http_status == 200 && get_rows(root, reply)) {
+            reply->status = GW_TABLE_DONE;
         }
-        json_object_put(root);
+        break;
+    case GW_TABLE_GET:
+        interpret_get(request, http_status, root, reply);
+        break;
+    case GW_TABLE_TXN:
+        interpret_txn(request, http_status, root, reply);
+        break;
     }
-    g_free(path);
-    g_free(key);
+    json_object_put(root);
 }
 
 static char *
@@ -157,53 +191,19 @@
     return text;
 }
 
-static bool
-get_versions(json_object *root, const GwTableRequest *request,
-             GwTableReply *reply)
-{
-    json_object *versions = member(root, "versions", json_type_array);
-    if (versions == NULL ||
-        json_object_array_length(versions) != request->row_count) {
-        return false;
-    }
-    reply->rows = g_new0(GwRow, request->row_count);
-    reply->row_count = request->row_count;
-    for (uint32_t i = 0; i < request->row_count; i++) {
-        json_object *version = json_object_array_get_idx(versions, i);
-        g_strlcpy(reply->rows[i].key, request->rows[i].key, GW_ROW_KEY_MAX);
-        reply->rows[i].version = json_object_get_uint64(version);
-    }
-    return true;
-}
-
-/* Only a whole 200 says that it was written and only a whole 409 that it was
- * not. Anything else, a 500 included, leaves the writer in doubt: it reads
- * the rows back before it builds on either. */
-static void
-do_txn(GwTableClient *client, const GwTableRequest *request,
-       GwTableReply *reply, GString *body)
+static char *
+path_of(const GwTableRequest *request)
 {
-    char *text = txn_text(request);
-    GwHttpAsk ask = {
-        .method = "POST",
-        .path = "/table/txn",
-        .body = text,
-        .body_len = strlen(text),
-        .once = true,
-    };
-    uint32_t status = GwHttpClient_Do(client->http, &ask, body);
-    json_object *root =
-        status == 200 || status == 409 ? json_tokener_parse(body->str) : NULL;
-    if (status == 200 && get_versions(root, request, reply)) {
-        reply->status = GW_TABLE_DONE;
-    }
-    else if (status == 409) {
-        reply->status = GW_TABLE_CONFLICT;
-        reply->rows = g_new0(GwRow, 1);
-        reply->row_count = get_row(root, &reply->rows[0]) ? 1 : 0;
+    if (request->op == GW_TABLE_TXN) {
+        return g_strdup("/table/txn");
     }
-    json_object_put(root);
-    g_free(text);
+    char *key = GwHttp_Escape(request->rows[0].key);
+    char *path =
+        g_strconcat(request->op == GW_TABLE_LIST ? "/table/rows?prefix="
+                                                 : "/table/row?key=",
+                    key, NULL);
+    g_free(key);
+    return path;
 }
 
 /* Retries nothing: what to do about a lost answer is the asker's. */
@@ -211,24 +211,27 @@
 GwTableClient_Do(GwTableClient *client, const GwTableRequest *request,
                  GwTableReply *reply)
 {
+    bool txn = request->op == GW_TABLE_TXN;
     GString *body = g_string_new(NULL);
+    char *path = path_of(request);
+    char *text = txn ? txn_text(request) : NULL;
+    GwHttpAsk ask = {
+        .method = txn ? "POST" : "GET",
+        .path = path,
+        .body = text,
+        .body_len = txn ? strlen(text) : 0,
+        .once = txn,
+    };
 
     *reply = (GwTableReply){.token = request->token, .status = GW_TABLE_LOST};
-    switch (request->op) {
-    case GW_TABLE_LIST:
-        do_list(client, request, reply, body);
-        break;
-    case GW_TABLE_GET:
-        do_get(client, request, reply, body);
-        break;
-    case GW_TABLE_TXN:
-        do_txn(client, request, reply, body);
-        break;
-    }
+    uint32_t http_status = GwHttpClient_Do(client->http, &ask, body);
+    GwTable_Interpret(request, http_status, body->str, reply);
     if (reply->status == GW_TABLE_LOST) {
         GwTableReply_Clear(reply);
         reply->token = request->token;
         reply->status = GW_TABLE_LOST;
     }
+    g_free(text);
+    g_free(path);
     g_string_free(body, TRUE);
 }
