Send at once what arrives while the clock is read

Cause: a frame queued after the network thread had read the clock looked not yet due and was never asked for again: one net test in ten hung. Change: without a delay a frame is always due. A pool of POSIX threads in place of GLib's, whose locks the thread sanitizer can't see.

--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <log4c.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,7 +12,7 @@
 static log4c_category_t *category;
 /* log4c's appenders keep no lock of their own, and two threads would tear
  * each other's lines. */
-static GMutex line_mutex;
+static pthread_mutex_t line_mutex = PTHREAD_MUTEX_INITIALIZER;
 
 /* The whole line is made by GwLog_Event; the layout adds the time. */
 static const char *
@@ -109,7 +110,7 @@
     va_start(args, format);
     g_vsnprintf(line + len, sizeof(line) - (gulong)len, format, args);
     va_end(args);
-    g_mutex_lock(&line_mutex);
+    pthread_mutex_lock(&line_mutex);
     log4c_category_log(category, priority_of_event(event), "%s", line);
-    g_mutex_unlock(&line_mutex);
+    pthread_mutex_unlock(&line_mutex);
 }
--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -1,6 +1,7 @@
 #include "platform/http_internal.h"
 
 #include <curl/curl.h>
+#include <pthread.h>
 #include <string.h>
 
 #define ANSWER_MAX (64u << 20)
@@ -9,7 +10,7 @@
 struct GwHttpClient_s {
     char *url;
     uint32_t timeout_ms;
-    GMutex mutex;
+    pthread_mutex_t mutex;
     GPtrArray *idle; /* of CURL * */
 };
 
@@ -20,7 +21,7 @@
     client->url = g_strdup(url);
     client->timeout_ms = timeout_ms;
     client->idle = g_ptr_array_new_with_free_func(curl_easy_cleanup);
-    g_mutex_init(&client->mutex);
+    pthread_mutex_init(&client->mutex, NULL);
     return client;
 }
 
@@ -32,7 +33,7 @@
         return;
     }
     g_ptr_array_free(client->idle, TRUE);
-    g_mutex_clear(&client->mutex);
+    pthread_mutex_destroy(&client->mutex);
     g_free(client->url);
     g_free(client);
 }
@@ -41,11 +42,11 @@
 take_handle(GwHttpClient *client)
 {
     CURL *easy = NULL;
-    g_mutex_lock(&client->mutex);
+    pthread_mutex_lock(&client->mutex);
     if (client->idle->len > 0) {
         easy = g_ptr_array_steal_index(client->idle, client->idle->len - 1);
     }
-    g_mutex_unlock(&client->mutex);
+    pthread_mutex_unlock(&client->mutex);
     return easy != NULL ? easy : curl_easy_init();
 }
 
@@ -54,12 +55,12 @@
 static void
 give_handle(GwHttpClient *client, CURL *easy, bool good)
 {
-    g_mutex_lock(&client->mutex);
+    pthread_mutex_lock(&client->mutex);
     if (good && client->idle->len < IDLE_MAX) {
         g_ptr_array_add(client->idle, easy);
         easy = NULL;
     }
-    g_mutex_unlock(&client->mutex);
+    pthread_mutex_unlock(&client->mutex);
     curl_easy_cleanup(easy);
 }
 
--- a/lib/runtime/call.c
+++ b/lib/runtime/call.c
@@ -192,10 +192,10 @@
 
 /* An attempt beside the one that the call's own thread is in. */
 void
-Call_RunHedge(gpointer data, gpointer rt)
+Call_RunHedge(void *job, void *arg)
 {
-    Hedge *hedge = data;
-    run_attempt(rt, hedge->call, &hedge->action);
+    Hedge *hedge = job;
+    run_attempt(arg, hedge->call, &hedge->action);
     Call_Unref(hedge->call);
     g_free(hedge);
 }
@@ -226,7 +226,7 @@
     if (beside) {
         Hedge *hedge = g_new0(Hedge, 1);
         *hedge = (Hedge){.call = call, .action = *action};
-        g_thread_pool_push(rt->hedge_pool, hedge, NULL);
+        GwWorkers_Push(rt->hedge_pool, hedge);
         return;
     }
     if (!begin) {
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -402,7 +402,10 @@
 
     pthread_mutex_lock(&net->peer_lock);
     Frame *head = g_queue_peek_head(&link->queue);
-    if (head != NULL && head->queued_us + link->delay_us <= now_us) {
+    /* now_us may lie before queued_us: the frame can come in after the clock
+     * was read. Without a delay nothing would ask again. */
+    if (head != NULL &&
+        (link->delay_us == 0 || head->queued_us + link->delay_us <= now_us)) {
         frame = g_queue_pop_head(&link->queue);
         link->queue_bytes -= frame->len;
     }
--- a/lib/runtime/pollers.c
+++ b/lib/runtime/pollers.c
@@ -23,7 +23,7 @@
     job->request = request;
     job->asked_us = GwNet_NowUs();
     GwCounter_Add(&rt->metrics.table_requests, 1);
-    g_thread_pool_push(rt->table_pool, job, NULL);
+    GwWorkers_Push(rt->table_pool, job);
 }
 
 static void
@@ -38,19 +38,19 @@
 /* A request that waited long behind others that timed out is given up
  * unsent: the node has made newer ones, and the queue stays short. */
 void
-Pollers_RunTable(gpointer data, gpointer arg)
+Pollers_RunTable(void *job, void *arg)
 {
     GwRuntime *rt = arg;
-    TableJob *job = data;
+    TableJob *asked = job;
     GwTableReply reply = {
-        .token = job->request->token,
+        .token = asked->request->token,
         .status = GW_TABLE_LOST,
     };
     int64_t limit_us = (int64_t)rt->settings->platform_timeout_ms * 3000;
 
     if (!atomic_load(&rt->closing) &&
-        GwNet_NowUs() - job->asked_us < limit_us) {
-        GwTableClient_Do(rt->table, job->request, &reply);
+        GwNet_NowUs() - asked->asked_us < limit_us) {
+        GwTableClient_Do(rt->table, asked->request, &reply);
     }
     if (reply.status == GW_TABLE_LOST) {
         GwCounter_Add(&rt->metrics.table_lost, 1);
@@ -58,8 +58,8 @@
     GwEvent event = {.kind = GW_EVENT_TABLE, .u.table = &reply};
     Runtime_Step(rt, &event);
     GwTableReply_Clear(&reply);
-    free_request(job->request);
-    g_free(job);
+    free_request(asked->request);
+    g_free(asked);
 }
 
 /* Sleeps in short naps, so that a stop is soon noticed. */
--- a/lib/runtime/relay.c
+++ b/lib/runtime/relay.c
@@ -290,7 +290,7 @@
         refuse(rt, link, call, GW_REASON_LEAVING);
         return;
     }
-    if (g_thread_pool_unprocessed(rt->relay_pool) >= RELAY_QUEUE_MAX) {
+    if (GwWorkers_Waiting(rt->relay_pool) >= RELAY_QUEUE_MAX) {
         refuse(rt, link, call, GW_REASON_QUEUE_FULL);
         return;
     }
@@ -303,7 +303,7 @@
     };
     call->body = NULL;
     atomic_fetch_add(&rt->relays_active, 1);
-    g_thread_pool_push(rt->relay_pool, job, NULL);
+    GwWorkers_Push(rt->relay_pool, job);
 }
 
 static GwCallEvent
@@ -366,23 +366,23 @@
 /* The deadline counts from arrival here: what the way took is lost to the
  * caller's side, which gives up on its own clock. */
 void
-Relay_Serve(gpointer data, gpointer arg)
+Relay_Serve(void *job, void *arg)
 {
     GwRuntime *rt = arg;
-    RelayJob *job = data;
-    RelayKey key = {.link = job->link, .id = job->request.id};
-    int64_t deadline_us =
-        job->arrived_us + (int64_t)job->request.deadline_left_ms * 1000;
+    RelayJob *relayed = job;
+    RelayKey key = {.link = relayed->link, .id = relayed->request.id};
+    int64_t deadline_us = relayed->arrived_us +
+                          (int64_t)relayed->request.deadline_left_ms * 1000;
 
-    OpenCall *call = Call_Open(rt, &job->request, deadline_us);
+    OpenCall *call = Call_Open(rt, &relayed->request, deadline_us);
     remember(rt, &key, call->handle);
-    GwCallEvent event = call_event(call, job);
+    GwCallEvent event = call_event(call, relayed);
     Call_Drive(rt, call, &event);
     forget(rt, &key);
     GwCallReply reply = make_reply(call, key.id);
-    reply_with(rt, job->link, &reply);
+    reply_with(rt, relayed->link, &reply);
     Call_Close(rt, call);
-    g_free(job);
+    g_free(relayed);
     atomic_fetch_sub(&rt->relays_active, 1);
 }
 
--- a/lib/runtime/runtime.c
+++ b/lib/runtime/runtime.c
@@ -198,11 +198,9 @@
     const GwSettings *s = rt->settings;
     rt->table = GwTableClient_Create(s->platform_url, s->platform_timeout_ms);
     rt->list = GwListClient_Create(s->platform_url, s->platform_timeout_ms);
-    rt->hedge_pool =
-        g_thread_pool_new(Call_RunHedge, rt, HEDGE_THREADS, FALSE, NULL);
-    rt->relay_pool = g_thread_pool_new(Relay_Serve, rt, (gint)s->relay_threads,
-                                       FALSE, NULL);
-    rt->table_pool = g_thread_pool_new(Pollers_RunTable, rt, 2, FALSE, NULL);
+    rt->hedge_pool = GwWorkers_Create(Call_RunHedge, rt, HEDGE_THREADS);
+    rt->relay_pool = GwWorkers_Create(Relay_Serve, rt, s->relay_threads);
+    rt->table_pool = GwWorkers_Create(Pollers_RunTable, rt, TABLE_THREADS);
 }
 
 static bool
@@ -291,11 +289,9 @@
         pthread_join(rt->list_thread, NULL);
         pthread_join(rt->health_thread, NULL);
     }
-    if (rt->hedge_pool != NULL) {
-        g_thread_pool_free(rt->hedge_pool, FALSE, TRUE);
-        g_thread_pool_free(rt->relay_pool, FALSE, TRUE);
-        g_thread_pool_free(rt->table_pool, FALSE, TRUE);
-    }
+    GwWorkers_Free(rt->hedge_pool);
+    GwWorkers_Free(rt->relay_pool);
+    GwWorkers_Free(rt->table_pool);
 }
 
 void
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -22,6 +22,7 @@
 #include "runtime/net.h"
 #include "runtime/net_internal.h"
 #include "runtime/runtime.h"
+#include "runtime/workers.h"
 
 #include <civetweb.h>
 #include <glib.h>
@@ -29,6 +30,7 @@
 
 #define KEPT_ANSWERS_MAX_BYTES (64u << 20)
 #define HEDGE_THREADS          64
+#define TABLE_THREADS          2
 #define RELAY_QUEUE_MAX        1024
 #define RELAY_SWEEP_TICKS      5
 #define DEADLINE_DEFAULT_MS    5000
@@ -125,9 +127,9 @@
     GwDispatcher *dispatcher;
     GwTableClient *table;
     GwListClient *list;
-    GThreadPool *hedge_pool;
-    GThreadPool *relay_pool;
-    GThreadPool *table_pool;
+    GwWorkers *hedge_pool;
+    GwWorkers *relay_pool;
+    GwWorkers *table_pool;
     pthread_t list_thread;
     pthread_t health_thread;
     bool threads_running;
@@ -164,7 +166,7 @@
 const ServiceView *
 Snapshot_Service(const Snapshot *snapshot, const char *name);
 
-/* call.c */
+/* call.c. An `arg` is the GwRuntime. */
 OpenCall *
 Call_Open(GwRuntime *rt, GwCallRequest *request, int64_t deadline_us);
 /* Steps the event and blocks until the final outcome. */
@@ -186,7 +188,7 @@
 void
 Call_PutAnswer(OpenCall *call, uint32_t attempt, GwAnswer *answer);
 void
-Call_RunHedge(gpointer data, gpointer rt);
+Call_RunHedge(void *job, void *arg);
 void
 Call_ReportNotRun(GwRuntime *rt, uint64_t handle, uint32_t attempt,
                   GwReason reason);
@@ -208,7 +210,7 @@
 void
 Relay_OnPeerCancel(void *arg, uint64_t link, uint64_t id);
 void
-Relay_Serve(gpointer data, gpointer arg);
+Relay_Serve(void *job, void *arg);
 guint
 RelayKey_Hash(gconstpointer key);
 gboolean
@@ -222,7 +224,7 @@
 void
 Pollers_OnTable(GwRuntime *rt, GwTableRequest *request); /* takes it over */
 void
-Pollers_RunTable(gpointer data, gpointer arg);
+Pollers_RunTable(void *job, void *arg);
 void *
 Pollers_ListThread(void *arg);
 void *
--- a/lib/runtime/snapshot.c
+++ b/lib/runtime/snapshot.c
@@ -109,7 +109,7 @@
     Snapshot *old = rt->snapshot;
     Snapshot *fresh = copy_out(rt, old);
 
-    rcu_set_pointer(&rt->snapshot, fresh);
+    __atomic_store_n(&rt->snapshot, fresh, __ATOMIC_RELEASE);
     pthread_mutex_lock(&rt->retired_lock);
     if (old != NULL) {
         g_ptr_array_add(rt->retired, old);
@@ -122,7 +122,7 @@
 Snapshot_Enter(GwRuntime *rt)
 {
     urcu_memb_read_lock();
-    return rcu_dereference(rt->snapshot);
+    return __atomic_load_n(&rt->snapshot, __ATOMIC_ACQUIRE);
 }
 
 void
--- /dev/null
+++ b/lib/runtime/workers.c
@@ -0,0 +1,110 @@
+#include "runtime/workers.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+
+struct GwWorkers_s {
+    GwJob run;
+    void *ctx;
+    pthread_mutex_t mutex;
+    pthread_cond_t wake;
+    GQueue jobs;
+    GArray *threads; /* of pthread_t */
+    uint32_t threads_max;
+    uint32_t idle;
+    bool stop;
+};
+
+GwWorkers *
+GwWorkers_Create(GwJob run, void *ctx, uint32_t threads_max)
+{
+    GwWorkers *w = g_new0(GwWorkers, 1);
+    w->run = run;
+    w->ctx = ctx;
+    w->threads_max = threads_max;
+    w->threads = g_array_new(FALSE, FALSE, sizeof(pthread_t));
+    g_queue_init(&w->jobs);
+    pthread_mutex_init(&w->mutex, NULL);
+    pthread_cond_init(&w->wake, NULL);
+    return w;
+}
+
+/* NULL once the pool stops and nothing is left. */
+static void *
+next_job(GwWorkers *w)
+{
+    pthread_mutex_lock(&w->mutex);
+    w->idle++;
+    while (w->jobs.length == 0 && !w->stop) {
+        pthread_cond_wait(&w->wake, &w->mutex);
+    }
+    w->idle--;
+    void *job = g_queue_pop_head(&w->jobs);
+    pthread_mutex_unlock(&w->mutex);
+    return job;
+}
+
+static void *
+work(void *arg)
+{
+    GwWorkers *w = arg;
+    void *job;
+    while ((job = next_job(w)) != NULL) {
+        w->run(job, w->ctx);
+    }
+    return NULL;
+}
+
+/* Called with the mutex. A thread is added while more jobs wait than threads
+ * are idle: a job must not wait behind a blocked one when it need not. */
+static void
+add_thread_if_short(GwWorkers *w)
+{
+    pthread_t thread;
+    if (w->jobs.length <= w->idle || w->threads->len >= w->threads_max) {
+        return;
+    }
+    if (pthread_create(&thread, NULL, work, w) == 0) {
+        g_array_append_val(w->threads, thread);
+    }
+}
+
+void
+GwWorkers_Push(GwWorkers *w, void *job)
+{
+    pthread_mutex_lock(&w->mutex);
+    g_queue_push_tail(&w->jobs, job);
+    add_thread_if_short(w);
+    pthread_cond_signal(&w->wake);
+    pthread_mutex_unlock(&w->mutex);
+}
+
+uint32_t
+GwWorkers_Waiting(GwWorkers *w)
+{
+    pthread_mutex_lock(&w->mutex);
+    uint32_t waiting = w->jobs.length;
+    pthread_mutex_unlock(&w->mutex);
+    return waiting;
+}
+
+/* Nothing may be pushed any more, except by jobs that still run. */
+void
+GwWorkers_Free(GwWorkers *w)
+{
+    if (w == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&w->mutex);
+    w->stop = true;
+    pthread_cond_broadcast(&w->wake);
+    pthread_mutex_unlock(&w->mutex);
+    for (guint i = 0; i < w->threads->len; i++) {
+        pthread_join(g_array_index(w->threads, pthread_t, i), NULL);
+    }
+    g_array_free(w->threads, TRUE);
+    pthread_cond_destroy(&w->wake);
+    pthread_mutex_destroy(&w->mutex);
+    g_free(w);
+}
