Add membership: probes, suspicion, gossip and digests

Cause: every other package needs to know who is in the cluster. Change: lib/member, pure decision code after SWIM, with refutation, healing after partitions, bounded digests and candidates seen only once heard.

--- /dev/null
+++ b/lib/member/digests.c
@@ -0,0 +1,125 @@
+/* Load digests: stored in bounded number, carried in bounded number. */
+#include "member/member_internal.h"
+
+/* A digest of a foreign member not renewed for this long makes room. */
+#define GW_DIGEST_STALE_US 10000000LL
+
+static GwForeignDigests *
+foreign_region(GwMembers *m, uint32_t region)
+{
+    for (uint32_t i = 0; i < m->foreign_count; i++) {
+        if (m->foreign[i].region == region) {
+            return &m->foreign[i];
+        }
+    }
+    if (m->foreign_count == GW_MAX_REGIONS) {
+        return NULL;
+    }
+    GwForeignDigests *f = &m->foreign[m->foreign_count++];
+    *f = (GwForeignDigests){.region = region};
+    return f;
+}
+
+/* Whether digests of this member are stored. All of the own region are; of
+ * another region a few, which is enough to choose whom to ask there and keeps
+ * the memory small at hundreds of members. */
+static bool
+may_store(GwMembers *m, int64_t now_us, const GwRecord *r)
+{
+    if (r->pub.info.region == m->self.region) {
+        return true;
+    }
+    GwForeignDigests *f = foreign_region(m, r->pub.info.region);
+    uint32_t place = GW_FOREIGN_DIGESTS_MAX;
+
+    for (uint32_t i = 0; f != NULL && i < GW_FOREIGN_DIGESTS_MAX; i++) {
+        if (f->nodes[i] == r->pub.info.id.node) {
+            return true;
+        }
+        GwRecord *holder = GwMembers_Record(m, f->nodes[i]);
+        if (holder == NULL || holder->said != GW_MEMBER_ALIVE ||
+            now_us - holder->digest_us > GW_DIGEST_STALE_US) {
+            place = i;
+        }
+    }
+    if (f == NULL || place == GW_FOREIGN_DIGESTS_MAX) {
+        return false;
+    }
+    GwRecord *old = GwMembers_Record(m, f->nodes[place]);
+    if (old != NULL) {
+        old->digest_count = 0;
+    }
+    f->nodes[place] = r->pub.info.id.node;
+    return true;
+}
+
+static GwDigest *
+find_digest(const GwRecord *r, uint64_t service)
+{
+    for (uint32_t i = 0; i < r->digest_count; i++) {
+        if (r->digests[i].service == service) {
+            return &r->digests[i];
+        }
+    }
+    return NULL;
+}
+
+/* Keeps the newest digest by (node, service); of the present start only. */
+void
+GwMembers_StoreDigest(GwMembers *m, int64_t now_us, const GwDigest *d)
+{
+    GwRecord *r = GwMembers_Record(m, d->id.node);
+
+    if (r == NULL || r->said == GW_MEMBER_DEAD ||
+        r->pub.info.id.start != d->id.start || !may_store(m, now_us, r)) {
+        return;
+    }
+    GwDigest *known = find_digest(r, d->service);
+    if (known != NULL && known->seq >= d->seq) {
+        return;
+    }
+    if (known == NULL) {
+        if (r->digest_count == GW_MAX_SERVICES) {
+            return;
+        }
+        if (r->digests == NULL) {
+            r->digests = g_new0(GwDigest, GW_MAX_SERVICES);
+        }
+        known = &r->digests[r->digest_count++];
+    }
+    *known = *d;
+    r->digest_us = now_us;
+}
+
+/* Own digests always; then some known ones, drawn at random. Another region
+ * gets fewer: it asks only one or two members of ours. */
+void
+GwMembers_FillDigests(GwMembers *m, const GwRecord *to, const GwCargo *cargo,
+                      GwHeartbeat *hb)
+{
+    bool near = to != NULL && to->pub.info.region == m->self.region;
+    uint32_t want = near ? 8 : 2;
+
+    for (uint32_t i = 0; i < cargo->digest_count && i < GW_DIGESTS_MAX; i++) {
+        hb->digests[hb->digest_count++] = cargo->digests[i];
+    }
+    for (uint32_t i = 0; i < want && m->visible > 0; i++) {
+        const GwRecord *r =
+            g_ptr_array_index(m->records, GwRng_Below(&m->rng, m->visible));
+        if (r == to || r->said == GW_MEMBER_DEAD || r->digest_count == 0 ||
+            hb->digest_count >= GW_DIGESTS_MAX) {
+            continue;
+        }
+        hb->digests[hb->digest_count++] =
+            r->digests[GwRng_Below(&m->rng, r->digest_count)];
+    }
+}
+
+/* Newest digest of a member for a service, or NULL. */
+const GwDigest *
+GwMembers_Digest(const GwMembers *m, uint64_t node, uint64_t service)
+{
+    const GwRecord *r = GwMembers_Record(m, node);
+
+    return r == NULL ? NULL : find_digest(r, service);
+}
