Add seats: claims, the fence, reclaims and handovers

Cause: limits must hold across entries with no coordination service. Change: lib/steer/seat*.c. The row is the only authority: all writes are conditional, lost answers are found out by reading, a notice on a row stops its use until the objection is confirmed.

--- /dev/null
+++ b/lib/steer/seat_rows.c
@@ -0,0 +1,145 @@
+/* Rows of seats: their text, and the requests that read and write them. */
+#include "steer/seats_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Tokens of writes carry the seat plus one, so that an answer finds it. */
+#define SEAT_SHIFT 40
+
+void
+GwSeats_Key(const GwSeats *s, uint32_t seat, char out[GW_ROW_KEY_MAX])
+{
+    g_snprintf(out, GW_ROW_KEY_MAX, GW_KEY_SEAT_PREFIX "%s/%04u",
+               s->params.region, seat);
+}
+
+/* Whether the row names this very start as the holder. */
+bool
+GwSeats_IsOwn(const GwSeats *s, const GwSeatRow *row)
+{
+    return row->version != 0 && !row->bad &&
+           GwNodeId_Equal(row->holder, s->params.id);
+}
+
+/* Reads "<node> <start> <claim> <held|notice> <notice by> <name>". A value
+ * that is something else is marked bad: held by nobody known, and not free. */
+void
+GwSeatRow_Parse(const GwRow *row, GwSeatRow *out)
+{
+    g_autofree char *text = g_strndup(row->value, row->len);
+    g_auto(GStrv) words = g_strsplit(text, " ", -1);
+
+    *out = (GwSeatRow){.version = row->version, .bad = true};
+    if (g_strv_length(words) != 6 ||
+        !g_ascii_string_to_unsigned(words[0], 16, 0, UINT64_MAX,
+                                    &out->holder.node, NULL) ||
+        !g_ascii_string_to_unsigned(words[1], 16, 0, UINT64_MAX,
+                                    &out->holder.start, NULL) ||
+        !g_ascii_string_to_unsigned(words[2], 10, 0, UINT64_MAX, &out->claim,
+                                    NULL) ||
+        !g_ascii_string_to_unsigned(words[4], 16, 0, UINT64_MAX,
+                                    &out->notice_by, NULL)) {
+        return;
+    }
+    out->notice = strcmp(words[3], "notice") == 0;
+    out->bad = !out->notice && strcmp(words[3], "held") != 0;
+    g_strlcpy(out->name, words[5], GW_NAME_MAX);
+}
+
+static char *
+format_row(const GwSeatRow *row)
+{
+    return g_strdup_printf(
+        "%016" PRIx64 " %016" PRIx64 " %" PRIu64 " %s %016" PRIx64 " %s",
+        row->holder.node, row->holder.start, row->claim,
+        row->notice ? "notice" : "held", row->notice_by, row->name);
+}
+
+/* The row after the write: `base` as changed by `op`. */
+static GwSeatRow
+row_after(const GwSeats *s, GwSeatOp op, const GwSeatRow *base)
+{
+    GwSeatRow row = *base;
+
+    row.bad = false;
+    row.notice = false;
+    row.notice_by = 0;
+    switch (op) {
+    case GW_SEAT_OP_NOTICE:
+        row.notice = true;
+        row.notice_by = s->params.id.node;
+        break;
+    case GW_SEAT_OP_FREE:
+        row.holder = (GwNodeId){0};
+        g_strlcpy(row.name, "-", GW_NAME_MAX);
+        break;
+    case GW_SEAT_OP_CLAIM:
+    case GW_SEAT_OP_RESUME:
+    case GW_SEAT_OP_TAKE:
+        row.holder = s->params.id;
+        row.claim++;
+        g_strlcpy(row.name, s->params.name, GW_NAME_MAX);
+        break;
+    case GW_SEAT_OP_OBJECT:
+    case GW_SEAT_OP_NONE:
+        break;
+    }
+    return row;
+}
+
+/* Sends a write of the seat, conditional on the version of `base`. One write
+ * of a seat is in flight at a time. */
+void
+GwSeats_Write(GwSeats *s, int64_t now_us, uint32_t seat, GwSeatOp op,
+              const GwSeatRow *base, GwActions *out)
+{
+    GwSeat *t = &s->seats[seat];
+    GwTableRequest *request = g_new0(GwTableRequest, 1);
+
+    t->write.op = op;
+    t->write.row = row_after(s, op, base);
+    t->write.sent_us = now_us;
+    t->write.token =
+        GW_TOKEN_SEATS | ((uint64_t)(seat + 1) << SEAT_SHIFT) | ++s->counter;
+    request->token = t->write.token;
+    request->op = GW_TABLE_TXN;
+    request->row_count = 1;
+    request->rows[0].version = base->version;
+    GwSeats_Key(s, seat, request->rows[0].key);
+    request->rows[0].value = format_row(&t->write.row);
+    request->rows[0].len = (uint32_t)strlen(request->rows[0].value);
+    GwActions_Add(out, GW_ACTION_TABLE)->u.table = request;
+}
+
+/* Reads all rows of the region; slower while the table does not answer. */
+void
+GwSeats_List(GwSeats *s, int64_t now_us, GwActions *out)
+{
+    GwTableRequest *request = g_new0(GwTableRequest, 1);
+    int64_t poll_us = ((int64_t)s->params.seat_poll_ms * 1000)
+                      << MIN(s->fails, GW_SEAT_BACKOFF_MAX);
+
+    s->list.token = GW_TOKEN_SEATS | ++s->counter;
+    s->list.sent_us = now_us;
+    s->next_list_us =
+        now_us + GwRng_Jitter(&s->rng, poll_us * 3 / 4, poll_us / 2);
+    request->token = s->list.token;
+    request->op = GW_TABLE_LIST;
+    request->row_count = 1;
+    g_snprintf(request->rows[0].key, GW_ROW_KEY_MAX, GW_KEY_SEAT_PREFIX "%s/",
+               s->params.region);
+    GwActions_Add(out, GW_ACTION_TABLE)->u.table = request;
+}
+
+/* A reading before its time: something waits for it. Not sooner than the
+ * backoff allows while the table is away. */
+void
+GwSeats_ListSoon(GwSeats *s, int64_t now_us)
+{
+    if (s->fails == 0) {
+        int64_t soon_us = now_us + GwRng_Jitter(&s->rng, GW_SEAT_SOON_US,
+                                                2 * GW_SEAT_SOON_US);
+        s->next_list_us = MIN(s->next_list_us, soon_us);
+    }
+}
