--- a/lib/steer/seats.c
+++ b/lib/steer/seats.c
@@ -73,10 +73,12 @@
 static void
 expire(GwSeats *s, int64_t now_us)
 {
+#if GW_MUTANT != 51
     if (s->list.token != 0 && now_us - s->list.sent_us > GW_SEAT_REQUEST_US) {
         s->list.token = 0;
         s->fails++;
     }
+#endif
     for (uint32_t i = 0; i < s->high; i++) {
         GwSeat *t = &s->seats[i];
         if (t->write.op != GW_SEAT_OP_NONE &&
