Steer calls onto slot units, loans and grants

Cause: the request machine needs a choice of backend server or peer that holds slots, shift caps and link limits as hard facts. No test has run yet.

--- /dev/null
+++ b/lib/steer/borrow.c
@@ -0,0 +1,343 @@
+/* The borrower's side of loans: asks, what was given, and its return. */
+#include "steer/steer_internal.h"
+
+#include <string.h>
+
+GwBorrowed *
+GwSteer_FindBorrowed(const GwSteer *s, uint64_t loan)
+{
+    for (guint i = 0; i < s->borrowed->len; i++) {
+        GwBorrowed *b = &g_array_index(s->borrowed, GwBorrowed, i);
+        if (b->id == loan) {
+            return b;
+        }
+    }
+    return NULL;
+}
+
+/* Units of the place that a new call could use at once. */
+uint32_t
+GwSteer_FreeUnits(const GwServiceState *service, int64_t now_us)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        const GwBackendState *b = service->backends[i];
+        if (GwBackend_TakesWork(b, now_us)) {
+            count += b->own_free_count + b->borrowed_free_count;
+        }
+    }
+    return count;
+}
+
+static bool
+was_tried(const GwAsking *asking, uint64_t node)
+{
+    for (uint32_t i = 0; i < asking->tried_count; i++) {
+        if (asking->tried[i] == node) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+in_regions(const GwSteer *s, uint32_t region_hash, uint32_t regions)
+{
+    for (uint32_t r = 0; r < s->config->region_count; r++) {
+        if ((regions & 1u << r) != 0 && s->region_hash[r] == region_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The member whose digest shows most idle units. One without a digest comes
+ * last: it may have some; one that says it has none is not asked. */
+static const GwMember *
+best_lender(const GwSteer *s, const GwMembers *members, const GwAsking *asking,
+            uint32_t regions, uint64_t service)
+{
+    const GwMember *best = NULL;
+    uint32_t best_free = 0;
+
+    for (uint32_t i = 0; i < GwMembers_Count(members); i++) {
+        const GwMember *m = GwMembers_At(members, i);
+        uint64_t node = m->info.id.node;
+        if (m->info.state != GW_MEMBER_ALIVE || was_tried(asking, node) ||
+            node == s->params.id.node ||
+            !in_regions(s, m->info.region, regions)) {
+            continue;
+        }
+        const GwDigest *digest = GwMembers_Digest(members, node, service);
+        if (digest != NULL && digest->free_slots == 0) {
+            continue;
+        }
+        uint32_t idle = digest != NULL ? digest->free_slots : 0;
+        if (best == NULL || idle > best_free) {
+            best = m;
+            best_free = idle;
+        }
+    }
+    return best;
+}
+
+/* Sends one ask to the next member of `regions` (a bit per region index).
+ * False when the round is over: nobody is left to ask for a short time. */
+bool
+GwSteer_SendAsk(GwSteer *s, int64_t now_us, const GwMembers *members,
+                GwAsking *asking, uint32_t regions, GwLoanAsk *ask,
+                GwActions *out)
+{
+    const GwMember *m = NULL;
+
+    if (asking->tried_count < GW_TRIED_MAX) {
+        m = best_lender(s, members, asking, regions, ask->service);
+    }
+    if (m == NULL) {
+        asking->tried_count = 0;
+        asking->next_us =
+            now_us + GwRng_Jitter(&s->rng, GW_ASK_PAUSE_US, GW_ASK_PAUSE_US);
+        return false;
+    }
+    s->seq++;
+    ask->seq = s->seq_base + s->seq;
+    asking->seq = ask->seq;
+    asking->peer = m->info.id;
+    asking->asked_us = now_us;
+    asking->tried[asking->tried_count++] = m->info.id.node;
+    GwMessage *msg =
+        GwSteer_SendTo(s, members, m->info.id, GW_MSG_LOAN_ASK, out);
+    if (msg != NULL) {
+        msg->u.ask = *ask;
+    }
+    return true;
+}
+
+static void
+ask_for_slots(GwSteer *s, int64_t now_us, GwServiceState *service,
+              uint32_t queued, const GwMembers *members, GwActions *out)
+{
+    GwAsking *asking = &service->slots;
+    uint32_t idle = GwSteer_FreeUnits(service, now_us);
+
+    if (asking->seq != 0 && now_us - asking->asked_us < GW_ASK_TIMEOUT_US) {
+        return;
+    }
+    asking->seq = 0;
+    if (queued <= idle || now_us < asking->next_us) {
+        return;
+    }
+    uint32_t want = queued - idle;
+    GwLoanAsk ask = {.service = service->hash,
+                     .from_region = s->region_hash[s->region],
+                     .count = want < GW_UNITS_MAX ? want : GW_UNITS_MAX,
+                     .kind = GW_UNIT_SLOT};
+    if (!GwSteer_SendAsk(s, now_us, members, asking, 1u << s->region, &ask,
+                         out)) {
+        service->dry_us = now_us;
+    }
+}
+
+static void
+send_return(GwSteer *s, const GwMembers *members, GwNodeId to, uint64_t loan,
+            uint32_t unit_count, const GwUnit *units, GwActions *out)
+{
+    GwMessage *msg = GwSteer_SendTo(s, members, to, GW_MSG_LOAN_RETURN, out);
+
+    if (msg == NULL) {
+        return;
+    }
+    msg->u.giveback.loan = loan;
+    msg->u.giveback.unit_count = unit_count;
+    memcpy(msg->u.giveback.units, units, unit_count * sizeof(GwUnit));
+}
+
+/* A GIVE that no ask waits for: late, or a copy. The ask may have been made
+ * long ago, so its units are not used. They go back when this start asked for
+ * them and does not have them; a copy of a loan that is here must not be
+ * answered with a return while calls run on it. */
+static void
+refuse_give(GwSteer *s, const GwMessage *msg, const GwMembers *members,
+            GwActions *out)
+{
+    const GwLoanGive *give = &msg->u.give;
+    bool asked = give->seq > s->seq_base && give->seq <= s->seq_base + s->seq;
+
+#if GW_MUTANT == 24 /* breaks: no return while calls run on the loan */
+    bool here = false;
+#else
+    bool here = GwSteer_FindBorrowed(s, give->loan) != NULL;
+#endif
+    if (asked && !here && give->unit_count > 0) {
+        send_return(s, members, msg->from, give->loan, give->unit_count,
+                    give->units, out);
+    }
+}
+
+static void
+mark_slots(GwSteer *s, int64_t now_us, const GwBorrowed *b, bool on)
+{
+    for (uint32_t i = 0; i < b->unit_count; i++) {
+        GwBackendState *backend = GwSteer_Backend(s, b->units[i].owner);
+        uint32_t slot = b->units[i].index;
+        if (backend == NULL || slot >= backend->slot_capacity) {
+            continue;
+        }
+        GwSlot *unit = &backend->slots[slot];
+        if (on && unit->borrowed == 0) {
+            unit->borrowed = b->id;
+            unit->borrowed_until_us = b->use_until_us;
+        }
+        if (!on && unit->borrowed == b->id) {
+            unit->borrowed = 0;
+        }
+        GwBackend_RefreshSlot(backend, slot, now_us);
+    }
+}
+
+/* Takes in the units of an answer to the outstanding ask; true when some can
+ * be used. Time counts from the ask: the answer may have waited anywhere. */
+bool
+GwSteer_LoanGiven(GwSteer *s, int64_t now_us, const GwMessage *msg,
+                  const GwMembers *members, GwActions *out)
+{
+    const GwLoanGive *give = &msg->u.give;
+    GwServiceState *service = GwSteer_ServiceOf(s, give->service);
+
+    if (service == NULL || give->unit_count > GW_UNITS_MAX) {
+        return false;
+    }
+    GwAsking *asking =
+        give->kind == GW_UNIT_SLOT ? &service->slots : &service->grants;
+    bool expected = asking->seq != 0 && asking->seq == give->seq &&
+                    GwNodeId_Equal(asking->peer, msg->from);
+#if GW_MUTANT == 25 /* breaks: a late or copied GIVE is not used */
+    expected = GwSteer_FindBorrowed(s, give->loan) == NULL;
+    asking->asked_us = now_us;
+#endif
+    if (!expected) {
+        refuse_give(s, msg, members, out);
+        return false;
+    }
+    asking->seq = 0;
+    if (give->unit_count == 0) {
+        return false;
+    }
+    asking->tried_count = 0;
+    int64_t span_ms = (int64_t)give->term_ms - s->params.loan_margin_ms;
+    GwBorrowed b = {.id = give->loan,
+                    .kind = give->kind,
+                    .peer = msg->from,
+                    .service = give->service,
+                    .use_until_us = asking->asked_us + GW_MS(span_ms),
+                    .used_us = now_us,
+                    .unit_count = give->unit_count};
+    memcpy(b.units, give->units, sizeof(b.units));
+    b.dropped = s->fenced || s->leaving;
+    g_array_append_val(s->borrowed, b);
+    if (b.kind == GW_UNIT_SLOT && !b.dropped) {
+        mark_slots(s, now_us, &b, true);
+    }
+    return !b.dropped;
+}
+
+static bool
+is_busy(const GwSteer *s, const GwBorrowed *b)
+{
+    if (b->kind == GW_UNIT_SHIFT) {
+        return b->busy != 0;
+    }
+    for (uint32_t i = 0; i < b->unit_count; i++) {
+        const GwBackendState *backend = GwSteer_Backend(s, b->units[i].owner);
+        uint32_t slot = b->units[i].index;
+        if (backend != NULL && slot < backend->slot_capacity &&
+            backend->slots[slot].in_use) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* No new work on one loan; calls on it run out. */
+void
+GwSteer_DropLoan(GwSteer *s, int64_t now_us, uint64_t loan)
+{
+    GwBorrowed *b = GwSteer_FindBorrowed(s, loan);
+
+    if (b != NULL && !b->dropped) {
+        b->dropped = true;
+        mark_slots(s, now_us, b, false);
+    }
+}
+
+/* After a fence: this process was away for a time it cannot tell, so nothing
+ * that it was lent carries new work. */
+void
+GwSteer_DropBorrowed(GwSteer *s, int64_t now_us)
+{
+    for (guint i = 0; i < s->borrowed->len; i++) {
+        GwBorrowed *b = &g_array_index(s->borrowed, GwBorrowed, i);
+        GwSteer_DropLoan(s, now_us, b->id);
+    }
+}
+
+static bool
+wants_it(const GwSteer *s, const GwBorrowed *b, const uint32_t *queued)
+{
+    const GwServiceState *service = GwSteer_ServiceOf(s, b->service);
+
+    if (b->dropped || service == NULL || service->index == GW_NONE) {
+        return false;
+    }
+    return queued != NULL && queued[service->index] > 0;
+}
+
+/* Returns loans of which no unit was in use for `idle_us` and that no waiting
+ * call wants; forgets those that have run out. */
+void
+GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, int64_t idle_us,
+                   const GwMembers *members, const uint32_t *queued,
+                   GwActions *out)
+{
+    for (guint i = s->borrowed->len; i-- > 0;) {
+        GwBorrowed *b = &g_array_index(s->borrowed, GwBorrowed, i);
+        bool over = b->use_until_us <= now_us;
+        bool idle = now_us - b->used_us >= idle_us || b->dropped;
+#if GW_MUTANT != 27 /* breaks: no return while calls run on the loan */
+        if (is_busy(s, b)) {
+            if (over) {
+                GwSteer_DropLoan(s, now_us, b->id);
+            }
+            continue;
+        }
+#endif
+        if (!over && (!idle || wants_it(s, b, queued))) {
+            continue;
+        }
+        if (!over) {
+            send_return(s, members, b->peer, b->id, b->unit_count, b->units,
+                        out);
+        }
+        GwSteer_DropLoan(s, now_us, b->id);
+        g_array_remove_index_fast(s->borrowed, i);
+    }
+}
+
+/* Expiry, returns, and asks for what is waited for. */
+void
+GwSteer_LoansTick(GwSteer *s, int64_t now_us, const GwMembers *members,
+                  const uint32_t *queued, GwActions *out)
+{
+    GwSteer_ExpireLent(s, now_us);
+    GwSteer_ReturnIdle(s, now_us, GW_LOAN_IDLE_US, members, queued, out);
+    if (s->leaving || s->fenced || s->params.policy != GW_POLICY_SLOTS) {
+        return;
+    }
+    for (uint32_t i = 0; i < s->config->service_count; i++) {
+        GwServiceState *service = s->by_index[i];
+        if (service->has_place) {
+            ask_for_slots(s, now_us, service, queued[i], members, out);
+        }
+    }
+}
--- /dev/null
+++ b/lib/steer/choose.c
@@ -0,0 +1,181 @@
+/* Which backend server of the local place takes a call. */
+#include "steer/steer_internal.h"
+
+/* Whether the place has no server that takes new work and is not leaving. */
+bool
+GwService_AllDraining(const GwServiceState *service, int64_t now_us)
+{
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        if (!GwBackend_IsDraining(service->backends[i], now_us)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether more than half of the servers are ejected. Then the fault is more
+ * likely ours or everyone's, and the rest would break under all the load: all
+ * are candidates again. */
+static bool
+is_panic(const GwServiceState *service, int64_t now_us)
+{
+    uint32_t ejected = 0;
+
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        ejected += GwBackend_IsEjected(service->backends[i], now_us);
+    }
+    return ejected * 2 > service->backend_count;
+}
+
+/* Whether the policy lets this entry start one more call there. */
+static bool
+has_room(const GwSteer *s, const GwBackendState *b, int64_t deadline_us)
+{
+    switch ((GwPolicyKind)s->params.policy) {
+    case GW_POLICY_SLOTS:
+        return b->own_free_count > 0 ||
+               (b->borrowed_free_count > 0 &&
+                GwBackend_FindSlot(b, deadline_us) != GW_NONE);
+    case GW_POLICY_TWO:
+        return b->in_flight < b->slot_count;
+    case GW_POLICY_SUBSET:
+        return b->in_subset && b->in_flight < b->slot_count;
+    }
+    return false;
+}
+
+/* Expected cost of one more call: latency times queue, raised by failures in
+ * a row, and by the ramp of a slow start. Lower is better. */
+static uint64_t
+cost_of(const GwServiceState *service, const GwBackendState *b, int64_t now_us)
+{
+    int64_t latency_us = b->latency_us;
+
+    if (latency_us == 0) {
+        latency_us = service->latency_us;
+    }
+    if (latency_us == 0) {
+        latency_us = GW_LATENCY_START_US;
+    }
+    uint64_t load = GwBackend_Load(b, now_us) + 1;
+    uint64_t cost = (uint64_t)latency_us * load * (1 + b->failures);
+    cost = cost * GW_WEIGHT_FULL / GwBackend_Weight(b, now_us);
+    return cost * 64 / (b->slot_count + 1);
+}
+
+static uint32_t
+gather(GwSteer *s, int64_t now_us, GwServiceState *service,
+       const GwPickAsk *ask, bool avoid)
+{
+    bool panic = is_panic(service, now_us);
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        GwBackendState *b = service->backends[i];
+        if (!has_room(s, b, ask->deadline_us) ||
+            GwBackend_IsDraining(b, now_us) || b->shed_until_us > now_us) {
+            continue;
+        }
+        if (!panic && GwBackend_IsEjected(b, now_us)) {
+            continue;
+        }
+        if (avoid && b->id == ask->avoid_backend) {
+            continue;
+        }
+        service->scratch[count++] = b;
+    }
+    return count;
+}
+
+/* The better of two random candidates. Choosing the best of all would send
+ * every entry to the one server that the same late report shows idle. */
+static GwBackendState *
+better_of_two(GwSteer *s, int64_t now_us, const GwServiceState *service,
+              uint32_t count)
+{
+    if (count == 1) {
+        return service->scratch[0];
+    }
+    uint32_t i = GwRng_Below(&s->rng, count);
+    uint32_t j = GwRng_Below(&s->rng, count - 1);
+    if (j >= i) {
+        j++;
+    }
+    GwBackendState *a = service->scratch[i];
+    GwBackendState *b = service->scratch[j];
+    uint64_t cost_a = cost_of(service, a, now_us);
+    uint64_t cost_b = cost_of(service, b, now_us);
+    return cost_b < cost_a ? b : a;
+}
+
+static GwBackendState *
+least_in_flight(GwSteer *s, const GwServiceState *service, uint32_t count)
+{
+    uint32_t start = GwRng_Below(&s->rng, count);
+    GwBackendState *best = service->scratch[start];
+
+    for (uint32_t i = 1; i < count; i++) {
+        GwBackendState *b = service->scratch[(start + i) % count];
+        if (b->in_flight < best->in_flight) {
+            best = b;
+        }
+    }
+    return best;
+}
+
+/* A server with room for the call, or NULL. The server that an earlier
+ * attempt used is passed over only while another has room. */
+GwBackendState *
+GwSteer_Choose(GwSteer *s, int64_t now_us, GwServiceState *service,
+               const GwPickAsk *ask)
+{
+    uint32_t count = gather(s, now_us, service, ask, ask->avoid_backend != 0);
+
+    if (count == 0 && ask->avoid_backend != 0) {
+        count = gather(s, now_us, service, ask, false);
+    }
+    if (count == 0) {
+        return NULL;
+    }
+    switch ((GwPolicyKind)s->params.policy) {
+    case GW_POLICY_SLOTS:
+    case GW_POLICY_TWO:
+        return better_of_two(s, now_us, service, count);
+    case GW_POLICY_SUBSET:
+        return least_in_flight(s, service, count);
+    }
+    return NULL;
+}
+
+static uint64_t
+rendezvous(uint64_t node, uint64_t backend)
+{
+    GwRng rng = GwRng_Make(node ^ (backend * 0x9e3779b97f4a7c15ULL));
+
+    return GwRng_Next(&rng);
+}
+
+/* Marks the servers this entry uses under SUBSET: twice its even share, at
+ * least three, the highest by rendezvous hash, so that a change of one server
+ * moves one member of the subset. */
+void
+GwSteer_Subset(GwSteer *s, GwServiceState *service)
+{
+    uint32_t n = service->backend_count;
+    uint32_t entries = s->entries == 0 ? 1 : s->entries;
+    uint32_t want = (2 * n + entries - 1) / entries;
+
+    if (want < 3) {
+        want = 3;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        GwBackendState *b = service->backends[i];
+        uint64_t mine = rendezvous(s->params.id.node, b->id);
+        uint32_t above = 0;
+        for (uint32_t j = 0; j < n; j++) {
+            uint64_t id = service->backends[j]->id;
+            above += rendezvous(s->params.id.node, id) > mine;
+        }
+        b->in_subset = above < want;
+    }
+}
--- /dev/null
+++ b/lib/steer/steer.c
@@ -0,0 +1,558 @@
+/* The facade of the steering package: configuration, the seats' say on every
+ * unit, and one entry point for each event. */
+#include "steer/steer_internal.h"
+
+#include <string.h>
+
+/* The policies other than SLOTS are kept for comparison only: they have no
+ * hard shares, and a server's connections are then bounded by `slots` per
+ * entry. Under SLOTS a server has at most `slots` calls over all entries,
+ * which bounds its connections too. */
+
+static void
+free_backend(gpointer data)
+{
+    GwBackendState *b = data;
+
+    g_free(b->slots);
+    g_free(b);
+}
+
+static void
+free_cap(gpointer data)
+{
+    GwCapState *cap = data;
+
+    g_free(cap->units);
+    g_free(cap);
+}
+
+static void
+free_service(gpointer data)
+{
+    GwServiceState *service = data;
+
+    g_free(service->backends);
+    g_free(service->scratch);
+    g_free(service);
+}
+
+/* Sequence and loan numbers start from a value made of node and start, so
+ * that a message to an earlier start of this entry matches nothing here. */
+static uint64_t
+seq_base_of(GwNodeId id)
+{
+    GwRng rng = GwRng_Make(id.node ^ (id.start * 0x9e3779b97f4a7c15ULL));
+
+    return GwRng_Next(&rng) & 0x7fffffff00000000ULL;
+}
+
+GwSteer *
+GwSteer_Create(const GwNodeParams *params)
+{
+    GwSteer *s = g_new0(GwSteer, 1);
+
+    s->params = *params;
+    s->region = GW_NONE;
+    s->rng = GwRng_Make(params->seed);
+    s->seq_base = seq_base_of(params->id);
+    s->entries = 1;
+    s->use_free = GW_NONE;
+    s->by_id =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_backend);
+    s->services = g_ptr_array_new_with_free_func(free_service);
+    s->lent = g_array_new(FALSE, FALSE, sizeof(GwLent));
+    s->borrowed = g_array_new(FALSE, FALSE, sizeof(GwBorrowed));
+    s->shifts = g_ptr_array_new_with_free_func(free_cap);
+    s->links = g_ptr_array_new_with_free_func(free_cap);
+    return s;
+}
+
+void
+GwSteer_Free(GwSteer *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    g_hash_table_destroy(s->by_id);
+    g_ptr_array_free(s->services, TRUE);
+    g_array_free(s->lent, TRUE);
+    g_array_free(s->borrowed, TRUE);
+    g_ptr_array_free(s->shifts, TRUE);
+    g_ptr_array_free(s->links, TRUE);
+    g_free(s->uses);
+    g_free(s);
+}
+
+static void
+sync_units(const GwSeats *seats, GwSlot *units, uint32_t cap, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        units[i].own = i < cap && GwSeats_Usable(seats, units[i].seat);
+    }
+}
+
+static void
+sync_caps(const GwSeats *seats, const GPtrArray *caps)
+{
+    for (guint i = 0; i < caps->len; i++) {
+        GwCapState *cap = g_ptr_array_index(caps, i);
+        sync_units(seats, cap->units, cap->cap, cap->capacity);
+    }
+}
+
+/* Brings the units in line with the seats before any decision. A paused
+ * process wakes believing that its units are its own; the fence says no here,
+ * before the first call is started on them. */
+static void
+sync_seats(GwSteer *s, int64_t now_us, const GwSeats *seats)
+{
+    uint64_t epoch = GwSeats_Epoch(seats);
+    bool fenced = GwSeats_IsFenced(seats);
+    GHashTableIter iter;
+    gpointer value;
+
+    if (s->config == NULL ||
+        (s->synced && epoch == s->epoch && fenced == s->fenced)) {
+        return;
+    }
+#if GW_MUTANT == 32 /* breaks: a fenced or lost seat's units are not used */
+    if (s->synced) {
+        return;
+    }
+#endif
+    s->synced = true;
+    s->epoch = epoch;
+    s->fenced = fenced;
+    s->came_free = true;
+    if (fenced) {
+        GwSteer_DropBorrowed(s, now_us);
+    }
+    g_hash_table_iter_init(&iter, s->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwBackendState *b = value;
+        sync_units(seats, b->slots, b->slot_count, b->slot_capacity);
+        GwBackend_RefreshAll(b, now_us);
+    }
+    sync_caps(seats, s->shifts);
+    sync_caps(seats, s->links);
+}
+
+static void
+mark_busy(const GwSlot *units, uint32_t count, bool *busy)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if ((units[i].in_use || units[i].lent != 0) &&
+            units[i].seat < GW_SEATS_MAX) {
+            busy[units[i].seat] = true;
+        }
+    }
+}
+
+/* Which seats have a unit in use or out on loan. */
+static void
+find_busy(const GwSteer *s, bool busy[GW_SEATS_MAX])
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    memset(busy, 0, GW_SEATS_MAX * sizeof(bool));
+    g_hash_table_iter_init(&iter, s->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwBackendState *b = value;
+        mark_busy(b->slots, b->slot_capacity, busy);
+    }
+    for (guint i = 0; i < s->shifts->len; i++) {
+        const GwCapState *cap = g_ptr_array_index(s->shifts, i);
+        mark_busy(cap->units, cap->capacity, busy);
+    }
+    for (guint i = 0; i < s->links->len; i++) {
+        const GwCapState *cap = g_ptr_array_index(s->links, i);
+        mark_busy(cap->units, cap->capacity, busy);
+    }
+}
+
+/* Lets a seat that is being given away go once nothing of it is in use: else
+ * its next holder would start a call on a unit that still runs one here. */
+static void
+release_parting(GwSteer *s, int64_t now_us, GwSeats *seats,
+                const GwMembers *members, GwActions *out)
+{
+    bool busy[GW_SEATS_MAX];
+    bool found = false;
+
+    for (uint32_t seat = 0; seat < s->seat_total; seat++) {
+        if (!GwSeats_IsParting(seats, seat)) {
+            continue;
+        }
+        if (!found) {
+            find_busy(s, busy);
+            found = true;
+        }
+#if GW_MUTANT == 33 /* breaks: a seat goes only when its units are idle */
+        busy[seat] = false;
+#endif
+        if (!busy[seat]) {
+            GwSeats_Release(seats, now_us, seat, members, out);
+        }
+    }
+}
+
+static void
+tick_backends(GwSteer *s, int64_t now_us)
+{
+    for (uint32_t i = 0; i < s->config->service_count; i++) {
+        GwServiceState *service = s->by_index[i];
+        int64_t sum_us = 0;
+        uint32_t known = 0;
+        for (uint32_t j = 0; j < service->backend_count; j++) {
+            GwBackendState *b = service->backends[j];
+            s->came_free |= GwBackend_Tick(b, now_us);
+            sum_us += b->latency_us;
+            known += b->latency_us != 0;
+        }
+        service->latency_us = known > 0 ? sum_us / known : 0;
+    }
+}
+
+static void
+count_entries(GwSteer *s, const GwMembers *members)
+{
+    uint32_t count = 1;
+
+    for (uint32_t i = 0; i < GwMembers_Count(members); i++) {
+        const GwMember *m = GwMembers_At(members, i);
+        count += m->info.id.node != s->params.id.node &&
+                 m->info.state == GW_MEMBER_ALIVE &&
+                 m->info.region == s->region_hash[s->region];
+    }
+    if (count == s->entries) {
+        return;
+    }
+    s->entries = count;
+    for (uint32_t i = 0; i < s->config->service_count; i++) {
+        GwSteer_Subset(s, s->by_index[i]);
+    }
+}
+
+bool
+GwSteer_Tick(GwSteer *s, int64_t now_us, const GwMembers *members,
+             GwSeats *seats, const uint32_t *queued, GwActions *out)
+{
+    if (s->config == NULL || s->region == GW_NONE) {
+        return false;
+    }
+    sync_seats(s, now_us, seats);
+    s->came_free |= GwSteer_ReleaseHeld(s, now_us);
+    if (s->unblock_us != 0 && s->unblock_us <= now_us) {
+        s->unblock_us = 0;
+        s->came_free = true;
+        GwSteer_RefreshAll(s, now_us);
+    }
+    tick_backends(s, now_us);
+    count_entries(s, members);
+    GwSteer_LoansTick(s, now_us, members, queued, out);
+    GwSteer_GrantsTick(s, now_us, members, queued, out);
+    release_parting(s, now_us, seats, members, out);
+    bool came_free = s->came_free;
+    s->came_free = false;
+    return came_free;
+}
+
+bool
+GwSteer_Receive(GwSteer *s, int64_t now_us, const GwMessage *msg,
+                const GwMembers *members, GwSeats *seats,
+                const uint32_t *queued, GwActions *out)
+{
+    if (s->config == NULL || s->region == GW_NONE) {
+        return false;
+    }
+    sync_seats(s, now_us, seats);
+    switch (msg->kind) {
+    case GW_MSG_LOAN_ASK:
+        if (msg->u.ask.kind == GW_UNIT_SHIFT) {
+            GwSteer_GrantAsked(s, now_us, msg, members, queued, out);
+        }
+        else if (msg->u.ask.kind == GW_UNIT_SLOT) {
+            GwSteer_LoanAsked(s, now_us, msg, members, queued, out);
+        }
+        return false;
+    case GW_MSG_LOAN_GIVE:
+        return GwSteer_LoanGiven(s, now_us, msg, members, out);
+    case GW_MSG_LOAN_RETURN:
+        return GwSteer_LoanReturned(s, now_us, msg);
+    default:
+        return false;
+    }
+}
+
+static void
+refuse(GwPick *out, GwReason reason)
+{
+    out->kind = GW_PICK_REFUSE;
+    out->reason = reason;
+    out->retry_after_ms = GW_RETRY_HINT_MS;
+}
+
+static void
+start_here(GwSteer *s, int64_t now_us, GwServiceState *service,
+           GwBackendState *b, const GwPickAsk *ask, GwPick *out)
+{
+    GwUse *use = GwSteer_Take(s, now_us, service, &out->use);
+
+    use->backend = b;
+    b->in_flight++;
+    if (s->params.policy == GW_POLICY_SLOTS) {
+        use->slot = GwBackend_FindSlot(b, ask->deadline_us);
+        b->slots[use->slot].in_use = true;
+        GwBackend_RefreshSlot(b, use->slot, now_us);
+    }
+    GwLent *lent = ask->grant != 0 ? GwSteer_FindLent(s, ask->grant) : NULL;
+    if (ask->relayed && lent != NULL) {
+        use->lent = lent->id;
+        lent->in_flight++;
+    }
+    out->kind = GW_PICK_BACKEND;
+    out->backend = b->id;
+    memcpy(out->address, b->address, sizeof(out->address));
+}
+
+static bool
+can_ever_serve(const GwServiceState *service)
+{
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        if (service->backends[i]->slot_count > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* No unit is free now: wait where one can come free, else say why not. */
+static void
+wait_or_refuse(const GwSteer *s, int64_t now_us, const GwServiceState *service,
+               const GwPickAsk *ask, GwPick *out)
+{
+    if (!ask->relayed && GwSteer_HasShift(s, ask->service)) {
+        return;
+    }
+    if (!service->has_place) {
+        refuse(out, GW_REASON_NO_PLACE);
+    }
+    else if (!GwSteer_CanServe(s, now_us, ask->service)) {
+        refuse(out, GW_REASON_DRAINING);
+    }
+    else if (!can_ever_serve(service)) {
+        refuse(out, GW_REASON_NO_SLOT);
+    }
+}
+
+/* Chooses for one call and takes the unit. A relayed call runs here or not at
+ * all: a second relay could go in circles while its unit is counted twice. */
+void
+GwSteer_Pick(GwSteer *s, int64_t now_us, const GwPickAsk *ask,
+             const GwMembers *members, GwSeats *seats, GwPick *out)
+{
+    memset(out, 0, sizeof(*out));
+    if (s->config == NULL || s->region == GW_NONE ||
+        ask->service >= s->config->service_count) {
+        refuse(out,
+               s->config == NULL ? GW_REASON_NOT_READY : GW_REASON_NO_SERVICE);
+        return;
+    }
+    sync_seats(s, now_us, seats);
+    GwServiceState *service = s->by_index[ask->service];
+    if (ask->relayed && ask->grant != 0 &&
+        !GwSteer_GrantAdmits(s, now_us, ask)) {
+        refuse(out, GW_REASON_NO_GRANT);
+        return;
+    }
+    if (!ask->relayed && GwSteer_DrawsPercent(s, ask->service) &&
+        GwSteer_PickPeer(s, now_us, service, ask, members, out)) {
+        return;
+    }
+    GwBackendState *b = NULL;
+    if (service->has_place && !service->place_drain) {
+        b = GwSteer_Choose(s, now_us, service, ask);
+    }
+    if (b != NULL) {
+        start_here(s, now_us, service, b, ask, out);
+        return;
+    }
+    if (!ask->relayed &&
+        GwSteer_PickPeer(s, now_us, service, ask, members, out)) {
+        return;
+    }
+    wait_or_refuse(s, now_us, service, ask, out);
+}
+
+/* What the end of a relayed call says of its grant. */
+static void
+learn_of_peer(GwSteer *s, int64_t now_us, const GwUse *use,
+              const GwAttemptEvent *end)
+{
+    GwBorrowed *b = GwSteer_FindBorrowed(s, use->borrowed);
+
+    if (b == NULL) {
+        return;
+    }
+    switch (end->reason) {
+    case GW_REASON_NO_GRANT:
+    case GW_REASON_LEAVING:
+        GwSteer_DropLoan(s, now_us, b->id);
+        break;
+    case GW_REASON_CONNECT:
+    case GW_REASON_SILENT:
+    case GW_REASON_BROKEN:
+        b->pause_until_us = now_us + GW_PEER_PAUSE_US;
+        break;
+    default:
+        break;
+    }
+}
+
+void
+GwSteer_Done(GwSteer *s, int64_t now_us, uint32_t use,
+             const GwAttemptEvent *end, int64_t hold_until_us)
+{
+    GwUse *ended = GwSteer_FindUse(s, use);
+
+    if (ended == NULL) {
+        return;
+    }
+    if (end != NULL && ended->backend != NULL) {
+        GwBackend_Ended(ended->backend, now_us, now_us - ended->started_us,
+                        end, GW_MS(s->params.drain_hint_ttl_ms), &s->rng);
+    }
+    if (end != NULL && ended->borrowed != 0) {
+        learn_of_peer(s, now_us, ended, end);
+    }
+#if GW_MUTANT == 34 /* breaks: an UNKNOWN end keeps its unit in use */
+    hold_until_us = now_us;
+#endif
+    if (hold_until_us > now_us) {
+        ended->held = true;
+        ended->hold_until_us = hold_until_us;
+        ended->service->in_flight--;
+        return;
+    }
+    GwSteer_Release(s, now_us, ended);
+}
+
+/* The endpoint lags and may mislead: a server that cannot be reached there
+ * counts as failing only if it has not answered a call lately. */
+void
+GwSteer_Health(GwSteer *s, int64_t now_us, const GwHealthEvent *health)
+{
+    GwBackendState *b = GwSteer_Backend(s, health->backend);
+
+    if (b == NULL) {
+        return;
+    }
+    if (!health->reachable) {
+        if (now_us - b->success_at_us > GW_LOAD_FRESH_US) {
+            GwBackend_Failed(b, now_us, &s->rng);
+        }
+        return;
+    }
+    if (health->has_load) {
+        GwBackend_Reported(b, now_us, health->reported_load);
+    }
+    if (health->draining) {
+        GwBackend_Drained(b, now_us + GW_MS(s->params.drain_hint_ttl_ms));
+    }
+}
+
+/* A peer's observation. It is not passed on, so that hints die out. */
+void
+GwSteer_DrainHint(GwSteer *s, int64_t now_us, uint64_t backend,
+                  uint32_t ttl_ms)
+{
+    GwBackendState *b = GwSteer_Backend(s, backend);
+
+    if (b == NULL || ttl_ms == 0) {
+        return;
+    }
+    uint32_t bound_ms = MIN(ttl_ms, s->params.drain_hint_ttl_ms);
+    int64_t until_us = now_us + GW_MS(bound_ms);
+    b->hint_drain_until_us = MAX(b->hint_drain_until_us, until_us);
+    b->was_draining = true;
+}
+
+static void
+add_drains(const GwSteer *s, int64_t now_us, GwCargo *cargo)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, s->by_id);
+    while (cargo->drain_count < GW_DRAINS_MAX &&
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwBackendState *b = value;
+        if (b->own_drain_until_us > now_us) {
+            int64_t left_us = b->own_drain_until_us - now_us;
+            cargo->drains[cargo->drain_count++] = (GwDrainHint){
+                .backend = b->id, .ttl_ms = (uint32_t)(left_us / GW_MS(1))};
+        }
+    }
+}
+
+void
+GwSteer_Cargo(const GwSteer *s, int64_t now_us, GwNodeId self, GwSeats *seats,
+              const uint32_t *queued, GwCargo *cargo)
+{
+    cargo->digest_count = 0;
+    cargo->drain_count = 0;
+    if (s->config == NULL) {
+        return;
+    }
+    bool fenced = GwSeats_IsFenced(seats);
+    for (uint32_t i = 0; i < s->config->service_count; i++) {
+        const GwServiceState *service = s->by_index[i];
+        if (cargo->digest_count == GW_DIGESTS_MAX) {
+            break;
+        }
+        uint32_t idle = 0;
+        if (!fenced) {
+            idle = GwSteer_Lendable(s, now_us, service, queued[i]);
+        }
+        cargo->digests[cargo->digest_count++] =
+            (GwDigest){.id = self,
+                       .service = service->hash,
+                       .free_slots = idle,
+                       .in_flight = service->in_flight,
+                       .queued = queued[i],
+                       .seq = (uint64_t)now_us};
+    }
+    add_drains(s, now_us, cargo);
+}
+
+bool
+GwSteer_Leave(GwSteer *s, int64_t now_us, const GwMembers *members,
+              GwActions *out)
+{
+    s->leaving = true;
+    GwSteer_ReleaseHeld(s, now_us);
+    GwSteer_ReturnIdle(s, now_us, 0, members, NULL, out);
+    return s->use_active == 0 && s->lent->len == 0 && s->borrowed->len == 0;
+}
+
+bool
+GwSteer_CanServe(const GwSteer *s, int64_t now_us, uint32_t service)
+{
+    if (s->config == NULL || service >= s->config->service_count) {
+        return false;
+    }
+    const GwServiceState *state = s->by_index[service];
+    return state->has_place && !state->place_drain &&
+           !GwService_AllDraining(state, now_us);
+}
+
+uint32_t
+GwSteer_InFlight(const GwSteer *s, uint32_t service)
+{
+    if (s->config == NULL || service >= s->config->service_count) {
+        return 0;
+    }
+    return s->by_index[service]->in_flight;
+}
