Add stand-ins of the platform, the backend servers and the callers

Cause: nothing could be tried end to end without the world around it.

The unit rule links the stand-ins' library.

--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,7 @@
 	@echo "  LD  $@"
 	@$(CC) $(SANFLAG) -o $@ $^ $(LIBS)
 
-$(O)/unit: $(call obj,$(unit_src)) $(FAKES) $(LIB)
+$(O)/unit: $(call obj,$(unit_src)) $(FAKES) $(STANDLIB) $(LIB)
 	@echo "  LD  $@"
 	@$(CC) $(SANFLAG) -o $@ $^ $(LIBS) -lcriterion
 
--- /dev/null
+++ b/standins/common/backend.h
@@ -0,0 +1,81 @@
+/* One backend server as the stand-in plays it. Pure but for the lock that
+ * the program holds around each call: time and chance are arguments. */
+#ifndef GS_BACKEND_H
+#define GS_BACKEND_H
+
+#include "common/rng.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define GS_NAME_MAX 64
+#define GS_KEY_MAX  160
+
+typedef enum {
+    GS_ADMIT_RUN = 0,
+    GS_ADMIT_REFUSE, /* explicit refusal, nothing ran */
+    GS_ADMIT_DROP,   /* connection closed, nothing ran */
+    GS_ADMIT_SILENT  /* never answered; may run (silent_runs) */
+} GsAdmit;
+
+typedef struct {
+    char name[GS_NAME_MAX];
+    char service[GS_NAME_MAX];
+    char address[GS_NAME_MAX];
+    uint32_t port;
+    uint32_t slots;
+    uint32_t shed_percent; /* of slots; refusals from there on */
+    int64_t service_us;    /* median */
+    double sigma;          /* of the lognormal */
+    int64_t cold_until_us;
+    uint32_t cold_factor;
+    /* Set by POST /control. */
+    bool drain;
+    bool lie_idle;
+    bool shed;
+    bool silent;
+    bool silent_runs;
+    bool down;
+    uint32_t slow_ms;
+    uint32_t reset_share_percent;
+    /* Counted. */
+    GwRng rng;
+    uint32_t in_flight;
+    uint32_t max_in_flight;
+    uint64_t runs;
+    uint64_t refused;
+    uint64_t stopped; /* cut off by their deadline */
+    int64_t drain_at_us;
+    int64_t drain_idle_at_us;    /* nothing in flight any more */
+    int64_t drain_last_offer_us; /* last new work offered after the order */
+} GsBackend;
+
+GsAdmit
+GsBackend_Begin(GsBackend *b, int64_t now_us);
+void
+GsBackend_End(GsBackend *b, int64_t now_us);
+void
+GsBackend_Drain(GsBackend *b, bool drain, int64_t now_us);
+int64_t
+GsBackend_ServiceTime(GsBackend *b, int64_t now_us);
+uint32_t
+GsBackend_ReportedLoad(const GsBackend *b);
+
+/* Executed non-idempotent runs, one record each. */
+typedef struct {
+    char backend[GS_NAME_MAX];
+    char service[GS_NAME_MAX];
+    char op[GS_NAME_MAX];
+    char key[GS_KEY_MAX];
+    char request_id[GS_KEY_MAX];
+    int64_t start_us;
+    int64_t end_us; /* 0: still running */
+} GsRun;
+
+char *
+GsRun_Line(const GsRun *run);
+bool
+GsRun_Parse(const char *line, GsRun *out);
+
+#endif
--- /dev/null
+++ b/standins/common/client.h
@@ -0,0 +1,55 @@
+/* HTTP client side of the stand-ins, on libcurl. */
+#ifndef GS_CLIENT_H
+#define GS_CLIENT_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define GS_ADDRESS_MAX 64
+#define GS_TICKET_MAX  96
+
+typedef enum {
+    GS_SEND_WHOLE = 1,    /* a whole answer came */
+    GS_SEND_NOTHING_SENT, /* no connection: no byte left */
+    GS_SEND_BROKEN        /* bytes left, no whole answer came */
+} GsSend;
+
+typedef struct {
+    const char *method;
+    const char *address;
+    const char *path;    /* with query */
+    const char *ticket;  /* NULL: none */
+    const char *body;    /* NULL: none */
+    const char *key;     /* NULL: none */
+    int64_t deadline_ms; /* 0: header not sent */
+    int64_t timeout_ms;
+} GsRequest;
+
+typedef struct {
+    long status;
+    uint32_t retry_after_ms;
+    bool refused; /* a backend server's own refusal */
+    char outcome[24];
+    char reason[24];
+    GString *body;
+} GsReply;
+
+/* Connections are taken last in, first out: a thread per open request would
+ * else hold one idle connection to every entry. */
+typedef struct {
+    pthread_mutex_t lock;
+    GPtrArray *idle; /* of CURL easy handles */
+} GsClient;
+
+void
+GsClient_Init(GsClient *c);
+void
+GsClient_Clear(GsClient *c);
+GsSend
+GsClient_Send(GsClient *c, const GsRequest *request, GsReply *reply);
+void
+GsReply_Clear(GsReply *reply);
+
+#endif
--- /dev/null
+++ b/standins/common/directory.c
@@ -0,0 +1,232 @@
+#include "common/directory.h"
+
+#include "common/clock.h"
+#include "common/http.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define TICKETS_ASKED  4
+#define TICKET_KEPT_US 20000000
+#define AVOID_US       2000000
+#define LOOKUP_TIMEOUT 1000
+
+typedef struct {
+    GsTarget target;
+    int64_t until_us;
+} KeptTicket;
+
+struct GsDirectory_s {
+    pthread_mutex_t lock; /* guards all below */
+    char service[GS_ADDRESS_MAX];
+    uint32_t known_count;
+    uint32_t local_count;
+    char (*known)[GS_ADDRESS_MAX];
+    int64_t *avoid_until_us;
+    uint32_t next_known;
+    uint32_t entry_count;
+    uint32_t next_entry;
+    char entries[GS_ENTRIES_MAX][GS_ADDRESS_MAX];
+    int64_t fresh_until_us;
+    GQueue *tickets; /* of KeptTicket, oldest first */
+};
+
+GsDirectory *
+GsDirectory_Create(const char *service, GPtrArray *addresses, uint32_t local)
+{
+    GsDirectory *d = g_new0(GsDirectory, 1);
+    pthread_mutex_init(&d->lock, NULL);
+    g_strlcpy(d->service, service, sizeof(d->service));
+    d->known_count = addresses->len;
+    d->local_count = local;
+    d->known = g_malloc0_n(addresses->len + 1, GS_ADDRESS_MAX);
+    d->avoid_until_us = g_new0(int64_t, addresses->len + 1);
+    for (uint32_t i = 0; i < addresses->len; i++) {
+        g_strlcpy(d->known[i], addresses->pdata[i], GS_ADDRESS_MAX);
+    }
+    d->tickets = g_queue_new();
+    return d;
+}
+
+void
+GsDirectory_Free(GsDirectory *d)
+{
+    if (d != NULL) {
+        g_queue_free_full(d->tickets, g_free);
+        g_free(d->known);
+        g_free(d->avoid_until_us);
+        pthread_mutex_destroy(&d->lock);
+        g_free(d);
+    }
+}
+
+/* Takes from what is cached; false when a look-up is needed. Caller holds
+ * the lock. */
+static bool
+take_cached(GsDirectory *d, bool want_ticket, int64_t now_us, GsTarget *out)
+{
+    while (want_ticket && !g_queue_is_empty(d->tickets)) {
+        KeptTicket *k = g_queue_pop_head(d->tickets);
+        bool good = now_us < k->until_us;
+        *out = k->target;
+        g_free(k);
+        if (good) {
+            return true;
+        }
+    }
+    if (want_ticket || now_us >= d->fresh_until_us || d->entry_count == 0) {
+        return false;
+    }
+    uint32_t i = d->next_entry++ % d->entry_count;
+    *out = (GsTarget){0};
+    g_strlcpy(out->address, d->entries[i], GS_ADDRESS_MAX);
+    return true;
+}
+
+static bool
+avoided(const GsDirectory *d, const char *address, int64_t now_us)
+{
+    for (uint32_t i = 0; i < d->known_count; i++) {
+        if (strcmp(d->known[i], address) == 0) {
+            return now_us < d->avoid_until_us[i];
+        }
+    }
+    return false;
+}
+
+/* Keeps the local entries of an answer, or its first when none is local. */
+static void
+keep_entries(GsDirectory *d, struct json_object *list, int64_t now_us)
+{
+    size_t count = json_object_is_type(list, json_type_array)
+                       ? json_object_array_length(list)
+                       : 0;
+    d->entry_count = 0;
+    for (size_t i = 0; i < count && d->entry_count < GS_ENTRIES_MAX; i++) {
+        struct json_object *e = json_object_array_get_idx(list, i);
+        const char *address = GsJson_Text(e, "address", "");
+        bool local = GsJson_Int(e, "local", 0) != 0;
+        bool use = local || d->entry_count == 0;
+        if (use && !avoided(d, address, now_us)) {
+            g_strlcpy(d->entries[d->entry_count++], address, GS_ADDRESS_MAX);
+        }
+    }
+}
+
+/* Caller holds the lock. */
+static void
+keep_answer(GsDirectory *d, const char *asked, const char *body,
+            int64_t now_us)
+{
+    struct json_object *o = json_tokener_parse(body);
+    struct json_object *list = NULL;
+    json_object_object_get_ex(o, "entries", &list);
+    keep_entries(d, list, now_us);
+    d->fresh_until_us = now_us + GsJson_Int(o, "ttl_ms", 0) * 1000;
+    struct json_object *tickets = NULL;
+    json_object_object_get_ex(o, "tickets", &tickets);
+    size_t count = json_object_is_type(tickets, json_type_array)
+                       ? json_object_array_length(tickets)
+                       : 0;
+    for (size_t i = 0; i < count; i++) {
+        KeptTicket *k = g_new0(KeptTicket, 1);
+        const char *text =
+            json_object_get_string(json_object_array_get_idx(tickets, i));
+        g_strlcpy(k->target.address, asked, GS_ADDRESS_MAX);
+        g_strlcpy(k->target.ticket, text, GS_TICKET_MAX);
+        k->until_us = now_us + TICKET_KEPT_US;
+        g_queue_push_tail(d->tickets, k);
+    }
+    json_object_put(o);
+}
+
+/* The next address to ask: local ones first, those to be avoided last. */
+static bool
+pick_known(GsDirectory *d, uint32_t round, char *out)
+{
+    int64_t now_us = GsClock_Now();
+    pthread_mutex_lock(&d->lock);
+    uint32_t turn = d->next_known++;
+    uint32_t i = round < d->local_count ? turn % d->local_count
+                                        : round % d->known_count;
+    bool use = !avoided(d, d->known[i], now_us);
+    g_strlcpy(out, d->known[i], GS_ADDRESS_MAX);
+    pthread_mutex_unlock(&d->lock);
+    return use;
+}
+
+/* Asks one entry; true when it gave a whole look-up answer. */
+static bool
+ask(GsDirectory *d, GsClient *client, const char *address, bool want_ticket)
+{
+    char path[160];
+    GsReply reply;
+    snprintf(path, sizeof(path), "/v1/entries/%s?tickets=%d", d->service,
+             want_ticket ? TICKETS_ASKED : 0);
+    GsRequest q = {.method = "GET",
+                   .address = address,
+                   .path = path,
+                   .timeout_ms = LOOKUP_TIMEOUT};
+    GsSend sent = GsClient_Send(client, &q, &reply);
+    bool good = sent == GS_SEND_WHOLE && reply.status == 200;
+    if (good) {
+        pthread_mutex_lock(&d->lock);
+        keep_answer(d, address, reply.body->str, GsClock_Now());
+        pthread_mutex_unlock(&d->lock);
+    }
+    GsReply_Clear(&reply);
+    return good;
+}
+
+/* An entry to send to, with a fresh ticket of that entry when wanted. False
+ * when no known entry gives one. */
+bool
+GsDirectory_Take(GsDirectory *d, GsClient *client, bool want_ticket,
+                 GsTarget *out)
+{
+    uint32_t rounds = d->local_count + d->known_count;
+    for (uint32_t round = 0; round <= rounds; round++) {
+        char address[GS_ADDRESS_MAX];
+        pthread_mutex_lock(&d->lock);
+        bool got = take_cached(d, want_ticket, GsClock_Now(), out);
+        pthread_mutex_unlock(&d->lock);
+        if (got || round == rounds) {
+            return got;
+        }
+        if (pick_known(d, round, address) &&
+            !ask(d, client, address, want_ticket)) {
+            GsDirectory_Avoid(d, address);
+        }
+    }
+    return false;
+}
+
+/* Forgets an entry for a while, with its tickets. */
+void
+GsDirectory_Avoid(GsDirectory *d, const char *address)
+{
+    pthread_mutex_lock(&d->lock);
+    for (uint32_t i = 0; i < d->known_count; i++) {
+        if (strcmp(d->known[i], address) == 0) {
+            d->avoid_until_us[i] = GsClock_Now() + AVOID_US;
+        }
+    }
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < d->entry_count; i++) {
+        if (strcmp(d->entries[i], address) != 0) {
+            memmove(d->entries[kept++], d->entries[i], GS_ADDRESS_MAX);
+        }
+    }
+    d->entry_count = kept;
+    GList *l = d->tickets->head;
+    while (l != NULL) {
+        GList *next = l->next;
+        KeptTicket *k = l->data;
+        if (strcmp(k->target.address, address) == 0) {
+            g_queue_delete_link(d->tickets, l);
+            g_free(k);
+        }
+        l = next;
+    }
+    pthread_mutex_unlock(&d->lock);
+}
--- /dev/null
+++ b/standins/common/http.c
@@ -0,0 +1,192 @@
+#include "common/http.h"
+
+#include "common/clock.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Models the price of a new connection, paid by its first request. */
+static int
+init_connection(const struct mg_connection *conn, void **data)
+{
+    const GsHttpOptions *o =
+        mg_get_user_data(mg_get_context((struct mg_connection *)conn));
+    *data = NULL;
+    if (o->accept_cost_us > 0) {
+        GsClock_Sleep(o->accept_cost_us);
+    }
+    return 0;
+}
+
+/* CivetWeb logs each connection that a peer breaks; here that is the plan. */
+static int
+log_nothing(const struct mg_connection *conn, const char *message)
+{
+    (void)conn;
+    return message != NULL;
+}
+
+/* Starts a server that hands every request to one handler. A worker thread
+ * is held by a connection as long as it lives, so `threads` bounds open
+ * connections. `options` must outlive the server. NULL when a port cannot be
+ * bound. */
+struct mg_context *
+GsHttp_Start(const GsHttpOptions *options)
+{
+    char threads[16];
+    snprintf(threads, sizeof(threads), "%u", options->threads);
+    const char *settings[] = {"listening_ports",
+                              options->ports,
+                              "num_threads",
+                              threads,
+                              "enable_keep_alive",
+                              "yes",
+                              "keep_alive_timeout_ms",
+                              "60000",
+                              "request_timeout_ms",
+                              "60000",
+                              "tcp_nodelay",
+                              "1",
+                              "connection_queue",
+                              "256",
+                              NULL};
+    struct mg_callbacks callbacks = {.init_connection = init_connection,
+                                     .log_message = log_nothing};
+    mg_init_library(0);
+    struct mg_context *ctx = mg_start(&callbacks, (void *)options, settings);
+    if (ctx != NULL) {
+        mg_set_request_handler(ctx, "**", options->handler, options->data);
+    }
+    return ctx;
+}
+
+/* The whole request body, NUL-terminated; NULL when it is larger than
+ * GS_BODY_MAX or the peer closed early. Free with g_free. */
+char *
+GsHttp_ReadBody(struct mg_connection *conn)
+{
+    GString *body = g_string_new(NULL);
+    char chunk[4096];
+    int n = 0;
+    while ((n = mg_read(conn, chunk, sizeof(chunk))) > 0) {
+        g_string_append_len(body, chunk, n);
+        if (body->len > GS_BODY_MAX) {
+            break;
+        }
+    }
+    long long want = mg_get_request_info(conn)->content_length;
+    bool whole = want < 0 || (long long)body->len == want;
+    if (n < 0 || body->len > GS_BODY_MAX || !whole) {
+        g_string_free(body, TRUE);
+        return NULL;
+    }
+    return g_string_free(body, FALSE);
+}
+
+/* The body as JSON, NULL when it is not JSON. */
+struct json_object *
+GsHttp_ReadJson(struct mg_connection *conn)
+{
+    char *text = GsHttp_ReadBody(conn);
+    struct json_object *o = text != NULL ? json_tokener_parse(text) : NULL;
+    g_free(text);
+    return o;
+}
+
+/* Sends head and body in one write. `headers` is "" or whole lines, each
+ * with its CRLF. Returns the status, as a CivetWeb handler must. */
+int
+GsHttp_Reply(struct mg_connection *conn, int status, const char *headers,
+             const char *body)
+{
+    GString *out = g_string_new(NULL);
+    g_string_printf(out,
+                    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+                    "Connection: keep-alive\r\nContent-Length: %zu\r\n%s\r\n",
+                    status, status < 400 ? "OK" : "Refused", strlen(body),
+                    headers);
+    g_string_append(out, body);
+    mg_write(conn, out->str, out->len);
+    g_string_free(out, TRUE);
+    return status;
+}
+
+/* Sends a JSON object and releases it. */
+int
+GsHttp_ReplyJson(struct mg_connection *conn, int status,
+                 struct json_object *body)
+{
+    GsHttp_Reply(conn, status, "",
+                 json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN));
+    json_object_put(body);
+    return status;
+}
+
+/* Closes the connection without an answer. */
+int
+GsHttp_Drop(struct mg_connection *conn)
+{
+    mg_disable_connection_keep_alive(conn);
+    return 499;
+}
+
+/* One decoded query parameter; false when it is absent or too long. */
+bool
+GsHttp_Query(struct mg_connection *conn, const char *name, char *out,
+             size_t cap)
+{
+    const char *q = mg_get_request_info(conn)->query_string;
+    return q != NULL && mg_get_var(q, strlen(q), name, out, cap) >= 0;
+}
+
+static void
+stop_signals(sigset_t *set)
+{
+    sigemptyset(set);
+    sigaddset(set, SIGINT);
+    sigaddset(set, SIGTERM);
+}
+
+/* Must run before any thread starts: they inherit the mask, and a signal
+ * that a worker could take would end the process without clean-up. */
+void
+GsHttp_BlockSignals(void)
+{
+    sigset_t set;
+    stop_signals(&set);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+/* Blocks until SIGINT or SIGTERM. */
+void
+GsHttp_WaitForStop(void)
+{
+    sigset_t set;
+    int got = 0;
+    stop_signals(&set);
+    sigwait(&set, &got);
+}
+
+/* A text member, or `fallback`. Borrowed from `o`. */
+const char *
+GsJson_Text(struct json_object *o, const char *name, const char *fallback)
+{
+    struct json_object *v = NULL;
+    return json_object_object_get_ex(o, name, &v) && v != NULL
+               ? json_object_get_string(v)
+               : fallback;
+}
+
+/* An integer or boolean member, or `fallback`. */
+int64_t
+GsJson_Int(struct json_object *o, const char *name, int64_t fallback)
+{
+    struct json_object *v = NULL;
+    return json_object_object_get_ex(o, name, &v) && v != NULL
+               ? json_object_get_int64(v)
+               : fallback;
+}
--- /dev/null
+++ b/standins/common/services.h
@@ -0,0 +1,21 @@
+/* The operations of the users' four services, as both sides play them. */
+#ifndef GS_SERVICES_H
+#define GS_SERVICES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+    const char *service;
+    const char *method;
+    const char *path;
+    const char *op;
+    bool idempotent;
+} GsOperation;
+
+const GsOperation *
+GsOperation_Match(const char *service, const char *method, const char *path);
+const GsOperation *
+GsOperation_Find(const char *service, const char *op);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_standin_judge.c
@@ -0,0 +1,135 @@
+#include "common/answer.h"
+#include "common/record.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+/* A caller sees one outcome per request; the journals say what ran. The
+ * judge must count each way in which the two can disagree, and no other. */
+
+typedef struct {
+    const char *name;
+    const char *op;
+    GsEnd end;
+    bool whole;
+    uint32_t runs;
+    uint64_t doubled;
+    uint64_t false_refusals;
+    uint64_t wrong;
+    uint64_t sent;
+    bool good;
+} Case;
+
+static const Case cases[] = {
+    {"answered once", "booking", GS_END_ANSWERED, true, 1, 0, 0, 0, 1, true},
+    {"never ran", "booking", GS_END_ANSWERED, true, 0, 0, 0, 1, 1, false},
+    {"ran twice", "booking", GS_END_ANSWERED, true, 2, 1, 0, 1, 1, false},
+    {"truncated", "booking", GS_END_ANSWERED, false, 1, 0, 0, 1, 1, false},
+    {"look-up", "look-up", GS_END_ANSWERED, true, 0, 0, 0, 0, 1, true},
+    {"bad look-up", "look-up", GS_END_ANSWERED, false, 0, 0, 0, 1, 1, false},
+    {"refused", "booking", GS_END_NOT_RUN, false, 0, 0, 0, 0, 1, true},
+    {"refused, ran", "booking", GS_END_NOT_RUN, false, 1, 0, 1, 0, 1, false},
+    {"refused, twice", "booking", GS_END_NOT_RUN, false, 2, 1, 1, 0, 1, false},
+    {"unknown", "booking", GS_END_UNKNOWN, false, 0, 0, 0, 0, 1, true},
+    {"unknown, ran", "booking", GS_END_UNKNOWN, false, 1, 0, 0, 0, 1, true},
+    {"unknown, twice", "booking", GS_END_UNKNOWN, false, 2, 1, 0, 0, 1, false},
+    {"not sent", "booking", GS_END_NOT_SENT, false, 0, 0, 0, 0, 0, true},
+    {"not sent, ran", "booking", GS_END_NOT_SENT, false, 1, 0, 1, 0, 0, false},
+    {"no outcome", "booking", GS_END_NONE, false, 0, 0, 0, 0, 1, false},
+};
+
+static GsVerdict
+judge_case(const Case *c)
+{
+    GsRecord record = {.key = "k",
+                       .operation = GsOperation_Find("lich-hen", c->op),
+                       .end = c->end,
+                       .answer_whole = c->whole};
+    GsRun run = {.key = "k"};
+    GPtrArray *records = g_ptr_array_new();
+    GPtrArray *runs = g_ptr_array_new();
+    g_ptr_array_add(records, &record);
+    for (uint32_t i = 0; i < c->runs; i++) {
+        g_ptr_array_add(runs, &run);
+    }
+    GsVerdict v = GsVerdict_Judge(records, runs);
+    g_ptr_array_free(records, TRUE);
+    g_ptr_array_free(runs, TRUE);
+    return v;
+}
+
+Test(standin_judge, counts_each_disagreement)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        const Case *c = &cases[i];
+        GsVerdict v = judge_case(c);
+        cr_assert_eq(v.doubled, c->doubled, "%s", c->name);
+        cr_assert_eq(v.false_refusals, c->false_refusals, "%s", c->name);
+        cr_assert_eq(v.wrong_answers, c->wrong, "%s", c->name);
+        cr_assert_eq(v.sent, c->sent, "%s", c->name);
+        cr_assert_eq(GsVerdict_Good(&v), c->good, "%s", c->name);
+    }
+}
+
+Test(standin_judge, closing_line_is_fixed)
+{
+    char text[256] = "";
+    GsVerdict v = {.sent = 9, .answered = 6, .not_run = 2, .unknown = 1};
+    FILE *f = fmemopen(text, sizeof(text), "w");
+    GsVerdict_PrintLine(&v, f);
+    fclose(f);
+    cr_assert_str_eq(text, "demo: 9 sent, 6 answered, 2 not run, 1 unknown; "
+                           "0 doubled, 0 false refusals, 0 wrong answers\n");
+}
+
+Test(standin_judge, percentiles_by_nearest_rank)
+{
+    const GsOperation *o = GsOperation_Find("lich-hen", "look-up");
+    GsRecord r[100];
+    GPtrArray *records = g_ptr_array_new();
+    for (int i = 0; i < 100; i++) {
+        r[i] = (GsRecord){
+            .operation = o, .end = GS_END_ANSWERED, .latency_us = 100 - i};
+        g_ptr_array_add(records, &r[i]);
+    }
+    cr_assert_eq(GsRecord_Percentile(records, o, 50), 50);
+    cr_assert_eq(GsRecord_Percentile(records, o, 99), 99);
+    cr_assert_eq(GsRecord_Percentile(records, NULL, 99), -1);
+    g_ptr_array_free(records, TRUE);
+}
+
+Test(standin_judge, an_answer_is_to_one_key_and_whole)
+{
+    char *text = GsAnswer_Make("lh-1", "key-7", 32);
+    cr_assert(GsAnswer_Check(text, "key-7"));
+    cr_assert_not(GsAnswer_Check(text, "key-8"));
+    char *pad = strstr(text, "xxxx");
+    memmove(pad, pad + 1, strlen(pad));
+    cr_assert_not(GsAnswer_Check(text, "key-7"), "a byte was lost");
+    text[strlen(text) - 3] = '\0';
+    cr_assert_not(GsAnswer_Check(text, "key-7"), "the end was lost");
+    cr_assert_not(GsAnswer_Check("", "key-7"));
+    cr_assert_not(GsAnswer_Check(NULL, "key-7"));
+    g_free(text);
+}
+
+Test(standin_judge, journal_lines_come_back_whole)
+{
+    GsRun run = {.backend = "lh-1",
+                 .service = "lich-hen",
+                 .op = "booking",
+                 .key = "k1",
+                 .request_id = "t-1",
+                 .start_us = 5,
+                 .end_us = 9};
+    GsRun back;
+    char *line = GsRun_Line(&run);
+    cr_assert(GsRun_Parse(line, &back));
+    cr_assert_str_eq(back.backend, run.backend);
+    cr_assert_str_eq(back.key, run.key);
+    cr_assert_str_eq(back.request_id, run.request_id);
+    cr_assert_eq(back.start_us, 5);
+    cr_assert_eq(back.end_us, 9);
+    cr_assert_not(GsRun_Parse("{\"backend\": \"lh", &back));
+    g_free(line);
+}
