Judge refusals by time, and never take a resend for nothing sent

Cause: in a trial of tests/lib.sh with a throw-away proxy in place of the daemon, killing three entries under 400 requests a second gave 3 doubled bookings. libcurl had silently resent on a dead kept connection and reported only the refused second connection; the caller took that for "no byte left" and booked anew. A proxy that lied "not run" went unseen, since the resend ended as unknown.

Change: the client watches what leaves over all of libcurl's tries. A refusal is false when the run had begun before it came, whatever came later. A reply that states no outcome is counted and fails the judgement.

--- a/standins/common/caller.c
+++ b/standins/common/caller.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define ATTEMPTS_MAX     64
+#define UNSTATED_MAX     3
 #define PAUSE_US         20000
 #define LATE_US          6000000 /* after the deadline, to learn an outcome */
 #define TIMEOUT_SLACK_MS 1500
@@ -16,9 +17,8 @@
 typedef struct {
     GsTarget target;
     int64_t end_us;
-    bool may_run;    /* bytes left, and no outcome has come since */
-    bool left;       /* at least one attempt left this process */
-    uint32_t errors; /* whole answers without a known outcome */
+    bool may_run; /* bytes left, and no outcome has come since */
+    bool left;    /* at least one attempt left this process */
 } Course;
 
 static bool
@@ -154,9 +154,9 @@
     r->end = end;
     if (end == GS_END_NONE) {
         s->may_run = true;
-        s->errors++;
+        r->unstated++;
         GsClock_Sleep(PAUSE_US);
-        return s->errors > 3;
+        return r->unstated > UNSTATED_MAX;
     }
     if (end == GS_END_ANSWERED) {
         r->answer_whole =
@@ -164,6 +164,7 @@
         return true;
     }
     if (end == GS_END_NOT_RUN) {
+        r->refused_at_us = GsClock_Now();
         after_not_run(c, r, s, reply);
         return late || c->direct != NULL;
     }
--- a/standins/common/client.c
+++ b/standins/common/client.c
@@ -91,6 +91,20 @@
     return size * count;
 }
 
+/* libcurl resends by itself when a kept connection proves dead, and then
+ * reports only how the last try ended: "connection refused", although the
+ * first try may have reached a living server. Taken as proof of nothing sent,
+ * that books twice. So what leaves is watched over all tries. */
+static int
+on_debug(CURL *h, curl_infotype type, char *data, size_t size, void *user)
+{
+    GsReply *r = user;
+    if (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT) {
+        r->left = true;
+    }
+    return 0;
+}
+
 static struct curl_slist *
 add_header(struct curl_slist *list, const char *name, const char *value)
 {
@@ -137,23 +151,22 @@
     curl_easy_setopt(h, CURLOPT_WRITEDATA, r);
     curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(h, CURLOPT_HEADERDATA, r);
+    curl_easy_setopt(h, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(h, CURLOPT_DEBUGFUNCTION, on_debug);
+    curl_easy_setopt(h, CURLOPT_DEBUGDATA, r);
     if (q->body != NULL) {
         curl_easy_setopt(h, CURLOPT_POSTFIELDS, q->body);
         curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)strlen(q->body));
     }
 }
 
-/* Before the transfer begins no byte of the request has left. */
 static GsSend
-classify(CURL *h, CURLcode rc)
+classify(const GsReply *r, CURLcode rc)
 {
-    curl_off_t begun_us = 0;
     if (rc == CURLE_OK) {
         return GS_SEND_WHOLE;
     }
-    curl_easy_getinfo(h, CURLINFO_PRETRANSFER_TIME_T, &begun_us);
-    return rc == CURLE_COULDNT_CONNECT || begun_us == 0 ? GS_SEND_NOTHING_SENT
-                                                        : GS_SEND_BROKEN;
+    return r->left ? GS_SEND_BROKEN : GS_SEND_NOTHING_SENT;
 }
 
 /* Sends one request and waits for the end of its answer. libcurl itself
@@ -171,7 +184,7 @@
     prepare(h, request, reply, headers, url);
     CURLcode rc = curl_easy_perform(h);
     curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
-    GsSend sent = classify(h, rc);
+    GsSend sent = classify(reply, rc);
     give_handle(c, h);
     curl_slist_free_all(headers);
     g_free(url);
--- a/standins/common/client.h
+++ b/standins/common/client.h
@@ -30,6 +30,7 @@
 typedef struct {
     long status;
     uint32_t retry_after_ms;
+    bool left;    /* bytes of the request were written */
     bool refused; /* a backend server's own refusal */
     char outcome[24];
     char reason[24];
--- a/standins/common/record.c
+++ b/standins/common/record.c
@@ -10,38 +10,62 @@
     return names[end];
 }
 
-/* How often each key was executed, over all journals. */
+/* What the journals say of one key. */
+typedef struct {
+    uint32_t count;
+    int64_t first_us; /* when the first run began */
+} KeyRuns;
+
 static GHashTable *
-count_runs(const GPtrArray *runs)
+runs_by_key(const GPtrArray *runs)
 {
-    GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTable *by_key =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     for (uint32_t i = 0; i < runs->len; i++) {
         GsRun *r = runs->pdata[i];
-        gpointer n = g_hash_table_lookup(counts, r->key);
-        g_hash_table_replace(counts, r->key,
-                             GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
+        KeyRuns *k = g_hash_table_lookup(by_key, r->key);
+        if (k == NULL) {
+            k = g_new0(KeyRuns, 1);
+            k->first_us = r->start_us;
+            g_hash_table_insert(by_key, r->key, k);
+        }
+        k->first_us = MIN(k->first_us, r->start_us);
+        k->count++;
     }
-    return counts;
+    return by_key;
 }
 
 static uint64_t
-count_doubled(GHashTable *counts)
+count_doubled(GHashTable *by_key)
 {
     GHashTableIter it;
-    gpointer n = NULL;
+    gpointer k = NULL;
     uint64_t doubled = 0;
-    g_hash_table_iter_init(&it, counts);
-    while (g_hash_table_iter_next(&it, NULL, &n)) {
-        doubled += GPOINTER_TO_UINT(n) > 1;
+    g_hash_table_iter_init(&it, by_key);
+    while (g_hash_table_iter_next(&it, NULL, &k)) {
+        doubled += ((const KeyRuns *)k)->count > 1;
     }
     return doubled;
 }
 
-/* `runs` is how often this request's key was executed. A request that never
- * left and yet ran is as false as a refusal. */
+/* A refusal is false when the request had already begun as it came, also
+ * when a later attempt ended otherwise: the caller may act on any refusal. A
+ * final one is false whenever the run began. */
+static bool
+falsely_refused(const GsRecord *r, const KeyRuns *runs)
+{
+    if (runs == NULL) {
+        return false;
+    }
+    return r->end == GS_END_NOT_RUN || r->end == GS_END_NOT_SENT ||
+           (r->refused_at_us > 0 && runs->first_us <= r->refused_at_us);
+}
+
 static void
-judge_one(GsVerdict *v, const GsRecord *r, uint32_t runs)
+judge_one(GsVerdict *v, const GsRecord *r, const KeyRuns *runs)
 {
+    v->false_refusals += falsely_refused(r, runs);
+    v->unstated += r->unstated;
     v->sent += r->end != GS_END_NOT_SENT;
     switch (r->end) {
     case GS_END_NONE:
@@ -49,17 +73,16 @@
         break;
     case GS_END_NOT_SENT:
         v->not_sent++;
-        v->false_refusals += runs > 0;
         break;
     case GS_END_ANSWERED: {
-        bool once = r->operation->idempotent || runs == 1;
+        bool once =
+            r->operation->idempotent || (runs != NULL && runs->count == 1);
         v->answered++;
         v->wrong_answers += !r->answer_whole || !once;
         break;
     }
     case GS_END_NOT_RUN:
         v->not_run++;
-        v->false_refusals += runs > 0;
         break;
     case GS_END_UNKNOWN:
         v->unknown++;
@@ -72,24 +95,23 @@
 GsVerdict_Judge(const GPtrArray *records, const GPtrArray *runs)
 {
     GsVerdict v = {0};
-    GHashTable *counts = count_runs(runs);
-    v.doubled = count_doubled(counts);
+    GHashTable *by_key = runs_by_key(runs);
+    v.doubled = count_doubled(by_key);
     for (uint32_t i = 0; i < records->len; i++) {
         const GsRecord *r = records->pdata[i];
-        gpointer n = g_hash_table_lookup(counts, r->key);
-        judge_one(&v, r, GPOINTER_TO_UINT(n));
+        judge_one(&v, r, g_hash_table_lookup(by_key, r->key));
     }
-    g_hash_table_destroy(counts);
+    g_hash_table_destroy(by_key);
     return v;
 }
 
 /* True when nothing was doubled, falsely refused, wrongly answered or left
- * without an outcome. */
+ * without an outcome, and every reply stated one. */
 bool
 GsVerdict_Good(const GsVerdict *v)
 {
     return v->doubled == 0 && v->false_refusals == 0 &&
-           v->wrong_answers == 0 && v->no_outcome == 0;
+           v->wrong_answers == 0 && v->no_outcome == 0 && v->unstated == 0;
 }
 
 /* The closing line; its form is fixed, since scripts read it. */
--- a/standins/common/record.h
+++ b/standins/common/record.h
@@ -22,8 +22,10 @@
     uint32_t home;
     uint32_t attempts;
     int64_t due_us;
-    int64_t latency_us; /* from when it was due */
-    bool answer_whole;  /* the answer is to this key and whole */
+    int64_t latency_us;    /* from when it was due */
+    int64_t refused_at_us; /* last not-run of any attempt; 0: none */
+    uint32_t unstated;     /* whole replies that stated no outcome */
+    bool answer_whole;     /* the answer is to this key and whole */
     GsEnd end;
     char reason[24];
 } GsRecord;
@@ -36,8 +38,9 @@
     uint64_t not_sent;
     uint64_t no_outcome;
     uint64_t doubled;        /* keys executed more than once */
-    uint64_t false_refusals; /* not-run, and yet executed */
+    uint64_t false_refusals; /* run before or in spite of a not-run */
     uint64_t wrong_answers;
+    uint64_t unstated; /* replies that stated no outcome */
 } GsVerdict;
 
 const char *
--- a/standins/common/report.c
+++ b/standins/common/report.c
@@ -201,9 +201,11 @@
             print_load(stats, o->service, out);
         }
     }
-    fprintf(out, "not sent: %llu, no outcome: %llu\n",
-            (unsigned long long)v->not_sent,
-            (unsigned long long)v->no_outcome);
+    fprintf(out,
+            "not sent: %llu, no outcome: %llu, replies without an outcome: "
+            "%llu\n",
+            (unsigned long long)v->not_sent, (unsigned long long)v->no_outcome,
+            (unsigned long long)v->unstated);
     g_ptr_array_free(ops, TRUE);
 }
 
@@ -226,6 +228,7 @@
     add_int(o, "doubled", (int64_t)v->doubled);
     add_int(o, "false_refusals", (int64_t)v->false_refusals);
     add_int(o, "wrong_answers", (int64_t)v->wrong_answers);
+    add_int(o, "unstated", (int64_t)v->unstated);
     return o;
 }
 
--- a/standins/standin_backends.c
+++ b/standins/standin_backends.c
@@ -455,6 +455,8 @@
     }
     GsHttp_BlockSignals();
     int rc = run(&o);
+    free(o.config);
+    free(o.control);
     poptFreeContext(pc);
     return rc;
 }
--- a/standins/standin_callers.c
+++ b/standins/standin_callers.c
@@ -312,6 +312,20 @@
     return rc;
 }
 
+/* popt hands over a copy of each text. */
+static void
+free_options(Options *o)
+{
+    free(o->mix);
+    free(o->direct);
+    free(o->journals);
+    free(o->report);
+    free(o->request);
+    free(o->at);
+    free(o->path);
+    free(o->body);
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -352,6 +366,8 @@
     curl_global_init(CURL_GLOBAL_ALL);
     int rc =
         o.request != NULL ? run_request(&o) : run_load(&o, poptGetArgs(pc));
+    free_options(&o);
     poptFreeContext(pc);
+    curl_global_cleanup();
     return rc;
 }
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -409,6 +409,26 @@
     return GsHttp_Reply(conn, 404, "", "{}");
 }
 
+static void
+free_change(gpointer p)
+{
+    Change *c = p;
+    g_free(c->name);
+    g_free(c->peer_address);
+    g_free(c->state);
+    g_free(c);
+}
+
+static void
+close_platform(Platform *p)
+{
+    GsTable_Free(p->table);
+    GsTable_Free(p->old_table);
+    GsTable_Free(p->objects);
+    GsTable_Free(p->old_objects);
+    g_ptr_array_free(p->changes, TRUE);
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -433,7 +453,7 @@
     Platform p = {.lock = PTHREAD_MUTEX_INITIALIZER,
                   .table = GsTable_Create(),
                   .objects = GsTable_Create(),
-                  .changes = g_ptr_array_new(),
+                  .changes = g_ptr_array_new_with_free_func(free_change),
                   .reads = {.per_second = (uint32_t)reads},
                   .writes = {.per_second = (uint32_t)writes},
                   .rng = GwRng_Make((uint64_t)seed),
@@ -443,10 +463,13 @@
     struct mg_context *ctx = GsHttp_Start(&http);
     if (ctx == NULL) {
         fprintf(stderr, "standin_platform: cannot listen on %s\n", listen);
-        return 1;
     }
-    GsHttp_WaitForStop();
-    mg_stop(ctx);
+    else {
+        GsHttp_WaitForStop();
+        mg_stop(ctx);
+    }
+    close_platform(&p);
+    free(listen);
     poptFreeContext(pc);
-    return 0;
+    return ctx == NULL;
 }
--- a/tests/unit/test_standin_judge.c
+++ b/tests/unit/test_standin_judge.c
@@ -71,6 +71,35 @@
     }
 }
 
+/* A refusal is followed by a retry that answers. The refusal was false only
+ * when the run had begun before the refusal came: the caller could as well
+ * have given up there and told the jobseeker that nothing was booked. */
+Test(standin_judge, an_early_refusal_counts_by_time)
+{
+    static const struct {
+        int64_t refused_at_us;
+        int64_t start_us;
+        uint64_t expected;
+    } times[] = {{0, 10, 0}, {5, 10, 0}, {10, 10, 1}, {15, 10, 1}};
+    for (size_t i = 0; i < sizeof(times) / sizeof(times[0]); i++) {
+        GsRecord record = {.key = "k",
+                           .operation =
+                               GsOperation_Find("lich-hen", "booking"),
+                           .end = GS_END_ANSWERED,
+                           .answer_whole = true,
+                           .refused_at_us = times[i].refused_at_us};
+        GsRun run = {.key = "k", .start_us = times[i].start_us};
+        GPtrArray *records = g_ptr_array_new();
+        GPtrArray *runs = g_ptr_array_new();
+        g_ptr_array_add(records, &record);
+        g_ptr_array_add(runs, &run);
+        GsVerdict v = GsVerdict_Judge(records, runs);
+        cr_assert_eq(v.false_refusals, times[i].expected, "case %zu", i);
+        g_ptr_array_free(records, TRUE);
+        g_ptr_array_free(runs, TRUE);
+    }
+}
+
 Test(standin_judge, closing_line_is_fixed)
 {
     char text[256] = "";
