--- a/standins/common/backend.h
+++ b/standins/common/backend.h
@@ -46,6 +46,7 @@
     uint64_t runs;
     uint64_t refused;
     uint64_t stopped; /* cut off by their deadline */
+    uint64_t cancelled;
     int64_t drain_at_us;
     int64_t drain_idle_at_us;    /* nothing in flight any more */
     int64_t drain_last_offer_us; /* last new work offered after the order */
--- a/standins/common/caller.c
+++ b/standins/common/caller.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define ATTEMPTS_MAX     64
+#define ATTEMPTS_MAX     256
 #define UNSTATED_MAX     3
 #define PAUSE_US         20000
 #define LATE_US          6000000 /* after the deadline, to learn an outcome */
@@ -110,7 +110,8 @@
 {
     return strcmp(reason, "leaving") == 0 ||
            strcmp(reason, "not-ready") == 0 ||
-           strcmp(reason, "table-full") == 0;
+           strcmp(reason, "table-full") == 0 ||
+           strcmp(reason, "bad-ticket") == 0;
 }
 
 /* Forgets the entry; the ticket goes with it unless it may have run. */
--- a/standins/common/directory.c
+++ b/standins/common/directory.c
@@ -94,19 +94,18 @@
     return false;
 }
 
-/* Keeps the local entries of an answer, or its first when none is local. */
+/* Adds the entries of an answer that are, or are not, of the own region. */
 static void
-keep_entries(GsDirectory *d, struct json_object *list, int64_t now_us)
+keep_entries(GsDirectory *d, struct json_object *list, bool local,
+             int64_t now_us)
 {
     size_t count = json_object_is_type(list, json_type_array)
                        ? json_object_array_length(list)
                        : 0;
-    d->entry_count = 0;
     for (size_t i = 0; i < count && d->entry_count < GS_ENTRIES_MAX; i++) {
         struct json_object *e = json_object_array_get_idx(list, i);
         const char *address = GsJson_Text(e, "address", "");
-        bool local = GsJson_Int(e, "local", 0) != 0;
-        bool use = local || d->entry_count == 0;
+        bool use = (GsJson_Int(e, "local", 0) != 0) == local;
         if (use && !avoided(d, address, now_us)) {
             g_strlcpy(d->entries[d->entry_count++], address, GS_ADDRESS_MAX);
         }
@@ -121,7 +120,11 @@
     struct json_object *o = json_tokener_parse(body);
     struct json_object *list = NULL;
     json_object_object_get_ex(o, "entries", &list);
-    keep_entries(d, list, now_us);
+    d->entry_count = 0;
+    keep_entries(d, list, true, now_us);
+    if (d->entry_count == 0) {
+        keep_entries(d, list, false, now_us);
+    }
     d->fresh_until_us = now_us + GsJson_Int(o, "ttl_ms", 0) * 1000;
     struct json_object *tickets = NULL;
     json_object_object_get_ex(o, "tickets", &tickets);
--- a/standins/common/http.c
+++ b/standins/common/http.c
@@ -2,11 +2,17 @@
 
 #include "common/clock.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define SOCKETS_MAX 4096
 
 /* Models the price of a new connection, paid by its first request. */
 static int
@@ -133,6 +139,46 @@
     return 499;
 }
 
+/* CivetWeb gives no way to its socket; the pair of ports names it. The peer
+ * is on this machine, so no other connection has the same pair. */
+static int
+find_socket(const struct mg_request_info *ri)
+{
+    long limit = sysconf(_SC_OPEN_MAX);
+    for (int fd = 3; fd < limit && fd < SOCKETS_MAX; fd++) {
+        struct sockaddr_in own = {0};
+        struct sockaddr_in peer = {0};
+        socklen_t own_len = sizeof(own);
+        socklen_t peer_len = sizeof(peer);
+        if (getsockname(fd, (struct sockaddr *)&own, &own_len) == 0 &&
+            ntohs(own.sin_port) == ri->server_port &&
+            getpeername(fd, (struct sockaddr *)&peer, &peer_len) == 0 &&
+            ntohs(peer.sin_port) == ri->remote_port) {
+            return fd;
+        }
+    }
+    return -1;
+}
+
+/* Waits for `us`, or until the peer closes the connection, which means that
+ * it cancelled; true in that case. The search is made once a connection. */
+bool
+GsHttp_WaitGone(struct mg_connection *conn, int64_t us)
+{
+    const struct mg_request_info *ri = mg_get_request_info(conn);
+    intptr_t known = (intptr_t)mg_get_user_connection_data(conn);
+    int fd = known > 0 ? (int)known : find_socket(ri);
+    if (fd < 0) {
+        GsClock_Sleep(us);
+        return false;
+    }
+    mg_set_user_connection_data(conn, (void *)(intptr_t)fd);
+    struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+    struct timespec wait = {.tv_sec = us / 1000000,
+                            .tv_nsec = us % 1000000 * 1000};
+    return ppoll(&p, 1, &wait, NULL) > 0;
+}
+
 /* One decoded query parameter; false when it is absent or too long. */
 bool
 GsHttp_Query(struct mg_connection *conn, const char *name, char *out,
--- a/standins/common/http.h
+++ b/standins/common/http.h
@@ -33,6 +33,8 @@
 int
 GsHttp_Drop(struct mg_connection *conn);
 bool
+GsHttp_WaitGone(struct mg_connection *conn, int64_t us);
+bool
 GsHttp_Query(struct mg_connection *conn, const char *name, char *out,
              size_t cap);
 void
--- a/standins/standin_backends.c
+++ b/standins/standin_backends.c
@@ -120,24 +120,25 @@
     pthread_mutex_unlock(&all->lock);
 }
 
-/* Works for the service time, or until the deadline when that comes first;
- * false when it was cut off. */
+/* Works for the service time, or until the deadline when that comes first,
+ * or until the caller cancels; false when it was cut off. */
 static bool
 work(Backends *all, Work *w, struct mg_connection *conn)
 {
     const char *text = mg_get_header(conn, "GW-Deadline-Ms");
     int64_t left_us = text != NULL ? strtoll(text, NULL, 10) * 1000 : 0;
     bool cut = text != NULL && left_us < w->service_us;
-    GsClock_Sleep(cut ? left_us : w->service_us);
+    bool gone = GsHttp_WaitGone(conn, cut ? left_us : w->service_us);
     int64_t now_us = GsClock_Now();
     pthread_mutex_lock(&all->lock);
-    w->server->stopped += cut;
+    w->server->stopped += cut && !gone;
+    w->server->cancelled += gone;
     GsBackend_End(w->server, now_us);
     if (w->run != NULL) {
         w->run->end_us = now_us;
     }
     pthread_mutex_unlock(&all->lock);
-    return !cut;
+    return !cut && !gone;
 }
 
 static int
@@ -236,6 +237,7 @@
     add_int(o, "runs", (int64_t)b->runs);
     add_int(o, "refused", (int64_t)b->refused);
     add_int(o, "stopped", (int64_t)b->stopped);
+    add_int(o, "cancelled", (int64_t)b->cancelled);
     if (b->drain_at_us > 0) {
         int64_t idle = b->drain_idle_at_us - b->drain_at_us;
         int64_t offer = b->drain_last_offer_us - b->drain_at_us;
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -55,12 +55,20 @@
     [ -n "${gw_pid[$1]:-}" ] && kill -0 "${gw_pid[$1]}" 2>/dev/null
 }
 
+gw_ended() { # NAME
+    ! gw_alive "$1"
+}
+
 # Sends a signal and waits for the end; gives the exit code of the process.
+# One that is still there after 45 s, more than leave_bound_ms, is killed.
 gw_end() { # NAME SIGNAL
     local pid=${gw_pid[$1]}
     local rc=0
     kill -"$2" "$pid" 2>/dev/null
-    wait "$pid" 2>/dev/null || rc=$?
+    { # the shell itself says "Killed" of a job
+        gw_await 45 gw_ended "$1" || kill -KILL "$pid"
+        wait "$pid" || rc=$?
+    } 2>/dev/null
     unset "gw_pid[$1]"
     return "$rc"
 }
