--- a/Makefile
+++ b/Makefile
@@ -77,17 +77,17 @@
 
 $(LIB): $(call obj,$(lib_src) $(stub_src))
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 $(FAKES): $(call obj,$(fakes))
 	@mkdir -p $(@D)
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 $(STANDLIB): $(call obj,$(standin_lib))
 	@mkdir -p $(@D)
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 $(O)/%: $(O)/obj/programs/%.o $(LIB)
 	@echo "  LD  $@"
@@ -102,7 +102,8 @@
 	@$(CC) $(SANFLAG) -o $@ $^ $(LIBS) -lcriterion
 
 $(O)/prop_%: tests/property/%.cpp $(FAKES) $(LIB)
-	$(CXX) -std=c++17 -O1 -g $(SANFLAG) $(INC) -Wall -Wextra \
+	@echo "  CXX $@"
+	@$(CXX) -std=c++17 -O1 -g $(SANFLAG) $(INC) -Wall -Wextra \
 	    -Wno-unused-parameter $(PKGC) \
 	    -MMD -MP -o $@ $< $(FAKES) $(LIB) -lrapidcheck $(LIBS)
 
--- a/bench/blocks.c
+++ b/bench/blocks.c
@@ -45,7 +45,7 @@
             (uint64_t)(0x01000000 + GwRng_Below(&rng, 0xdf000000u)) << 32;
         start &= UINT64_MAX << (64 - length);
         uint64_t *key = g_new(uint64_t, 1);
-        *key = start | length;
+        *key = start >> 32 | length;
         if (!g_hash_table_add(seen, key)) {
             continue;
         }
--- a/lib/member/members.c
+++ b/lib/member/members.c
@@ -18,8 +18,8 @@
     m->next_seq = (params->id.start << 20) | 1;
     m->self = (GwMemberInfo){.id = params->id,
                              .state = GW_MEMBER_ALIVE,
-                             .region = GwName_Hash32(params->region),
-                             .domain = GwName_Hash32(params->domain)};
+                             .region = GwName_Hash32(params->region)};
+    g_strlcpy(m->self.domain, params->domain, GW_NAME_MAX);
     g_strlcpy(m->self.name, params->name, GW_NAME_MAX);
     g_strlcpy(m->self.peer_address, params->peer_address, GW_ADDR_MAX);
     g_strlcpy(m->self.call_address, params->call_address, GW_ADDR_MAX);
--- a/lib/runtime/relay.c
+++ b/lib/runtime/relay.c
@@ -253,7 +253,7 @@
         report_end(rt, relay, GW_OUTCOME_UNKNOWN, GW_REASON_BROKEN);
     }
     else {
-        report_end(rt, relay, GW_OUTCOME_NOT_RUN, GW_REASON_CONNECT);
+        report_end(rt, relay, GW_OUTCOME_NOT_RUN, GW_REASON_PEER_CONNECT);
     }
     g_free(relay);
 }
--- a/lib/wire/codec_control.c
+++ b/lib/wire/codec_control.c
@@ -33,7 +33,7 @@
     to->incarnation = from->incarnation;
     to->state = from->state;
     to->region = from->region;
-    to->domain = from->domain;
+    to->domain = (char *)from->domain;
     to->name = (char *)from->name;
     to->peer_address = (char *)from->peer_address;
     to->call_address = (char *)from->call_address;
@@ -243,8 +243,8 @@
     to->incarnation = from->incarnation;
     to->state = (GwMemberState)from->state;
     to->region = from->region;
-    to->domain = from->domain;
-    return GwCodec_GetText(from->name, to->name, GW_NAME_MAX) &&
+    return GwCodec_GetText(from->domain, to->domain, GW_NAME_MAX) &&
+           GwCodec_GetText(from->name, to->name, GW_NAME_MAX) &&
            GwCodec_GetText(from->peer_address, to->peer_address,
                            GW_ADDR_MAX) &&
            GwCodec_GetText(from->call_address, to->call_address, GW_ADDR_MAX);
--- a/lib/wire/inner.pb-c.c
+++ b/lib/wire/inner.pb-c.c
@@ -1102,11 +1102,11 @@
     "domain",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Gw__Inner__MemberInfo, domain),
     NULL,
-    NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
--- a/tests/fakes/cluster.c
+++ b/tests/fakes/cluster.c
@@ -1,6 +1,7 @@
 #include "fakes/cluster_internal.h"
 
 #include "member/member.h"
+#include "wire/codec.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -76,10 +77,14 @@
     return GW_NONE;
 }
 
-uint32_t __attribute__((weak)) FakeCodec_Size(const GwMessage *message)
+static size_t
+size_on_the_wire(GwMessage *message)
 {
-    (void)message;
-    return 0;
+    GwEnvelope envelope = {.kind = GW_ENVELOPE_CONTROL, .u.control = message};
+    size_t len = 0;
+
+    g_free(GwCodec_Frame(&envelope, &len));
+    return len;
 }
 
 static void
@@ -90,7 +95,7 @@
 
     from->messages_sent++;
     if (c->params.count_bytes) {
-        from->bytes_sent += FakeCodec_Size(send->message);
+        from->bytes_sent += size_on_the_wire(send->message);
     }
     if (to == GW_NONE || FakeCluster_IsCut(c, node, to) ||
         chance(c, c->params.loss_permille)) {
--- a/tests/fakes/member_net.c
+++ b/tests/fakes/member_net.c
@@ -11,13 +11,13 @@
 }
 
 static GwNetMail *
-mail_at(GwNet *net, uint32_t i)
+mail_at(MemberNet *net, uint32_t i)
 {
     return &g_array_index(net->mail, GwNetMail, i);
 }
 
 static void
-swap_mail(GwNet *net, uint32_t a, uint32_t b)
+swap_mail(MemberNet *net, uint32_t a, uint32_t b)
 {
     GwNetMail mail = *mail_at(net, a);
     *mail_at(net, a) = *mail_at(net, b);
@@ -25,7 +25,7 @@
 }
 
 static void
-push_mail(GwNet *net, GwNetMail mail)
+push_mail(MemberNet *net, GwNetMail mail)
 {
     g_array_append_val(net->mail, mail);
     uint32_t i = net->mail->len - 1;
@@ -36,7 +36,7 @@
 }
 
 static GwNetMail
-pop_mail(GwNet *net)
+pop_mail(MemberNet *net)
 {
     GwNetMail top = *mail_at(net, 0);
     uint32_t len = net->mail->len - 1;
@@ -60,7 +60,7 @@
 }
 
 static void
-start_node(GwNet *net, uint32_t i, uint64_t start)
+start_node(MemberNet *net, uint32_t i, uint64_t start)
 {
     GwNetNode *node = &net->nodes[i];
     GwNodeParams *p = &node->params;
@@ -81,10 +81,10 @@
     node->cargo.digests[0] = (GwDigest){.id = p->id, .service = 7, .seq = 1};
 }
 
-GwNet *
-GwNet_Create(uint32_t count, uint32_t regions, uint64_t seed)
+MemberNet *
+MemberNet_Create(uint32_t count, uint32_t regions, uint64_t seed)
 {
-    GwNet *net = g_new0(GwNet, 1);
+    MemberNet *net = g_new0(MemberNet, 1);
 
     net->count = count;
     net->regions = regions;
@@ -100,7 +100,7 @@
 }
 
 void
-GwNet_Free(GwNet *net)
+MemberNet_Free(MemberNet *net)
 {
     for (uint32_t i = 0; i < net->count; i++) {
         GwMembers_Free(net->nodes[i].members);
@@ -114,7 +114,7 @@
 }
 
 static void
-post(GwNet *net, uint32_t from, GwSendAction *send)
+post(MemberNet *net, uint32_t from, GwSendAction *send)
 {
     uint32_t to = (uint32_t)g_ascii_strtoull(send->address, NULL, 10);
     const GwHeartbeat *hb = &send->message->u.heartbeat;
@@ -138,7 +138,7 @@
 }
 
 static void
-judge(GwNet *net, uint32_t by, const char *text, bool dead)
+judge(MemberNet *net, uint32_t by, const char *text, bool dead)
 {
     uint32_t i =
         (uint32_t)g_ascii_strtoull(text + strlen("member=n"), NULL, 10);
@@ -152,7 +152,7 @@
 }
 
 static void
-carry_out(GwNet *net, uint32_t from, bool received)
+carry_out(MemberNet *net, uint32_t from, bool received)
 {
     uint32_t sends = 0;
 
@@ -176,7 +176,7 @@
 }
 
 void
-GwNet_Inject(GwNet *net, uint32_t to, const GwMessage *msg)
+MemberNet_Inject(MemberNet *net, uint32_t to, const GwMessage *msg)
 {
     GwNetNode *node = &net->nodes[to];
 
@@ -186,7 +186,7 @@
 }
 
 static void
-deliver_due(GwNet *net, int64_t until_us)
+deliver_due(MemberNet *net, int64_t until_us)
 {
     while (net->mail->len > 0 && mail_at(net, 0)->at_us <= until_us) {
         GwNetMail mail = pop_mail(net);
@@ -199,14 +199,14 @@
             continue;
         }
         if (node->up) {
-            GwNet_Inject(net, mail.to, mail.message);
+            MemberNet_Inject(net, mail.to, mail.message);
         }
         GwMessage_Free(mail.message);
     }
 }
 
 void
-GwNet_Run(GwNet *net, int64_t for_us)
+MemberNet_Run(MemberNet *net, int64_t for_us)
 {
     int64_t end_us = net->now_us + for_us;
 
@@ -229,7 +229,7 @@
 }
 
 void
-GwNet_List(GwNet *net, uint32_t listed)
+MemberNet_List(MemberNet *net, uint32_t listed)
 {
     GwListed *items = g_new0(GwListed, listed);
     GwListEvent list = {.count = listed, .items = items};
@@ -250,13 +250,13 @@
 }
 
 void
-GwNet_Kill(GwNet *net, uint32_t i)
+MemberNet_Kill(MemberNet *net, uint32_t i)
 {
     net->nodes[i].up = false;
 }
 
 void
-GwNet_Restart(GwNet *net, uint32_t i)
+MemberNet_Restart(MemberNet *net, uint32_t i)
 {
     uint64_t start = net->nodes[i].params.id.start + 1;
 
@@ -265,7 +265,7 @@
 }
 
 uint32_t
-GwNet_Shown(const GwNet *net, uint32_t i, uint32_t j)
+MemberNet_Shown(const MemberNet *net, uint32_t i, uint32_t j)
 {
     const GwMembers *m = net->nodes[i].members;
     GwNodeId id = net->nodes[j].params.id;
@@ -280,13 +280,13 @@
 }
 
 bool
-GwNet_Agrees(const GwNet *net)
+MemberNet_Agrees(const MemberNet *net)
 {
     bool agrees = true;
 
     for (uint32_t i = 0; i < net->count; i++) {
         for (uint32_t j = 0; j < net->count && net->nodes[i].up; j++) {
-            uint32_t shown = i == j ? 0 : GwNet_Shown(net, i, j);
+            uint32_t shown = i == j ? 0 : MemberNet_Shown(net, i, j);
             bool ok =
                 i == j || (net->nodes[j].up == (shown == GW_MEMBER_ALIVE));
             if (!ok && net->count < 50) {
--- a/tests/fakes/member_net.h
+++ b/tests/fakes/member_net.h
@@ -46,30 +46,30 @@
      * run. */
     uint32_t wrong[GW_NET_MAX];
     uint32_t suspected[GW_NET_MAX];
-} GwNet;
+} MemberNet;
 
-GwNet *
-GwNet_Create(uint32_t count, uint32_t regions, uint64_t seed);
+MemberNet *
+MemberNet_Create(uint32_t count, uint32_t regions, uint64_t seed);
 void
-GwNet_Free(GwNet *net);
+MemberNet_Free(MemberNet *net);
 /* Gives every live node a list of `listed` first nodes. */
 void
-GwNet_List(GwNet *net, uint32_t listed);
+MemberNet_List(MemberNet *net, uint32_t listed);
 void
-GwNet_Run(GwNet *net, int64_t for_us);
+MemberNet_Run(MemberNet *net, int64_t for_us);
 void
-GwNet_Kill(GwNet *net, uint32_t i);
+MemberNet_Kill(MemberNet *net, uint32_t i);
 void
-GwNet_Restart(GwNet *net, uint32_t i);
+MemberNet_Restart(MemberNet *net, uint32_t i);
 /* Hands one made-up message to a node, at once. */
 void
-GwNet_Inject(GwNet *net, uint32_t to, const GwMessage *msg);
+MemberNet_Inject(MemberNet *net, uint32_t to, const GwMessage *msg);
 /* The state node i shows for node j; 0 when it does not show it. */
 uint32_t
-GwNet_Shown(const GwNet *net, uint32_t i, uint32_t j);
+MemberNet_Shown(const MemberNet *net, uint32_t i, uint32_t j);
 /* Every live node shows every other live one as alive and heard, at its
  * present start, and no dead one as alive. */
 bool
-GwNet_Agrees(const GwNet *net);
+MemberNet_Agrees(const MemberNet *net);
 
 #endif
--- a/tests/property/members.cpp
+++ b/tests/property/members.cpp
@@ -11,18 +11,18 @@
 
 constexpr int64_t kSecond = 1000000;
 
-using Net = std::unique_ptr<GwNet, decltype(&GwNet_Free)>;
+using Net = std::unique_ptr<MemberNet, decltype(&MemberNet_Free)>;
 
 Net
 makeNet(uint32_t count, uint32_t regions, uint64_t seed)
 {
-    return {GwNet_Create(count, regions, seed), GwNet_Free};
+    return {MemberNet_Create(count, regions, seed), MemberNet_Free};
 }
 
 // Bounds of one message, and of what one received message may cause: an
 // answer, one probe each of those it accuses, one relayed.
 void
-checkBounds(const GwNet &net)
+checkBounds(const MemberNet &net)
 {
     RC_ASSERT(net.updates_max <= GW_UPDATES_MAX);
     RC_ASSERT(net.digests_max <= GW_DIGESTS_MAX);
@@ -31,16 +31,16 @@
 
 // Kills, restarts, pauses and cuts for a while, then lets all of it end.
 void
-disturb(GwNet *net, GwRng *rng)
+disturb(MemberNet *net, GwRng *rng)
 {
     for (int second = 0; second < 60; second++) {
         uint32_t i = GwRng_Below(rng, net->count);
         switch (GwRng_Below(rng, 16)) {
         case 0:
-            GwNet_Kill(net, i);
+            MemberNet_Kill(net, i);
             break;
         case 1:
-            GwNet_Restart(net, i);
+            MemberNet_Restart(net, i);
             break;
         case 2:
             net->nodes[i].paused = !net->nodes[i].paused;
@@ -49,12 +49,12 @@
             net->cut = !net->cut;
             break;
         case 4:
-            GwNet_List(net, 1 + GwRng_Below(rng, net->count));
+            MemberNet_List(net, 1 + GwRng_Below(rng, net->count));
             break;
         default:
             break;
         }
-        GwNet_Run(net, kSecond);
+        MemberNet_Run(net, kSecond);
     }
     net->cut = false;
     net->loss_permille = 0;
@@ -71,13 +71,13 @@
     auto loss = *rc::gen::inRange<uint32_t>(0, 300);
     Net net = makeNet(count, 3, seed);
     GwRng rng = GwRng_Make(seed);
-    GwNet_List(net.get(), count);
+    MemberNet_List(net.get(), count);
     net->loss_permille = loss;
     disturb(net.get(), &rng);
     checkBounds(*net);
-    GwNet_List(net.get(), count);
-    GwNet_Run(net.get(), 60 * kSecond);
-    RC_ASSERT(GwNet_Agrees(net.get()));
+    MemberNet_List(net.get(), count);
+    MemberNet_Run(net.get(), 60 * kSecond);
+    RC_ASSERT(MemberNet_Agrees(net.get()));
 }
 
 // Whoever dies is held dead by all within the bound: a round of probes in
@@ -88,14 +88,14 @@
     auto seed = *rc::gen::arbitrary<uint64_t>();
     auto victim = *rc::gen::inRange<uint32_t>(0, 12);
     Net net = makeNet(12, 3, seed);
-    GwNet_List(net.get(), 12);
+    MemberNet_List(net.get(), 12);
     net->loss_permille = 20;
-    GwNet_Run(net.get(), 20 * kSecond);
-    GwNet_Kill(net.get(), victim);
-    GwNet_Run(net.get(), 10 * kSecond);
+    MemberNet_Run(net.get(), 20 * kSecond);
+    MemberNet_Kill(net.get(), victim);
+    MemberNet_Run(net.get(), 10 * kSecond);
     for (uint32_t i = 0; i < 12; i++) {
         RC_ASSERT(i == victim ||
-                  GwNet_Shown(net.get(), i, victim) == GW_MEMBER_DEAD);
+                  MemberNet_Shown(net.get(), i, victim) == GW_MEMBER_DEAD);
     }
 }
 
@@ -105,8 +105,8 @@
 {
     Net net = makeNet(12, 3, seed);
     net->loss_permille = 20;
-    GwNet_List(net.get(), 12);
-    GwNet_Run(net.get(), for_us);
+    MemberNet_List(net.get(), 12);
+    MemberNet_Run(net.get(), for_us);
     checkBounds(*net);
     return net->died;
 }
@@ -136,16 +136,16 @@
     auto seed = *rc::gen::arbitrary<uint64_t>();
     auto apart = *rc::gen::inRange<int64_t>(5, 200);
     Net net = makeNet(12, 3, seed);
-    GwNet_List(net.get(), 12);
-    GwNet_Run(net.get(), 20 * kSecond);
+    MemberNet_List(net.get(), 12);
+    MemberNet_Run(net.get(), 20 * kSecond);
     net->cut = true;
-    GwNet_Run(net.get(), apart * kSecond);
+    MemberNet_Run(net.get(), apart * kSecond);
     net->cut = false;
-    GwNet_Run(net.get(), 40 * kSecond);
+    MemberNet_Run(net.get(), 40 * kSecond);
     for (uint32_t i = 0; i < net->count; i++) {
         RC_ASSERT(net->wrong[i] == 0U);
     }
-    RC_ASSERT(GwNet_Agrees(net.get()));
+    RC_ASSERT(MemberNet_Agrees(net.get()));
 }
 
 // A process that was paused wakes with the acks to its probes unread. It
@@ -156,17 +156,17 @@
     auto seed = *rc::gen::arbitrary<uint64_t>();
     auto pause = *rc::gen::inRange<int64_t>(1, 400);
     Net net = makeNet(12, 1, seed);
-    GwNet_List(net.get(), 12);
-    GwNet_Run(net.get(), 20 * kSecond);
+    MemberNet_List(net.get(), 12);
+    MemberNet_Run(net.get(), 20 * kSecond);
     for (int i = 0; i < 4; i++) {
         net->nodes[5].paused = true;
-        GwNet_Run(net.get(), pause * 100000);
+        MemberNet_Run(net.get(), pause * 100000);
         net->nodes[5].paused = false;
-        GwNet_Run(net.get(), 10 * kSecond);
+        MemberNet_Run(net.get(), 10 * kSecond);
     }
     RC_ASSERT(net->suspected[5] == 0U);
     RC_ASSERT(net->wrong[5] == 0U);
-    RC_ASSERT(GwNet_Agrees(net.get()));
+    RC_ASSERT(MemberNet_Agrees(net.get()));
 }
 
 // An update of an earlier life, however late, brings nobody back.
@@ -176,17 +176,17 @@
     auto seed = *rc::gen::arbitrary<uint64_t>();
     auto wait = *rc::gen::inRange<int64_t>(10, 600);
     Net net = makeNet(4, 2, seed);
-    GwNet_List(net.get(), 4);
-    GwNet_Run(net.get(), 10 * kSecond);
+    MemberNet_List(net.get(), 4);
+    MemberNet_Run(net.get(), 10 * kSecond);
     uint64_t node = net->nodes[3].params.id.node;
     GwMemberInfo old = GwMembers_Find(net->nodes[0].members, node)->info;
-    GwNet_Kill(net.get(), 3);
-    GwNet_Run(net.get(), wait * kSecond);
+    MemberNet_Kill(net.get(), 3);
+    MemberNet_Run(net.get(), wait * kSecond);
     std::unique_ptr<GwMessage, decltype(&GwMessage_Free)> late(
         GwMessage_Create(GW_MSG_ACK, net->nodes[1].params.id), GwMessage_Free);
     late->u.heartbeat.update_count = 1;
     late->u.heartbeat.updates[0] = old;
-    GwNet_Inject(net.get(), 0, late.get());
+    MemberNet_Inject(net.get(), 0, late.get());
     const GwMember *member = GwMembers_Find(net->nodes[0].members, node);
     bool dead = member == nullptr || member->info.state == GW_MEMBER_DEAD;
     RC_ASSERT(dead);
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -7,14 +7,14 @@
 /* Twelve entries start with a list of all; each finds the others. */
 Test(members, twelve_meet)
 {
-    GwNet *net = GwNet_Create(12, 3, 1);
+    MemberNet *net = MemberNet_Create(12, 3, 1);
 
-    GwNet_List(net, 12);
-    GwNet_Run(net, 20 * SECOND);
-    cr_assert(GwNet_Agrees(net));
+    MemberNet_List(net, 12);
+    MemberNet_Run(net, 20 * SECOND);
+    cr_assert(MemberNet_Agrees(net));
     cr_assert_eq(net->died, 0);
     cr_assert_leq(net->updates_max, GW_UPDATES_MAX);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
 
 /* An entry dies without a word. Callers of the others are still sent to it
@@ -22,32 +22,32 @@
  * everybody holds it dead. */
 Test(members, dead_one_is_out_everywhere)
 {
-    GwNet *net = GwNet_Create(12, 3, 2);
-
-    GwNet_List(net, 12);
-    GwNet_Run(net, 20 * SECOND);
-    GwNet_Kill(net, 4);
-    GwNet_Run(net, 12 * SECOND);
-    cr_assert(GwNet_Agrees(net));
-    cr_assert_eq(GwNet_Shown(net, 0, 4), GW_MEMBER_DEAD);
-    GwNet_Run(net, 200 * SECOND);
-    cr_assert_eq(GwNet_Shown(net, 0, 4), 0);
-    GwNet_Free(net);
+    MemberNet *net = MemberNet_Create(12, 3, 2);
+
+    MemberNet_List(net, 12);
+    MemberNet_Run(net, 20 * SECOND);
+    MemberNet_Kill(net, 4);
+    MemberNet_Run(net, 12 * SECOND);
+    cr_assert(MemberNet_Agrees(net));
+    cr_assert_eq(MemberNet_Shown(net, 0, 4), GW_MEMBER_DEAD);
+    MemberNet_Run(net, 200 * SECOND);
+    cr_assert_eq(MemberNet_Shown(net, 0, 4), 0);
+    MemberNet_Free(net);
 }
 
 /* An instance is replaced under its name. The new start is taken at once, and
  * a late message of the old one changes nothing. */
 Test(members, restart_replaces_at_once)
 {
-    GwNet *net = GwNet_Create(6, 2, 3);
+    MemberNet *net = MemberNet_Create(6, 2, 3);
     GwNodeId old = net->nodes[2].params.id;
 
-    GwNet_List(net, 6);
-    GwNet_Run(net, 10 * SECOND);
-    GwNet_Restart(net, 2);
-    GwNet_List(net, 6);
-    GwNet_Run(net, 5 * SECOND);
-    cr_assert(GwNet_Agrees(net));
+    MemberNet_List(net, 6);
+    MemberNet_Run(net, 10 * SECOND);
+    MemberNet_Restart(net, 2);
+    MemberNet_List(net, 6);
+    MemberNet_Run(net, 5 * SECOND);
+    cr_assert(MemberNet_Agrees(net));
     GwMessage *late = GwMessage_Create(GW_MSG_PROBE, old);
     const GwMember *seen = GwMembers_Find(net->nodes[0].members, old.node);
     late->u.heartbeat.update_count = 1;
@@ -55,11 +55,11 @@
     late->u.heartbeat.updates[0].id = old;
     late->u.heartbeat.updates[0].incarnation = 99;
     uint64_t sent = net->sent;
-    GwNet_Inject(net, 0, late);
+    MemberNet_Inject(net, 0, late);
     cr_assert_eq(net->sent, sent);
-    cr_assert(GwNet_Agrees(net));
+    cr_assert(MemberNet_Agrees(net));
     GwMessage_Free(late);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
 
 /* Regions lose each other for ten minutes and hold each other dead, even
@@ -67,68 +67,68 @@
  * them merge. */
 Test(members, lost_regions_merge_again)
 {
-    GwNet *net = GwNet_Create(12, 3, 4);
+    MemberNet *net = MemberNet_Create(12, 3, 4);
 
-    GwNet_List(net, 12);
-    GwNet_Run(net, 20 * SECOND);
+    MemberNet_List(net, 12);
+    MemberNet_Run(net, 20 * SECOND);
     net->cut = true;
-    GwNet_Run(net, 600 * SECOND);
-    cr_assert_eq(GwNet_Shown(net, 0, 1), 0);
-    cr_assert_eq(GwNet_Shown(net, 0, 3), GW_MEMBER_ALIVE);
+    MemberNet_Run(net, 600 * SECOND);
+    cr_assert_eq(MemberNet_Shown(net, 0, 1), 0);
+    cr_assert_eq(MemberNet_Shown(net, 0, 3), GW_MEMBER_ALIVE);
     net->cut = false;
-    GwNet_Run(net, 40 * SECOND);
-    cr_assert(GwNet_Agrees(net));
-    GwNet_Free(net);
+    MemberNet_Run(net, 40 * SECOND);
+    cr_assert(MemberNet_Agrees(net));
+    MemberNet_Free(net);
 }
 
 /* A process is paused for less than the others take to give it up. On waking
  * it must not blame the others for acks it has not read yet. */
 Test(members, paused_one_blames_nobody)
 {
-    GwNet *net = GwNet_Create(12, 3, 5);
+    MemberNet *net = MemberNet_Create(12, 3, 5);
 
-    GwNet_List(net, 12);
-    GwNet_Run(net, 20 * SECOND);
+    MemberNet_List(net, 12);
+    MemberNet_Run(net, 20 * SECOND);
     net->nodes[3].paused = true;
-    GwNet_Run(net, 30 * SECOND);
+    MemberNet_Run(net, 30 * SECOND);
     net->nodes[3].paused = false;
     uint64_t died = net->died;
-    GwNet_Run(net, 20 * SECOND);
-    cr_assert(GwNet_Agrees(net));
+    MemberNet_Run(net, 20 * SECOND);
+    cr_assert(MemberNet_Agrees(net));
     cr_assert_eq(net->died, died);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
 
 /* The platform is about to stop an instance and its list says so, before the
  * process itself knows. */
 Test(members, listed_leaving_is_believed_at_once)
 {
-    GwNet *net = GwNet_Create(3, 1, 6);
+    MemberNet *net = MemberNet_Create(3, 1, 6);
     GwListed item = {.name = "n1", .peer_address = "1", .leaving = true};
     GwListEvent list = {.count = 1, .items = &item};
     GwActions out = {0};
 
-    GwNet_List(net, 3);
-    GwNet_Run(net, 10 * SECOND);
+    MemberNet_List(net, 3);
+    MemberNet_Run(net, 10 * SECOND);
     GwMembers_Listed(net->nodes[0].members, net->now_us, &list, &out);
-    cr_assert_eq(GwNet_Shown(net, 0, 1), GW_MEMBER_LEAVING);
+    cr_assert_eq(MemberNet_Shown(net, 0, 1), GW_MEMBER_LEAVING);
     cr_assert(!GwMembers_IsListed(net->nodes[0].members, "n2"));
-    GwNet_Run(net, 10 * SECOND);
-    cr_assert_eq(GwNet_Shown(net, 0, 1), GW_MEMBER_LEAVING);
-    cr_assert_eq(GwNet_Shown(net, 0, 2), GW_MEMBER_ALIVE);
+    MemberNet_Run(net, 10 * SECOND);
+    cr_assert_eq(MemberNet_Shown(net, 0, 1), GW_MEMBER_LEAVING);
+    cr_assert_eq(MemberNet_Shown(net, 0, 2), GW_MEMBER_ALIVE);
     GwActions_Free(&out);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
 
 /* Whether all others know node j, or, if `heard`, show it to callers. */
 static bool
-all_show(const GwNet *net, uint32_t j, bool heard)
+all_show(const MemberNet *net, uint32_t j, bool heard)
 {
     GwNodeId id = net->nodes[j].params.id;
 
     for (uint32_t i = 0; i < net->count; i++) {
         bool known =
-            heard ? GwNet_Shown(net, i, j) == GW_MEMBER_ALIVE
+            heard ? MemberNet_Shown(net, i, j) == GW_MEMBER_ALIVE
                   : GwMembers_Find(net->nodes[i].members, id.node) != NULL;
         if (i != j && !known) {
             return false;
@@ -141,21 +141,21 @@
  * never there is not shown at all. */
 Test(members, hearsay_costs_little)
 {
-    GwNet *net = GwNet_Create(12, 1, 7);
+    MemberNet *net = MemberNet_Create(12, 1, 7);
     int64_t known_us = 0;
     int64_t shown_us = 0;
 
-    GwNet_Kill(net, 11);
-    GwNet_List(net, 11);
-    GwNet_Run(net, 20 * SECOND);
-    GwNet_Restart(net, 11);
-    GwNet_List(net, 11);
+    MemberNet_Kill(net, 11);
+    MemberNet_List(net, 11);
+    MemberNet_Run(net, 20 * SECOND);
+    MemberNet_Restart(net, 11);
+    MemberNet_List(net, 11);
     while (shown_us < 30 * SECOND && !all_show(net, 11, true)) {
-        GwNet_Run(net, SECOND / 10);
+        MemberNet_Run(net, SECOND / 10);
         shown_us += SECOND / 10;
         known_us += all_show(net, 11, false) ? 0 : SECOND / 10;
     }
-    cr_log_warn("known everywhere after %d ms, shown after %d ms",
+    cr_log_info("known everywhere after %d ms, shown after %d ms",
                 (int)(known_us / 1000), (int)(shown_us / 1000));
     cr_assert_lt(shown_us, 10 * SECOND);
     GwMessage *msg = GwMessage_Create(GW_MSG_PROBE, net->nodes[1].params.id);
@@ -165,37 +165,37 @@
                        .state = GW_MEMBER_ALIVE,
                        .name = "ghost",
                        .peer_address = "649"};
-    GwNet_Inject(net, 0, msg);
+    MemberNet_Inject(net, 0, msg);
     cr_assert_eq(GwMembers_Find(net->nodes[0].members, 99)->heard_us, 0);
-    GwNet_Run(net, 20 * SECOND);
-    cr_assert(GwNet_Agrees(net));
+    MemberNet_Run(net, 20 * SECOND);
+    cr_assert(MemberNet_Agrees(net));
     cr_assert_eq(GwMembers_Count(net->nodes[0].members), 11);
     GwMessage_Free(msg);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
 
 /* An entry leaves: all of its region know at once, the rest by gossip. */
 Test(members, leaving_is_told_to_all)
 {
-    GwNet *net = GwNet_Create(12, 3, 8);
+    MemberNet *net = MemberNet_Create(12, 3, 8);
     GwActions out = {0};
 
-    GwNet_List(net, 12);
-    GwNet_Run(net, 20 * SECOND);
+    MemberNet_List(net, 12);
+    MemberNet_Run(net, 20 * SECOND);
     GwMembers_Leave(net->nodes[0].members, net->now_us, &net->nodes[0].cargo,
                     &out);
     for (uint32_t i = 0; i < out.count; i++) {
         const GwSendAction *send = &out.items[i].u.send;
         uint32_t to = (uint32_t)g_ascii_strtoull(send->address, NULL, 10);
-        GwNet_Inject(net, to, send->message);
+        MemberNet_Inject(net, to, send->message);
     }
     for (uint32_t i = 3; i < 12; i += 3) {
-        cr_assert_eq(GwNet_Shown(net, i, 0), GW_MEMBER_LEAVING);
+        cr_assert_eq(MemberNet_Shown(net, i, 0), GW_MEMBER_LEAVING);
     }
-    GwNet_Run(net, 10 * SECOND);
+    MemberNet_Run(net, 10 * SECOND);
     for (uint32_t i = 1; i < 12; i++) {
-        cr_assert_eq(GwNet_Shown(net, i, 0), GW_MEMBER_LEAVING, "%u", i);
+        cr_assert_eq(MemberNet_Shown(net, i, 0), GW_MEMBER_LEAVING, "%u", i);
     }
     GwActions_Free(&out);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
