Check backend servers for duplicates in one pass

Change: hash tables over all backend servers, once; a scan without memory of its own for ambiguous paths.

--- a/lib/config/checks.c
+++ b/lib/config/checks.c
@@ -22,27 +22,56 @@
     return true;
 }
 
+/* Where a backend server stands in the document. */
+static GwReadAt
+backend_at(const GwConfig *c, uint32_t i)
+{
+    GwReadAt at = {0};
+    uint32_t place = c->backends[i].place;
+    g_snprintf(at.path, sizeof(at.path), "places[%u].backends[%u]", place,
+               i - c->places[place].first_backend);
+    return at;
+}
+
+/* Holds one backend server against those in the tables, and adds it. */
+static bool
+check_backend(const GwConfig *c, uint32_t i, GHashTable *ids,
+              GHashTable *addresses, GError **error)
+{
+    GwBackend *b = &c->backends[i];
+    const GwReadAt at = backend_at(c, i);
+    const GwBackend *same_id = g_hash_table_lookup(ids, &b->id);
+    const GwBackend *same_address = g_hash_table_lookup(addresses, b->address);
+    if (same_id != NULL) {
+        return GwRead_Fail(&at, "name", GW_RESULT_DUPLICATE, error,
+                           "\"%s\" is already in places[%u]", b->name,
+                           same_id->place);
+    }
+    if (same_address != NULL) {
+        return GwRead_Fail(&at, "address", GW_RESULT_DUPLICATE, error,
+                           "%s is already that of %s in places[%u]",
+                           b->address, same_address->name,
+                           same_address->place);
+    }
+    g_hash_table_insert(ids, &b->id, b);
+    g_hash_table_insert(addresses, b->address, b);
+    return true;
+}
+
 /* Refuses a second backend server of one name in a service, and a second use
  * of one address: the server would get its slots twice over. */
 bool
-GwChecks_Backend(const GwConfig *c, const GwReadAt *at, GError **error)
+GwChecks_Backends(const GwConfig *c, GError **error)
 {
-    uint32_t last = c->backend_count - 1;
-    const GwBackend *b = &c->backends[last];
-    for (uint32_t i = 0; i < last; i++) {
-        const GwBackend *other = &c->backends[i];
-        if (other->id == b->id) {
-            return GwRead_Fail(at, "name", GW_RESULT_DUPLICATE, error,
-                               "\"%s\" is already in places[%u]", b->name,
-                               other->place);
-        }
-        if (strcmp(other->address, b->address) == 0) {
-            return GwRead_Fail(at, "address", GW_RESULT_DUPLICATE, error,
-                               "%s is already that of %s in places[%u]",
-                               b->address, other->name, other->place);
-        }
+    GHashTable *ids = g_hash_table_new(g_int64_hash, g_int64_equal);
+    GHashTable *addresses = g_hash_table_new(g_str_hash, g_str_equal);
+    bool good = true;
+    for (uint32_t i = 0; i < c->backend_count && good; i++) {
+        good = check_backend(c, i, ids, addresses, error);
     }
-    return true;
+    g_hash_table_destroy(ids);
+    g_hash_table_destroy(addresses);
+    return good;
 }
 
 /* Refuses a second region of one name. */
--- a/lib/config/checks.h
+++ b/lib/config/checks.h
@@ -1,6 +1,7 @@
 /* Checks of a configuration that need more than one item: duplicates, and
  * rules between places, shifts and links. Each is called right after its
- * item was appended and looks at the items before it. */
+ * item was appended and looks at the items before it; that of the backend
+ * servers looks at all of them, once. */
 #ifndef GW_CONFIG_CHECKS_H
 #define GW_CONFIG_CHECKS_H
 
@@ -10,7 +11,7 @@
 GwChecks_Operation(const GwService *service, const GwReadAt *at,
                    GError **error);
 bool
-GwChecks_Backend(const GwConfig *c, const GwReadAt *at, GError **error);
+GwChecks_Backends(const GwConfig *c, GError **error);
 bool
 GwChecks_Region(GwConfig *c, uint32_t i, const GwReadAt *at, GError **error);
 bool
--- a/lib/config/model.c
+++ b/lib/config/model.c
@@ -102,23 +102,24 @@
 }
 
 /* Whether a server may read the path as another one than a prefix match
- * sees: "/slots/../book" begins like a look-up and ends as a booking. */
+ * sees: "/slots/../book" begins like a look-up and ends as a booking. The
+ * query is no part of the path. */
 static bool
 is_ambiguous(const char *path)
 {
-    static const char *const escapes[] = {"..",  "//",  "\\", "%2e",
-                                          "%2f", "%5c", "%25"};
-    char *lower = g_ascii_strdown(path, -1);
-    char *query = strchr(lower, '?');
-    if (query != NULL) {
-        *query = '\0';
-    }
-    bool found = false;
-    for (size_t i = 0; i < G_N_ELEMENTS(escapes) && !found; i++) {
-        found = strstr(lower, escapes[i]) != NULL;
+    static const char *const signs[] = {"..",  "//",  "\\", "%2e",
+                                        "%2f", "%5c", "%25"};
+    for (const char *p = path; *p != '\0' && *p != '?'; p++) {
+        if (strchr("./\\%", *p) == NULL) {
+            continue;
+        }
+        for (size_t i = 0; i < G_N_ELEMENTS(signs); i++) {
+            if (g_ascii_strncasecmp(p, signs[i], strlen(signs[i])) == 0) {
+                return true;
+            }
+        }
     }
-    g_free(lower);
-    return found;
+    return false;
 }
 
 /* The length of the match of a pattern with a path, 0 for none. An exact
--- a/lib/config/parse.c
+++ b/lib/config/parse.c
@@ -177,9 +177,6 @@
         b->id = backend_id(c->services[place->service].name, b->name);
         c->backend_count++;
         place->backend_count++;
-        if (!GwChecks_Backend(c, &item, error)) {
-            return false;
-        }
     }
     return true;
 }
@@ -337,7 +334,7 @@
         }
     }
     c->backends = g_renew(GwBackend, c->backends, MAX(c->backend_count, 1));
-    return true;
+    return GwChecks_Backends(c, error);
 }
 
 static bool
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -71,6 +71,10 @@
         {"POST", "/recipes/12", false},
         {"GET", "/recipes/../dose", false},
         {"GET", "/recipes/%2E%2e/dose", false},
+        {"GET", "/recipes/a%2Fb", false},
+        {"GET", "/recipes//dose", false},
+        {"GET", "/recipes/\\dose", false},
+        {"GET", "/recipes/a.b%C3%A9?x=../..", true},
         {"GET", "/other", false},
     };
     GwConfig *c = parse(GOOD, NULL);
