--- a/lib/steer/seats.c
+++ b/lib/steer/seats.c
@@ -130,7 +130,7 @@
 {
     for (uint32_t i = 0; i < s->high; i++) {
         GwSeat *t = &s->seats[i];
-        if (s->seen[i] != s->seen_mark && t->row.version != 0 &&
+        if (t->reading != s->reading && t->row.version != 0 &&
             t->since_us < sent_us && t->write.op == GW_SEAT_OP_NONE) {
             t->row = (GwSeatRow){0};
             t->since_us = now_us;
@@ -160,7 +160,7 @@
 take_list(GwSeats *s, int64_t now_us, const GwTableReply *reply,
           const GwMembers *members, GwActions *out)
 {
-    s->seen_mark++;
+    s->reading++;
     for (uint32_t i = 0; i < reply->row_count; i++) {
         uint32_t seat = seat_of(s, reply->rows[i].key);
         if (seat == GW_NONE) {
@@ -168,7 +168,7 @@
         }
         GwSeatRow row;
         GwSeatRow_Parse(&reply->rows[i], &row);
-        s->seen[seat] = s->seen_mark;
+        s->seats[seat].reading = s->reading;
         if (s->seats[seat].write.op == GW_SEAT_OP_NONE) {
             GwSeats_Learn(s, now_us, seat, &row, out);
         }
--- a/lib/steer/seats_internal.h
+++ b/lib/steer/seats_internal.h
@@ -67,6 +67,7 @@
     GwSeatState state;
     bool contested;    /* ours with a notice on it: not used till answered */
     GwSeatRow row;     /* as last read or written */
+    uint32_t reading;  /* the last one that showed its row */
     int64_t since_us;  /* since when the row has this version, as we saw */
     int64_t notice_us; /* when our notice was surely in the row; 0 never */
     int64_t newer_us;  /* when a newer start of its holder was seen; 0 never */
@@ -110,8 +111,7 @@
         uint64_t token; /* 0: none in flight */
         int64_t sent_us;
     } list;
-    uint32_t seen[GW_SEATS_MAX]; /* marks of rows in one reading */
-    uint32_t seen_mark;
+    uint32_t reading; /* number of the last reading */
     GwSeat seats[GW_SEATS_MAX];
 };
 
