--- a/lib/steer/grants.c
+++ b/lib/steer/grants.c
@@ -417,7 +417,8 @@
 
 /* How many more units may go out now. Moved traffic lands on cold caches, so
  * the level rises by this entry's share of warmup_step a second and sinks as
- * fast when unused. The shares of all entries add up to warmup_step. */
+ * fast when unused. The shares of all entries add up to warmup_step; each may
+ * be ahead by an eighth of a second's growth, and by one unit at least. */
 static uint32_t
 warm_allowance(const GwSteer *s, int64_t now_us, GwCapState *shift)
 {
@@ -430,7 +431,7 @@
     }
     rate /= shift->cap;
     int64_t step = rate * age_us / GW_MS(1000);
-    int64_t burst = MAX(rate, 1000);
+    int64_t burst = MAX(rate / 8, 1000);
     int64_t top = out_milli + burst;
     if (shift->level_milli > top) {
         shift->level_milli = MAX(top, shift->level_milli - step);
--- /dev/null
+++ b/tests/unit/test_steer_backends.c
@@ -0,0 +1,101 @@
+/* What an entry knows of one backend server, and how it ages. */
+#include "steer/steer_internal.h"
+
+#include <criterion/criterion.h>
+
+Test(steer_backends, reports_age_to_unknown_never_to_idle)
+{
+    struct {
+        const char *name;
+        bool has_load;
+        uint32_t load, in_flight;
+        int64_t age_us;
+        uint64_t expected;
+    } cases[] = {
+        {"fresh", true, 1, 0, 0, 1},
+        {"own sight outranks a lower report", true, 0, 3, 0, 3},
+        {"never reported: half the slots", false, 0, 0, 0, 2},
+        {"late idle is unknown", true, 0, 0, GW_LOAD_FRESH_US + 1, 2},
+        {"late and full stays full", true, 4, 0, GW_LOAD_FRESH_US + 1, 4},
+        {"at the bound", true, 0, 0, GW_LOAD_FRESH_US, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        GwBackendState b = {.slot_count = 4,
+                            .in_flight = cases[i].in_flight,
+                            .has_load = cases[i].has_load,
+                            .load = cases[i].load};
+        cr_expect_eq(GwBackend_Load(&b, cases[i].age_us), cases[i].expected,
+                     "%s", cases[i].name);
+    }
+}
+
+Test(steer_backends, ejection_backs_off_and_returns_slowly)
+{
+    GwBackendState b = {.slot_count = 4};
+    GwRng rng = GwRng_Make(1);
+    int64_t now_us = 1;
+    int64_t last_us = 0;
+
+    for (uint32_t round = 0; round < 8; round++) {
+        while (!GwBackend_IsEjected(&b, now_us)) {
+            GwBackend_Failed(&b, now_us, &rng);
+        }
+        int64_t span_us = b.ejected_until_us - now_us;
+        cr_expect(span_us <= GW_EJECT_MAX_US * 5 / 4);
+        cr_expect(span_us >= last_us || last_us >= GW_EJECT_MAX_US);
+        last_us = span_us;
+        now_us = b.ejected_until_us;
+        cr_expect(GwBackend_Tick(&b, now_us));
+        cr_expect_eq(GwBackend_Weight(&b, now_us), GW_WEIGHT_MIN);
+    }
+    GwBackend_Succeeded(&b, now_us, 1000);
+    cr_expect_eq(b.failures, 0);
+    cr_expect_eq(GwBackend_Weight(&b, now_us + GW_SLOW_START_US),
+                 GW_WEIGHT_FULL);
+}
+
+Test(steer_backends, ends_teach)
+{
+    struct {
+        const char *name;
+        GwAttemptEvent end;
+        uint32_t failures;
+        bool takes_work;
+    } cases[] = {
+        {"answered", {.outcome = GW_OUTCOME_ANSWERED}, 0, true},
+        {"no connection",
+         {.outcome = GW_OUTCOME_NOT_RUN, .reason = GW_REASON_CONNECT},
+         1,
+         true},
+        {"silent",
+         {.outcome = GW_OUTCOME_UNKNOWN, .reason = GW_REASON_SILENT},
+         1,
+         true},
+        {"shed",
+         {.outcome = GW_OUTCOME_NOT_RUN,
+          .reason = GW_REASON_SHED,
+          .retry_after_ms = 50},
+         0,
+         false},
+        {"the answer says draining",
+         {.outcome = GW_OUTCOME_ANSWERED, .draining = true},
+         0,
+         false},
+        {"the caller hung up",
+         {.outcome = GW_OUTCOME_UNKNOWN, .reason = GW_REASON_CALLER_GONE},
+         0,
+         true},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        GwBackendState b = {.slot_count = 4};
+        GwRng rng = GwRng_Make(1);
+        GwBackend_Ended(&b, 1000, 500, &cases[i].end, GW_MS(2000), &rng);
+        cr_expect_eq(b.failures, cases[i].failures, "%s", cases[i].name);
+        cr_expect_eq(GwBackend_TakesWork(&b, 1000), cases[i].takes_work, "%s",
+                     cases[i].name);
+        cr_expect(GwBackend_TakesWork(&b, 1000 + GW_MS(2000)), "%s",
+                  cases[i].name);
+    }
+}
