--- a/lib/entry/calls_finish.c
+++ b/lib/entry/calls_finish.c
@@ -22,8 +22,13 @@
                                   .attempt = attempt->number,
                                   .outcome = GW_OUTCOME_UNKNOWN,
                                   .reason = GW_REASON_SILENT};
+#if GW_MUTANT == 6
+            GwSteer_Done(env->steer, env->now_us, attempt->use, &end,
+                         env->now_us);
+#else
             GwSteer_Done(env->steer, env->now_us, attempt->use, &end,
                          attempt->give_up_us);
+#endif
         }
     }
 }
@@ -46,15 +51,22 @@
     case GW_OUTCOME_NOT_RUN:
         GwTickets_Forget(c->tickets, call->ticket.seq);
         break;
+#if GW_MUTANT == 4
+    case GW_OUTCOME_UNKNOWN:
+        GwTickets_Forget(c->tickets, call->ticket.seq);
+        break;
+#endif
     case GW_OUTCOME_ANSWERED:
         record->state = GW_RECORD_ANSWERED;
         record->call = end->answer_of;
         record->attempt = end->answer_attempt;
         break;
+#if GW_MUTANT != 4
     case GW_OUTCOME_UNKNOWN:
         record->state = GW_RECORD_UNKNOWN;
         record->reason = end->reason;
         break;
+#endif
     }
 }
 
@@ -105,10 +117,12 @@
 GwCalls_FinishNotRun(GwCalls *c, const GwCallsEnv *env, GwCall *call,
                      GwReason reason, uint32_t retry_after_ms)
 {
+#if GW_MUTANT != 8
     if (call->may_have_run) {
         GwCalls_FinishUnknown(c, env, call, reason);
         return;
     }
+#endif
     GwCallEnd end = {.outcome = GW_OUTCOME_NOT_RUN,
                      .reason = reason,
                      .retry_after_ms = retry_after_ms};
--- a/lib/entry/node.c
+++ b/lib/entry/node.c
@@ -123,7 +123,11 @@
     int64_t since_ms = (now_us - n->leave_at_us) / 1000;
     bool handed = idle && GwSeats_HeldCount(n->seats) == 0;
 
+#if GW_MUTANT == 7
+    if (!n->stopped &&
+#else
     if (!n->stopped && GwCalls_Open(n->calls) == 0 &&
+#endif
         since_ms >= n->params.lookup_ttl_ms &&
         (handed || since_ms >= n->params.leave_bound_ms)) {
         n->stopped = true;
--- a/tests/fakes/scenario.c
+++ b/tests/fakes/scenario.c
@@ -287,6 +287,21 @@
     }
 }
 
+/* A caller that lost track comes back long after, when the ticket's record
+ * may have been dropped. */
+static void
+resend_an_old_one(Run *r)
+{
+    if (r->c->calls->len == 0 || GwRng_Below(&r->rng, 10) != 0) {
+        return;
+    }
+    const FakeCallerCall *call =
+        FakeCluster_CallAt(r->c, GwRng_Below(&r->rng, r->c->calls->len));
+    if (call->done) {
+        maybe_resend(r, call);
+    }
+}
+
 static void
 load_step(Run *r)
 {
@@ -349,6 +364,9 @@
             load_step(r);
         }
         look_at_pending(r);
+        if (at < end + SETTLE_US - 3 * DEADLINE_US) {
+            resend_an_old_one(r);
+        }
         uint32_t over = count_over_cap(r);
         v->over_cap = over > v->over_cap ? over : v->over_cap;
     }
@@ -374,6 +392,14 @@
     }
 }
 
+/* Short lives of tickets, so that a run of a minute sees records expire. */
+static void
+tune(GwNodeParams *params)
+{
+    params->ticket_valid_ms = 2000;
+    params->ticket_retention_ms = 2000;
+}
+
 FakeVerdict
 FakeScenario_Run(const FakeScenario *scenario)
 {
@@ -390,7 +416,8 @@
                                 .domain_delay_us = 1500,
                                 .region_delay_us = 55000,
                                 .service_time_us = 40000,
-                                .shed_over_percent = 200};
+                                .shed_over_percent = 200,
+                                .tune = tune};
     r.c = FakeCluster_Create(&params);
     r.pending = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     r.resends = g_hash_table_new(NULL, NULL);
