Take a relay out of its table without losing it

Cause: the key of the relay table is the relay's first member, so key and value are one pointer, and g_hash_table_steal_extended then gives back no value: every reply of a peer was dropped and its call ended unknown. Change: look up, then steal. The stand-in node can relay and hedge. Measured: two daemons, 480 calls of which 160 relayed and 160 hedged: before, 160 ended unknown at their deadline; after, 480 answered, each with its own body, under the address sanitizer too. A peer killed with a call on board gave unknown, a peer away gave not-run. Conclusion: fixed.

--- a/lib/runtime/relay.c
+++ b/lib/runtime/relay.c
@@ -50,10 +50,11 @@
 static Relay *
 steal(GwRuntime *rt, uint64_t id)
 {
-    gpointer key = NULL;
-    gpointer relay = NULL;
     pthread_mutex_lock(&rt->call_lock);
-    g_hash_table_steal_extended(rt->relays, &id, &key, &relay);
+    Relay *relay = g_hash_table_lookup(rt->relays, &id);
+    if (relay != NULL) {
+        g_hash_table_steal(rt->relays, &id);
+    }
     pthread_mutex_unlock(&rt->call_lock);
     return relay;
 }
--- a/tests/stubs/node_stub.c
+++ b/tests/stubs/node_stub.c
@@ -19,6 +19,9 @@
     bool started;
     bool leaving;
     uint64_t seq;
+    uint32_t ticks;
+    GwNodeId peer;
+    GHashTable *open; /* handle to deadline, while not finished */
 };
 
 GQuark
@@ -42,6 +45,7 @@
     const char *backend = getenv("GW_STUB_BACKEND");
     GwNode *node = g_new0(GwNode, 1);
     node->params = *params;
+    node->open = g_hash_table_new(NULL, NULL);
     g_strlcpy(node->region.name, params->region, GW_NAME_MAX);
     g_strlcpy(node->service.name, "echo", GW_NAME_MAX);
     node->service.deadline_max_ms = 10000;
@@ -68,25 +72,51 @@
 void
 GwNode_Free(GwNode *node)
 {
+    g_hash_table_destroy(node->open);
     g_free(node);
 }
 
 static void
-on_call(GwNode *node, const GwCallEvent *call, GwActions *actions)
+dispatch(GwNode *node, const GwCallEvent *call, uint32_t attempt,
+         GwActions *actions)
 {
     GwDispatchAction *d =
         &GwActions_Add(actions, GW_ACTION_DISPATCH)->u.dispatch;
     d->call = call->call;
-    d->attempt = 1;
+    d->attempt = attempt;
     d->backend = 1;
     d->idempotent = strcmp(call->method, "GET") == 0;
     d->give_up_us = call->deadline_us;
     g_strlcpy(d->address, node->backend.address, GW_ADDR_MAX);
 }
 
+/* "/relay..." goes to GW_STUB_PEER, "/hedge..." has two attempts. */
+static void
+on_call(GwNode *node, const GwCallEvent *call, GwActions *actions)
+{
+    g_hash_table_insert(node->open, (gpointer)call->call,
+                        (gpointer)call->deadline_us);
+    if (g_str_has_prefix(call->path, "/relay") && !call->relayed) {
+        GwRelayAction *r = &GwActions_Add(actions, GW_ACTION_RELAY)->u.relay;
+        r->call = call->call;
+        r->attempt = 1;
+        r->to = node->peer;
+        r->give_up_us = call->deadline_us;
+        g_strlcpy(r->address, getenv("GW_STUB_PEER"), GW_ADDR_MAX);
+        return;
+    }
+    dispatch(node, call, 1, actions);
+    if (g_str_has_prefix(call->path, "/hedge")) {
+        dispatch(node, call, 2, actions);
+    }
+}
+
 static void
-on_attempt(GwNode *node, const GwAttemptEvent *attempt, GwActions *actions)
+finish(GwNode *node, const GwAttemptEvent *attempt, GwActions *actions)
 {
+    if (!g_hash_table_remove(node->open, (gpointer)attempt->call)) {
+        return;
+    }
     GwFinishAction *f = &GwActions_Add(actions, GW_ACTION_FINISH)->u.finish;
     f->call = attempt->call;
     f->outcome = attempt->outcome;
@@ -97,6 +127,41 @@
     f->ticket = (GwTicket){node->params.id, 1, ++node->seq};
 }
 
+static void
+send_probe(GwNode *node, GwActions *actions)
+{
+    const char *peer = getenv("GW_STUB_PEER");
+    if (peer == NULL) {
+        return;
+    }
+    GwSendAction *s = &GwActions_Add(actions, GW_ACTION_SEND)->u.send;
+    g_strlcpy(s->address, peer, GW_ADDR_MAX);
+    s->message = GwMessage_Create(GW_MSG_PROBE, node->params.id);
+}
+
+static void
+on_tick(GwNode *node, int64_t now_us, GwActions *actions)
+{
+    GHashTableIter iter;
+    gpointer handle;
+    gpointer deadline;
+
+    if (node->ticks++ % 10 == 0) {
+        send_probe(node, actions);
+    }
+    g_hash_table_iter_init(&iter, node->open);
+    while (g_hash_table_iter_next(&iter, &handle, &deadline)) {
+        if ((int64_t)deadline <= now_us) {
+            GwFinishAction *f =
+                &GwActions_Add(actions, GW_ACTION_FINISH)->u.finish;
+            f->call = (uint64_t)handle;
+            f->outcome = GW_OUTCOME_UNKNOWN;
+            f->reason = GW_REASON_DEADLINE;
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
 void
 GwNode_Step(GwNode *node, int64_t now_us, const GwEvent *event,
             GwActions *actions)
@@ -111,7 +176,13 @@
         on_call(node, &event->u.call, actions);
         break;
     case GW_EVENT_ATTEMPT:
-        on_attempt(node, &event->u.attempt, actions);
+        finish(node, &event->u.attempt, actions);
+        break;
+    case GW_EVENT_TICK:
+        on_tick(node, now_us, actions);
+        break;
+    case GW_EVENT_MESSAGE:
+        node->peer = event->u.message->from;
         break;
     case GW_EVENT_LEAVE:
         node->leaving = true;
