--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -204,17 +204,17 @@
  * region, though the round of probes takes far longer. */
 Test(members, a_large_region_meets_soon)
 {
-    GwNet *net = GwNet_Create(201, 3, 9);
+    MemberNet *net = MemberNet_Create(201, 3, 9);
 
     net->tick_us = 100000;
-    GwNet_List(net, 201);
-    GwNet_Run(net, 30 * SECOND);
+    MemberNet_List(net, 201);
+    MemberNet_Run(net, 30 * SECOND);
     for (uint32_t i = 0; i < 201; i += 10) {
         for (uint32_t j = i % 3; j < 201; j += 3) {
-            cr_assert(i == j || GwNet_Shown(net, i, j) == GW_MEMBER_ALIVE,
+            cr_assert(i == j || MemberNet_Shown(net, i, j) == GW_MEMBER_ALIVE,
                       "%u shows not %u", i, j);
         }
     }
     cr_assert_eq(net->died, 0);
-    GwNet_Free(net);
+    MemberNet_Free(net);
 }
