Say beside each break what it breaks

Cause: the numbered breaks of membership, configuration and seats had no words. Conclusion: no change of behaviour.

--- a/lib/config/sync.c
+++ b/lib/config/sync.c
@@ -87,12 +87,12 @@
 {
     GError *error = NULL;
 
-#if GW_MUTANT != 44
+#if GW_MUTANT != 44 /* breaks: versions may fall */
     if (doc->version <= GwSync_Have(s)) {
         return false;
     }
 #endif
-#if GW_MUTANT != 45
+#if GW_MUTANT != 45 /* breaks: no checksum */
     if (doc->len > GW_CONFIG_DOC_MAX ||
         XXH64(doc->text, doc->len, 0) != doc->checksum ||
         (doc->version == s->head_version &&
--- a/lib/member/gossip.c
+++ b/lib/member/gossip.c
@@ -179,7 +179,7 @@
         !supersedes(u, m->self.id, m->self.incarnation, m->self.state)) {
         return false;
     }
-#if GW_MUTANT != 40
+#if GW_MUTANT != 40 /* breaks: a claim of death is not refuted */
     m->self.incarnation = u->incarnation + 1;
 #endif
     return true;
@@ -224,7 +224,7 @@
 temper(GwMembers *m, int64_t now_us, GwRecord *r, GwMemberInfo *u,
        const GwCargo *cargo, GwActions *out)
 {
-#if GW_MUTANT == 42
+#if GW_MUTANT == 42 /* breaks: hearsay outranks our own ears */
     return true;
 #endif
     if ((u->state != GW_MEMBER_SUSPECT && u->state != GW_MEMBER_DEAD) ||
@@ -278,7 +278,7 @@
         r = GwMembers_Record(m, u.id.node);
     }
     else {
-#if GW_MUTANT == 41
+#if GW_MUTANT == 41 /* breaks: an old ALIVE revives the dead */
         if (u.id.start < r->pub.info.id.start) {
 #else
         if (!supersedes(&u, r->pub.info.id, r->pub.info.incarnation,
--- a/lib/member/probe.c
+++ b/lib/member/probe.c
@@ -318,7 +318,7 @@
 static void
 forgive(GwMembers *m, int64_t gap_us)
 {
-#if GW_MUTANT == 43
+#if GW_MUTANT == 43 /* breaks: a woken process blames others */
     return;
 #endif
     m->probe = (GwProbe){0};
--- a/lib/steer/seat_claim.c
+++ b/lib/steer/seat_claim.c
@@ -124,7 +124,7 @@
     GwSeat *t = &s->seats[seat];
     int64_t holdoff_us = s->params.seat_holdoff_ms * 1000LL;
 
-#if GW_MUTANT == 53
+#if GW_MUTANT == 53 /* breaks: no hold-off */
     holdoff_us = 0;
 #endif
     if (t->notice_us != 0) {
--- a/lib/steer/seat_handover.c
+++ b/lib/steer/seat_handover.c
@@ -113,7 +113,7 @@
 {
     GwSeat *t = &s->seats[seat];
 
-#if GW_MUTANT == 55
+#if GW_MUTANT == 55 /* breaks: an offer is taken back without a write */
     if (!s->leaving) {
         GwSeats_SetState(s, seat, GW_SEAT_HELD, out);
         return;
@@ -243,7 +243,7 @@
         t->take.claim = h->claim;
         t->take.retry_us = now_us;
         GwSeats_SetState(s, h->seat, GW_SEAT_TAKING, out);
-#if GW_MUTANT == 56
+#if GW_MUTANT == 56 /* breaks: a seat is used on the offer alone */
         GwSeats_SetState(s, h->seat, GW_SEAT_HELD, out);
 #endif
     }
--- a/lib/steer/seat_state.c
+++ b/lib/steer/seat_state.c
@@ -53,13 +53,13 @@
     bool was = usable(t);
 
     t->contested = t->row.notice;
-#if GW_MUTANT == 54
+#if GW_MUTANT == 54 /* breaks: a notice does not stop the use */
     t->contested = false;
 #endif
     if (was != usable(t)) {
         s->epoch++;
     }
-#if GW_MUTANT == 57
+#if GW_MUTANT == 57 /* breaks: a given-up claim is taken back by reading */
     if (t->state == GW_SEAT_GIVEN || t->state == GW_SEAT_RELEASED) {
         GwSeats_SetState(s, seat, GW_SEAT_HELD, out);
     }
--- a/lib/steer/seats.c
+++ b/lib/steer/seats.c
@@ -47,7 +47,7 @@
         s->beat_us != 0 && gap_us > (int64_t)s->params.fence_ms * 1000;
 
     s->beat_us = now_us;
-#if GW_MUTANT == 50
+#if GW_MUTANT == 50 /* breaks: no fence */
     paused = false;
 #endif
     if (!paused) {
@@ -58,7 +58,7 @@
     s->fence_us = now_us;
     s->epoch++;
     s->next_list_us = now_us;
-#if GW_MUTANT != 51
+#if GW_MUTANT != 51 /* breaks: a reading from before the pause lifts it */
     s->list.token = 0;
 #endif
     for (uint32_t i = 0; i < s->high; i++) {
@@ -73,7 +73,7 @@
 static void
 expire(GwSeats *s, int64_t now_us)
 {
-#if GW_MUTANT != 51
+#if GW_MUTANT != 51 /* breaks: a reading from before the pause lifts it */
     if (s->list.token != 0 && now_us - s->list.sent_us > GW_SEAT_REQUEST_US) {
         s->list.token = 0;
         s->fails++;
@@ -210,7 +210,7 @@
 {
     GwSeat *t = &s->seats[seat];
 
-#if GW_MUTANT == 52
+#if GW_MUTANT == 52 /* breaks: a lost answer is taken for a yes */
     if (reply->status == GW_TABLE_LOST) {
         take_write(s, now_us, seat, t->row.version + 1, out);
         return;
