--- a/lib/steer/grants.c
+++ b/lib/steer/grants.c
@@ -305,6 +305,20 @@
     return false;
 }
 
+static uint32_t
+grants_busy(const GwSteer *s, uint64_t service)
+{
+    uint32_t count = 0;
+
+    for (guint i = 0; i < s->borrowed->len; i++) {
+        const GwBorrowed *b = &g_array_index(s->borrowed, GwBorrowed, i);
+        if (b->kind == GW_UNIT_SHIFT && b->service == service) {
+            count += (uint32_t)__builtin_popcount(b->busy);
+        }
+    }
+    return count;
+}
+
 static uint32_t
 grants_free(const GwSteer *s, uint64_t service)
 {
@@ -319,7 +333,7 @@
     return count;
 }
 
-/* How many calls should leave now: all that wait when the local place takes
+/* How many more calls should leave now: all that wait when the local place takes
  * none, or has no slot and no peer of the region lends one; and the
  * operator's share. */
 static uint32_t
@@ -339,6 +353,8 @@
     }
     uint32_t demand = service->in_flight + queued;
     uint32_t share = (demand * MIN(percent, 100) + 99) / 100;
+    uint32_t away = grants_busy(s, service->hash);
+    share = share > away ? share - away : 0;
     bool dry = service->dry_us != 0 && now_us - service->dry_us < GW_DRY_US;
     if (dry && GwSteer_FreeUnits(service, now_us) == 0) {
         return MAX(share, queued);
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -1,7 +1,9 @@
 /* The facade of the steering package: configuration, the seats' say on every
  * unit, and one entry point for each event. */
+#include "common/log_events.h"
 #include "steer/steer_internal.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* The policies other than SLOTS are kept for comparison only: they have no
@@ -198,8 +200,31 @@
     }
 }
 
+/* One line per change of a server's state, not one per failure. */
 static void
-tick_backends(GwSteer *s, int64_t now_us)
+log_changes(GwBackendState *b, int64_t now_us, GwActions *out)
+{
+    bool ejected = GwBackend_IsEjected(b, now_us);
+    bool draining = GwBackend_IsDraining(b, now_us);
+    bool was_away = b->logged_ejected || b->logged_draining;
+
+    if (ejected && !b->logged_ejected) {
+        GwActions_Log(out, GW_LOG_BACKEND_EJECTED,
+                      "address=%s failures=%u for_ms=%" PRId64, b->address,
+                      b->failures, (b->ejected_until_us - now_us) / 1000);
+    }
+    if (draining && !b->logged_draining) {
+        GwActions_Log(out, GW_LOG_BACKEND_DRAINING, "address=%s", b->address);
+    }
+    if (was_away && !ejected && !draining) {
+        GwActions_Log(out, GW_LOG_BACKEND_BACK, "address=%s", b->address);
+    }
+    b->logged_ejected = ejected;
+    b->logged_draining = draining;
+}
+
+static void
+tick_backends(GwSteer *s, int64_t now_us, GwActions *out)
 {
     for (uint32_t i = 0; i < s->config->service_count; i++) {
         GwServiceState *service = s->by_index[i];
@@ -208,6 +233,7 @@
         for (uint32_t j = 0; j < service->backend_count; j++) {
             GwBackendState *b = service->backends[j];
             s->came_free |= GwBackend_Tick(b, now_us);
+            log_changes(b, now_us, out);
             sum_us += b->latency_us;
             known += b->latency_us != 0;
         }
@@ -249,7 +275,7 @@
         s->came_free = true;
         GwSteer_RefreshAll(s, now_us);
     }
-    tick_backends(s, now_us);
+    tick_backends(s, now_us, out);
     count_entries(s, members);
     GwSteer_LoansTick(s, now_us, members, queued, out);
     GwSteer_GrantsTick(s, now_us, members, queued, out);
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -70,6 +70,8 @@
     int64_t own_drain_until_us;
     int64_t hint_drain_until_us;
     bool was_draining;
+    bool logged_ejected;
+    bool logged_draining;
     bool has_load;
     uint32_t load;
     int64_t load_at_us;
--- a/tests/property/steer_cases.cpp
+++ b/tests/property/steer_cases.cpp
@@ -312,6 +312,41 @@
            "only an entry of the source region is granted");
 }
 
+/* A source sends one call twice on a grant of one unit, late in the grant.
+ * The first runs; the copy gets a true "not run". The grant ends while the
+ * first runs: its unit goes out again only after that call's end, or two
+ * calls would be under a cap of one. */
+void
+grants()
+{
+    const char *name = "grants";
+    Entry e(World_config(3, 1, 0, false, 2), "there");
+    GwPickAsk ask{};
+
+    e.receive(ask_message(GwNodeId{3, 1}, GW_UNIT_SHIFT, 4));
+    expect(e.sent(GW_MSG_LOAN_GIVE)->u.give.unit_count == 1, name, "cap");
+    ask.relayed = true;
+    ask.grant = e.sent(GW_MSG_LOAN_GIVE)->u.give.loan;
+    ask.relay_from = GwNodeId{2, 1};
+    e.tick(GW_MS(3000));
+    ask.deadline_us = e.now_us + GW_MS(2500);
+    expect(e.pick(ask).reason == GW_REASON_NO_GRANT, name, "not its peer");
+    ask.relay_from = GwNodeId{3, 1};
+    GwPick first = e.pick(ask);
+    expect(first.kind == GW_PICK_BACKEND, name, "admitted");
+    expect(e.pick(ask).reason == GW_REASON_NO_GRANT, name, "units in use");
+    e.tick(GW_MS(1400));
+    expect(e.pick(ask).reason == GW_REASON_NO_GRANT, name, "run out");
+    e.receive(ask_message(GwNodeId{3, 1}, GW_UNIT_SHIFT, 4));
+    expect(e.sent(GW_MSG_LOAN_GIVE)->u.give.unit_count == 0, name,
+           "still counted out");
+    e.done(first.use, GW_OUTCOME_ANSWERED, GW_REASON_NONE);
+    e.tick(GW_MS(500));
+    e.receive(ask_message(GwNodeId{3, 1}, GW_UNIT_SHIFT, 4));
+    expect(e.sent(GW_MSG_LOAN_GIVE)->u.give.unit_count == 1, name,
+           "free again");
+}
+
 /* The borrower's answer is late or doubled. What it sees: a GIVE nobody
  * waits for. Its units are given back, unless they are here already. */
 void
@@ -441,6 +476,7 @@
     choice();
     policies();
     warm_up();
+    grants();
     late_gives();
     lending();
     versions();
