Compute subsets only where they are used

Cause: the subset of servers costs n squared hashes at each change of the number of entries, also under the policies that do not read it. Change: return at once unless the policy is SUBSET.

--- a/lib/steer/choose.c
+++ b/lib/steer/choose.c
@@ -165,6 +165,9 @@
     uint32_t entries = s->entries == 0 ? 1 : s->entries;
     uint32_t want = (2 * n + entries - 1) / entries;
 
+    if (s->params.policy != GW_POLICY_SUBSET) {
+        return;
+    }
     if (want < 3) {
         want = 3;
     }
