Return loans that no waiting call can use; ask near peers again

Change: a loan shorter than the waiting deadlines is not counted free and goes back; asks of at most 8 slots; idle bound 30 ms; peers of the region whose digest says none are asked last, rounds 20 to 40 ms apart. Grants keep their longer bounds. A case for it.

--- a/lib/steer/borrow.c
+++ b/lib/steer/borrow.c
@@ -15,7 +15,36 @@
     return NULL;
 }
 
-/* Units of the place that a new call could use at once. */
+/* Remembers the earliest deadline among the calls that wait, as of the last
+ * pass over the queue: what loans have to outlast to be of use. */
+void
+GwService_NoteWait(GwServiceState *service, const GwPickAsk *ask,
+                   const GwPick *out)
+{
+    if (out->kind != GW_PICK_WAIT) {
+        return;
+    }
+    if (!service->wait_seen || ask->deadline_us < service->wait_deadline_us) {
+        service->wait_deadline_us = ask->deadline_us;
+    }
+    service->wait_seen = true;
+}
+
+static uint32_t
+borrowed_usable(const GwBackendState *b, int64_t deadline_us)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < b->slot_capacity; i++) {
+        uint64_t bit = b->borrowed_free[i / 64] >> (i % 64) & 1;
+        count += bit != 0 && b->slots[i].borrowed_until_us > deadline_us;
+    }
+    return count;
+}
+
+/* Units of the place that a waiting call could use at once. A loan that ends
+ * before the calls' deadlines does not count: else its idle units would keep
+ * this entry from asking for others while its queue grows. */
 uint32_t
 GwSteer_FreeUnits(const GwServiceState *service, int64_t now_us)
 {
@@ -24,7 +53,10 @@
     for (uint32_t i = 0; i < service->backend_count; i++) {
         const GwBackendState *b = service->backends[i];
         if (GwBackend_TakesWork(b, now_us)) {
-            count += b->own_free_count + b->borrowed_free_count;
+            count += b->own_free_count;
+            if (b->borrowed_free_count > 0) {
+                count += borrowed_usable(b, service->wait_deadline_us);
+            }
         }
     }
     return count;
@@ -52,11 +84,12 @@
     return false;
 }
 
-/* The member whose digest shows most idle units. One without a digest comes
- * last: it may have some; one that says it has none is not asked. */
+/* The member whose digest shows most idle units. Digests lag, so a near peer
+ * that said it has none is still asked, last: a wrong ask costs one round
+ * trip, a wrong silence a queue beside idle slots. A far one is not. */
 static const GwMember *
 best_lender(const GwSteer *s, const GwMembers *members, const GwAsking *asking,
-            uint32_t regions, uint64_t service)
+            uint32_t regions, uint64_t service, GwUnitKind kind)
 {
     const GwMember *best = NULL;
     uint32_t best_free = 0;
@@ -70,7 +103,8 @@
             continue;
         }
         const GwDigest *digest = GwMembers_Digest(members, node, service);
-        if (digest != NULL && digest->free_slots == 0) {
+        if (digest != NULL && digest->free_slots == 0 &&
+            kind == GW_UNIT_SHIFT) {
             continue;
         }
         uint32_t idle = digest != NULL ? digest->free_slots : 0;
@@ -92,12 +126,13 @@
     const GwMember *m = NULL;
 
     if (asking->tried_count < GW_TRIED_MAX) {
-        m = best_lender(s, members, asking, regions, ask->service);
+        m = best_lender(s, members, asking, regions, ask->service, ask->kind);
     }
     if (m == NULL) {
         asking->tried_count = 0;
-        asking->next_us =
-            now_us + GwRng_Jitter(&s->rng, GW_ASK_PAUSE_US, GW_ASK_PAUSE_US);
+        int64_t pause_us =
+            ask->kind == GW_UNIT_SLOT ? GW_ASK_PAUSE_US : GW_GRANT_PAUSE_US;
+        asking->next_us = now_us + GwRng_Jitter(&s->rng, pause_us, pause_us);
         return false;
     }
     s->seq++;
@@ -131,7 +166,7 @@
     uint32_t want = queued - idle;
     GwLoanAsk ask = {.service = service->hash,
                      .from_region = s->region_hash[s->region],
-                     .count = want < GW_UNITS_MAX ? want : GW_UNITS_MAX,
+                     .count = MIN(want, GW_ASK_SLOTS_MAX),
                      .kind = GW_UNIT_SLOT};
     if (!GwSteer_SendAsk(s, now_us, members, asking, 1u << s->region, &ask,
                          out)) {
@@ -282,6 +317,9 @@
     }
 }
 
+/* Whether a waiting call could still run on the loan. One that ends before
+ * their deadlines is of no use here, and its lender would count it out for the
+ * rest of the term: the place would stand idle beside a queue. */
 static bool
 wants_it(const GwSteer *s, const GwBorrowed *b, const uint32_t *queued)
 {
@@ -290,20 +328,29 @@
     if (b->dropped || service == NULL || service->index == GW_NONE) {
         return false;
     }
-    return queued != NULL && queued[service->index] > 0;
+    return queued != NULL && queued[service->index] > 0 &&
+           service->wait_deadline_us < b->use_until_us;
+}
+
+static int64_t
+idle_bound_us(const GwSteer *s, const GwBorrowed *b)
+{
+    if (s->leaving || b->dropped) {
+        return 0;
+    }
+    return b->kind == GW_UNIT_SLOT ? GW_LOAN_IDLE_US : GW_GRANT_IDLE_US;
 }
 
-/* Returns loans of which no unit was in use for `idle_us` and that no waiting
- * call wants; forgets those that have run out. */
+/* Returns loans of which no unit was in use for a short time and that no
+ * waiting call wants; forgets those that have run out. */
 void
-GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, int64_t idle_us,
-                   const GwMembers *members, const uint32_t *queued,
-                   GwActions *out)
+GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, const GwMembers *members,
+                   const uint32_t *queued, GwActions *out)
 {
     for (guint i = s->borrowed->len; i-- > 0;) {
         GwBorrowed *b = &g_array_index(s->borrowed, GwBorrowed, i);
         bool over = b->use_until_us <= now_us;
-        bool idle = now_us - b->used_us >= idle_us || b->dropped;
+        bool idle = now_us - b->used_us >= idle_bound_us(s, b);
 #if GW_MUTANT == 27 /* breaks: no return while calls run on the loan */
         bool busy = over && is_busy(s, b);
 #else
@@ -333,7 +380,7 @@
                   const uint32_t *queued, GwActions *out)
 {
     GwSteer_ExpireLent(s, now_us);
-    GwSteer_ReturnIdle(s, now_us, GW_LOAN_IDLE_US, members, queued, out);
+    GwSteer_ReturnIdle(s, now_us, members, queued, out);
     if (s->leaving || s->fenced || s->params.policy != GW_POLICY_SLOTS) {
         return;
     }
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -279,6 +279,9 @@
     count_entries(s, members);
     GwSteer_LoansTick(s, now_us, members, queued, out);
     GwSteer_GrantsTick(s, now_us, members, queued, out);
+    for (uint32_t i = 0; i < s->config->service_count; i++) {
+        s->by_index[i]->wait_seen = false;
+    }
     release_parting(s, now_us, seats, members, out);
     bool came_free = s->came_free;
     s->came_free = false;
@@ -410,6 +413,7 @@
         return;
     }
     wait_or_refuse(s, now_us, service, ask, out);
+    GwService_NoteWait(service, ask, out);
 }
 
 /* What the end of a relayed call says of its grant. */
@@ -559,7 +563,7 @@
 {
     s->leaving = true;
     GwSteer_ReleaseHeld(s, now_us);
-    GwSteer_ReturnIdle(s, now_us, 0, members, NULL, out);
+    GwSteer_ReturnIdle(s, now_us, members, NULL, out);
     return s->use_active == 0 && s->lent->len == 0 && s->borrowed->len == 0;
 }
 
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -28,8 +28,11 @@
 #define GW_SHED_MAX_MS      5000
 #define GW_LATENCY_START_US GW_MS(10)
 #define GW_ASK_TIMEOUT_US   GW_MS(300)
-#define GW_ASK_PAUSE_US     GW_MS(100)
-#define GW_LOAN_IDLE_US     GW_MS(500)
+#define GW_ASK_PAUSE_US     GW_MS(20)
+#define GW_ASK_SLOTS_MAX    8 /* small loans: one busy unit holds all of it */
+#define GW_LOAN_IDLE_US     GW_MS(30)
+#define GW_GRANT_PAUSE_US   GW_MS(100)
+#define GW_GRANT_IDLE_US    GW_MS(500)
 #define GW_TRIED_MAX        16
 #define GW_DRY_US           GW_MS(1000)
 #define GW_PEER_PAUSE_US    GW_MS(1000)
@@ -101,6 +104,8 @@
     int64_t latency_us;       /* mean over the place */
     GwAsking slots;
     GwAsking grants;
+    int64_t wait_deadline_us; /* earliest of the calls that had to wait */
+    bool wait_seen;           /* set since the last tick */
     int64_t dry_us; /* when no peer of the region had a slot to lend */
 } GwServiceState;
 
@@ -299,11 +304,13 @@
 void
 GwSteer_DropLoan(GwSteer *s, int64_t now_us, uint64_t loan);
 void
-GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, int64_t idle_us,
-                   const GwMembers *members, const uint32_t *queued,
-                   GwActions *out);
+GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, const GwMembers *members,
+                   const uint32_t *queued, GwActions *out);
 bool
 GwSteer_IsPeer(const GwMembers *members, GwNodeId id, uint32_t region_hash);
+void
+GwService_NoteWait(GwServiceState *service, const GwPickAsk *ask,
+                   const GwPick *out);
 uint32_t
 GwSteer_FreeUnits(const GwServiceState *service, int64_t now_us);
 
--- a/tests/property/steer_cases.cpp
+++ b/tests/property/steer_cases.cpp
@@ -391,6 +391,37 @@
     expect(e.pick().kind == GW_PICK_WAIT, name, "fenced");
 }
 
+/* Callers wait while borrowed units stand idle: the loan ends before the
+ * calls' deadlines. It goes back at once, and others are asked for. */
+void
+spent_loans()
+{
+    const char *name = "spent loans";
+    Entry e(World_config(3, 0, 0, false, 2));
+    GwPickAsk pick{};
+
+    e.holder.fill(2);
+    e.seats.epoch++;
+    e.queued[0] = 1;
+    e.tick(GW_MS(10));
+    GwMessage *give = GwMessage_Create(GW_MSG_LOAN_GIVE, GwNodeId{2, 1});
+    give->u.give.seq = e.sent(GW_MSG_LOAN_ASK)->u.ask.seq;
+    give->u.give.loan = 55;
+    give->u.give.service = GwName_Hash64("svc");
+    give->u.give.term_ms = 4000;
+    give->u.give.kind = GW_UNIT_SLOT;
+    give->u.give.unit_count = 1;
+    give->u.give.units[0] = GwUnit{GW_UNIT_SLOT, 1000, 1};
+    GwActions_Clear(&e.out);
+    e.receive(give);
+    pick.deadline_us = e.now_us + GW_MS(3800);
+    expect(e.pick(pick).kind == GW_PICK_WAIT, name, "outlives the loan");
+    e.tick(GW_MS(40));
+    expect(e.sent(GW_MSG_LOAN_RETURN) != nullptr, name, "goes back");
+    e.tick(GW_MS(10));
+    expect(e.sent(GW_MSG_LOAN_ASK) != nullptr, name, "asks again");
+}
+
 void
 lending()
 {
@@ -478,6 +509,7 @@
     warm_up();
     grants();
     late_gives();
+    spent_loans();
     lending();
     versions();
     printf("%d failures\n", failures);
