--- a/tests/property/steer_cases.cpp
+++ b/tests/property/steer_cases.cpp
@@ -312,6 +312,41 @@
            "only an entry of the source region is granted");
 }
 
+/* A source sends one call twice on a grant of one unit, late in the grant.
+ * The first runs; the copy gets a true "not run". The grant ends while the
+ * first runs: its unit goes out again only after that call's end, or two
+ * calls would be under a cap of one. */
+void
+grants()
+{
+    const char *name = "grants";
+    Entry e(World_config(3, 1, 0, false, 2), "there");
+    GwPickAsk ask{};
+
+    e.receive(ask_message(GwNodeId{3, 1}, GW_UNIT_SHIFT, 4));
+    expect(e.sent(GW_MSG_LOAN_GIVE)->u.give.unit_count == 1, name, "cap");
+    ask.relayed = true;
+    ask.grant = e.sent(GW_MSG_LOAN_GIVE)->u.give.loan;
+    ask.relay_from = GwNodeId{2, 1};
+    e.tick(GW_MS(3000));
+    ask.deadline_us = e.now_us + GW_MS(2500);
+    expect(e.pick(ask).reason == GW_REASON_NO_GRANT, name, "not its peer");
+    ask.relay_from = GwNodeId{3, 1};
+    GwPick first = e.pick(ask);
+    expect(first.kind == GW_PICK_BACKEND, name, "admitted");
+    expect(e.pick(ask).reason == GW_REASON_NO_GRANT, name, "units in use");
+    e.tick(GW_MS(1400));
+    expect(e.pick(ask).reason == GW_REASON_NO_GRANT, name, "run out");
+    e.receive(ask_message(GwNodeId{3, 1}, GW_UNIT_SHIFT, 4));
+    expect(e.sent(GW_MSG_LOAN_GIVE)->u.give.unit_count == 0, name,
+           "still counted out");
+    e.done(first.use, GW_OUTCOME_ANSWERED, GW_REASON_NONE);
+    e.tick(GW_MS(500));
+    e.receive(ask_message(GwNodeId{3, 1}, GW_UNIT_SHIFT, 4));
+    expect(e.sent(GW_MSG_LOAN_GIVE)->u.give.unit_count == 1, name,
+           "free again");
+}
+
 /* The borrower's answer is late or doubled. What it sees: a GIVE nobody
  * waits for. Its units are given back, unless they are here already. */
 void
@@ -356,6 +391,37 @@
     expect(e.pick().kind == GW_PICK_WAIT, name, "fenced");
 }
 
+/* Callers wait while borrowed units stand idle: the loan ends before the
+ * calls' deadlines. It goes back at once, and others are asked for. */
+void
+spent_loans()
+{
+    const char *name = "spent loans";
+    Entry e(World_config(3, 0, 0, false, 2));
+    GwPickAsk pick{};
+
+    e.holder.fill(2);
+    e.seats.epoch++;
+    e.queued[0] = 1;
+    e.tick(GW_MS(10));
+    GwMessage *give = GwMessage_Create(GW_MSG_LOAN_GIVE, GwNodeId{2, 1});
+    give->u.give.seq = e.sent(GW_MSG_LOAN_ASK)->u.ask.seq;
+    give->u.give.loan = 55;
+    give->u.give.service = GwName_Hash64("svc");
+    give->u.give.term_ms = 4000;
+    give->u.give.kind = GW_UNIT_SLOT;
+    give->u.give.unit_count = 1;
+    give->u.give.units[0] = GwUnit{GW_UNIT_SLOT, 1000, 1};
+    GwActions_Clear(&e.out);
+    e.receive(give);
+    pick.deadline_us = e.now_us + GW_MS(3800);
+    expect(e.pick(pick).kind == GW_PICK_WAIT, name, "outlives the loan");
+    e.tick(GW_MS(40));
+    expect(e.sent(GW_MSG_LOAN_RETURN) != nullptr, name, "goes back");
+    e.tick(GW_MS(10));
+    expect(e.sent(GW_MSG_LOAN_ASK) != nullptr, name, "asks again");
+}
+
 void
 lending()
 {
@@ -441,7 +507,9 @@
     choice();
     policies();
     warm_up();
+    grants();
     late_gives();
+    spent_loans();
     lending();
     versions();
     printf("%d failures\n", failures);
