Count connections at backend stand-ins and hold them to their limit

Entries open new connections for non-idempotent calls and never close the idle ones: 443 descriptors at one backend process after 45 s, and its 400 worker threads, one a connection, had run out.

Conclusion: the stand-in no longer hides the limit; that idle connections of an entry only grow is the entry's fault and stays open.

--- a/standins/common/backend.c
+++ b/standins/common/backend.c
@@ -4,6 +4,27 @@
 
 #include <math.h>
 
+/* Counts a new connection in; false when it is one too many, not counted. */
+bool
+GsBackend_Connect(GsBackend *b)
+{
+    if (b->connections >= b->connection_limit) {
+        b->connections_refused++;
+        return false;
+    }
+    b->connections++;
+    if (b->connections > b->max_connections) {
+        b->max_connections = b->connections;
+    }
+    return true;
+}
+
+void
+GsBackend_Disconnect(GsBackend *b)
+{
+    b->connections--;
+}
+
 /* Decides about one request and, when it is to run, counts it in. Every
  * begun run must be ended. */
 GsAdmit
--- a/standins/common/backend.h
+++ b/standins/common/backend.h
@@ -25,9 +25,10 @@
     char address[GS_NAME_MAX];
     uint32_t port;
     uint32_t slots;
-    uint32_t shed_percent; /* of slots; refusals from there on */
-    int64_t service_us;    /* median */
-    double sigma;          /* of the lognormal */
+    uint32_t connection_limit; /* closed unread beyond it */
+    uint32_t shed_percent;     /* of slots; refusals from there on */
+    int64_t service_us;        /* median */
+    double sigma;              /* of the lognormal */
     int64_t cold_until_us;
     uint32_t cold_factor;
     /* Set by POST /control. */
@@ -41,6 +42,9 @@
     uint32_t reset_share_percent;
     /* Counted. */
     GwRng rng;
+    uint32_t connections;
+    uint32_t max_connections;
+    uint64_t connections_refused;
     uint32_t in_flight;
     uint32_t max_in_flight;
     uint64_t runs;
@@ -54,6 +58,10 @@
 
 GsAdmit
 GsBackend_Begin(GsBackend *b, int64_t now_us);
+bool
+GsBackend_Connect(GsBackend *b);
+void
+GsBackend_Disconnect(GsBackend *b);
 void
 GsBackend_End(GsBackend *b, int64_t now_us);
 void
--- a/standins/common/http.c
+++ b/standins/common/http.c
@@ -27,6 +27,17 @@
     return 0;
 }
 
+static void
+on_closed(const struct mg_connection *conn)
+{
+    const GsHttpOptions *o =
+        mg_get_user_data(mg_get_context((struct mg_connection *)conn));
+    void *data = mg_get_user_connection_data(conn);
+    if (o->closed != NULL && data != NULL) {
+        o->closed(o->data, data);
+    }
+}
+
 /* CivetWeb logs each connection that a peer breaks; here that is the plan. */
 static int
 log_nothing(const struct mg_connection *conn, const char *message)
@@ -60,6 +71,7 @@
                               "256",
                               NULL};
     struct mg_callbacks callbacks = {.init_connection = init_connection,
+                                     .connection_closed = on_closed,
                                      .log_message = log_nothing};
     mg_init_library(0);
     struct mg_context *ctx = mg_start(&callbacks, (void *)options, settings);
@@ -161,19 +173,20 @@
 }
 
 /* Waits for `us`, or until the peer closes the connection, which means that
- * it cancelled; true in that case. The search is made once a connection. */
+ * it cancelled; true in that case. `fd` keeps the socket for the connection's
+ * later requests; 0 at first. */
 bool
-GsHttp_WaitGone(struct mg_connection *conn, int64_t us)
+GsHttp_WaitGone(struct mg_connection *conn, int64_t us, int *fd)
 {
     const struct mg_request_info *ri = mg_get_request_info(conn);
-    intptr_t known = (intptr_t)mg_get_user_connection_data(conn);
-    int fd = known > 0 ? (int)known : find_socket(ri);
-    if (fd < 0) {
+    if (*fd == 0) {
+        *fd = find_socket(ri);
+    }
+    if (*fd < 0) {
         GsClock_Sleep(us);
         return false;
     }
-    mg_set_user_connection_data(conn, (void *)(intptr_t)fd);
-    struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+    struct pollfd p = {.fd = *fd, .events = POLLRDHUP};
     struct timespec wait = {.tv_sec = us / 1000000,
                             .tv_nsec = us % 1000000 * 1000};
     return ppoll(&p, 1, &wait, NULL) > 0;
--- a/standins/common/http.h
+++ b/standins/common/http.h
@@ -15,6 +15,8 @@
     uint32_t threads;
     uint32_t accept_cost_us; /* slept once per connection */
     mg_request_handler handler;
+    /* Told of a connection's end, when it has data; may be NULL. */
+    void (*closed)(void *data, void *conn_data);
     void *data;
 } GsHttpOptions;
 
@@ -33,7 +35,7 @@
 int
 GsHttp_Drop(struct mg_connection *conn);
 bool
-GsHttp_WaitGone(struct mg_connection *conn, int64_t us);
+GsHttp_WaitGone(struct mg_connection *conn, int64_t us, int *fd);
 bool
 GsHttp_Query(struct mg_connection *conn, const char *name, char *out,
              size_t cap);
--- a/standins/common/report.c
+++ b/standins/common/report.c
@@ -158,6 +158,7 @@
     int64_t slots = 0;
     int64_t beyond = 0;
     int64_t servers = 0;
+    int64_t connections = 0;
     for (size_t i = 0; i < json_object_array_length(stats); i++) {
         struct json_object *s = json_object_array_get_idx(stats, i);
         if (strcmp(GsJson_Text(s, "service", ""), service) != 0) {
@@ -166,6 +167,7 @@
         int64_t seen = GsJson_Int(s, "max_in_flight", 0);
         int64_t own = GsJson_Int(s, "slots", 0);
         servers++;
+        connections = MAX(connections, GsJson_Int(s, "max_connections", 0));
         beyond += seen > own;
         if (seen > most) {
             most = seen;
@@ -174,9 +176,9 @@
     }
     fprintf(out,
             "%-10s %lld servers, most in flight at one: %lld of %lld slots, "
-            "%lld beyond their slots\n",
+            "%lld beyond their slots; most connections at one: %lld\n",
             service, (long long)servers, (long long)most, (long long)slots,
-            (long long)beyond);
+            (long long)beyond, (long long)connections);
 }
 
 /* The table for people; the closing line is printed by its caller. */
--- a/standins/standin_backends.c
+++ b/standins/standin_backends.c
@@ -2,7 +2,7 @@
  * usage: standin_backends --config FILE --control IP:PORT
  *
  * FILE: {"servers": [{"name", "service", "address", "slots"}]}; a server may
- * also set "service_ms", "sigma" and "cold_ms" for itself. */
+ * also set "connections", "service_ms", "sigma" and "cold_ms" for itself. */
 #include "common/answer.h"
 #include "common/backend.h"
 #include "common/clock.h"
@@ -26,6 +26,12 @@
     GPtrArray *journal; /* of GsRun */
 } Backends;
 
+/* What a connection keeps between its requests. */
+typedef struct {
+    GsBackend *server;
+    int fd;
+} Peer;
+
 static GsBackend *
 find_port(Backends *all, int port)
 {
@@ -52,6 +58,38 @@
     json_object_put(o);
 }
 
+/* The connection's own data, made with its first request; NULL when its
+ * server has too many connections. */
+static Peer *
+peer_of(Backends *all, GsBackend *b, struct mg_connection *conn)
+{
+    Peer *peer = mg_get_user_connection_data(conn);
+    if (peer != NULL) {
+        return peer;
+    }
+    pthread_mutex_lock(&all->lock);
+    bool room = GsBackend_Connect(b);
+    pthread_mutex_unlock(&all->lock);
+    if (!room) {
+        return NULL;
+    }
+    peer = g_new0(Peer, 1);
+    peer->server = b;
+    mg_set_user_connection_data(conn, peer);
+    return peer;
+}
+
+static void
+on_closed(void *data, void *conn_data)
+{
+    Backends *all = data;
+    Peer *peer = conn_data;
+    pthread_mutex_lock(&all->lock);
+    GsBackend_Disconnect(peer->server);
+    pthread_mutex_unlock(&all->lock);
+    g_free(peer);
+}
+
 static int
 health(Backends *all, GsBackend *b, struct mg_connection *conn)
 {
@@ -83,6 +121,7 @@
 /* One request while it is being served. */
 typedef struct {
     GsBackend *server;
+    Peer *peer;
     GsRun *run; /* NULL for an idempotent one; owned by the journal */
     GsAdmit admit;
     bool runs;
@@ -128,7 +167,8 @@
     const char *text = mg_get_header(conn, "GW-Deadline-Ms");
     int64_t left_us = text != NULL ? strtoll(text, NULL, 10) * 1000 : 0;
     bool cut = text != NULL && left_us < w->service_us;
-    bool gone = GsHttp_WaitGone(conn, cut ? left_us : w->service_us);
+    bool gone =
+        GsHttp_WaitGone(conn, cut ? left_us : w->service_us, &w->peer->fd);
     int64_t now_us = GsClock_Now();
     pthread_mutex_lock(&all->lock);
     w->server->stopped += cut && !gone;
@@ -161,10 +201,11 @@
 }
 
 static int
-serve(Backends *all, GsBackend *b, struct mg_connection *conn,
+serve(Backends *all, Peer *peer, struct mg_connection *conn,
       const GsOperation *op)
 {
-    Work w = {.server = b};
+    GsBackend *b = peer->server;
+    Work w = {.server = b, .peer = peer};
     char *body = GsHttp_ReadBody(conn);
     if (body == NULL) {
         return GsHttp_Drop(conn);
@@ -188,17 +229,19 @@
     Backends *all = data;
     const struct mg_request_info *ri = mg_get_request_info(conn);
     GsBackend *b = find_port(all, ri->server_port);
-    if (b != NULL && strcmp(ri->local_uri, "/health") == 0) {
+    Peer *peer = b != NULL ? peer_of(all, b, conn) : NULL;
+    if (peer == NULL) {
+        return GsHttp_Drop(conn);
+    }
+    if (strcmp(ri->local_uri, "/health") == 0) {
         return health(all, b, conn);
     }
     const GsOperation *op =
-        b != NULL
-            ? GsOperation_Match(b->service, ri->request_method, ri->local_uri)
-            : NULL;
+        GsOperation_Match(b->service, ri->request_method, ri->local_uri);
     if (op == NULL) {
         return GsHttp_Reply(conn, 404, "", "{}");
     }
-    return serve(all, b, conn, op);
+    return serve(all, peer, conn, op);
 }
 
 static int
@@ -234,6 +277,9 @@
     add_int(o, "slots", b->slots);
     add_int(o, "in_flight", b->in_flight);
     add_int(o, "max_in_flight", b->max_in_flight);
+    add_int(o, "connections", b->connections);
+    add_int(o, "max_connections", b->max_connections);
+    add_int(o, "connections_refused", (int64_t)b->connections_refused);
     add_int(o, "runs", (int64_t)b->runs);
     add_int(o, "refused", (int64_t)b->refused);
     add_int(o, "stopped", (int64_t)b->stopped);
@@ -321,6 +367,7 @@
     int cold_factor;
     int shed_percent;
     int connect_us;
+    int connections;
     int threads;
     int seed;
 } Options;
@@ -336,6 +383,8 @@
     g_strlcpy(b->address, address, GS_NAME_MAX);
     b->port = colon != NULL ? (uint32_t)strtoul(colon + 1, NULL, 10) : 0;
     b->slots = (uint32_t)GsJson_Int(s, "slots", 3);
+    b->connection_limit =
+        (uint32_t)GsJson_Int(s, "connections", o->connections);
     b->shed_percent = (uint32_t)o->shed_percent;
     b->service_us = GsJson_Int(s, "service_ms", o->service_ms) * 1000;
     b->sigma = o->sigma;
@@ -398,6 +447,7 @@
                              .threads = (uint32_t)o->threads,
                              .accept_cost_us = (uint32_t)o->connect_us,
                              .handler = handle,
+                             .closed = on_closed,
                              .data = &all};
     GsHttpOptions control = {.ports = o->control,
                              .threads = 8,
@@ -434,7 +484,8 @@
                  .cold_factor = 3,
                  .shed_percent = 200,
                  .connect_us = 1000,
-                 .threads = 400,
+                 .connections = 330,
+                 .threads = 1200,
                  .seed = 1};
     struct poptOption options[] = {
         {"config", 0, POPT_ARG_STRING, &o.config, 0, "servers", "FILE"},
@@ -447,6 +498,8 @@
          "of slots in flight, refused from there on", NULL},
         {"connect-us", 0, POPT_ARG_INT, &o.connect_us, 0,
          "cost of a connection", NULL},
+        {"connections", 0, POPT_ARG_INT, &o.connections, 0,
+         "limit of one server", NULL},
         {"threads", 0, POPT_ARG_INT, &o.threads, 0, "open connections", NULL},
         {"seed", 0, POPT_ARG_INT, &o.seed, 0, "of service times", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -186,7 +186,7 @@
     while read -r service name address slots; do
         printf '%s\n{"service": "%s", "name": "%s", "address": "%s", ' \
             "$comma" "$service" "$name" "$address"
-        printf '"slots": %d}' "$slots"
+        printf '"slots": %d, "connections": %d}' "$slots" "$gw_connections"
         comma=,
     done < <(gw_backends_of "$1")
     printf ']}\n'
--- a/tests/unit/test_standin_backend.c
+++ b/tests/unit/test_standin_backend.c
@@ -58,6 +58,19 @@
     }
 }
 
+Test(standin_backend, connections_keep_to_their_limit)
+{
+    GsBackend b = make_backend();
+    b.connection_limit = 2;
+    cr_assert(GsBackend_Connect(&b));
+    cr_assert(GsBackend_Connect(&b));
+    cr_assert_not(GsBackend_Connect(&b));
+    GsBackend_Disconnect(&b);
+    cr_assert(GsBackend_Connect(&b));
+    cr_assert_eq(b.max_connections, 2);
+    cr_assert_eq(b.connections_refused, 1);
+}
+
 Test(standin_backend, a_drain_ends_with_its_last_request)
 {
     GsBackend b = make_backend();
