Tell how many unknown requests ran

Cause: an unknown outcome can hide on the way to the backend server or on the way back; the two need different mending.

--- a/standins/common/record.c
+++ b/standins/common/record.c
@@ -86,6 +86,7 @@
         break;
     case GS_END_UNKNOWN:
         v->unknown++;
+        v->unknown_ran += runs != NULL;
         break;
     }
 }
--- a/standins/common/record.h
+++ b/standins/common/record.h
@@ -35,6 +35,7 @@
     uint64_t answered;
     uint64_t not_run;
     uint64_t unknown;
+    uint64_t unknown_ran; /* of these, in a journal */
     uint64_t not_sent;
     uint64_t no_outcome;
     uint64_t doubled;        /* keys executed more than once */
--- a/standins/common/report.c
+++ b/standins/common/report.c
@@ -205,9 +205,10 @@
     }
     fprintf(out,
             "not sent: %llu, no outcome: %llu, replies without an outcome: "
-            "%llu\n",
+            "%llu, unknown that ran: %llu\n",
             (unsigned long long)v->not_sent, (unsigned long long)v->no_outcome,
-            (unsigned long long)v->unstated);
+            (unsigned long long)v->unstated,
+            (unsigned long long)v->unknown_ran);
     g_ptr_array_free(ops, TRUE);
 }
 
@@ -225,6 +226,7 @@
     add_int(o, "answered", (int64_t)v->answered);
     add_int(o, "not_run", (int64_t)v->not_run);
     add_int(o, "unknown", (int64_t)v->unknown);
+    add_int(o, "unknown_ran", (int64_t)v->unknown_ran);
     add_int(o, "not_sent", (int64_t)v->not_sent);
     add_int(o, "no_outcome", (int64_t)v->no_outcome);
     add_int(o, "doubled", (int64_t)v->doubled);
--- a/tests/unit/test_standin_judge.c
+++ b/tests/unit/test_standin_judge.c
@@ -67,6 +67,8 @@
         cr_assert_eq(v.false_refusals, c->false_refusals, "%s", c->name);
         cr_assert_eq(v.wrong_answers, c->wrong, "%s", c->name);
         cr_assert_eq(v.sent, c->sent, "%s", c->name);
+        cr_assert_eq(v.unknown_ran, c->end == GS_END_UNKNOWN && c->runs > 0,
+                     "%s", c->name);
         cr_assert_eq(GsVerdict_Good(&v), c->good, "%s", c->name);
     }
 }
