Close a connection whose reply finds no room

Cause: a burst of relayed calls could fill the queue of replies; the reply was dropped and the peer's call waited for its whole deadline. Test ports came from the range of outgoing ones. Change: the connection is closed, so the peer's calls end unknown at once; ports of tests lie below that range.

--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -3,7 +3,7 @@
 # inputs from a fixed seed. Non-zero when one has a finding.
 # usage: run.sh RUNS
 set -uo pipefail
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/.." || exit 1
 runs=${1:-20000}
 out=build-fuzz
 mkdir -p "$out"
--- a/lib/runtime/net.c
+++ b/lib/runtime/net.c
@@ -118,7 +118,7 @@
 {
     Link_Close(net, link);
     pthread_mutex_lock(&net->peer_lock);
-    bool unused = link->queue.length == 0;
+    bool unused = link->accepted || link->queue.length == 0;
     if (unused) {
         g_hash_table_remove(net->by_serial, &link->serial);
         if (!link->accepted) {
@@ -166,6 +166,7 @@
     (void)!read(net->event_fd, &drain, sizeof(drain));
     for (;;) {
         Link *link = NULL;
+        bool overflow = false;
         pthread_mutex_lock(&net->peer_lock);
         serial = g_queue_pop_head(&net->flagged);
         if (serial != NULL) {
@@ -173,6 +174,7 @@
         }
         if (link != NULL) {
             link->flagged = false;
+            overflow = link->overflow;
         }
         pthread_mutex_unlock(&net->peer_lock);
         g_free(serial);
@@ -185,7 +187,7 @@
         if (link->state == LINK_IDLE) {
             Link_Connect(net, link, now_us);
         }
-        else if (!Link_Flush(net, link, now_us)) {
+        else if (overflow || !Link_Flush(net, link, now_us)) {
             close_link(net, link);
         }
     }
@@ -374,21 +376,32 @@
     return true;
 }
 
+/* Called with the peer lock: the network thread looks at the link soon. */
+static void
+flag(GwNet *net, Link *link)
+{
+    if (!link->flagged) {
+        link->flagged = true;
+        g_queue_push_tail(&net->flagged,
+                          g_memdup2(&link->serial, sizeof(link->serial)));
+    }
+}
+
 /* Called with the peer lock; takes the frame over when it returns true. */
 static bool
 push_frame(GwNet *net, Link *link, Frame *frame)
 {
     if (!make_room(net, link, frame->len)) {
+        /* A reply that vanished would leave the peer's call waiting for its
+         * whole deadline. Closing tells the peer at once: unknown. */
+        link->overflow = link->accepted;
+        flag(net, link);
         return false;
     }
     frame->queued_us = GwNet_NowUs();
     g_queue_push_tail(&link->queue, frame);
     link->queue_bytes += frame->len;
-    if (!link->flagged) {
-        link->flagged = true;
-        g_queue_push_tail(&net->flagged,
-                          g_memdup2(&link->serial, sizeof(link->serial)));
-    }
+    flag(net, link);
     return true;
 }
 
--- a/lib/runtime/net_internal.h
+++ b/lib/runtime/net_internal.h
@@ -10,7 +10,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
-#define QUEUE_FRAMES_MAX     1024
+#define QUEUE_FRAMES_MAX     4096
 #define QUEUE_BYTES_MAX      (8u << 20)
 #define LINKS_MAX            4096
 #define CONNECT_TIMEOUT_US   1000000
@@ -46,7 +46,8 @@
     char address[GW_ADDR_MAX]; /* outgoing only */
     GQueue queue;              /* of Frame * */
     size_t queue_bytes;
-    bool flagged; /* in net->flagged; under the peer lock */
+    bool flagged;  /* in net->flagged; under the peer lock */
+    bool overflow; /* a reply found no room; under the peer lock */
 
     int fd;
     LinkState state;
--- a/tests/stress/net.c
+++ b/tests/stress/net.c
@@ -2,16 +2,14 @@
  * The caller of each must get an end, and only one: a second end would be
  * taken for that of another attempt, a missing one would hold its unit until
  * the deadline. And a call reported as never sent must not have arrived. */
+#include "fakes/free_port.h"
 #include "runtime/net.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum {
     THREADS = 4,
@@ -99,23 +97,6 @@
     return *self;
 }
 
-static void
-pick_address(char out[GW_ADDR_MAX])
-{
-    struct sockaddr_in at = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    };
-    socklen_t len = sizeof(at);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (bind(fd, (struct sockaddr *)&at, len) != 0) {
-        g_error("cannot bind");
-    }
-    getsockname(fd, (struct sockaddr *)&at, &len);
-    close(fd);
-    g_snprintf(out, GW_ADDR_MAX, "127.0.0.1:%u", ntohs(at.sin_port));
-}
-
 static void *
 send_calls(void *arg)
 {
@@ -165,8 +146,8 @@
     pthread_t threads[THREADS];
     char address[GW_ADDR_MAX];
 
-    pick_address(address);
-    pick_address(far_address);
+    FreePort_Address(address);
+    FreePort_Address(far_address);
     near_net = create_net(address, (GwNodeId){1, 1}, &near_self);
     atomic_store(&far_start, 1);
     GwNet *far = create_net(far_address, (GwNodeId){2, 1}, &far_self);
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -1,5 +1,6 @@
 /* Two network threads in one process, talking over loopback. Every wait is
  * for an event, not for a time. */
+#include "fakes/free_port.h"
 #include "runtime/net.h"
 #include "wire/frame.h"
 
@@ -88,22 +89,6 @@
     bump(n, sent ? &n->lost_sent : &n->lost_unsent);
 }
 
-/* A port that was free a moment ago. */
-static void
-pick_address(char out[GW_ADDR_MAX])
-{
-    struct sockaddr_in at = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    };
-    socklen_t len = sizeof(at);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    cr_assert_eq(bind(fd, (struct sockaddr *)&at, len), 0);
-    getsockname(fd, (struct sockaddr *)&at, &len);
-    close(fd);
-    g_snprintf(out, GW_ADDR_MAX, "127.0.0.1:%u", ntohs(at.sin_port));
-}
-
 static Node *
 start_node(uint64_t id, const char *key, uint32_t delay_us)
 {
@@ -111,7 +96,7 @@
     GError *error = NULL;
     pthread_mutex_init(&n->mutex, NULL);
     pthread_cond_init(&n->changed, NULL);
-    pick_address(n->address);
+    FreePort_Address(n->address);
     n->id = (GwNodeId){id, 1};
     GwNetParams params = {
         .id = n->id,
@@ -278,7 +263,7 @@
 {
     Node *a = start_node(1, KEY, 0);
     Node nobody = {.id = {3, 1}};
-    pick_address(nobody.address);
+    FreePort_Address(nobody.address);
     send_call(a, &nobody, nobody.id, 77);
     wait_for(a, &a->lost_unsent, 1);
     stop_node(a);
