--- a/lib/admin/admin.h
+++ b/lib/admin/admin.h
@@ -26,9 +26,8 @@
     char *(*entries)(void *ctx, const char *service);
 } GwAdminHost;
 
-GwAdmin *
-GwAdmin_Start(const GwAdminHost *host, const char *address, GError **error);
-void
-GwAdmin_Stop(GwAdmin *admin);
+GwAdmin *GwAdmin_Start(const GwAdminHost *host, const char *address,
+                       GError **error);
+void GwAdmin_Stop(GwAdmin *admin);
 
 #endif
--- a/lib/admin/client.h
+++ b/lib/admin/client.h
@@ -27,29 +27,24 @@
 } GwFetched;
 
 /* token: NULL for none. */
-GwAdminClient *
-GwAdminClient_Create(const char *address, const char *token,
-                     uint32_t timeout_ms);
-void
-GwAdminClient_Free(GwAdminClient *client);
+GwAdminClient *GwAdminClient_Create(const char *address, const char *token,
+                                    uint32_t timeout_ms);
+void GwAdminClient_Free(GwAdminClient *client);
 /* One remote procedure call. The reply is for
  * protobuf_c_message_free_unpacked; NULL with `error` (IO: unreachable,
  * DENIED, CORRUPT, or INVALID). */
-ProtobufCMessage *
-GwAdminClient_Call(GwAdminClient *client, const char *method,
-                   const ProtobufCMessage *request,
-                   const ProtobufCMessageDescriptor *reply, GError **error);
+ProtobufCMessage *GwAdminClient_Call(GwAdminClient *client, const char *method,
+                                     const ProtobufCMessage *request,
+                                     const ProtobufCMessageDescriptor *reply,
+                                     GError **error);
 /* Reads a page of the admin address, such as "/dump"; NULL with `error`. */
-char *
-GwAdminClient_Page(GwAdminClient *client, const char *path, GError **error);
+char *GwAdminClient_Page(GwAdminClient *client, const char *path,
+                         GError **error);
 /* Any exchange; false with `error` when no whole answer came. */
-bool
-GwAdminClient_Fetch(GwAdminClient *client, const GwFetch *fetch,
-                    GwFetched *out, GError **error);
-void
-GwFetched_Clear(GwFetched *fetched);
+bool GwAdminClient_Fetch(GwAdminClient *client, const GwFetch *fetch,
+                         GwFetched *out, GError **error);
+void GwFetched_Clear(GwFetched *fetched);
 /* The value of a header, for g_free, or NULL. */
-char *
-GwFetched_Header(const GwFetched *fetched, const char *name);
+char *GwFetched_Header(const GwFetched *fetched, const char *name);
 
 #endif
--- a/lib/admin/ctl.h
+++ b/lib/admin/ctl.h
@@ -33,10 +33,9 @@
 } GwCtlOptions;
 
 /* Runs a command; argv[0] is its name. */
-GwCtlExit
-GwCtl_Run(const GwCtlOptions *options, int argc, const char *const *argv);
+GwCtlExit GwCtl_Run(const GwCtlOptions *options, int argc,
+                    const char *const *argv);
 /* Prints the usage of a command, or of all when NULL or not known. */
-GwCtlExit
-GwCtl_Help(const char *command);
+GwCtlExit GwCtl_Help(const char *command);
 
 #endif
--- a/lib/admin/ctl_internal.h
+++ b/lib/admin/ctl_internal.h
@@ -16,65 +16,40 @@
 typedef GwCtlExit (*GwCtlCommand)(const GwCtl *ctl);
 
 /* Prints the error, frees it, and gives the exit code for it. */
-GwCtlExit
-GwCtl_Fail(GError *error);
+GwCtlExit GwCtl_Fail(GError *error);
 /* Prints a fault of the command line. */
-GwCtlExit
-GwCtl_Usage(const char *format, ...) __attribute__((format(printf, 1, 2)));
+GwCtlExit GwCtl_Usage(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
 /* Reads a whole number; false after a message. */
-bool
-GwCtl_Number(const char *what, const char *text, uint64_t max, uint64_t *out);
-GwCtlExit
-GwCtl_Apply(const GwCtl *ctl, Gw__Admin__ApplyRequest *request);
-GwCtlExit
-GwCtl_ApplyChange(const GwCtl *ctl, Gw__Admin__Change *change);
+bool GwCtl_Number(const char *what, const char *text, uint64_t max,
+                  uint64_t *out);
+GwCtlExit GwCtl_Apply(const GwCtl *ctl, Gw__Admin__ApplyRequest *request);
+GwCtlExit GwCtl_ApplyChange(const GwCtl *ctl, Gw__Admin__Change *change);
 /* Waits until every live member has the version. */
-GwCtlExit
-GwCtl_Wait(const GwCtl *ctl, uint64_t version);
+GwCtlExit GwCtl_Wait(const GwCtl *ctl, uint64_t version);
 /* Prints the reply to a change and gives the exit code for it. */
-GwCtlExit
-GwCtl_ShowChange(const GwCtl *ctl, const char *request_id,
-                 const Gw__Admin__ChangeReply *reply);
+GwCtlExit GwCtl_ShowChange(const GwCtl *ctl, const char *request_id,
+                           const Gw__Admin__ChangeReply *reply);
 
-GwCtlExit
-GwCtl_ApplyFile(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Rollback(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Drain(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Undrain(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Shift(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Link(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Slots(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Warmup(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Create(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Remove(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Get(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Diff(const GwCtl *ctl);
-GwCtlExit
-GwCtl_History(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Status(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Operation(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Entries(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Dump(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Metrics(const GwCtl *ctl);
-GwCtlExit
-GwCtl_Call(const GwCtl *ctl);
-GwCtlExit
-GwCtl_SettingsPage(const GwCtl *ctl);
+GwCtlExit GwCtl_ApplyFile(const GwCtl *ctl);
+GwCtlExit GwCtl_Rollback(const GwCtl *ctl);
+GwCtlExit GwCtl_Drain(const GwCtl *ctl);
+GwCtlExit GwCtl_Undrain(const GwCtl *ctl);
+GwCtlExit GwCtl_Shift(const GwCtl *ctl);
+GwCtlExit GwCtl_Link(const GwCtl *ctl);
+GwCtlExit GwCtl_Slots(const GwCtl *ctl);
+GwCtlExit GwCtl_Warmup(const GwCtl *ctl);
+GwCtlExit GwCtl_Create(const GwCtl *ctl);
+GwCtlExit GwCtl_Remove(const GwCtl *ctl);
+GwCtlExit GwCtl_Get(const GwCtl *ctl);
+GwCtlExit GwCtl_Diff(const GwCtl *ctl);
+GwCtlExit GwCtl_History(const GwCtl *ctl);
+GwCtlExit GwCtl_Status(const GwCtl *ctl);
+GwCtlExit GwCtl_Operation(const GwCtl *ctl);
+GwCtlExit GwCtl_Entries(const GwCtl *ctl);
+GwCtlExit GwCtl_Dump(const GwCtl *ctl);
+GwCtlExit GwCtl_Metrics(const GwCtl *ctl);
+GwCtlExit GwCtl_Call(const GwCtl *ctl);
+GwCtlExit GwCtl_SettingsPage(const GwCtl *ctl);
 
 #endif
--- a/lib/admin/diff.c
+++ b/lib/admin/diff.c
@@ -42,8 +42,7 @@
     return NULL;
 }
 
-static void
-diff_value(GString *out, const char *path, Json *old, Json *now);
+static void diff_value(GString *out, const char *path, Json *old, Json *now);
 
 /* Items of both arrays, paired by name; `removed` says which way to look. */
 static void
--- a/lib/admin/diff.h
+++ b/lib/admin/diff.h
@@ -8,7 +8,6 @@
  * true"; empty when there is none. Items are paired by their names, so that
  * order and comments don't count. NULL with `error` when a text is no JSON.
  * For g_free. */
-char *
-GwDiff_Text(const char *old_text, const char *new_text, GError **error);
+char *GwDiff_Text(const char *old_text, const char *new_text, GError **error);
 
 #endif
--- a/lib/admin/http_internal.h
+++ b/lib/admin/http_internal.h
@@ -5,12 +5,10 @@
 
 /* Serves the calls over HTTP; `rpc` and its host are copied, the token and
  * the table must outlive the server. */
-GwAdmin *
-GwAdminHttp_Start(const GwRpc *rpc, const char *address, GError **error);
-uint32_t
-GwAdminHttp_Port(const GwAdmin *admin);
+GwAdmin *GwAdminHttp_Start(const GwRpc *rpc, const char *address,
+                           GError **error);
+uint32_t GwAdminHttp_Port(const GwAdmin *admin);
 /* Whether the Authorization header shows the token; NULL shows nothing. */
-bool
-GwAdminHttp_IsAllowed(const char *token, const char *header);
+bool GwAdminHttp_IsAllowed(const char *token, const char *header);
 
 #endif
--- a/lib/admin/rpc.h
+++ b/lib/admin/rpc.h
@@ -24,8 +24,8 @@
 } GwRpcStatus;
 
 /* Runs one call. DONE: `out` holds the packed reply, for g_free. */
-GwRpcStatus
-GwRpc_Handle(const GwRpc *rpc, const char *method, const uint8_t *body,
-             uint32_t len, uint8_t **out, uint32_t *out_len);
+GwRpcStatus GwRpc_Handle(const GwRpc *rpc, const char *method,
+                         const uint8_t *body, uint32_t len, uint8_t **out,
+                         uint32_t *out_len);
 
 #endif
--- a/lib/admin/rpc_internal.h
+++ b/lib/admin/rpc_internal.h
@@ -13,23 +13,17 @@
 typedef GwRpcStatus (*GwRpcMethod)(const GwRpc *rpc, const uint8_t *body,
                                    uint32_t len, GwRpcReply *reply);
 
-void
-GwRpc_Pack(const ProtobufCMessage *message, GwRpcReply *reply);
-bool
-GwRpc_GetRow(const GwRpc *rpc, const char *key, GwTableReply *reply,
-             GwRow **row);
+void GwRpc_Pack(const ProtobufCMessage *message, GwRpcReply *reply);
+bool GwRpc_GetRow(const GwRpc *rpc, const char *key, GwTableReply *reply,
+                  GwRow **row);
 
-GwRpcStatus
-GwRpc_Apply(const GwRpc *rpc, const uint8_t *body, uint32_t len,
-            GwRpcReply *reply);
-GwRpcStatus
-GwRpc_GetOperation(const GwRpc *rpc, const uint8_t *body, uint32_t len,
-                   GwRpcReply *reply);
-GwRpcStatus
-GwRpc_Get(const GwRpc *rpc, const uint8_t *body, uint32_t len,
-          GwRpcReply *reply);
-GwRpcStatus
-GwRpc_History(const GwRpc *rpc, const uint8_t *body, uint32_t len,
-              GwRpcReply *reply);
+GwRpcStatus GwRpc_Apply(const GwRpc *rpc, const uint8_t *body, uint32_t len,
+                        GwRpcReply *reply);
+GwRpcStatus GwRpc_GetOperation(const GwRpc *rpc, const uint8_t *body,
+                               uint32_t len, GwRpcReply *reply);
+GwRpcStatus GwRpc_Get(const GwRpc *rpc, const uint8_t *body, uint32_t len,
+                      GwRpcReply *reply);
+GwRpcStatus GwRpc_History(const GwRpc *rpc, const uint8_t *body, uint32_t len,
+                          GwRpcReply *reply);
 
 #endif
--- a/lib/blocks/blocks.h
+++ b/lib/blocks/blocks.h
@@ -40,63 +40,49 @@
 } GwBlock;
 
 /* GW_ERR(PARSE) when the text is no address or block. */
-GwResult
-GwAddress_Parse(const char *text, GwAddress *out);
-GwResult
-GwBlock_Parse(const char *text, uint16_t site, GwBlock *out);
+GwResult GwAddress_Parse(const char *text, GwAddress *out);
+GwResult GwBlock_Parse(const char *text, uint16_t site, GwBlock *out);
 
 /* ---- the set, which changes ---- */
 
 typedef struct GwBlockSet_s GwBlockSet;
 
-GwBlockSet *
-GwBlockSet_Create(void);
-void
-GwBlockSet_Free(GwBlockSet *set);
-uint64_t
-GwBlockSet_Version(const GwBlockSet *set);
-uint32_t
-GwBlockSet_Count(const GwBlockSet *set);
+GwBlockSet *GwBlockSet_Create(void);
+void GwBlockSet_Free(GwBlockSet *set);
+uint64_t GwBlockSet_Version(const GwBlockSet *set);
+uint32_t GwBlockSet_Count(const GwBlockSet *set);
 
 /* Replaces the set. GW_ERR(CORRUPT) for a wrong length, checksum, order or
  * field; GW_ERR(STALE) for a version not above the present one. */
-GwResult
-GwBlockSet_ApplySnapshot(GwBlockSet *set, const uint8_t *bytes, size_t len);
+GwResult GwBlockSet_ApplySnapshot(GwBlockSet *set, const uint8_t *bytes,
+                                  size_t len);
 /* Changes the set. GW_ERR(CONFLICT) when the delta is not based on the
  * present version; else as above. */
-GwResult
-GwBlockSet_ApplyDelta(GwBlockSet *set, const uint8_t *bytes, size_t len);
+GwResult GwBlockSet_ApplyDelta(GwBlockSet *set, const uint8_t *bytes,
+                               size_t len);
 
 /* Encoders, for tools and tests. Blocks need not be ordered. A delta block
  * with site GW_SITE_NONE is removed. The result is freed with g_free. */
-uint8_t *
-GwBlocks_EncodeSnapshot(uint64_t version, const GwBlock *blocks,
-                        uint32_t count, size_t *len);
-uint8_t *
-GwBlocks_EncodeDelta(uint64_t base, uint64_t version, const GwBlock *blocks,
-                     uint32_t count, size_t *len);
+uint8_t *GwBlocks_EncodeSnapshot(uint64_t version, const GwBlock *blocks,
+                                 uint32_t count, size_t *len);
+uint8_t *GwBlocks_EncodeDelta(uint64_t base, uint64_t version,
+                              const GwBlock *blocks, uint32_t count,
+                              size_t *len);
 
 /* ---- the map, which does not ---- */
 
 typedef struct GwBlockMap_s GwBlockMap;
 
-GwBlockMap *
-GwBlockMap_Build(const GwBlockSet *set);
-void
-GwBlockMap_Free(GwBlockMap *map);
+GwBlockMap *GwBlockMap_Build(const GwBlockSet *set);
+void GwBlockMap_Free(GwBlockMap *map);
 /* The site of the longest block that holds the address, else
  * GW_SITE_NONE. */
-uint16_t
-GwBlockMap_Find(const GwBlockMap *map, GwAddress address);
+uint16_t GwBlockMap_Find(const GwBlockMap *map, GwAddress address);
 /* The same by plain binary search over all ranges: the baseline that
  * bench/blocks.c measures against. */
-uint16_t
-GwBlockMap_FindPlain(const GwBlockMap *map, GwAddress address);
-size_t
-GwBlockMap_Bytes(const GwBlockMap *map);
-uint32_t
-GwBlockMap_Ranges(const GwBlockMap *map);
-uint64_t
-GwBlockMap_Version(const GwBlockMap *map);
+uint16_t GwBlockMap_FindPlain(const GwBlockMap *map, GwAddress address);
+size_t GwBlockMap_Bytes(const GwBlockMap *map);
+uint32_t GwBlockMap_Ranges(const GwBlockMap *map);
+uint64_t GwBlockMap_Version(const GwBlockMap *map);
 
 #endif
--- a/lib/blocks/blocks_internal.h
+++ b/lib/blocks/blocks_internal.h
@@ -12,10 +12,8 @@
     GwBlock *blocks;
 };
 
-int
-GwBlock_Compare(const GwBlock *a, const GwBlock *b);
+int GwBlock_Compare(const GwBlock *a, const GwBlock *b);
 /* Last address of the block's range. */
-uint64_t
-GwBlock_Last(const GwBlock *block);
+uint64_t GwBlock_Last(const GwBlock *block);
 
 #endif
--- a/lib/blocks/set.c
+++ b/lib/blocks/set.c
@@ -54,7 +54,7 @@
 {
     char address[64];
     const char *slash = strchr(text, '/');
-    GwAddress a;
+    GwAddress a = {0};
 
     if (slash == NULL || (size_t)(slash - text) >= sizeof(address)) {
         return GW_ERR(PARSE);
--- a/lib/common/heap.h
+++ b/lib/common/heap.h
@@ -21,18 +21,12 @@
     GwHeapSlot *slots;
 } GwHeap;
 
-void
-GwHeap_Push(GwHeap *heap, int64_t key, void *item, uint32_t *place);
-void
-GwHeap_Remove(GwHeap *heap, uint32_t *place);
-void
-GwHeap_Move(GwHeap *heap, uint32_t *place, int64_t key);
+void GwHeap_Push(GwHeap *heap, int64_t key, void *item, uint32_t *place);
+void GwHeap_Remove(GwHeap *heap, uint32_t *place);
+void GwHeap_Move(GwHeap *heap, uint32_t *place, int64_t key);
 /* NULL when the heap is empty. */
-void *
-GwHeap_Top(const GwHeap *heap);
-int64_t
-GwHeap_TopKey(const GwHeap *heap);
-void
-GwHeap_Free(GwHeap *heap);
+void *GwHeap_Top(const GwHeap *heap);
+int64_t GwHeap_TopKey(const GwHeap *heap);
+void GwHeap_Free(GwHeap *heap);
 
 #endif
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -5,13 +5,10 @@
 #include "common/log_events.h"
 
 /* level: "error", "warn" or "info". Returns 0, or -1 when log4c fails. */
-int
-GwLog_Start(const char *level);
-void
-GwLog_Stop(void);
+int GwLog_Start(const char *level);
+void GwLog_Stop(void);
 /* Writes `event=200 name=CONFIG_IN_FORCE ` and the key=value text. */
-void
-GwLog_Event(uint32_t event, const char *format, ...)
+void GwLog_Event(uint32_t event, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
 #endif
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -55,9 +55,7 @@
     GW_LEVEL_INFO = 2
 } GwLogLevel;
 
-const char *
-GwLogEvent_Name(uint32_t event);
-GwLogLevel
-GwLogEvent_Level(uint32_t event);
+const char *GwLogEvent_Name(uint32_t event);
+GwLogLevel GwLogEvent_Level(uint32_t event);
 
 #endif
--- a/lib/common/rng.h
+++ b/lib/common/rng.h
@@ -10,13 +10,9 @@
     uint64_t state;
 } GwRng;
 
-GwRng
-GwRng_Make(uint64_t seed);
-uint64_t
-GwRng_Next(GwRng *rng);
-uint32_t
-GwRng_Below(GwRng *rng, uint32_t bound);
-int64_t
-GwRng_Jitter(GwRng *rng, int64_t base, int64_t spread);
+GwRng GwRng_Make(uint64_t seed);
+uint64_t GwRng_Next(GwRng *rng);
+uint32_t GwRng_Below(GwRng *rng, uint32_t bound);
+int64_t GwRng_Jitter(GwRng *rng, int64_t base, int64_t spread);
 
 #endif
--- a/lib/config/change.c
+++ b/lib/config/change.c
@@ -34,8 +34,7 @@
     c->result.version = version;
 }
 
-static void
-set_reason(GwChange *c, GwResultCode code, const char *format, ...)
+static void set_reason(GwChange *c, GwResultCode code, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
 static void
--- a/lib/config/change.h
+++ b/lib/config/change.h
@@ -66,24 +66,16 @@
 
 typedef struct GwChange_s GwChange;
 
-bool
-GwRequestId_IsValid(const char *id);
-GwChange *
-GwChange_Create(const GwChangeAsk *ask);
+bool GwRequestId_IsValid(const char *id);
+GwChange *GwChange_Create(const GwChangeAsk *ask);
 /* Finds out what became of a request id, and settles it if nothing did. */
-GwChange *
-GwChange_CreateResolve(const char *request_id);
-void
-GwChange_Free(GwChange *c);
+GwChange *GwChange_CreateResolve(const char *request_id);
+void GwChange_Free(GwChange *c);
 /* Fills the next request; false once the result stands. The caller frees
  * the values with GwChange_ClearRequest. */
-bool
-GwChange_Next(GwChange *c, GwTableRequest *out);
-void
-GwChange_ClearRequest(GwTableRequest *request);
-void
-GwChange_Reply(GwChange *c, const GwTableReply *reply);
-const GwChangeResult *
-GwChange_Result(const GwChange *c);
+bool GwChange_Next(GwChange *c, GwTableRequest *out);
+void GwChange_ClearRequest(GwTableRequest *request);
+void GwChange_Reply(GwChange *c, const GwTableReply *reply);
+const GwChangeResult *GwChange_Result(const GwChange *c);
 
 #endif
--- a/lib/config/change_internal.h
+++ b/lib/config/change_internal.h
@@ -34,7 +34,6 @@
     GwChangeResult result;
 };
 
-void
-GwChange_Make(GwChange *c, const char *text);
+void GwChange_Make(GwChange *c, const char *text);
 
 #endif
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -25,12 +25,9 @@
     } delays[GW_MAX_REGIONS];
 } GwSettings;
 
-GwSettings *
-GwSettings_Load(const char *path, GError **error);
-void
-GwSettings_Free(GwSettings *s);
+GwSettings *GwSettings_Load(const char *path, GError **error);
+void GwSettings_Free(GwSettings *s);
 /* The settings as JSON text; free with g_free. */
-char *
-GwSettings_Print(const GwSettings *s);
+char *GwSettings_Print(const GwSettings *s);
 
 #endif
--- a/lib/config/settings_table.h
+++ b/lib/config/settings_table.h
@@ -27,13 +27,10 @@
     const char *meaning;
 } GwSettingRow;
 
-const GwSettingRow *
-GwSettings_Rows(uint32_t *count);
+const GwSettingRow *GwSettings_Rows(uint32_t *count);
 /* Builds settings from text; `error` names key, bound and value. */
-GwSettings *
-GwSettings_Parse(const char *text, size_t len, GError **error);
+GwSettings *GwSettings_Parse(const char *text, size_t len, GError **error);
 /* The page docs/SETTINGS.md; free with g_free. */
-char *
-GwSettings_Doc(void);
+char *GwSettings_Doc(void);
 
 #endif
--- a/lib/config/sync.h
+++ b/lib/config/sync.h
@@ -14,34 +14,26 @@
 
 typedef struct GwSync_s GwSync;
 
-GwSync *
-GwSync_Create(const GwNodeParams *params);
-void
-GwSync_Free(GwSync *s);
+GwSync *GwSync_Create(const GwNodeParams *params);
+void GwSync_Free(GwSync *s);
 /* Tokens of table requests made by sync have this in the top byte. */
 #define GW_TOKEN_SYNC    (1ULL << 56)
 #define GW_TOKEN_SEATS   (2ULL << 56)
 #define GW_TOKEN_KIND(t) ((t) & (0xffULL << 56))
 
-void
-GwSync_Tick(GwSync *s, int64_t now_us, GwActions *out);
+void GwSync_Tick(GwSync *s, int64_t now_us, GwActions *out);
 /* A heartbeat of `from` named `version`; ask for it when higher. */
-void
-GwSync_Heard(GwSync *s, int64_t now_us, GwNodeId from, const char *address,
-             uint64_t version, GwActions *out);
+void GwSync_Heard(GwSync *s, int64_t now_us, GwNodeId from,
+                  const char *address, uint64_t version, GwActions *out);
 /* CONFIG_ASK (answers with the document) and CONFIG_DOC. Returns true when a
  * new configuration is in force. */
-bool
-GwSync_Receive(GwSync *s, int64_t now_us, const GwMessage *msg,
-               const char *reply_address, GwActions *out);
-bool
-GwSync_TableReply(GwSync *s, int64_t now_us, const GwTableReply *reply,
-                  GwActions *out);
-const GwConfig *
-GwSync_Config(const GwSync *s);
+bool GwSync_Receive(GwSync *s, int64_t now_us, const GwMessage *msg,
+                    const char *reply_address, GwActions *out);
+bool GwSync_TableReply(GwSync *s, int64_t now_us, const GwTableReply *reply,
+                       GwActions *out);
+const GwConfig *GwSync_Config(const GwSync *s);
 /* True when this node may serve: it holds the highest version that it has
  * heard any reachable peer or the table name since its start. */
-bool
-GwSync_Ready(const GwSync *s, int64_t now_us);
+bool GwSync_Ready(const GwSync *s, int64_t now_us);
 
 #endif
--- a/lib/config/sync_internal.h
+++ b/lib/config/sync_internal.h
@@ -68,21 +68,15 @@
 };
 
 /* sync.c */
-uint64_t
-GwSync_Have(const GwSync *s);
-uint64_t
-GwSync_Wanted(const GwSync *s, int64_t now_us);
-void
-GwSync_NoteBehind(GwSync *s, int64_t now_us);
-bool
-GwSync_Adopt(GwSync *s, int64_t now_us, const GwSyncDoc *doc, GwActions *out);
+uint64_t GwSync_Have(const GwSync *s);
+uint64_t GwSync_Wanted(const GwSync *s, int64_t now_us);
+void GwSync_NoteBehind(GwSync *s, int64_t now_us);
+bool GwSync_Adopt(GwSync *s, int64_t now_us, const GwSyncDoc *doc,
+                  GwActions *out);
 
 /* fetch.c */
-void
-GwSync_GetHead(GwSync *s, int64_t now_us, GwActions *out);
-void
-GwSync_Fetch(GwSync *s, int64_t now_us, GwActions *out);
-void
-GwSync_TableAway(GwSync *s, int64_t now_us, GwActions *out);
+void GwSync_GetHead(GwSync *s, int64_t now_us, GwActions *out);
+void GwSync_Fetch(GwSync *s, int64_t now_us, GwActions *out);
+void GwSync_TableAway(GwSync *s, int64_t now_us, GwActions *out);
 
 #endif
--- a/lib/entry/calls.c
+++ b/lib/entry/calls.c
@@ -78,8 +78,8 @@
 void
 GwCalls_Configure(GwCalls *c, int64_t now_us, const GwConfig *config)
 {
-    uint32_t new_index[GW_MAX_SERVICES];
-    GwServiceCalls services[GW_MAX_SERVICES];
+    uint32_t new_index[GW_MAX_SERVICES] = {0};
+    GwServiceCalls services[GW_MAX_SERVICES] = {0};
     GPtrArray *waiting = g_ptr_array_new();
 
     for (uint32_t i = 0; i < c->service_count; i++) {
--- a/lib/entry/calls.h
+++ b/lib/entry/calls.h
@@ -10,12 +10,9 @@
 
 typedef struct GwCalls_s GwCalls;
 
-GwCalls *
-GwCalls_Create(const GwNodeParams *params);
-void
-GwCalls_Free(GwCalls *c);
-void
-GwCalls_Configure(GwCalls *c, int64_t now_us, const GwConfig *config);
+GwCalls *GwCalls_Create(const GwNodeParams *params);
+void GwCalls_Free(GwCalls *c);
+void GwCalls_Configure(GwCalls *c, int64_t now_us, const GwConfig *config);
 
 /* What the machine needs of the rest of the node during one step. */
 typedef struct {
@@ -29,25 +26,19 @@
     GwActions *out;
 } GwCallsEnv;
 
-void
-GwCalls_Arrive(GwCalls *c, const GwCallsEnv *env, const GwCallEvent *ev);
-void
-GwCalls_Gone(GwCalls *c, const GwCallsEnv *env, uint64_t call);
-void
-GwCalls_Attempt(GwCalls *c, const GwCallsEnv *env, const GwAttemptEvent *ev);
+void GwCalls_Arrive(GwCalls *c, const GwCallsEnv *env, const GwCallEvent *ev);
+void GwCalls_Gone(GwCalls *c, const GwCallsEnv *env, uint64_t handle);
+void GwCalls_Attempt(GwCalls *c, const GwCallsEnv *env,
+                     const GwAttemptEvent *ev);
 /* Time-outs, hedges, retention; and a pass over the queue. */
-void
-GwCalls_Tick(GwCalls *c, const GwCallsEnv *env);
+void GwCalls_Tick(GwCalls *c, const GwCallsEnv *env);
 /* Start waiting calls for which something came free. */
-void
-GwCalls_Pump(GwCalls *c, const GwCallsEnv *env);
+void GwCalls_Pump(GwCalls *c, const GwCallsEnv *env);
 
-GwResult
-GwCalls_Mint(GwCalls *c, int64_t now_us, uint32_t count, GwTicket *out);
+GwResult GwCalls_Mint(GwCalls *c, int64_t now_us, uint32_t count,
+                      GwTicket *out);
 /* Waiting calls per service index; GW_MAX_SERVICES entries. */
-const uint32_t *
-GwCalls_Queued(const GwCalls *c);
-uint32_t
-GwCalls_Open(const GwCalls *c);
+const uint32_t *GwCalls_Queued(const GwCalls *c);
+uint32_t GwCalls_Open(const GwCalls *c);
 
 #endif
--- a/lib/entry/calls_internal.h
+++ b/lib/entry/calls_internal.h
@@ -94,29 +94,20 @@
     uint32_t answer_attempt;
 } GwCallEnd;
 
-void
-GwCalls_Finish(GwCalls *c, const GwCallsEnv *env, GwCall *call,
-               const GwCallEnd *end);
-void
-GwCalls_FinishNotRun(GwCalls *c, const GwCallsEnv *env, GwCall *call,
-                     GwReason reason, uint32_t retry_after_ms);
-void
-GwCalls_FinishUnknown(GwCalls *c, const GwCallsEnv *env, GwCall *call,
-                      GwReason reason);
+void GwCalls_Finish(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                    const GwCallEnd *end);
+void GwCalls_FinishNotRun(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                          GwReason reason, uint32_t retry_after_ms);
+void GwCalls_FinishUnknown(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                           GwReason reason);
 
 /* calls_start.c */
-void
-GwCalls_Enqueue(GwCalls *c, GwCall *call);
-void
-GwCalls_Dequeue(GwCalls *c, GwCall *call);
-void
-GwCalls_StartOwner(GwCalls *c, const GwCallsEnv *env, GwCall *call,
-                   const GwMember *owner);
-bool
-GwCalls_Hedge(GwCalls *c, const GwCallsEnv *env, GwCall *call);
-void
-GwCalls_SetDue(GwCalls *c, const GwCallsEnv *env, GwCall *call);
-bool
-GwCalls_IsHopeless(const GwCalls *c, const GwCall *call, int64_t now_us);
+void GwCalls_Enqueue(GwCalls *c, GwCall *call);
+void GwCalls_Dequeue(GwCalls *c, GwCall *call);
+void GwCalls_StartOwner(GwCalls *c, const GwCallsEnv *env, GwCall *call,
+                        const GwMember *owner);
+bool GwCalls_Hedge(GwCalls *c, const GwCallsEnv *env, GwCall *call);
+void GwCalls_SetDue(GwCalls *c, const GwCallsEnv *env, GwCall *call);
+bool GwCalls_IsHopeless(const GwCalls *c, const GwCall *call, int64_t now_us);
 
 #endif
--- a/lib/entry/estimate.h
+++ b/lib/entry/estimate.h
@@ -15,10 +15,8 @@
     int64_t quantile_us;
 } GwLatency;
 
-void
-GwLatency_Add(GwLatency *l, int64_t sample_us, uint32_t percentile);
-int64_t
-GwLatency_High(const GwLatency *l);
+void GwLatency_Add(GwLatency *l, int64_t sample_us, uint32_t percentile);
+int64_t GwLatency_High(const GwLatency *l);
 
 /* Retries and hedges draw one whole token; each success pays a share. */
 typedef struct {
@@ -26,11 +24,8 @@
     uint32_t tokens_x100;
 } GwRetryBudget;
 
-void
-GwRetryBudget_Init(GwRetryBudget *b, uint32_t percent);
-void
-GwRetryBudget_Pay(GwRetryBudget *b);
-bool
-GwRetryBudget_Draw(GwRetryBudget *b);
+void GwRetryBudget_Init(GwRetryBudget *b, uint32_t percent);
+void GwRetryBudget_Pay(GwRetryBudget *b);
+bool GwRetryBudget_Draw(GwRetryBudget *b);
 
 #endif
--- a/lib/entry/tickets.h
+++ b/lib/entry/tickets.h
@@ -32,27 +32,19 @@
     GW_TICKET_BAD = 5    /* never minted here */
 } GwTicketCheck;
 
-GwTickets *
-GwTickets_Create(const GwNodeParams *params);
-void
-GwTickets_Free(GwTickets *t);
-GwTicket
-GwTickets_Mint(GwTickets *t, int64_t now_us);
+GwTickets *GwTickets_Create(const GwNodeParams *params);
+void GwTickets_Free(GwTickets *t);
+GwTicket GwTickets_Mint(GwTickets *t, int64_t now_us);
 /* Sets *record for KNOWN; borrowed until the next call. */
-GwTicketCheck
-GwTickets_Check(GwTickets *t, int64_t now_us, const GwTicket *ticket,
-                GwRecord **record);
+GwTicketCheck GwTickets_Check(GwTickets *t, int64_t now_us,
+                              const GwTicket *ticket, GwRecord **record);
 /* NULL when the table is full. */
-GwRecord *
-GwTickets_Begin(GwTickets *t, int64_t now_us, uint64_t seq, uint64_t call);
+GwRecord *GwTickets_Begin(GwTickets *t, int64_t now_us, uint64_t seq,
+                          uint64_t call);
 /* The call was proven not run: the ticket is as if never seen. */
-void
-GwTickets_Forget(GwTickets *t, uint64_t seq);
-GwRecord *
-GwTickets_Find(GwTickets *t, uint64_t seq);
-void
-GwTickets_Expire(GwTickets *t, int64_t now_us);
-uint32_t
-GwTickets_Count(const GwTickets *t);
+void GwTickets_Forget(GwTickets *t, uint64_t seq);
+GwRecord *GwTickets_Find(GwTickets *t, uint64_t seq);
+void GwTickets_Expire(GwTickets *t, int64_t now_us);
+uint32_t GwTickets_Count(const GwTickets *t);
 
 #endif
--- a/lib/godwitridge.h
+++ b/lib/godwitridge.h
@@ -66,10 +66,8 @@
 #undef GW_REASON_ENUM
 } GwReason;
 
-const char *
-GwOutcome_Name(GwOutcome outcome);
-const char *
-GwReason_Name(GwReason reason);
+const char *GwOutcome_Name(GwOutcome outcome);
+const char *GwReason_Name(GwReason reason);
 
 /* A ticket binds one non-idempotent call to the entry start that may run it.
  * Text form: <node hex16>-<start hex16>-<minted ms hex>-<seq hex>. */
@@ -80,10 +78,8 @@
     uint64_t seq;      /* 0: no ticket */
 } GwTicket;
 
-GwResult
-GwTicket_Parse(const char *text, GwTicket *out);
-void
-GwTicket_Format(const GwTicket *t, char out[GW_TICKET_TEXT_MAX]);
+GwResult GwTicket_Parse(const char *text, GwTicket *out);
+void GwTicket_Format(const GwTicket *t, char out[GW_TICKET_TEXT_MAX]);
 
 /* ------------------------------------------------------------------------
  * Events in.
@@ -285,15 +281,11 @@
     GwAction *items;
 } GwActions;
 
-GwAction *
-GwActions_Add(GwActions *actions, GwActionKind kind);
-void
-GwActions_Log(GwActions *actions, uint32_t event, const char *format, ...)
+GwAction *GwActions_Add(GwActions *actions, GwActionKind kind);
+void GwActions_Log(GwActions *actions, uint32_t event, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
-void
-GwActions_Clear(GwActions *actions); /* frees what actions own */
-void
-GwActions_Free(GwActions *actions);
+void GwActions_Clear(GwActions *actions); /* frees what actions own */
+void GwActions_Free(GwActions *actions);
 
 /* ------------------------------------------------------------------------
  * The node.
@@ -337,25 +329,20 @@
 } GwNodeParams;
 
 /* Every numeric parameter at its default. */
-void
-GwNodeParams_SetDefaults(GwNodeParams *params);
+void GwNodeParams_SetDefaults(GwNodeParams *params);
 
 typedef struct GwNode_s GwNode;
 
-GwNode *
-GwNode_Create(const GwNodeParams *params);
-void
-GwNode_Free(GwNode *node);
+GwNode *GwNode_Create(const GwNodeParams *params);
+void GwNode_Free(GwNode *node);
 
 /* Feeds one event and appends what has to be done. now_us never falls. */
-void
-GwNode_Step(GwNode *node, int64_t now_us, const GwEvent *event,
-            GwActions *actions);
+void GwNode_Step(GwNode *node, int64_t now_us, const GwEvent *event,
+                 GwActions *out);
 
 /* The configuration in force, or NULL before the first. Borrowed: valid
  * until the next step. */
-const GwConfig *
-GwNode_Config(const GwNode *node);
+const GwConfig *GwNode_Config(const GwNode *node);
 
 /* Entries a caller should use for a service, best first. */
 #define GW_LOOKUP_MAX 16
@@ -375,17 +362,14 @@
 
 /* GW_ERR(NOT_FOUND) for an unknown service, GW_ERR(NOT_READY) before a
  * configuration is in force; else the number of entries. */
-GwResult
-GwNode_Lookup(const GwNode *node, const char *service, GwLookup *out);
+GwResult GwNode_Lookup(const GwNode *node, const char *service, GwLookup *out);
 
 /* Mints `count` tickets; GW_ERR(LEAVING) or GW_ERR(NOT_READY) when this node
  * may not take new work. */
-GwResult
-GwNode_MintTickets(GwNode *node, int64_t now_us, uint32_t count,
-                   GwTicket *out);
+GwResult GwNode_MintTickets(GwNode *node, int64_t now_us, uint32_t count,
+                            GwTicket *out);
 
 /* The whole state as JSON text; free with g_free. */
-char *
-GwNode_Dump(const GwNode *node, int64_t now_us);
+char *GwNode_Dump(const GwNode *node, int64_t now_us);
 
 #endif
--- a/lib/godwitridge_errors.h
+++ b/lib/godwitridge_errors.h
@@ -44,11 +44,8 @@
 
 #define GW_ERR(sym) (-(GwResult)GW_RESULT_##sym)
 
-int
-GwResult_IsError(GwResult r);
-GwResultCode
-GwResult_Code(GwResult r);
-const char *
-GwResult_Name(GwResultCode code);
+int GwResult_IsError(GwResult r);
+GwResultCode GwResult_Code(GwResult r);
+const char *GwResult_Name(GwResultCode code);
 
 #endif
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -27,48 +27,34 @@
     uint64_t config_version; /* as its last heartbeat said */
 } GwMember;
 
-GwMembers *
-GwMembers_Create(const GwNodeParams *params);
-void
-GwMembers_Free(GwMembers *m);
-void
-GwMembers_Tick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
-               GwActions *out);
+GwMembers *GwMembers_Create(const GwNodeParams *params);
+void GwMembers_Free(GwMembers *m);
+void GwMembers_Tick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
+                    GwActions *out);
 /* PROBE, ACK and PING_REQ. Returns true when the table changed. */
-bool
-GwMembers_Receive(GwMembers *m, int64_t now_us, const GwMessage *msg,
-                  const GwCargo *cargo, GwActions *out);
+bool GwMembers_Receive(GwMembers *m, int64_t now_us, const GwMessage *msg,
+                       const GwCargo *cargo, GwActions *out);
 /* The platform's list: names to seed from, leaving believed at once. */
-void
-GwMembers_Listed(GwMembers *m, int64_t now_us, const GwListEvent *list,
-                 GwActions *out);
+void GwMembers_Listed(GwMembers *m, int64_t now_us, const GwListEvent *list,
+                      GwActions *out);
 /* Announce that this node leaves, to everyone at once. */
-void
-GwMembers_Leave(GwMembers *m, int64_t now_us, const GwCargo *cargo,
-                GwActions *out);
+void GwMembers_Leave(GwMembers *m, int64_t now_us, const GwCargo *cargo,
+                     GwActions *out);
 /* Send `hurry` probes now: a change has to spread (a new config version). */
-void
-GwMembers_Hurry(GwMembers *m, int64_t now_us, uint32_t hurry,
-                const GwCargo *cargo, GwActions *out);
+void GwMembers_Hurry(GwMembers *m, int64_t now_us, uint32_t hurry,
+                     const GwCargo *cargo, GwActions *out);
 
-uint32_t
-GwMembers_Count(const GwMembers *m);
-const GwMember *
-GwMembers_At(const GwMembers *m, uint32_t i);
-const GwMember *
-GwMembers_Find(const GwMembers *m, uint64_t node);
-bool
-GwMembers_IsListed(const GwMembers *m, const char *name);
+uint32_t GwMembers_Count(const GwMembers *m);
+const GwMember *GwMembers_At(const GwMembers *m, uint32_t i);
+const GwMember *GwMembers_Find(const GwMembers *m, uint64_t node);
+bool GwMembers_IsListed(const GwMembers *m, const char *name);
 /* When the list was last read; 0 never. */
-int64_t
-GwMembers_ListReadUs(const GwMembers *m);
+int64_t GwMembers_ListReadUs(const GwMembers *m);
 /* Newest digest of a member for a service, or NULL. */
-const GwDigest *
-GwMembers_Digest(const GwMembers *m, uint64_t node, uint64_t service);
+const GwDigest *GwMembers_Digest(const GwMembers *m, uint64_t node,
+                                 uint64_t service);
 /* Lower-half hash of a region's or a failure domain's name. */
-uint32_t
-GwName_Hash32(const char *name);
-uint64_t
-GwName_Hash64(const char *name);
+uint32_t GwName_Hash32(const char *name);
+uint64_t GwName_Hash64(const char *name);
 
 #endif
--- a/lib/member/member_internal.h
+++ b/lib/member/member_internal.h
@@ -99,66 +99,49 @@
 };
 
 /* records.c */
-GwRecord *
-GwMembers_Record(const GwMembers *m, uint64_t node);
-GwRecord *
-GwMembers_Insert(GwMembers *m, int64_t now_us, const GwMemberInfo *info);
-void
-GwMembers_Confirm(GwMembers *m, int64_t now_us, GwRecord *r, GwActions *out);
-void
-GwMembers_Hide(GwMembers *m, GwRecord *r);
-void
-GwMembers_SetState(GwMembers *m, int64_t now_us, GwRecord *r,
-                   GwMemberState state, GwActions *out);
-void
-GwMembers_ShowState(GwMembers *m, int64_t now_us, GwRecord *r, GwActions *out);
-void
-GwMembers_ClearDoubt(GwMembers *m, GwRecord *r);
-void
-GwMembers_Sweep(GwMembers *m, int64_t now_us);
+GwRecord *GwMembers_Record(const GwMembers *m, uint64_t node);
+GwRecord *GwMembers_Insert(GwMembers *m, int64_t now_us,
+                           const GwMemberInfo *info);
+void GwMembers_Confirm(GwMembers *m, int64_t now_us, GwRecord *r,
+                       GwActions *out);
+void GwMembers_Hide(GwMembers *m, GwRecord *r);
+void GwMembers_SetState(GwMembers *m, int64_t now_us, GwRecord *r,
+                        GwMemberState state, GwActions *out);
+void GwMembers_ShowState(GwMembers *m, int64_t now_us, GwRecord *r,
+                         GwActions *out);
+void GwMembers_ClearDoubt(GwMembers *m, GwRecord *r);
+void GwMembers_Sweep(GwMembers *m, int64_t now_us);
 
 /* gossip.c */
-void
-GwMembers_Spread(GwMembers *m, GwRecord *r);
-void
-GwMembers_StopSpread(GwRecord *r);
-void
-GwMembers_FillUpdates(GwMembers *m, const GwRecord *to, GwHeartbeat *hb);
-bool
-GwMembers_Apply(GwMembers *m, int64_t now_us, const GwMemberInfo *update,
-                bool direct, const GwCargo *cargo, GwActions *out);
+void GwMembers_Spread(GwMembers *m, GwRecord *r);
+void GwMembers_StopSpread(GwRecord *r);
+void GwMembers_FillUpdates(GwMembers *m, const GwRecord *to, GwHeartbeat *hb);
+bool GwMembers_Apply(GwMembers *m, int64_t now_us, const GwMemberInfo *update,
+                     bool direct, const GwCargo *cargo, GwActions *out);
 
 /* digests.c */
-void
-GwMembers_StoreDigest(GwMembers *m, int64_t now_us, const GwDigest *d);
-void
-GwMembers_FillDigests(GwMembers *m, const GwRecord *to, const GwCargo *cargo,
-                      GwHeartbeat *hb);
+void GwMembers_StoreDigest(GwMembers *m, int64_t now_us, const GwDigest *d);
+void GwMembers_FillDigests(GwMembers *m, const GwRecord *to,
+                           const GwCargo *cargo, GwHeartbeat *hb);
 
 /* probe.c */
-GwHeartbeat *
-GwMembers_Send(GwMembers *m, GwMessageKind kind, const GwRecord *to,
-               GwNodeId id, const char *address, const GwCargo *cargo,
-               GwActions *out);
-void
-GwMembers_Accuse(GwMembers *m, int64_t now_us, GwRecord *r,
-                 const GwMemberInfo *claim, const GwCargo *cargo,
-                 GwActions *out);
-void
-GwMembers_Doubt(GwMembers *m, int64_t now_us, GwRecord *r,
-                const GwCargo *cargo, GwActions *out);
-void
-GwMembers_JoinRound(GwMembers *m, const GwRecord *r);
-void
-GwMembers_ProbeTick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
-                    GwActions *out);
-void
-GwMembers_Acked(GwMembers *m, const GwMessage *msg, const GwCargo *cargo,
-                GwActions *out);
-void
-GwMembers_ProbeFor(GwMembers *m, const GwMessage *msg, const GwRecord *asker,
-                   const GwCargo *cargo, GwActions *out);
-GwRecord *
-GwMembers_RandomLive(GwMembers *m);
+GwHeartbeat *GwMembers_Send(GwMembers *m, GwMessageKind kind,
+                            const GwRecord *to, GwNodeId id,
+                            const char *address, const GwCargo *cargo,
+                            GwActions *out);
+void GwMembers_Accuse(GwMembers *m, int64_t now_us, GwRecord *r,
+                      const GwMemberInfo *claim, const GwCargo *cargo,
+                      GwActions *out);
+void GwMembers_Doubt(GwMembers *m, int64_t now_us, GwRecord *r,
+                     const GwCargo *cargo, GwActions *out);
+void GwMembers_JoinRound(GwMembers *m, const GwRecord *r);
+void GwMembers_ProbeTick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
+                         GwActions *out);
+void GwMembers_Acked(GwMembers *m, const GwMessage *msg, const GwCargo *cargo,
+                     GwActions *out);
+void GwMembers_ProbeFor(GwMembers *m, const GwMessage *msg,
+                        const GwRecord *asker, const GwCargo *cargo,
+                        GwActions *out);
+GwRecord *GwMembers_RandomLive(GwMembers *m);
 
 #endif
--- a/lib/platform/http_internal.h
+++ b/lib/platform/http_internal.h
@@ -19,15 +19,12 @@
     bool once; /* a write: must not reach the platform twice */
 } GwHttpAsk;
 
-GwHttpClient *
-GwHttpClient_Create(const char *url, uint32_t timeout_ms);
-void
-GwHttpClient_Free(GwHttpClient *client);
+GwHttpClient *GwHttpClient_Create(const char *url, uint32_t timeout_ms);
+void GwHttpClient_Free(GwHttpClient *client);
 /* The status and the whole body, or 0 when there was no whole answer. */
-uint32_t
-GwHttpClient_Do(GwHttpClient *client, const GwHttpAsk *ask, GString *body);
+uint32_t GwHttpClient_Do(GwHttpClient *client, const GwHttpAsk *ask,
+                         GString *body);
 /* Percent-escaped copy; free with g_free. */
-char *
-GwHttp_Escape(const char *text);
+char *GwHttp_Escape(const char *text);
 
 #endif
--- a/lib/platform/list.h
+++ b/lib/platform/list.h
@@ -6,15 +6,11 @@
 
 typedef struct GwListClient_s GwListClient;
 
-GwListClient *
-GwListClient_Create(const char *url, uint32_t timeout_ms);
-void
-GwListClient_Free(GwListClient *client);
+GwListClient *GwListClient_Create(const char *url, uint32_t timeout_ms);
+void GwListClient_Free(GwListClient *client);
 /* Reads the list; GW_ERR(STORE_AWAY) or GW_ERR(PARSE) leave it empty. Any
  * thread. */
-GwResult
-GwListClient_Read(GwListClient *client, GwListEvent *list);
-void
-GwListEvent_Clear(GwListEvent *list);
+GwResult GwListClient_Read(GwListClient *client, GwListEvent *list);
+void GwListEvent_Clear(GwListEvent *list);
 
 #endif
--- a/lib/platform/objects.h
+++ b/lib/platform/objects.h
@@ -6,17 +6,14 @@
 
 typedef struct GwObjectClient_s GwObjectClient;
 
-GwObjectClient *
-GwObjectClient_Create(const char *url, uint32_t timeout_ms);
-void
-GwObjectClient_Free(GwObjectClient *client);
+GwObjectClient *GwObjectClient_Create(const char *url, uint32_t timeout_ms);
+void GwObjectClient_Free(GwObjectClient *client);
 /* Creates the object. GW_ERR(CONFLICT) when it exists already;
  * GW_ERR(STORE_AWAY) on any doubt, when it may have been written. */
-GwResult
-GwObjectClient_Put(GwObjectClient *client, const char *name, const char *data,
-                   uint32_t len);
+GwResult GwObjectClient_Put(GwObjectClient *client, const char *name,
+                            const char *data, uint32_t len);
 /* Reads an object; the number of bytes, `data` is freed with g_free. */
-GwResult
-GwObjectClient_Read(GwObjectClient *client, const char *name, char **data);
+GwResult GwObjectClient_Read(GwObjectClient *client, const char *name,
+                             char **data);
 
 #endif
--- a/lib/platform/table.h
+++ b/lib/platform/table.h
@@ -7,17 +7,13 @@
 typedef struct GwTableClient_s GwTableClient;
 
 /* url: base of the platform's HTTP, such as http://127.0.0.1:7900. */
-GwTableClient *
-GwTableClient_Create(const char *url, uint32_t timeout_ms);
-void
-GwTableClient_Free(GwTableClient *client);
+GwTableClient *GwTableClient_Create(const char *url, uint32_t timeout_ms);
+void GwTableClient_Free(GwTableClient *client);
 /* Blocks up to the timeout; any thread. Fills `reply`, with LOST on any
  * doubt. A TXN in conflict has one row: the key and its present version. */
-void
-GwTableClient_Do(GwTableClient *client, const GwTableRequest *request,
-                 GwTableReply *reply);
+void GwTableClient_Do(GwTableClient *client, const GwTableRequest *request,
+                      GwTableReply *reply);
 /* Frees what a reply owns. */
-void
-GwTableReply_Clear(GwTableReply *reply);
+void GwTableReply_Clear(GwTableReply *reply);
 
 #endif
--- a/lib/platform/table_internal.h
+++ b/lib/platform/table_internal.h
@@ -7,8 +7,7 @@
 
 /* `reply` comes in as LOST and stays so on any doubt; then it may own rows
  * nevertheless. http_status 0: no whole answer came. */
-void
-GwTable_Interpret(const GwTableRequest *request, uint32_t http_status,
-                  const char *text, GwTableReply *reply);
+void GwTable_Interpret(const GwTableRequest *request, uint32_t http_status,
+                       const char *text, GwTableReply *reply);
 
 #endif
--- a/lib/runtime/answer.h
+++ b/lib/runtime/answer.h
@@ -15,39 +15,28 @@
 } GwAnswer;
 
 /* Takes the body over. */
-GwAnswer *
-GwAnswer_Create(uint32_t status, const char *content_type, uint8_t *body,
-                uint32_t body_len);
-GwAnswer *
-GwAnswer_Ref(GwAnswer *answer);
-void
-GwAnswer_Unref(GwAnswer *answer);
+GwAnswer *GwAnswer_Create(uint32_t status, const char *content_type,
+                          uint8_t *body, uint32_t body_len);
+GwAnswer *GwAnswer_Ref(GwAnswer *answer);
+void GwAnswer_Unref(GwAnswer *answer);
 
 /* Answers by call and attempt. Not locked: the call table lock guards it. */
 typedef struct GwAnswers_s GwAnswers;
 
 /* max_bytes bounds what is kept past the end of calls. */
-GwAnswers *
-GwAnswers_Create(uint64_t max_bytes);
-void
-GwAnswers_Free(GwAnswers *answers);
-void
-GwAnswers_Put(GwAnswers *answers, uint64_t call, uint32_t attempt,
-              GwAnswer *answer);
+GwAnswers *GwAnswers_Create(uint64_t max_bytes);
+void GwAnswers_Free(GwAnswers *answers);
+void GwAnswers_Put(GwAnswers *answers, uint64_t call, uint32_t attempt,
+                   GwAnswer *answer);
 /* A new reference, or NULL. */
-GwAnswer *
-GwAnswers_Get(GwAnswers *answers, uint64_t call, uint32_t attempt);
+GwAnswer *GwAnswers_Get(GwAnswers *answers, uint64_t call, uint32_t attempt);
 /* The call ended: keeps this answer until then, when there is room. Times
  * must not fall from one Keep to the next. */
-void
-GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
-               int64_t until_us);
-void
-GwAnswers_Drop(GwAnswers *answers, uint64_t call, uint32_t attempt);
+void GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
+                    int64_t until_us);
+void GwAnswers_Drop(GwAnswers *answers, uint64_t call, uint32_t attempt);
 /* Drops kept answers whose time is over. */
-void
-GwAnswers_Expire(GwAnswers *answers, int64_t now_us);
-uint32_t
-GwAnswers_Count(const GwAnswers *answers);
+void GwAnswers_Expire(GwAnswers *answers, int64_t now_us);
+uint32_t GwAnswers_Count(const GwAnswers *answers);
 
 #endif
--- a/lib/runtime/dispatch.h
+++ b/lib/runtime/dispatch.h
@@ -16,15 +16,11 @@
 /* Lets another thread end an attempt at once. */
 typedef struct GwAbort_s GwAbort;
 
-GwAbort *
-GwAbort_Create(void);
-GwAbort *
-GwAbort_Ref(GwAbort *abort);
-void
-GwAbort_Unref(GwAbort *abort);
+GwAbort *GwAbort_Create(void);
+GwAbort *GwAbort_Ref(GwAbort *abort);
+void GwAbort_Unref(GwAbort *abort);
 /* The attempt ends soon after, its connection closed. Any thread. */
-void
-GwAbort_Trigger(GwAbort *abort);
+void GwAbort_Trigger(GwAbort *abort);
 
 typedef struct {
     const char *address;
@@ -56,16 +52,12 @@
     uint64_t resends_stopped;
 } GwDispatchStats;
 
-GwDispatcher *
-GwDispatcher_Create(void);
+GwDispatcher *GwDispatcher_Create(void);
 /* Attempts must have ended. */
-void
-GwDispatcher_Free(GwDispatcher *d);
+void GwDispatcher_Free(GwDispatcher *d);
 /* Blocks until the attempt ended; any thread, no lock held. */
-void
-GwDispatch_Run(GwDispatcher *d, const GwDispatchAsk *ask, GwAbort *abort,
-               GwDispatchEnd *end);
-void
-GwDispatcher_Stats(const GwDispatcher *d, GwDispatchStats *stats);
+void GwDispatch_Run(GwDispatcher *d, const GwDispatchAsk *ask, GwAbort *abort,
+                    GwDispatchEnd *end);
+void GwDispatcher_Stats(const GwDispatcher *d, GwDispatchStats *stats);
 
 #endif
--- a/lib/runtime/dispatch_internal.h
+++ b/lib/runtime/dispatch_internal.h
@@ -38,15 +38,11 @@
 };
 
 /* A slot for the attempt, with the open connection it may use or none. */
-Slot *
-GwPool_Take(GwDispatcher *d, const GwDispatchAsk *ask, int64_t now_us);
+Slot *GwPool_Take(GwDispatcher *d, const GwDispatchAsk *ask, int64_t now_us);
 /* keep: its connection carried a whole answer and nothing else. */
-void
-GwPool_Give(GwDispatcher *d, const char *address, Slot *slot, bool keep);
+void GwPool_Give(GwDispatcher *d, const char *address, Slot *slot, bool keep);
 /* Closes the idle connections of one server. */
-void
-GwPool_Flush(GwDispatcher *d, const char *address);
-void
-Slot_Free(Slot *slot);
+void GwPool_Flush(GwDispatcher *d, const char *address);
+void Slot_Free(Slot *slot);
 
 #endif
--- a/lib/runtime/net.h
+++ b/lib/runtime/net.h
@@ -43,29 +43,23 @@
 } GwNetParams;
 
 /* Binds and listens; no thread yet. */
-GwNet *
-GwNet_Create(const GwNetParams *params, const GwNetHost *host, GError **error);
-void
-GwNet_Start(GwNet *net);
+GwNet *GwNet_Create(const GwNetParams *params, const GwNetHost *host,
+                    GError **error);
+void GwNet_Start(GwNet *net);
 /* Ends the thread; no callback runs afterwards. Sending is still allowed
  * and does nothing. */
-void
-GwNet_Stop(GwNet *net);
-void
-GwNet_Free(GwNet *net);
+void GwNet_Stop(GwNet *net);
+void GwNet_Free(GwNet *net);
 
 /* Queues a frame for the peer at the address; takes it over. Best effort:
  * dropped when the peer can't be reached or its queue is full. */
-void
-GwNet_Send(GwNet *net, const char *address, uint8_t *frame, size_t len);
+void GwNet_Send(GwNet *net, const char *address, uint8_t *frame, size_t len);
 /* Queues a relayed call, id not 0, for the process `to` alone. False when the
  * queue is full, and then call_lost is not called. */
-bool
-GwNet_Call(GwNet *net, const char *address, GwNodeId to, uint64_t id,
-           uint8_t *frame, size_t len);
+bool GwNet_Call(GwNet *net, const char *address, GwNodeId to, uint64_t id,
+                uint8_t *frame, size_t len);
 /* Answers on the connection the call came on, if it still stands. */
-void
-GwNet_Reply(GwNet *net, uint64_t link, uint8_t *frame, size_t len);
+void GwNet_Reply(GwNet *net, uint64_t link, uint8_t *frame, size_t len);
 
 typedef struct {
     uint32_t links;
@@ -78,7 +72,6 @@
     uint64_t refused; /* connections that failed the handshake */
 } GwNetStats;
 
-void
-GwNet_Stats(GwNet *net, GwNetStats *stats);
+void GwNet_Stats(GwNet *net, GwNetStats *stats);
 
 #endif
--- a/lib/runtime/net_internal.h
+++ b/lib/runtime/net_internal.h
@@ -90,35 +90,23 @@
     atomic_uint_fast64_t refused;
 };
 
-int64_t
-GwNet_NowUs(void);
+int64_t GwNet_NowUs(void);
 /* Parses ip:port with numeric ip. */
-bool
-GwNet_ParseAddress(const char *text, struct sockaddr_storage *to,
-                   socklen_t *len);
-void
-Frame_Free(Frame *frame);
+bool GwNet_ParseAddress(const char *text, struct sockaddr_storage *to,
+                        socklen_t *len);
+void Frame_Free(Frame *frame);
 
-Link *
-Link_Create(GwNet *net, const char *address);
+Link *Link_Create(GwNet *net, const char *address);
 /* Closes the socket and reports calls that will get no answer. The link
  * itself stays. */
-void
-Link_Close(GwNet *net, Link *link);
-void
-Link_Free(Link *link);
-void
-Link_Connect(GwNet *net, Link *link, int64_t now_us);
-void
-Link_Accept(GwNet *net, Link *link, int fd, int64_t now_us);
+void Link_Close(GwNet *net, Link *link);
+void Link_Free(Link *link);
+void Link_Connect(GwNet *net, Link *link, int64_t now_us);
+void Link_Accept(GwNet *net, Link *link, int fd, int64_t now_us);
 /* These return false when the link has to be closed. */
-bool
-Link_OnWritable(GwNet *net, Link *link, int64_t now_us);
-bool
-Link_OnReadable(GwNet *net, Link *link, int64_t now_us);
-bool
-Link_Flush(GwNet *net, Link *link, int64_t now_us);
-bool
-Link_IsOverdue(GwNet *net, Link *link, int64_t now_us);
+bool Link_OnWritable(GwNet *net, Link *link, int64_t now_us);
+bool Link_OnReadable(GwNet *net, Link *link, int64_t now_us);
+bool Link_Flush(GwNet *net, Link *link, int64_t now_us);
+bool Link_IsOverdue(GwNet *net, Link *link, int64_t now_us);
 
 #endif
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -7,18 +7,13 @@
 typedef struct GwRuntime_s GwRuntime;
 
 /* Starts every thread and serves. The settings must outlive it. */
-GwRuntime *
-GwRuntime_Start(const GwSettings *settings, GError **error);
+GwRuntime *GwRuntime_Start(const GwSettings *settings, GError **error);
 /* Begins a graceful stop; GwRuntime_IsStopped tells when it is over. */
-void
-GwRuntime_Leave(GwRuntime *rt);
-bool
-GwRuntime_IsStopped(GwRuntime *rt);
+void GwRuntime_Leave(GwRuntime *rt);
+bool GwRuntime_IsStopped(GwRuntime *rt);
 /* The state of the process as JSON; free with g_free. */
-char *
-GwRuntime_Dump(GwRuntime *rt);
+char *GwRuntime_Dump(GwRuntime *rt);
 /* Waits for calls in flight, then ends every thread. */
-void
-GwRuntime_Free(GwRuntime *rt);
+void GwRuntime_Free(GwRuntime *rt);
 
 #endif
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -145,93 +145,61 @@
 };
 
 /* runtime.c */
-void
-Runtime_Step(GwRuntime *rt, const GwEvent *event);
+void Runtime_Step(GwRuntime *rt, const GwEvent *event);
 
 /* snapshot.c. A reader registers its thread once, and brackets each use. */
-void
-Snapshot_Publish(GwRuntime *rt); /* with node_lock */
-const Snapshot *
-Snapshot_Enter(GwRuntime *rt);
-void
-Snapshot_Leave(void);
-void
-Snapshot_RegisterThread(void);
-void
-Snapshot_UnregisterThread(void);
-void
-Snapshot_FreeRetired(GwRuntime *rt); /* waits; no lock held */
-void
-Snapshot_Free(Snapshot *snapshot);
-const ServiceView *
-Snapshot_Service(const Snapshot *snapshot, const char *name);
+void Snapshot_Publish(GwRuntime *rt); /* with node_lock */
+const Snapshot *Snapshot_Enter(GwRuntime *rt);
+void Snapshot_Leave(void);
+void Snapshot_RegisterThread(void);
+void Snapshot_UnregisterThread(void);
+void Snapshot_FreeRetired(GwRuntime *rt); /* waits; no lock held */
+void Snapshot_Free(Snapshot *snapshot);
+const ServiceView *Snapshot_Service(const Snapshot *snapshot,
+                                    const char *name);
 
 /* call.c. An `arg` is the GwRuntime. */
-OpenCall *
-Call_Open(GwRuntime *rt, GwCallRequest *request, int64_t deadline_us);
+OpenCall *Call_Open(GwRuntime *rt, GwCallRequest *request,
+                    int64_t deadline_us);
 /* Steps the event and blocks until the final outcome. */
-void
-Call_Drive(GwRuntime *rt, OpenCall *call, const GwCallEvent *event);
-void
-Call_Close(GwRuntime *rt, OpenCall *call);
-void
-Call_Unref(OpenCall *call);
+void Call_Drive(GwRuntime *rt, OpenCall *call, const GwCallEvent *event);
+void Call_Close(GwRuntime *rt, OpenCall *call);
+void Call_Unref(OpenCall *call);
 /* A new reference, or NULL when the call is not open. */
-OpenCall *
-Call_Find(GwRuntime *rt, uint64_t handle);
-void
-Call_OnDispatch(GwRuntime *rt, const GwDispatchAction *action);
-void
-Call_OnCancel(GwRuntime *rt, uint64_t handle, uint32_t attempt);
-void
-Call_OnFinish(GwRuntime *rt, const GwFinishAction *action);
-void
-Call_PutAnswer(OpenCall *call, uint32_t attempt, GwAnswer *answer);
-void
-Call_RunHedge(void *job, void *arg);
-void
-Call_ReportNotRun(GwRuntime *rt, uint64_t handle, uint32_t attempt,
-                  GwReason reason);
+OpenCall *Call_Find(GwRuntime *rt, uint64_t handle);
+void Call_OnDispatch(GwRuntime *rt, const GwDispatchAction *action);
+void Call_OnCancel(GwRuntime *rt, uint64_t handle, uint32_t attempt);
+void Call_OnFinish(GwRuntime *rt, const GwFinishAction *action);
+void Call_PutAnswer(OpenCall *call, uint32_t attempt, GwAnswer *answer);
+void Call_RunHedge(void *job, void *arg);
+void Call_ReportNotRun(GwRuntime *rt, uint64_t handle, uint32_t attempt,
+                       GwReason reason);
 
 /* relay.c. An `arg` is the GwRuntime. */
-void
-Relay_OnAction(GwRuntime *rt, const GwRelayAction *action);
+void Relay_OnAction(GwRuntime *rt, const GwRelayAction *action);
 /* Gives up relays of the call; of one attempt, or of all with 0. */
-void
-Relay_Cancel(GwRuntime *rt, uint64_t call, uint32_t attempt);
-void
-Relay_Sweep(GwRuntime *rt, int64_t now_us);
-void
-Relay_OnReply(void *arg, GwCallReply *reply);
-void
-Relay_OnLost(void *arg, uint64_t id, bool sent);
-void
-Relay_OnCall(void *arg, uint64_t link, GwNodeId from, GwCallRequest *call);
-void
-Relay_OnPeerCancel(void *arg, uint64_t link, uint64_t id);
-void
-Relay_Serve(void *job, void *arg);
-guint
-RelayKey_Hash(gconstpointer key);
-gboolean
-RelayKey_Equal(gconstpointer a, gconstpointer b);
+void Relay_Cancel(GwRuntime *rt, uint64_t call, uint32_t attempt);
+void Relay_Sweep(GwRuntime *rt, int64_t now_us);
+void Relay_OnReply(void *arg, GwCallReply *reply);
+void Relay_OnLost(void *arg, uint64_t id, bool sent);
+void Relay_OnCall(void *arg, uint64_t link, GwNodeId from,
+                  GwCallRequest *call);
+void Relay_OnPeerCancel(void *arg, uint64_t link, uint64_t id);
+void Relay_Serve(void *job, void *arg);
+guint RelayKey_Hash(gconstpointer key);
+gboolean RelayKey_Equal(gconstpointer a, gconstpointer b);
 
 /* caller.c */
-bool
-Caller_Start(GwRuntime *rt, GError **error);
+bool Caller_Start(GwRuntime *rt, GError **error);
 
 /* pollers.c */
-void
-Pollers_OnTable(GwRuntime *rt, GwTableRequest *request); /* takes it over */
-void
-Pollers_RunTable(void *job, void *arg);
-void *
-Pollers_ListThread(void *arg);
-void *
-Pollers_HealthThread(void *arg);
+void Pollers_OnTable(GwRuntime *rt,
+                     GwTableRequest *request); /* takes it over */
+void Pollers_RunTable(void *job, void *arg);
+void *Pollers_ListThread(void *arg);
+void *Pollers_HealthThread(void *arg);
 
 /* report.c */
-GwAdminHost
-Report_AdminHost(GwRuntime *rt);
+GwAdminHost Report_AdminHost(GwRuntime *rt);
 
 #endif
--- a/lib/steer/seats_internal.h
+++ b/lib/steer/seats_internal.h
@@ -116,51 +116,36 @@
 };
 
 /* seats.c */
-void
-GwSeats_Beat(GwSeats *s, int64_t now_us, GwActions *out);
+void GwSeats_Beat(GwSeats *s, int64_t now_us, GwActions *out);
 
 /* seat_rows.c */
-void
-GwSeats_Key(const GwSeats *s, uint32_t seat, char out[GW_ROW_KEY_MAX]);
-void
-GwSeatRow_Parse(const GwRow *row, GwSeatRow *out);
-void
-GwSeats_Write(GwSeats *s, int64_t now_us, uint32_t seat, GwSeatOp op,
-              const GwSeatRow *base, GwActions *out);
-void
-GwSeats_List(GwSeats *s, int64_t now_us, GwActions *out);
-void
-GwSeats_ListSoon(GwSeats *s, int64_t now_us);
-bool
-GwSeats_IsOwn(const GwSeats *s, const GwSeatRow *row);
+void GwSeats_Key(const GwSeats *s, uint32_t seat, char out[GW_ROW_KEY_MAX]);
+void GwSeatRow_Parse(const GwRow *row, GwSeatRow *out);
+void GwSeats_Write(GwSeats *s, int64_t now_us, uint32_t seat, GwSeatOp op,
+                   const GwSeatRow *base, GwActions *out);
+void GwSeats_List(GwSeats *s, int64_t now_us, GwActions *out);
+void GwSeats_ListSoon(GwSeats *s, int64_t now_us);
+bool GwSeats_IsOwn(const GwSeats *s, const GwSeatRow *row);
 
 /* seat_state.c */
-void
-GwSeats_SetState(GwSeats *s, uint32_t seat, GwSeatState state, GwActions *out);
-void
-GwSeats_Learn(GwSeats *s, int64_t now_us, uint32_t seat, const GwSeatRow *row,
-              GwActions *out);
-void
-GwSeats_Lose(GwSeats *s, uint32_t seat, GwActions *out);
+void GwSeats_SetState(GwSeats *s, uint32_t seat, GwSeatState state,
+                      GwActions *out);
+void GwSeats_Learn(GwSeats *s, int64_t now_us, uint32_t seat,
+                   const GwSeatRow *row, GwActions *out);
+void GwSeats_Lose(GwSeats *s, uint32_t seat, GwActions *out);
 
 /* seat_claim.c */
-uint32_t
-GwSeats_Share(const GwSeats *s, const GwMembers *members);
-void
-GwSeats_Claims(GwSeats *s, int64_t now_us, const GwMembers *members,
-               GwActions *out);
-void
-GwSeats_Reclaims(GwSeats *s, int64_t now_us, const GwMembers *members,
-                 GwActions *out);
+uint32_t GwSeats_Share(const GwSeats *s, const GwMembers *members);
+void GwSeats_Claims(GwSeats *s, int64_t now_us, const GwMembers *members,
+                    GwActions *out);
+void GwSeats_Reclaims(GwSeats *s, int64_t now_us, const GwMembers *members,
+                      GwActions *out);
 
 /* seat_handover.c */
-void
-GwSeats_Rebalance(GwSeats *s, int64_t now_us, const GwMembers *members,
-                  GwActions *out);
-void
-GwSeats_Handovers(GwSeats *s, int64_t now_us, const GwMembers *members,
-                  GwActions *out);
-uint32_t
-GwSeats_CountOf(const GwSeats *s, uint64_t node);
+void GwSeats_Rebalance(GwSeats *s, int64_t now_us, const GwMembers *members,
+                       GwActions *out);
+void GwSeats_Handovers(GwSeats *s, int64_t now_us, const GwMembers *members,
+                       GwActions *out);
+uint32_t GwSeats_CountOf(const GwSeats *s, uint64_t node);
 
 #endif
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -48,53 +48,40 @@
     uint64_t avoid_backend; /* a server an earlier attempt used; 0 none */
 } GwPickAsk;
 
-GwSteer *
-GwSteer_Create(const GwNodeParams *params);
-void
-GwSteer_Free(GwSteer *s);
+GwSteer *GwSteer_Create(const GwNodeParams *params);
+void GwSteer_Free(GwSteer *s);
 /* A new configuration: units whose cap or server went are dropped as they
  * come free. `config` stays valid until the next call. */
-void
-GwSteer_Configure(GwSteer *s, int64_t now_us, const GwConfig *config);
+void GwSteer_Configure(GwSteer *s, int64_t now_us, const GwConfig *config);
 
 /* Ageing, loans, grants, slow start. `queued[service]` is how many calls of
  * each service wait: what is to be borrowed. Returns true when something
  * came free that a waiting call could use. */
-bool
-GwSteer_Tick(GwSteer *s, int64_t now_us, const GwMembers *members,
-             GwSeats *seats, const uint32_t *queued, GwActions *out);
+bool GwSteer_Tick(GwSteer *s, int64_t now_us, const GwMembers *members,
+                  GwSeats *seats, const uint32_t *queued, GwActions *out);
 /* LOAN_ASK, LOAN_GIVE, LOAN_RETURN. Returns true when units came in. */
-bool
-GwSteer_Receive(GwSteer *s, int64_t now_us, const GwMessage *msg,
-                const GwMembers *members, GwSeats *seats,
-                const uint32_t *queued, GwActions *out);
+bool GwSteer_Receive(GwSteer *s, int64_t now_us, const GwMessage *msg,
+                     const GwMembers *members, GwSeats *seats,
+                     const uint32_t *queued, GwActions *out);
 
-void
-GwSteer_Pick(GwSteer *s, int64_t now_us, const GwPickAsk *ask,
-             const GwMembers *members, GwSeats *seats, GwPick *out);
+void GwSteer_Pick(GwSteer *s, int64_t now_us, const GwPickAsk *ask,
+                  const GwMembers *members, GwSeats *seats, GwPick *out);
 /* The end of what Pick gave. `hold_until_us` is when the backend server has
  * surely stopped (the deadline) after an UNKNOWN end; else now_us. */
-void
-GwSteer_Done(GwSteer *s, int64_t now_us, uint32_t use,
-             const GwAttemptEvent *end, int64_t hold_until_us);
-void
-GwSteer_Health(GwSteer *s, int64_t now_us, const GwHealthEvent *health);
-void
-GwSteer_DrainHint(GwSteer *s, int64_t now_us, uint64_t backend,
-                  uint32_t ttl_ms);
+void GwSteer_Done(GwSteer *s, int64_t now_us, uint32_t use,
+                  const GwAttemptEvent *end, int64_t hold_until_us);
+void GwSteer_Health(GwSteer *s, int64_t now_us, const GwHealthEvent *health);
+void GwSteer_DrainHint(GwSteer *s, int64_t now_us, uint64_t backend,
+                       uint32_t ttl_ms);
 
 /* Fills digests and drain hints of the heartbeat. */
-void
-GwSteer_Cargo(const GwSteer *s, int64_t now_us, GwNodeId self, GwSeats *seats,
-              const uint32_t *queued, GwCargo *cargo);
+void GwSteer_Cargo(const GwSteer *s, int64_t now_us, GwNodeId self,
+                   GwSeats *seats, const uint32_t *queued, GwCargo *cargo);
 /* Gives loans back; true once nothing is in flight, lent or borrowed. */
-bool
-GwSteer_Leave(GwSteer *s, int64_t now_us, const GwMembers *members,
-              GwActions *out);
+bool GwSteer_Leave(GwSteer *s, int64_t now_us, const GwMembers *members,
+                   GwActions *out);
 /* A service whose local place carries no calls now: no place, drained. */
-bool
-GwSteer_CanServe(const GwSteer *s, int64_t now_us, uint32_t service);
-uint32_t
-GwSteer_InFlight(const GwSteer *s, uint32_t service);
+bool GwSteer_CanServe(const GwSteer *s, int64_t now_us, uint32_t service);
+uint32_t GwSteer_InFlight(const GwSteer *s, uint32_t service);
 
 #endif
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -202,146 +202,97 @@
 };
 
 /* backends.c */
-bool
-GwBackend_IsDraining(const GwBackendState *b, int64_t now_us);
-bool
-GwBackend_IsEjected(const GwBackendState *b, int64_t now_us);
-bool
-GwBackend_TakesWork(const GwBackendState *b, int64_t now_us);
-uint32_t
-GwBackend_Weight(const GwBackendState *b, int64_t now_us);
-uint64_t
-GwBackend_Load(const GwBackendState *b, int64_t now_us);
-void
-GwBackend_Succeeded(GwBackendState *b, int64_t now_us, int64_t latency_us);
-void
-GwBackend_Failed(GwBackendState *b, int64_t now_us, GwRng *rng);
-void
-GwBackend_Reported(GwBackendState *b, int64_t now_us, uint32_t load);
-void
-GwBackend_Drained(GwBackendState *b, int64_t until_us);
-void
-GwBackend_Shed(GwBackendState *b, int64_t now_us, uint32_t retry_after_ms);
-bool
-GwBackend_Tick(GwBackendState *b, int64_t now_us);
-void
-GwBackend_Ended(GwBackendState *b, int64_t now_us, int64_t latency_us,
-                const GwAttemptEvent *end, int64_t drain_ttl_us, GwRng *rng);
+bool GwBackend_IsDraining(const GwBackendState *b, int64_t now_us);
+bool GwBackend_IsEjected(const GwBackendState *b, int64_t now_us);
+bool GwBackend_TakesWork(const GwBackendState *b, int64_t now_us);
+uint32_t GwBackend_Weight(const GwBackendState *b, int64_t now_us);
+uint64_t GwBackend_Load(const GwBackendState *b, int64_t now_us);
+void GwBackend_Succeeded(GwBackendState *b, int64_t now_us,
+                         int64_t latency_us);
+void GwBackend_Failed(GwBackendState *b, int64_t now_us, GwRng *rng);
+void GwBackend_Reported(GwBackendState *b, int64_t now_us, uint32_t load);
+void GwBackend_Drained(GwBackendState *b, int64_t until_us);
+void GwBackend_Shed(GwBackendState *b, int64_t now_us,
+                    uint32_t retry_after_ms);
+bool GwBackend_Tick(GwBackendState *b, int64_t now_us);
+void GwBackend_Ended(GwBackendState *b, int64_t now_us, int64_t latency_us,
+                     const GwAttemptEvent *end, int64_t drain_ttl_us,
+                     GwRng *rng);
 
 /* configure.c */
-void
-GwSteer_RefreshAll(GwSteer *s, int64_t now_us);
+void GwSteer_RefreshAll(GwSteer *s, int64_t now_us);
 
 /* units.c */
-void
-GwBackend_Resize(GwBackendState *b, uint32_t slots);
-void
-GwBackend_RefreshSlot(GwBackendState *b, uint32_t slot, int64_t now_us);
-void
-GwBackend_RefreshAll(GwBackendState *b, int64_t now_us);
-uint32_t
-GwBackend_FindSlot(const GwBackendState *b, int64_t deadline_us);
-GwBackendState *
-GwSteer_Backend(const GwSteer *s, uint64_t id);
-GwServiceState *
-GwSteer_ServiceOf(const GwSteer *s, uint64_t hash);
-GwUse *
-GwSteer_Take(GwSteer *s, int64_t now_us, GwServiceState *service,
-             uint32_t *handle);
-GwUse *
-GwSteer_FindUse(GwSteer *s, uint32_t handle);
-void
-GwSteer_Release(GwSteer *s, int64_t now_us, GwUse *use);
-bool
-GwSteer_ReleaseHeld(GwSteer *s, int64_t now_us);
+void GwBackend_Resize(GwBackendState *b, uint32_t slots);
+void GwBackend_RefreshSlot(GwBackendState *b, uint32_t slot, int64_t now_us);
+void GwBackend_RefreshAll(GwBackendState *b, int64_t now_us);
+uint32_t GwBackend_FindSlot(const GwBackendState *b, int64_t deadline_us);
+GwBackendState *GwSteer_Backend(const GwSteer *s, uint64_t id);
+GwServiceState *GwSteer_ServiceOf(const GwSteer *s, uint64_t hash);
+GwUse *GwSteer_Take(GwSteer *s, int64_t now_us, GwServiceState *service,
+                    uint32_t *handle);
+GwUse *GwSteer_FindUse(GwSteer *s, uint32_t handle);
+void GwSteer_Release(GwSteer *s, int64_t now_us, GwUse *use);
+bool GwSteer_ReleaseHeld(GwSteer *s, int64_t now_us);
 
 /* choose.c */
-GwBackendState *
-GwSteer_Choose(GwSteer *s, int64_t now_us, GwServiceState *service,
-               const GwPickAsk *ask);
-void
-GwSteer_Subset(GwSteer *s, GwServiceState *service);
-bool
-GwService_AllDraining(const GwServiceState *service, int64_t now_us);
+GwBackendState *GwSteer_Choose(GwSteer *s, int64_t now_us,
+                               GwServiceState *service, const GwPickAsk *ask);
+void GwSteer_Subset(GwSteer *s, GwServiceState *service);
+bool GwService_AllDraining(const GwServiceState *service, int64_t now_us);
 
 /* loans.c */
-uint32_t
-GwSteer_Lendable(const GwSteer *s, int64_t now_us,
-                 const GwServiceState *service, uint32_t queued);
-GwLent *
-GwSteer_FindLent(const GwSteer *s, uint64_t loan);
-GwBorrowed *
-GwSteer_FindBorrowed(const GwSteer *s, uint64_t loan);
-bool
-GwSteer_SendAsk(GwSteer *s, int64_t now_us, const GwMembers *members,
-                GwAsking *asking, uint32_t regions, GwLoanAsk *ask,
-                GwActions *out);
-GwMessage *
-GwSteer_SendTo(GwSteer *s, const GwMembers *members, GwNodeId to,
-               GwMessageKind kind, GwActions *out);
-void
-GwSteer_SendGive(GwSteer *s, const GwMembers *members, const GwLoanAsk *ask,
-                 const GwLent *lent, GwActions *out);
-int64_t
-GwSteer_LentUntil(const GwSteer *s, int64_t now_us);
-uint64_t
-GwSteer_NextLoan(GwSteer *s);
-void
-GwSteer_ExpireLent(GwSteer *s, int64_t now_us);
-void
-GwSteer_LoansTick(GwSteer *s, int64_t now_us, const GwMembers *members,
-                  const uint32_t *queued, GwActions *out);
-void
-GwSteer_LoanAsked(GwSteer *s, int64_t now_us, const GwMessage *msg,
-                  const GwMembers *members, const uint32_t *queued,
-                  GwActions *out);
-bool
-GwSteer_LoanGiven(GwSteer *s, int64_t now_us, const GwMessage *msg,
-                  const GwMembers *members, GwActions *out);
-bool
-GwSteer_LoanReturned(GwSteer *s, int64_t now_us, const GwMessage *msg);
-void
-GwSteer_DropBorrowed(GwSteer *s, int64_t now_us);
-void
-GwSteer_DropLoan(GwSteer *s, int64_t now_us, uint64_t loan);
-void
-GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, const GwMembers *members,
-                   const uint32_t *queued, GwActions *out);
-bool
-GwSteer_IsPeer(const GwMembers *members, GwNodeId id, uint32_t region_hash);
-void
-GwService_NoteWait(GwServiceState *service, const GwPickAsk *ask,
-                   const GwPick *out);
-uint32_t
-GwSteer_FreeUnits(const GwServiceState *service, int64_t now_us);
+uint32_t GwSteer_Lendable(const GwSteer *s, int64_t now_us,
+                          const GwServiceState *service, uint32_t queued);
+GwLent *GwSteer_FindLent(const GwSteer *s, uint64_t loan);
+GwBorrowed *GwSteer_FindBorrowed(const GwSteer *s, uint64_t loan);
+bool GwSteer_SendAsk(GwSteer *s, int64_t now_us, const GwMembers *members,
+                     GwAsking *asking, uint32_t regions, GwLoanAsk *ask,
+                     GwActions *out);
+GwMessage *GwSteer_SendTo(GwSteer *s, const GwMembers *members, GwNodeId to,
+                          GwMessageKind kind, GwActions *out);
+void GwSteer_SendGive(GwSteer *s, const GwMembers *members,
+                      const GwLoanAsk *ask, const GwLent *lent,
+                      GwActions *out);
+int64_t GwSteer_LentUntil(const GwSteer *s, int64_t now_us);
+uint64_t GwSteer_NextLoan(GwSteer *s);
+void GwSteer_ExpireLent(GwSteer *s, int64_t now_us);
+void GwSteer_LoansTick(GwSteer *s, int64_t now_us, const GwMembers *members,
+                       const uint32_t *queued, GwActions *out);
+void GwSteer_LoanAsked(GwSteer *s, int64_t now_us, const GwMessage *msg,
+                       const GwMembers *members, const uint32_t *queued,
+                       GwActions *out);
+bool GwSteer_LoanGiven(GwSteer *s, int64_t now_us, const GwMessage *msg,
+                       const GwMembers *members, GwActions *out);
+bool GwSteer_LoanReturned(GwSteer *s, int64_t now_us, const GwMessage *msg);
+void GwSteer_DropBorrowed(GwSteer *s, int64_t now_us);
+void GwSteer_DropLoan(GwSteer *s, int64_t now_us, uint64_t loan);
+void GwSteer_ReturnIdle(GwSteer *s, int64_t now_us, const GwMembers *members,
+                        const uint32_t *queued, GwActions *out);
+bool GwSteer_IsPeer(const GwMembers *members, GwNodeId id,
+                    uint32_t region_hash);
+void GwService_NoteWait(GwServiceState *service, const GwPickAsk *ask,
+                        const GwPick *out);
+uint32_t GwSteer_FreeUnits(const GwServiceState *service, int64_t now_us);
 
 /* grants.c */
-uint64_t
-GwShift_Owner(const GwConfig *c, const GwShift *shift);
-uint64_t
-GwLink_Owner(const GwConfig *c, const GwLink *link);
-void
-GwSteer_ConfigureCaps(GwSteer *s, int64_t now_us);
-int64_t
-GwSteer_RemapBlock(const GwSteer *s, int64_t now_us, const GwSlot *unit,
-                   uint32_t seat);
-GwCapState *
-GwSteer_FindCap(const GPtrArray *caps, uint64_t owner);
-bool
-GwSteer_HasShift(const GwSteer *s, uint32_t service);
-bool
-GwSteer_GrantAdmits(const GwSteer *s, int64_t now_us, const GwPickAsk *ask);
-bool
-GwSteer_PickPeer(GwSteer *s, int64_t now_us, GwServiceState *service,
-                 const GwPickAsk *ask, const GwMembers *members, GwPick *out);
-bool
-GwSteer_DrawsPercent(GwSteer *s, uint32_t service);
-void
-GwSteer_GrantsTick(GwSteer *s, int64_t now_us, const GwMembers *members,
-                   const uint32_t *queued, GwActions *out);
-void
-GwSteer_GrantAsked(GwSteer *s, int64_t now_us, const GwMessage *msg,
-                   const GwMembers *members, const uint32_t *queued,
-                   GwActions *out);
+uint64_t GwShift_Owner(const GwConfig *c, const GwShift *shift);
+uint64_t GwLink_Owner(const GwConfig *c, const GwLink *link);
+void GwSteer_ConfigureCaps(GwSteer *s, int64_t now_us);
+int64_t GwSteer_RemapBlock(const GwSteer *s, int64_t now_us,
+                           const GwSlot *unit, uint32_t seat);
+GwCapState *GwSteer_FindCap(const GPtrArray *caps, uint64_t owner);
+bool GwSteer_HasShift(const GwSteer *s, uint32_t service);
+bool GwSteer_GrantAdmits(const GwSteer *s, int64_t now_us,
+                         const GwPickAsk *ask);
+bool GwSteer_PickPeer(GwSteer *s, int64_t now_us, GwServiceState *service,
+                      const GwPickAsk *ask, const GwMembers *members,
+                      GwPick *out);
+bool GwSteer_DrawsPercent(GwSteer *s, uint32_t service);
+void GwSteer_GrantsTick(GwSteer *s, int64_t now_us, const GwMembers *members,
+                        const uint32_t *queued, GwActions *out);
+void GwSteer_GrantAsked(GwSteer *s, int64_t now_us, const GwMessage *msg,
+                        const GwMembers *members, const uint32_t *queued,
+                        GwActions *out);
 
 #endif
--- a/lib/wire/codec.h
+++ b/lib/wire/codec.h
@@ -70,21 +70,15 @@
 } GwEnvelope;
 
 /* A whole frame, head included; free with g_free. */
-uint8_t *
-GwCodec_Frame(const GwEnvelope *envelope, size_t *len);
+uint8_t *GwCodec_Frame(const GwEnvelope *envelope, size_t *len);
 /* The payload of one frame. GW_ERR(PARSE) when it is no envelope,
  * GW_ERR(OUT_OF_BOUNDS) when a bound is broken; then `out` owns nothing. */
-GwResult
-GwCodec_Parse(const uint8_t *payload, size_t len, GwEnvelope *out);
+GwResult GwCodec_Parse(const uint8_t *payload, size_t len, GwEnvelope *out);
 /* Whether the text may stand in an HTTP request line or header: a caller or
  * peer must not be able to put a second header or request into ours. */
-bool
-GwText_IsMethod(const char *s);
-bool
-GwText_IsTarget(const char *s);
-bool
-GwText_IsHeaderValue(const char *s);
-void
-GwEnvelope_Clear(GwEnvelope *envelope);
+bool GwText_IsMethod(const char *s);
+bool GwText_IsTarget(const char *s);
+bool GwText_IsHeaderValue(const char *s);
+void GwEnvelope_Clear(GwEnvelope *envelope);
 
 #endif
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -20,15 +20,12 @@
 } GwFrameDecoder;
 
 /* Appends received bytes. */
-void
-GwFrame_Feed(GwFrameDecoder *d, const uint8_t *bytes, size_t len);
+void GwFrame_Feed(GwFrameDecoder *d, const uint8_t *bytes, size_t len);
 /* 1 and the payload when a whole frame is there, 0 when more bytes are
  * needed, GW_ERR(TOO_LARGE) when the peer announced too much: close it. */
-GwResult
-GwFrame_Next(GwFrameDecoder *d, const uint8_t **payload, uint32_t *len);
-void
-GwFrame_Free(GwFrameDecoder *d);
-void
-GwFrame_PutHead(uint8_t out[GW_FRAME_HEAD], uint32_t len);
+GwResult GwFrame_Next(GwFrameDecoder *d, const uint8_t **payload,
+                      uint32_t *len);
+void GwFrame_Free(GwFrameDecoder *d);
+void GwFrame_PutHead(uint8_t out[GW_FRAME_HEAD], uint32_t len);
 
 #endif
--- a/lib/wire/handshake.h
+++ b/lib/wire/handshake.h
@@ -15,12 +15,10 @@
 /* HMAC-SHA256 over the prover's role, both nonces and both ids. The nonces
  * make a recorded proof useless on another connection; the role keeps a
  * prover's own proof from being sent back to it as an answer. */
-void
-GwHandshake_Prove(GwKey key, GwRole prover, const GwHello *connector,
-                  const GwHello *acceptor, uint8_t mac[GW_MAC_LEN]);
+void GwHandshake_Prove(GwKey key, GwRole prover, const GwHello *connector,
+                       const GwHello *acceptor, uint8_t mac[GW_MAC_LEN]);
 /* In constant time. */
-bool
-GwHandshake_Check(GwKey key, GwRole prover, const GwHello *connector,
-                  const GwHello *acceptor, const uint8_t mac[GW_MAC_LEN]);
+bool GwHandshake_Check(GwKey key, GwRole prover, const GwHello *connector,
+                       const GwHello *acceptor, const uint8_t mac[GW_MAC_LEN]);
 
 #endif
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -156,13 +156,9 @@
     } u;
 } GwMessage;
 
-bool
-GwNodeId_Equal(GwNodeId a, GwNodeId b);
-GwMessage *
-GwMessage_Create(GwMessageKind kind, GwNodeId from);
-GwMessage *
-GwMessage_Copy(const GwMessage *msg);
-void
-GwMessage_Free(GwMessage *msg);
+bool GwNodeId_Equal(GwNodeId a, GwNodeId b);
+GwMessage *GwMessage_Create(GwMessageKind kind, GwNodeId from);
+GwMessage *GwMessage_Copy(const GwMessage *msg);
+void GwMessage_Free(GwMessage *msg);
 
 #endif
