Send callers back to an entry that carries less than its share

Cause: every entry named itself first, so callers that had moved away while an entry was replaced never came back to it.

--- a/lib/godwitridge.h
+++ b/lib/godwitridge.h
@@ -356,13 +356,19 @@
 typedef struct {
     uint64_t config_version;
     uint32_t ttl_ms;
+    uint32_t moving_draws; /* draws below this name another entry first */
+    bool self_first;       /* else no tickets are given with the answer */
     uint32_t count;
     GwLookupEntry entries[GW_LOOKUP_MAX];
 } GwLookup;
 
 /* GW_ERR(NOT_FOUND) for an unknown service, GW_ERR(NOT_READY) before a
- * configuration is in force; else the number of entries. */
-GwResult GwNode_Lookup(const GwNode *node, const char *service, GwLookup *out);
+ * configuration is in force; else the number of entries. `draw` is a number
+ * below GW_LOOKUP_DRAWS, another one for each caller in turn: an entry that
+ * carries more than its share sends some of its callers to others. */
+#define GW_LOOKUP_DRAWS 4
+GwResult GwNode_Lookup(const GwNode *node, const char *service, uint32_t draw,
+                       GwLookup *out);
 
 /* Mints `count` tickets; GW_ERR(LEAVING) or GW_ERR(NOT_READY) when this node
  * may not take new work. */
--- a/lib/runtime/caller.c
+++ b/lib/runtime/caller.c
@@ -119,15 +119,20 @@
 
 /* The prebuilt part of the answer; the status when there is none. */
 static uint32_t
-copy_entries(GwRuntime *rt, const char *service, GString *out)
+copy_entries(GwRuntime *rt, const char *service, GString *out,
+             bool *self_first)
 {
     uint32_t status = 503;
+    uint32_t draw =
+        (uint32_t)GwCounter_Get(&rt->metrics.lookups) % GW_LOOKUP_DRAWS;
     const Snapshot *snapshot = Snapshot_Enter(rt);
     if (snapshot != NULL && snapshot->config_version != 0) {
         const ServiceView *view = Snapshot_Service(snapshot, service);
         status = view != NULL ? 200 : 404;
         if (view != NULL) {
-            g_string_append(out, view->entries);
+            *self_first = draw >= view->moving_draws;
+            g_string_append(
+                out, view->entries[*self_first ? view->moving_draws : draw]);
         }
     }
     Snapshot_Leave();
@@ -148,13 +153,17 @@
         return send_refusal(conn, 400, GW_REASON_BAD_REQUEST);
     }
     GString *out = g_string_new(NULL);
-    uint32_t status = copy_entries(rt, service, out);
+    bool self_first = true;
+    uint32_t status = copy_entries(rt, service, out, &self_first);
     if (status != 200) {
         g_string_free(out, TRUE);
         return send_refusal(conn, status,
                             status == 404 ? GW_REASON_NO_SERVICE
                                           : GW_REASON_NOT_READY);
     }
+    if (!self_first) {
+        count = 0;
+    }
     if (atomic_load(&rt->leaving) ||
         (count > 0 && GwResult_IsError(mint(rt, count, tickets)))) {
         status = 503;
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -45,7 +45,10 @@
 typedef struct {
     char name[GW_NAME_MAX];
     uint32_t deadline_max_ms;
-    char *entries; /* the look-up answer up to where tickets follow */
+    uint32_t moving_draws; /* answers below this name another entry first */
+    /* The look-up answer of each draw up to where tickets follow; draws above
+     * moving_draws are all alike and share the last. */
+    char *entries[GW_LOOKUP_DRAWS + 1];
 } ServiceView;
 
 typedef struct {
--- a/lib/runtime/snapshot.c
+++ b/lib/runtime/snapshot.c
@@ -44,20 +44,36 @@
     return text;
 }
 
+static bool
+copy_lookups(const GwNode *node, const char *service, ServiceView *view)
+{
+    GwLookup lookup = {0};
+
+    if (GwResult_IsError(
+            GwNode_Lookup(node, service, GW_LOOKUP_DRAWS - 1, &lookup))) {
+        return false;
+    }
+    view->moving_draws = lookup.moving_draws;
+    view->entries[lookup.moving_draws] = lookup_text(&lookup);
+    for (uint32_t draw = 0; draw < view->moving_draws; draw++) {
+        GwNode_Lookup(node, service, draw, &lookup);
+        view->entries[draw] = lookup_text(&lookup);
+    }
+    return true;
+}
+
 static void
 copy_services(const GwNode *node, const GwConfig *config, Snapshot *s)
 {
     for (uint32_t i = 0; i < config->service_count; i++) {
         const GwService *service = &config->services[i];
         ServiceView *view = &s->services[s->service_count];
-        GwLookup lookup = {0};
         if (s->service_count == GW_MAX_SERVICES ||
-            GwResult_IsError(GwNode_Lookup(node, service->name, &lookup))) {
+            !copy_lookups(node, service->name, view)) {
             continue;
         }
         g_strlcpy(view->name, service->name, GW_NAME_MAX);
         view->deadline_max_ms = service->deadline_max_ms;
-        view->entries = lookup_text(&lookup);
         s->service_count++;
     }
 }
@@ -150,7 +166,9 @@
         return;
     }
     for (uint32_t i = 0; i < snapshot->service_count; i++) {
-        g_free(snapshot->services[i].entries);
+        for (uint32_t k = 0; k <= GW_LOOKUP_DRAWS; k++) {
+            g_free(snapshot->services[i].entries[k]);
+        }
     }
     g_free(snapshot->backends);
     if (snapshot->text != NULL) {
