--- a/lib/platform/objects.c
+++ b/lib/platform/objects.c
@@ -2,6 +2,8 @@
 
 #include "platform/http_internal.h"
 
+#include <json-c/json.h>
+
 struct GwObjectClient_s {
     GwHttpClient *http;
 };
@@ -74,3 +76,47 @@
     *data = g_string_free(body, FALSE);
     return r;
 }
+
+/* Rows without a name are passed over; the others still count. */
+static GwResult
+get_names(json_object *root, GPtrArray *names)
+{
+    json_object *rows = NULL;
+
+    if (!json_object_is_type(root, json_type_object) ||
+        !json_object_object_get_ex(root, "rows", &rows) ||
+        !json_object_is_type(rows, json_type_array)) {
+        return GW_ERR(PARSE);
+    }
+    for (size_t i = 0; i < json_object_array_length(rows); i++) {
+        json_object *row = json_object_array_get_idx(rows, i);
+        json_object *key = NULL;
+        if (json_object_is_type(row, json_type_object) &&
+            json_object_object_get_ex(row, "key", &key) &&
+            json_object_is_type(key, json_type_string)) {
+            g_ptr_array_add(names, g_strdup(json_object_get_string(key)));
+        }
+    }
+    return names->len;
+}
+
+GwResult
+GwObjectClient_List(GwObjectClient *client, const char *prefix,
+                    GPtrArray *names)
+{
+    char *escaped = GwHttp_Escape(prefix);
+    char *path = g_strconcat("/objects?prefix=", escaped, NULL);
+    GString *body = g_string_new(NULL);
+    GwHttpAsk ask = {.method = "GET", .path = path};
+    GwResult r = GW_ERR(STORE_AWAY);
+
+    if (GwHttpClient_Do(client->http, &ask, body) == 200) {
+        json_object *root = json_tokener_parse(body->str);
+        r = get_names(root, names);
+        json_object_put(root);
+    }
+    g_string_free(body, TRUE);
+    g_free(path);
+    g_free(escaped);
+    return r;
+}
--- a/lib/platform/objects.h
+++ b/lib/platform/objects.h
@@ -4,6 +4,8 @@
 
 #include "godwitridge.h"
 
+#include <glib.h>
+
 typedef struct GwObjectClient_s GwObjectClient;
 
 GwObjectClient *GwObjectClient_Create(const char *url, uint32_t timeout_ms);
@@ -16,4 +18,9 @@
 GwResult GwObjectClient_Read(GwObjectClient *client, const char *name,
                              char **data);
 
+/* Appends the names that begin with `prefix` to `names`, each freed with
+ * g_free; their number. */
+GwResult GwObjectClient_List(GwObjectClient *client, const char *prefix,
+                             GPtrArray *names);
+
 #endif
