Dump backend servers, loans and caps

Cause: the state dump showed members, seats and services only; why a server got no work could not be read from it.

--- a/lib/entry/calls.c
+++ b/lib/entry/calls.c
@@ -627,3 +627,9 @@
 {
     return g_hash_table_size(c->open);
 }
+
+uint32_t
+GwCalls_Tickets(const GwCalls *c)
+{
+    return GwTickets_Count(c->tickets);
+}
--- a/lib/entry/calls.h
+++ b/lib/entry/calls.h
@@ -40,5 +40,7 @@
 /* Waiting calls per service index; GW_MAX_SERVICES entries. */
 const uint32_t *GwCalls_Queued(const GwCalls *c);
 uint32_t GwCalls_Open(const GwCalls *c);
+/* Records of tickets kept. */
+uint32_t GwCalls_Tickets(const GwCalls *c);
 
 #endif
--- a/lib/entry/node_dump.c
+++ b/lib/entry/node_dump.c
@@ -1,5 +1,6 @@
 /* The state dump: every table of a node as JSON. */
 #include "entry/node_internal.h"
+#include "steer/dump.h"
 
 #include <glib.h>
 #include <json-c/json.h>
@@ -115,6 +116,8 @@
     json_object_object_add(top, "members", dump_members(n, now_us));
     json_object_object_add(top, "seats", dump_seats(n));
     json_object_object_add(top, "services", dump_services(n, now_us));
+    add_u64(top, "tickets", GwCalls_Tickets(n->calls));
+    GwSteer_Dump(n->steer, now_us, top);
     char *text =
         g_strdup(json_object_to_json_string_ext(top, JSON_C_TO_STRING_PRETTY));
     json_object_put(top);
