--- a/tests/fakes/cluster.c
+++ b/tests/fakes/cluster.c
@@ -5,9 +5,12 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #define LIST_POLL_US   FAKE_SEC
 #define HEALTH_POLL_US FAKE_SEC
+/* Punctuation and names of fields of one item in the list's JSON. */
+#define LIST_JSON_BYTES 47
 
 /* ---- the queue ------------------------------------------------------------ */
 
@@ -70,12 +73,9 @@
 static uint32_t
 node_by_address(const FakeCluster *c, const char *address)
 {
-    for (uint32_t i = 0; i < c->params.node_count; i++) {
-        if (strcmp(c->nodes[i].params.peer_address, address) == 0) {
-            return i;
-        }
-    }
-    return GW_NONE;
+    gpointer place = g_hash_table_lookup(c->by_address, address);
+
+    return place == NULL ? GW_NONE : GPOINTER_TO_UINT(place) - 1;
 }
 
 static size_t
@@ -96,7 +96,10 @@
 
     from->messages_sent++;
     if (c->params.count_bytes) {
-        from->bytes_sent += size_on_the_wire(send->message);
+        size_t size = size_on_the_wire(send->message);
+        from->bytes_sent += size;
+        c->costs.message_bytes[send->message->kind] += size;
+        c->costs.messages[send->message->kind]++;
     }
     if (to == GW_NONE || FakeCluster_IsCut(c, node, to) ||
         chance(c, c->params.loss_permille)) {
@@ -174,6 +177,27 @@
     return count;
 }
 
+static uint64_t
+cpu_ns(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (uint64_t)ts.tv_sec * 1000000000ULL + (uint64_t)ts.tv_nsec;
+}
+
+static void
+step_node(FakeCluster *c, FakeNode *n, const GwEvent *event, GwActions *out)
+{
+    uint64_t start = c->params.count_cpu ? cpu_ns() : 0;
+
+    GwNode_Step(n->node, c->now_us, event, out);
+    if (c->params.count_cpu) {
+        c->costs.step_ns[event->kind] += cpu_ns() - start;
+        c->costs.steps[event->kind]++;
+    }
+}
+
 /* One step of one node and everything it asks for. */
 void
 FakeCluster_Step(FakeCluster *c, uint32_t node, const GwEvent *event)
@@ -181,7 +205,7 @@
     FakeNode *n = &c->nodes[node];
     GwActions actions = {0};
 
-    GwNode_Step(n->node, c->now_us, event, &actions);
+    step_node(c, n, event, &actions);
     for (uint32_t i = 0; i < actions.count; i++) {
         carry_out(c, node, &actions.items[i]);
     }
@@ -214,7 +238,10 @@
         g_strlcpy(item->name, n->params.name, GW_NAME_MAX);
         g_strlcpy(item->peer_address, n->params.peer_address, GW_ADDR_MAX);
         item->leaving = n->leaving;
+        c->costs.list_bytes +=
+            strlen(item->name) + strlen(item->peer_address) + LIST_JSON_BYTES;
     }
+    c->costs.list_reads++;
     GwEvent event = {.kind = GW_EVENT_LIST, .u.list = &list};
     FakeCluster_Step(c, node, &event);
     FakeCluster_Post(c, FAKE_LIST_POLL,
@@ -368,6 +395,9 @@
     g_snprintf(p->call_address, GW_ADDR_MAX, "192.0.%u.%u:8000", i / 250,
                i % 250);
     p->id.node = GwName_Hash64(p->name);
+    g_hash_table_insert(c->by_address, p->peer_address,
+                        GUINT_TO_POINTER(i + 1));
+    g_hash_table_insert(c->by_id, &p->id.node, GUINT_TO_POINTER(i + 1));
     p->seed = c->params.seed * 1000003 + i;
     p->policy = c->params.policy;
     if (c->params.tune != NULL) {
@@ -496,6 +526,8 @@
     c->rng = GwRng_Make(params->seed);
     c->now_us = FAKE_SEC;
     c->nodes = g_new0(FakeNode, params->node_count);
+    c->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    c->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     c->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
     c->hosts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -523,6 +555,8 @@
     for (uint32_t i = 0; i < c->params.node_count; i++) {
         GwNode_Free(c->nodes[i].node);
     }
+    g_hash_table_destroy(c->by_address);
+    g_hash_table_destroy(c->by_id);
     g_hash_table_destroy(c->rows);
     g_hash_table_destroy(c->hosts);
     g_hash_table_destroy(c->runs);
--- a/tests/fakes/cluster.h
+++ b/tests/fakes/cluster.h
@@ -14,6 +14,8 @@
 #define FAKE_SEC          1000000LL
 #define FAKE_REGIONS_MAX  8
 #define FAKE_SERVICES_MAX 4
+#define FAKE_EVENT_KINDS  (GW_EVENT_LEAVE + 1)
+#define FAKE_MSG_KINDS    (GW_MSG_SEAT_TAKEN + 1)
 
 typedef struct {
     uint64_t seed;
@@ -30,6 +32,7 @@
     uint32_t shed_over_percent; /* a server refuses over slots*this/100 */
     int64_t list_lag_us;
     bool count_bytes; /* encode each message and add up its size */
+    bool count_cpu;   /* processor time of GwNode_Step, by kind of event */
     uint32_t policy;
     void (*tune)(GwNodeParams *params); /* last word on parameters */
 } FakeClusterParams;
@@ -115,6 +118,17 @@
     uint32_t late_ms; /* longest work begun after a drain, since its order */
 } FakeJudgement;
 
+/* What the run cost so far, over all nodes. */
+typedef struct {
+    uint64_t step_ns[FAKE_EVENT_KINDS]; /* with count_cpu */
+    uint64_t steps[FAKE_EVENT_KINDS];
+    uint64_t message_bytes[FAKE_MSG_KINDS]; /* with count_bytes */
+    uint64_t messages[FAKE_MSG_KINDS];
+    uint64_t table_bytes; /* rows read and written, as JSON */
+    uint64_t list_bytes;  /* lists read, as JSON */
+    uint64_t list_reads;
+} FakeCosts;
+
 typedef struct FakeCluster_s FakeCluster;
 struct FakeCluster_s {
     FakeClusterParams params;
@@ -122,6 +136,9 @@
     int64_t now_us;
     FakeNode *nodes;
     GwHeap queue;
+    GHashTable *by_address; /* -> index + 1, as by_id */
+    GHashTable *by_id;
+    FakeCosts costs;
     GHashTable *rows;  /* key -> GwRow, owned */
     GHashTable *hosts; /* host call handle -> FakeHostCall, owned */
     GPtrArray *backends;
--- a/tests/fakes/cluster_calls.c
+++ b/tests/fakes/cluster_calls.c
@@ -245,12 +245,9 @@
 static uint32_t
 node_by_id(const FakeCluster *c, uint64_t id)
 {
-    for (uint32_t i = 0; i < c->params.node_count; i++) {
-        if (c->nodes[i].params.id.node == id) {
-            return i;
-        }
-    }
-    return GW_NONE;
+    gpointer place = g_hash_table_lookup(c->by_id, &id);
+
+    return place == NULL ? GW_NONE : GPOINTER_TO_UINT(place) - 1;
 }
 
 void
--- a/tests/fakes/cluster_table.c
+++ b/tests/fakes/cluster_table.c
@@ -6,6 +6,8 @@
 #define STORE_ONE_WAY_US 2000
 #define STORE_SLOW_US    900000
 #define STORE_TIMEOUT_US 1000000
+/* Punctuation and names of fields of one row in the table's JSON. */
+#define ROW_JSON_BYTES 38
 
 void
 FakeTable_FreeRequest(GwTableRequest *request)
@@ -70,8 +72,9 @@
 }
 
 static void
-copy_row(GwTableReply *reply, const GwRow *row)
+copy_row(FakeCluster *c, GwTableReply *reply, const GwRow *row)
 {
+    c->costs.table_bytes += strlen(row->key) + row->len + ROW_JSON_BYTES;
     reply->rows = g_renew(GwRow, reply->rows, reply->row_count + 1);
     GwRow *copy = &reply->rows[reply->row_count++];
     *copy = *row;
@@ -104,7 +107,7 @@
     }
     g_ptr_array_sort(found, by_key);
     for (uint32_t i = 0; i < found->len; i++) {
-        copy_row(reply, g_ptr_array_index(found, i));
+        copy_row(c, reply, g_ptr_array_index(found, i));
     }
     g_ptr_array_free(found, TRUE);
 }
@@ -125,7 +128,7 @@
         char *value = g_strndup(req->rows[i].value, req->rows[i].len);
         FakeTable_Put(c, req->rows[i].key, value);
         g_free(value);
-        copy_row(reply, g_hash_table_lookup(c->rows, req->rows[i].key));
+        copy_row(c, reply, g_hash_table_lookup(c->rows, req->rows[i].key));
     }
 }
 
