Put an accepted document in force at the entry that accepted it

Cause: GwSync_Receive dropped every message from its own node, and the administration side offers the accepted document as one from itself. With the table away right after the accept the change was in force nowhere until the table came back; with it there, it waited for somebody's next poll. Change: only a CONFIG_ASK from itself is dropped. Conclusion: a change spreads from the entry that accepted it.

--- a/lib/config/sync.c
+++ b/lib/config/sync.c
@@ -238,16 +238,17 @@
 }
 
 /* CONFIG_ASK (answers with the document) and CONFIG_DOC. Returns true when a
- * new configuration is in force. */
+ * new configuration is in force. A document from this node itself is what its
+ * administration side got accepted: were it dropped, an accepted change would
+ * be in force nowhere while the table is away after the accept. */
 bool
 GwSync_Receive(GwSync *s, int64_t now_us, const GwMessage *msg,
                const char *reply_address, GwActions *out)
 {
-    if (msg->from.node == s->params.id.node) {
-        return false;
-    }
     if (msg->kind == GW_MSG_CONFIG_ASK) {
-        answer(s, msg, reply_address, out);
+        if (msg->from.node != s->params.id.node) {
+            answer(s, msg, reply_address, out);
+        }
         return false;
     }
     if (msg->kind != GW_MSG_CONFIG_DOC || msg->u.doc.text == NULL) {
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -75,9 +75,10 @@
 }
 
 static bool
-send_doc(Bench *b, uint64_t version, const char *text, uint64_t checksum)
+send_doc_from(Bench *b, GwNodeId from, uint64_t version, const char *text,
+              uint64_t checksum)
 {
-    GwMessage *msg = GwMessage_Create(GW_MSG_CONFIG_DOC, peer);
+    GwMessage *msg = GwMessage_Create(GW_MSG_CONFIG_DOC, from);
     msg->u.doc = (GwConfigDoc){.version = version,
                                .checksum = checksum,
                                .text_len = (uint32_t)strlen(text),
@@ -87,6 +88,12 @@
     return adopted;
 }
 
+static bool
+send_doc(Bench *b, uint64_t version, const char *text, uint64_t checksum)
+{
+    return send_doc_from(b, peer, version, text, checksum);
+}
+
 static uint64_t
 version_of(const Bench *b)
 {
@@ -223,3 +230,19 @@
     GwMessage_Free(ask);
     end_bench(&b);
 }
+
+/* The operator reads "accepted" and the table goes away in that moment. The
+ * entry that took the change offers the document to itself; it has to be in
+ * force there, and spread, though nobody can read the table. */
+Test(sync, takes_what_its_own_administration_offers)
+{
+    Bench b = make_bench();
+    GwNodeId self = {.node = 1, .start = 1};
+
+    publish(&b, 3, DOC);
+    run(&b, 5 * SECOND);
+    b.away = true;
+    cr_assert(send_doc_from(&b, self, 4, DOC, XXH64(DOC, strlen(DOC), 0)));
+    cr_assert_eq(version_of(&b), 4);
+    end_bench(&b);
+}
