--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -2,7 +2,8 @@
  * processor time and memory per node, the table's load, how long a change of
  * the configuration and the end of an entry take to be known everywhere.
  *
- * `bench_slopes [nodes...]`; without arguments 12, 50, 200 and 650. Bytes are
+ * `bench_slopes [calm] [nodes...]`; without sizes 12, 50, 200 and 650, with
+ * `calm` no changes, deaths and losses. Bytes are
  * those of the real codec; processor time is of GwNode_Step alone. */
 #include "fakes/cluster.h"
 #include "member/member.h"
@@ -11,11 +12,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define STEP_US      (50 * FAKE_MS)
 #define CHANGE_MAX_S 40
 #define DEAD_MAX_S   30
-#define SETTLE_S     10 /* the entry started before is met by then */
+#define LOOKUPS      20000
+/* A node publishes every 200 ms (PUBLISH_PERIOD_US of entry/node.c). */
+#define PUBLISHES_PER_S 5
+#define SETTLE_S        10 /* the entry started before is met by then */
 
 /* Seats are above the entries of a region, services times regions make the
  * places: 88 at 650 nodes, the target's 86 to the next multiple of 4. */
@@ -351,13 +356,35 @@
                1024 / live);
 }
 
+/* One look-up of a service as the snapshot's copy makes it. */
 static void
-run_size(const Size *size)
+measure_lookup(const Run *r)
+{
+    GwLookup lookup;
+    clock_t start = clock();
+
+    for (uint32_t i = 0; i < LOOKUPS; i++) {
+        GwNode_Lookup(r->c->nodes[i % r->size->nodes].node, "s0", &lookup);
+    }
+    double us = (double)(clock() - start) * 1e6 / CLOCKS_PER_SEC / LOOKUPS;
+    printf("  lookup_us=%.2f publish_us_s=%.0f\n", us,
+           us * r->size->services * PUBLISHES_PER_S);
+}
+
+static void
+run_size(const Size *size, bool calm_only)
 {
     Run r = start(size);
 
     run_s(r.c, size->warm_s);
     measure_calm(&r);
+    measure_lookup(&r);
+    if (calm_only) {
+        measure_memory(&r);
+        FakeCluster_Free(r.c);
+        g_free(r.text);
+        return;
+    }
     measure_change(&r, "calm", FAKE_STORE_OK);
     measure_change(&r, "store away", FAKE_STORE_AWAY);
     measure_dead(&r);
@@ -373,12 +400,14 @@
 {
     setvbuf(stdout, NULL, _IOLBF, 0);
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        bool wanted = argc == 1;
-        for (int a = 1; a < argc; a++) {
+        bool calm_only = argc > 1 && strcmp(argv[1], "calm") == 0;
+        int first = calm_only ? 2 : 1;
+        bool wanted = argc == first;
+        for (int a = first; a < argc; a++) {
             wanted |= strtoul(argv[a], NULL, 10) == sizes[i].nodes;
         }
         if (wanted) {
-            run_size(&sizes[i]);
+            run_size(&sizes[i], calm_only);
         }
     }
     return 0;
