Make an idle tick and a look-up cheaper

Cause: each tick of 10 ms counted every lendable slot for a cargo that was seldom sent, looked at every shift of every service and at every seat's write; a look-up hashed the region's name and found the digest of each member, also of those that can't be among the best. Change: the cargo is made when a tick may send; services without demand ask for no grants; writes expire at looks 100 ms apart; a look-up finds the load of those only that may be kept. Conclusion: enough for now; the rest of a tick grows with slots and members.

--- a/lib/entry/node.c
+++ b/lib/entry/node.c
@@ -135,12 +135,25 @@
     }
 }
 
+/* The cargo looks at every slot, so it is made only for a tick that may
+ * send. */
 static void
-on_tick(GwNode *n, int64_t now_us, GwActions *out)
+tick_members(GwNode *n, int64_t now_us, GwActions *out)
 {
-    GwCargo c = cargo(n, now_us);
+    static const GwCargo none = {0};
 
+    if (!GwMembers_IsDue(n->members, now_us)) {
+        GwMembers_Tick(n->members, now_us, &none, out);
+        return;
+    }
+    GwCargo c = cargo(n, now_us);
     GwMembers_Tick(n->members, now_us, &c, out);
+}
+
+static void
+on_tick(GwNode *n, int64_t now_us, GwActions *out)
+{
+    tick_members(n, now_us, out);
     GwSync_Tick(n->sync, now_us, out);
     GwSteer_Tick(n->steer, now_us, n->members, n->seats,
                  GwCalls_Queued(n->calls), out);
@@ -295,16 +308,14 @@
     return digest == NULL ? 0 : (uint64_t)digest->in_flight + digest->queued;
 }
 
-/* Lower is better: the own region first, then trust, then load. */
+/* Lower is better: the own region first, then load. */
+#define RANK_FOREIGN (1ULL << 40)
+#define RANK_LOAD    (RANK_FOREIGN - 1)
+
 static uint64_t
-rank(const GwNode *n, const GwMember *member, uint64_t service)
+rank(const GwNode *n, const GwMember *member, uint64_t base, uint64_t service)
 {
-    bool local = member->info.region == GwName_Hash32(n->params.region);
-    bool alive = member->info.state == GW_MEMBER_ALIVE;
-    uint64_t load = load_of(n, member, service);
-
-    return (local ? 0 : 1ULL << 40) + (alive ? 0 : 1ULL << 39) +
-           (load < (1ULL << 38) ? load : (1ULL << 38));
+    return base + MIN(load_of(n, member, service), RANK_LOAD);
 }
 
 typedef struct {
@@ -361,6 +372,7 @@
     Candidate best[GW_LOOKUP_MAX];
     uint32_t count = 0;
     uint64_t hash = GwName_Hash64(service);
+    uint32_t region = GwName_Hash32(n->params.region);
 
     memset(out, 0, sizeof(*out));
     if (n->config == NULL) {
@@ -377,9 +389,12 @@
                       member->heard_us != 0 &&
                       member->info.call_address[0] != '\0' &&
                       member->info.id.node != n->params.id.node;
-        if (usable) {
+        uint64_t base = member->info.region == region ? 0 : RANK_FOREIGN;
+        /* Most members of other regions are out before their load is
+         * looked up: it only adds to the rank. */
+        if (usable && (count < GW_LOOKUP_MAX || best[count - 1].rank > base)) {
             keep_best(best, &count,
-                      (Candidate){member, rank(n, member, hash)});
+                      (Candidate){member, rank(n, member, base, hash)});
         }
     }
     if (!n->leaving) {
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -29,6 +29,8 @@
 
 GwMembers *GwMembers_Create(const GwNodeParams *params);
 void GwMembers_Free(GwMembers *m);
+/* False while a tick at this time sends nothing, whatever its cargo. */
+bool GwMembers_IsDue(const GwMembers *m, int64_t now_us);
 void GwMembers_Tick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
                     GwActions *out);
 /* PROBE, ACK and PING_REQ. Returns true when the table changed. */
--- a/lib/member/probe.c
+++ b/lib/member/probe.c
@@ -349,6 +349,21 @@
     }
 }
 
+/* Whether a tick may send: the probe's time-out, the period, a doubt's end or
+ * the healing has come. */
+bool
+GwMembers_IsDue(const GwMembers *m, int64_t now_us)
+{
+    bool waits = m->probe.active && !m->probe.acked && !m->probe.indirect;
+    const GwRecord *doubted =
+        m->doubted.head == NULL ? NULL : m->doubted.head->data;
+
+    return now_us >= m->next_probe_us || now_us >= m->next_heal_us ||
+           (waits && now_us - m->probe.sent_us >=
+                         m->params.probe_timeout_ms * 1000LL) ||
+           (doubted != NULL && now_us - doubted->doubt_us >= suspicion_us(m));
+}
+
 /* Everything that happens by time alone. */
 void
 GwMembers_ProbeTick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
--- a/lib/steer/grants.c
+++ b/lib/steer/grants.c
@@ -403,7 +403,9 @@
         return;
     }
     for (uint32_t i = 0; i < s->config->service_count; i++) {
-        if (GwSteer_HasShift(s, i)) {
+        /* Without demand nothing is wanted away, and no shift is looked at. */
+        bool idle = queued[i] == 0 && s->by_index[i]->in_flight == 0;
+        if (!idle && GwSteer_HasShift(s, i)) {
             ask_for_grants(s, now_us, s->by_index[i], queued[i], members, out);
         }
     }
--- a/lib/steer/seats.c
+++ b/lib/steer/seats.c
@@ -79,6 +79,10 @@
         s->fails++;
     }
 #endif
+    if (now_us - s->expired_us < GW_SEAT_EXPIRE_US) {
+        return;
+    }
+    s->expired_us = now_us;
     for (uint32_t i = 0; i < s->high; i++) {
         GwSeat *t = &s->seats[i];
         if (t->write.op != GW_SEAT_OP_NONE &&
--- a/lib/steer/seats_internal.h
+++ b/lib/steer/seats_internal.h
@@ -20,6 +20,7 @@
 #endif
 
 #define GW_SEAT_REQUEST_US  3000000LL  /* an answer is given up */
+#define GW_SEAT_EXPIRE_US   100000LL   /* between two looks for those */
 #define GW_SEAT_START_US    1000000LL  /* first read: members are known then */
 #define GW_SEAT_SOON_US     100000LL   /* a read that something waits for */
 #define GW_SEAT_LEFTOVER_US 10000000LL /* a free seat is anyone's */
@@ -112,6 +113,7 @@
         int64_t sent_us;
     } list;
     uint32_t reading; /* number of the last reading */
+    int64_t expired_us;
     GwSeat seats[GW_SEATS_MAX];
 };
 
