--- a/lib/entry/lookup.c
+++ b/lib/entry/lookup.c
@@ -70,10 +70,18 @@
             m->info.id.node == n->params.id.node) {
             continue;
         }
+        /* Most members of other regions are out before their load is looked
+         * up: it could only worsen their place. */
+        bool local = m->info.region == region;
+        if (r->count == GW_LOOKUP_MAX && !local &&
+            (r->best[GW_LOOKUP_MAX - 1].local ||
+             r->best[GW_LOOKUP_MAX - 1].load == 0)) {
+            continue;
+        }
         const GwDigest *digest =
             GwMembers_Digest(n->members, m->info.id.node, service);
         Candidate c = {.member = m,
-                       .local = m->info.region == region,
+                       .local = local,
                        .load = digest == NULL ? 0
                                               : (uint64_t)digest->in_flight +
                                                     digest->queued};
--- a/lib/entry/node.c
+++ b/lib/entry/node.c
@@ -135,12 +135,26 @@
     }
 }
 
+/* The cargo looks at every slot, so it is made only for a tick that may
+ * send. */
 static void
-on_tick(GwNode *n, int64_t now_us, GwActions *out)
+tick_members(GwNode *n, int64_t now_us, GwActions *out)
 {
-    GwCargo c = cargo(n, now_us);
+    static const GwCargo none = {0};
 
+    if (!GwMembers_IsDue(n->members, now_us)) {
+        GwMembers_Tick(n->members, now_us, &none, out);
+        return;
+    }
+    GwCargo c = cargo(n, now_us);
     GwMembers_Tick(n->members, now_us, &c, out);
+}
+
+static void
+on_tick(GwNode *n, int64_t now_us, GwActions *out)
+{
+    tick_members(n, now_us, out);
+    GwSync_SetEntries(n->sync, GwMembers_LiveCount(n->members) + 1);
     GwSync_Tick(n->sync, now_us, out);
     GwSteer_Tick(n->steer, now_us, n->members, n->seats,
                  GwCalls_Queued(n->calls), out);
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -29,6 +29,8 @@
 
 GwMembers *GwMembers_Create(const GwNodeParams *params);
 void GwMembers_Free(GwMembers *m);
+/* False while a tick at this time sends nothing, whatever its cargo. */
+bool GwMembers_IsDue(const GwMembers *m, int64_t now_us);
 void GwMembers_Tick(GwMembers *m, int64_t now_us, const GwCargo *cargo,
                     GwActions *out);
 /* PROBE, ACK and PING_REQ. Returns true when the table changed. */
@@ -44,6 +46,8 @@
 void GwMembers_Hurry(GwMembers *m, int64_t now_us, uint32_t hurry,
                      const GwCargo *cargo, GwActions *out);
 
+/* Members not held dead, candidates included. */
+uint32_t GwMembers_LiveCount(const GwMembers *m);
 uint32_t GwMembers_Count(const GwMembers *m);
 const GwMember *GwMembers_At(const GwMembers *m, uint32_t i);
 const GwMember *GwMembers_Find(const GwMembers *m, uint64_t node);
--- a/lib/steer/seats_internal.h
+++ b/lib/steer/seats_internal.h
@@ -20,6 +20,7 @@
 #endif
 
 #define GW_SEAT_REQUEST_US  3000000LL  /* an answer is given up */
+#define GW_SEAT_EXPIRE_US   100000LL   /* between two looks for those */
 #define GW_SEAT_START_US    1000000LL  /* first read: members are known then */
 #define GW_SEAT_SOON_US     100000LL   /* a read that something waits for */
 #define GW_SEAT_LEFTOVER_US 10000000LL /* a free seat is anyone's */
@@ -32,6 +33,7 @@
 /* A holder has to read its rows twice within the hold-off, also when the
  * table is slow: it might have to object to a notice. */
 #define GW_SEAT_BACKOFF_MAX 1
+#define GW_SEAT_MANY        64 /* more are read at the pace of the backoff */
 
 typedef enum {
     GW_SEAT_NONE = 0,     /* not ours */
@@ -112,6 +114,7 @@
         int64_t sent_us;
     } list;
     uint32_t reading; /* number of the last reading */
+    int64_t expired_us;
     GwSeat seats[GW_SEATS_MAX];
 };
 
