Bound the idle connections to each backend server

Cause: a booking that found no connection fresher than 0.5 s opened a new one and left it in the pool; the pool closed none before 32 a server and entry, and kept those of servers that had left the configuration for ever.

Change: idle connections of a server are bounded by its `connections` / 16, shared by the region's entries (at least one each), closed after 4 s without an attempt, and dropped when the server leaves the configuration. The number of idle connections is in the metrics.

Conclusion: at 330 connections and 3 entries each entry keeps at most 6 idle connections to a server.

--- a/lib/runtime/dispatch.h
+++ b/lib/runtime/dispatch.h
@@ -50,14 +50,30 @@
     uint64_t opened;
     uint64_t reused;
     uint64_t resends_stopped;
+    uint64_t idle; /* connections that wait for their next attempt */
 } GwDispatchStats;
 
+/* A backend server that the configuration in force names. */
+typedef struct {
+    const char *address;
+    uint32_t idle_max; /* connections kept open without an attempt */
+} GwDispatchServer;
+
+/* An idle connection is closed after this time. */
+#define GW_IDLE_US 4000000
+
 GwDispatcher *GwDispatcher_Create(void);
 /* Attempts must have ended. */
 void GwDispatcher_Free(GwDispatcher *d);
 /* Blocks until the attempt ended; any thread, no lock held. */
 void GwDispatch_Run(GwDispatcher *d, const GwDispatchAsk *ask, GwAbort *abort,
                     GwDispatchEnd *end);
-void GwDispatcher_Stats(const GwDispatcher *d, GwDispatchStats *stats);
+/* Replaces the list of servers; until the first list every server is kept
+ * to one idle connection. Closes what is idle too long, above its server's
+ * bound, or belongs to a server that is not listed. To be called about once a
+ * second. */
+void GwDispatcher_Trim(GwDispatcher *d, const GwDispatchServer *servers,
+                       uint32_t count, int64_t now_us);
+void GwDispatcher_Stats(GwDispatcher *d, GwDispatchStats *stats);
 
 #endif
--- a/lib/runtime/dispatch_internal.h
+++ b/lib/runtime/dispatch_internal.h
@@ -25,6 +25,7 @@
 struct GwDispatcher_s {
     pthread_mutex_t mutex; /* no other lock is taken under it */
     GHashTable *idle;      /* address to GQueue of Slot *, freshest first */
+    GHashTable *idle_max;  /* address to its bound; NULL before the first */
     atomic_uint_fast64_t opened;
     atomic_uint_fast64_t reused;
     atomic_uint_fast64_t resends_stopped;
--- a/lib/runtime/pollers.c
+++ b/lib/runtime/pollers.c
@@ -195,11 +195,12 @@
 }
 
 static PolledBackend *
-copy_polled(GwRuntime *rt, uint32_t *count)
+copy_polled(GwRuntime *rt, uint32_t *count, uint32_t *region_entries)
 {
     PolledBackend *backends = NULL;
     const Snapshot *snapshot = Snapshot_Enter(rt);
     *count = snapshot != NULL ? snapshot->backend_count : 0;
+    *region_entries = snapshot != NULL ? snapshot->region_entries : 0;
     if (*count > 0) {
         backends = g_memdup2(snapshot->backends, *count * sizeof(*backends));
     }
@@ -207,6 +208,26 @@
     return backends;
 }
 
+/* Nothing is trimmed before a configuration is in force. */
+static void
+trim_pool(GwRuntime *rt, const PolledBackend *backends, uint32_t count,
+          uint32_t region_entries)
+{
+    if (region_entries == 0) {
+        return;
+    }
+    GwDispatchServer *servers = g_new0(GwDispatchServer, count);
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t share = backends[i].connections / IDLE_SHARE / region_entries;
+        servers[i] = (GwDispatchServer){
+            .address = backends[i].address,
+            .idle_max = MAX(share, 1),
+        };
+    }
+    GwDispatcher_Trim(rt->dispatcher, servers, count, GwNet_NowUs());
+    g_free(servers);
+}
+
 /* All servers at once: one that does not answer must not delay the readings
  * of the others. */
 void *
@@ -218,9 +239,11 @@
     Snapshot_RegisterThread();
     while (!atomic_load(&rt->closing)) {
         uint32_t count;
+        uint32_t region_entries;
         int64_t next_us =
             GwNet_NowUs() + (int64_t)rt->settings->health_poll_ms * 1000;
-        PolledBackend *backends = copy_polled(rt, &count);
+        PolledBackend *backends = copy_polled(rt, &count, &region_entries);
+        trim_pool(rt, backends, count, region_entries);
         Reading *readings = g_new0(Reading, count);
         for (uint32_t i = 0; i < count; i++) {
             begin_reading(multi, &backends[i], &readings[i]);
--- a/lib/runtime/pool.c
+++ b/lib/runtime/pool.c
@@ -7,7 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define IDLE_MAX 32 /* a server */
+#define IDLE_MAX_UNLISTED 1 /* a server, while no list is known */
 
 GwDispatcher *
 GwDispatcher_Create(void)
@@ -50,6 +50,9 @@
         free_slots(slots);
     }
     g_hash_table_destroy(d->idle);
+    if (d->idle_max != NULL) {
+        g_hash_table_destroy(d->idle_max);
+    }
     pthread_mutex_destroy(&d->mutex);
     g_free(d);
 }
@@ -168,6 +171,32 @@
     return slot;
 }
 
+/* Called with the mutex. */
+static uint32_t
+idle_max_of(const GwDispatcher *d, const char *address)
+{
+    if (d->idle_max == NULL) {
+        return IDLE_MAX_UNLISTED;
+    }
+    return GPOINTER_TO_UINT(g_hash_table_lookup(d->idle_max, address));
+}
+
+/* Called with the mutex. */
+static GQueue *
+idle_of(GwDispatcher *d, const char *address)
+{
+    GQueue *slots = g_hash_table_lookup(d->idle, address);
+    if (slots == NULL) {
+        slots = g_queue_new();
+        g_hash_table_insert(d->idle, g_strdup(address), slots);
+    }
+    return slots;
+}
+
+/* A server's connections are shared by all entries of its region, and
+ * non-idempotent calls leave stale ones lying below the fresh ones. Without
+ * the bound each entry would come to hold its busiest moment for ever, until
+ * the server refuses connections. */
 void
 GwPool_Give(GwDispatcher *d, const char *address, Slot *slot, bool keep)
 {
@@ -175,13 +204,13 @@
 
     if (keep && slot->fd >= 0) {
         pthread_mutex_lock(&d->mutex);
-        GQueue *slots = g_hash_table_lookup(d->idle, address);
-        if (slots == NULL) {
-            slots = g_queue_new();
-            g_hash_table_insert(d->idle, g_strdup(address), slots);
+        uint32_t idle_max = idle_max_of(d, address);
+        if (idle_max > 0) {
+            GQueue *slots = idle_of(d, address);
+            g_queue_push_head(slots, slot);
+            surplus =
+                slots->length > idle_max ? g_queue_pop_tail(slots) : NULL;
         }
-        g_queue_push_head(slots, slot);
-        surplus = slots->length > IDLE_MAX ? g_queue_pop_tail(slots) : NULL;
         pthread_mutex_unlock(&d->mutex);
     }
     if (surplus != NULL) {
@@ -189,6 +218,64 @@
     }
 }
 
+/* Called with the mutex; moves what has to be closed to `out`. The stalest
+ * slot lies at the bottom. */
+static void
+take_surplus(const GwDispatcher *d, const char *address, GQueue *slots,
+             int64_t now_us, GQueue *out)
+{
+    uint32_t idle_max = idle_max_of(d, address);
+    while (slots->length > 0) {
+        const Slot *stalest = g_queue_peek_tail(slots);
+        if (slots->length <= idle_max &&
+            now_us - stalest->last_answer_us < GW_IDLE_US) {
+            return;
+        }
+        g_queue_push_tail(out, g_queue_pop_tail(slots));
+    }
+}
+
+static GHashTable *
+bounds_of(const GwDispatchServer *servers, uint32_t count)
+{
+    GHashTable *bounds =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (uint32_t i = 0; i < count; i++) {
+        g_hash_table_insert(bounds, g_strdup(servers[i].address),
+                            GUINT_TO_POINTER(servers[i].idle_max));
+    }
+    return bounds;
+}
+
+/* Closing is done without the mutex: it is a system call a connection. */
+void
+GwDispatcher_Trim(GwDispatcher *d, const GwDispatchServer *servers,
+                  uint32_t count, int64_t now_us)
+{
+    GHashTable *bounds = bounds_of(servers, count);
+    GQueue *closing = g_queue_new();
+    GHashTableIter iter;
+    gpointer address;
+    gpointer slots;
+
+    pthread_mutex_lock(&d->mutex);
+    GHashTable *old = d->idle_max;
+    d->idle_max = bounds;
+    g_hash_table_iter_init(&iter, d->idle);
+    while (g_hash_table_iter_next(&iter, &address, &slots)) {
+        take_surplus(d, address, slots, now_us, closing);
+        if (((GQueue *)slots)->length == 0) {
+            g_queue_free(slots);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    pthread_mutex_unlock(&d->mutex);
+    free_slots(closing);
+    if (old != NULL) {
+        g_hash_table_destroy(old);
+    }
+}
+
 void
 GwPool_Flush(GwDispatcher *d, const char *address)
 {
@@ -204,12 +291,29 @@
     }
 }
 
+static uint64_t
+count_idle(GwDispatcher *d)
+{
+    uint64_t count = 0;
+    GHashTableIter iter;
+    gpointer slots;
+
+    pthread_mutex_lock(&d->mutex);
+    g_hash_table_iter_init(&iter, d->idle);
+    while (g_hash_table_iter_next(&iter, NULL, &slots)) {
+        count += ((GQueue *)slots)->length;
+    }
+    pthread_mutex_unlock(&d->mutex);
+    return count;
+}
+
 void
-GwDispatcher_Stats(const GwDispatcher *d, GwDispatchStats *stats)
+GwDispatcher_Stats(GwDispatcher *d, GwDispatchStats *stats)
 {
     *stats = (GwDispatchStats){
         .opened = atomic_load(&d->opened),
         .reused = atomic_load(&d->reused),
         .resends_stopped = atomic_load(&d->resends_stopped),
+        .idle = count_idle(d),
     };
 }
--- a/lib/runtime/report.c
+++ b/lib/runtime/report.c
@@ -120,6 +120,8 @@
          dispatch.resends_stopped},
     };
     append_counters(out, lines, G_N_ELEMENTS(lines));
+    GwMetrics_Gauge(out, "gw_connections_idle",
+                    "Idle connections to backend servers.", dispatch.idle);
     GwMetrics_Gauge(out, "gw_links", "Connections to and from peers.",
                     net.links);
 }
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -35,11 +35,13 @@
 #define RELAY_SWEEP_TICKS      5
 #define DEADLINE_DEFAULT_MS    5000
 #define OVERDUE_US             5000000
+#define IDLE_SHARE             16 /* of a server's connections, kept idle */
 
 /* What the look-up and other readers see: immutable, RCU-published. */
 typedef struct {
     uint64_t id;
     char address[GW_ADDR_MAX];
+    uint32_t connections; /* the server's limit, for all entries together */
 } PolledBackend;
 
 typedef struct {
@@ -52,7 +54,8 @@
     uint64_t config_version;
     uint32_t service_count;
     ServiceView services[GW_MAX_SERVICES];
-    uint32_t backend_count; /* of this region's places */
+    uint32_t region_entries; /* of this region, this one included */
+    uint32_t backend_count;  /* of this region's places */
     PolledBackend *backends;
     GBytes *text;
 } Snapshot;
--- a/lib/runtime/snapshot.c
+++ b/lib/runtime/snapshot.c
@@ -44,6 +44,16 @@
     return text;
 }
 
+static uint32_t
+count_local(const GwLookup *lookup)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < lookup->count; i++) {
+        count += lookup->entries[i].local_region;
+    }
+    return count;
+}
+
 static void
 copy_services(const GwNode *node, const GwConfig *config, Snapshot *s)
 {
@@ -58,6 +68,7 @@
         g_strlcpy(view->name, service->name, GW_NAME_MAX);
         view->deadline_max_ms = service->deadline_max_ms;
         view->entries = lookup_text(&lookup);
+        s->region_entries = MAX(s->region_entries, count_local(&lookup));
         s->service_count++;
     }
 }
@@ -75,6 +86,7 @@
         }
         PolledBackend *polled = &s->backends[s->backend_count++];
         polled->id = backend->id;
+        polled->connections = backend->connections;
         g_strlcpy(polled->address, backend->address, GW_ADDR_MAX);
     }
 }
