Keep the newest answers, and count the room they take truly

Change: the oldest make room, each kept answer carries its own size, and an attempt's answer is kept once.

Conclusion: the store stays bounded and gives the answer or none.

--- a/lib/runtime/answer.c
+++ b/lib/runtime/answer.c
@@ -12,11 +12,12 @@
 typedef struct {
     Key key;
     int64_t until_us;
+    uint64_t bytes;
 } Kept;
 
 struct GwAnswers_s {
     GHashTable *by_key; /* Key * to GwAnswer * */
-    GQueue kept;        /* Kept *, by time */
+    GQueue kept;        /* Kept *, by time; each has its answer in by_key */
     uint64_t bytes;     /* of what is kept */
     uint64_t max_bytes;
 };
@@ -85,71 +86,56 @@
     g_free(answers);
 }
 
-/* Takes its own reference. */
-void
-GwAnswers_Put(GwAnswers *answers, uint64_t call, uint32_t attempt,
-              GwAnswer *answer)
+static void
+drop_oldest(GwAnswers *answers)
 {
-    Key *key = g_new(Key, 1);
-    *key = (Key){.call = call, .attempt = attempt};
-    g_hash_table_replace(answers->by_key, key, GwAnswer_Ref(answer));
+    Kept *kept = g_queue_pop_head(&answers->kept);
+    answers->bytes -= kept->bytes;
+    g_hash_table_remove(answers->by_key, &kept->key);
+    g_free(kept);
 }
 
-static GwAnswer *
-find(const GwAnswers *answers, uint64_t call, uint32_t attempt)
+/* An answer once kept stays as it is: a second one of the same attempt
+ * would be another request's. */
+bool
+GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
+               GwAnswer *answer, int64_t until_us)
 {
     Key key = {.call = call, .attempt = attempt};
-    return g_hash_table_lookup(answers->by_key, &key);
-}
+    uint64_t bytes = (uint64_t)answer->body_len + ANSWER_OVERHEAD;
 
-GwAnswer *
-GwAnswers_Get(GwAnswers *answers, uint64_t call, uint32_t attempt)
-{
-    GwAnswer *answer = find(answers, call, attempt);
-    return answer != NULL ? GwAnswer_Ref(answer) : NULL;
-}
-
-/* An answer for which there is no room is dropped. A resend of its ticket
- * then gets "unknown": true, if less than could be. */
-void
-GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
-               int64_t until_us)
-{
-    const GwAnswer *answer = find(answers, call, attempt);
-    if (answer == NULL) {
-        return;
+    if (bytes > answers->max_bytes ||
+        g_hash_table_contains(answers->by_key, &key)) {
+        return false;
     }
-    uint64_t size = answer->body_len + ANSWER_OVERHEAD;
-    if (answers->bytes + size > answers->max_bytes) {
-        GwAnswers_Drop(answers, call, attempt);
-        return;
+    /* The oldest go first: a resend follows its first sending by seconds. */
+    while (answers->bytes + bytes > answers->max_bytes) {
+        drop_oldest(answers);
     }
     Kept *kept = g_new(Kept, 1);
-    *kept = (Kept){.key = {call, attempt}, .until_us = until_us};
+    *kept = (Kept){.key = key, .until_us = until_us, .bytes = bytes};
     g_queue_push_tail(&answers->kept, kept);
-    answers->bytes += size;
+    g_hash_table_insert(answers->by_key, g_memdup2(&key, sizeof(key)),
+                        GwAnswer_Ref(answer));
+    answers->bytes += bytes;
+    return true;
 }
 
-void
-GwAnswers_Drop(GwAnswers *answers, uint64_t call, uint32_t attempt)
+GwAnswer *
+GwAnswers_Get(const GwAnswers *answers, uint64_t call, uint32_t attempt)
 {
     Key key = {.call = call, .attempt = attempt};
-    g_hash_table_remove(answers->by_key, &key);
+    GwAnswer *answer = g_hash_table_lookup(answers->by_key, &key);
+    return answer != NULL ? GwAnswer_Ref(answer) : NULL;
 }
 
 void
 GwAnswers_Expire(GwAnswers *answers, int64_t now_us)
 {
-    Kept *kept;
+    const Kept *kept;
     while ((kept = g_queue_peek_head(&answers->kept)) != NULL &&
            kept->until_us <= now_us) {
-        const GwAnswer *answer =
-            find(answers, kept->key.call, (uint32_t)kept->key.attempt);
-        if (answer != NULL) {
-            answers->bytes -= answer->body_len + ANSWER_OVERHEAD;
-        }
-        g_hash_table_remove(answers->by_key, &kept->key);
-        g_free(g_queue_pop_head(&answers->kept));
+        drop_oldest(answers);
     }
 }
 
@@ -158,3 +144,9 @@
 {
     return g_hash_table_size(answers->by_key);
 }
+
+uint64_t
+GwAnswers_Bytes(const GwAnswers *answers)
+{
+    return answers->bytes;
+}
--- a/lib/runtime/answer.h
+++ b/lib/runtime/answer.h
@@ -23,20 +23,21 @@
 /* Answers by call and attempt. Not locked: the call table lock guards it. */
 typedef struct GwAnswers_s GwAnswers;
 
-/* max_bytes bounds what is kept past the end of calls. */
+/* max_bytes bounds what is kept, bodies and bookkeeping. */
 GwAnswers *GwAnswers_Create(uint64_t max_bytes);
 void GwAnswers_Free(GwAnswers *answers);
-void GwAnswers_Put(GwAnswers *answers, uint64_t call, uint32_t attempt,
-                   GwAnswer *answer);
-/* A new reference, or NULL. */
-GwAnswer *GwAnswers_Get(GwAnswers *answers, uint64_t call, uint32_t attempt);
-/* The call ended: keeps this answer until then, when there is room. Times
- * must not fall from one Keep to the next. */
-void GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
-                    int64_t until_us);
-void GwAnswers_Drop(GwAnswers *answers, uint64_t call, uint32_t attempt);
+/* Keeps the answer, with a reference of its own, until then or until newer
+ * ones need the room. False when it can't be kept. Times must not fall from
+ * one Keep to the next. */
+bool GwAnswers_Keep(GwAnswers *answers, uint64_t call, uint32_t attempt,
+                    GwAnswer *answer, int64_t until_us);
+/* A new reference, or NULL: then a resend of that call's ticket gets
+ * "unknown", which is true, if less than could be. */
+GwAnswer *GwAnswers_Get(const GwAnswers *answers, uint64_t call,
+                        uint32_t attempt);
 /* Drops kept answers whose time is over. */
 void GwAnswers_Expire(GwAnswers *answers, int64_t now_us);
 uint32_t GwAnswers_Count(const GwAnswers *answers);
+uint64_t GwAnswers_Bytes(const GwAnswers *answers);
 
 #endif
--- a/lib/runtime/call.c
+++ b/lib/runtime/call.c
@@ -301,8 +301,7 @@
         return;
     }
     pthread_mutex_lock(&rt->call_lock);
-    GwAnswers_Put(rt->answers, action->call, action->answer_attempt, answer);
-    GwAnswers_Keep(rt->answers, action->call, action->answer_attempt,
+    GwAnswers_Keep(rt->answers, action->call, action->answer_attempt, answer,
                    GwNet_NowUs() + keep_ms * 1000);
     pthread_mutex_unlock(&rt->call_lock);
 }
