--- a/Makefile
+++ b/Makefile
@@ -103,11 +103,11 @@
 	    -Wno-unused-parameter $(PKGC) \
 	    -MMD -MP -o $@ $< $(FAKES) $(LIB) -lrapidcheck $(LIBS)
 
-$(O)/stress_%: $(O)/obj/tests/stress/%.o $(FAKES) $(LIB)
+$(O)/stress_%: $(O)/obj/tests/stress/%.o $(FAKES) $(STANDLIB) $(LIB)
 	@echo "  LD  $@"
 	@$(CC) $(SANFLAG) -o $@ $^ $(LIBS)
 
-$(O)/bench_%: $(O)/obj/bench/%.o $(FAKES) $(LIB)
+$(O)/bench_%: $(O)/obj/bench/%.o $(FAKES) $(STANDLIB) $(LIB)
 	@echo "  LD  $@"
 	@$(CC) $(SANFLAG) -o $@ $^ $(LIBS)
 
