Ping a link whose ping became due after its last frame

Cause: a ping follows a frame only when the last ping is 0.5 s old; otherwise it stayed due until some later frame. A call relayed right after a ping, over a link that then fell silent with nothing more to send, waited for its whole deadline.

Conclusion: a silent link ends by itself, and new ones work.

--- a/lib/runtime/net.c
+++ b/lib/runtime/net.c
@@ -225,13 +225,17 @@
     return links;
 }
 
+/* Flushing sends the ping that became due after the last frame: a call that
+ * was sent just after a ping would else wait for its whole deadline on a link
+ * that fell silent and has nothing more to send. */
 static void
-close_overdue(GwNet *net, int64_t now_us)
+check_links(GwNet *net, int64_t now_us)
 {
     GPtrArray *links = all_links(net);
     for (guint i = 0; i < links->len; i++) {
         Link *link = g_ptr_array_index(links, i);
-        if (Link_IsOverdue(net, link, now_us)) {
+        if (Link_IsOverdue(net, link, now_us) ||
+            !Link_Flush(net, link, now_us)) {
             close_link(net, link);
         }
     }
@@ -300,7 +304,7 @@
             tick_us = GwNet_NowUs() + GW_TICK_US;
         }
         if (now_us >= sweep_us) {
-            close_overdue(net, now_us);
+            check_links(net, now_us);
             sweep_us = now_us + 50000;
         }
         int64_t due_us = net->params.delay_count > 0
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <glib.h>
+#include <poll.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -268,3 +269,185 @@
     wait_for(a, &a->lost_unsent, 1);
     stop_node(a);
 }
+
+/* Something between two entries that can lose track of open connections:
+ * from then on it takes their bytes and passes none on, and closes nothing.
+ * New connections pass. */
+typedef struct {
+    int listen_fd;
+    char address[GW_ADDR_MAX];
+    struct sockaddr_in to;
+    pthread_t thread;
+    pthread_mutex_t mutex;
+    bool stop;
+    uint32_t count;
+    struct pollfd fds[32]; /* pairs: accepted, connected */
+    bool lost[32];
+} Middle;
+
+static struct sockaddr_in
+loopback(const char *address)
+{
+    return (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1)),
+    };
+}
+
+static void
+accept_pair(Middle *m)
+{
+    int in = accept(m->listen_fd, NULL, NULL);
+    int out = socket(AF_INET, SOCK_STREAM, 0);
+    if (in < 0 || m->count + 2 > G_N_ELEMENTS(m->fds) ||
+        connect(out, (struct sockaddr *)&m->to, sizeof(m->to)) != 0) {
+        close(in);
+        close(out);
+        return;
+    }
+    m->fds[m->count] = (struct pollfd){.fd = in, .events = POLLIN};
+    m->fds[m->count + 1] = (struct pollfd){.fd = out, .events = POLLIN};
+    m->count += 2;
+}
+
+static void
+pass_on(Middle *m, uint32_t i)
+{
+    char bytes[4096];
+    ssize_t n = recv(m->fds[i].fd, bytes, sizeof(bytes), 0);
+    if (n <= 0) {
+        m->fds[i].events = 0;
+        shutdown(m->fds[i ^ 1].fd, m->lost[i] ? 0 : SHUT_WR);
+    }
+    else if (!m->lost[i]) {
+        send(m->fds[i ^ 1].fd, bytes, (size_t)n, MSG_NOSIGNAL);
+    }
+}
+
+static void *
+run_middle(void *arg)
+{
+    Middle *m = arg;
+    bool stop = false;
+
+    while (!stop) {
+        struct pollfd listening = {.fd = m->listen_fd, .events = POLLIN};
+        if (poll(&listening, 1, 1) > 0) {
+            accept_pair(m);
+        }
+        pthread_mutex_lock(&m->mutex);
+        poll(m->fds, m->count, 0);
+        for (uint32_t i = 0; i < m->count; i++) {
+            if ((m->fds[i].revents & m->fds[i].events) != 0) {
+                pass_on(m, i);
+            }
+        }
+        stop = m->stop;
+        pthread_mutex_unlock(&m->mutex);
+    }
+    for (uint32_t i = 0; i < m->count; i++) {
+        close(m->fds[i].fd);
+    }
+    close(m->listen_fd);
+    return NULL;
+}
+
+static Middle *
+start_middle(const Node *to)
+{
+    Middle *m = g_new0(Middle, 1);
+    struct sockaddr_in at;
+
+    pthread_mutex_init(&m->mutex, NULL);
+    FreePort_Address(m->address);
+    at = loopback(m->address);
+    m->to = loopback(to->address);
+    m->listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+    cr_assert_eq(bind(m->listen_fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    cr_assert_eq(listen(m->listen_fd, 16), 0);
+    pthread_create(&m->thread, NULL, run_middle, m);
+    return m;
+}
+
+/* Loses track of every connection that is open now. */
+static void
+lose_track(Middle *m)
+{
+    pthread_mutex_lock(&m->mutex);
+    for (uint32_t i = 0; i < m->count; i++) {
+        m->lost[i] = true;
+    }
+    pthread_mutex_unlock(&m->mutex);
+}
+
+static void
+stop_middle(Middle *m)
+{
+    pthread_mutex_lock(&m->mutex);
+    m->stop = true;
+    pthread_mutex_unlock(&m->mutex);
+    pthread_join(m->thread, NULL);
+    g_free(m);
+}
+
+/* A node that is reached through the middle. */
+static Node
+behind(const Node *node, const Middle *m)
+{
+    Node seen = {.id = node->id};
+    g_strlcpy(seen.address, m->address, GW_ADDR_MAX);
+    return seen;
+}
+
+/* Messages to a peer vanish, while a new connection to it would work. The
+ * silent one is closed, and messages arrive again. */
+Test(net, silent_link_is_replaced, .timeout = 60)
+{
+    Node *a = start_node(1, KEY, 0);
+    Node *b = start_node(2, KEY, 0);
+    Middle *m = start_middle(b);
+    Node seen = behind(b, m);
+    GwNetStats stats;
+
+    send_probe(a, &seen);
+    wait_for(b, &b->controls, 1);
+    lose_track(m);
+    do {
+        send_probe(a, &seen);
+        g_usleep(20000);
+        GwNet_Stats(a->net, &stats);
+    } while (stats.closed_silent == 0);
+    uint32_t before = b->controls;
+    send_probe(a, &seen);
+    wait_for(b, &b->controls, before + 1);
+    stop_node(a);
+    stop_node(b);
+    stop_middle(m);
+}
+
+/* A call is relayed right after the link was found well, then the link falls
+ * silent, and nothing else is to be sent. The caller must not wait for its
+ * whole deadline: the link is asked again by itself, and closed. */
+Test(net, call_on_a_silent_link_is_reported, .timeout = 60)
+{
+    Node *a = start_node(1, KEY, 0);
+    Node *b = start_node(2, KEY, 0);
+    Middle *m = start_middle(b);
+    Node seen = behind(b, m);
+    GwNetStats stats;
+
+    send_probe(a, &seen);
+    do { /* the hello, the proof and the pong have come */
+        g_usleep(1000);
+        GwNet_Stats(a->net, &stats);
+    } while (stats.frames_in < 3);
+    lose_track(m);
+    send_call(a, &seen, b->id, 77);
+    wait_for(a, &a->lost_sent, 1);
+    cr_expect_eq(a->lost_unsent, 0);
+    cr_expect_eq(b->calls, 0);
+    stop_node(a);
+    stop_node(b);
+    stop_middle(m);
+}
