--- a/lib/runtime/snapshot.c
+++ b/lib/runtime/snapshot.c
@@ -44,8 +44,20 @@
     return text;
 }
 
+static uint32_t
+count_local(const GwLookup *lookup)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < lookup->count; i++) {
+        count += lookup->entries[i].local_region;
+    }
+    return count;
+}
+
+/* Sets *local to the number of entries of this region. */
 static bool
-copy_lookups(const GwNode *node, const char *service, ServiceView *view)
+copy_lookups(const GwNode *node, const char *service, ServiceView *view,
+             uint32_t *local)
 {
     GwLookup lookup = {0};
 
@@ -53,6 +65,7 @@
             GwNode_Lookup(node, service, GW_LOOKUP_DRAWS - 1, &lookup))) {
         return false;
     }
+    *local = count_local(&lookup);
     view->moving_draws = lookup.moving_draws;
     view->entries[lookup.moving_draws] = lookup_text(&lookup);
     for (uint32_t draw = 0; draw < view->moving_draws; draw++) {
@@ -68,12 +81,14 @@
     for (uint32_t i = 0; i < config->service_count; i++) {
         const GwService *service = &config->services[i];
         ServiceView *view = &s->services[s->service_count];
+        uint32_t local = 0;
         if (s->service_count == GW_MAX_SERVICES ||
-            !copy_lookups(node, service->name, view)) {
+            !copy_lookups(node, service->name, view, &local)) {
             continue;
         }
         g_strlcpy(view->name, service->name, GW_NAME_MAX);
         view->deadline_max_ms = service->deadline_max_ms;
+        s->region_entries = MAX(s->region_entries, local);
         s->service_count++;
     }
 }
@@ -91,6 +106,7 @@
         }
         PolledBackend *polled = &s->backends[s->backend_count++];
         polled->id = backend->id;
+        polled->connections = backend->connections;
         g_strlcpy(polled->address, backend->address, GW_ADDR_MAX);
     }
 }
