Operate the real daemon: status with members, JSON, entries, history pages

Cause: `status` did not say which member has which version; `entries` by the admin address was refused since the host gave no callback; `--json` was left out by several commands, and `--wait` spoiled standard output; a history longer than 100 versions could not be read.

Session tests over real processes; golden files of whole sessions on virtual time.

--- a/lib/admin/admin.pb-c.c
+++ b/lib/admin/admin.pb-c.c
@@ -3106,7 +3106,7 @@
   (ProtobufCMessageInit) gw__admin__get_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__admin__history_request__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gw__admin__history_request__field_descriptors[2] =
 {
   {
     "limit",
@@ -3120,14 +3120,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "before",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Admin__HistoryRequest, before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__admin__history_request__field_indices_by_name[] = {
+  1,   /* field[1] = before */
   0,   /* field[0] = limit */
 };
 static const ProtobufCIntRange gw__admin__history_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gw__admin__history_request__descriptor =
 {
@@ -3137,7 +3150,7 @@
   "Gw__Admin__HistoryRequest",
   "gw.admin",
   sizeof(Gw__Admin__HistoryRequest),
-  1,
+  2,
   gw__admin__history_request__field_descriptors,
   gw__admin__history_request__field_indices_by_name,
   1,  gw__admin__history_request__number_ranges,
--- a/lib/admin/admin.pb-c.h
+++ b/lib/admin/admin.pb-c.h
@@ -427,10 +427,14 @@
    * newest first; 0: 20; at most 100
    */
   uint32_t limit;
+  /*
+   * only versions below this; 0: from the newest
+   */
+  uint64_t before;
 };
 #define GW__ADMIN__HISTORY_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__admin__history_request__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Gw__Admin__HistoryEntry
--- a/lib/admin/ctl.c
+++ b/lib/admin/ctl.c
@@ -49,7 +49,7 @@
     {"get", GwCtl_Get, 0, 1, "[VERSION]", "print the document"},
     {"diff", GwCtl_Diff, 1, 1, "FILE",
      "what a file would change of the document in force"},
-    {"history", GwCtl_History, 0, 0, "[--limit N]",
+    {"history", GwCtl_History, 0, 0, "[--limit N] [--before VERSION]",
      "the last changes, newest first"},
     {"status", GwCtl_Status, 0, 0, "", "state of the entry instance"},
     {"entries", GwCtl_Entries, 1, 1, "SERVICE [--call-address ADDR]",
--- a/lib/admin/ctl.h
+++ b/lib/admin/ctl.h
@@ -30,6 +30,7 @@
     int cap;
     int percent;
     int limit;
+    char *before;
 } GwCtlOptions;
 
 /* Runs a command; argv[0] is its name. */
--- a/lib/admin/ctl_apply.c
+++ b/lib/admin/ctl_apply.c
@@ -1,4 +1,4 @@
-/* Sending changes, and waiting until they are in force everywhere. */
+/* Sending changes. */
 #include "admin/ctl_internal.h"
 #include "config/model.h"
 #include "godwitridge_errors.h"
@@ -8,8 +8,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define POLL_US 200000
-
 static const char *
 outcome_name(Gw__Admin__Outcome outcome)
 {
@@ -154,119 +152,3 @@
     request.rollback = &rollback;
     return GwCtl_Apply(ctl, &request);
 }
-
-/* Finds the array "members" anywhere in the dump. */
-static struct json_object *
-find_members(struct json_object *at)
-{
-    if (json_object_is_type(at, json_type_object)) {
-        json_object_object_foreach(at, key, value)
-        {
-            if (strcmp(key, "members") == 0 &&
-                json_object_is_type(value, json_type_array)) {
-                return value;
-            }
-            struct json_object *found = find_members(value);
-            if (found != NULL) {
-                return found;
-            }
-        }
-    }
-    return NULL;
-}
-
-static const char *
-text_of(struct json_object *item, const char *key)
-{
-    const char *text =
-        json_object_get_string(json_object_object_get(item, key));
-    return text != NULL ? text : "";
-}
-
-static uint64_t
-version_of(struct json_object *item)
-{
-    return json_object_get_uint64(
-        json_object_object_get(item, "config_version"));
-}
-
-/* The live member with the lowest version; members that are held dead don't
- * count. `live` says how many there are. */
-static uint64_t
-slowest(struct json_object *members, uint32_t *live, char *name, size_t size)
-{
-    uint64_t lowest = UINT64_MAX;
-    size_t count = members == NULL ? 0 : json_object_array_length(members);
-    *live = 0;
-    for (size_t i = 0; i < count; i++) {
-        struct json_object *item = json_object_array_get_idx(members, i);
-        if (strcmp(text_of(item, "state"), "dead") == 0) {
-            continue;
-        }
-        ++*live;
-        if (version_of(item) < lowest) {
-            lowest = version_of(item);
-            g_strlcpy(name, text_of(item, "name"), size);
-        }
-    }
-    return lowest;
-}
-
-/* One look: the lowest version of this entry and the members it knows. */
-static bool
-read_lowest(const GwCtl *ctl, uint64_t *lowest, uint32_t *live, char *name,
-            size_t size, GError **error)
-{
-    Gw__Admin__StatusRequest request = GW__ADMIN__STATUS_REQUEST__INIT;
-    Gw__Admin__TextReply *reply = (Gw__Admin__TextReply *)GwAdminClient_Call(
-        ctl->client, "Status", &request.base,
-        &gw__admin__text_reply__descriptor, error);
-    if (reply == NULL) {
-        return false;
-    }
-    struct json_object *status = json_tokener_parse(reply->json);
-    gw__admin__text_reply__free_unpacked(reply, NULL);
-    char *text = GwAdminClient_Page(ctl->client, "/dump", error);
-    if (text == NULL) {
-        json_object_put(status);
-        return false;
-    }
-    struct json_object *dump = json_tokener_parse(text);
-    *lowest = slowest(find_members(dump), live, name, size);
-    if (version_of(status) < *lowest) {
-        *lowest = version_of(status);
-        g_strlcpy(name, text_of(status, "name"), size);
-    }
-    json_object_put(status);
-    json_object_put(dump);
-    g_free(text);
-    return true;
-}
-
-GwCtlExit
-GwCtl_Wait(const GwCtl *ctl, uint64_t version)
-{
-    int64_t begin = g_get_monotonic_time();
-    int64_t limit = begin + (int64_t)ctl->options->wait_ms * 1000;
-    char slow[64] = "";
-    char name[64] = "";
-    while (g_get_monotonic_time() < limit) {
-        GError *error = NULL;
-        uint64_t lowest = 0;
-        uint32_t live = 0;
-        if (!read_lowest(ctl, &lowest, &live, name, sizeof(name), &error)) {
-            return GwCtl_Fail(error);
-        }
-        if (lowest >= version) {
-            printf("in force: version %" PRIu64 " at this entry and %u "
-                   "members after %" PRId64 " ms; slowest %s\n",
-                   version, live, (g_get_monotonic_time() - begin) / 1000,
-                   slow[0] != '\0' ? slow : "(none seen behind)");
-            return GW_CTL_OK;
-        }
-        g_strlcpy(slow, name, sizeof(slow));
-        g_usleep(POLL_US);
-    }
-    printf("not in force everywhere yet; slowest %s\n", slow);
-    return GW_CTL_PENDING;
-}
--- a/lib/admin/ctl_call.c
+++ b/lib/admin/ctl_call.c
@@ -40,17 +40,45 @@
     return good;
 }
 
-/* Prints status, outcome, reason and body. */
-static GwCtlExit
-show_answer(const GwFetched *got)
+static void
+add_text(struct json_object *to, const char *key, const char *text)
+{
+    json_object_object_add(to, key,
+                           text != NULL ? json_object_new_string(text) : NULL);
+}
+
+/* The body goes as text, whatever it is. */
+static void
+show_json(const GwFetched *got, const char *outcome, const char *reason)
+{
+    struct json_object *out = json_object_new_object();
+    json_object_object_add(out, "status", json_object_new_int64(got->status));
+    add_text(out, "outcome", outcome);
+    add_text(out, "reason", reason);
+    json_object_object_add(
+        out, "body",
+        json_object_new_string_len(got->body->str, (int)got->body->len));
+    puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
+    json_object_put(out);
+}
+
+static void
+show_plain(const GwFetched *got, const char *outcome, const char *reason)
 {
-    char *outcome = GwFetched_Header(got, "GW-Outcome");
-    char *reason = GwFetched_Header(got, "GW-Reason");
     (void)fprintf(stderr, "%ld outcome=%s reason=%s\n", got->status,
                   outcome != NULL ? outcome : "-",
                   reason != NULL ? reason : "-");
     (void)fwrite(got->body->str, 1, got->body->len, stdout);
     putchar('\n');
+}
+
+/* Prints status, outcome, reason and body. */
+static GwCtlExit
+show_answer(const GwCtl *ctl, const GwFetched *got)
+{
+    char *outcome = GwFetched_Header(got, "GW-Outcome");
+    char *reason = GwFetched_Header(got, "GW-Reason");
+    (ctl->options->json ? show_json : show_plain)(got, outcome, reason);
     GwCtlExit code = g_strcmp0(outcome, "answered") == 0  ? GW_CTL_OK
                      : g_strcmp0(outcome, "unknown") == 0 ? GW_CTL_PENDING
                                                           : GW_CTL_REFUSED;
@@ -94,7 +122,7 @@
                            .body = body,
                            .body_len = len};
     bool good = GwAdminClient_Fetch(ctl->client, &fetch, &got, &error);
-    GwCtlExit code = good ? show_answer(&got) : GwCtl_Fail(error);
+    GwCtlExit code = good ? show_answer(ctl, &got) : GwCtl_Fail(error);
     GwFetched_Clear(&got);
     g_free(with_ticket);
     g_free(deadline);
--- a/lib/admin/ctl_read.c
+++ b/lib/admin/ctl_read.c
@@ -36,6 +36,39 @@
     return reply;
 }
 
+/* The document goes as text: it may hold comments, which JSON may not. */
+static void
+show_document(const Gw__Admin__GetReply *reply)
+{
+    struct json_object *out = json_object_new_object();
+    json_object_object_add(out, "version",
+                           json_object_new_int64((int64_t)reply->version));
+    json_object_object_add(out, "document",
+                           json_object_new_string(reply->document));
+    puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
+    json_object_put(out);
+}
+
+/* Prints lines of text as they are, or as a JSON array of texts. */
+static void
+show_lines(const GwCtl *ctl, const char *text)
+{
+    if (!ctl->options->json) {
+        (void)fputs(text, stdout);
+        return;
+    }
+    struct json_object *out = json_object_new_array();
+    char **lines = g_strsplit(text, "\n", -1);
+    for (uint32_t i = 0; lines[i] != NULL; i++) {
+        if (lines[i][0] != '\0') {
+            json_object_array_add(out, json_object_new_string(lines[i]));
+        }
+    }
+    puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
+    g_strfreev(lines);
+    json_object_put(out);
+}
+
 GwCtlExit
 GwCtl_Get(const GwCtl *ctl)
 {
@@ -49,8 +82,13 @@
     if (reply == NULL) {
         return GwCtl_Fail(error);
     }
-    (void)fprintf(stderr, "version %" PRIu64 "\n", reply->version);
-    puts(reply->document);
+    if (ctl->options->json) {
+        show_document(reply);
+    }
+    else {
+        (void)fprintf(stderr, "version %" PRIu64 "\n", reply->version);
+        puts(reply->document);
+    }
     gw__admin__get_reply__free_unpacked(reply, NULL);
     return GW_CTL_OK;
 }
@@ -75,29 +113,29 @@
     if (diff == NULL) {
         return GwCtl_Fail(error);
     }
-    (void)fputs(diff, stdout);
+    show_lines(ctl, diff);
     g_free(diff);
     return GW_CTL_OK;
 }
 
+static struct json_object *
+entry_json(const Gw__Admin__HistoryEntry *e)
+{
+    struct json_object *out = json_object_new_object();
+    json_object_object_add(out, "version",
+                           json_object_new_int64((int64_t)e->version));
+    json_object_object_add(out, "operator",
+                           json_object_new_string(e->operator_name));
+    json_object_object_add(out, "request_id",
+                           json_object_new_string(e->request_id));
+    json_object_object_add(out, "when_ms", json_object_new_int64(e->when_ms));
+    json_object_object_add(out, "what", json_object_new_string(e->what));
+    return out;
+}
+
 static void
-show_entry(const GwCtl *ctl, const Gw__Admin__HistoryEntry *e)
+show_entry(const Gw__Admin__HistoryEntry *e)
 {
-    if (ctl->options->json) {
-        struct json_object *out = json_object_new_object();
-        json_object_object_add(out, "version",
-                               json_object_new_int64((int64_t)e->version));
-        json_object_object_add(out, "operator",
-                               json_object_new_string(e->operator_name));
-        json_object_object_add(out, "request_id",
-                               json_object_new_string(e->request_id));
-        json_object_object_add(out, "when_ms",
-                               json_object_new_int64(e->when_ms));
-        json_object_object_add(out, "what", json_object_new_string(e->what));
-        puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
-        json_object_put(out);
-        return;
-    }
     GDateTime *when = g_date_time_new_from_unix_utc(e->when_ms / 1000);
     char *text =
         when == NULL ? g_strdup("-") : g_date_time_format(when, "%FT%TZ");
@@ -109,12 +147,35 @@
     }
 }
 
+static void
+show_history(const GwCtl *ctl, const Gw__Admin__HistoryReply *reply)
+{
+    struct json_object *out = json_object_new_array();
+    for (size_t i = 0; i < reply->n_entries; i++) {
+        if (ctl->options->json) {
+            json_object_array_add(out, entry_json(reply->entries[i]));
+        }
+        else {
+            show_entry(reply->entries[i]);
+        }
+    }
+    if (ctl->options->json) {
+        puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
+    }
+    json_object_put(out);
+}
+
 GwCtlExit
 GwCtl_History(const GwCtl *ctl)
 {
     GError *error = NULL;
     Gw__Admin__HistoryRequest request = GW__ADMIN__HISTORY_REQUEST__INIT;
     request.limit = (uint32_t)MAX(ctl->options->limit, 0);
+    if (ctl->options->before != NULL &&
+        !GwCtl_Number("--before", ctl->options->before, INT64_MAX,
+                      &request.before)) {
+        return GW_CTL_USAGE;
+    }
     Gw__Admin__HistoryReply *reply =
         (Gw__Admin__HistoryReply *)GwAdminClient_Call(
             ctl->client, "History", &request.base,
@@ -122,9 +183,7 @@
     if (reply == NULL) {
         return GwCtl_Fail(error);
     }
-    for (size_t i = 0; i < reply->n_entries; i++) {
-        show_entry(ctl, reply->entries[i]);
-    }
+    show_history(ctl, reply);
     bool good = check_code(reply->code, reply->code_name, &error);
     gw__admin__history_reply__free_unpacked(reply, NULL);
     return good ? GW_CTL_OK : GwCtl_Fail(error);
@@ -150,13 +209,6 @@
     return good ? GW_CTL_OK : GwCtl_Fail(error);
 }
 
-GwCtlExit
-GwCtl_Status(const GwCtl *ctl)
-{
-    Gw__Admin__StatusRequest request = GW__ADMIN__STATUS_REQUEST__INIT;
-    return show_text(ctl, "Status", &request.base);
-}
-
 GwCtlExit
 GwCtl_Operation(const GwCtl *ctl)
 {
@@ -175,6 +227,27 @@
     return code;
 }
 
+/* Samples of the exposition text as one object: the name with its labels,
+ * and the value. */
+static void
+show_metrics(const char *text)
+{
+    struct json_object *out = json_object_new_object();
+    char **lines = g_strsplit(text, "\n", -1);
+    for (uint32_t i = 0; lines[i] != NULL; i++) {
+        char *space = strrchr(lines[i], ' ');
+        if (lines[i][0] == '#' || space == NULL) {
+            continue;
+        }
+        *space = '\0';
+        double value = g_ascii_strtod(space + 1, NULL);
+        json_object_object_add(out, lines[i], json_object_new_double(value));
+    }
+    puts(json_object_to_json_string_ext(out, JSON_C_TO_STRING_PLAIN));
+    g_strfreev(lines);
+    json_object_put(out);
+}
+
 static GwCtlExit
 show_page(const GwCtl *ctl, const char *path)
 {
@@ -183,7 +256,12 @@
     if (text == NULL) {
         return GwCtl_Fail(error);
     }
-    puts(text);
+    if (ctl->options->json && strcmp(path, "/metrics") == 0) {
+        show_metrics(text);
+    }
+    else {
+        puts(text);
+    }
     g_free(text);
     return GW_CTL_OK;
 }
--- a/lib/admin/history.c
+++ b/lib/admin/history.c
@@ -182,12 +182,16 @@
         return GW_RPC_BAD_BODY;
     }
     uint32_t limit = request->limit == 0 ? HISTORY_DEFAULT : request->limit;
+    uint64_t before = request->before;
     gw__admin__history_request__free_unpacked(request, NULL);
     Gw__Admin__HistoryEntry *entries[HISTORY_MAX];
     Gw__Admin__HistoryReply out = GW__ADMIN__HISTORY_REPLY__INIT;
     uint64_t version = 0;
     out.entries = entries;
     GwResultCode code = read_head(rpc, &version);
+    if (before != 0) {
+        version = MIN(version, before - 1);
+    }
     if (code == GW_RESULT_OK) {
         code = read_entries(rpc, version, MIN(limit, HISTORY_MAX), &out);
     }
--- a/lib/runtime/report.c
+++ b/lib/runtime/report.c
@@ -202,6 +202,25 @@
         rt->params.id.start, state, version, table_size(rt, rt->open));
 }
 
+/* As callers are answered, without tickets. */
+static char *
+entries(void *ctx, const char *service)
+{
+    GwRuntime *rt = ctx;
+    char *text = NULL;
+
+    Snapshot_RegisterThread();
+    const Snapshot *snapshot = Snapshot_Enter(rt);
+    const ServiceView *view =
+        snapshot != NULL ? Snapshot_Service(snapshot, service) : NULL;
+    if (view != NULL) {
+        text = g_strconcat(view->entries, "}", NULL);
+    }
+    Snapshot_Leave();
+    Snapshot_UnregisterThread();
+    return text;
+}
+
 GwAdminHost
 Report_AdminHost(GwRuntime *rt)
 {
@@ -214,5 +233,6 @@
         .config_text = config_text,
         .offer_config = offer_config,
         .status = status,
+        .entries = entries,
     };
 }
--- a/programs/godwitctl.c
+++ b/programs/godwitctl.c
@@ -84,6 +84,8 @@
         {"percent", 0, POPT_ARG_INT, &o.percent, 0,
          "share that moves although the local place could carry it", "P"},
         {"limit", 0, POPT_ARG_INT, &o.limit, 0, "lines of history", "N"},
+        {"before", 0, POPT_ARG_STRING, &o.before, 0,
+         "history of versions below this", "VERSION"},
         {"body", 0, POPT_ARG_STRING, &o.body_file, 0, "body of a call",
          "FILE"},
         {"deadline-ms", 0, POPT_ARG_INT, &o.deadline_ms, 0,
--- a/standins/common/report.c
+++ b/standins/common/report.c
@@ -181,6 +181,49 @@
             (long long)beyond, (long long)connections);
 }
 
+typedef struct {
+    const GsOperation *operation;
+    GsEnd end;
+    const char *reason;
+    uint64_t count;
+} Reason;
+
+static void
+count_reason(GArray *reasons, const GsRecord *r)
+{
+    for (uint32_t i = 0; i < reasons->len; i++) {
+        Reason *known = &g_array_index(reasons, Reason, i);
+        if (known->operation == r->operation && known->end == r->end &&
+            strcmp(known->reason, r->reason) == 0) {
+            known->count++;
+            return;
+        }
+    }
+    Reason fresh = {r->operation, r->end, r->reason, 1};
+    g_array_append_val(reasons, fresh);
+}
+
+/* Why requests were not answered, as the entries told their callers. */
+static void
+print_reasons(const GPtrArray *records, FILE *out)
+{
+    GArray *reasons = g_array_new(FALSE, FALSE, sizeof(Reason));
+    for (uint32_t i = 0; i < records->len; i++) {
+        const GsRecord *r = records->pdata[i];
+        if (r->end != GS_END_ANSWERED) {
+            count_reason(reasons, r);
+        }
+    }
+    for (uint32_t i = 0; i < reasons->len; i++) {
+        const Reason *r = &g_array_index(reasons, Reason, i);
+        fprintf(out, "%-10s %-13s %s, %s: %llu\n", r->operation->service,
+                r->operation->op, GsEnd_Name(r->end),
+                r->reason[0] != '\0' ? r->reason : "no reason given",
+                (unsigned long long)r->count);
+    }
+    g_array_free(reasons, TRUE);
+}
+
 /* The table for people; the closing line is printed by its caller. */
 void
 GsReport_Print(const GPtrArray *records, struct json_object *stats,
@@ -203,6 +246,7 @@
             print_load(stats, o->service, out);
         }
     }
+    print_reasons(records, out);
     fprintf(out,
             "not sent: %llu, no outcome: %llu, replies without an outcome: "
             "%llu, unknown that ran: %llu\n",
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Runs every test program of a build folder and counts what passed. A test
 # named in KNOWN-RED.txt is run and printed, and does not fail the whole.
-# usage: check.sh BUILD   GW_ONLY=unit|prop|stress|script
+# usage: check.sh BUILD   GW_ONLY=unit|prop|golden|stress|script
 set -uo pipefail
 cd "$(dirname "$0")/.."
 out=$1
@@ -73,6 +73,17 @@
     done <"$list"
 }
 
+# Each fixed session against the committed lines.
+run_golden() {
+    local name rc
+    for name in $("$out"/golden --list); do
+        "$out"/golden "$name" >"$out/golden-$name.txt"
+        rc=$?
+        diff -u "tests/golden/$name.txt" "$out/golden-$name.txt" || rc=1
+        note "golden_$name" "$rc"
+    done
+}
+
 run_scripts() {
     for script in tests/session/*.sh; do
         [ -x "$script" ] || continue
@@ -85,6 +96,7 @@
 
 [ -z "$only" ] || [ "$only" = unit ] && run_unit
 [ -z "$only" ] || [ "$only" = prop ] && run_each prop
+[ -z "$only" ] || [ "$only" = golden ] && run_golden
 [ -z "$only" ] || [ "$only" = stress ] && run_each stress
 [ -z "$only" ] || [ "$only" = script ] && run_scripts
 echo "$passed passed, $failed failed" | tee "$out"/closing-line
--- a/tests/fakes/cluster.c
+++ b/tests/fakes/cluster.c
@@ -183,6 +183,9 @@
 
     GwNode_Step(n->node, c->now_us, event, &actions);
     for (uint32_t i = 0; i < actions.count; i++) {
+        if (c->see != NULL) {
+            c->see(c, node, &actions.items[i]);
+        }
         carry_out(c, node, &actions.items[i]);
     }
     GwActions_Free(&actions);
--- a/tests/fakes/cluster.h
+++ b/tests/fakes/cluster.h
@@ -140,6 +140,8 @@
     uint32_t cut_off; /* calls open when a graceful stop was over */
     void (*watch)(FakeCluster *c); /* called after each step */
     void *watch_ctx;
+    /* Called with each action before it is carried out. */
+    void (*see)(FakeCluster *c, uint32_t node, const GwAction *action);
 };
 
 FakeCluster *FakeCluster_Create(const FakeClusterParams *params);
