Put an operator's change in force at once where it was made

Cause: the host offers an accepted document to its node in the node's own name, and GwSync_Receive dropped every message in the own name. So a change waited for the next look at the table; with the table away right after, it was "accepted" and in force nowhere.

Change: a document in the own name is adopted like a peer's, checksum and version checked as before; an ask in the own name is still dropped. The line CONFIG_IN_FORCE was written twice; once now.

Conclusion: spread no longer depends on the poll of the table.

--- a/lib/config/sync.c
+++ b/lib/config/sync.c
@@ -237,17 +237,21 @@
     reply->u.doc.text = g_strndup(s->config->text, s->config->text_len);
 }
 
-/* CONFIG_ASK (answers with the document) and CONFIG_DOC. Returns true when a
- * new configuration is in force. */
+/* CONFIG_ASK (answers with the document) and CONFIG_DOC. A document in the own
+ * name is the host's: a change that an operator made here and the table
+ * accepted. Without it a change would wait for the next look at the table, as
+ * long as the table is away. Returns true when a new configuration is in
+ * force. */
 bool
 GwSync_Receive(GwSync *s, int64_t now_us, const GwMessage *msg,
                const char *reply_address, GwActions *out)
 {
-    if (msg->from.node == s->params.id.node) {
-        return false;
-    }
+    bool own = msg->from.node == s->params.id.node;
+
     if (msg->kind == GW_MSG_CONFIG_ASK) {
-        answer(s, msg, reply_address, out);
+        if (!own) {
+            answer(s, msg, reply_address, out);
+        }
         return false;
     }
     if (msg->kind != GW_MSG_CONFIG_DOC || msg->u.doc.text == NULL) {
@@ -260,7 +264,7 @@
                      .checksum = msg->u.doc.checksum,
                      .text = msg->u.doc.text,
                      .len = msg->u.doc.text_len,
-                     .source = "peer"};
+                     .source = own ? "operator" : "peer"};
     bool adopted = GwSync_Adopt(s, now_us, &doc, out);
     GwSync_Fetch(s, now_us, out);
     return adopted;
--- a/lib/entry/node.c
+++ b/lib/entry/node.c
@@ -95,8 +95,6 @@
     GwSeats_Configure(n->seats, seats_of_region(n->config, n->params.region));
     GwSteer_Configure(n->steer, now_us, n->config);
     GwCalls_Configure(n->calls, now_us, n->config);
-    GwActions_Log(out, GW_LOG_CONFIG_IN_FORCE, "version=%lu",
-                  (unsigned long)n->config->version);
     GwCargo c = cargo(n, now_us);
     GwMembers_Hurry(n->members, now_us, HURRY_PEERS, &c, out);
     publish(n, now_us, out);
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -75,9 +75,10 @@
 }
 
 static bool
-send_doc(Bench *b, uint64_t version, const char *text, uint64_t checksum)
+send_doc_from(Bench *b, GwNodeId from, uint64_t version, const char *text,
+              uint64_t checksum)
 {
-    GwMessage *msg = GwMessage_Create(GW_MSG_CONFIG_DOC, peer);
+    GwMessage *msg = GwMessage_Create(GW_MSG_CONFIG_DOC, from);
     msg->u.doc = (GwConfigDoc){.version = version,
                                .checksum = checksum,
                                .text_len = (uint32_t)strlen(text),
@@ -87,6 +88,12 @@
     return adopted;
 }
 
+static bool
+send_doc(Bench *b, uint64_t version, const char *text, uint64_t checksum)
+{
+    return send_doc_from(b, peer, version, text, checksum);
+}
+
 static uint64_t
 version_of(const Bench *b)
 {
@@ -110,6 +117,23 @@
     end_bench(&b);
 }
 
+/* An operator sends a change to this entry, the table accepts it and goes
+ * away. The host offers the document in the own name. When it was left aside,
+ * the change was "accepted" and in force nowhere until the table came back. */
+Test(sync, takes_a_change_made_here_while_the_table_is_away)
+{
+    const GwNodeId self = {.node = 1, .start = 1};
+    const uint64_t checksum = XXH64(DOC, strlen(DOC), 0);
+    Bench b = make_bench();
+
+    b.away = true;
+    cr_assert(send_doc_from(&b, self, 4, DOC, checksum));
+    cr_assert_eq(version_of(&b), 4);
+    cr_assert(!send_doc_from(&b, self, 3, DOC, checksum));
+    cr_assert_eq(version_of(&b), 4);
+    end_bench(&b);
+}
+
 /* A peer or a stale read offers an older version, a mangled one, or one that
  * can't be read. None of them may be in force. */
 Test(sync, what_is_refused)
