--- a/lib/config/sync.c
+++ b/lib/config/sync.c
@@ -251,8 +251,10 @@
 GwSync_Receive(GwSync *s, int64_t now_us, const GwMessage *msg,
                const char *reply_address, GwActions *out)
 {
+    bool own = msg->from.node == s->params.id.node;
+
     if (msg->kind == GW_MSG_CONFIG_ASK) {
-        if (msg->from.node != s->params.id.node) {
+        if (!own) {
             answer(s, msg, reply_address, out);
         }
         return false;
@@ -267,7 +269,7 @@
                      .checksum = msg->u.doc.checksum,
                      .text = msg->u.doc.text,
                      .len = msg->u.doc.text_len,
-                     .source = "peer"};
+                     .source = own ? "operator" : "peer"};
     bool adopted = GwSync_Adopt(s, now_us, &doc, out);
     GwSync_Fetch(s, now_us, out);
     return adopted;
--- a/tests/unit/test_sync.c
+++ b/tests/unit/test_sync.c
@@ -117,6 +117,23 @@
     end_bench(&b);
 }
 
+/* An operator sends a change to this entry, the table accepts it and goes
+ * away. The host offers the document in the own name. When it was left aside,
+ * the change was "accepted" and in force nowhere until the table came back. */
+Test(sync, takes_a_change_made_here_while_the_table_is_away)
+{
+    const GwNodeId self = {.node = 1, .start = 1};
+    const uint64_t checksum = XXH64(DOC, strlen(DOC), 0);
+    Bench b = make_bench();
+
+    b.away = true;
+    cr_assert(send_doc_from(&b, self, 4, DOC, checksum));
+    cr_assert_eq(version_of(&b), 4);
+    cr_assert(!send_doc_from(&b, self, 3, DOC, checksum));
+    cr_assert_eq(version_of(&b), 4);
+    end_bench(&b);
+}
+
 /* A peer or a stale read offers an older version, a mangled one, or one that
  * can't be read. None of them may be in force. */
 Test(sync, what_is_refused)
