Hold to what is known over offers, removals and pauses

The document that the admin side offers comes in the entry's own name and was dropped, so a change that was accepted just before the table went away reached nobody. A server's drain was forgotten when its service left the configuration, and the service's return brought it new work. An entry that woke from a pause started calls by the configuration it slept with. Change: sync.c takes its own document; configure.c remembers a draining server for ten minutes; node.c makes an entry that missed its beats by more than the fence ready only after the table or its peers were heard again, and calls_start.c starts nothing while it is not ready.

--- a/lib/config/sync.c
+++ b/lib/config/sync.c
@@ -174,6 +174,21 @@
     return s->served && now_us - s->behind_us <= GW_SYNC_BEHIND_US;
 }
 
+/* This process was paused: others may have taken a server or a place out
+ * meanwhile, and its buffers hold heartbeats and answers from before they did.
+ * It would send new work there for as long as it takes to hear of the change.
+ * So it is as fresh as after a start, and nothing asked before counts. */
+void
+GwSync_Woke(GwSync *s, int64_t now_us)
+{
+    s->head_read = false;
+    s->served = false;
+    s->peer_us = 0;
+    s->table.token = 0;
+    s->ask.active = false;
+    s->next_poll_us = now_us;
+}
+
 static GwSyncPeer *
 peer_slot(GwSync *s, GwNodeId id)
 {
@@ -238,15 +253,19 @@
 }
 
 /* CONFIG_ASK (answers with the document) and CONFIG_DOC. Returns true when a
- * new configuration is in force. */
+ * new configuration is in force.
+ *
+ * A document in this node's own name is what its admin side has just had
+ * accepted. Left to the next poll, the change would be lost to everybody
+ * for as long as the table is away, were it to go away right after. */
 bool
 GwSync_Receive(GwSync *s, int64_t now_us, const GwMessage *msg,
                const char *reply_address, GwActions *out)
 {
-    if (msg->from.node == s->params.id.node) {
-        return false;
-    }
     if (msg->kind == GW_MSG_CONFIG_ASK) {
+        if (msg->from.node == s->params.id.node) {
+            return false;
+        }
         answer(s, msg, reply_address, out);
         return false;
     }
--- a/lib/config/sync.h
+++ b/lib/config/sync.h
@@ -22,6 +22,9 @@
 #define GW_TOKEN_KIND(t) ((t) & (0xffULL << 56))
 
 void GwSync_Tick(GwSync *s, int64_t now_us, GwActions *out);
+/* After a pause longer than the fence: not ready until the table or peers
+ * have been heard again. */
+void GwSync_Woke(GwSync *s, int64_t now_us);
 /* A heartbeat of `from` named `version`; ask for it when higher. */
 void GwSync_Heard(GwSync *s, int64_t now_us, GwNodeId from,
                   const char *address, uint64_t version, GwActions *out);
--- a/lib/entry/calls_start.c
+++ b/lib/entry/calls_start.c
@@ -238,11 +238,13 @@
 }
 
 /* Starts waiting calls until nothing is free. Of a service's two queues the
- * one whose first deadline is earlier goes first. */
+ * one whose first deadline is earlier goes first. Nothing is started while
+ * this entry can't know what the others obey: the server it would choose may
+ * have been taken out. */
 void
 GwCalls_Pump(GwCalls *c, const GwCallsEnv *env)
 {
-    if (env->config == NULL || c->waiting_count == 0) {
+    if (env->config == NULL || !env->ready || c->waiting_count == 0) {
         return;
     }
     for (uint32_t i = 0; i < c->service_count; i++) {
@@ -271,7 +273,7 @@
         return false;
     }
     call->hedged = true;
-    if (c->queued[call->service] > 0 ||
+    if (c->queued[call->service] > 0 || !env->ready ||
         call->attempts_made >= GW_ATTEMPTS_MAX ||
         !GwRetryBudget_Draw(&c->services[call->service].budget)) {
         return false;
--- a/lib/entry/node.c
+++ b/lib/entry/node.c
@@ -243,6 +243,13 @@
 beat(GwNode *n, int64_t now_us, GwActions *out)
 {
     if (now_us - n->last_beat_us >= GW_TICK_US || n->last_beat_us == 0) {
+        int64_t gap_us = now_us - n->last_beat_us;
+#if GW_MUTANT != 10 /* breaks: a woken entry obeys what it slept through */
+        if (n->last_beat_us != 0 &&
+            gap_us > (int64_t)n->params.fence_ms * 1000) {
+            GwSync_Woke(n->sync, now_us);
+        }
+#endif
         n->last_beat_us = now_us;
         GwSeats_Tick(n->seats, now_us, n->members, out);
     }
--- a/lib/steer/configure.c
+++ b/lib/steer/configure.c
@@ -102,15 +102,21 @@
 }
 
 /* Frees what is known of servers that left the configuration, once nothing
- * of them is in use or on loan. */
+ * of them is in use or on loan. A server that was seen draining is remembered
+ * for a while: an operator who takes its service out and puts it back would
+ * else bring new work to a server that is still leaving. */
 static gboolean
 is_forgotten(gpointer key, gpointer value, gpointer data)
 {
     const GwBackendState *b = value;
+    int64_t now_us = *(const int64_t *)data;
 
     if (b->present || b->in_flight > 0) {
         return FALSE;
     }
+    if (b->was_draining && now_us - b->removed_us < GW_DRAIN_MEMORY_US) {
+        return FALSE;
+    }
     for (uint32_t i = 0; i < b->slot_capacity; i++) {
         if (b->slots[i].in_use || b->slots[i].lent != 0 ||
             b->slots[i].borrowed != 0) {
@@ -146,7 +152,9 @@
     find_region(s);
     g_hash_table_iter_init(&iter, s->by_id);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((GwBackendState *)value)->present = false;
+        GwBackendState *b = value;
+        b->removed_us = b->present ? now_us : b->removed_us;
+        b->present = false;
     }
     configure_services(s);
     for (uint32_t i = 0; i < config->place_count; i++) {
@@ -157,7 +165,7 @@
         }
     }
     GwSteer_ConfigureCaps(s, now_us);
-    g_hash_table_foreach_remove(s->by_id, is_forgotten, NULL);
+    g_hash_table_foreach_remove(s->by_id, is_forgotten, &now_us);
     GwSteer_RefreshAll(s, now_us);
     s->synced = false;
     s->came_free = true;
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -16,14 +16,17 @@
 #define GW_MUTANT 0
 #endif
 
-#define GW_SLOT_WORDS       (GW_MAX_SLOTS / 64)
-#define GW_EJECT_FAILURES   5
-#define GW_EJECT_BASE_US    GW_MS(1000)
-#define GW_EJECT_MAX_US     GW_MS(30000)
-#define GW_SLOW_START_US    GW_MS(10000)
-#define GW_WEIGHT_FULL      1000
-#define GW_WEIGHT_MIN       100
-#define GW_LOAD_FRESH_US    GW_MS(2000)
+#define GW_SLOT_WORDS     (GW_MAX_SLOTS / 64)
+#define GW_EJECT_FAILURES 5
+#define GW_EJECT_BASE_US  GW_MS(1000)
+#define GW_EJECT_MAX_US   GW_MS(30000)
+#define GW_SLOW_START_US  GW_MS(10000)
+#define GW_WEIGHT_FULL    1000
+#define GW_WEIGHT_MIN     100
+#define GW_LOAD_FRESH_US  GW_MS(2000)
+/* How long a server that left the configuration while draining is kept in
+ * mind: longer than a server takes to leave. */
+#define GW_DRAIN_MEMORY_US  GW_MS(600000)
 #define GW_SHED_DEFAULT_MS  100
 #define GW_SHED_MAX_MS      5000
 #define GW_LATENCY_START_US GW_MS(10)
@@ -81,6 +84,7 @@
     int64_t load_at_us;
     int64_t success_at_us;
     int64_t latency_us; /* moving average; 0 unknown */
+    int64_t removed_us; /* when it left the configuration, if it did */
 } GwBackendState;
 
 /* An ask that waits for its answer, and whom this round has tried. */
