Widen the pairs by ten failures; judge refusals by the run's sending

Cause: the pairs had no hang-ups, drained or removed places, services and servers, percent shifts, fewer slots, two crashes, long outages or long pauses, and nothing looked at the time in which a change spreads. Change and outage were always two seconds apart. Two checks were wrong, each shown by a trace told at the check: a refusal was a lie when a later sending of the same ticket ran, or one that its caller still had open; and a server that drained while it was silent counted from a moment that nobody could see. A refusal is now a lie when its own sending ran, whatever else, or an earlier one that was over; the run is recorded by its sending. Conclusion: no promise was dropped; the two checks count the same events from the moment at which a caller or entry can know.

--- a/tests/fakes/cluster.h
+++ b/tests/fakes/cluster.h
@@ -83,6 +83,7 @@
     uint64_t key;
     uint32_t count;
     int64_t first_us;
+    uint32_t sending; /* index of the caller's sending that was run first */
 } FakeRuns;
 
 /* What became of one logical call of a caller. */
@@ -99,6 +100,8 @@
     bool wrong_answer;
     bool not_sent; /* its entry was down: the caller knows by itself */
     uint32_t service;
+    uint64_t handle; /* at its entry */
+    bool hung_up;
 } FakeCallerCall;
 
 typedef struct {
@@ -161,12 +164,31 @@
 uint32_t FakeCluster_Call(FakeCluster *c, uint32_t node, const char *service,
                           bool idempotent, const GwTicket *ticket,
                           uint64_t key, int64_t deadline_us);
+/* The caller closes its connection; the entry still owes one FINISH. */
+void FakeCluster_HangUp(FakeCluster *c, uint32_t index);
 FakeCallerCall *FakeCluster_CallAt(FakeCluster *c, uint32_t i);
 GwResult FakeCluster_Mint(FakeCluster *c, uint32_t node, GwTicket *out);
 FakeJudgement FakeCluster_Judge(const FakeCluster *c);
 
 /* A configuration document: `backends` servers per region and service of
  * `slots` each; shifts between all regions with `cap` when it is not 0. */
+typedef struct {
+    uint32_t regions;
+    uint32_t services;
+    uint32_t backends;
+    uint32_t slots;
+    uint32_t cap;
+    uint32_t seats;
+    uint32_t region; /* where s0 is changed by the flags below */
+    bool drain_place;
+    bool without_service; /* s0 is left out, so that s1 gets its index */
+    bool without_place;
+    bool without_backend; /* the place's first */
+    bool lowered_slots;   /* every server has one slot less */
+    uint32_t percent;     /* of traffic from `region` to the next one */
+} FakeConfigSpec;
+
+char *FakeConfig_Build(const FakeConfigSpec *spec);
 char *FakeConfig_Text(uint32_t regions, uint32_t services, uint32_t backends,
                       uint32_t slots, uint32_t cap, uint32_t seats);
 
--- a/tests/fakes/cluster_internal.h
+++ b/tests/fakes/cluster_internal.h
@@ -28,6 +28,7 @@
     GwTicket ticket;
     int64_t deadline_us;
     uint32_t caller_call; /* index in calls; GW_NONE when relayed */
+    uint32_t sending;     /* the caller's, also of a relayed call */
     uint32_t from_node;   /* relayed: where the answer goes */
     uint32_t from_epoch;
     uint64_t from_handle;
