--- a/lib/config/sync.c
+++ b/lib/config/sync.c
@@ -180,6 +180,21 @@
     return s->served && now_us - s->behind_us <= GW_SYNC_BEHIND_US;
 }
 
+/* This process was paused: others may have taken a server or a place out
+ * meanwhile, and its buffers hold heartbeats and answers from before they did.
+ * It would send new work there for as long as it takes to hear of the change.
+ * So it is as fresh as after a start, and nothing asked before counts. */
+void
+GwSync_Woke(GwSync *s, int64_t now_us)
+{
+    s->head_read = false;
+    s->served = false;
+    s->peer_us = 0;
+    s->table.token = 0;
+    s->ask.active = false;
+    s->next_poll_us = now_us;
+}
+
 static GwSyncPeer *
 peer_slot(GwSync *s, GwNodeId id)
 {
--- a/lib/config/sync.h
+++ b/lib/config/sync.h
@@ -24,6 +24,9 @@
 /* How many entries live: polls are shared among them. */
 void GwSync_SetEntries(GwSync *s, uint32_t entries);
 void GwSync_Tick(GwSync *s, int64_t now_us, GwActions *out);
+/* After a pause longer than the fence: not ready until the table or peers
+ * have been heard again. */
+void GwSync_Woke(GwSync *s, int64_t now_us);
 /* A heartbeat of `from` named `version`; ask for it when higher. */
 void GwSync_Heard(GwSync *s, int64_t now_us, GwNodeId from,
                   const char *address, uint64_t version, GwActions *out);
--- a/lib/runtime/report.c
+++ b/lib/runtime/report.c
@@ -216,7 +216,7 @@
     const ServiceView *view =
         snapshot != NULL ? Snapshot_Service(snapshot, service) : NULL;
     if (view != NULL) {
-        text = g_strconcat(view->entries, "}", NULL);
+        text = g_strconcat(view->entries[view->moving_draws], "}", NULL);
     }
     Snapshot_Leave();
     Snapshot_UnregisterThread();
