--- a/Makefile
+++ b/Makefile
@@ -134,7 +134,7 @@
 hand_c   := $(filter-out %.pb-c.c,$(lib_src) $(wildcard programs/*.c \
               standins/*.c standins/common/*.c tests/*/*.c bench/*.c fuzz/*.c))
 hand_h   := $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
-              standins/common/*.h tests/*/*.h))
+              standins/common/*.h tests/*/*.h bench/*.h))
 hand_cpp := $(wildcard tests/property/*.cpp)
 
 format:
--- a/tests/fakes/cluster.h
+++ b/tests/fakes/cluster.h
@@ -25,8 +25,11 @@
     int64_t region_delay_us;
     uint32_t loss_permille; /* of control messages */
     uint32_t duplicate_permille;
-    int64_t service_time_us;    /* median; drawn from 0.5 to 1.5 of it, with a
+    int64_t service_time_us; /* median; drawn from 0.5 to 1.5 of it, with a
                               * tail of 4 times in one of 50 */
+    /* Service time of a call by its key, in place of a drawn one; or NULL.
+     * A server above its slots then is slower in proportion. */
+    int64_t (*work_us)(uint64_t key);
     uint32_t shed_over_percent; /* a server refuses over slots*this/100 */
     int64_t list_lag_us;
     bool count_bytes; /* encode each message and add up its size */
@@ -57,8 +60,9 @@
     bool no_reports; /* neither in answers nor by the health endpoint */
     bool draining;
     int64_t draining_since_us;
-    int64_t last_work_us; /* when it last began a call */
-    uint32_t slow_factor; /* 0 and 1: as usual */
+    int64_t last_work_us;  /* when it last began a call */
+    int64_t busy_until_us; /* when the last of its calls ends */
+    uint32_t slow_factor;  /* 0 and 1: as usual */
 } FakeBackend;
 
 typedef struct {
@@ -165,6 +169,16 @@
 GwResult FakeCluster_Mint(FakeCluster *c, uint32_t node, GwTicket *out);
 FakeJudgement FakeCluster_Judge(const FakeCluster *c);
 
+/* One service of a configuration: its servers over all regions. */
+typedef struct {
+    uint32_t backends;
+    uint32_t slots;
+    uint32_t drain_place; /* 1 + region whose place drains; 0 none */
+} FakeServiceSize;
+
+char *FakeConfig_Sized(uint32_t regions, uint32_t services,
+                       const FakeServiceSize *sizes, uint32_t cap,
+                       uint32_t seats);
 /* A configuration document: `backends` servers per region and service of
  * `slots` each; shifts between all regions with `cap` when it is not 0. */
 char *FakeConfig_Text(uint32_t regions, uint32_t services, uint32_t backends,
--- a/tests/fakes/cluster_calls.c
+++ b/tests/fakes/cluster_calls.c
@@ -152,9 +152,15 @@
 }
 
 static int64_t
-service_time(FakeCluster *c, const FakeBackend *b)
+service_time(FakeCluster *c, const FakeBackend *b, uint64_t key)
 {
     int64_t base = c->params.service_time_us;
+
+    if (c->params.work_us != NULL) {
+        int64_t time = c->params.work_us(key) * MAX(b->slow_factor, 1);
+        uint32_t sharing = MAX(b->in_flight, b->slots);
+        return time * sharing / b->slots;
+    }
     int64_t time = GwRng_Jitter(&c->rng, base / 2, base);
 
     if (GwRng_Below(&c->rng, 50) == 0) {
@@ -206,7 +212,7 @@
         b->most_in_flight = b->in_flight;
     }
     count_run(c, host);
-    int64_t time = service_time(c, b);
+    int64_t time = service_time(c, b, host->key);
     int64_t ends = c->now_us + time;
     bool cut_short = ends > ev->give_up_us;
     FakeEvent *done = FakeCluster_Post(
@@ -216,6 +222,7 @@
     done->attempt = ev->attempt;
     done->backend = ev->backend;
     done->run_counted = !cut_short;
+    b->busy_until_us = MAX(b->busy_until_us, done->at_us);
 }
 
 /* The server is through, or its deadline stopped it (no answer then). */
--- a/tests/fakes/config_text.c
+++ b/tests/fakes/config_text.c
@@ -1,31 +1,28 @@
 /* Configuration documents for the fixture. */
 #include "fakes/cluster.h"
 
+/* The servers of a service are dealt to the regions in turn. */
 static void
-add_places(GString *text, uint32_t regions, uint32_t services,
-           uint32_t backends, uint32_t slots)
+add_place(GString *text, const FakeServiceSize *size, uint32_t service,
+          uint32_t region, uint32_t regions, uint32_t *port)
 {
     const char *comma = "";
-    uint32_t port = 1;
 
-    for (uint32_t s = 0; s < services; s++) {
-        for (uint32_t r = 0; r < regions; r++) {
-            g_string_append_printf(text,
-                                   "%s{\"service\":\"s%u\",\"region\":\"r%u\","
-                                   "\"backends\":[",
-                                   comma, s, r);
-            for (uint32_t b = 0; b < backends; b++, port++) {
-                g_string_append_printf(
-                    text,
-                    "%s{\"name\":\"b%u-%u\",\"address\":\"10.%u.%u.%u:80\","
-                    "\"slots\":%u,\"connections\":330}",
-                    b == 0 ? "" : ",", r, b, 1 + port / 62500,
-                    port / 250 % 250, port % 250, slots);
-            }
-            g_string_append(text, "]}");
-            comma = ",";
-        }
+    g_string_append_printf(
+        text, "{\"service\":\"s%u\",\"region\":\"r%u\",%s\"backends\":[",
+        service, region,
+        size->drain_place == region + 1 ? "\"drain\":true," : "");
+    for (uint32_t b = region; b < size->backends; b += regions) {
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"b%u-%u\",\"address\":\"10.%u.%u.%u:80\","
+            "\"slots\":%u,\"connections\":330}",
+            comma, region, b / regions, 1 + *port / 62500, *port / 250 % 250,
+            *port % 250, size->slots);
+        comma = ",";
+        (*port)++;
     }
+    g_string_append(text, "]}");
 }
 
 static void
@@ -51,10 +48,11 @@
 }
 
 char *
-FakeConfig_Text(uint32_t regions, uint32_t services, uint32_t backends,
-                uint32_t slots, uint32_t cap, uint32_t seats)
+FakeConfig_Sized(uint32_t regions, uint32_t services,
+                 const FakeServiceSize *sizes, uint32_t cap, uint32_t seats)
 {
     GString *text = g_string_new("{\"warmup_step\":20,\"regions\":[");
+    uint32_t port = 1;
 
     for (uint32_t r = 0; r < regions; r++) {
         g_string_append_printf(text, "%s{\"name\":\"r%u\",\"seats\":%u}",
@@ -70,9 +68,28 @@
             s == 0 ? "" : ",", s, s == 1 ? 90 : 0);
     }
     g_string_append(text, "],\"places\":[");
-    add_places(text, regions, services, backends, slots);
+    for (uint32_t s = 0; s < services; s++) {
+        for (uint32_t r = 0; r < regions; r++) {
+            g_string_append(text, s + r == 0 ? "" : ",");
+            add_place(text, &sizes[s], s, r, regions, &port);
+        }
+    }
     g_string_append(text, "],\"shifts\":[");
     add_shifts(text, regions, services, cap);
     g_string_append(text, "],\"links\":[]}");
     return g_string_free(text, FALSE);
 }
+
+char *
+FakeConfig_Text(uint32_t regions, uint32_t services, uint32_t backends,
+                uint32_t slots, uint32_t cap, uint32_t seats)
+{
+    FakeServiceSize sizes[FAKE_SERVICES_MAX];
+
+    g_assert(services <= FAKE_SERVICES_MAX);
+    for (uint32_t s = 0; s < services; s++) {
+        sizes[s] =
+            (FakeServiceSize){.backends = backends * regions, .slots = slots};
+    }
+    return FakeConfig_Sized(regions, services, sizes, cap, seats);
+}
