Lend all that is idle, one unit at a time, and return it at once

Cause: a loan of up to eight units was held while any of them was busy, stayed 30 ms after its last use, and each lender kept back one unit and an eighth of its calls; a fifth of the slots of a place stood idle beside a queue. Change: an ask is for one unit (GW_ASK_SLOTS_MAX), an idle loan that nobody waits for goes back at the next tick, a round without a lender pauses 2 to 4 ms, and a peer of the region gets any idle unit. Grants to other regions keep the reserve (GwSteer_Grantable).

--- a/lib/steer/grants.c
+++ b/lib/steer/grants.c
@@ -516,7 +516,7 @@
     GwServiceState *service = s->by_index[shift->service];
     uint32_t count = 0;
     if (GwSteer_CanServe(s, now_us, service->index)) {
-        count = GwSteer_Lendable(s, now_us, service, queued[service->index]);
+        count = GwSteer_Grantable(s, now_us, service, queued[service->index]);
     }
     count = MIN(count, MIN(ask->count, GW_UNITS_MAX));
     count = MIN(count, warm_allowance(s, now_us, shift));
--- a/lib/steer/loans.c
+++ b/lib/steer/loans.c
@@ -70,8 +70,10 @@
     return count;
 }
 
-/* Own idle units beyond own demand: the queue, what grants have promised to
- * other regions, and a reserve for the next arrivals. */
+/* Own idle units that no call here waits for and no grant has promised to
+ * another region. A peer of the region gets any of them: a unit comes back in
+ * one round trip, so a reserve would cost more slots beside a queue than it
+ * saves waits. */
 uint32_t
 GwSteer_Lendable(const GwSteer *s, int64_t now_us,
                  const GwServiceState *service, uint32_t queued)
@@ -87,11 +89,20 @@
             idle += b->own_free_count;
         }
     }
-    uint32_t keep = queued + 1 + service->in_flight / 8;
-    keep += granted_idle(s, service->hash);
+    uint32_t keep = queued + granted_idle(s, service->hash);
     return idle > keep ? idle - keep : 0;
 }
 
+/* What may be granted to another region: less a reserve for the next arrivals
+ * here, since a shifted call is far longer under way than a loan. */
+uint32_t
+GwSteer_Grantable(const GwSteer *s, int64_t now_us,
+                  const GwServiceState *service, uint32_t queued)
+{
+    return GwSteer_Lendable(s, now_us, service,
+                            queued + 1 + service->in_flight / 8);
+}
+
 /* Takes units one by one from a server at a time, so that a loan does not
  * empty one server. */
 static void
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -28,9 +28,9 @@
 #define GW_SHED_MAX_MS      5000
 #define GW_LATENCY_START_US GW_MS(10)
 #define GW_ASK_TIMEOUT_US   GW_MS(300)
-#define GW_ASK_PAUSE_US     GW_MS(20)
-#define GW_ASK_SLOTS_MAX    8 /* small loans: one busy unit holds all of it */
-#define GW_LOAN_IDLE_US     GW_MS(30)
+#define GW_ASK_PAUSE_US     GW_MS(2)
+#define GW_ASK_SLOTS_MAX    1 /* a larger loan is held by its one busy unit */
+#define GW_LOAN_IDLE_US     0
 #define GW_GRANT_PAUSE_US   GW_MS(100)
 #define GW_GRANT_IDLE_US    GW_MS(500)
 #define GW_TRIED_MAX        16
@@ -244,6 +244,8 @@
 /* loans.c */
 uint32_t GwSteer_Lendable(const GwSteer *s, int64_t now_us,
                           const GwServiceState *service, uint32_t queued);
+uint32_t GwSteer_Grantable(const GwSteer *s, int64_t now_us,
+                           const GwServiceState *service, uint32_t queued);
 GwLent *GwSteer_FindLent(const GwSteer *s, uint64_t loan);
 GwBorrowed *GwSteer_FindBorrowed(const GwSteer *s, uint64_t loan);
 bool GwSteer_SendAsk(GwSteer *s, int64_t now_us, const GwMembers *members,
