--- a/tests/fakes/config_text.c
+++ b/tests/fakes/config_text.c
@@ -9,6 +9,24 @@
            (spec->without_place && here && s == 0);
 }
 
+/* The servers of a service of its own size are dealt to the regions in turn. */
+static void
+add_dealt_backends(GString *text, const FakeConfigSpec *spec, uint32_t s,
+                   uint32_t r)
+{
+    const FakeServiceSize *size = &spec->sizes[s];
+
+    for (uint32_t b = r; b < size->backends; b += spec->regions) {
+        uint32_t port = 1 + s * 4096 + b;
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"b%u-%u\",\"address\":\"10.%u.%u.%u:80\","
+            "\"slots\":%u,\"connections\":330}",
+            b == r ? "" : ",", r, b / spec->regions, 1 + port / 62500,
+            port / 250 % 250, port % 250, size->slots);
+    }
+}
+
 static void
 add_backends(GString *text, const FakeConfigSpec *spec, uint32_t s, uint32_t r,
              uint32_t port)
@@ -30,6 +48,15 @@
     }
 }
 
+static bool
+is_drained(const FakeConfigSpec *spec, uint32_t s, uint32_t r)
+{
+    if (spec->sizes != NULL) {
+        return spec->sizes[s].drain_place == r + 1;
+    }
+    return spec->drain_place && s == 0 && spec->region == r;
+}
+
 static void
 add_places(GString *text, const FakeConfigSpec *spec)
 {
@@ -38,7 +65,7 @@
 
     for (uint32_t s = 0; s < spec->services; s++) {
         for (uint32_t r = 0; r < spec->regions; r++, port += spec->backends) {
-            bool drained = spec->drain_place && s == 0 && spec->region == r;
+            bool drained = is_drained(spec, s, r);
             if (is_place_left_out(spec, s, r)) {
                 continue;
             }
@@ -47,7 +74,12 @@
                 "%s{\"service\":\"s%u\",\"region\":\"r%u\",%s"
                 "\"backends\":[",
                 comma, s, r, drained ? "\"drain\":true," : "");
-            add_backends(text, spec, s, r, port);
+            if (spec->sizes != NULL) {
+                add_dealt_backends(text, spec, s, r);
+            }
+            else {
+                add_backends(text, spec, s, r, port);
+            }
             g_string_append(text, "]}");
             comma = ",";
         }
@@ -120,3 +152,16 @@
                            .region = GW_NONE};
     return FakeConfig_Build(&spec);
 }
+
+char *
+FakeConfig_Sized(uint32_t regions, uint32_t services,
+                 const FakeServiceSize *sizes, uint32_t cap, uint32_t seats)
+{
+    FakeConfigSpec spec = {.regions = regions,
+                           .services = services,
+                           .sizes = sizes,
+                           .cap = cap,
+                           .seats = seats,
+                           .region = GW_NONE};
+    return FakeConfig_Build(&spec);
+}
