--- a/lib/admin/admin.h
+++ b/lib/admin/admin.h
@@ -2,6 +2,7 @@
 #ifndef GW_ADMIN_ADMIN_H
 #define GW_ADMIN_ADMIN_H
 
+#include "platform/objects.h"
 #include "platform/table.h"
 
 #include <glib.h>
@@ -16,6 +17,9 @@
     char *(*metrics)(void *ctx); /* text exposition format */
     const char *token;
     GwTableClient *table;
+    /* Where each snapshot_every-th version is kept as well; NULL or 0: none. */
+    GwObjectClient *objects;
+    uint32_t snapshot_every;
     /* The document in force, or NULL before the first. */
     char *(*config_text)(void *ctx, uint64_t *version);
     /* Puts an accepted document in force here and spreads it at once. */
--- a/lib/admin/admin.pb-c.c
+++ b/lib/admin/admin.pb-c.c
@@ -2978,7 +2978,7 @@
   (ProtobufCMessageInit) gw__admin__operation_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__admin__get_request__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gw__admin__get_request__field_descriptors[2] =
 {
   {
     "version",
@@ -2992,14 +2992,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Admin__GetRequest, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__admin__get_request__field_indices_by_name[] = {
+  1,   /* field[1] = snapshot */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange gw__admin__get_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gw__admin__get_request__descriptor =
 {
@@ -3009,7 +3022,7 @@
   "Gw__Admin__GetRequest",
   "gw.admin",
   sizeof(Gw__Admin__GetRequest),
-  1,
+  2,
   gw__admin__get_request__field_descriptors,
   gw__admin__get_request__field_indices_by_name,
   1,  gw__admin__get_request__number_ranges,
--- a/lib/admin/admin.pb-c.h
+++ b/lib/admin/admin.pb-c.h
@@ -400,10 +400,15 @@
    * 0: the one in force
    */
   uint64_t version;
+  /*
+   * The newest whole snapshot of the object store up to that version, 0 of
+   * any, in place of the table's row.
+   */
+  protobuf_c_boolean snapshot;
 };
 #define GW__ADMIN__GET_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__admin__get_request__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Gw__Admin__GetReply
--- a/lib/admin/apply.c
+++ b/lib/admin/apply.c
@@ -3,6 +3,7 @@
 #include "admin/rpc_internal.h"
 #include "common/log_events.h"
 #include "config/change.h"
+#include "platform/snapshots.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -159,6 +160,30 @@
     }
 }
 
+/* The change stands whether or not the snapshot could be written: the table
+ * has it, and a later version brings the next one. */
+static void
+keep_snapshot(const GwRpc *rpc, const GwChangeResult *result)
+{
+    const GwAdminHost *host = rpc->host;
+
+    if (host->objects == NULL || host->snapshot_every == 0 ||
+        result->outcome != GW_CHANGE_ACCEPTED || result->document == NULL ||
+        result->version % host->snapshot_every != 0) {
+        return;
+    }
+    GwResult r =
+        GwSnapshots_Write(host->objects, result->version, result->document,
+                          (uint32_t)strlen(result->document));
+    if (GwResult_IsError(r)) {
+        char *text =
+            g_strdup_printf("version=%" PRIu64 " code=%s", result->version,
+                            GwResult_Name(GwResult_Code(r)));
+        rpc->log(GW_LOG_SNAPSHOT_FAILED, text);
+        g_free(text);
+    }
+}
+
 GwRpcStatus
 GwRpc_Apply(const GwRpc *rpc, const uint8_t *body, uint32_t len,
             GwRpcReply *reply)
@@ -176,6 +201,7 @@
         run_change(rpc, change);
         const GwChangeResult *result = GwChange_Result(change);
         offer(rpc, result);
+        keep_snapshot(rpc, result);
         log_result(rpc, &ask, result);
         pack_result(result, reply);
         GwChange_Free(change);
--- a/lib/admin/ctl.c
+++ b/lib/admin/ctl.c
@@ -47,6 +47,8 @@
     {"operation", GwCtl_Operation, 1, 1, "ID",
      "what became of a request id; settles it when nothing did"},
     {"get", GwCtl_Get, 0, 1, "[VERSION]", "print the document"},
+    {"snapshot", GwCtl_Snapshot, 0, 1, "[VERSION]",
+     "print the newest whole snapshot, up to a version"},
     {"diff", GwCtl_Diff, 1, 1, "FILE",
      "what a file would change of the document in force"},
     {"history", GwCtl_History, 0, 0, "[--limit N] [--before VERSION]",
--- a/lib/admin/ctl_read.c
+++ b/lib/admin/ctl_read.c
@@ -22,10 +22,12 @@
 
 /* Reads a document; NULL with `error`. */
 static Gw__Admin__GetReply *
-read_document(const GwCtl *ctl, uint64_t version, GError **error)
+read_document(const GwCtl *ctl, uint64_t version, bool snapshot,
+              GError **error)
 {
     Gw__Admin__GetRequest request = GW__ADMIN__GET_REQUEST__INIT;
     request.version = version;
+    request.snapshot = snapshot;
     Gw__Admin__GetReply *reply = (Gw__Admin__GetReply *)GwAdminClient_Call(
         ctl->client, "Get", &request.base, &gw__admin__get_reply__descriptor,
         error);
@@ -69,8 +71,8 @@
     json_object_put(out);
 }
 
-GwCtlExit
-GwCtl_Get(const GwCtl *ctl)
+static GwCtlExit
+print_document(const GwCtl *ctl, bool snapshot)
 {
     GError *error = NULL;
     uint64_t version = 0;
@@ -78,7 +80,7 @@
         !GwCtl_Number("VERSION", ctl->argv[0], INT64_MAX, &version)) {
         return GW_CTL_USAGE;
     }
-    Gw__Admin__GetReply *reply = read_document(ctl, version, &error);
+    Gw__Admin__GetReply *reply = read_document(ctl, version, snapshot, &error);
     if (reply == NULL) {
         return GwCtl_Fail(error);
     }
@@ -93,6 +95,18 @@
     return GW_CTL_OK;
 }
 
+GwCtlExit
+GwCtl_Get(const GwCtl *ctl)
+{
+    return print_document(ctl, false);
+}
+
+GwCtlExit
+GwCtl_Snapshot(const GwCtl *ctl)
+{
+    return print_document(ctl, true);
+}
+
 GwCtlExit
 GwCtl_Diff(const GwCtl *ctl)
 {
@@ -103,7 +117,7 @@
         g_error_free(error);
         return GW_CTL_USAGE;
     }
-    Gw__Admin__GetReply *reply = read_document(ctl, 0, &error);
+    Gw__Admin__GetReply *reply = read_document(ctl, 0, false, &error);
     char *diff =
         reply == NULL ? NULL : GwDiff_Text(reply->document, text, &error);
     if (reply != NULL) {
--- a/lib/admin/history.c
+++ b/lib/admin/history.c
@@ -1,5 +1,6 @@
 /* Get and History: what was in force, and who changed it. */
 #include "admin/rpc_internal.h"
+#include "platform/snapshots.h"
 #include "config/change.h"
 #include "config/reader.h"
 #include "config/sync.h"
@@ -91,6 +92,28 @@
     pack_get(code == GW_RESULT_OK ? GW_RESULT_NOT_FOUND : code, 0, "", reply);
 }
 
+/* A document of the object store, for when the table has lost its rows. */
+static void
+get_snapshot(const GwRpc *rpc, uint64_t at_most, GwRpcReply *reply)
+{
+    GwSnapshot snapshot = {0};
+    uint32_t damaged = 0;
+
+    if (rpc->host->objects == NULL) {
+        pack_get(GW_RESULT_NOT_FOUND, at_most, "", reply);
+        return;
+    }
+    GwResult r = GwSnapshots_ReadNewest(rpc->host->objects,
+                                        at_most == 0 ? UINT64_MAX : at_most,
+                                        &snapshot, &damaged);
+    if (GwResult_IsError(r)) {
+        pack_get(GwResult_Code(r), at_most, "", reply);
+        return;
+    }
+    pack_get(GW_RESULT_OK, snapshot.version, snapshot.text, reply);
+    GwSnapshot_Clear(&snapshot);
+}
+
 GwRpcStatus
 GwRpc_Get(const GwRpc *rpc, const uint8_t *body, uint32_t len,
           GwRpcReply *reply)
@@ -100,7 +123,10 @@
     if (request == NULL) {
         return GW_RPC_BAD_BODY;
     }
-    if (request->version == 0) {
+    if (request->snapshot) {
+        get_snapshot(rpc, request->version, reply);
+    }
+    else if (request->version == 0) {
         get_present(rpc, reply);
     }
     else {
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -40,7 +40,8 @@
     X(ADMIN_ACCEPTED, 800, INFO, "a change was accepted") \
     X(ADMIN_REFUSED, 801, INFO, "a change was refused") \
     X(ADMIN_PENDING, 802, WARN, "a change's outcome is not known yet") \
-    X(ADMIN_DENIED, 803, WARN, "a request without the token was denied")
+    X(ADMIN_DENIED, 803, WARN, "a request without the token was denied") \
+    X(SNAPSHOT_FAILED, 804, WARN, "a snapshot could not be written")
 /* clang-format on */
 
 typedef enum {
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -16,6 +16,7 @@
     uint32_t health_poll_ms;      /* 1000 */
     uint32_t list_poll_ms;        /* 1000 */
     uint32_t platform_timeout_ms; /* 1000 */
+    uint32_t snapshot_every;      /* 10 versions; 0 none */
     uint32_t delay_count;
     /* Test hook: added to frames sent to that region; the entry named ""
      * applies to other failure domains of the same region. */
--- a/lib/config/settings_table.c
+++ b/lib/config/settings_table.c
@@ -93,6 +93,8 @@
         "time between two reads of the platform's list of instances"),
     U32("platform_timeout_ms", platform_timeout_ms, "ms", 1000, 10, 60000,
         "time-out of one request to the platform"),
+    U32("snapshot_every", snapshot_every, "versions", 10, 0, 1000000,
+        "every so many versions one goes to the object store; 0: none"),
 };
 /* clang-format on */
 
--- a/lib/runtime/report.c
+++ b/lib/runtime/report.c
@@ -232,6 +232,8 @@
         .metrics = metrics,
         .token = rt->admin_token,
         .table = rt->table,
+        .objects = rt->objects,
+        .snapshot_every = rt->settings->snapshot_every,
         .config_text = config_text,
         .offer_config = offer_config,
         .status = status,
--- a/lib/runtime/runtime.c
+++ b/lib/runtime/runtime.c
@@ -197,6 +197,8 @@
 {
     const GwSettings *s = rt->settings;
     rt->table = GwTableClient_Create(s->platform_url, s->platform_timeout_ms);
+    rt->objects =
+        GwObjectClient_Create(s->platform_url, s->platform_timeout_ms);
     rt->list = GwListClient_Create(s->platform_url, s->platform_timeout_ms);
     rt->hedge_pool = GwWorkers_Create(Call_RunHedge, rt, HEDGE_THREADS);
     rt->relay_pool = GwWorkers_Create(Relay_Serve, rt, s->relay_threads);
@@ -304,6 +306,7 @@
     GwNet_Free(rt->net);
     GwDispatcher_Free(rt->dispatcher);
     GwTableClient_Free(rt->table);
+    GwObjectClient_Free(rt->objects);
     GwListClient_Free(rt->list);
     GwNode_Free(rt->node);
     Snapshot_FreeRetired(rt);
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -17,6 +17,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "platform/list.h"
+#include "platform/objects.h"
 #include "platform/table.h"
 #include "runtime/dispatch.h"
 #include "runtime/net.h"
@@ -132,6 +133,7 @@
     GwNet *net;
     GwDispatcher *dispatcher;
     GwTableClient *table;
+    GwObjectClient *objects;
     GwListClient *list;
     GwWorkers *hedge_pool;
     GwWorkers *relay_pool;
