Refuse look-ups that have less time left than they mostly take

Cause: above capacity the queue, ordered by deadline, started each look-up with half of the mean left; most were cut off at the server, their slot time lost. Change: an idempotent call is hopeless with less than mean plus deviation left.

--- a/lib/entry/calls_start.c
+++ b/lib/entry/calls_start.c
@@ -39,16 +39,18 @@
 /* The time an attempt needs with near certainty, when it is known.
  *
  * A non-idempotent call started with less time left than its server mostly
- * takes ends in UNKNOWN, which costs its caller far more than a refusal. It
- * asks for no more than half of the time the call had, so that a wrong estimate
- * can't refuse everything and stay unmended. */
+ * takes ends in UNKNOWN, which costs its caller far more than a refusal. An
+ * idempotent one wastes its slot: under overload the queue, ordered by
+ * deadline, would start every call just too late. Each asks for no more than
+ * half of the time the call had, so that a wrong estimate can't refuse
+ * everything and stay unmended. */
 static int64_t
 time_needed_us(const GwCalls *c, const GwCall *call)
 {
     const GwLatency *latency = &c->services[call->service].latency;
     int64_t half = (call->deadline_us - call->arrived_us) / 2;
-    int64_t need =
-        call->idempotent ? latency->mean_us / 2 : GwLatency_High(latency);
+    int64_t need = call->idempotent ? latency->mean_us + latency->deviation_us
+                                    : GwLatency_High(latency);
     return need < half ? need : half;
 }
 
