Hold look-ups to the same bound of time left as bookings

Cause: at 120 % a call is begun at the end of its deadline; those in the long tail of service times were cut off at the server after using their slot. Change: every call is hopeless with less than mean plus four deviations left.

--- a/lib/entry/calls_start.c
+++ b/lib/entry/calls_start.c
@@ -49,8 +49,8 @@
 {
     const GwLatency *latency = &c->services[call->service].latency;
     int64_t half = (call->deadline_us - call->arrived_us) / 2;
-    int64_t need = call->idempotent ? latency->mean_us + latency->deviation_us
-                                    : GwLatency_High(latency);
+    int64_t need = GwLatency_High(latency);
+
     return need < half ? need : half;
 }
 
