Let calls of a lost place wait for grants of other regions

Cause: with most servers ejected all were candidates again, so each call used up its four attempts on refused connections and was refused, while the other regions had idle slots; the entry never saw a queue and asked for no grants. Change: where a shift leaves the place, ejected servers are no candidates; one call in 100 ms still tries one, so that a place that is back is found.

--- a/lib/steer/choose.c
+++ b/lib/steer/choose.c
@@ -13,11 +13,9 @@
     return true;
 }
 
-/* Whether more than half of the servers are ejected. Then the fault is more
- * likely ours or everyone's, and the rest would break under all the load: all
- * are candidates again. */
+/* Whether more than half of the servers are ejected. */
 static bool
-is_panic(const GwServiceState *service, int64_t now_us)
+mostly_ejected(const GwServiceState *service, int64_t now_us)
 {
     uint32_t ejected = 0;
 
@@ -27,6 +25,29 @@
     return ejected * 2 > service->backend_count;
 }
 
+/* Whether ejected servers are candidates. With most of them ejected the fault
+ * is more likely ours or everyone's, and the rest would break under all the
+ * load. Where another region may take the calls they wait for its grant: else
+ * a lost place would use up every call's attempts within milliseconds and
+ * all would be refused beside idle slots. One call in a while still tries, so
+ * that a place which is back is found before its ejections end. */
+static bool
+is_panic(const GwSteer *s, int64_t now_us, GwServiceState *service,
+         const GwPickAsk *ask)
+{
+    if (!mostly_ejected(service, now_us)) {
+        return false;
+    }
+    if (ask->relayed || !GwSteer_HasShift(s, ask->service)) {
+        return true;
+    }
+    if (now_us < service->probe_us) {
+        return false;
+    }
+    service->probe_us = now_us + GW_PANIC_PROBE_US;
+    return true;
+}
+
 /* Whether the policy lets this entry start one more call there. */
 static bool
 has_room(const GwSteer *s, const GwBackendState *b, int64_t deadline_us)
@@ -65,9 +86,8 @@
 
 static uint32_t
 gather(GwSteer *s, int64_t now_us, GwServiceState *service,
-       const GwPickAsk *ask, bool avoid)
+       const GwPickAsk *ask, bool panic, bool avoid)
 {
-    bool panic = is_panic(service, now_us);
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < service->backend_count; i++) {
@@ -129,10 +149,12 @@
 GwSteer_Choose(GwSteer *s, int64_t now_us, GwServiceState *service,
                const GwPickAsk *ask)
 {
-    uint32_t count = gather(s, now_us, service, ask, ask->avoid_backend != 0);
+    bool panic = is_panic(s, now_us, service, ask);
+    uint32_t count =
+        gather(s, now_us, service, ask, panic, ask->avoid_backend != 0);
 
     if (count == 0 && ask->avoid_backend != 0) {
-        count = gather(s, now_us, service, ask, false);
+        count = gather(s, now_us, service, ask, panic, false);
     }
     if (count == 0) {
         return NULL;
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -20,6 +20,7 @@
 #define GW_EJECT_FAILURES   5
 #define GW_EJECT_BASE_US    GW_MS(1000)
 #define GW_EJECT_MAX_US     GW_MS(30000)
+#define GW_PANIC_PROBE_US   GW_MS(100)
 #define GW_SLOW_START_US    GW_MS(10000)
 #define GW_WEIGHT_FULL      1000
 #define GW_WEIGHT_MIN       100
@@ -107,6 +108,7 @@
     GwAsking grants;
     int64_t wait_deadline_us; /* earliest of the calls that had to wait */
     bool wait_seen;           /* set since the last tick */
+    int64_t probe_us;         /* when a call may next try an ejected server */
     int64_t dry_us; /* when no peer of the region had a slot to lend */
 } GwServiceState;
 
