Shift no call whose answer would come back late

Cause: the waiting calls of a lost place go by deadline, so each was sent with less time left than the round trip: it took a slot over there and its answer came too late. Change: a grant remembers the round trip of its ask; a call goes on it only with that and twice the mean latency left. One too late for every grant is refused (deadline) where the place takes no work, so that it holds up nobody.

--- a/lib/steer/borrow.c
+++ b/lib/steer/borrow.c
@@ -266,6 +266,7 @@
                     .peer = msg->from,
                     .service = give->service,
                     .use_until_us = asking->asked_us + GW_MS(span_ms),
+                    .round_trip_us = now_us - asking->asked_us,
                     .used_us = now_us,
                     .unit_count = give->unit_count};
     memcpy(b.units, give->units, sizeof(b.units));
--- a/lib/steer/grants.c
+++ b/lib/steer/grants.c
@@ -278,14 +278,39 @@
     return true;
 }
 
+/* Whether a call sent on the grant now can be answered here in time. One that
+ * comes back late takes a slot over there and ends in UNKNOWN here. */
+static bool
+is_in_time(const GwServiceState *service, int64_t now_us, const GwBorrowed *b,
+           int64_t deadline_us)
+{
+    int64_t needed_us = b->round_trip_us + 2 * service->latency_us;
+
+    return deadline_us - now_us > needed_us;
+}
+
+static bool
+takes_work(const GwServiceState *service, int64_t now_us)
+{
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        if (GwBackend_TakesWork(service->backends[i], now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Sends the call on a grant that outlasts its deadline; false when there is
- * none. The grants are tried from a random one on. */
+ * none. The grants are tried from a random one on. A call that is too late
+ * for every grant is refused where the place takes no work: it would hold
+ * up those behind it until they are too late as well. */
 bool
 GwSteer_PickPeer(GwSteer *s, int64_t now_us, GwServiceState *service,
                  const GwPickAsk *ask, const GwMembers *members, GwPick *out)
 {
     uint32_t n = s->borrowed->len;
     uint32_t start = n > 0 ? GwRng_Below(&s->rng, n) : 0;
+    bool late = false;
 
     if (s->fenced) {
         return false;
@@ -298,10 +323,20 @@
             b->use_until_us <= ask->deadline_us) {
             continue;
         }
+        if (!is_in_time(service, now_us, b, ask->deadline_us)) {
+            late = true;
+            continue;
+        }
         if (try_grant(s, now_us, service, b, members, out)) {
             return true;
         }
     }
+    if (late && !takes_work(service, now_us)) {
+        out->kind = GW_PICK_REFUSE;
+        out->reason = GW_REASON_DEADLINE;
+        out->retry_after_ms = GW_RETRY_HINT_MS;
+        return true;
+    }
     return false;
 }
 
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -131,7 +131,8 @@
     GwNodeId peer;
     uint64_t service;
     int64_t use_until_us;
-    int64_t used_us; /* last use, for the return when idle */
+    int64_t round_trip_us; /* from the ask to the give */
+    int64_t used_us;       /* last use, for the return when idle */
     int64_t pause_until_us;
     bool dropped;  /* not for new work; kept so that a copy of its GIVE is
                     * not answered with a return while calls run out */
