--- a/lib/steer/choose.c
+++ b/lib/steer/choose.c
@@ -13,6 +13,30 @@
     return true;
 }
 
+/* Whether any server of the place has a slot at all. */
+bool
+GwService_HasSlots(const GwServiceState *service)
+{
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        if (service->backends[i]->slot_count > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether a server of the place would take new work now. */
+bool
+GwService_TakesWork(const GwServiceState *service, int64_t now_us)
+{
+    for (uint32_t i = 0; i < service->backend_count; i++) {
+        if (GwBackend_TakesWork(service->backends[i], now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Whether more than half of the servers are ejected. */
 static bool
 mostly_ejected(const GwServiceState *service, int64_t now_us)
--- a/lib/steer/grants.c
+++ b/lib/steer/grants.c
@@ -289,17 +289,6 @@
     return deadline_us - now_us > needed_us;
 }
 
-static bool
-takes_work(const GwServiceState *service, int64_t now_us)
-{
-    for (uint32_t i = 0; i < service->backend_count; i++) {
-        if (GwBackend_TakesWork(service->backends[i], now_us)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Sends the call on a grant that outlasts its deadline; false when there is
  * none. The grants are tried from a random one on. A call that is too late
  * for every grant is refused where the place takes no work: it would hold
@@ -331,7 +320,7 @@
             return true;
         }
     }
-    if (late && !takes_work(service, now_us)) {
+    if (late && !GwService_TakesWork(service, now_us)) {
         out->kind = GW_PICK_REFUSE;
         out->reason = GW_REASON_DEADLINE;
         out->retry_after_ms = GW_RETRY_HINT_MS;
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -357,17 +357,6 @@
     memcpy(out->address, b->address, sizeof(out->address));
 }
 
-static bool
-can_ever_serve(const GwServiceState *service)
-{
-    for (uint32_t i = 0; i < service->backend_count; i++) {
-        if (service->backends[i]->slot_count > 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* No unit is free now: wait where one can come free, else say why not. */
 static void
 wait_or_refuse(const GwSteer *s, int64_t now_us, const GwServiceState *service,
@@ -382,7 +371,7 @@
     else if (!GwSteer_CanServe(s, now_us, ask->service)) {
         refuse(out, GW_REASON_DRAINING);
     }
-    else if (!can_ever_serve(service)) {
+    else if (!GwService_HasSlots(service)) {
         refuse(out, GW_REASON_NO_SLOT);
     }
 }
--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -243,6 +243,8 @@
                                GwServiceState *service, const GwPickAsk *ask);
 void GwSteer_Subset(GwSteer *s, GwServiceState *service);
 bool GwService_AllDraining(const GwServiceState *service, int64_t now_us);
+bool GwService_HasSlots(const GwServiceState *service);
+bool GwService_TakesWork(const GwServiceState *service, int64_t now_us);
 
 /* loans.c */
 uint32_t GwSteer_Lendable(const GwSteer *s, int64_t now_us,
