--- a/lib/steer/steer_internal.h
+++ b/lib/steer/steer_internal.h
@@ -20,6 +20,7 @@
 #define GW_EJECT_FAILURES 5
 #define GW_EJECT_BASE_US  GW_MS(1000)
 #define GW_EJECT_MAX_US   GW_MS(30000)
+#define GW_PANIC_PROBE_US GW_MS(100)
 #define GW_SLOW_START_US  GW_MS(10000)
 #define GW_WEIGHT_FULL    1000
 #define GW_WEIGHT_MIN     100
@@ -111,6 +112,7 @@
     GwAsking grants;
     int64_t wait_deadline_us; /* earliest of the calls that had to wait */
     bool wait_seen;           /* set since the last tick */
+    int64_t probe_us;         /* when a call may next try an ejected server */
     int64_t dry_us; /* when no peer of the region had a slot to lend */
 } GwServiceState;
 
@@ -133,7 +135,8 @@
     GwNodeId peer;
     uint64_t service;
     int64_t use_until_us;
-    int64_t used_us; /* last use, for the return when idle */
+    int64_t round_trip_us; /* from the ask to the give */
+    int64_t used_us;       /* last use, for the return when idle */
     int64_t pause_until_us;
     bool dropped;  /* not for new work; kept so that a copy of its GIVE is
                     * not answered with a return while calls run out */
@@ -244,6 +247,8 @@
                                GwServiceState *service, const GwPickAsk *ask);
 void GwSteer_Subset(GwSteer *s, GwServiceState *service);
 bool GwService_AllDraining(const GwServiceState *service, int64_t now_us);
+bool GwService_HasSlots(const GwServiceState *service);
+bool GwService_TakesWork(const GwServiceState *service, int64_t now_us);
 
 /* loans.c */
 uint32_t GwSteer_Lendable(const GwSteer *s, int64_t now_us,
