Count the closed connections of a stand-in backend server

Cause: CivetWeb has dropped the connection's data when it calls connection_closed, so GsBackend_Disconnect was never called. The count of connections only grew ("61 connections at one 3-slot server" in the demo), and beyond the limit the stand-in would have refused callers without reason.

Change: the stand-ins use connection_close.

Measured: tests/unit/test_standin_http.c before: timed out after 20 s; after: passes. In a demo run with the old stand-in, ESTABLISHED sockets in /proc/net/tcp some 15 s after its start: at most 12 at one server.

Conclusion: the growth seen in the demo was, for the most part, the stand-in's own.

--- a/standins/common/http.c
+++ b/standins/common/http.c
@@ -27,8 +27,10 @@
     return 0;
 }
 
+/* CivetWeb's connection_closed would come too late: the connection's data is
+ * gone by then. */
 static void
-on_closed(const struct mg_connection *conn)
+on_close(const struct mg_connection *conn)
 {
     const GsHttpOptions *o =
         mg_get_user_data(mg_get_context((struct mg_connection *)conn));
@@ -71,7 +73,7 @@
                               "256",
                               NULL};
     struct mg_callbacks callbacks = {.init_connection = init_connection,
-                                     .connection_closed = on_closed,
+                                     .connection_close = on_close,
                                      .log_message = log_nothing};
     mg_init_library(0);
     struct mg_context *ctx = mg_start(&callbacks, (void *)options, settings);
