Leave caller threads for look-ups and health

Cause: CivetWeb holds a worker thread for each open connection, idle or waiting. With all of `caller_threads` held by calls up to their deadlines or by idle callers, look-ups and health queued unread.

Change: a call above three of four threads is refused unread as not-run (queue-full); above three of four threads holding connections, and while leaving, answers carry Connection: close.

Conclusion: a bound on waiting calls was chosen over a second listener.

--- a/lib/runtime/caller.c
+++ b/lib/runtime/caller.c
@@ -15,6 +15,26 @@
     return text != NULL ? text : "Status";
 }
 
+/* Three of four caller threads; the rest are for look-ups and health. */
+static uint32_t
+threads_bound(const GwRuntime *rt)
+{
+    return MAX(rt->settings->caller_threads * 3 / 4, 1);
+}
+
+/* A connection holds its thread for as long as it is open, idle or not. When
+ * most threads are held, or the process leaves, each answer ends its
+ * connection: else idle callers would keep new ones waiting for the
+ * keep-alive time, and a stop would break connections that callers are about
+ * to use. */
+static bool
+keeps_alive(struct mg_connection *conn)
+{
+    GwRuntime *rt = mg_get_user_data(mg_get_context(conn));
+    return !atomic_load(&rt->leaving) &&
+           atomic_load(&rt->caller_connections) <= threads_bound(rt);
+}
+
 /* One write, so that the answer leaves in as few packets as can be. */
 static int
 send_text(struct mg_connection *conn, uint32_t status, const char *headers,
@@ -26,6 +46,10 @@
 
     g_string_append_printf(out, "HTTP/1.1 %u %s\r\n%s", status,
                            status_text(status), headers);
+    if (!keeps_alive(conn)) {
+        mg_disable_connection_keep_alive(conn);
+        g_string_append(out, "Connection: close\r\n");
+    }
     if (type[0] != '\0') {
         g_string_append_printf(out, "Content-Type: %s\r\n", type);
     }
@@ -358,9 +382,8 @@
 }
 
 static int
-on_call(struct mg_connection *conn, void *arg)
+drive_call(struct mg_connection *conn, GwRuntime *rt)
 {
-    GwRuntime *rt = arg;
     GwCallRequest request = {0};
     uint64_t deadline_ms;
     uint64_t config_version;
@@ -384,6 +407,26 @@
     return status;
 }
 
+/* A call holds its thread until its outcome, up to its deadline. Beyond the
+ * bound it is refused unread: surely not run, and look-ups and health still
+ * find a thread. */
+static int
+on_call(struct mg_connection *conn, void *arg)
+{
+    GwRuntime *rt = arg;
+    int status;
+
+    if (atomic_fetch_add(&rt->caller_calls, 1) < threads_bound(rt)) {
+        status = drive_call(conn, rt);
+    }
+    else {
+        GwCounter_Add(&rt->metrics.callers_refused, 1);
+        status = send_refusal(conn, 503, GW_REASON_QUEUE_FULL);
+    }
+    atomic_fetch_sub(&rt->caller_calls, 1);
+    return status;
+}
+
 static int
 on_other(struct mg_connection *conn, void *arg)
 {
@@ -404,6 +447,25 @@
     return 1;
 }
 
+static int
+begin_connection(const struct mg_connection *conn, void **data)
+{
+    GwRuntime *rt = mg_get_user_data(mg_get_context(conn));
+    atomic_fetch_add(&rt->caller_connections, 1);
+    *data = rt;
+    return 0;
+}
+
+/* Only connections that were begun have data. */
+static void
+end_connection(const struct mg_connection *conn)
+{
+    GwRuntime *rt = mg_get_user_connection_data(conn);
+    if (rt != NULL) {
+        atomic_fetch_sub(&rt->caller_connections, 1);
+    }
+}
+
 static void *
 begin_thread(const struct mg_context *ctx, int type)
 {
@@ -447,6 +509,8 @@
     struct mg_callbacks callbacks = {
         .http_error = on_http_error,
         .log_message = swallow_log,
+        .init_connection = begin_connection,
+        .connection_close = end_connection,
         .init_thread = begin_thread,
         .exit_thread = end_thread,
     };
--- a/lib/runtime/report.c
+++ b/lib/runtime/report.c
@@ -88,6 +88,8 @@
          GwCounter_Get(&m->table_lost)},
         {"gw_answers_missing_total", "Answers asked for and not kept.",
          GwCounter_Get(&m->answers_missing)},
+        {"gw_callers_refused_total", "Calls refused unread, threads short.",
+         GwCounter_Get(&m->callers_refused)},
         {"gw_calls_overdue_total", "Calls the node never ended.",
          GwCounter_Get(&m->overdue)},
     };
@@ -137,6 +139,9 @@
     append_net(out, rt);
     GwMetrics_Gauge(out, "gw_open_calls", "Calls in this process now.",
                     table_size(rt, rt->open));
+    GwMetrics_Gauge(out, "gw_caller_connections",
+                    "Callers' connections that hold a thread.",
+                    atomic_load(&rt->caller_connections));
     GwMetrics_Summary(out, "gw_step_us", "Time of one decision step.",
                       &m->step_us);
     GwMetrics_Summary(out, "gw_call_us", "Time of a call at this entry.",
--- a/lib/runtime/runtime_internal.h
+++ b/lib/runtime/runtime_internal.h
@@ -101,6 +101,7 @@
     GwCounter table_lost;
     GwCounter answers_missing;
     GwCounter overdue;
+    GwCounter callers_refused;
     GwHistogram step_us;
     GwHistogram call_us;
     GwHistogram attempt_us;
@@ -139,7 +140,9 @@
     struct mg_context *http;
     GwAdmin *admin;
 
-    uint32_t ticks; /* of the network thread */
+    uint32_t ticks;                 /* of the network thread */
+    atomic_uint caller_connections; /* each holds one caller thread */
+    atomic_uint caller_calls;       /* waiting for their outcome */
     atomic_uint relays_active;
     atomic_bool leaving;
     atomic_bool stopped;
--- a/tests/unit/test_runtime.c
+++ b/tests/unit/test_runtime.c
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 /* Nothing of the decision code's time-outs is to end a call here. */
 #define SLOW                                                                  \
@@ -391,3 +392,117 @@
     FakeEntry_Stop(&far);
     stop_world(w);
 }
+
+#define FEW ", \"caller_threads\": 8" SLOW
+
+static long
+get_status(const FakeEntry *e, GsClient *client, const char *path)
+{
+    GsReply reply;
+    GsRequest request = {
+        .method = "GET",
+        .address = e->call_address,
+        .path = path,
+        .timeout_ms = 20000,
+    };
+    GsClient_Send(client, &request, &reply);
+    long status = reply.status;
+    GsReply_Clear(&reply);
+    return status;
+}
+
+static void *
+send_held(void *arg)
+{
+    Sending *s = arg;
+    call(s->world, s->entry, "POST", NULL, &s->reply);
+    return NULL;
+}
+
+/* Backend servers are slow, and calls wait. With every thread held by one,
+ * callers could neither look up another entry nor see that this one lives.
+ * So the calls above three of four threads are refused, surely not run. */
+Test(runtime, waiting_calls_leave_threads_for_look_ups, .timeout = 60)
+{
+    enum { WAITING = 6 };
+    World *w = start_world();
+    FakeEntry e;
+    GsReply refused;
+    Sending sending[WAITING];
+    pthread_t threads[WAITING];
+
+    FakeEntry_Start(&e, w->platform, "e0", "r0", FEW);
+    await_ready(w, &e);
+    atomic_store(&w->hold, 100);
+    for (uint32_t i = 0; i < WAITING; i++) {
+        sending[i] = (Sending){w, &e, {0}};
+        pthread_create(&threads[i], NULL, send_held, &sending[i]);
+    }
+    wait_for(&w->held, WAITING);
+    call(w, &e, "POST", NULL, &refused);
+    expect(&refused, "not-run", "queue-full");
+    cr_expect_eq(atomic_load(&w->held), WAITING);
+    cr_expect_eq(get_status(&e, &w->client, "/v1/entries/s"), 200);
+    cr_expect_eq(get_status(&e, &w->client, "/v1/health"), 200);
+    GsReply_Clear(&refused);
+    atomic_store(&w->release, true);
+    for (uint32_t i = 0; i < WAITING; i++) {
+        pthread_join(threads[i], NULL);
+        expect(&sending[i].reply, "answered", NULL);
+        GsReply_Clear(&sending[i].reply);
+    }
+    FakeEntry_Stop(&e);
+    stop_world(w);
+}
+
+/* Asks for the health on a connection that stays open; whether the answer
+ * says that the entry ends it. */
+static bool
+ask_and_stay(const FakeEntry *e, int *fd)
+{
+    static const char request[] = "GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct sockaddr_storage to;
+    socklen_t len;
+    char bytes[1024] = "";
+    size_t got = 0;
+
+    cr_assert(GwNet_ParseAddress(e->call_address, &to, &len));
+    *fd = socket(AF_INET, SOCK_STREAM, 0);
+    cr_assert_eq(connect(*fd, (struct sockaddr *)&to, len), 0);
+    send(*fd, request, sizeof(request) - 1, MSG_NOSIGNAL);
+    while (strstr(bytes, "}") == NULL) {
+        ssize_t n = recv(*fd, bytes + got, sizeof(bytes) - 1 - got, 0);
+        cr_assert_gt(n, 0);
+        got += (size_t)n;
+    }
+    return strstr(bytes, "Connection: close\r\n") != NULL;
+}
+
+/* Callers keep their connections open and idle. They must not hold every
+ * thread, or the next caller waits until one of them is closed. */
+Test(runtime, idle_callers_leave_threads, .timeout = 60)
+{
+    enum { IDLE = 8, BOUND = 6 };
+    World *w = start_world();
+    FakeEntry e;
+    int fds[IDLE];
+
+    FakeEntry_Start(&e, w->platform, "e0", "r0", FEW);
+    await_ready(w, &e);
+    GsClient_Clear(&w->client);
+    GsClient_Init(&w->client);
+    while (atomic_load(&e.rt->caller_connections) > 0) {
+        g_usleep(200);
+    }
+    for (uint32_t i = 0; i < IDLE; i++) {
+        cr_expect_eq(ask_and_stay(&e, &fds[i]), i >= BOUND, "%u", i);
+        while (atomic_load(&e.rt->caller_connections) > BOUND) {
+            g_usleep(200);
+        }
+    }
+    for (uint32_t i = 0; i < IDLE; i++) {
+        close(fds[i]);
+    }
+    FakeEntry_Stop(&e);
+    stop_world(w);
+}
