Guard tickets under every version, grants, hold-offs; a machine of calls

Cause: a ticket's call was run without its record by an entry whose version calls the operation idempotent; a shifted call without a grant was admitted; a call could outlast the hold-off of a dead entry's seat; a call that waited for its next attempt ran on after its caller had hung up; an owner that turned a relayed resend away for load said "not run" before it looked at the ticket.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -172,6 +172,16 @@
                            "%u is not below seat_holdoff_ms %u", p->fence_ms,
                            p->seat_holdoff_ms);
     }
+    /* A unit on loan may be in use until term and margin are over, and its
+     * lender's seat must not be in other hands before. */
+    if (p->fence_ms + p->loan_term_ms + p->loan_margin_ms >=
+        p->seat_holdoff_ms) {
+        return GwRead_Fail(at, "seat_holdoff_ms", GW_RESULT_OUT_OF_BOUNDS,
+                           error,
+                           "%u is not above fence_ms, loan_term_ms and "
+                           "loan_margin_ms together",
+                           p->seat_holdoff_ms);
+    }
     return p->ticket_retention_ms >= p->ticket_valid_ms ||
            GwRead_Fail(at, "ticket_retention_ms", GW_RESULT_OUT_OF_BOUNDS,
                        error, "%u is below ticket_valid_ms %u",
--- a/lib/entry/calls.c
+++ b/lib/entry/calls.c
@@ -132,19 +132,40 @@
                                         .ticket = ev->ticket};
 }
 
-/* Opens the call. The deadline is at most the service's longest: units are
- * held until deadlines, so nobody may ask for an unbounded one. */
+/* The longest that a call may take here: what its service allows, and no
+ * more than the hold-off of a seat less the fence. The next holder of a dead
+ * entry's seat waits the hold-off out; a call of the dead one that its server
+ * still runs then would be one too many there. */
+static int64_t
+longest_us(const GwCalls *c, const GwService *service)
+{
+    const GwNodeParams *p = &c->params;
+    int64_t seat_ms = (int64_t)p->seat_holdoff_ms - p->fence_ms;
+
+#if GW_MUTANT == 11 /* breaks: no call outlasts a hold-off */
+    seat_ms = INT32_MAX;
+#endif
+    return MIN(seat_ms, (int64_t)service->deadline_max_ms) * 1000;
+}
+
+/* Opens the call. Units are held until deadlines, so nobody may ask for an
+ * unbounded one. A call with a ticket is never idempotent: the entry that
+ * relayed it, or the one that ran it first, may have another version of the
+ * configuration in force, and may rely on the record here. */
 static GwCall *
 open_call(GwCalls *c, const GwCallsEnv *env, const GwCallEvent *ev,
           uint32_t service)
 {
     const GwService *conf = &env->config->services[service];
-    int64_t longest = env->now_us + (int64_t)conf->deadline_max_ms * 1000;
+    int64_t longest = env->now_us + longest_us(c, conf);
     GwCall *call = g_new0(GwCall, 1);
 
     call->call = ev->call;
     call->service = service;
     call->idempotent =
+#if GW_MUTANT != 12 /* breaks: a ticket is guarded under every version */
+        ev->ticket.seq == 0 && !ev->to_owner &&
+#endif
         GwConfig_IsIdempotent(env->config, service, ev->method, ev->path);
     call->relayed = ev->relayed;
     call->to_owner = ev->to_owner;
@@ -330,8 +351,14 @@
                      GW_REASON_NO_SERVICE, 0);
         return;
     }
-    GwCall *call = open_call(c, env, ev, service);
     bool shifted = ev->relayed && !ev->to_owner;
+#if GW_MUTANT != 13 /* breaks: nothing is shifted here without a grant */
+    if (shifted && ev->grant == 0) {
+        refuse_event(env, ev, GW_OUTCOME_NOT_RUN, GW_REASON_NO_GRANT, 0);
+        return;
+    }
+#endif
+    GwCall *call = open_call(c, env, ev, service);
     if (call->idempotent || shifted) {
         arrive_plain(c, env, call);
     }
@@ -603,15 +630,18 @@
     GwCalls_Pump(c, env);
 }
 
-/* The caller hung up. A waiting call is dropped; one that runs goes on, so
- * that its outcome is there for a resend. */
+/* The caller hung up. A call that waits, also for its next attempt, is
+ * dropped; one that runs goes on, so that its outcome is there for a resend,
+ * and so does one whose resend still has a caller. */
 void
 GwCalls_Gone(GwCalls *c, const GwCallsEnv *env, uint64_t handle)
 {
     GwCall *call = g_hash_table_lookup(c->open, &handle);
 
-    if (call != NULL && call->state == GW_CALL_WAITING &&
-        call->next_attached == NULL) {
+    if (call == NULL || call->next_attached != NULL) {
+        return;
+    }
+    if (call->state == GW_CALL_WAITING || call->state == GW_CALL_BACKOFF) {
         GwCalls_FinishNotRun(c, env, call, GW_REASON_CALLER_GONE, 0);
     }
 }
--- a/lib/runtime/relay.c
+++ b/lib/runtime/relay.c
@@ -268,13 +268,16 @@
     GwNet_Reply(rt->net, link, frame, len);
 }
 
+/* Turns a call away before its ticket is looked at. One that came here as to
+ * the owner may be a resend of a booking that ran: only the record can say
+ * "not run" of it. */
 static void
 refuse(GwRuntime *rt, uint64_t link, const GwCallRequest *call,
        GwReason reason)
 {
     GwCallReply reply = {
         .id = call->id,
-        .outcome = GW_OUTCOME_NOT_RUN,
+        .outcome = call->to_owner ? GW_OUTCOME_UNKNOWN : GW_OUTCOME_NOT_RUN,
         .reason = reason,
         .ticket = call->ticket,
     };
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -67,6 +67,9 @@
          "loan_margin_ms: 5000 is not below half of loan_term_ms 10000"},
         {"{" GIVEN ", \"fence_ms\": 15000}", GW_RESULT_OUT_OF_BOUNDS,
          "fence_ms: 15000 is not below seat_holdoff_ms 15000"},
+        {"{" GIVEN ", \"loan_term_ms\": 12000}", GW_RESULT_OUT_OF_BOUNDS,
+         "seat_holdoff_ms: 15000 is not above fence_ms, loan_term_ms and "
+         "loan_margin_ms together"},
         {"{" GIVEN ", \"ticket_retention_ms\": 59999}",
          GW_RESULT_OUT_OF_BOUNDS,
          "ticket_retention_ms: 59999 is below ticket_valid_ms 60000"},
