Give all timed unit tests one time-out

Cause: Criterion's runner leaks 48 bytes for some tests when time-outs of different lengths are mixed in one run; LeakSanitizer then fails the whole unit run although every test passed.

Change: .timeout = 30 in the new tests, as in the older ones.

Measured: SAN=address, 'net/*' with 30 and 60 mixed: exit 1 in six of six runs, 8 of 8 passing; with 30 throughout: exit 0 in two of two. tests/check.sh build-address before: 137 passed, 1 failed (that leak); unit after: 122 passed, 0 failed. tests/check.sh build: 137 passed, 0 failed before this change, unit 122 of 122 after it. build-thread, stress: 2 passed, 0 failed, no warning.

Conclusion: the leak is the test library's; nothing of ours leaked.

--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -402,7 +402,7 @@
 
 /* Messages to a peer vanish, while a new connection to it would work. The
  * silent one is closed, and messages arrive again. */
-Test(net, silent_link_is_replaced, .timeout = 60)
+Test(net, silent_link_is_replaced, .timeout = 30)
 {
     Node *a = start_node(1, KEY, 0);
     Node *b = start_node(2, KEY, 0);
@@ -429,7 +429,7 @@
 /* A call is relayed right after the link was found well, then the link falls
  * silent, and nothing else is to be sent. The caller must not wait for its
  * whole deadline: the link is asked again by itself, and closed. */
-Test(net, call_on_a_silent_link_is_reported, .timeout = 60)
+Test(net, call_on_a_silent_link_is_reported, .timeout = 30)
 {
     Node *a = start_node(1, KEY, 0);
     Node *b = start_node(2, KEY, 0);
--- a/tests/unit/test_runtime.c
+++ b/tests/unit/test_runtime.c
@@ -233,7 +233,7 @@
  * waits in that attempt. The hedge is answered: the caller must get it at
  * once, not when the first attempt times out, and the first attempt's
  * connection must close, which tells its server to stop. */
-Test(runtime, hedge_answers_while_the_first_attempt_blocks, .timeout = 60)
+Test(runtime, hedge_answers_while_the_first_attempt_blocks, .timeout = 30)
 {
     World *w = start_world();
     FakeEntry e;
@@ -260,7 +260,7 @@
 /* A clerk's connection breaks and the booking is sent again with its ticket.
  * It gets the first answer; when that one had to make room for others, it
  * gets "unknown", and in neither case is anything run again. */
-Test(runtime, resend_gets_the_kept_answer_or_unknown, .timeout = 60)
+Test(runtime, resend_gets_the_kept_answer_or_unknown, .timeout = 30)
 {
     World *w = start_world();
     FakeEntry e;
@@ -292,7 +292,7 @@
 
 /* A booking comes to an entry that does not own its ticket. It is relayed to
  * the owner, which runs it; the answer comes back byte by byte. */
-Test(runtime, relayed_call_comes_back_whole, .timeout = 60)
+Test(runtime, relayed_call_comes_back_whole, .timeout = 30)
 {
     World *w = start_world();
     FakeEntry near;
@@ -358,7 +358,7 @@
  * made, so the caller must read "unknown". Then nobody listens there any
  * more, and nothing of the next booking can be sent: "not run" is true, and
  * the caller may book elsewhere. */
-Test(runtime, relay_over_a_dead_link, .timeout = 60)
+Test(runtime, relay_over_a_dead_link, .timeout = 30)
 {
     World *w = start_world();
     FakeEntry near;
@@ -422,7 +422,7 @@
 /* Backend servers are slow, and calls wait. With every thread held by one,
  * callers could neither look up another entry nor see that this one lives.
  * So the calls above three of four threads are refused, surely not run. */
-Test(runtime, waiting_calls_leave_threads_for_look_ups, .timeout = 60)
+Test(runtime, waiting_calls_leave_threads_for_look_ups, .timeout = 30)
 {
     enum { WAITING = 6 };
     World *w = start_world();
@@ -480,7 +480,7 @@
 
 /* Callers keep their connections open and idle. They must not hold every
  * thread, or the next caller waits until one of them is closed. */
-Test(runtime, idle_callers_leave_threads, .timeout = 60)
+Test(runtime, idle_callers_leave_threads, .timeout = 30)
 {
     enum { IDLE = 8, BOUND = 6 };
     World *w = start_world();
--- a/tests/unit/test_standin_http.c
+++ b/tests/unit/test_standin_http.c
@@ -28,7 +28,7 @@
     atomic_fetch_add(&closed, 1);
 }
 
-Test(standin_http, tells_of_closed_connections, .timeout = 20)
+Test(standin_http, tells_of_closed_connections, .timeout = 30)
 {
     char address[GW_ADDR_MAX];
     FreePort_Address(address);
