Refuse waiting calls at once when an entry leaves

Cause: calls that waited when a stop began were held to their deadlines and then refused; a stop took as long as the longest deadline (36 s with 30 s deadlines, seen by the stress program).

--- a/lib/entry/calls.c
+++ b/lib/entry/calls.c
@@ -409,7 +409,8 @@
 static bool
 may_retry(const GwCalls *c, const GwCallsEnv *env, const GwCall *call)
 {
-    return call->service != GW_NONE && call->attempts_made < GW_ATTEMPTS_MAX &&
+    return !env->leaving && call->service != GW_NONE &&
+           call->attempts_made < GW_ATTEMPTS_MAX &&
            !(call->relayed && !call->to_owner) &&
            !GwCalls_IsHopeless(c, call, env->now_us);
 }
@@ -646,6 +647,30 @@
     }
 }
 
+/* The entry leaves: its seats go to peers, so nothing here will come free for a
+ * call that waits. Left in the queue it would be refused at its deadline,
+ * and hold up the stop until then; told now, its caller goes elsewhere. */
+void
+GwCalls_Leave(GwCalls *c, const GwCallsEnv *env)
+{
+    GPtrArray *waiting = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value = NULL;
+
+    g_hash_table_iter_init(&iter, c->open);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwCall *call = value;
+        if (call->state == GW_CALL_WAITING || call->state == GW_CALL_BACKOFF) {
+            g_ptr_array_add(waiting, value);
+        }
+    }
+    for (guint i = 0; i < waiting->len; i++) {
+        GwCalls_FinishNotRun(c, env, g_ptr_array_index(waiting, i),
+                             GW_REASON_LEAVING, 0);
+    }
+    g_ptr_array_free(waiting, TRUE);
+}
+
 GwResult
 GwCalls_Mint(GwCalls *c, int64_t now_us, uint32_t count, GwTicket *out)
 {
--- a/lib/entry/calls.h
+++ b/lib/entry/calls.h
@@ -30,6 +30,9 @@
 void GwCalls_Gone(GwCalls *c, const GwCallsEnv *env, uint64_t handle);
 void GwCalls_Attempt(GwCalls *c, const GwCallsEnv *env,
                      const GwAttemptEvent *ev);
+/* Refuses the calls that wait; those that run go on. `env->leaving` is set
+ * from now on. */
+void GwCalls_Leave(GwCalls *c, const GwCallsEnv *env);
 /* Time-outs, hedges, retention; and a pass over the queue. */
 void GwCalls_Tick(GwCalls *c, const GwCallsEnv *env);
 /* Start waiting calls for which something came free. */
--- a/lib/entry/node.c
+++ b/lib/entry/node.c
@@ -253,6 +253,8 @@
     GwCargo c = cargo(n, now_us);
     GwMembers_Leave(n->members, now_us, &c, out);
     GwSeats_Leave(n->seats, now_us);
+    GwCallsEnv env = calls_env(n, now_us, out);
+    GwCalls_Leave(n->calls, &env);
     GwActions_Log(out, GW_LOG_STOP_BEGIN, "open_calls=%u",
                   GwCalls_Open(n->calls));
     publish(n, now_us, out);
