Expect a fresh ticket after each refusal in the callers' test

Cause: the test of the stand-in callers expected the old protocol, the same ticket again after not-run; the change before this one replaced it. Change: the counts of tickets of two cases, as exact as before.

--- a/tests/unit/test_standin_caller.c
+++ b/tests/unit/test_standin_caller.c
@@ -86,13 +86,13 @@
 
 static const Case cases[] = {
     {"A", "booking", false, GS_END_ANSWERED, 1},
-    {"NNA", "booking", false, GS_END_ANSWERED, 1},
+    {"NNA", "booking", false, GS_END_ANSWERED, 3},
     {"LA", "booking", false, GS_END_ANSWERED, 2},
     {"U", "booking", false, GS_END_UNKNOWN, 1},
     {"UA", "booking", false, GS_END_UNKNOWN, 1},
     {"DU", "booking", false, GS_END_UNKNOWN, 1},
     {"DDA", "booking", false, GS_END_ANSWERED, 1},
-    {"DDNA", "booking", false, GS_END_ANSWERED, 1},
+    {"DDNA", "booking", false, GS_END_ANSWERED, 2},
     {"A", "booking", true, GS_END_ANSWERED, 1},
     {"DDU", "booking", true, GS_END_UNKNOWN, 1},
     {"UA", "look-up", false, GS_END_ANSWERED, 0},
