--- a/lib/admin/ctl_call.c
+++ b/lib/admin/ctl_call.c
@@ -1,6 +1,7 @@
 /* A call through an entry, as a caller makes it: look-up with a ticket, then
  * the call. */
 #include "admin/ctl_internal.h"
+#include "common/json.h"
 #include "config/model.h"
 #include "godwitridge_errors.h"
 
@@ -40,21 +41,14 @@
     return good;
 }
 
-static void
-add_text(struct json_object *to, const char *key, const char *text)
-{
-    json_object_object_add(to, key,
-                           text != NULL ? json_object_new_string(text) : NULL);
-}
-
 /* The body goes as text, whatever it is. */
 static void
 show_json(const GwFetched *got, const char *outcome, const char *reason)
 {
     struct json_object *out = json_object_new_object();
     json_object_object_add(out, "status", json_object_new_int64(got->status));
-    add_text(out, "outcome", outcome);
-    add_text(out, "reason", reason);
+    GwJson_SetText(out, "outcome", outcome);
+    GwJson_SetText(out, "reason", reason);
     json_object_object_add(
         out, "body",
         json_object_new_string_len(got->body->str, (int)got->body->len));
--- a/lib/admin/edit.c
+++ b/lib/admin/edit.c
@@ -1,4 +1,5 @@
 #include "admin/edit.h"
+#include "common/json.h"
 
 #include "config/reader.h"
 
@@ -67,18 +68,6 @@
     return -1;
 }
 
-static void
-set_u32(Json *item, const char *key, uint32_t value)
-{
-    json_object_object_add(item, key, json_object_new_int64(value));
-}
-
-static void
-set_text(Json *item, const char *key, const char *value)
-{
-    json_object_object_add(item, key, json_object_new_string(value));
-}
-
 static void
 set_bool(Json *item, const char *key, bool value)
 {
@@ -91,7 +80,7 @@
 {
     Json *item = json_object_new_object();
     for (size_t i = 0; i < MATCH_MAX && match[i].key != NULL; i++) {
-        set_text(item, match[i].key, match[i].value);
+        GwJson_SetText(item, match[i].key, match[i].value);
     }
     return item;
 }
@@ -262,15 +251,15 @@
 set_shift(Json *doc, const Gw__Admin__Shift *shift)
 {
     Json *item = find_or_add(doc, "shifts", SHIFT(shift));
-    set_u32(item, "cap", shift->cap);
-    set_u32(item, "percent", shift->percent);
+    GwJson_SetU64(item, "cap", shift->cap);
+    GwJson_SetU64(item, "percent", shift->percent);
     return true;
 }
 
 static bool
 set_link(Json *doc, const Gw__Admin__Link *link)
 {
-    set_u32(find_or_add(doc, "links", LINK(link)), "cap", link->cap);
+    GwJson_SetU64(find_or_add(doc, "links", LINK(link)), "cap", link->cap);
     return true;
 }
 
@@ -281,7 +270,7 @@
     if (item == NULL) {
         return false;
     }
-    set_u32(item, "seats", region->seats);
+    GwJson_SetU64(item, "seats", region->seats);
     return true;
 }
 
@@ -292,14 +281,14 @@
     if (item == NULL) {
         return false;
     }
-    set_u32(item, "deadline_max_ms", service->deadline_max_ms);
-    set_u32(item, "hedge_percentile", service->hedge_percentile);
+    GwJson_SetU64(item, "deadline_max_ms", service->deadline_max_ms);
+    GwJson_SetU64(item, "hedge_percentile", service->hedge_percentile);
     Json *operations = section(item, "operations");
     for (size_t i = 0; i < service->n_operations; i++) {
         const Gw__Admin__Operation *op = service->operations[i];
         Json *entry = json_object_new_object();
-        set_text(entry, "method", op->method);
-        set_text(entry, "path", op->path);
+        GwJson_SetText(entry, "method", op->method);
+        GwJson_SetText(entry, "path", op->path);
         set_bool(entry, "idempotent", op->idempotent);
         json_object_array_add(operations, entry);
     }
@@ -310,11 +299,11 @@
 append_backend(Json *place, const Gw__Admin__Backend *backend)
 {
     Json *item = json_object_new_object();
-    set_text(item, "name", backend->name);
-    set_text(item, "address", backend->address);
-    set_u32(item, "slots", backend->slots);
+    GwJson_SetText(item, "name", backend->name);
+    GwJson_SetText(item, "address", backend->address);
+    GwJson_SetU64(item, "slots", backend->slots);
     if (backend->connections != 0) {
-        set_u32(item, "connections", backend->connections);
+        GwJson_SetU64(item, "connections", backend->connections);
     }
     set_bool(item, "drain", backend->drain);
     json_object_array_add(section(place, "backends"), item);
@@ -366,7 +355,7 @@
     if (backend == NULL) {
         return false;
     }
-    set_u32(backend, "slots", slots->slots);
+    GwJson_SetU64(backend, "slots", slots->slots);
     return true;
 }
 
@@ -411,7 +400,7 @@
     case GW__ADMIN__CHANGE__KIND_SET_SLOTS:
         return set_slots(doc, c->set_slots, error);
     case GW__ADMIN__CHANGE__KIND_SET_WARMUP_STEP:
-        set_u32(doc, "warmup_step", c->set_warmup_step->step);
+        GwJson_SetU64(doc, "warmup_step", c->set_warmup_step->step);
         return true;
     default:
         return fail(error, GW_RESULT_INVALID, "no kind of change is named");
--- /dev/null
+++ b/lib/common/json.c
@@ -0,0 +1,15 @@
+#include "common/json.h"
+
+#include <json-c/json.h>
+
+void
+GwJson_SetText(struct json_object *object, const char *key, const char *value)
+{
+    json_object_object_add(object, key, json_object_new_string(value));
+}
+
+void
+GwJson_SetU64(struct json_object *object, const char *key, uint64_t value)
+{
+    json_object_object_add(object, key, json_object_new_uint64(value));
+}
--- a/lib/runtime/snapshot.c
+++ b/lib/runtime/snapshot.c
@@ -1,23 +1,18 @@
 /* The RCU-published copy of what look-ups and pollers read. */
 #include "runtime/runtime_internal.h"
+#include "common/json.h"
 
 #include <json-c/json.h>
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
-static void
-add_text(json_object *object, const char *name, const char *text)
-{
-    json_object_object_add(object, name, json_object_new_string(text));
-}
-
 static json_object *
 entry_json(const GwLookupEntry *entry)
 {
     json_object *item = json_object_new_object();
-    add_text(item, "name", entry->name);
-    add_text(item, "address", entry->address);
-    add_text(item, "failure_domain", entry->domain);
+    GwJson_SetText(item, "name", entry->name);
+    GwJson_SetText(item, "address", entry->address);
+    GwJson_SetText(item, "failure_domain", entry->domain);
     json_object_object_add(item, "local",
                            json_object_new_boolean(entry->local_region));
     return item;
--- a/lib/steer/dump.c
+++ b/lib/steer/dump.c
@@ -1,27 +1,16 @@
 #include "steer/dump.h"
+#include "common/json.h"
 
 #include "steer/steer_internal.h"
 
 #include <json-c/json.h>
 
-static void
-add_u64(json_object *to, const char *key, uint64_t value)
-{
-    json_object_object_add(to, key, json_object_new_uint64(value));
-}
-
-static void
-add_text(json_object *to, const char *key, const char *value)
-{
-    json_object_object_add(to, key, json_object_new_string(value));
-}
-
 static void
 add_id(json_object *to, const char *key, uint64_t value)
 {
     char text[20];
     g_snprintf(text, sizeof(text), "%016lx", (unsigned long)value);
-    add_text(to, key, text);
+    GwJson_SetText(to, key, text);
 }
 
 /* Why new work goes there or not, in the order that the choice asks. */
@@ -46,18 +35,18 @@
 {
     json_object *item = json_object_new_object();
 
-    add_text(item, "service", service);
-    add_text(item, "address", b->address);
-    add_text(item, "state", work_state(b, now_us));
-    add_u64(item, "slots", b->slot_count);
-    add_u64(item, "in_flight", b->in_flight);
-    add_u64(item, "own_free", b->own_free_count);
-    add_u64(item, "borrowed_free", b->borrowed_free_count);
-    add_u64(item, "failures", b->failures);
-    add_u64(item, "latency_us", (uint64_t)b->latency_us);
+    GwJson_SetText(item, "service", service);
+    GwJson_SetText(item, "address", b->address);
+    GwJson_SetText(item, "state", work_state(b, now_us));
+    GwJson_SetU64(item, "slots", b->slot_count);
+    GwJson_SetU64(item, "in_flight", b->in_flight);
+    GwJson_SetU64(item, "own_free", b->own_free_count);
+    GwJson_SetU64(item, "borrowed_free", b->borrowed_free_count);
+    GwJson_SetU64(item, "failures", b->failures);
+    GwJson_SetU64(item, "latency_us", (uint64_t)b->latency_us);
     /* An old report is left out: it says nothing of now. */
     if (b->has_load && now_us - b->load_at_us <= GW_LOAD_FRESH_US) {
-        add_u64(item, "reported_load", b->load);
+        GwJson_SetU64(item, "reported_load", b->load);
     }
     return item;
 }
@@ -100,11 +89,11 @@
     for (guint i = 0; i < s->lent->len; i++) {
         const GwLent *lent = &g_array_index(s->lent, GwLent, i);
         json_object *item = json_object_new_object();
-        add_text(item, "direction", "given");
-        add_text(item, "kind", kind_name(lent->kind));
+        GwJson_SetText(item, "direction", "given");
+        GwJson_SetText(item, "kind", kind_name(lent->kind));
         add_id(item, "peer", lent->peer.node);
-        add_u64(item, "units", lent->unit_count);
-        add_u64(item, "in_flight", lent->in_flight);
+        GwJson_SetU64(item, "units", lent->unit_count);
+        GwJson_SetU64(item, "in_flight", lent->in_flight);
         json_object_object_add(
             item, "ends_in_ms",
             json_object_new_int64((lent->expires_us - now_us) / 1000));
@@ -113,10 +102,10 @@
     for (guint i = 0; i < s->borrowed->len; i++) {
         const GwBorrowed *loan = &g_array_index(s->borrowed, GwBorrowed, i);
         json_object *item = json_object_new_object();
-        add_text(item, "direction", "taken");
-        add_text(item, "kind", kind_name(loan->kind));
+        GwJson_SetText(item, "direction", "taken");
+        GwJson_SetText(item, "kind", kind_name(loan->kind));
         add_id(item, "peer", loan->peer.node);
-        add_u64(item, "units", loan->unit_count);
+        GwJson_SetU64(item, "units", loan->unit_count);
         json_object_object_add(
             item, "ends_in_ms",
             json_object_new_int64((loan->use_until_us - now_us) / 1000));
@@ -134,13 +123,14 @@
             continue;
         }
         json_object *item = json_object_new_object();
-        add_text(item, "kind", links ? "link" : "shift");
+        GwJson_SetText(item, "kind", links ? "link" : "shift");
         if (!links) {
-            add_text(item, "service", s->config->services[cap->service].name);
+            GwJson_SetText(item, "service",
+                           s->config->services[cap->service].name);
         }
-        add_text(item, "from", s->config->regions[cap->from].name);
-        add_text(item, "to", s->config->regions[cap->to].name);
-        add_u64(item, "cap", cap->cap);
+        GwJson_SetText(item, "from", s->config->regions[cap->from].name);
+        GwJson_SetText(item, "to", s->config->regions[cap->to].name);
+        GwJson_SetU64(item, "cap", cap->cap);
         json_object_array_add(list, item);
     }
 }
