Keep the demo with the stand-ins; name probers by their task

Cause: the demo and its functions run the product, they are no tests. Change: standins/demo.sh, standins/lib.sh; members that are asked for an indirect probe are probers.

--- a/Makefile
+++ b/Makefile
@@ -118,7 +118,7 @@
 
 demo: deps
 	+$(MAKE) all
-	tests/demo.sh $(O) $(SITE)
+	standins/demo.sh $(O) $(SITE)
 
 check: all tests
 	tests/check.sh $(O)
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.." || exit 2
 export GW_SERVICE_MS=0
-. tests/lib.sh
+. standins/lib.sh
 
 seconds=${GW_BENCH_SECONDS:-10}
 
--- a/lib/member/probe.c
+++ b/lib/member/probe.c
@@ -185,10 +185,10 @@
     }
 }
 
-/* A helper for a probe: near its target while `near`, so that the way through
+/* A prober for an indirect probe: near its target while `near`, so that the way through
  * it crosses regions twice and not four times; NULL when none was drawn. */
 static const GwRecord *
-draw_helper(GwMembers *m, const GwRecord *target, bool near)
+draw_prober(GwMembers *m, const GwRecord *target, bool near)
 {
     const GwRecord *r = GwMembers_RandomLive(m);
 
@@ -201,9 +201,9 @@
 
 /* The probe had no ack in time. It is sent again, and through others: a lost
  * message alone must not make a live member suspect, since callers are sent
- * elsewhere until it refuted. Helpers of the target's region come first: a
+ * elsewhere until it refuted. Probers of the target's region come first: a
  * way through a third region would take longer than what is left of the
- * period. The last helper is anybody, for when our region and the
+ * period. The last prober is anybody, for when our region and the
  * target's lost each other. */
 static void
 ask_others(GwMembers *m, const GwCargo *cargo, GwActions *out)
@@ -220,7 +220,7 @@
     uint32_t want = MIN(m->params.indirect_probes, G_N_ELEMENTS(asked));
     for (uint32_t draw = 0; draw < 8 * want && count < want; draw++) {
         bool near = draw < 4 * want && count + 1 < want;
-        const GwRecord *r = draw_helper(m, target, near);
+        const GwRecord *r = draw_prober(m, target, near);
         for (uint32_t i = 0; r != NULL && i < count; i++) {
             r = asked[i] == r->pub.info.id.node ? NULL : r;
         }
--- a/tests/demo.sh
+++ b/standins/demo.sh
@@ -5,10 +5,10 @@
 # Prints what was seen of each failure, the callers' table and, last, the
 # "demo:" line. Exit code 1 when a request was doubled, falsely refused,
 # wrongly answered or left without an outcome, or a planned stop failed.
-# Environment: GW_RATE (200 a second), GW_SEED, those of tests/lib.sh.
+# Environment: GW_RATE (200 a second), GW_SEED, those of standins/lib.sh.
 set -uo pipefail
 cd "$(dirname "$0")/.." || exit 2
-. tests/lib.sh
+. standins/lib.sh
 
 duration_s=52
 store_down_s=10
--- a/tests/lib.sh
+++ b/standins/lib.sh
@@ -1,5 +1,5 @@
 # Functions to start, fault and stop a whole system on one machine; sourced
-# by tests/demo.sh and tests/session/*.sh. Every process is ended by its pid.
+# by standins/demo.sh and tests/session/*.sh. Every process is ended by its pid.
 #
 #   gw_begin BUILD SITE   temp dir, ports, names of the site; clean-up on exit
 #   gw_system             starts all and applies the first configuration
--- a/tests/session/godwitctl.sh
+++ b/tests/session/godwitctl.sh
@@ -5,7 +5,7 @@
 # usage: godwitctl.sh BUILD
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-. tests/lib.sh
+. standins/lib.sh
 
 checks=0
 
--- a/tests/session/operators.sh
+++ b/tests/session/operators.sh
@@ -7,7 +7,7 @@
 # usage: operators.sh BUILD
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-. tests/lib.sh
+. standins/lib.sh
 
 operators=8
 each=25
--- a/tests/session/replace_all.sh
+++ b/tests/session/replace_all.sh
@@ -6,7 +6,7 @@
 # usage: replace_all.sh BUILD
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-. tests/lib.sh
+. standins/lib.sh
 
 replace() { # NAME
     local rc=0
--- a/tests/session/store_away.sh
+++ b/tests/session/store_away.sh
@@ -12,7 +12,7 @@
 # usage: store_away.sh BUILD      GW_AWAY_S (60)
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-. tests/lib.sh
+. standins/lib.sh
 
 away_ms=$((${GW_AWAY_S:-60} * 1000))
 request=drain-while-away
