--- a/lib/member/probe.c
+++ b/lib/member/probe.c
@@ -185,8 +185,9 @@
     }
 }
 
-/* A prober for an indirect probe: near its target while `near`, so that the way through
- * it crosses regions twice and not four times; NULL when none was drawn. */
+/* Who is asked for an indirect probe: one near the target while `near`, so
+ * that the way crosses regions twice and not four times; NULL when none was
+ * drawn. */
 static const GwRecord *
 draw_prober(GwMembers *m, const GwRecord *target, bool near)
 {
