--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -17,7 +17,7 @@
 # Sources under lib that are linked in; the sections that a target does not
 # use are dropped, so that it needs no daemon.
 mapfile -t sources < <(ls lib/common/*.c lib/wire/*.c lib/platform/*.c \
-    lib/config/*.c 2>/dev/null)
+    lib/config/*.c lib/blocks/*.c lib/entry/tickets.c 2>/dev/null)
 
 for target in fuzz/fuzz_*.c; do
     name=$(basename "$target" .c)
@@ -29,8 +29,14 @@
         failed=1
         continue
     fi
+    # Inputs that showed a fault, or that help over a checksum, come first;
+    # what is found on the way goes into a scratch folder.
+    rm -rf "$out/new-$name"
+    mkdir -p "$out/new-$name"
+    seeds=("$out/new-$name")
+    [ -d "fuzz/corpus/$name" ] && seeds+=("fuzz/corpus/$name")
     if "$out/$name" -seed=1 -runs="$runs" -max_len=4096 \
-        -artifact_prefix="$out/$name-" >"$out/$name.log" 2>&1; then
+        -artifact_prefix="$out/$name-" "${seeds[@]}" >"$out/$name.log" 2>&1; then
         echo "ok    $name: $runs runs"
     else
         echo "FAIL  $name"
