Cancel attempts and join resends in one place each

Cause: read once more: two loops wrote the same CANCEL action, a record that runs was handled before the switch and again in it, and a call kept a retry hint that nobody read. Change: GwCalls_CancelAttempt, attach; the dead member is gone. Behaviour as before.

--- a/lib/entry/calls.c
+++ b/lib/entry/calls.c
@@ -206,6 +206,20 @@
     GwCalls_Pump(c, env);
 }
 
+/* Lets a resend wait for the outcome of the sending that runs. Its own
+ * deadline may be earlier than that one's. */
+static void
+attach(GwCalls *c, const GwCallsEnv *env, GwCall *call, const GwRecord *record)
+{
+    GwCall *first = g_hash_table_lookup(c->open, &record->call);
+
+    assert(first != NULL);
+    call->state = GW_CALL_ATTACHED;
+    call->next_attached = first->next_attached;
+    first->next_attached = call;
+    GwCalls_SetDue(c, env, call);
+}
+
 /* Answers a resend from the record of its ticket. */
 static void
 answer_from_record(GwCalls *c, const GwCallsEnv *env, GwCall *call,
@@ -213,19 +227,10 @@
 {
     GwCallEnd end = {0};
 
-    if (record->state == GW_RECORD_RUNNING) {
-        GwCall *first = g_hash_table_lookup(c->open, &record->call);
-        assert(first != NULL);
-        call->state = GW_CALL_ATTACHED;
-        call->next_attached = first->next_attached;
-        first->next_attached = call;
-        /* Its own deadline may be earlier than the first one's. */
-        GwCalls_SetDue(c, env, call);
-        return;
-    }
     switch (record->state) {
     case GW_RECORD_RUNNING:
-        break;
+        attach(c, env, call, record);
+        return;
     case GW_RECORD_ANSWERED:
         end.outcome = GW_OUTCOME_ANSWERED;
         end.answer_of = record->call;
@@ -454,7 +459,6 @@
                 GwAttemptKind kind, const GwAttemptEvent *ev)
 {
     call->last_reason = ev->reason;
-    call->last_retry_after_ms = ev->retry_after_ms;
     if (kind == GW_ATTEMPT_OWNER) {
         /* Not reaching the owner proves nothing: an earlier sending may have
          * run there. Only the owner's own refusal is proof. */
--- a/lib/entry/calls_finish.c
+++ b/lib/entry/calls_finish.c
@@ -2,6 +2,16 @@
 #include "common/log_events.h"
 #include "entry/calls_internal.h"
 
+/* Tells the host to drop an attempt: its connection is closed. */
+void
+GwCalls_CancelAttempt(const GwCallsEnv *env, const GwCall *call,
+                      const GwAttempt *attempt)
+{
+    GwAction *action = GwActions_Add(env->out, GW_ACTION_CANCEL);
+    action->u.cancel.call = call->call;
+    action->u.cancel.attempt = attempt->number;
+}
+
 /* Abandons attempts still in flight. The backend server may go on until the
  * attempt's end, which it was told as its deadline, so the unit stays in
  * use until then: a slot freed early would be used twice. */
@@ -14,9 +24,7 @@
             continue;
         }
         attempt->active = false;
-        GwAction *action = GwActions_Add(env->out, GW_ACTION_CANCEL);
-        action->u.cancel.call = call->call;
-        action->u.cancel.attempt = attempt->number;
+        GwCalls_CancelAttempt(env, call, attempt);
         if (attempt->kind != GW_ATTEMPT_OWNER) {
             GwAttemptEvent end = {.call = call->call,
                                   .attempt = attempt->number,
--- a/lib/entry/calls_internal.h
+++ b/lib/entry/calls_internal.h
@@ -57,7 +57,6 @@
     uint32_t attempts_made;
     uint64_t last_backend;
     GwReason last_reason;
-    uint32_t last_retry_after_ms;
     GwAttempt attempts[GW_ATTEMPTS_AT_ONCE];
     GwCall *next_attached; /* resends waiting for this call's outcome */
     uint32_t timer_place;
@@ -95,6 +94,8 @@
     uint32_t answer_attempt;
 } GwCallEnd;
 
+void GwCalls_CancelAttempt(const GwCallsEnv *env, const GwCall *call,
+                           const GwAttempt *attempt);
 void GwCalls_Finish(GwCalls *c, const GwCallsEnv *env, GwCall *call,
                     const GwCallEnd *end);
 void GwCalls_FinishNotRun(GwCalls *c, const GwCallsEnv *env, GwCall *call,
--- a/lib/entry/calls_time.c
+++ b/lib/entry/calls_time.c
@@ -13,9 +13,7 @@
         if (!attempt->active || attempt->give_up_us > env->now_us) {
             continue;
         }
-        GwAction *action = GwActions_Add(env->out, GW_ACTION_CANCEL);
-        action->u.cancel.call = handle;
-        action->u.cancel.attempt = attempt->number;
+        GwCalls_CancelAttempt(env, call, attempt);
         GwAttemptEvent ev = {.call = handle,
                              .attempt = attempt->number,
                              .outcome = GW_OUTCOME_UNKNOWN,
