--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 MUTANT  ?=
 
 PKGS    := glib-2.0 json-c libprotobuf-c libcurl popt log4c libxxhash \
-           liburcu liburcu-memb
+           liburcu liburcu-memb libuv
 CFLAGS  ?= -O2 -g
 CSTD    := -std=gnu11 -D_GNU_SOURCE
 WARN    := -Wall -Wextra -Werror -Wshadow -Wvla -Wno-unused-parameter
@@ -31,13 +31,14 @@
 SANFLAG := $(if $(SAN),-fsanitize=$(subst address,address$(COMMA)undefined,$(SAN)) \
              -fno-sanitize-recover=all)
 PKGC    := $(subst -I/,-isystem /,$(shell pkg-config --cflags $(PKGS)))
-INC     := -Ilib -Itests -Istandins
+INC     := -I. -Ilib -Itests -Istandins
 ALLC    := $(CSTD) $(CFLAGS) $(WARN) $(SANFLAG) $(INC) \
            $(if $(MUTANT),-DGW_MUTANT=$(MUTANT)) \
            $(PKGC) -pthread
-LIBS    := $(shell pkg-config --libs $(PKGS)) -lcivetweb -lm -pthread
+LIBS    := $(shell pkg-config --libs $(PKGS)) -lcivetweb -lhttp_parser -lm \
+           -pthread
 
-lib_src     := $(wildcard lib/*/*.c)
+lib_src     := $(wildcard lib/*/*.c platform/*.c)
 standin_lib := $(wildcard standins/common/*.c)
 programs    := $(patsubst programs/%.c,$(O)/%,$(wildcard programs/*.c))
 standins    := $(patsubst standins/%.c,$(O)/%,$(wildcard standins/*.c))
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -13,6 +13,7 @@
     X(STOP_BEGIN, 101, INFO, "a graceful stop began") \
     X(STOP_DONE, 102, INFO, "the graceful stop is over") \
     X(SETTINGS_BAD, 103, ERROR, "the settings were refused") \
+    X(SETTINGS_AGAIN, 104, INFO, "the settings are to be read again") \
     /* 200: configuration */ \
     X(CONFIG_IN_FORCE, 200, INFO, "a configuration version is in force") \
     X(CONFIG_REFUSED, 201, ERROR, "a configuration document was refused") \
@@ -31,8 +32,11 @@
     X(BACKEND_EJECTED, 500, WARN, "a backend server is passed over") \
     X(BACKEND_BACK, 501, INFO, "a backend server takes work again") \
     X(BACKEND_DRAINING, 502, INFO, "a backend server is draining") \
+    X(BACKEND_GONE, 503, INFO, "a backend server left the registry") \
+    X(EVACUATION, 504, INFO, "a failure domain is evacuated or taken back") \
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
+    X(REQUEST_REPLIED, 601, INFO, "a request got an answer of our own") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table does not answer") \
     X(STORE_BACK, 701, INFO, "the platform's table answers again") \
--- /dev/null
+++ b/lib/edge/beliefs.c
@@ -0,0 +1,84 @@
+/* Rows of the store, as what the router believes. */
+#include "edge/edge_internal.h"
+
+#include <string.h>
+
+static void
+take_config(GwEdge *edge, const GwStoreRow *row)
+{
+    GError *error = NULL;
+
+    if (row->removed) {
+        return; /* what was in force stays */
+    }
+    GwRouting *routing = edge->adapter->read_config(row->value, &error);
+    if (routing == NULL) {
+        GwLog_Event(GW_LOG_CONFIG_REFUSED, "row=%" G_GUINT64_FORMAT
+                                           " why=\"%s\"",
+                    row->version, error->message);
+        g_error_free(error);
+        return;
+    }
+    if (GwRouter_SetRouting(edge->router, routing)) {
+        GwLog_Event(GW_LOG_CONFIG_IN_FORCE,
+                    "version=%" G_GUINT64_FORMAT " row=%" G_GUINT64_FORMAT,
+                    routing->version, row->version);
+    }
+    GwRouting_Unref(routing);
+}
+
+void
+GwBeliefs_OnOperatorRow(void *ctx, const GwStoreRow *row)
+{
+    GwEdge *edge = ctx;
+    const char *name = NULL;
+
+    switch (edge->adapter->operator_row(row->key, &name)) {
+    case GW_ROW_CONFIG:
+        take_config(edge, row);
+        break;
+    case GW_ROW_EVACUATION:
+        GwRouter_SetEvacuated(edge->router, name, !row->removed);
+        GwLog_Event(GW_LOG_EVACUATION, "domain=%s evacuated=%d", name,
+                    !row->removed);
+        break;
+    case GW_ROW_OTHER:
+        break;
+    }
+}
+
+void
+GwBeliefs_OnServerRow(void *ctx, const GwStoreRow *row)
+{
+    GwEdge *edge = ctx;
+    GwRegistered server;
+    const char *region = NULL;
+    int64_t now_us = GwEdge_Now();
+
+    if (!row->removed &&
+        edge->adapter->read_server(row->key, row->value, &server, NULL)) {
+        region = GwEdge_RegionOf(edge, server.domain);
+    }
+    if (region == NULL) {
+        /* Gone, or an entry that names no server to use. */
+        GwRouter_DropServer(edge->router, now_us, row->key, edge->actions);
+        GwLog_Event(GW_LOG_BACKEND_GONE, "server=%s removed=%d", row->key,
+                    row->removed);
+        return;
+    }
+    GwServerInfo info = {
+        .id = server.id,
+        .born_ms = server.born_ms,
+        .service = server.service,
+        .address = server.address,
+        .domain = server.domain,
+        .region = region,
+        .slots = server.slots,
+        .draining = server.draining,
+        .cold_left_ms = server.cold_left_ms,
+    };
+    GwRouter_PutServer(edge->router, now_us, &info, edge->actions);
+    if (server.draining) {
+        GwLog_Event(GW_LOG_BACKEND_DRAINING, "server=%s", server.id);
+    }
+}
--- /dev/null
+++ b/lib/edge/callers.c
@@ -0,0 +1,398 @@
+/* Callers' connections: requests in, answers out in the same order. */
+#include "edge/edge_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Requests of one connection that are under way at once; what comes behind
+ * them stays unread, so a caller that never reads holds no more than this. */
+#define PIPELINE_MAX 32
+
+struct GwCaller_s {
+    GwEdge *edge;
+    GwConn *conn;
+    GList link;       /* in edge->callers */
+    GQueue exchanges; /* GwExchange, oldest first */
+    int64_t idle_since_us;
+    int64_t inside_since_us; /* a message has begun to come; 0: none */
+    bool dirty;              /* in edge->dirty: answers wait to be sent */
+    uint16_t bad_status;     /* to be said when the rest is answered; 0: none */
+};
+
+static void
+free_exchange(GwExchange *x)
+{
+    GwHttpMessage_Free(x->msg);
+    GwHttpMessage_Free(x->answer);
+    if (x->out != NULL) {
+        g_string_free(x->out, TRUE);
+    }
+    g_free(x);
+}
+
+/* The connection is gone or about to be: what is under way is abandoned. */
+static void
+free_caller(GwCaller *caller)
+{
+    GwEdge *edge = caller->edge;
+    GwExchange *x;
+
+    g_queue_unlink(&edge->callers, &caller->link);
+    if (caller->dirty) {
+        g_queue_remove(&edge->dirty, caller);
+    }
+    while ((x = g_queue_pop_head(&caller->exchanges)) != NULL) {
+        if (x->request != NULL) {
+            GwUpstream_Cancel(x);
+            GwRouter_Gone(edge->router, GwEdge_Now(), x->request,
+                          edge->actions);
+        }
+        free_exchange(x);
+    }
+    g_free(caller);
+}
+
+/* Its answers are sent once all that the router said is carried out. */
+static void
+mark(GwCaller *caller)
+{
+    if (!caller->dirty) {
+        caller->dirty = true;
+        g_queue_push_tail(&caller->edge->dirty, caller);
+    }
+}
+
+static bool
+is_tail(GwCaller *caller, const GwExchange *x)
+{
+    return g_queue_peek_tail(&caller->exchanges) == x;
+}
+
+static const char *
+status_text(uint16_t status)
+{
+    switch (status) {
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    default:
+        return "Gateway Timeout";
+    }
+}
+
+static void
+write_own(GString *out, uint16_t status, uint32_t retry_after_ms, bool close)
+{
+    g_string_append_printf(out, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n",
+                           status, status_text(status));
+    if (retry_after_ms > 0) {
+        g_string_append_printf(out, "Retry-After: %u.%03u\r\n",
+                               retry_after_ms / 1000, retry_after_ms % 1000);
+    }
+    g_string_append(out, close ? "Connection: close\r\n\r\n" : "\r\n");
+}
+
+static int64_t
+read_left_us(const GwExchange *x)
+{
+    const char *text =
+        GwHttpMessage_Get(x->msg, x->edge->adapter->time_left);
+    char *rest;
+
+    if (text == NULL) {
+        return -1;
+    }
+    int64_t ms = strtoll(text, &rest, 10);
+    return rest != text && ms >= 0 && ms < INT32_MAX ? ms * 1000 : -1;
+}
+
+static void
+start(GwExchange *x)
+{
+    GwEdge *edge = x->edge;
+    const char *host = GwHttpMessage_Get(x->msg, "host");
+    GwArrival arrival = {
+        .user = x,
+        .host = host != NULL ? host : "",
+        .path = x->msg->target->str,
+        .key = GwHttpMessage_Get(x->msg, edge->adapter->object_key),
+        .left_us = read_left_us(x),
+    };
+
+    x->started = true;
+    edge->counts.arrived++;
+    GwRouter_Arrive(edge->router, GwEdge_Now(), &arrival, edge->actions);
+}
+
+/* Starts what may run now. A request that may run once only waits until all
+ * before it on its connection are answered: if one of those closed the
+ * connection, the caller would send it again. */
+static void
+start_next(GwCaller *caller)
+{
+    for (GList *at = caller->exchanges.head; at != NULL; at = at->next) {
+        GwExchange *x = at->data;
+        bool first = at == caller->exchanges.head;
+        if (!x->started && !x->idempotent && !first) {
+            return;
+        }
+        if (!x->started) {
+            start(x);
+        }
+        if (!x->idempotent) {
+            return;
+        }
+    }
+}
+
+/* Sends the answers that are ready and next in order. An answer that ends the
+ * connection must be the last of what was read, for what was passed on behind
+ * it would be sent again by the caller. */
+void
+GwCaller_Flush(GwCaller *caller)
+{
+    GwEdge *edge = caller->edge;
+    GwExchange *x = g_queue_peek_head(&caller->exchanges);
+    bool close = false;
+
+    caller->dirty = false;
+    while (!close && x != NULL && x->out != NULL) {
+        bool last = is_tail(caller, x) && !GwConn_IsInside(caller->conn);
+        close = last && caller->bad_status == 0 &&
+                (edge->leaving || !x->msg->keep_alive);
+        if (close) {
+            /* Goes in behind the start line. */
+            const char *eol = strstr(x->out->str, "\r\n");
+            g_string_insert(x->out, eol - x->out->str + 2,
+                            "Connection: close\r\n");
+        }
+        GwConn_Write(caller->conn, x->out);
+        (void)g_queue_pop_head(&caller->exchanges);
+        free_exchange(x);
+        x = g_queue_peek_head(&caller->exchanges);
+    }
+    caller->idle_since_us = GwEdge_Now();
+    if (x == NULL && caller->bad_status != 0) {
+        GString *out = g_string_new(NULL);
+        write_own(out, caller->bad_status, 0, true);
+        GwConn_Write(caller->conn, out);
+        g_string_free(out, TRUE);
+        close = true;
+    }
+    if (close) {
+        GwConn_FinishAndClose(caller->conn);
+        free_caller(caller);
+        return;
+    }
+    GwConn_Pause(caller->conn,
+                 caller->bad_status != 0 ||
+                     g_queue_get_length(&caller->exchanges) >= PIPELINE_MAX);
+    start_next(caller);
+}
+
+static bool
+is_idempotent(const GwEdge *edge, const GwHttpMessage *msg)
+{
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+    const char *host = GwHttpMessage_Get(msg, "host");
+
+    if (routing == NULL || host == NULL) {
+        return true; /* it won't run at all */
+    }
+    const GwRoute *route =
+        GwRouting_Match(routing, host, msg->target->str);
+    return route == NULL || route->idempotent;
+}
+
+static void
+on_message(void *owner, GwHttpMessage *msg)
+{
+    GwCaller *caller = owner;
+    GwExchange *x = g_new0(GwExchange, 1);
+
+    x->edge = caller->edge;
+    x->caller = caller;
+    x->msg = msg;
+    x->idempotent = is_idempotent(caller->edge, msg);
+    x->arrived_us = GwEdge_Now();
+    caller->inside_since_us = 0;
+    g_queue_push_tail(&caller->exchanges, x);
+    if (g_queue_get_length(&caller->exchanges) >= PIPELINE_MAX) {
+        GwConn_Pause(caller->conn, true);
+    }
+    start_next(caller);
+    GwEdge_Carry(caller->edge);
+}
+
+static void
+on_ended(void *owner, GwConnEnd end)
+{
+    GwCaller *caller = owner;
+    GwEdge *edge = caller->edge;
+
+    if (end != GW_CONN_BAD) {
+        free_caller(caller);
+        GwEdge_Carry(edge);
+        return;
+    }
+    switch (GwConn_Error(caller->conn)) {
+    case GW_HTTP_LONG_HEAD:
+        caller->bad_status = 431;
+        break;
+    case GW_HTTP_LONG_BODY:
+        caller->bad_status = 413;
+        break;
+    default:
+        caller->bad_status = 400;
+        break;
+    }
+    mark(caller);
+    GwEdge_Carry(edge);
+}
+
+static const GwConnOps caller_ops = {
+    .message = on_message,
+    .ended = on_ended,
+};
+
+static GwCallerLimits
+limits_of(const GwEdge *edge)
+{
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+
+    if (routing != NULL) {
+        return routing->limits;
+    }
+    return (GwCallerLimits){
+        .head_bytes = GW_DEFAULT_HEAD_BYTES,
+        .body_bytes = GW_DEFAULT_BODY_BYTES,
+        .head_timeout_ms = GW_DEFAULT_HEAD_TIMEOUT_MS,
+        .idle_timeout_ms = GW_DEFAULT_IDLE_TIMEOUT_MS,
+    };
+}
+
+void
+GwCallers_OnConnection(uv_stream_t *listener, int status)
+{
+    GwEdge *edge = listener->data;
+    GwCallerLimits limits = limits_of(edge);
+
+    if (status != 0) {
+        return;
+    }
+    GwCaller *caller = g_new0(GwCaller, 1);
+    GwConnParams params = {
+        .loop = &edge->loop,
+        .ops = &caller_ops,
+        .owner = caller,
+        .requests = true,
+        .head_max = limits.head_bytes,
+        .body_max = limits.body_bytes,
+    };
+    caller->edge = edge;
+    caller->link.data = caller;
+    caller->idle_since_us = GwEdge_Now();
+    caller->conn = GwConn_Accept(&params, listener);
+    if (caller->conn == NULL) {
+        g_free(caller);
+        return;
+    }
+    g_queue_push_tail_link(&edge->callers, &caller->link);
+}
+
+/* ---- Ends of requests ---------------------------------------------------- */
+
+void
+GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms)
+{
+    x->request = NULL;
+    x->out = g_string_new(NULL);
+    write_own(x->out, status, retry_after_ms, false);
+    mark(x->caller);
+}
+
+void
+GwExchange_PassOn(GwExchange *x)
+{
+    GwHttpWrite how = {
+        .to_head = strcmp(x->msg->method, "HEAD") == 0,
+    };
+
+    x->request = NULL;
+    x->edge->counts.answered++;
+    x->out = g_string_sized_new(x->answer->body->len + 512);
+    GwHttpMessage_WriteAnswer(x->answer, &how, x->out);
+    mark(x->caller);
+}
+
+/* ---- Time ---------------------------------------------------------------- */
+
+static bool
+is_late(int64_t since_us, uint32_t limit_ms, int64_t now_us)
+{
+    return now_us - since_us > (int64_t)limit_ms * 1000;
+}
+
+static void
+sweep_one(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
+{
+    GwConn_SetLimits(caller->conn, limits->head_bytes, limits->body_bytes);
+    if (GwConn_IsInside(caller->conn)) {
+        if (caller->inside_since_us == 0) {
+            caller->inside_since_us = now_us;
+        }
+        uint32_t limit_ms = GwConn_IsInHead(caller->conn)
+                                ? limits->head_timeout_ms
+                                : limits->idle_timeout_ms;
+        int64_t since = GwConn_IsInHead(caller->conn)
+                            ? caller->inside_since_us
+                            : GwConn_LastHeard(caller->conn);
+        if (caller->bad_status == 0 && is_late(since, limit_ms, now_us)) {
+            caller->bad_status = 408; /* it was not whole, so it did not run */
+            mark(caller);
+        }
+        return;
+    }
+    if (g_queue_is_empty(&caller->exchanges) &&
+        is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us)) {
+        GwConn_FinishAndClose(caller->conn);
+        free_caller(caller);
+    }
+}
+
+void
+GwCallers_Sweep(GwEdge *edge, int64_t now_us)
+{
+    GwCallerLimits limits = limits_of(edge);
+
+    for (GList *at = edge->callers.head, *next; at != NULL; at = next) {
+        next = at->next;
+        sweep_one(at->data, &limits, now_us);
+    }
+}
+
+void
+GwCallers_CloseIdle(GwEdge *edge)
+{
+    for (GList *at = edge->callers.head, *next; at != NULL; at = next) {
+        GwCaller *caller = at->data;
+        next = at->next;
+        if (g_queue_is_empty(&caller->exchanges) &&
+            !GwConn_IsInside(caller->conn) &&
+            !GwConn_HasUnread(caller->conn)) {
+            GwConn_FinishAndClose(caller->conn);
+            free_caller(caller);
+        }
+    }
+}
--- /dev/null
+++ b/lib/edge/edge_internal.h
@@ -0,0 +1,121 @@
+/* What the parts of the entry's host share. All on the loop's thread. */
+#ifndef GW_EDGE_INTERNAL_H
+#define GW_EDGE_INTERNAL_H
+
+#include "common/log.h"
+#include "config/model.h"
+#include "edge/edge.h"
+#include "godwitridge_errors.h"
+#include "http/conn.h"
+
+#include <inttypes.h>
+
+/* Housekeeping: idle connections, time-outs of seconds, peers gone silent. */
+#define GW_SWEEP_MS 250
+
+typedef struct GwCaller_s GwCaller;
+typedef struct GwUpstream_s GwUpstream;
+typedef struct GwFeed_s GwFeed;
+typedef struct GwPeers_s GwPeers;
+
+/* One request of a caller, from its arrival to its answer. */
+typedef struct {
+    GwEdge *edge;
+    GwCaller *caller;
+    GwHttpMessage *msg;    /* the request */
+    GwRequest *request;    /* the router's, while it is open */
+    GwUpstream *upstream;  /* of the attempt under way */
+    GwHttpMessage *answer; /* the last attempt's, whole */
+    GString *out;          /* what goes to the caller; NULL until it is over */
+    bool started;          /* given to the router */
+    bool idempotent;
+    int64_t arrived_us;
+} GwExchange;
+
+struct GwEdge_s {
+    GwEdgeSettings settings;
+    const GwAdapter *adapter;
+    uv_loop_t loop;
+    uv_timer_t deadline; /* of the router */
+    uv_timer_t sweep;
+    uv_signal_t term;
+    uv_signal_t interrupt;
+    uv_signal_t hangup;
+    GPtrArray *listeners; /* uv_tcp_t */
+    uv_tcp_t *call_listener;
+    GwRouter *router;
+    GArray *actions; /* GwDo; reused */
+    bool carrying;   /* actions are being carried out */
+    GQueue callers;  /* GwCaller, all that are open */
+    GQueue dirty;    /* GwCaller with answers to send */
+    GQueue pools;    /* GwPool, one for each server */
+    GQueue connecting; /* GwUpstream */
+    GwFeed *operator_feed;
+    GwFeed *server_feed;
+    GwPeers *peers;
+    bool servers_known; /* the registry has been read once */
+    bool leaving;
+    int64_t leaving_us;
+    int64_t armed_us; /* when the deadline timer fires */
+    struct {
+        uint64_t arrived;
+        uint64_t answered;
+        uint64_t replied[6]; /* own answers: 404, 502, 503, 504, 4xx */
+        uint64_t connects;
+        uint64_t reuses;
+        uint64_t store_calls;
+    } counts;
+};
+
+int64_t GwEdge_Now(void); /* us, a clock that only rises */
+/* Carries out what the router has appended, then sends the answers that this
+ * made ready, until nothing is left; arms the router's timer. To be called
+ * last in each callback of the loop. */
+void GwEdge_Carry(GwEdge *edge);
+/* Whether it knows a configuration and servers, and is not leaving. */
+bool GwEdge_IsReady(const GwEdge *edge);
+const char *GwEdge_RegionOf(const GwEdge *edge, const char *domain);
+
+/* callers.c */
+void GwCallers_OnConnection(uv_stream_t *listener, int status);
+void GwCallers_Sweep(GwEdge *edge, int64_t now_us);
+void GwCallers_CloseIdle(GwEdge *edge);
+void GwCaller_Flush(GwCaller *caller); /* sends what is ready, in order */
+void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
+void GwExchange_PassOn(GwExchange *x);
+
+/* upstream.c */
+void GwUpstream_Send(GwExchange *x, GwServer *s, uint32_t left_ms);
+void GwUpstream_Cancel(GwExchange *x);
+void GwUpstream_Forget(GwEdge *edge, GwServer *s);
+void GwUpstream_Sweep(GwEdge *edge, int64_t now_us);
+
+/* feed.c */
+GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed);
+void GwFeed_Free(GwFeed *feed);
+void GwFeed_Sweep(GwFeed *feed, int64_t now_us);
+uint64_t GwFeed_Version(const GwFeed *feed);
+bool GwFeed_IsKnown(const GwFeed *feed);
+/* A peer knows more: reads from it what is missing. */
+void GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version);
+/* Answers a peer's read of this copy; NULL when the table is another. */
+char *GwFeed_Answer(const GwFeed *feed, const char *target);
+
+/* beliefs.c */
+void GwBeliefs_OnOperatorRow(void *ctx, const GwStoreRow *row);
+void GwBeliefs_OnServerRow(void *ctx, const GwStoreRow *row);
+
+/* peers.c */
+GwPeers *GwPeers_Create(GwEdge *edge, GError **error);
+void GwPeers_Free(GwPeers *peers);
+void GwPeers_Sweep(GwPeers *peers, int64_t now_us);
+/* Tells every peer at once, for what can't wait for the next report. */
+void GwPeers_Announce(GwPeers *peers);
+/* Addresses for callers of that place, best first. */
+GPtrArray *GwPeers_Directory(const GwPeers *peers, const char *region,
+                             const char *domain);
+
+/* control.c */
+bool GwControl_Listen(GwEdge *edge, GError **error);
+
+#endif
--- /dev/null
+++ b/lib/edge/feed.c
@@ -0,0 +1,398 @@
+/* The store's rows: one long poll for each table, a full reading where the
+ * history is gone, and peers while the store turns this entry away. */
+#include "edge/edge_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How long the store may hold a poll that has nothing to say. Each call is
+ * priced, and the connection is probed every second meanwhile. */
+#define WAIT_MS 10000
+/* An answer that is later than the wait by this much won't come. */
+#define ANSWER_MS 1500
+#define RETRY_MIN_MS 150
+#define RETRY_MAX_MS 1000
+/* The store did not answer for so long: rows may have lapsed meanwhile. */
+#define AWAY_US       1000000
+#define ROWS_BODY_MAX (8u << 20)
+
+typedef enum {
+    PHASE_READ = 1, /* a full reading, page by page */
+    PHASE_FEED = 2  /* changes after `version` */
+} Phase;
+
+struct GwFeed_s {
+    GwEdge *edge;
+    char *table;
+    GwRowCache *cache;
+    GwConn *conn;
+    Phase phase;
+    GwRowSet *pages;  /* of the full reading under way */
+    uint64_t version; /* the feed goes on from here */
+    bool known;       /* the table has been read, here or by a peer */
+    bool asked;
+    int64_t asked_us;
+    uint32_t wait_ms;
+    int64_t retry_at_us;
+    uint32_t retry_ms;
+    int64_t answered_us; /* last good answer */
+    GwConn *peer;        /* one read at a time */
+    int64_t peer_asked_us;
+};
+
+static const GwConnOps store_ops;
+static const GwConnOps peer_ops;
+
+GwFeed *
+GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed)
+{
+    GwFeed *feed = g_new0(GwFeed, 1);
+
+    feed->edge = edge;
+    feed->table = g_strdup(table);
+    feed->cache = GwRowCache_Create(changed, edge);
+    feed->phase = PHASE_READ;
+    feed->retry_ms = RETRY_MIN_MS;
+    feed->answered_us = GwEdge_Now();
+    return feed;
+}
+
+static void
+close_store(GwFeed *feed)
+{
+    if (feed->conn != NULL) {
+        GwConn_Close(feed->conn);
+        feed->conn = NULL;
+    }
+    feed->asked = false;
+    GwRowSet_Free(feed->pages);
+    feed->pages = NULL;
+}
+
+void
+GwFeed_Free(GwFeed *feed)
+{
+    if (feed == NULL) {
+        return;
+    }
+    close_store(feed);
+    if (feed->peer != NULL) {
+        GwConn_Close(feed->peer);
+    }
+    GwRowCache_Free(feed->cache);
+    g_free(feed->table);
+    g_free(feed);
+}
+
+uint64_t
+GwFeed_Version(const GwFeed *feed)
+{
+    return GwRowCache_Version(feed->cache);
+}
+
+bool
+GwFeed_IsKnown(const GwFeed *feed)
+{
+    return feed->known;
+}
+
+/* Waits a growing while before the store is asked again. */
+static void
+back_off(GwFeed *feed)
+{
+    close_store(feed);
+    feed->retry_at_us = GwEdge_Now() + (int64_t)feed->retry_ms * 1000;
+    feed->retry_ms = MIN(feed->retry_ms * 2, RETRY_MAX_MS);
+}
+
+static void
+write_get(GwConn *conn, const char *target, const char *host)
+{
+    GString *out = g_string_new(NULL);
+
+    g_string_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, host);
+    GwConn_Write(conn, out);
+    g_string_free(out, TRUE);
+}
+
+static const char *
+last_key(const GwRowSet *set)
+{
+    if (set == NULL || set->rows->len == 0) {
+        return NULL;
+    }
+    return ((GwStoreRow *)set->rows->pdata[set->rows->len - 1])->key;
+}
+
+static void
+ask(GwFeed *feed)
+{
+    GwEdge *edge = feed->edge;
+    const GwAdapter *a = edge->adapter;
+    char *target;
+
+    if (feed->phase == PHASE_READ) {
+        feed->wait_ms = 0;
+        target = a->read_target(feed->table, last_key(feed->pages));
+    }
+    else {
+        feed->wait_ms = WAIT_MS;
+        target = a->feed_target(feed->table, feed->version, WAIT_MS);
+    }
+    write_get(feed->conn, target, edge->settings.store_address);
+    g_free(target);
+    edge->counts.store_calls++;
+    feed->asked = true;
+    feed->asked_us = GwEdge_Now();
+}
+
+/* The store is back after a while: a row that lapsed meanwhile is written
+ * again by its owner within two seconds, if that one lives. */
+static void
+note_answer(GwFeed *feed)
+{
+    int64_t now_us = GwEdge_Now();
+
+    if (now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
+        feed->retry_ms > RETRY_MIN_MS) {
+        int64_t grace_us =
+            (int64_t)feed->edge->settings.row_grace_ms * 1000;
+        GwRowCache_SetGrace(feed->cache, now_us + grace_us, grace_us);
+        GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
+                    feed->table, (now_us - feed->answered_us) / 1000);
+    }
+    feed->answered_us = now_us;
+    feed->retry_ms = RETRY_MIN_MS;
+}
+
+/* Joins a page to those before it. The newest version is that of the first
+ * page: what changed since is told by the feed. */
+static bool
+add_page(GwFeed *feed, GwRowSet *set)
+{
+    bool more = set->more && set->rows->len > 0;
+
+    if (feed->pages == NULL) {
+        feed->pages = set;
+        return more;
+    }
+    for (guint i = 0; i < set->rows->len; i++) {
+        g_ptr_array_add(feed->pages->rows, set->rows->pdata[i]);
+    }
+    g_ptr_array_set_free_func(set->rows, NULL);
+    GwRowSet_Free(set);
+    return more;
+}
+
+static void
+take_rows(GwFeed *feed, GwRowSet *set)
+{
+    int64_t now_us = GwEdge_Now();
+    int64_t grace_us = (int64_t)feed->edge->settings.row_grace_ms * 1000;
+
+    note_answer(feed);
+    if (feed->phase == PHASE_FEED) {
+        GwRowCache_Apply(feed->cache, now_us, set);
+        feed->version = MAX(feed->version, set->version);
+        GwRowSet_Free(set);
+    }
+    else if (!add_page(feed, set)) {
+        GwRowCache_ApplyFull(feed->cache, now_us, feed->pages, grace_us);
+        feed->version = feed->pages->version;
+        feed->phase = PHASE_FEED;
+        feed->known = true;
+        GwRowSet_Free(feed->pages);
+        feed->pages = NULL;
+    }
+    ask(feed);
+    GwEdge_Carry(feed->edge);
+}
+
+static void
+on_store_message(void *owner, GwHttpMessage *msg)
+{
+    GwFeed *feed = owner;
+    GError *error = NULL;
+    GwRowSet *set = NULL;
+
+    feed->asked = false;
+    if (msg->status == 410) {
+        feed->phase = PHASE_READ;
+        GwHttpMessage_Free(msg);
+        ask(feed);
+        return;
+    }
+    if (msg->status == 200) {
+        set = feed->edge->adapter->read_rows(msg->body->str, msg->body->len,
+                                             &error);
+    }
+    GwHttpMessage_Free(msg);
+    if (error != NULL) {
+        GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=\"%s\"", feed->table,
+                    error->message);
+        g_error_free(error);
+    }
+    if (set == NULL) {
+        back_off(feed);
+        return;
+    }
+    take_rows(feed, set);
+}
+
+static void
+on_store_connected(void *owner)
+{
+    ask(owner);
+}
+
+static void
+on_store_ended(void *owner, GwConnEnd end)
+{
+    GwFeed *feed = owner;
+
+    if (end != GW_CONN_BAD) {
+        feed->conn = NULL;
+    }
+    back_off(feed);
+}
+
+static const GwConnOps store_ops = {
+    .connected = on_store_connected,
+    .message = on_store_message,
+    .ended = on_store_ended,
+};
+
+/* ---- Peers --------------------------------------------------------------- */
+
+static void
+close_peer(GwFeed *feed)
+{
+    if (feed->peer != NULL) {
+        GwConn_Close(feed->peer);
+        feed->peer = NULL;
+    }
+}
+
+static void
+on_peer_connected(void *owner)
+{
+    GwFeed *feed = owner;
+    char *target = feed->edge->adapter->feed_target(
+        feed->table, GwFeed_Version(feed), 0);
+
+    write_get(feed->peer, target, "peer");
+    g_free(target);
+}
+
+static void
+on_peer_message(void *owner, GwHttpMessage *msg)
+{
+    GwFeed *feed = owner;
+    GwRowSet *set = NULL;
+
+    if (msg->status == 200) {
+        set = feed->edge->adapter->read_rows(msg->body->str, msg->body->len,
+                                             NULL);
+    }
+    GwHttpMessage_Free(msg);
+    close_peer(feed);
+    if (set != NULL) {
+        GwRowCache_Apply(feed->cache, GwEdge_Now(), set);
+        feed->known = true;
+        GwRowSet_Free(set);
+        GwEdge_Carry(feed->edge);
+    }
+}
+
+static void
+on_peer_ended(void *owner, GwConnEnd end)
+{
+    GwFeed *feed = owner;
+
+    if (end == GW_CONN_BAD) {
+        close_peer(feed);
+    }
+    feed->peer = NULL;
+}
+
+static const GwConnOps peer_ops = {
+    .connected = on_peer_connected,
+    .message = on_peer_message,
+    .ended = on_peer_ended,
+};
+
+void
+GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version)
+{
+    if (feed->peer != NULL || version <= GwFeed_Version(feed)) {
+        return;
+    }
+    GwConnParams params = {
+        .loop = &feed->edge->loop,
+        .ops = &peer_ops,
+        .owner = feed,
+        .head_max = 64 << 10,
+        .body_max = ROWS_BODY_MAX,
+    };
+    feed->peer_asked_us = GwEdge_Now();
+    feed->peer = GwConn_Connect(&params, address);
+}
+
+char *
+GwFeed_Answer(const GwFeed *feed, const char *target)
+{
+    char *table = g_strdup_printf("table=%s&", feed->table);
+    const char *after = strstr(target, "after=");
+    char *body = NULL;
+
+    if (strstr(target, table) != NULL && after != NULL && feed->known) {
+        uint64_t version = strtoull(after + strlen("after="), NULL, 10);
+        GwRowSet *set = GwRowCache_After(feed->cache, version);
+        body = feed->edge->adapter->write_rows(feed->table, set);
+        GwRowSet_Free(set);
+    }
+    g_free(table);
+    return body;
+}
+
+/* ---- Time ---------------------------------------------------------------- */
+
+static void
+connect_store(GwFeed *feed)
+{
+    GwConnParams params = {
+        .loop = &feed->edge->loop,
+        .ops = &store_ops,
+        .owner = feed,
+        .head_max = 64 << 10,
+        .body_max = ROWS_BODY_MAX,
+        .user_timeout_ms = ANSWER_MS,
+        .keepalive = true,
+    };
+
+    feed->asked_us = GwEdge_Now();
+    feed->wait_ms = 0;
+    feed->conn = GwConn_Connect(&params, feed->edge->settings.store_address);
+    if (feed->conn == NULL) {
+        back_off(feed);
+    }
+}
+
+void
+GwFeed_Sweep(GwFeed *feed, int64_t now_us)
+{
+    int64_t limit_us = ((int64_t)feed->wait_ms + ANSWER_MS) * 1000;
+
+    GwRowCache_Tick(feed->cache, now_us);
+    if (feed->conn == NULL && now_us >= feed->retry_at_us) {
+        connect_store(feed);
+    }
+    else if (feed->conn != NULL && now_us - feed->asked_us > limit_us) {
+        GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=silent", feed->table);
+        back_off(feed);
+    }
+    if (feed->peer != NULL &&
+        now_us - feed->peer_asked_us > ANSWER_MS * 1000) {
+        close_peer(feed);
+    }
+}
--- /dev/null
+++ b/lib/edge/settings.c
@@ -0,0 +1,217 @@
+#include "edge/settings.h"
+
+#include "common/duration.h"
+#include "config/reader.h"
+#include "router/router_internal.h"
+
+#include <string.h>
+
+#define FAR_PAST_MS 3600000
+/* Answers of the directory live no longer than this, so that callers leave a
+ * gone entry soon, and ask no more often than once in two seconds. */
+#define LOOKUP_TTL_MS 2000
+#define ROW_GRACE_MS  2000
+#define ENTRIES_MAX   16
+
+static bool
+read_text(const GwReadAt *at, const char *key, char *out, size_t size,
+          GError **error)
+{
+    return GwRead_String(at, key, size, out, error);
+}
+
+/* A time with its unit; keeps `out` when the key is absent. */
+static bool
+read_time(const GwReadAt *at, const char *key, uint32_t *out, GError **error)
+{
+    struct json_object *member;
+
+    if (!json_object_object_get_ex(at->object, key, &member)) {
+        return true;
+    }
+    const char *text = json_object_get_string(member);
+    if (text == NULL || !GwDuration_Parse(text, out) || *out > FAR_PAST_MS) {
+        return GwRead_Fail(at, key, GW_RESULT_INVALID, error,
+                           "a time such as \"1500ms\", at most 1 hour");
+    }
+    return true;
+}
+
+static bool
+read_real(const GwReadAt *at, const char *key, double max, double *out,
+          GError **error)
+{
+    struct json_object *member;
+
+    if (!json_object_object_get_ex(at->object, key, &member)) {
+        return true;
+    }
+    double value = json_object_get_double(member);
+    bool number = json_object_is_type(member, json_type_double) ||
+                  json_object_is_type(member, json_type_int);
+    if (!number || value < 0 || value > max) {
+        return GwRead_Fail(at, key, GW_RESULT_OUT_OF_BOUNDS, error,
+                           "a number from 0 to %g", max);
+    }
+    *out = value;
+    return true;
+}
+
+static bool
+read_regions(const GwReadAt *at, GHashTable *out, GError **error)
+{
+    struct json_object *member;
+
+    if (!json_object_object_get_ex(at->object, "regions", &member) ||
+        !json_object_is_type(member, json_type_object)) {
+        return GwRead_Fail(at, "regions", GW_RESULT_WRONG_TYPE, error,
+                           "an object: failure domain to region");
+    }
+    json_object_object_foreach(member, domain, region)
+    {
+        if (!json_object_is_type(region, json_type_string)) {
+            return GwRead_Fail(at, "regions", GW_RESULT_WRONG_TYPE, error,
+                               "\"%s\" names no region", domain);
+        }
+        g_hash_table_insert(out, g_strdup(domain),
+                            g_strdup(json_object_get_string(region)));
+    }
+    return true;
+}
+
+static bool
+read_seeds(const GwReadAt *at, GPtrArray *out, GError **error)
+{
+    struct json_object *member;
+
+    if (!json_object_object_get_ex(at->object, "seeds", &member)) {
+        return true;
+    }
+    if (!json_object_is_type(member, json_type_array)) {
+        return GwRead_Fail(at, "seeds", GW_RESULT_WRONG_TYPE, error,
+                           "a list of addresses");
+    }
+    for (size_t i = 0; i < json_object_array_length(member); i++) {
+        struct json_object *item = json_object_array_get_idx(member, i);
+        const char *seed = json_object_get_string(item);
+        if (seed == NULL || !GwAddress_IsValid(seed)) {
+            return GwRead_Fail(at, "seeds", GW_RESULT_INVALID, error,
+                               "item %zu is no address", i);
+        }
+        g_ptr_array_add(out, g_strdup(seed));
+    }
+    return true;
+}
+
+static bool
+read_bounds(const GwReadAt *at, GwEdgeSettings *s, GError **error)
+{
+    static const GwReadBound extra = {.max = 1000000, .optional = true};
+    static const GwReadBound entries = {
+        .min = 1, .max = 100000, .optional = true};
+    GwRouterParams *r = &s->router;
+
+    return read_real(at, "retry_ratio", 1.0, &r->retry_ratio, error) &&
+           GwRead_U32(at, "retry_extra", &extra, &r->retry_extra, error) &&
+           read_time(at, "retry_window", &r->retry_window_ms, error) &&
+           GwRead_U32(at, "entries_max", &entries, &r->entries_max, error) &&
+           read_real(at, "cold_over", 100.0, &r->cold_over, error) &&
+           GwRead_U32(at, "cold_slack", &extra, &r->cold_slack, error) &&
+           read_time(at, "grace", &s->grace_ms, error) &&
+           read_time(at, "lookup_ttl", &s->lookup_ttl_ms, error) &&
+           read_time(at, "row_grace", &s->row_grace_ms, error);
+}
+
+static bool
+read_all(const GwReadAt *at, GwEdgeSettings *s, GError **error)
+{
+    static const char *const known[] = {
+        "name", "region", "domain", "call_address", "ready_address",
+        "directory_address", "control_address", "peer_address",
+        "store_address", "seeds", "regions", "retry_ratio", "retry_extra",
+        "retry_window", "entries_max", "cold_over", "cold_slack", "grace",
+        "lookup_ttl", "row_grace", "log_level", NULL,
+    };
+    GwRouterParams *r = &s->router;
+
+    return GwRead_Keys(at, known, error) &&
+           read_text(at, "name", r->name, sizeof(r->name), error) &&
+           read_text(at, "region", r->region, sizeof(r->region), error) &&
+           read_text(at, "domain", r->domain, sizeof(r->domain), error) &&
+           GwRead_Address(at, "call_address", s->call_address, error) &&
+           GwRead_Address(at, "ready_address", s->ready_address, error) &&
+           GwRead_Address(at, "directory_address", s->directory_address,
+                          error) &&
+           GwRead_Address(at, "control_address", s->control_address,
+                          error) &&
+           GwRead_Address(at, "peer_address", s->peer_address, error) &&
+           GwRead_Address(at, "store_address", s->store_address, error) &&
+           read_seeds(at, s->seeds, error) &&
+           read_regions(at, s->regions, error) && read_bounds(at, s, error);
+}
+
+static GwEdgeSettings *
+create(void)
+{
+    GwEdgeSettings *s = g_new0(GwEdgeSettings, 1);
+
+    *s = (GwEdgeSettings){
+        .router = {.retry_ratio = 0.2,
+                   .retry_window_ms = 10000,
+                   .entries_max = ENTRIES_MAX,
+                   .cold_over = 1.0},
+        .seeds = g_ptr_array_new_with_free_func(g_free),
+        .regions =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+        .grace_ms = 10000,
+        .lookup_ttl_ms = LOOKUP_TTL_MS,
+        .row_grace_ms = ROW_GRACE_MS,
+        .log_level = "info",
+    };
+    return s;
+}
+
+GwEdgeSettings *
+GwEdgeSettings_Parse(const char *text, size_t len, GError **error)
+{
+    struct json_object *root = GwRead_Text(text, len, error);
+
+    if (root == NULL) {
+        return NULL;
+    }
+    GwEdgeSettings *s = create();
+    GwReadAt at = {.object = root};
+    bool ok = read_all(&at, s, error);
+    json_object_put(root);
+    if (!ok) {
+        GwEdgeSettings_Free(s);
+        return NULL;
+    }
+    s->router.seed = GwHash_Text(s->router.name, 0);
+    return s;
+}
+
+GwEdgeSettings *
+GwEdgeSettings_Load(const char *path, GError **error)
+{
+    char *text;
+    gsize len;
+
+    if (!g_file_get_contents(path, &text, &len, error)) {
+        return NULL;
+    }
+    GwEdgeSettings *s = GwEdgeSettings_Parse(text, len, error);
+    g_free(text);
+    return s;
+}
+
+void
+GwEdgeSettings_Free(GwEdgeSettings *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    g_ptr_array_free(s->seeds, TRUE);
+    g_hash_table_destroy(s->regions);
+    g_free(s);
+}
--- /dev/null
+++ b/lib/http/conn.h
@@ -0,0 +1,73 @@
+/* One TCP connection on the event loop that carries HTTP messages, of either
+ * side. All calls are made on the loop's thread. */
+#ifndef GW_HTTP_CONN_H
+#define GW_HTTP_CONN_H
+
+#include "http/message.h"
+
+#include <uv.h>
+
+typedef struct GwConn_s GwConn;
+
+typedef enum {
+    GW_CONN_ENDED = 1,  /* the other side closed in order */
+    GW_CONN_FAILED = 2, /* reset, time-out, or never made */
+    GW_CONN_BAD = 3     /* bytes that are no message; see GwConn_Error */
+} GwConnEnd;
+
+/* Callbacks never come from inside a call of this module. `ended` comes at
+ * most once, and never after a close by the owner. After ENDED and FAILED the
+ * connection is gone; after BAD it can still be written to, and the owner
+ * closes it. */
+typedef struct {
+    void (*connected)(void *owner);
+    void (*message)(void *owner, GwHttpMessage *msg); /* takes over */
+    bool (*to_head)(void *owner);
+    void (*ended)(void *owner, GwConnEnd end);
+} GwConnOps;
+
+typedef struct {
+    uv_loop_t *loop;
+    const GwConnOps *ops;
+    void *owner;
+    bool requests; /* reads requests; else answers */
+    uint64_t head_max;
+    uint64_t body_max;
+    /* Unacknowledged bytes end the connection after this time: a machine
+     * without power, or a path that lost track of the connection, answers
+     * nothing at all. 0: the system's default, minutes. */
+    uint32_t user_timeout_ms;
+    /* Probes on a silent connection, every second; for long waits. */
+    bool keepalive;
+} GwConnParams;
+
+/* Takes the next connection of a listener, or returns NULL. */
+GwConn *GwConn_Accept(const GwConnParams *params, uv_stream_t *listener);
+/* Begins to connect to ip:port; NULL when the address makes no sense. */
+GwConn *GwConn_Connect(const GwConnParams *params, const char *address);
+/* Queues bytes; `text` is copied where it does not leave at once. */
+void GwConn_Write(GwConn *c, const GString *text);
+/* Closes once what was written has left and the other side has closed too, or
+ * a second has passed. The connection is no longer the owner's. */
+void GwConn_FinishAndClose(GwConn *c);
+/* Closes now; what is queued is dropped. */
+void GwConn_Close(GwConn *c);
+
+GwHttpError GwConn_Error(const GwConn *c);
+bool GwConn_IsInside(const GwConn *c); /* part of a message has come */
+bool GwConn_IsInHead(const GwConn *c); /* and its head is not complete */
+uint64_t GwConn_BytesOut(const GwConn *c);
+int64_t GwConn_LastHeard(const GwConn *c); /* us, uv_hrtime */
+void GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max);
+void GwConn_Pause(GwConn *c, bool paused);
+/* Bytes or an end wait unread: what is sent now would meet a stray answer or
+ * a closed connection. Costs one system call. */
+bool GwConn_HasUnread(const GwConn *c);
+
+/* "ip:port" to an address; false when it is not one. */
+bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
+/* A listening socket; NULL with a log line by the caller on failure. */
+uv_tcp_t *GwConn_Listen(uv_loop_t *loop, const char *address,
+                        uv_connection_cb on_connection, void *data);
+
+#endif
--- /dev/null
+++ b/lib/http/parser.c
@@ -0,0 +1,300 @@
+/* Reads messages with http-parser, and refuses what it would let pass. */
+#include "http/message.h"
+
+#include <http_parser.h>
+#include <string.h>
+#include <strings.h>
+
+struct GwHttpParser_s {
+    GwHttpParserParams params;
+    http_parser parser;
+    GwHttpMessage *msg; /* being read, or NULL between messages */
+    GString *name;      /* the field being read */
+    GString *value;
+    bool in_value;
+    bool head_done; /* fields from here on are trailers: dropped */
+    bool inside;
+    uint64_t head_len;
+    GwHttpError error;
+};
+
+static GwHttpParser *
+self(http_parser *parser)
+{
+    return parser->data;
+}
+
+static int
+fail(GwHttpParser *p, GwHttpError error)
+{
+    if (p->error == GW_HTTP_OK) {
+        p->error = error;
+    }
+    return -1;
+}
+
+static bool
+is_clean(const GString *text)
+{
+    for (gsize i = 0; i < text->len; i++) {
+        unsigned char c = (unsigned char)text->str[i];
+        if ((c < 0x20 && c != '\t') || c == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Ends the field being read, if there is one. */
+static int
+end_field(GwHttpParser *p)
+{
+    if (!p->in_value) {
+        return 0;
+    }
+    p->in_value = false;
+    if (p->head_done) {
+        return 0;
+    }
+    while (p->value->len > 0 &&
+           strchr(" \t", p->value->str[p->value->len - 1]) != NULL) {
+        g_string_truncate(p->value, p->value->len - 1);
+    }
+    if (!is_clean(p->name) || !is_clean(p->value)) {
+        return fail(p, GW_HTTP_BAD);
+    }
+    GwHttpMessage_Add(p->msg, p->name->str, p->value->str);
+    return 0;
+}
+
+static int
+count_head(GwHttpParser *p, size_t len)
+{
+    p->head_len += len;
+    if (p->head_len > p->params.head_max) {
+        return fail(p, GW_HTTP_LONG_HEAD);
+    }
+    return 0;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+    GwHttpParser *p = self(parser);
+
+    GwHttpMessage_Free(p->msg);
+    p->msg = GwHttpMessage_Create();
+    p->head_done = false;
+    p->in_value = false;
+    p->head_len = 0;
+    return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+    GwHttpParser *p = self(parser);
+
+    g_string_append_len(p->msg->target, at, (gssize)len);
+    return count_head(p, len);
+}
+
+static int
+on_name(http_parser *parser, const char *at, size_t len)
+{
+    GwHttpParser *p = self(parser);
+
+    if (p->in_value) {
+        if (end_field(p) != 0) {
+            return -1;
+        }
+        g_string_truncate(p->name, 0);
+    }
+    g_string_append_len(p->name, at, (gssize)len);
+    return count_head(p, len + 4); /* ": " and the line's end */
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+    GwHttpParser *p = self(parser);
+
+    if (!p->in_value) {
+        p->in_value = true;
+        g_string_truncate(p->value, 0);
+    }
+    g_string_append_len(p->value, at, (gssize)len);
+    return count_head(p, len);
+}
+
+/* A coding besides chunked would have to be undone here to know the body; a
+ * reader that skips it sees another body. */
+static bool
+has_strange_coding(const GwHttpMessage *msg)
+{
+    const char *coding = GwHttpMessage_Get(msg, "transfer-encoding");
+
+    return coding != NULL && strcasecmp(coding, "chunked") != 0;
+}
+
+static int
+on_head(http_parser *parser)
+{
+    GwHttpParser *p = self(parser);
+    GwHttpMessage *msg = p->msg;
+
+    if (end_field(p) != 0) {
+        return -1;
+    }
+    g_string_truncate(p->name, 0);
+    p->head_done = true;
+    if (has_strange_coding(msg)) {
+        return fail(p, GW_HTTP_BAD);
+    }
+    bool chunked = (parser->flags & F_CHUNKED) != 0;
+    bool sized = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (sized && parser->content_length > p->params.body_max) {
+        return fail(p, GW_HTTP_LONG_BODY);
+    }
+    if (p->params.requests) {
+        const char *method = http_method_str(parser->method);
+        (void)g_strlcpy(msg->method, method, sizeof(msg->method));
+        if (parser->upgrade && strcasecmp(method, "CONNECT") == 0) {
+            return fail(p, GW_HTTP_BAD);
+        }
+    }
+    else {
+        msg->status = (uint16_t)parser->status_code;
+    }
+    msg->has_body = chunked || sized;
+    msg->framed = msg->has_body;
+    msg->head_len = (uint32_t)p->head_len;
+    msg->keep_alive = http_should_keep_alive(parser) != 0;
+    if (!p->params.requests && p->params.to_head != NULL &&
+        p->params.to_head(p->params.owner)) {
+        msg->framed = true;
+        return 1; /* the answer to a HEAD has no body whatever it says */
+    }
+    /* 2: an Upgrade that nobody asked for does not end the protocol. */
+    return parser->upgrade ? 2 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    GwHttpParser *p = self(parser);
+
+    if (p->msg->body->len + len > p->params.body_max) {
+        return fail(p, GW_HTTP_LONG_BODY);
+    }
+    g_string_append_len(p->msg->body, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+    GwHttpParser *p = self(parser);
+    GwHttpMessage *msg = p->msg;
+
+    p->msg = NULL;
+    p->inside = false;
+    p->params.message(p->params.owner, msg);
+    return 0;
+}
+
+static const http_parser_settings settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+GwHttpParser *
+GwHttpParser_Create(const GwHttpParserParams *params)
+{
+    GwHttpParser *p = g_new0(GwHttpParser, 1);
+
+    p->params = *params;
+    http_parser_init(&p->parser,
+                     params->requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    p->parser.data = p;
+    p->name = g_string_new(NULL);
+    p->value = g_string_new(NULL);
+    return p;
+}
+
+void
+GwHttpParser_Free(GwHttpParser *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    GwHttpMessage_Free(p->msg);
+    g_string_free(p->name, TRUE);
+    g_string_free(p->value, TRUE);
+    g_free(p);
+}
+
+void
+GwHttpParser_SetLimits(GwHttpParser *p, uint64_t head_max, uint64_t body_max)
+{
+    p->params.head_max = head_max;
+    p->params.body_max = body_max;
+}
+
+GwHttpError
+GwHttpParser_Feed(GwHttpParser *p, const char *data, size_t len)
+{
+    if (p->error != GW_HTTP_OK) {
+        return p->error;
+    }
+    p->inside = true;
+    size_t used = http_parser_execute(&p->parser, &settings, data, len);
+    if (p->error == GW_HTTP_OK &&
+        (used != len || HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)) {
+        p->error = HTTP_PARSER_ERRNO(&p->parser) == HPE_HEADER_OVERFLOW
+                       ? GW_HTTP_LONG_HEAD
+                       : GW_HTTP_BAD;
+    }
+    /* Between messages http-parser skips empty lines; they begin nothing. */
+    if (p->msg == NULL) {
+        p->inside = false;
+    }
+    return p->error;
+}
+
+GwHttpError
+GwHttpParser_End(GwHttpParser *p)
+{
+    if (p->error != GW_HTTP_OK) {
+        return p->error;
+    }
+    (void)http_parser_execute(&p->parser, &settings, "", 0);
+    if (p->error == GW_HTTP_OK &&
+        HTTP_PARSER_ERRNO(&p->parser) != HPE_OK) {
+        p->error = GW_HTTP_BAD;
+    }
+    return p->error;
+}
+
+GwHttpError
+GwHttpParser_Error(const GwHttpParser *p)
+{
+    return p->error;
+}
+
+bool
+GwHttpParser_IsInside(const GwHttpParser *p)
+{
+    return p->inside;
+}
+
+bool
+GwHttpParser_IsInHead(const GwHttpParser *p)
+{
+    return p->inside && !p->head_done;
+}
--- /dev/null
+++ b/lib/router/keys.c
@@ -0,0 +1,120 @@
+/* Objects and where they are warm.
+ *
+ * A server that lately handled an object runs the next request for it in a
+ * third of the time, so where an object is warm is capacity. The entry
+ * remembers where it sent each object; entries that know nothing of each
+ * other's memory meet at the same servers by the hash in choose.c. */
+#include "router/router_internal.h"
+
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+/* Objects not asked for in this time leave the table. Longer than any
+ * request may take, since requests point into it. */
+#define KEY_LIFE_US 300000000
+#define KEYS_MAX    200000
+
+uint64_t
+GwHash_Text(const char *text, uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text, strlen(text), seed);
+}
+
+static gboolean
+is_old(gpointer hash, gpointer value, gpointer limit)
+{
+    (void)hash;
+    return ((GwKey *)value)->used_us < *(int64_t *)limit;
+}
+
+GwKey *
+GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwServiceState *service,
+               const char *text)
+{
+    uint64_t hash = GwHash_Text(text, GwHash_Text(service->name, 0));
+    GwKey *key = g_hash_table_lookup(r->keys, &hash);
+
+    if (key == NULL) {
+        if (g_hash_table_size(r->keys) >= KEYS_MAX) {
+            int64_t limit = now_us - KEY_LIFE_US;
+            g_hash_table_foreach_remove(r->keys, is_old, &limit);
+            if (g_hash_table_size(r->keys) >= KEYS_MAX) {
+                return NULL;
+            }
+        }
+        key = g_new0(GwKey, 1);
+        key->hash = hash;
+        g_hash_table_insert(r->keys, &key->hash, key);
+    }
+    key->used_us = now_us;
+    return key;
+}
+
+GwKeyServer *
+GwKey_At(GwKey *key, const GwServer *s)
+{
+    for (int i = 0; i < GW_KEY_SERVERS; i++) {
+        if (key->at[i].server == s) {
+            return &key->at[i];
+        }
+    }
+    return NULL;
+}
+
+/* A request for the object goes to `s`. The place used longest ago makes
+ * room for a server that is new to the object. */
+void
+GwKey_Started(GwKey *key, GwServer *s, int64_t now_us)
+{
+    GwKeyServer *at = GwKey_At(key, s);
+
+    if (at != NULL) {
+        if (at->used_us != 0) {
+            at->used_us = now_us;
+        }
+        return;
+    }
+    at = &key->at[0];
+    for (int i = 0; i < GW_KEY_SERVERS; i++) {
+        if (key->at[i].server == NULL) {
+            at = &key->at[i];
+            break;
+        }
+        if (key->at[i].started_us < at->started_us) {
+            at = &key->at[i];
+        }
+    }
+    *at = (GwKeyServer){.server = s, .started_us = now_us};
+}
+
+void
+GwKey_Ended(GwKey *key, GwServer *s, int64_t now_us, bool ran)
+{
+    GwKeyServer *at = GwKey_At(key, s);
+
+    if (at == NULL) {
+        return;
+    }
+    if (ran) {
+        at->used_us = now_us;
+    }
+    else if (at->used_us == 0) {
+        *at = (GwKeyServer){0};
+    }
+}
+
+void
+GwRouter_ForgetInKeys(GwRouter *r, const GwServer *s)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->keys);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwKeyServer *at = GwKey_At(value, s);
+        if (at != NULL) {
+            *at = (GwKeyServer){0};
+        }
+    }
+}
--- /dev/null
+++ b/lib/router/router.c
@@ -0,0 +1,199 @@
+#include "router/router_internal.h"
+
+#include <string.h>
+
+static void
+free_service(gpointer item)
+{
+    GwServiceState *service = item;
+
+    g_ptr_array_free(service->servers, TRUE);
+    g_ptr_array_free(service->waiting, TRUE);
+    g_free(service->name);
+    g_free(service);
+}
+
+static void
+free_route_state(gpointer item)
+{
+    GwRouteState *state = item;
+
+    g_free(state->credit);
+    g_free(state->name);
+    g_free(state);
+}
+
+static void
+free_peer(gpointer item)
+{
+    GwPeer *peer = item;
+
+    g_array_free(peer->loads, TRUE);
+    g_free(peer->region);
+    g_free(peer->name);
+    g_free(peer);
+}
+
+static void
+free_server(gpointer item)
+{
+    GwServer *s = item;
+
+    g_free(s->id);
+    g_free(s->address);
+    g_free(s->domain);
+    g_free(s->region);
+    g_free(s);
+}
+
+GwRouter *
+GwRouter_Create(const GwRouterParams *params, int64_t now_us)
+{
+    GwRouter *r = g_new0(GwRouter, 1);
+
+    r->params = *params;
+    r->started_us = now_us;
+    r->rng = GwRng_Make(params->seed);
+    r->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    r->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                      free_route_state);
+    r->servers = g_hash_table_new(g_str_hash, g_str_equal);
+    r->by_hash = g_hash_table_new(NULL, NULL);
+    r->keys =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    r->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    r->evacuated =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    r->rtts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    r->open = g_hash_table_new(NULL, NULL);
+    r->freed = g_ptr_array_new_with_free_func(free_server);
+    return r;
+}
+
+static void
+free_request(gpointer key, gpointer value, gpointer ctx)
+{
+    GwRequest *req = key;
+
+    (void)value;
+    (void)ctx;
+    GwRouting_Unref(req->routing);
+    g_free(req);
+}
+
+void
+GwRouter_Free(GwRouter *r)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (r == NULL) {
+        return;
+    }
+    g_hash_table_foreach(r->open, free_request, NULL);
+    g_hash_table_destroy(r->open);
+    GwHeap_Free(&r->deadlines);
+    g_hash_table_iter_init(&iter, r->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(r->freed, value);
+    }
+    g_hash_table_destroy(r->servers);
+    g_hash_table_destroy(r->by_hash);
+    g_hash_table_destroy(r->keys);
+    g_hash_table_destroy(r->peers);
+    g_hash_table_destroy(r->evacuated);
+    g_hash_table_destroy(r->rtts);
+    g_hash_table_destroy(r->routes);
+    g_hash_table_destroy(r->services);
+    g_ptr_array_free(r->freed, TRUE);
+    GwRouting_Unref(r->routing);
+    g_free(r);
+}
+
+/* What the new version says of each service. */
+static void
+take_services(GwRouter *r)
+{
+    for (uint32_t i = 0; i < r->routing->service_count; i++) {
+        const GwRouteService *from = &r->routing->services[i];
+        GwRouter_ServiceOf(r, from->name)->cold_per_s = from->cold_per_s;
+    }
+}
+
+bool
+GwRouter_SetRouting(GwRouter *r, GwRouting *routing)
+{
+    if (r->routing != NULL && routing->version <= r->routing->version) {
+        return false;
+    }
+    GwRouting_Unref(r->routing);
+    r->routing = GwRouting_Ref(routing);
+    take_services(r);
+    return true;
+}
+
+const GwRouting *
+GwRouter_Routing(const GwRouter *r)
+{
+    return r->routing;
+}
+
+const char *
+GwServer_Id(const GwServer *s)
+{
+    return s->id;
+}
+
+const char *
+GwServer_Address(const GwServer *s)
+{
+    return s->address;
+}
+
+uint32_t
+GwServer_Hash(const GwServer *s)
+{
+    return (uint32_t)s->hash;
+}
+
+bool
+GwServer_IsFar(const GwServer *s)
+{
+    return !s->same_region;
+}
+
+void **
+GwServer_User(GwServer *s)
+{
+    return &s->user;
+}
+
+void
+GwRouter_Dump(const GwRouter *r, int64_t now_us, GString *out)
+{
+    GHashTableIter iter;
+    gpointer value;
+    const char *comma = "";
+
+    g_string_append_printf(
+        out, "{\"version\":%" G_GUINT64_FORMAT ",\"open\":%u,\"servers\":[",
+        r->routing != NULL ? r->routing->version : 0, GwRouter_OpenCount(r));
+    g_hash_table_iter_init(&iter, r->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwServer *s = value;
+        g_string_append_printf(
+            out,
+            "%s{\"id\":\"%s\",\"domain\":\"%s\",\"in_flight\":%u,"
+            "\"peers\":%u,\"slow\":%.2f,\"draining\":%s,\"ejected\":%s,"
+            "\"cold\":%s}",
+            comma, s->id, s->domain, s->in_flight, s->peers_in_flight,
+            s->slow, s->draining ? "true" : "false",
+            now_us < s->eject_until_us ? "true" : "false",
+            GwServer_IsCold(s, now_us) ? "true" : "false");
+        comma = ",";
+    }
+    g_string_append(out, "]}");
+}
--- /dev/null
+++ b/lib/router/router.h
@@ -0,0 +1,180 @@
+/* The steering core of one entry: which backend server runs a request, when,
+ * and what the caller is told when none does.
+ *
+ * A GwRouter does no I/O and reads no clock. The host feeds it what happened,
+ * with the time, and carries out the actions that it appends:
+ *
+ *     GwRouter_Arrive(router, now_us, &arrival, &actions);
+ *     for (guint i = 0; i < actions->len; i++) { ...carry out... }
+ *
+ * Three outcomes are kept apart for each attempt (GwAttemptOutcome): an
+ * answer, a proof that it did not run, and neither. A request that is not
+ * idempotent is sent again only after a proof, and a caller is told "not run"
+ * (503) only when every attempt of the request ended with one. */
+#ifndef GW_ROUTER_ROUTER_H
+#define GW_ROUTER_ROUTER_H
+
+#include "route/route.h"
+
+typedef struct GwRouter_s GwRouter;
+typedef struct GwRequest_s GwRequest;
+typedef struct GwServer_s GwServer;
+
+/* Bounds that operators promise their callers and servers. */
+typedef struct {
+    char name[64]; /* of this entry */
+    char region[64];
+    char domain[64]; /* failure domain */
+    uint64_t seed;
+    /* Retries: each service gets at most ratio x first attempts + extra in a
+     * window, from all entries together. */
+    double retry_ratio;
+    uint32_t retry_extra;
+    uint32_t retry_window_ms;
+    uint32_t entries_max; /* entries that could be alive at once */
+    /* A cold server gets at most cold_per_s x over + slack a second. */
+    double cold_over;
+    uint32_t cold_slack;
+} GwRouterParams;
+
+GwRouter *GwRouter_Create(const GwRouterParams *params, int64_t now_us);
+void GwRouter_Free(GwRouter *r);
+
+/* ---- What the entry believes -------------------------------------------- */
+
+/* Keeps a reference. The version in force never falls: an older one is
+ * ignored. Returns whether it was taken. */
+bool GwRouter_SetRouting(GwRouter *r, GwRouting *routing);
+const GwRouting *GwRouter_Routing(const GwRouter *r);
+
+/* What the registry says of a backend server. */
+typedef struct {
+    const char *id;
+    uint64_t born_ms; /* a later start under the same id is another server */
+    const char *service;
+    const char *address;
+    const char *domain;
+    const char *region;
+    uint32_t slots;
+    bool draining;
+    uint32_t cold_left_ms;
+} GwServerInfo;
+
+void GwRouter_PutServer(GwRouter *r, int64_t now_us, const GwServerInfo *info,
+                        GArray *actions);
+void GwRouter_DropServer(GwRouter *r, int64_t now_us, const char *id,
+                         GArray *actions);
+uint32_t GwRouter_ServerCount(const GwRouter *r);
+/* The servers of a failure domain take nothing while it is evacuated. */
+void GwRouter_SetEvacuated(GwRouter *r, const char *domain, bool evacuated);
+/* Calls `visit` with each id; for a host that compares with a full list. */
+void GwRouter_EachServer(GwRouter *r, void (*visit)(void *ctx, const char *id),
+                         void *ctx);
+
+/* Requests in flight of one peer at one server. */
+typedef struct {
+    uint32_t server; /* GwServer_Hash */
+    uint32_t in_flight;
+} GwPeerLoad;
+
+typedef struct {
+    const char *name;
+    const char *region;
+    bool serves; /* ready and not leaving */
+    uint32_t load_count;
+    const GwPeerLoad *loads;
+} GwPeerInfo;
+
+void GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info);
+void GwRouter_DropPeer(GwRouter *r, const char *name);
+/* This entry's own requests in flight, as it tells its peers: GwPeerLoad. */
+void GwRouter_OwnLoads(const GwRouter *r, GArray *out);
+
+/* ---- The life of a request ---------------------------------------------- */
+
+typedef struct {
+    void *user; /* the host's */
+    const char *host;
+    const char *path;
+    const char *key; /* names the object that the request is about; or NULL */
+    int64_t left_us; /* how long the caller waits; < 0: it did not say */
+} GwArrival;
+
+typedef enum {
+    GW_ATTEMPT_ANSWERED = 1, /* the whole answer of that server */
+    GW_ATTEMPT_REFUSED = 2,  /* it says that it did not run the request */
+    GW_ATTEMPT_UNSENT = 3,   /* not a byte has left */
+    GW_ATTEMPT_BROKEN = 4    /* sent, and no whole answer: may have run */
+} GwAttemptOutcome;
+
+typedef struct {
+    GwAttemptOutcome outcome;
+    uint16_t status;  /* ANSWERED, REFUSED */
+    bool other_server; /* REFUSED: another one has this address now */
+    bool leaving;      /* the answer closes the connection, or says so */
+    bool has_load;
+    uint32_t running; /* of the load report */
+    uint32_t waiting;
+    uint32_t cold_ms;    /* > 0: the server says that it is cold */
+    int64_t connect_us;  /* time of a connection made for this; 0: reused */
+} GwAttemptEnd;
+
+/* Starts a request. It may be over when this returns (REPLY). */
+void GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
+                     GArray *actions);
+void GwRouter_Ended(GwRouter *r, int64_t now_us, GwRequest *req,
+                    const GwAttemptEnd *end, GArray *actions);
+/* The caller left, and the host has abandoned the attempt. */
+void GwRouter_Gone(GwRouter *r, int64_t now_us, GwRequest *req,
+                   GArray *actions);
+/* What time does; to be called at GwRouter_NextDeadline. */
+void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
+int64_t GwRouter_NextDeadline(const GwRouter *r); /* INT64_MAX: none */
+uint32_t GwRouter_OpenCount(const GwRouter *r);
+
+typedef enum {
+    GW_DO_ACCEPT = 1, /* `request` is the handle of this arrival */
+    GW_DO_SEND,       /* one attempt at `server` */
+    GW_DO_CANCEL,     /* abandon the attempt; its connection is closed */
+    GW_DO_ANSWER,     /* pass on the last attempt's answer; over */
+    GW_DO_REPLY,      /* answer with `status` of our own; over */
+    GW_DO_FORGET      /* `server` is gone: drop what is kept for it */
+} GwDoKind;
+
+typedef enum {
+    GW_WHY_NONE = 0,
+    GW_WHY_NO_CONFIG,
+    GW_WHY_NO_ROUTE,
+    GW_WHY_NO_SERVER,  /* no backend server may take it */
+    GW_WHY_NO_ROOM,    /* it would come too late */
+    GW_WHY_NO_RETRY,   /* not run, and no attempt is left */
+    GW_WHY_TIMEOUT,    /* sent, and the time is over */
+    GW_WHY_TIME_UNSENT, /* never sent, and the time is over */
+    GW_WHY_BROKEN      /* it may have run */
+} GwWhy;
+
+const char *GwWhy_Name(GwWhy why);
+
+typedef struct {
+    GwDoKind kind;
+    void *user;
+    GwRequest *request;
+    GwServer *server;
+    uint32_t left_ms;        /* SEND: what is left of the caller's time */
+    bool idempotent;         /* SEND */
+    uint16_t status;         /* REPLY */
+    uint32_t retry_after_ms; /* REPLY: 0 for none */
+    GwWhy why;               /* REPLY */
+} GwDo;
+
+const char *GwServer_Id(const GwServer *s);
+const char *GwServer_Address(const GwServer *s);
+uint32_t GwServer_Hash(const GwServer *s);
+bool GwServer_IsFar(const GwServer *s); /* in another region */
+/* A place for the host to keep its connections to the server. */
+void **GwServer_User(GwServer *s);
+
+/* One line of state for dumps: appended to `out` as JSON. */
+void GwRouter_Dump(const GwRouter *r, int64_t now_us, GString *out);
+
+#endif
--- /dev/null
+++ b/lib/router/router_internal.h
@@ -0,0 +1,184 @@
+/* What the parts of the steering core share. */
+#ifndef GW_ROUTER_INTERNAL_H
+#define GW_ROUTER_INTERNAL_H
+
+#include "common/heap.h"
+#include "common/rng.h"
+#include "router/router.h"
+
+/* ---- Estimates ----------------------------------------------------------- */
+
+/* Shares of a route's objective that an answer is taken to need until there
+ * are measurements: a server that holds the object warm needs about 0.3 of
+ * the time of a cold one (docs/MEASURES.md, warmth). */
+#define GW_COLD_SHARE 1.0
+#define GW_WARM_SHARE 0.36
+/* Weight of a new measurement in a mean. */
+#define GW_MEAN_WEIGHT 0.1
+/* What a cold run costs beyond its own time: the slot time that it takes from
+ * others, as a part of it. */
+#define GW_COLD_PRICE 0.5
+/* Cold candidates are told apart by a hash of object and server worth up to
+ * this many us, so that all entries pick the same one. */
+#define GW_SPREAD_US 150000
+/* Round trips assumed until a connection was made there. */
+#define GW_NEAR_RTT_US 3000
+#define GW_FAR_RTT_US  100000
+/* A server that answers `BROKEN`, or can't be reached, is passed over for
+ * this long at first, doubled for each further failure in a row. */
+#define GW_EJECT_US     400000
+#define GW_EJECT_MAX_US 4000000
+/* An object not asked for in this time may have been forgotten. */
+#define GW_WARM_KEEP_US 40000000
+#define GW_KEY_SERVERS  4
+
+typedef struct {
+    double tokens;
+    double max;
+    int64_t at_us;
+} GwBucket;
+
+void GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s);
+
+typedef struct {
+    char *name;
+    GPtrArray *servers; /* GwServer, borrowed */
+    GPtrArray *waiting; /* GwRequest in the order in which they are served */
+    GwBucket retries;
+    double work_us; /* mean time a request takes a slot */
+    double cold_per_s;
+} GwServiceState;
+
+typedef struct {
+    char *name;
+    double warm_us;
+    double cold_us;
+    int64_t *credit; /* smooth weighted round robin: one for each part */
+    uint32_t credit_count;
+} GwRouteState;
+
+struct GwServer_s {
+    char *id;
+    char *address;
+    char *domain;
+    char *region;
+    GwServiceState *service;
+    uint64_t born_ms;
+    uint64_t hash;
+    uint32_t slots;
+    bool listed; /* in the registry */
+    bool draining;
+    bool same_domain;
+    bool same_region;
+    uint32_t refs;      /* attempts under way */
+    uint32_t in_flight; /* of this entry */
+    uint32_t peers_in_flight;
+    uint32_t claims; /* requests that wait for it, in one pass of placing */
+    double slow;     /* its time over that of others, for the same work */
+    uint32_t failures;
+    int64_t eject_until_us;
+    int64_t cold_until_us;
+    GwBucket cold_tokens;
+    bool feeds; /* this entry fed it at the last look */
+    int64_t load_at_us;
+    uint32_t load_running;
+    uint32_t load_waiting;
+    void *user;
+};
+
+/* An object: which servers hold it warm. */
+typedef struct {
+    GwServer *server;
+    int64_t started_us; /* of the first run there */
+    int64_t used_us;    /* 0 while that first run is under way */
+} GwKeyServer;
+
+typedef struct {
+    uint64_t hash;
+    int64_t used_us;
+    GwKeyServer at[GW_KEY_SERVERS];
+} GwKey;
+
+typedef struct {
+    char *name;
+    char *region;
+    bool serves;
+    GArray *loads; /* GwPeerLoad */
+} GwPeer;
+
+struct GwRequest_s {
+    void *user;
+    GwRouting *routing;
+    const GwRoute *route;
+    GwRouteState *state;
+    GwServiceState *service;
+    GwKey *key; /* or NULL */
+    int64_t arrived_us;
+    int64_t aim_us;      /* an answer after this is late */
+    int64_t give_up_us;  /* the caller or the route waits no longer */
+    int64_t budget_us;   /* what servers are told: end of the time */
+    uint32_t deadline;   /* place in the heap */
+    uint32_t attempts;
+    GwServer *server; /* of the attempt under way, or NULL */
+    int64_t sent_us;
+    bool sent_warm;
+    bool sent_alone; /* a slot was free then: its time is the work's */
+    bool waits;
+    bool may_have_run;  /* an attempt ended without proof of the contrary */
+    uint32_t arrivals;  /* attempts that a server saw */
+    uint32_t unsent;
+    uint32_t tried_count;
+    GwServer *tried[8]; /* compared only, never followed */
+};
+
+struct GwRouter_s {
+    GwRouterParams params;
+    GwRng rng;
+    GwRouting *routing;
+    GHashTable *services; /* name -> GwServiceState */
+    GHashTable *routes;   /* name -> GwRouteState */
+    GHashTable *servers;  /* id -> GwServer */
+    GHashTable *by_hash;  /* 32-bit hash -> GwServer */
+    GHashTable *keys;     /* hash -> GwKey */
+    GHashTable *peers;    /* name -> GwPeer */
+    GHashTable *evacuated;
+    GHashTable *rtts; /* region -> double* us */
+    GHashTable *open;   /* GwRequest set */
+    GPtrArray *freed;   /* GwServer, until the next step */
+    GwHeap deadlines;
+    int64_t started_us;
+};
+
+/* servers.c */
+GwServiceState *GwRouter_ServiceOf(GwRouter *r, const char *name);
+bool GwServer_IsCold(const GwServer *s, int64_t now_us);
+void GwServer_Unref(GwRouter *r, GwServer *s, GArray *actions);
+void GwRouter_Learn(GwRouter *r, int64_t now_us, GwRequest *req,
+                    const GwAttemptEnd *end);
+double GwRouter_RttUs(const GwRouter *r, const GwServer *s);
+bool GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us);
+
+/* keys.c */
+uint64_t GwHash_Text(const char *text, uint64_t seed);
+GwKey *GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwServiceState *service,
+                      const char *text);
+GwKeyServer *GwKey_At(GwKey *key, const GwServer *s);
+void GwKey_Started(GwKey *key, GwServer *s, int64_t now_us);
+void GwKey_Ended(GwKey *key, GwServer *s, int64_t now_us, bool ran);
+void GwRouter_ForgetInKeys(GwRouter *r, const GwServer *s);
+
+/* choose.c */
+typedef struct {
+    GwServer *server; /* NULL: none may take it */
+    bool ready;       /* a slot is free there now */
+    double est_us;    /* until its answer */
+    GwServer *free_server; /* the cheapest with a free slot, or NULL */
+} GwChoice;
+
+GwChoice GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req);
+
+/* requests.c */
+void GwRouter_Pump(GwRouter *r, int64_t now_us, GwServiceState *service,
+                   GArray *actions);
+
+#endif
--- /dev/null
+++ b/lib/router/servers.c
@@ -0,0 +1,406 @@
+/* What the entry believes of backend servers and peers. */
+#include "router/router_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+/* A server's time counts as learned only within this range of the mean: one
+ * answer that hung for seconds must not bar a server for minutes. */
+#define SLOW_MIN 0.5
+#define SLOW_MAX 16.0
+/* After a start an entry knows no peers yet and would take itself for the one
+ * that feeds every cold server. */
+#define FEED_AFTER_START_US 2000000
+/* Of the rate that a cold server bears, so that a late or doubled belief about
+ * who feeds it still stays within the bound. */
+#define FEED_SHARE 0.9
+#define FEED_BURST 2.0
+
+void
+GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s)
+{
+    if (b->at_us != 0 && now_us > b->at_us) {
+        b->tokens += per_s * (double)(now_us - b->at_us) / 1e6;
+    }
+    b->at_us = now_us;
+    if (b->tokens > b->max) {
+        b->tokens = b->max;
+    }
+}
+
+GwServiceState *
+GwRouter_ServiceOf(GwRouter *r, const char *name)
+{
+    GwServiceState *service = g_hash_table_lookup(r->services, name);
+
+    if (service == NULL) {
+        service = g_new0(GwServiceState, 1);
+        service->name = g_strdup(name);
+        service->servers = g_ptr_array_new();
+        service->waiting = g_ptr_array_new();
+        service->work_us = 200000;
+        g_hash_table_insert(r->services, service->name, service);
+    }
+    return service;
+}
+
+bool
+GwServer_IsCold(const GwServer *s, int64_t now_us)
+{
+    return now_us < s->cold_until_us;
+}
+
+static void
+free_server(GwRouter *r, GwServer *s, GArray *actions)
+{
+    GwDo forget = {.kind = GW_DO_FORGET, .server = s};
+
+    /* The host sees the pointer once more, for its own connections, before
+     * the memory goes with the next step. */
+    if (actions != NULL && s->user != NULL) {
+        g_array_append_val(actions, forget);
+    }
+    GwRouter_ForgetInKeys(r, s);
+    g_hash_table_remove(r->by_hash, GUINT_TO_POINTER(GwServer_Hash(s)));
+    g_ptr_array_add(r->freed, s);
+}
+
+void
+GwServer_Unref(GwRouter *r, GwServer *s, GArray *actions)
+{
+    s->refs--;
+    if (s->refs == 0 && !s->listed) {
+        free_server(r, s, actions);
+    }
+}
+
+/* Takes a server out of use. Attempts under way keep it until they end. */
+static void
+delist(GwRouter *r, GwServer *s, GArray *actions)
+{
+    s->listed = false;
+    (void)g_ptr_array_remove(s->service->servers, s);
+    (void)g_hash_table_remove(r->servers, s->id);
+    if (s->refs == 0) {
+        free_server(r, s, actions);
+    }
+}
+
+static GwServer *
+create_server(GwRouter *r, const GwServerInfo *info)
+{
+    GwServer *s = g_new0(GwServer, 1);
+
+    s->id = g_strdup(info->id);
+    s->address = g_strdup(info->address);
+    s->domain = g_strdup(info->domain);
+    s->region = g_strdup(info->region);
+    s->service = GwRouter_ServiceOf(r, info->service);
+    s->born_ms = info->born_ms;
+    s->hash = GwHash_Text(info->id, info->born_ms);
+    s->same_domain = strcmp(info->domain, r->params.domain) == 0;
+    s->same_region = strcmp(info->region, r->params.region) == 0;
+    s->slow = 1.0;
+    s->listed = true;
+    g_ptr_array_add(s->service->servers, s);
+    g_hash_table_insert(r->servers, s->id, s);
+    g_hash_table_insert(r->by_hash, GUINT_TO_POINTER(GwServer_Hash(s)), s);
+    return s;
+}
+
+static bool
+is_same_start(const GwServer *s, const GwServerInfo *info)
+{
+    return s->born_ms == info->born_ms &&
+           strcmp(s->address, info->address) == 0 &&
+           strcmp(s->service->name, info->service) == 0 &&
+           strcmp(s->domain, info->domain) == 0;
+}
+
+void
+GwRouter_PutServer(GwRouter *r, int64_t now_us, const GwServerInfo *info,
+                   GArray *actions)
+{
+    GwServer *s = g_hash_table_lookup(r->servers, info->id);
+
+    if (s != NULL && !is_same_start(s, info)) {
+        delist(r, s, actions);
+        s = NULL;
+    }
+    if (s == NULL) {
+        s = create_server(r, info);
+    }
+    s->slots = info->slots;
+    /* Once a start of a server has said that it leaves, it leaves: a report
+     * that says otherwise is an older one that came late. */
+    s->draining = s->draining || info->draining;
+    if (info->cold_left_ms > 0) {
+        s->cold_until_us = now_us + (int64_t)info->cold_left_ms * 1000;
+    }
+}
+
+void
+GwRouter_DropServer(GwRouter *r, int64_t now_us, const char *id,
+                    GArray *actions)
+{
+    GwServer *s = g_hash_table_lookup(r->servers, id);
+
+    (void)now_us;
+    if (s != NULL) {
+        delist(r, s, actions);
+    }
+}
+
+uint32_t
+GwRouter_ServerCount(const GwRouter *r)
+{
+    return g_hash_table_size(r->servers);
+}
+
+void
+GwRouter_EachServer(GwRouter *r, void (*visit)(void *ctx, const char *id),
+                    void *ctx)
+{
+    GList *ids = g_hash_table_get_keys(r->servers);
+
+    for (GList *at = ids; at != NULL; at = at->next) {
+        visit(ctx, at->data);
+    }
+    g_list_free(ids);
+}
+
+void
+GwRouter_SetEvacuated(GwRouter *r, const char *domain, bool evacuated)
+{
+    if (evacuated) {
+        g_hash_table_add(r->evacuated, g_strdup(domain));
+    }
+    else {
+        g_hash_table_remove(r->evacuated, domain);
+    }
+}
+
+/* ---- Peers --------------------------------------------------------------- */
+
+static void
+count_loads(GwRouter *r, const GwPeer *peer, bool add)
+{
+    for (guint i = 0; i < peer->loads->len; i++) {
+        const GwPeerLoad *load = &g_array_index(peer->loads, GwPeerLoad, i);
+        GwServer *s = g_hash_table_lookup(r->by_hash,
+                                          GUINT_TO_POINTER(load->server));
+        if (s == NULL) {
+            continue;
+        }
+        /* A server that came after the report was counted in holds nothing of
+         * it: never below zero. */
+        s->peers_in_flight = add ? s->peers_in_flight + load->in_flight
+                             : s->peers_in_flight > load->in_flight
+                                 ? s->peers_in_flight - load->in_flight
+                                 : 0;
+    }
+}
+
+void
+GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info)
+{
+    GwPeer *peer = g_hash_table_lookup(r->peers, info->name);
+
+    (void)now_us;
+    if (peer == NULL) {
+        peer = g_new0(GwPeer, 1);
+        peer->name = g_strdup(info->name);
+        peer->region = g_strdup(info->region);
+        peer->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+        g_hash_table_insert(r->peers, peer->name, peer);
+    }
+    peer->serves = info->serves;
+    count_loads(r, peer, false);
+    g_array_set_size(peer->loads, 0);
+    if (info->load_count > 0) {
+        g_array_append_vals(peer->loads, info->loads, info->load_count);
+    }
+    count_loads(r, peer, true);
+}
+
+void
+GwRouter_DropPeer(GwRouter *r, const char *name)
+{
+    GwPeer *peer = g_hash_table_lookup(r->peers, name);
+
+    if (peer != NULL) {
+        count_loads(r, peer, false);
+        g_hash_table_remove(r->peers, name);
+    }
+}
+
+void
+GwRouter_OwnLoads(const GwRouter *r, GArray *out)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwServer *s = value;
+        if (s->in_flight > 0) {
+            GwPeerLoad load = {GwServer_Hash(s), s->in_flight};
+            g_array_append_val(out, load);
+        }
+    }
+}
+
+/* ---- Cold servers -------------------------------------------------------- */
+
+static uint64_t
+feed_rank(const GwServer *s, const char *entry)
+{
+    return GwHash_Text(entry, s->hash);
+}
+
+/* Whether this entry is the one that feeds the cold server. The bound on what
+ * a cold server gets holds over all entries together, so one entry feeds it:
+ * of those that serve, in its region if there are any, the first by a hash. */
+static bool
+is_feeder(GwRouter *r, const GwServer *s)
+{
+    uint64_t own = feed_rank(s, r->params.name);
+    bool first = true;
+    bool in_region = s->same_region;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeer *peer = value;
+        if (!peer->serves) {
+            continue;
+        }
+        bool peer_in_region = strcmp(peer->region, s->region) == 0;
+        if (peer_in_region && !in_region) {
+            return false;
+        }
+        if (peer_in_region == in_region && feed_rank(s, peer->name) > own) {
+            first = false;
+        }
+    }
+    return first;
+}
+
+/* Whether a token for the cold server is there. An entry that has only now
+ * become the feeder starts with none: the one before it may just have spent
+ * its own. */
+bool
+GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us)
+{
+    double per_s = s->service->cold_per_s * FEED_SHARE;
+
+    if (now_us < r->started_us + FEED_AFTER_START_US || !is_feeder(r, s)) {
+        s->feeds = false;
+        return false;
+    }
+    if (!s->feeds) {
+        s->feeds = true;
+        s->cold_tokens = (GwBucket){.max = FEED_BURST, .at_us = now_us};
+    }
+    GwBucket_Fill(&s->cold_tokens, now_us, per_s);
+    return s->cold_tokens.tokens >= 1.0;
+}
+
+/* ---- Learning ------------------------------------------------------------ */
+
+double
+GwRouter_RttUs(const GwRouter *r, const GwServer *s)
+{
+    const double *rtt = g_hash_table_lookup(r->rtts, s->region);
+
+    if (rtt != NULL) {
+        return *rtt;
+    }
+    return s->same_region ? GW_NEAR_RTT_US : GW_FAR_RTT_US;
+}
+
+static void
+learn_rtt(GwRouter *r, const GwServer *s, int64_t connect_us)
+{
+    double *rtt = g_hash_table_lookup(r->rtts, s->region);
+
+    if (rtt == NULL) {
+        rtt = g_new(double, 1);
+        *rtt = (double)connect_us;
+        g_hash_table_insert(r->rtts, g_strdup(s->region), rtt);
+        return;
+    }
+    *rtt += GW_MEAN_WEIGHT * ((double)connect_us - *rtt);
+}
+
+static void
+learn_failure(GwServer *s, int64_t now_us)
+{
+    int64_t away = GW_EJECT_US << MIN(s->failures, 6);
+
+    s->failures++;
+    s->eject_until_us = now_us + MIN(away, GW_EJECT_MAX_US);
+}
+
+static void
+learn_time(GwRouter *r, int64_t now_us, GwRequest *req,
+           const GwAttemptEnd *end)
+{
+    GwServer *s = req->server;
+    double took = (double)(now_us - req->sent_us - end->connect_us) -
+                  GwRouter_RttUs(r, s);
+
+    if (took < 1000.0 || !req->sent_alone) {
+        return;
+    }
+    double *mean = req->sent_warm ? &req->state->warm_us
+                                  : &req->state->cold_us;
+    double ratio = took / *mean;
+    double seen = CLAMP(ratio, SLOW_MIN, SLOW_MAX);
+    s->slow += 0.2 * (seen - s->slow);
+    /* A slow server says nothing about the work itself. */
+    if (ratio < 2.0) {
+        *mean += GW_MEAN_WEIGHT * (took - *mean);
+    }
+    s->service->work_us += 0.05 * (took - s->service->work_us);
+}
+
+void
+GwRouter_Learn(GwRouter *r, int64_t now_us, GwRequest *req,
+               const GwAttemptEnd *end)
+{
+    GwServer *s = req->server;
+
+    if (end->connect_us > 0) {
+        learn_rtt(r, s, end->connect_us);
+    }
+    if (end->has_load) {
+        s->load_at_us = now_us;
+        s->load_running = end->running;
+        s->load_waiting = end->waiting;
+    }
+    if (end->cold_ms > 0) {
+        s->cold_until_us = now_us + (int64_t)end->cold_ms * 1000;
+    }
+    switch (end->outcome) {
+    case GW_ATTEMPT_ANSWERED:
+        if (end->status < 500) {
+            s->failures = 0;
+            learn_time(r, now_us, req, end);
+        }
+        else if (end->status != 504) {
+            learn_failure(s, now_us);
+        }
+        break;
+    case GW_ATTEMPT_REFUSED:
+        /* Full beside our belief that it has room: a moment's pause. */
+        s->eject_until_us =
+            now_us + (end->other_server ? GW_EJECT_MAX_US : GW_EJECT_US / 4);
+        break;
+    case GW_ATTEMPT_UNSENT:
+    case GW_ATTEMPT_BROKEN:
+        learn_failure(s, now_us);
+        break;
+    }
+}
--- /dev/null
+++ b/lib/store/rows.c
@@ -0,0 +1,250 @@
+#include "store/rows.h"
+
+#include <string.h>
+
+/* A dropped row is remembered for so long: longer than a peer may lag. */
+#define MARK_LIFE_US 120000000
+
+struct GwRowCache_s {
+    GHashTable *rows;    /* key -> GwStoreRow */
+    GHashTable *missing; /* key -> int64_t* us at which it is gone */
+    uint64_t version;
+    int64_t grace_until_us;
+    int64_t grace_us;
+    GwRowChanged changed;
+    void *ctx;
+};
+
+GwStoreRow *
+GwStoreRow_Create(const char *key, const char *value, uint64_t version,
+                  bool removed)
+{
+    GwStoreRow *row = g_new0(GwStoreRow, 1);
+
+    row->key = g_strdup(key);
+    row->value = g_strdup(value);
+    row->version = version;
+    row->removed = removed;
+    return row;
+}
+
+void
+GwStoreRow_Free(GwStoreRow *row)
+{
+    if (row != NULL) {
+        g_free(row->key);
+        g_free(row->value);
+        g_free(row);
+    }
+}
+
+GwRowSet *
+GwRowSet_Create(void)
+{
+    GwRowSet *set = g_new0(GwRowSet, 1);
+
+    set->rows =
+        g_ptr_array_new_with_free_func((GDestroyNotify)GwStoreRow_Free);
+    return set;
+}
+
+void
+GwRowSet_Free(GwRowSet *set)
+{
+    if (set != NULL) {
+        g_ptr_array_free(set->rows, TRUE);
+        g_free(set);
+    }
+}
+
+GwRowCache *
+GwRowCache_Create(GwRowChanged changed, void *ctx)
+{
+    GwRowCache *cache = g_new0(GwRowCache, 1);
+
+    cache->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                        (GDestroyNotify)GwStoreRow_Free);
+    cache->missing =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    cache->changed = changed;
+    cache->ctx = ctx;
+    return cache;
+}
+
+void
+GwRowCache_Free(GwRowCache *cache)
+{
+    if (cache != NULL) {
+        g_hash_table_destroy(cache->rows);
+        g_hash_table_destroy(cache->missing);
+        g_free(cache);
+    }
+}
+
+uint64_t
+GwRowCache_Version(const GwRowCache *cache)
+{
+    return cache->version;
+}
+
+static void
+set_missing(GwRowCache *cache, const char *key, int64_t at_us)
+{
+    if (!g_hash_table_contains(cache->missing, key)) {
+        g_hash_table_insert(cache->missing, g_strdup(key),
+                            g_memdup2(&at_us, sizeof(at_us)));
+    }
+}
+
+/* Whether the row is held and live. */
+static GwStoreRow *
+live_row(const GwRowCache *cache, const char *key)
+{
+    GwStoreRow *row = g_hash_table_lookup(cache->rows, key);
+
+    return row != NULL && !row->removed ? row : NULL;
+}
+
+static void
+put(GwRowCache *cache, int64_t now_us, const GwStoreRow *row)
+{
+    GwStoreRow *old = g_hash_table_lookup(cache->rows, row->key);
+
+    if (old != NULL && old->version >= row->version) {
+        return;
+    }
+    if (row->removed && now_us < cache->grace_until_us &&
+        live_row(cache, row->key) != NULL) {
+        set_missing(cache, row->key, now_us + cache->grace_us);
+        old->version = row->version;
+        return;
+    }
+    bool same = old != NULL && !old->removed && !row->removed &&
+                strcmp(old->value, row->value) == 0;
+    GwStoreRow *copy = GwStoreRow_Create(row->key, row->value, row->version,
+                                         row->removed);
+    copy->removed_us = now_us;
+    (void)g_hash_table_remove(cache->missing, row->key);
+    g_hash_table_replace(cache->rows, copy->key, copy);
+    if (!same) {
+        cache->changed(cache->ctx, copy);
+    }
+}
+
+void
+GwRowCache_Apply(GwRowCache *cache, int64_t now_us, const GwRowSet *set)
+{
+    for (guint i = 0; i < set->rows->len; i++) {
+        put(cache, now_us, set->rows->pdata[i]);
+    }
+    cache->version = MAX(cache->version, set->version);
+}
+
+/* Drops a row that nobody named as dropped: its absence was read at
+ * `version`. */
+static void
+drop(GwRowCache *cache, int64_t now_us, const char *key, uint64_t version)
+{
+    GwStoreRow gone = {
+        .key = (char *)key, .version = version, .removed = true};
+
+    cache->grace_until_us = 0;
+    put(cache, now_us, &gone);
+}
+
+void
+GwRowCache_ApplyFull(GwRowCache *cache, int64_t now_us, const GwRowSet *set,
+                     int64_t grace_us)
+{
+    GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer value;
+
+    for (guint i = 0; i < set->rows->len; i++) {
+        g_hash_table_add(present, ((GwStoreRow *)set->rows->pdata[i])->key);
+    }
+    g_hash_table_iter_init(&iter, cache->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwStoreRow *row = value;
+        if (!row->removed && !g_hash_table_contains(present, row->key) &&
+            row->version <= set->version) {
+            set_missing(cache, row->key, now_us + grace_us);
+        }
+    }
+    g_hash_table_destroy(present);
+    GwRowCache_Apply(cache, now_us, set);
+    GwRowCache_Tick(cache, now_us);
+}
+
+static gboolean
+is_old_mark(gpointer key, gpointer value, gpointer now_us)
+{
+    const GwStoreRow *row = value;
+
+    (void)key;
+    return row->removed &&
+           *(int64_t *)now_us - row->removed_us > MARK_LIFE_US;
+}
+
+void
+GwRowCache_Tick(GwRowCache *cache, int64_t now_us)
+{
+    GPtrArray *due = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer at;
+
+    g_hash_table_iter_init(&iter, cache->missing);
+    while (g_hash_table_iter_next(&iter, &key, &at)) {
+        if (*(int64_t *)at <= now_us) {
+            g_ptr_array_add(due, g_strdup(key));
+        }
+    }
+    for (guint i = 0; i < due->len; i++) {
+        const GwStoreRow *row = live_row(cache, due->pdata[i]);
+        if (row != NULL) {
+            drop(cache, now_us, due->pdata[i],
+                 MAX(row->version + 1, cache->version));
+        }
+        (void)g_hash_table_remove(cache->missing, due->pdata[i]);
+    }
+    g_ptr_array_free(due, TRUE);
+    g_hash_table_foreach_remove(cache->rows, is_old_mark, &now_us);
+}
+
+void
+GwRowCache_SetGrace(GwRowCache *cache, int64_t until_us, int64_t grace_us)
+{
+    cache->grace_until_us = until_us;
+    cache->grace_us = grace_us;
+}
+
+static gint
+compare_versions(gconstpointer a, gconstpointer b)
+{
+    uint64_t va = (*(GwStoreRow *const *)a)->version;
+    uint64_t vb = (*(GwStoreRow *const *)b)->version;
+
+    return (va > vb) - (va < vb);
+}
+
+GwRowSet *
+GwRowCache_After(const GwRowCache *cache, uint64_t version)
+{
+    GwRowSet *set = GwRowSet_Create();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, cache->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwStoreRow *row = value;
+        if (row->version > version) {
+            g_ptr_array_add(set->rows,
+                            GwStoreRow_Create(row->key, row->value,
+                                              row->version, row->removed));
+        }
+    }
+    g_ptr_array_sort(set->rows, compare_versions);
+    set->version = cache->version;
+    return set;
+}
--- /dev/null
+++ b/programs/godwitedge.c
@@ -0,0 +1,108 @@
+/* The daemon of one entry on the users' platform.
+ *
+ * Exit codes:
+ *   0  graceful stop, or a question on the command line was answered
+ *   1  failure at run time: an address is taken
+ *   2  usage
+ *   3  the settings were refused */
+#include "common/log.h"
+#include "edge/edge.h"
+#include "godwitridge.h"
+#include "platform/platform.h"
+
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum { EXIT_OK = 0, EXIT_RUNTIME = 1, EXIT_USAGE = 2, EXIT_SETTINGS = 3 };
+
+typedef struct {
+    char *settings;
+    int check;
+    int version;
+} Arguments;
+
+static int
+parse_arguments(int argc, const char **argv, Arguments *args)
+{
+    struct poptOption options[] = {
+        {"settings", 's', POPT_ARG_STRING, &args->settings, 0,
+         "settings, JSON with comments; default: the file that the platform "
+         "names",
+         "FILE"},
+        {"check-settings", 'c', POPT_ARG_NONE, &args->check, 0,
+         "check the settings and exit", NULL},
+        {"version", 'V', POPT_ARG_NONE, &args->version, 0,
+         "print the version and exit", NULL},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext ctx = poptGetContext("godwitedge", argc, argv, options, 0);
+    int rc = poptGetNextOpt(ctx);
+    int code = EXIT_OK;
+
+    if (rc < -1) {
+        (void)fprintf(stderr, "godwitedge: %s: %s\n", poptBadOption(ctx, 0),
+                      poptStrerror(rc));
+        code = EXIT_USAGE;
+    }
+    else if (poptPeekArg(ctx) != NULL) {
+        poptPrintUsage(ctx, stderr, 0);
+        code = EXIT_USAGE;
+    }
+    poptFreeContext(ctx);
+    return code;
+}
+
+static int
+serve(const GwEdgeSettings *settings)
+{
+    GError *error = NULL;
+    GwEdge *edge = GwEdge_Create(settings, &Platform_Adapter, &error);
+
+    if (edge == NULL) {
+        (void)fprintf(stderr, "godwitedge: %s\n", error->message);
+        g_error_free(error);
+        return EXIT_RUNTIME;
+    }
+    GwEdge_Run(edge);
+    GwEdge_Free(edge);
+    return EXIT_OK;
+}
+
+int
+main(int argc, const char **argv)
+{
+    Arguments args = {0};
+    GError *error = NULL;
+    int code = parse_arguments(argc, argv, &args);
+
+    if (code != EXIT_OK) {
+        return code;
+    }
+    if (args.version) {
+        (void)printf("godwitedge %s\n", GW_VERSION_STRING);
+        return EXIT_OK;
+    }
+    const char *path = args.settings != NULL
+                           ? args.settings
+                           : getenv(PLATFORM_SETTINGS_VARIABLE);
+    if (path == NULL) {
+        (void)fprintf(stderr, "godwitedge: no settings; see --help\n");
+        return EXIT_USAGE;
+    }
+    GwEdgeSettings *settings = GwEdgeSettings_Load(path, &error);
+    if (settings == NULL) {
+        (void)fprintf(stderr, "godwitedge: %s: %s\n", path, error->message);
+        g_error_free(error);
+        return EXIT_SETTINGS;
+    }
+    if (!args.check) {
+        (void)signal(SIGPIPE, SIG_IGN);
+        (void)GwLog_Start(settings->log_level);
+        code = serve(settings);
+        GwLog_Stop();
+    }
+    GwEdgeSettings_Free(settings);
+    return code;
+}
