--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -20,6 +20,27 @@
     return GwRead_String(at, key, size, out, error);
 }
 
+/* The port at which entries meet each other, put in place of the one that the
+ * seeds were given with. */
+static bool
+move_seeds(const GwReadAt *at, GPtrArray *seeds, GError **error)
+{
+    static const GwReadBound ports = {
+        .min = 1, .max = 65535, .optional = true};
+    uint32_t port = 0;
+
+    if (!GwRead_U32(at, "seeds_peer_port", &ports, &port, error)) {
+        return false;
+    }
+    for (guint i = 0; port > 0 && i < seeds->len; i++) {
+        char *seed = seeds->pdata[i];
+        seeds->pdata[i] = g_strdup_printf(
+            "%.*s:%u", (int)(strrchr(seed, ':') - seed), seed, port);
+        g_free(seed);
+    }
+    return true;
+}
+
 /* A time with its unit; keeps `out` when the key is absent. */
 static bool
 read_time(const GwReadAt *at, const char *key, uint32_t *out, GError **error)
@@ -128,7 +149,7 @@
     static const char *const known[] = {
         "name", "region", "domain", "call_address", "ready_address",
         "directory_address", "control_address", "peer_address",
-        "store_address", "seeds", "regions", "retry_ratio", "retry_extra",
+        "store_address", "seeds", "seeds_peer_port", "regions", "retry_ratio", "retry_extra",
         "retry_window", "entries_max", "cold_over", "cold_slack", "grace",
         "lookup_ttl", "row_grace", "log_level", NULL,
     };
@@ -147,6 +168,7 @@
            GwRead_Address(at, "peer_address", s->peer_address, error) &&
            GwRead_Address(at, "store_address", s->store_address, error) &&
            read_seeds(at, s->seeds, error) &&
+           move_seeds(at, s->seeds, error) &&
            read_regions(at, s->regions, error) && read_bounds(at, s, error);
 }
 
