--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -140,6 +140,20 @@
            c->params.ops->to_head(c->params.owner);
 }
 
+/* libuv takes a hang-up behind a short read for an orderly end without asking
+ * the socket, and a reset looks like one then: an answer without a length
+ * that was cut off by a reset would be taken for whole. So the socket is
+ * asked: only a read of zero bytes is an end in order. */
+static bool
+has_ended_in_order(const GwConn *c)
+{
+    char byte;
+    int fd;
+
+    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
@@ -150,6 +164,9 @@
         return;
     }
     c->heard_us = now_us();
+    if (len == UV_EOF && !has_ended_in_order(c)) {
+        len = UV_ECONNRESET;
+    }
     if (c->finishing) {
         if (len < 0) {
             close_handle(c);
--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -175,8 +175,9 @@
         msg->framed = true;
         return 1; /* the answer to a HEAD has no body whatever it says */
     }
-    /* 2: an Upgrade that nobody asked for does not end the protocol. */
-    return parser->upgrade ? 2 : 0;
+    /* An Upgrade is not passed on, so it does not end the protocol here. */
+    parser->upgrade = 0;
+    return 0;
 }
 
 static int
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -167,7 +167,8 @@
     if (slack >= 0) {
         c.server->claims++;
         move_deadline(r, req,
-                      MIN(req->give_up_us, now_us + MIN(slack, REJUDGE_US)));
+                      MIN(req->give_up_us,
+                          now_us + CLAMP(slack, 1000, REJUDGE_US)));
         return;
     }
     if (c.free_server != NULL) {
@@ -298,17 +299,21 @@
     g_array_append_val(actions, out);
 }
 
+/* Servers that went may still be named by actions that are not carried out
+ * yet: steps come from inside of carrying them out too. */
 static void
-free_freed(GwRouter *r)
+free_freed(GwRouter *r, const GArray *actions)
 {
-    g_ptr_array_set_size(r->freed, 0);
+    if (actions->len == 0) {
+        g_ptr_array_set_size(r->freed, 0);
+    }
 }
 
 void
 GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
                 GArray *actions)
 {
-    free_freed(r);
+    free_freed(r, actions);
     if (r->routing == NULL) {
         refuse_arrival(r, arrival, GW_WHY_NO_CONFIG, actions);
         return;
@@ -414,7 +419,7 @@
     bool answered = end->outcome == GW_ATTEMPT_ANSWERED;
     bool good = answered && end->status < 500;
 
-    free_freed(r);
+    free_freed(r, actions);
     GwRouter_Learn(r, now_us, req, end);
     leave_server(r, now_us, req, good, actions);
     if (answered) {
@@ -450,7 +455,7 @@
 {
     GwServiceState *service = req->service;
 
-    free_freed(r);
+    free_freed(r, actions);
     if (req->server != NULL) {
         leave_server(r, now_us, req, false, actions);
     }
@@ -469,7 +474,7 @@
 void
 GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions)
 {
-    free_freed(r);
+    free_freed(r, actions);
     while (r->deadlines.count > 0 && GwHeap_TopKey(&r->deadlines) <= now_us) {
         GwRequest *req = GwHeap_Top(&r->deadlines);
         GwServiceState *service = req->service;
