Withdraw actions of requests whose caller left

Cause: a caller with several requests left; the slot of the first went to the second, whose send was carried out after it was freed (exit by signal).

--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -450,6 +450,20 @@
     }
 }
 
+/* A caller that leaves takes all its requests along. When the first of them
+ * gave its slot to the second, that one's SEND is not carried out yet and
+ * must not be: its request is gone too. */
+static void
+withdraw(GArray *actions, const GwRequest *req)
+{
+    for (guint i = 0; i < actions->len; i++) {
+        GwDo *act = &g_array_index(actions, GwDo, i);
+        if (act->request == req) {
+            act->kind = GW_DO_NOTHING;
+        }
+    }
+}
+
 void
 GwRouter_Gone(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
@@ -459,6 +473,7 @@
     if (req->server != NULL) {
         leave_server(r, now_us, req, false, actions);
     }
+    withdraw(actions, req);
     finish(r, req);
     GwRouter_Pump(r, now_us, service, actions);
 }
