Give objects places: wait for a warm server, spread only into idle slots

Ruled out: too few slots (warm work needs 26 of 72 at the table's rates), slow entries (p50 of a warm look-up 147 ms at the server). Change: an object has up to four places; its requests wait for one while the answer is in time; further places only where a server was idle lately; first runs are not doubled; what can be in time goes before what can't; callers that come back are known by the time they have left.

--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -472,7 +472,7 @@
         Peer *peer = value;
         if (peer->heard && !is_live(peer, now_us) && peer->serves) {
             peer->serves = false;
-            GwRouter_DropPeer(peers->edge->router, peer->name);
+            GwRouter_DropPeer(peers->edge->router, now_us, peer->name);
             GwLog_Event(GW_LOG_MEMBER_DEAD, "member=%s silent_ms=%" PRId64,
                         peer->name, (now_us - peer->heard_us) / 1000);
         }
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -1,10 +1,12 @@
 /* Which backend server a request should go to.
  *
- * Each candidate is judged by the time at which its answer would be back:
- * round trip, wait for a slot, and the work, which is short where the object
- * is warm. A cold run is charged more than its own time, since it takes slot
- * time from others. Warm work at a distance beats cold work nearby, and a
- * short wait for a warm server beats both. */
+ * A server that lately handled an object runs the next request for it in
+ * about 0.3 of the time, and remembers some tens of objects. So each object
+ * has a few servers, its places, and its requests go there: at full load the
+ * same slots carry three times as much as when requests are spread, and once
+ * spread, they stay spread, since every run is a cold one. A request waits for
+ * a place of its object as long as the answer still comes in time; an object
+ * gets a further place only where slots are idle, one at a time. */
 #include "router/router_internal.h"
 
 #include <string.h>
@@ -17,6 +19,23 @@
 /* With so many of a service's servers ejected the failures are not theirs:
  * all are tried again. */
 #define PANIC_SHARE 0.5
+/* What it is worth to stay within the failure domain and within the region,
+ * as time: bytes across are paid for. */
+#define OTHER_DOMAIN_US 30000.0
+#define OTHER_REGION_US 60000.0
+/* Of servers that could be an object's first place, all entries should pick
+ * the same one: a hash of both is worth up to this. */
+#define SPREAD_US 150000.0
+/* Servers that remember many objects already, or were busy lately, are worse
+ * for one more. */
+#define OBJECT_US     4000.0
+#define BUSY_US       150000.0
+/* A further place is made where the server was less busy than this lately. */
+#define IDLE_BELOW 0.7
+/* After so many requests that left the failure domain for an object, it gets a
+ * place here, if a server here is idle enough. */
+#define PULL_AFTER      2
+#define PULL_IDLE_BELOW 0.5
 
 static bool
 was_tried(const GwRequest *req, const GwServer *s)
@@ -29,14 +48,6 @@
     return false;
 }
 
-static bool
-may_take(GwRouter *r, const GwRequest *req, const GwServer *s)
-{
-    return !s->draining && s->slots > 0 &&
-           !g_hash_table_contains(r->evacuated, s->domain) &&
-           GwRoute_AllowsRegion(req->route, s->region) && !was_tried(req, s);
-}
-
 static bool
 is_panic(const GwServiceState *service, int64_t now_us)
 {
@@ -49,7 +60,30 @@
     return (double)ejected > PANIC_SHARE * (double)service->servers->len;
 }
 
-/* Requests at the server and on their way there, as far as is known. */
+typedef struct {
+    GwRouter *r;
+    GwRequest *req;
+    int64_t now_us;
+    bool panic;
+} Look;
+
+static bool
+may_take(const Look *look, GwServer *s)
+{
+    GwRouter *r = look->r;
+
+    if (s->draining || !s->listed || s->slots == 0 ||
+        g_hash_table_contains(r->evacuated, s->domain) ||
+        !GwRoute_AllowsRegion(look->req->route, s->region) ||
+        was_tried(look->req, s) ||
+        (!look->panic && look->now_us < s->eject_until_us)) {
+        return false;
+    }
+    return !GwServer_IsCold(s, look->now_us) ||
+           GwRouter_FeedsCold(r, s, look->now_us);
+}
+
+/* Requests at the server, on their way there, and waiting here for it. */
 static uint32_t
 busy_at(const GwServer *s, int64_t now_us)
 {
@@ -57,104 +91,181 @@
     uint32_t reported = s->load_running + s->load_waiting;
 
     if (now_us - s->load_at_us < LOAD_FRESH_US && s->load_waiting > 0) {
-        return MAX(known, reported);
+        known = MAX(known, reported);
     }
-    return known;
+    return known + s->claims;
+}
+
+static double
+distance_us(const GwServer *s)
+{
+    return s->same_domain   ? 0
+           : s->same_region ? OTHER_DOMAIN_US
+                            : OTHER_REGION_US;
 }
 
 typedef struct {
-    GwServer *server;
+    GwServer *server; /* NULL: there is none */
     double est_us;
     double cost_us;
     bool is_free;
 } Candidate;
 
-/* The part of `GW_SPREAD_US` that this object meets at this server. */
-static double
-spread_of(const GwRequest *req, const GwServer *s)
-{
-    if (req->key == NULL) {
-        return 0;
-    }
-    uint64_t mix = (req->key->hash ^ s->hash) * 0x9e3779b97f4a7c15ULL;
-    mix ^= mix >> 32;
-    mix *= 0xd6e8feb86659fd93ULL;
-    return (double)GW_SPREAD_US * (double)(mix >> 11) * 0x1p-53;
-}
-
 static Candidate
-judge(GwRouter *r, int64_t now_us, GwRequest *req, GwServer *s)
+judge(const Look *look, GwServer *s, double work_us)
 {
-    Candidate c = {.server = s};
-    GwKeyServer *at = req->key != NULL ? GwKey_At(req->key, s) : NULL;
-    bool warm = at != NULL && (at->used_us == 0 ||
-                               now_us - at->used_us < GW_WARM_KEEP_US);
-    double rtt = GwRouter_RttUs(r, s);
-    double work = (warm ? req->state->warm_us : req->state->cold_us);
-    uint32_t busy = busy_at(s, now_us) + s->claims;
+    uint32_t busy = busy_at(s, look->now_us);
     uint32_t limit = s->slots + (s->same_region ? 0 : FAR_AHEAD);
     double wait = 0;
+    double rtt = GwRouter_RttUs(look->r, s);
 
     if (busy >= limit) {
         wait = (double)(busy - limit + 1) * s->service->work_us * s->slow /
                (double)s->slots;
     }
-    c.is_free = busy < limit;
-    if (warm && at->used_us == 0) {
-        /* The first run is still under way: warm from its end. */
-        double left = (double)(at->started_us - now_us) +
-                      req->state->cold_us * s->slow + rtt;
-        if (left > wait) {
-            wait = left;
-        }
-        c.is_free = c.is_free && left <= 0;
+    if (GwServer_IsCold(s, look->now_us)) {
+        work_us *= 2;
     }
-    if (GwServer_IsCold(s, now_us)) {
-        work *= 2;
+    Candidate c = {.server = s, .is_free = busy < limit};
+    c.est_us = rtt + wait + work_us * s->slow;
+    c.cost_us = c.est_us + distance_us(s);
+    return c;
+}
+
+static void
+keep_better(Candidate *best, const Candidate *c)
+{
+    if (best->server == NULL || c->cost_us < best->cost_us) {
+        *best = *c;
     }
-    c.est_us = rtt + wait + work * s->slow;
-    c.cost_us = c.est_us;
-    if (!warm) {
-        c.cost_us += GW_COLD_PRICE *
-                         (req->state->cold_us - req->state->warm_us) +
-                     spread_of(req, s);
+}
+
+/* The best of the object's places. Where its first run is still under way the
+ * request waits for its end: a second cold run would take the same time. */
+static Candidate
+best_place(const Look *look, bool *first_run)
+{
+    GwRequest *req = look->req;
+    Candidate best = {0};
+
+    for (int i = 0; req->key != NULL && i < GW_KEY_SERVERS; i++) {
+        GwKeyServer *at = &req->key->at[i];
+        if (at->server == NULL || !may_take(look, at->server)) {
+            continue;
+        }
+        Candidate c = judge(look, at->server, req->state->warm_us);
+        double left = GwKeyServer_FirstRunLeft(at, look->now_us,
+                                               req->state->cold_us *
+                                                   at->server->slow);
+        if (left > 0) {
+            *first_run = true;
+            double wait = c.est_us - req->state->warm_us;
+            if (left > wait) {
+                c.est_us += left - wait;
+                c.cost_us += left - wait;
+            }
+            c.is_free = false;
+        }
+        keep_better(&best, &c);
     }
-    return c;
+    return best;
 }
 
-/* An entry without a warm or a free server for a request takes the cheapest
- * that has room, so that the work at least gets done. */
-GwChoice
-GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req)
+/* The part of `SPREAD_US` that this object meets at this server. */
+static double
+spread_of(const GwRequest *req, const GwServer *s)
+{
+    if (req->key == NULL) {
+        return 0;
+    }
+    uint64_t mix = (req->key->hash ^ s->hash) * 0x9e3779b97f4a7c15ULL;
+    mix ^= mix >> 32;
+    mix *= 0xd6e8feb86659fd93ULL;
+    return SPREAD_US * (double)(mix >> 11) * 0x1p-53;
+}
+
+/* The best server that is no place of the object yet. */
+static Candidate
+best_new(const Look *look)
 {
+    GwRequest *req = look->req;
     GPtrArray *servers = req->service->servers;
-    bool panic = is_panic(req->service, now_us);
     Candidate best = {0};
-    Candidate free_best = {0};
 
     for (guint i = 0; i < servers->len; i++) {
         GwServer *s = servers->pdata[i];
-        if (!may_take(r, req, s) ||
-            (!panic && now_us < s->eject_until_us)) {
-            continue;
-        }
-        if (GwServer_IsCold(s, now_us) &&
-            !GwRouter_FeedsCold(r, s, now_us)) {
+        if (!may_take(look, s) ||
+            (req->key != NULL && GwKey_At(req->key, s) != NULL)) {
             continue;
         }
-        Candidate c = judge(r, now_us, req, s);
-        if (best.server == NULL || c.cost_us < best.cost_us) {
-            best = c;
-        }
-        if (c.is_free && (free_best.server == NULL ||
-                          c.cost_us < free_best.cost_us)) {
-            free_best = c;
-        }
+        Candidate c = judge(look, s, req->state->cold_us);
+        c.cost_us += spread_of(req, s) + OBJECT_US * s->objects +
+                     BUSY_US * GwServer_Busy(s, look->now_us);
+        keep_better(&best, &c);
     }
+    return best;
+}
+
+static bool
+is_in_time(const Look *look, const Candidate *c)
+{
+    return look->now_us + (int64_t)c->est_us <= look->req->aim_us;
+}
+
+static bool
+has_idle(const Look *look, const Candidate *c, double below)
+{
+    return c->server != NULL && c->is_free &&
+           GwServer_Busy(c->server, look->now_us) < below;
+}
+
+/* Whether the object should get a place in this failure domain. */
+static bool
+should_pull(const Look *look, const Candidate *place, const Candidate *fresh)
+{
+    return !place->server->same_domain && fresh->server != NULL &&
+           fresh->server->same_domain &&
+           look->req->key->away >= PULL_AFTER &&
+           has_idle(look, fresh, PULL_IDLE_BELOW);
+}
+
+static GwChoice
+choice_of(const Look *look, const Candidate *c)
+{
     return (GwChoice){
-        .server = best.server,
-        .ready = best.is_free,
-        .est_us = best.est_us,
-        .free_server = free_best.server,
+        .server = c->server,
+        .ready = c->is_free,
+        .in_time = c->server != NULL && is_in_time(look, c),
+        .est_us = c->est_us,
     };
 }
+
+GwChoice
+GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req)
+{
+    Look look = {
+        .r = r,
+        .req = req,
+        .now_us = now_us,
+        .panic = is_panic(req->service, now_us),
+    };
+    bool first_run = false;
+    Candidate place = best_place(&look, &first_run);
+
+    if (place.server == NULL) {
+        Candidate fresh = best_new(&look);
+        return choice_of(&look, &fresh);
+    }
+    if (is_in_time(&look, &place) && place.server->same_domain) {
+        return choice_of(&look, &place);
+    }
+    Candidate fresh = best_new(&look);
+    if (is_in_time(&look, &place)) {
+        bool pull = !first_run && should_pull(&look, &place, &fresh);
+        return choice_of(&look, pull ? &fresh : &place);
+    }
+    if (!first_run && !place.is_free && has_idle(&look, &fresh, IDLE_BELOW)) {
+        return choice_of(&look, &fresh);
+    }
+    return choice_of(&look, &place);
+}
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -21,11 +21,28 @@
     return XXH3_64bits_withSeed(text, strlen(text), seed);
 }
 
+static void
+clear(GwKeyServer *at)
+{
+    if (at->server != NULL) {
+        at->server->objects--;
+    }
+    *at = (GwKeyServer){0};
+}
+
 static gboolean
 is_old(gpointer hash, gpointer value, gpointer limit)
 {
     (void)hash;
-    return ((GwKey *)value)->used_us < *(int64_t *)limit;
+    GwKey *key = value;
+
+    if (key->used_us >= *(int64_t *)limit) {
+        return FALSE;
+    }
+    for (int i = 0; i < GW_KEY_SERVERS; i++) {
+        clear(&key->at[i]);
+    }
+    return TRUE;
 }
 
 GwKey *
@@ -62,17 +79,24 @@
     return NULL;
 }
 
-/* A request for the object goes to `s`. The place used longest ago makes
- * room for a server that is new to the object. */
+double
+GwKeyServer_FirstRunLeft(const GwKeyServer *at, int64_t now_us,
+                         double cold_us)
+{
+    double left = (double)(at->started_us - now_us) + cold_us;
+
+    return at->ran || left < 0 ? 0 : left;
+}
+
+/* A request for the object goes to `s`. The oldest place makes room for one
+ * that is new to the object. */
 void
 GwKey_Started(GwKey *key, GwServer *s, int64_t now_us)
 {
     GwKeyServer *at = GwKey_At(key, s);
 
+    key->away = s->same_domain ? 0 : key->away + 1;
     if (at != NULL) {
-        if (at->used_us != 0) {
-            at->used_us = now_us;
-        }
         return;
     }
     at = &key->at[0];
@@ -85,11 +109,13 @@
             at = &key->at[i];
         }
     }
+    clear(at);
     *at = (GwKeyServer){.server = s, .started_us = now_us};
+    s->objects++;
 }
 
 void
-GwKey_Ended(GwKey *key, GwServer *s, int64_t now_us, bool ran)
+GwKey_Ended(GwKey *key, GwServer *s, bool ran)
 {
     GwKeyServer *at = GwKey_At(key, s);
 
@@ -97,10 +123,20 @@
         return;
     }
     if (ran) {
-        at->used_us = now_us;
+        at->ran = true;
     }
-    else if (at->used_us == 0) {
-        *at = (GwKeyServer){0};
+    else if (!at->ran) {
+        clear(at);
+    }
+}
+
+void
+GwKey_Forget(GwKey *key, const GwServer *s)
+{
+    GwKeyServer *at = GwKey_At(key, s);
+
+    if (at != NULL) {
+        clear(at);
     }
 }
 
@@ -112,9 +148,6 @@
 
     g_hash_table_iter_init(&iter, r->keys);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        GwKeyServer *at = GwKey_At(value, s);
-        if (at != NULL) {
-            *at = (GwKeyServer){0};
-        }
+        GwKey_Forget(value, s);
     }
 }
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -10,6 +10,8 @@
 #define SERVER_WORD_US 120000
 /* Past a route's timeout the caller gets its answer at once. */
 #define TIMEOUT_SLACK_US 30000
+/* What would come too late is kept for so long, in objectives. */
+#define LATE_WAIT 1.5
 /* Waiting requests are judged anew this often: estimates move with the peers'
  * reports, and a first run may end earlier than expected. */
 #define REJUDGE_US 15000
@@ -122,12 +124,13 @@
     stop_waiting(req);
     req->server = s;
     req->sent_us = now_us;
-    req->sent_warm = at != NULL && at->used_us != 0;
+    req->sent_warm = at != NULL;
     req->sent_alone = s->in_flight + s->peers_in_flight < s->slots;
     req->attempts++;
     if (req->tried_count < G_N_ELEMENTS(req->tried)) {
         req->tried[req->tried_count++] = s;
     }
+    GwServer_NoteBusy(s, now_us);
     s->refs++;
     s->in_flight++;
     if (GwServer_IsCold(s, now_us)) {
@@ -145,9 +148,9 @@
                        : 0;
 }
 
-/* Sends the request, keeps it waiting, or refuses it. It waits only for an
- * answer that comes in time; late work is done only where a slot is idle, for
- * it would push other requests past their own time. */
+/* Sends the request, keeps it waiting, or refuses it. What comes too late is
+ * still worth a little, so it may wait behind all that comes in time; where
+ * even that takes long the caller is told at once when to come back. */
 static void
 place(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
@@ -163,22 +166,36 @@
         send_to(r, now_us, req, c.server, actions);
         return;
     }
-    int64_t slack = req->aim_us - now_us - (int64_t)c.est_us;
-    if (slack >= 0) {
-        c.server->claims++;
-        move_deadline(r, req,
-                      MIN(req->give_up_us,
-                          now_us + CLAMP(slack, 1000, REJUDGE_US)));
+    int64_t back_us = now_us + (int64_t)c.est_us;
+    req->late = !c.in_time;
+    if (req->late && back_us > MIN(req->late_us, req->budget_us)) {
+        reply(r, req, GW_WHY_NO_ROOM, actions);
         return;
     }
-    if (c.free_server != NULL) {
-        send_to(r, now_us, req, c.free_server, actions);
-        return;
+    c.server->claims++;
+    move_deadline(r, req, MIN(req->give_up_us, now_us + REJUDGE_US));
+}
+
+static void
+place_all(GwRouter *r, int64_t now_us, GwServiceState *service, bool late,
+          GArray *actions)
+{
+    for (guint i = 0; i < service->waiting->len;) {
+        GwRequest *req = service->waiting->pdata[i];
+        if (req->late != late) {
+            i++;
+            continue;
+        }
+        place(r, now_us, req, actions);
+        /* The one that was placed has left the array. */
+        if (i < service->waiting->len && service->waiting->pdata[i] == req) {
+            i++;
+        }
     }
-    reply(r, req, GW_WHY_NO_ROOM, actions);
 }
 
-/* Places what waits for the service, the most urgent first. */
+/* Places what waits for the service: what can be in time before what can't,
+ * each by priority and arrival. */
 void
 GwRouter_Pump(GwRouter *r, int64_t now_us, GwServiceState *service,
               GArray *actions)
@@ -189,14 +206,8 @@
     for (guint i = 0; i < service->servers->len; i++) {
         ((GwServer *)service->servers->pdata[i])->claims = 0;
     }
-    for (guint i = 0; i < service->waiting->len;) {
-        GwRequest *req = service->waiting->pdata[i];
-        place(r, now_us, req, actions);
-        /* The one that was placed has left the array. */
-        if (i < service->waiting->len && service->waiting->pdata[i] == req) {
-            i++;
-        }
-    }
+    place_all(r, now_us, service, false, actions);
+    place_all(r, now_us, service, true, actions);
 }
 
 static void
@@ -273,8 +284,14 @@
     if (left_us < 0) {
         left_us = timeout_us > 0 ? timeout_us : DEFAULT_LEFT_US;
     }
+    int64_t aim_us = (int64_t)req->route->objective_ms * 1000;
     req->arrived_us = now_us;
-    req->aim_us = now_us + (int64_t)req->route->objective_ms * 1000;
+    /* A caller that was refused comes back with less time left than at first,
+     * and its objective counts from then. */
+    req->state->left_max_us = MAX(req->state->left_max_us, left_us);
+    int64_t spent_us = req->state->left_max_us - left_us;
+    req->aim_us = now_us + aim_us - spent_us;
+    req->late_us = now_us + (int64_t)(aim_us * LATE_WAIT);
     req->budget_us = now_us + left_us;
     req->give_up_us = now_us + left_us + SERVER_WORD_US;
     if (timeout_us > 0) {
@@ -377,8 +394,9 @@
     GwServer *s = req->server;
 
     if (req->key != NULL) {
-        GwKey_Ended(req->key, s, now_us, ran);
+        GwKey_Ended(req->key, s, ran);
     }
+    GwServer_NoteBusy(s, now_us);
     s->in_flight--;
     req->server = NULL;
     GwServer_Unref(r, s, actions);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -86,7 +86,7 @@
 } GwPeerInfo;
 
 void GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info);
-void GwRouter_DropPeer(GwRouter *r, const char *name);
+void GwRouter_DropPeer(GwRouter *r, int64_t now_us, const char *name);
 /* This entry's own requests in flight, as it tells its peers: GwPeerLoad. */
 void GwRouter_OwnLoads(const GwRouter *r, GArray *out);
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -15,12 +15,6 @@
 #define GW_WARM_SHARE 0.36
 /* Weight of a new measurement in a mean. */
 #define GW_MEAN_WEIGHT 0.1
-/* What a cold run costs beyond its own time: the slot time that it takes from
- * others, as a part of it. */
-#define GW_COLD_PRICE 0.5
-/* Cold candidates are told apart by a hash of object and server worth up to
- * this many us, so that all entries pick the same one. */
-#define GW_SPREAD_US 150000
 /* Round trips assumed until a connection was made there. */
 #define GW_NEAR_RTT_US 3000
 #define GW_FAR_RTT_US  100000
@@ -28,9 +22,7 @@
  * this long at first, doubled for each further failure in a row. */
 #define GW_EJECT_US     400000
 #define GW_EJECT_MAX_US 4000000
-/* An object not asked for in this time may have been forgotten. */
-#define GW_WARM_KEEP_US 40000000
-#define GW_KEY_SERVERS  4
+#define GW_KEY_SERVERS  4 /* places of one object */
 
 typedef struct {
     double tokens;
@@ -53,6 +45,7 @@
     char *name;
     double warm_us;
     double cold_us;
+    int64_t left_max_us; /* what callers give a request at first */
     int64_t *credit; /* smooth weighted round robin: one for each part */
     uint32_t credit_count;
 } GwRouteState;
@@ -74,6 +67,9 @@
     uint32_t in_flight; /* of this entry */
     uint32_t peers_in_flight;
     uint32_t claims; /* requests that wait for it, in one pass of placing */
+    uint32_t objects; /* that have a place here */
+    double busy;      /* mean of its slots in use, decaying */
+    int64_t busy_at_us;
     double slow;     /* its time over that of others, for the same work */
     uint32_t failures;
     int64_t eject_until_us;
@@ -86,16 +82,17 @@
     void *user;
 };
 
-/* An object: which servers hold it warm. */
+/* A place of an object: a server that remembers it. */
 typedef struct {
     GwServer *server;
     int64_t started_us; /* of the first run there */
-    int64_t used_us;    /* 0 while that first run is under way */
+    bool ran;           /* that run has ended */
 } GwKeyServer;
 
 typedef struct {
     uint64_t hash;
     int64_t used_us;
+    uint32_t away; /* requests in a row that left the failure domain for it */
     GwKeyServer at[GW_KEY_SERVERS];
 } GwKey;
 
@@ -115,6 +112,7 @@
     GwKey *key; /* or NULL */
     int64_t arrived_us;
     int64_t aim_us;      /* an answer after this is late */
+    int64_t late_us;     /* it waits for no answer after this */
     int64_t give_up_us;  /* the caller or the route waits no longer */
     int64_t budget_us;   /* what servers are told: end of the time */
     uint32_t deadline;   /* place in the heap */
@@ -124,6 +122,7 @@
     bool sent_warm;
     bool sent_alone; /* a slot was free then: its time is the work's */
     bool waits;
+    bool late;          /* waits, though its answer will be late */
     bool may_have_run;  /* an attempt ended without proof of the contrary */
     uint32_t arrivals;  /* attempts that a server saw */
     uint32_t unsent;
@@ -155,6 +154,9 @@
 void GwServer_Unref(GwRouter *r, GwServer *s, GArray *actions);
 void GwRouter_Learn(GwRouter *r, int64_t now_us, GwRequest *req,
                     const GwAttemptEnd *end);
+/* The mean of its slots in use over the last seconds, 0 to 1 and above. */
+double GwServer_Busy(const GwServer *s, int64_t now_us);
+void GwServer_NoteBusy(GwServer *s, int64_t now_us);
 double GwRouter_RttUs(const GwRouter *r, const GwServer *s);
 bool GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us);
 
@@ -164,15 +166,19 @@
                       const char *text);
 GwKeyServer *GwKey_At(GwKey *key, const GwServer *s);
 void GwKey_Started(GwKey *key, GwServer *s, int64_t now_us);
-void GwKey_Ended(GwKey *key, GwServer *s, int64_t now_us, bool ran);
+void GwKey_Ended(GwKey *key, GwServer *s, bool ran);
+void GwKey_Forget(GwKey *key, const GwServer *s);
+/* Until the first run at a place ends, in us; 0 when it has. */
+double GwKeyServer_FirstRunLeft(const GwKeyServer *at, int64_t now_us,
+                                double cold_us);
 void GwRouter_ForgetInKeys(GwRouter *r, const GwServer *s);
 
 /* choose.c */
 typedef struct {
     GwServer *server; /* NULL: none may take it */
     bool ready;       /* a slot is free there now */
+    bool in_time;     /* its answer would be */
     double est_us;    /* until its answer */
-    GwServer *free_server; /* the cheapest with a free slot, or NULL */
 } GwChoice;
 
 GwChoice GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req);
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -15,6 +15,9 @@
  * who feeds it still stays within the bound. */
 #define FEED_SHARE 0.9
 #define FEED_BURST 2.0
+/* Over which the mean of slots in use decays: some requests long, and short
+ * against the waves of a day. */
+#define BUSY_TAU_US 1500000.0
 
 void
 GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s)
@@ -101,6 +104,7 @@
     s->same_domain = strcmp(info->domain, r->params.domain) == 0;
     s->same_region = strcmp(info->region, r->params.region) == 0;
     s->slow = 1.0;
+    s->busy_at_us = r->started_us;
     s->listed = true;
     g_ptr_array_add(s->service->servers, s);
     g_hash_table_insert(r->servers, s->id, s);
@@ -183,7 +187,7 @@
 /* ---- Peers --------------------------------------------------------------- */
 
 static void
-count_loads(GwRouter *r, const GwPeer *peer, bool add)
+count_loads(GwRouter *r, int64_t now_us, const GwPeer *peer, bool add)
 {
     for (guint i = 0; i < peer->loads->len; i++) {
         const GwPeerLoad *load = &g_array_index(peer->loads, GwPeerLoad, i);
@@ -192,6 +196,7 @@
         if (s == NULL) {
             continue;
         }
+        GwServer_NoteBusy(s, now_us);
         /* A server that came after the report was counted in holds nothing of
          * it: never below zero. */
         s->peers_in_flight = add ? s->peers_in_flight + load->in_flight
@@ -206,7 +211,6 @@
 {
     GwPeer *peer = g_hash_table_lookup(r->peers, info->name);
 
-    (void)now_us;
     if (peer == NULL) {
         peer = g_new0(GwPeer, 1);
         peer->name = g_strdup(info->name);
@@ -215,21 +219,21 @@
         g_hash_table_insert(r->peers, peer->name, peer);
     }
     peer->serves = info->serves;
-    count_loads(r, peer, false);
+    count_loads(r, now_us, peer, false);
     g_array_set_size(peer->loads, 0);
     if (info->load_count > 0) {
         g_array_append_vals(peer->loads, info->loads, info->load_count);
     }
-    count_loads(r, peer, true);
+    count_loads(r, now_us, peer, true);
 }
 
 void
-GwRouter_DropPeer(GwRouter *r, const char *name)
+GwRouter_DropPeer(GwRouter *r, int64_t now_us, const char *name)
 {
     GwPeer *peer = g_hash_table_lookup(r->peers, name);
 
     if (peer != NULL) {
-        count_loads(r, peer, false);
+        count_loads(r, now_us, peer, false);
         g_hash_table_remove(r->peers, name);
     }
 }
@@ -307,6 +311,31 @@
     return s->cold_tokens.tokens >= 1.0;
 }
 
+/* ---- How busy ------------------------------------------------------------ */
+
+static double
+busy_now(const GwServer *s)
+{
+    return (double)(s->in_flight + s->peers_in_flight) /
+           (double)MAX(s->slots, 1);
+}
+
+double
+GwServer_Busy(const GwServer *s, int64_t now_us)
+{
+    double old = exp(-(double)(now_us - s->busy_at_us) / BUSY_TAU_US);
+
+    return old * s->busy + (1 - old) * busy_now(s);
+}
+
+/* To be called before the number of its requests in flight changes. */
+void
+GwServer_NoteBusy(GwServer *s, int64_t now_us)
+{
+    s->busy = GwServer_Busy(s, now_us);
+    s->busy_at_us = now_us;
+}
+
 /* ---- Learning ------------------------------------------------------------ */
 
 double
