Let callers' requests leave together before others take their room

Ruled out: the parser and the connections (no request of one caller alone ever ended so). Change: GwRouter_Gone only takes away, GwRouter_Settle places afterwards.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -49,6 +49,7 @@
         }
         free_exchange(x);
     }
+    GwRouter_Settle(edge->router, GwEdge_Now(), edge->actions);
     g_free(caller);
 }
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -66,8 +66,6 @@
     GwExchange *x = act->user;
 
     switch (act->kind) {
-    case GW_DO_NOTHING:
-        break;
     case GW_DO_ACCEPT:
         x->request = act->request;
         break;
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -468,32 +468,31 @@
     }
 }
 
-/* A caller that leaves takes all its requests along. When the first of them
- * gave its slot to the second, that one's SEND is not carried out yet and
- * must not be: its request is gone too. */
-static void
-withdraw(GArray *actions, const GwRequest *req)
-{
-    for (guint i = 0; i < actions->len; i++) {
-        GwDo *act = &g_array_index(actions, GwDo, i);
-        if (act->request == req) {
-            act->kind = GW_DO_NOTHING;
-        }
-    }
-}
-
 void
 GwRouter_Gone(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
-    GwServiceState *service = req->service;
-
     free_freed(r, actions);
     if (req->server != NULL) {
         leave_server(r, now_us, req, false, actions);
     }
-    withdraw(actions, req);
+    req->service->has_room = true;
     finish(r, req);
-    GwRouter_Pump(r, now_us, service, actions);
+}
+
+void
+GwRouter_Settle(GwRouter *r, int64_t now_us, GArray *actions)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwServiceState *service = value;
+        if (service->has_room) {
+            service->has_room = false;
+            GwRouter_Pump(r, now_us, service, actions);
+        }
+    }
 }
 
 /* ---- Time ---------------------------------------------------------------- */
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -124,17 +124,18 @@
                      GArray *actions);
 void GwRouter_Ended(GwRouter *r, int64_t now_us, GwRequest *req,
                     const GwAttemptEnd *end, GArray *actions);
-/* The caller left, and the host has abandoned the attempt. Actions for it that
- * wait in `actions` are withdrawn. */
+/* The caller left, and the host has abandoned the attempt. A caller may take
+ * several requests along, so the room that they leave is given to others only
+ * by Settle, when all are gone: else one of them could get it. */
 void GwRouter_Gone(GwRouter *r, int64_t now_us, GwRequest *req,
                    GArray *actions);
+void GwRouter_Settle(GwRouter *r, int64_t now_us, GArray *actions);
 /* What time does; to be called at GwRouter_NextDeadline. */
 void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
 int64_t GwRouter_NextDeadline(const GwRouter *r); /* INT64_MAX: none */
 uint32_t GwRouter_OpenCount(const GwRouter *r);
 
 typedef enum {
-    GW_DO_NOTHING = 0,
     GW_DO_ACCEPT = 1, /* `request` is the handle of this arrival */
     GW_DO_SEND,       /* one attempt at `server` */
     GW_DO_CANCEL,     /* abandon the attempt; its connection is closed */
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -37,6 +37,7 @@
     GPtrArray *servers; /* GwServer, borrowed */
     GPtrArray *waiting; /* GwRequest in the order in which they are served */
     GwBucket retries;
+    bool has_room;  /* requests left; others may be placed */
     double work_us; /* mean time a request takes a slot */
     double cold_per_s;
 } GwServiceState;
