Tell entries of a region where objects went; key objects by route

Change: reports within a region carry new places for 350 ms; objects are keyed by route; far servers cost 150 ms for a new place; objects are pulled nearer after two requests that left the failure domain, at most 0.7/s across regions.

--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -21,6 +21,9 @@
 /* A silent peer still gets reports for so long: a cut may heal. */
 #define FORGET_US 90000000
 #define REPORT_MAX_BYTES 8192
+/* A placement is told in this many reports, since one may be lost. */
+#define PLACEMENT_AGE_US 350000
+#define PLACEMENTS_MAX   128
 #define KNOWN_MAX        64
 #define ENTRY_TABLE      "entries"
 #define JOIN_TIMEOUT_US  1500000
@@ -62,6 +65,7 @@
     JoinStep step;
     int64_t join_at_us;
     GArray *loads;
+    GArray *placements;
 };
 
 static const GwConnOps join_ops;
@@ -141,6 +145,37 @@
     return count;
 }
 
+/* Entries of the region learn where objects went; `objects` and `servers`
+ * have room for PLACEMENTS_MAX. */
+static void
+fill_placements(GwPeers *peers, Gw__Peer__Report *report, uint64_t *objects,
+                uint32_t *servers)
+{
+    g_array_set_size(peers->placements, 0);
+    GwRouter_OwnPlacements(peers->edge->router, GwEdge_Now(),
+                           PLACEMENT_AGE_US, peers->placements);
+    guint first = peers->placements->len > PLACEMENTS_MAX
+                      ? peers->placements->len - PLACEMENTS_MAX
+                      : 0;
+    for (guint i = first; i < peers->placements->len; i++) {
+        const GwPlacement *p =
+            &g_array_index(peers->placements, GwPlacement, i);
+        objects[i - first] = p->object;
+        servers[i - first] = p->server;
+    }
+    report->placed_objects = objects;
+    report->placed_servers = servers;
+    report->n_placed_objects = peers->placements->len - first;
+    report->n_placed_servers = report->n_placed_objects;
+}
+
+static bool
+is_near(const GwPeers *peers, const Peer *peer)
+{
+    return peer->heard &&
+           strcmp(peer->region, peers->edge->settings.router.region) == 0;
+}
+
 static void
 tell(GwPeers *peers, Peer *peer, bool with_known)
 {
@@ -149,6 +184,8 @@
     Gw__Peer__Report report = GW__PEER__REPORT__INIT;
     uint32_t servers[256];
     uint32_t counts[256];
+    uint64_t placed_objects[PLACEMENTS_MAX];
+    uint32_t placed_servers[PLACEMENTS_MAX];
     uint8_t bytes[REPORT_MAX_BYTES];
 
     report.name = (char *)s->router.name;
@@ -171,6 +208,9 @@
     }
     report.load_servers = servers;
     report.load_counts = counts;
+    if (is_near(peers, peer)) {
+        fill_placements(peers, &report, placed_objects, placed_servers);
+    }
     if (with_known) {
         fill_known(peers, &report);
     }
@@ -207,9 +247,7 @@
     g_hash_table_iter_init(&iter, peers->by_address);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Peer *peer = value;
-        bool near = is_live(peer, now_us) &&
-                    strcmp(peer->region,
-                           peers->edge->settings.router.region) == 0;
+        bool near = is_live(peer, now_us) && is_near(peers, peer);
         int64_t period_ms = near ? REPORT_NEAR_MS : REPORT_FAR_MS;
         if (now_us - peer->told_us >= period_ms * 1000 - 5000) {
             tell(peers, peer, false);
@@ -253,6 +291,12 @@
                                 report->load_counts[i]};
     }
     GwRouter_PutPeer(peers->edge->router, GwEdge_Now(), &info);
+    size_t placed = MIN(report->n_placed_objects, report->n_placed_servers);
+    for (size_t i = 0; i < placed; i++) {
+        GwPlacement placement = {.object = report->placed_objects[i],
+                                 .server = report->placed_servers[i]};
+        GwRouter_PutPlacement(peers->edge->router, GwEdge_Now(), &placement);
+    }
 }
 
 static void
@@ -539,6 +583,7 @@
     peers->by_address =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     peers->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+    peers->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
     peers->start = (uint64_t)g_get_real_time();
     peers->step = JOIN_WRITE;
     (void)uv_udp_init(&edge->loop, &peers->udp);
@@ -571,5 +616,6 @@
     }
     g_hash_table_destroy(peers->by_address);
     g_array_free(peers->loads, TRUE);
+    g_array_free(peers->placements, TRUE);
     g_free(peers);
 }
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -20,22 +20,26 @@
  * all are tried again. */
 #define PANIC_SHARE 0.5
 /* What it is worth to stay within the failure domain and within the region,
- * as time: bytes across are paid for. */
+ * as time: bytes across are paid for, and an object that once went to another
+ * region costs its round trip from then on. */
 #define OTHER_DOMAIN_US 30000.0
-#define OTHER_REGION_US 60000.0
+#define OTHER_REGION_US 150000.0
 /* Of servers that could be an object's first place, all entries should pick
  * the same one: a hash of both is worth up to this. */
-#define SPREAD_US 150000.0
+#define SPREAD_US 100000.0
 /* Servers that remember many objects already, or were busy lately, are worse
  * for one more. */
 #define OBJECT_US     4000.0
 #define BUSY_US       150000.0
 /* A further place is made where the server was less busy than this lately. */
 #define IDLE_BELOW 0.7
-/* After so many requests that left the failure domain for an object, it gets a
- * place here, if a server here is idle enough. */
+/* After so many requests in a row that left the failure domain for an object,
+ * it gets a place nearer, where a server is idle enough. */
 #define PULL_AFTER      2
 #define PULL_IDLE_BELOW 0.5
+/* Objects that an entry may move to its region in a second: all its entries
+ * together must not move more than a part of the region's traffic at once. */
+#define PULL_PER_S 0.7
 
 static bool
 was_tried(const GwRequest *req, const GwServer *s)
@@ -65,6 +69,7 @@
     GwRequest *req;
     int64_t now_us;
     bool panic;
+    const GwServer *than; /* only servers nearer than this one, if not NULL */
 } Look;
 
 static bool
@@ -195,6 +200,8 @@
     for (guint i = 0; i < servers->len; i++) {
         GwServer *s = servers->pdata[i];
         if (!may_take(look, s) ||
+            (look->than != NULL &&
+             distance_us(s) >= distance_us(look->than)) ||
             (req->key != NULL && GwKey_At(req->key, s) != NULL)) {
             continue;
         }
@@ -219,14 +226,30 @@
            GwServer_Busy(c->server, look->now_us) < below;
 }
 
-/* Whether the object should get a place in this failure domain. */
-static bool
-should_pull(const Look *look, const Candidate *place, const Candidate *fresh)
+/* A nearer server that should become a place of the object, or none. */
+static Candidate
+pull(Look *look, const Candidate *place)
 {
-    return !place->server->same_domain && fresh->server != NULL &&
-           fresh->server->same_domain &&
-           look->req->key->away >= PULL_AFTER &&
-           has_idle(look, fresh, PULL_IDLE_BELOW);
+    GwRouter *r = look->r;
+    Candidate none = {0};
+
+    if (place->server->same_domain || look->req->key->away < PULL_AFTER) {
+        return none;
+    }
+    look->than = place->server;
+    Candidate fresh = best_new(look);
+    look->than = NULL;
+    if (!has_idle(look, &fresh, PULL_IDLE_BELOW)) {
+        return none;
+    }
+    if (!place->server->same_region) {
+        GwBucket_Fill(&r->pulls, look->now_us, PULL_PER_S);
+        if (r->pulls.tokens < 1.0) {
+            return none;
+        }
+        r->pulls.tokens -= 1.0;
+    }
+    return fresh;
 }
 
 static GwChoice
@@ -256,16 +279,17 @@
         Candidate fresh = best_new(&look);
         return choice_of(&look, &fresh);
     }
-    if (is_in_time(&look, &place) && place.server->same_domain) {
-        return choice_of(&look, &place);
-    }
-    Candidate fresh = best_new(&look);
+    Candidate fresh = {0};
     if (is_in_time(&look, &place)) {
-        bool pull = !first_run && should_pull(&look, &place, &fresh);
-        return choice_of(&look, pull ? &fresh : &place);
+        if (!first_run) {
+            fresh = pull(&look, &place);
+        }
     }
-    if (!first_run && !place.is_free && has_idle(&look, &fresh, IDLE_BELOW)) {
-        return choice_of(&look, &fresh);
+    else if (!first_run && !place.is_free) {
+        fresh = best_new(&look);
+        if (!has_idle(&look, &fresh, IDLE_BELOW)) {
+            fresh.server = NULL;
+        }
     }
-    return choice_of(&look, &place);
+    return choice_of(&look, fresh.server != NULL ? &fresh : &place);
 }
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -45,11 +45,9 @@
     return TRUE;
 }
 
-GwKey *
-GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwServiceState *service,
-               const char *text)
+static GwKey *
+key_of(GwRouter *r, int64_t now_us, uint64_t hash)
 {
-    uint64_t hash = GwHash_Text(text, GwHash_Text(service->name, 0));
     GwKey *key = g_hash_table_lookup(r->keys, &hash);
 
     if (key == NULL) {
@@ -68,6 +66,16 @@
     return key;
 }
 
+/* What a server remembers is the object as one route uses it: a booking of a
+ * slot does not make the look-up of the same slot faster. */
+GwKey *
+GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwRoute *route,
+               const char *text)
+{
+    return key_of(r, now_us,
+                  GwHash_Text(text, GwHash_Text(route->name, 0)));
+}
+
 GwKeyServer *
 GwKey_At(GwKey *key, const GwServer *s)
 {
@@ -88,18 +96,12 @@
     return at->ran || left < 0 ? 0 : left;
 }
 
-/* A request for the object goes to `s`. The oldest place makes room for one
- * that is new to the object. */
-void
-GwKey_Started(GwKey *key, GwServer *s, int64_t now_us)
+/* Makes the server a place of the object. The oldest one makes room. */
+static void
+add_place(GwKey *key, GwServer *s, int64_t now_us)
 {
-    GwKeyServer *at = GwKey_At(key, s);
+    GwKeyServer *at = &key->at[0];
 
-    key->away = s->same_domain ? 0 : key->away + 1;
-    if (at != NULL) {
-        return;
-    }
-    at = &key->at[0];
     for (int i = 0; i < GW_KEY_SERVERS; i++) {
         if (key->at[i].server == NULL) {
             at = &key->at[i];
@@ -114,6 +116,45 @@
     s->objects++;
 }
 
+void
+GwRouter_UseKey(GwRouter *r, GwKey *key, GwServer *s, int64_t now_us)
+{
+    key->away = s->same_domain ? 0 : key->away + 1;
+    if (GwKey_At(key, s) == NULL) {
+        GwPlacement placement = {key->hash, GwServer_Hash(s), now_us};
+        add_place(key, s, now_us);
+        g_array_append_val(r->placements, placement);
+    }
+}
+
+void
+GwRouter_PutPlacement(GwRouter *r, int64_t now_us,
+                      const GwPlacement *placement)
+{
+    GwServer *s = g_hash_table_lookup(r->by_hash,
+                                      GUINT_TO_POINTER(placement->server));
+    GwKey *key = s != NULL ? key_of(r, now_us, placement->object) : NULL;
+
+    if (key != NULL && GwKey_At(key, s) == NULL) {
+        add_place(key, s, now_us);
+    }
+}
+
+void
+GwRouter_OwnPlacements(GwRouter *r, int64_t now_us, int64_t age_us,
+                       GArray *out)
+{
+    guint old = 0;
+
+    while (old < r->placements->len &&
+           now_us - g_array_index(r->placements, GwPlacement, old).at_us >
+               age_us) {
+        old++;
+    }
+    g_array_remove_range(r->placements, 0, old);
+    g_array_append_vals(out, r->placements->data, r->placements->len);
+}
+
 void
 GwKey_Ended(GwKey *key, GwServer *s, bool ran)
 {
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -137,7 +137,7 @@
         s->cold_tokens.tokens -= 1.0;
     }
     if (req->key != NULL) {
-        GwKey_Started(req->key, s, now_us);
+        GwRouter_UseKey(r, req->key, s, now_us);
     }
     move_deadline(r, req, req->give_up_us);
     GwDo *out = add(actions, GW_DO_SEND, req);
@@ -350,7 +350,7 @@
     req->deadline = GW_HEAP_OUT;
     set_times(req, now_us, arrival->left_us);
     if (arrival->key != NULL && route->warm_keys) {
-        req->key = GwRouter_KeyOf(r, now_us, req->service, arrival->key);
+        req->key = GwRouter_KeyOf(r, now_us, route, arrival->key);
     }
     g_hash_table_add(r->open, req);
     count_first(r, req->service);
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -69,6 +69,8 @@
     r->rtts =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     r->open = g_hash_table_new(NULL, NULL);
+    r->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+    r->pulls = (GwBucket){.max = 1.5, .at_us = now_us};
     r->freed = g_ptr_array_new_with_free_func(free_server);
     return r;
 }
@@ -108,6 +110,7 @@
     g_hash_table_destroy(r->rtts);
     g_hash_table_destroy(r->routes);
     g_hash_table_destroy(r->services);
+    g_array_free(r->placements, TRUE);
     g_ptr_array_free(r->freed, TRUE);
     GwRouting_Unref(r->routing);
     g_free(r);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -90,6 +90,20 @@
 /* This entry's own requests in flight, as it tells its peers: GwPeerLoad. */
 void GwRouter_OwnLoads(const GwRouter *r, GArray *out);
 
+/* An object that lately got a place at a server: entries of a region tell each
+ * other, so that they send its requests to the same one. */
+typedef struct {
+    uint64_t object;
+    uint32_t server; /* GwServer_Hash */
+    int64_t at_us;
+} GwPlacement;
+
+void GwRouter_PutPlacement(GwRouter *r, int64_t now_us,
+                           const GwPlacement *placement);
+/* Those of this entry that are younger than `age_us`: GwPlacement. */
+void GwRouter_OwnPlacements(GwRouter *r, int64_t now_us, int64_t age_us,
+                            GArray *out);
+
 /* ---- The life of a request ---------------------------------------------- */
 
 typedef struct {
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -145,7 +145,9 @@
     GHashTable *rtts; /* region -> double* us */
     GHashTable *open;   /* GwRequest set */
     GPtrArray *freed;   /* GwServer, until the next step */
+    GArray *placements; /* GwPlacement of this entry, oldest first */
     GwHeap deadlines;
+    GwBucket pulls; /* objects that may be moved to this region */
     int64_t started_us;
 };
 
@@ -163,10 +165,11 @@
 
 /* keys.c */
 uint64_t GwHash_Text(const char *text, uint64_t seed);
-GwKey *GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwServiceState *service,
+GwKey *GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwRoute *route,
                       const char *text);
 GwKeyServer *GwKey_At(GwKey *key, const GwServer *s);
-void GwKey_Started(GwKey *key, GwServer *s, int64_t now_us);
+/* A request for the object goes to the server. */
+void GwRouter_UseKey(GwRouter *r, GwKey *key, GwServer *s, int64_t now_us);
 void GwKey_Ended(GwKey *key, GwServer *s, bool ran);
 void GwKey_Forget(GwKey *key, const GwServer *s);
 /* Until the first run at a place ends, in us; 0 when it has. */
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[16] =
 {
   {
     "name",
@@ -222,6 +222,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placed_objects",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gw__Peer__Report, n_placed_objects),
+    offsetof(Gw__Peer__Report, placed_objects),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placed_servers",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Gw__Peer__Report, n_placed_servers),
+    offsetof(Gw__Peer__Report, placed_servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   6,   /* field[6] = call_address */
@@ -233,6 +257,8 @@
   0,   /* field[0] = name */
   8,   /* field[8] = operator_version */
   5,   /* field[5] = peer_address */
+  14,   /* field[14] = placed_objects */
+  15,   /* field[15] = placed_servers */
   3,   /* field[3] = region */
   2,   /* field[2] = seq */
   9,   /* field[9] = server_version */
@@ -242,7 +268,7 @@
 static const ProtobufCIntRange gw__peer__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -252,7 +278,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  14,
+  16,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   1,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -58,10 +58,20 @@
    * the sender knows few: tell it others
    */
   protobuf_c_boolean is_new;
+  /*
+   * objects that lately got a place,
+   */
+  size_t n_placed_objects;
+  uint64_t *placed_objects;
+  /*
+   * and where
+   */
+  size_t n_placed_servers;
+  uint32_t *placed_servers;
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Gw__Peer__Report methods */
