Test the steering core, parser, rows, routes, adapter and settings

Tables of cases for each module, a fake host on virtual time that writes down promises not kept, and a property over any course of events (prop_router).

--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -103,17 +103,24 @@
 answer_rows(Client *client, const char *target)
 {
     GwEdge *edge = client->edge;
-    char *body = GwFeed_Answer(edge->operator_feed, target);
-
-    if (body == NULL) {
-        body = GwFeed_Answer(edge->server_feed, target);
+    char *table = NULL;
+    char *body = NULL;
+    uint64_t after = 0;
+
+    if (edge->adapter->parse_feed_target(target, &table, &after)) {
+        body = GwFeed_Answer(edge->operator_feed, table, after);
+        if (body == NULL) {
+            body = GwFeed_Answer(edge->server_feed, table, after);
+        }
     }
-    if (body == NULL) {
-        send_answer(client, 404, "text/plain", "no such table\n", false);
-        return;
+    if (body != NULL) {
+        send_answer(client, 200, "application/json", body, false);
+    }
+    else {
+        send_answer(client, 404, "text/plain", "no such thing\n", false);
     }
-    send_answer(client, 200, "application/json", body, false);
     g_free(body);
+    g_free(table);
 }
 
 static void
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -98,8 +98,9 @@
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
 void GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version);
-/* Answers a peer's read of this copy; NULL when the table is another. */
-char *GwFeed_Answer(const GwFeed *feed, const char *target);
+/* Answers a peer's read of this copy; NULL when the table is another, or not
+ * known yet. */
+char *GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after);
 
 /* beliefs.c */
 void GwBeliefs_OnOperatorRow(void *ctx, const GwStoreRow *row);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -339,19 +339,14 @@
 }
 
 char *
-GwFeed_Answer(const GwFeed *feed, const char *target)
+GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after)
 {
-    char *table = g_strdup_printf("table=%s&", feed->table);
-    const char *after = strstr(target, "after=");
-    char *body = NULL;
-
-    if (strstr(target, table) != NULL && after != NULL && feed->known) {
-        uint64_t version = strtoull(after + strlen("after="), NULL, 10);
-        GwRowSet *set = GwRowCache_After(feed->cache, version);
-        body = feed->edge->adapter->write_rows(feed->table, set);
-        GwRowSet_Free(set);
+    if (strcmp(table, feed->table) != 0 || !feed->known) {
+        return NULL;
     }
-    g_free(table);
+    GwRowSet *set = GwRowCache_After(feed->cache, after);
+    char *body = feed->edge->adapter->write_rows(feed->table, set);
+    GwRowSet_Free(set);
     return body;
 }
 
--- /dev/null
+++ b/tests/fakes/steering.c
@@ -0,0 +1,325 @@
+#include "fakes/steering.h"
+
+#include <string.h>
+
+static void
+free_server(gpointer item)
+{
+    FakeServer *s = item;
+
+    g_array_free(s->arrivals, TRUE);
+    g_free(s);
+}
+
+FakeSteering *
+FakeSteering_Create(const char *region, const char *domain)
+{
+    FakeSteering *f = g_new0(FakeSteering, 1);
+
+    f->params = (GwRouterParams){
+        .retry_ratio = 0.2,
+        .retry_extra = 60,
+        .retry_window_ms = 10000,
+        .entries_max = 3,
+        .cold_over = 1.5,
+        .cold_slack = 5,
+        .seed = 7,
+    };
+    g_strlcpy(f->params.name, "entry", sizeof(f->params.name));
+    g_strlcpy(f->params.region, region, sizeof(f->params.region));
+    g_strlcpy(f->params.domain, domain, sizeof(f->params.domain));
+    f->now_us = FAKE_US_PER_S;
+    f->router = GwRouter_Create(&f->params, f->now_us);
+    f->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
+    f->requests = g_ptr_array_new_with_free_func(g_free);
+    f->servers = g_ptr_array_new_with_free_func(free_server);
+    f->broken = g_string_new(NULL);
+    return f;
+}
+
+void
+FakeSteering_Free(FakeSteering *f)
+{
+    for (guint i = 0; i < f->requests->len; i++) {
+        FakeSteering_Leave(f, f->requests->pdata[i]);
+    }
+    GwRouter_Free(f->router);
+    g_array_free(f->actions, TRUE);
+    g_ptr_array_free(f->requests, TRUE);
+    g_ptr_array_free(f->servers, TRUE);
+    g_string_free(f->broken, TRUE);
+    g_free(f);
+}
+
+static void
+fill_route(GwRoute *route, const char *prefix, bool idempotent,
+           uint32_t attempts_max)
+{
+    *route = (GwRoute){
+        .name = g_strdup(prefix),
+        .prefix = g_strdup(prefix),
+        .idempotent = idempotent,
+        .warm_keys = true,
+        .timeout_ms = 2000,
+        .objective_ms = 400,
+        .priority = idempotent ? 2 : 1,
+        .attempts_max = attempts_max,
+        .part_count = 1,
+        .parts = g_new0(GwRoutePart, 1),
+    };
+    route->parts[0] =
+        (GwRoutePart){.service = g_strdup("s"), .weight = 1};
+}
+
+GwRouting *
+FakeSteering_Routing(uint64_t version, uint32_t attempts_max)
+{
+    GwRouting *routing = GwRouting_Create(1, 1);
+
+    routing->version = version;
+    routing->services[0] =
+        (GwRouteService){.name = g_strdup("s"), .cold_per_s = 5.0};
+    routing->hosts[0].host = g_strdup("h");
+    routing->hosts[0].route_count = 2;
+    routing->hosts[0].routes = g_new0(GwRoute, 2);
+    fill_route(&routing->hosts[0].routes[0], "/once/", false, attempts_max);
+    fill_route(&routing->hosts[0].routes[1], "/again/", true, attempts_max);
+    GwRouting_Seal(routing);
+    return routing;
+}
+
+void
+FakeSteering_Configure(FakeSteering *f, uint64_t version,
+                       uint32_t attempts_max)
+{
+    GwRouting *routing = FakeSteering_Routing(version, attempts_max);
+
+    (void)GwRouter_SetRouting(f->router, routing);
+    GwRouting_Unref(routing);
+}
+
+static FakeServer *
+server_named(FakeSteering *f, const char *id)
+{
+    for (guint i = 0; i < f->servers->len; i++) {
+        FakeServer *s = f->servers->pdata[i];
+        if (strcmp(s->id, id) == 0) {
+            return s;
+        }
+    }
+    FakeServer *s = g_new0(FakeServer, 1);
+    g_strlcpy(s->id, id, sizeof(s->id));
+    s->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    g_ptr_array_add(f->servers, s);
+    return s;
+}
+
+static void
+put(FakeSteering *f, const char *id, const char *region, const char *domain,
+    uint32_t slots, bool draining, uint32_t cold_ms)
+{
+    GwServerInfo info = {
+        .id = id,
+        .born_ms = 1,
+        .service = "s",
+        .address = "127.0.0.1:1",
+        .domain = domain,
+        .region = region,
+        .slots = slots,
+        .draining = draining,
+        .cold_left_ms = cold_ms,
+    };
+
+    GwRouter_PutServer(f->router, f->now_us, &info, f->actions);
+    FakeSteering_Carry(f);
+}
+
+void
+FakeSteering_Put(FakeSteering *f, const char *id, const char *region,
+                 const char *domain, uint32_t slots)
+{
+    server_named(f, id)->listed = true;
+    put(f, id, region, domain, slots, false, 0);
+}
+
+void
+FakeSteering_Drain(FakeSteering *f, const char *id)
+{
+    FakeServer *s = server_named(f, id);
+
+    s->draining = true;
+    s->draining_us = f->now_us;
+    put(f, id, f->params.region, f->params.domain, 2, true, 0);
+}
+
+void
+FakeSteering_Drop(FakeSteering *f, const char *id)
+{
+    server_named(f, id)->listed = false;
+    GwRouter_DropServer(f->router, f->now_us, id, f->actions);
+    FakeSteering_Carry(f);
+}
+
+void
+FakeSteering_SetCold(FakeSteering *f, const char *id, uint32_t ms)
+{
+    server_named(f, id)->cold_until_us = f->now_us + (int64_t)ms * 1000;
+    put(f, id, f->params.region, f->params.domain, 2, false, ms);
+}
+
+/* ---- Carrying out -------------------------------------------------------- */
+
+static void
+say(FakeSteering *f, const char *what, const FakeRequest *req)
+{
+    g_string_append_printf(f->broken, "%s (%s, %u sends)\n", what,
+                           req->idempotent ? "again" : "once", req->sends);
+}
+
+static void
+on_send(FakeSteering *f, FakeRequest *req, const GwDo *act)
+{
+    FakeServer *s = server_named(f, GwServer_Id(act->server));
+
+    if (req->over) {
+        say(f, "sent after its end", req);
+    }
+    if (req->server != NULL) {
+        say(f, "sent twice at once", req);
+    }
+    if (req->may_have_run && !req->idempotent) {
+        say(f, "at most once: sent again though it may have run", req);
+    }
+    if (s->draining) {
+        say(f, "sent to a server that leaves", req);
+    }
+    req->sends++;
+    if (req->servers > 0) {
+        f->repeats++;
+    }
+    else if (req->sends == 1) {
+        f->firsts++;
+    }
+    req->server = act->server;
+    req->left_ms = act->left_ms;
+    g_strlcpy(req->server_id, GwServer_Id(act->server),
+              sizeof(req->server_id));
+    g_array_append_val(s->arrivals, f->now_us);
+}
+
+static void
+on_over(FakeSteering *f, FakeRequest *req, const GwDo *act)
+{
+    if (req->over) {
+        say(f, "ended twice", req);
+    }
+    if (act->kind == GW_DO_REPLY) {
+        req->status = act->status;
+        if (act->status == 503 && (req->may_have_run || req->server)) {
+            say(f, "refusal is true: 503 though it may have run", req);
+        }
+    }
+    req->over = true;
+    req->handle = NULL;
+}
+
+static void
+carry_one(FakeSteering *f, const GwDo *act)
+{
+    FakeRequest *req = act->user;
+
+    switch (act->kind) {
+    case GW_DO_ACCEPT:
+        req->handle = act->request;
+        break;
+    case GW_DO_SEND:
+        on_send(f, req, act);
+        break;
+    case GW_DO_CANCEL:
+        req->may_have_run = true;
+        req->server = NULL;
+        break;
+    case GW_DO_ANSWER:
+    case GW_DO_REPLY:
+        on_over(f, req, act);
+        break;
+    case GW_DO_FORGET:
+        break;
+    }
+}
+
+void
+FakeSteering_Carry(FakeSteering *f)
+{
+    for (guint i = 0; i < f->actions->len; i++) {
+        GwDo act = g_array_index(f->actions, GwDo, i);
+        carry_one(f, &act);
+    }
+    g_array_set_size(f->actions, 0);
+}
+
+FakeRequest *
+FakeSteering_Arrive(FakeSteering *f, const char *path, const char *key,
+                    int64_t left_ms)
+{
+    FakeRequest *req = g_new0(FakeRequest, 1);
+    GwArrival arrival = {
+        .user = req,
+        .host = "h",
+        .path = path,
+        .key = key,
+        .left_us = left_ms * 1000,
+    };
+
+    req->idempotent = strncmp(path, "/again/", 7) == 0;
+    g_ptr_array_add(f->requests, req);
+    GwRouter_Arrive(f->router, f->now_us, &arrival, f->actions);
+    FakeSteering_Carry(f);
+    return req;
+}
+
+void
+FakeSteering_End(FakeSteering *f, FakeRequest *req, GwAttemptOutcome outcome,
+                 uint16_t status)
+{
+    GwAttemptEnd end = {.outcome = outcome, .status = status};
+
+    if (req->server == NULL || req->handle == NULL) {
+        return;
+    }
+    req->server = NULL;
+    req->servers += outcome != GW_ATTEMPT_UNSENT;
+    req->may_have_run = req->may_have_run ||
+                        outcome == GW_ATTEMPT_BROKEN ||
+                        outcome == GW_ATTEMPT_ANSWERED;
+    GwRouter_Ended(f->router, f->now_us, req->handle, &end, f->actions);
+    FakeSteering_Carry(f);
+}
+
+void
+FakeSteering_Leave(FakeSteering *f, FakeRequest *req)
+{
+    if (req->handle == NULL) {
+        return;
+    }
+    GwRouter_Gone(f->router, f->now_us, req->handle, f->actions);
+    req->handle = NULL;
+    req->server = NULL;
+    req->over = true;
+    GwRouter_Settle(f->router, f->now_us, f->actions);
+    FakeSteering_Carry(f);
+}
+
+void
+FakeSteering_Pass(FakeSteering *f, int64_t us)
+{
+    int64_t until_us = f->now_us + us;
+    int64_t due_us;
+
+    while ((due_us = GwRouter_NextDeadline(f->router)) <= until_us) {
+        f->now_us = MAX(f->now_us, due_us);
+        GwRouter_Tick(f->router, f->now_us, f->actions);
+        FakeSteering_Carry(f);
+    }
+    f->now_us = until_us;
+}
--- /dev/null
+++ b/tests/property/router.cpp
@@ -0,0 +1,209 @@
+// The steering core under any course of events: arrivals, ends of attempts of
+// every kind, callers that leave, servers that come, drain, go and turn cold,
+// new versions, and time. The fake host writes down each promise not kept.
+#include <glib.h>
+
+extern "C" {
+#include "common/rng.h"
+#include "fakes/steering.h"
+}
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr int64_t kMs = 1000;
+
+struct World {
+    FakeSteering *f;
+    uint64_t version = 1;
+    uint32_t attempts = 2;
+    int servers = 0;
+};
+
+FakeRequest *
+openRequest(World &w, uint32_t pick)
+{
+    std::vector<FakeRequest *> open;
+    for (guint i = 0; i < w.f->requests->len; i++) {
+        auto *req = static_cast<FakeRequest *>(w.f->requests->pdata[i]);
+        if (req->handle != nullptr) {
+            open.push_back(req);
+        }
+    }
+    return open.empty() ? nullptr : open[pick % open.size()];
+}
+
+std::string
+serverName(World &w, uint32_t pick)
+{
+    return "s" + std::to_string(pick % static_cast<uint32_t>(w.servers));
+}
+
+void
+endOne(World &w, uint32_t arg)
+{
+    static const struct {
+        GwAttemptOutcome outcome;
+        uint16_t status;
+    } ends[] = {
+        {GW_ATTEMPT_ANSWERED, 200}, {GW_ATTEMPT_ANSWERED, 200},
+        {GW_ATTEMPT_ANSWERED, 500}, {GW_ATTEMPT_REFUSED, 503},
+        {GW_ATTEMPT_REFUSED, 421},  {GW_ATTEMPT_UNSENT, 0},
+        {GW_ATTEMPT_BROKEN, 0},     {GW_ATTEMPT_ANSWERED, 504},
+    };
+    FakeRequest *req = openRequest(w, arg);
+    if (req != nullptr) {
+        const auto &end = ends[(arg >> 8) % G_N_ELEMENTS(ends)];
+        FakeSteering_End(w.f, req, end.outcome, end.status);
+    }
+}
+
+void
+addServer(World &w, uint32_t arg)
+{
+    static const char *const places[][2] = {
+        {"r1", "d1"}, {"r1", "d2"}, {"r2", "d3"}};
+    const auto &place = places[arg % 3];
+    std::string name = "s" + std::to_string(w.servers++);
+    FakeSteering_Put(w.f, name.c_str(), place[0], place[1], 1 + arg % 3);
+}
+
+void
+step(World &w, uint32_t kind, uint32_t arg)
+{
+    const char *path = arg % 2 == 0 ? "/once/" : "/again/";
+    std::string key = std::to_string(arg % 5);
+
+    switch (kind) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+        (void)FakeSteering_Arrive(w.f, path,
+                                  arg % 7 == 0 ? nullptr : key.c_str(),
+                                  200 + arg % 3000);
+        break;
+    case 4:
+    case 5:
+    case 6:
+        endOne(w, arg);
+        break;
+    case 7:
+        if (FakeRequest *req = openRequest(w, arg)) {
+            FakeSteering_Leave(w.f, req);
+        }
+        break;
+    case 8:
+        addServer(w, arg);
+        break;
+    case 9:
+        FakeSteering_Drain(w.f, serverName(w, arg).c_str());
+        break;
+    case 10:
+        FakeSteering_Drop(w.f, serverName(w, arg).c_str());
+        break;
+    case 11:
+        FakeSteering_Configure(w.f, ++w.version, 1 + arg % 3);
+        w.attempts = std::max(w.attempts, 1 + arg % 3);
+        break;
+    case 12:
+        GwRouter_SetEvacuated(w.f->router, arg % 2 == 0 ? "d1" : "d2",
+                              arg % 3 == 0);
+        break;
+    default:
+        FakeSteering_Pass(w.f, (1 + arg % 200) * kMs);
+        break;
+    }
+}
+
+// Every request ends; none was sent to more servers than its route allows.
+void
+checkEnds(World &w)
+{
+    FakeSteering_Pass(w.f, 10000 * kMs);
+    RC_ASSERT(GwRouter_OpenCount(w.f->router) == 0u);
+    for (guint i = 0; i < w.f->requests->len; i++) {
+        auto *req = static_cast<FakeRequest *>(w.f->requests->pdata[i]);
+        RC_ASSERT(req->over);
+        RC_ASSERT(req->servers <= w.attempts);
+    }
+}
+
+// What all entries may repeat, of which this one has its part.
+void
+checkBudget(World &w)
+{
+    double bound = 0.2 * w.f->firsts + 60.0;
+    RC_ASSERT(w.f->repeats <= bound);
+}
+
+void
+anyCourse()
+{
+    auto steps = *rc::gen::scale(
+        4.0, rc::gen::container<std::vector<std::pair<uint32_t, uint32_t>>>(
+                 rc::gen::pair(
+                     rc::gen::resize(100, rc::gen::inRange(0u, 18u)),
+                     rc::gen::resize(100, rc::gen::inRange(0u, 1u << 20)))));
+    World w;
+    w.f = FakeSteering_Create("r1", "d1");
+    FakeSteering_Configure(w.f, 1, 2);
+    addServer(w, 0);
+    addServer(w, 1);
+    addServer(w, 2);
+    for (const auto &one : steps) {
+        step(w, one.first, one.second);
+    }
+    checkEnds(w);
+    checkBudget(w);
+    RC_ASSERT(std::string(w.f->broken->str) == "");
+    FakeSteering_Free(w.f);
+}
+
+// However many callers press, whatever a cold server refuses or breaks: in
+// any second it gets no more than what it bears, from this entry alone.
+void
+coldServer()
+{
+    auto seed = *rc::gen::arbitrary<uint64_t>();
+    GwRng rng = GwRng_Make(seed);
+    World w;
+    w.f = FakeSteering_Create("r1", "d1");
+    FakeSteering_Configure(w.f, 1, 3);
+    addServer(w, 0);
+    FakeSteering_Pass(w.f, 3000 * kMs);
+    FakeSteering_SetCold(w.f, "s0", 60000);
+    for (int i = 0; i < 600; i++) {
+        (void)FakeSteering_Arrive(
+            w.f, GwRng_Below(&rng, 2) == 0 ? "/once/" : "/again/", nullptr,
+            3000);
+        endOne(w, static_cast<uint32_t>(GwRng_Next(&rng) & 0xfffff));
+        FakeSteering_Pass(w.f, (1 + GwRng_Below(&rng, 20)) * kMs);
+    }
+    auto *server = static_cast<FakeServer *>(w.f->servers->pdata[0]);
+    const GArray *at = server->arrivals;
+    for (guint first = 0, last = 0; last < at->len; last++) {
+        int64_t until = g_array_index(at, int64_t, last);
+        while (g_array_index(at, int64_t, first) <= until - FAKE_US_PER_S) {
+            first++;
+        }
+        RC_ASSERT(last - first + 1 <= 5.0 * 1.5 + 5.0);
+    }
+    FakeSteering_Free(w.f);
+}
+
+} // namespace
+
+int
+main()
+{
+    bool ok = rc::check("promises hold in any course of events", anyCourse);
+    ok = rc::check("a cold server gets no more than it bears", coldServer) &&
+         ok;
+    return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,225 @@
+/* The adapter's formats. Names in this file are those of the users' pages; it
+ * tests the only folder that knows them. */
+#include "common/duration.h"
+#include "platform/platform.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+Test(platform, durations)
+{
+    static const struct {
+        const char *text;
+        bool good;
+        uint32_t ms;
+    } cases[] = {
+        {"1500ms", true, 1500}, {"2.5s", true, 2500}, {"0ms", true, 0},
+        {"", false, 0},         {"5", false, 0},      {"ms", false, 0},
+        {"-1s", false, 0},      {"1 s", false, 0},    {"1m", false, 0},
+        {"1e99s", false, 0},    {"nans", false, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint32_t ms = 0;
+        cr_expect_eq(GwDuration_Parse(cases[i].text, &ms), cases[i].good,
+                     "%s", cases[i].text);
+        cr_expect_eq(ms, cases[i].ms, "%s", cases[i].text);
+    }
+}
+
+static const char config[] =
+    "{\"version\":7,\"services\":[{\"name\":\"s1\",\"health_path\":\"/h\","
+    "\"conn_limit\":330,\"warmup\":\"3s\",\"cold_per_s\":4.9}],"
+    "\"limits\":{\"header_bytes\":100,\"body_bytes\":200,"
+    "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15s\"},"
+    "\"hosts\":[{\"host\":\"h.example\",\"paths\":["
+    "{\"name\":\"r1\",\"prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"timeout\":\"2000ms\",\"objective\":\"400ms\",\"priority\":2,"
+    "\"split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":2,"
+    "\"sticky_sessions\":true,\"home_regions\":[\"x\"]},"
+    "{\"name\":\"r2\",\"prefix\":\"/a/b/\",\"kind\":\"other\","
+    "\"service\":\"s1\"}]}]}";
+
+Test(platform, a_configuration_becomes_routes)
+{
+    GwRouting *r = Platform_ReadConfig(config, NULL);
+
+    cr_assert_not_null(r);
+    cr_expect_eq(r->version, 7);
+    cr_expect_eq(r->limits.head_bytes, 100);
+    cr_expect_eq(r->limits.body_bytes, 200);
+    cr_expect_eq(r->limits.head_timeout_ms, 3000);
+    cr_expect_eq(r->limits.idle_timeout_ms, 15000);
+    cr_expect_float_eq(r->services[0].cold_per_s, 4.9, 1e-9);
+    cr_expect_eq(r->services[0].warmup_ms, 3000);
+    const GwRoute *one = GwRouting_Match(r, "h.example", "/a/x");
+    cr_assert_not_null(one);
+    cr_expect(one->idempotent);
+    cr_expect(one->warm_keys);
+    cr_expect_eq(one->timeout_ms, 2000);
+    cr_expect_eq(one->objective_ms, 400);
+    cr_expect_eq(one->priority, 2);
+    cr_expect_eq(one->attempts_max, 2);
+    cr_expect_eq(one->part_count, 2);
+    cr_expect_eq(one->parts[1].weight, 10);
+    cr_expect(GwRoute_AllowsRegion(one, "x"));
+    cr_expect_not(GwRoute_AllowsRegion(one, "y"));
+    const GwRoute *two = GwRouting_Match(r, "h.example", "/a/b/c");
+    cr_expect_not(two->idempotent, "an unknown kind may not run twice");
+    cr_expect_eq(two->attempts_max, 1);
+    cr_expect(GwRoute_AllowsRegion(two, "y"));
+    GwRouting_Unref(r);
+}
+
+Test(platform, a_broken_configuration_is_refused_whole)
+{
+    static const char *const bad[] = {
+        "",
+        "[]",
+        "{\"hosts\":[]}",
+        "{\"version\":-1}",
+        "{\"version\":1,\"hosts\":[{}]}",
+        "{\"version\":1,\"hosts\":[{\"host\":\"h\",\"paths\":[{}]}]}",
+        "{\"version\":1,\"hosts\":[{\"host\":\"h\",\"paths\":[{\"name\":"
+        "\"r\",\"prefix\":\"/\"}]}]}",
+        "{\"version\":1,\"hosts\":[{\"host\":\"h\",\"paths\":[{\"name\":"
+        "\"r\",\"prefix\":\"/\",\"split\":[{\"service\":\"s\"}]}]}]}",
+        "{\"version\":1,\"services\":[{}]}",
+        "{\"version\":1,\"hosts\":[",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        GError *error = NULL;
+        cr_expect_null(Platform_ReadConfig(bad[i], &error), "%s", bad[i]);
+        cr_expect_not_null(error, "%s", bad[i]);
+        g_clear_error(&error);
+    }
+}
+
+/* Rows may come from other writers; such a row names no server to use. */
+Test(platform, only_whole_entries_name_a_server)
+{
+    static const struct {
+        const char *text;
+        bool good;
+    } cases[] = {
+        {"{\"address\":\"1.2.3.4:5\",\"born\":77,\"info\":{\"service\":\"s\","
+         "\"version\":\"v\",\"zone\":\"z\",\"slots\":3},\"status\":{"
+         "\"state\":\"draining\",\"seq_no\":4,\"cold_left\":\"500ms\"}}",
+         true},
+        {"{\"address\":\"1.2.3.4:5\",\"info\":{\"service\":\"s\",\"zone\":"
+         "\"z\",\"slots\":3},\"status\":{\"state\":\"ready\"}}",
+         true},
+        {"{\"address\":\"1.2.3.4:5\",\"info\":{\"service\":\"s\",\"zone\":"
+         "\"z\",\"slots\":\"3\"},\"status\":{\"state\":\"ready\"}}",
+         false},
+        {"{\"address\":\"1.2.3.4:5\",\"info\":{\"service\":\"s\",\"zone\":"
+         "\"z\",\"slots\":3},\"status\":{\"state\":\"odd\"}}",
+         false},
+        {"{\"address\":5,\"info\":{\"service\":\"s\",\"zone\":\"z\","
+         "\"slots\":3},\"status\":{\"state\":\"ready\"}}",
+         false},
+        {"{\"info\":[],\"status\":7}", false},
+        {"{}", false},
+        {"\xff\xfe", false},
+        {"", false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwRegistered out;
+        cr_expect_eq(Platform_ReadServer("id", cases[i].text, &out, NULL),
+                     cases[i].good, "%s", cases[i].text);
+        if (i == 0) {
+            cr_expect_str_eq(out.id, "id");
+            cr_expect_str_eq(out.service, "s");
+            cr_expect_str_eq(out.address, "1.2.3.4:5");
+            cr_expect_str_eq(out.domain, "z");
+            cr_expect_eq(out.born_ms, 77);
+            cr_expect_eq(out.slots, 3);
+            cr_expect(out.draining);
+            cr_expect_eq(out.cold_left_ms, 500);
+        }
+    }
+}
+
+Test(platform, rows_are_read_as_they_are_written)
+{
+    static const char text[] =
+        "{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"a\",\"value\":"
+        "\"eA==\",\"ver\":5},{\"key\":\"b\",\"ver\":6,\"removed\":true},"
+        "{\"key\":7,\"ver\":6},{\"key\":\"c\"},\"odd\"],"
+        "\"has_more\":true,\"ver\":9,\"now\":\"1ms\"}";
+    GwRowSet *set = Platform_ReadRows(text, strlen(text), NULL);
+
+    cr_assert_not_null(set);
+    cr_assert_eq(set->rows->len, 2, "odd rows are passed over");
+    cr_expect_eq(set->version, 9);
+    cr_expect(set->more);
+    char *again = Platform_WriteRows("t", set);
+    GwRowSet *second = Platform_ReadRows(again, strlen(again), NULL);
+    cr_assert_eq(second->rows->len, 2);
+    const GwStoreRow *a = second->rows->pdata[0];
+    const GwStoreRow *b = second->rows->pdata[1];
+    cr_expect_str_eq(a->key, "a");
+    cr_expect_str_eq(a->value, "x");
+    cr_expect_eq(a->version, 5);
+    cr_expect(b->removed);
+    cr_expect_eq(second->version, 9);
+    g_free(again);
+    GwRowSet_Free(second);
+    GwRowSet_Free(set);
+}
+
+Test(platform, answers_that_are_no_rows_are_errors)
+{
+    static const char *const bad[] = {
+        "", "{}", "{\"rows\":[]}", "{\"ver\":1}", "{\"rows\":{},\"ver\":1}",
+        "{\"rows\":[],\"ver\":\"1\"}"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        GError *error = NULL;
+        cr_expect_null(
+            Platform_ReadRows(bad[i], strlen(bad[i]), &error), "%s", bad[i]);
+        cr_expect_not_null(error, "%s", bad[i]);
+        g_clear_error(&error);
+    }
+}
+
+Test(platform, a_peer_reads_what_a_peer_asks)
+{
+    const GwAdapter *a = &Platform_Adapter;
+    char *target = a->feed_target("servers", 42, 0);
+    char *table = NULL;
+    uint64_t after = 0;
+
+    cr_assert(a->parse_feed_target(target, &table, &after));
+    cr_expect_str_eq(table, "servers");
+    cr_expect_eq(after, 42);
+    g_free(table);
+    g_free(target);
+    cr_expect_not(a->parse_feed_target("/else", &table, &after));
+}
+
+Test(platform, operators_rows)
+{
+    static const struct {
+        const char *key;
+        GwOperatorRow kind;
+        const char *name;
+    } cases[] = {
+        {"config", GW_ROW_CONFIG, NULL},
+        {"evacuate/z1", GW_ROW_EVACUATION, "z1"},
+        {"config2", GW_ROW_OTHER, NULL},
+        {"", GW_ROW_OTHER, NULL},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const char *name = NULL;
+        cr_expect_eq(Platform_Adapter.operator_row(cases[i].key, &name),
+                     cases[i].kind, "%s", cases[i].key);
+        if (cases[i].name != NULL) {
+            cr_expect_str_eq(name, cases[i].name);
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/test_router.c
@@ -0,0 +1,358 @@
+/* The steering core, case by case. Promises that hold always are checked by
+ * the fake host (fakes/steering.c) in each of them. */
+#include "fakes/steering.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+static FakeSteering *
+start(uint32_t attempts_max)
+{
+    FakeSteering *f = FakeSteering_Create("r1", "d1");
+
+    FakeSteering_Configure(f, 1, attempts_max);
+    return f;
+}
+
+static void
+finish(FakeSteering *f)
+{
+    cr_expect_str_eq(f->broken->str, "");
+    FakeSteering_Free(f);
+}
+
+/* Requests that fill the slots of all servers. */
+static void
+warm(FakeSteering *f, const char *path, const char *key)
+{
+    FakeRequest *req = FakeSteering_Arrive(f, path, key, 3000);
+
+    cr_assert_not_null(req->server);
+    FakeSteering_Pass(f, 300000);
+    FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+    cr_assert(req->over);
+}
+
+Test(router, outcomes_decide_what_the_caller_gets)
+{
+    static const struct {
+        const char *what;
+        const char *path;
+        GwAttemptOutcome first;
+        uint16_t first_status;
+        uint32_t sends; /* in all; the second one is answered 200 */
+        uint16_t status;
+    } cases[] = {
+        {"answered", "/once/", GW_ATTEMPT_ANSWERED, 200, 1, 0},
+        {"answered, idempotent", "/again/", GW_ATTEMPT_ANSWERED, 200, 1, 0},
+        {"a server's failure is its answer", "/once/", GW_ATTEMPT_ANSWERED,
+         500, 1, 0},
+        {"an idempotent one is tried elsewhere", "/again/",
+         GW_ATTEMPT_ANSWERED, 500, 2, 0},
+        {"refused: proof, so it may go elsewhere", "/once/",
+         GW_ATTEMPT_REFUSED, 503, 2, 0},
+        {"never sent: the same", "/once/", GW_ATTEMPT_UNSENT, 0, 2, 0},
+        {"broken: may have run", "/once/", GW_ATTEMPT_BROKEN, 0, 1, 502},
+        {"broken, idempotent", "/again/", GW_ATTEMPT_BROKEN, 0, 2, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = start(2);
+        FakeSteering_Put(f, "a", "r1", "d1", 2);
+        FakeSteering_Put(f, "b", "r1", "d1", 2);
+        for (int j = 0; j < 12; j++) { /* earns the budget of retries */
+            warm(f, "/again/", NULL);
+        }
+        FakeRequest *req =
+            FakeSteering_Arrive(f, cases[i].path, "k", 3000);
+        FakeSteering_End(f, req, cases[i].first, cases[i].first_status);
+        FakeSteering_Pass(f, 100000);
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        cr_expect(req->over, "%s", cases[i].what);
+        cr_expect_eq(req->sends, cases[i].sends, "%s", cases[i].what);
+        cr_expect_eq(req->status, cases[i].status, "%s", cases[i].what);
+        finish(f);
+    }
+}
+
+/* A caller sends two requests on one connection and leaves. One slot is
+ * free: the first has it, the second waits. The slot must not go to the second
+ * when the first is taken away: the host drops both together, and a send
+ * for one of them was carried out on freed memory. */
+Test(router, a_caller_takes_all_its_requests_along)
+{
+    FakeSteering *f = start(1);
+    FakeSteering_Put(f, "a", "r1", "d1", 1);
+    warm(f, "/again/", "k");
+    FakeRequest *reqs[2];
+
+    for (int i = 0; i < 2; i++) {
+        reqs[i] = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    }
+    cr_assert_not_null(reqs[0]->server);
+    cr_assert_null(reqs[1]->server);
+    for (int i = 0; i < 2; i++) {
+        GwRouter_Gone(f->router, f->now_us, reqs[i]->handle, f->actions);
+        cr_expect_eq(f->actions->len, 0, "request %d", i);
+        reqs[i]->handle = NULL;
+    }
+    GwRouter_Settle(f->router, f->now_us, f->actions);
+    cr_expect_eq(f->actions->len, 0);
+    cr_expect_eq(GwRouter_OpenCount(f->router), 0);
+    finish(f);
+}
+
+/* Heavy load on objects that are warm at one server each: every request goes
+ * there and waits rather than make a cold run elsewhere. Spread over all
+ * servers, all runs were cold and took three times the slot time, and the
+ * system stayed so (worth of the heaviest days 0.14 to 0.24, then 0.40 to
+ * 0.70). */
+Test(router, warm_objects_stay_where_they_are)
+{
+    FakeSteering *f = start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_Put(f, "b", "r1", "d1", 2);
+    FakeSteering_Put(f, "c", "r1", "d1", 2);
+    warm(f, "/again/", "k");
+    FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    FakeRequest *second = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    FakeRequest *third = FakeSteering_Arrive(f, "/again/", "k", 3000);
+
+    cr_assert_not_null(first->server);
+    cr_expect_eq(second->server, first->server);
+    cr_expect_null(third->server, "it waits");
+    FakeSteering_Pass(f, 50000);
+    FakeSteering_End(f, first, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect_not_null(third->server);
+    cr_expect_str_eq(third->server_id, first->server_id);
+    finish(f);
+}
+
+/* The first request for an object is a cold run; those that come meanwhile
+ * wait for its end instead of making cold runs of their own. */
+Test(router, a_first_run_is_not_doubled)
+{
+    FakeSteering *f = start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_Put(f, "b", "r1", "d1", 2);
+    FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    FakeSteering_Pass(f, 200000);
+    FakeRequest *second = FakeSteering_Arrive(f, "/again/", "k", 3000);
+
+    cr_assert_not_null(first->server);
+    cr_expect_null(second->server);
+    FakeSteering_Pass(f, 100000);
+    FakeSteering_End(f, first, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect_not_null(second->server);
+    cr_expect_str_eq(second->server_id, first->server_id);
+    finish(f);
+}
+
+/* What another entry of the region placed is a place here too. */
+Test(router, entries_meet_at_the_same_server)
+{
+    FakeSteering *one = start(2);
+    FakeSteering *two = start(2);
+    FakeSteering *both[] = {one, two};
+    GArray *placed = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+
+    for (int i = 0; i < 2; i++) {
+        FakeSteering_Put(both[i], "a", "r1", "d1", 2);
+        FakeSteering_Put(both[i], "b", "r1", "d1", 2);
+        FakeSteering_Put(both[i], "c", "r1", "d1", 2);
+    }
+    for (int k = 0; k < 20; k++) {
+        char key[8];
+        g_snprintf(key, sizeof(key), "%d", k);
+        warm(one, "/again/", key);
+    }
+    GwRouter_OwnPlacements(one->router, one->now_us, INT64_MAX, placed);
+    cr_assert_eq(placed->len, 20);
+    for (guint i = 0; i < placed->len; i++) {
+        GwRouter_PutPlacement(two->router, two->now_us,
+                              &g_array_index(placed, GwPlacement, i));
+    }
+    FakeSteering_Pass(two, FAKE_US_PER_S);
+    for (int k = 0; k < 20; k++) {
+        char key[8];
+        g_snprintf(key, sizeof(key), "%d", k);
+        FakeRequest *mine = FakeSteering_Arrive(one, "/again/", key, 3000);
+        FakeRequest *theirs = FakeSteering_Arrive(two, "/again/", key, 3000);
+        cr_assert_not_null(mine->server);
+        cr_expect_str_eq(theirs->server_id, mine->server_id, "key %s", key);
+        FakeSteering_End(one, mine, GW_ATTEMPT_ANSWERED, 200);
+        FakeSteering_End(two, theirs, GW_ATTEMPT_ANSWERED, 200);
+    }
+    g_array_free(placed, TRUE);
+    finish(one);
+    finish(two);
+}
+
+Test(router, who_may_take_a_request)
+{
+    static const struct {
+        const char *what;
+        bool drained;
+        bool dropped;
+        bool evacuated;
+        bool taken;
+    } cases[] = {
+        {"ready", false, false, false, true},
+        {"draining", true, false, false, false},
+        {"gone", false, true, false, false},
+        {"its failure domain is evacuated", false, false, true, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = start(2);
+        FakeSteering_Put(f, "a", "r1", "d1", 2);
+        if (cases[i].drained) {
+            FakeSteering_Drain(f, "a");
+        }
+        if (cases[i].dropped) {
+            FakeSteering_Drop(f, "a");
+        }
+        GwRouter_SetEvacuated(f->router, "d1", cases[i].evacuated);
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", "k", 3000);
+        cr_expect_eq(req->server != NULL, cases[i].taken, "%s",
+                     cases[i].what);
+        cr_expect_eq(req->status, cases[i].taken ? 0 : 503, "%s",
+                     cases[i].what);
+        finish(f);
+    }
+}
+
+/* A drain once seen stays, whatever a report that was overtaken says; a new
+ * start under the same id is another server. */
+Test(router, a_drain_is_not_unlearned)
+{
+    FakeSteering *f = start(2);
+    GwServerInfo again = {.id = "a",
+                          .born_ms = 2,
+                          .service = "s",
+                          .address = "127.0.0.1:1",
+                          .domain = "d1",
+                          .region = "r1",
+                          .slots = 2};
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_Drain(f, "a");
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeRequest *req = FakeSteering_Arrive(f, "/once/", "k", 3000);
+    cr_expect_eq(req->status, 503);
+    GwRouter_PutServer(f->router, f->now_us, &again, f->actions);
+    ((FakeServer *)f->servers->pdata[0])->draining = false;
+    req = FakeSteering_Arrive(f, "/once/", "k", 3000);
+    cr_expect_not_null(req->server);
+    finish(f);
+}
+
+/* Not sent, all slots taken by long work: the caller is told at once to come
+ * back, not at the end of its time. */
+Test(router, what_has_no_room_is_refused_at_once)
+{
+    FakeSteering *f = start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 1);
+    uint32_t refused = 0;
+
+    for (int i = 0; i < 20; i++) {
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        refused += req->status == 503;
+    }
+    cr_expect_geq(refused, 10);
+    finish(f);
+}
+
+/* Time-outs: sent and silent is 504 at the route's time-out, never sent is a
+ * true 503. What servers are told is what is left. */
+Test(router, a_silent_server_does_not_hold_a_caller)
+{
+    FakeSteering *f = start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 1);
+    FakeRequest *sent = FakeSteering_Arrive(f, "/once/", "k", 5000);
+
+    cr_expect_eq(sent->left_ms, 2000);
+    FakeSteering_Pass(f, 1900000);
+    cr_expect_not(sent->over);
+    FakeSteering_Pass(f, 200000);
+    cr_expect(sent->over);
+    cr_expect_eq(sent->status, 504);
+    finish(f);
+}
+
+/* A cold server bears cold_per_s requests a second from all entries together.
+ * One entry feeds it, and less than that; right after its own start an entry
+ * knows no others and feeds none. */
+Test(router, a_cold_server_gets_little)
+{
+    FakeSteering *f = start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_SetCold(f, "a", 20000);
+    FakeRequest *early = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+    uint32_t sent = 0;
+
+    cr_expect_null(early->server);
+    FakeSteering_Pass(f, 3 * FAKE_US_PER_S);
+    for (int i = 0; i < 1000; i++) {
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        sent += req->sends;
+        FakeSteering_Pass(f, 5000);
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        FakeSteering_Pass(f, 5000);
+    }
+    cr_expect_geq(sent, 20, "%u in 10 s", sent);
+    cr_expect_leq(sent, 52, "%u in 10 s", sent);
+    finish(f);
+}
+
+Test(router, versions_never_fall)
+{
+    FakeSteering *f = start(1);
+    GwRouting *older = FakeSteering_Routing(1, 3);
+
+    FakeSteering_Configure(f, 5, 2);
+    cr_expect_not(GwRouter_SetRouting(f->router, older));
+    cr_expect_eq(GwRouter_Routing(f->router)->version, 5);
+    GwRouting_Unref(older);
+    finish(f);
+}
+
+Test(router, without_a_configuration_nothing_is_missing)
+{
+    FakeSteering *f = FakeSteering_Create("r1", "d1");
+    FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+
+    cr_expect_eq(req->status, 503);
+    FakeSteering_Configure(f, 1, 1);
+    req = FakeSteering_Arrive(f, "/nowhere/", NULL, 3000);
+    cr_expect_eq(req->status, 404);
+    finish(f);
+}
+
+/* Each stretch of a split is split as the whole is. */
+Test(router, a_split_keeps_its_weights)
+{
+    FakeSteering *f = FakeSteering_Create("r1", "d1");
+    GwRouting *routing = FakeSteering_Routing(1, 1);
+    GwRoute *route = &routing->hosts[0].routes[0];
+    uint32_t counts[2] = {0};
+
+    g_free(route->parts[0].service);
+    g_free(route->parts);
+    route->part_count = 2;
+    route->parts = g_new0(GwRoutePart, 2);
+    route->parts[0] = (GwRoutePart){g_strdup("s"), 9};
+    route->parts[1] = (GwRoutePart){g_strdup("t"), 1};
+    (void)GwRouter_SetRouting(f->router, routing);
+    GwRouting_Unref(routing);
+    FakeSteering_Put(f, "a", "r1", "d1", 100);
+    for (int i = 0; i < 100; i++) {
+        const char *path = strcmp(route->prefix, "/once/") == 0 ? "/once/"
+                                                                : "/again/";
+        FakeRequest *req = FakeSteering_Arrive(f, path, NULL, 3000);
+        counts[req->server == NULL]++;
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+    }
+    cr_expect_eq(counts[0], 90);
+    cr_expect_eq(counts[1], 10, "the part without servers is not moved");
+    finish(f);
+}
--- /dev/null
+++ b/tests/unit/test_store_rows.c
@@ -0,0 +1,147 @@
+/* The copy of the store's rows: whatever order news comes in, the greater
+ * version wins, and a row that lapsed while the store was away has time to
+ * come back. */
+#include "store/rows.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+typedef struct {
+    GString *log; /* one word a change: +key=value or -key */
+} Sink;
+
+static void
+on_change(void *ctx, const GwStoreRow *row)
+{
+    Sink *sink = ctx;
+
+    if (row->removed) {
+        g_string_append_printf(sink->log, "-%s ", row->key);
+    }
+    else {
+        g_string_append_printf(sink->log, "+%s=%s ", row->key, row->value);
+    }
+}
+
+/* "a1=x" puts x at version 1 of row a, "a2-" removes it; words in a set. */
+static GwRowSet *
+set_of(const char *text, uint64_t version)
+{
+    GwRowSet *set = GwRowSet_Create();
+    char **words = g_strsplit(text, " ", -1);
+
+    set->version = version;
+    for (char **w = words; *w != NULL && **w != '\0'; w++) {
+        char key[2] = {(*w)[0], '\0'};
+        uint64_t ver = (uint64_t)((*w)[1] - '0');
+        bool removed = (*w)[2] == '-';
+        g_ptr_array_add(set->rows,
+                        GwStoreRow_Create(key, removed ? NULL : *w + 3, ver,
+                                          removed));
+    }
+    g_strfreev(words);
+    return set;
+}
+
+typedef enum { FEED, FULL, WAIT, GRACE } Step;
+
+#define SEC 1000000
+
+Test(store_rows, the_greater_version_wins)
+{
+    static const struct {
+        const char *what;
+        struct {
+            Step step;
+            const char *rows;
+            uint64_t version;
+        } steps[5];
+        const char *log;
+    } cases[] = {
+        {"changes in order",
+         {{FEED, "a1=x b2=y", 2}, {FEED, "a3=z", 3}, {FEED, "b4-", 4}},
+         "+a=x +b=y +a=z -b "},
+        {"an older copy from a peer changes nothing",
+         {{FEED, "a3=z", 3}, {FEED, "a1=x", 1}},
+         "+a=z "},
+        {"a dropped row does not come back from a peer",
+         {{FEED, "a1=x", 1}, {FEED, "a2-", 2}, {FEED, "a1=x", 1}},
+         "+a=x -a "},
+        {"a row put again is there again",
+         {{FEED, "a1=x", 1}, {FEED, "a2-", 2}, {FEED, "a3=x", 3}},
+         "+a=x -a +a=x "},
+        {"the same value is no change",
+         {{FEED, "a1=x", 1}, {FEED, "a2=x", 2}},
+         "+a=x "},
+        {"missing from a full reading: gone after the grace",
+         {{FEED, "a1=x b1=y", 1}, {FULL, "a1=x", 5}, {WAIT, "", 3 * SEC}},
+         "+a=x +b=y -b "},
+        {"missing, but back within the grace",
+         {{FEED, "a1=x", 1}, {FULL, "", 5}, {FEED, "a6=x", 6},
+          {WAIT, "", 3 * SEC}},
+         "+a=x "},
+        {"newer than the full reading: stays",
+         {{FEED, "a7=x", 7}, {FULL, "", 5}, {WAIT, "", 3 * SEC}},
+         "+a=x "},
+        {"lapsed while the store was away, and back",
+         {{FEED, "a1=x", 1}, {GRACE, "", 0}, {FEED, "a2-", 2},
+          {FEED, "a3=x", 3}, {WAIT, "", 3 * SEC}},
+         "+a=x "},
+        {"lapsed while the store was away, and gone",
+         {{FEED, "a1=x", 1}, {GRACE, "", 0}, {FEED, "a2-", 2},
+          {WAIT, "", 3 * SEC}},
+         "+a=x -a "},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sink sink = {.log = g_string_new(NULL)};
+        GwRowCache *cache = GwRowCache_Create(on_change, &sink);
+        int64_t now_us = SEC;
+        for (size_t j = 0; j < 5 && cases[i].steps[j].rows != NULL; j++) {
+            GwRowSet *set = set_of(cases[i].steps[j].rows,
+                                   cases[i].steps[j].version);
+            switch (cases[i].steps[j].step) {
+            case FEED:
+                GwRowCache_Apply(cache, now_us, set);
+                break;
+            case FULL:
+                GwRowCache_ApplyFull(cache, now_us, set, 2 * SEC);
+                break;
+            case WAIT:
+                now_us += (int64_t)cases[i].steps[j].version;
+                GwRowCache_Tick(cache, now_us);
+                break;
+            case GRACE:
+                GwRowCache_SetGrace(cache, now_us + 2 * SEC, 2 * SEC);
+                break;
+            }
+            GwRowSet_Free(set);
+        }
+        cr_expect_str_eq(sink.log->str, cases[i].log, "%s: %s",
+                         cases[i].what, sink.log->str);
+        GwRowCache_Free(cache);
+        g_string_free(sink.log, TRUE);
+    }
+}
+
+Test(store_rows, a_peer_is_told_what_it_lacks)
+{
+    Sink sink = {.log = g_string_new(NULL)};
+    GwRowCache *cache = GwRowCache_Create(on_change, &sink);
+    GwRowSet *set = set_of("a1=x b2=y c3=z", 3);
+    GwRowSet *gone = set_of("b4-", 4);
+
+    GwRowCache_Apply(cache, SEC, set);
+    GwRowCache_Apply(cache, SEC, gone);
+    GwRowSet *after = GwRowCache_After(cache, 2);
+    cr_assert_eq(after->rows->len, 2);
+    cr_expect_str_eq(((GwStoreRow *)after->rows->pdata[0])->key, "c");
+    cr_expect_str_eq(((GwStoreRow *)after->rows->pdata[1])->key, "b");
+    cr_expect(((GwStoreRow *)after->rows->pdata[1])->removed);
+    cr_expect_eq(after->version, 4);
+    GwRowSet_Free(after);
+    GwRowSet_Free(set);
+    GwRowSet_Free(gone);
+    GwRowCache_Free(cache);
+    g_string_free(sink.log, TRUE);
+}
