--- a/lib/edge/beliefs.c
+++ b/lib/edge/beliefs.c
@@ -38,7 +38,8 @@
         take_config(edge, row);
         break;
     case GW_ROW_EVACUATION:
-        GwRouter_SetEvacuated(edge->router, name, !row->removed);
+        GwRouter_SetEvacuated(edge->router, GwEdge_Now(), name,
+                              !row->removed);
         GwLog_Event(GW_LOG_EVACUATION, "domain=%s evacuated=%d", name,
                     !row->removed);
         break;
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -70,6 +70,7 @@
     int64_t now_us;
     bool panic;
     const GwServer *than; /* only servers nearer than this one, if not NULL */
+    GwDriftSide side;
 } Look;
 
 static bool
@@ -79,6 +80,8 @@
 
     if (s->draining || !s->listed || s->slots == 0 ||
         g_hash_table_contains(r->evacuated, s->domain) ||
+        (look->side == GW_DRIFT_NEAR && !s->same_region) ||
+        (look->side == GW_DRIFT_FAR && s->same_region) ||
         !GwRoute_AllowsRegion(look->req->route, s->region) ||
         was_tried(look->req, s) ||
         (!look->panic && look->now_us < s->eject_until_us)) {
@@ -263,33 +266,65 @@
     };
 }
 
-GwChoice
-GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req)
+/* The best server without a look at how much traffic moves. */
+static GwChoice
+choose_one(Look *look)
 {
-    Look look = {
-        .r = r,
-        .req = req,
-        .now_us = now_us,
-        .panic = is_panic(req->service, now_us),
-    };
     bool first_run = false;
-    Candidate place = best_place(&look, &first_run);
+    Candidate place = best_place(look, &first_run);
+    Candidate fresh = {0};
 
     if (place.server == NULL) {
-        Candidate fresh = best_new(&look);
-        return choice_of(&look, &fresh);
+        fresh = best_new(look);
+        return choice_of(look, &fresh);
     }
-    Candidate fresh = {0};
-    if (is_in_time(&look, &place)) {
+    if (is_in_time(look, &place)) {
         if (!first_run) {
-            fresh = pull(&look, &place);
+            fresh = pull(look, &place);
         }
     }
     else if (!first_run && !place.is_free) {
-        fresh = best_new(&look);
-        if (!has_idle(&look, &fresh, IDLE_BELOW)) {
+        fresh = best_new(look);
+        if (!has_idle(look, &fresh, IDLE_BELOW)) {
             fresh.server = NULL;
         }
     }
-    return choice_of(&look, fresh.server != NULL ? &fresh : &place);
+    return choice_of(look, fresh.server != NULL ? &fresh : &place);
+}
+
+/* Whether all that may take the request is in the region, or all outside. */
+static bool
+is_forced(const GwRequest *req)
+{
+    return req->route->home_count > 0;
+}
+
+GwChoice
+GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req)
+{
+    Look look = {
+        .r = r,
+        .req = req,
+        .now_us = now_us,
+        .panic = is_panic(req->service, now_us),
+    };
+    GwChoice c = choose_one(&look);
+    GwDriftSide side = GwRouter_DriftSide(r, now_us);
+
+    c.wants_far = c.server != NULL && !c.server->same_region;
+    if (c.server == NULL || side == GW_DRIFT_ANY || is_forced(req) ||
+        c.wants_far == (side == GW_DRIFT_FAR)) {
+        return c;
+    }
+    look.side = side;
+    GwChoice other = choose_one(&look);
+    other.wants_far = c.wants_far;
+    /* Nothing goes abroad for the sake of the share that would not arrive in
+     * time there, or be a cold run. */
+    if (side == GW_DRIFT_FAR &&
+        (other.server == NULL || !other.in_time || !other.ready ||
+         (req->key != NULL && GwKey_At(req->key, other.server) == NULL))) {
+        return c;
+    }
+    return other;
 }
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -157,18 +157,21 @@
     GwChoice c = GwRouter_Choose(r, now_us, req);
 
     if (c.server == NULL) {
+        GwRouter_DriftRefused(r, now_us, c.wants_far);
         reply(r, req,
               req->attempts > 0 ? GW_WHY_NO_RETRY : GW_WHY_NO_SERVER,
               actions);
         return;
     }
     if (c.ready) {
+        GwRouter_DriftSent(r, now_us, c.wants_far, !c.server->same_region);
         send_to(r, now_us, req, c.server, actions);
         return;
     }
     int64_t back_us = now_us + (int64_t)c.est_us;
     req->late = !c.in_time;
     if (req->late && back_us > MIN(req->late_us, req->budget_us)) {
+        GwRouter_DriftRefused(r, now_us, c.wants_far);
         reply(r, req, GW_WHY_NO_ROOM, actions);
         return;
     }
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -66,7 +66,8 @@
                          GArray *actions);
 uint32_t GwRouter_ServerCount(const GwRouter *r);
 /* The servers of a failure domain take nothing while it is evacuated. */
-void GwRouter_SetEvacuated(GwRouter *r, const char *domain, bool evacuated);
+void GwRouter_SetEvacuated(GwRouter *r, int64_t now_us, const char *domain,
+                           bool evacuated);
 /* Calls `visit` with each id; for a host that compares with a full list. */
 void GwRouter_EachServer(GwRouter *r, void (*visit)(void *ctx, const char *id),
                          void *ctx);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -104,6 +104,17 @@
     GArray *loads; /* GwPeerLoad */
 } GwPeer;
 
+/* How much of the traffic runs in other regions, and how much may. */
+typedef struct {
+    double sent;     /* requests, decaying */
+    double far;      /* of them to other regions */
+    double asked;    /* requests that were placed or refused, decaying */
+    double wanted;   /* of them whose best server was in another region */
+    double level;    /* the share that is allowed now */
+    int64_t at_us;
+    int64_t free_until_us; /* no limit until then: servers were lost */
+} GwDrift;
+
 struct GwRequest_s {
     void *user;
     GwRouting *routing;
@@ -148,6 +159,8 @@
     GArray *placements; /* GwPlacement of this entry, oldest first */
     GwHeap deadlines;
     GwBucket pulls; /* objects that may be moved to this region */
+    GwDrift drift;
+    uint32_t near_slots; /* of the region's servers that may take work */
     int64_t started_us;
 };
 
@@ -182,11 +195,27 @@
     GwServer *server; /* NULL: none may take it */
     bool ready;       /* a slot is free there now */
     bool in_time;     /* its answer would be */
+    bool wants_far;   /* the best server is in another region */
     double est_us;    /* until its answer */
 } GwChoice;
 
 GwChoice GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req);
 
+/* drift.c */
+typedef enum {
+    GW_DRIFT_ANY = 0,
+    GW_DRIFT_NEAR, /* no more may leave the region for now */
+    GW_DRIFT_FAR   /* fewer must not leave it for now */
+} GwDriftSide;
+
+GwDriftSide GwRouter_DriftSide(GwRouter *r, int64_t now_us);
+/* A request was sent (to another region or not), or refused. */
+void GwRouter_DriftSent(GwRouter *r, int64_t now_us, bool wanted_far,
+                        bool far);
+void GwRouter_DriftRefused(GwRouter *r, int64_t now_us, bool wanted_far);
+/* Servers came or went. */
+void GwRouter_DriftServers(GwRouter *r, int64_t now_us);
+
 /* requests.c */
 void GwRouter_Pump(GwRouter *r, int64_t now_us, GwServiceState *service,
                    GArray *actions);
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -141,6 +141,7 @@
     if (info->cold_left_ms > 0) {
         s->cold_until_us = now_us + (int64_t)info->cold_left_ms * 1000;
     }
+    GwRouter_DriftServers(r, now_us);
 }
 
 void
@@ -149,9 +150,9 @@
 {
     GwServer *s = g_hash_table_lookup(r->servers, id);
 
-    (void)now_us;
     if (s != NULL) {
         delist(r, s, actions);
+        GwRouter_DriftServers(r, now_us);
     }
 }
 
@@ -174,7 +175,8 @@
 }
 
 void
-GwRouter_SetEvacuated(GwRouter *r, const char *domain, bool evacuated)
+GwRouter_SetEvacuated(GwRouter *r, int64_t now_us, const char *domain,
+                      bool evacuated)
 {
     if (evacuated) {
         g_hash_table_add(r->evacuated, g_strdup(domain));
@@ -182,6 +184,7 @@
     else {
         g_hash_table_remove(r->evacuated, domain);
     }
+    GwRouter_DriftServers(r, now_us);
 }
 
 /* ---- Peers --------------------------------------------------------------- */
--- a/tests/property/router.cpp
+++ b/tests/property/router.cpp
@@ -112,7 +112,7 @@
         w.attempts = std::max(w.attempts, 1 + arg % 3);
         break;
     case 12:
-        GwRouter_SetEvacuated(w.f->router, arg % 2 == 0 ? "d1" : "d2",
+        GwRouter_SetEvacuated(w.f->router, w.f->now_us, arg % 2 == 0 ? "d1" : "d2",
                               arg % 3 == 0);
         break;
     default:
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -212,7 +212,8 @@
         if (cases[i].dropped) {
             FakeSteering_Drop(f, "a");
         }
-        GwRouter_SetEvacuated(f->router, "d1", cases[i].evacuated);
+        GwRouter_SetEvacuated(f->router, f->now_us, "d1",
+                              cases[i].evacuated);
         FakeRequest *req = FakeSteering_Arrive(f, "/once/", "k", 3000);
         cr_expect_eq(req->server != NULL, cases[i].taken, "%s",
                      cases[i].what);
--- /dev/null
+++ b/tests/unit/test_router_drift.c
@@ -0,0 +1,156 @@
+/* A burst fills the region's servers for seconds and ends. Callers of the
+ * region see their requests run elsewhere little by little, and come back
+ * little by little: without the limit a quarter of the traffic changed its
+ * region within 2 s at the start of a burst, where operators allow 0.15. */
+#include "fakes/steering.h"
+
+#include <criterion/criterion.h>
+#include <math.h>
+
+#define STEP_US 10000
+#define WORK_US 100000
+
+typedef struct {
+    FakeRequest *req;
+    int64_t end_us;
+} Run;
+
+typedef struct {
+    int64_t at_us;
+    bool far;
+} Sent;
+
+typedef struct {
+    FakeSteering *f;
+    GArray *runs; /* Run */
+    GArray *sent; /* Sent */
+    double due;
+} Load;
+
+static void
+note(Load *load, FakeRequest *req)
+{
+    Run run = {req, load->f->now_us + WORK_US};
+    Sent sent = {load->f->now_us, req->server_id[0] == 'b'};
+
+    g_array_append_val(load->runs, run);
+    g_array_append_val(load->sent, sent);
+}
+
+static void
+end_due(Load *load)
+{
+    for (guint i = 0; i < load->runs->len;) {
+        Run run = g_array_index(load->runs, Run, i);
+        if (run.end_us > load->f->now_us) {
+            i++;
+            continue;
+        }
+        g_array_remove_index_fast(load->runs, i);
+        FakeSteering_End(load->f, run.req, GW_ATTEMPT_ANSWERED, 200);
+    }
+}
+
+/* Requests that waited and were sent by the last step. */
+static void
+note_waiting(Load *load)
+{
+    for (guint i = 0; i < load->f->requests->len; i++) {
+        FakeRequest *req = load->f->requests->pdata[i];
+        if (req->server != NULL && req->left_ms != UINT32_MAX) {
+            req->left_ms = UINT32_MAX; /* noted */
+            note(load, req);
+        }
+    }
+}
+
+static void
+drive(Load *load, double per_s, double seconds)
+{
+    for (double t = 0; t < seconds; t += STEP_US / 1e6) {
+        end_due(load);
+        for (load->due += per_s * STEP_US / 1e6; load->due >= 1;
+             load->due -= 1) {
+            (void)FakeSteering_Arrive(load->f, "/once/", NULL, 3000);
+        }
+        note_waiting(load);
+        FakeSteering_Pass(load->f, STEP_US);
+    }
+}
+
+static double
+share(const Load *load, int64_t from_us, int64_t to_us)
+{
+    uint32_t all = 0;
+    uint32_t far = 0;
+
+    for (guint i = 0; i < load->sent->len; i++) {
+        const Sent *s = &g_array_index(load->sent, Sent, i);
+        if (s->at_us >= from_us && s->at_us < to_us) {
+            all++;
+            far += s->far;
+        }
+    }
+    return all > 0 ? (double)far / all : 0;
+}
+
+static Load
+start(void)
+{
+    Load load = {
+        .f = FakeSteering_Create("r1", "d1"),
+        .runs = g_array_new(FALSE, FALSE, sizeof(Run)),
+        .sent = g_array_new(FALSE, FALSE, sizeof(Sent)),
+    };
+
+    FakeSteering_Configure(load.f, 1, 1);
+    FakeSteering_Put(load.f, "a1", "r1", "d1", 4);
+    FakeSteering_Put(load.f, "a2", "r1", "d2", 4);
+    FakeSteering_Put(load.f, "b1", "r2", "d3", 40);
+    return load;
+}
+
+static void
+finish(Load *load)
+{
+    cr_expect_str_eq(load->f->broken->str, "");
+    FakeSteering_Free(load->f);
+    g_array_free(load->runs, TRUE);
+    g_array_free(load->sent, TRUE);
+}
+
+Test(router_drift, a_burst_moves_traffic_slowly)
+{
+    Load load = start();
+    double most = 0;
+
+    drive(&load, 50, 8);
+    int64_t calm_us = load.f->now_us;
+    drive(&load, 250, 4);
+    drive(&load, 50, 10);
+    cr_expect_lt(share(&load, calm_us - 3000000, calm_us), 0.02);
+    for (int64_t at = calm_us; at < load.f->now_us; at += 250000) {
+        double before = share(&load, at - 2000000, at);
+        double after = share(&load, at, at + 2000000);
+        most = MAX(most, fabs(after - before));
+    }
+    cr_expect_lt(most, 0.15, "%.3f of the traffic moved within 2 s", most);
+    cr_expect_gt(share(&load, calm_us + 3000000, calm_us + 4000000), 0.05,
+                 "some did move");
+    finish(&load);
+}
+
+/* When servers of the region are lost the limit must not hold callers back:
+ * their requests have nowhere else to go. */
+Test(router_drift, lost_servers_lift_the_limit)
+{
+    Load load = start();
+
+    drive(&load, 50, 8);
+    FakeSteering_Drop(load.f, "a1");
+    FakeSteering_Drop(load.f, "a2");
+    int64_t lost_us = load.f->now_us;
+    drive(&load, 50, 2);
+    cr_expect_gt(share(&load, lost_us + 500000, load.f->now_us), 0.99);
+    finish(&load);
+}
