--- a/Makefile
+++ b/Makefile
@@ -145,7 +145,7 @@
 # is left out.
 hand_c   := $(filter-out %.pb-c.c,$(lib_src) $(wildcard programs/*.c \
               standins/*.c standins/common/*.c tests/*/*.c bench/*.c fuzz/*.c))
-hand_h   := $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h \
+hand_h   := $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h platform/*.h \
               standins/common/*.h tests/*/*.h bench/*.h))
 hand_cpp := $(wildcard tests/property/*.cpp)
 
@@ -154,12 +154,12 @@
 
 lint:
 	clang-format --dry-run --Werror $(hand_c) $(hand_h) $(hand_cpp)
-	printf '%s\n' $(filter lib/% programs/% standins/%,$(hand_c)) | \
+	printf '%s\n' $(filter lib/% platform/% programs/% standins/%,$(hand_c)) | \
 	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CSTD) $(INC) \
 	    $(PKGC) 2>/dev/null' tidy
 	cppcheck --quiet --std=c11 --enable=warning,performance,portability \
 	    --inline-suppr --error-exitcode=1 --suppress=missingIncludeSystem \
-	    --suppress='*:*.pb-c.*' -j 8 -Ilib $(filter lib/% programs/% \
+	    --suppress='*:*.pb-c.*' -j 8 -Ilib -I. $(filter lib/% platform/% programs/% \
 	    standins/%,$(hand_c))
 
 fuzz:
--- a/lib/common/duration.c
+++ b/lib/common/duration.c
@@ -9,7 +9,7 @@
 {
     char *unit;
     double value = g_ascii_strtod(text, &unit);
-    double factor = strcmp(unit, "ms") == 0 ? 1.0
+    double factor = strcmp(unit, "ms") == 0  ? 1.0
                     : strcmp(unit, "s") == 0 ? 1000.0
                                              : 0.0;
 
--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -48,8 +48,7 @@
      * table is freed by g_free. */
     bool (*parse_feed_target)(const char *target, char **table,
                               uint64_t *after);
-    char *(*write_body)(const char *table, const char *key,
-                        const char *value);
+    char *(*write_body)(const char *table, const char *key, const char *value);
     const char *write_target;
     GwRowSet *(*read_rows)(const char *text, size_t len, GError **error);
     char *(*write_rows)(const char *table, const GwRowSet *set);
--- a/lib/edge/beliefs.c
+++ b/lib/edge/beliefs.c
@@ -13,9 +13,9 @@
     }
     GwRouting *routing = edge->adapter->read_config(row->value, &error);
     if (routing == NULL) {
-        GwLog_Event(GW_LOG_CONFIG_REFUSED, "row=%" G_GUINT64_FORMAT
-                                           " why=\"%s\"",
-                    row->version, error->message);
+        GwLog_Event(GW_LOG_CONFIG_REFUSED,
+                    "row=%" G_GUINT64_FORMAT " why=\"%s\"", row->version,
+                    error->message);
         g_error_free(error);
         return;
     }
@@ -38,8 +38,7 @@
         take_config(edge, row);
         break;
     case GW_ROW_EVACUATION:
-        GwRouter_SetEvacuated(edge->router, GwEdge_Now(), name,
-                              !row->removed);
+        GwRouter_SetEvacuated(edge->router, GwEdge_Now(), name, !row->removed);
         GwLog_Event(GW_LOG_EVACUATION, "domain=%s evacuated=%d", name,
                     !row->removed);
         break;
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -16,7 +16,7 @@
     int64_t idle_since_us;
     int64_t inside_since_us; /* a message has begun to come; 0: none */
     bool dirty;              /* in edge->dirty: answers wait to be sent */
-    uint16_t bad_status;     /* to be said when the rest is answered; 0: none */
+    uint16_t bad_status; /* to be said when the rest is answered; 0: none */
 };
 
 static void
@@ -107,8 +107,7 @@
 static int64_t
 read_left_us(const GwExchange *x)
 {
-    const char *text =
-        GwHttpMessage_Get(x->msg, x->edge->adapter->time_left);
+    const char *text = GwHttpMessage_Get(x->msg, x->edge->adapter->time_left);
     char *rest;
 
     if (text == NULL) {
@@ -211,8 +210,7 @@
     if (routing == NULL || host == NULL) {
         return true; /* it won't run at all */
     }
-    const GwRoute *route =
-        GwRouting_Match(routing, host, msg->target->str);
+    const GwRoute *route = GwRouting_Match(routing, host, msg->target->str);
     return route == NULL || route->idempotent;
 }
 
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -54,8 +54,8 @@
     bool some = addresses->len > 0;
 
     if (some) {
-        char *body = a->write_directory(addresses,
-                                        edge->settings.lookup_ttl_ms);
+        char *body =
+            a->write_directory(addresses, edge->settings->lookup_ttl_ms);
         send_answer(client, 200, "application/json", body, edge->leaving);
         g_free(body);
     }
@@ -201,10 +201,10 @@
 GwControl_Listen(GwEdge *edge, GError **error)
 {
     const char *const addresses[] = {
-        edge->settings.ready_address,
-        edge->settings.directory_address,
-        edge->settings.control_address,
-        edge->settings.peer_address,
+        edge->settings->ready_address,
+        edge->settings->directory_address,
+        edge->settings->control_address,
+        edge->settings->peer_address,
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -25,7 +25,7 @@
 const char *
 GwEdge_RegionOf(const GwEdge *edge, const char *domain)
 {
-    return g_hash_table_lookup(edge->settings.regions, domain);
+    return g_hash_table_lookup(edge->settings->regions, domain);
 }
 
 /* ---- Actions ------------------------------------------------------------- */
@@ -158,7 +158,7 @@
 go_on_leaving(GwEdge *edge, int64_t now_us)
 {
     int64_t gone_ms = (now_us - edge->leaving_us) / 1000;
-    double grace = edge->settings.grace_ms;
+    double grace = edge->settings->grace_ms;
 
     if ((double)gone_ms < grace * LISTEN_SHARE) {
         return;
@@ -186,9 +186,8 @@
 static void
 on_hangup(uv_signal_t *handle, int signum)
 {
-    (void)handle;
     (void)signum;
-    GwLog_Event(GW_LOG_SETTINGS_AGAIN, "effect=none");
+    GwEdge_Reload(handle->data, true);
 }
 
 static void
@@ -202,6 +201,7 @@
     GwFeed_Sweep(edge->operator_feed, now_us);
     GwFeed_Sweep(edge->server_feed, now_us);
     GwPeers_Sweep(edge->peers, now_us);
+    GwEdge_Reload(edge, false);
     if (edge->leaving) {
         go_on_leaving(edge, now_us);
     }
@@ -232,10 +232,10 @@
 static bool
 listen_all(GwEdge *edge, GError **error)
 {
-    const char *address = edge->settings.call_address;
+    const char *address = edge->settings->call_address;
 
-    edge->call_listener = GwConn_Listen(&edge->loop, address,
-                                        GwCallers_OnConnection, edge);
+    edge->call_listener =
+        GwConn_Listen(&edge->loop, address, GwCallers_OnConnection, edge);
     if (edge->call_listener == NULL) {
         g_set_error(error, GW_ERROR, GW_RESULT_IO, "can't listen at %s",
                     address);
@@ -245,23 +245,25 @@
 }
 
 GwEdge *
-GwEdge_Create(const GwEdgeSettings *settings, const GwAdapter *adapter,
-              GError **error)
+GwEdge_Create(GwEdgeSettings *settings, const char *path,
+              const GwAdapter *adapter, GError **error)
 {
     GwEdge *edge = g_new0(GwEdge, 1);
     GError *why = NULL;
 
-    edge->settings = *settings;
+    edge->settings = settings;
+    edge->settings_path = g_strdup(path);
+    GwEdge_NoteSettings(edge);
     edge->adapter = adapter;
     (void)uv_loop_init(&edge->loop);
     edge->armed_us = INT64_MAX;
     edge->listeners = g_ptr_array_new();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
-    edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
-                                        GwBeliefs_OnOperatorRow);
-    edge->server_feed = GwFeed_Create(edge, adapter->server_table,
-                                      GwBeliefs_OnServerRow);
+    edge->operator_feed =
+        GwFeed_Create(edge, adapter->operator_table, GwBeliefs_OnOperatorRow);
+    edge->server_feed =
+        GwFeed_Create(edge, adapter->server_table, GwBeliefs_OnServerRow);
     edge->peers = GwPeers_Create(edge, &why);
     start_timers(edge);
     if (why != NULL || !listen_all(edge, &why)) {
@@ -276,8 +278,8 @@
 GwEdge_Run(GwEdge *edge)
 {
     GwLog_Event(GW_LOG_START, "name=%s domain=%s call=%s",
-                edge->settings.router.name, edge->settings.router.domain,
-                edge->settings.call_address);
+                edge->settings->router.name, edge->settings->router.domain,
+                edge->settings->call_address);
     (void)uv_run(&edge->loop, UV_RUN_DEFAULT);
 }
 
@@ -292,5 +294,7 @@
     GwRouter_Free(edge->router);
     g_array_free(edge->actions, TRUE);
     g_ptr_array_free(edge->listeners, TRUE);
+    GwEdgeSettings_Free(edge->settings);
+    g_free(edge->settings_path);
     g_free(edge);
 }
--- a/lib/edge/edge.h
+++ b/lib/edge/edge.h
@@ -9,8 +9,9 @@
 
 typedef struct GwEdge_s GwEdge;
 
-/* Opens the listeners. NULL with `error` when an address is taken. */
-GwEdge *GwEdge_Create(const GwEdgeSettings *settings,
+/* Takes over the settings, which were read from `path`, and opens the
+ * listeners. NULL with `error` when an address is taken. */
+GwEdge *GwEdge_Create(GwEdgeSettings *settings, const char *path,
                       const GwAdapter *adapter, GError **error);
 /* Serves until a graceful stop is over (SIGTERM, SIGINT). */
 void GwEdge_Run(GwEdge *edge);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -33,7 +33,10 @@
 } GwExchange;
 
 struct GwEdge_s {
-    GwEdgeSettings settings;
+    GwEdgeSettings *settings;
+    char *settings_path;
+    int64_t settings_mtime_ns;
+    int64_t settings_checked_us;
     const GwAdapter *adapter;
     uv_loop_t loop;
     uv_timer_t deadline; /* of the router */
@@ -44,11 +47,11 @@
     GPtrArray *listeners; /* uv_tcp_t */
     uv_tcp_t *call_listener;
     GwRouter *router;
-    GArray *actions; /* GwDo; reused */
-    bool carrying;   /* actions are being carried out */
-    GQueue callers;  /* GwCaller, all that are open */
-    GQueue dirty;    /* GwCaller with answers to send */
-    GQueue pools;    /* GwPool, one for each server */
+    GArray *actions;   /* GwDo; reused */
+    bool carrying;     /* actions are being carried out */
+    GQueue callers;    /* GwCaller, all that are open */
+    GQueue dirty;      /* GwCaller with answers to send */
+    GQueue pools;      /* GwPool, one for each server */
     GQueue connecting; /* GwUpstream */
     GwFeed *operator_feed;
     GwFeed *server_feed;
@@ -116,6 +119,12 @@
 GPtrArray *GwPeers_Directory(const GwPeers *peers, const char *region,
                              const char *domain);
 
+/* reload.c */
+/* Reads the settings again if the file has changed (or `always`), and takes
+ * over what can change while it runs. */
+void GwEdge_Reload(GwEdge *edge, bool always);
+void GwEdge_NoteSettings(GwEdge *edge); /* as read now */
+
 /* control.c */
 bool GwControl_Listen(GwEdge *edge, GError **error);
 
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -9,7 +9,7 @@
  * priced, and the connection is probed every second meanwhile. */
 #define WAIT_MS 10000
 /* An answer that is later than the wait by this much won't come. */
-#define ANSWER_MS 1500
+#define ANSWER_MS    1500
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 1000
 /* The store did not answer for so long: rows may have lapsed meanwhile. */
@@ -139,7 +139,7 @@
         feed->wait_ms = WAIT_MS;
         target = a->feed_target(feed->table, feed->version, WAIT_MS);
     }
-    write_get(feed->conn, target, edge->settings.store_address);
+    write_get(feed->conn, target, edge->settings->store_address);
     g_free(target);
     edge->counts.store_calls++;
     feed->asked = true;
@@ -155,8 +155,7 @@
 
     if (now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
         feed->retry_ms > RETRY_MIN_MS) {
-        int64_t grace_us =
-            (int64_t)feed->edge->settings.row_grace_ms * 1000;
+        int64_t grace_us = (int64_t)feed->edge->settings->row_grace_ms * 1000;
         GwRowCache_SetGrace(feed->cache, now_us + grace_us, grace_us);
         GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
                     feed->table, (now_us - feed->answered_us) / 1000);
@@ -188,7 +187,7 @@
 take_rows(GwFeed *feed, GwRowSet *set)
 {
     int64_t now_us = GwEdge_Now();
-    int64_t grace_us = (int64_t)feed->edge->settings.row_grace_ms * 1000;
+    int64_t grace_us = (int64_t)feed->edge->settings->row_grace_ms * 1000;
 
     note_answer(feed);
     if (feed->phase == PHASE_FEED) {
@@ -277,8 +276,8 @@
 on_peer_connected(void *owner)
 {
     GwFeed *feed = owner;
-    char *target = feed->edge->adapter->feed_target(
-        feed->table, GwFeed_Version(feed), 0);
+    char *target =
+        feed->edge->adapter->feed_target(feed->table, GwFeed_Version(feed), 0);
 
     write_get(feed->peer, target, "peer");
     g_free(target);
@@ -367,7 +366,7 @@
 
     feed->asked_us = GwEdge_Now();
     feed->wait_ms = 0;
-    feed->conn = GwConn_Connect(&params, feed->edge->settings.store_address);
+    feed->conn = GwConn_Connect(&params, feed->edge->settings->store_address);
     if (feed->conn == NULL) {
         back_off(feed);
     }
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -19,19 +19,19 @@
  * had in flight is forgotten. Four lost far reports in a row. */
 #define SILENT_US 2000000
 /* A silent peer still gets reports for so long: a cut may heal. */
-#define FORGET_US 90000000
+#define FORGET_US        90000000
 #define REPORT_MAX_BYTES 8192
 /* A placement is told in this many reports, since one may be lost. */
 #define PLACEMENT_AGE_US 350000
 #define PLACEMENTS_MAX   128
 /* Of the places that a new entry of the region is told, a part a report. */
-#define BACKLOG_MAX 2000
-#define BACKLOG_PART 100
-#define KNOWN_MAX        64
-#define ENTRY_TABLE      "entries"
-#define JOIN_TIMEOUT_US  1500000
-#define JOIN_RETRY_US    700000
-#define ROWS_BODY_MAX    (8u << 20)
+#define BACKLOG_MAX     2000
+#define BACKLOG_PART    100
+#define KNOWN_MAX       64
+#define ENTRY_TABLE     "entries"
+#define JOIN_TIMEOUT_US 1500000
+#define JOIN_RETRY_US   700000
+#define ROWS_BODY_MAX   (8u << 20)
 
 typedef struct {
     char *name; /* "" until the first report: a seed */
@@ -49,7 +49,7 @@
     int64_t added_us;
     uint64_t operator_version;
     uint64_t server_version;
-    GArray *backlog; /* GwPlacement still to be told to it; or NULL */
+    GArray *backlog;        /* GwPlacement still to be told to it; or NULL */
     uint64_t backlog_start; /* of the process that it was made for */
 } Peer;
 
@@ -101,7 +101,7 @@
 static Peer *
 add_peer(GwPeers *peers, const char *address)
 {
-    const char *own = peers->edge->settings.peer_address;
+    const char *own = peers->edge->settings->peer_address;
     Peer *peer = g_hash_table_lookup(peers->by_address, address);
     struct sockaddr_in to;
 
@@ -184,8 +184,8 @@
 {
     g_array_set_size(peers->placements, 0);
     report->placed_warm = take_backlog(peer, peers->placements);
-    GwRouter_OwnPlacements(peers->edge->router, GwEdge_Now(),
-                           PLACEMENT_AGE_US, peers->placements);
+    GwRouter_OwnPlacements(peers->edge->router, GwEdge_Now(), PLACEMENT_AGE_US,
+                           peers->placements);
     guint count = MIN(peers->placements->len, PLACEMENTS_MAX);
     for (guint i = 0; i < count; i++) {
         const GwPlacement *p =
@@ -203,14 +203,14 @@
 is_near(const GwPeers *peers, const Peer *peer)
 {
     return peer->heard &&
-           strcmp(peer->region, peers->edge->settings.router.region) == 0;
+           strcmp(peer->region, peers->edge->settings->router.region) == 0;
 }
 
 static void
 tell(GwPeers *peers, Peer *peer, bool with_known)
 {
     GwEdge *edge = peers->edge;
-    const GwEdgeSettings *s = &edge->settings;
+    const GwEdgeSettings *s = edge->settings;
     Gw__Peer__Report report = GW__PEER__REPORT__INIT;
     uint32_t servers[256];
     uint32_t counts[256];
@@ -239,8 +239,7 @@
     report.load_servers = servers;
     report.load_counts = counts;
     if (is_near(peers, peer)) {
-        fill_placements(peers, peer, &report, placed_objects,
-                        placed_servers);
+        fill_placements(peers, peer, &report, placed_objects, placed_servers);
     }
     if (with_known) {
         fill_known(peers, &report);
@@ -318,8 +317,8 @@
     };
 
     for (uint32_t i = 0; i < info.load_count; i++) {
-        loads[i] = (GwPeerLoad){report->load_servers[i],
-                                report->load_counts[i]};
+        loads[i] =
+            (GwPeerLoad){report->load_servers[i], report->load_counts[i]};
     }
     GwRouter_PutPeer(peers->edge->router, GwEdge_Now(), &info);
     size_t placed = MIN(report->n_placed_objects, report->n_placed_servers);
@@ -425,20 +424,20 @@
     GString *out = g_string_new(NULL);
 
     if (peers->step == JOIN_WRITE) {
-        char *body = a->write_body(ENTRY_TABLE, edge->settings.router.name,
-                                   edge->settings.peer_address);
+        char *body = a->write_body(ENTRY_TABLE, edge->settings->router.name,
+                                   edge->settings->peer_address);
         g_string_printf(out,
                         "POST %s HTTP/1.1\r\nHost: %s\r\n"
                         "Content-Type: application/json\r\n"
                         "Content-Length: %zu\r\n\r\n%s",
-                        a->write_target, edge->settings.store_address,
+                        a->write_target, edge->settings->store_address,
                         strlen(body), body);
         g_free(body);
     }
     else {
         char *target = a->read_target(ENTRY_TABLE, NULL);
         g_string_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target,
-                        edge->settings.store_address);
+                        edge->settings->store_address);
         g_free(target);
     }
     edge->counts.store_calls++;
@@ -479,17 +478,18 @@
     GwHttpMessage_Free(msg);
     if (!ok) {
         retry_join(peers);
-        return;
     }
-    peers->step++;
-    if (peers->step == JOIN_READ) {
+    else if (set == NULL) {
+        peers->step = JOIN_READ;
         ask_join(peers);
-        return;
     }
-    take_entries(peers, set);
+    else {
+        peers->step = JOIN_DONE;
+        take_entries(peers, set);
+        GwConn_Close(peers->join);
+        peers->join = NULL;
+    }
     GwRowSet_Free(set);
-    GwConn_Close(peers->join);
-    peers->join = NULL;
 }
 
 static void
@@ -529,7 +529,7 @@
     }
     peers->join_at_us = now_us + JOIN_TIMEOUT_US;
     peers->join =
-        GwConn_Connect(&params, peers->edge->settings.store_address);
+        GwConn_Connect(&params, peers->edge->settings->store_address);
 }
 
 /* ---- Time, and what others ask ------------------------------------------- */
@@ -569,14 +569,14 @@
         GPtrArray *out)
 {
     const GwEdge *edge = peers->edge;
-    const GwRouterParams *own = &edge->settings.router;
+    const GwRouterParams *own = &edge->settings->router;
     GHashTableIter iter;
     gpointer value;
 
     if (GwEdge_IsReady(edge) &&
         (region == NULL || strcmp(region, own->region) == 0) &&
         (domain == NULL || strcmp(domain, own->domain) == 0)) {
-        g_ptr_array_add(out, (char *)edge->settings.call_address);
+        g_ptr_array_add(out, (char *)edge->settings->call_address);
     }
     g_hash_table_iter_init(&iter, peers->by_address);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -592,8 +592,7 @@
 /* Entries of the caller's failure domain, if two are there, so that it
  * survives the loss of one; else those of its region; else all. */
 GPtrArray *
-GwPeers_Directory(const GwPeers *peers, const char *region,
-                  const char *domain)
+GwPeers_Directory(const GwPeers *peers, const char *region, const char *domain)
 {
     GPtrArray *out = g_ptr_array_new();
 
@@ -629,15 +628,15 @@
     peers->udp.data = peers;
     (void)uv_timer_init(&edge->loop, &peers->timer);
     peers->timer.data = peers;
-    if (!GwConn_ParseAddress(edge->settings.peer_address, &at) ||
+    if (!GwConn_ParseAddress(edge->settings->peer_address, &at) ||
         uv_udp_bind(&peers->udp, (const struct sockaddr *)&at, 0) != 0 ||
         uv_udp_recv_start(&peers->udp, on_alloc, on_datagram) != 0) {
         g_set_error(error, GW_ERROR, GW_RESULT_IO, "peer_address %s",
-                    edge->settings.peer_address);
+                    edge->settings->peer_address);
         return peers;
     }
-    for (guint i = 0; i < edge->settings.seeds->len; i++) {
-        (void)add_peer(peers, edge->settings.seeds->pdata[i]);
+    for (guint i = 0; i < edge->settings->seeds->len; i++) {
+        (void)add_peer(peers, edge->settings->seeds->pdata[i]);
     }
     (void)uv_timer_start(&peers->timer, on_timer, REPORT_NEAR_MS,
                          REPORT_NEAR_MS);
--- /dev/null
+++ b/lib/edge/reload.c
@@ -0,0 +1,77 @@
+/* Settings that change while the entry runs: by a signal, or in the file
+ * alone. */
+#include "edge/edge_internal.h"
+
+#include <string.h>
+#include <sys/stat.h>
+
+/* How often the file is looked at; one system call each time. */
+#define LOOK_US 2000000
+
+static int64_t
+mtime_ns(const char *path)
+{
+    struct stat st;
+
+    if (stat(path, &st) != 0) {
+        return 0;
+    }
+    return (int64_t)st.st_mtim.tv_sec * 1000000000 + st.st_mtim.tv_nsec;
+}
+
+void
+GwEdge_NoteSettings(GwEdge *edge)
+{
+    edge->settings_mtime_ns = mtime_ns(edge->settings_path);
+    edge->settings_checked_us = GwEdge_Now();
+}
+
+/* What stands for the life of the process: who it is and where it listens. */
+static bool
+is_same_entry(const GwEdgeSettings *a, const GwEdgeSettings *b)
+{
+    return strcmp(a->router.name, b->router.name) == 0 &&
+           strcmp(a->router.region, b->router.region) == 0 &&
+           strcmp(a->router.domain, b->router.domain) == 0 &&
+           strcmp(a->call_address, b->call_address) == 0 &&
+           strcmp(a->ready_address, b->ready_address) == 0 &&
+           strcmp(a->directory_address, b->directory_address) == 0 &&
+           strcmp(a->control_address, b->control_address) == 0 &&
+           strcmp(a->peer_address, b->peer_address) == 0 &&
+           strcmp(a->store_address, b->store_address) == 0;
+}
+
+void
+GwEdge_Reload(GwEdge *edge, bool always)
+{
+    int64_t now_us = GwEdge_Now();
+    GError *error = NULL;
+
+    if (!always && now_us - edge->settings_checked_us < LOOK_US) {
+        return;
+    }
+    int64_t before_ns = edge->settings_mtime_ns;
+    GwEdge_NoteSettings(edge);
+    if (!always && edge->settings_mtime_ns == before_ns) {
+        return;
+    }
+    GwEdgeSettings *s = GwEdgeSettings_Load(edge->settings_path, &error);
+    if (s == NULL) {
+        /* Half written, or wrong: those in force stay. */
+        GwLog_Event(GW_LOG_SETTINGS_BAD, "why=\"%s\" effect=none",
+                    error->message);
+        g_error_free(error);
+        return;
+    }
+    if (!is_same_entry(edge->settings, s)) {
+        GwLog_Event(GW_LOG_SETTINGS_BAD,
+                    "why=\"name or address changed\" effect=none");
+        GwEdgeSettings_Free(s);
+        return;
+    }
+    GwEdgeSettings *old = edge->settings;
+    edge->settings = s;
+    GwRouter_SetBounds(edge->router, &s->router);
+    GwEdgeSettings_Free(old);
+    GwLog_Event(GW_LOG_SETTINGS_AGAIN, "effect=bounds");
+}
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -143,15 +143,52 @@
            read_time(at, "row_grace", &s->row_grace_ms, error);
 }
 
+static bool
+read_level(const GwReadAt *at, GwEdgeSettings *s, GError **error)
+{
+    struct json_object *member;
+
+    if (!json_object_object_get_ex(at->object, "log_level", &member)) {
+        return true;
+    }
+    if (!read_text(at, "log_level", s->log_level, sizeof(s->log_level),
+                   error)) {
+        return false;
+    }
+    return strcmp(s->log_level, "error") == 0 ||
+           strcmp(s->log_level, "warn") == 0 ||
+           strcmp(s->log_level, "info") == 0 ||
+           GwRead_Fail(at, "log_level", GW_RESULT_INVALID, error,
+                       "\"error\", \"warn\" or \"info\"");
+}
+
 static bool
 read_all(const GwReadAt *at, GwEdgeSettings *s, GError **error)
 {
     static const char *const known[] = {
-        "name", "region", "domain", "call_address", "ready_address",
-        "directory_address", "control_address", "peer_address",
-        "store_address", "seeds", "seeds_peer_port", "regions", "retry_ratio", "retry_extra",
-        "retry_window", "entries_max", "cold_over", "cold_slack", "grace",
-        "lookup_ttl", "row_grace", "log_level", NULL,
+        "name",
+        "region",
+        "domain",
+        "call_address",
+        "ready_address",
+        "directory_address",
+        "control_address",
+        "peer_address",
+        "store_address",
+        "seeds",
+        "seeds_peer_port",
+        "regions",
+        "retry_ratio",
+        "retry_extra",
+        "retry_window",
+        "entries_max",
+        "cold_over",
+        "cold_slack",
+        "grace",
+        "lookup_ttl",
+        "row_grace",
+        "log_level",
+        NULL,
     };
     GwRouterParams *r = &s->router;
 
@@ -163,13 +200,13 @@
            GwRead_Address(at, "ready_address", s->ready_address, error) &&
            GwRead_Address(at, "directory_address", s->directory_address,
                           error) &&
-           GwRead_Address(at, "control_address", s->control_address,
-                          error) &&
+           GwRead_Address(at, "control_address", s->control_address, error) &&
            GwRead_Address(at, "peer_address", s->peer_address, error) &&
            GwRead_Address(at, "store_address", s->store_address, error) &&
            read_seeds(at, s->seeds, error) &&
            move_seeds(at, s->seeds, error) &&
-           read_regions(at, s->regions, error) && read_bounds(at, s, error);
+           read_regions(at, s->regions, error) && read_bounds(at, s, error) &&
+           read_level(at, s, error);
 }
 
 static GwEdgeSettings *
--- a/lib/edge/upstream.c
+++ b/lib/edge/upstream.c
@@ -146,8 +146,7 @@
 {
     GwEdge *edge = x->edge;
 
-    GwRouter_Ended(edge->router, GwEdge_Now(), x->request, end,
-                   edge->actions);
+    GwRouter_Ended(edge->router, GwEdge_Now(), x->request, end, edge->actions);
 }
 
 static GwUpstream *
@@ -354,8 +353,8 @@
     }
     discard(up);
     if (x != NULL) {
-        GwAttemptEnd end = {
-            .outcome = sent ? GW_ATTEMPT_BROKEN : GW_ATTEMPT_UNSENT};
+        GwAttemptEnd end = {.outcome =
+                                sent ? GW_ATTEMPT_BROKEN : GW_ATTEMPT_UNSENT};
         report(x, &end);
         GwEdge_Carry(edge);
     }
@@ -420,10 +419,10 @@
 {
     for (GList *at = edge->connecting.head, *next; at != NULL; at = next) {
         GwUpstream *up = at->data;
-        uint32_t limit_ms = up->pool->server != NULL &&
-                                    GwServer_IsFar(up->pool->server)
-                                ? CONNECT_FAR_MS
-                                : CONNECT_NEAR_MS;
+        uint32_t limit_ms =
+            up->pool->server != NULL && GwServer_IsFar(up->pool->server)
+                ? CONNECT_FAR_MS
+                : CONNECT_NEAR_MS;
         next = at->next;
         if (now_us - up->begun_us > (int64_t)limit_ms * 1000) {
             GwExchange *x = up->exchange;
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -186,7 +186,7 @@
     }
     else if (len < 0) {
         end(c, len == UV_EOF && error == GW_HTTP_OK ? GW_CONN_ENDED
-                                                     : GW_CONN_FAILED);
+                                                    : GW_CONN_FAILED);
     }
     free_if_over(c);
 }
@@ -291,8 +291,8 @@
     GwConn *c = create(params);
     c->connect.data = c;
     c->connecting = true;
-    int rc = uv_tcp_connect(&c->connect, &c->tcp,
-                            (const struct sockaddr *)&to, on_connect);
+    int rc = uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)&to,
+                            on_connect);
     if (rc != 0) {
         close_handle(c);
         return NULL;
@@ -338,8 +338,8 @@
     Write *w = g_new0(Write, 1);
     size_t rest = text->len - sent;
     w->conn = c;
-    w->buf = uv_buf_init(g_memdup2(text->str + sent, rest),
-                         (unsigned int)rest);
+    w->buf =
+        uv_buf_init(g_memdup2(text->str + sent, rest), (unsigned int)rest);
     c->writes++;
     if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &w->buf, 1, on_written) !=
         0) {
--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -83,9 +83,16 @@
 GwHttp_IsHopByHop(const GwHttpMessage *msg, const char *name)
 {
     static const char *const always[] = {
-        "connection", "keep-alive", "proxy-connection", "te", "trailer",
-        "transfer-encoding", "upgrade", "proxy-authenticate",
-        "proxy-authorization", "content-length",
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "content-length",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(always); i++) {
@@ -142,8 +149,7 @@
                            msg->target->str);
     write_fields(msg, how, out);
     if (msg->has_body) {
-        g_string_append_printf(out, "Content-Length: %zu\r\n",
-                               msg->body->len);
+        g_string_append_printf(out, "Content-Length: %zu\r\n", msg->body->len);
     }
     g_string_append_len(out, "\r\n", 2);
     g_string_append_len(out, msg->body->str, (gssize)msg->body->len);
--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -276,8 +276,7 @@
         return p->error;
     }
     (void)http_parser_execute(&p->parser, &settings, "", 0);
-    if (p->error == GW_HTTP_OK &&
-        HTTP_PARSER_ERRNO(&p->parser) != HPE_OK) {
+    if (p->error == GW_HTTP_OK && HTTP_PARSER_ERRNO(&p->parser) != HPE_OK) {
         p->error = GW_HTTP_BAD;
     }
     return p->error;
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -19,8 +19,8 @@
     char *name;
     char *prefix; /* begins and ends with a slash */
     bool idempotent;
-    bool warm_keys; /* a server that lately saw the key answers faster */
-    uint32_t timeout_ms;   /* longest time a request is kept waiting; 0: none */
+    bool warm_keys;      /* a server that lately saw the key answers faster */
+    uint32_t timeout_ms; /* longest time a request is kept waiting; 0: none */
     uint32_t objective_ms; /* an answer later than this is worth less */
     uint32_t priority;     /* 0 goes first */
     uint32_t attempts_max; /* backend servers one request may be sent to */
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -29,8 +29,8 @@
 #define SPREAD_US 100000.0
 /* Servers that remember many objects already, or were busy lately, are worse
  * for one more. */
-#define OBJECT_US     4000.0
-#define BUSY_US       150000.0
+#define OBJECT_US 4000.0
+#define BUSY_US   150000.0
 /* A further place is made where the server was less busy than this lately. */
 #define IDLE_BELOW 0.7
 /* After so many requests in a row that left the failure domain for an object,
@@ -162,9 +162,8 @@
             continue;
         }
         Candidate c = judge(look, at->server, req->state->warm_us);
-        double left = GwKeyServer_FirstRunLeft(at, look->now_us,
-                                               req->state->cold_us *
-                                                   at->server->slow);
+        double left = GwKeyServer_FirstRunLeft(
+            at, look->now_us, req->state->cold_us * at->server->slow);
         if (left > 0) {
             *first_run = true;
             double wait = c.est_us - req->state->warm_us;
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -72,8 +72,7 @@
 GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwRoute *route,
                const char *text)
 {
-    return key_of(r, now_us,
-                  GwHash_Text(text, GwHash_Text(route->name, 0)));
+    return key_of(r, now_us, GwHash_Text(text, GwHash_Text(route->name, 0)));
 }
 
 GwKeyServer *
@@ -88,8 +87,7 @@
 }
 
 double
-GwKeyServer_FirstRunLeft(const GwKeyServer *at, int64_t now_us,
-                         double cold_us)
+GwKeyServer_FirstRunLeft(const GwKeyServer *at, int64_t now_us, double cold_us)
 {
     double left = (double)(at->started_us - now_us) + cold_us;
 
@@ -121,9 +119,8 @@
 {
     key->away = s->same_domain ? 0 : key->away + 1;
     if (GwKey_At(key, s) == NULL) {
-        GwPlacement placement = {.object = key->hash,
-                                 .server = GwServer_Hash(s),
-                                 .at_us = now_us};
+        GwPlacement placement = {
+            .object = key->hash, .server = GwServer_Hash(s), .at_us = now_us};
         add_place(key, s, now_us);
         g_array_append_val(r->placements, placement);
     }
@@ -133,8 +130,8 @@
 GwRouter_PutPlacement(GwRouter *r, int64_t now_us,
                       const GwPlacement *placement)
 {
-    GwServer *s = g_hash_table_lookup(r->by_hash,
-                                      GUINT_TO_POINTER(placement->server));
+    GwServer *s =
+        g_hash_table_lookup(r->by_hash, GUINT_TO_POINTER(placement->server));
     GwKey *key = s != NULL ? key_of(r, now_us, placement->object) : NULL;
 
     if (key == NULL) {
@@ -168,11 +165,11 @@
         const GwKey *key = value;
         for (int i = 0; i < GW_KEY_SERVERS; i++) {
             if (key->at[i].server != NULL && key->at[i].ran) {
-                GwPlacement placement = {
-                    .object = key->hash,
-                    .server = GwServer_Hash(key->at[i].server),
-                    .warm = true,
-                    .at_us = key->used_us};
+                GwPlacement placement = {.object = key->hash,
+                                         .server =
+                                             GwServer_Hash(key->at[i].server),
+                                         .warm = true,
+                                         .at_us = key->used_us};
                 g_array_append_val(out, placement);
             }
         }
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -29,14 +29,10 @@
 GwWhy_Name(GwWhy why)
 {
     static const char *const names[] = {
-        [GW_WHY_NONE] = "none",
-        [GW_WHY_NO_CONFIG] = "no-config",
-        [GW_WHY_NO_ROUTE] = "no-route",
-        [GW_WHY_NO_SERVER] = "no-server",
-        [GW_WHY_NO_ROOM] = "no-room",
-        [GW_WHY_NO_RETRY] = "no-retry",
-        [GW_WHY_TIMEOUT] = "timeout",
-        [GW_WHY_TIME_UNSENT] = "time-unsent",
+        [GW_WHY_NONE] = "none",         [GW_WHY_NO_CONFIG] = "no-config",
+        [GW_WHY_NO_ROUTE] = "no-route", [GW_WHY_NO_SERVER] = "no-server",
+        [GW_WHY_NO_ROOM] = "no-room",   [GW_WHY_NO_RETRY] = "no-retry",
+        [GW_WHY_TIMEOUT] = "timeout",   [GW_WHY_TIME_UNSENT] = "time-unsent",
         [GW_WHY_BROKEN] = "broken",
     };
 
@@ -160,8 +156,7 @@
 
     if (c.server == NULL) {
         GwRouter_DriftRefused(r, now_us, c.wants_far);
-        reply(r, req,
-              req->attempts > 0 ? GW_WHY_NO_RETRY : GW_WHY_NO_SERVER,
+        reply(r, req, req->attempts > 0 ? GW_WHY_NO_RETRY : GW_WHY_NO_SERVER,
               actions);
         return;
     }
@@ -301,8 +296,8 @@
     req->give_up_us = now_us + left_us + SERVER_WORD_US;
     if (timeout_us > 0) {
         req->budget_us = MIN(req->budget_us, now_us + timeout_us);
-        req->give_up_us = MIN(req->give_up_us,
-                              now_us + timeout_us + TIMEOUT_SLACK_US);
+        req->give_up_us =
+            MIN(req->give_up_us, now_us + timeout_us + TIMEOUT_SLACK_US);
     }
 }
 
@@ -372,8 +367,8 @@
 may_retry(GwRouter *r, int64_t now_us, GwRequest *req)
 {
     GwServiceState *service = req->service;
-    double extra = r->params.retry_extra * RETRY_SHARE /
-                   MAX(r->params.entries_max, 1);
+    double extra =
+        r->params.retry_extra * RETRY_SHARE / MAX(r->params.entries_max, 1);
     double window_s = MAX(r->params.retry_window_ms, 1) / 1000.0;
 
 #if GW_MUTANT != 75 /* breaks: a request is sent to any number of servers */
@@ -435,8 +430,8 @@
     }
 #endif
     if (req->unsent >= UNSENT_MAX || !may_retry(r, now_us, req)) {
-        reply(r, req,
-              req->may_have_run ? GW_WHY_BROKEN : GW_WHY_NO_RETRY, actions);
+        reply(r, req, req->may_have_run ? GW_WHY_BROKEN : GW_WHY_NO_RETRY,
+              actions);
         return;
     }
     wait_in_order(req);
@@ -526,8 +521,7 @@
         if (now_us >= req->give_up_us) {
             bool sent = req->server != NULL || req->may_have_run;
             cancel(r, now_us, req, actions);
-            reply(r, req, sent ? GW_WHY_TIMEOUT : GW_WHY_TIME_UNSENT,
-                  actions);
+            reply(r, req, sent ? GW_WHY_TIMEOUT : GW_WHY_TIME_UNSENT, actions);
         }
         else {
             /* Placing moves the deadline of what still waits. */
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -56,18 +56,15 @@
     r->rng = GwRng_Make(params->seed);
     r->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
-    r->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                      free_route_state);
+    r->routes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_route_state);
     r->servers = g_hash_table_new(g_str_hash, g_str_equal);
     r->by_hash = g_hash_table_new(NULL, NULL);
-    r->keys =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    r->peers =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    r->keys = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    r->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     r->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    r->rtts =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    r->rtts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     r->open = g_hash_table_new(NULL, NULL);
     r->drift.at_us = now_us;
     r->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
@@ -117,6 +114,17 @@
     g_free(r);
 }
 
+void
+GwRouter_SetBounds(GwRouter *r, const GwRouterParams *params)
+{
+    r->params.retry_ratio = params->retry_ratio;
+    r->params.retry_extra = params->retry_extra;
+    r->params.retry_window_ms = params->retry_window_ms;
+    r->params.entries_max = params->entries_max;
+    r->params.cold_over = params->cold_over;
+    r->params.cold_slack = params->cold_slack;
+}
+
 /* What the new version says of each service. */
 static void
 take_services(GwRouter *r)
@@ -195,8 +203,8 @@
             "%s{\"id\":\"%s\",\"domain\":\"%s\",\"in_flight\":%u,"
             "\"peers\":%u,\"slow\":%.2f,\"draining\":%s,\"ejected\":%s,"
             "\"cold\":%s}",
-            comma, s->id, s->domain, s->in_flight, s->peers_in_flight,
-            s->slow, s->draining ? "true" : "false",
+            comma, s->id, s->domain, s->in_flight, s->peers_in_flight, s->slow,
+            s->draining ? "true" : "false",
             now_us < s->eject_until_us ? "true" : "false",
             GwServer_IsCold(s, now_us) ? "true" : "false");
         comma = ",";
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -39,6 +39,8 @@
 
 GwRouter *GwRouter_Create(const GwRouterParams *params, int64_t now_us);
 void GwRouter_Free(GwRouter *r);
+/* Takes over the bounds of `params`; names stay. */
+void GwRouter_SetBounds(GwRouter *r, const GwRouterParams *params);
 
 /* ---- What the entry believes -------------------------------------------- */
 
@@ -128,14 +130,14 @@
 
 typedef struct {
     GwAttemptOutcome outcome;
-    uint16_t status;  /* ANSWERED, REFUSED */
+    uint16_t status;   /* ANSWERED, REFUSED */
     bool other_server; /* REFUSED: another one has this address now */
     bool leaving;      /* the answer closes the connection, or says so */
     bool has_load;
     uint32_t running; /* of the load report */
     uint32_t waiting;
-    uint32_t cold_ms;    /* > 0: the server says that it is cold */
-    int64_t connect_us;  /* time of a connection made for this; 0: reused */
+    uint32_t cold_ms;   /* > 0: the server says that it is cold */
+    int64_t connect_us; /* time of a connection made for this; 0: reused */
 } GwAttemptEnd;
 
 /* Starts a request. It may be over when this returns (REPLY). */
@@ -167,12 +169,12 @@
     GW_WHY_NONE = 0,
     GW_WHY_NO_CONFIG,
     GW_WHY_NO_ROUTE,
-    GW_WHY_NO_SERVER,  /* no backend server may take it */
-    GW_WHY_NO_ROOM,    /* it would come too late */
-    GW_WHY_NO_RETRY,   /* not run, and no attempt is left */
-    GW_WHY_TIMEOUT,    /* sent, and the time is over */
+    GW_WHY_NO_SERVER,   /* no backend server may take it */
+    GW_WHY_NO_ROOM,     /* it would come too late */
+    GW_WHY_NO_RETRY,    /* not run, and no attempt is left */
+    GW_WHY_TIMEOUT,     /* sent, and the time is over */
     GW_WHY_TIME_UNSENT, /* never sent, and the time is over */
-    GW_WHY_BROKEN      /* it may have run */
+    GW_WHY_BROKEN       /* it may have run */
 } GwWhy;
 
 const char *GwWhy_Name(GwWhy why);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -51,7 +51,7 @@
     double warm_us;
     double cold_us;
     int64_t left_max_us; /* what callers give a request at first */
-    int64_t *credit; /* smooth weighted round robin: one for each part */
+    int64_t *credit;     /* smooth weighted round robin: one for each part */
     uint32_t credit_count;
 } GwRouteState;
 
@@ -71,11 +71,11 @@
     uint32_t refs;      /* attempts under way */
     uint32_t in_flight; /* of this entry */
     uint32_t peers_in_flight;
-    uint32_t claims; /* requests that wait for it, in one pass of placing */
+    uint32_t claims;  /* requests that wait for it, in one pass of placing */
     uint32_t objects; /* that have a place here */
     double busy;      /* mean of its slots in use, decaying */
     int64_t busy_at_us;
-    double slow;     /* its time over that of others, for the same work */
+    double slow; /* its time over that of others, for the same work */
     uint32_t failures;
     int64_t eject_until_us;
     int64_t cold_until_us;
@@ -110,11 +110,11 @@
 
 /* How much of the traffic runs in other regions, and how much may. */
 typedef struct {
-    double sent;     /* requests, decaying */
-    double far;      /* of them to other regions */
-    double asked;    /* requests that were placed or refused, decaying */
-    double wanted;   /* of them whose best server was in another region */
-    double level;    /* the share that is allowed now */
+    double sent;   /* requests, decaying */
+    double far;    /* of them to other regions */
+    double asked;  /* requests that were placed or refused, decaying */
+    double wanted; /* of them whose best server was in another region */
+    double level;  /* the share that is allowed now */
     int64_t at_us;
     int64_t free_until_us; /* no limit until then: servers were lost */
 } GwDrift;
@@ -127,20 +127,20 @@
     GwServiceState *service;
     GwKey *key; /* or NULL */
     int64_t arrived_us;
-    int64_t aim_us;      /* an answer after this is late */
-    int64_t late_us;     /* it waits for no answer after this */
-    int64_t give_up_us;  /* the caller or the route waits no longer */
-    int64_t budget_us;   /* what servers are told: end of the time */
-    uint32_t deadline;   /* place in the heap */
+    int64_t aim_us;     /* an answer after this is late */
+    int64_t late_us;    /* it waits for no answer after this */
+    int64_t give_up_us; /* the caller or the route waits no longer */
+    int64_t budget_us;  /* what servers are told: end of the time */
+    uint32_t deadline;  /* place in the heap */
     uint32_t attempts;
     GwServer *server; /* of the attempt under way, or NULL */
     int64_t sent_us;
     bool sent_warm;
     bool sent_alone; /* a slot was free then: its time is the work's */
     bool waits;
-    bool late;          /* waits, though its answer will be late */
-    bool may_have_run;  /* an attempt ended without proof of the contrary */
-    uint32_t arrivals;  /* attempts that a server saw */
+    bool late;         /* waits, though its answer will be late */
+    bool may_have_run; /* an attempt ended without proof of the contrary */
+    uint32_t arrivals; /* attempts that a server saw */
     uint32_t unsent;
     uint32_t tried_count;
     GwServer *tried[8]; /* compared only, never followed */
@@ -157,7 +157,7 @@
     GHashTable *keys;     /* hash -> GwKey */
     GHashTable *peers;    /* name -> GwPeer */
     GHashTable *evacuated;
-    GHashTable *rtts; /* region -> double* us */
+    GHashTable *rtts;   /* region -> double* us */
     GHashTable *open;   /* GwRequest set */
     GPtrArray *freed;   /* GwServer, until the next step */
     GArray *placements; /* GwPlacement of this entry, oldest first */
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -198,8 +198,8 @@
 {
     for (guint i = 0; i < peer->loads->len; i++) {
         const GwPeerLoad *load = &g_array_index(peer->loads, GwPeerLoad, i);
-        GwServer *s = g_hash_table_lookup(r->by_hash,
-                                          GUINT_TO_POINTER(load->server));
+        GwServer *s =
+            g_hash_table_lookup(r->by_hash, GUINT_TO_POINTER(load->server));
         if (s == NULL) {
             continue;
         }
@@ -393,8 +393,8 @@
     if (took < 1000.0 || !req->sent_alone) {
         return;
     }
-    double *mean = req->sent_warm ? &req->state->warm_us
-                                  : &req->state->cold_us;
+    double *mean =
+        req->sent_warm ? &req->state->warm_us : &req->state->cold_us;
     double ratio = took / *mean;
     double seen = CLAMP(ratio, SLOW_MIN, SLOW_MAX);
     s->slow += 0.2 * (seen - s->slow);
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -113,16 +113,16 @@
     if (old != NULL && old->version >= row->version) {
         return;
     }
-    if (row->removed && now_us < cache->grace_until_us &&
-        live_row(cache, row->key) != NULL) {
+    if (row->removed && now_us < cache->grace_until_us && old != NULL &&
+        !old->removed) {
         set_missing(cache, row->key, now_us + cache->grace_us);
         old->version = row->version;
         return;
     }
     bool same = old != NULL && !old->removed && !row->removed &&
                 strcmp(old->value, row->value) == 0;
-    GwStoreRow *copy = GwStoreRow_Create(row->key, row->value, row->version,
-                                         row->removed);
+    GwStoreRow *copy =
+        GwStoreRow_Create(row->key, row->value, row->version, row->removed);
     copy->removed_us = now_us;
     (void)g_hash_table_remove(cache->missing, row->key);
     g_hash_table_replace(cache->rows, copy->key, copy);
@@ -182,8 +182,7 @@
     const GwStoreRow *row = value;
 
     (void)key;
-    return row->removed &&
-           *(int64_t *)now_us - row->removed_us > MARK_LIFE_US;
+    return row->removed && *(int64_t *)now_us - row->removed_us > MARK_LIFE_US;
 }
 
 void
--- a/programs/godwitedge.c
+++ b/programs/godwitedge.c
@@ -55,10 +55,10 @@
 }
 
 static int
-serve(const GwEdgeSettings *settings)
+serve(GwEdgeSettings *settings, const char *path)
 {
     GError *error = NULL;
-    GwEdge *edge = GwEdge_Create(settings, &Platform_Adapter, &error);
+    GwEdge *edge = GwEdge_Create(settings, path, &Platform_Adapter, &error);
 
     if (edge == NULL) {
         (void)fprintf(stderr, "godwitedge: %s\n", error->message);
@@ -97,12 +97,13 @@
         g_error_free(error);
         return EXIT_SETTINGS;
     }
-    if (!args.check) {
-        (void)signal(SIGPIPE, SIG_IGN);
-        (void)GwLog_Start(settings->log_level);
-        code = serve(settings);
-        GwLog_Stop();
+    if (args.check) {
+        GwEdgeSettings_Free(settings);
+        return EXIT_OK;
     }
-    GwEdgeSettings_Free(settings);
+    (void)signal(SIGPIPE, SIG_IGN);
+    (void)GwLog_Start(settings->log_level);
+    code = serve(settings, path);
+    GwLog_Stop();
     return code;
 }
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -67,8 +67,7 @@
         .part_count = 1,
         .parts = g_new0(GwRoutePart, 1),
     };
-    route->parts[0] =
-        (GwRoutePart){.service = g_strdup("s"), .weight = 1};
+    route->parts[0] = (GwRoutePart){.service = g_strdup("s"), .weight = 1};
 }
 
 GwRouting *
@@ -289,8 +288,7 @@
     }
     req->server = NULL;
     req->servers += outcome != GW_ATTEMPT_UNSENT;
-    req->may_have_run = req->may_have_run ||
-                        outcome == GW_ATTEMPT_BROKEN ||
+    req->may_have_run = req->may_have_run || outcome == GW_ATTEMPT_BROKEN ||
                         outcome == GW_ATTEMPT_ANSWERED;
     GwRouter_Ended(f->router, f->now_us, req->handle, &end, f->actions);
     FakeSteering_Carry(f);
--- a/tests/fakes/steering.h
+++ b/tests/fakes/steering.h
@@ -7,16 +7,16 @@
 #include "router/router.h"
 
 typedef struct {
-    GwRequest *handle;  /* NULL before ACCEPT and when over */
+    GwRequest *handle; /* NULL before ACCEPT and when over */
     bool idempotent;
     bool over;
     bool may_have_run;
-    uint16_t status;    /* of our own; 0: answered by a server, or open */
+    uint16_t status; /* of our own; 0: answered by a server, or open */
     uint32_t sends;
-    uint32_t servers;   /* that it reached */
-    GwServer *server;   /* of the attempt under way */
+    uint32_t servers; /* that it reached */
+    GwServer *server; /* of the attempt under way */
     char server_id[16];
-    uint32_t left_ms;   /* as told with the last send */
+    uint32_t left_ms; /* as told with the last send */
 } FakeRequest;
 
 typedef struct {
--- a/tests/property/router.cpp
+++ b/tests/property/router.cpp
@@ -96,9 +96,8 @@
     case 1:
     case 2:
     case 3:
-        (void)FakeSteering_Arrive(w.f, path,
-                                  arg % 7 == 0 ? nullptr : key.c_str(),
-                                  200 + arg % 3000);
+        (void)FakeSteering_Arrive(
+            w.f, path, arg % 7 == 0 ? nullptr : key.c_str(), 200 + arg % 3000);
         break;
     case 4:
     case 5:
@@ -132,8 +131,8 @@
         putAgain(w, serverName(w, arg));
         break;
     case 12:
-        GwRouter_SetEvacuated(w.f->router, w.f->now_us, arg % 2 == 0 ? "d1" : "d2",
-                              arg % 3 == 0);
+        GwRouter_SetEvacuated(w.f->router, w.f->now_us,
+                              arg % 2 == 0 ? "d1" : "d2", arg % 3 == 0);
         break;
     default:
         FakeSteering_Pass(w.f, (1 + arg % 200) * kMs);
@@ -191,8 +190,7 @@
     }
     uint32_t count = 50 + GwRng_Below(&rng, 300);
     for (uint32_t i = 0; i < count; i++) {
-        FakeRequest *req =
-            FakeSteering_Arrive(w.f, "/again/", nullptr, 3000);
+        FakeRequest *req = FakeSteering_Arrive(w.f, "/again/", nullptr, 3000);
         for (int j = 0; j < 9; j++) {
             FakeSteering_End(w.f, req,
                              GwRng_Below(&rng, 2) == 0 ? GW_ATTEMPT_BROKEN
--- a/tests/unit/test_edge_settings.c
+++ b/tests/unit/test_edge_settings.c
@@ -56,9 +56,9 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         GError *error = NULL;
-        cr_expect_null(GwEdgeSettings_Parse(cases[i].text,
-                                            strlen(cases[i].text), &error),
-                       "%s", cases[i].text);
+        cr_expect_null(
+            GwEdgeSettings_Parse(cases[i].text, strlen(cases[i].text), &error),
+            "%s", cases[i].text);
         cr_assert_not_null(error, "%s", cases[i].text);
         cr_expect_not_null(strstr(error->message, cases[i].key), "%s: %s",
                            cases[i].key, error->message);
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -80,17 +80,17 @@
     int len = sizeof(at);
 
     (void)uv_loop_init(&pair->loop);
-    pair->listener = GwConn_Listen(&pair->loop, "127.0.0.1:1", on_accept,
-                                   pair);
+    pair->listener =
+        GwConn_Listen(&pair->loop, "127.0.0.1:1", on_accept, pair);
     if (pair->listener == NULL) { /* port 1 is not ours: any other */
         pair->listener = g_new0(uv_tcp_t, 1);
         (void)uv_tcp_init(&pair->loop, pair->listener);
         pair->listener->data = pair;
         (void)uv_ip4_addr("127.0.0.1", 0, &at);
-        cr_assert_eq(
-            uv_tcp_bind(pair->listener, (struct sockaddr *)&at, 0), 0);
-        cr_assert_eq(
-            uv_listen((uv_stream_t *)pair->listener, 4, on_accept), 0);
+        cr_assert_eq(uv_tcp_bind(pair->listener, (struct sockaddr *)&at, 0),
+                     0);
+        cr_assert_eq(uv_listen((uv_stream_t *)pair->listener, 4, on_accept),
+                     0);
     }
     (void)uv_tcp_getsockname(pair->listener, (struct sockaddr *)&at, &len);
     g_snprintf(pair->address, sizeof(pair->address), "127.0.0.1:%u",
@@ -142,10 +142,14 @@
         const char *text;
         bool good;
     } cases[] = {
-        {"127.0.0.1:80", true},    {"127.0.0.1", false},
-        {"127.0.0.1:", false},     {"127.0.0.1:0", false},
-        {"127.0.0.1:70000", false}, {"host:80", false},
-        {":80", false},            {"127.0.0.1:8x", false},
+        {"127.0.0.1:80", true},
+        {"127.0.0.1", false},
+        {"127.0.0.1:", false},
+        {"127.0.0.1:0", false},
+        {"127.0.0.1:70000", false},
+        {"host:80", false},
+        {":80", false},
+        {"127.0.0.1:8x", false},
         {"1.2.3.4.5.6.7.8.9.10.11:80", false},
     };
     struct sockaddr_in out;
--- a/tests/unit/test_http_message.c
+++ b/tests/unit/test_http_message.c
@@ -58,8 +58,8 @@
      "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
      "2\r\nab\r\n1\r\nc\r\n0\r\nX-Trailer: t\r\n\r\n",
      GW_HTTP_OK, 1, "abc"},
-    {"two in a row",
-     "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n", GW_HTTP_OK, 2, ""},
+    {"two in a row", "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n",
+     GW_HTTP_OK, 2, ""},
     {"half a head", "GET /1 HTTP/1.1\r\nHost:", GW_HTTP_OK, 0, NULL},
     {"half a body", "PUT / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab",
      GW_HTTP_OK, 0, NULL},
@@ -85,16 +85,16 @@
      GW_HTTP_OK, 2, ""},
     {"long head", "GET / HTTP/1.1\r\nA: " LONG_400 "\r\n\r\n",
      GW_HTTP_LONG_HEAD, 0, NULL},
-    {"long target", "GET /" LONG_400 " HTTP/1.1\r\n\r\n", GW_HTTP_LONG_HEAD,
-     0, NULL},
+    {"long target", "GET /" LONG_400 " HTTP/1.1\r\n\r\n", GW_HTTP_LONG_HEAD, 0,
+     NULL},
     {"long body", "PUT / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
      GW_HTTP_LONG_BODY, 0, NULL},
     {"long chunks",
      "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" LONG_50
      "aaaaaaaaaaaaaaa\r\n",
      GW_HTTP_LONG_BODY, 0, NULL},
-    {"good before bad", "GET /1 HTTP/1.1\r\n\r\nnonsense\r\n\r\n",
-     GW_HTTP_BAD, 1, ""},
+    {"good before bad", "GET /1 HTTP/1.1\r\n\r\nnonsense\r\n\r\n", GW_HTTP_BAD,
+     1, ""},
 };
 
 /* Each case whole, and byte by byte: where the network cuts must not matter. */
@@ -141,23 +141,23 @@
      GW_HTTP_OK, 1, "ab", false},
     {"without a length, going on", "HTTP/1.1 200 OK\r\n\r\nab", false, false,
      GW_HTTP_OK, 0, NULL, false},
-    {"sized, cut off", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
-     false, true, GW_HTTP_BAD, 0, NULL, false},
+    {"sized, cut off", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", false,
+     true, GW_HTTP_BAD, 0, NULL, false},
     {"chunked, cut off",
-     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
-     false, true, GW_HTTP_BAD, 0, NULL, false},
-    {"to a HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true,
-     false, GW_HTTP_OK, 1, "", true},
-    {"no content", "HTTP/1.1 204 No Content\r\n\r\n", false, false,
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false,
+     true, GW_HTTP_BAD, 0, NULL, false},
+    {"to a HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true, false,
      GW_HTTP_OK, 1, "", true},
+    {"no content", "HTTP/1.1 204 No Content\r\n\r\n", false, false, GW_HTTP_OK,
+     1, "", true},
     {"closing",
      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
      false, false, GW_HTTP_OK, 1, "", false},
     {"bytes behind it",
-     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naXYZ\r\n\r\n", false,
-     false, GW_HTTP_BAD, 1, "a", true},
-    {"not an answer", "garbage garbage\r\n\r\n", false, false, GW_HTTP_BAD,
-     0, NULL, false},
+     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naXYZ\r\n\r\n", false, false,
+     GW_HTTP_BAD, 1, "a", true},
+    {"not an answer", "garbage garbage\r\n\r\n", false, false, GW_HTTP_BAD, 0,
+     NULL, false},
 };
 
 Test(http_message, answers_are_whole_or_none)
@@ -165,8 +165,8 @@
     for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
         Sink sink = {.head = answers[i].to_head};
         GwHttpParser *p = parser(&sink, false);
-        GwHttpError error = GwHttpParser_Feed(p, answers[i].bytes,
-                                              strlen(answers[i].bytes));
+        GwHttpError error =
+            GwHttpParser_Feed(p, answers[i].bytes, strlen(answers[i].bytes));
         if (answers[i].ends) {
             error = GwHttpParser_End(p);
         }
@@ -216,9 +216,8 @@
 
     cr_assert_eq(GwHttpParser_Feed(p, bytes, strlen(bytes)), GW_HTTP_OK);
     GwHttpMessage_WriteRequest(sink.messages->pdata[0], &how, out);
-    cr_expect_str_eq(out->str,
-                     "PUT /x?y HTTP/1.1\r\nHost: h\r\nX-Keep: 2\r\n"
-                     "X-Own: 4\r\nContent-Length: 2\r\n\r\nab");
+    cr_expect_str_eq(out->str, "PUT /x?y HTTP/1.1\r\nHost: h\r\nX-Keep: 2\r\n"
+                               "X-Own: 4\r\nContent-Length: 2\r\n\r\nab");
     g_string_free(out, TRUE);
     g_ptr_array_free(sink.messages, TRUE);
     GwHttpParser_Free(p);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -21,8 +21,8 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         uint32_t ms = 0;
-        cr_expect_eq(GwDuration_Parse(cases[i].text, &ms), cases[i].good,
-                     "%s", cases[i].text);
+        cr_expect_eq(GwDuration_Parse(cases[i].text, &ms), cases[i].good, "%s",
+                     cases[i].text);
         cr_expect_eq(ms, cases[i].ms, "%s", cases[i].text);
     }
 }
@@ -173,14 +173,17 @@
 
 Test(platform, answers_that_are_no_rows_are_errors)
 {
-    static const char *const bad[] = {
-        "", "{}", "{\"rows\":[]}", "{\"ver\":1}", "{\"rows\":{},\"ver\":1}",
-        "{\"rows\":[],\"ver\":\"1\"}"};
+    static const char *const bad[] = {"",
+                                      "{}",
+                                      "{\"rows\":[]}",
+                                      "{\"ver\":1}",
+                                      "{\"rows\":{},\"ver\":1}",
+                                      "{\"rows\":[],\"ver\":\"1\"}"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         GError *error = NULL;
-        cr_expect_null(
-            Platform_ReadRows(bad[i], strlen(bad[i]), &error), "%s", bad[i]);
+        cr_expect_null(Platform_ReadRows(bad[i], strlen(bad[i]), &error), "%s",
+                       bad[i]);
         cr_expect_not_null(error, "%s", bad[i]);
         g_clear_error(&error);
     }
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -63,8 +63,7 @@
         for (int j = 0; j < 12; j++) { /* earns the budget of retries */
             warm(f, "/again/", NULL);
         }
-        FakeRequest *req =
-            FakeSteering_Arrive(f, cases[i].path, "k", 3000);
+        FakeRequest *req = FakeSteering_Arrive(f, cases[i].path, "k", 3000);
         FakeSteering_End(f, req, cases[i].first, cases[i].first_status);
         FakeSteering_Pass(f, 100000);
         FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
@@ -251,11 +250,9 @@
         if (cases[i].dropped) {
             FakeSteering_Drop(f, "a");
         }
-        GwRouter_SetEvacuated(f->router, f->now_us, "d1",
-                              cases[i].evacuated);
+        GwRouter_SetEvacuated(f->router, f->now_us, "d1", cases[i].evacuated);
         FakeRequest *req = FakeSteering_Arrive(f, "/once/", "k", 3000);
-        cr_expect_eq(req->server != NULL, cases[i].taken, "%s",
-                     cases[i].what);
+        cr_expect_eq(req->server != NULL, cases[i].taken, "%s", cases[i].what);
         cr_expect_eq(req->status, cases[i].taken ? 0 : 503, "%s",
                      cases[i].what);
         finish(f);
@@ -386,8 +383,8 @@
     GwRouting_Unref(routing);
     FakeSteering_Put(f, "a", "r1", "d1", 100);
     for (int i = 0; i < 100; i++) {
-        const char *path = strcmp(route->prefix, "/once/") == 0 ? "/once/"
-                                                                : "/again/";
+        const char *path =
+            strcmp(route->prefix, "/once/") == 0 ? "/once/" : "/again/";
         FakeRequest *req = FakeSteering_Arrive(f, path, NULL, 3000);
         counts[req->server == NULL]++;
         FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
--- a/tests/unit/test_store_rows.c
+++ b/tests/unit/test_store_rows.c
@@ -35,9 +35,9 @@
         char key[2] = {(*w)[0], '\0'};
         uint64_t ver = (uint64_t)((*w)[1] - '0');
         bool removed = (*w)[2] == '-';
-        g_ptr_array_add(set->rows,
-                        GwStoreRow_Create(key, removed ? NULL : *w + 3, ver,
-                                          removed));
+        g_ptr_array_add(
+            set->rows,
+            GwStoreRow_Create(key, removed ? NULL : *w + 3, ver, removed));
     }
     g_strfreev(words);
     return set;
@@ -77,18 +77,25 @@
          {{FEED, "a1=x b1=y", 1}, {FULL, "a1=x", 5}, {WAIT, "", 3 * SEC}},
          "+a=x +b=y -b "},
         {"missing, but back within the grace",
-         {{FEED, "a1=x", 1}, {FULL, "", 5}, {FEED, "a6=x", 6},
+         {{FEED, "a1=x", 1},
+          {FULL, "", 5},
+          {FEED, "a6=x", 6},
           {WAIT, "", 3 * SEC}},
          "+a=x "},
         {"newer than the full reading: stays",
          {{FEED, "a7=x", 7}, {FULL, "", 5}, {WAIT, "", 3 * SEC}},
          "+a=x "},
         {"lapsed while the store was away, and back",
-         {{FEED, "a1=x", 1}, {GRACE, "", 0}, {FEED, "a2-", 2},
-          {FEED, "a3=x", 3}, {WAIT, "", 3 * SEC}},
+         {{FEED, "a1=x", 1},
+          {GRACE, "", 0},
+          {FEED, "a2-", 2},
+          {FEED, "a3=x", 3},
+          {WAIT, "", 3 * SEC}},
          "+a=x "},
         {"lapsed while the store was away, and gone",
-         {{FEED, "a1=x", 1}, {GRACE, "", 0}, {FEED, "a2-", 2},
+         {{FEED, "a1=x", 1},
+          {GRACE, "", 0},
+          {FEED, "a2-", 2},
           {WAIT, "", 3 * SEC}},
          "+a=x -a "},
     };
@@ -98,8 +105,8 @@
         GwRowCache *cache = GwRowCache_Create(on_change, &sink);
         int64_t now_us = SEC;
         for (size_t j = 0; j < 5 && cases[i].steps[j].rows != NULL; j++) {
-            GwRowSet *set = set_of(cases[i].steps[j].rows,
-                                   cases[i].steps[j].version);
+            GwRowSet *set =
+                set_of(cases[i].steps[j].rows, cases[i].steps[j].version);
             switch (cases[i].steps[j].step) {
             case FEED:
                 GwRowCache_Apply(cache, now_us, set);
@@ -117,8 +124,8 @@
             }
             GwRowSet_Free(set);
         }
-        cr_expect_str_eq(sink.log->str, cases[i].log, "%s: %s",
-                         cases[i].what, sink.log->str);
+        cr_expect_str_eq(sink.log->str, cases[i].log, "%s: %s", cases[i].what,
+                         sink.log->str);
         GwRowCache_Free(cache);
         g_string_free(sink.log, TRUE);
     }
