Keep objects' places by service

Ruled out: reused addresses (the server named was the one expected), a configuration that came late (the new one was in force at 6.8 s, the first wrong run came at 12.9 s). Change: a place is used only if its server belongs to the request's service; objects are keyed by route and service. Also: a leaving entry ends at 0.9 of its grace (some were killed at its end).

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -7,7 +7,7 @@
  * callers use it until their directory's answer is too old. */
 #define LISTEN_SHARE 0.5
 /* After this part of its grace it waits for no request any more. */
-#define LEAVE_SHARE 0.95
+#define LEAVE_SHARE 0.9
 
 int64_t
 GwEdge_Now(void)
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -78,8 +78,11 @@
 {
     GwRouter *r = look->r;
 
-    if (s->draining || !s->listed || s->slots == 0 ||
-        g_hash_table_contains(r->evacuated, s->domain) ||
+    /* A place of the object may be of another service: reports name objects
+     * by hash only, and a route may have moved. Run there, the request would
+     * be answered by a service that it was never sent to. */
+    if (s->service != look->req->service || s->draining || !s->listed ||
+        s->slots == 0 || g_hash_table_contains(r->evacuated, s->domain) ||
         (look->side == GW_DRIFT_NEAR && !s->same_region) ||
         (look->side == GW_DRIFT_FAR && s->same_region) ||
         !GwRoute_AllowsRegion(look->req->route, s->region) ||
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -67,12 +67,15 @@
 }
 
 /* What a server remembers is the object as one route uses it: a booking of a
- * slot does not make the look-up of the same slot faster. */
+ * slot does not make the look-up of the same slot faster. A route that moves
+ * to another service, or is split, has places of its own in each. */
 GwKey *
 GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwRoute *route,
-               const char *text)
+               const GwServiceState *service, const char *text)
 {
-    return key_of(r, now_us, GwHash_Text(text, GwHash_Text(route->name, 0)));
+    uint64_t seed = GwHash_Text(service->name, GwHash_Text(route->name, 0));
+
+    return key_of(r, now_us, GwHash_Text(text, seed));
 }
 
 GwKeyServer *
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -350,7 +350,8 @@
     req->deadline = GW_HEAP_OUT;
     set_times(req, now_us, arrival->left_us);
     if (arrival->key != NULL && route->warm_keys) {
-        req->key = GwRouter_KeyOf(r, now_us, route, arrival->key);
+        req->key =
+            GwRouter_KeyOf(r, now_us, route, req->service, arrival->key);
     }
     g_hash_table_add(r->open, req);
     count_first(r, req->service);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -183,7 +183,7 @@
 /* keys.c */
 uint64_t GwHash_Text(const char *text, uint64_t seed);
 GwKey *GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwRoute *route,
-                      const char *text);
+                      const GwServiceState *service, const char *text);
 GwKeyServer *GwKey_At(GwKey *key, const GwServer *s);
 /* A request for the object goes to the server. */
 void GwRouter_UseKey(GwRouter *r, GwKey *key, GwServer *s, int64_t now_us);
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -365,6 +365,48 @@
     finish(f);
 }
 
+/* A route moves to another service while its objects are warm at servers of
+ * the old one. The next request for such an object must go to the new service:
+ * the old one ran 52 requests that no configuration sent to it. */
+Test(router, a_moved_route_leaves_its_old_servers)
+{
+    FakeSteering *f = start(2);
+    GwRouting *moved = FakeSteering_Routing(2, 2);
+    GwServerInfo other = {.id = "t1",
+                          .born_ms = 1,
+                          .service = "t",
+                          .address = "127.0.0.1:1",
+                          .domain = "d1",
+                          .region = "r1",
+                          .slots = 2};
+    GArray *placed = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    GwRouter_PutServer(f->router, f->now_us, &other, f->actions);
+    warm(f, "/again/", "k");
+    for (int i = 0; i < 2; i++) {
+        g_free(moved->hosts[0].routes[i].parts[0].service);
+        moved->hosts[0].routes[i].parts[0].service = g_strdup("t");
+    }
+    cr_assert(GwRouter_SetRouting(f->router, moved));
+    GwRouting_Unref(moved);
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    cr_expect_str_eq(req->server_id, "t1");
+    /* A peer that still has the old version names the old server. */
+    GwRouter_OwnPlacements(f->router, f->now_us, INT64_MAX, placed);
+    cr_assert_eq(placed->len, 2);
+    GwPlacement wrong = g_array_index(placed, GwPlacement, 1);
+    wrong.server = g_array_index(placed, GwPlacement, 0).server;
+    wrong.warm = true;
+    GwRouter_PutPlacement(f->router, f->now_us, &wrong);
+    for (int i = 0; i < 4; i++) {
+        req = FakeSteering_Arrive(f, "/again/", "k", 3000);
+        cr_expect_str_neq(req->server_id, "a");
+    }
+    g_array_free(placed, TRUE);
+    finish(f);
+}
+
 /* Each stretch of a split is split as the whole is. */
 Test(router, a_split_keeps_its_weights)
 {
