Log one line for each request, buffered and never blocking

Cause: only requests that got an answer of our own left a line; lines went out one system call each, and a reader that stops would have stopped the loop.

--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -1,13 +1,18 @@
 #include "common/log.h"
 
+#include "common/log_ring.h"
+
 #include <glib.h>
 #include <log4c.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define LOG_LINE_MAX 1024
+/* Lines of some seconds at a hundred requests a second. */
+#define LOG_RING_BYTES (256u << 10)
 
 static log4c_category_t *category;
 /* log4c's appenders keep no lock of their own, and two threads would tear
@@ -42,6 +47,21 @@
     .append = append_stderr,
 };
 
+static GwLogRing ring;
+
+static int
+append_ring(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    GwLogRing_Add(&ring, event->evt_rendered_msg);
+    return 0;
+}
+
+static const log4c_appender_type_t ring_appender = {
+    .name = "gw-ring",
+    .append = append_ring,
+};
+
 static int
 priority_of(const char *level)
 {
@@ -54,16 +74,16 @@
     return LOG4C_PRIORITY_INFO;
 }
 
-int
-GwLog_Start(const char *level)
+static int
+start(const char *level, const log4c_appender_type_t *type)
 {
     if (log4c_init() != 0) {
         return -1;
     }
     log4c_layout_t *layout = log4c_layout_get("gw-line");
     log4c_layout_set_type(layout, &line_layout);
-    log4c_appender_t *appender = log4c_appender_get("gw-stderr");
-    log4c_appender_set_type(appender, &stderr_appender);
+    log4c_appender_t *appender = log4c_appender_get(type->name);
+    log4c_appender_set_type(appender, type);
     log4c_appender_set_layout(appender, layout);
     log4c_category_t *c = log4c_category_get("godwitridge");
     log4c_category_set_appender(c, appender);
@@ -73,10 +93,35 @@
     return 0;
 }
 
+int
+GwLog_Start(const char *level)
+{
+    return start(level, &stderr_appender);
+}
+
+int
+GwLog_StartBuffered(const char *level)
+{
+    GwLogRing_Init(&ring, LOG_RING_BYTES);
+    return start(level, &ring_appender);
+}
+
+void
+GwLog_Flush(void)
+{
+    if (ring.bytes != NULL) {
+        GwLogRing_Flush(&ring, STDOUT_FILENO);
+    }
+}
+
 /* Threads that log must have ended. */
 void
 GwLog_Stop(void)
 {
+    GwLog_Flush();
+    if (ring.bytes != NULL) {
+        GwLogRing_Clear(&ring);
+    }
     category = NULL;
     log4c_fini();
 }
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -37,6 +37,9 @@
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
     X(REQUEST_REPLIED, 601, INFO, "a request got an answer of our own") \
+    X(REQUEST_ANSWERED, 602, INFO, "a request got a backend server's answer") \
+    X(REQUEST_LEFT, 603, INFO, "a caller left before its answer") \
+    X(ATTEMPT_FAILED, 604, WARN, "an attempt ended without an answer") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table does not answer") \
     X(STORE_BACK, 701, INFO, "the platform's table answers again") \
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -49,15 +49,19 @@
     }
 }
 
-static void
-log_reply(const GwExchange *x, const GwDo *act)
+/* One line for each request: its id, what decided about it, and its end. */
+void
+GwEdge_LogRequest(const GwExchange *x, uint32_t event, uint16_t status,
+                  GwWhy why, const GwRequestStory *story)
 {
     const char *id = GwHttpMessage_Get(x->msg, x->edge->adapter->request_id);
 
-    GwLog_Event(GW_LOG_REQUEST_REPLIED,
-                "request=%s status=%u why=%s after_ms=%" PRId64, id,
-                act->status, GwWhy_Name(act->why),
-                (GwEdge_Now() - x->arrived_us) / 1000);
+    GwLog_Event(event,
+                "request=%.40s status=%u why=%s route=%s server=%s "
+                "attempts=%u waited_ms=%u took_ms=%u warm=%d config=%" PRIu64,
+                id != NULL ? id : "", status, GwWhy_Name(why), story->route,
+                story->server, story->attempts, story->waited_ms,
+                story->took_ms, story->warm, story->version);
 }
 
 static void
@@ -76,11 +80,14 @@
         GwUpstream_Cancel(x);
         break;
     case GW_DO_ANSWER:
+        GwEdge_LogRequest(x, GW_LOG_REQUEST_ANSWERED, act->status, GW_WHY_NONE,
+                          &act->story);
         GwExchange_PassOn(x);
         break;
     case GW_DO_REPLY:
         count_reply(edge, act->status);
-        log_reply(x, act);
+        GwEdge_LogRequest(x, GW_LOG_REQUEST_REPLIED, act->status, act->why,
+                          &act->story);
         GwExchange_Reply(x, act->status, act->retry_after_ms);
         break;
     case GW_DO_FORGET:
@@ -206,6 +213,7 @@
         go_on_leaving(edge, now_us);
     }
     GwEdge_Carry(edge);
+    GwLog_Flush();
 }
 
 /* ---- Start and end ------------------------------------------------------- */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -75,6 +75,8 @@
  * made ready, until nothing is left; arms the router's timer. To be called
  * last in each callback of the loop. */
 void GwEdge_Carry(GwEdge *edge);
+void GwEdge_LogRequest(const GwExchange *x, uint32_t event, uint16_t status,
+                       GwWhy why, const GwRequestStory *story);
 /* Whether it knows a configuration and servers, and is not leaving. */
 bool GwEdge_IsReady(const GwEdge *edge);
 const char *GwEdge_RegionOf(const GwEdge *edge, const char *domain);
--- a/lib/edge/upstream.c
+++ b/lib/edge/upstream.c
@@ -141,11 +141,44 @@
     return NULL;
 }
 
+static const char *
+outcome_name(GwAttemptOutcome outcome)
+{
+    switch (outcome) {
+    case GW_ATTEMPT_ANSWERED:
+        return "answered";
+    case GW_ATTEMPT_REFUSED:
+        return "refused";
+    case GW_ATTEMPT_UNSENT:
+        return "unsent";
+    case GW_ATTEMPT_BROKEN:
+        return "broken";
+    }
+    return "";
+}
+
+static void
+log_failure(const GwExchange *x, const GwAttemptEnd *end)
+{
+    GwEdge *edge = x->edge;
+    const char *id = GwHttpMessage_Get(x->msg, edge->adapter->request_id);
+    GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
+
+    GwLog_Event(GW_LOG_ATTEMPT_FAILED,
+                "request=%.40s server=%s outcome=%s status=%u after_ms=%u",
+                id != NULL ? id : "", story.server, outcome_name(end->outcome),
+                end->status, story.took_ms - story.waited_ms);
+}
+
 static void
 report(GwExchange *x, const GwAttemptEnd *end)
 {
     GwEdge *edge = x->edge;
 
+    if (end->outcome != GW_ATTEMPT_ANSWERED) {
+        log_failure(x, end);
+    }
+
     GwRouter_Ended(edge->router, GwEdge_Now(), x->request, end, edge->actions);
 }
 
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -48,6 +48,23 @@
     return &g_array_index(actions, GwDo, actions->len - 1);
 }
 
+GwRequestStory
+GwRequest_Story(const GwRequest *req, int64_t now_us)
+{
+    int64_t until_us = req->sends > 0 ? req->sent_us : now_us;
+    GwRequestStory story = {
+        .version = req->routing->version,
+        .attempts = req->sends,
+        .waited_ms = (uint32_t)((until_us - req->arrived_us) / 1000),
+        .took_ms = (uint32_t)((now_us - req->arrived_us) / 1000),
+        .warm = req->sent_warm,
+    };
+
+    g_strlcpy(story.route, req->route->name, sizeof(story.route));
+    g_strlcpy(story.server, req->last_server, sizeof(story.server));
+    return story;
+}
+
 static void
 stop_waiting(GwRequest *req)
 {
@@ -80,11 +97,12 @@
  * run and won't, so a request of which an attempt may have run gets 502, or
  * 504 when its time is over. */
 static void
-reply(GwRouter *r, GwRequest *req, GwWhy why, GArray *actions)
+reply(GwRouter *r, int64_t now_us, GwRequest *req, GwWhy why, GArray *actions)
 {
     GwDo *out = add(actions, GW_DO_REPLY, req);
 
     out->why = why;
+    out->story = GwRequest_Story(req, now_us);
     if (why == GW_WHY_TIMEOUT) {
         out->status = 504;
     }
@@ -125,6 +143,8 @@
     req->sent_warm = at != NULL;
     req->sent_alone = s->in_flight + s->peers_in_flight < s->slots;
     req->attempts++;
+    req->sends++;
+    g_strlcpy(req->last_server, s->id, sizeof(req->last_server));
     if (req->tried_count < G_N_ELEMENTS(req->tried)) {
         req->tried[req->tried_count++] = s;
     }
@@ -156,8 +176,8 @@
 
     if (c.server == NULL) {
         GwRouter_DriftRefused(r, now_us, c.wants_far);
-        reply(r, req, req->attempts > 0 ? GW_WHY_NO_RETRY : GW_WHY_NO_SERVER,
-              actions);
+        reply(r, now_us, req,
+              req->attempts > 0 ? GW_WHY_NO_RETRY : GW_WHY_NO_SERVER, actions);
         return;
     }
     if (c.ready) {
@@ -169,7 +189,7 @@
     req->late = !c.in_time;
     if (req->late && back_us > MIN(req->late_us, req->budget_us)) {
         GwRouter_DriftRefused(r, now_us, c.wants_far);
-        reply(r, req, GW_WHY_NO_ROOM, actions);
+        reply(r, now_us, req, GW_WHY_NO_ROOM, actions);
         return;
     }
     c.server->claims++;
@@ -426,13 +446,13 @@
     }
 #if GW_MUTANT != 70 /* breaks: sent again though it may have run */
     if (req->may_have_run && !req->route->idempotent) {
-        reply(r, req, GW_WHY_BROKEN, actions);
+        reply(r, now_us, req, GW_WHY_BROKEN, actions);
         return;
     }
 #endif
     if (req->unsent >= UNSENT_MAX || !may_retry(r, now_us, req)) {
-        reply(r, req, req->may_have_run ? GW_WHY_BROKEN : GW_WHY_NO_RETRY,
-              actions);
+        reply(r, now_us, req,
+              req->may_have_run ? GW_WHY_BROKEN : GW_WHY_NO_RETRY, actions);
         return;
     }
     wait_in_order(req);
@@ -457,7 +477,9 @@
             wait_in_order(req);
         }
         else {
-            (void)add(actions, GW_DO_ANSWER, req);
+            GwDo *out = add(actions, GW_DO_ANSWER, req);
+            out->status = end->status;
+            out->story = GwRequest_Story(req, now_us);
             finish(r, req);
         }
     }
@@ -522,7 +544,8 @@
         if (now_us >= req->give_up_us) {
             bool sent = req->server != NULL || req->may_have_run;
             cancel(r, now_us, req, actions);
-            reply(r, req, sent ? GW_WHY_TIMEOUT : GW_WHY_TIME_UNSENT, actions);
+            reply(r, now_us, req, sent ? GW_WHY_TIMEOUT : GW_WHY_TIME_UNSENT,
+                  actions);
         }
         else {
             /* Placing moves the deadline of what still waits. */
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -140,6 +140,17 @@
     int64_t connect_us; /* time of a connection made for this; 0: reused */
 } GwAttemptEnd;
 
+/* What decided about a request, for the line that the host logs. */
+typedef struct {
+    char route[48];
+    char server[48];    /* of the last attempt; "" when there was none */
+    uint64_t version;   /* of the configuration that admitted it */
+    uint32_t attempts;  /* sends, also those that met no server */
+    uint32_t waited_ms; /* before the last send, or in all */
+    uint32_t took_ms;   /* from its arrival */
+    bool warm;          /* the last server had a place of its object */
+} GwRequestStory;
+
 /* Starts a request. It may be over when this returns (REPLY). */
 void GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
                      GArray *actions);
@@ -150,6 +161,8 @@
  * by Settle, when all are gone: else one of them could get it. */
 void GwRouter_Gone(GwRouter *r, int64_t now_us, GwRequest *req,
                    GArray *actions);
+/* How far it has come; for the log. */
+GwRequestStory GwRequest_Story(const GwRequest *req, int64_t now_us);
 void GwRouter_Settle(GwRouter *r, int64_t now_us, GArray *actions);
 /* What time does; to be called at GwRouter_NextDeadline. */
 void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
@@ -189,6 +202,7 @@
     uint16_t status;         /* REPLY */
     uint32_t retry_after_ms; /* REPLY: 0 for none */
     GwWhy why;               /* REPLY */
+    GwRequestStory story;    /* ANSWER, REPLY */
 } GwDo;
 
 const char *GwServer_Id(const GwServer *s);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -140,6 +140,8 @@
     bool waits;
     bool late;         /* waits, though its answer will be late */
     bool may_have_run; /* an attempt ended without proof of the contrary */
+    uint32_t sends;    /* all, also those that met no server */
+    char last_server[48];
     uint32_t arrivals; /* attempts that a server saw */
     uint32_t unsent;
     uint32_t tried_count;
--- a/programs/godwitedge.c
+++ b/programs/godwitedge.c
@@ -102,7 +102,7 @@
         return EXIT_OK;
     }
     (void)signal(SIGPIPE, SIG_IGN);
-    (void)GwLog_Start(settings->log_level);
+    (void)GwLog_StartBuffered(settings->log_level);
     code = serve(settings, path);
     GwLog_Stop();
     return code;
