Run entries beside a small site of our own: store, servers and callers

standin_site speaks the store's protocol through platform/, judges from what its own parts saw, and takes orders for faults; make demo-site and two sessions use it.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   deps     install the Debian packages (root)        .ci/install
 #   all      library, daemons, stand-ins               build/
 #   demo     the whole system under failures           SITE=hen-viec|dyehouse
+#   demo-site  entries of the platform's program beside a small site
 #   check    unit tests, properties, sessions          SAN=address|thread
 #   lint     formatter and linters, warnings are errors
 #   format   rewrite sources in the house format
@@ -39,7 +40,7 @@
            -pthread
 
 lib_src     := $(wildcard lib/*/*.c platform/*.c)
-standin_lib := $(wildcard standins/common/*.c)
+standin_lib := $(wildcard standins/common/*.c standins/site/*.c)
 programs    := $(patsubst programs/%.c,$(O)/%,$(wildcard programs/*.c))
 standins    := $(patsubst standins/%.c,$(O)/%,$(wildcard standins/*.c))
 fakes       := $(wildcard tests/fakes/*.c)
@@ -55,7 +56,7 @@
 FAKES    := $(O)/libfakes.a
 STANDLIB := $(O)/libstandin.a
 
-.PHONY: all deps demo check check-long golden lint format fuzz bench slopes \
+.PHONY: all deps demo demo-site check check-long golden lint format fuzz bench slopes \
         mutants install clean tests stress proto
 .SECONDARY:
 
@@ -121,6 +122,10 @@
 	+$(MAKE) all
 	standins/demo.sh $(O) $(SITE)
 
+demo-site: deps
+	+$(MAKE) all
+	standins/demo_site.sh $(O)
+
 check: all tests
 	tests/check.sh $(O)
 
@@ -144,9 +149,9 @@
 # Formatter, clang-tidy and cppcheck over what people write; generated code
 # is left out.
 hand_c   := $(filter-out %.pb-c.c,$(lib_src) $(wildcard programs/*.c \
-              standins/*.c standins/common/*.c tests/*/*.c bench/*.c fuzz/*.c))
+              standins/*.c standins/common/*.c standins/site/*.c tests/*/*.c bench/*.c fuzz/*.c))
 hand_h   := $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h platform/*.h \
-              standins/common/*.h tests/*/*.h bench/*.h))
+              standins/common/*.h standins/site/*.h tests/*/*.h bench/*.h))
 hand_cpp := $(wildcard tests/property/*.cpp)
 
 format:
--- /dev/null
+++ b/standins/site.sh
@@ -0,0 +1,66 @@
+# Functions to run entries of godwitedge beside standin_site; sourced by
+# standins/demo_site.sh and tests/session/site_*.sh after lib.sh.
+
+site_entries=(e1 e2 e3)
+declare -A site_domain=([e1]=d1 [e2]=d2 [e3]=d1)
+
+# Five ports an entry, from the tenth of the block.
+site_port() { # NAME OFFSET
+    echo $((gw_base + 10 * ${1#e} + $2))
+}
+
+site_write_settings() { # NAME
+    cat >"$gw_dir/$1.json" <<JSON
+{ /* an entry of the small site */
+  "name": "$1", "region": "r1", "domain": "${site_domain[$1]}",
+  "call_address": "127.0.0.1:$(site_port "$1" 0)",
+  "ready_address": "127.0.0.1:$(site_port "$1" 1)",
+  "directory_address": "127.0.0.1:$(site_port "$1" 2)",
+  "control_address": "127.0.0.1:$(site_port "$1" 3)",
+  "peer_address": "127.0.0.1:$(site_port "$1" 4)",
+  "store_address": "127.0.0.1:$gw_base",
+  "regions": {"d1": "r1", "d2": "r1"},
+  "retry_ratio": 0.2, "retry_extra": 60, "grace": "6s"
+}
+JSON
+}
+
+site_start_entry() { # NAME
+    gw_start "$1" "$gw_out"/godwitedge --settings "$gw_dir/$1.json"
+}
+
+site_directories() {
+    local name list=
+    for name in "${site_entries[@]}"; do
+        list+=,127.0.0.1:$(site_port "$name" 2)
+    done
+    echo "${list#,}"
+}
+
+# Starts the site's other parts. usage: site_start_world [OPTION...]
+site_start_world() {
+    gw_start world "$gw_out"/standin_site --store "127.0.0.1:$gw_base" \
+        --directories "$(site_directories)" --port $((gw_base + 100)) \
+        --config deploy/demo/config.json --server deploy/demo/server.json \
+        "$@"
+}
+
+site_begin() { # BUILD [OPTION OF THE WORLD...]
+    local out=$1 name
+    shift
+    gw_begin "$out" hen-viec-small || return 1
+    for name in "${site_entries[@]}"; do
+        site_write_settings "$name"
+        site_start_entry "$name"
+    done
+    site_start_world "$@"
+}
+
+# Waits for the end of the world and prints what it saw.
+site_conclude() {
+    local rc=0
+    wait "${gw_pid[world]}" || rc=$?
+    unset 'gw_pid[world]'
+    grep '^site:' "$gw_dir/world.log"
+    return "$rc"
+}
