End an entry with everything closed and freed

The address sanitizer's run of the sessions found memory left at a graceful stop; connections, timers and listeners are closed and the loop run dry.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -383,6 +383,17 @@
     }
 }
 
+void
+GwCallers_CloseAll(GwEdge *edge)
+{
+    GwCaller *caller;
+
+    while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
+        GwConn_Close(caller->conn);
+        free_caller(caller);
+    }
+}
+
 void
 GwCallers_CloseIdle(GwEdge *edge)
 {
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -7,6 +7,7 @@
 typedef struct {
     GwEdge *edge;
     GwConn *conn;
+    GList link; /* in edge->clients */
 } Client;
 
 static void
@@ -165,6 +166,7 @@
     if (end == GW_CONN_BAD) {
         GwConn_Close(client->conn);
     }
+    g_queue_unlink(&client->edge->clients, &client->link);
     g_free(client);
 }
 
@@ -194,6 +196,21 @@
     client->conn = GwConn_Accept(&params, listener);
     if (client->conn == NULL) {
         g_free(client);
+        return;
+    }
+    client->link.data = client;
+    g_queue_push_tail_link(&edge->clients, &client->link);
+}
+
+void
+GwControl_CloseAll(GwEdge *edge)
+{
+    Client *client;
+
+    while ((client = g_queue_peek_head(&edge->clients)) != NULL) {
+        GwConn_Close(client->conn);
+        g_queue_unlink(&edge->clients, &client->link);
+        g_free(client);
     }
 }
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -291,11 +291,44 @@
     (void)uv_run(&edge->loop, UV_RUN_DEFAULT);
 }
 
-/* The process ends after this: open connections are left to the kernel, as
- * the loop runs no more. */
+static void
+close_listener(gpointer item, gpointer ctx)
+{
+    (void)ctx;
+    uv_close(item, (uv_close_cb)g_free);
+}
+
+static void
+close_all(GwEdge *edge)
+{
+    uv_handle_t *const own[] = {
+        (uv_handle_t *)&edge->deadline, (uv_handle_t *)&edge->sweep,
+        (uv_handle_t *)&edge->term,     (uv_handle_t *)&edge->interrupt,
+        (uv_handle_t *)&edge->hangup,
+    };
+
+    edge->carrying = true; /* nothing is begun any more */
+    GwCallers_CloseAll(edge);
+    GwControl_CloseAll(edge);
+    GwUpstream_CloseAll(edge);
+    GwFeed_Close(edge->operator_feed);
+    GwFeed_Close(edge->server_feed);
+    GwPeers_Close(edge->peers);
+    if (edge->call_listener != NULL) {
+        uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
+    }
+    g_ptr_array_foreach(edge->listeners, close_listener, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+        uv_close(own[i], NULL);
+    }
+    (void)uv_run(&edge->loop, UV_RUN_DEFAULT);
+    (void)uv_loop_close(&edge->loop);
+}
+
 void
 GwEdge_Free(GwEdge *edge)
 {
+    close_all(edge);
     GwFeed_Free(edge->operator_feed);
     GwFeed_Free(edge->server_feed);
     GwPeers_Free(edge->peers);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -50,6 +50,7 @@
     GArray *actions;   /* GwDo; reused */
     bool carrying;     /* actions are being carried out */
     GQueue callers;    /* GwCaller, all that are open */
+    GQueue clients;    /* of control.c */
     GQueue dirty;      /* GwCaller with answers to send */
     GQueue pools;      /* GwPool, one for each server */
     GQueue connecting; /* GwUpstream */
@@ -85,6 +86,7 @@
 void GwCallers_OnConnection(uv_stream_t *listener, int status);
 void GwCallers_Sweep(GwEdge *edge, int64_t now_us);
 void GwCallers_CloseIdle(GwEdge *edge);
+void GwCallers_CloseAll(GwEdge *edge);
 void GwCaller_Flush(GwCaller *caller); /* sends what is ready, in order */
 void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
 void GwExchange_PassOn(GwExchange *x);
@@ -93,9 +95,11 @@
 void GwUpstream_Send(GwExchange *x, GwServer *s, uint32_t left_ms);
 void GwUpstream_Cancel(GwExchange *x);
 void GwUpstream_Forget(GwEdge *edge, GwServer *s);
+void GwUpstream_CloseAll(GwEdge *edge);
 void GwUpstream_Sweep(GwEdge *edge, int64_t now_us);
 
 /* feed.c */
+void GwFeed_Close(GwFeed *feed);
 GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed);
 void GwFeed_Free(GwFeed *feed);
 void GwFeed_Sweep(GwFeed *feed, int64_t now_us);
@@ -113,6 +117,8 @@
 
 /* peers.c */
 GwPeers *GwPeers_Create(GwEdge *edge, GError **error);
+/* Closes its sockets; they are gone when the loop has run once more. */
+void GwPeers_Close(GwPeers *peers);
 void GwPeers_Free(GwPeers *peers);
 void GwPeers_Sweep(GwPeers *peers, int64_t now_us);
 /* Tells every peer at once, for what can't wait for the next report. */
@@ -129,5 +135,6 @@
 
 /* control.c */
 bool GwControl_Listen(GwEdge *edge, GError **error);
+void GwControl_CloseAll(GwEdge *edge);
 
 #endif
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -70,14 +70,20 @@
 }
 
 void
-GwFeed_Free(GwFeed *feed)
+GwFeed_Close(GwFeed *feed)
 {
-    if (feed == NULL) {
-        return;
-    }
     close_store(feed);
     if (feed->peer != NULL) {
         GwConn_Close(feed->peer);
+        feed->peer = NULL;
+    }
+}
+
+void
+GwFeed_Free(GwFeed *feed)
+{
+    if (feed == NULL) {
+        return;
     }
     GwRowCache_Free(feed->cache);
     g_free(feed->table);
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -643,15 +643,23 @@
     return peers;
 }
 
+void
+GwPeers_Close(GwPeers *peers)
+{
+    if (peers->join != NULL) {
+        GwConn_Close(peers->join);
+        peers->join = NULL;
+    }
+    uv_close((uv_handle_t *)&peers->udp, NULL);
+    uv_close((uv_handle_t *)&peers->timer, NULL);
+}
+
 void
 GwPeers_Free(GwPeers *peers)
 {
     if (peers == NULL) {
         return;
     }
-    if (peers->join != NULL) {
-        GwConn_Close(peers->join);
-    }
     g_hash_table_destroy(peers->by_address);
     g_array_free(peers->loads, TRUE);
     g_array_free(peers->placements, TRUE);
--- a/lib/edge/upstream.c
+++ b/lib/edge/upstream.c
@@ -468,6 +468,29 @@
     }
 }
 
+/* Connections that are idle or being made; those with a request under way
+ * are closed with their callers. */
+void
+GwUpstream_CloseAll(GwEdge *edge)
+{
+    GwUpstream *up;
+    GwPool *pool;
+
+    while ((up = g_queue_peek_head(&edge->connecting)) != NULL) {
+        discard(up);
+    }
+    while ((pool = g_queue_peek_head(&edge->pools)) != NULL) {
+        while ((up = g_queue_peek_head(&pool->idle)) != NULL) {
+            pool->open++; /* keeps it until the loop is over */
+            discard(up);
+            pool->open--;
+        }
+        pool->server = NULL;
+        pool->open = 0;
+        free_pool_if_over(pool);
+    }
+}
+
 void
 GwUpstream_Sweep(GwEdge *edge, int64_t now_us)
 {
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -77,9 +77,15 @@
 free_request(gpointer key, gpointer value, gpointer ctx)
 {
     GwRequest *req = key;
+    GwRouter *r = ctx;
+
+    /* A server that left the registry lives on for its last request. */
+    if (req->server != NULL && !req->server->listed &&
+        --req->server->refs == 0) {
+        g_ptr_array_add(r->freed, req->server);
+    }
 
     (void)value;
-    (void)ctx;
     GwRouting_Unref(req->routing);
     g_free(req);
 }
@@ -93,7 +99,7 @@
     if (r == NULL) {
         return;
     }
-    g_hash_table_foreach(r->open, free_request, NULL);
+    g_hash_table_foreach(r->open, free_request, r);
     g_hash_table_destroy(r->open);
     GwHeap_Free(&r->deadlines);
     g_hash_table_iter_init(&iter, r->servers);
--- a/programs/godwitedge.c
+++ b/programs/godwitedge.c
@@ -105,5 +105,6 @@
     (void)GwLog_StartBuffered(settings->log_level);
     code = serve(settings, path);
     GwLog_Stop();
+    free(args.settings);
     return code;
 }
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -304,7 +304,7 @@
 int
 main(int argc, const char **argv)
 {
-    Site site = {.args = {.seconds = 10, .callers = 20, .seed = 1}};
+    static Site site = {.args = {.seconds = 10, .callers = 20, .seed = 1}};
 
     if (!parse(argc, argv, &site.args)) {
         return 2;
