Bound what entries report to each other; leave names out of most reports

Cause: every entry told every other its whole identity ten times a second in its region, which grows with the square of the entries; a process was told from the one before it by the clock, which may be set back between starts. Change: periods of 100, 200 and 500 ms by distance, stretched so that an entry sends at most 40 reports a second; names every eighth report; starts named at random; peers.c split by concern.

--- /dev/null
+++ b/lib/edge/join.c
@@ -0,0 +1,137 @@
+/* How an entry finds the others: it writes its own row into the store and
+ * reads those of all. Seeds stand in while the store is away. */
+#include "edge/peers_internal.h"
+
+#include <string.h>
+
+#define ENTRY_TABLE     "entries"
+#define JOIN_TIMEOUT_US 1500000
+#define JOIN_RETRY_US   700000
+#define ROWS_BODY_MAX   (8u << 20)
+
+static void
+retry_join(GwPeers *peers)
+{
+    if (peers->join != NULL) {
+        GwConn_Close(peers->join);
+        peers->join = NULL;
+    }
+    peers->join_at_us = GwEdge_Now() + JOIN_RETRY_US;
+}
+
+static void
+ask_join(GwPeers *peers)
+{
+    GwEdge *edge = peers->edge;
+    const GwAdapter *a = edge->adapter;
+    GString *out = g_string_new(NULL);
+
+    if (peers->step == GW_JOIN_WRITE) {
+        char *body = a->write_body(ENTRY_TABLE, edge->settings->router.name,
+                                   edge->settings->peer_address);
+        g_string_printf(out,
+                        "POST %s HTTP/1.1\r\nHost: %s\r\n"
+                        "Content-Type: application/json\r\n"
+                        "Content-Length: %zu\r\n\r\n%s",
+                        a->write_target, edge->settings->store_address,
+                        strlen(body), body);
+        g_free(body);
+    }
+    else {
+        char *target = a->read_target(ENTRY_TABLE, NULL);
+        g_string_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target,
+                        edge->settings->store_address);
+        g_free(target);
+    }
+    edge->counts.store_calls++;
+    GwConn_Write(peers->join, out);
+    g_string_free(out, TRUE);
+}
+
+static void
+on_join_connected(void *owner)
+{
+    ask_join(owner);
+}
+
+static void
+take_entries(GwPeers *peers, const GwRowSet *set)
+{
+    for (guint i = 0; i < set->rows->len; i++) {
+        const GwStoreRow *row = set->rows->pdata[i];
+        GwPeerEntry *peer =
+            row->removed ? NULL : GwPeers_Add(peers, row->value);
+        if (peer != NULL) {
+            GwPeers_Tell(peers, peer, false);
+        }
+    }
+}
+
+static void
+on_join_message(void *owner, GwHttpMessage *msg)
+{
+    GwPeers *peers = owner;
+    GwRowSet *set = NULL;
+    bool ok = msg->status == 200;
+
+    if (ok && peers->step == GW_JOIN_READ) {
+        set = peers->edge->adapter->read_rows(msg->body->str, msg->body->len,
+                                              NULL);
+        ok = set != NULL;
+    }
+    GwHttpMessage_Free(msg);
+    if (!ok) {
+        retry_join(peers);
+    }
+    else if (set == NULL) {
+        peers->step = GW_JOIN_READ;
+        ask_join(peers);
+    }
+    else {
+        peers->step = GW_JOIN_DONE;
+        take_entries(peers, set);
+        GwConn_Close(peers->join);
+        peers->join = NULL;
+    }
+    GwRowSet_Free(set);
+}
+
+static void
+on_join_ended(void *owner, GwConnEnd end)
+{
+    GwPeers *peers = owner;
+
+    if (end != GW_CONN_BAD) {
+        peers->join = NULL;
+    }
+    retry_join(peers);
+}
+
+static const GwConnOps join_ops = {
+    .connected = on_join_connected,
+    .message = on_join_message,
+    .ended = on_join_ended,
+};
+
+void
+GwPeers_SweepJoin(GwPeers *peers, int64_t now_us)
+{
+    GwConnParams params = {
+        .loop = &peers->edge->loop,
+        .ops = &join_ops,
+        .owner = peers,
+        .head_max = 64 << 10,
+        .body_max = ROWS_BODY_MAX,
+    };
+
+    if (peers->step == GW_JOIN_DONE || now_us < peers->join_at_us) {
+        return;
+    }
+    if (peers->join != NULL) {
+        retry_join(peers);
+        return;
+    }
+    peers->join_at_us = now_us + JOIN_TIMEOUT_US;
+    peers->join =
+        GwConn_Connect(&params, peers->edge->settings->store_address);
+}
--- /dev/null
+++ b/lib/edge/peers_internal.h
@@ -0,0 +1,72 @@
+/* What the parts of the exchange between entries share. */
+#ifndef GW_EDGE_PEERS_INTERNAL_H
+#define GW_EDGE_PEERS_INTERNAL_H
+
+#include "edge/edge_internal.h"
+
+/* Addresses in an answer of the directory, and told to a new entry. */
+#define GW_KNOWN_MAX 64
+
+/* Another entry, as this one knows it. */
+typedef struct {
+    char *name; /* "" until the first report: a seed */
+    char *region;
+    char *domain;
+    char *peer_address;
+    char *call_address;
+    struct sockaddr_in to;
+    uint64_t start;      /* names the process; random */
+    uint64_t last_start; /* of the process before it */
+    uint64_t seq;
+    bool serves;
+    bool heard; /* at least once */
+    int64_t heard_us;
+    uint32_t next_ms; /* its next report comes within */
+    int64_t told_us;
+    uint32_t told; /* reports sent to it */
+    int64_t added_us;
+    uint64_t operator_version;
+    uint64_t server_version;
+    GArray *backlog;        /* GwPlacement still to be told to it; or NULL */
+    uint64_t backlog_start; /* of the process that it was made for */
+} GwPeerEntry;
+
+typedef enum {
+    GW_JOIN_WRITE = 1, /* this entry's row */
+    GW_JOIN_READ,      /* those of all */
+    GW_JOIN_DONE
+} GwJoinStep;
+
+struct GwPeers_s {
+    GwEdge *edge;
+    uv_udp_t udp;
+    uv_timer_t timer;
+    GHashTable *by_address; /* peer_address -> GwPeerEntry */
+    uint64_t start;
+    uint64_t seq;
+    double stretch; /* of all periods, so that reports stay few */
+    uint32_t live;  /* peers that are heard */
+    GwConn *join;
+    GwJoinStep step;
+    int64_t join_at_us;
+    GArray *loads;      /* reused */
+    GArray *placements; /* reused */
+};
+
+/* peers.c */
+GwPeerEntry *GwPeers_Add(GwPeers *peers, const char *address);
+bool GwPeerEntry_IsLive(const GwPeerEntry *peer, int64_t now_us);
+void GwPeerEntry_DropBacklog(GwPeerEntry *peer);
+
+/* reports.c */
+/* `with_known`: tells the addresses of others too. */
+void GwPeers_Tell(GwPeers *peers, GwPeerEntry *peer, bool with_known);
+void GwPeers_TellDue(GwPeers *peers, int64_t now_us);
+/* Sets how much reports are stretched for the peers that are there now. */
+void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
+bool GwPeers_ListenReports(GwPeers *peers);
+
+/* join.c */
+void GwPeers_SweepJoin(GwPeers *peers, int64_t now_us);
+
+#endif
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -183,19 +183,29 @@
     }
 }
 
-void
-GwRouter_OwnPlacements(GwRouter *r, int64_t now_us, int64_t age_us,
-                       GArray *out)
+/* The first of this entry's placements that is younger than `age_us`. */
+static guint
+first_younger(const GwRouter *r, int64_t now_us, int64_t age_us)
 {
-    guint old = 0;
+    guint at = 0;
 
-    while (old < r->placements->len &&
-           now_us - g_array_index(r->placements, GwPlacement, old).at_us >
+    while (at < r->placements->len &&
+           now_us - g_array_index(r->placements, GwPlacement, at).at_us >
                age_us) {
-        old++;
+        at++;
+    }
+    return at;
+}
+
+void
+GwRouter_OwnPlacements(GwRouter *r, int64_t now_us, int64_t age_us,
+                       int64_t life_us, GArray *out)
+{
+    g_array_remove_range(r->placements, 0, first_younger(r, now_us, life_us));
+    guint first = first_younger(r, now_us, age_us);
+    for (guint i = first; i < r->placements->len; i++) {
+        g_array_append_val(out, g_array_index(r->placements, GwPlacement, i));
     }
-    g_array_remove_range(r->placements, 0, old);
-    g_array_append_vals(out, r->placements->data, r->placements->len);
 }
 
 void
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -107,9 +107,10 @@
 /* All that are warm, the last used first, at most `most`: for an entry that
  * has just started and would else make all places anew. */
 void GwRouter_WarmPlacements(const GwRouter *r, uint32_t most, GArray *out);
-/* Those of this entry that are younger than `age_us`: GwPlacement. */
+/* Those of this entry that are younger than `age_us`: GwPlacement. What is
+ * older than `life_us` is forgotten. */
 void GwRouter_OwnPlacements(GwRouter *r, int64_t now_us, int64_t age_us,
-                            GArray *out);
+                            int64_t life_us, GArray *out);
 
 /* ---- The life of a request ---------------------------------------------- */
 
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -114,18 +114,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "peer_address",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Peer__Report, peer_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "call_address",
     7,
@@ -258,29 +246,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "next_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, next_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
-  6,   /* field[6] = call_address */
+  5,   /* field[5] = call_address */
   4,   /* field[4] = domain */
-  13,   /* field[13] = is_new */
-  12,   /* field[12] = known */
-  11,   /* field[11] = load_counts */
-  10,   /* field[10] = load_servers */
+  12,   /* field[12] = is_new */
+  11,   /* field[11] = known */
+  10,   /* field[10] = load_counts */
+  9,   /* field[9] = load_servers */
   0,   /* field[0] = name */
-  8,   /* field[8] = operator_version */
-  5,   /* field[5] = peer_address */
-  14,   /* field[14] = placed_objects */
-  15,   /* field[15] = placed_servers */
-  16,   /* field[16] = placed_warm */
+  16,   /* field[16] = next_ms */
+  7,   /* field[7] = operator_version */
+  13,   /* field[13] = placed_objects */
+  14,   /* field[14] = placed_servers */
+  15,   /* field[15] = placed_warm */
   3,   /* field[3] = region */
   2,   /* field[2] = seq */
-  9,   /* field[9] = server_version */
-  7,   /* field[7] = serves */
+  8,   /* field[8] = server_version */
+  6,   /* field[6] = serves */
   1,   /* field[1] = start */
 };
-static const ProtobufCIntRange gw__peer__report__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__peer__report__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 7, 5 },
   { 0, 17 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
@@ -294,7 +295,7 @@
   17,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
-  1,  gw__peer__report__number_ranges,
+  2,  gw__peer__report__number_ranges,
   (ProtobufCMessageInit) gw__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -26,15 +26,18 @@
 struct  Gw__Peer__Report
 {
   ProtobufCMessage base;
+  /*
+   * Names and addresses are left out of most reports: the sender is known by
+   * the address that it sends from.
+   */
   char *name;
   /*
-   * of this process; a later one is larger
+   * names this process
    */
   uint64_t start;
   uint64_t seq;
   char *region;
   char *domain;
-  char *peer_address;
   char *call_address;
   /*
    * takes callers; false while starting and leaving
@@ -54,6 +57,10 @@
    */
   size_t n_known;
   char **known;
+  /*
+   * the next report comes within
+   */
+  uint32_t next_ms;
   /*
    * the sender knows few: tell it others
    */
@@ -75,7 +82,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Gw__Peer__Report methods */
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -165,7 +165,8 @@
         g_snprintf(key, sizeof(key), "%d", k);
         warm(one, "/again/", key);
     }
-    GwRouter_OwnPlacements(one->router, one->now_us, INT64_MAX, placed);
+    GwRouter_OwnPlacements(one->router, one->now_us, INT64_MAX, INT64_MAX,
+                           placed);
     cr_assert_eq(placed->len, 20);
     for (guint i = 0; i < placed->len; i++) {
         GwRouter_PutPlacement(two->router, two->now_us,
@@ -393,7 +394,7 @@
     FakeRequest *req = FakeSteering_Arrive(f, "/again/", "k", 3000);
     cr_expect_str_eq(req->server_id, "t1");
     /* A peer that still has the old version names the old server. */
-    GwRouter_OwnPlacements(f->router, f->now_us, INT64_MAX, placed);
+    GwRouter_OwnPlacements(f->router, f->now_us, INT64_MAX, INT64_MAX, placed);
     cr_assert_eq(placed->len, 2);
     GwPlacement wrong = g_array_index(placed, GwPlacement, 1);
     wrong.server = g_array_index(placed, GwPlacement, 0).server;
