Let one entry of each region read the store

Change: the first of a region's entries by a hash reads; the others fetch news from a peer when a report names a newer version, and read themselves when fewer than two others do. 300 ms between an answer and the next poll; probes on the polls every second (libuv leaves 75 s between them).

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -264,6 +264,7 @@
     GwEdge_NoteSettings(edge);
     edge->adapter = adapter;
     (void)uv_loop_init(&edge->loop);
+    edge->started_us = GwEdge_Now();
     edge->armed_us = INT64_MAX;
     edge->listeners = g_ptr_array_new();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -58,6 +58,7 @@
     GwFeed *server_feed;
     GwPeers *peers;
     bool servers_known; /* the registry has been read once */
+    int64_t started_us;
     bool leaving;
     int64_t leaving_us;
     int64_t armed_us; /* when the deadline timer fires */
@@ -103,6 +104,10 @@
 GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed);
 void GwFeed_Free(GwFeed *feed);
 void GwFeed_Sweep(GwFeed *feed, int64_t now_us);
+/* Whether this entry reads the table from the store, or leaves that to peers. */
+void GwFeed_SetReads(GwFeed *feed, bool reads);
+/* Reads, and the store answers. */
+bool GwFeed_IsHealthy(const GwFeed *feed);
 uint64_t GwFeed_Version(const GwFeed *feed);
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
@@ -123,6 +128,8 @@
 void GwPeers_Sweep(GwPeers *peers, int64_t now_us);
 /* Tells every peer at once, for what can't wait for the next report. */
 void GwPeers_Announce(GwPeers *peers);
+/* There is news from the store: the next reports to the region go soon. */
+void GwPeers_Hurry(GwPeers *peers);
 /* Addresses for callers of that place, best first. */
 GPtrArray *GwPeers_Directory(const GwPeers *peers, const char *region,
                              const char *domain);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -7,7 +7,13 @@
 
 /* How long the store may hold a poll that has nothing to say. Each call is
  * priced, and the connection is probed every second meanwhile. */
-#define WAIT_MS 10000
+#define WAIT_MS 15000
+/* Between an answer and the next poll: changes come in bursts, and one poll
+ * brings them all. */
+#define PAUSE_US 300000
+/* A copy that was fed by nobody for so long is read anew as a whole: marks of
+ * dropped rows may be missing by now. */
+#define STALE_US 60000000
 /* An answer that is later than the wait by this much won't come. */
 #define ANSWER_MS    1500
 #define RETRY_MIN_MS 150
@@ -27,9 +33,13 @@
     GwRowCache *cache;
     GwConn *conn;
     Phase phase;
-    GwRowSet *pages;  /* of the full reading under way */
-    uint64_t version; /* the feed goes on from here */
-    bool known;       /* the table has been read, here or by a peer */
+    GwRowSet *pages;   /* of the full reading under way */
+    bool reads;        /* this entry is one of those that read the store */
+    uint64_t version;  /* the feed goes on from here */
+    int64_t ask_at_us; /* the next poll; 0: none is due */
+    int64_t fresh_us;  /* last news, from the store or a peer */
+    bool peer_full;    /* the read from a peer is of the whole table */
+    bool known;        /* the table has been read, here or by a peer */
     bool asked;
     int64_t asked_us;
     uint32_t wait_ms;
@@ -54,6 +64,8 @@
     feed->phase = PHASE_READ;
     feed->retry_ms = RETRY_MIN_MS;
     feed->answered_us = GwEdge_Now();
+    feed->fresh_us = feed->answered_us;
+    feed->reads = true;
     return feed;
 }
 
@@ -65,6 +77,7 @@
         feed->conn = NULL;
     }
     feed->asked = false;
+    feed->ask_at_us = 0;
     GwRowSet_Free(feed->pages);
     feed->pages = NULL;
 }
@@ -196,6 +209,8 @@
     int64_t grace_us = (int64_t)feed->edge->settings->row_grace_ms * 1000;
 
     note_answer(feed);
+    feed->fresh_us = now_us;
+    bool news = set->rows->len > 0;
     if (feed->phase == PHASE_FEED) {
         GwRowCache_Apply(feed->cache, now_us, set);
         feed->version = MAX(feed->version, set->version);
@@ -209,7 +224,15 @@
         GwRowSet_Free(feed->pages);
         feed->pages = NULL;
     }
-    ask(feed);
+    if (feed->pages != NULL) {
+        ask(feed); /* the next page */
+    }
+    else {
+        feed->ask_at_us = now_us + PAUSE_US;
+    }
+    if (news) {
+        GwPeers_Hurry(feed->edge->peers);
+    }
     GwEdge_Carry(feed->edge);
 }
 
@@ -282,8 +305,9 @@
 on_peer_connected(void *owner)
 {
     GwFeed *feed = owner;
-    char *target =
-        feed->edge->adapter->feed_target(feed->table, GwFeed_Version(feed), 0);
+    feed->peer_full = GwEdge_Now() - feed->fresh_us > STALE_US;
+    char *target = feed->edge->adapter->feed_target(
+        feed->table, feed->peer_full ? 0 : GwFeed_Version(feed), 0);
 
     write_get(feed->peer, target, "peer");
     g_free(target);
@@ -302,7 +326,14 @@
     GwHttpMessage_Free(msg);
     close_peer(feed);
     if (set != NULL) {
-        GwRowCache_Apply(feed->cache, GwEdge_Now(), set);
+        int64_t now_us = GwEdge_Now();
+        if (feed->peer_full) {
+            GwRowCache_ApplyFull(feed->cache, now_us, set, 0);
+        }
+        else {
+            GwRowCache_Apply(feed->cache, now_us, set);
+        }
+        feed->fresh_us = now_us;
         feed->known = true;
         GwRowSet_Free(set);
         GwEdge_Carry(feed->edge);
@@ -378,16 +409,47 @@
     }
 }
 
+/* An entry that begins to read goes on from what it knows by others. */
+void
+GwFeed_SetReads(GwFeed *feed, bool reads)
+{
+    if (feed->reads == reads) {
+        return;
+    }
+    feed->reads = reads;
+    if (!reads) {
+        close_store(feed);
+        return;
+    }
+    if (feed->known) {
+        feed->phase = PHASE_FEED;
+        feed->version = GwFeed_Version(feed);
+    }
+    feed->retry_at_us = 0;
+}
+
+bool
+GwFeed_IsHealthy(const GwFeed *feed)
+{
+    return feed->reads && feed->known && feed->phase == PHASE_FEED &&
+           feed->conn != NULL && feed->retry_ms == RETRY_MIN_MS;
+}
+
 void
 GwFeed_Sweep(GwFeed *feed, int64_t now_us)
 {
     int64_t limit_us = ((int64_t)feed->wait_ms + ANSWER_MS) * 1000;
 
     GwRowCache_Tick(feed->cache, now_us);
-    if (feed->conn == NULL && now_us >= feed->retry_at_us) {
+    if (feed->ask_at_us != 0 && now_us >= feed->ask_at_us) {
+        feed->ask_at_us = 0;
+        ask(feed);
+    }
+    if (feed->conn == NULL && feed->reads && now_us >= feed->retry_at_us) {
         connect_store(feed);
     }
-    else if (feed->conn != NULL && now_us - feed->asked_us > limit_us) {
+    else if (feed->conn != NULL && feed->ask_at_us == 0 &&
+             now_us - feed->asked_us > limit_us) {
         GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=silent", feed->table);
         back_off(feed);
     }
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -98,6 +98,7 @@
     }
     g_hash_table_foreach_remove(peers->by_address, is_forgotten, &now_us);
     GwPeers_SetPeriods(peers, now_us);
+    GwPeers_ChooseReader(peers, now_us);
     GwPeers_SweepJoin(peers, now_us);
 }
 
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -19,11 +19,13 @@
     uint64_t last_start; /* of the process before it */
     uint64_t seq;
     bool serves;
+    bool reads; /* the store, and it answers */
     bool heard; /* at least once */
     int64_t heard_us;
     uint32_t next_ms; /* its next report comes within */
     int64_t told_us;
     uint32_t told; /* reports sent to it */
+    bool hurry;    /* the next report goes with the next tick */
     int64_t added_us;
     uint64_t operator_version;
     uint64_t server_version;
@@ -66,6 +68,10 @@
 void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
 bool GwPeers_ListenReports(GwPeers *peers);
 
+/* readers.c */
+/* Decides whether this entry reads the store. */
+void GwPeers_ChooseReader(GwPeers *peers, int64_t now_us);
+
 /* join.c */
 void GwPeers_SweepJoin(GwPeers *peers, int64_t now_us);
 
--- /dev/null
+++ b/lib/edge/readers.c
@@ -0,0 +1,49 @@
+/* Which entries read the store. Calls to it are priced and bounded, and all
+ * entries would be told the same. One entry of each region polls; the others
+ * learn from reports that there is news, and fetch it from a peer. */
+#include "edge/peers_internal.h"
+
+#include "router/router_internal.h"
+
+#include <string.h>
+
+/* With fewer others that read, every entry reads: the store may have turned
+ * the readers away, or they may be cut off from it. */
+#define OTHERS_MIN 2
+/* An entry that has just started reads for itself until it knows its peers. */
+#define START_US 3000000
+
+static uint64_t
+rank_of(const char *name)
+{
+    return GwHash_Text(name, 1);
+}
+
+void
+GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
+{
+    GwEdge *edge = peers->edge;
+    const GwRouterParams *own = &edge->settings->router;
+    uint64_t rank = rank_of(own->name);
+    bool first = true;
+    uint32_t others = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeerEntry *peer = value;
+        if (!peer->serves || !GwPeerEntry_IsLive(peer, now_us)) {
+            continue;
+        }
+        others += peer->reads;
+        if (strcmp(peer->region, own->region) == 0 &&
+            rank_of(peer->name) > rank) {
+            first = false;
+        }
+    }
+    bool reads = first || others < OTHERS_MIN || !GwEdge_IsReady(edge) ||
+                 now_us - edge->started_us < START_US;
+    GwFeed_SetReads(edge->operator_feed, reads);
+    GwFeed_SetReads(edge->server_feed, reads);
+}
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -188,6 +188,8 @@
     report.start = peers->start;
     report.seq = ++peers->seq;
     report.serves = GwEdge_IsReady(edge);
+    report.reads = GwFeed_IsHealthy(edge->operator_feed) &&
+                   GwFeed_IsHealthy(edge->server_feed);
     report.next_ms = period_ms(peers, peer);
     report.operator_version = GwFeed_Version(edge->operator_feed);
     report.server_version = GwFeed_Version(edge->server_feed);
@@ -210,6 +212,7 @@
                               (const struct sockaddr *)&peer->to);
     }
     peer->told_us = GwEdge_Now();
+    peer->hurry = false;
 }
 
 void
@@ -223,12 +226,27 @@
         GwPeerEntry *peer = value;
         int64_t due_us =
             peer->told_us + (int64_t)period_ms(peers, peer) * 1000;
-        if (now_us >= due_us - 5000) {
+        if (now_us >= due_us - 5000 || peer->hurry) {
             GwPeers_Tell(peers, peer, false);
         }
     }
 }
 
+void
+GwPeers_Hurry(GwPeers *peers)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwPeerEntry *peer = value;
+        if (is_near(peers, peer)) {
+            peer->hurry = true;
+        }
+    }
+}
+
 /* ---- In ------------------------------------------------------------------ */
 
 static void
@@ -318,6 +336,7 @@
     }
     peer->seq = report->seq;
     peer->serves = report->serves;
+    peer->reads = report->reads;
     peer->next_ms = report->next_ms;
     peer->heard = true;
     peer->heard_us = GwEdge_Now();
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -191,6 +191,23 @@
     free_if_over(c);
 }
 
+/* Probes every second, three of them: libuv sets the first one only and
+ * leaves minutes between the others. */
+static void
+set_keepalive(GwConn *c)
+{
+    int every_s = 1;
+    int count = 3;
+    int fd;
+
+    (void)uv_tcp_keepalive(&c->tcp, 1, 1);
+    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s,
+                         sizeof(every_s));
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+    }
+}
+
 static void
 set_options(GwConn *c)
 {
@@ -198,7 +215,7 @@
 
     (void)uv_tcp_nodelay(&c->tcp, 1);
     if (c->params.keepalive) {
-        (void)uv_tcp_keepalive(&c->tcp, 1, 1);
+        set_keepalive(c);
     }
     if (c->user_timeout_ms > 0 &&
         uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[18] =
 {
   {
     "name",
@@ -258,6 +258,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, reads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   5,   /* field[5] = call_address */
@@ -272,6 +284,7 @@
   13,   /* field[13] = placed_objects */
   14,   /* field[14] = placed_servers */
   15,   /* field[15] = placed_warm */
+  17,   /* field[17] = reads */
   3,   /* field[3] = region */
   2,   /* field[2] = seq */
   8,   /* field[8] = server_version */
@@ -282,7 +295,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -292,7 +305,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  17,
+  18,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   2,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -57,6 +57,10 @@
    */
   size_t n_known;
   char **known;
+  /*
+   * the store, and it answers
+   */
+  protobuf_c_boolean reads;
   /*
    * the next report comes within
    */
@@ -82,7 +86,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Gw__Peer__Report methods */
