Spare warm requests the look at every server

Cause: each request counted ejected servers and cleared claims over all servers of its service (docs/CAPACITY.md: nothing may scan all servers per request). Change: the count is kept 20 ms, claims are kept in a list.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -18,7 +18,8 @@
 #define FAR_AHEAD 1
 /* With so many of a service's servers ejected the failures are not theirs:
  * all are tried again. */
-#define PANIC_SHARE 0.5
+#define PANIC_SHARE    0.5
+#define PANIC_EVERY_US 20000
 /* What it is worth to stay within the failure domain and within the region,
  * as time: bytes across are paid for, and an object that once went to another
  * region costs its round trip from then on. */
@@ -53,7 +54,7 @@
 }
 
 static bool
-is_panic(const GwServiceState *service, int64_t now_us)
+count_panic(const GwServiceState *service, int64_t now_us)
 {
     guint ejected = 0;
 
@@ -64,6 +65,18 @@
     return (double)ejected > PANIC_SHARE * (double)service->servers->len;
 }
 
+/* Counted anew only now and then: a request must not cost a look at every
+ * server of a large service. */
+static bool
+is_panic(GwServiceState *service, int64_t now_us)
+{
+    if (now_us - service->panic_at_us >= PANIC_EVERY_US) {
+        service->panic_at_us = now_us;
+        service->panic = count_panic(service, now_us);
+    }
+    return service->panic;
+}
+
 typedef struct {
     GwRouter *r;
     GwRequest *req;
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -192,10 +192,21 @@
         reply(r, now_us, req, GW_WHY_NO_ROOM, actions);
         return;
     }
-    c.server->claims++;
+    if (c.server->claims++ == 0) {
+        g_ptr_array_add(req->service->claimed, c.server);
+    }
     move_deadline(r, req, MIN(req->give_up_us, now_us + REJUDGE_US));
 }
 
+static void
+drop_claims(GwServiceState *service)
+{
+    for (guint i = 0; i < service->claimed->len; i++) {
+        ((GwServer *)service->claimed->pdata[i])->claims = 0;
+    }
+    g_ptr_array_set_size(service->claimed, 0);
+}
+
 static void
 place_all(GwRouter *r, int64_t now_us, GwServiceState *service, bool late,
           GArray *actions)
@@ -223,11 +234,10 @@
     if (service->waiting->len == 0) {
         return;
     }
-    for (guint i = 0; i < service->servers->len; i++) {
-        ((GwServer *)service->servers->pdata[i])->claims = 0;
-    }
+    drop_claims(service);
     place_all(r, now_us, service, false, actions);
     place_all(r, now_us, service, true, actions);
+    drop_claims(service);
 }
 
 static void
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -9,6 +9,7 @@
 
     g_ptr_array_free(service->servers, TRUE);
     g_ptr_array_free(service->waiting, TRUE);
+    g_ptr_array_free(service->claimed, TRUE);
     g_free(service->name);
     g_free(service);
 }
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -41,8 +41,11 @@
     GPtrArray *servers; /* GwServer, borrowed */
     GPtrArray *waiting; /* GwRequest in the order in which they are served */
     GwBucket retries;
-    bool has_room;  /* requests left; others may be placed */
-    double work_us; /* mean time a request takes a slot */
+    GPtrArray *claimed;  /* GwServer with claims, in one pass of placing */
+    bool panic;          /* most of the servers are ejected, */
+    int64_t panic_at_us; /* as of then */
+    bool has_room;       /* requests left; others may be placed */
+    double work_us;      /* mean time a request takes a slot */
     double cold_per_s;
 } GwServiceState;
 
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -41,6 +41,7 @@
         service->name = g_strdup(name);
         service->servers = g_ptr_array_new();
         service->waiting = g_ptr_array_new();
+        service->claimed = g_ptr_array_new();
         service->work_us = 200000;
         g_hash_table_insert(r->services, service->name, service);
     }
