--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   deps     install the Debian packages (root)        .ci/install
 #   all      library, daemons, stand-ins               build/
 #   demo     the whole system under failures           SITE=hen-viec|dyehouse
+#   target   the entry for the users' platform, as deploy/ builds it
 #   demo-site  entries of the platform's program beside a small site
 #   check    unit tests, properties, sessions          SAN=address|thread
 #   lint     formatter and linters, warnings are errors
@@ -56,7 +57,7 @@
 FAKES    := $(O)/libfakes.a
 STANDLIB := $(O)/libstandin.a
 
-.PHONY: all deps demo demo-site check check-long golden lint format fuzz bench slopes \
+.PHONY: all deps demo demo-site target check check-long golden lint format fuzz bench slopes \
         mutants install clean tests stress proto
 .SECONDARY:
 
@@ -122,6 +123,10 @@
 	+$(MAKE) all
 	standins/demo.sh $(O) $(SITE)
 
+# What the deploy file builds on a machine that has its packages.
+target:
+	+$(MAKE) O=target target/godwitedge
+
 demo-site: deps
 	+$(MAKE) all
 	standins/demo_site.sh $(O)
--- a/lib/godwitridge.h
+++ b/lib/godwitridge.h
@@ -21,9 +21,9 @@
 #include "wire/message.h"
 
 #define GW_VERSION_MAJOR  0
-#define GW_VERSION_MINOR  1
+#define GW_VERSION_MINOR  2
 #define GW_VERSION_PATCH  0
-#define GW_VERSION_STRING "0.1.0"
+#define GW_VERSION_STRING "0.2.0"
 
 /* ------------------------------------------------------------------------
  * Outcomes. Exactly one of three reaches a caller; they are never mixed.
