Tell peers of rows that may come back, and send them to read all where marks lack

(1) An entry that began to read the store took the time nobody had asked for an outage, held removals back for 2 s and never told its peers. (2) A restarted entry has no marks of rows removed before; peers that fetched what is newer from it took its version and kept the servers. Ruled out: late polls (removals were read within 20 ms by the reader). Change: removals are passed on at once with the store's version, and each entry keeps its own grace, told by a flag in reports; an entry without the marks answers 410 and the peer reads all; polls of 6 s. Cases peers_are_told_of_rows_that_may_come_back and who_lacks_a_mark_does_not_answer_for_it fail without the change.

--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -107,19 +107,16 @@
     char *table = NULL;
     char *body = NULL;
     uint64_t after = 0;
+    uint16_t status = 404;
 
     if (edge->adapter->parse_feed_target(target, &table, &after)) {
-        body = GwFeed_Answer(edge->operator_feed, table, after);
-        if (body == NULL) {
-            body = GwFeed_Answer(edge->server_feed, table, after);
+        status = GwFeed_Answer(edge->operator_feed, table, after, &body);
+        if (status == 404) {
+            status = GwFeed_Answer(edge->server_feed, table, after, &body);
         }
     }
-    if (body != NULL) {
-        send_answer(client, 200, "application/json", body, false);
-    }
-    else {
-        send_answer(client, 404, "text/plain", "no such thing\n", false);
-    }
+    send_answer(client, status, "application/json", body != NULL ? body : "{}",
+                false);
     g_free(body);
     g_free(table);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -108,13 +108,17 @@
 void GwFeed_SetReads(GwFeed *feed, bool reads);
 /* Reads, and the store answers. */
 bool GwFeed_IsHealthy(const GwFeed *feed);
+/* The store was away until lately, as this entry saw itself, or by a peer. */
+bool GwFeed_WasAway(const GwFeed *feed, int64_t now_us);
+void GwFeed_NoteAway(GwFeed *feed, int64_t now_us);
 uint64_t GwFeed_Version(const GwFeed *feed);
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
 void GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version);
-/* Answers a peer's read of this copy; NULL when the table is another, or not
- * known yet. */
-char *GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after);
+/* Answers a peer's read of this copy: 200 with a body, freed by g_free; 404
+ * for another table or an unknown one; 410 when the peer has to read all. */
+uint16_t GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after,
+                       char **body);
 
 /* beliefs.c */
 void GwBeliefs_OnOperatorRow(void *ctx, const GwStoreRow *row);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 /* How long the store may hold a poll that has nothing to say. Each call is
- * priced, and the connection is probed every second meanwhile. */
-#define WAIT_MS 15000
+ * priced; but a store that takes a poll and never answers, while its machine
+ * lives, is noticed only when this is over. */
+#define WAIT_MS 6000
 /* Between an answer and the next poll: changes come in bursts, and one poll
  * brings them all. */
 #define PAUSE_US 300000
@@ -45,8 +46,9 @@
     uint32_t wait_ms;
     int64_t retry_at_us;
     uint32_t retry_ms;
-    int64_t answered_us; /* last good answer */
-    GwConn *peer;        /* one read at a time */
+    int64_t answered_us;   /* last good answer */
+    int64_t away_until_us; /* the store was away; lapsed rows may come back */
+    GwConn *peer;          /* one read at a time */
     int64_t peer_asked_us;
 };
 
@@ -165,6 +167,25 @@
     feed->asked_us = GwEdge_Now();
 }
 
+static int64_t
+grace_us(const GwFeed *feed)
+{
+    return (int64_t)feed->edge->settings->row_grace_ms * 1000;
+}
+
+bool
+GwFeed_WasAway(const GwFeed *feed, int64_t now_us)
+{
+    return now_us < feed->away_until_us;
+}
+
+/* A peer says that the store was away: what it drops now may come back. */
+void
+GwFeed_NoteAway(GwFeed *feed, int64_t now_us)
+{
+    GwRowCache_SetGrace(feed->cache, now_us + grace_us(feed), grace_us(feed));
+}
+
 /* The store is back after a while: a row that lapsed meanwhile is written
  * again by its owner within two seconds, if that one lives. */
 static void
@@ -174,8 +195,8 @@
 
     if (now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
         feed->retry_ms > RETRY_MIN_MS) {
-        int64_t grace_us = (int64_t)feed->edge->settings->row_grace_ms * 1000;
-        GwRowCache_SetGrace(feed->cache, now_us + grace_us, grace_us);
+        feed->away_until_us = now_us + grace_us(feed);
+        GwRowCache_SetGrace(feed->cache, feed->away_until_us, grace_us(feed));
         GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
                     feed->table, (now_us - feed->answered_us) / 1000);
     }
@@ -206,7 +227,6 @@
 take_rows(GwFeed *feed, GwRowSet *set)
 {
     int64_t now_us = GwEdge_Now();
-    int64_t grace_us = (int64_t)feed->edge->settings->row_grace_ms * 1000;
 
     note_answer(feed);
     feed->fresh_us = now_us;
@@ -217,7 +237,7 @@
         GwRowSet_Free(set);
     }
     else if (!add_page(feed, set)) {
-        GwRowCache_ApplyFull(feed->cache, now_us, feed->pages, grace_us);
+        GwRowCache_ApplyFull(feed->cache, now_us, feed->pages);
         feed->version = feed->pages->version;
         feed->phase = PHASE_FEED;
         feed->known = true;
@@ -302,10 +322,8 @@
 }
 
 static void
-on_peer_connected(void *owner)
+ask_peer(GwFeed *feed)
 {
-    GwFeed *feed = owner;
-    feed->peer_full = GwEdge_Now() - feed->fresh_us > STALE_US;
     char *target = feed->edge->adapter->feed_target(
         feed->table, feed->peer_full ? 0 : GwFeed_Version(feed), 0);
 
@@ -313,12 +331,43 @@
     g_free(target);
 }
 
+static void
+on_peer_connected(void *owner)
+{
+    GwFeed *feed = owner;
+
+    feed->peer_full = GwEdge_Now() - feed->fresh_us > STALE_US;
+    ask_peer(feed);
+}
+
+static void
+take_from_peer(GwFeed *feed, const GwRowSet *set)
+{
+    int64_t now_us = GwEdge_Now();
+
+    if (feed->peer_full || !feed->known) {
+        GwRowCache_ApplyFull(feed->cache, now_us, set);
+    }
+    else {
+        GwRowCache_Apply(feed->cache, now_us, set);
+    }
+    feed->fresh_us = now_us;
+    feed->known = true;
+}
+
 static void
 on_peer_message(void *owner, GwHttpMessage *msg)
 {
     GwFeed *feed = owner;
     GwRowSet *set = NULL;
 
+    if (msg->status == 410 && !feed->peer_full) {
+        /* It does not know of all that was removed since. */
+        GwHttpMessage_Free(msg);
+        feed->peer_full = true;
+        ask_peer(feed);
+        return;
+    }
     if (msg->status == 200) {
         set = feed->edge->adapter->read_rows(msg->body->str, msg->body->len,
                                              NULL);
@@ -326,15 +375,7 @@
     GwHttpMessage_Free(msg);
     close_peer(feed);
     if (set != NULL) {
-        int64_t now_us = GwEdge_Now();
-        if (feed->peer_full) {
-            GwRowCache_ApplyFull(feed->cache, now_us, set, 0);
-        }
-        else {
-            GwRowCache_Apply(feed->cache, now_us, set);
-        }
-        feed->fresh_us = now_us;
-        feed->known = true;
+        take_from_peer(feed, set);
         GwRowSet_Free(set);
         GwEdge_Carry(feed->edge);
     }
@@ -374,16 +415,20 @@
     feed->peer = GwConn_Connect(&params, address);
 }
 
-char *
-GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after)
+uint16_t
+GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after,
+              char **body)
 {
     if (strcmp(table, feed->table) != 0 || !feed->known) {
-        return NULL;
+        return 404;
+    }
+    if (after != 0 && !GwRowCache_KnowsAllAfter(feed->cache, after)) {
+        return 410;
     }
     GwRowSet *set = GwRowCache_After(feed->cache, after);
-    char *body = feed->edge->adapter->write_rows(feed->table, set);
+    *body = feed->edge->adapter->write_rows(feed->table, set);
     GwRowSet_Free(set);
-    return body;
+    return 200;
 }
 
 /* ---- Time ---------------------------------------------------------------- */
@@ -417,6 +462,7 @@
         return;
     }
     feed->reads = reads;
+    feed->answered_us = GwEdge_Now(); /* nobody asked: it was not away */
     if (!reads) {
         close_store(feed);
         return;
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -190,6 +190,7 @@
     report.serves = GwEdge_IsReady(edge);
     report.reads = GwFeed_IsHealthy(edge->operator_feed) &&
                    GwFeed_IsHealthy(edge->server_feed);
+    report.store_was_away = GwFeed_WasAway(edge->server_feed, GwEdge_Now());
     report.next_ms = period_ms(peers, peer);
     report.operator_version = GwFeed_Version(edge->operator_feed);
     report.server_version = GwFeed_Version(edge->server_feed);
@@ -367,6 +368,9 @@
     for (size_t i = 0; i < report->n_known; i++) {
         (void)GwPeers_Add(peers, report->known[i]);
     }
+    if (report->store_was_away) {
+        GwFeed_NoteAway(edge->server_feed, GwEdge_Now());
+    }
     if (report->is_new) {
         make_backlog(peers, peer);
     }
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -5,10 +5,17 @@
 /* A dropped row is remembered for so long: longer than a peer may lag. */
 #define MARK_LIFE_US 120000000
 
+/* A row that is absent as of `version`, and counts as gone from `at_us`. */
+typedef struct {
+    int64_t at_us;
+    uint64_t version;
+} Missing;
+
 struct GwRowCache_s {
     GHashTable *rows;    /* key -> GwStoreRow */
-    GHashTable *missing; /* key -> int64_t* us at which it is gone */
+    GHashTable *missing; /* key -> Missing: gone, unless it comes back */
     uint64_t version;
+    uint64_t marks_since; /* removals above it are all known here */
     int64_t grace_until_us;
     int64_t grace_us;
     GwRowChanged changed;
@@ -88,11 +95,14 @@
 }
 
 static void
-set_missing(GwRowCache *cache, const char *key, int64_t at_us)
+set_missing(GwRowCache *cache, const char *key, int64_t at_us,
+            uint64_t version)
 {
+    Missing missing = {at_us, version};
+
     if (!g_hash_table_contains(cache->missing, key)) {
         g_hash_table_insert(cache->missing, g_strdup(key),
-                            g_memdup2(&at_us, sizeof(at_us)));
+                            g_memdup2(&missing, sizeof(missing)));
     }
 }
 
@@ -115,8 +125,7 @@
     }
     if (row->removed && now_us < cache->grace_until_us && old != NULL &&
         !old->removed) {
-        set_missing(cache, row->key, now_us + cache->grace_us);
-        old->version = row->version;
+        set_missing(cache, row->key, now_us + cache->grace_us, row->version);
         return;
     }
     bool same = old != NULL && !old->removed && !row->removed &&
@@ -140,8 +149,6 @@
     cache->version = MAX(cache->version, set->version);
 }
 
-/* Drops a row that nobody named as dropped: its absence was read at
- * `version`. */
 static void
 drop(GwRowCache *cache, int64_t now_us, const char *key, uint64_t version)
 {
@@ -153,12 +160,13 @@
 }
 
 void
-GwRowCache_ApplyFull(GwRowCache *cache, int64_t now_us, const GwRowSet *set,
-                     int64_t grace_us)
+GwRowCache_ApplyFull(GwRowCache *cache, int64_t now_us, const GwRowSet *set)
 {
     GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter iter;
     gpointer value;
+    int64_t gone_us =
+        now_us < cache->grace_until_us ? now_us + cache->grace_us : now_us;
 
     for (guint i = 0; i < set->rows->len; i++) {
         g_hash_table_add(present, ((GwStoreRow *)set->rows->pdata[i])->key);
@@ -167,48 +175,79 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwStoreRow *row = value;
         if (!row->removed && !g_hash_table_contains(present, row->key) &&
-            row->version <= set->version) {
-            set_missing(cache, row->key, now_us + grace_us);
+            row->version < set->version) {
+            set_missing(cache, row->key, gone_us, set->version);
         }
     }
     g_hash_table_destroy(present);
     GwRowCache_Apply(cache, now_us, set);
     GwRowCache_Tick(cache, now_us);
+    /* Rows that came and went meanwhile left no mark here. */
+    cache->marks_since = MAX(cache->marks_since, set->version);
 }
 
-static gboolean
-is_old_mark(gpointer key, gpointer value, gpointer now_us)
+bool
+GwRowCache_KnowsAllAfter(const GwRowCache *cache, uint64_t version)
 {
-    const GwStoreRow *row = value;
+    return version >= cache->marks_since;
+}
 
-    (void)key;
-    return row->removed && *(int64_t *)now_us - row->removed_us > MARK_LIFE_US;
+/* Forgets marks of rows that went long ago. */
+static void
+drop_old_marks(GwRowCache *cache, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, cache->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwStoreRow *row = value;
+        if (row->removed && now_us - row->removed_us > MARK_LIFE_US) {
+            cache->marks_since = MAX(cache->marks_since, row->version);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
 }
 
-void
-GwRowCache_Tick(GwRowCache *cache, int64_t now_us)
+typedef struct {
+    char *key;
+    uint64_t version;
+} Due;
+
+static GArray *
+collect_due(const GwRowCache *cache, int64_t now_us)
 {
-    GPtrArray *due = g_ptr_array_new_with_free_func(g_free);
+    GArray *due = g_array_new(FALSE, FALSE, sizeof(Due));
     GHashTableIter iter;
     gpointer key;
-    gpointer at;
+    gpointer value;
 
     g_hash_table_iter_init(&iter, cache->missing);
-    while (g_hash_table_iter_next(&iter, &key, &at)) {
-        if (*(int64_t *)at <= now_us) {
-            g_ptr_array_add(due, g_strdup(key));
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const Missing *missing = value;
+        if (missing->at_us <= now_us) {
+            Due one = {g_strdup(key), missing->version};
+            g_array_append_val(due, one);
         }
     }
+    return due;
+}
+
+void
+GwRowCache_Tick(GwRowCache *cache, int64_t now_us)
+{
+    GArray *due = collect_due(cache, now_us);
+
     for (guint i = 0; i < due->len; i++) {
-        const GwStoreRow *row = live_row(cache, due->pdata[i]);
-        if (row != NULL) {
-            drop(cache, now_us, due->pdata[i],
-                 MAX(row->version + 1, cache->version));
+        Due *one = &g_array_index(due, Due, i);
+        (void)g_hash_table_remove(cache->missing, one->key);
+        if (live_row(cache, one->key) != NULL) {
+            drop(cache, now_us, one->key, one->version);
         }
-        (void)g_hash_table_remove(cache->missing, due->pdata[i]);
+        g_free(one->key);
     }
-    g_ptr_array_free(due, TRUE);
-    g_hash_table_foreach_remove(cache->rows, is_old_mark, &now_us);
+    g_array_free(due, TRUE);
+    drop_old_marks(cache, now_us);
 }
 
 void
@@ -237,7 +276,14 @@
     g_hash_table_iter_init(&iter, cache->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwStoreRow *row = value;
-        if (row->version > version) {
+        const Missing *missing = g_hash_table_lookup(cache->missing, row->key);
+        if (missing != NULL && missing->version > version) {
+            /* Peers judge for themselves how long it may still come back. */
+            g_ptr_array_add(
+                set->rows,
+                GwStoreRow_Create(row->key, NULL, missing->version, true));
+        }
+        else if (row->version > version) {
             g_ptr_array_add(set->rows,
                             GwStoreRow_Create(row->key, row->value,
                                               row->version, row->removed));
--- a/lib/store/rows.h
+++ b/lib/store/rows.h
@@ -46,16 +46,19 @@
 uint64_t GwRowCache_Version(const GwRowCache *cache);
 /* Takes changes. */
 void GwRowCache_Apply(GwRowCache *cache, int64_t now_us, const GwRowSet *set);
-/* Takes a full reading: rows that it lacks are gone after `grace_us`, unless
- * they come back; `set` holds all pages. */
+/* Takes a full reading, of all pages: rows that it lacks are gone, at once or
+ * after the grace. */
 void GwRowCache_ApplyFull(GwRowCache *cache, int64_t now_us,
-                          const GwRowSet *set, int64_t grace_us);
+                          const GwRowSet *set);
 /* Drops what has been missing for its grace, and old marks. */
 void GwRowCache_Tick(GwRowCache *cache, int64_t now_us);
 /* Removals that come within `grace_us` count only after it; for the time
  * after the store was away, when rows lapse and come back. */
 void GwRowCache_SetGrace(GwRowCache *cache, int64_t until_us,
                          int64_t grace_us);
+/* Whether all removals above the version are known here; else who asks for
+ * what is newer has to take the whole table (After 0, ApplyFull). */
+bool GwRowCache_KnowsAllAfter(const GwRowCache *cache, uint64_t version);
 /* Rows above a version, marks included, in order; for peers. */
 GwRowSet *GwRowCache_After(const GwRowCache *cache, uint64_t version);
 
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[19] =
 {
   {
     "name",
@@ -270,6 +270,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_was_away",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, store_was_away),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   5,   /* field[5] = call_address */
@@ -290,12 +302,13 @@
   8,   /* field[8] = server_version */
   6,   /* field[6] = serves */
   1,   /* field[1] = start */
+  18,   /* field[18] = store_was_away */
 };
 static const ProtobufCIntRange gw__peer__report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -305,7 +318,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  18,
+  19,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   2,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -61,6 +61,10 @@
    * the store, and it answers
    */
   protobuf_c_boolean reads;
+  /*
+   * rows that lapsed may come back
+   */
+  protobuf_c_boolean store_was_away;
   /*
    * the next report comes within
    */
@@ -86,7 +90,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Gw__Peer__Report methods */
