Bound the memory that bodies take together

Cause: bodies are held whole, and the configuration allows 64 MB each: five of them at once end a process of 260 MB. Change: callers' and servers' bodies share a third of the memory; a request that finds no room gets 503 (it was not whole, so it did not run), an answer ends as broken.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -7,6 +7,8 @@
 /* Requests of one connection that are under way at once; what comes behind
  * them stays unread, so a caller that never reads holds no more than this. */
 #define PIPELINE_MAX 32
+/* When a caller whose body found no room may come back. */
+#define NO_ROOM_RETRY_MS 1000
 
 struct GwCaller_s {
     GwEdge *edge;
@@ -187,7 +189,8 @@
     caller->idle_since_us = GwEdge_Now();
     if (x == NULL && caller->bad_status != 0) {
         GString *out = g_string_new(NULL);
-        write_own(out, caller->bad_status, 0, true);
+        write_own(out, caller->bad_status,
+                  caller->bad_status == 503 ? NO_ROOM_RETRY_MS : 0, true);
         GwConn_Write(caller->conn, out);
         g_string_free(out, TRUE);
         close = true;
@@ -254,6 +257,9 @@
     case GW_HTTP_LONG_BODY:
         caller->bad_status = 413;
         break;
+    case GW_HTTP_NO_ROOM:
+        caller->bad_status = 503; /* not whole, so it did not run */
+        break;
     default:
         caller->bad_status = 400;
         break;
@@ -300,6 +306,7 @@
         .requests = true,
         .head_max = limits.head_bytes,
         .body_max = limits.body_bytes,
+        .budget = &edge->bodies,
     };
     caller->edge = edge;
     caller->link.data = caller;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -6,6 +6,9 @@
 /* A leaving entry still takes new connections for this part of its grace:
  * callers use it until their directory's answer is too old. */
 #define LISTEN_SHARE 0.5
+/* Bodies may take a third of the memory: buffers are up to twice as large as
+ * what they hold. */
+#define BODIES_SHARE ((1 << 20) / 3)
 /* After this part of its grace it waits for no request any more. */
 #define LEAVE_SHARE 0.9
 
@@ -264,6 +267,7 @@
     GwEdge_NoteSettings(edge);
     edge->adapter = adapter;
     (void)uv_loop_init(&edge->loop);
+    edge->bodies.max = (uint64_t)settings->memory_mb * BODIES_SHARE;
     edge->started_us = GwEdge_Now();
     edge->armed_us = INT64_MAX;
     edge->listeners = g_ptr_array_new();
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -46,6 +46,7 @@
     uv_signal_t hangup;
     GPtrArray *listeners; /* uv_tcp_t */
     uv_tcp_t *call_listener;
+    GwHttpBudget bodies; /* of callers and of servers */
     GwRouter *router;
     GArray *actions;   /* GwDo; reused */
     bool carrying;     /* actions are being carried out */
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -12,6 +12,7 @@
 #define LOOKUP_TTL_MS 2000
 #define ROW_GRACE_MS  2000
 #define ENTRIES_MAX   16
+#define MEMORY_MB     256
 
 static bool
 read_text(const GwReadAt *at, const char *key, char *out, size_t size,
@@ -130,9 +131,12 @@
     static const GwReadBound extra = {.max = 1000000, .optional = true};
     static const GwReadBound entries = {
         .min = 1, .max = 100000, .optional = true};
+    static const GwReadBound memory = {
+        .min = 16, .max = 1 << 20, .optional = true};
     GwRouterParams *r = &s->router;
 
-    return read_real(at, "retry_ratio", 1.0, &r->retry_ratio, error) &&
+    return GwRead_U32(at, "memory_mb", &memory, &s->memory_mb, error) &&
+           read_real(at, "retry_ratio", 1.0, &r->retry_ratio, error) &&
            GwRead_U32(at, "retry_extra", &extra, &r->retry_extra, error) &&
            read_time(at, "retry_window", &r->retry_window_ms, error) &&
            GwRead_U32(at, "entries_max", &entries, &r->entries_max, error) &&
@@ -188,6 +192,7 @@
         "lookup_ttl",
         "row_grace",
         "log_level",
+        "memory_mb",
         NULL,
     };
     GwRouterParams *r = &s->router;
@@ -222,6 +227,7 @@
         .seeds = g_ptr_array_new_with_free_func(g_free),
         .regions =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+        .memory_mb = MEMORY_MB,
         .grace_ms = 10000,
         .lookup_ttl_ms = LOOKUP_TTL_MS,
         .row_grace_ms = ROW_GRACE_MS,
--- a/lib/edge/upstream.c
+++ b/lib/edge/upstream.c
@@ -193,6 +193,7 @@
         .owner = up,
         .head_max = 256 << 10,
         .body_max = ANSWER_MAX,
+        .budget = &edge->bodies,
         .user_timeout_ms = USER_TIMEOUT_MS,
     };
 
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -232,6 +232,7 @@
         .requests = params->requests,
         .head_max = params->head_max,
         .body_max = params->body_max,
+        .budget = params->budget,
         .message = on_message,
         .to_head = on_to_head,
         .owner = c,
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -33,6 +33,7 @@
     bool requests; /* reads requests; else answers */
     uint64_t head_max;
     uint64_t body_max;
+    GwHttpBudget *budget; /* NULL: bodies are not bounded together */
     /* Unacknowledged bytes end the connection after this time: a machine
      * without power, or a path that lost track of the connection, answers
      * nothing at all. 0: the system's default, minutes. */
--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -21,6 +21,9 @@
     if (msg == NULL) {
         return;
     }
+    if (msg->budget != NULL) {
+        msg->budget->held -= msg->held;
+    }
     g_string_free(msg->target, TRUE);
     g_string_free(msg->text, TRUE);
     g_array_free(msg->fields, TRUE);
--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -18,6 +18,14 @@
     uint32_t value;
 } GwHttpField;
 
+/* Bytes of bodies that may be held at once by all messages that share it. A
+ * message that finds no room is refused, so that a few large ones can't take
+ * the memory of the process. */
+typedef struct {
+    uint64_t held;
+    uint64_t max;
+} GwHttpBudget;
+
 typedef struct {
     char method[16];
     uint16_t status;   /* of an answer; 0 in a request */
@@ -29,6 +37,8 @@
     GString *text;     /* names and values, each NUL-terminated */
     GArray *fields;    /* GwHttpField */
     GString *body;
+    GwHttpBudget *budget; /* or NULL */
+    uint64_t held;        /* of it; given back when the message is freed */
 } GwHttpMessage;
 
 GwHttpMessage *GwHttpMessage_Create(void);
@@ -60,7 +70,8 @@
     GW_HTTP_OK = 0,
     GW_HTTP_BAD = 1,       /* not this protocol, or ambiguous */
     GW_HTTP_LONG_HEAD = 2, /* above head_max */
-    GW_HTTP_LONG_BODY = 3  /* above body_max */
+    GW_HTTP_LONG_BODY = 3, /* above body_max */
+    GW_HTTP_NO_ROOM = 4    /* the budget has no room for its body */
 } GwHttpError;
 
 typedef struct GwHttpParser_s GwHttpParser;
@@ -69,6 +80,7 @@
     bool requests; /* else answers */
     uint64_t head_max;
     uint64_t body_max;
+    GwHttpBudget *budget; /* NULL: not bounded together */
     /* Takes over the message. */
     void (*message)(void *owner, GwHttpMessage *msg);
     /* Whether the next answer belongs to a HEAD; may be NULL. */
--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -127,6 +127,26 @@
     return count_head(p, len);
 }
 
+/* Takes room for a body of `len` bytes in all. */
+static int
+hold(GwHttpParser *p, uint64_t len)
+{
+    GwHttpBudget *budget = p->params.budget;
+    GwHttpMessage *msg = p->msg;
+
+    if (budget == NULL || len <= msg->held) {
+        return 0;
+    }
+    uint64_t more = len - msg->held;
+    if (budget->held + more > budget->max) {
+        return fail(p, GW_HTTP_NO_ROOM);
+    }
+    msg->budget = budget;
+    msg->held = len;
+    budget->held += more;
+    return 0;
+}
+
 /* A coding besides chunked would have to be undone here to know the body; a
  * reader that skips it sees another body. */
 static bool
@@ -156,6 +176,12 @@
     if (sized && parser->content_length > p->params.body_max) {
         return fail(p, GW_HTTP_LONG_BODY);
     }
+    /* All of it at once: bodies that grow together could fill the budget with
+     * none of them whole. */
+    if (sized && parser->content_length > 0 &&
+        hold(p, parser->content_length) != 0) {
+        return -1;
+    }
     if (p->params.requests) {
         const char *method = http_method_str(parser->method);
         (void)g_strlcpy(msg->method, method, sizeof(msg->method));
@@ -188,6 +214,9 @@
     if (p->msg->body->len + len > p->params.body_max) {
         return fail(p, GW_HTTP_LONG_BODY);
     }
+    if (hold(p, p->msg->body->len + len) != 0) {
+        return -1;
+    }
     g_string_append_len(p->msg->body, at, (gssize)len);
     return 0;
 }
--- a/tests/unit/test_http_message.c
+++ b/tests/unit/test_http_message.c
@@ -202,6 +202,49 @@
     GwHttpParser_Free(p);
 }
 
+/* Callers send large bodies together. What finds no room is refused while it
+ * comes, and the room is there again when a message is freed: without the bound
+ * five bodies of the allowed size would end the process. */
+Test(http_message, bodies_share_a_budget)
+{
+    static const struct {
+        const char *what;
+        const char *bytes;
+        GwHttpError error;
+    } cases[] = {
+        {"fits", "PUT / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde",
+         GW_HTTP_OK},
+        {"sized, too much", "PUT / HTTP/1.1\r\nContent-Length: 6\r\n\r\n",
+         GW_HTTP_NO_ROOM},
+        {"chunked, too much",
+         "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabc\r\n3\r\nabc\r\n",
+         GW_HTTP_NO_ROOM},
+        {"fits again", "PUT / HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd",
+         GW_HTTP_OK},
+    };
+    GwHttpBudget budget = {.max = 5};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sink sink = {.messages = g_ptr_array_new_with_free_func(
+                         (GDestroyNotify)GwHttpMessage_Free)};
+        GwHttpParserParams params = {.requests = true,
+                                     .head_max = 400,
+                                     .body_max = 64,
+                                     .budget = &budget,
+                                     .message = keep,
+                                     .owner = &sink};
+        GwHttpParser *p = GwHttpParser_Create(&params);
+        cr_expect_eq(
+            GwHttpParser_Feed(p, cases[i].bytes, strlen(cases[i].bytes)),
+            cases[i].error, "%s", cases[i].what);
+        cr_expect_leq(budget.held, 5, "%s", cases[i].what);
+        GwHttpParser_Free(p);
+        g_ptr_array_free(sink.messages, TRUE);
+        cr_expect_eq(budget.held, 0, "%s", cases[i].what);
+    }
+}
+
 Test(http_message, fields_of_one_connection_are_not_passed_on)
 {
     static const char bytes[] =
