--- a/Makefile
+++ b/Makefile
@@ -147,6 +147,8 @@
 
 bench: all $(benches)
 	bench/run.sh $(O)
+	bench/edge.sh $(O)
+	$(O)/bench_router_cost
 
 slopes: $(O)/bench_slopes
 	$(O)/bench_slopes
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -123,6 +123,12 @@
     if (old != NULL && old->version >= row->version) {
         return;
     }
+    /* All that lived at `marks_since` was read: an older row that is not known
+     * here has gone, and this copy of it is late. Nothing would ever remove
+     * it again. */
+    if (old == NULL && row->version <= cache->marks_since) {
+        return;
+    }
     if (row->removed && now_us < cache->grace_until_us && old != NULL &&
         !old->removed) {
         set_missing(cache, row->key, now_us + cache->grace_us, row->version);
