--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 programs    := $(patsubst programs/%.c,$(O)/%,$(wildcard programs/*.c))
 standins    := $(patsubst standins/%.c,$(O)/%,$(wildcard standins/*.c))
 fakes       := $(wildcard tests/fakes/*.c)
-unit_src    := $(wildcard tests/unit/*.c)
+unit_src    := $(wildcard tests/unit/*.c platform/tests/*.c)
 props       := $(patsubst tests/property/%.cpp,$(O)/prop_%,\
                  $(wildcard tests/property/*.cpp))
 stress      := $(patsubst tests/stress/%.c,$(O)/stress_%,\
@@ -156,7 +156,7 @@
 # Formatter, clang-tidy and cppcheck over what people write; generated code
 # is left out.
 hand_c   := $(filter-out %.pb-c.c,$(lib_src) $(wildcard programs/*.c \
-              standins/*.c standins/common/*.c standins/site/*.c tests/*/*.c bench/*.c fuzz/*.c))
+              standins/*.c standins/common/*.c standins/site/*.c tests/*/*.c platform/tests/*.c bench/*.c fuzz/*.c))
 hand_h   := $(filter-out %.pb-c.h,$(wildcard lib/*.h lib/*/*.h platform/*.h \
               standins/common/*.h standins/site/*.h tests/*/*.h bench/*.h))
 hand_cpp := $(wildcard tests/property/*.cpp)
--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -16,7 +16,7 @@
     char domain[64];
     uint32_t slots;
     bool draining;
-    uint32_t cold_left_ms;
+    uint32_t warmup_left_ms;
 } GwRegistered;
 
 typedef enum {
--- a/lib/edge/beliefs.c
+++ b/lib/edge/beliefs.c
@@ -75,7 +75,7 @@
         .region = region,
         .slots = server.slots,
         .draining = server.draining,
-        .cold_left_ms = server.cold_left_ms,
+        .warmup_left_ms = server.warmup_left_ms,
     };
     GwRouter_PutServer(edge->router, now_us, &info, edge->actions);
     if (server.draining) {
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -47,7 +47,7 @@
         if (x->request != NULL) {
             GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
             GwEdge_LogRequest(x, GW_LOG_REQUEST_LEFT, 0, GW_WHY_NONE, &story);
-            GwUpstream_Cancel(x);
+            GwServerLink_Cancel(x);
             GwRouter_Gone(edge->router, GwEdge_Now(), x->request,
                           edge->actions);
         }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -77,10 +77,10 @@
         x->request = act->request;
         break;
     case GW_DO_SEND:
-        GwUpstream_Send(x, act->server, act->left_ms);
+        GwServerLink_Send(x, act->server, act->left_ms);
         break;
     case GW_DO_CANCEL:
-        GwUpstream_Cancel(x);
+        GwServerLink_Cancel(x);
         break;
     case GW_DO_ANSWER:
         GwEdge_LogRequest(x, GW_LOG_REQUEST_ANSWERED, act->status, GW_WHY_NONE,
@@ -94,7 +94,7 @@
         GwExchange_Reply(x, act->status, act->retry_after_ms);
         break;
     case GW_DO_FORGET:
-        GwUpstream_Forget(edge, act->server);
+        GwServerLink_Forget(edge, act->server);
         break;
     }
 }
@@ -207,7 +207,7 @@
     int64_t now_us = GwEdge_Now();
 
     GwCallers_Sweep(edge, now_us);
-    GwUpstream_Sweep(edge, now_us);
+    GwServerLink_Sweep(edge, now_us);
     GwFeed_Sweep(edge->operator_feed, now_us);
     GwFeed_Sweep(edge->server_feed, now_us);
     GwPeers_Sweep(edge->peers, now_us);
@@ -315,7 +315,7 @@
     edge->carrying = true; /* nothing is begun any more */
     GwCallers_CloseAll(edge);
     GwControl_CloseAll(edge);
-    GwUpstream_CloseAll(edge);
+    GwServerLink_CloseAll(edge);
     GwFeed_Close(edge->operator_feed);
     GwFeed_Close(edge->server_feed);
     GwPeers_Close(edge->peers);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -14,7 +14,7 @@
 #define GW_SWEEP_MS 250
 
 typedef struct GwCaller_s GwCaller;
-typedef struct GwUpstream_s GwUpstream;
+typedef struct GwServerLink_s GwServerLink;
 typedef struct GwFeed_s GwFeed;
 typedef struct GwPeers_s GwPeers;
 
@@ -24,7 +24,7 @@
     GwCaller *caller;
     GwHttpMessage *msg;    /* the request */
     GwRequest *request;    /* the router's, while it is open */
-    GwUpstream *upstream;  /* of the attempt under way */
+    GwServerLink *link;    /* of the attempt under way */
     GwHttpMessage *answer; /* the last attempt's, whole */
     GString *out;          /* what goes to the caller; NULL until it is over */
     bool started;          /* given to the router */
@@ -54,7 +54,7 @@
     GQueue clients;    /* of control.c */
     GQueue dirty;      /* GwCaller with answers to send */
     GQueue pools;      /* GwPool, one for each server */
-    GQueue connecting; /* GwUpstream */
+    GQueue connecting; /* GwServerLink */
     GwFeed *operator_feed;
     GwFeed *server_feed;
     GwPeers *peers;
@@ -93,12 +93,12 @@
 void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
 void GwExchange_PassOn(GwExchange *x);
 
-/* upstream.c */
-void GwUpstream_Send(GwExchange *x, GwServer *s, uint32_t left_ms);
-void GwUpstream_Cancel(GwExchange *x);
-void GwUpstream_Forget(GwEdge *edge, GwServer *s);
-void GwUpstream_CloseAll(GwEdge *edge);
-void GwUpstream_Sweep(GwEdge *edge, int64_t now_us);
+/* server_links.c */
+void GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t left_ms);
+void GwServerLink_Cancel(GwExchange *x);
+void GwServerLink_Forget(GwEdge *edge, GwServer *s);
+void GwServerLink_CloseAll(GwEdge *edge);
+void GwServerLink_Sweep(GwEdge *edge, int64_t now_us);
 
 /* feed.c */
 void GwFeed_Close(GwFeed *feed);
--- a/lib/edge/upstream.c
+++ b/lib/edge/server_links.c
@@ -23,20 +23,20 @@
 #define ANSWER_MAX (32u << 20)
 
 typedef struct {
-    GList link; /* in edge->pools */
+    GList node; /* in edge->pools */
     GwEdge *edge;
     GwServer *server; /* NULL once it is gone */
     char *id;
-    GQueue idle; /* GwUpstream, the last used at the tail */
+    GQueue idle; /* GwServerLink, the last used at the tail */
     uint32_t open;
 } GwPool;
 
-struct GwUpstream_s {
+struct GwServerLink_s {
     GwEdge *edge;
     GwPool *pool;
     GwConn *conn;
     GwExchange *exchange; /* NULL while idle */
-    GList link;           /* in edge->connecting, then in pool->idle */
+    GList node;           /* in edge->connecting, then in pool->idle */
     int64_t begun_us;     /* of connecting */
     int64_t connect_us;   /* what connecting took; 0 when reused */
     int64_t idle_us;      /* since when it is idle */
@@ -47,7 +47,7 @@
     bool spoiled; /* a stray answer was on it: not used again */
 };
 
-static const GwConnOps upstream_ops;
+static const GwConnOps link_ops;
 
 static GwPool *
 pool_of(GwEdge *edge, GwServer *s)
@@ -59,8 +59,8 @@
         pool->edge = edge;
         pool->server = s;
         pool->id = g_strdup(GwServer_Id(s));
-        pool->link.data = pool;
-        g_queue_push_tail_link(&edge->pools, &pool->link);
+        pool->node.data = pool;
+        g_queue_push_tail_link(&edge->pools, &pool->node);
         *place = pool;
     }
     return *place;
@@ -70,73 +70,73 @@
 free_pool_if_over(GwPool *pool)
 {
     if (pool->server == NULL && pool->open == 0) {
-        g_queue_unlink(&pool->edge->pools, &pool->link);
+        g_queue_unlink(&pool->edge->pools, &pool->node);
         g_free(pool->id);
         g_free(pool);
     }
 }
 
 static void
-discard(GwUpstream *up)
+discard(GwServerLink *link)
 {
-    GwPool *pool = up->pool;
+    GwPool *pool = link->pool;
 
-    if (up->connecting) {
-        g_queue_unlink(&up->edge->connecting, &up->link);
+    if (link->connecting) {
+        g_queue_unlink(&link->edge->connecting, &link->node);
     }
-    else if (up->exchange == NULL) {
-        g_queue_unlink(&pool->idle, &up->link);
+    else if (link->exchange == NULL) {
+        g_queue_unlink(&pool->idle, &link->node);
     }
-    if (up->exchange != NULL) {
-        up->exchange->upstream = NULL;
+    if (link->exchange != NULL) {
+        link->exchange->link = NULL;
     }
-    if (up->conn != NULL) {
-        GwConn_Close(up->conn);
+    if (link->conn != NULL) {
+        GwConn_Close(link->conn);
     }
     pool->open--;
     free_pool_if_over(pool);
-    g_free(up);
+    g_free(link);
 }
 
 /* ---- Requests out -------------------------------------------------------- */
 
 static void
-write_request(GwUpstream *up)
+write_request(GwServerLink *link)
 {
-    GwExchange *x = up->exchange;
-    const GwAdapter *names = up->edge->adapter;
-    int64_t spent_ms = (GwEdge_Now() - up->given_us) / 1000;
-    int64_t left_ms = MAX((int64_t)up->left_ms - spent_ms, 0);
+    GwExchange *x = link->exchange;
+    const GwAdapter *names = link->edge->adapter;
+    int64_t spent_ms = (GwEdge_Now() - link->given_us) / 1000;
+    int64_t left_ms = MAX((int64_t)link->left_ms - spent_ms, 0);
     const char *const drop[] = {names->time_left, names->expect_server,
                                 "expect", NULL};
     char *extra = g_strdup_printf("%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n",
                                   names->time_left, left_ms,
-                                  names->expect_server, up->pool->id);
+                                  names->expect_server, link->pool->id);
     GwHttpWrite how = {.drop = drop, .extra = extra};
     GString *out = g_string_sized_new(x->msg->body->len + 512);
 
     GwHttpMessage_WriteRequest(x->msg, &how, out);
-    GwConn_Write(up->conn, out);
+    GwConn_Write(link->conn, out);
     g_string_free(out, TRUE);
     g_free(extra);
 }
 
-static GwUpstream *
+static GwServerLink *
 take_idle(GwPool *pool, bool idempotent, int64_t now_us)
 {
     GList *at;
 
     while ((at = g_queue_peek_tail_link(&pool->idle)) != NULL) {
-        GwUpstream *up = at->data;
-        int64_t idle_ms = (now_us - up->idle_us) / 1000;
-        if (idle_ms < up->idle_max_ms && !GwConn_HasUnread(up->conn)) {
+        GwServerLink *link = at->data;
+        int64_t idle_ms = (now_us - link->idle_us) / 1000;
+        if (idle_ms < link->idle_max_ms && !GwConn_HasUnread(link->conn)) {
             if (!idempotent && idle_ms > ONCE_IDLE_MS) {
                 return NULL;
             }
             g_queue_unlink(&pool->idle, at);
-            return up;
+            return link;
         }
-        discard(up);
+        discard(link);
     }
     return NULL;
 }
@@ -182,85 +182,85 @@
     GwRouter_Ended(edge->router, GwEdge_Now(), x->request, end, edge->actions);
 }
 
-static GwUpstream *
+static GwServerLink *
 connect_new(GwExchange *x, GwPool *pool)
 {
     GwEdge *edge = x->edge;
-    GwUpstream *up = g_new0(GwUpstream, 1);
+    GwServerLink *link = g_new0(GwServerLink, 1);
     GwConnParams params = {
         .loop = &edge->loop,
-        .ops = &upstream_ops,
-        .owner = up,
+        .ops = &link_ops,
+        .owner = link,
         .head_max = 256 << 10,
         .body_max = ANSWER_MAX,
         .budget = &edge->bodies,
         .user_timeout_ms = USER_TIMEOUT_MS,
     };
 
-    up->edge = edge;
-    up->pool = pool;
-    up->link.data = up;
-    up->begun_us = GwEdge_Now();
-    up->connecting = true;
-    up->idle_max_ms = IDLE_DEFAULT_MS;
-    up->conn = GwConn_Connect(&params, GwServer_Address(pool->server));
-    if (up->conn == NULL) {
-        g_free(up);
+    link->edge = edge;
+    link->pool = pool;
+    link->node.data = link;
+    link->begun_us = GwEdge_Now();
+    link->connecting = true;
+    link->idle_max_ms = IDLE_DEFAULT_MS;
+    link->conn = GwConn_Connect(&params, GwServer_Address(pool->server));
+    if (link->conn == NULL) {
+        g_free(link);
         return NULL;
     }
-    g_queue_push_tail_link(&edge->connecting, &up->link);
+    g_queue_push_tail_link(&edge->connecting, &link->node);
     pool->open++;
     edge->counts.connects++;
-    return up;
+    return link;
 }
 
 void
-GwUpstream_Send(GwExchange *x, GwServer *s, uint32_t left_ms)
+GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t left_ms)
 {
     GwEdge *edge = x->edge;
     GwPool *pool = pool_of(edge, s);
-    GwUpstream *up = take_idle(pool, x->idempotent, GwEdge_Now());
-    bool reused = up != NULL;
+    GwServerLink *link = take_idle(pool, x->idempotent, GwEdge_Now());
+    bool reused = link != NULL;
 
-    if (up == NULL) {
-        up = connect_new(x, pool);
+    if (link == NULL) {
+        link = connect_new(x, pool);
     }
-    if (up == NULL) {
+    if (link == NULL) {
         GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT};
         report(x, &end);
         return;
     }
-    up->exchange = x;
-    up->left_ms = left_ms;
-    up->given_us = GwEdge_Now();
-    x->upstream = up;
+    link->exchange = x;
+    link->left_ms = left_ms;
+    link->given_us = GwEdge_Now();
+    x->link = link;
     GwHttpMessage_Free(x->answer);
     x->answer = NULL;
     if (reused) {
-        up->connect_us = 0;
+        link->connect_us = 0;
         edge->counts.reuses++;
-        write_request(up);
+        write_request(link);
     }
 }
 
 void
-GwUpstream_Cancel(GwExchange *x)
+GwServerLink_Cancel(GwExchange *x)
 {
-    if (x->upstream != NULL) {
-        discard(x->upstream);
-        x->upstream = NULL;
+    if (x->link != NULL) {
+        discard(x->link);
+        x->link = NULL;
     }
 }
 
 static void
 on_connected(void *owner)
 {
-    GwUpstream *up = owner;
+    GwServerLink *link = owner;
 
-    up->connecting = false;
-    g_queue_unlink(&up->edge->connecting, &up->link);
-    up->connect_us = GwEdge_Now() - up->begun_us;
-    write_request(up);
+    link->connecting = false;
+    g_queue_unlink(&link->edge->connecting, &link->node);
+    link->connect_us = GwEdge_Now() - link->begun_us;
+    write_request(link);
 }
 
 /* ---- Answers in ---------------------------------------------------------- */
@@ -291,9 +291,9 @@
 }
 
 static GwAttemptEnd
-end_of(const GwUpstream *up, const GwHttpMessage *msg)
+end_of(const GwServerLink *link, const GwHttpMessage *msg)
 {
-    const GwAdapter *names = up->edge->adapter;
+    const GwAdapter *names = link->edge->adapter;
     const char *cold = GwHttpMessage_Get(msg, names->cold_ms);
     GwAttemptEnd end = {
         .outcome = outcome_of(names, msg),
@@ -301,7 +301,7 @@
         .other_server = msg->status == 421,
         .leaving = !msg->keep_alive,
         .cold_ms = cold != NULL ? (uint32_t)strtoul(cold, NULL, 10) : 0,
-        .connect_us = up->connect_us,
+        .connect_us = link->connect_us,
     };
 
     read_load(GwHttpMessage_Get(msg, names->load), &end);
@@ -311,11 +311,11 @@
 /* Whether the answer belongs to the request that waits here. A second answer
  * to an earlier request can stand where this one's is expected. */
 static bool
-is_ours(const GwUpstream *up, const GwHttpMessage *msg)
+is_ours(const GwServerLink *link, const GwHttpMessage *msg)
 {
-    const char *name = up->edge->adapter->request_id;
+    const char *name = link->edge->adapter->request_id;
     const char *theirs = GwHttpMessage_Get(msg, name);
-    const char *ours = GwHttpMessage_Get(up->exchange->msg, name);
+    const char *ours = GwHttpMessage_Get(link->exchange->msg, name);
 
     if (theirs == NULL) {
         return msg->status >= 300 || ours == NULL;
@@ -325,51 +325,51 @@
 
 /* Keeps the connection for the next request, if the server goes on with it. */
 static void
-put_back(GwUpstream *up, const GwHttpMessage *msg)
+put_back(GwServerLink *link, const GwHttpMessage *msg)
 {
     const char *keep = GwHttpMessage_Get(msg, "keep-alive");
     const char *timeout = keep != NULL ? strstr(keep, "timeout=") : NULL;
 
-    up->exchange = NULL;
-    up->idle_us = GwEdge_Now();
+    link->exchange = NULL;
+    link->idle_us = GwEdge_Now();
     if (timeout != NULL) {
         long s = strtol(timeout + strlen("timeout="), NULL, 10);
-        up->idle_max_ms = s > 0 && s < 3600
-                              ? (uint32_t)s * 1000 - IDLE_MARGIN_MS
-                              : IDLE_DEFAULT_MS;
+        link->idle_max_ms = s > 0 && s < 3600
+                                ? (uint32_t)s * 1000 - IDLE_MARGIN_MS
+                                : IDLE_DEFAULT_MS;
     }
-    g_queue_push_tail_link(&up->pool->idle, &up->link);
-    if (!msg->keep_alive || !msg->framed || up->spoiled ||
-        up->pool->server == NULL) {
-        discard(up);
+    g_queue_push_tail_link(&link->pool->idle, &link->node);
+    if (!msg->keep_alive || !msg->framed || link->spoiled ||
+        link->pool->server == NULL) {
+        discard(link);
     }
 }
 
 static void
 on_message(void *owner, GwHttpMessage *msg)
 {
-    GwUpstream *up = owner;
-    GwEdge *edge = up->edge;
-    GwExchange *x = up->exchange;
+    GwServerLink *link = owner;
+    GwEdge *edge = link->edge;
+    GwExchange *x = link->exchange;
 
     if (x == NULL) {
         GwHttpMessage_Free(msg);
-        discard(up); /* an answer that nobody waits for */
+        discard(link); /* an answer that nobody waits for */
         return;
     }
     if (msg->status < 200) {
         GwHttpMessage_Free(msg);
         return;
     }
-    if (!is_ours(up, msg)) {
-        up->spoiled = true;
+    if (!is_ours(link, msg)) {
+        link->spoiled = true;
         GwHttpMessage_Free(msg);
         return;
     }
-    GwAttemptEnd end = end_of(up, msg);
+    GwAttemptEnd end = end_of(link, msg);
     x->answer = msg;
-    x->upstream = NULL;
-    put_back(up, msg);
+    x->link = NULL;
+    put_back(link, msg);
     report(x, &end);
     GwEdge_Carry(edge);
 }
@@ -377,15 +377,15 @@
 static void
 on_ended(void *owner, GwConnEnd how)
 {
-    GwUpstream *up = owner;
-    GwEdge *edge = up->edge;
-    GwExchange *x = up->exchange;
-    bool sent = GwConn_BytesOut(up->conn) > 0;
+    GwServerLink *link = owner;
+    GwEdge *edge = link->edge;
+    GwExchange *x = link->exchange;
+    bool sent = GwConn_BytesOut(link->conn) > 0;
 
     if (how != GW_CONN_BAD) {
-        up->conn = NULL; /* it has closed itself */
+        link->conn = NULL; /* it has closed itself */
     }
-    discard(up);
+    discard(link);
     if (x != NULL) {
         GwAttemptEnd end = {.outcome =
                                 sent ? GW_ATTEMPT_BROKEN : GW_ATTEMPT_UNSENT};
@@ -397,13 +397,13 @@
 static bool
 on_to_head(void *owner)
 {
-    const GwUpstream *up = owner;
+    const GwServerLink *link = owner;
 
-    return up->exchange != NULL &&
-           strcmp(up->exchange->msg->method, "HEAD") == 0;
+    return link->exchange != NULL &&
+           strcmp(link->exchange->msg->method, "HEAD") == 0;
 }
 
-static const GwConnOps upstream_ops = {
+static const GwConnOps link_ops = {
     .connected = on_connected,
     .message = on_message,
     .to_head = on_to_head,
@@ -415,15 +415,15 @@
 static void
 close_idle(GwPool *pool, int64_t before_us)
 {
-    GwUpstream *up;
+    GwServerLink *link;
 
-    while ((up = g_queue_peek_head(&pool->idle)) != NULL) {
-        int64_t until = up->idle_us + (int64_t)up->idle_max_ms * 1000;
+    while ((link = g_queue_peek_head(&pool->idle)) != NULL) {
+        int64_t until = link->idle_us + (int64_t)link->idle_max_ms * 1000;
         if (until > before_us) {
             break;
         }
         bool last = pool->open == 1 && pool->server == NULL;
-        discard(up);
+        discard(link);
         if (last) {
             return; /* the pool is gone too */
         }
@@ -431,7 +431,7 @@
 }
 
 void
-GwUpstream_Forget(GwEdge *edge, GwServer *s)
+GwServerLink_Forget(GwEdge *edge, GwServer *s)
 {
     GwPool *pool = *GwServer_User(s);
 
@@ -446,22 +446,22 @@
     }
 }
 
-/* Connections that are not made in time are given up: a machine without
+/* Connections that are not made in time are given link: a machine without
  * power answers nothing. */
 static void
 sweep_connecting(GwEdge *edge, int64_t now_us)
 {
     for (GList *at = edge->connecting.head, *next; at != NULL; at = next) {
-        GwUpstream *up = at->data;
+        GwServerLink *link = at->data;
         uint32_t limit_ms =
-            up->pool->server != NULL && GwServer_IsFar(up->pool->server)
+            link->pool->server != NULL && GwServer_IsFar(link->pool->server)
                 ? CONNECT_FAR_MS
                 : CONNECT_NEAR_MS;
         next = at->next;
-        if (now_us - up->begun_us > (int64_t)limit_ms * 1000) {
-            GwExchange *x = up->exchange;
+        if (now_us - link->begun_us > (int64_t)limit_ms * 1000) {
+            GwExchange *x = link->exchange;
             GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT};
-            discard(up);
+            discard(link);
             if (x != NULL) {
                 report(x, &end);
             }
@@ -472,18 +472,18 @@
 /* Connections that are idle or being made; those with a request under way
  * are closed with their callers. */
 void
-GwUpstream_CloseAll(GwEdge *edge)
+GwServerLink_CloseAll(GwEdge *edge)
 {
-    GwUpstream *up;
+    GwServerLink *link;
     GwPool *pool;
 
-    while ((up = g_queue_peek_head(&edge->connecting)) != NULL) {
-        discard(up);
+    while ((link = g_queue_peek_head(&edge->connecting)) != NULL) {
+        discard(link);
     }
     while ((pool = g_queue_peek_head(&edge->pools)) != NULL) {
-        while ((up = g_queue_peek_head(&pool->idle)) != NULL) {
+        while ((link = g_queue_peek_head(&pool->idle)) != NULL) {
             pool->open++; /* keeps it until the loop is over */
-            discard(up);
+            discard(link);
             pool->open--;
         }
         pool->server = NULL;
@@ -493,7 +493,7 @@
 }
 
 void
-GwUpstream_Sweep(GwEdge *edge, int64_t now_us)
+GwServerLink_Sweep(GwEdge *edge, int64_t now_us)
 {
     for (GList *at = edge->pools.head, *next; at != NULL; at = next) {
         next = at->next;
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -59,7 +59,7 @@
     const char *region;
     uint32_t slots;
     bool draining;
-    uint32_t cold_left_ms;
+    uint32_t warmup_left_ms;
 } GwServerInfo;
 
 void GwRouter_PutServer(GwRouter *r, int64_t now_us, const GwServerInfo *info,
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -143,8 +143,8 @@
 #else
     s->draining = s->draining || info->draining;
 #endif
-    if (info->cold_left_ms > 0) {
-        s->cold_until_us = now_us + (int64_t)info->cold_left_ms * 1000;
+    if (info->warmup_left_ms > 0) {
+        s->cold_until_us = now_us + (int64_t)info->warmup_left_ms * 1000;
     }
     GwRouter_DriftServers(r, now_us);
 }
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -126,7 +126,7 @@
         .region = region,
         .slots = slots,
         .draining = draining,
-        .cold_left_ms = cold_ms,
+        .warmup_left_ms = cold_ms,
     };
 
     GwRouter_PutServer(f->router, f->now_us, &info, f->actions);
--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -1,6 +1,7 @@
 /* The tables of the pages against those of the code, both ways. */
 #include "common/log_events.h"
 #include "godwitridge.h"
+#include "router/router.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
@@ -53,6 +54,17 @@
     g_free(page);
 }
 
+Test(docs, reasons_of_the_platforms_entry_are_those_of_the_code)
+{
+    char *page = read_page("docs/OPERATIONS.md");
+    for (GwWhy why = GW_WHY_NONE; why <= GW_WHY_BROKEN; why++) {
+        char *row = g_strdup_printf("| %s | ", GwWhy_Name(why));
+        expect_row(page, row);
+        g_free(row);
+    }
+    g_free(page);
+}
+
 Test(docs, events_are_those_of_the_code)
 {
     static const struct {
