--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -77,6 +77,8 @@
         x->request = act->request;
         break;
     case GW_DO_SEND:
+        /* By the version that admitted it, not by the one it arrived under. */
+        x->idempotent = act->idempotent;
         GwServerLink_Send(x, act->server, act->left_ms);
         break;
     case GW_DO_CANCEL:
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -33,10 +33,10 @@
 #define OBJECT_US 4000.0
 #define BUSY_US   150000.0
 /* A further place is made where the server was less busy than this lately. */
-#define IDLE_BELOW 0.7
+#define IDLE_BELOW 0.35
 /* After so many requests in a row that left the failure domain for an object,
  * it gets a place nearer, where a server is idle enough. */
-#define PULL_AFTER      2
+#define PULL_AFTER      4
 #define PULL_IDLE_BELOW 0.5
 /* Objects that an entry may move to its region in a second: all its entries
  * together must not move more than a part of the region's traffic at once. */
