--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -24,13 +24,13 @@
  * as time: bytes across are paid for, and an object that once went to another
  * region costs its round trip from then on. */
 #define OTHER_DOMAIN_US 30000.0
-#define OTHER_REGION_US 150000.0
+#define OTHER_REGION_US 100000.0
 /* Of servers that could be an object's first place, all entries should pick
  * the same one: a hash of both is worth up to this. */
-#define SPREAD_US 100000.0
+#define SPREAD_US 300000.0
 /* Servers that remember many objects already, or were busy lately, are worse
  * for one more. */
-#define OBJECT_US 4000.0
+#define OBJECT_US 10000.0
 #define BUSY_US   150000.0
 /* A further place is made where the server was less busy than this lately. */
 #define IDLE_BELOW 0.35
