--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -10,7 +10,7 @@
  * what they hold. */
 #define BODIES_SHARE ((1 << 20) / 3)
 /* After this part of its grace it waits for no request any more. */
-#define LEAVE_SHARE 0.9
+#define LEAVE_SHARE 0.85
 
 int64_t
 GwEdge_Now(void)
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -7,7 +7,7 @@
 
 #define GW_CONN_BACKLOG   511
 #define GW_READ_BUF_BYTES 65536
-#define GW_LINGER_MS      1000
+#define GW_LINGER_MS      400
 
 struct GwConn_s {
     uv_tcp_t tcp;
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -49,7 +49,7 @@
 /* Queues bytes; `text` is copied where it does not leave at once. */
 void GwConn_Write(GwConn *c, const GString *text);
 /* Closes once what was written has left and the other side has closed too, or
- * a second has passed. The connection is no longer the owner's. */
+ * 0.4 s have passed. The connection is no longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
 /* Closes now; what is queued is dropped. */
 void GwConn_Close(GwConn *c);
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -11,6 +11,9 @@
 
 #include <string.h>
 
+/* The weights below were tried on the users' days; docs/MEASURES.md has the
+ * worth of each. */
+
 /* A report on an answer outranks our own count for this long. */
 #define LOAD_FRESH_US 60000
 /* Requests sent to a far server beyond its free slots, so that one is there
