Share the extra of retries among the entries that are heard; forget gone routes

Cause: the part of the fixed extra was by the settings' count of entries; 68 of them would together exceed it. States of removed routes stayed for good. Change: at least one and a half times the entries heard share the extra; a route's state goes with the version that lacks it.

--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -83,6 +83,7 @@
         GwHeap_Remove(&r->deadlines, &req->deadline);
     }
     (void)g_hash_table_remove(r->open, req);
+    req->state->open--;
     GwRouting_Unref(req->routing);
     g_free(req);
 }
@@ -376,6 +377,7 @@
     req->routing = GwRouting_Ref(r->routing);
     req->route = route;
     req->state = state_of(r, route);
+    req->state->open++;
     req->service = GwRouter_ServiceOf(r, take_part(route, req->state));
     req->deadline = GW_HEAP_OUT;
     set_times(req, now_us, arrival->left_us);
@@ -392,14 +394,23 @@
 
 /* ---- Ends of attempts ---------------------------------------------------- */
 
+/* Among how many entries the fixed extra is shared: as many as settings say
+ * could be alive, and room for as many again as are heard. */
+static uint32_t
+entries_of(const GwRouter *r)
+{
+    uint32_t heard = g_hash_table_size(r->peers) + 1;
+
+    return MAX(MAX(r->params.entries_max, 1), heard * 3 / 2);
+}
+
 /* Whether another attempt may be made, and pays for it. A send that met no
  * server is no arrival anywhere and costs nothing. */
 static bool
 may_retry(GwRouter *r, int64_t now_us, GwRequest *req)
 {
     GwServiceState *service = req->service;
-    double extra =
-        r->params.retry_extra * RETRY_SHARE / MAX(r->params.entries_max, 1);
+    double extra = r->params.retry_extra * RETRY_SHARE / entries_of(r);
     double window_s = MAX(r->params.retry_window_ms, 1) / 1000.0;
 
 #if GW_MUTANT != 75 /* breaks: a request is sent to any number of servers */
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -142,6 +142,31 @@
     }
 }
 
+/* Whether the route is gone and nothing needs what was learned of it. */
+static gboolean
+is_over(gpointer name, gpointer value, gpointer names)
+{
+    const GwRouteState *state = value;
+
+    return state->open == 0 && !g_hash_table_contains(names, name);
+}
+
+/* Operators add and remove routes for years. */
+static void
+forget_routes(GwRouter *r)
+{
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
+    for (uint32_t i = 0; i < r->routing->host_count; i++) {
+        const GwRouteHost *host = &r->routing->hosts[i];
+        for (uint32_t j = 0; j < host->route_count; j++) {
+            g_hash_table_add(names, host->routes[j].name);
+        }
+    }
+    g_hash_table_foreach_remove(r->routes, is_over, names);
+    g_hash_table_destroy(names);
+}
+
 bool
 GwRouter_SetRouting(GwRouter *r, GwRouting *routing)
 {
@@ -153,6 +178,7 @@
     GwRouting_Unref(r->routing);
     r->routing = GwRouting_Ref(routing);
     take_services(r);
+    forget_routes(r);
     return true;
 }
 
@@ -199,9 +225,12 @@
     gpointer value;
     const char *comma = "";
 
-    g_string_append_printf(
-        out, "{\"version\":%" G_GUINT64_FORMAT ",\"open\":%u,\"servers\":[",
-        r->routing != NULL ? r->routing->version : 0, GwRouter_OpenCount(r));
+    g_string_append_printf(out,
+                           "{\"version\":%" G_GUINT64_FORMAT
+                           ",\"open\":%u,\"routes\":%u,\"servers\":[",
+                           r->routing != NULL ? r->routing->version : 0,
+                           GwRouter_OpenCount(r),
+                           g_hash_table_size(r->routes));
     g_hash_table_iter_init(&iter, r->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwServer *s = value;
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -53,6 +53,7 @@
     char *name;
     double warm_us;
     double cold_us;
+    uint32_t open;       /* requests that point here */
     int64_t left_max_us; /* what callers give a request at first */
     int64_t *credit;     /* smooth weighted round robin: one for each part */
     uint32_t credit_count;
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -317,6 +317,41 @@
     finish(f);
 }
 
+/* The fixed extra of retries is shared: with many more entries than settings
+ * foresaw, each takes a smaller part, or all together would exceed it. */
+Test(router, more_entries_have_less_to_retry_each)
+{
+    uint32_t repeats[2];
+
+    for (int many = 0; many < 2; many++) {
+        FakeSteering *f = start(3);
+        for (int i = 0; i < 4; i++) {
+            char id[8];
+            g_snprintf(id, sizeof(id), "s%d", i);
+            FakeSteering_Put(f, id, "r1", "d1", 4);
+        }
+        for (int i = 0; i < many * 60; i++) {
+            char name[16];
+            g_snprintf(name, sizeof(name), "peer-%d", i);
+            GwPeerInfo peer = {.name = name, .region = "r1", .serves = true};
+            GwRouter_PutPeer(f->router, f->now_us, &peer);
+        }
+        for (int i = 0; i < 40; i++) {
+            FakeRequest *req = FakeSteering_Arrive(f, "/again/", NULL, 3000);
+            for (int j = 0; j < 3; j++) {
+                FakeSteering_End(f, req, GW_ATTEMPT_REFUSED, 503);
+            }
+            FakeSteering_Pass(f, 250000);
+        }
+        repeats[many] = f->repeats;
+        finish(f);
+    }
+    /* 0.8 of 60 in 10 s: 16 for one of three, under one for one of 61. */
+    cr_expect_gt(repeats[0], repeats[1] + 5, "%u and %u", repeats[0],
+                 repeats[1]);
+    cr_expect_leq(repeats[1], 10, "%u", repeats[1]);
+}
+
 /* A cold server bears cold_per_s requests a second from all entries together.
  * One entry feeds it, and less than that; right after its own start an entry
  * knows no others and feeds none. */
@@ -354,6 +389,38 @@
     finish(f);
 }
 
+/* Routes come and go with the versions; what was learned of one that is gone
+ * is dropped, but not under a request that is still open. */
+Test(router, gone_routes_are_forgotten)
+{
+    FakeSteering *f = start(1);
+    FakeRequest *open = NULL;
+    GString *dump = g_string_new(NULL);
+
+    FakeSteering_Put(f, "a", "r1", "d1", 100);
+    for (uint64_t version = 2; version < 50; version++) {
+        GwRouting *routing = FakeSteering_Routing(version, 1);
+        GwRoute *route = &routing->hosts[0].routes[0];
+        g_free(route->name);
+        route->name = g_strdup_printf("route-%u", (unsigned)version);
+        cr_assert(GwRouter_SetRouting(f->router, routing));
+        FakeRequest *req = FakeSteering_Arrive(f, route->prefix, NULL, 3000);
+        GwRouting_Unref(routing);
+        if (version == 10) {
+            open = req;
+            continue;
+        }
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+    }
+    FakeSteering_End(f, open, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect(open->over);
+    FakeSteering_Configure(f, 60, 1);
+    GwRouter_Dump(f->router, f->now_us, dump);
+    cr_expect_not_null(strstr(dump->str, "\"routes\":0,"), "%s", dump->str);
+    g_string_free(dump, TRUE);
+    finish(f);
+}
+
 Test(router, without_a_configuration_nothing_is_missing)
 {
     FakeSteering *f = FakeSteering_Create("r1", "d1");
