Let what can only leave the region leave

Change: where nobody in the region could take the request, the limit does not apply. Conclusion: kept; what_can_only_leave_is_not_refused fails without it.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -337,10 +337,14 @@
     look.side = side;
     GwChoice other = choose_one(&look);
     other.wants_far = c.wants_far;
-    /* Nothing goes abroad for the sake of the share that would not arrive in
-     * time there, or be a cold run. */
+    /* Where nobody in the region could take it at all, it is not the limit's
+     * to refuse. And nothing goes abroad for the sake of the share that would
+     * not arrive in time there, or be a cold run. */
+    if (other.server == NULL) {
+        return c;
+    }
     if (side == GW_DRIFT_FAR &&
-        (other.server == NULL || !other.in_time || !other.ready ||
+        (!other.in_time || !other.ready ||
          (req->key != NULL && GwKey_At(req->key, other.server) == NULL))) {
         return c;
     }
--- a/tests/unit/test_router_drift.c
+++ b/tests/unit/test_router_drift.c
@@ -140,6 +140,39 @@
     finish(&load);
 }
 
+/* A service that has no server in the region: its requests can only leave, and
+ * the limit on how fast traffic moves must not refuse them. */
+Test(router_drift, what_can_only_leave_is_not_refused)
+{
+    Load load = start();
+    GwRouting *routing = FakeSteering_Routing(2, 1);
+    GwServerInfo far = {.id = "b2",
+                        .born_ms = 1,
+                        .service = "t",
+                        .address = "127.0.0.1:1",
+                        .domain = "d3",
+                        .region = "r2",
+                        .slots = 40};
+    uint32_t refused = 0;
+
+    g_free(routing->hosts[0].routes[1].parts[0].service);
+    routing->hosts[0].routes[1].parts[0].service = g_strdup("t");
+    g_free(routing->hosts[0].routes[0].parts[0].service);
+    routing->hosts[0].routes[0].parts[0].service = g_strdup("t");
+    GwRouter_PutServer(load.f->router, load.f->now_us, &far, load.f->actions);
+    drive(&load, 50, 8); /* near, to service "s" */
+    cr_assert(GwRouter_SetRouting(load.f->router, routing));
+    GwRouting_Unref(routing);
+    for (int i = 0; i < 200; i++) {
+        FakeRequest *req = FakeSteering_Arrive(load.f, "/once/", NULL, 3000);
+        refused += req->status == 503;
+        FakeSteering_Pass(load.f, 10000);
+        FakeSteering_End(load.f, req, GW_ATTEMPT_ANSWERED, 200);
+    }
+    cr_expect_eq(refused, 0, "%u of 200", refused);
+    finish(&load);
+}
+
 /* When servers of the region are lost the limit must not hold callers back:
  * their requests have nowhere else to go. */
 Test(router_drift, lost_servers_lift_the_limit)
