Let the time that callers give at first fade

Cause: read in the code: one caller that gives its requests a minute made all others of the route look as if they came back late, for good. Change: the most seen fades by 2 percent a request, and who would have spent more than two thirds of it is new. A route without an objective has one of 1 s.

--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -5,6 +5,13 @@
 
 /* Callers that say nothing of their time are taken to wait this long. */
 #define DEFAULT_LEFT_US 5000000
+/* A route that names no objective is taken to have this one. */
+#define DEFAULT_AIM_US 1000000
+/* Of the distance to a new request's time, how much the most seen fades; and
+ * the part of its time that a caller can have spent when it comes back: it
+ * waits a third at most before each of one or two returns. */
+#define LEFT_FADES    0.02
+#define COMEBACK_MOST 0.67
 /* A server tells that its caller's time is over a little after it is; its
  * word, which says whether the request ran, is worth these us of waiting. */
 #define SERVER_WORD_US 120000
@@ -307,6 +314,22 @@
     service->retries.tokens += r->params.retry_ratio * RETRY_SHARE;
 }
 
+/* How long the caller has tried already. One that was refused comes back with
+ * less time left than callers of the route give at first, and its objective
+ * counts from then. What they give at first is the most seen, which fades: a
+ * single caller with much time must not make all others look late for good. */
+static int64_t
+spent_before(GwRouteState *state, int64_t left_us)
+{
+    int64_t most = state->left_max_us;
+
+    most -= (int64_t)((double)(most - left_us) * LEFT_FADES);
+    state->left_max_us = MAX(most, left_us);
+    int64_t spent = state->left_max_us - left_us;
+    return (double)spent > COMEBACK_MOST * (double)state->left_max_us ? 0
+                                                                      : spent;
+}
+
 static void
 set_times(GwRequest *req, int64_t now_us, int64_t left_us)
 {
@@ -315,13 +338,11 @@
     if (left_us < 0) {
         left_us = timeout_us > 0 ? timeout_us : DEFAULT_LEFT_US;
     }
-    int64_t aim_us = (int64_t)req->route->objective_ms * 1000;
+    int64_t aim_us = req->route->objective_ms > 0
+                         ? (int64_t)req->route->objective_ms * 1000
+                         : DEFAULT_AIM_US;
     req->arrived_us = now_us;
-    /* A caller that was refused comes back with less time left than at first,
-     * and its objective counts from then. */
-    req->state->left_max_us = MAX(req->state->left_max_us, left_us);
-    int64_t spent_us = req->state->left_max_us - left_us;
-    req->aim_us = now_us + aim_us - spent_us;
+    req->aim_us = now_us + aim_us - spent_before(req->state, left_us);
     req->late_us = now_us + (int64_t)(aim_us * LATE_WAIT);
     req->budget_us = now_us + left_us;
     req->give_up_us = now_us + left_us + SERVER_WORD_US;
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -300,6 +300,42 @@
     finish(f);
 }
 
+static void
+run_short(FakeSteering *f)
+{
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/", "k", 3000);
+
+    FakeSteering_Pass(f, 50000);
+    FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+}
+
+/* One caller gives its request a minute. Those that give three seconds, as all
+ * did before, must not be taken for callers that come back late: they would
+ * stand behind every other request, for good. */
+Test(router, a_patient_caller_makes_nobody_late)
+{
+    FakeSteering *f = start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 1);
+    for (int i = 0; i < 50; i++) {
+        run_short(f);
+    }
+    FakeRequest *patient = FakeSteering_Arrive(f, "/again/", "k", 60000);
+    FakeSteering_End(f, patient, GW_ATTEMPT_ANSWERED, 200);
+    for (int i = 0; i < 300; i++) {
+        run_short(f);
+    }
+    FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    FakeRequest *back = FakeSteering_Arrive(f, "/again/", "k", 2300);
+    FakeRequest *second = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    cr_assert_not_null(first->server);
+    cr_assert_not(back->over);
+    FakeSteering_Pass(f, 50000);
+    FakeSteering_End(f, first, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect_not_null(second->server, "in time, so before the other");
+    cr_expect_null(back->server, "comes back after 0.7 s: late");
+    finish(f);
+}
+
 /* Time-outs: sent and silent is 504 at the route's time-out, never sent is a
  * true 503. What servers are told is what is left. */
 Test(router, a_silent_server_does_not_hold_a_caller)
