Take one entry's cut for no outage of the store

Ruled out: the poll's pause (removals were read within 0.6 s by others). Change: an outage counts only if no entry read the store well meanwhile.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -133,6 +133,8 @@
 void GwPeers_Sweep(GwPeers *peers, int64_t now_us);
 /* Tells every peer at once, for what can't wait for the next report. */
 void GwPeers_Announce(GwPeers *peers);
+/* Peers that read the store and saw no outage. */
+uint32_t GwPeers_CountReadingWell(const GwPeers *peers);
 /* There is news from the store: the next reports to the region go soon. */
 void GwPeers_Hurry(GwPeers *peers);
 /* Addresses for callers of that place, best first. */
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -1,6 +1,7 @@
 /* The store's rows: one long poll for each table, a full reading where the
  * history is gone, and peers while the store turns this entry away. */
 #include "edge/edge_internal.h"
+#include "store/away.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -193,8 +194,13 @@
 {
     int64_t now_us = GwEdge_Now();
 
-    if (now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
-        feed->retry_ms > RETRY_MIN_MS) {
+    GwStoreSight sight = {
+        .failed =
+            now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
+            feed->retry_ms > RETRY_MIN_MS,
+        .peers_reading_well = GwPeers_CountReadingWell(feed->edge->peers),
+    };
+    if (GwStoreSight_WasAway(&sight)) {
         feed->away_until_us = now_us + grace_us(feed);
         GwRowCache_SetGrace(feed->cache, feed->away_until_us, grace_us(feed));
         GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -19,8 +19,9 @@
     uint64_t last_start; /* of the process before it */
     uint64_t seq;
     bool serves;
-    bool reads; /* the store, and it answers */
-    bool heard; /* at least once */
+    bool reads;    /* the store, and it answers */
+    bool saw_away; /* the store was away until lately, it says */
+    bool heard;    /* at least once */
     int64_t heard_us;
     uint32_t next_ms; /* its next report comes within */
     int64_t told_us;
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -47,3 +47,20 @@
     GwFeed_SetReads(edge->operator_feed, reads);
     GwFeed_SetReads(edge->server_feed, reads);
 }
+
+uint32_t
+GwPeers_CountReadingWell(const GwPeers *peers)
+{
+    int64_t now_us = GwEdge_Now();
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeerEntry *peer = value;
+        count +=
+            GwPeerEntry_IsLive(peer, now_us) && peer->reads && !peer->saw_away;
+    }
+    return count;
+}
