Miss readers of the store sooner

Cause: read in the code: with all readers killed at once the others would begin to read after 2 s of silence; a server that leaves then is known 2.4 s later at best, of 2.5 s allowed. Change: a reader counts for 1.2 s (2.4 periods of longer ones).

--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -10,6 +10,11 @@
 /* With fewer others that read, every entry reads: the store may have turned
  * the readers away, or they may be cut off from it. */
 #define OTHERS_MIN 2
+/* A reader counts while it was heard within this: sooner than it counts as
+ * silent, for news must come within 2.5 s also when all readers end at once;
+ * reading for nothing costs a call. */
+#define HEARD_PERIODS 2.4
+#define HEARD_MIN_US  1200000
 /* An entry that has just started reads for itself until it knows its peers. */
 #define START_US 3000000
 
@@ -19,6 +24,14 @@
     return GwHash_Text(name, 1);
 }
 
+static bool
+is_heard_lately(const GwPeerEntry *peer, int64_t now_us)
+{
+    int64_t limit_us = (int64_t)(HEARD_PERIODS * peer->next_ms * 1000);
+
+    return now_us - peer->heard_us < MAX(limit_us, HEARD_MIN_US);
+}
+
 void
 GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
 {
@@ -36,7 +49,7 @@
         if (!peer->serves || !GwPeerEntry_IsLive(peer, now_us)) {
             continue;
         }
-        others += peer->reads;
+        others += peer->reads && is_heard_lately(peer, now_us);
         if (strcmp(peer->region, own->region) == 0 &&
             rank_of(peer->name) > rank) {
             first = false;
