--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -1,5 +1,5 @@
 /* Settings of one entry on the event loop: JSON with comments.
- * docs/SETTINGS.md lists the keys. */
+ * docs/SETTINGS-EDGE.md lists the keys. */
 #ifndef GW_EDGE_SETTINGS_H
 #define GW_EDGE_SETTINGS_H
 
