--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -111,7 +111,8 @@
 bool GwFeed_IsHealthy(const GwFeed *feed);
 /* The store was away until lately, as this entry saw itself, or by a peer. */
 bool GwFeed_WasAway(const GwFeed *feed, int64_t now_us);
-void GwFeed_NoteAway(GwFeed *feed, int64_t now_us);
+/* A peer's report came; `saw_away`: the store was away, it says. */
+void GwFeed_NotePeer(GwFeed *feed, int64_t now_us, bool saw_away);
 uint64_t GwFeed_Version(const GwFeed *feed);
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -17,9 +17,12 @@
  * dropped rows may be missing by now. */
 #define STALE_US 60000000
 /* An answer that is later than the wait by this much won't come. */
-#define ANSWER_MS    1500
-#define RETRY_MIN_MS 150
-#define RETRY_MAX_MS 1000
+#define ANSWER_MS 1500
+/* A peer answers at once, so that a lost one must not keep the entry from
+ * asking the next: two regions' round trip and its processor's turn. */
+#define PEER_ANSWER_MS 600
+#define RETRY_MIN_MS   150
+#define RETRY_MAX_MS   1000
 /* The store did not answer for so long: rows may have lapsed meanwhile. */
 #define AWAY_US       1000000
 #define ROWS_BODY_MAX (8u << 20)
@@ -42,7 +45,6 @@
     int64_t fresh_us;  /* last news, from the store or a peer */
     bool peer_full;    /* the read from a peer is of the whole table */
     bool known;        /* the table has been read, here or by a peer */
-    bool asked;
     int64_t asked_us;
     uint32_t wait_ms;
     int64_t retry_at_us;
@@ -79,7 +81,6 @@
         GwConn_Close(feed->conn);
         feed->conn = NULL;
     }
-    feed->asked = false;
     feed->ask_at_us = 0;
     GwRowSet_Free(feed->pages);
     feed->pages = NULL;
@@ -164,7 +165,6 @@
     write_get(feed->conn, target, edge->settings->store_address);
     g_free(target);
     edge->counts.store_calls++;
-    feed->asked = true;
     feed->asked_us = GwEdge_Now();
 }
 
@@ -180,29 +180,43 @@
     return now_us < feed->away_until_us;
 }
 
-/* A peer says that the store was away: what it drops now may come back. */
-void
-GwFeed_NoteAway(GwFeed *feed, int64_t now_us)
+/* A row that lapsed while the store was away is written again by its owner
+ * within two seconds of its return, if that one lives: what is dropped now may
+ * come back. Not if somebody read the store all the while. */
+static bool
+set_grace_if_away(GwFeed *feed, int64_t now_us, bool failed, bool reads_well)
 {
+    GwStoreSight sight = {
+        .failed = failed,
+        .reads_well = reads_well,
+        .peers_reading_well = GwPeers_CountReadingWell(feed->edge->peers),
+    };
+
+    if (!GwStoreSight_WasAway(&sight)) {
+        return false;
+    }
     GwRowCache_SetGrace(feed->cache, now_us + grace_us(feed), grace_us(feed));
+    return true;
+}
+
+void
+GwFeed_NotePeer(GwFeed *feed, int64_t now_us, bool saw_away)
+{
+    bool reads_well = GwFeed_IsHealthy(feed) && !GwFeed_WasAway(feed, now_us);
+
+    (void)set_grace_if_away(feed, now_us, saw_away, reads_well);
 }
 
-/* The store is back after a while: a row that lapsed meanwhile is written
- * again by its owner within two seconds, if that one lives. */
 static void
 note_answer(GwFeed *feed)
 {
     int64_t now_us = GwEdge_Now();
+    bool failed =
+        now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
+        feed->retry_ms > RETRY_MIN_MS;
 
-    GwStoreSight sight = {
-        .failed =
-            now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
-            feed->retry_ms > RETRY_MIN_MS,
-        .peers_reading_well = GwPeers_CountReadingWell(feed->edge->peers),
-    };
-    if (GwStoreSight_WasAway(&sight)) {
+    if (set_grace_if_away(feed, now_us, failed, false)) {
         feed->away_until_us = now_us + grace_us(feed);
-        GwRowCache_SetGrace(feed->cache, feed->away_until_us, grace_us(feed));
         GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
                     feed->table, (now_us - feed->answered_us) / 1000);
     }
@@ -269,7 +283,6 @@
     GError *error = NULL;
     GwRowSet *set = NULL;
 
-    feed->asked = false;
     if (msg->status == 410) {
         feed->phase = PHASE_READ;
         GwHttpMessage_Free(msg);
@@ -506,7 +519,7 @@
         back_off(feed);
     }
     if (feed->peer != NULL &&
-        now_us - feed->peer_asked_us > ANSWER_MS * 1000) {
+        now_us - feed->peer_asked_us > PEER_ANSWER_MS * 1000) {
         close_peer(feed);
     }
 }
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -7,7 +7,6 @@
  * only now and then, and all periods grow with the number of entries: what
  * one entry sends a second is bounded. */
 #include "edge/peers_internal.h"
-#include "store/away.h"
 
 #include "wire/peer.pb-c.h"
 
@@ -347,22 +346,6 @@
     peer->server_version = report->server_version;
 }
 
-static void
-note_away(GwPeers *peers, const Report *report)
-{
-    GwFeed *feed = peers->edge->server_feed;
-    int64_t now_us = GwEdge_Now();
-    GwStoreSight sight = {
-        .failed = report->store_was_away,
-        .reads_well = GwFeed_IsHealthy(feed) && !GwFeed_WasAway(feed, now_us),
-        .peers_reading_well = GwPeers_CountReadingWell(peers),
-    };
-
-    if (GwStoreSight_WasAway(&sight)) {
-        GwFeed_NoteAway(feed, now_us);
-    }
-}
-
 static void
 take(GwPeers *peers, const char *from, const Report *report)
 {
@@ -386,7 +369,7 @@
     for (size_t i = 0; i < report->n_known; i++) {
         (void)GwPeers_Add(peers, report->known[i]);
     }
-    note_away(peers, report);
+    GwFeed_NotePeer(edge->server_feed, GwEdge_Now(), report->store_was_away);
     if (report->is_new) {
         make_backlog(peers, peer);
     }
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -299,7 +299,6 @@
         .outcome = outcome_of(names, msg),
         .status = msg->status,
         .other_server = msg->status == 421,
-        .leaving = !msg->keep_alive,
         .cold_ms = cold != NULL ? (uint32_t)strtoul(cold, NULL, 10) : 0,
         .connect_us = link->connect_us,
     };
@@ -323,6 +322,19 @@
     return ours != NULL && strcmp(theirs, ours) == 0;
 }
 
+/* Closes the connections that were idle longest, above this entry's part of
+ * what the server takes: a server resets those beyond, of whoever comes. */
+static void
+trim_idle(GwPool *pool)
+{
+    uint32_t most =
+        GwRouter_IdleConnectionsMax(pool->edge->router, pool->server);
+
+    while (g_queue_get_length(&pool->idle) > most) {
+        discard(g_queue_peek_head(&pool->idle));
+    }
+}
+
 /* Keeps the connection for the next request, if the server goes on with it. */
 static void
 put_back(GwServerLink *link, const GwHttpMessage *msg)
@@ -342,7 +354,9 @@
     if (!msg->keep_alive || !msg->framed || link->spoiled ||
         link->pool->server == NULL) {
         discard(link);
+        return;
     }
+    trim_idle(link->pool);
 }
 
 static void
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -140,8 +140,6 @@
            GwRead_U32(at, "retry_extra", &extra, &r->retry_extra, error) &&
            read_time(at, "retry_window", &r->retry_window_ms, error) &&
            GwRead_U32(at, "entries_max", &entries, &r->entries_max, error) &&
-           read_real(at, "cold_over", 100.0, &r->cold_over, error) &&
-           GwRead_U32(at, "cold_slack", &extra, &r->cold_slack, error) &&
            read_time(at, "grace", &s->grace_ms, error) &&
            read_time(at, "lookup_ttl", &s->lookup_ttl_ms, error) &&
            read_time(at, "row_grace", &s->row_grace_ms, error);
@@ -186,8 +184,6 @@
         "retry_extra",
         "retry_window",
         "entries_max",
-        "cold_over",
-        "cold_slack",
         "grace",
         "lookup_ttl",
         "row_grace",
@@ -222,8 +218,7 @@
     *s = (GwEdgeSettings){
         .router = {.retry_ratio = 0.2,
                    .retry_window_ms = 10000,
-                   .entries_max = ENTRIES_MAX,
-                   .cold_over = 1.0},
+                   .entries_max = ENTRIES_MAX},
         .seeds = g_ptr_array_new_with_free_func(g_free),
         .regions =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -60,7 +60,6 @@
     }
     for (uint32_t i = 0; i < r->service_count; i++) {
         g_free(r->services[i].name);
-        g_free(r->services[i].health_path);
     }
     g_free(r->hosts);
     g_free(r->services);
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -38,10 +38,8 @@
 
 typedef struct {
     char *name;
-    char *health_path;
     uint32_t connections_max; /* of one backend server, from all entries */
-    uint32_t warmup_ms;
-    double cold_per_s; /* requests a second that a cold server bears */
+    double cold_per_s;        /* requests a second that a cold server bears */
 } GwRouteService;
 
 /* What a caller may send, and how long it may take. */
--- /dev/null
+++ b/lib/router/arrivals.c
@@ -0,0 +1,149 @@
+/* A request arrives: its route, its share of a split, and its times. */
+#include "router/router_internal.h"
+
+/* Callers that say nothing of their time are taken to wait this long. */
+#define DEFAULT_LEFT_US 5000000
+/* A route that names no objective is taken to have this one. */
+#define DEFAULT_AIM_US 1000000
+/* Of the distance to a new request's time, how much the most seen fades; and
+ * the part of its time that a caller can have spent when it comes back: it
+ * waits a third at most before each of one or two returns. */
+#define LEFT_FADES    0.02
+#define COMEBACK_MOST 0.67
+/* A server tells that its caller's time is over a little after it is; its
+ * word, which says whether the request ran, is worth these us of waiting. */
+#define SERVER_WORD_US 120000
+/* Past a route's timeout the caller gets its answer at once. */
+#define TIMEOUT_SLACK_US 30000
+/* What would come too late is kept for so long, in objectives. */
+#define LATE_WAIT 1.5
+
+static GwRouteState *
+state_of(GwRouter *r, const GwRoute *route)
+{
+    GwRouteState *state = g_hash_table_lookup(r->routes, route->name);
+
+    if (state == NULL) {
+        double aim_us = MAX(route->objective_ms, 1) * 1000.0;
+        state = g_new0(GwRouteState, 1);
+        state->name = g_strdup(route->name);
+        state->cold_us = GW_COLD_SHARE * aim_us;
+        state->warm_us = GW_WARM_SHARE * aim_us;
+        g_hash_table_insert(r->routes, state->name, state);
+    }
+    if (state->credit_count != route->part_count) {
+        g_free(state->credit);
+        state->credit = g_new0(int64_t, route->part_count);
+        state->credit_count = route->part_count;
+    }
+    return state;
+}
+
+/* Smooth weighted round robin: each part earns its weight, the richest is
+ * taken and pays the sum. Shares are exact over each round, so a short
+ * stretch of requests is split as a long one is. */
+static const char *
+take_part(const GwRoute *route, GwRouteState *state)
+{
+    int64_t sum = 0;
+    uint32_t best = 0;
+
+    for (uint32_t i = 0; i < route->part_count; i++) {
+        state->credit[i] += route->parts[i].weight;
+        sum += route->parts[i].weight;
+        if (state->credit[i] > state->credit[best]) {
+            best = i;
+        }
+    }
+    state->credit[best] -= sum;
+    return route->parts[best].service;
+}
+
+/* How long the caller has tried already. One that was refused comes back with
+ * less time left than callers of the route give at first, and its objective
+ * counts from then. What they give at first is the most seen, which fades: a
+ * single caller with much time must not make all others look late for good. */
+static int64_t
+spent_before(GwRouteState *state, int64_t left_us)
+{
+    int64_t most = state->left_max_us;
+
+    most -= (int64_t)((double)(most - left_us) * LEFT_FADES);
+    state->left_max_us = MAX(most, left_us);
+    int64_t spent = state->left_max_us - left_us;
+    return (double)spent > COMEBACK_MOST * (double)state->left_max_us ? 0
+                                                                      : spent;
+}
+
+static void
+set_times(GwRequest *req, int64_t now_us, int64_t left_us)
+{
+    int64_t timeout_us = (int64_t)req->route->timeout_ms * 1000;
+
+    if (left_us < 0) {
+        left_us = timeout_us > 0 ? timeout_us : DEFAULT_LEFT_US;
+    }
+    int64_t aim_us = req->route->objective_ms > 0
+                         ? (int64_t)req->route->objective_ms * 1000
+                         : DEFAULT_AIM_US;
+    req->arrived_us = now_us;
+    req->aim_us = now_us + aim_us - spent_before(req->state, left_us);
+    req->late_us = now_us + (int64_t)(aim_us * LATE_WAIT);
+    req->budget_us = now_us + left_us;
+    req->give_up_us = now_us + left_us + SERVER_WORD_US;
+    if (timeout_us > 0) {
+        req->budget_us = MIN(req->budget_us, now_us + timeout_us);
+        req->give_up_us =
+            MIN(req->give_up_us, now_us + timeout_us + TIMEOUT_SLACK_US);
+    }
+}
+
+static void
+refuse_arrival(GwRouter *r, const GwArrival *arrival, GwWhy why,
+               GArray *actions)
+{
+    GwDo out = {
+        .kind = GW_DO_REPLY,
+        .user = arrival->user,
+        .why = why,
+        .status = why == GW_WHY_NO_ROUTE ? 404 : 503,
+        .retry_after_ms = why == GW_WHY_NO_ROUTE ? 0 : GwRouter_ComebackMs(r),
+    };
+
+    g_array_append_val(actions, out);
+}
+
+void
+GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
+                GArray *actions)
+{
+    GwRouter_FreeFreed(r, actions);
+    if (r->routing == NULL) {
+        refuse_arrival(r, arrival, GW_WHY_NO_CONFIG, actions);
+        return;
+    }
+    const GwRoute *route =
+        GwRouting_Match(r->routing, arrival->host, arrival->path);
+    if (route == NULL) {
+        refuse_arrival(r, arrival, GW_WHY_NO_ROUTE, actions);
+        return;
+    }
+    GwRequest *req = g_new0(GwRequest, 1);
+    req->user = arrival->user;
+    req->routing = GwRouting_Ref(r->routing);
+    req->route = route;
+    req->state = state_of(r, route);
+    req->state->open++;
+    req->service = GwRouter_ServiceOf(r, take_part(route, req->state));
+    req->deadline = GW_HEAP_OUT;
+    set_times(req, now_us, arrival->left_us);
+    if (arrival->key != NULL && route->warm_keys) {
+        req->key =
+            GwRouter_KeyOf(r, now_us, route, req->service, arrival->key);
+    }
+    g_hash_table_add(r->open, req);
+    GwRouter_EarnRetry(r, req->service);
+    (void)GwRouter_AddDo(actions, GW_DO_ACCEPT, req);
+    GwRequest_Wait(req);
+    GwRouter_Pump(r, now_us, req->service, actions);
+}
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -1,24 +1,9 @@
-/* The life of a request: admitted, placed, sent, perhaps sent again, over. */
+/* The life of a request once it is admitted: placed, sent, perhaps sent
+ * again, over. */
 #include "router/router_internal.h"
 
 #include <string.h>
 
-/* Callers that say nothing of their time are taken to wait this long. */
-#define DEFAULT_LEFT_US 5000000
-/* A route that names no objective is taken to have this one. */
-#define DEFAULT_AIM_US 1000000
-/* Of the distance to a new request's time, how much the most seen fades; and
- * the part of its time that a caller can have spent when it comes back: it
- * waits a third at most before each of one or two returns. */
-#define LEFT_FADES    0.02
-#define COMEBACK_MOST 0.67
-/* A server tells that its caller's time is over a little after it is; its
- * word, which says whether the request ran, is worth these us of waiting. */
-#define SERVER_WORD_US 120000
-/* Past a route's timeout the caller gets its answer at once. */
-#define TIMEOUT_SLACK_US 30000
-/* What would come too late is kept for so long, in objectives. */
-#define LATE_WAIT 1.5
 /* Waiting requests are judged anew this often: estimates move with the peers'
  * reports, and a first run may end earlier than expected. */
 #define REJUDGE_US 15000
@@ -46,8 +31,8 @@
     return names[why];
 }
 
-static GwDo *
-add(GArray *actions, GwDoKind kind, GwRequest *req)
+GwDo *
+GwRouter_AddDo(GArray *actions, GwDoKind kind, GwRequest *req)
 {
     GwDo empty = {.kind = kind, .user = req->user, .request = req};
 
@@ -95,8 +80,8 @@
     g_free(req);
 }
 
-static uint32_t
-comeback_ms(GwRouter *r)
+uint32_t
+GwRouter_ComebackMs(GwRouter *r)
 {
     return COMEBACK_MIN_MS + GwRng_Below(&r->rng, COMEBACK_SPREAD_MS);
 }
@@ -107,7 +92,7 @@
 static void
 reply(GwRouter *r, int64_t now_us, GwRequest *req, GwWhy why, GArray *actions)
 {
-    GwDo *out = add(actions, GW_DO_REPLY, req);
+    GwDo *out = GwRouter_AddDo(actions, GW_DO_REPLY, req);
 
     out->why = why;
     out->story = GwRequest_Story(req, now_us);
@@ -121,7 +106,7 @@
 #endif
     else {
         out->status = 503;
-        out->retry_after_ms = comeback_ms(r);
+        out->retry_after_ms = GwRouter_ComebackMs(r);
     }
     finish(r, req);
 }
@@ -166,7 +151,7 @@
         GwRouter_UseKey(r, req->key, s, now_us);
     }
     move_deadline(r, req, req->give_up_us);
-    GwDo *out = add(actions, GW_DO_SEND, req);
+    GwDo *out = GwRouter_AddDo(actions, GW_DO_SEND, req);
     out->server = s;
     out->idempotent = req->route->idempotent;
     out->left_ms = req->budget_us > now_us
@@ -248,8 +233,8 @@
     drop_claims(service);
 }
 
-static void
-wait_in_order(GwRequest *req)
+void
+GwRequest_Wait(GwRequest *req)
 {
     GPtrArray *waiting = req->service->waiting;
     guint at = waiting->len;
@@ -265,160 +250,29 @@
     req->waits = true;
 }
 
-/* ---- Arrival ------------------------------------------------------------- */
-
-static GwRouteState *
-state_of(GwRouter *r, const GwRoute *route)
-{
-    GwRouteState *state = g_hash_table_lookup(r->routes, route->name);
-
-    if (state == NULL) {
-        double aim_us = MAX(route->objective_ms, 1) * 1000.0;
-        state = g_new0(GwRouteState, 1);
-        state->name = g_strdup(route->name);
-        state->cold_us = GW_COLD_SHARE * aim_us;
-        state->warm_us = GW_WARM_SHARE * aim_us;
-        g_hash_table_insert(r->routes, state->name, state);
-    }
-    if (state->credit_count != route->part_count) {
-        g_free(state->credit);
-        state->credit = g_new0(int64_t, route->part_count);
-        state->credit_count = route->part_count;
-    }
-    return state;
-}
-
-/* Smooth weighted round robin: each part earns its weight, the richest is
- * taken and pays the sum. Shares are exact over each round, so a short
- * stretch of requests is split as a long one is. */
-static const char *
-take_part(const GwRoute *route, GwRouteState *state)
-{
-    int64_t sum = 0;
-    uint32_t best = 0;
-
-    for (uint32_t i = 0; i < route->part_count; i++) {
-        state->credit[i] += route->parts[i].weight;
-        sum += route->parts[i].weight;
-        if (state->credit[i] > state->credit[best]) {
-            best = i;
-        }
-    }
-    state->credit[best] -= sum;
-    return route->parts[best].service;
-}
-
-static void
-count_first(GwRouter *r, GwServiceState *service)
-{
-    service->retries.tokens += r->params.retry_ratio * RETRY_SHARE;
-}
-
-/* How long the caller has tried already. One that was refused comes back with
- * less time left than callers of the route give at first, and its objective
- * counts from then. What they give at first is the most seen, which fades: a
- * single caller with much time must not make all others look late for good. */
-static int64_t
-spent_before(GwRouteState *state, int64_t left_us)
-{
-    int64_t most = state->left_max_us;
-
-    most -= (int64_t)((double)(most - left_us) * LEFT_FADES);
-    state->left_max_us = MAX(most, left_us);
-    int64_t spent = state->left_max_us - left_us;
-    return (double)spent > COMEBACK_MOST * (double)state->left_max_us ? 0
-                                                                      : spent;
-}
-
-static void
-set_times(GwRequest *req, int64_t now_us, int64_t left_us)
-{
-    int64_t timeout_us = (int64_t)req->route->timeout_ms * 1000;
-
-    if (left_us < 0) {
-        left_us = timeout_us > 0 ? timeout_us : DEFAULT_LEFT_US;
-    }
-    int64_t aim_us = req->route->objective_ms > 0
-                         ? (int64_t)req->route->objective_ms * 1000
-                         : DEFAULT_AIM_US;
-    req->arrived_us = now_us;
-    req->aim_us = now_us + aim_us - spent_before(req->state, left_us);
-    req->late_us = now_us + (int64_t)(aim_us * LATE_WAIT);
-    req->budget_us = now_us + left_us;
-    req->give_up_us = now_us + left_us + SERVER_WORD_US;
-    if (timeout_us > 0) {
-        req->budget_us = MIN(req->budget_us, now_us + timeout_us);
-        req->give_up_us =
-            MIN(req->give_up_us, now_us + timeout_us + TIMEOUT_SLACK_US);
-    }
-}
-
-static void
-refuse_arrival(GwRouter *r, const GwArrival *arrival, GwWhy why,
-               GArray *actions)
-{
-    GwDo out = {
-        .kind = GW_DO_REPLY,
-        .user = arrival->user,
-        .why = why,
-        .status = why == GW_WHY_NO_ROUTE ? 404 : 503,
-        .retry_after_ms = why == GW_WHY_NO_ROUTE ? 0 : comeback_ms(r),
-    };
-
-    g_array_append_val(actions, out);
-}
-
 /* Servers that went may still be named by actions that are not carried out
  * yet: steps come from inside of carrying them out too. */
-static void
-free_freed(GwRouter *r, const GArray *actions)
+void
+GwRouter_FreeFreed(GwRouter *r, const GArray *actions)
 {
     if (actions->len == 0) {
         g_ptr_array_set_size(r->freed, 0);
     }
 }
 
+/* ---- Ends of attempts ---------------------------------------------------- */
+
+/* Each first arrival earns its part of a retry. */
 void
-GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
-                GArray *actions)
+GwRouter_EarnRetry(GwRouter *r, GwServiceState *service)
 {
-    free_freed(r, actions);
-    if (r->routing == NULL) {
-        refuse_arrival(r, arrival, GW_WHY_NO_CONFIG, actions);
-        return;
-    }
-    const GwRoute *route =
-        GwRouting_Match(r->routing, arrival->host, arrival->path);
-    if (route == NULL) {
-        refuse_arrival(r, arrival, GW_WHY_NO_ROUTE, actions);
-        return;
-    }
-    GwRequest *req = g_new0(GwRequest, 1);
-    req->user = arrival->user;
-    req->routing = GwRouting_Ref(r->routing);
-    req->route = route;
-    req->state = state_of(r, route);
-    req->state->open++;
-    req->service = GwRouter_ServiceOf(r, take_part(route, req->state));
-    req->deadline = GW_HEAP_OUT;
-    set_times(req, now_us, arrival->left_us);
-    if (arrival->key != NULL && route->warm_keys) {
-        req->key =
-            GwRouter_KeyOf(r, now_us, route, req->service, arrival->key);
-    }
-    g_hash_table_add(r->open, req);
-    count_first(r, req->service);
-    (void)add(actions, GW_DO_ACCEPT, req);
-    wait_in_order(req);
-    GwRouter_Pump(r, now_us, req->service, actions);
+    service->retries.tokens += r->params.retry_ratio * RETRY_SHARE;
 }
 
-/* ---- Ends of attempts ---------------------------------------------------- */
-
 /* Among how many entries the fixed extra is shared: as many as settings say
  * could be alive, and room for as many again as are heard. */
-static uint32_t
-entries_of(const GwRouter *r)
+uint32_t
+GwRouter_EntriesMax(const GwRouter *r)
 {
     uint32_t heard = g_hash_table_size(r->peers) + 1;
 
@@ -431,7 +285,8 @@
 may_retry(GwRouter *r, int64_t now_us, GwRequest *req)
 {
     GwServiceState *service = req->service;
-    double extra = r->params.retry_extra * RETRY_SHARE / entries_of(r);
+    double extra =
+        r->params.retry_extra * RETRY_SHARE / GwRouter_EntriesMax(r);
     double window_s = MAX(r->params.retry_window_ms, 1) / 1000.0;
 
 #if GW_MUTANT != 75 /* breaks: a request is sent to any number of servers */
@@ -497,7 +352,7 @@
               req->may_have_run ? GW_WHY_BROKEN : GW_WHY_NO_RETRY, actions);
         return;
     }
-    wait_in_order(req);
+    GwRequest_Wait(req);
 }
 
 void
@@ -508,7 +363,7 @@
     bool answered = end->outcome == GW_ATTEMPT_ANSWERED;
     bool good = answered && end->status < 500;
 
-    free_freed(r, actions);
+    GwRouter_FreeFreed(r, actions);
     GwRouter_Learn(r, now_us, req, end);
     leave_server(r, now_us, req, good, actions);
     if (answered) {
@@ -516,10 +371,10 @@
         req->arrivals++;
         if (again && may_retry(r, now_us, req)) {
             req->may_have_run = true;
-            wait_in_order(req);
+            GwRequest_Wait(req);
         }
         else {
-            GwDo *out = add(actions, GW_DO_ANSWER, req);
+            GwDo *out = GwRouter_AddDo(actions, GW_DO_ANSWER, req);
             out->status = end->status;
             out->story = GwRequest_Story(req, now_us);
             finish(r, req);
@@ -535,7 +390,7 @@
 cancel(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
     if (req->server != NULL) {
-        GwDo *out = add(actions, GW_DO_CANCEL, req);
+        GwDo *out = GwRouter_AddDo(actions, GW_DO_CANCEL, req);
         out->server = req->server;
         leave_server(r, now_us, req, false, actions);
     }
@@ -544,7 +399,7 @@
 void
 GwRouter_Gone(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
-    free_freed(r, actions);
+    GwRouter_FreeFreed(r, actions);
     if (req->server != NULL) {
         leave_server(r, now_us, req, false, actions);
     }
@@ -579,7 +434,7 @@
 void
 GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions)
 {
-    free_freed(r, actions);
+    GwRouter_FreeFreed(r, actions);
     while (r->deadlines.count > 0 && GwHeap_TopKey(&r->deadlines) <= now_us) {
         GwRequest *req = GwHeap_Top(&r->deadlines);
         GwServiceState *service = req->service;
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -128,8 +128,6 @@
     r->params.retry_extra = params->retry_extra;
     r->params.retry_window_ms = params->retry_window_ms;
     r->params.entries_max = params->entries_max;
-    r->params.cold_over = params->cold_over;
-    r->params.cold_slack = params->cold_slack;
 }
 
 /* What the new version says of each service. */
@@ -138,7 +136,9 @@
 {
     for (uint32_t i = 0; i < r->routing->service_count; i++) {
         const GwRouteService *from = &r->routing->services[i];
-        GwRouter_ServiceOf(r, from->name)->cold_per_s = from->cold_per_s;
+        GwServiceState *service = GwRouter_ServiceOf(r, from->name);
+        service->cold_per_s = from->cold_per_s;
+        service->connections_max = from->connections_max;
     }
 }
 
@@ -188,6 +188,17 @@
     return r->routing;
 }
 
+uint32_t
+GwRouter_IdleConnectionsMax(const GwRouter *r, const GwServer *s)
+{
+    uint32_t most = s->service->connections_max / 2;
+
+    if (most == 0) {
+        return UINT32_MAX;
+    }
+    return MAX(most / GwRouter_EntriesMax(r), 1);
+}
+
 const char *
 GwServer_Id(const GwServer *s)
 {
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -32,9 +32,6 @@
     uint32_t retry_extra;
     uint32_t retry_window_ms;
     uint32_t entries_max; /* entries that could be alive at once */
-    /* A cold server gets at most cold_per_s x over + slack a second. */
-    double cold_over;
-    uint32_t cold_slack;
 } GwRouterParams;
 
 GwRouter *GwRouter_Create(const GwRouterParams *params, int64_t now_us);
@@ -133,7 +130,6 @@
     GwAttemptOutcome outcome;
     uint16_t status;   /* ANSWERED, REFUSED */
     bool other_server; /* REFUSED: another one has this address now */
-    bool leaving;      /* the answer closes the connection, or says so */
     bool has_load;
     uint32_t running; /* of the load report */
     uint32_t waiting;
@@ -206,6 +202,9 @@
     GwRequestStory story;    /* ANSWER, REPLY */
 } GwDo;
 
+/* Idle connections that this entry may keep open to the server, so that those
+ * of all entries leave half of its connections to requests. */
+uint32_t GwRouter_IdleConnectionsMax(const GwRouter *r, const GwServer *s);
 const char *GwServer_Id(const GwServer *s);
 const char *GwServer_Address(const GwServer *s);
 uint32_t GwServer_Hash(const GwServer *s);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -47,6 +47,7 @@
     bool has_room;       /* requests left; others may be placed */
     double work_us;      /* mean time a request takes a slot */
     double cold_per_s;
+    uint32_t connections_max; /* of one server, from all entries; 0: any */
 } GwServiceState;
 
 typedef struct {
@@ -227,6 +228,18 @@
 void GwRouter_DriftServers(GwRouter *r, int64_t now_us);
 
 /* requests.c */
+/* Appends an action of that request, to be filled in. */
+GwDo *GwRouter_AddDo(GArray *actions, GwDoKind kind, GwRequest *req);
+/* Puts it where it is served in its turn: by priority, then arrival. */
+void GwRequest_Wait(GwRequest *req);
+void GwRouter_EarnRetry(GwRouter *r, GwServiceState *service);
+/* Entries that could be alive: what is bounded for all together is divided by
+ * this. */
+uint32_t GwRouter_EntriesMax(const GwRouter *r);
+/* When a refused caller may come back; spread. */
+uint32_t GwRouter_ComebackMs(GwRouter *r);
+/* Frees the servers that nothing names any more; each step begins with it. */
+void GwRouter_FreeFreed(GwRouter *r, const GArray *actions);
 void GwRouter_Pump(GwRouter *r, int64_t now_us, GwServiceState *service,
                    GArray *actions);
 
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -21,8 +21,6 @@
         .retry_extra = 60,
         .retry_window_ms = 10000,
         .entries_max = 3,
-        .cold_over = 1.5,
-        .cold_slack = 5,
         .seed = 7,
     };
     g_strlcpy(f->params.name, "entry", sizeof(f->params.name));
--- a/tests/unit/test_edge_settings.c
+++ b/tests/unit/test_edge_settings.c
@@ -16,8 +16,7 @@
     static const char text[] =
         SETTINGS(",\"seeds\":[\"10.0.0.2:9\"],\"seeds_peer_port\":5,"
                  "\"retry_ratio\":0.25,\"retry_extra\":58,"
-                 "\"retry_window\":\"10s\",\"cold_over\":1.5,"
-                 "\"cold_slack\":5,\"grace\":\"6s\"");
+                 "\"retry_window\":\"10s\",\"grace\":\"6s\"");
     GError *error = NULL;
     GwEdgeSettings *s = GwEdgeSettings_Parse(text, strlen(text), &error);
 
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -539,3 +539,36 @@
     cr_expect_eq(counts[1], 10, "the part without servers is not moved");
     finish(f);
 }
+
+/* Servers reset connections beyond a bound that counts those of all entries.
+ * If each entry kept what it ever opened, a fleet of entries would fill the
+ * bound with idle ones, and requests would meet resets. */
+Test(router, idle_connections_leave_half_to_requests)
+{
+    static const struct {
+        uint32_t connections_max;
+        uint32_t entries_max; /* by settings; nobody is heard */
+        uint32_t expected;
+    } cases[] = {
+        {330, 11, 15},      /* half of it, by eleven */
+        {330, 165, 1},      /* exactly one */
+        {330, 650, 1},      /* never none: each would be a new connection */
+        {0, 11, UINT32_MAX} /* the operator names no bound */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = FakeSteering_Create("r1", "d1");
+        GwRouting *routing = FakeSteering_Routing(1, 1);
+
+        f->params.entries_max = cases[i].entries_max;
+        GwRouter_SetBounds(f->router, &f->params);
+        routing->services[0].connections_max = cases[i].connections_max;
+        (void)GwRouter_SetRouting(f->router, routing);
+        FakeSteering_Put(f, "a", "r1", "d1", 1);
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        cr_expect_eq(GwRouter_IdleConnectionsMax(f->router, req->server),
+                     cases[i].expected, "case %zu", i);
+        GwRouting_Unref(routing);
+        FakeSteering_Free(f);
+    }
+}
