--- a/lib/admin/ctl.c
+++ b/lib/admin/ctl.c
@@ -60,6 +60,11 @@
      "METHOD SERVICE PATH --call-address ADDR [--body FILE] "
      "[--deadline-ms N]",
      "call a service through an entry, with a ticket"},
+    {"top", GwCtl_Top, 0, 0, "[--limit N]",
+     "backend servers, those passed over first, then the busiest"},
+    {"explain", GwCtl_Explain, 2, 1000, "ID LOG...",
+     "what became of a request, from the logs of entries (- for standard "
+     "input)"},
     {"dump", GwCtl_Dump, 0, 0, "", "the whole state of the process"},
     {"metrics", GwCtl_Metrics, 0, 0, "", "the counters of the process"},
     {"settings-page", GwCtl_SettingsPage, 0, 0, "",
--- /dev/null
+++ b/lib/admin/ctl_entry.c
@@ -0,0 +1,214 @@
+/* Commands for an entry on the users' platform: what it says of itself, its
+ * servers, and what became of a request. */
+#include "admin/ctl_internal.h"
+#include "admin/explain.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TOP_DEFAULT 20
+
+static const char *
+text_of(struct json_object *item, const char *key)
+{
+    const char *text =
+        json_object_get_string(json_object_object_get(item, key));
+
+    return text != NULL ? text : "";
+}
+
+static int64_t
+number_of(struct json_object *item, const char *key)
+{
+    return json_object_get_int64(json_object_object_get(item, key));
+}
+
+static void
+show_status(struct json_object *status)
+{
+    struct json_object *members = json_object_object_get(status, "members");
+
+    printf("%s  region %s  failure domain %s\n"
+           "%s, version %" PRId64 ", %" PRId64 " open requests, %" PRId64
+           " servers\n"
+           "news of the servers %" PRId64 " ms ago%s%s; peers' loads at most "
+           "%" PRId64 " ms old\nmembers, %" PRId64 " of them live:\n",
+           text_of(status, "name"), text_of(status, "region"),
+           text_of(status, "failure_domain"), text_of(status, "state"),
+           number_of(status, "config_version"),
+           number_of(status, "open_calls"), number_of(status, "servers"),
+           number_of(status, "news_ms_ago"),
+           number_of(status, "reads_store") ? ", from the store"
+                                            : ", from a peer",
+           number_of(status, "store_was_away") ? ", which was away" : "",
+           number_of(status, "loads_ms_ago"), number_of(status, "live"));
+    for (size_t i = 0; i < json_object_array_length(members); i++) {
+        struct json_object *item = json_object_array_get_idx(members, i);
+        printf("  %-28s %-12s heard %" PRId64 " ms ago%s\n",
+               text_of(item, "name"), text_of(item, "state"),
+               number_of(item, "heard_ms_ago"),
+               number_of(item, "reads_store") ? "  reads the store" : "");
+    }
+}
+
+bool
+GwCtl_TryEntryStatus(const GwCtl *ctl)
+{
+    char *text = GwAdminClient_Page(ctl->client, "/status", NULL);
+    struct json_object *status =
+        text != NULL ? json_tokener_parse(text) : NULL;
+    bool is_entry = json_object_object_get(status, "news_ms_ago") != NULL;
+
+    if (is_entry && ctl->options->json) {
+        puts(text);
+    }
+    else if (is_entry) {
+        show_status(status);
+    }
+    json_object_put(status);
+    g_free(text);
+    return is_entry;
+}
+
+/* ---- top ----------------------------------------------------------------- */
+
+static int64_t
+load_of(struct json_object *server)
+{
+    return number_of(server, "in_flight") +
+           number_of(server, "peers_in_flight");
+}
+
+/* Ejected ones first, then the busiest. */
+static int
+compare_servers(const void *a, const void *b)
+{
+    struct json_object *x = *(struct json_object *const *)a;
+    struct json_object *y = *(struct json_object *const *)b;
+    int64_t ejected = number_of(y, "ejected_ms") - number_of(x, "ejected_ms");
+    int64_t load = load_of(y) - load_of(x);
+
+    if (ejected != 0) {
+        return ejected > 0 ? 1 : -1;
+    }
+    return (load > 0) - (load < 0);
+}
+
+static void
+show_server(struct json_object *s)
+{
+    printf("%-20s %-16s %-16s %5" PRId64 " %9" PRId64 " %6" PRId64 " %6" PRId64
+           " %7" PRId64 " %8" PRId64 " %s%s\n",
+           text_of(s, "id"), text_of(s, "service"),
+           text_of(s, "failure_domain"), number_of(s, "slots"),
+           number_of(s, "in_flight"), number_of(s, "peers_in_flight"),
+           number_of(s, "busy_percent"), number_of(s, "slow_percent"),
+           number_of(s, "ejected_ms"),
+           number_of(s, "draining") ? "draining " : "",
+           number_of(s, "cold") ? "cold" : "");
+}
+
+static void
+show_top(struct json_object *servers, size_t limit)
+{
+    printf("%-20s %-16s %-16s %5s %9s %6s %6s %7s %8s\n", "server", "service",
+           "failure domain", "slots", "in flight", "peers", "busy %", "slow %",
+           "out ms");
+    for (size_t i = 0; i < json_object_array_length(servers) && i < limit;
+         i++) {
+        show_server(json_object_array_get_idx(servers, i));
+    }
+}
+
+GwCtlExit
+GwCtl_Top(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    char *text = GwAdminClient_Page(ctl->client, "/dump", &error);
+
+    if (text == NULL) {
+        return GwCtl_Fail(error);
+    }
+    struct json_object *dump = json_tokener_parse(text);
+    struct json_object *servers = json_object_object_get(dump, "servers");
+    size_t limit =
+        ctl->options->limit > 0 ? (size_t)ctl->options->limit : TOP_DEFAULT;
+    GwCtlExit code = GW_CTL_OK;
+
+    g_free(text);
+    if (!json_object_is_type(servers, json_type_array)) {
+        (void)fprintf(stderr,
+                      "godwitctl: the dump of %s has no list of "
+                      "servers; is it an entry of godwitedge?\n",
+                      ctl->options->admin_address);
+        code = GW_CTL_REFUSED;
+    }
+    else {
+        json_object_array_sort(servers, compare_servers);
+        if (ctl->options->json) {
+            puts(json_object_to_json_string_ext(servers,
+                                                JSON_C_TO_STRING_PLAIN));
+        }
+        else {
+            show_top(servers, limit);
+        }
+    }
+    json_object_put(dump);
+    return code;
+}
+
+/* ---- explain ------------------------------------------------------------- */
+
+static bool
+read_log(GwExplain *ex, const char *path)
+{
+    FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
+    char *source = g_path_get_basename(path);
+    char *line = NULL;
+    size_t room = 0;
+
+    if (file == NULL) {
+        g_free(source);
+        return false;
+    }
+    while (getline(&line, &room, file) >= 0) {
+        line[strcspn(line, "\r\n")] = '\0';
+        GwExplain_Add(ex, source, line);
+    }
+    free(line);
+    if (file != stdin) {
+        (void)fclose(file);
+    }
+    g_free(source);
+    return true;
+}
+
+GwCtlExit
+GwCtl_Explain(const GwCtl *ctl)
+{
+    GwExplain *ex = GwExplain_Create(ctl->argv[0]);
+    GString *out = g_string_new(NULL);
+    GwCtlExit code = GW_CTL_OK;
+
+    for (int i = 1; i < ctl->argc && code == GW_CTL_OK; i++) {
+        if (!read_log(ex, ctl->argv[i])) {
+            code = GwCtl_Usage("can't read %s", ctl->argv[i]);
+        }
+    }
+    if (code == GW_CTL_OK) {
+        if (ctl->options->json) {
+            GwExplain_WriteJson(ex, out);
+            g_string_append_c(out, '\n');
+        }
+        else {
+            GwExplain_Write(ex, out);
+        }
+        (void)fputs(out->str, stdout);
+        code = GwExplain_Count(ex) > 0 ? GW_CTL_OK : GW_CTL_REFUSED;
+    }
+    g_string_free(out, TRUE);
+    GwExplain_Free(ex);
+    return code;
+}
--- a/lib/admin/ctl_internal.h
+++ b/lib/admin/ctl_internal.h
@@ -51,6 +51,10 @@
 GwCtlExit GwCtl_Dump(const GwCtl *ctl);
 GwCtlExit GwCtl_Metrics(const GwCtl *ctl);
 GwCtlExit GwCtl_Call(const GwCtl *ctl);
+GwCtlExit GwCtl_Top(const GwCtl *ctl);
+GwCtlExit GwCtl_Explain(const GwCtl *ctl);
+/* Shows the status when an entry of godwitedge is asked; else false. */
+bool GwCtl_TryEntryStatus(const GwCtl *ctl);
 GwCtlExit GwCtl_SettingsPage(const GwCtl *ctl);
 
 #endif
--- a/lib/admin/ctl_status.c
+++ b/lib/admin/ctl_status.c
@@ -170,6 +170,9 @@
 GwCtl_Status(const GwCtl *ctl)
 {
     GError *error = NULL;
+    if (GwCtl_TryEntryStatus(ctl)) {
+        return GW_CTL_OK;
+    }
     struct json_object *status = read_status(ctl, &error);
     if (status == NULL) {
         return GwCtl_Fail(error);
--- a/lib/common/json.c
+++ b/lib/common/json.c
@@ -13,3 +13,9 @@
 {
     json_object_object_add(object, key, json_object_new_uint64(value));
 }
+
+void
+GwJson_SetBool(struct json_object *object, const char *key, bool value)
+{
+    json_object_object_add(object, key, json_object_new_boolean(value));
+}
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -1,5 +1,6 @@
 #include "common/log.h"
 
+#include "common/log_rate.h"
 #include "common/log_ring.h"
 
 #include <glib.h>
@@ -11,6 +12,7 @@
 #include <unistd.h>
 
 #define LOG_LINE_MAX 1024
+#define EVENTS_MAX   1000 /* numbers are below */
 /* Lines of some seconds at a hundred requests a second. */
 #define LOG_RING_BYTES (256u << 10)
 
@@ -114,6 +116,12 @@
     }
 }
 
+uint64_t
+GwLog_Dropped(void)
+{
+    return ring.dropped_total;
+}
+
 /* Threads that log must have ended. */
 void
 GwLog_Stop(void)
@@ -140,14 +148,37 @@
     return LOG4C_PRIORITY_INFO;
 }
 
-/* Does nothing before GwLog_Start: tests and tools are silent. */
+/* With line_mutex. */
+static bool
+may_write(uint32_t event)
+{
+    static GwLogRate rates[EVENTS_MAX];
+    uint64_t suppressed;
+
+    if (event >= EVENTS_MAX) {
+        return true;
+    }
+    if (!GwLogRate_Take(&rates[event], g_get_monotonic_time(), &suppressed)) {
+        return false;
+    }
+    if (suppressed > 0) {
+        log4c_category_log(category, LOG4C_PRIORITY_WARN,
+                           "event=%u name=%s suppressed=%" G_GUINT64_FORMAT,
+                           event, GwLogEvent_Name(event), suppressed);
+    }
+    return true;
+}
+
+/* Does nothing before GwLog_Start: tests and tools are silent. A level that is
+ * not written costs no formatting either. */
 void
 GwLog_Event(uint32_t event, const char *format, ...)
 {
     char line[LOG_LINE_MAX];
     va_list args;
 
-    if (category == NULL) {
+    if (category == NULL || !log4c_category_is_priority_enabled(
+                                category, priority_of_event(event))) {
         return;
     }
     int len = g_snprintf(line, sizeof(line), "event=%u name=%s ", event,
@@ -156,6 +187,8 @@
     g_vsnprintf(line + len, sizeof(line) - (gulong)len, format, args);
     va_end(args);
     pthread_mutex_lock(&line_mutex);
-    log4c_category_log(category, priority_of_event(event), "%s", line);
+    if (may_write(event)) {
+        log4c_category_log(category, priority_of_event(event), "%s", line);
+    }
     pthread_mutex_unlock(&line_mutex);
 }
--- a/lib/common/log.h
+++ b/lib/common/log.h
@@ -11,6 +11,8 @@
  * wait for the reader of its log. */
 int GwLog_StartBuffered(const char *level);
 void GwLog_Flush(void);
+/* Lines that found no room since the start. */
+uint64_t GwLog_Dropped(void);
 void GwLog_Stop(void);
 /* Writes `event=200 name=CONFIG_IN_FORCE ` and the key=value text. */
 void GwLog_Event(uint32_t event, const char *format, ...)
--- a/lib/common/log_ring.c
+++ b/lib/common/log_ring.c
@@ -26,6 +26,7 @@
 
     if (ring->bytes->len + len > ring->bytes_max) {
         ring->dropped++;
+        ring->dropped_total++;
         return;
     }
     if (ring->dropped > 0) {
--- a/lib/common/log_ring.h
+++ b/lib/common/log_ring.h
@@ -15,6 +15,7 @@
     GString *bytes; /* whole lines, oldest first */
     gsize bytes_max;
     uint64_t dropped; /* since the last line that had room */
+    uint64_t dropped_total;
 } GwLogRing;
 
 void GwLogRing_Init(GwLogRing *ring, gsize bytes_max);
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -46,7 +46,7 @@
     while ((x = g_queue_pop_head(&caller->exchanges)) != NULL) {
         if (x->request != NULL) {
             GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
-            GwEdge_LogRequest(x, GW_LOG_REQUEST_LEFT, 0, GW_WHY_NONE, &story);
+            GwEdge_NoteEnd(x, GW_END_LEFT, 0, GW_WHY_NONE, &story);
             GwServerLink_Cancel(x);
             GwRouter_Gone(edge->router, GwEdge_Now(), x->request,
                           edge->actions);
@@ -338,7 +338,6 @@
     };
 
     x->request = NULL;
-    x->edge->counts.answered++;
     x->out = g_string_sized_new(x->answer->body->len + 512);
     GwHttpMessage_WriteAnswer(x->answer, &how, x->out);
     mark(x->caller);
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -4,26 +4,13 @@
 
 #include <string.h>
 
-typedef struct {
-    GwEdge *edge;
-    GwConn *conn;
-    GList link; /* in edge->clients */
-} Client;
-
 static void
-send_answer(Client *client, uint16_t status, const char *type,
-            const char *body, bool close)
+send_answer(GwClient *client, uint16_t status, const char *type,
+            const char *body)
 {
-    GString *out = g_string_new(NULL);
+    GwServeAnswer answer = {.status = status, .type = type, .body = body};
 
-    g_string_append_printf(out,
-                           "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n"
-                           "Content-Length: %zu\r\n%s\r\n%s",
-                           status, status == 200 ? "OK" : "Error", type,
-                           strlen(body), close ? "Connection: close\r\n" : "",
-                           body);
-    GwConn_Write(client->conn, out);
-    g_string_free(out, TRUE);
+    GwClient_Answer(client, &answer);
 }
 
 /* The value of a parameter of a query, decoded; NULL when absent. */
@@ -44,66 +31,44 @@
     return value;
 }
 
-static bool
-answer_directory(Client *client, const char *target)
+static void
+answer_directory(GwEdge *edge, GwClient *client, const char *target)
 {
-    GwEdge *edge = client->edge;
     const GwAdapter *a = edge->adapter;
     char *region = parameter(target, a->directory_region);
     char *domain = parameter(target, a->directory_domain);
     GPtrArray *addresses = GwPeers_Directory(edge->peers, region, domain);
-    bool some = addresses->len > 0;
 
-    if (some) {
+    if (addresses->len > 0) {
         char *body =
             a->write_directory(addresses, edge->settings->lookup_ttl_ms);
-        send_answer(client, 200, "application/json", body, edge->leaving);
+        GwServeAnswer answer = {
+            .status = 200, .body = body, .close = edge->leaving};
+        GwClient_Answer(client, &answer);
         g_free(body);
     }
     else {
-        send_answer(client, 503, "text/plain", "no entry is ready\n", false);
+        send_answer(client, 503, "text/plain", "no entry is ready\n");
     }
     g_ptr_array_free(addresses, TRUE);
     g_free(region);
     g_free(domain);
-    return some;
-}
-
-static void
-answer_metrics(Client *client)
-{
-    GwEdge *edge = client->edge;
-    GString *out = g_string_new(NULL);
-
-    g_string_append_printf(
-        out,
-        "gw_requests_total %" PRIu64 "\ngw_answered_total %" PRIu64
-        "\ngw_replied_404_total %" PRIu64 "\ngw_replied_502_total %" PRIu64
-        "\ngw_replied_503_total %" PRIu64 "\ngw_replied_504_total %" PRIu64
-        "\ngw_connects_total %" PRIu64 "\ngw_reuses_total %" PRIu64
-        "\ngw_store_calls_total %" PRIu64 "\n",
-        edge->counts.arrived, edge->counts.answered, edge->counts.replied[0],
-        edge->counts.replied[1], edge->counts.replied[2],
-        edge->counts.replied[3], edge->counts.connects, edge->counts.reuses,
-        edge->counts.store_calls);
-    send_answer(client, 200, "text/plain", out->str, false);
-    g_string_free(out, TRUE);
 }
 
 static void
-answer_dump(Client *client)
+answer_page(GwEdge *edge, GwClient *client, const char *type,
+            void (*write)(GwEdge *edge, GString *out))
 {
     GString *out = g_string_new(NULL);
 
-    GwRouter_Dump(client->edge->router, GwEdge_Now(), out);
-    send_answer(client, 200, "application/json", out->str, false);
+    write(edge, out);
+    send_answer(client, 200, type, out->str);
     g_string_free(out, TRUE);
 }
 
 static void
-answer_rows(Client *client, const char *target)
+answer_rows(GwEdge *edge, GwClient *client, const char *target)
 {
-    GwEdge *edge = client->edge;
     char *table = NULL;
     char *body = NULL;
     uint64_t after = 0;
@@ -115,124 +80,81 @@
             status = GwFeed_Answer(edge->server_feed, table, after, &body);
         }
     }
-    send_answer(client, status, "application/json", body != NULL ? body : "{}",
-                false);
+    send_answer(client, status, NULL, body != NULL ? body : "{}");
     g_free(body);
     g_free(table);
 }
 
+static bool
+is_path(const char *target, const char *path)
+{
+    size_t len = strcspn(target, "?");
+
+    return strlen(path) == len && strncmp(target, path, len) == 0;
+}
+
 static void
-on_message(void *owner, GwHttpMessage *msg)
+on_asked(void *owner, GwClient *client, GwHttpMessage *msg)
 {
-    Client *client = owner;
-    GwEdge *edge = client->edge;
+    GwEdge *edge = owner;
     const char *target = msg->target->str;
-    size_t len = strcspn(target, "?");
-    const char *ready = edge->adapter->ready_path;
-    const char *directory = edge->adapter->directory_path;
 
     if (strcmp(msg->method, "GET") != 0) {
-        send_answer(client, 405, "text/plain", "GET only\n", false);
+        send_answer(client, 405, "text/plain", "GET only\n");
     }
-    else if (strncmp(target, ready, len) == 0 && strlen(ready) == len) {
+    else if (is_path(target, edge->adapter->ready_path)) {
         bool is_ready = GwEdge_IsReady(edge);
         send_answer(client, is_ready ? 200 : 503, "text/plain",
-                    is_ready ? "ready\n" : "not ready\n", false);
+                    is_ready ? "ready\n" : "not ready\n");
+    }
+    else if (is_path(target, edge->adapter->directory_path)) {
+        answer_directory(edge, client, target);
     }
-    else if (strncmp(target, directory, len) == 0 &&
-             strlen(directory) == len) {
-        (void)answer_directory(client, target);
+    else if (is_path(target, "/metrics")) {
+        answer_page(edge, client, "text/plain; version=0.0.4",
+                    GwStatus_WriteMetrics);
     }
-    else if (strcmp(target, "/metrics") == 0) {
-        answer_metrics(client);
+    else if (is_path(target, "/dump")) {
+        answer_page(edge, client, NULL, GwStatus_WriteDump);
     }
-    else if (strcmp(target, "/dump") == 0) {
-        answer_dump(client);
+    else if (is_path(target, "/status")) {
+        answer_page(edge, client, NULL, GwStatus_Write);
     }
     else {
-        answer_rows(client, target);
+        answer_rows(edge, client, target);
     }
     GwHttpMessage_Free(msg);
 }
 
-static void
-on_ended(void *owner, GwConnEnd end)
-{
-    Client *client = owner;
-
-    if (end == GW_CONN_BAD) {
-        GwConn_Close(client->conn);
-    }
-    g_queue_unlink(&client->edge->clients, &client->link);
-    g_free(client);
-}
-
-static const GwConnOps control_ops = {
-    .message = on_message,
-    .ended = on_ended,
-};
-
-static void
-on_connection(uv_stream_t *listener, int status)
-{
-    GwEdge *edge = listener->data;
-
-    if (status != 0) {
-        return;
-    }
-    Client *client = g_new0(Client, 1);
-    GwConnParams params = {
-        .loop = &edge->loop,
-        .ops = &control_ops,
-        .owner = client,
-        .requests = true,
-        .head_max = 16 << 10,
-        .body_max = 64 << 10,
-    };
-    client->edge = edge;
-    client->conn = GwConn_Accept(&params, listener);
-    if (client->conn == NULL) {
-        g_free(client);
-        return;
-    }
-    client->link.data = client;
-    g_queue_push_tail_link(&edge->clients, &client->link);
-}
+static const GwServeOps control_ops = {.asked = on_asked};
 
 void
 GwControl_CloseAll(GwEdge *edge)
 {
-    Client *client;
-
-    while ((client = g_queue_peek_head(&edge->clients)) != NULL) {
-        GwConn_Close(client->conn);
-        g_queue_unlink(&edge->clients, &client->link);
-        g_free(client);
-    }
+    g_ptr_array_set_size(edge->controls, 0);
 }
 
 bool
 GwControl_Listen(GwEdge *edge, GError **error)
 {
     const char *const addresses[] = {
-        edge->settings->ready_address,
-        edge->settings->directory_address,
-        edge->settings->control_address,
-        edge->settings->peer_address,
+        edge->settings->ready_address,   edge->settings->directory_address,
+        edge->settings->control_address, edge->settings->peer_address,
+        edge->settings->metrics_address,
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
         if (addresses[i][0] == '\0') {
             continue;
         }
-        uv_tcp_t *tcp =
-            GwConn_Listen(&edge->loop, addresses[i], on_connection, edge);
-        if (tcp == NULL) {
+        GwServe *serve =
+            GwServe_Create(&edge->loop, addresses[i], &control_ops, edge);
+        if (serve == NULL) {
             g_set_error(error, GW_ERROR, GW_RESULT_IO, "can't listen at %s",
                         addresses[i]);
             return false;
         }
-        g_ptr_array_add(edge->listeners, tcp);
+        g_ptr_array_add(edge->controls, serve);
     }
     return true;
 }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -9,6 +9,9 @@
 /* Bodies may take a third of the memory: buffers are up to twice as large as
  * what they hold. */
 #define BODIES_SHARE ((1 << 20) / 3)
+/* Lines are written out every half second: each write is paid for, and a
+ * killed process loses what it has not written. */
+#define LOG_FLUSH_SWEEPS 2
 /* After this part of its grace it waits for no request any more. */
 #define LEAVE_SHARE 0.85
 
@@ -33,38 +36,63 @@
 
 /* ---- Actions ------------------------------------------------------------- */
 
+/* What an answer of our own was decided by. */
 static void
-count_reply(GwEdge *edge, uint16_t status)
+log_reply(const GwExchange *x, const char *id, uint16_t status, GwWhy why,
+          const GwRequestStory *story)
 {
-    switch (status) {
-    case 404:
-        edge->counts.replied[0]++;
-        break;
-    case 502:
-        edge->counts.replied[1]++;
-        break;
-    case 503:
-        edge->counts.replied[2]++;
-        break;
-    default:
-        edge->counts.replied[3]++;
-        break;
+    char best[96] = "";
+
+    if (story->best[0] != '\0') {
+        g_snprintf(best, sizeof(best), " best=%s best_busy=%u/%u", story->best,
+                   story->best_busy, story->best_slots);
     }
+    GwLog_Event(GW_LOG_REQUEST_REPLIED,
+                "request=%.40s status=%u why=%s route=%s server=%s "
+                "attempts=%u waited_ms=%u took_ms=%u expected_ms=%u config="
+                "%" PRIu64 " news_ms=%" PRId64 "%s",
+                id, status, GwWhy_Name(why), story->route, story->server,
+                story->attempts, story->waited_ms, story->took_ms,
+                story->expected_ms, story->version,
+                GwFeed_AgeMs(x->edge->server_feed, GwEdge_Now()), best);
 }
 
-/* One line for each request: its id, what decided about it, and its end. */
+/* One line for each request: its id, what decided about it with its version
+ * or age, and its end. That of an answer is short: nothing went wrong, and its
+ * bytes are most of what the log costs (docs/MEASURES.md). */
 void
-GwEdge_LogRequest(const GwExchange *x, uint32_t event, uint16_t status,
-                  GwWhy why, const GwRequestStory *story)
+GwEdge_NoteEnd(const GwExchange *x, GwRequestEnd end, uint16_t status,
+               GwWhy why, const GwRequestStory *story)
 {
     const char *id = GwHttpMessage_Get(x->msg, x->edge->adapter->request_id);
-
-    GwLog_Event(event,
-                "request=%.40s status=%u why=%s route=%s server=%s "
-                "attempts=%u waited_ms=%u took_ms=%u warm=%d config=%" PRIu64,
-                id != NULL ? id : "", status, GwWhy_Name(why), story->route,
-                story->server, story->attempts, story->waited_ms,
-                story->took_ms, story->warm, story->version);
+    const char *route = story->route[0] != '\0' ? story->route : "(none)";
+
+    id = id != NULL ? id : "";
+    GwMeters_Add(x->edge->meters, route, end, why, story->took_ms);
+    switch (end) {
+    case GW_END_ANSWERED:
+    case GW_END_FAILED:
+        GwLog_Event(GW_LOG_REQUEST_ANSWERED,
+                    "request=%.40s status=%u route=%s server=%s attempts=%u "
+                    "waited_ms=%u took_ms=%u warm=%d far=%d config=%" PRIu64,
+                    id, status, story->route, story->server, story->attempts,
+                    story->waited_ms, story->took_ms, story->warm, story->far,
+                    story->version);
+        break;
+    case GW_END_LEFT:
+        GwLog_Event(GW_LOG_REQUEST_LEFT,
+                    "request=%.40s route=%s server=%s attempts=%u "
+                    "waited_ms=%u took_ms=%u config=%" PRIu64,
+                    id, story->route, story->server, story->attempts,
+                    story->waited_ms, story->took_ms, story->version);
+        break;
+    case GW_END_NOT_RUN:
+    case GW_END_UNKNOWN:
+    case GW_END_NO_ROUTE:
+    case GW_END_COUNT:
+        log_reply(x, id, status, why, story);
+        break;
+    }
 }
 
 static void
@@ -85,19 +113,26 @@
         GwServerLink_Cancel(x);
         break;
     case GW_DO_ANSWER:
-        GwEdge_LogRequest(x, GW_LOG_REQUEST_ANSWERED, act->status, GW_WHY_NONE,
-                          &act->story);
+        GwEdge_NoteEnd(x, act->status < 500 ? GW_END_ANSWERED : GW_END_FAILED,
+                       act->status, GW_WHY_NONE, &act->story);
         GwExchange_PassOn(x);
         break;
     case GW_DO_REPLY:
-        count_reply(edge, act->status);
-        GwEdge_LogRequest(x, GW_LOG_REQUEST_REPLIED, act->status, act->why,
-                          &act->story);
+        GwEdge_NoteEnd(x, GwRequestEnd_OfReply(act->status), act->status,
+                       act->why, &act->story);
         GwExchange_Reply(x, act->status, act->retry_after_ms);
         break;
     case GW_DO_FORGET:
         GwServerLink_Forget(edge, act->server);
         break;
+    case GW_DO_NOTE_EJECTED:
+        GwLog_Event(GW_LOG_BACKEND_EJECTED, "server=%s for_ms=%u",
+                    GwServer_Id(act->server), act->left_ms);
+        break;
+    case GW_DO_NOTE_BACK:
+        GwLog_Event(GW_LOG_BACKEND_BACK, "server=%s",
+                    GwServer_Id(act->server));
+        break;
     }
 }
 
@@ -218,7 +253,9 @@
         go_on_leaving(edge, now_us);
     }
     GwEdge_Carry(edge);
-    GwLog_Flush();
+    if (++edge->sweeps % LOG_FLUSH_SWEEPS == 0) {
+        GwLog_Flush();
+    }
 }
 
 /* ---- Start and end ------------------------------------------------------- */
@@ -272,7 +309,9 @@
     edge->bodies.max = (uint64_t)settings->memory_mb * BODIES_SHARE;
     edge->started_us = GwEdge_Now();
     edge->armed_us = INT64_MAX;
-    edge->listeners = g_ptr_array_new();
+    edge->controls =
+        g_ptr_array_new_with_free_func((GDestroyNotify)GwServe_Free);
+    edge->meters = GwMeters_Create();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
     edge->operator_feed =
@@ -298,13 +337,6 @@
     (void)uv_run(&edge->loop, UV_RUN_DEFAULT);
 }
 
-static void
-close_listener(gpointer item, gpointer ctx)
-{
-    (void)ctx;
-    uv_close(item, (uv_close_cb)g_free);
-}
-
 static void
 close_all(GwEdge *edge)
 {
@@ -324,7 +356,6 @@
     if (edge->call_listener != NULL) {
         uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
     }
-    g_ptr_array_foreach(edge->listeners, close_listener, NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
         uv_close(own[i], NULL);
     }
@@ -341,7 +372,8 @@
     GwPeers_Free(edge->peers);
     GwRouter_Free(edge->router);
     g_array_free(edge->actions, TRUE);
-    g_ptr_array_free(edge->listeners, TRUE);
+    g_ptr_array_free(edge->controls, TRUE);
+    GwMeters_Free(edge->meters);
     GwEdgeSettings_Free(edge->settings);
     g_free(edge->settings_path);
     g_free(edge);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -6,7 +6,8 @@
 #include "config/model.h"
 #include "edge/edge.h"
 #include "godwitridge_errors.h"
-#include "http/conn.h"
+#include "edge/meters.h"
+#include "http/serve.h"
 
 #include <inttypes.h>
 
@@ -44,20 +45,21 @@
     uv_signal_t term;
     uv_signal_t interrupt;
     uv_signal_t hangup;
-    GPtrArray *listeners; /* uv_tcp_t */
+    GPtrArray *controls; /* GwServe */
     uv_tcp_t *call_listener;
     GwHttpBudget bodies; /* of callers and of servers */
     GwRouter *router;
     GArray *actions;   /* GwDo; reused */
     bool carrying;     /* actions are being carried out */
     GQueue callers;    /* GwCaller, all that are open */
-    GQueue clients;    /* of control.c */
     GQueue dirty;      /* GwCaller with answers to send */
     GQueue pools;      /* GwPool, one for each server */
     GQueue connecting; /* GwServerLink */
+    GwMeters *meters;
     GwFeed *operator_feed;
     GwFeed *server_feed;
     GwPeers *peers;
+    uint32_t sweeps;
     bool servers_known; /* the registry has been read once */
     int64_t started_us;
     bool leaving;
@@ -65,8 +67,6 @@
     int64_t armed_us; /* when the deadline timer fires */
     struct {
         uint64_t arrived;
-        uint64_t answered;
-        uint64_t replied[6]; /* own answers: 404, 502, 503, 504, 4xx */
         uint64_t connects;
         uint64_t reuses;
         uint64_t store_calls;
@@ -78,8 +78,9 @@
  * made ready, until nothing is left; arms the router's timer. To be called
  * last in each callback of the loop. */
 void GwEdge_Carry(GwEdge *edge);
-void GwEdge_LogRequest(const GwExchange *x, uint32_t event, uint16_t status,
-                       GwWhy why, const GwRequestStory *story);
+/* A request is over, or its caller left: counts it and writes its line. */
+void GwEdge_NoteEnd(const GwExchange *x, GwRequestEnd end, uint16_t status,
+                    GwWhy why, const GwRequestStory *story);
 /* Whether it knows a configuration and servers, and is not leaving. */
 bool GwEdge_IsReady(const GwEdge *edge);
 const char *GwEdge_RegionOf(const GwEdge *edge, const char *domain);
@@ -114,6 +115,9 @@
 /* A peer's report came; `saw_away`: the store was away, it says. */
 void GwFeed_NotePeer(GwFeed *feed, int64_t now_us, bool saw_away);
 uint64_t GwFeed_Version(const GwFeed *feed);
+/* Since the last news of the table, from the store or a peer. */
+int64_t GwFeed_AgeMs(const GwFeed *feed, int64_t now_us);
+bool GwFeed_Reads(const GwFeed *feed);
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
 void GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version);
@@ -126,7 +130,20 @@
 void GwBeliefs_OnOperatorRow(void *ctx, const GwStoreRow *row);
 void GwBeliefs_OnServerRow(void *ctx, const GwStoreRow *row);
 
+/* status.c */
+void GwStatus_WriteMetrics(GwEdge *edge, GString *out);
+void GwStatus_WriteDump(GwEdge *edge, GString *out);
+void GwStatus_Write(GwEdge *edge, GString *out);
+
 /* peers.c */
+typedef struct {
+    uint32_t live;
+    int64_t loads_age_ms; /* the oldest among the peers that share servers */
+} GwPeersView;
+
+GwPeersView GwPeers_View(const GwPeers *peers);
+/* A JSON array with one object a peer; the caller owns it. */
+struct json_object *GwPeers_Members(const GwPeers *peers);
 GwPeers *GwPeers_Create(GwEdge *edge, GError **error);
 /* Closes its sockets; they are gone when the loop has run once more. */
 void GwPeers_Close(GwPeers *peers);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -113,6 +113,18 @@
     return GwRowCache_Version(feed->cache);
 }
 
+int64_t
+GwFeed_AgeMs(const GwFeed *feed, int64_t now_us)
+{
+    return (now_us - feed->fresh_us) / 1000;
+}
+
+bool
+GwFeed_Reads(const GwFeed *feed)
+{
+    return feed->reads;
+}
+
 bool
 GwFeed_IsKnown(const GwFeed *feed)
 {
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -1,6 +1,9 @@
 /* The other entries, and which of them callers should use. */
+#include "common/json.h"
 #include "edge/peers_internal.h"
 
+#include <json-c/json.h>
+
 #include <string.h>
 
 /* The shortest period of reports. */
@@ -149,6 +152,68 @@
     return out;
 }
 
+GwPeersView
+GwPeers_View(const GwPeers *peers)
+{
+    GwPeersView view = {0};
+    int64_t now_us = GwEdge_Now();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeerEntry *peer = value;
+        if (!GwPeerEntry_IsLive(peer, now_us)) {
+            continue;
+        }
+        view.live++;
+        if (strcmp(peer->region, peers->edge->settings->router.region) == 0) {
+            view.loads_age_ms =
+                MAX(view.loads_age_ms, (now_us - peer->heard_us) / 1000);
+        }
+    }
+    return view;
+}
+
+static struct json_object *
+member_json(const GwPeerEntry *peer, int64_t now_us)
+{
+    struct json_object *item = json_object_new_object();
+    bool live = GwPeerEntry_IsLive(peer, now_us);
+
+    GwJson_SetText(item, "name", peer->name);
+    GwJson_SetText(item, "failure_domain", peer->domain);
+    GwJson_SetText(item, "call_address", peer->call_address);
+    GwJson_SetText(item, "state",
+                   !live          ? "dead"
+                   : peer->serves ? "alive"
+                                  : "not-serving");
+    GwJson_SetU64(item, "heard_ms_ago",
+                  (uint64_t)(now_us - peer->heard_us) / 1000);
+    GwJson_SetU64(item, "operator_row", peer->operator_version);
+    GwJson_SetU64(item, "server_row", peer->server_version);
+    GwJson_SetBool(item, "reads_store", peer->reads);
+    return item;
+}
+
+struct json_object *
+GwPeers_Members(const GwPeers *peers)
+{
+    struct json_object *all = json_object_new_array();
+    int64_t now_us = GwEdge_Now();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeerEntry *peer = value;
+        if (peer->heard) {
+            json_object_array_add(all, member_json(peer, now_us));
+        }
+    }
+    return all;
+}
+
 void
 GwPeers_Announce(GwPeers *peers)
 {
--- a/lib/edge/reload.c
+++ b/lib/edge/reload.c
@@ -37,6 +37,7 @@
            strcmp(a->ready_address, b->ready_address) == 0 &&
            strcmp(a->directory_address, b->directory_address) == 0 &&
            strcmp(a->control_address, b->control_address) == 0 &&
+           strcmp(a->metrics_address, b->metrics_address) == 0 &&
            strcmp(a->peer_address, b->peer_address) == 0 &&
            strcmp(a->store_address, b->store_address) == 0;
 }
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -125,6 +125,14 @@
     return true;
 }
 
+static bool
+read_optional_address(const GwReadAt *at, const char *key, char out[64],
+                      GError **error)
+{
+    return !json_object_object_get_ex(at->object, key, NULL) ||
+           GwRead_Address(at, key, out, error);
+}
+
 static bool
 read_bounds(const GwReadAt *at, GwEdgeSettings *s, GError **error)
 {
@@ -175,6 +183,7 @@
         "ready_address",
         "directory_address",
         "control_address",
+        "metrics_address",
         "peer_address",
         "store_address",
         "seeds",
@@ -202,6 +211,8 @@
            GwRead_Address(at, "directory_address", s->directory_address,
                           error) &&
            GwRead_Address(at, "control_address", s->control_address, error) &&
+           read_optional_address(at, "metrics_address", s->metrics_address,
+                                 error) &&
            GwRead_Address(at, "peer_address", s->peer_address, error) &&
            GwRead_Address(at, "store_address", s->store_address, error) &&
            read_seeds(at, s->seeds, error) &&
--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -11,6 +11,7 @@
     char ready_address[64];     /* readiness checks of the platform */
     char directory_address[64]; /* callers that ask where to connect */
     char control_address[64];   /* state and counters; "" for none */
+    char metrics_address[64];   /* counters for a collector; "" for none */
     char peer_address[64];      /* other entries: UDP, and TCP for rows */
     char store_address[64];
     GPtrArray *seeds;    /* peer addresses to try before any is known */
--- /dev/null
+++ b/lib/edge/status.c
@@ -0,0 +1,125 @@
+/* What is to be seen of the entry from outside: counters and gauges, a short
+ * status, and the whole state. */
+#include "common/json.h"
+#include "edge/edge_internal.h"
+
+#include <json-c/json.h>
+
+static void
+write_gauge(GString *out, const char *name, double value)
+{
+    g_string_append_printf(out, "# TYPE %s gauge\n%s %.15g\n", name, name,
+                           value);
+}
+
+static void
+write_counter(GString *out, const char *name, uint64_t value)
+{
+    g_string_append_printf(out, "# TYPE %s counter\n%s %" PRIu64 "\n", name,
+                           name, value);
+}
+
+static void
+write_service(void *ctx, const GwServiceView *view)
+{
+    GString *out = ctx;
+    char *name = g_strescape(view->name, NULL);
+
+    g_string_append_printf(out,
+                           "gw_service_servers{service=\"%s\"} %u\n"
+                           "gw_service_ejected{service=\"%s\"} %u\n"
+                           "gw_service_waiting{service=\"%s\"} %u\n"
+                           "gw_service_in_flight{service=\"%s\"} %u\n"
+                           "gw_service_peers_in_flight{service=\"%s\"} %u\n"
+                           "gw_service_retries_left{service=\"%s\"} %.2f\n",
+                           name, view->servers, name, view->ejected, name,
+                           view->waiting, name, view->in_flight, name,
+                           view->peers_in_flight, name, view->retries_left);
+    g_free(name);
+}
+
+static void
+write_table(GString *out, const char *table, const GwFeed *feed)
+{
+    int64_t now_us = GwEdge_Now();
+
+    g_string_append_printf(
+        out,
+        "gw_table_version{table=\"%s\"} %" PRIu64 "\n"
+        "gw_table_news_age_ms{table=\"%s\"} %" PRId64 "\n"
+        "gw_table_read_here{table=\"%s\"} %d\n"
+        "gw_table_store_was_away{table=\"%s\"} %d\n",
+        table, GwFeed_Version(feed), table, GwFeed_AgeMs(feed, now_us), table,
+        GwFeed_IsHealthy(feed), table, GwFeed_WasAway(feed, now_us));
+}
+
+void
+GwStatus_WriteMetrics(GwEdge *edge, GString *out)
+{
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+    const GwPeersView peers = GwPeers_View(edge->peers);
+
+    GwMeters_Write(edge->meters, out);
+    write_counter(out, "gw_requests_total", edge->counts.arrived);
+    write_counter(out, "gw_connects_total", edge->counts.connects);
+    write_counter(out, "gw_reuses_total", edge->counts.reuses);
+    write_counter(out, "gw_store_calls_total", edge->counts.store_calls);
+    write_counter(out, "gw_log_dropped_total", GwLog_Dropped());
+    write_gauge(out, "gw_ready", GwEdge_IsReady(edge));
+    write_gauge(out, "gw_config_version",
+                routing != NULL ? (double)routing->version : 0);
+    write_gauge(out, "gw_open_requests", GwRouter_OpenCount(edge->router));
+    write_gauge(out, "gw_caller_connections",
+                g_queue_get_length(&edge->callers));
+    write_gauge(out, "gw_body_bytes", (double)edge->bodies.held);
+    write_gauge(out, "gw_peers_live", peers.live);
+    write_gauge(out, "gw_peer_loads_age_ms", (double)peers.loads_age_ms);
+    write_table(out, "operator", edge->operator_feed);
+    write_table(out, "servers", edge->server_feed);
+    GwRouter_EachService(edge->router, GwEdge_Now(), write_service, out);
+}
+
+void
+GwStatus_WriteDump(GwEdge *edge, GString *out)
+{
+    GwRouter_Dump(edge->router, GwEdge_Now(), out);
+}
+
+static const char *
+state_name(const GwEdge *edge)
+{
+    if (edge->leaving) {
+        return "leaving";
+    }
+    return GwEdge_IsReady(edge) ? "ready" : "not-ready";
+}
+
+void
+GwStatus_Write(GwEdge *edge, GString *out)
+{
+    const GwRouterParams *own = &edge->settings->router;
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+    const GwFeed *servers = edge->server_feed;
+    const GwPeersView peers = GwPeers_View(edge->peers);
+    int64_t now_us = GwEdge_Now();
+    struct json_object *root = json_object_new_object();
+
+    GwJson_SetText(root, "name", own->name);
+    GwJson_SetText(root, "region", own->region);
+    GwJson_SetText(root, "failure_domain", own->domain);
+    GwJson_SetText(root, "state", state_name(edge));
+    GwJson_SetU64(root, "config_version",
+                  routing != NULL ? routing->version : 0);
+    GwJson_SetU64(root, "open_calls", GwRouter_OpenCount(edge->router));
+    GwJson_SetU64(root, "servers", GwRouter_ServerCount(edge->router));
+    GwJson_SetU64(root, "live", peers.live + 1);
+    GwJson_SetU64(root, "news_ms_ago",
+                  (uint64_t)GwFeed_AgeMs(servers, now_us));
+    GwJson_SetU64(root, "loads_ms_ago", (uint64_t)peers.loads_age_ms);
+    GwJson_SetBool(root, "reads_store", GwFeed_IsHealthy(servers));
+    GwJson_SetBool(root, "store_was_away", GwFeed_WasAway(servers, now_us));
+    json_object_object_add(root, "members", GwPeers_Members(edge->peers));
+    g_string_append(
+        out, json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+    json_object_put(root);
+}
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -110,9 +110,8 @@
            GwRouter_FeedsCold(r, s, look->now_us);
 }
 
-/* Requests at the server, on their way there, and waiting here for it. */
-static uint32_t
-busy_at(const GwServer *s, int64_t now_us)
+uint32_t
+GwServer_BusyCount(const GwServer *s, int64_t now_us)
 {
     uint32_t known = s->in_flight + s->peers_in_flight;
     uint32_t reported = s->load_running + s->load_waiting;
@@ -141,7 +140,7 @@
 static Candidate
 judge(const Look *look, GwServer *s, double work_us)
 {
-    uint32_t busy = busy_at(s, look->now_us);
+    uint32_t busy = GwServer_BusyCount(s, look->now_us);
     uint32_t limit = s->slots + (s->same_region ? 0 : FAR_AHEAD);
     double wait = 0;
     double rtt = GwRouter_RttUs(look->r, s);
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -49,11 +49,19 @@
         .attempts = req->sends,
         .waited_ms = (uint32_t)((until_us - req->arrived_us) / 1000),
         .took_ms = (uint32_t)((now_us - req->arrived_us) / 1000),
+        .expected_ms = (uint32_t)(req->expected_us / 1000),
         .warm = req->sent_warm,
+        .far = req->sent_far,
     };
 
     g_strlcpy(story.route, req->route->name, sizeof(story.route));
     g_strlcpy(story.server, req->last_server, sizeof(story.server));
+    if (req->refused_for != NULL) {
+        const GwServer *best = req->refused_for;
+        g_strlcpy(story.best, best->id, sizeof(story.best));
+        story.best_busy = GwServer_BusyCount(best, now_us);
+        story.best_slots = best->slots;
+    }
     return story;
 }
 
@@ -134,6 +142,7 @@
     req->server = s;
     req->sent_us = now_us;
     req->sent_warm = at != NULL;
+    req->sent_far = !s->same_region;
     req->sent_alone = s->in_flight + s->peers_in_flight < s->slots;
     req->attempts++;
     req->sends++;
@@ -166,6 +175,7 @@
 place(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
     GwChoice c = GwRouter_Choose(r, now_us, req);
+    req->expected_us = now_us - req->arrived_us + (int64_t)c.est_us;
 
     if (c.server == NULL) {
         GwRouter_DriftRefused(r, now_us, c.wants_far);
@@ -182,6 +192,7 @@
     req->late = !c.in_time;
     if (req->late && back_us > MIN(req->late_us, req->budget_us)) {
         GwRouter_DriftRefused(r, now_us, c.wants_far);
+        req->refused_for = c.server;
         reply(r, now_us, req, GW_WHY_NO_ROOM, actions);
         return;
     }
@@ -364,7 +375,7 @@
     bool good = answered && end->status < 500;
 
     GwRouter_FreeFreed(r, actions);
-    GwRouter_Learn(r, now_us, req, end);
+    GwRouter_Learn(r, now_us, req, end, actions);
     leave_server(r, now_us, req, good, actions);
     if (answered) {
         bool again = !good && req->route->idempotent;
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -1,5 +1,8 @@
+#include "common/json.h"
 #include "router/router_internal.h"
 
+#include <json-c/json.h>
+
 #include <string.h>
 
 static void
@@ -229,32 +232,48 @@
     return &s->user;
 }
 
+static struct json_object *
+dump_server(const GwServer *s, int64_t now_us)
+{
+    struct json_object *item = json_object_new_object();
+    int64_t ejected_us = MAX(s->eject_until_us - now_us, 0);
+
+    GwJson_SetText(item, "id", s->id);
+    GwJson_SetText(item, "service", s->service->name);
+    GwJson_SetText(item, "failure_domain", s->domain);
+    GwJson_SetText(item, "address", s->address);
+    GwJson_SetU64(item, "slots", s->slots);
+    GwJson_SetU64(item, "in_flight", s->in_flight);
+    GwJson_SetU64(item, "peers_in_flight", s->peers_in_flight);
+    GwJson_SetU64(item, "objects", s->objects);
+    GwJson_SetU64(item, "busy_percent",
+                  (uint64_t)(100 * GwServer_Busy(s, now_us)));
+    GwJson_SetU64(item, "slow_percent", (uint64_t)(100 * s->slow));
+    GwJson_SetU64(item, "ejected_ms", (uint64_t)ejected_us / 1000);
+    GwJson_SetBool(item, "draining", s->draining);
+    GwJson_SetBool(item, "cold", GwServer_IsCold(s, now_us));
+    return item;
+}
+
 void
 GwRouter_Dump(const GwRouter *r, int64_t now_us, GString *out)
 {
+    struct json_object *root = json_object_new_object();
+    struct json_object *servers = json_object_new_array();
     GHashTableIter iter;
     gpointer value;
-    const char *comma = "";
-
-    g_string_append_printf(out,
-                           "{\"version\":%" G_GUINT64_FORMAT
-                           ",\"open\":%u,\"routes\":%u,\"servers\":[",
-                           r->routing != NULL ? r->routing->version : 0,
-                           GwRouter_OpenCount(r),
-                           g_hash_table_size(r->routes));
+
+    GwJson_SetU64(root, "config_version",
+                  r->routing != NULL ? r->routing->version : 0);
+    GwJson_SetU64(root, "open", GwRouter_OpenCount(r));
+    GwJson_SetU64(root, "routes", g_hash_table_size(r->routes));
+    GwJson_SetU64(root, "objects", g_hash_table_size(r->keys));
     g_hash_table_iter_init(&iter, r->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const GwServer *s = value;
-        g_string_append_printf(
-            out,
-            "%s{\"id\":\"%s\",\"domain\":\"%s\",\"in_flight\":%u,"
-            "\"peers\":%u,\"slow\":%.2f,\"draining\":%s,\"ejected\":%s,"
-            "\"cold\":%s}",
-            comma, s->id, s->domain, s->in_flight, s->peers_in_flight, s->slow,
-            s->draining ? "true" : "false",
-            now_us < s->eject_until_us ? "true" : "false",
-            GwServer_IsCold(s, now_us) ? "true" : "false");
-        comma = ",";
+        json_object_array_add(servers, dump_server(value, now_us));
     }
-    g_string_append(out, "]}");
+    json_object_object_add(root, "servers", servers);
+    g_string_append(
+        out, json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+    json_object_put(root);
 }
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -140,12 +140,19 @@
 /* What decided about a request, for the line that the host logs. */
 typedef struct {
     char route[48];
-    char server[48];    /* of the last attempt; "" when there was none */
-    uint64_t version;   /* of the configuration that admitted it */
-    uint32_t attempts;  /* sends, also those that met no server */
-    uint32_t waited_ms; /* before the last send, or in all */
-    uint32_t took_ms;   /* from its arrival */
-    bool warm;          /* the last server had a place of its object */
+    char server[48];      /* of the last attempt; "" when there was none */
+    uint64_t version;     /* of the configuration that admitted it */
+    uint32_t attempts;    /* sends, also those that met no server */
+    uint32_t waited_ms;   /* before the last send, or in all */
+    uint32_t took_ms;     /* from its arrival */
+    uint32_t expected_ms; /* that it would take, as of the last look */
+    bool warm;            /* the last server had a place of its object */
+    bool far;             /* the last server is in another region */
+    /* Of one that was refused for lack of room: the best server, and what it
+     * had to do as this entry knew; else "". */
+    char best[48];
+    uint32_t best_busy;
+    uint32_t best_slots;
 } GwRequestStory;
 
 /* Starts a request. It may be over when this returns (REPLY). */
@@ -167,12 +174,14 @@
 uint32_t GwRouter_OpenCount(const GwRouter *r);
 
 typedef enum {
-    GW_DO_ACCEPT = 1, /* `request` is the handle of this arrival */
-    GW_DO_SEND,       /* one attempt at `server` */
-    GW_DO_CANCEL,     /* abandon the attempt; its connection is closed */
-    GW_DO_ANSWER,     /* pass on the last attempt's answer; over */
-    GW_DO_REPLY,      /* answer with `status` of our own; over */
-    GW_DO_FORGET      /* `server` is gone: drop what is kept for it */
+    GW_DO_ACCEPT = 1,   /* `request` is the handle of this arrival */
+    GW_DO_SEND,         /* one attempt at `server` */
+    GW_DO_CANCEL,       /* abandon the attempt; its connection is closed */
+    GW_DO_ANSWER,       /* pass on the last attempt's answer; over */
+    GW_DO_REPLY,        /* answer with `status` of our own; over */
+    GW_DO_FORGET,       /* `server` is gone: drop what is kept for it */
+    GW_DO_NOTE_EJECTED, /* for the log: `server` is passed over for left_ms */
+    GW_DO_NOTE_BACK     /* for the log: `server` answers well again */
 } GwDoKind;
 
 typedef enum {
@@ -184,7 +193,8 @@
     GW_WHY_NO_RETRY,    /* not run, and no attempt is left */
     GW_WHY_TIMEOUT,     /* sent, and the time is over */
     GW_WHY_TIME_UNSENT, /* never sent, and the time is over */
-    GW_WHY_BROKEN       /* it may have run */
+    GW_WHY_BROKEN,      /* it may have run */
+    GW_WHY_COUNT
 } GwWhy;
 
 const char *GwWhy_Name(GwWhy why);
@@ -209,6 +219,20 @@
 const char *GwServer_Address(const GwServer *s);
 uint32_t GwServer_Hash(const GwServer *s);
 bool GwServer_IsFar(const GwServer *s); /* in another region */
+/* How a service stands, for those who look from outside. */
+typedef struct {
+    const char *name;
+    uint32_t servers; /* listed */
+    uint32_t ejected;
+    uint32_t waiting;         /* requests */
+    uint32_t in_flight;       /* of this entry */
+    uint32_t peers_in_flight; /* as they last reported */
+    double retries_left;
+} GwServiceView;
+
+void GwRouter_EachService(const GwRouter *r, int64_t now_us,
+                          void (*visit)(void *ctx, const GwServiceView *view),
+                          void *ctx);
 /* A place for the host to keep its connections to the server. */
 void **GwServer_User(GwServer *s);
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -140,8 +140,11 @@
     uint32_t attempts;
     GwServer *server; /* of the attempt under way, or NULL */
     int64_t sent_us;
+    int64_t expected_us; /* its time, as of the last look for a server */
     bool sent_warm;
+    bool sent_far;
     bool sent_alone; /* a slot was free then: its time is the work's */
+    const GwServer *refused_for; /* the best one; set as the request ends */
     bool waits;
     bool late;         /* waits, though its answer will be late */
     bool may_have_run; /* an attempt ended without proof of the contrary */
@@ -177,10 +180,12 @@
 
 /* servers.c */
 GwServiceState *GwRouter_ServiceOf(GwRouter *r, const char *name);
+/* Requests at the server, on their way there, and waiting here for it. */
+uint32_t GwServer_BusyCount(const GwServer *s, int64_t now_us);
 bool GwServer_IsCold(const GwServer *s, int64_t now_us);
 void GwServer_Unref(GwRouter *r, GwServer *s, GArray *actions);
 void GwRouter_Learn(GwRouter *r, int64_t now_us, GwRequest *req,
-                    const GwAttemptEnd *end);
+                    const GwAttemptEnd *end, GArray *actions);
 /* The mean of its slots in use over the last seconds, 0 to 1 and above. */
 double GwServer_Busy(const GwServer *s, int64_t now_us);
 void GwServer_NoteBusy(GwServer *s, int64_t now_us);
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -375,12 +375,31 @@
 }
 
 static void
-learn_failure(GwServer *s, int64_t now_us)
+note(GwDoKind kind, GwServer *s, int64_t for_us, GArray *actions)
 {
-    int64_t away = GW_EJECT_US << MIN(s->failures, 6);
+    GwDo out = {
+        .kind = kind, .server = s, .left_ms = (uint32_t)(for_us / 1000)};
+
+    g_array_append_val(actions, out);
+}
+
+static void
+learn_failure(GwServer *s, int64_t now_us, GArray *actions)
+{
+    int64_t away_us = MIN(GW_EJECT_US << MIN(s->failures, 6), GW_EJECT_MAX_US);
 
     s->failures++;
-    s->eject_until_us = now_us + MIN(away, GW_EJECT_MAX_US);
+    s->eject_until_us = now_us + away_us;
+    note(GW_DO_NOTE_EJECTED, s, away_us, actions);
+}
+
+static void
+learn_success(GwServer *s, GArray *actions)
+{
+    if (s->failures > 0) {
+        note(GW_DO_NOTE_BACK, s, 0, actions);
+    }
+    s->failures = 0;
 }
 
 static void
@@ -408,7 +427,7 @@
 
 void
 GwRouter_Learn(GwRouter *r, int64_t now_us, GwRequest *req,
-               const GwAttemptEnd *end)
+               const GwAttemptEnd *end, GArray *actions)
 {
     GwServer *s = req->server;
 
@@ -426,11 +445,11 @@
     switch (end->outcome) {
     case GW_ATTEMPT_ANSWERED:
         if (end->status < 500) {
-            s->failures = 0;
+            learn_success(s, actions);
             learn_time(r, now_us, req, end);
         }
         else if (end->status != 504) {
-            learn_failure(s, now_us);
+            learn_failure(s, now_us, actions);
         }
         break;
     case GW_ATTEMPT_REFUSED:
@@ -440,7 +459,43 @@
         break;
     case GW_ATTEMPT_UNSENT:
     case GW_ATTEMPT_BROKEN:
-        learn_failure(s, now_us);
+        learn_failure(s, now_us, actions);
         break;
     }
 }
+
+/* ---- For those who look -------------------------------------------------- */
+
+static GwServiceView
+view_of(const GwServiceState *service, int64_t now_us)
+{
+    GwServiceView view = {
+        .name = service->name,
+        .servers = service->servers->len,
+        .waiting = service->waiting->len,
+        .retries_left = service->retries.tokens,
+    };
+
+    for (guint i = 0; i < service->servers->len; i++) {
+        const GwServer *s = service->servers->pdata[i];
+        view.ejected += now_us < s->eject_until_us;
+        view.in_flight += s->in_flight;
+        view.peers_in_flight += s->peers_in_flight;
+    }
+    return view;
+}
+
+void
+GwRouter_EachService(const GwRouter *r, int64_t now_us,
+                     void (*visit)(void *ctx, const GwServiceView *view),
+                     void *ctx)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwServiceView view = view_of(value, now_us);
+        visit(ctx, &view);
+    }
+}
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -223,7 +223,7 @@
 static void
 carry_one(FakeSteering *f, const GwDo *act)
 {
-    FakeRequest *req = act->user;
+    FakeRequest *req = act->user; /* NULL for notes of a server */
 
     switch (act->kind) {
     case GW_DO_ACCEPT:
@@ -241,6 +241,8 @@
         on_over(f, req, act);
         break;
     case GW_DO_FORGET:
+    case GW_DO_NOTE_EJECTED:
+    case GW_DO_NOTE_BACK:
         break;
     }
 }
--- /dev/null
+++ b/tests/unit/test_explain.c
@@ -0,0 +1,167 @@
+#include "admin/explain.h"
+
+#include <criterion/criterion.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#define LINES_MAX 8
+
+typedef struct {
+    const char *what;
+    const char *lines[LINES_MAX]; /* "entry text" */
+    const char *expected[4];      /* parts of the explanation */
+    const char *absent;           /* must not be in it; or NULL */
+} Case;
+
+static const Case cases[] = {
+    {"a booking whose answer was lost is told as unknown, with the failure",
+     {"e1 time_ms=1000 event=500 name=BACKEND_EJECTED server=s1 for_ms=400",
+      "e1 time_ms=1000 event=604 name=ATTEMPT_FAILED request=r1 server=s1 "
+      "outcome=broken status=0 after_ms=212",
+      "e1 time_ms=1001 event=601 name=REQUEST_REPLIED request=r1 status=502 "
+      "why=broken server=s1 attempts=1 config=4 news_ms=100"},
+     {"+0 ms e1 ATTEMPT_FAILED", "outcome=broken", "s1 was passed over 1 ms",
+      "unknown: it was sent"},
+     "stale"},
+    {"a read that was lost and then found no room may have run",
+     {"e1 time_ms=1000 event=604 name=ATTEMPT_FAILED request=r1 server=s1 "
+      "outcome=broken status=0 after_ms=1201",
+      "e1 time_ms=1001 event=601 name=REQUEST_REPLIED request=r1 status=502 "
+      "why=no-room server=s1 attempts=1 config=4 news_ms=100 best=s2 "
+      "best_busy=1/3"},
+     {"best=s2 best_busy=1/3",
+      "unknown: an attempt may have run it; for another, even the best"},
+     "not run"},
+    {"a refusal on an old view of the servers is marked",
+     {"e1 time_ms=1000 event=700 name=STORE_AWAY table=servers why=silent",
+      "e1 time_ms=9500 event=601 name=REQUEST_REPLIED request=r1 status=503 "
+      "why=no-server attempts=0 config=4 news_ms=8500"},
+     {"stale: the store had not answered for 8500 ms",
+      "stale: no news of the servers for 8500 ms",
+      "not run: no server of the service might take it"},
+     NULL},
+    {"once the store is back nothing is stale",
+     {"e1 time_ms=1000 event=700 name=STORE_AWAY table=servers why=silent",
+      "e1 time_ms=2000 event=701 name=STORE_BACK table=servers away_ms=1000",
+      "e1 time_ms=3000 event=601 name=REQUEST_REPLIED request=r1 status=503 "
+      "why=no-room attempts=0 config=4 news_ms=10"},
+     {"not run: even the best server"},
+     "stale"},
+    {"a newer configuration elsewhere is named, whichever log is read first",
+     {"e2 time_ms=500 event=200 name=CONFIG_IN_FORCE version=5 row=9",
+      "e1 time_ms=100 event=200 name=CONFIG_IN_FORCE version=4 row=8",
+      "e1 time_ms=900 event=601 name=REQUEST_REPLIED request=r1 status=404 "
+      "why=no-route config=4 news_ms=10"},
+     {"stale: configuration 4; 5 was in force at e2 400 ms before",
+      "no route of the configuration matches it"},
+     NULL},
+    {"one that came later is no excuse",
+     {"e1 time_ms=100 event=200 name=CONFIG_IN_FORCE version=4 row=8",
+      "e1 time_ms=900 event=601 name=REQUEST_REPLIED request=r1 status=404 "
+      "why=no-route config=4 news_ms=10",
+      "e2 time_ms=901 event=200 name=CONFIG_IN_FORCE version=5 row=9"},
+     {"no route of the configuration matches it"},
+     "stale"},
+    {"an answer from afar says what it was made of",
+     {"e1 time_ms=900 event=602 name=REQUEST_ANSWERED request=r1 status=200 "
+      "why=none server=s7 attempts=2 waited_ms=400 took_ms=700 warm=0 far=1 "
+      "config=4 news_ms=10"},
+     {"answered by s7 with 200 after 700 ms, 400 of them waiting for a slot",
+      "in another region", "did not hold its object", "at attempt 2"},
+     NULL},
+    {"lines of several entries come in order of time",
+     {"e2 time_ms=2000 event=602 name=REQUEST_ANSWERED request=r1 status=200 "
+      "server=s1 attempts=1 waited_ms=0 took_ms=90 warm=1 far=0",
+      "e1 time_ms=1000 event=601 name=REQUEST_REPLIED request=r1 status=503 "
+      "why=no-room"},
+     {"+0 ms e1 REQUEST_REPLIED", "+1000 ms e2 REQUEST_ANSWERED",
+      "answered by s1 with 200 after 90 ms"},
+     NULL},
+    {"after a restart the beliefs of the process before it count no more",
+     {"e1 time_ms=100 event=700 name=STORE_AWAY table=servers why=silent",
+      "e1 time_ms=200 event=100 name=START name=e1",
+      "e1 time_ms=900 event=601 name=REQUEST_REPLIED request=r1 status=503 "
+      "why=no-config news_ms=10"},
+     {"the entry knew no configuration yet"},
+     "stale"},
+    {"an end that is missing is said",
+     {"e1 time_ms=900 event=604 name=ATTEMPT_FAILED request=r1 server=s1 "
+      "outcome=refused status=503 after_ms=3"},
+     {"its end is not in these logs"},
+     NULL},
+    {"another request's lines are not taken",
+     {"e1 time_ms=900 event=601 name=REQUEST_REPLIED request=r12 status=503 "
+      "why=no-room",
+      "e1 no fields at all", "e1 time_ms=5 event=\"unfinished"},
+     {"no line of this request was found"},
+     "REQUEST_REPLIED"},
+};
+
+static GwExplain *
+read_case(const Case *c)
+{
+    GwExplain *ex = GwExplain_Create("r1");
+
+    for (size_t i = 0; i < LINES_MAX && c->lines[i] != NULL; i++) {
+        GwExplain_Add(ex, "file", c->lines[i]);
+    }
+    return ex;
+}
+
+Test(explain, logs_tell_what_became_of_a_request)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwExplain *ex = read_case(&cases[i]);
+        GString *out = g_string_new(NULL);
+
+        GwExplain_Write(ex, out);
+        for (size_t k = 0; k < 4 && cases[i].expected[k] != NULL; k++) {
+            cr_expect_not_null(strstr(out->str, cases[i].expected[k]),
+                               "%s: lacks \"%s\" in\n%s", cases[i].what,
+                               cases[i].expected[k], out->str);
+        }
+        cr_expect(cases[i].absent == NULL ||
+                      strstr(out->str, cases[i].absent) == NULL,
+                  "%s: \"%s\" in\n%s", cases[i].what, cases[i].absent,
+                  out->str);
+        g_string_free(out, TRUE);
+        GwExplain_Free(ex);
+    }
+}
+
+/* The same as JSON: whole, and with the same conclusion. */
+Test(explain, json_says_the_same)
+{
+    GwExplain *ex = read_case(&cases[0]);
+    GString *out = g_string_new(NULL);
+
+    GwExplain_WriteJson(ex, out);
+    struct json_object *root = json_tokener_parse(out->str);
+    struct json_object *steps = json_object_object_get(root, "steps");
+    cr_assert_eq(json_object_array_length(steps), 2);
+    struct json_object *notes =
+        json_object_object_get(json_object_array_get_idx(steps, 1), "notes");
+    cr_expect_eq(json_object_array_length(notes), 1);
+    cr_expect_not_null(strstr(
+        json_object_get_string(json_object_object_get(root, "conclusion")),
+        "unknown"));
+    json_object_put(root);
+    g_string_free(out, TRUE);
+    GwExplain_Free(ex);
+}
+
+/* Without a name before the time, the file names the entry. */
+Test(explain, a_file_names_its_entry)
+{
+    GwExplain *ex = GwExplain_Create("r1");
+    GString *out = g_string_new(NULL);
+
+    GwExplain_Add(
+        ex, "e9.log",
+        "time_ms=1 event=603 name=REQUEST_LEFT request=r1 took_ms=7");
+    GwExplain_Write(ex, out);
+    cr_expect_not_null(strstr(out->str, "e9.log REQUEST_LEFT"));
+    cr_expect_not_null(strstr(out->str, "its caller left after 7 ms"));
+    g_string_free(out, TRUE);
+    GwExplain_Free(ex);
+}
