A hanging first run no longer refuses callers beside idle servers

A request for an object whose first run is under way waits for that run; if it hangs at a slow or lost server the wait is longer than even a late answer may take, so the caller was refused, while other servers had idle slots. Change: where the wait is hopeless, a server that is idle and would end within the caller's time becomes a place of the object. Test: router.a_hanging_first_run_does_not_refuse_beside_idle_servers, failed first.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -239,6 +239,23 @@
     return look->now_us + (int64_t)c->est_us <= look->req->aim_us;
 }
 
+/* Whether who waits for it would be refused. */
+static bool
+is_hopeless(const Look *look, const Candidate *c)
+{
+    const GwRequest *req = look->req;
+
+    return look->now_us + (int64_t)c->est_us >
+           MIN(req->late_us, req->budget_us);
+}
+
+/* Whether its answer would come before the caller's time is over. */
+static bool
+ends_within_budget(const Look *look, const Candidate *c)
+{
+    return look->now_us + (int64_t)c->est_us <= look->req->budget_us;
+}
+
 static bool
 has_idle(const Look *look, const Candidate *c, double below)
 {
@@ -300,7 +317,15 @@
             fresh = pull(look, &place);
         }
     }
-    else if (!first_run && !place.is_free) {
+    else if (first_run) {
+        /* Its first run hangs: a refused caller would come back to the same. */
+        fresh = is_hopeless(look, &place) ? best_new(look) : fresh;
+        if (!has_idle(look, &fresh, IDLE_BELOW) ||
+            !ends_within_budget(look, &fresh)) {
+            fresh.server = NULL;
+        }
+    }
+    else if (!place.is_free) {
         fresh = best_new(look);
         if (!has_idle(look, &fresh, IDLE_BELOW)) {
             fresh.server = NULL;
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -572,3 +572,39 @@
         FakeSteering_Free(f);
     }
 }
+
+/* An object's first run hangs at a server that turned slow. Who comes next
+ * for the object would wait for that run, too long even for a late answer;
+ * refused, it comes back to the same while other servers idle. It is run
+ * there instead, if that ends within its time. */
+Test(router, a_hanging_first_run_does_not_refuse_beside_idle_servers)
+{
+    static const struct {
+        int64_t left_ms;
+        bool sent;
+    } cases[] = {
+        {3000, true}, {300, false} /* a cold run would not end in its time */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = start(2);
+        FakeSteering_Put(f, "slow", "r1", "d1", 2);
+        for (int k = 0; k < 10; k++) { /* four times a cold run's time */
+            char key[8];
+            g_snprintf(key, sizeof(key), "k%d", k);
+            FakeRequest *req = FakeSteering_Arrive(f, "/again/", key, 3000);
+            FakeSteering_Pass(f, 1600000);
+            FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        }
+        FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+        cr_assert_str_eq(first->server_id, "slow");
+        FakeSteering_Put(f, "idle", "r1", "d1", 2);
+        FakeRequest *next =
+            FakeSteering_Arrive(f, "/again/", "k", cases[i].left_ms);
+        cr_expect_eq(next->over, !cases[i].sent, "case %zu", i);
+        if (cases[i].sent) {
+            cr_expect_str_eq(next->server_id, "idle");
+        }
+        finish(f);
+    }
+}
