Introduce newcomers by two entries, and only with what they lack

Cause: at a start of 68 entries each sent 600 KB in the first seconds: every entry told every newcomer up to 64 addresses, and each of its region all warm places. Ruled out: leaving the addresses out altogether: an entry that starts while the store is away knows its seeds only. Change: a newcomer says how many it knows and is told addresses only if it lacks more than half; two entries of its region, by a hash, tell it places.

--- a/Makefile
+++ b/Makefile
@@ -179,6 +179,7 @@
 
 proto:
 	protoc-c --proto_path=proto --c_out=lib/wire proto/inner.proto
+	protoc-c --proto_path=proto --c_out=lib/wire proto/peer.proto
 	protoc-c --proto_path=proto --c_out=lib/admin proto/admin.proto
 
 install: all
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -6,6 +6,7 @@
  * Bytes between failure domains are paid for, so names and addresses go along
  * only now and then, and all periods grow with the number of entries: what
  * one entry sends a second is bounded. */
+#include "edge/introduce.h"
 #include "edge/peers_internal.h"
 
 #include "wire/peer.pb-c.h"
@@ -195,6 +196,7 @@
     report.operator_version = GwFeed_Version(edge->operator_feed);
     report.server_version = GwFeed_Version(edge->server_feed);
     report.is_new = peers->live < 2;
+    report.knows = g_hash_table_size(peers->by_address);
     if (!peer->heard || with_known || report.is_new ||
         peer->told++ % IDENTITY_EVERY == 0) {
         fill_identity(peers, &report);
@@ -317,11 +319,34 @@
     }
 }
 
+static bool
+is_introducer(const GwPeers *peers, const GwPeerEntry *newcomer)
+{
+    const char *own = peers->edge->settings->router.name;
+    GPtrArray *others = g_ptr_array_new();
+    int64_t now_us = GwEdge_Now();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwPeerEntry *peer = value;
+        if (peer != newcomer && peer->serves && is_near(peers, peer) &&
+            GwPeerEntry_IsLive(peer, now_us)) {
+            g_ptr_array_add(others, peer->name);
+        }
+    }
+    bool is_one = GwIntroduce_TellsPlaces(own, newcomer->name, others);
+    g_ptr_array_free(others, TRUE);
+    return is_one;
+}
+
 /* A new entry of the region is told once where objects are warm. */
 static void
 make_backlog(GwPeers *peers, GwPeerEntry *peer)
 {
-    if (!is_near(peers, peer) || peer->backlog_start == peer->start) {
+    if (!is_near(peers, peer) || peer->backlog_start == peer->start ||
+        !is_introducer(peers, peer)) {
         return;
     }
     GwPeerEntry_DropBacklog(peer);
@@ -376,7 +401,11 @@
         make_backlog(peers, peer);
     }
     if (report->is_new || !was_live) {
-        GwPeers_Tell(peers, peer, report->is_new);
+        GwPeers_Tell(peers, peer,
+                     report->is_new &&
+                         GwIntroduce_TellsAddresses(
+                             g_hash_table_size(peers->by_address),
+                             report->knows));
     }
     GwFeed_AskPeer(edge->operator_feed, peer->peer_address,
                    peer->operator_version);
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[20] =
 {
   {
     "name",
@@ -282,12 +282,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "knows",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, knows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   5,   /* field[5] = call_address */
   4,   /* field[4] = domain */
   12,   /* field[12] = is_new */
   11,   /* field[11] = known */
+  19,   /* field[19] = knows */
   10,   /* field[10] = load_counts */
   9,   /* field[9] = load_servers */
   0,   /* field[0] = name */
@@ -308,7 +321,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -318,7 +331,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  19,
+  20,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   2,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -70,7 +70,11 @@
    */
   uint32_t next_ms;
   /*
-   * the sender knows few: tell it others
+   * addresses of other entries that the sender has
+   */
+  uint32_t knows;
+  /*
+   * the sender has just started, or was alone
    */
   protobuf_c_boolean is_new;
   /*
@@ -90,7 +94,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Gw__Peer__Report methods */
