--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -23,7 +23,7 @@
 /* What it is worth to stay within the failure domain and within the region,
  * as time: bytes across are paid for, and an object that once went to another
  * region costs its round trip from then on. */
-#define OTHER_DOMAIN_US 30000.0
+#define OTHER_DOMAIN_US 60000.0
 #define OTHER_REGION_US 100000.0
 /* Of servers that could be an object's first place, all entries should pick
  * the same one: a hash of both is worth up to this. */
