Hold the layout of the sources by a check

Cause: that names of the users' platform stay in platform/, that files keep to 600 lines and packages include each other without a circle was said and not held; two circles had come in (common and member, config and steer). Change: tests/layout.sh, first in make lint; hashes of names move to common/names.h, the bound on seats to config/model.h.

--- a/Makefile
+++ b/Makefile
@@ -165,6 +165,7 @@
 	clang-format -i $(hand_c) $(hand_h) $(hand_cpp)
 
 lint:
+	tests/layout.sh
 	clang-format --dry-run --Werror $(hand_c) $(hand_h) $(hand_cpp)
 	printf '%s\n' $(filter lib/% platform/% programs/% standins/%,$(hand_c)) | \
 	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CSTD) $(INC) \
--- a/lib/common/names.c
+++ b/lib/common/names.c
@@ -1,5 +1,6 @@
 /* Names of outcomes and reasons, and hashes of names. */
-#include "member/member.h"
+#include "common/names.h"
+#include "godwitridge.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/lib/config/model.h
+++ b/lib/config/model.h
@@ -23,6 +23,7 @@
 #define GW_MAX_SHIFTS     1024
 #define GW_MAX_LINKS      256
 #define GW_MAX_SLOTS      256
+#define GW_SEATS_MAX      1024 /* of one region */
 #define GW_CONFIG_DOC_MAX (1u << 20)
 #define GW_NONE           UINT32_MAX
 
--- a/lib/config/parse.c
+++ b/lib/config/parse.c
@@ -1,9 +1,8 @@
 /* From the document of docs/PROTOCOLS.md to a GwConfig. Every field is
  * checked here; what needs more than one item is in checks.c. */
+#include "common/names.h"
 #include "config/checks.h"
 #include "config/reader.h"
-#include "member/member.h"
-#include "steer/seats.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -2,7 +2,7 @@
 
 #include "config/reader.h"
 #include "config/settings_table.h"
-#include "member/member.h"
+#include "common/names.h"
 
 #include <string.h>
 
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -7,6 +7,7 @@
 #ifndef GW_MEMBER_MEMBER_H
 #define GW_MEMBER_MEMBER_H
 
+#include "common/names.h"
 #include "godwitridge.h"
 
 typedef struct GwMembers_s GwMembers;
@@ -57,8 +58,5 @@
 /* Newest digest of a member for a service, or NULL. */
 const GwDigest *GwMembers_Digest(const GwMembers *m, uint64_t node,
                                  uint64_t service);
-/* Lower-half hash of a region's or a failure domain's name. */
-uint32_t GwName_Hash32(const char *name);
-uint64_t GwName_Hash64(const char *name);
 
 #endif
--- a/lib/steer/seats.h
+++ b/lib/steer/seats.h
@@ -11,7 +11,6 @@
 #include "member/member.h"
 
 #define GW_KEY_SEAT_PREFIX "seat/" /* + region name + "/" + %04 seat */
-#define GW_SEATS_MAX       1024
 
 typedef struct GwSeats_s GwSeats;
 
