A close waits until the answer has left

Cause: a connection that ends behind an answer was closed 0.4 s after the answer was handed over, whether or not it had left. A caller on a busy link got a part of a long answer: 3.9 of 32 MB in the test. Ruled out: no bound at all: a caller that reads nothing would hold it for good. Change: 10 s for what was written to leave, then 0.4 s for the other side's close. Test: http_conn.a_close_waits_until_the_answer_has_left, failed first.

--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -401,11 +401,11 @@
         make_backlog(peers, peer);
     }
     if (report->is_new || !was_live) {
-        GwPeers_Tell(peers, peer,
-                     report->is_new &&
-                         GwIntroduce_TellsAddresses(
-                             g_hash_table_size(peers->by_address),
-                             report->knows));
+        GwPeers_Tell(
+            peers, peer,
+            report->is_new &&
+                GwIntroduce_TellsAddresses(
+                    g_hash_table_size(peers->by_address), report->knows));
     }
     GwFeed_AskPeer(edge->operator_feed, peer->peer_address,
                    peer->operator_version);
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -7,7 +7,11 @@
 
 #define GW_CONN_BACKLOG   511
 #define GW_READ_BUF_BYTES 65536
-#define GW_LINGER_MS      400
+/* Behind the last byte, for the other side's close. */
+#define GW_LINGER_MS 400
+/* For what was written to leave: a caller on a busy link takes its time, one
+ * that reads nothing must not keep the connection for good. */
+#define GW_DRAIN_MS 10000
 
 struct GwConn_s {
     uv_tcp_t tcp;
@@ -367,6 +371,12 @@
     }
 }
 
+static void
+on_linger(uv_timer_t *timer)
+{
+    close_handle(timer->data);
+}
+
 /* A close with unread bytes resets the connection, which may destroy an
  * answer on its way; so the write side is shut first, and what still comes
  * is read and dropped until the other side closes. */
@@ -380,15 +390,12 @@
     if (status != 0) {
         close_handle(c);
     }
+    else if (!c->closing) {
+        (void)uv_timer_start(&c->linger, on_linger, GW_LINGER_MS, 0);
+    }
     free_if_over(c);
 }
 
-static void
-on_linger(uv_timer_t *timer)
-{
-    close_handle(timer->data);
-}
-
 void
 GwConn_FinishAndClose(GwConn *c)
 {
@@ -401,7 +408,7 @@
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
     c->has_linger = true;
-    (void)uv_timer_start(&c->linger, on_linger, GW_LINGER_MS, 0);
+    (void)uv_timer_start(&c->linger, on_linger, GW_DRAIN_MS, 0);
     uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
     req->data = c;
     c->writes++;
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -48,8 +48,8 @@
 GwConn *GwConn_Connect(const GwConnParams *params, const char *address);
 /* Queues bytes; `text` is copied where it does not leave at once. */
 void GwConn_Write(GwConn *c, const GString *text);
-/* Closes once what was written has left and the other side has closed too, or
- * 0.4 s have passed. The connection is no longer the owner's. */
+/* Closes once what was written has left (10 s at most), and then the other side
+ * has closed too, or 0.4 s have passed. No longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
 /* Closes now; what is queued is dropped. */
 void GwConn_Close(GwConn *c);
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -15,6 +15,7 @@
     int messages;
     int ends;
     GwConnEnd end;
+    struct SlowReader_s *slow;
 } Pair;
 
 static void
@@ -73,28 +74,30 @@
 static const GwConnOps ops = {
     .connected = on_connected, .message = on_message, .ended = on_ended};
 
+/* Listens at any free port. */
 static void
-run(Pair *pair)
+listen_for(Pair *pair, uv_connection_cb on_connection)
 {
     struct sockaddr_in at;
     int len = sizeof(at);
 
     (void)uv_loop_init(&pair->loop);
-    pair->listener =
-        GwConn_Listen(&pair->loop, "127.0.0.1:1", on_accept, pair);
-    if (pair->listener == NULL) { /* port 1 is not ours: any other */
-        pair->listener = g_new0(uv_tcp_t, 1);
-        (void)uv_tcp_init(&pair->loop, pair->listener);
-        pair->listener->data = pair;
-        (void)uv_ip4_addr("127.0.0.1", 0, &at);
-        cr_assert_eq(uv_tcp_bind(pair->listener, (struct sockaddr *)&at, 0),
-                     0);
-        cr_assert_eq(uv_listen((uv_stream_t *)pair->listener, 4, on_accept),
-                     0);
-    }
+    pair->listener = g_new0(uv_tcp_t, 1);
+    (void)uv_tcp_init(&pair->loop, pair->listener);
+    pair->listener->data = pair;
+    (void)uv_ip4_addr("127.0.0.1", 0, &at);
+    cr_assert_eq(uv_tcp_bind(pair->listener, (struct sockaddr *)&at, 0), 0);
+    cr_assert_eq(uv_listen((uv_stream_t *)pair->listener, 4, on_connection),
+                 0);
     (void)uv_tcp_getsockname(pair->listener, (struct sockaddr *)&at, &len);
     g_snprintf(pair->address, sizeof(pair->address), "127.0.0.1:%u",
                ntohs(at.sin_port));
+}
+
+static void
+run(Pair *pair)
+{
+    listen_for(pair, on_accept);
     GwConnParams params = {.loop = &pair->loop,
                            .ops = &ops,
                            .owner = pair,
@@ -136,6 +139,107 @@
     }
 }
 
+#define LONG_ANSWER     (32u << 20) /* more than both ends' buffers */
+#define READER_WAITS_MS 700
+
+/* The other side of a connection, which begins to read late. */
+typedef struct SlowReader_s {
+    uv_tcp_t tcp;
+    uv_timer_t timer;
+    Pair *pair;
+    uint64_t bytes;
+    bool ended_in_order;
+} SlowReader;
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+    static char room[65536];
+
+    (void)handle;
+    (void)size;
+    *buf = uv_buf_init(room, sizeof(room));
+}
+
+static void
+on_slow_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+    SlowReader *reader = stream->data;
+
+    (void)buf;
+    if (len >= 0) {
+        reader->bytes += (uint64_t)len;
+        return;
+    }
+    reader->ended_in_order = len == UV_EOF;
+    uv_close((uv_handle_t *)&reader->tcp, NULL);
+    uv_close((uv_handle_t *)&reader->timer, NULL);
+    uv_close((uv_handle_t *)reader->pair->listener, on_peer_closed);
+}
+
+static void
+on_read_now(uv_timer_t *timer)
+{
+    SlowReader *reader = timer->data;
+
+    (void)uv_read_start((uv_stream_t *)&reader->tcp, on_alloc, on_slow_read);
+}
+
+static void
+on_slow_accept(uv_stream_t *listener, int status)
+{
+    Pair *pair = listener->data;
+    SlowReader *reader = pair->slow;
+
+    cr_assert_eq(status, 0);
+    reader->pair = pair;
+    (void)uv_tcp_init(&pair->loop, &reader->tcp);
+    reader->tcp.data = reader;
+    cr_assert_eq(uv_accept(listener, (uv_stream_t *)&reader->tcp), 0);
+    (void)uv_timer_init(&pair->loop, &reader->timer);
+    reader->timer.data = reader;
+    (void)uv_timer_start(&reader->timer, on_read_now, READER_WAITS_MS, 0);
+}
+
+static void
+on_connected_to_slow(void *owner)
+{
+    Pair *pair = owner;
+    GString *answer = g_string_sized_new(LONG_ANSWER);
+
+    g_string_set_size(answer, LONG_ANSWER);
+    memset(answer->str, 'x', LONG_ANSWER);
+    GwConn_Write(pair->conn, answer);
+    GwConn_FinishAndClose(pair->conn);
+    g_string_free(answer, TRUE);
+}
+
+/* A long answer that closes its connection goes to a caller on a busy link,
+ * who takes more than the time that a close waits for the other side. The
+ * connection was closed at that time, and the answer cut off. */
+Test(http_conn, a_close_waits_until_the_answer_has_left)
+{
+    static const GwConnOps slow_ops = {.connected = on_connected_to_slow,
+                                       .message = on_message,
+                                       .ended = on_ended};
+    SlowReader reader = {0};
+    Pair pair = {.slow = &reader};
+
+    listen_for(&pair, on_slow_accept);
+    GwConnParams params = {.loop = &pair.loop,
+                           .ops = &slow_ops,
+                           .owner = &pair,
+                           .head_max = 4096,
+                           .body_max = 4096};
+    pair.conn = GwConn_Connect(&params, pair.address);
+    cr_assert_not_null(pair.conn);
+    (void)uv_run(&pair.loop, UV_RUN_DEFAULT);
+    (void)uv_loop_close(&pair.loop);
+    cr_expect_eq(reader.bytes, LONG_ANSWER, "%lu",
+                 (unsigned long)reader.bytes);
+    cr_expect(reader.ended_in_order);
+}
+
 Test(http_conn, addresses_are_an_ip_and_a_port)
 {
     static const struct {
