Count a silent link when its queue has been given up

The count of silent links rose before the link's queue was emptied, so a probe sent by who saw the count could still be thrown away with the old link, and the test waited for it for good. Ruled out: load alone: with a pause of 0.1 s between the two the test hangs on an idle machine too (rc 124 after 12 s). Change: counted after the close. The test is as it was.

--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -529,17 +529,17 @@
 }
 
 bool
-Link_IsOverdue(GwNet *net, Link *link, int64_t now_us)
+Link_IsSilent(const Link *link, int64_t now_us)
 {
-    if (link->state == LINK_IDLE) {
-        return false;
-    }
-    if (link->state != LINK_READY) {
-        return now_us >= link->deadline_us;
-    }
-    if (link->ping_us != 0 && now_us - link->ping_us > SILENT_US) {
-        atomic_fetch_add(&net->closed_silent, 1);
-        return true;
-    }
-    return false;
+    return link->state == LINK_READY && link->ping_us != 0 &&
+           now_us - link->ping_us > SILENT_US;
+}
+
+bool
+Link_IsOverdue(const Link *link, int64_t now_us)
+{
+    bool connecting = link->state != LINK_IDLE && link->state != LINK_READY;
+
+    return (connecting && now_us >= link->deadline_us) ||
+           Link_IsSilent(link, now_us);
 }
--- a/lib/runtime/net.c
+++ b/lib/runtime/net.c
@@ -234,10 +234,15 @@
     GPtrArray *links = all_links(net);
     for (guint i = 0; i < links->len; i++) {
         Link *link = g_ptr_array_index(links, i);
-        if (Link_IsOverdue(net, link, now_us) ||
-            !Link_Flush(net, link, now_us)) {
+        bool silent = Link_IsSilent(link, now_us);
+        if (Link_IsOverdue(link, now_us) || !Link_Flush(net, link, now_us)) {
             close_link(net, link);
         }
+        /* Counted when its queue has been given up: who sees the count knows
+         * that what is sent from now on goes out on a new connection. */
+        if (silent) {
+            atomic_fetch_add(&net->closed_silent, 1);
+        }
     }
     g_ptr_array_free(links, TRUE);
 }
--- a/lib/runtime/net_internal.h
+++ b/lib/runtime/net_internal.h
@@ -107,6 +107,8 @@
 bool Link_OnWritable(GwNet *net, Link *link, int64_t now_us);
 bool Link_OnReadable(GwNet *net, Link *link, int64_t now_us);
 bool Link_Flush(GwNet *net, Link *link, int64_t now_us);
-bool Link_IsOverdue(GwNet *net, Link *link, int64_t now_us);
+bool Link_IsOverdue(const Link *link, int64_t now_us);
+/* Its ping has no answer: what lies between lost track of it. */
+bool Link_IsSilent(const Link *link, int64_t now_us);
 
 #endif
