The small site's store and servers listen through lib/http/serve

Cause: three listeners for small answers were alike (entry's control, stand-in store, stand-in server). Change: the latter two use the one of the library; the store keeps a record for each feed that waits, where each connection was one before.

--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -1,14 +1,14 @@
+#include "http/serve.h"
 #include "standins/site/site.h"
 
 #include <string.h>
 
 typedef struct {
     SiteServer *server;
-    GwConn *conn;
+    GwClient *client;
     GwHttpMessage *msg; /* being run, or queued; NULL */
     uv_timer_t timer;   /* of the run */
     bool running;
-    bool gone; /* the caller's side closed */
 } Link;
 
 struct SiteServer_s {
@@ -37,16 +37,17 @@
              const char *body)
 {
     const GwAdapter *a = link->server->params.adapter;
-    GString *out = g_string_new(NULL);
-
-    g_string_printf(out,
-                    "HTTP/1.1 %u X\r\n%s: %s\r\n%s: %u,%u,%u\r\n%s"
-                    "Content-Length: %zu\r\n\r\n%s",
-                    status, a->request_id, id, a->load, link->server->running,
-                    link->server->queued.length, link->server->params.slots,
-                    extra, strlen(body), body);
-    GwConn_Write(link->conn, out);
-    g_string_free(out, TRUE);
+    char *fields = g_strdup_printf(
+        "%s: %s\r\n%s: %u,%u,%u\r\n%s", a->request_id, id, a->load,
+        link->server->running, link->server->queued.length,
+        link->server->params.slots, extra);
+    GwServeAnswer answer = {.status = status,
+                            .type = "application/octet-stream",
+                            .fields = fields,
+                            .body = body};
+
+    GwClient_Answer(link->client, &answer);
+    g_free(fields);
 }
 
 static const char *
@@ -83,13 +84,18 @@
     g_free(handle->data);
 }
 
+/* The connection is gone, and what ran for it goes on nowhere. */
 static void
-drop(Link *link)
+on_gone(void *owner, GwClient *client)
 {
-    (void)g_queue_remove(&link->server->queued, link);
-    finish(link);
-    link->gone = true;
-    uv_close((uv_handle_t *)&link->timer, free_link);
+    Link *link = *GwClient_User(client);
+
+    (void)owner;
+    if (link != NULL) {
+        (void)g_queue_remove(&link->server->queued, link);
+        finish(link);
+        uv_close((uv_handle_t *)&link->timer, free_link);
+    }
 }
 
 static void
@@ -103,8 +109,7 @@
 
     s->served++;
     if (chance(s, s->params.lose_answer)) {
-        GwConn_Close(link->conn);
-        drop(link);
+        GwClient_Drop(link->client);
     }
     else {
         write_answer(link, 200, seal, id, id);
@@ -148,11 +153,27 @@
     finish(link);
 }
 
+static Link *
+link_of(SiteServer *s, GwClient *client)
+{
+    Link *link = *GwClient_User(client);
+
+    if (link == NULL) {
+        link = g_new0(Link, 1);
+        link->server = s;
+        link->client = client;
+        (void)uv_timer_init(s->params.loop, &link->timer);
+        link->timer.data = link;
+        *GwClient_User(client) = link;
+    }
+    return link;
+}
+
 static void
-on_message(void *owner, GwHttpMessage *msg)
+on_asked(void *owner, GwClient *client, GwHttpMessage *msg)
 {
-    Link *link = owner;
-    SiteServer *s = link->server;
+    SiteServer *s = owner;
+    Link *link = link_of(s, client);
     const char *expected =
         GwHttpMessage_Get(msg, s->params.adapter->expect_server);
     int64_t now_us = (int64_t)(uv_hrtime() / 1000);
@@ -175,41 +196,7 @@
     }
 }
 
-static void
-on_ended(void *owner, GwConnEnd end)
-{
-    Link *link = owner;
-
-    if (end == GW_CONN_BAD) {
-        GwConn_Close(link->conn);
-    }
-    drop(link);
-}
-
-static const GwConnOps ops = {.message = on_message, .ended = on_ended};
-
-static void
-on_connection(uv_stream_t *listener, int status)
-{
-    SiteServer *s = listener->data;
-    Link *link = g_new0(Link, 1);
-    GwConnParams params = {
-        .loop = s->params.loop,
-        .ops = &ops,
-        .owner = link,
-        .requests = true,
-        .head_max = 64 << 10,
-        .body_max = 1 << 20,
-    };
-
-    link->server = s;
-    (void)uv_timer_init(s->params.loop, &link->timer);
-    link->timer.data = link;
-    link->conn = status == 0 ? GwConn_Accept(&params, listener) : NULL;
-    if (link->conn == NULL) {
-        drop(link);
-    }
-}
+static const GwServeOps ops = {.asked = on_asked, .gone = on_gone};
 
 SiteServer *
 SiteServer_Create(const SiteServerParams *params)
@@ -219,8 +206,7 @@
     s->params = *params;
     s->remembered =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    if (GwConn_Listen(params->loop, params->address, on_connection, s) ==
-        NULL) {
+    if (GwServe_Create(params->loop, params->address, &ops, s) == NULL) {
         g_free(s);
         return NULL;
     }
--- a/standins/site/store.c
+++ b/standins/site/store.c
@@ -1,16 +1,17 @@
+#include "http/serve.h"
 #include "platform/calls.h"
 #include "standins/site/site.h"
 
 #include <string.h>
 
+/* A feed that has no news yet. */
 typedef struct {
     SiteStore *store;
-    GwConn *conn;
-    bool waits; /* a feed without news */
+    GwClient *client;
     PlatformCall call;
     int64_t until_us;
-    GList link;
-} Client;
+    GList link; /* in store->feeds */
+} Feed;
 
 struct SiteStore_s {
     uv_loop_t *loop;
@@ -19,7 +20,7 @@
     uint64_t version;
     uint64_t oldest; /* history below it is gone */
     SiteStoreMode mode;
-    GQueue clients;
+    GQueue feeds; /* Feed */
 };
 
 static int64_t
@@ -41,18 +42,11 @@
 }
 
 static void
-answer(Client *client, uint16_t status, const char *body)
+answer(GwClient *client, uint16_t status, const char *body)
 {
-    GString *out = g_string_new(NULL);
+    GwServeAnswer out = {.status = status, .body = body};
 
-    g_string_printf(out,
-                    "HTTP/1.1 %u X\r\nContent-Type: application/json\r\n"
-                    "Content-Length: %zu\r\n\r\n%s",
-                    status, strlen(body), body);
-    GwConn_Write(client->conn, out);
-    g_string_free(out, TRUE);
-    PlatformCall_Clear(&client->call);
-    client->waits = false;
+    GwClient_Answer(client, &out);
 }
 
 /* The rows above a version, without removed ones for a full reading. */
@@ -75,115 +69,117 @@
 }
 
 static void
-answer_rows(Client *client, const GwRowSet *set)
+answer_rows(SiteStore *s, GwClient *client, const char *table,
+            const GwRowSet *set)
 {
-    char *body = client->store->adapter->write_rows(client->call.table, set);
+    char *body = s->adapter->write_rows(table, set);
 
     answer(client, 200, body);
     g_free(body);
 }
 
+static void
+free_feed(Feed *feed)
+{
+    g_queue_unlink(&feed->store->feeds, &feed->link);
+    *GwClient_User(feed->client) = NULL;
+    PlatformCall_Clear(&feed->call);
+    g_free(feed);
+}
+
 /* Answers a feed that has news, or whose time is over. */
 static void
-try_feed(Client *client)
+try_feed(Feed *feed)
 {
-    SiteStore *s = client->store;
-    GwRowSet *set =
-        rows_after(s, client->call.table, client->call.after, true);
+    SiteStore *s = feed->store;
+    GwRowSet *set = rows_after(s, feed->call.table, feed->call.after, true);
 
-    if (set->rows->len > 0 || now_us() >= client->until_us) {
-        answer_rows(client, set);
+    if (set->rows->len > 0 || now_us() >= feed->until_us) {
+        answer_rows(s, feed->client, feed->call.table, set);
+        free_feed(feed);
     }
     GwRowSet_Free(set);
 }
 
+/* Takes the call over. */
+static void
+begin_feed(SiteStore *s, GwClient *client, PlatformCall *call)
+{
+    Feed *feed = g_new0(Feed, 1);
+
+    *feed = (Feed){
+        .store = s,
+        .client = client,
+        .call = *call,
+        .until_us = now_us() + (int64_t)call->wait_ms * 1000,
+    };
+    *call = (PlatformCall){0};
+    feed->link.data = feed;
+    *GwClient_User(client) = feed;
+    g_queue_push_tail_link(&s->feeds, &feed->link);
+    try_feed(feed);
+}
+
 static void
-serve(Client *client)
+serve(SiteStore *s, GwClient *client, PlatformCall *call)
 {
-    SiteStore *s = client->store;
+    GwRowSet *set;
 
-    switch (client->call.kind) {
+    switch (call->kind) {
     case PLATFORM_CALL_WRITE:
-        SiteStore_Put(s, client->call.table, client->call.key,
-                      client->call.value);
+        SiteStore_Put(s, call->table, call->key, call->value);
         answer(client, 200, "{\"ver\":1}");
         break;
-    case PLATFORM_CALL_READ: {
-        GwRowSet *set = rows_after(s, client->call.table, 0, false);
-        answer_rows(client, set);
+    case PLATFORM_CALL_READ:
+        set = rows_after(s, call->table, 0, false);
+        answer_rows(s, client, call->table, set);
         GwRowSet_Free(set);
         break;
-    }
     case PLATFORM_CALL_FEED:
-        if (client->call.after < s->oldest) {
+        if (call->after < s->oldest) {
             answer(client, 410, "{}");
-            break;
         }
-        client->waits = true;
-        client->until_us = now_us() + (int64_t)client->call.wait_ms * 1000;
-        try_feed(client);
+        else {
+            begin_feed(s, client, call);
+        }
         break;
     }
 }
 
 static void
-on_message(void *owner, GwHttpMessage *msg)
+on_asked(void *owner, GwClient *client, GwHttpMessage *msg)
 {
-    Client *client = owner;
+    SiteStore *s = owner;
+    PlatformCall call = {0};
 
-    if (client->store->mode == SITE_STORE_BUSY) {
+    if (s->mode == SITE_STORE_BUSY) {
         answer(client, 503, "{}");
     }
-    else if (client->store->mode == SITE_STORE_UP) {
+    else if (s->mode == SITE_STORE_UP) {
         if (Platform_ParseCall(msg->method, msg->target->str, msg->body,
-                               &client->call)) {
-            serve(client);
+                               &call)) {
+            serve(s, client, &call);
         }
         else {
             answer(client, 404, "{}");
         }
     }
+    PlatformCall_Clear(&call);
     GwHttpMessage_Free(msg);
 }
 
 static void
-on_ended(void *owner, GwConnEnd end)
+on_gone(void *owner, GwClient *client)
 {
-    Client *client = owner;
+    Feed *feed = *GwClient_User(client);
 
-    if (end == GW_CONN_BAD) {
-        GwConn_Close(client->conn);
+    (void)owner;
+    if (feed != NULL) {
+        free_feed(feed);
     }
-    g_queue_unlink(&client->store->clients, &client->link);
-    PlatformCall_Clear(&client->call);
-    g_free(client);
 }
 
-static const GwConnOps ops = {.message = on_message, .ended = on_ended};
-
-static void
-on_connection(uv_stream_t *listener, int status)
-{
-    SiteStore *s = listener->data;
-    Client *client = g_new0(Client, 1);
-    GwConnParams params = {
-        .loop = s->loop,
-        .ops = &ops,
-        .owner = client,
-        .requests = true,
-        .head_max = 64 << 10,
-        .body_max = 1 << 20,
-    };
-
-    client->store = s;
-    client->link.data = client;
-    client->conn = status == 0 ? GwConn_Accept(&params, listener) : NULL;
-    if (client->conn == NULL) {
-        g_free(client);
-        return;
-    }
-    g_queue_push_tail_link(&s->clients, &client->link);
-}
+static const GwServeOps ops = {.asked = on_asked, .gone = on_gone};
 
 SiteStore *
 SiteStore_Create(uv_loop_t *loop, const char *address,
@@ -195,18 +191,18 @@
     s->adapter = adapter;
     s->tables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)g_ptr_array_unref);
-    return GwConn_Listen(loop, address, on_connection, s) != NULL ? s : NULL;
+    return GwServe_Create(loop, address, &ops, s) != NULL ? s : NULL;
 }
 
 void
 SiteStore_Sweep(SiteStore *s)
 {
-    for (GList *at = s->clients.head, *next; at != NULL; at = next) {
-        Client *client = at->data;
+    if (s->mode != SITE_STORE_UP) {
+        return;
+    }
+    for (GList *at = s->feeds.head, *next; at != NULL; at = next) {
         next = at->next;
-        if (client->waits && s->mode == SITE_STORE_UP) {
-            try_feed(client);
-        }
+        try_feed(at->data);
     }
 }
 
