--- a/tests/property/router.cpp
+++ b/tests/property/router.cpp
@@ -203,6 +203,33 @@
     FakeSteering_Free(w.f);
 }
 
+// Every server refuses every attempt, and the budget has room: each request is
+// sent to as many servers as its route allows and no more.
+void
+attempts()
+{
+    uint32_t most = *rc::gen::inRange(1u, 4u);
+    bool reached = false;
+    World w;
+    w.f = FakeSteering_Create("r1", "d1");
+    FakeSteering_Configure(w.f, 1, most);
+    for (uint32_t i = 0; i < 9; i++) {
+        addServer(w, 1);
+    }
+    for (uint32_t i = 0; i < 60; i++) {
+        FakeRequest *req = FakeSteering_Arrive(
+            w.f, i % 2 == 0 ? "/again/" : "/once/", nullptr, 3000);
+        for (int j = 0; j < 9 && !req->over; j++) {
+            FakeSteering_End(w.f, req, GW_ATTEMPT_REFUSED, 503);
+            FakeSteering_Pass(w.f, 200 * kMs); // passed over for a moment
+        }
+        RC_ASSERT(req->servers <= most);
+        reached = reached || req->servers == most;
+    }
+    RC_ASSERT(reached);
+    FakeSteering_Free(w.f);
+}
+
 // However many callers press, whatever a cold server refuses or breaks: in
 // any second it gets no more than what it bears, from this entry alone.
 void
@@ -242,6 +269,10 @@
 {
     bool ok = rc::check("promises hold in any course of events", anyCourse);
     ok = rc::check("retries stay within their budget", budget) && ok;
+    ok =
+        rc::check("a request is sent to no more servers than its route allows",
+                  attempts) &&
+        ok;
     ok = rc::check("a cold server gets no more than it bears", coldServer) &&
          ok;
     return ok ? 0 : 1;
