--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -74,6 +74,9 @@
 void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
 bool GwPeers_ListenReports(GwPeers *peers);
 
+/* fetch.c */
+/* The peer has told its versions. */
+void GwPeers_AskForRows(GwPeers *peers, const GwPeerEntry *peer);
 /* Fetches rows that have been waited for long enough. */
 void GwPeers_AskDue(GwPeers *peers);
 
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -7,7 +7,6 @@
  * only now and then, and all periods grow with the number of entries: what
  * one entry sends a second is bounded. */
 #include "edge/introduce.h"
-#include "edge/news.h"
 #include "edge/peers_internal.h"
 
 #include "wire/peer.pb-c.h"
@@ -388,89 +387,6 @@
     peer->server_version = report->server_version;
 }
 
-/* Where this entry and the one that has news stand among those of our failure
- * domain. All of it know each other, so all see the same order. */
-static GwNewsSight
-sight_of(const GwPeers *peers, const GwPeerEntry *teller)
-{
-    const GwRouterParams *own = &peers->edge->settings->router;
-    bool near = strcmp(teller->domain, own->domain) == 0;
-    uint64_t own_rank = GwPeers_Rank(own->name);
-    uint64_t teller_rank = GwPeers_Rank(teller->name);
-    int64_t now_us = GwEdge_Now();
-    GwNewsSight sight = {
-        .domain_size = 1,
-        .teller = near ? own_rank > teller_rank : GW_NEWS_OUTSIDE,
-        .waited_us = now_us - peers->behind_since_us,
-    };
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, peers->by_address);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const GwPeerEntry *peer = value;
-        if (!peer->serves || strcmp(peer->domain, own->domain) != 0 ||
-            !GwPeerEntry_IsLive(peer, now_us)) {
-            continue;
-        }
-        uint64_t rank = GwPeers_Rank(peer->name);
-        sight.domain_size++;
-        sight.own += rank > own_rank;
-        sight.teller += near && rank > teller_rank;
-    }
-    return sight;
-}
-
-static bool
-has_news(const GwPeers *peers, const GwPeerEntry *peer)
-{
-    const GwEdge *edge = peers->edge;
-
-    return peer->operator_version > GwFeed_Version(edge->operator_feed) ||
-           peer->server_version > GwFeed_Version(edge->server_feed);
-}
-
-/* The peer knows of rows that this entry lacks: fetches them from it, or
- * leaves that to another of the failure domain for a moment. */
-static void
-ask_for_rows(GwPeers *peers, const GwPeerEntry *peer)
-{
-    GwEdge *edge = peers->edge;
-
-    if (!has_news(peers, peer)) {
-        return;
-    }
-    if (!peers->behind) {
-        peers->behind = true;
-        peers->behind_since_us = GwEdge_Now();
-    }
-    GwNewsSight sight = sight_of(peers, peer);
-    if (!GwNews_AsksNow(&sight)) {
-        g_strlcpy(peers->teller, peer->peer_address, sizeof(peers->teller));
-        return;
-    }
-    peers->behind = false;
-    GwFeed_AskPeer(edge->operator_feed, peer->peer_address,
-                   peer->operator_version);
-    GwFeed_AskPeer(edge->server_feed, peer->peer_address,
-                   peer->server_version);
-}
-
-void
-GwPeers_AskDue(GwPeers *peers)
-{
-    GwPeerEntry *peer = g_hash_table_lookup(peers->by_address, peers->teller);
-
-    if (!peers->behind) {
-        return;
-    }
-    if (peer == NULL || !has_news(peers, peer)) {
-        peers->behind = false; /* somebody else has brought it */
-        return;
-    }
-    ask_for_rows(peers, peer);
-}
-
 static void
 take(GwPeers *peers, const char *from, const Report *report)
 {
@@ -505,7 +421,7 @@
                 GwIntroduce_TellsAddresses(
                     g_hash_table_size(peers->by_address), report->knows));
     }
-    ask_for_rows(peers, peer);
+    GwPeers_AskForRows(peers, peer);
 }
 
 static void
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -1,8 +1,5 @@
-#include "common/json.h"
 #include "router/router_internal.h"
 
-#include <json-c/json.h>
-
 #include <string.h>
 
 static void
@@ -232,49 +229,3 @@
 {
     return &s->user;
 }
-
-static struct json_object *
-dump_server(const GwRouter *r, const GwServer *s, int64_t now_us)
-{
-    struct json_object *item = json_object_new_object();
-    int64_t ejected_us = MAX(s->eject_until_us - now_us, 0);
-
-    GwJson_SetText(item, "id", s->id);
-    GwJson_SetText(item, "service", s->service->name);
-    GwJson_SetText(item, "failure_domain", s->domain);
-    GwJson_SetText(item, "address", s->address);
-    GwJson_SetU64(item, "slots", s->slots);
-    GwJson_SetU64(item, "in_flight", s->in_flight);
-    GwJson_SetU64(item, "peers_in_flight", s->peers_in_flight);
-    GwJson_SetU64(item, "objects", s->objects);
-    GwJson_SetU64(item, "busy_percent",
-                  (uint64_t)(100 * GwServer_Busy(r, s, now_us)));
-    GwJson_SetU64(item, "slow_percent", (uint64_t)(100 * s->slow));
-    GwJson_SetU64(item, "ejected_ms", (uint64_t)ejected_us / 1000);
-    GwJson_SetBool(item, "draining", s->draining);
-    GwJson_SetBool(item, "cold", GwServer_IsCold(s, now_us));
-    return item;
-}
-
-void
-GwRouter_Dump(const GwRouter *r, int64_t now_us, GString *out)
-{
-    struct json_object *root = json_object_new_object();
-    struct json_object *servers = json_object_new_array();
-    GHashTableIter iter;
-    gpointer value;
-
-    GwJson_SetU64(root, "config_version",
-                  r->routing != NULL ? r->routing->version : 0);
-    GwJson_SetU64(root, "open", GwRouter_OpenCount(r));
-    GwJson_SetU64(root, "routes", g_hash_table_size(r->routes));
-    GwJson_SetU64(root, "objects", g_hash_table_size(r->keys));
-    g_hash_table_iter_init(&iter, r->servers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        json_object_array_add(servers, dump_server(r, value, now_us));
-    }
-    json_object_object_add(root, "servers", servers);
-    g_string_append(
-        out, json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
-    json_object_put(root);
-}
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -486,39 +486,3 @@
         break;
     }
 }
-
-/* ---- For those who look -------------------------------------------------- */
-
-static GwServiceView
-view_of(const GwServiceState *service, int64_t now_us)
-{
-    GwServiceView view = {
-        .name = service->name,
-        .servers = service->servers->len,
-        .waiting = service->waiting->len,
-        .retries_left = service->retries.tokens,
-    };
-
-    for (guint i = 0; i < service->servers->len; i++) {
-        const GwServer *s = service->servers->pdata[i];
-        view.ejected += now_us < s->eject_until_us;
-        view.in_flight += s->in_flight;
-        view.peers_in_flight += s->peers_in_flight;
-    }
-    return view;
-}
-
-void
-GwRouter_EachService(const GwRouter *r, int64_t now_us,
-                     void (*visit)(void *ctx, const GwServiceView *view),
-                     void *ctx)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, r->services);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        GwServiceView view = view_of(value, now_us);
-        visit(ctx, &view);
-    }
-}
