--- a/Makefile
+++ b/Makefile
@@ -149,6 +149,7 @@
 	bench/run.sh $(O)
 	bench/edge.sh $(O)
 	$(O)/bench_router_cost
+	$(O)/bench_log_cost
 
 slopes: $(O)/bench_slopes
 	$(O)/bench_slopes
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -121,7 +121,6 @@
 uint64_t GwFeed_Version(const GwFeed *feed);
 /* Since the last news of the table, from the store or a peer. */
 int64_t GwFeed_AgeMs(const GwFeed *feed, int64_t now_us);
-bool GwFeed_Reads(const GwFeed *feed);
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
 void GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -119,12 +119,6 @@
     return (now_us - feed->fresh_us) / 1000;
 }
 
-bool
-GwFeed_Reads(const GwFeed *feed)
-{
-    return feed->reads;
-}
-
 bool
 GwFeed_IsKnown(const GwFeed *feed)
 {
