A server knows the way to its region; nothing is looked up by name for it

Cause: judging a server looked its region's round trip up in a table by name, and counting how full it is looked it up again: twice for each server of a service, for each new object. Change: one record a region (GwPath), which its servers point to; the region's name stands in it alone.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -98,7 +98,7 @@
         s->slots == 0 || g_hash_table_contains(r->evacuated, s->domain) ||
         (look->side == GW_DRIFT_NEAR && !s->same_region) ||
         (look->side == GW_DRIFT_FAR && s->same_region) ||
-        !GwRoute_AllowsRegion(look->req->route, s->region) ||
+        !GwRoute_AllowsRegion(look->req->route, s->path->region) ||
         was_tried(look->req, s) ||
         (!look->panic && look->now_us < s->eject_until_us)) {
         return false;
@@ -140,7 +140,6 @@
     double busy = GwServer_Occupied(look->r, s, look->now_us);
     double limit = s->slots + GW_SLOTS_AHEAD;
     double wait = 0;
-    double rtt = GwRouter_RttUs(look->r, s);
 
     if (busy >= limit) {
         wait = (busy - limit + 1) * s->service->work_us * s->slow /
@@ -150,7 +149,7 @@
         work_us *= 2;
     }
     Candidate c = {.server = s, .is_free = busy < limit};
-    c.est_us = rtt + wait + work_us * s->slow;
+    c.est_us = s->path->rtt_us + wait + work_us * s->slow;
     c.cost_us = c.est_us + distance_us(s);
     return c;
 }
--- a/lib/router/drift.c
+++ b/lib/router/drift.c
@@ -79,7 +79,7 @@
         if (s->draining || g_hash_table_contains(r->evacuated, s->domain)) {
             continue;
         }
-        g_hash_table_add(regions, s->region);
+        g_hash_table_add(regions, s->path->region);
         r->all_slots += s->slots;
         near += s->same_region ? s->slots : 0;
     }
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -43,10 +43,18 @@
     g_free(s->id);
     g_free(s->address);
     g_free(s->domain);
-    g_free(s->region);
     g_free(s);
 }
 
+static void
+free_path(gpointer item)
+{
+    GwPath *path = item;
+
+    g_free(path->region);
+    g_free(path);
+}
+
 GwRouter *
 GwRouter_Create(const GwRouterParams *params, int64_t now_us)
 {
@@ -65,7 +73,7 @@
     r->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     r->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    r->rtts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    r->paths = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_path);
     r->far_rtt_us = GW_FAR_RTT_US;
     r->open = g_hash_table_new(NULL, NULL);
     r->drift.at_us = now_us;
@@ -113,7 +121,7 @@
     g_hash_table_destroy(r->keys);
     g_hash_table_destroy(r->peers);
     g_hash_table_destroy(r->evacuated);
-    g_hash_table_destroy(r->rtts);
+    g_hash_table_destroy(r->paths);
     g_hash_table_destroy(r->routes);
     g_hash_table_destroy(r->services);
     g_array_free(r->placements, TRUE);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -60,11 +60,18 @@
     uint32_t credit_count;
 } GwRouteState;
 
+/* The way to a region. */
+typedef struct {
+    char *region;
+    double rtt_us;
+    bool measured; /* else it is what is assumed of such a way */
+} GwPath;
+
 struct GwServer_s {
     char *id;
     char *address;
     char *domain;
-    char *region;
+    GwPath *path; /* to its region */
     GwServiceState *service;
     uint64_t born_ms;
     uint64_t hash;
@@ -172,7 +179,7 @@
     GHashTable *keys;     /* hash -> GwKey */
     GHashTable *peers;    /* name -> GwPeer */
     GHashTable *evacuated;
-    GHashTable *rtts;   /* region -> double* us */
+    GHashTable *paths;  /* region -> GwPath */
     double far_rtt_us;  /* mean to other regions */
     GHashTable *open;   /* GwRequest set */
     GPtrArray *freed;   /* GwServer, until the next step */
@@ -202,7 +209,6 @@
 /* The mean of its slots in use over the last seconds, 0 to 1 and above. */
 double GwServer_Busy(const GwRouter *r, const GwServer *s, int64_t now_us);
 void GwServer_NoteBusy(const GwRouter *r, GwServer *s, int64_t now_us);
-double GwRouter_RttUs(const GwRouter *r, const GwServer *s);
 bool GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us);
 
 /* keys.c */
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -90,6 +90,21 @@
     }
 }
 
+static GwPath *
+path_to(GwRouter *r, const char *region)
+{
+    GwPath *path = g_hash_table_lookup(r->paths, region);
+
+    if (path == NULL) {
+        bool near = strcmp(region, r->params.region) == 0;
+        path = g_new0(GwPath, 1);
+        path->region = g_strdup(region);
+        path->rtt_us = near ? GW_NEAR_RTT_US : GW_FAR_RTT_US;
+        g_hash_table_insert(r->paths, path->region, path);
+    }
+    return path;
+}
+
 static GwServer *
 create_server(GwRouter *r, const GwServerInfo *info)
 {
@@ -98,7 +113,7 @@
     s->id = g_strdup(info->id);
     s->address = g_strdup(info->address);
     s->domain = g_strdup(info->domain);
-    s->region = g_strdup(info->region);
+    s->path = path_to(r, info->region);
     s->service = GwRouter_ServiceOf(r, info->service);
     s->born_ms = info->born_ms;
     s->hash = GwHash_Text(info->id, info->born_ms);
@@ -214,7 +229,7 @@
         }
         GwServer_NoteBusy(r, s, now_us);
         move_count(&s->peers_in_flight, load->in_flight, add);
-        if (strcmp(peer->region, s->region) != 0) {
+        if (strcmp(peer->region, s->path->region) != 0) {
             move_count(&s->peers_far, load->in_flight, add);
         }
     }
@@ -294,7 +309,7 @@
         if (!peer->serves) {
             continue;
         }
-        bool peer_in_region = strcmp(peer->region, s->region) == 0;
+        bool peer_in_region = strcmp(peer->region, s->path->region) == 0;
         if (peer_in_region && !in_region) {
             return false;
         }
@@ -336,7 +351,7 @@
 far_share(const GwRouter *r, const GwServer *s)
 {
     double work_us = s->service->work_us;
-    double rtt_us = s->same_region ? r->far_rtt_us : GwRouter_RttUs(r, s);
+    double rtt_us = s->same_region ? r->far_rtt_us : s->path->rtt_us;
 
     return work_us / (work_us + rtt_us);
 }
@@ -369,32 +384,21 @@
 
 /* ---- Learning ------------------------------------------------------------ */
 
-double
-GwRouter_RttUs(const GwRouter *r, const GwServer *s)
-{
-    const double *rtt = g_hash_table_lookup(r->rtts, s->region);
-
-    if (rtt != NULL) {
-        return *rtt;
-    }
-    return s->same_region ? GW_NEAR_RTT_US : GW_FAR_RTT_US;
-}
-
 static void
 learn_rtt(GwRouter *r, const GwServer *s, int64_t connect_us)
 {
-    double *rtt = g_hash_table_lookup(r->rtts, s->region);
+    GwPath *path = s->path;
+    double took_us = (double)connect_us;
 
     if (!s->same_region) {
-        r->far_rtt_us += GW_MEAN_WEIGHT * ((double)connect_us - r->far_rtt_us);
+        r->far_rtt_us += GW_MEAN_WEIGHT * (took_us - r->far_rtt_us);
     }
-    if (rtt == NULL) {
-        rtt = g_new(double, 1);
-        *rtt = (double)connect_us;
-        g_hash_table_insert(r->rtts, g_strdup(s->region), rtt);
+    if (!path->measured) {
+        path->measured = true;
+        path->rtt_us = took_us;
         return;
     }
-    *rtt += GW_MEAN_WEIGHT * ((double)connect_us - *rtt);
+    path->rtt_us += GW_MEAN_WEIGHT * (took_us - path->rtt_us);
 }
 
 static void
@@ -430,8 +434,8 @@
            const GwAttemptEnd *end)
 {
     GwServer *s = req->server;
-    double took = (double)(now_us - req->sent_us - end->connect_us) -
-                  GwRouter_RttUs(r, s);
+    double took =
+        (double)(now_us - req->sent_us - end->connect_us) - s->path->rtt_us;
 
     if (took < 1000.0 || !req->sent_alone) {
         return;
