--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -77,10 +77,7 @@
 static void
 close_store(GwFeed *feed)
 {
-    if (feed->conn != NULL) {
-        GwConn_Close(feed->conn);
-        feed->conn = NULL;
-    }
+    GwConn_CloseAt(&feed->conn);
     feed->ask_at_us = 0;
     GwRowSet_Free(feed->pages);
     feed->pages = NULL;
@@ -90,10 +87,7 @@
 GwFeed_Close(GwFeed *feed)
 {
     close_store(feed);
-    if (feed->peer != NULL) {
-        GwConn_Close(feed->peer);
-        feed->peer = NULL;
-    }
+    GwConn_CloseAt(&feed->peer);
 }
 
 void
@@ -134,16 +128,6 @@
     feed->retry_ms = MIN(feed->retry_ms * 2, RETRY_MAX_MS);
 }
 
-static void
-write_get(GwConn *conn, const char *target, const char *host)
-{
-    GString *out = g_string_new(NULL);
-
-    g_string_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, host);
-    GwConn_Write(conn, out);
-    g_string_free(out, TRUE);
-}
-
 static const char *
 last_key(const GwRowSet *set)
 {
@@ -168,7 +152,7 @@
         feed->wait_ms = WAIT_MS;
         target = a->feed_target(feed->table, feed->version, WAIT_MS);
     }
-    write_get(feed->conn, target, edge->settings->store_address);
+    GwConn_WriteGet(feed->conn, target, edge->settings->store_address);
     g_free(target);
     edge->counts.store_calls++;
     feed->asked_us = GwEdge_Now();
@@ -337,22 +321,13 @@
 
 /* ---- Peers --------------------------------------------------------------- */
 
-static void
-close_peer(GwFeed *feed)
-{
-    if (feed->peer != NULL) {
-        GwConn_Close(feed->peer);
-        feed->peer = NULL;
-    }
-}
-
 static void
 ask_peer(GwFeed *feed)
 {
     char *target = feed->edge->adapter->feed_target(
         feed->table, feed->peer_full ? 0 : GwFeed_Version(feed), 0);
 
-    write_get(feed->peer, target, "peer");
+    GwConn_WriteGet(feed->peer, target, "peer");
     g_free(target);
 }
 
@@ -399,7 +374,7 @@
                                              NULL);
     }
     GwHttpMessage_Free(msg);
-    close_peer(feed);
+    GwConn_CloseAt(&feed->peer);
     if (set != NULL) {
         take_from_peer(feed, set);
         GwRowSet_Free(set);
@@ -414,7 +389,7 @@
     GwFeed *feed = owner;
 
     if (end == GW_CONN_BAD) {
-        close_peer(feed);
+        GwConn_CloseAt(&feed->peer);
     }
     feed->peer = NULL;
 }
@@ -528,6 +503,6 @@
     }
     if (feed->peer != NULL &&
         now_us - feed->peer_asked_us > PEER_ANSWER_MS * 1000) {
-        close_peer(feed);
+        GwConn_CloseAt(&feed->peer);
     }
 }
--- a/lib/edge/fetch.c
+++ b/lib/edge/fetch.c
@@ -14,22 +14,15 @@
     bool near = strcmp(teller->domain, own->domain) == 0;
     uint64_t own_rank = GwPeers_Rank(own->name);
     uint64_t teller_rank = GwPeers_Rank(teller->name);
-    int64_t now_us = GwEdge_Now();
     GwNewsSight sight = {
         .domain_size = 1,
         .teller = near ? own_rank > teller_rank : GW_NEWS_OUTSIDE,
-        .waited_us = now_us - peers->behind_since_us,
+        .waited_us = GwEdge_Now() - peers->behind_since_us,
     };
-    GHashTableIter iter;
-    gpointer value;
+    GwPeerScan scan = GwPeers_Scan(peers, NULL, own->domain);
+    const GwPeerEntry *peer;
 
-    g_hash_table_iter_init(&iter, peers->by_address);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const GwPeerEntry *peer = value;
-        if (!peer->serves || strcmp(peer->domain, own->domain) != 0 ||
-            !GwPeerEntry_IsLive(peer, now_us)) {
-            continue;
-        }
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
         uint64_t rank = GwPeers_Rank(peer->name);
         sight.domain_size++;
         sight.own += rank > own_rank;
--- a/lib/edge/join.c
+++ b/lib/edge/join.c
@@ -12,40 +12,42 @@
 static void
 retry_join(GwPeers *peers)
 {
-    if (peers->join != NULL) {
-        GwConn_Close(peers->join);
-        peers->join = NULL;
-    }
+    GwConn_CloseAt(&peers->join);
     peers->join_at_us = GwEdge_Now() + JOIN_RETRY_US;
 }
 
+static void
+write_own_row(GwPeers *peers)
+{
+    const GwEdgeSettings *own = peers->edge->settings;
+    const GwAdapter *a = peers->edge->adapter;
+    char *body =
+        a->write_body(ENTRY_TABLE, own->router.name, own->peer_address);
+    GString *out = g_string_new(NULL);
+
+    g_string_printf(out,
+                    "POST %s HTTP/1.1\r\nHost: %s\r\n"
+                    "Content-Type: application/json\r\n"
+                    "Content-Length: %zu\r\n\r\n%s",
+                    a->write_target, own->store_address, strlen(body), body);
+    GwConn_Write(peers->join, out);
+    g_string_free(out, TRUE);
+    g_free(body);
+}
+
 static void
 ask_join(GwPeers *peers)
 {
     GwEdge *edge = peers->edge;
-    const GwAdapter *a = edge->adapter;
-    GString *out = g_string_new(NULL);
 
+    edge->counts.store_calls++;
     if (peers->step == GW_JOIN_WRITE) {
-        char *body = a->write_body(ENTRY_TABLE, edge->settings->router.name,
-                                   edge->settings->peer_address);
-        g_string_printf(out,
-                        "POST %s HTTP/1.1\r\nHost: %s\r\n"
-                        "Content-Type: application/json\r\n"
-                        "Content-Length: %zu\r\n\r\n%s",
-                        a->write_target, edge->settings->store_address,
-                        strlen(body), body);
-        g_free(body);
-    }
-    else {
-        char *target = a->read_target(ENTRY_TABLE, NULL);
-        g_string_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target,
-                        edge->settings->store_address);
-        g_free(target);
+        write_own_row(peers);
+        return;
     }
-    edge->counts.store_calls++;
-    GwConn_Write(peers->join, out);
-    g_string_free(out, TRUE);
+    char *target = edge->adapter->read_target(ENTRY_TABLE, NULL);
+    GwConn_WriteGet(peers->join, target, edge->settings->store_address);
+    g_free(target);
 }
 
 static void
@@ -90,8 +92,7 @@
     else {
         peers->step = GW_JOIN_DONE;
         take_entries(peers, set);
-        GwConn_Close(peers->join);
-        peers->join = NULL;
+        GwConn_CloseAt(&peers->join);
     }
     GwRowSet_Free(set);
 }
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -73,6 +73,38 @@
            now_us - peer->heard_us < MAX(limit_us, SILENT_MIN_US);
 }
 
+GwPeerScan
+GwPeers_Scan(const GwPeers *peers, const char *region, const char *domain)
+{
+    GwPeerScan scan = {
+        .region = region, .domain = domain, .now_us = GwEdge_Now()};
+
+    g_hash_table_iter_init(&scan.iter, peers->by_address);
+    return scan;
+}
+
+static bool
+is_in(const char *wanted, const char *name)
+{
+    return wanted == NULL || strcmp(wanted, name) == 0;
+}
+
+GwPeerEntry *
+GwPeerScan_Next(GwPeerScan *scan)
+{
+    gpointer value;
+
+    while (g_hash_table_iter_next(&scan->iter, NULL, &value)) {
+        GwPeerEntry *peer = value;
+        if (peer->serves && is_in(scan->region, peer->region) &&
+            is_in(scan->domain, peer->domain) &&
+            GwPeerEntry_IsLive(peer, scan->now_us)) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
 static gboolean
 is_forgotten(gpointer key, gpointer value, gpointer now)
 {
@@ -111,22 +143,15 @@
 {
     const GwEdge *edge = peers->edge;
     const GwRouterParams *own = &edge->settings->router;
-    GHashTableIter iter;
-    gpointer value;
+    GwPeerScan scan = GwPeers_Scan(peers, region, domain);
+    GwPeerEntry *peer;
 
-    if (GwEdge_IsReady(edge) &&
-        (region == NULL || strcmp(region, own->region) == 0) &&
-        (domain == NULL || strcmp(domain, own->domain) == 0)) {
+    if (GwEdge_IsReady(edge) && is_in(region, own->region) &&
+        is_in(domain, own->domain)) {
         g_ptr_array_add(out, (char *)edge->settings->call_address);
     }
-    g_hash_table_iter_init(&iter, peers->by_address);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        GwPeerEntry *peer = value;
-        if (peer->serves && GwPeerEntry_IsLive(peer, GwEdge_Now()) &&
-            (region == NULL || strcmp(region, peer->region) == 0) &&
-            (domain == NULL || strcmp(domain, peer->domain) == 0)) {
-            g_ptr_array_add(out, peer->call_address);
-        }
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
+        g_ptr_array_add(out, peer->call_address);
     }
 }
 
@@ -266,10 +291,7 @@
 void
 GwPeers_Close(GwPeers *peers)
 {
-    if (peers->join != NULL) {
-        GwConn_Close(peers->join);
-        peers->join = NULL;
-    }
+    GwConn_CloseAt(&peers->join);
     uv_close((uv_handle_t *)&peers->udp, NULL);
     uv_close((uv_handle_t *)&peers->timer, NULL);
 }
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -61,7 +61,19 @@
     GArray *placements; /* reused */
 };
 
+/* The peers that serve and are live, of one region or failure domain, or of
+ * all (NULL). No peer may be added or removed meanwhile. */
+typedef struct {
+    GHashTableIter iter;
+    const char *region;
+    const char *domain;
+    int64_t now_us;
+} GwPeerScan;
+
 /* peers.c */
+GwPeerScan GwPeers_Scan(const GwPeers *peers, const char *region,
+                        const char *domain);
+GwPeerEntry *GwPeerScan_Next(GwPeerScan *scan); /* NULL: no more */
 GwPeerEntry *GwPeers_Add(GwPeers *peers, const char *address);
 bool GwPeerEntry_IsLive(const GwPeerEntry *peer, int64_t now_us);
 void GwPeerEntry_DropBacklog(GwPeerEntry *peer);
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -40,15 +40,10 @@
     uint64_t rank = GwPeers_Rank(own->name);
     bool first = true;
     uint32_t others = 0;
-    GHashTableIter iter;
-    gpointer value;
+    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
+    const GwPeerEntry *peer;
 
-    g_hash_table_iter_init(&iter, peers->by_address);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const GwPeerEntry *peer = value;
-        if (!peer->serves || !GwPeerEntry_IsLive(peer, now_us)) {
-            continue;
-        }
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
         others += peer->reads && is_heard_lately(peer, now_us);
         if (strcmp(peer->region, own->region) == 0 &&
             GwPeers_Rank(peer->name) > rank) {
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -336,21 +336,17 @@
 static bool
 is_introducer(const GwPeers *peers, const GwPeerEntry *newcomer)
 {
-    const char *own = peers->edge->settings->router.name;
+    const GwRouterParams *own = &peers->edge->settings->router;
     GPtrArray *others = g_ptr_array_new();
-    int64_t now_us = GwEdge_Now();
-    GHashTableIter iter;
-    gpointer value;
+    GwPeerScan scan = GwPeers_Scan(peers, own->region, NULL);
+    const GwPeerEntry *peer;
 
-    g_hash_table_iter_init(&iter, peers->by_address);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        GwPeerEntry *peer = value;
-        if (peer != newcomer && peer->serves && is_near(peers, peer) &&
-            GwPeerEntry_IsLive(peer, now_us)) {
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
+        if (peer != newcomer) {
             g_ptr_array_add(others, peer->name);
         }
     }
-    bool is_one = GwIntroduce_TellsPlaces(own, newcomer->name, others);
+    bool is_one = GwIntroduce_TellsPlaces(own->name, newcomer->name, others);
     g_ptr_array_free(others, TRUE);
     return is_one;
 }
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -371,6 +371,16 @@
     }
 }
 
+void
+GwConn_WriteGet(GwConn *c, const char *target, const char *host)
+{
+    GString *out = g_string_new(NULL);
+
+    g_string_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, host);
+    GwConn_Write(c, out);
+    g_string_free(out, TRUE);
+}
+
 static void
 on_linger(uv_timer_t *timer)
 {
@@ -426,6 +436,15 @@
     close_handle(c);
 }
 
+void
+GwConn_CloseAt(GwConn **at)
+{
+    if (*at != NULL) {
+        GwConn_Close(*at);
+        *at = NULL;
+    }
+}
+
 GwHttpError
 GwConn_Error(const GwConn *c)
 {
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -48,11 +48,15 @@
 GwConn *GwConn_Connect(const GwConnParams *params, const char *address);
 /* Queues bytes; `text` is copied where it does not leave at once. */
 void GwConn_Write(GwConn *c, const GString *text);
+/* A request without a body. */
+void GwConn_WriteGet(GwConn *c, const char *target, const char *host);
 /* Closes once what was written has left (10 s at most), and then the other side
  * has closed too, or 0.4 s have passed. No longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
 /* Closes now; what is queued is dropped. */
 void GwConn_Close(GwConn *c);
+/* The same for the connection that `*at` names, if any; `*at` is NULL then. */
+void GwConn_CloseAt(GwConn **at);
 
 GwHttpError GwConn_Error(const GwConn *c);
 bool GwConn_IsInside(const GwConn *c); /* part of a message has come */
