One command line for both daemons, one reader of JSON members for godwitctl

Cause: godwitd and godwitedge read their options and named their exit codes alike, each in lines of its own; ctl_entry, ctl_status and history each had a reader of a member as text. Change: lib/common/command, GwJson_Text and GwJson_Number.

--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -2,6 +2,7 @@
  * servers, and what became of a request. */
 #include "admin/ctl_internal.h"
 #include "admin/explain.h"
+#include "common/json.h"
 
 #include <inttypes.h>
 #include <json-c/json.h>
@@ -10,46 +11,32 @@
 
 #define TOP_DEFAULT 20
 
-static const char *
-text_of(struct json_object *item, const char *key)
-{
-    const char *text =
-        json_object_get_string(json_object_object_get(item, key));
-
-    return text != NULL ? text : "";
-}
-
-static int64_t
-number_of(struct json_object *item, const char *key)
-{
-    return json_object_get_int64(json_object_object_get(item, key));
-}
-
 static void
 show_status(struct json_object *status)
 {
     struct json_object *members = json_object_object_get(status, "members");
 
-    printf("%s  region %s  failure domain %s\n"
-           "%s, version %" PRId64 ", %" PRId64 " open requests, %" PRId64
-           " servers\n"
-           "news of the servers %" PRId64 " ms ago%s%s; peers' loads at most "
-           "%" PRId64 " ms old\nmembers, %" PRId64 " of them live:\n",
-           text_of(status, "name"), text_of(status, "region"),
-           text_of(status, "failure_domain"), text_of(status, "state"),
-           number_of(status, "config_version"),
-           number_of(status, "open_calls"), number_of(status, "servers"),
-           number_of(status, "news_ms_ago"),
-           number_of(status, "reads_store") ? ", from the store"
-                                            : ", from a peer",
-           number_of(status, "store_was_away") ? ", which was away" : "",
-           number_of(status, "loads_ms_ago"), number_of(status, "live"));
+    printf(
+        "%s  region %s  failure domain %s\n"
+        "%s, version %" PRId64 ", %" PRId64 " open requests, %" PRId64
+        " servers\n"
+        "news of the servers %" PRId64 " ms ago%s%s; peers' loads at most "
+        "%" PRId64 " ms old\nmembers, %" PRId64 " of them live:\n",
+        GwJson_Text(status, "name"), GwJson_Text(status, "region"),
+        GwJson_Text(status, "failure_domain"), GwJson_Text(status, "state"),
+        GwJson_Number(status, "config_version"),
+        GwJson_Number(status, "open_calls"), GwJson_Number(status, "servers"),
+        GwJson_Number(status, "news_ms_ago"),
+        GwJson_Number(status, "reads_store") ? ", from the store"
+                                             : ", from a peer",
+        GwJson_Number(status, "store_was_away") ? ", which was away" : "",
+        GwJson_Number(status, "loads_ms_ago"), GwJson_Number(status, "live"));
     for (size_t i = 0; i < json_object_array_length(members); i++) {
         struct json_object *item = json_object_array_get_idx(members, i);
         printf("  %-28s %-12s heard %" PRId64 " ms ago%s\n",
-               text_of(item, "name"), text_of(item, "state"),
-               number_of(item, "heard_ms_ago"),
-               number_of(item, "reads_store") ? "  reads the store" : "");
+               GwJson_Text(item, "name"), GwJson_Text(item, "state"),
+               GwJson_Number(item, "heard_ms_ago"),
+               GwJson_Number(item, "reads_store") ? "  reads the store" : "");
     }
 }
 
@@ -77,8 +64,8 @@
 static int64_t
 load_of(struct json_object *server)
 {
-    return number_of(server, "in_flight") +
-           number_of(server, "peers_in_flight");
+    return GwJson_Number(server, "in_flight") +
+           GwJson_Number(server, "peers_in_flight");
 }
 
 /* Ejected ones first, then the busiest. */
@@ -87,7 +74,8 @@
 {
     struct json_object *x = *(struct json_object *const *)a;
     struct json_object *y = *(struct json_object *const *)b;
-    int64_t ejected = number_of(y, "ejected_ms") - number_of(x, "ejected_ms");
+    int64_t ejected =
+        GwJson_Number(y, "ejected_ms") - GwJson_Number(x, "ejected_ms");
     int64_t load = load_of(y) - load_of(x);
 
     if (ejected != 0) {
@@ -101,13 +89,13 @@
 {
     printf("%-20s %-16s %-16s %5" PRId64 " %9" PRId64 " %6" PRId64 " %6" PRId64
            " %7" PRId64 " %8" PRId64 " %s%s\n",
-           text_of(s, "id"), text_of(s, "service"),
-           text_of(s, "failure_domain"), number_of(s, "slots"),
-           number_of(s, "in_flight"), number_of(s, "peers_in_flight"),
-           number_of(s, "busy_percent"), number_of(s, "slow_percent"),
-           number_of(s, "ejected_ms"),
-           number_of(s, "draining") ? "draining " : "",
-           number_of(s, "cold") ? "cold" : "");
+           GwJson_Text(s, "id"), GwJson_Text(s, "service"),
+           GwJson_Text(s, "failure_domain"), GwJson_Number(s, "slots"),
+           GwJson_Number(s, "in_flight"), GwJson_Number(s, "peers_in_flight"),
+           GwJson_Number(s, "busy_percent"), GwJson_Number(s, "slow_percent"),
+           GwJson_Number(s, "ejected_ms"),
+           GwJson_Number(s, "draining") ? "draining " : "",
+           GwJson_Number(s, "cold") ? "cold" : "");
 }
 
 static void
--- a/lib/admin/ctl_status.c
+++ b/lib/admin/ctl_status.c
@@ -1,5 +1,6 @@
 /* Which version each member has: status, and waiting for a change. */
 #include "admin/ctl_internal.h"
+#include "common/json.h"
 
 #include <inttypes.h>
 #include <json-c/json.h>
@@ -28,14 +29,6 @@
     return NULL;
 }
 
-static const char *
-text_of(struct json_object *item, const char *key)
-{
-    const char *text =
-        json_object_get_string(json_object_object_get(item, key));
-    return text != NULL ? text : "";
-}
-
 static uint64_t
 version_of(struct json_object *item)
 {
@@ -69,7 +62,8 @@
     json_object_array_add(all, copy_member(status));
     for (size_t i = 0; i < count; i++) {
         struct json_object *item = json_object_array_get_idx(known, i);
-        if (strcmp(text_of(item, "name"), text_of(status, "name")) != 0) {
+        if (strcmp(GwJson_Text(item, "name"), GwJson_Text(status, "name")) !=
+            0) {
             json_object_array_add(all, copy_member(item));
         }
     }
@@ -81,7 +75,7 @@
 static bool
 counts(struct json_object *member)
 {
-    const char *state = text_of(member, "state");
+    const char *state = GwJson_Text(member, "state");
     return strcmp(state, "dead") != 0;
 }
 
@@ -140,8 +134,8 @@
 show_member(struct json_object *member)
 {
     struct json_object *heard = json_object_object_get(member, "heard_ms_ago");
-    printf("  %-24s %-9s version %" PRIu64, text_of(member, "name"),
-           text_of(member, "state"), version_of(member));
+    printf("  %-24s %-9s version %" PRIu64, GwJson_Text(member, "name"),
+           GwJson_Text(member, "state"), version_of(member));
     if (heard != NULL) {
         printf("  heard %" PRIu64 " ms ago", json_object_get_uint64(heard));
     }
@@ -155,14 +149,14 @@
     struct json_object *lowest = json_object_object_get(status, "slowest");
     printf("%s  region %s  failure domain %s\n%s, version %" PRIu64
            ", %s open calls\nmembers, %s of them live:\n",
-           text_of(status, "name"), text_of(status, "region"),
-           text_of(status, "failure_domain"), text_of(status, "state"),
-           version_of(status), text_of(status, "open_calls"),
-           text_of(status, "live"));
+           GwJson_Text(status, "name"), GwJson_Text(status, "region"),
+           GwJson_Text(status, "failure_domain"), GwJson_Text(status, "state"),
+           version_of(status), GwJson_Text(status, "open_calls"),
+           GwJson_Text(status, "live"));
     for (size_t i = 0; i < json_object_array_length(members); i++) {
         show_member(json_object_array_get_idx(members, i));
     }
-    printf("slowest: %s at version %" PRIu64 "\n", text_of(lowest, "name"),
+    printf("slowest: %s at version %" PRIu64 "\n", GwJson_Text(lowest, "name"),
            version_of(lowest));
 }
 
@@ -205,12 +199,12 @@
             (void)fprintf(stderr,
                           "in force: version %" PRIu64 " at %s live members "
                           "after %" PRId64 " ms; slowest %s\n",
-                          version, text_of(status, "live"),
+                          version, GwJson_Text(status, "live"),
                           (g_get_monotonic_time() - begin) / 1000, slow);
             json_object_put(status);
             return GW_CTL_OK;
         }
-        g_strlcpy(slow, text_of(lowest, "name"), sizeof(slow));
+        g_strlcpy(slow, GwJson_Text(lowest, "name"), sizeof(slow));
         json_object_put(status);
         g_usleep(POLL_US);
     }
--- a/lib/admin/history.c
+++ b/lib/admin/history.c
@@ -1,5 +1,6 @@
 /* Get and History: what was in force, and who changed it. */
 #include "admin/rpc_internal.h"
+#include "common/json.h"
 #include "platform/snapshots.h"
 #include "config/change.h"
 #include "config/reader.h"
@@ -136,14 +137,6 @@
     return GW_RPC_DONE;
 }
 
-static char *
-dup_member(struct json_object *object, const char *key)
-{
-    const char *text =
-        json_object_get_string(json_object_object_get(object, key));
-    return g_strdup(text != NULL ? text : "");
-}
-
 /* One log entry; NULL when the text is none. */
 static Gw__Admin__HistoryEntry *
 parse_entry(uint64_t version, const char *text)
@@ -155,9 +148,9 @@
     Gw__Admin__HistoryEntry *entry = g_new0(Gw__Admin__HistoryEntry, 1);
     gw__admin__history_entry__init(entry);
     entry->version = version;
-    entry->operator_name = dup_member(object, "operator");
-    entry->request_id = dup_member(object, "request_id");
-    entry->what = dup_member(object, "what");
+    entry->operator_name = g_strdup(GwJson_Text(object, "operator"));
+    entry->request_id = g_strdup(GwJson_Text(object, "request_id"));
+    entry->what = g_strdup(GwJson_Text(object, "what"));
     entry->when_ms =
         json_object_get_int64(json_object_object_get(object, "when_ms"));
     json_object_put(object);
--- a/lib/common/json.c
+++ b/lib/common/json.c
@@ -19,3 +19,18 @@
 {
     json_object_object_add(object, key, json_object_new_boolean(value));
 }
+
+const char *
+GwJson_Text(struct json_object *object, const char *key)
+{
+    const char *text =
+        json_object_get_string(json_object_object_get(object, key));
+
+    return text != NULL ? text : "";
+}
+
+int64_t
+GwJson_Number(struct json_object *object, const char *key)
+{
+    return json_object_get_int64(json_object_object_get(object, key));
+}
--- a/programs/godwitd.c
+++ b/programs/godwitd.c
@@ -5,17 +5,15 @@
  *   1  failure at run time: a port is taken, a key can't be read
  *   2  usage
  *   3  the settings were refused */
+#include "common/command.h"
 #include "common/log.h"
 #include "runtime/runtime.h"
 
-#include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
 
-enum { EXIT_OK = 0, EXIT_RUNTIME = 1, EXIT_USAGE = 2, EXIT_SETTINGS = 3 };
-
 typedef struct {
     char *settings;
     int check;
@@ -23,7 +21,15 @@
     int version;
 } Arguments;
 
-static int
+static bool
+is_complete(const void *arguments)
+{
+    const Arguments *args = arguments;
+
+    return args->settings != NULL || args->version;
+}
+
+static GwExit
 parse_arguments(int argc, const char **argv, Arguments *args)
 {
     struct poptOption options[] = {
@@ -37,22 +43,12 @@
          "print the version and exit", NULL},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    poptContext ctx = poptGetContext("godwitd", argc, argv, options, 0);
-    int rc = poptGetNextOpt(ctx);
-    int code = EXIT_OK;
+    GwCommand command = {.name = "godwitd",
+                         .options = options,
+                         .is_complete = is_complete,
+                         .arguments = args};
 
-    if (rc < -1) {
-        (void)fprintf(stderr, "godwitd: %s: %s\n", poptBadOption(ctx, 0),
-                      poptStrerror(rc));
-        code = EXIT_USAGE;
-    }
-    else if (poptPeekArg(ctx) != NULL ||
-             (args->settings == NULL && !args->version)) {
-        poptPrintUsage(ctx, stderr, 0);
-        code = EXIT_USAGE;
-    }
-    poptFreeContext(ctx);
-    return code;
+    return GwCommand_Parse(&command, argc, argv);
 }
 
 /* Serves until the graceful stop is over. A second signal to stop ends it at
@@ -82,7 +78,7 @@
 
 /* Signals are blocked before the first thread starts, so that only serve()
  * sees them. */
-static int
+static GwExit
 run(const GwSettings *settings)
 {
     GError *error = NULL;
@@ -96,33 +92,33 @@
     (void)signal(SIGPIPE, SIG_IGN);
     if (GwLog_Start(settings->log_level) != 0) {
         (void)fprintf(stderr, "godwitd: the log can't be started\n");
-        return EXIT_RUNTIME;
+        return GW_EXIT_RUNTIME;
     }
     GwRuntime *rt = GwRuntime_Start(settings, &error);
     if (rt == NULL) {
         (void)fprintf(stderr, "godwitd: %s\n", error->message);
         g_error_free(error);
         GwLog_Stop();
-        return EXIT_RUNTIME;
+        return GW_EXIT_RUNTIME;
     }
     serve(rt, &signals);
     GwRuntime_Free(rt);
     GwLog_Event(GW_LOG_STOP_DONE, "instance=%s", settings->node.name);
     GwLog_Stop();
-    return EXIT_OK;
+    return GW_EXIT_OK;
 }
 
-static int
+static GwExit
 run_with(const Arguments *args)
 {
     GError *error = NULL;
-    int code = EXIT_OK;
+    GwExit code = GW_EXIT_OK;
 
     GwSettings *settings = GwSettings_Load(args->settings, &error);
     if (settings == NULL) {
         (void)fprintf(stderr, "godwitd: %s\n", error->message);
         g_error_free(error);
-        return EXIT_SETTINGS;
+        return GW_EXIT_SETTINGS;
     }
     if (args->print) {
         char *text = GwSettings_Print(settings);
@@ -141,13 +137,13 @@
 {
     Arguments args = {0};
 
-    int code = parse_arguments(argc, argv, &args);
-    if (code == EXIT_OK && args.version) {
+    GwExit code = parse_arguments(argc, argv, &args);
+    if (code == GW_EXIT_OK && args.version) {
         (void)puts("godwitd " GW_VERSION_STRING);
     }
-    else if (code == EXIT_OK) {
+    else if (code == GW_EXIT_OK) {
         code = run_with(&args);
     }
     free(args.settings);
-    return code;
+    return (int)code;
 }
--- a/programs/godwitedge.c
+++ b/programs/godwitedge.c
@@ -5,25 +5,23 @@
  *   1  failure at run time: an address is taken
  *   2  usage
  *   3  the settings were refused */
+#include "common/command.h"
 #include "common/log.h"
 #include "edge/edge.h"
 #include "godwitridge.h"
 #include "platform/platform.h"
 
-#include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { EXIT_OK = 0, EXIT_RUNTIME = 1, EXIT_USAGE = 2, EXIT_SETTINGS = 3 };
-
 typedef struct {
     char *settings;
     int check;
     int version;
 } Arguments;
 
-static int
+static GwExit
 parse_arguments(int argc, const char **argv, Arguments *args)
 {
     struct poptOption options[] = {
@@ -37,24 +35,12 @@
          "print the version and exit", NULL},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    poptContext ctx = poptGetContext("godwitedge", argc, argv, options, 0);
-    int rc = poptGetNextOpt(ctx);
-    int code = EXIT_OK;
+    GwCommand command = {.name = "godwitedge", .options = options};
 
-    if (rc < -1) {
-        (void)fprintf(stderr, "godwitedge: %s: %s\n", poptBadOption(ctx, 0),
-                      poptStrerror(rc));
-        code = EXIT_USAGE;
-    }
-    else if (poptPeekArg(ctx) != NULL) {
-        poptPrintUsage(ctx, stderr, 0);
-        code = EXIT_USAGE;
-    }
-    poptFreeContext(ctx);
-    return code;
+    return GwCommand_Parse(&command, argc, argv);
 }
 
-static int
+static GwExit
 serve(GwEdgeSettings *settings, const char *path)
 {
     GError *error = NULL;
@@ -63,11 +49,11 @@
     if (edge == NULL) {
         (void)fprintf(stderr, "godwitedge: %s\n", error->message);
         g_error_free(error);
-        return EXIT_RUNTIME;
+        return GW_EXIT_RUNTIME;
     }
     GwEdge_Run(edge);
     GwEdge_Free(edge);
-    return EXIT_OK;
+    return GW_EXIT_OK;
 }
 
 int
@@ -75,36 +61,36 @@
 {
     Arguments args = {0};
     GError *error = NULL;
-    int code = parse_arguments(argc, argv, &args);
+    GwExit code = parse_arguments(argc, argv, &args);
 
-    if (code != EXIT_OK) {
+    if (code != GW_EXIT_OK) {
         return code;
     }
     if (args.version) {
         (void)printf("godwitedge %s\n", GW_VERSION_STRING);
-        return EXIT_OK;
+        return GW_EXIT_OK;
     }
     const char *path = args.settings != NULL
                            ? args.settings
                            : getenv(PLATFORM_SETTINGS_VARIABLE);
     if (path == NULL) {
         (void)fprintf(stderr, "godwitedge: no settings; see --help\n");
-        return EXIT_USAGE;
+        return GW_EXIT_USAGE;
     }
     GwEdgeSettings *settings = GwEdgeSettings_Load(path, &error);
     if (settings == NULL) {
         (void)fprintf(stderr, "godwitedge: %s: %s\n", path, error->message);
         g_error_free(error);
-        return EXIT_SETTINGS;
+        return GW_EXIT_SETTINGS;
     }
     if (args.check) {
         GwEdgeSettings_Free(settings);
-        return EXIT_OK;
+        return GW_EXIT_OK;
     }
     (void)signal(SIGPIPE, SIG_IGN);
     (void)GwLog_StartBuffered(settings->log_level);
     code = serve(settings, path);
     GwLog_Stop();
     free(args.settings);
-    return code;
+    return (int)code;
 }
