--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -85,6 +85,16 @@
     return routing;
 }
 
+void
+FakeSteering_MoveRoutes(GwRouting *routing, const char *service)
+{
+    for (uint32_t i = 0; i < routing->hosts[0].route_count; i++) {
+        GwRoutePart *part = &routing->hosts[0].routes[i].parts[0];
+        g_free(part->service);
+        part->service = g_strdup(service);
+    }
+}
+
 void
 FakeSteering_Configure(FakeSteering *f, uint64_t version,
                        uint32_t attempts_max)
@@ -111,22 +121,29 @@
     return s;
 }
 
-static void
-put(FakeSteering *f, const char *id, const char *region, const char *domain,
-    uint32_t slots, bool draining, uint32_t cold_ms)
+GwServerInfo
+FakeSteering_Info(const char *id, const char *service, const char *region,
+                  const char *domain, uint32_t slots)
 {
-    GwServerInfo info = {
+    return (GwServerInfo){
         .id = id,
         .born_ms = 1,
-        .service = "s",
+        .service = service,
         .address = "127.0.0.1:1",
         .domain = domain,
         .region = region,
         .slots = slots,
-        .draining = draining,
-        .warmup_left_ms = cold_ms,
     };
+}
+
+static void
+put(FakeSteering *f, const char *id, const char *region, const char *domain,
+    uint32_t slots, bool draining, uint32_t cold_ms)
+{
+    GwServerInfo info = FakeSteering_Info(id, "s", region, domain, slots);
 
+    info.draining = draining;
+    info.warmup_left_ms = cold_ms;
     GwRouter_PutServer(f->router, f->now_us, &info, f->actions);
     FakeSteering_Carry(f);
 }
--- a/tests/fakes/steering.h
+++ b/tests/fakes/steering.h
@@ -49,6 +49,12 @@
 void FakeSteering_Configure(FakeSteering *f, uint64_t version,
                             uint32_t attempts_max);
 GwRouting *FakeSteering_Routing(uint64_t version, uint32_t attempts_max);
+/* Sends both routes to another service. */
+void FakeSteering_MoveRoutes(GwRouting *routing, const char *service);
+/* An entry of the registry, to be changed before it is given to the core. */
+GwServerInfo FakeSteering_Info(const char *id, const char *service,
+                               const char *region, const char *domain,
+                               uint32_t slots);
 void FakeSteering_Put(FakeSteering *f, const char *id, const char *region,
                       const char *domain, uint32_t slots);
 void FakeSteering_Drain(FakeSteering *f, const char *id);
--- a/tests/unit/test_router_drift.c
+++ b/tests/unit/test_router_drift.c
@@ -159,19 +159,10 @@
 {
     Load load = start();
     GwRouting *routing = FakeSteering_Routing(2, 1);
-    GwServerInfo far = {.id = "b2",
-                        .born_ms = 1,
-                        .service = "t",
-                        .address = "127.0.0.1:1",
-                        .domain = "d3",
-                        .region = "r2",
-                        .slots = 40};
+    GwServerInfo far = FakeSteering_Info("b2", "t", "r2", "d3", 40);
     uint32_t refused = 0;
 
-    g_free(routing->hosts[0].routes[1].parts[0].service);
-    routing->hosts[0].routes[1].parts[0].service = g_strdup("t");
-    g_free(routing->hosts[0].routes[0].parts[0].service);
-    routing->hosts[0].routes[0].parts[0].service = g_strdup("t");
+    FakeSteering_MoveRoutes(routing, "t");
     GwRouter_PutServer(load.f->router, load.f->now_us, &far, load.f->actions);
     drive(&load, 50, 8); /* near, to service "s" */
     cr_assert(GwRouter_SetRouting(load.f->router, routing));
--- /dev/null
+++ b/tests/unit/test_router_limits.c
@@ -0,0 +1,192 @@
+/* What bounds the core: slots, time, the budget of retries, cold servers, and
+ * connections. */
+#include "unit/steering_cases.h"
+
+#include <criterion/criterion.h>
+
+/* Not sent, all slots taken by long work: the caller is told at once to come
+ * back, not at the end of its time. */
+Test(router, what_has_no_room_is_refused_at_once)
+{
+    FakeSteering *f = Steering_Start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 1);
+    uint32_t refused = 0;
+
+    for (int i = 0; i < 20; i++) {
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        refused += req->status == 503;
+    }
+    cr_expect_geq(refused, 10);
+    Steering_Finish(f);
+}
+
+static void
+run_short(FakeSteering *f)
+{
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/", "k", 3000);
+
+    FakeSteering_Pass(f, 50000);
+    FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+}
+
+/* One caller gives its request a minute. Those that give three seconds, as all
+ * did before, must not be taken for callers that come back late: they would
+ * stand behind every other request, for good. */
+Test(router, a_patient_caller_makes_nobody_late)
+{
+    FakeSteering *f = Steering_Start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 1);
+    for (int i = 0; i < 50; i++) {
+        run_short(f);
+    }
+    FakeRequest *patient = FakeSteering_Arrive(f, "/again/", "k", 60000);
+    FakeSteering_End(f, patient, GW_ATTEMPT_ANSWERED, 200);
+    for (int i = 0; i < 300; i++) {
+        run_short(f);
+    }
+    FakeRequest *first = Steering_FillAhead(f, "/again/", "k");
+    FakeRequest *back = FakeSteering_Arrive(f, "/again/", "k", 2300);
+    FakeRequest *second = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    cr_assert_not_null(first->server);
+    cr_assert_not(back->over);
+    FakeSteering_Pass(f, 50000);
+    FakeSteering_End(f, first, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect_not_null(second->server, "in time, so before the other");
+    cr_expect_null(back->server, "comes back after 0.7 s: late");
+    Steering_Finish(f);
+}
+
+/* The fixed extra of retries is shared: with many more entries than settings
+ * foresaw, each takes a smaller part, or all together would exceed it. */
+Test(router, more_entries_have_less_to_retry_each)
+{
+    uint32_t repeats[2];
+
+    for (int many = 0; many < 2; many++) {
+        FakeSteering *f = Steering_Start(3);
+        for (int i = 0; i < 4; i++) {
+            char id[8];
+            g_snprintf(id, sizeof(id), "s%d", i);
+            FakeSteering_Put(f, id, "r1", "d1", 4);
+        }
+        for (int i = 0; i < many * 60; i++) {
+            char name[16];
+            g_snprintf(name, sizeof(name), "peer-%d", i);
+            GwPeerInfo peer = {.name = name, .region = "r1", .serves = true};
+            GwRouter_PutPeer(f->router, f->now_us, &peer);
+        }
+        for (int i = 0; i < 40; i++) {
+            FakeRequest *req = FakeSteering_Arrive(f, "/again/", NULL, 3000);
+            for (int j = 0; j < 3; j++) {
+                FakeSteering_End(f, req, GW_ATTEMPT_REFUSED, 503);
+            }
+            FakeSteering_Pass(f, 250000);
+        }
+        repeats[many] = f->repeats;
+        Steering_Finish(f);
+    }
+    /* 0.8 of 60 in 10 s: 16 for one of three, under one for one of 61. */
+    cr_expect_gt(repeats[0], repeats[1] + 5, "%u and %u", repeats[0],
+                 repeats[1]);
+    cr_expect_leq(repeats[1], 10, "%u", repeats[1]);
+}
+
+/* A cold server bears cold_per_s requests a second from all entries together.
+ * One entry feeds it, and less than that; right after its own start an entry
+ * knows no others and feeds none. */
+Test(router, a_cold_server_gets_little)
+{
+    FakeSteering *f = Steering_Start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_SetCold(f, "a", 20000);
+    FakeRequest *early = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+    uint32_t sent = 0;
+
+    cr_expect_null(early->server);
+    FakeSteering_Pass(f, 3 * FAKE_US_PER_S);
+    for (int i = 0; i < 1000; i++) {
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        sent += req->sends;
+        FakeSteering_Pass(f, 5000);
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        FakeSteering_Pass(f, 5000);
+    }
+    cr_expect_geq(sent, 20, "%u in 10 s", sent);
+    cr_expect_leq(sent, 52, "%u in 10 s", sent);
+    Steering_Finish(f);
+}
+
+/* Servers reset connections beyond a bound that counts those of all entries.
+ * If each entry kept what it ever opened, a fleet of entries would fill the
+ * bound with idle ones, and requests would meet resets. */
+Test(router, idle_connections_leave_half_to_requests)
+{
+    static const struct {
+        uint32_t connections_max;
+        uint32_t entries_max; /* by settings; nobody is heard */
+        uint32_t expected;
+    } cases[] = {
+        {330, 11, 15},      /* half of it, by eleven */
+        {330, 165, 1},      /* exactly one */
+        {330, 650, 1},      /* never none: each would be a new connection */
+        {0, 11, UINT32_MAX} /* the operator names no bound */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = FakeSteering_Create("r1", "d1");
+        GwRouting *routing = FakeSteering_Routing(1, 1);
+
+        f->params.entries_max = cases[i].entries_max;
+        GwRouter_SetBounds(f->router, &f->params);
+        routing->services[0].connections_max = cases[i].connections_max;
+        (void)GwRouter_SetRouting(f->router, routing);
+        FakeSteering_Put(f, "a", "r1", "d1", 1);
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        cr_expect_eq(GwRouter_IdleConnectionsMax(f->router, req->server),
+                     cases[i].expected, "case %zu", i);
+        GwRouting_Unref(routing);
+        FakeSteering_Free(f);
+    }
+}
+
+/* A request to another region spends part of its time on the way and only the
+ * rest in a slot. Counted as if it held one all the time, servers that serve
+ * far callers look full at two thirds of their work, and callers are refused
+ * beside them (hen-viec scale-2: 23 in 100). */
+Test(router, far_requests_hold_a_slot_for_a_part_of_their_time)
+{
+    static const struct {
+        const char *server_region;
+        const char *peer_region; /* of the entry with peer_load in flight */
+        uint32_t peer_load;
+        uint32_t sent; /* of ten at once; two slots and one ahead */
+    } cases[] = {
+        {"r1", "r1", 0, 3}, /* near: each counts whole */
+        {"r2", "r2", 0, 5}, /* far, 100 ms away: two thirds of 200 ms work */
+        {"r1", "r1", 2, 1}, /* a neighbour's count whole too */
+        {"r1", "r2", 2, 2}, /* those of another region don't */
+        {"r2", "r2", 2, 2}, /* its own neighbour's do */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = Steering_Start(1);
+        uint32_t sent = 0;
+
+        FakeSteering_Put(f, "a", cases[i].server_region, "d9", 2);
+        GwPeerLoad load = {.in_flight = cases[i].peer_load};
+        GwPeerInfo peer = {.name = "e2",
+                           .region = cases[i].peer_region,
+                           .serves = true,
+                           .load_count = 1,
+                           .loads = &load};
+        FakeRequest *first = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        load.server = GwServer_Hash(first->server);
+        GwRouter_PutPeer(f->router, f->now_us, &peer);
+        sent = first->sends;
+        for (int k = 1; k < 10; k++) {
+            sent += FakeSteering_Arrive(f, "/once/", NULL, 3000)->sends;
+        }
+        cr_expect_eq(sent, cases[i].sent, "case %zu: %u", i, sent);
+        Steering_Finish(f);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_router_places.c
@@ -0,0 +1,206 @@
+/* Where objects run: they stay where they are warm, and entries agree. */
+#include "unit/steering_cases.h"
+
+#include <criterion/criterion.h>
+
+/* Heavy load on objects that are warm at one server each: every request goes
+ * there and waits rather than make a cold run elsewhere. Spread over all
+ * servers, all runs were cold and took three times the slot time, and the
+ * system stayed so (worth of the heaviest days 0.14 to 0.24, then 0.40 to
+ * 0.70). */
+Test(router, warm_objects_stay_where_they_are)
+{
+    FakeSteering *f = Steering_Start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_Put(f, "b", "r1", "d1", 2);
+    FakeSteering_Put(f, "c", "r1", "d1", 2);
+    Steering_Warm(f, "/again/", "k");
+    FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    FakeRequest *second = Steering_FillAhead(f, "/again/", "k");
+    FakeRequest *third = FakeSteering_Arrive(f, "/again/", "k", 3000);
+
+    cr_assert_not_null(first->server);
+    cr_expect_eq(second->server, first->server);
+    cr_expect_null(third->server, "it waits");
+    FakeSteering_Pass(f, 50000);
+    FakeSteering_End(f, first, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect_not_null(third->server);
+    cr_expect_str_eq(third->server_id, first->server_id);
+    Steering_Finish(f);
+}
+
+/* The first request for an object is a cold run; those that come meanwhile
+ * wait for its end instead of making cold runs of their own. */
+Test(router, a_first_run_is_not_doubled)
+{
+    FakeSteering *f = Steering_Start(2);
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    FakeSteering_Put(f, "b", "r1", "d1", 2);
+    FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    FakeSteering_Pass(f, 200000);
+    FakeRequest *second = FakeSteering_Arrive(f, "/again/", "k", 3000);
+
+    cr_assert_not_null(first->server);
+    cr_expect_null(second->server);
+    FakeSteering_Pass(f, 100000);
+    FakeSteering_End(f, first, GW_ATTEMPT_ANSWERED, 200);
+    cr_expect_not_null(second->server);
+    cr_expect_str_eq(second->server_id, first->server_id);
+    Steering_Finish(f);
+}
+
+static void
+tell(FakeSteering *f, const GArray *placed)
+{
+    for (guint i = 0; i < placed->len; i++) {
+        GwRouter_PutPlacement(f->router, f->now_us,
+                              &g_array_index(placed, GwPlacement, i));
+    }
+}
+
+/* Both entries send a request for the object, at once, to the same server. */
+static void
+expect_same_server(FakeSteering *one, FakeSteering *two, const char *key)
+{
+    FakeRequest *first = FakeSteering_Arrive(one, "/again/", key, 3000);
+    FakeRequest *second = FakeSteering_Arrive(two, "/again/", key, 3000);
+
+    cr_assert_not_null(first->server, "key %s", key);
+    cr_assert_not_null(second->server, "key %s: no first run", key);
+    cr_expect_str_eq(second->server_id, first->server_id, "key %s", key);
+    FakeSteering_End(one, first, GW_ATTEMPT_ANSWERED, 200);
+    FakeSteering_End(two, second, GW_ATTEMPT_ANSWERED, 200);
+}
+
+/* What another entry of the region placed is a place here too. */
+Test(router, entries_meet_at_the_same_server)
+{
+    FakeSteering *one = Steering_Start(2);
+    FakeSteering *two = Steering_Start(2);
+    FakeSteering *both[] = {one, two};
+    GArray *placed = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+
+    for (int i = 0; i < 2; i++) {
+        FakeSteering_Put(both[i], "a", "r1", "d1", 2);
+        FakeSteering_Put(both[i], "b", "r1", "d1", 2);
+        FakeSteering_Put(both[i], "c", "r1", "d1", 2);
+    }
+    for (int k = 0; k < 20; k++) {
+        char key[8];
+        g_snprintf(key, sizeof(key), "%d", k);
+        Steering_Warm(one, "/again/", key);
+    }
+    GwRouter_OwnPlacements(one->router, one->now_us, INT64_MAX, INT64_MAX,
+                           placed);
+    cr_assert_eq(placed->len, 20);
+    tell(two, placed);
+    FakeSteering_Pass(two, FAKE_US_PER_S);
+    for (int k = 0; k < 20; k++) {
+        char key[8];
+        g_snprintf(key, sizeof(key), "%d", k);
+        expect_same_server(one, two, key);
+    }
+    g_array_free(placed, TRUE);
+    Steering_Finish(one);
+    Steering_Finish(two);
+}
+
+/* An entry that was restarted is told by its peers where objects are warm.
+ * Without that it sends each of them to some server anew: cold runs, and the
+ * servers forget what the other entries still send there. */
+Test(router, a_restarted_entry_learns_where_objects_are_warm)
+{
+    FakeSteering *old = Steering_Start(2);
+    FakeSteering *fresh = Steering_Start(2);
+    FakeSteering *both[] = {old, fresh};
+    GArray *placed = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+    char key[8];
+
+    for (int i = 0; i < 2; i++) {
+        FakeSteering_Put(both[i], "a", "r1", "d1", 2);
+        FakeSteering_Put(both[i], "b", "r1", "d1", 2);
+    }
+    for (int k = 0; k < 20; k++) {
+        g_snprintf(key, sizeof(key), "%d", k);
+        Steering_Warm(old, "/again/", key);
+    }
+    GwRouter_WarmPlacements(old->router, 10, placed);
+    cr_assert_eq(placed->len, 10, "the last used ten");
+    tell(fresh, placed);
+    for (int k = 10; k < 20; k++) {
+        g_snprintf(key, sizeof(key), "%d", k);
+        expect_same_server(old, fresh, key);
+    }
+    g_array_free(placed, TRUE);
+    Steering_Finish(old);
+    Steering_Finish(fresh);
+}
+
+/* A route moves to another service while its objects are warm at servers of
+ * the old one. The next request for such an object must go to the new service:
+ * the old one ran 52 requests that no configuration sent to it. */
+Test(router, a_moved_route_leaves_its_old_servers)
+{
+    FakeSteering *f = Steering_Start(2);
+    GwRouting *moved = FakeSteering_Routing(2, 2);
+    GwServerInfo other = FakeSteering_Info("t1", "t", "r1", "d1", 2);
+    GArray *placed = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+
+    FakeSteering_Put(f, "a", "r1", "d1", 2);
+    GwRouter_PutServer(f->router, f->now_us, &other, f->actions);
+    Steering_Warm(f, "/again/", "k");
+    FakeSteering_MoveRoutes(moved, "t");
+    cr_assert(GwRouter_SetRouting(f->router, moved));
+    GwRouting_Unref(moved);
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/", "k", 3000);
+    cr_expect_str_eq(req->server_id, "t1");
+    /* A peer that still has the old version names the old server. */
+    GwRouter_OwnPlacements(f->router, f->now_us, INT64_MAX, INT64_MAX, placed);
+    cr_assert_eq(placed->len, 2);
+    GwPlacement wrong = g_array_index(placed, GwPlacement, 1);
+    wrong.server = g_array_index(placed, GwPlacement, 0).server;
+    wrong.warm = true;
+    GwRouter_PutPlacement(f->router, f->now_us, &wrong);
+    for (int i = 0; i < 4; i++) {
+        req = FakeSteering_Arrive(f, "/again/", "k", 3000);
+        cr_expect_str_neq(req->server_id, "a");
+    }
+    g_array_free(placed, TRUE);
+    Steering_Finish(f);
+}
+
+/* An object's first run hangs at a server that turned slow. Who comes next
+ * for the object would wait for that run, too long even for a late answer;
+ * refused, it comes back to the same while other servers idle. It is run
+ * there instead, if that ends within its time. */
+Test(router, a_hanging_first_run_does_not_refuse_beside_idle_servers)
+{
+    static const struct {
+        int64_t left_ms;
+        bool sent;
+    } cases[] = {
+        {3000, true}, {300, false} /* a cold run would not end in its time */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = Steering_Start(2);
+        FakeSteering_Put(f, "slow", "r1", "d1", 2);
+        for (int k = 0; k < 10; k++) { /* four times a cold run's time */
+            char key[8];
+            g_snprintf(key, sizeof(key), "k%d", k);
+            FakeRequest *req = FakeSteering_Arrive(f, "/again/", key, 3000);
+            FakeSteering_Pass(f, 1600000);
+            FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        }
+        FakeRequest *first = FakeSteering_Arrive(f, "/again/", "k", 3000);
+        cr_assert_str_eq(first->server_id, "slow");
+        FakeSteering_Put(f, "idle", "r1", "d1", 2);
+        FakeRequest *next =
+            FakeSteering_Arrive(f, "/again/", "k", cases[i].left_ms);
+        cr_expect_eq(next->over, !cases[i].sent, "case %zu", i);
+        if (cases[i].sent) {
+            cr_expect_str_eq(next->server_id, "idle");
+        }
+        Steering_Finish(f);
+    }
+}
