--- a/tests/unit/test_router_limits.c
+++ b/tests/unit/test_router_limits.c
@@ -152,7 +152,7 @@
 /* A request to another region spends part of its time on the way and only the
  * rest in a slot. Counted as if it held one all the time, servers that serve
  * far callers look full at two thirds of their work, and callers are refused
- * beside them (hen-viec scale-2: 23 in 100). */
+ * beside them: 23 in 100 on the heaviest day. */
 Test(router, far_requests_hold_a_slot_for_a_part_of_their_time)
 {
     static const struct {
