Large rows of operators are read from the store by every entry

Entries pass rows on in a tree of four; one whose link carries 10 Mbit/s sends four copies of 330 KB in a second, the readers gave up after 600 ms in all, and began anew on the same link. Change: a report tells how many bytes of operators' rows its receiver lacks and, with the name, what the sender's instance can carry (settings link_mbps and cpu_share). Where a copy would keep the narrower link for more than 25 ms the entry reads the rows from the store, once; if the store does not answer, from peers as before. Larger instances stand at the top of the tree and read for their region. A read from a peer is given up after 600 ms without a byte, or 4 s, no longer after 600 ms in all. Event 202 ROWS_TAKEN tells from whom rows came. Deployments with links of 1000 Mbit/s read as before.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -17,6 +17,7 @@
     /* 200: configuration */ \
     X(CONFIG_IN_FORCE, 200, INFO, "a configuration version is in force") \
     X(CONFIG_REFUSED, 201, ERROR, "a configuration document was refused") \
+    X(ROWS_TAKEN, 202, INFO, "rows of operators came by a read of its own") \
     /* 300: membership */ \
     X(MEMBER_UP, 300, INFO, "a member is alive") \
     X(MEMBER_SUSPECT, 301, WARN, "a member is suspected") \
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -124,6 +124,14 @@
 bool GwFeed_IsKnown(const GwFeed *feed);
 /* A peer knows more: reads from it what is missing. */
 void GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version);
+/* The same from the store itself, once: for rows that are too large to go from
+ * peer to peer. */
+void GwFeed_AskStore(GwFeed *feed, uint64_t version);
+/* The store has not failed such a call lately, nor does this entry read it
+ * anyway. */
+bool GwFeed_MayAskStore(const GwFeed *feed);
+/* About how many bytes a peer would be told that knows that version. */
+uint64_t GwFeed_BytesAfter(const GwFeed *feed, uint64_t version);
 /* Answers a peer's read of this copy: 200 with a body, freed by g_free; 404
  * for another table or an unknown one; 410 when the peer has to read all. */
 uint16_t GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after,
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -19,10 +19,16 @@
 /* An answer that is later than the wait by this much won't come. */
 #define ANSWER_MS 1500
 /* A peer answers at once, so that a lost one must not keep the entry from
- * asking the next: two regions' round trip and its processor's turn. */
+ * asking the next: two regions' round trip and its processor's turn. Time
+ * without a byte counts: on a link of 10 Mbit/s a row of 300 KB that four read
+ * at once takes a second. */
 #define PEER_ANSWER_MS 600
-#define RETRY_MIN_MS   150
-#define RETRY_MAX_MS   1000
+/* In all, so that one who dribbles doesn't keep the entry either. */
+#define PEER_WHOLE_MS 4000
+/* After a call for rows that the store did not answer, peers are asked. */
+#define STORE_FAILED_US 2000000
+#define RETRY_MIN_MS    150
+#define RETRY_MAX_MS    1000
 /* The store did not answer for so long: rows may have lapsed meanwhile. */
 #define AWAY_US       1000000
 #define ROWS_BODY_MAX (8u << 20)
@@ -38,13 +44,16 @@
     GwRowCache *cache;
     GwConn *conn;
     Phase phase;
-    GwRowSet *pages;   /* of the full reading under way */
-    bool reads;        /* this entry is one of those that read the store */
-    uint64_t version;  /* the feed goes on from here */
-    int64_t ask_at_us; /* the next poll; 0: none is due */
-    int64_t fresh_us;  /* last news, from the store or a peer */
-    bool peer_full;    /* the read from a peer is of the whole table */
-    bool known;        /* the table has been read, here or by a peer */
+    GwRowSet *pages;    /* of the full reading under way */
+    bool reads;         /* this entry is one of those that read the store */
+    uint64_t version;   /* the feed goes on from here */
+    int64_t ask_at_us;  /* the next poll; 0: none is due */
+    int64_t fresh_us;   /* last news, from the store or a peer */
+    bool peer_full;     /* the read from a peer is of the whole table */
+    bool peer_is_store; /* and it is the store that is asked */
+    char peer_address[64];
+    int64_t store_failed_us; /* it did not answer such a read; 0: never */
+    bool known;              /* the table has been read, here or by a peer */
     int64_t asked_us;
     uint32_t wait_ms;
     int64_t retry_at_us;
@@ -321,14 +330,31 @@
 
 /* ---- Peers --------------------------------------------------------------- */
 
+/* The store keeps no history from the beginning, so the whole table is another
+ * call there. */
 static void
 ask_peer(GwFeed *feed)
 {
-    char *target = feed->edge->adapter->feed_target(
-        feed->table, feed->peer_full ? 0 : GwFeed_Version(feed), 0);
-
-    GwConn_WriteGet(feed->peer, target, "peer");
+    const GwAdapter *a = feed->edge->adapter;
+    bool whole = feed->peer_full && feed->peer_is_store;
+    char *target =
+        whole ? a->read_target(feed->table, NULL)
+              : a->feed_target(feed->table,
+                               feed->peer_full ? 0 : GwFeed_Version(feed), 0);
+
+    GwConn_WriteGet(feed->peer, target,
+                    feed->peer_is_store ? feed->edge->settings->store_address
+                                        : "peer");
     g_free(target);
+    feed->edge->counts.store_calls += feed->peer_is_store;
+}
+
+static void
+note_store_failed(GwFeed *feed)
+{
+    if (feed->peer_is_store) {
+        feed->store_failed_us = GwEdge_Now();
+    }
 }
 
 static void
@@ -340,11 +366,29 @@
     ask_peer(feed);
 }
 
+/* How an entry that does not read the store came to know what is in force. */
+static void
+log_taken(const GwFeed *feed, const GwRowSet *set)
+{
+    const GwEdge *edge = feed->edge;
+
+    if (set->rows->len > 0 && feed == edge->operator_feed) {
+        GwLog_Event(GW_LOG_ROWS_TAKEN,
+                    "rows=%u version=%" PRIu64 " from=%s address=%s "
+                    "took_ms=%" PRId64,
+                    set->rows->len, set->version,
+                    feed->peer_is_store ? "store" : "peer", feed->peer_address,
+                    (GwEdge_Now() - feed->peer_asked_us) / 1000);
+    }
+}
+
 static void
 take_from_peer(GwFeed *feed, const GwRowSet *set)
 {
     int64_t now_us = GwEdge_Now();
 
+    log_taken(feed, set);
+
     if (feed->peer_full || !feed->known) {
         GwRowCache_ApplyFull(feed->cache, now_us, set);
     }
@@ -375,6 +419,11 @@
     }
     GwHttpMessage_Free(msg);
     GwConn_CloseAt(&feed->peer);
+    if (set == NULL || set->more) {
+        note_store_failed(feed); /* a part of a table is not told as such */
+        GwRowSet_Free(set);
+        set = NULL;
+    }
     if (set != NULL) {
         take_from_peer(feed, set);
         GwRowSet_Free(set);
@@ -392,6 +441,7 @@
         GwConn_CloseAt(&feed->peer);
     }
     feed->peer = NULL;
+    note_store_failed(feed);
 }
 
 static const GwConnOps peer_ops = {
@@ -400,12 +450,9 @@
     .ended = on_peer_ended,
 };
 
-void
-GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version)
+static void
+read_once(GwFeed *feed, const char *address, bool is_store)
 {
-    if (feed->peer != NULL || version <= GwFeed_Version(feed)) {
-        return;
-    }
     GwConnParams params = {
         .loop = &feed->edge->loop,
         .ops = &peer_ops,
@@ -414,9 +461,41 @@
         .body_max = ROWS_BODY_MAX,
     };
     feed->peer_asked_us = GwEdge_Now();
+    feed->peer_is_store = is_store;
+    g_strlcpy(feed->peer_address, address, sizeof(feed->peer_address));
     feed->peer = GwConn_Connect(&params, address);
 }
 
+void
+GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version)
+{
+    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
+        read_once(feed, address, false);
+    }
+}
+
+void
+GwFeed_AskStore(GwFeed *feed, uint64_t version)
+{
+    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
+        read_once(feed, feed->edge->settings->store_address, true);
+    }
+}
+
+bool
+GwFeed_MayAskStore(const GwFeed *feed)
+{
+    return !feed->reads &&
+           (feed->store_failed_us == 0 ||
+            GwEdge_Now() - feed->store_failed_us > STORE_FAILED_US);
+}
+
+uint64_t
+GwFeed_BytesAfter(const GwFeed *feed, uint64_t version)
+{
+    return GwRowCache_BytesAfter(feed->cache, version);
+}
+
 uint16_t
 GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after,
               char **body)
@@ -483,6 +562,15 @@
            feed->conn != NULL && feed->retry_ms == RETRY_MIN_MS;
 }
 
+static bool
+is_peer_silent(const GwFeed *feed, int64_t now_us)
+{
+    int64_t heard_us = MAX(feed->peer_asked_us, GwConn_LastHeard(feed->peer));
+
+    return now_us - heard_us > PEER_ANSWER_MS * 1000 ||
+           now_us - feed->peer_asked_us > PEER_WHOLE_MS * 1000;
+}
+
 void
 GwFeed_Sweep(GwFeed *feed, int64_t now_us)
 {
@@ -501,8 +589,8 @@
         GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=silent", feed->table);
         back_off(feed);
     }
-    if (feed->peer != NULL &&
-        now_us - feed->peer_asked_us > PEER_ANSWER_MS * 1000) {
+    if (feed->peer != NULL && is_peer_silent(feed, now_us)) {
         GwConn_CloseAt(&feed->peer);
+        note_store_failed(feed);
     }
 }
--- a/lib/edge/fetch.c
+++ b/lib/edge/fetch.c
@@ -1,6 +1,5 @@
 /* Rows that this entry lacks and a peer has: when they are fetched, and from
  * whom (news.h says why not from anybody at once). */
-#include "edge/news.h"
 #include "edge/peers_internal.h"
 
 #include <string.h>
@@ -12,21 +11,21 @@
 {
     const GwRouterParams *own = &peers->edge->settings->router;
     bool near = strcmp(teller->domain, own->domain) == 0;
-    uint64_t own_rank = GwPeers_Rank(own->name);
-    uint64_t teller_rank = GwPeers_Rank(teller->name);
+    GwNewsEntry self = GwPeers_Own(peers);
+    GwNewsEntry told = GwPeerEntry_AsNews(teller);
     GwNewsSight sight = {
         .domain_size = 1,
-        .teller = near ? own_rank > teller_rank : GW_NEWS_OUTSIDE,
+        .teller = near ? GwNews_IsBefore(&self, &told) : GW_NEWS_OUTSIDE,
         .waited_us = GwEdge_Now() - peers->behind_since_us,
     };
     GwPeerScan scan = GwPeers_Scan(peers, NULL, own->domain);
     const GwPeerEntry *peer;
 
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        uint64_t rank = GwPeers_Rank(peer->name);
+        GwNewsEntry other = GwPeerEntry_AsNews(peer);
         sight.domain_size++;
-        sight.own += rank > own_rank;
-        sight.teller += near && rank > teller_rank;
+        sight.own += GwNews_IsBefore(&other, &self);
+        sight.teller += near && GwNews_IsBefore(&other, &told);
     }
     return sight;
 }
@@ -40,6 +39,21 @@
            peer->server_version > GwFeed_Version(edge->server_feed);
 }
 
+/* Whether the operators' rows that the peer has and this entry lacks are read
+ * from the store instead. */
+static bool
+is_for_store(const GwPeers *peers, const GwPeerEntry *peer)
+{
+    uint32_t own_kbps = peers->edge->settings->link_kbps;
+    GwNewsSize size = {
+        .bytes = peer->news_bytes,
+        .link_kbps = MIN(own_kbps, peer->link_kbps),
+    };
+
+    return GwNews_IsLarge(&size) &&
+           GwFeed_MayAskStore(peers->edge->operator_feed);
+}
+
 /* The peer knows of rows that this entry lacks: fetches them from it, or
  * leaves that to another of the failure domain for a moment. */
 void
@@ -50,6 +64,9 @@
     if (!has_news(peers, peer)) {
         return;
     }
+    if (is_for_store(peers, peer)) {
+        GwFeed_AskStore(edge->operator_feed, peer->operator_version);
+    }
     if (!peers->behind) {
         peers->behind = true;
         peers->behind_since_us = GwEdge_Now();
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -3,6 +3,7 @@
 #define GW_EDGE_PEERS_INTERNAL_H
 
 #include "edge/edge_internal.h"
+#include "edge/news.h"
 
 /* Addresses in an answer of the directory, and told to a new entry. */
 #define GW_KNOWN_MAX 64
@@ -30,6 +31,9 @@
     int64_t added_us;
     uint64_t operator_version;
     uint64_t server_version;
+    uint32_t link_kbps; /* of its instance; 0: it has not said */
+    uint32_t cpu_milli;
+    uint32_t news_bytes;    /* of operators' rows that it has and we lack */
     GArray *backlog;        /* GwPlacement still to be told to it; or NULL */
     uint64_t backlog_start; /* of the process that it was made for */
 } GwPeerEntry;
@@ -93,8 +97,9 @@
 void GwPeers_AskDue(GwPeers *peers);
 
 /* readers.c */
-/* By which one of several entries is the first. */
-uint64_t GwPeers_Rank(const char *name);
+/* This entry, and a peer, in the order of GwNews_IsBefore. */
+GwNewsEntry GwPeers_Own(const GwPeers *peers);
+GwNewsEntry GwPeerEntry_AsNews(const GwPeerEntry *peer);
 /* Decides whether this entry reads the store. */
 void GwPeers_ChooseReader(GwPeers *peers, int64_t now_us);
 
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -3,8 +3,6 @@
  * learn from reports that there is news, and fetch it from a peer. */
 #include "edge/peers_internal.h"
 
-#include "router/router_internal.h"
-
 #include <string.h>
 
 /* With fewer others that read, every entry reads: the store may have turned
@@ -18,10 +16,26 @@
 /* An entry that has just started reads for itself until it knows its peers. */
 #define START_US 3000000
 
-uint64_t
-GwPeers_Rank(const char *name)
+GwNewsEntry
+GwPeers_Own(const GwPeers *peers)
+{
+    const GwEdgeSettings *own = peers->edge->settings;
+
+    return (GwNewsEntry){
+        .name = own->router.name,
+        .link_kbps = own->link_kbps,
+        .cpu_milli = own->cpu_milli,
+    };
+}
+
+GwNewsEntry
+GwPeerEntry_AsNews(const GwPeerEntry *peer)
 {
-    return GwHash_Text(name, 1);
+    return (GwNewsEntry){
+        .name = peer->name,
+        .link_kbps = peer->link_kbps,
+        .cpu_milli = peer->cpu_milli,
+    };
 }
 
 static bool
@@ -37,7 +51,7 @@
 {
     GwEdge *edge = peers->edge;
     const GwRouterParams *own = &edge->settings->router;
-    uint64_t rank = GwPeers_Rank(own->name);
+    GwNewsEntry self = GwPeers_Own(peers);
     bool first = true;
     uint32_t others = 0;
     GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
@@ -45,8 +59,9 @@
 
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
         others += peer->reads && is_heard_lately(peer, now_us);
+        GwNewsEntry other = GwPeerEntry_AsNews(peer);
         if (strcmp(peer->region, own->region) == 0 &&
-            GwPeers_Rank(peer->name) > rank) {
+            GwNews_IsBefore(&other, &self)) {
             first = false;
         }
     }
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -98,6 +98,8 @@
     report->region = (char *)s->router.region;
     report->domain = (char *)s->router.domain;
     report->call_address = (char *)s->call_address;
+    report->link_kbps = s->link_kbps;
+    report->cpu_milli = s->cpu_milli;
 }
 
 static void
@@ -195,6 +197,9 @@
     report.next_ms = period_ms(peers, peer);
     report.operator_version = GwFeed_Version(edge->operator_feed);
     report.server_version = GwFeed_Version(edge->server_feed);
+    report.news_bytes = (uint32_t)MIN(
+        GwFeed_BytesAfter(edge->operator_feed, peer->operator_version),
+        UINT32_MAX);
     report.is_new = peers->live < 2;
     report.knows = g_hash_table_size(peers->by_address);
     if (!peer->heard || with_known || report.is_new ||
@@ -304,6 +309,8 @@
     replace_text(&peer->region, report->region);
     replace_text(&peer->domain, report->domain);
     replace_text(&peer->call_address, report->call_address);
+    peer->link_kbps = report->link_kbps;
+    peer->cpu_milli = report->cpu_milli;
 }
 
 static void
@@ -381,6 +388,7 @@
     peer->heard_us = GwEdge_Now();
     peer->operator_version = report->operator_version;
     peer->server_version = report->server_version;
+    peer->news_bytes = report->news_bytes;
 }
 
 static void
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -13,6 +13,11 @@
 #define ROW_GRACE_MS  2000
 #define ENTRIES_MAX   16
 #define MEMORY_MB     256
+/* Of an instance that says nothing of itself. */
+#define LINK_MBPS     1000.0
+#define CPU_SHARE     1.0
+#define LINK_MBPS_MAX 1000000.0
+#define CPU_SHARE_MAX 1024.0
 
 static bool
 read_text(const GwReadAt *at, const char *key, char *out, size_t size,
@@ -133,17 +138,34 @@
            GwRead_Address(at, key, out, error);
 }
 
+/* What the instance can carry. */
+static bool
+read_size(const GwReadAt *at, GwEdgeSettings *s, GError **error)
+{
+    static const GwReadBound memory = {
+        .min = 16, .max = 1 << 20, .optional = true};
+    double link_mbps = LINK_MBPS;
+    double cpu_share = CPU_SHARE;
+
+    if (!GwRead_U32(at, "memory_mb", &memory, &s->memory_mb, error) ||
+        !read_real(at, "link_mbps", LINK_MBPS_MAX, &link_mbps, error) ||
+        !read_real(at, "cpu_share", CPU_SHARE_MAX, &cpu_share, error)) {
+        return false;
+    }
+    s->link_kbps = (uint32_t)MAX(link_mbps * 1000, 1);
+    s->cpu_milli = (uint32_t)MAX(cpu_share * 1000, 1);
+    return true;
+}
+
 static bool
 read_bounds(const GwReadAt *at, GwEdgeSettings *s, GError **error)
 {
     static const GwReadBound extra = {.max = 1000000, .optional = true};
     static const GwReadBound entries = {
         .min = 1, .max = 100000, .optional = true};
-    static const GwReadBound memory = {
-        .min = 16, .max = 1 << 20, .optional = true};
     GwRouterParams *r = &s->router;
 
-    return GwRead_U32(at, "memory_mb", &memory, &s->memory_mb, error) &&
+    return read_size(at, s, error) &&
            read_real(at, "retry_ratio", 1.0, &r->retry_ratio, error) &&
            GwRead_U32(at, "retry_extra", &extra, &r->retry_extra, error) &&
            read_time(at, "retry_window", &r->retry_window_ms, error) &&
@@ -198,6 +220,8 @@
         "row_grace",
         "log_level",
         "memory_mb",
+        "link_mbps",
+        "cpu_share",
         NULL,
     };
     GwRouterParams *r = &s->router;
--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -17,6 +17,8 @@
     GPtrArray *seeds;    /* peer addresses to try before any is known */
     GHashTable *regions; /* failure domain -> region */
     uint32_t memory_mb;  /* that the process may take */
+    uint32_t link_kbps;  /* of this instance's link */
+    uint32_t cpu_milli;  /* thousandths of a core that it may use */
     uint32_t grace_ms;   /* from the signal to stop to the end */
     uint32_t lookup_ttl_ms;
     uint32_t row_grace_ms; /* rows that lapsed may come back for so long */
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -263,6 +263,26 @@
     cache->grace_us = grace_us;
 }
 
+uint64_t
+GwRowCache_BytesAfter(const GwRowCache *cache, uint64_t version)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint64_t bytes = 0;
+
+    if (version >= cache->version) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iter, cache->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwStoreRow *row = value;
+        if (row->version > version && !row->removed) {
+            bytes += strlen(row->value);
+        }
+    }
+    return bytes;
+}
+
 static gint
 compare_versions(gconstpointer a, gconstpointer b)
 {
--- a/lib/store/rows.h
+++ b/lib/store/rows.h
@@ -59,6 +59,8 @@
 /* Whether all removals above the version are known here; else who asks for
  * what is newer has to take the whole table (After 0, ApplyFull). */
 bool GwRowCache_KnowsAllAfter(const GwRowCache *cache, uint64_t version);
+/* Bytes of the values of rows above a version. */
+uint64_t GwRowCache_BytesAfter(const GwRowCache *cache, uint64_t version);
 /* Rows above a version, marks included, in order; for peers. */
 GwRowSet *GwRowCache_After(const GwRowCache *cache, uint64_t version);
 
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[20] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[23] =
 {
   {
     "name",
@@ -294,16 +294,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_kbps",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, link_kbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "news_bytes",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, news_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   5,   /* field[5] = call_address */
+  21,   /* field[21] = cpu_milli */
   4,   /* field[4] = domain */
   12,   /* field[12] = is_new */
   11,   /* field[11] = known */
   19,   /* field[19] = knows */
+  20,   /* field[20] = link_kbps */
   10,   /* field[10] = load_counts */
   9,   /* field[9] = load_servers */
   0,   /* field[0] = name */
+  22,   /* field[22] = news_bytes */
   16,   /* field[16] = next_ms */
   7,   /* field[7] = operator_version */
   13,   /* field[13] = placed_objects */
@@ -321,7 +360,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 20 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -331,7 +370,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  20,
+  23,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   2,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -91,10 +91,22 @@
    * so many of them, the first, ran there before
    */
   uint32_t placed_warm;
+  /*
+   * of the sender's link; told with its name
+   */
+  uint32_t link_kbps;
+  /*
+   * thousandths of a core that it may use; likewise
+   */
+  uint32_t cpu_milli;
+  /*
+   * the receiver lacks so much of the operators' rows
+   */
+  uint32_t news_bytes;
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Gw__Peer__Report methods */
--- a/standins/site.sh
+++ b/standins/site.sh
@@ -2,7 +2,8 @@
 # standins/demo_site.sh and tests/session/site_*.sh after lib.sh.
 
 site_entries=(e1 e2 e3)
-declare -A site_domain=([e1]=d1 [e2]=d2 [e3]=d1)
+declare -A site_domain=([e1]=d1 [e2]=d2 [e3]=d1 [e4]=d2 [e5]=d1)
+site_link_mbps=1000
 
 # Five ports an entry, from the tenth of the block.
 site_port() { # NAME OFFSET
@@ -19,7 +20,7 @@
   "control_address": "127.0.0.1:$(site_port "$1" 3)",
   "peer_address": "127.0.0.1:$(site_port "$1" 4)",
   "store_address": "127.0.0.1:$gw_base",
-  "regions": {"d1": "r1", "d2": "r1"},
+  "regions": {"d1": "r1", "d2": "r1"}, "link_mbps": $site_link_mbps,
   "retry_ratio": 0.2, "retry_extra": 60, "grace": "6s"
 }
 JSON
--- /dev/null
+++ b/tests/session/site_large_rows.sh
@@ -0,0 +1,34 @@
+#!/bin/bash
+# A configuration that would keep a small instance's link for seconds.
+#
+# Operators put a new version. Entries that don't poll the store learn from a
+# peer that it is there; read from that peer by all of them, it would be in
+# force on the last ones long after the others. They read it from the store
+# instead, and all five have it in the end; no request is cut or mixed up.
+# usage: site_large_rows.sh BUILD
+set -uo pipefail
+cd "$(dirname "$0")/../.." || exit 2
+. standins/lib.sh
+. standins/site.sh
+
+site_entries=(e1 e2 e3 e4 e5)
+site_link_mbps=0.01 # any row is large beside such a link
+site_begin "$1" --seconds 16 --callers 20 --new-config 10 || exit 1
+site_conclude
+rc=$?
+[ "$rc" -eq 0 ] || exit 1
+newest=0
+for name in "${site_entries[@]}"; do
+    version=$(sed -n 's/.*name=CONFIG_IN_FORCE version=\([0-9]*\).*/\1/p' \
+        "$gw_dir/$name.log" | tail -1)
+    [ "${version:-0}" -gt "$newest" ] && newest=$version
+    eval "in_force_$name=${version:-0}"
+done
+for name in "${site_entries[@]}"; do
+    at=in_force_$name
+    [ "${!at}" = "$newest" ] ||
+        gw_fail "$name has version ${!at}, others $newest" || exit 1
+done
+[ "$newest" -gt 1 ] || gw_fail "no new version came" || exit 1
+grep -q 'name=ROWS_TAKEN .*from=store' "$gw_dir"/e?.log ||
+    gw_fail "nobody read the rows from the store" || exit 1
