--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* The shortest period of reports. */
-#define TICK_MS 100
+#define TICK_MS GW_SUM_PERIOD_MIN_MS
 /* A peer that missed three reports and half of a fourth is silent, but not
  * sooner than this: links lose a datagram now and then. A silent one is in no
  * answer of the directory, and what it had in flight is forgotten. */
@@ -36,6 +36,9 @@
     g_free(peer->peer_address);
     g_free(peer->call_address);
     GwPeerEntry_DropBacklog(peer);
+    if (peer->loads != NULL) {
+        g_array_free(peer->loads, TRUE);
+    }
     g_free(peer);
 }
 
@@ -133,6 +136,7 @@
     }
     g_hash_table_foreach_remove(peers->by_address, is_forgotten, &now_us);
     GwPeers_SetPeriods(peers, now_us);
+    GwPeers_ChooseAggregators(peers, now_us);
     GwPeers_ChooseReader(peers, now_us);
     GwPeers_SweepJoin(peers, now_us);
 }
@@ -192,11 +196,14 @@
             continue;
         }
         view.live++;
-        if (strcmp(peer->region, peers->edge->settings->router.region) == 0) {
+        if (GwPeers_TellsLoads(peers, peer)) {
             view.loads_age_ms =
                 MAX(view.loads_age_ms, (now_us - peer->heard_us) / 1000);
         }
     }
+    if (peers->by_sums && !peers->aggregates) {
+        view.loads_age_ms = (now_us - peers->sums_heard_us) / 1000;
+    }
     return view;
 }
 
@@ -268,6 +275,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     peers->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
     peers->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+    peers->relayed_domain = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+    peers->relayed_region = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+    peers->sum = GwLoadSum_Create();
     peers->stretch = 1;
     /* A clock may be set back between two starts; names must not repeat. */
     (void)uv_random(NULL, NULL, &peers->start, sizeof(peers->start), 0, NULL);
@@ -305,5 +315,8 @@
     g_hash_table_destroy(peers->by_address);
     g_array_free(peers->loads, TRUE);
     g_array_free(peers->placements, TRUE);
+    g_array_free(peers->relayed_domain, TRUE);
+    g_array_free(peers->relayed_region, TRUE);
+    GwLoadSum_Free(peers->sum);
     g_free(peers);
 }
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -3,11 +3,20 @@
 #define GW_EDGE_PEERS_INTERNAL_H
 
 #include "edge/edge_internal.h"
+#include "edge/load_sum.h"
 #include "edge/news.h"
 
 /* Addresses in an answer of the directory, and told to a new entry. */
 #define GW_KNOWN_MAX 64
 
+/* Whose loads a report tells; numbers as on the wire. */
+typedef enum {
+    GW_LOADS_NONE = 0,
+    GW_LOADS_OWN = 1,
+    GW_LOADS_DOMAIN = 2, /* the sum of the sender's failure domain */
+    GW_LOADS_ALL = 3     /* the sum of all but the receiver */
+} GwLoadsTold;
+
 /* Another entry, as this one knows it. */
 typedef struct {
     char *name; /* "" until the first report: a seed */
@@ -26,15 +35,19 @@
     int64_t heard_us;
     uint32_t next_ms; /* its next report comes within */
     int64_t told_us;
-    uint32_t told; /* reports sent to it */
-    bool hurry;    /* the next report goes with the next tick */
+    uint32_t told;       /* reports sent to it */
+    uint32_t told_bytes; /* of the last one */
+    bool hurry;          /* the next report goes with the next tick */
     int64_t added_us;
     uint64_t operator_version;
     uint64_t server_version;
     uint32_t link_kbps; /* of its instance; 0: it has not said */
     uint32_t cpu_milli;
-    uint32_t news_bytes;    /* of operators' rows that it has and we lack */
-    GArray *backlog;        /* GwPlacement still to be told to it; or NULL */
+    uint32_t news_bytes; /* of operators' rows that it has and we lack */
+    bool is_first;       /* of its failure domain: it adds up loads */
+    GArray *loads;    /* GwPeerLoad that it told, its own or a sum; or NULL */
+    int64_t loads_us; /* when; 0: it tells none now */
+    GArray *backlog;  /* GwPlacement still to be told to it; or NULL */
     uint64_t backlog_start; /* of the process that it was made for */
 } GwPeerEntry;
 
@@ -61,6 +74,13 @@
     GwConn *join;
     GwJoinStep step;
     int64_t join_at_us;
+    bool by_sums;    /* loads are told by way of who adds them up, */
+    bool aggregates; /* and in this failure domain this entry does */
+    GwLoadSum *sum;  /* of all that told it, as of sum_us */
+    int64_t sum_us;
+    int64_t sums_heard_us;  /* from who adds up for this entry */
+    GArray *relayed_domain; /* GwPlacement to pass on, by where from */
+    GArray *relayed_region;
     GArray *loads;      /* reused */
     GArray *placements; /* reused */
 };
@@ -90,6 +110,35 @@
 void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
 bool GwPeers_ListenReports(GwPeers *peers);
 
+/* aggregate.c */
+/* Decides by whom loads are added up, for the peers that are there now. */
+void GwPeers_ChooseAggregators(GwPeers *peers, int64_t now_us);
+/* Whose loads the peer is to be told. */
+GwLoadsTold GwPeers_LoadsFor(const GwPeers *peers, const GwPeerEntry *peer);
+/* Whether this entry counts what the peer tells of loads. */
+bool GwPeers_TellsLoads(const GwPeers *peers, const GwPeerEntry *peer);
+/* What this failure domain has in flight: GwPeerLoad, in place of `out`. */
+void GwPeers_DomainLoads(GwPeers *peers, GArray *out);
+/* What all others than the peer have; until SumDone. */
+const GwLoadSum *GwPeers_SumFor(GwPeers *peers, const GwPeerEntry *peer);
+void GwPeers_SumDone(GwPeers *peers, const GwPeerEntry *peer);
+/* The peer told what it, or its failure domain, has in flight. */
+void GwPeers_NoteLoads(GwPeers *peers, GwPeerEntry *peer,
+                       const GwPeerLoad *loads, uint32_t count);
+
+/* places.c */
+bool GwPeers_IsNear(const GwPeers *peers, const GwPeerEntry *peer);
+/* What the next report tells the peer, in place of `out`: GwPlacement. Returns
+ * how many of them, the first, are known to be warm. */
+uint32_t GwPeers_PlacementsFor(GwPeers *peers, GwPeerEntry *peer,
+                               GwLoadsTold told, uint32_t period_ms,
+                               GArray *out);
+/* The peer told a new placement; who adds up loads passes it on. */
+void GwPeers_RelayPlacement(GwPeers *peers, const GwPeerEntry *from,
+                            const GwPlacement *placement);
+/* A new entry of the region is told once where objects are warm. */
+void GwPeers_MakeBacklog(GwPeers *peers, GwPeerEntry *peer);
+
 /* fetch.c */
 /* The peer has told its versions. */
 void GwPeers_AskForRows(GwPeers *peers, const GwPeerEntry *peer);
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -14,38 +14,33 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-/* Periods: with entries of the failure domain, of the region, and of others. */
-#define SAME_DOMAIN_MS 100
-#define SAME_REGION_MS 200
-#define FAR_MS         500
-/* Reports that an entry sends a second at most; 12 entries need 33. */
-#define REPORTS_PER_S 40.0
+/* Periods: with entries of the failure domain, of the region, and of others.
+ * Twice as often as 100, 200 and 500 ms brought 0.010, 0.005 and 0.000 of a
+ * day on three deployments of 9 to 12 entries (docs/STEERING.md). */
+#define SAME_DOMAIN_MS 50
+#define SAME_REGION_MS 100
+#define FAR_MS         250
+/* Reports that an entry sends a second at most; 12 entries need 72. Where
+ * loads go by sums, the others only tell that the sender is there. */
+#define REPORTS_PER_S 80.0
+#define SIGNS_PER_S   40.0
+/* With sums of loads: from who adds them up to those of other failure domains
+ * of the region, and of other regions, whose bytes are paid for. */
+#define SUM_REGION_MS GW_SUM_PERIOD_MIN_MS
+#define SUM_FAR_MS    500
 /* Every so many reports tell names and addresses. */
-#define IDENTITY_EVERY 8
-/* A placement is told in two reports, since one may be lost; and no longer
- * than this. */
-#define PLACEMENT_LIFE_US 30000000
-#define PLACEMENTS_MAX    128
-#define LOADS_MAX         256
-/* Of the places that a new entry of the region is told, a part a report. */
-#define BACKLOG_MAX      2000
-#define BACKLOG_PART     100
-#define REPORT_MAX_BYTES 8192
+#define IDENTITY_EVERY   8
+#define PLACEMENTS_MAX   400
+#define LOADS_MAX        GW_SUM_LOADS_MAX
+#define REPORT_MAX_BYTES 16384
 #define ADDRESS_MAX      32
 
 typedef Gw__Peer__Report Report;
 
-static bool
-is_near(const GwPeers *peers, const GwPeerEntry *peer)
-{
-    return peer->heard &&
-           strcmp(peer->region, peers->edge->settings->router.region) == 0;
-}
-
 static uint32_t
 base_period_ms(const GwPeers *peers, const GwPeerEntry *peer)
 {
-    if (!is_near(peers, peer)) {
+    if (!GwPeers_IsNear(peers, peer)) {
         return FAR_MS;
     }
     bool same =
@@ -53,10 +48,25 @@
     return same ? SAME_DOMAIN_MS : SAME_REGION_MS;
 }
 
+/* Who is told loads is told soon; the others only need to know that this entry
+ * is there. */
 static uint32_t
 period_ms(const GwPeers *peers, const GwPeerEntry *peer)
 {
-    return (uint32_t)(base_period_ms(peers, peer) * peers->stretch);
+    uint32_t stretched =
+        (uint32_t)(base_period_ms(peers, peer) * peers->stretch);
+
+    switch (GwPeers_LoadsFor(peers, peer)) {
+    case GW_LOADS_OWN:
+        return peers->by_sums ? GW_SUM_PERIOD_MIN_MS : stretched;
+    case GW_LOADS_ALL:
+        return GwLoadSum_PeriodMs(peer->told_bytes, peer->link_kbps);
+    case GW_LOADS_DOMAIN:
+        return GwPeers_IsNear(peers, peer) ? SUM_REGION_MS : SUM_FAR_MS;
+    case GW_LOADS_NONE:
+        break;
+    }
+    return stretched;
 }
 
 void
@@ -75,15 +85,23 @@
             per_s += 1000.0 / base_period_ms(peers, peer);
         }
     }
-    peers->stretch = MAX(1.0, per_s / REPORTS_PER_S);
+    peers->stretch =
+        MAX(1.0, per_s / (peers->by_sums ? SIGNS_PER_S : REPORTS_PER_S));
 }
 
 /* ---- Out ----------------------------------------------------------------- */
 
+typedef struct {
+    uint32_t count;
+    uint32_t servers[LOADS_MAX];
+    uint32_t counts[LOADS_MAX];
+} LoadArrays;
+
 /* Arrays that a report points into while it is packed. */
 typedef struct {
-    uint32_t load_servers[LOADS_MAX];
-    uint32_t load_counts[LOADS_MAX];
+    LoadArrays loads;
+    Gw__Peer__Sum sums[GW_SUM_REGIONS_MAX];
+    Gw__Peer__Sum *sum_list[GW_SUM_REGIONS_MAX];
     uint64_t placed_objects[PLACEMENTS_MAX];
     uint32_t placed_servers[PLACEMENTS_MAX];
     char *known[GW_KNOWN_MAX];
@@ -102,37 +120,68 @@
     report->cpu_milli = s->cpu_milli;
 }
 
-static void
-fill_loads(GwPeers *peers, Report *report, Arrays *arrays)
+/* Appends what fits; returns where it begins. */
+static uint32_t
+append_loads(LoadArrays *to, const GArray *loads)
 {
-    g_array_set_size(peers->loads, 0);
-    GwRouter_OwnLoads(peers->edge->router, peers->loads);
-    guint count = MIN(peers->loads->len, LOADS_MAX);
-    for (guint i = 0; i < count; i++) {
-        const GwPeerLoad *load = &g_array_index(peers->loads, GwPeerLoad, i);
-        arrays->load_servers[i] = load->server;
-        arrays->load_counts[i] = load->in_flight;
+    uint32_t first = to->count;
+
+    for (guint i = 0; i < loads->len && to->count < LOADS_MAX; i++) {
+        const GwPeerLoad *load = &g_array_index(loads, GwPeerLoad, i);
+        to->servers[to->count] = load->server;
+        to->counts[to->count++] = load->in_flight;
     }
-    report->load_servers = arrays->load_servers;
-    report->load_counts = arrays->load_counts;
-    report->n_load_servers = count;
-    report->n_load_counts = count;
+    return first;
 }
 
-/* Moves a part of what a new peer is still to be told into `out`. */
-static uint32_t
-take_backlog(GwPeerEntry *peer, GArray *out)
+static void
+fill_sums(GwPeers *peers, const GwPeerEntry *peer, Report *report,
+          Arrays *arrays)
 {
-    if (peer->backlog == NULL) {
-        return 0;
+    const GwLoadSum *sum = GwPeers_SumFor(peers, peer);
+
+    for (uint32_t i = 0; i < GwLoadSum_RegionCount(sum); i++) {
+        Gw__Peer__Sum *part = &arrays->sums[i];
+        gw__peer__sum__init(part);
+        g_array_set_size(peers->loads, 0);
+        GwLoadSum_Loads(sum, i, peers->loads);
+        uint32_t first = append_loads(&arrays->loads, peers->loads);
+        part->region = (char *)GwLoadSum_Region(sum, i);
+        part->servers = arrays->loads.servers + first;
+        part->counts = arrays->loads.counts + first;
+        part->n_servers = arrays->loads.count - first;
+        part->n_counts = part->n_servers;
+        arrays->sum_list[i] = part;
     }
-    guint count = MIN(peer->backlog->len, BACKLOG_PART);
-    g_array_append_vals(out, peer->backlog->data, count);
-    g_array_remove_range(peer->backlog, 0, count);
-    if (peer->backlog->len == 0) {
-        GwPeerEntry_DropBacklog(peer);
+    report->sums = arrays->sum_list;
+    report->n_sums = GwLoadSum_RegionCount(sum);
+    GwPeers_SumDone(peers, peer);
+}
+
+static void
+fill_loads(GwPeers *peers, const GwPeerEntry *peer, Report *report,
+           Arrays *arrays)
+{
+    arrays->loads.count = 0;
+    switch ((GwLoadsTold)report->loads_of) {
+    case GW_LOADS_NONE:
+        return;
+    case GW_LOADS_ALL:
+        fill_sums(peers, peer, report, arrays);
+        return;
+    case GW_LOADS_DOMAIN:
+        GwPeers_DomainLoads(peers, peers->loads);
+        break;
+    case GW_LOADS_OWN:
+        g_array_set_size(peers->loads, 0);
+        GwRouter_OwnLoads(peers->edge->router, peers->loads);
+        break;
     }
-    return count;
+    (void)append_loads(&arrays->loads, peers->loads);
+    report->load_servers = arrays->loads.servers;
+    report->load_counts = arrays->loads.counts;
+    report->n_load_servers = arrays->loads.count;
+    report->n_load_counts = arrays->loads.count;
 }
 
 /* Entries of the region learn where objects went: all that is newer than the
@@ -141,15 +190,9 @@
 fill_placements(GwPeers *peers, GwPeerEntry *peer, Report *report,
                 Arrays *arrays)
 {
-    int64_t now_us = GwEdge_Now();
-    int64_t age_us =
-        now_us - peer->told_us + (int64_t)period_ms(peers, peer) * 1000;
-
-    g_array_set_size(peers->placements, 0);
-    report->placed_warm = take_backlog(peer, peers->placements);
-    GwRouter_OwnPlacements(peers->edge->router, now_us,
-                           MIN(age_us, PLACEMENT_LIFE_US), PLACEMENT_LIFE_US,
-                           peers->placements);
+    report->placed_warm =
+        GwPeers_PlacementsFor(peers, peer, (GwLoadsTold)report->loads_of,
+                              report->next_ms, peers->placements);
     guint count = MIN(peers->placements->len, PLACEMENTS_MAX);
     for (guint i = 0; i < count; i++) {
         const GwPlacement *p =
@@ -195,6 +238,7 @@
                    GwFeed_IsHealthy(edge->server_feed);
     report.store_was_away = GwFeed_WasAway(edge->server_feed, GwEdge_Now());
     report.next_ms = period_ms(peers, peer);
+    report.loads_of = GwPeers_LoadsFor(peers, peer);
     report.operator_version = GwFeed_Version(edge->operator_feed);
     report.server_version = GwFeed_Version(edge->server_feed);
     report.news_bytes = (uint32_t)MIN(
@@ -206,10 +250,8 @@
         peer->told++ % IDENTITY_EVERY == 0) {
         fill_identity(peers, &report);
     }
-    fill_loads(peers, &report, &arrays);
-    if (is_near(peers, peer)) {
-        fill_placements(peers, peer, &report, &arrays);
-    }
+    fill_loads(peers, peer, &report, &arrays);
+    fill_placements(peers, peer, &report, &arrays);
     if (with_known) {
         fill_known(peers, &report, &arrays);
     }
@@ -218,6 +260,7 @@
         uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
         edge->counts.reports++;
         edge->counts.report_bytes += len;
+        peer->told_bytes = (uint32_t)len;
         (void)uv_udp_try_send(&peers->udp, &buf, 1,
                               (const struct sockaddr *)&peer->to);
     }
@@ -265,7 +308,7 @@
     g_hash_table_iter_init(&iter, peers->by_address);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         GwPeerEntry *peer = value;
-        if (is_near(peers, peer)) {
+        if (GwPeers_IsNear(peers, peer)) {
             peer->hurry = true;
         }
     }
@@ -313,63 +356,70 @@
     peer->cpu_milli = report->cpu_milli;
 }
 
+static uint32_t
+read_loads(const uint32_t *servers, size_t n_servers, const uint32_t *counts,
+           size_t n_counts, GwPeerLoad *out)
+{
+    size_t count = MIN(MIN(n_servers, n_counts), LOADS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        out[i] = (GwPeerLoad){servers[i], counts[i]};
+    }
+    return (uint32_t)count;
+}
+
+/* Loads that come both by themselves and within a sum would count twice: who
+ * is told sums counts nothing else. */
 static void
-tell_router(GwPeers *peers, const GwPeerEntry *peer, const Report *report)
+take_loads(GwPeers *peers, GwPeerEntry *peer, const Report *report)
 {
+    GwRouter *router = peers->edge->router;
     GwPeerLoad loads[LOADS_MAX];
-    size_t count = MIN(report->n_load_servers, report->n_load_counts);
-    size_t placed = MIN(report->n_placed_objects, report->n_placed_servers);
     GwPeerInfo info = {
         .name = peer->name,
         .region = peer->region,
         .serves = report->serves,
-        .load_count = (uint32_t)MIN(count, LOADS_MAX),
         .loads = loads,
     };
-
-    for (uint32_t i = 0; i < info.load_count; i++) {
-        loads[i] =
-            (GwPeerLoad){report->load_servers[i], report->load_counts[i]};
+    uint32_t count =
+        read_loads(report->load_servers, report->n_load_servers,
+                   report->load_counts, report->n_load_counts, loads);
+
+    peer->loads_us = 0;
+    if (report->loads_of == GW_LOADS_OWN ||
+        report->loads_of == GW_LOADS_DOMAIN) {
+        GwPeers_NoteLoads(peers, peer, loads, count);
     }
-    GwRouter_PutPeer(peers->edge->router, GwEdge_Now(), &info);
-    for (size_t i = 0; i < placed; i++) {
-        GwPlacement placement = {.object = report->placed_objects[i],
-                                 .server = report->placed_servers[i],
-                                 .warm = i < report->placed_warm};
-        GwRouter_PutPlacement(peers->edge->router, GwEdge_Now(), &placement);
+    info.load_count = peers->by_sums && !peers->aggregates ? 0 : count;
+    GwRouter_PutPeer(router, GwEdge_Now(), &info);
+    if (report->loads_of != GW_LOADS_ALL || !peers->by_sums ||
+        peers->aggregates) {
+        return;
     }
-}
-
-static bool
-is_introducer(const GwPeers *peers, const GwPeerEntry *newcomer)
-{
-    const GwRouterParams *own = &peers->edge->settings->router;
-    GPtrArray *others = g_ptr_array_new();
-    GwPeerScan scan = GwPeers_Scan(peers, own->region, NULL);
-    const GwPeerEntry *peer;
-
-    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        if (peer != newcomer) {
-            g_ptr_array_add(others, peer->name);
-        }
+    peers->sums_heard_us = GwEdge_Now();
+    GwRouter_DropSums(router, GwEdge_Now());
+    for (size_t i = 0; i < MIN(report->n_sums, GW_SUM_REGIONS_MAX); i++) {
+        const Gw__Peer__Sum *sum = report->sums[i];
+        count = read_loads(sum->servers, sum->n_servers, sum->counts,
+                           sum->n_counts, loads);
+        GwRouter_PutSum(router, GwEdge_Now(), sum->region, count, loads);
     }
-    bool is_one = GwIntroduce_TellsPlaces(own->name, newcomer->name, others);
-    g_ptr_array_free(others, TRUE);
-    return is_one;
 }
 
-/* A new entry of the region is told once where objects are warm. */
 static void
-make_backlog(GwPeers *peers, GwPeerEntry *peer)
+take_placements(GwPeers *peers, const GwPeerEntry *peer, const Report *report)
 {
-    if (!is_near(peers, peer) || peer->backlog_start == peer->start ||
-        !is_introducer(peers, peer)) {
-        return;
+    size_t placed = MIN(report->n_placed_objects, report->n_placed_servers);
+
+    for (size_t i = 0; i < placed; i++) {
+        GwPlacement placement = {.object = report->placed_objects[i],
+                                 .server = report->placed_servers[i],
+                                 .warm = i < report->placed_warm};
+        GwRouter_PutPlacement(peers->edge->router, GwEdge_Now(), &placement);
+        if (!placement.warm) {
+            GwPeers_RelayPlacement(peers, peer, &placement);
+        }
     }
-    GwPeerEntry_DropBacklog(peer);
-    peer->backlog_start = peer->start;
-    peer->backlog = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
-    GwRouter_WarmPlacements(peers->edge->router, BACKLOG_MAX, peer->backlog);
 }
 
 static void
@@ -410,13 +460,14 @@
                     peer->domain);
     }
     note(peer, report);
-    tell_router(peers, peer, report);
+    take_loads(peers, peer, report);
+    take_placements(peers, peer, report);
     for (size_t i = 0; i < report->n_known; i++) {
         (void)GwPeers_Add(peers, report->known[i]);
     }
     GwFeed_NotePeer(edge->server_feed, GwEdge_Now(), report->store_was_away);
     if (report->is_new) {
-        make_backlog(peers, peer);
+        GwPeers_MakeBacklog(peers, peer);
     }
     if (report->is_new || !was_live) {
         GwPeers_Tell(
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -71,6 +71,7 @@
     r->by_hash = g_hash_table_new(NULL, NULL);
     r->keys = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     r->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    r->sums = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     r->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     r->paths = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_path);
@@ -120,6 +121,7 @@
     g_hash_table_destroy(r->by_hash);
     g_hash_table_destroy(r->keys);
     g_hash_table_destroy(r->peers);
+    g_hash_table_destroy(r->sums);
     g_hash_table_destroy(r->evacuated);
     g_hash_table_destroy(r->paths);
     g_hash_table_destroy(r->routes);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -91,6 +91,12 @@
 } GwPeerInfo;
 
 void GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info);
+/* The same of many entries of a region, which another entry has added up; in
+ * place of the last such sum of that region. */
+void GwRouter_PutSum(GwRouter *r, int64_t now_us, const char *region,
+                     uint32_t load_count, const GwPeerLoad *loads);
+/* No sum is known any more, of any region. */
+void GwRouter_DropSums(GwRouter *r, int64_t now_us);
 void GwRouter_DropPeer(GwRouter *r, int64_t now_us, const char *name);
 /* This entry's own requests in flight, as it tells its peers: GwPeerLoad. */
 void GwRouter_OwnLoads(const GwRouter *r, GArray *out);
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -235,27 +235,63 @@
     }
 }
 
-void
-GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info)
+/* The one of that name, which is made where it is not there yet. */
+static GwPeer *
+peer_in(GHashTable *peers, const char *name, const char *region)
 {
-    GwPeer *peer = g_hash_table_lookup(r->peers, info->name);
+    GwPeer *peer = g_hash_table_lookup(peers, name);
 
     if (peer == NULL) {
         peer = g_new0(GwPeer, 1);
-        peer->name = g_strdup(info->name);
-        peer->region = g_strdup(info->region);
+        peer->name = g_strdup(name);
+        peer->region = g_strdup(region);
         peer->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
-        g_hash_table_insert(r->peers, peer->name, peer);
+        g_hash_table_insert(peers, peer->name, peer);
     }
-    peer->serves = info->serves;
+    return peer;
+}
+
+static void
+set_loads(GwRouter *r, int64_t now_us, GwPeer *peer, uint32_t count,
+          const GwPeerLoad *loads)
+{
     count_loads(r, now_us, peer, false);
     g_array_set_size(peer->loads, 0);
-    if (info->load_count > 0) {
-        g_array_append_vals(peer->loads, info->loads, info->load_count);
+    if (count > 0) {
+        g_array_append_vals(peer->loads, loads, count);
     }
     count_loads(r, now_us, peer, true);
 }
 
+void
+GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info)
+{
+    GwPeer *peer = peer_in(r->peers, info->name, info->region);
+
+    peer->serves = info->serves;
+    set_loads(r, now_us, peer, info->load_count, info->loads);
+}
+
+void
+GwRouter_PutSum(GwRouter *r, int64_t now_us, const char *region,
+                uint32_t load_count, const GwPeerLoad *loads)
+{
+    set_loads(r, now_us, peer_in(r->sums, region, region), load_count, loads);
+}
+
+void
+GwRouter_DropSums(GwRouter *r, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->sums);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count_loads(r, now_us, value, false);
+    }
+    g_hash_table_remove_all(r->sums);
+}
+
 void
 GwRouter_DropPeer(GwRouter *r, int64_t now_us, const char *name)
 {
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "peer.pb-c.h"
+void   gw__peer__sum__init
+                     (Gw__Peer__Sum         *message)
+{
+  static const Gw__Peer__Sum init_value = GW__PEER__SUM__INIT;
+  *message = init_value;
+}
+size_t gw__peer__sum__get_packed_size
+                     (const Gw__Peer__Sum *message)
+{
+  assert(message->base.descriptor == &gw__peer__sum__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__peer__sum__pack
+                     (const Gw__Peer__Sum *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__peer__sum__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__peer__sum__pack_to_buffer
+                     (const Gw__Peer__Sum *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__peer__sum__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Peer__Sum *
+       gw__peer__sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Peer__Sum *)
+     protobuf_c_message_unpack (&gw__peer__sum__descriptor,
+                                allocator, len, data);
+}
+void   gw__peer__sum__free_unpacked
+                     (Gw__Peer__Sum *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__peer__sum__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__peer__report__init
                      (Gw__Peer__Report         *message)
 {
@@ -52,7 +97,71 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[23] =
+static const ProtobufCFieldDescriptor gw__peer__sum__field_descriptors[3] =
+{
+  {
+    "region",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Sum, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Gw__Peer__Sum, n_servers),
+    offsetof(Gw__Peer__Sum, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gw__Peer__Sum, n_counts),
+    offsetof(Gw__Peer__Sum, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__peer__sum__field_indices_by_name[] = {
+  2,   /* field[2] = counts */
+  0,   /* field[0] = region */
+  1,   /* field[1] = servers */
+};
+static const ProtobufCIntRange gw__peer__sum__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__peer__sum__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.peer.Sum",
+  "Sum",
+  "Gw__Peer__Sum",
+  "gw.peer",
+  sizeof(Gw__Peer__Sum),
+  3,
+  gw__peer__sum__field_descriptors,
+  gw__peer__sum__field_indices_by_name,
+  1,  gw__peer__sum__number_ranges,
+  (ProtobufCMessageInit) gw__peer__sum__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[25] =
 {
   {
     "name",
@@ -330,6 +439,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sums",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Peer__Report, n_sums),
+    offsetof(Gw__Peer__Report, sums),
+    &gw__peer__sum__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads_of",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, loads_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   5,   /* field[5] = call_address */
@@ -341,6 +474,7 @@
   20,   /* field[20] = link_kbps */
   10,   /* field[10] = load_counts */
   9,   /* field[9] = load_servers */
+  24,   /* field[24] = loads_of */
   0,   /* field[0] = name */
   22,   /* field[22] = news_bytes */
   16,   /* field[16] = next_ms */
@@ -355,12 +489,13 @@
   6,   /* field[6] = serves */
   1,   /* field[1] = start */
   18,   /* field[18] = store_was_away */
+  23,   /* field[23] = sums */
 };
 static const ProtobufCIntRange gw__peer__report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -370,7 +505,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  23,
+  25,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   2,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Gw__Peer__Sum Gw__Peer__Sum;
 typedef struct Gw__Peer__Report Gw__Peer__Report;
 
 
@@ -23,6 +24,23 @@
 
 /* --- messages --- */
 
+/*
+ * What entries of one region have in flight together, less the receiver's own.
+ */
+struct  Gw__Peer__Sum
+{
+  ProtobufCMessage base;
+  char *region;
+  size_t n_servers;
+  uint32_t *servers;
+  size_t n_counts;
+  uint32_t *counts;
+};
+#define GW__PEER__SUM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__peer__sum__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
 struct  Gw__Peer__Report
 {
   ProtobufCMessage base;
@@ -99,6 +117,18 @@
    * thousandths of a core that it may use; likewise
    */
   uint32_t cpu_milli;
+  /*
+   * of all others, from who adds them up
+   */
+  size_t n_sums;
+  Gw__Peer__Sum **sums;
+  /*
+   * whose loads: 0 none, 1 the sender's, 2 the sum
+   */
+  uint32_t loads_of;
+  /*
+   * of its failure domain, 3 of all others (sums)
+   */
   /*
    * the receiver lacks so much of the operators' rows
    */
@@ -106,9 +136,28 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
+/* Gw__Peer__Sum methods */
+void   gw__peer__sum__init
+                     (Gw__Peer__Sum         *message);
+size_t gw__peer__sum__get_packed_size
+                     (const Gw__Peer__Sum   *message);
+size_t gw__peer__sum__pack
+                     (const Gw__Peer__Sum   *message,
+                      uint8_t             *out);
+size_t gw__peer__sum__pack_to_buffer
+                     (const Gw__Peer__Sum   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Peer__Sum *
+       gw__peer__sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__peer__sum__free_unpacked
+                     (Gw__Peer__Sum *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Peer__Report methods */
 void   gw__peer__report__init
                      (Gw__Peer__Report         *message);
@@ -130,6 +179,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Gw__Peer__Sum_Closure)
+                 (const Gw__Peer__Sum *message,
+                  void *closure_data);
 typedef void (*Gw__Peer__Report_Closure)
                  (const Gw__Peer__Report *message,
                   void *closure_data);
@@ -139,6 +191,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor gw__peer__sum__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/tests/unit/test_aggregate.c
@@ -0,0 +1,214 @@
+/* Who adds up loads, seen by each of many entries for itself. No sockets: the
+ * peers are put into the tables by hand. */
+#include "edge/peers_internal.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define ENTRIES 66
+#define DOMAINS 6
+
+typedef struct {
+    GwEdge edge;
+    GwEdgeSettings settings;
+    GwPeers peers;
+} View;
+
+static const char *
+domain_of(uint32_t i)
+{
+    static const char *const names[] = {"d0", "d1", "d2", "d3", "d4", "d5"};
+
+    return names[i % DOMAINS];
+}
+
+static const char *
+region_of(uint32_t i)
+{
+    static const char *const names[] = {"r0", "r1", "r2"};
+
+    return names[i % DOMAINS / 2];
+}
+
+/* Two of each failure domain are large. */
+static uint32_t
+link_of(uint32_t i)
+{
+    return i / DOMAINS >= 9 ? 200000 : 10000;
+}
+
+static GwPeerEntry *
+add_peer(View *view, uint32_t i)
+{
+    GwPeerEntry *peer = g_new0(GwPeerEntry, 1);
+
+    *peer = (GwPeerEntry){
+        .name = g_strdup_printf("e%u", i),
+        .region = g_strdup(region_of(i)),
+        .domain = g_strdup(domain_of(i)),
+        .peer_address = g_strdup_printf("10.0.0.%u:1", i),
+        .link_kbps = link_of(i),
+        .cpu_milli = 100,
+        .serves = true,
+        .heard = true,
+        .heard_us = GwEdge_Now(),
+        .next_ms = 60000, /* however slow the machine of this test is */
+    };
+    g_hash_table_insert(view->peers.by_address, peer->peer_address, peer);
+    return peer;
+}
+
+static View *
+create_view(uint32_t own)
+{
+    View *view = g_new0(View, 1);
+    GwRouterParams *params = &view->settings.router;
+
+    g_snprintf(params->name, sizeof(params->name), "e%u", own);
+    g_strlcpy(params->region, region_of(own), sizeof(params->region));
+    g_strlcpy(params->domain, domain_of(own), sizeof(params->domain));
+    view->settings.link_kbps = link_of(own);
+    view->settings.cpu_milli = 100;
+    view->edge.settings = &view->settings;
+    view->edge.router = GwRouter_Create(params, GwEdge_Now());
+    view->peers.edge = &view->edge;
+    view->peers.by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    view->peers.loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+    view->peers.sum = GwLoadSum_Create();
+    view->peers.stretch = 3;
+    for (uint32_t i = 0; i < ENTRIES; i++) {
+        if (i != own) {
+            (void)add_peer(view, i);
+        }
+    }
+    return view;
+}
+
+static GwPeerEntry *
+peer_named(View *view, uint32_t i)
+{
+    char address[32];
+
+    g_snprintf(address, sizeof(address), "10.0.0.%u:1", i);
+    return g_hash_table_lookup(view->peers.by_address, address);
+}
+
+/* To how many peers it tells which loads. */
+static uint32_t
+count_told(View *view, GwLoadsTold told)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&iter, view->peers.by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += GwPeers_LoadsFor(&view->peers, value) == told;
+    }
+    return count;
+}
+
+/* Each of 66 entries decides for itself, and they agree: one in each failure
+ * domain adds up, a large one; all others of it tell that one and nobody else. */
+Test(aggregate, all_agree_on_one_large_entry_a_domain)
+{
+    View *views[ENTRIES];
+    uint32_t by_domain[DOMAINS] = {0};
+
+    for (uint32_t i = 0; i < ENTRIES; i++) {
+        views[i] = create_view(i);
+        GwPeers_ChooseAggregators(&views[i]->peers, GwEdge_Now());
+        if (views[i]->peers.aggregates) {
+            by_domain[i % DOMAINS]++;
+            cr_expect_eq(link_of(i), 200000, "entry %u", i);
+        }
+    }
+    for (uint32_t i = 0; i < ENTRIES; i++) {
+        View *view = views[i];
+        if (view->peers.aggregates) {
+            cr_expect_eq(count_told(view, GW_LOADS_DOMAIN), DOMAINS - 1);
+            cr_expect_eq(count_told(view, GW_LOADS_OWN), 0);
+            continue;
+        }
+        cr_expect_eq(count_told(view, GW_LOADS_OWN), 1);
+        cr_expect_eq(count_told(view, GW_LOADS_NONE), ENTRIES - 2);
+        for (uint32_t k = 0; k < ENTRIES; k++) {
+            if (k != i &&
+                GwPeers_LoadsFor(&view->peers, peer_named(view, k)) ==
+                    GW_LOADS_OWN) {
+                cr_expect(views[k]->peers.aggregates, "%u tells %u", i, k);
+            }
+        }
+    }
+    for (uint32_t d = 0; d < DOMAINS; d++) {
+        cr_expect_eq(by_domain[d], 1, "domain %u", d);
+    }
+}
+
+/* The one that adds up loses power. The others are blind to each other's load
+ * until they tell another one: within 0.7 s, not when it counts as dead. */
+Test(aggregate, another_takes_over_soon)
+{
+    View *view = create_view(0);
+    GwPeerEntry *first = NULL;
+
+    GwPeers_ChooseAggregators(&view->peers, GwEdge_Now());
+    for (uint32_t i = 1; i < ENTRIES; i++) {
+        GwPeerEntry *peer = peer_named(view, i);
+        if (GwPeers_LoadsFor(&view->peers, peer) == GW_LOADS_OWN) {
+            first = peer;
+        }
+    }
+    cr_assert_not_null(first);
+    first->next_ms = GW_SUM_PERIOD_MIN_MS;
+    first->heard_us -= 700000;
+    GwPeers_ChooseAggregators(&view->peers, GwEdge_Now());
+    cr_expect_eq(GwPeers_LoadsFor(&view->peers, first), GW_LOADS_NONE);
+    cr_expect_eq(count_told(view, GW_LOADS_OWN), 1, "another one");
+    cr_expect(GwPeerEntry_IsLive(first, GwEdge_Now()),
+              "it counts as live yet");
+}
+
+/* The sum for one entry holds what all others told, by region, and not what
+ * that entry told; what was told long ago does not count. */
+Test(aggregate, the_sum_is_of_all_others)
+{
+    uint32_t self = 0;
+    View *view = create_view(0);
+
+    while (GwPeers_ChooseAggregators(&view->peers, GwEdge_Now()),
+           !view->peers.aggregates) {
+        view = create_view(++self);
+    }
+    GwPeerEntry *near = peer_named(view, (self + DOMAINS) % ENTRIES);
+    GwPeerEntry *other = peer_named(view, (self + 2 * DOMAINS) % ENTRIES);
+    GwPeerEntry *far = peer_named(view, (self + 2) % ENTRIES);
+    GwPeerEntry *old = peer_named(view, (self + 3 * DOMAINS) % ENTRIES);
+    const GwPeerLoad load = {7, 1};
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+
+    GwPeers_NoteLoads(&view->peers, near, &load, 1);
+    GwPeers_NoteLoads(&view->peers, other, &load, 1);
+    GwPeers_NoteLoads(&view->peers, far, &load, 1);
+    GwPeers_NoteLoads(&view->peers, old, &load, 1);
+    near->loads_us += 60000000;
+    other->loads_us += 60000000;
+    far->loads_us += 60000000;
+    old->loads_us -= 3000000;
+    cr_expect_eq(GwPeers_LoadsFor(&view->peers, near), GW_LOADS_ALL);
+    cr_expect_eq(GwPeers_LoadsFor(&view->peers, old), GW_LOADS_NONE);
+    const GwLoadSum *sum = GwPeers_SumFor(&view->peers, near);
+    for (uint32_t i = 0; i < GwLoadSum_RegionCount(sum); i++) {
+        g_array_set_size(out, 0);
+        GwLoadSum_Loads(sum, i, out);
+        cr_expect_eq(out->len, 1, "region %s", GwLoadSum_Region(sum, i));
+        cr_expect_eq(g_array_index(out, GwPeerLoad, 0).in_flight, 1);
+    }
+    cr_expect_eq(GwLoadSum_RegionCount(sum), 2);
+    GwPeers_SumDone(&view->peers, near);
+    GwPeers_DomainLoads(&view->peers, out);
+    cr_assert_eq(out->len, 1);
+    cr_expect_eq(g_array_index(out, GwPeerLoad, 0).in_flight, 2,
+                 "of this domain: near and other");
+    g_array_free(out, TRUE);
+}
--- /dev/null
+++ b/tests/unit/test_load_sum.c
@@ -0,0 +1,117 @@
+#include "edge/load_sum.h"
+
+#include <criterion/criterion.h>
+
+static GArray *
+loads_of(const GwPeerLoad *loads, guint count)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+
+    g_array_append_vals(out, loads, count);
+    return out;
+}
+
+static uint32_t
+in_flight(const GwLoadSum *sum, const char *region, uint32_t server)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+    uint32_t found = 0;
+
+    for (uint32_t i = 0; i < GwLoadSum_RegionCount(sum); i++) {
+        g_array_set_size(out, 0);
+        GwLoadSum_Loads(sum, i, out);
+        for (guint k = 0; k < out->len; k++) {
+            const GwPeerLoad *load = &g_array_index(out, GwPeerLoad, k);
+            if (load->server == server &&
+                g_str_equal(GwLoadSum_Region(sum, i), region)) {
+                found += load->in_flight;
+            }
+        }
+    }
+    g_array_free(out, TRUE);
+    return found;
+}
+
+/* What one entry had in flight is taken off the sum that it is told: else each
+ * would count its own requests twice and find servers full that are not. */
+Test(load_sum, who_is_told_is_left_out)
+{
+    const GwPeerLoad a[] = {{1, 2}, {2, 1}};
+    const GwPeerLoad b[] = {{1, 3}, {9, 4}};
+    GArray *la = loads_of(a, 2);
+    GArray *lb = loads_of(b, 2);
+    GwLoadSum *sum = GwLoadSum_Create();
+
+    GwLoadSum_Add(sum, "r1", la);
+    GwLoadSum_Add(sum, "r1", lb);
+    GwLoadSum_Add(sum, "r2", lb);
+    static const struct {
+        const char *region;
+        uint32_t server;
+        uint32_t all;
+        uint32_t without_a;
+    } cases[] = {
+        {"r1", 1, 5, 3}, {"r1", 2, 1, 0}, {"r1", 9, 4, 4},
+        {"r2", 1, 3, 3}, {"r2", 2, 0, 0}, {"r3", 1, 0, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cr_expect_eq(in_flight(sum, cases[i].region, cases[i].server),
+                     cases[i].all, "case %zu", i);
+    }
+    GwLoadSum_Less(sum, "r1", la);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cr_expect_eq(in_flight(sum, cases[i].region, cases[i].server),
+                     cases[i].without_a, "case %zu, without a", i);
+    }
+    GwLoadSum_Add(sum, "r1", la);
+    cr_expect_eq(in_flight(sum, "r1", 1), 5, "it is back for the next");
+    GwLoadSum_Free(sum);
+    g_array_free(la, TRUE);
+    g_array_free(lb, TRUE);
+}
+
+/* A report that came twice, or late, must not make a count wrap around. */
+Test(load_sum, counts_never_fall_below_zero)
+{
+    const GwPeerLoad a[] = {{1, 2}};
+    GArray *la = loads_of(a, 1);
+    GwLoadSum *sum = GwLoadSum_Create();
+
+    GwLoadSum_Less(sum, "r1", la);
+    cr_expect_eq(in_flight(sum, "r1", 1), 0);
+    GwLoadSum_Add(sum, "r1", la);
+    GwLoadSum_Less(sum, "r1", la);
+    GwLoadSum_Less(sum, "r1", la);
+    cr_expect_eq(in_flight(sum, "r1", 1), 0);
+    GwLoadSum_Free(sum);
+    g_array_free(la, TRUE);
+}
+
+/* Reports of loads leave a link to callers, whatever they have to say, and are
+ * not stretched without need: at 70 and 200 entries loads must be younger than
+ * the shortest work of the deployments known, 130 ms. */
+Test(load_sum, reports_take_a_bounded_part_of_the_link)
+{
+    static const struct {
+        uint32_t bytes;
+        uint32_t link_kbps;
+        uint32_t most_ms;
+    } cases[] = {
+        {100, 1000000, 50},   /* nothing to stretch for */
+        {2000, 10000, 60},    /* 300 servers, a small instance */
+        {3000, 20000, 60},    /* 500 servers, 20 Mbit/s */
+        {6000, 10000, 200},   /* 1000 servers */
+        {16000, 10000, 1000}, /* the largest report */
+        {2000, 0, 1000},      /* one that has not said what it has */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint32_t ms = GwLoadSum_PeriodMs(cases[i].bytes, cases[i].link_kbps);
+        double kbps = cases[i].bytes * 8.0 / ms;
+        cr_expect_leq(ms, cases[i].most_ms, "case %zu: %u", i, ms);
+        cr_expect_geq(ms, GW_SUM_PERIOD_MIN_MS);
+        if (cases[i].link_kbps > 0) {
+            cr_expect_leq(kbps, 0.05 * cases[i].link_kbps, "case %zu", i);
+        }
+    }
+}
