Find a route among thousands by an index

Cause: a version with 2,000 routes is looked through from end to end twice for each request: 5.9 us a time, 118 us of each request on a tenth of a core. Ruled out: reading such a version (262 KB) on the loop: 5.8 ms of a core, 58 ms on a tenth of one, once a version; that is left as it is. Change: hosts by name and, of a host with more than eight routes, routes by prefix; each part of the path that ends with a slash is looked up, the longest first. Where a prefix ends with no slash the host is searched as before. Test: route.many_routes_are_found_as_few_are, against a plain search.

--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 GwRouting *
 GwRouting_Create(uint32_t host_count, uint32_t service_count)
@@ -56,12 +55,14 @@
             free_route(&r->hosts[i].routes[j]);
         }
         g_free(r->hosts[i].routes);
+        g_free(r->hosts[i].by_prefix);
         g_free(r->hosts[i].host);
     }
     for (uint32_t i = 0; i < r->service_count; i++) {
         g_free(r->services[i].name);
     }
     g_free(r->hosts);
+    g_free(r->by_name);
     g_free(r->services);
     g_free(r);
 }
@@ -75,41 +76,166 @@
     return (la < lb) - (la > lb);
 }
 
+static int
+compare_prefixes(const void *a, const void *b)
+{
+    const GwRoute *ra = *(GwRoute *const *)a;
+    const GwRoute *rb = *(GwRoute *const *)b;
+
+    return strcmp(ra->prefix, rb->prefix);
+}
+
+static int
+compare_hosts(const void *a, const void *b)
+{
+    const GwRouteHost *ha = *(GwRouteHost *const *)a;
+    const GwRouteHost *hb = *(GwRouteHost *const *)b;
+
+    return g_ascii_strcasecmp(ha->host, hb->host);
+}
+
+static bool
+ends_with_slash(const char *prefix)
+{
+    size_t len = strlen(prefix);
+
+    return len > 0 && prefix[len - 1] == '/';
+}
+
+/* Few routes are found as fast one after the other. */
+#define INDEX_ABOVE 8
+
+static void
+index_routes(GwRouteHost *host)
+{
+    for (uint32_t i = 0; i < host->route_count; i++) {
+        if (!ends_with_slash(host->routes[i].prefix)) {
+            return;
+        }
+    }
+    if (host->route_count <= INDEX_ABOVE) {
+        return;
+    }
+    host->by_prefix = g_new0(GwRoute *, host->route_count);
+    for (uint32_t i = 0; i < host->route_count; i++) {
+        host->by_prefix[i] = &host->routes[i];
+    }
+    qsort(host->by_prefix, host->route_count, sizeof(GwRoute *),
+          compare_prefixes);
+}
+
 void
 GwRouting_Seal(GwRouting *r)
 {
+    r->by_name = g_new0(GwRouteHost *, r->host_count);
     for (uint32_t i = 0; i < r->host_count; i++) {
         GwRouteHost *host = &r->hosts[i];
         if (host->route_count > 1) {
             qsort(host->routes, host->route_count, sizeof(GwRoute),
                   compare_routes);
         }
+        index_routes(host);
+        r->by_name[i] = host;
+    }
+    if (r->host_count > 1) {
+        qsort(r->by_name, r->host_count, sizeof(GwRouteHost *), compare_hosts);
     }
 }
 
-const GwRoute *
-GwRouting_Match(const GwRouting *r, const char *host, const char *path)
+/* Text of a given length against one that ends: as strcmp. */
+static int
+compare_part(const char *part, size_t len, const char *whole)
 {
-    size_t host_len = strcspn(host, ":");
-    size_t path_len = strcspn(path, "?");
+    int order = strncmp(part, whole, len);
 
-    for (uint32_t i = 0; i < r->host_count; i++) {
-        const GwRouteHost *h = &r->hosts[i];
-        if (strlen(h->host) != host_len ||
-            strncasecmp(h->host, host, host_len) != 0) {
-            continue;
+    return order != 0 ? order : whole[len] == '\0' ? 0 : -1;
+}
+
+static const GwRoute *
+find_prefix(const GwRouteHost *host, const char *path, size_t len)
+{
+    uint32_t low = 0;
+    uint32_t high = host->route_count;
+
+    while (low < high) {
+        uint32_t mid = low + (high - low) / 2;
+        int order = compare_part(path, len, host->by_prefix[mid]->prefix);
+        if (order == 0) {
+            return host->by_prefix[mid];
+        }
+        if (order < 0) {
+            high = mid;
+        }
+        else {
+            low = mid + 1;
+        }
+    }
+    return NULL;
+}
+
+/* Each part of the path that ends with a slash, the longest first. */
+static const GwRoute *
+match_indexed(const GwRouteHost *host, const char *path, size_t path_len)
+{
+    for (size_t len = path_len; len > 0; len--) {
+        const GwRoute *route =
+            path[len - 1] == '/' ? find_prefix(host, path, len) : NULL;
+        if (route != NULL) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+static const GwRoute *
+match_each(const GwRouteHost *host, const char *path, size_t path_len)
+{
+    for (uint32_t i = 0; i < host->route_count; i++) {
+        size_t len = strlen(host->routes[i].prefix);
+        if (len <= path_len &&
+            strncmp(host->routes[i].prefix, path, len) == 0) {
+            return &host->routes[i];
         }
-        for (uint32_t j = 0; j < h->route_count; j++) {
-            size_t len = strlen(h->routes[j].prefix);
-            if (len <= path_len &&
-                strncmp(h->routes[j].prefix, path, len) == 0) {
-                return &h->routes[j];
-            }
+    }
+    return NULL;
+}
+
+static const GwRouteHost *
+find_host(const GwRouting *r, const char *name, size_t len)
+{
+    uint32_t low = 0;
+    uint32_t high = r->host_count;
+
+    while (low < high) {
+        uint32_t mid = low + (high - low) / 2;
+        const char *host = r->by_name[mid]->host;
+        int order = g_ascii_strncasecmp(name, host, len);
+        if (order == 0 && host[len] == '\0') {
+            return r->by_name[mid];
+        }
+        if (order <= 0) {
+            high = mid;
+        }
+        else {
+            low = mid + 1;
         }
     }
     return NULL;
 }
 
+const GwRoute *
+GwRouting_Match(const GwRouting *r, const char *host, const char *path)
+{
+    size_t path_len = strcspn(path, "?");
+    const GwRouteHost *h = find_host(r, host, strcspn(host, ":"));
+
+    if (h == NULL) {
+        return NULL;
+    }
+    return h->by_prefix != NULL ? match_indexed(h, path, path_len)
+                                : match_each(h, path, path_len);
+}
+
 const GwRouteService *
 GwRouting_Service(const GwRouting *r, const char *name)
 {
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -34,6 +34,9 @@
     char *host;
     uint32_t route_count;
     GwRoute *routes; /* longest prefix first */
+    /* The same by the prefix's text; NULL where a prefix ends with no slash,
+     * or where routes are few. */
+    GwRoute **by_prefix;
 } GwRouteHost;
 
 typedef struct {
@@ -56,6 +59,7 @@
     GwCallerLimits limits;
     uint32_t host_count;
     GwRouteHost *hosts;
+    GwRouteHost **by_name; /* the same by name, in any case; see Seal */
     uint32_t service_count;
     GwRouteService *services;
 } GwRouting;
@@ -68,7 +72,9 @@
 GwRouting *GwRouting_Create(uint32_t host_count, uint32_t service_count);
 GwRouting *GwRouting_Ref(GwRouting *r);
 void GwRouting_Unref(GwRouting *r);
-/* Sorts each host's routes; to be called once after filling in. */
+/* Sorts hosts and their routes; to be called once after filling in. A look-up
+ * among 2,000 routes takes 0.15 us then, against 5.9 us one after the other,
+ * and each request makes two (build/bench_route_match). */
 void GwRouting_Seal(GwRouting *r);
 /* The route of a request, or NULL. `host` may carry a port, `path` a query. */
 const GwRoute *GwRouting_Match(const GwRouting *r, const char *host,
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -1,6 +1,7 @@
 #include "route/route.h"
 
 #include <criterion/criterion.h>
+#include <string.h>
 
 static void
 add_route(GwRoute *route, const char *name, const char *prefix)
@@ -61,3 +62,54 @@
     }
     GwRouting_Unref(r);
 }
+
+/* Two thousand routes, and a request's path against each: found by the index
+ * as by looking at one after the other, whatever the path. */
+Test(route, many_routes_are_found_as_few_are)
+{
+    GwRouting *r = GwRouting_Create(3, 0);
+    uint32_t seed = 7;
+
+    for (uint32_t h = 0; h < 3; h++) {
+        GwRouteHost *host = &r->hosts[h];
+        host->host = g_strdup_printf("%c%u.example", 'C' - (int)h, h);
+        host->route_count = 700;
+        host->routes = g_new0(GwRoute, 700);
+        for (uint32_t i = 0; i < 700; i++) {
+            char *prefix = i % 3 == 0 ? g_strdup_printf("/r%u/", i)
+                           : i % 3 == 1
+                               ? g_strdup_printf("/r%u/x/", i - 1)
+                               : g_strdup_printf("/r%u/x/%u/", i - 2, i);
+            add_route(&host->routes[i], prefix, prefix);
+            g_free(prefix);
+        }
+    }
+    GwRouting_Seal(r);
+    for (uint32_t i = 0; i < 5000; i++) {
+        seed = seed * 1103515245 + 12345;
+        uint32_t n = seed / 65536 % 720;
+        char host[32];
+        char path[64];
+        g_snprintf(host, sizeof(host), "%c%u.EXAMPLE:80", 'c' - (int)(i % 3),
+                   i % 3);
+        g_snprintf(path, sizeof(path),
+                   i % 4 == 0   ? "/r%u/%u"
+                   : i % 4 == 1 ? "/r%u/x/%u/"
+                   : i % 4 == 2 ? "/r%u/x/%u/more?/r3/"
+                                : "/r%u%u",
+                   n, n + 2 - n % 3);
+        const GwRoute *found = GwRouting_Match(r, host, path);
+        const GwRoute *best = NULL;
+        const GwRouteHost *h = &r->hosts[i % 3];
+        for (uint32_t k = 0; k < h->route_count; k++) {
+            const char *prefix = h->routes[k].prefix;
+            size_t len = strlen(prefix);
+            if (len <= strcspn(path, "?") && strncmp(prefix, path, len) == 0 &&
+                (best == NULL || len > strlen(best->prefix))) {
+                best = &h->routes[k];
+            }
+        }
+        cr_assert_eq(found, best, "%s%s", host, path);
+    }
+    GwRouting_Unref(r);
+}
