Refused callers are told when a slot is expected to be free

Cause: every Retry-After was drawn from 250 to 750 ms, whatever was known of the queue: a promise of nothing. Change: where room is what lacks, the time until a slot is expected for this kind of request (at least 50 ms, at most 3 s), spread over as long again, as those before it take the first slots. Other refusals keep the old times. Test: router.refused_callers_are_told_when_a_slot_is_expected.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -129,6 +129,7 @@
 
 typedef struct {
     GwServer *server; /* NULL: there is none */
+    double wait_us;   /* until a slot is free for it */
     double est_us;
     double cost_us;
     bool is_free;
@@ -148,7 +149,7 @@
     if (GwServer_IsCold(s, look->now_us)) {
         work_us *= 2;
     }
-    Candidate c = {.server = s, .is_free = busy < limit};
+    Candidate c = {.server = s, .wait_us = wait, .is_free = busy < limit};
     c.est_us = s->path->rtt_us + wait + work_us * s->slow;
     c.cost_us = c.est_us + distance_us(s);
     return c;
@@ -182,6 +183,7 @@
             *first_run = true;
             double wait = c.est_us - req->state->warm_us;
             if (left > wait) {
+                c.wait_us = left;
                 c.est_us += left - wait;
                 c.cost_us += left - wait;
             }
@@ -293,6 +295,7 @@
         .ready = c->is_free,
         .in_time = c->server != NULL && is_in_time(look, c),
         .est_us = c->est_us,
+        .wait_us = c->wait_us,
     };
 }
 
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -16,6 +16,11 @@
 /* When refused callers come back: spread, so that they don't meet again. */
 #define COMEBACK_MIN_MS    250
 #define COMEBACK_SPREAD_MS 500
+/* Of those refused for lack of room, not sooner and not later than this: a
+ * forecast of a few ms is one of the moment, and no caller waits for longer
+ * than a third of its time. */
+#define ROOM_MIN_US 50000.0
+#define ROOM_MAX_US 3000000.0
 
 const char *
 GwWhy_Name(GwWhy why)
@@ -94,6 +99,17 @@
     return COMEBACK_MIN_MS + GwRng_Below(&r->rng, COMEBACK_SPREAD_MS);
 }
 
+/* When a slot is expected to be free for this kind of request. Those before it
+ * take the first slots, so callers are spread over as long again. */
+static uint32_t
+room_ms(GwRouter *r, const GwRequest *req)
+{
+    uint32_t ms =
+        (uint32_t)(CLAMP(req->room_us, ROOM_MIN_US, ROOM_MAX_US) / 1000);
+
+    return ms + GwRng_Below(&r->rng, ms);
+}
+
 /* Answers with a status of our own. 503 is a promise that the request has not
  * run and won't, so a request of which an attempt may have run gets 502, or
  * 504 when its time is over. */
@@ -114,7 +130,8 @@
 #endif
     else {
         out->status = 503;
-        out->retry_after_ms = GwRouter_ComebackMs(r);
+        out->retry_after_ms =
+            why == GW_WHY_NO_ROOM ? room_ms(r, req) : GwRouter_ComebackMs(r);
     }
     finish(r, req);
 }
@@ -176,6 +193,7 @@
 {
     GwChoice c = GwRouter_Choose(r, now_us, req);
     req->expected_us = now_us - req->arrived_us + (int64_t)c.est_us;
+    req->room_us = c.wait_us;
 
     if (c.server == NULL) {
         GwRouter_DriftRefused(r, now_us, c.wants_far);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -153,6 +153,7 @@
     GwServer *server; /* of the attempt under way, or NULL */
     int64_t sent_us;
     int64_t expected_us; /* its time, as of the last look for a server */
+    double room_us;      /* until a slot is free, as of the same look */
     bool sent_warm;
     bool sent_far;
     bool sent_alone; /* a slot was free then: its time is the work's */
@@ -233,6 +234,7 @@
     bool in_time;     /* its answer would be */
     bool wants_far;   /* the best server is in another region */
     double est_us;    /* until its answer */
+    double wait_us;   /* of it, until a slot is free */
 } GwChoice;
 
 GwChoice GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req);
@@ -263,7 +265,8 @@
 /* Entries that could be alive: what is bounded for all together is divided by
  * this. */
 uint32_t GwRouter_EntriesMax(const GwRouter *r);
-/* When a refused caller may come back; spread. */
+/* When a caller may come back that was refused though room is not what lacks;
+ * spread. */
 uint32_t GwRouter_ComebackMs(GwRouter *r);
 /* Frees the servers that nothing names any more; each step begins with it. */
 void GwRouter_FreeFreed(GwRouter *r, const GArray *actions);
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -229,6 +229,7 @@
     }
     if (act->kind == GW_DO_REPLY) {
         req->status = act->status;
+        req->retry_after_ms = act->retry_after_ms;
         if (act->status == 503 && (req->may_have_run || req->server)) {
             say(f, "refusal is true: 503 though it may have run", req);
         }
--- a/tests/unit/test_router_limits.c
+++ b/tests/unit/test_router_limits.c
@@ -20,6 +20,49 @@
     Steering_Finish(f);
 }
 
+/* Servers are full and callers are told when to come back. Told any time
+ * between 250 and 750 ms, they came while the work of 50 ms had long ended, or
+ * met a queue of seconds once more. They are told when a slot is expected, and
+ * spread over as long again, as those before them take the first slots. */
+Test(router, refused_callers_are_told_when_a_slot_is_expected)
+{
+    static const struct {
+        int64_t work_us;
+        uint32_t slots;
+    } cases[] = {{50000, 1}, {50000, 4}, {400000, 2}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = Steering_Start(2);
+        FakeSteering_Put(f, "a", "r1", "d1", cases[i].slots);
+        for (int k = 0; k < 150; k++) { /* learns what the work takes */
+            FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+            FakeSteering_Pass(f, cases[i].work_us);
+            FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        }
+        uint32_t least = UINT32_MAX;
+        uint32_t most = 0;
+        uint32_t told = 0;
+        for (int k = 0; k < 200; k++) {
+            FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+            if (req->status == 503) {
+                least = MIN(least, req->retry_after_ms);
+                most = MAX(most, req->retry_after_ms);
+                told++;
+            }
+        }
+        cr_assert_gt(told, 50, "case %zu", i);
+        /* What waits is kept until 1.5 objectives (600 ms), so a slot is free
+         * about then; each takes its work in turn. */
+        double slot_ms = cases[i].work_us / 1000.0 / cases[i].slots;
+        cr_expect_geq(least, 600 - cases[i].work_us / 1000 - 2 * slot_ms - 10,
+                      "case %zu: %u", i, least);
+        cr_expect_leq(most, 2 * 600 + 2 * slot_ms + 10, "case %zu: %u", i,
+                      most);
+        cr_expect_gt(most, least + least / 2, "case %zu: spread", i);
+        Steering_Finish(f);
+    }
+}
+
 static void
 run_short(FakeSteering *f)
 {
