What comes late in a stop is refused; the listener closes with nothing pending

Ruled out: closes that cut answers (those wait since before), idle connections that are closed (they are looked at for unread bytes first). Change: from half of the grace on, when a stopping entry takes no connection any more, what comes on kept ones gets 503 with when to come back and the connection is closed: it has not run, and another entry takes it. The listener is closed in the loop's check phase, when all that had come was accepted. Event 105 STOP_LISTENING, reason "leaving".

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 #   fuzz     short seeded run of every decoder         FUZZ_RUNS=20000
 #   bench    decisions and the caller's path, measured
 #   slopes   cost of control by number of nodes
+#   policies load shapes on virtual time, by the real steering core
 #   mutants  each safeguard broken in turn must fail its property
 #   install  DESTDIR=, PREFIX=
 
@@ -57,7 +58,7 @@
 FAKES    := $(O)/libfakes.a
 STANDLIB := $(O)/libstandin.a
 
-.PHONY: all deps demo demo-site target check check-long golden lint format fuzz bench slopes \
+.PHONY: all deps demo demo-site target check check-long golden lint format fuzz bench slopes policies \
         mutants install clean tests stress proto
 .SECONDARY:
 
@@ -151,6 +152,9 @@
 	$(O)/bench_router_cost
 	$(O)/bench_log_cost
 
+policies: $(O)/bench_policies
+	$(O)/bench_policies
+
 slopes: $(O)/bench_slopes
 	$(O)/bench_slopes
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -201,6 +201,21 @@
     GwPeers_Announce(edge->peers);
 }
 
+/* A connection that waits to be accepted is reset with its listener, and its
+ * caller has already sent a request: the listener is closed only right after
+ * the loop has accepted all that had come. */
+static void
+on_listened(uv_check_t *check)
+{
+    GwEdge *edge = check->data;
+
+    (void)uv_check_stop(check);
+    if (edge->call_listener != NULL) {
+        uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
+        edge->call_listener = NULL;
+    }
+}
+
 static void
 go_on_leaving(GwEdge *edge, int64_t now_us)
 {
@@ -210,9 +225,11 @@
     if ((double)gone_ms < grace * LISTEN_SHARE) {
         return;
     }
-    if (edge->call_listener != NULL) {
-        uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
-        edge->call_listener = NULL;
+    if (!edge->takes_nothing) {
+        edge->takes_nothing = true;
+        GwLog_Event(GW_LOG_STOP_LISTENING, "open=%u after_ms=%" PRId64,
+                    GwRouter_OpenCount(edge->router), gone_ms);
+        (void)uv_check_start(&edge->listened, on_listened);
     }
     GwCallers_CloseIdle(edge);
     if (g_queue_is_empty(&edge->callers) ||
@@ -268,6 +285,8 @@
     (void)uv_timer_init(&edge->loop, &edge->sweep);
     edge->sweep.data = edge;
     (void)uv_timer_start(&edge->sweep, on_sweep, 0, GW_SWEEP_MS);
+    (void)uv_check_init(&edge->loop, &edge->listened);
+    edge->listened.data = edge;
     (void)uv_signal_init(&edge->loop, &edge->term);
     edge->term.data = edge;
     (void)uv_signal_start(&edge->term, on_term, SIGTERM);
@@ -343,7 +362,7 @@
     uv_handle_t *const own[] = {
         (uv_handle_t *)&edge->deadline, (uv_handle_t *)&edge->sweep,
         (uv_handle_t *)&edge->term,     (uv_handle_t *)&edge->interrupt,
-        (uv_handle_t *)&edge->hangup,
+        (uv_handle_t *)&edge->hangup,   (uv_handle_t *)&edge->listened,
     };
 
     edge->carrying = true; /* nothing is begun any more */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -42,6 +42,7 @@
     uv_loop_t loop;
     uv_timer_t deadline; /* of the router */
     uv_timer_t sweep;
+    uv_check_t listened; /* runs when all that has come was accepted */
     uv_signal_t term;
     uv_signal_t interrupt;
     uv_signal_t hangup;
@@ -63,6 +64,7 @@
     bool servers_known; /* the registry has been read once */
     int64_t started_us;
     bool leaving;
+    bool takes_nothing; /* leaving, and what comes now is refused */
     int64_t leaving_us;
     int64_t armed_us; /* when the deadline timer fires */
     struct {
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -14,7 +14,7 @@
 #define HEARD_PERIODS 2.4
 #define HEARD_MIN_US  1200000
 /* An entry that has just started reads for itself until it knows its peers. */
-#define START_US 3000000
+#define START_US 1000000
 
 GwNewsEntry
 GwPeers_Own(const GwPeers *peers)
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -30,7 +30,7 @@
         [GW_WHY_NO_ROUTE] = "no-route", [GW_WHY_NO_SERVER] = "no-server",
         [GW_WHY_NO_ROOM] = "no-room",   [GW_WHY_NO_RETRY] = "no-retry",
         [GW_WHY_TIMEOUT] = "timeout",   [GW_WHY_TIME_UNSENT] = "time-unsent",
-        [GW_WHY_BROKEN] = "broken",
+        [GW_WHY_BROKEN] = "broken",     [GW_WHY_LEAVING] = "leaving",
     };
 
     return names[why];
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -205,6 +205,7 @@
     GW_WHY_TIMEOUT,     /* sent, and the time is over */
     GW_WHY_TIME_UNSENT, /* never sent, and the time is over */
     GW_WHY_BROKEN,      /* it may have run */
+    GW_WHY_LEAVING,     /* the entry stops, and takes nothing new */
     GW_WHY_COUNT
 } GwWhy;
 
--- a/standins/site.sh
+++ b/standins/site.sh
@@ -4,6 +4,8 @@
 site_entries=(e1 e2 e3)
 declare -A site_domain=([e1]=d1 [e2]=d2 [e3]=d1 [e4]=d2 [e5]=d1)
 site_link_mbps=1000
+site_grace=6s
+site_config=deploy/demo/config.json
 
 # Five ports an entry, from the tenth of the block.
 site_port() { # NAME OFFSET
@@ -21,7 +23,7 @@
   "peer_address": "127.0.0.1:$(site_port "$1" 4)",
   "store_address": "127.0.0.1:$gw_base",
   "regions": {"d1": "r1", "d2": "r1"}, "link_mbps": $site_link_mbps,
-  "retry_ratio": 0.2, "retry_extra": 60, "grace": "6s"
+  "retry_ratio": 0.2, "retry_extra": 60, "grace": "$site_grace"
 }
 JSON
 }
@@ -42,7 +44,7 @@
 site_start_world() {
     gw_start world "$gw_out"/standin_site --store "127.0.0.1:$gw_base" \
         --directories "$(site_directories)" --port $((gw_base + 100)) \
-        --config deploy/demo/config.json --server deploy/demo/server.json \
+        --config "$site_config" --server deploy/demo/server.json \
         "$@"
 }
 
