Remove the wait for a first run and the pull of objects nearer

The wait lost what it was made for: at 67 entries first runs are rarely known in time, and who waits for a cold run is late anyway. Pull counts requests of one entry in a row, which at 67 entries never reach four. Change: both go, with their constants, fields and the exception for hanging first runs (85 lines). A request beside a first run goes to that server.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -34,13 +34,6 @@
 #define BUSY_US   150000.0
 /* A further place is made where the server was less busy than this lately. */
 #define IDLE_BELOW 0.35
-/* After so many requests in a row that left the failure domain for an object,
- * it gets a place nearer, where a server is idle enough. */
-#define PULL_AFTER      4
-#define PULL_IDLE_BELOW 0.5
-/* Objects that an entry may move to its region in a second: all its entries
- * together must not move more than a part of the region's traffic at once. */
-#define PULL_PER_S 0.7
 
 static bool
 was_tried(const GwRequest *req, const GwServer *s)
@@ -82,7 +75,6 @@
     GwRequest *req;
     int64_t now_us;
     bool panic;
-    const GwServer *than; /* only servers nearer than this one, if not NULL */
     GwDriftSide side;
 } Look;
 
@@ -163,33 +155,20 @@
     }
 }
 
-/* The best of the object's places. Where its first run is still under way the
- * request waits for its end: a second cold run would take the same time. */
+/* The best of the object's places, also where its first run is still under way:
+ * to wait for the end of that run was worth -0.001 to -0.026 of a day. */
 static Candidate
-best_place(const Look *look, bool *first_run)
+best_place(const Look *look)
 {
     GwRequest *req = look->req;
     Candidate best = {0};
 
     for (int i = 0; req->key != NULL && i < GW_KEY_SERVERS; i++) {
-        GwKeyServer *at = &req->key->at[i];
-        if (at->server == NULL || !may_take(look, at->server)) {
-            continue;
-        }
-        Candidate c = judge(look, at->server, req->state->warm_us);
-        double left = GwKeyServer_FirstRunLeft(
-            at, look->now_us, req->state->cold_us * at->server->slow);
-        if (left > 0) {
-            *first_run = true;
-            double wait = c.est_us - req->state->warm_us;
-            if (left > wait) {
-                c.wait_us = left;
-                c.est_us += left - wait;
-                c.cost_us += left - wait;
-            }
-            c.is_free = false;
+        GwServer *s = req->key->at[i].server;
+        if (s != NULL && may_take(look, s)) {
+            Candidate c = judge(look, s, req->state->warm_us);
+            keep_better(&best, &c);
         }
-        keep_better(&best, &c);
     }
     return best;
 }
@@ -218,8 +197,6 @@
     for (guint i = 0; i < servers->len; i++) {
         GwServer *s = servers->pdata[i];
         if (!may_take(look, s) ||
-            (look->than != NULL &&
-             distance_us(s) >= distance_us(look->than)) ||
             (req->key != NULL && GwKey_At(req->key, s) != NULL)) {
             continue;
         }
@@ -237,23 +214,6 @@
     return look->now_us + (int64_t)c->est_us <= look->req->aim_us;
 }
 
-/* Whether who waits for it would be refused. */
-static bool
-is_hopeless(const Look *look, const Candidate *c)
-{
-    const GwRequest *req = look->req;
-
-    return look->now_us + (int64_t)c->est_us >
-           MIN(req->late_us, req->budget_us);
-}
-
-/* Whether its answer would come before the caller's time is over. */
-static bool
-ends_within_budget(const Look *look, const Candidate *c)
-{
-    return look->now_us + (int64_t)c->est_us <= look->req->budget_us;
-}
-
 static bool
 has_idle(const Look *look, const Candidate *c, double below)
 {
@@ -261,32 +221,6 @@
            GwServer_Busy(look->r, c->server, look->now_us) < below;
 }
 
-/* A nearer server that should become a place of the object, or none. */
-static Candidate
-pull(Look *look, const Candidate *place)
-{
-    GwRouter *r = look->r;
-    Candidate none = {0};
-
-    if (place->server->same_domain || look->req->key->away < PULL_AFTER) {
-        return none;
-    }
-    look->than = place->server;
-    Candidate fresh = best_new(look);
-    look->than = NULL;
-    if (!has_idle(look, &fresh, PULL_IDLE_BELOW)) {
-        return none;
-    }
-    if (!place->server->same_region) {
-        GwBucket_Fill(&r->pulls, look->now_us, PULL_PER_S);
-        if (r->pulls.tokens < 1.0) {
-            return none;
-        }
-        r->pulls.tokens -= 1.0;
-    }
-    return fresh;
-}
-
 static GwChoice
 choice_of(const Look *look, const Candidate *c)
 {
@@ -303,34 +237,19 @@
 static GwChoice
 choose_one(Look *look)
 {
-    bool first_run = false;
-    Candidate place = best_place(look, &first_run);
-    Candidate fresh = {0};
+    Candidate place = best_place(look);
 
     if (place.server == NULL) {
-        fresh = best_new(look);
+        Candidate fresh = best_new(look);
         return choice_of(look, &fresh);
     }
-    if (is_in_time(look, &place)) {
-        if (!first_run) {
-            fresh = pull(look, &place);
-        }
-    }
-    else if (first_run) {
-        /* Its first run hangs: a refused caller would come back to the same. */
-        fresh = is_hopeless(look, &place) ? best_new(look) : fresh;
-        if (!has_idle(look, &fresh, IDLE_BELOW) ||
-            !ends_within_budget(look, &fresh)) {
-            fresh.server = NULL;
-        }
-    }
-    else if (!place.is_free) {
-        fresh = best_new(look);
-        if (!has_idle(look, &fresh, IDLE_BELOW)) {
-            fresh.server = NULL;
+    if (!place.is_free && !is_in_time(look, &place)) {
+        Candidate fresh = best_new(look);
+        if (has_idle(look, &fresh, IDLE_BELOW)) {
+            return choice_of(look, &fresh);
         }
     }
-    return choice_of(look, fresh.server != NULL ? &fresh : &place);
+    return choice_of(look, &place);
 }
 
 /* Whether all that may take the request is in the region, or all outside. */
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -89,14 +89,6 @@
     return NULL;
 }
 
-double
-GwKeyServer_FirstRunLeft(const GwKeyServer *at, int64_t now_us, double cold_us)
-{
-    double left = (double)(at->started_us - now_us) + cold_us;
-
-    return at->ran || left < 0 ? 0 : left;
-}
-
 /* Makes the server a place of the object. The oldest one makes room. */
 static void
 add_place(GwKey *key, GwServer *s, int64_t now_us)
@@ -120,7 +112,6 @@
 void
 GwRouter_UseKey(GwRouter *r, GwKey *key, GwServer *s, int64_t now_us)
 {
-    key->away = s->same_domain ? 0 : key->away + 1;
     if (GwKey_At(key, s) == NULL) {
         GwPlacement placement = {
             .object = key->hash, .server = GwServer_Hash(s), .at_us = now_us};
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -79,7 +79,6 @@
     r->open = g_hash_table_new(NULL, NULL);
     r->drift.at_us = now_us;
     r->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
-    r->pulls = (GwBucket){.max = 1.5, .at_us = now_us};
     r->freed = g_ptr_array_new_with_free_func(free_server);
     return r;
 }
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -110,7 +110,6 @@
 typedef struct {
     uint64_t hash;
     int64_t used_us;
-    uint32_t away; /* requests in a row that left the failure domain for it */
     GwKeyServer at[GW_KEY_SERVERS];
 } GwKey;
 
@@ -187,7 +186,6 @@
     GPtrArray *freed;   /* GwServer, until the next step */
     GArray *placements; /* GwPlacement of this entry, oldest first */
     GwHeap deadlines;
-    GwBucket pulls; /* objects that may be moved to this region */
     GwDrift drift;
     /* Of servers that may take work, as far as `room_known`: */
     bool room_known;
@@ -222,9 +220,6 @@
 void GwRouter_UseKey(GwRouter *r, GwKey *key, GwServer *s, int64_t now_us);
 void GwKey_Ended(GwKey *key, GwServer *s, bool ran);
 void GwKey_Forget(GwKey *key, const GwServer *s);
-/* Until the first run at a place ends, in us; 0 when it has. */
-double GwKeyServer_FirstRunLeft(const GwKeyServer *at, int64_t now_us,
-                                double cold_us);
 void GwRouter_ForgetInKeys(GwRouter *r, const GwServer *s);
 
 /* choose.c */
