--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -43,25 +43,26 @@
     char *table;
     GwRowCache *cache;
     GwConn *conn;
-    Phase phase;
-    GwRowSet *pages;    /* of the full reading under way */
-    bool reads;         /* this entry is one of those that read the store */
-    uint64_t version;   /* the feed goes on from here */
-    int64_t ask_at_us;  /* the next poll; 0: none is due */
-    int64_t fresh_us;   /* last news, from the store or a peer */
-    bool peer_full;     /* the read from a peer is of the whole table */
-    bool peer_is_store; /* and it is the store that is asked */
-    char peer_address[64];
-    int64_t store_failed_us; /* it did not answer such a read; 0: never */
-    bool known;              /* the table has been read, here or by a peer */
+    GwRowSet *pages;   /* of the full reading under way */
+    uint64_t version;  /* the feed goes on from here */
+    int64_t ask_at_us; /* the next poll; 0: none is due */
+    int64_t fresh_us;  /* last news, from the store or a peer */
     int64_t asked_us;
-    uint32_t wait_ms;
     int64_t retry_at_us;
-    uint32_t retry_ms;
     int64_t answered_us;   /* last good answer */
     int64_t away_until_us; /* the store was away; lapsed rows may come back */
-    GwConn *peer;          /* one read at a time */
+    uint32_t wait_ms;
+    uint32_t retry_ms;
+    Phase phase;
+    bool reads; /* this entry is one of those that read the store */
+    bool known; /* the table has been read, here or by a peer */
+    /* One read at a time from a peer, or once from the store. */
+    bool peer_full;     /* it is of the whole table */
+    bool peer_is_store; /* and it is the store that is asked */
+    GwConn *peer;
     int64_t peer_asked_us;
+    int64_t store_failed_us; /* it did not answer such a read; 0: never */
+    char peer_address[64];
 };
 
 static const GwConnOps store_ops;
--- a/tests/fakes/fleet.c
+++ b/tests/fakes/fleet.c
@@ -1,7 +1,4 @@
-#include "fakes/fleet.h"
-
-#include "common/heap.h"
-#include "common/rng.h"
+#include "fakes/fleet_internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -14,100 +11,20 @@
 #define COMEBACKS  1
 #define START_US   1000000
 
-typedef struct Fleet_s Fleet;
-typedef struct Call_s Call;
-
-typedef struct {
-    uint32_t id;
-    uint32_t region;
-    const FleetService *service;
-    uint32_t running;
-    GQueue queue;  /* Call */
-    GQueue memory; /* object hashes, the last used at the tail */
-} Server;
-
-typedef struct {
-    Fleet *fleet;
-    uint32_t region;
-    GwRouter *router;
-    GArray *actions;
-    bool armed;
-} Entry;
-
-typedef enum {
-    EV_ARRIVE = 1, /* a new request of a kind */
-    EV_COMEBACK,
-    EV_TICK,  /* of an entry's router */
-    EV_REACH, /* the server gets it */
-    EV_RAN,
-    EV_ANSWER, /* the entry gets the answer */
-    EV_REPORT, /* all entries tell */
-    EV_LEARN   /* and all know it */
-} EventKind;
-
-/* One sending of a request to a server. */
-typedef struct {
-    uint32_t refs;
-    Call *call;
-    Server *server;
-    bool dropped; /* the entry has given it up */
-    bool refused;
-} Attempt;
-
-struct Call_s {
-    const FleetKind *kind;
-    Entry *entry;
-    GwRequest *request;
-    Attempt *attempt;
-    uint64_t object;
-    char key[32];
-    int64_t first_us; /* of the caller's first try */
-    int64_t until_us; /* the caller waits until then */
-    uint32_t tries;
-    uint32_t refs;
-    bool over;
-};
-
-typedef struct {
-    EventKind kind;
-    uint32_t place;
-    void *subject;
-} Event;
-
-typedef struct {
-    GPtrArray *own;    /* GArray of each entry */
-    GPtrArray *places; /* GArray of each entry */
-} Snapshot;
-
-struct Fleet_s {
-    const FleetParams *p;
-    GwRng rng;
-    int64_t now_us;
-    GwHeap events;
-    GPtrArray *entries;
-    GPtrArray *servers;
-    GHashTable *by_id;
-    FleetReport report;
-    double owed[FLEET_WINDOWS_MAX];
-    double earned[FLEET_WINDOWS_MAX];
-    uint32_t ran[FLEET_REGIONS_MAX][FLEET_WINDOWS_MAX];
-    uint32_t far[FLEET_REGIONS_MAX][FLEET_WINDOWS_MAX];
-};
-
 static double
 scale_of(const Fleet *f)
 {
     return f->p->scale > 0 ? f->p->scale : 1.0;
 }
 
-static int64_t
-us(const Fleet *f, double ms)
+int64_t
+Fleet_Us(const Fleet *f, double ms)
 {
     return (int64_t)(ms * 1000 * scale_of(f));
 }
 
-static void
-at(Fleet *f, int64_t when_us, EventKind kind, void *subject)
+void
+Fleet_At(Fleet *f, int64_t when_us, EventKind kind, void *subject)
 {
     Event *e = g_new0(Event, 1);
 
@@ -152,7 +69,7 @@
     if (!answered) {
         window->refused++;
     }
-    else if (took_us <= us(f, call->kind->objective_ms)) {
+    else if (took_us <= Fleet_Us(f, call->kind->objective_ms)) {
         window->in_time++;
         f->earned[w] += worth;
     }
@@ -196,7 +113,7 @@
         end_call(f, call, false);
         return;
     }
-    at(f, f->now_us + wait_us + 2 * NEAR_US, EV_COMEBACK, call);
+    Fleet_At(f, f->now_us + wait_us + 2 * NEAR_US, EV_COMEBACK, call);
 }
 
 static double
@@ -212,8 +129,8 @@
 {
     double per_us = kind->per_s * burst_at(f) / 1e6 / scale_of(f);
 
-    at(f, f->now_us + (int64_t)(-log(uniform(f)) / per_us), EV_ARRIVE,
-       (void *)kind);
+    Fleet_At(f, f->now_us + (int64_t)(-log(uniform(f)) / per_us), EV_ARRIVE,
+             (void *)kind);
 }
 
 static void
@@ -227,7 +144,7 @@
         .kind = kind,
         .entry = f->entries->pdata[region],
         .first_us = f->now_us,
-        .until_us = f->now_us + us(f, kind->left_ms),
+        .until_us = f->now_us + Fleet_Us(f, kind->left_ms),
         .refs = 1,
     };
     g_snprintf(call->key, sizeof(call->key), "%u-%u", region,
@@ -259,8 +176,8 @@
 static int64_t
 way_us(const Fleet *f, const Entry *entry, const Server *s)
 {
-    return entry->region == s->region ? us(f, NEAR_US / 1000.0)
-                                      : us(f, f->p->far_ms);
+    return entry->region == s->region ? Fleet_Us(f, NEAR_US / 1000.0)
+                                      : Fleet_Us(f, f->p->far_ms);
 }
 
 static void
@@ -272,7 +189,8 @@
     double spread = 0.85 + 0.3 * uniform(f);
 
     s->running++;
-    at(f, f->now_us + us(f, call->kind->work_ms * share * spread), EV_RAN, a);
+    Fleet_At(f, f->now_us + Fleet_Us(f, call->kind->work_ms * share * spread),
+             EV_RAN, a);
 }
 
 static void
@@ -300,7 +218,7 @@
     }
     else {
         a->refused = true;
-        at(f, f->now_us + way_us(f, a->call->entry, s), EV_ANSWER, a);
+        Fleet_At(f, f->now_us + way_us(f, a->call->entry, s), EV_ANSWER, a);
     }
 }
 
@@ -322,7 +240,8 @@
 ran(Fleet *f, Attempt *a)
 {
     a->server->running--;
-    at(f, f->now_us + way_us(f, a->call->entry, a->server), EV_ANSWER, a);
+    Fleet_At(f, f->now_us + way_us(f, a->call->entry, a->server), EV_ANSWER,
+             a);
     start_queued(f, a->server);
 }
 
@@ -365,7 +284,7 @@
     f->far[region][w] += s->region != region;
     f->report.choices = (f->report.choices ^ s->id) * 0x100000001b3ULL;
     /* A new connection takes one way more each way. */
-    at(f, f->now_us + 3 * way_us(f, call->entry, s), EV_REACH, a);
+    Fleet_At(f, f->now_us + 3 * way_us(f, call->entry, s), EV_REACH, a);
 }
 
 static void
@@ -423,7 +342,7 @@
     int64_t due_us = GwRouter_NextDeadline(entry->router);
     if (!entry->armed && due_us != INT64_MAX) {
         entry->armed = true;
-        at(f, MAX(due_us, f->now_us), EV_TICK, entry);
+        Fleet_At(f, MAX(due_us, f->now_us), EV_TICK, entry);
     }
 }
 
@@ -435,235 +354,6 @@
     carry(f, entry);
 }
 
-static void
-add_loads(GHashTable *sum, const GArray *loads, int sign)
-{
-    for (guint i = 0; i < loads->len; i++) {
-        const GwPeerLoad *load = &g_array_index(loads, GwPeerLoad, i);
-        gpointer key = GUINT_TO_POINTER(load->server);
-        int old = GPOINTER_TO_INT(g_hash_table_lookup(sum, key));
-        g_hash_table_insert(
-            sum, key, GINT_TO_POINTER(old + sign * (int)load->in_flight));
-    }
-}
-
-static void
-free_array(gpointer array)
-{
-    g_array_free(array, TRUE);
-}
-
-static void
-tell(Fleet *f)
-{
-    Snapshot *snap = g_new0(Snapshot, 1);
-    int64_t age_us = us(f, f->p->report_ms);
-
-    snap->own = g_ptr_array_new_with_free_func(free_array);
-    snap->places = g_ptr_array_new_with_free_func(free_array);
-    for (guint i = 0; i < f->entries->len; i++) {
-        const Entry *entry = f->entries->pdata[i];
-        GArray *own = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
-        GArray *places = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
-        GwRouter_OwnLoads(entry->router, own);
-        GwRouter_OwnPlacements(entry->router, f->now_us, age_us, 30000000,
-                               places);
-        g_ptr_array_add(snap->own, own);
-        g_ptr_array_add(snap->places, places);
-    }
-    at(f, f->now_us + us(f, f->p->lag_ms), EV_LEARN, snap);
-    at(f, f->now_us + us(f, f->p->report_ms), EV_REPORT, NULL);
-}
-
-static void
-put_sum(Fleet *f, const Entry *entry, uint32_t region, GHashTable *sum)
-{
-    GArray *loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
-    char name[16];
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-
-    g_snprintf(name, sizeof(name), "r%u", region);
-    g_hash_table_iter_init(&iter, sum);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        GwPeerLoad load = {GPOINTER_TO_UINT(key),
-                           (uint32_t)GPOINTER_TO_INT(value)};
-        if (GPOINTER_TO_INT(value) > 0) {
-            g_array_append_val(loads, load);
-        }
-    }
-    GwRouter_PutSum(entry->router, f->now_us, name, loads->len,
-                    (const GwPeerLoad *)loads->data);
-    g_array_free(loads, TRUE);
-}
-
-/* All entries know what all others had in flight when they told. */
-static void
-learn(Fleet *f, Snapshot *snap)
-{
-    GHashTable *sums[FLEET_REGIONS_MAX];
-
-    for (uint32_t r = 0; r < f->p->regions; r++) {
-        sums[r] = g_hash_table_new(g_direct_hash, g_direct_equal);
-    }
-    for (guint i = 0; i < f->entries->len; i++) {
-        const Entry *entry = f->entries->pdata[i];
-        add_loads(sums[entry->region], snap->own->pdata[i], 1);
-    }
-    for (guint i = 0; i < f->entries->len; i++) {
-        const Entry *entry = f->entries->pdata[i];
-        add_loads(sums[entry->region], snap->own->pdata[i], -1);
-        for (uint32_t r = 0; r < f->p->regions; r++) {
-            put_sum(f, entry, r, sums[r]);
-        }
-        add_loads(sums[entry->region], snap->own->pdata[i], 1);
-        for (guint k = 0; k < f->entries->len; k++) {
-            const Entry *other = f->entries->pdata[k];
-            const GArray *places = snap->places->pdata[k];
-            if (k == i || other->region != entry->region) {
-                continue;
-            }
-            for (guint n = 0; n < places->len; n++) {
-                GwRouter_PutPlacement(entry->router, f->now_us,
-                                      &g_array_index(places, GwPlacement, n));
-            }
-        }
-    }
-    for (uint32_t r = 0; r < f->p->regions; r++) {
-        g_hash_table_destroy(sums[r]);
-    }
-    g_ptr_array_free(snap->own, TRUE);
-    g_ptr_array_free(snap->places, TRUE);
-    g_free(snap);
-}
-
-/* ---- Setting up ---------------------------------------------------------- */
-
-static GwRouting *
-routing_of(const Fleet *f)
-{
-    const FleetParams *p = f->p;
-    GwRouting *routing = GwRouting_Create(1, p->service_count);
-
-    routing->version = 1;
-    for (uint32_t i = 0; i < p->service_count; i++) {
-        routing->services[i] = (GwRouteService){
-            .name = g_strdup(p->services[i].name), .cold_per_s = 5};
-    }
-    routing->hosts[0].host = g_strdup("h");
-    routing->hosts[0].route_count = p->kind_count;
-    routing->hosts[0].routes = g_new0(GwRoute, p->kind_count);
-    for (uint32_t i = 0; i < p->kind_count; i++) {
-        const FleetKind *kind = &p->kinds[i];
-        GwRoute *route = &routing->hosts[0].routes[i];
-        *route = (GwRoute){
-            .name = g_strdup(kind->name),
-            .prefix = g_strdup(kind->name),
-            .idempotent = kind->idempotent,
-            .warm_keys = true,
-            .timeout_ms = (uint32_t)(us(f, kind->left_ms) / 1000),
-            .objective_ms = (uint32_t)(us(f, kind->objective_ms) / 1000),
-            .priority = kind->priority,
-            .attempts_max = 2,
-            .part_count = 1,
-            .parts = g_new0(GwRoutePart, 1),
-        };
-        route->parts[0] =
-            (GwRoutePart){.service = g_strdup(kind->service), .weight = 1};
-    }
-    GwRouting_Seal(routing);
-    return routing;
-}
-
-static void
-add_servers(Fleet *f, const FleetService *service)
-{
-    for (uint32_t r = 0; r < f->p->regions; r++) {
-        for (uint32_t i = 0; i < service->servers[r]; i++) {
-            Server *s = g_new0(Server, 1);
-            s->id = f->servers->len + 1;
-            s->region = r;
-            s->service = service;
-            g_queue_init(&s->queue);
-            g_queue_init(&s->memory);
-            g_ptr_array_add(f->servers, s);
-            g_hash_table_insert(f->by_id, g_strdup_printf("i-%u", s->id), s);
-        }
-    }
-}
-
-static void
-introduce_servers(Fleet *f, Entry *entry)
-{
-    for (guint i = 0; i < f->servers->len; i++) {
-        const Server *s = f->servers->pdata[i];
-        char id[16];
-        char domain[16];
-        char region[16];
-        g_snprintf(id, sizeof(id), "i-%u", s->id);
-        g_snprintf(domain, sizeof(domain), "d%u-%u", s->region, s->id % 2);
-        g_snprintf(region, sizeof(region), "r%u", s->region);
-        GwServerInfo info = {
-            .id = id,
-            .born_ms = 1,
-            .service = s->service->name,
-            .address = "a",
-            .domain = domain,
-            .region = region,
-            .slots = s->service->slots,
-        };
-        GwRouter_PutServer(entry->router, f->now_us, &info, entry->actions);
-    }
-    g_array_set_size(entry->actions, 0);
-}
-
-static void
-add_entry(Fleet *f, uint32_t i, GwRouting *routing)
-{
-    Entry *entry = g_new0(Entry, 1);
-    uint32_t region = i % f->p->regions;
-    GwRouterParams params = {
-        .retry_ratio = 0.2,
-        .retry_extra = 100,
-        .retry_window_ms = 10000,
-        .entries_max = f->p->entries,
-        .seed = f->p->seed * 1000 + i,
-    };
-
-    g_snprintf(params.name, sizeof(params.name), "e%u", i);
-    g_snprintf(params.region, sizeof(params.region), "r%u", region);
-    g_snprintf(params.domain, sizeof(params.domain), "d%u-%u", region,
-               i / f->p->regions % 2);
-    entry->fleet = f;
-    entry->region = region;
-    entry->router = GwRouter_Create(&params, f->now_us);
-    entry->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
-    (void)GwRouter_SetRouting(entry->router, routing);
-    introduce_servers(f, entry);
-    g_ptr_array_add(f->entries, entry);
-}
-
-/* Entries of a region count each other when they forecast its demand. */
-static void
-introduce_entries(Fleet *f)
-{
-    for (guint i = 0; i < f->entries->len; i++) {
-        for (guint k = 0; k < f->entries->len; k++) {
-            char name[16];
-            char region[16];
-            const Entry *other = f->entries->pdata[k];
-            g_snprintf(name, sizeof(name), "e%u", k);
-            g_snprintf(region, sizeof(region), "r%u", other->region);
-            GwPeerInfo info = {.name = name, .region = region, .serves = true};
-            if (k != i) {
-                GwRouter_PutPeer(((Entry *)f->entries->pdata[i])->router,
-                                 f->now_us, &info);
-            }
-        }
-    }
-}
-
 static void
 step(Fleet *f, const Event *e)
 {
@@ -687,10 +377,10 @@
         answer(f, e->subject);
         break;
     case EV_REPORT:
-        tell(f);
+        Fleet_Tell(f);
         break;
     case EV_LEARN:
-        learn(f, e->subject);
+        Fleet_Learn(f, e->subject);
         break;
     }
 }
@@ -729,20 +419,13 @@
         .by_id = g_hash_table_new(g_str_hash, g_str_equal),
     };
     Fleet *f = &fleet;
-    int64_t end_us = START_US + us(f, params->seconds * 1000);
-    GwRouting *routing = routing_of(f);
+    int64_t end_us = START_US + Fleet_Us(f, params->seconds * 1000);
 
-    for (uint32_t i = 0; i < params->service_count; i++) {
-        add_servers(f, &params->services[i]);
-    }
-    for (uint32_t i = 0; i < params->entries; i++) {
-        add_entry(f, i, routing);
-    }
-    introduce_entries(f);
+    Fleet_SetUp(f);
     for (uint32_t i = 0; i < params->kind_count; i++) {
         next_arrival(f, &params->kinds[i]);
     }
-    at(f, f->now_us, EV_REPORT, NULL);
+    Fleet_At(f, f->now_us, EV_REPORT, NULL);
     while (GwHeap_TopKey(&f->events) <= end_us) {
         Event *e = GwHeap_Top(&f->events);
         f->now_us = GwHeap_TopKey(&f->events);
--- /dev/null
+++ b/tests/fakes/fleet_news.c
@@ -0,0 +1,104 @@
+/* What entries of the fleet tell each other, and when they know it. */
+#include "fakes/fleet_internal.h"
+
+static void
+add_loads(GHashTable *sum, const GArray *loads, int sign)
+{
+    for (guint i = 0; i < loads->len; i++) {
+        const GwPeerLoad *load = &g_array_index(loads, GwPeerLoad, i);
+        gpointer key = GUINT_TO_POINTER(load->server);
+        int old = GPOINTER_TO_INT(g_hash_table_lookup(sum, key));
+        g_hash_table_insert(
+            sum, key, GINT_TO_POINTER(old + sign * (int)load->in_flight));
+    }
+}
+
+static void
+free_array(gpointer array)
+{
+    g_array_free(array, TRUE);
+}
+
+void
+Fleet_Tell(Fleet *f)
+{
+    Snapshot *snap = g_new0(Snapshot, 1);
+    int64_t age_us = Fleet_Us(f, f->p->report_ms);
+
+    snap->own = g_ptr_array_new_with_free_func(free_array);
+    snap->places = g_ptr_array_new_with_free_func(free_array);
+    for (guint i = 0; i < f->entries->len; i++) {
+        const Entry *entry = f->entries->pdata[i];
+        GArray *own = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+        GArray *places = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+        GwRouter_OwnLoads(entry->router, own);
+        GwRouter_OwnPlacements(entry->router, f->now_us, age_us, 30000000,
+                               places);
+        g_ptr_array_add(snap->own, own);
+        g_ptr_array_add(snap->places, places);
+    }
+    Fleet_At(f, f->now_us + Fleet_Us(f, f->p->lag_ms), EV_LEARN, snap);
+    Fleet_At(f, f->now_us + Fleet_Us(f, f->p->report_ms), EV_REPORT, NULL);
+}
+
+static void
+put_sum(Fleet *f, const Entry *entry, uint32_t region, GHashTable *sum)
+{
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+    char name[16];
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    g_snprintf(name, sizeof(name), "r%u", region);
+    g_hash_table_iter_init(&iter, sum);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        GwPeerLoad load = {GPOINTER_TO_UINT(key),
+                           (uint32_t)GPOINTER_TO_INT(value)};
+        if (GPOINTER_TO_INT(value) > 0) {
+            g_array_append_val(loads, load);
+        }
+    }
+    GwRouter_PutSum(entry->router, f->now_us, name, loads->len,
+                    (const GwPeerLoad *)loads->data);
+    g_array_free(loads, TRUE);
+}
+
+void
+Fleet_Learn(Fleet *f, Snapshot *snap)
+{
+    GHashTable *sums[FLEET_REGIONS_MAX];
+
+    for (uint32_t r = 0; r < f->p->regions; r++) {
+        sums[r] = g_hash_table_new(g_direct_hash, g_direct_equal);
+    }
+    for (guint i = 0; i < f->entries->len; i++) {
+        const Entry *entry = f->entries->pdata[i];
+        add_loads(sums[entry->region], snap->own->pdata[i], 1);
+    }
+    for (guint i = 0; i < f->entries->len; i++) {
+        const Entry *entry = f->entries->pdata[i];
+        add_loads(sums[entry->region], snap->own->pdata[i], -1);
+        for (uint32_t r = 0; r < f->p->regions; r++) {
+            put_sum(f, entry, r, sums[r]);
+        }
+        add_loads(sums[entry->region], snap->own->pdata[i], 1);
+        for (guint k = 0; k < f->entries->len; k++) {
+            const Entry *other = f->entries->pdata[k];
+            const GArray *places = snap->places->pdata[k];
+            if (k == i || other->region != entry->region) {
+                continue;
+            }
+            for (guint n = 0; n < places->len; n++) {
+                GwRouter_PutPlacement(entry->router, f->now_us,
+                                      &g_array_index(places, GwPlacement, n));
+            }
+        }
+    }
+    for (uint32_t r = 0; r < f->p->regions; r++) {
+        g_hash_table_destroy(sums[r]);
+    }
+    g_ptr_array_free(snap->own, TRUE);
+    g_ptr_array_free(snap->places, TRUE);
+    g_free(snap);
+}
