The fleet of tests frees what it made

Cause: AddressSanitizer found 215 KB left by tests/fakes/fleet.c and by the views of test_aggregate. Change: calls and attempts are kept until the end of a play and freed with it, no counts of references; views are freed.

--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -2,10 +2,11 @@
  *
  * A report is whole and repeated, so a lost one costs a period and nothing
  * else. Entries that share backend servers need each other's load and places
- * soon; those of other regions only need to know that the others are there.
- * Bytes between failure domains are paid for, so names and addresses go along
- * only now and then, and all periods grow with the number of entries: what
- * one entry sends a second is bounded. */
+ * soon; the others only need to know that the sender is there. While entries
+ * are few each tells each; above that, loads go by who adds them up
+ * (aggregate.c), and the periods of all other reports grow with the number of
+ * entries: what one entry sends a second is bounded. Bytes between failure
+ * domains are paid for, so names and addresses go along only now and then. */
 #include "edge/introduce.h"
 #include "edge/peers_internal.h"
 
--- a/tests/fakes/fleet.c
+++ b/tests/fakes/fleet.c
@@ -49,14 +49,6 @@
 
 /* ---- Callers ------------------------------------------------------------- */
 
-static void
-unref_call(Call *call)
-{
-    if (--call->refs == 0) {
-        g_free(call);
-    }
-}
-
 static void
 end_call(Fleet *f, Call *call, bool answered)
 {
@@ -77,7 +69,6 @@
         window->late++;
         f->earned[w] += worth * LATE_WORTH;
     }
-    unref_call(call);
 }
 
 static void carry(Fleet *f, Entry *entry);
@@ -145,11 +136,11 @@
         .entry = f->entries->pdata[region],
         .first_us = f->now_us,
         .until_us = f->now_us + Fleet_Us(f, kind->left_ms),
-        .refs = 1,
     };
     g_snprintf(call->key, sizeof(call->key), "%u-%u", region,
                GwRng_Below(&f->rng, kind->objects));
     call->object = g_str_hash(call->key) * 31ULL + (uintptr_t)kind;
+    g_ptr_array_add(f->calls, call);
     f->report.windows[w].asked++;
     f->owed[w] += kind->worth;
     next_arrival(f, kind);
@@ -193,24 +184,15 @@
              EV_RAN, a);
 }
 
-static void
-unref_attempt(Attempt *a)
-{
-    if (--a->refs == 0) {
-        unref_call(a->call);
-        g_free(a);
-    }
-}
-
 static void
 reach(Fleet *f, Attempt *a)
 {
     Server *s = a->server;
 
     if (a->dropped) {
-        unref_attempt(a);
+        return;
     }
-    else if (s->running < s->service->slots) {
+    if (s->running < s->service->slots) {
         run(f, a);
     }
     else if (g_queue_get_length(&s->queue) < QUEUE) {
@@ -227,10 +209,7 @@
 {
     while (s->running < s->service->slots && !g_queue_is_empty(&s->queue)) {
         Attempt *a = g_queue_pop_head(&s->queue);
-        if (a->dropped) {
-            unref_attempt(a);
-        }
-        else {
+        if (!a->dropped) {
             run(f, a);
         }
     }
@@ -264,7 +243,6 @@
                        call->entry->actions);
         carry(f, call->entry);
     }
-    unref_attempt(a);
 }
 
 /* ---- Entries ------------------------------------------------------------- */
@@ -277,9 +255,9 @@
     uint32_t region = call->entry->region;
     uint32_t w = window_of(f, f->now_us);
 
-    *a = (Attempt){.refs = 1, .call = call, .server = s};
-    call->refs++;
+    *a = (Attempt){.call = call, .server = s};
     call->attempt = a;
+    g_ptr_array_add(f->attempts, a);
     f->ran[region][w]++;
     f->far[region][w] += s->region != region;
     f->report.choices = (f->report.choices ^ s->id) * 0x100000001b3ULL;
@@ -405,8 +383,6 @@
     f->report.worth = owed > 0 ? earned / owed : 0;
 }
 
-/* What is still under way when the play ends is not ended: its memory goes
- * with the process of the test. */
 FleetReport
 Fleet_Play(const FleetParams *params)
 {
@@ -416,7 +392,9 @@
         .now_us = START_US,
         .entries = g_ptr_array_new(),
         .servers = g_ptr_array_new(),
-        .by_id = g_hash_table_new(g_str_hash, g_str_equal),
+        .by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        .calls = g_ptr_array_new_with_free_func(g_free),
+        .attempts = g_ptr_array_new_with_free_func(g_free),
     };
     Fleet *f = &fleet;
     int64_t end_us = START_US + Fleet_Us(f, params->seconds * 1000);
@@ -434,5 +412,6 @@
         g_free(e);
     }
     sum_up(f);
+    Fleet_TearDown(f);
     return f->report;
 }
--- a/tests/fakes/fleet_internal.h
+++ b/tests/fakes/fleet_internal.h
@@ -40,7 +40,6 @@
 
 /* One sending of a request to a server. */
 typedef struct {
-    uint32_t refs;
     Call *call;
     Server *server;
     bool dropped; /* the entry has given it up */
@@ -57,7 +56,6 @@
     int64_t first_us; /* of the caller's first try */
     int64_t until_us; /* the caller waits until then */
     uint32_t tries;
-    uint32_t refs;
     bool over;
 };
 
@@ -80,6 +78,8 @@
     GPtrArray *entries;
     GPtrArray *servers;
     GHashTable *by_id;
+    GPtrArray *calls; /* all there ever were, and their attempts */
+    GPtrArray *attempts;
     FleetReport report;
     double owed[FLEET_WINDOWS_MAX];
     double earned[FLEET_WINDOWS_MAX];
@@ -93,10 +93,13 @@
 
 /* fleet_setup.c */
 void Fleet_SetUp(Fleet *f);
+/* Frees all, also what is under way. */
+void Fleet_TearDown(Fleet *f);
 
 /* fleet_news.c */
 void Fleet_Tell(Fleet *f);
 /* All entries know what all others had in flight when they told. */
 void Fleet_Learn(Fleet *f, Snapshot *snap);
+void Fleet_FreeSnapshot(Snapshot *snap);
 
 #endif
--- a/tests/fakes/fleet_news.c
+++ b/tests/fakes/fleet_news.c
@@ -64,6 +64,14 @@
     g_array_free(loads, TRUE);
 }
 
+void
+Fleet_FreeSnapshot(Snapshot *snap)
+{
+    g_ptr_array_free(snap->own, TRUE);
+    g_ptr_array_free(snap->places, TRUE);
+    g_free(snap);
+}
+
 void
 Fleet_Learn(Fleet *f, Snapshot *snap)
 {
@@ -98,7 +106,5 @@
     for (uint32_t r = 0; r < f->p->regions; r++) {
         g_hash_table_destroy(sums[r]);
     }
-    g_ptr_array_free(snap->own, TRUE);
-    g_ptr_array_free(snap->places, TRUE);
-    g_free(snap);
+    Fleet_FreeSnapshot(snap);
 }
--- a/tests/fakes/fleet_setup.c
+++ b/tests/fakes/fleet_setup.c
@@ -137,4 +137,42 @@
         add_entry(f, i, routing);
     }
     introduce_entries(f);
+    GwRouting_Unref(routing);
+}
+
+static void
+free_entry(Entry *entry)
+{
+    GwRouter_Free(entry->router);
+    g_array_free(entry->actions, TRUE);
+    g_free(entry);
+}
+
+void
+Fleet_TearDown(Fleet *f)
+{
+    Event *e;
+
+    while ((e = GwHeap_Top(&f->events)) != NULL) {
+        GwHeap_Remove(&f->events, &e->place);
+        if (e->kind == EV_LEARN) {
+            Fleet_FreeSnapshot(e->subject);
+        }
+        g_free(e);
+    }
+    GwHeap_Free(&f->events);
+    for (guint i = 0; i < f->entries->len; i++) {
+        free_entry(f->entries->pdata[i]);
+    }
+    for (guint i = 0; i < f->servers->len; i++) {
+        Server *s = f->servers->pdata[i];
+        g_queue_clear(&s->queue);
+        g_queue_clear(&s->memory);
+        g_free(s);
+    }
+    g_ptr_array_free(f->entries, TRUE);
+    g_ptr_array_free(f->servers, TRUE);
+    g_hash_table_destroy(f->by_id);
+    g_ptr_array_free(f->calls, TRUE);
+    g_ptr_array_free(f->attempts, TRUE);
 }
--- a/tests/unit/test_aggregate.c
+++ b/tests/unit/test_aggregate.c
@@ -37,6 +37,31 @@
     return i / DOMAINS >= 9 ? 200000 : 10000;
 }
 
+static void
+free_peer(gpointer item)
+{
+    GwPeerEntry *peer = item;
+
+    g_free(peer->name);
+    g_free(peer->region);
+    g_free(peer->domain);
+    g_free(peer->peer_address);
+    if (peer->loads != NULL) {
+        g_array_free(peer->loads, TRUE);
+    }
+    g_free(peer);
+}
+
+static void
+free_view(View *view)
+{
+    g_hash_table_destroy(view->peers.by_address);
+    g_array_free(view->peers.loads, TRUE);
+    GwLoadSum_Free(view->peers.sum);
+    GwRouter_Free(view->edge.router);
+    g_free(view);
+}
+
 static GwPeerEntry *
 add_peer(View *view, uint32_t i)
 {
@@ -72,7 +97,8 @@
     view->edge.settings = &view->settings;
     view->edge.router = GwRouter_Create(params, GwEdge_Now());
     view->peers.edge = &view->edge;
-    view->peers.by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    view->peers.by_address =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     view->peers.loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
     view->peers.sum = GwLoadSum_Create();
     view->peers.stretch = 3;
@@ -143,6 +169,9 @@
     for (uint32_t d = 0; d < DOMAINS; d++) {
         cr_expect_eq(by_domain[d], 1, "domain %u", d);
     }
+    for (uint32_t i = 0; i < ENTRIES; i++) {
+        free_view(views[i]);
+    }
 }
 
 /* The one that adds up loses power. The others are blind to each other's load
@@ -167,6 +196,7 @@
     cr_expect_eq(count_told(view, GW_LOADS_OWN), 1, "another one");
     cr_expect(GwPeerEntry_IsLive(first, GwEdge_Now()),
               "it counts as live yet");
+    free_view(view);
 }
 
 /* The sum for one entry holds what all others told, by region, and not what
@@ -178,6 +208,7 @@
 
     while (GwPeers_ChooseAggregators(&view->peers, GwEdge_Now()),
            !view->peers.aggregates) {
+        free_view(view);
         view = create_view(++self);
     }
     GwPeerEntry *near = peer_named(view, (self + DOMAINS) % ENTRIES);
@@ -211,4 +242,5 @@
     cr_expect_eq(g_array_index(out, GwPeerLoad, 0).in_flight, 2,
                  "of this domain: near and other");
     g_array_free(out, TRUE);
+    free_view(view);
 }
