--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -156,7 +156,7 @@
 }
 
 /* The best of the object's places, also where its first run is still under way:
- * to wait for the end of that run was worth -0.001 to -0.026 of a day. */
+ * to wait for the end of that run was worth -0.001 to -0.013 of a day. */
 static Candidate
 best_place(const Look *look)
 {
