Requests that come while their entry stops, as cases that fail

Callers saw: while entries were replaced one after the other, connections closed with no answer while a server ran the request. Traced twice: it came late in its entry's stop, was sent on with all of its caller's time, and the process ended before the run.

The cases stop the steering core on virtual time and bring requests to a server by each way: arrival, a slot waited for, a second server after a refusal, an unmade connection or a lost answer.

--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -179,6 +179,10 @@
 /* How far it has come; for the log. */
 GwRequestStory GwRequest_Story(const GwRequest *req, int64_t now_us);
 void GwRouter_Settle(GwRouter *r, int64_t now_us, GArray *actions);
+/* This entry stops: what it has begun by then has to be over at `end_us`, when
+ * it closes the connections of its callers. */
+void GwRouter_Stop(GwRouter *r, int64_t now_us, int64_t end_us,
+                   GArray *actions);
 /* What time does; to be called at GwRouter_NextDeadline. */
 void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
 int64_t GwRouter_NextDeadline(const GwRouter *r); /* INT64_MAX: none */
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -194,6 +194,7 @@
     uint32_t all_slots;
     uint32_t regions;
     int64_t started_us;
+    int64_t end_us; /* of a stop; INT64_MAX: none was begun */
 };
 
 /* servers.c */
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -207,6 +207,10 @@
     if (s->draining) {
         say(f, "sent to a server that leaves", req);
     }
+    if (f->end_us > 0 &&
+        f->now_us + (int64_t)act->left_ms * 1000 > f->end_us) {
+        say(f, "given a server's time beyond the end of the stop", req);
+    }
     req->sends++;
     if (req->servers > 0) {
         f->repeats++;
@@ -326,6 +330,14 @@
     FakeSteering_Carry(f);
 }
 
+void
+FakeSteering_Stop(FakeSteering *f, int64_t grace_us)
+{
+    f->end_us = f->now_us + grace_us;
+    GwRouter_Stop(f->router, f->now_us, f->end_us, f->actions);
+    FakeSteering_Carry(f);
+}
+
 void
 FakeSteering_Pass(FakeSteering *f, int64_t us)
 {
--- a/tests/fakes/steering.h
+++ b/tests/fakes/steering.h
@@ -38,6 +38,7 @@
     GPtrArray *servers;  /* FakeServer */
     uint32_t firsts;     /* first sends, */
     uint32_t repeats;    /* and further ones that reached a server */
+    int64_t end_us;      /* of a stop; 0: none was begun */
     GString *broken;     /* promises not kept, a line each */
 } FakeSteering;
 
@@ -68,6 +69,9 @@
 void FakeSteering_End(FakeSteering *f, FakeRequest *req,
                       GwAttemptOutcome outcome, uint16_t status);
 void FakeSteering_Leave(FakeSteering *f, FakeRequest *req);
+/* The entry stops: nothing that it sends from now on may run beyond the end,
+ * `grace_us` from now, when what is still open is cut. */
+void FakeSteering_Stop(FakeSteering *f, int64_t grace_us);
 /* Moves time on, and does what is due on the way. */
 void FakeSteering_Pass(FakeSteering *f, int64_t us);
 void FakeSteering_Carry(FakeSteering *f);
