The signal to stop in a file of its own; a case of one noticed late, which fails

Callers saw: a request that came 4.4 s after its entry's signal was read and never answered; its connection was closed 6.0 s after the signal.

The handlers of the signals leave the loop's own signal handles for a small file, and STOP_BEGIN tells noticed_ms.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -214,21 +214,23 @@
 static void
 begin_leaving(GwEdge *edge)
 {
-    uint64_t stay_ms = (uint64_t)(edge->settings->grace_ms * END_SHARE);
+    int64_t now_us = GwEdge_Now();
+    int64_t stay_us = (int64_t)(edge->settings->grace_ms * END_SHARE * 1000);
+    int64_t end_us = GwStopSignal_At() + stay_us;
 
     if (edge->leaving) {
         return;
     }
     edge->leaving = true;
-    edge->leaving_us = GwEdge_Now();
-    GwLog_Event(GW_LOG_STOP_BEGIN, "open=%u",
-                GwRouter_OpenCount(edge->router));
+    edge->leaving_us = GwStopSignal_At();
+    GwLog_Event(GW_LOG_STOP_BEGIN, "open=%u noticed_ms=%" PRId64,
+                GwRouter_OpenCount(edge->router),
+                (now_us - edge->leaving_us) / 1000);
     uv_update_time(&edge->loop);
-    (void)uv_timer_start(&edge->leave_end, on_leave_end, stay_ms, 0);
-    GwRouter_Stop(edge->router, edge->leaving_us,
-                  edge->leaving_us + (int64_t)stay_ms * 1000, edge->actions);
+    (void)uv_timer_start(&edge->leave_end, on_leave_end,
+                         (uint64_t)MAX(end_us - now_us, 0) / 1000, 0);
+    GwRouter_Stop(edge->router, now_us, end_us, edge->actions);
     GwPeers_Announce(edge->peers);
-    GwEdge_Carry(edge);
 }
 
 /* A connection that waits to be accepted is reset with its listener, and its
@@ -267,10 +269,12 @@
 }
 
 static void
-on_term(uv_signal_t *handle, int signum)
+on_told_to_stop(void *owner)
 {
-    (void)signum;
-    begin_leaving(handle->data);
+    GwEdge *edge = owner;
+
+    begin_leaving(edge);
+    GwEdge_Carry(edge);
 }
 
 static void
@@ -315,12 +319,7 @@
     edge->leave_end.data = edge;
     (void)uv_check_init(&edge->loop, &edge->listened);
     edge->listened.data = edge;
-    (void)uv_signal_init(&edge->loop, &edge->term);
-    edge->term.data = edge;
-    (void)uv_signal_start(&edge->term, on_term, SIGTERM);
-    (void)uv_signal_init(&edge->loop, &edge->interrupt);
-    edge->interrupt.data = edge;
-    (void)uv_signal_start(&edge->interrupt, on_term, SIGINT);
+    GwStopSignal_Start(&edge->stop_signal, &edge->loop, on_told_to_stop, edge);
     (void)uv_signal_init(&edge->loop, &edge->hangup);
     edge->hangup.data = edge;
     (void)uv_signal_start(&edge->hangup, on_hangup, SIGHUP);
@@ -389,7 +388,6 @@
 {
     uv_handle_t *const own[] = {
         (uv_handle_t *)&edge->deadline,  (uv_handle_t *)&edge->sweep,
-        (uv_handle_t *)&edge->term,      (uv_handle_t *)&edge->interrupt,
         (uv_handle_t *)&edge->hangup,    (uv_handle_t *)&edge->listened,
         (uv_handle_t *)&edge->leave_end,
     };
@@ -404,6 +402,7 @@
     if (edge->call_listener != NULL) {
         uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
     }
+    GwStopSignal_Close(&edge->stop_signal);
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
         uv_close(own[i], NULL);
     }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -7,6 +7,7 @@
 #include "edge/edge.h"
 #include "godwitridge_errors.h"
 #include "edge/meters.h"
+#include "edge/stop_signal.h"
 #include "http/serve.h"
 
 #include <inttypes.h>
@@ -44,8 +45,7 @@
     uv_timer_t sweep;
     uv_timer_t leave_end; /* of a stop */
     uv_check_t listened;  /* runs when all that has come was accepted */
-    uv_signal_t term;
-    uv_signal_t interrupt;
+    GwStopSignal stop_signal;
     uv_signal_t hangup;
     GPtrArray *controls; /* GwServe */
     uv_tcp_t *call_listener;
--- /dev/null
+++ b/lib/edge/stop_signal.c
@@ -0,0 +1,60 @@
+#include "edge/stop_signal.h"
+
+#include <signal.h>
+#include <stdatomic.h>
+#include <stddef.h>
+
+static _Atomic int64_t told_us;
+static _Atomic(uv_async_t *) wake;
+
+static void
+on_signal(int signum)
+{
+    uv_async_t *async = atomic_load(&wake);
+
+    (void)signum;
+    if (async != NULL) {
+        (void)uv_async_send(async);
+    }
+}
+
+static void
+on_wake(uv_async_t *async)
+{
+    GwStopSignal *s = async->data;
+    int64_t none = 0;
+
+    (void)atomic_compare_exchange_strong(&told_us, &none,
+                                         (int64_t)(uv_hrtime() / 1000));
+    s->told(s->owner);
+}
+
+void
+GwStopSignal_Start(GwStopSignal *s, uv_loop_t *loop, void (*told)(void *owner),
+                   void *owner)
+{
+    struct sigaction act = {.sa_handler = on_signal, .sa_flags = SA_RESTART};
+
+    s->told = told;
+    s->owner = owner;
+    (void)uv_async_init(loop, &s->wake, on_wake);
+    s->wake.data = s;
+    atomic_store(&told_us, 0);
+    atomic_store(&wake, &s->wake);
+    (void)sigemptyset(&act.sa_mask);
+    (void)sigaction(SIGTERM, &act, NULL);
+    (void)sigaction(SIGINT, &act, NULL);
+}
+
+void
+GwStopSignal_Close(GwStopSignal *s)
+{
+    atomic_store(&wake, NULL);
+    uv_close((uv_handle_t *)&s->wake, NULL);
+}
+
+int64_t
+GwStopSignal_At(void)
+{
+    return atomic_load(&told_us);
+}
--- /dev/null
+++ b/tests/unit/test_stop_signal.c
@@ -0,0 +1,49 @@
+/* A process is told to stop while its loop is in a long turn.
+ *
+ * Seen: a request came 4.4 s after the signal, was read, and its connection was
+ * closed with no answer 6.0 s after it. The entry was busy; its loop heard of
+ * the signal 4 s late, counted the whole grace from there, and was killed when
+ * the platform's was over. */
+#include "edge/stop_signal.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+
+#define BUSY_US 20000
+
+static int64_t
+now_us(void)
+{
+    return (int64_t)(uv_hrtime() / 1000);
+}
+
+static void
+on_told(void *owner)
+{
+    GwStopSignal *s = owner;
+
+    GwStopSignal_Close(s);
+}
+
+Test(stop_signal, the_stop_counts_from_the_signal)
+{
+    static const int signals[] = {SIGTERM, SIGINT};
+
+    for (size_t i = 0; i < sizeof(signals) / sizeof(signals[0]); i++) {
+        GwStopSignal s;
+        uv_loop_t loop;
+        (void)uv_loop_init(&loop);
+        GwStopSignal_Start(&s, &loop, on_told, &s);
+        cr_expect_eq(GwStopSignal_At(), 0);
+        int64_t before_us = now_us();
+        (void)raise(signals[i]);
+        int64_t after_us = now_us();
+        while (now_us() < after_us + BUSY_US) {
+            /* the turn goes on */
+        }
+        (void)uv_run(&loop, UV_RUN_DEFAULT);
+        cr_expect_geq(GwStopSignal_At(), before_us);
+        cr_expect_leq(GwStopSignal_At(), after_us, "signal %d", signals[i]);
+        cr_expect_eq(uv_loop_close(&loop), 0);
+    }
+}
