Requests that the entry itself cuts or drops are told as such

What could not be told apart before: a request that was under way when its process ended was logged as left by its caller, which is false, and one that waited behind it on its connection was not logged at all. A request that was read and dropped on a connection in the course of a close left no trace. Change: the end 'cut' with the event REQUEST_CUT; the event REQUEST_DROPPED with a counter, how long the close had begun and how long the connection had been idle before, which tells a close behind an answer from an idle one. Up to the first request with a body they are told one by one; no body is held. explain knows both. Requests that waited behind others when their caller left have their line too. Tests: an entry runs in the process of the test, callers are plain sockets. No behaviour changed towards callers.

--- a/lib/admin/explain.c
+++ b/lib/admin/explain.c
@@ -403,6 +403,42 @@
     }
 }
 
+static void
+conclude_cut(const Step *step, GString *out)
+{
+    if (number(step->fields, "attempts") > 0) {
+        g_string_append(out, "unknown: it was sent, and its entry ended "
+                             "before an answer came");
+    }
+    else {
+        g_string_append(out, "not run: its entry ended before it was sent");
+    }
+}
+
+static void
+conclude_step(const Step *step, GString *out)
+{
+    switch (step->event) {
+    case GW_LOG_REQUEST_ANSWERED:
+        conclude_answer(step, out);
+        break;
+    case GW_LOG_REQUEST_LEFT:
+        g_string_append_printf(out, "its caller left after %s ms",
+                               field(step->fields, "took_ms"));
+        break;
+    case GW_LOG_REQUEST_CUT:
+        conclude_cut(step, out);
+        break;
+    case GW_LOG_REQUEST_DROPPED:
+        g_string_append(out, "not run: it came behind the close of its "
+                             "connection, and nobody answered it");
+        break;
+    default:
+        conclude_reply(step, out);
+        break;
+    }
+}
+
 static gint
 by_time(gconstpointer a, gconstpointer b)
 {
@@ -429,15 +465,8 @@
                                  : "its end is not in these logs: the entry "
                                    "was lost, or the line was dropped");
     }
-    else if (last->event == GW_LOG_REQUEST_ANSWERED) {
-        conclude_answer(last, out);
-    }
-    else if (last->event == GW_LOG_REQUEST_LEFT) {
-        g_string_append_printf(out, "its caller left after %s ms",
-                               field(last->fields, "took_ms"));
-    }
     else {
-        conclude_reply(last, out);
+        conclude_step(last, out);
     }
     return g_string_free(out, FALSE);
 }
@@ -445,9 +474,9 @@
 /* ---- Out ----------------------------------------------------------------- */
 
 static const char *const shown[] = {
-    "status",   "why",       "route",   "server",      "outcome",
-    "attempts", "waited_ms", "took_ms", "expected_ms", "warm",
-    "far",      "after_ms",  "config",  "best",        "best_busy",
+    "status",    "why",     "route",       "server",  "outcome",    "attempts",
+    "waited_ms", "took_ms", "expected_ms", "warm",    "far",        "after_ms",
+    "config",    "best",    "best_busy",   "idle_ms", "closing_ms",
 };
 
 static void
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -42,6 +42,8 @@
     X(REQUEST_ANSWERED, 602, INFO, "a request got a backend server's answer") \
     X(REQUEST_LEFT, 603, INFO, "a caller left before its answer") \
     X(ATTEMPT_FAILED, 604, WARN, "an attempt ended without an answer") \
+    X(REQUEST_CUT, 605, WARN, "the entry ended before a request's answer") \
+    X(REQUEST_DROPPED, 606, INFO, "a request came behind a close, unanswered") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table does not answer") \
     X(STORE_BACK, 701, INFO, "the platform's table answers again") \
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -34,9 +34,28 @@
     g_free(x);
 }
 
-/* The connection is gone or about to be: what is under way is abandoned. */
+/* Requests without an answer yet: those that wait behind others have no line
+ * otherwise. */
 static void
-free_caller(GwCaller *caller)
+note_open(const GwExchange *x, GwRequestEnd end)
+{
+    int64_t now_us = GwEdge_Now();
+    GwRequestStory story = {.took_ms =
+                                (uint32_t)((now_us - x->arrived_us) / 1000)};
+
+    if (x->out != NULL) {
+        return;
+    }
+    if (x->request != NULL) {
+        story = GwRequest_Story(x->request, now_us);
+    }
+    GwEdge_NoteEnd(x, end, 0, GW_WHY_NONE, &story);
+}
+
+/* The connection is gone or about to be: what is under way is abandoned, and
+ * ends in that way. */
+static void
+free_caller(GwCaller *caller, GwRequestEnd open_end)
 {
     GwEdge *edge = caller->edge;
     GwExchange *x;
@@ -46,9 +65,8 @@
         g_queue_remove(&edge->dirty, caller);
     }
     while ((x = g_queue_pop_head(&caller->exchanges)) != NULL) {
+        note_open(x, open_end);
         if (x->request != NULL) {
-            GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
-            GwEdge_NoteEnd(x, GW_END_LEFT, 0, GW_WHY_NONE, &story);
             GwServerLink_Cancel(x);
             GwRouter_Gone(edge->router, GwEdge_Now(), x->request,
                           edge->actions);
@@ -216,7 +234,7 @@
     }
     if (close) {
         GwConn_FinishAndClose(caller->conn);
-        free_caller(caller);
+        free_caller(caller, GW_END_CUT);
         return;
     }
     GwConn_Pause(caller->conn,
@@ -265,7 +283,7 @@
     GwEdge *edge = caller->edge;
 
     if (end != GW_CONN_BAD) {
-        free_caller(caller);
+        free_caller(caller, GW_END_LEFT);
         GwEdge_Carry(edge);
         return;
     }
@@ -287,9 +305,28 @@
     GwEdge_Carry(edge);
 }
 
+/* Right only behind an answer that said that it closes the connection: the
+ * caller knows then that nothing behind it was run, and sends it again. With
+ * an idle_ms above some milliseconds there was no such answer, and the caller
+ * can't know. */
+static void
+on_dropped(void *host, const GwConnDropped *dropped)
+{
+    GwEdge *edge = host;
+    const char *name = edge->adapter->request_id;
+    const char *id =
+        dropped->msg != NULL ? GwHttpMessage_Get(dropped->msg, name) : NULL;
+
+    edge->counts.dropped++;
+    GwLog_Event(GW_LOG_REQUEST_DROPPED,
+                "request=%.40s closing_ms=%u idle_ms=%u", id != NULL ? id : "",
+                dropped->closing_ms, dropped->idle_ms);
+}
+
 static const GwConnOps caller_ops = {
     .message = on_message,
     .ended = on_ended,
+    .dropped = on_dropped,
 };
 
 static GwCallerLimits
@@ -322,6 +359,7 @@
         .loop = &edge->loop,
         .ops = &caller_ops,
         .owner = caller,
+        .host = edge,
         .requests = true,
         .head_max = limits.head_bytes,
         .body_max = limits.body_bytes,
@@ -393,7 +431,7 @@
     if (g_queue_is_empty(&caller->exchanges) &&
         is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us)) {
         GwConn_FinishAndClose(caller->conn);
-        free_caller(caller);
+        free_caller(caller, GW_END_CUT);
     }
 }
 
@@ -415,7 +453,7 @@
 
     while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
         GwConn_Close(caller->conn);
-        free_caller(caller);
+        free_caller(caller, GW_END_CUT);
     }
 }
 
@@ -429,7 +467,7 @@
             !GwConn_IsInside(caller->conn) &&
             !GwConn_HasUnread(caller->conn)) {
             GwConn_FinishAndClose(caller->conn);
-            free_caller(caller);
+            free_caller(caller, GW_END_CUT);
         }
     }
 }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -80,7 +80,9 @@
                     story->version);
         break;
     case GW_END_LEFT:
-        GwLog_Event(GW_LOG_REQUEST_LEFT,
+    case GW_END_CUT:
+        GwLog_Event(end == GW_END_LEFT ? GW_LOG_REQUEST_LEFT
+                                       : GW_LOG_REQUEST_CUT,
                     "request=%.40s route=%s server=%s attempts=%u "
                     "waited_ms=%u took_ms=%u config=%" PRIu64,
                     id, story->route, story->server, story->attempts,
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -69,6 +69,7 @@
     int64_t armed_us; /* when the deadline timer fires */
     struct {
         uint64_t arrived;
+        uint64_t dropped; /* requests behind a close */
         uint64_t connects;
         uint64_t reuses;
         uint64_t store_calls;
--- a/lib/edge/meters.c
+++ b/lib/edge/meters.c
@@ -36,6 +36,7 @@
         [GW_END_ANSWERED] = "answered", [GW_END_FAILED] = "failed",
         [GW_END_NOT_RUN] = "not-run",   [GW_END_UNKNOWN] = "unknown",
         [GW_END_NO_ROUTE] = "no-route", [GW_END_LEFT] = "left",
+        [GW_END_CUT] = "cut",
     };
 
     return names[end];
--- a/lib/edge/meters.h
+++ b/lib/edge/meters.h
@@ -12,6 +12,7 @@
     GW_END_UNKNOWN,      /* 502, 504: it may have run */
     GW_END_NO_ROUTE,     /* 404 */
     GW_END_LEFT,         /* the caller left first */
+    GW_END_CUT,          /* the entry ended first: it may have run */
     GW_END_COUNT
 } GwRequestEnd;
 
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -61,6 +61,7 @@
 
     GwMeters_Write(edge->meters, out);
     write_counter(out, "gw_requests_total", edge->counts.arrived);
+    write_counter(out, "gw_requests_dropped_total", edge->counts.dropped);
     write_counter(out, "gw_connects_total", edge->counts.connects);
     write_counter(out, "gw_reuses_total", edge->counts.reuses);
     write_counter(out, "gw_store_calls_total", edge->counts.store_calls);
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -20,11 +20,15 @@
     GwHttpParser *parser;
     uint64_t bytes_out;
     int64_t heard_us;
-    uint32_t writes; /* under way */
+    int64_t wrote_us;
+    int64_t finish_us; /* when the owner ended it */
+    uint32_t idle_ms;  /* before that */
+    uint32_t writes;   /* under way */
     uint32_t user_timeout_ms;
     bool connecting;
     bool reading;
     bool finishing; /* close when nothing is left to write */
+    bool watching;  /* finishing, and requests that still come are told */
     bool closing;
     bool feeding; /* inside the parser: it must outlive the call */
     bool doomed;  /* free when the parser returns and the handle is closed */
@@ -85,12 +89,43 @@
     uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
+static uint32_t
+ms_between(int64_t from_us, int64_t to_us)
+{
+    return (uint32_t)(MAX(to_us - from_us, 0) / 1000);
+}
+
+static void
+note_dropped(GwConn *c, const GwHttpMessage *msg)
+{
+    GwConnDropped dropped = {
+        .msg = msg,
+        .closing_ms = ms_between(c->finish_us, now_us()),
+        .idle_ms = c->idle_ms,
+    };
+
+    if (c->params.ops->dropped != NULL) {
+        c->params.ops->dropped(c->params.host, &dropped);
+    }
+}
+
+/* Tells of a request of which only a part was read, and of no more. */
+static void
+stop_watching(GwConn *c)
+{
+    if (c->watching && GwHttpParser_IsInside(c->parser)) {
+        note_dropped(c, GwHttpParser_Begun(c->parser));
+    }
+    c->watching = false;
+}
+
 static void
 close_handle(GwConn *c)
 {
     if (c->closing) {
         return;
     }
+    stop_watching(c);
     c->closing = true;
     if (c->has_linger) {
         uv_close((uv_handle_t *)&c->linger, on_timer_closed);
@@ -116,7 +151,11 @@
 static void
 bad(GwConn *c)
 {
-    if (c->closing || c->finishing) {
+    if (c->finishing) {
+        stop_watching(c);
+        return;
+    }
+    if (c->closing) {
         return;
     }
     GwConn_Pause(c, true);
@@ -129,6 +168,9 @@
     GwConn *c = owner;
 
     if (c->closing || c->finishing) {
+        if (c->watching) {
+            note_dropped(c, msg);
+        }
         GwHttpMessage_Free(msg);
         return;
     }
@@ -171,10 +213,11 @@
     if (len == UV_EOF && !has_ended_in_order(c)) {
         len = UV_ECONNRESET;
     }
-    if (c->finishing) {
-        if (len < 0) {
-            close_handle(c);
-        }
+    if (c->finishing && len < 0) {
+        close_handle(c);
+        return;
+    }
+    if (c->finishing && !c->watching) {
         return;
     }
     c->feeding = true;
@@ -349,6 +392,7 @@
         return;
     }
     c->bytes_out += text->len;
+    c->wrote_us = now_us();
     if (c->writes == 0 && !c->connecting) {
         uv_buf_t whole = uv_buf_init(text->str, (unsigned int)text->len);
         int rc = uv_try_write((uv_stream_t *)&c->tcp, &whole, 1);
@@ -406,6 +450,19 @@
     free_if_over(c);
 }
 
+/* From here on requests are not answered; they are told to `dropped`, up to the
+ * first with a body, which is not held. What was refused half read is not
+ * another request. */
+static void
+watch(GwConn *c)
+{
+    c->finish_us = now_us();
+    c->idle_ms = ms_between(MAX(c->heard_us, c->wrote_us), c->finish_us);
+    c->watching = c->params.requests && !GwHttpParser_IsInside(c->parser) &&
+                  GwHttpParser_Error(c->parser) == GW_HTTP_OK;
+    GwHttpParser_SetLimits(c->parser, c->params.head_max, 0);
+}
+
 void
 GwConn_FinishAndClose(GwConn *c)
 {
@@ -414,6 +471,7 @@
     }
     c->finishing = true;
     c->params.owner = NULL;
+    watch(c);
     GwConn_Pause(c, false);
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
@@ -478,6 +536,7 @@
 void
 GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max)
 {
+    c->params.head_max = head_max;
     GwHttpParser_SetLimits(c->parser, head_max, body_max);
 }
 
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -15,6 +15,14 @@
     GW_CONN_BAD = 3     /* bytes that are no message; see GwConn_Error */
 } GwConnEnd;
 
+/* A request, or what came of it, that was read while its connection was being
+ * closed: nobody answers it. */
+typedef struct {
+    const GwHttpMessage *msg; /* its head may be cut short; NULL: no head */
+    uint32_t closing_ms;      /* since the close began */
+    uint32_t idle_ms;         /* without a byte either way before the close */
+} GwConnDropped;
+
 /* Callbacks never come from inside a call of this module. `ended` comes at
  * most once, and never after a close by the owner. After ENDED and FAILED the
  * connection is gone; after BAD it can still be written to, and the owner
@@ -24,12 +32,15 @@
     void (*message)(void *owner, GwHttpMessage *msg); /* takes over */
     bool (*to_head)(void *owner);
     void (*ended)(void *owner, GwConnEnd end);
+    /* After GwConn_FinishAndClose; may be NULL. */
+    void (*dropped)(void *host, const GwConnDropped *dropped);
 } GwConnOps;
 
 typedef struct {
     uv_loop_t *loop;
     const GwConnOps *ops;
     void *owner;
+    void *host;    /* outlives owner and connection; for `dropped` */
     bool requests; /* reads requests; else answers */
     uint64_t head_max;
     uint64_t body_max;
--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -98,6 +98,8 @@
 /* The stream ended in order: completes an answer without a length. */
 GwHttpError GwHttpParser_End(GwHttpParser *p);
 GwHttpError GwHttpParser_Error(const GwHttpParser *p);
+/* The message of which a part has been read, until the next call; or NULL. */
+const GwHttpMessage *GwHttpParser_Begun(const GwHttpParser *p);
 /* Part of a message has been read. */
 bool GwHttpParser_IsInside(const GwHttpParser *p);
 bool GwHttpParser_IsInHead(const GwHttpParser *p);
--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -317,6 +317,12 @@
     return p->error;
 }
 
+const GwHttpMessage *
+GwHttpParser_Begun(const GwHttpParser *p)
+{
+    return p->msg;
+}
+
 bool
 GwHttpParser_IsInside(const GwHttpParser *p)
 {
--- /dev/null
+++ b/tests/fakes/edge_entry.c
@@ -0,0 +1,241 @@
+#include "fakes/edge_entry.h"
+
+#include "fakes/free_port.h"
+#include "fakes/steering.h"
+#include "platform/platform.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <linux/sockios.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define WAIT_US 10000000
+#define STEP_US 1000
+
+/* ---- The entry ----------------------------------------------------------- */
+
+static GwEdgeSettings *
+make_settings(void)
+{
+    char at[6][GW_ADDR_MAX];
+    GError *error = NULL;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(at); i++) {
+        FreePort_Address(at[i]);
+    }
+    char *text = g_strdup_printf(
+        "{\"name\":\"e1\",\"region\":\"r1\",\"domain\":\"d1\","
+        "\"call_address\":\"%s\",\"ready_address\":\"%s\","
+        "\"directory_address\":\"%s\",\"control_address\":\"%s\","
+        "\"peer_address\":\"%s\",\"store_address\":\"%s\","
+        "\"regions\":{\"d1\":\"r1\"},\"grace\":\"6s\"}",
+        at[0], at[1], at[2], at[3], at[4], at[5]);
+    GwEdgeSettings *settings =
+        GwEdgeSettings_Parse(text, strlen(text), &error);
+    cr_assert_not_null(settings, "%s", error != NULL ? error->message : "");
+    g_free(text);
+    return settings;
+}
+
+/* Its kernel takes connections; nobody reads them. */
+static int
+listen_silently(char address[GW_ADDR_MAX])
+{
+    struct sockaddr_in at;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    FreePort_Address(address);
+    cr_assert(GwConn_ParseAddress(address, &at));
+    cr_assert_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    cr_assert_eq(listen(fd, 16), 0);
+    return fd;
+}
+
+EdgeEntry
+EdgeEntry_Start(void)
+{
+    GError *error = NULL;
+    char address[GW_ADDR_MAX];
+    EdgeEntry entry = {.silent = listen_silently(address)};
+
+    entry.edge = GwEdge_Create(make_settings(), "no settings file",
+                               &Platform_Adapter, &error);
+    cr_assert_not_null(entry.edge, "%s", error != NULL ? error->message : "");
+    EdgeEntry_SetIdleLimit(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS);
+    GwServerInfo info = FakeSteering_Info("s1", "s", "r1", "d1", 4);
+    info.address = address;
+    GwRouter_PutServer(entry.edge->router, GwEdge_Now(), &info,
+                       entry.edge->actions);
+    GwEdge_Carry(entry.edge);
+    return entry;
+}
+
+void
+EdgeEntry_Stop(EdgeEntry *entry)
+{
+    GwEdge_Free(entry->edge);
+    (void)close(entry->silent);
+}
+
+void
+EdgeEntry_SetIdleLimit(EdgeEntry *entry, uint32_t idle_ms)
+{
+    GwRouter *router = entry->edge->router;
+    const GwRouting *before = GwRouter_Routing(router);
+    GwRouting *routing =
+        FakeSteering_Routing(before != NULL ? before->version + 1 : 1, 1);
+
+    routing->limits.idle_timeout_ms = idle_ms;
+    cr_assert(GwRouter_SetRouting(router, routing));
+    GwRouting_Unref(routing);
+}
+
+bool
+EdgeEntry_RunUntil(EdgeEntry *entry, EdgeEntryTest test, void *ctx)
+{
+    int64_t end_us = GwEdge_Now() + WAIT_US;
+
+    while (!test(ctx)) {
+        if (GwEdge_Now() > end_us) {
+            return false;
+        }
+        (void)uv_run(&entry->edge->loop, UV_RUN_NOWAIT);
+        g_usleep(STEP_US);
+    }
+    return true;
+}
+
+/* ---- A caller ------------------------------------------------------------ */
+
+static bool
+is_accepted(void *ctx)
+{
+    const GwEdge *edge = ((PlainCaller *)ctx)->entry->edge;
+
+    return !g_queue_is_empty((GQueue *)&edge->callers);
+}
+
+PlainCaller
+PlainCaller_Connect(EdgeEntry *entry)
+{
+    struct sockaddr_in at;
+    PlainCaller caller = {.entry = entry,
+                          .fd = socket(AF_INET, SOCK_STREAM, 0),
+                          .got = g_string_new(NULL)};
+
+    cr_assert(GwConn_ParseAddress(entry->edge->settings->call_address, &at));
+    cr_assert_eq(connect(caller.fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    cr_assert(EdgeEntry_RunUntil(entry, is_accepted, &caller));
+    return caller;
+}
+
+void
+PlainCaller_Close(PlainCaller *caller)
+{
+    (void)close(caller->fd);
+    g_string_free(caller->got, TRUE);
+}
+
+/* The kernel of the entry has it, or has refused it. */
+static bool
+has_arrived(const PlainCaller *caller)
+{
+    struct pollfd state = {.fd = caller->fd};
+    int unacked = 0;
+
+    cr_assert_eq(ioctl(caller->fd, SIOCOUTQ, &unacked), 0);
+    return unacked == 0 || (poll(&state, 1, 0) > 0 &&
+                            (state.revents & (POLLERR | POLLHUP)) != 0);
+}
+
+void
+PlainCaller_Send(PlainCaller *caller, const char *bytes)
+{
+    size_t len = strlen(bytes);
+
+    cr_assert_eq(send(caller->fd, bytes, len, MSG_NOSIGNAL), (ssize_t)len);
+    while (!has_arrived(caller)) {
+        g_usleep(STEP_US);
+    }
+}
+
+/* Reads what has come. A reset behind an orderly end is told by the socket's
+ * error alone. */
+static void
+look(PlainCaller *caller)
+{
+    char bytes[4096];
+    int error = 0;
+    socklen_t len = sizeof(error);
+    ssize_t count;
+
+    while ((count = recv(caller->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) >
+           0) {
+        g_string_append_len(caller->got, bytes, count);
+    }
+    if (count < 0 && errno != EAGAIN) {
+        caller->state = CALLER_RESET;
+        return;
+    }
+    if (count == 0 && caller->state == CALLER_WAITS) {
+        caller->state = CALLER_ENDED;
+    }
+    (void)getsockopt(caller->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+    if (error != 0) {
+        caller->state = CALLER_RESET;
+    }
+}
+
+static bool
+is_answered(void *ctx)
+{
+    PlainCaller *caller = ctx;
+
+    look(caller);
+    return caller->got->len > 0 || caller->state != CALLER_WAITS;
+}
+
+CallerState
+PlainCaller_AwaitAnswer(PlainCaller *caller)
+{
+    g_string_truncate(caller->got, 0);
+    cr_assert(EdgeEntry_RunUntil(caller->entry, is_answered, caller));
+    return caller->state;
+}
+
+static bool
+is_over(void *ctx)
+{
+    PlainCaller *caller = ctx;
+
+    look(caller);
+    return caller->state != CALLER_WAITS;
+}
+
+static bool
+is_reset_or_dropped(void *ctx)
+{
+    PlainCaller *caller = ctx;
+
+    look(caller);
+    return caller->state == CALLER_RESET ||
+           caller->entry->edge->counts.dropped > 0;
+}
+
+CallerState
+PlainCaller_AwaitEnd(PlainCaller *caller)
+{
+    cr_assert(EdgeEntry_RunUntil(caller->entry, is_over, caller));
+    return caller->state;
+}
+
+CallerState
+PlainCaller_AwaitReset(PlainCaller *caller)
+{
+    cr_assert(EdgeEntry_RunUntil(caller->entry, is_reset_or_dropped, caller));
+    return caller->state;
+}
--- /dev/null
+++ b/tests/fakes/edge_entry.h
@@ -0,0 +1,49 @@
+/* An entry on its event loop, in the process of the test, and callers on plain
+ * sockets: what the entry reads and when is up to the test. Nobody answers as
+ * its store. */
+#ifndef GW_TESTS_FAKES_EDGE_ENTRY_H
+#define GW_TESTS_FAKES_EDGE_ENTRY_H
+
+#include "edge/edge_internal.h"
+
+typedef struct {
+    GwEdge *edge;
+    int silent; /* the socket of a backend server that never answers */
+} EdgeEntry;
+
+/* Serves the host "h" of FakeSteering_Routing; the server of its routes takes
+ * connections and answers nothing. */
+EdgeEntry EdgeEntry_Start(void);
+void EdgeEntry_Stop(EdgeEntry *entry);
+/* A configuration whose idle connections are closed after that time. */
+void EdgeEntry_SetIdleLimit(EdgeEntry *entry, uint32_t idle_ms);
+/* Runs the loop until the condition holds; false after 10 s. */
+typedef bool (*EdgeEntryTest)(void *ctx);
+bool EdgeEntry_RunUntil(EdgeEntry *entry, EdgeEntryTest test, void *ctx);
+
+typedef enum {
+    CALLER_WAITS = 0,
+    CALLER_ENDED, /* the entry closed in order */
+    CALLER_RESET  /* it did not read all that was sent */
+} CallerState;
+
+typedef struct {
+    EdgeEntry *entry;
+    int fd;
+    CallerState state;
+    GString *got; /* bytes of answers */
+} PlainCaller;
+
+/* Connects, and returns once the entry has accepted. */
+PlainCaller PlainCaller_Connect(EdgeEntry *entry);
+void PlainCaller_Close(PlainCaller *caller);
+/* Sends bytes, which wait unread at the entry when this returns. */
+void PlainCaller_Send(PlainCaller *caller, const char *bytes);
+/* Runs the loop until an answer has come, or the connection is over. */
+CallerState PlainCaller_AwaitAnswer(PlainCaller *caller);
+/* The same until the connection is over, with what came before. */
+CallerState PlainCaller_AwaitEnd(PlainCaller *caller);
+/* The same until it is reset, or the entry has read and dropped a request. */
+CallerState PlainCaller_AwaitReset(PlainCaller *caller);
+
+#endif
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -84,6 +84,23 @@
       "why=no-config news_ms=10"},
      {"the entry knew no configuration yet"},
      "stale"},
+    {"one that was under way when its entry ended may have run",
+     {"e1 time_ms=100 event=101 name=STOP_BEGIN open=3",
+      "e1 time_ms=5400 event=605 name=REQUEST_CUT request=r1 route=x "
+      "server=s1 attempts=1 waited_ms=0 took_ms=2300 config=4"},
+     {"REQUEST_CUT", "the entry was leaving for 5300 ms",
+      "unknown: it was sent, and its entry ended"},
+     "caller left"},
+    {"one that waited when its entry ended has not",
+     {"e1 time_ms=5400 event=605 name=REQUEST_CUT request=r1 route=x "
+      "server= attempts=0 waited_ms=900 took_ms=900 config=4"},
+     {"not run: its entry ended before it was sent"},
+     "unknown"},
+    {"one behind a close was read by nobody",
+     {"e1 time_ms=5400 event=606 name=REQUEST_DROPPED request=r1 "
+      "closing_ms=12 idle_ms=0"},
+     {"idle_ms=0 closing_ms=12", "not run: it came behind the close"},
+     "unknown"},
     {"an end that is missing is said",
      {"e1 time_ms=900 event=604 name=ATTEMPT_FAILED request=r1 server=s1 "
       "outcome=refused status=503 after_ms=3"},
