Tests that fail: idle closes drop requests that cross them

What callers saw: a connection that they still counted as good ended with no answer to a request that had just been sent, in a stop and 0.27 s after a configuration that lowered the idle limit. The suspicion: a close reads and drops for 0.4 s. Reproduced over loopback with an entry in the process of the test: a request sent when the entry's end of an idle connection has been seen is read and dropped (a stop; the idle limit); so is one that waits unread when the idle limit is looked at; a lowered limit closes connections that were idle for less than four fifths of the old one; half a request behind a whole one counts as nothing read. A control passes: a new limit comes into force.

--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -90,3 +90,162 @@
                    "gw_request_ms_count{route=\"/again/\",end=\"left\"} 1\n");
     EdgeEntry_Stop(&entry);
 }
+
+/* Has one answer and keeps its connection. */
+static PlainCaller
+connect_idle(EdgeEntry *entry)
+{
+    PlainCaller caller = PlainCaller_Connect(entry);
+
+    PlainCaller_Send(&caller, NOWHERE "\r\n");
+    cr_assert_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+    return caller;
+}
+
+static void
+sweep_after(EdgeEntry *entry, int64_t ms)
+{
+    GwCallers_Sweep(entry->edge, GwEdge_Now() + ms * 1000);
+}
+
+static void
+sweep_above_limit(EdgeEntry *entry)
+{
+    sweep_after(entry, GW_DEFAULT_IDLE_TIMEOUT_MS + 1000);
+}
+
+static void
+stop_idle(EdgeEntry *entry)
+{
+    GwCallers_CloseIdle(entry->edge);
+}
+
+typedef struct {
+    const char *what;
+    void (*close)(EdgeEntry *entry);
+} IdleClose;
+
+static const IdleClose idle_closes[] = {
+    {"a stop", stop_idle},
+    {"the idle limit", sweep_above_limit},
+};
+
+/* The entry closes an idle connection while a request of its caller is on the
+ * way. The request was read and dropped, and the connection ended without an
+ * answer: the caller may not send it again, since it may have run. */
+Test(edge_callers, a_request_that_crosses_an_idle_close_stays_unread)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(idle_closes); i++) {
+        EdgeEntry entry = EdgeEntry_Start();
+        PlainCaller caller = connect_idle(&entry);
+
+        idle_closes[i].close(&entry);
+        cr_assert_eq(PlainCaller_AwaitEnd(&caller), CALLER_ENDED, "%s",
+                     idle_closes[i].what);
+        PlainCaller_Send(&caller, ONCE);
+        cr_expect_eq(PlainCaller_AwaitReset(&caller), CALLER_RESET, "%s",
+                     idle_closes[i].what);
+        cr_expect_eq(entry.edge->counts.dropped, 0, "%s", idle_closes[i].what);
+        PlainCaller_Close(&caller);
+        EdgeEntry_Stop(&entry);
+    }
+}
+
+/* The entry was busy or stood still while a connection reached its idle limit
+ * and a request came on it. The limit was looked at first, and the request was
+ * then read and dropped; its caller had kept to the limit. */
+Test(edge_callers, a_connection_with_a_request_unread_is_not_idle)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(idle_closes); i++) {
+        EdgeEntry entry = EdgeEntry_Start();
+        PlainCaller caller = connect_idle(&entry);
+
+        PlainCaller_Send(&caller, NOWHERE "\r\n");
+        idle_closes[i].close(&entry);
+        cr_expect_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS, "%s",
+                     idle_closes[i].what);
+        cr_expect_gt(caller.got->len, 0, "%s", idle_closes[i].what);
+        cr_expect_eq(entry.edge->counts.dropped, 0, "%s", idle_closes[i].what);
+        PlainCaller_Close(&caller);
+        EdgeEntry_Stop(&entry);
+    }
+}
+
+/* A new configuration lowers the idle limit. Connections that were idle for
+ * longer than the new limit were closed at the next sweep, though their
+ * callers had them under the old one and were still using them: requests
+ * crossed the close. */
+Test(edge_callers, a_lowered_idle_limit_leaves_what_is_idle_alone)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = connect_idle(&entry);
+
+    EdgeEntry_SetIdleLimit(&entry, 1000);
+    sweep_after(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS * 4 / 5);
+    PlainCaller_Send(&caller, NOWHERE "\r\n");
+    cr_expect_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+    cr_expect_gt(caller.got->len, 0);
+    cr_expect_eq(entry.edge->counts.dropped, 0);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
+
+/* It holds from the next time that the connection is idle; a raised one holds
+ * at once, since callers may know it. */
+Test(edge_callers, a_new_idle_limit_comes_into_force)
+{
+    static const struct {
+        uint32_t limit_ms;
+        int64_t idle_ms;
+        CallerState state;
+    } cases[] = {
+        {1000, 500, CALLER_WAITS},
+        {1000, 1500, CALLER_ENDED},
+        {60000, 50000, CALLER_WAITS},
+        {60000, 61000, CALLER_ENDED},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EdgeEntry entry = EdgeEntry_Start();
+        bool lowered = cases[i].limit_ms < GW_DEFAULT_IDLE_TIMEOUT_MS;
+        PlainCaller caller = connect_idle(&entry);
+
+        EdgeEntry_SetIdleLimit(&entry, cases[i].limit_ms);
+        if (lowered) {
+            PlainCaller_Send(&caller, NOWHERE "\r\n");
+            cr_assert_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+        }
+        sweep_after(&entry, cases[i].idle_ms);
+        if (cases[i].state == CALLER_ENDED) {
+            cr_expect_eq(PlainCaller_AwaitEnd(&caller), CALLER_ENDED,
+                         "case %zu", i);
+        }
+        else {
+            PlainCaller_Send(&caller, NOWHERE "\r\n");
+            cr_expect_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS,
+                         "case %zu", i);
+        }
+        PlainCaller_Close(&caller);
+        EdgeEntry_Stop(&entry);
+    }
+}
+
+/* A caller sends two requests at once, and the second is cut in two on the
+ * way. With the first answered and half of the second read, the connection
+ * was taken for idle and closed in a stop: the second got no answer and no
+ * refusal. */
+Test(edge_callers, a_connection_with_half_a_request_is_not_idle)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_Connect(&entry);
+
+    PlainCaller_Send(&caller, NOWHERE "\r\n" NOWHERE);
+    cr_assert_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+    stop_idle(&entry);
+    PlainCaller_Send(&caller, "\r\n");
+    cr_expect_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+    cr_expect_gt(caller.got->len, 0);
+    cr_expect_eq(entry.edge->counts.dropped, 0);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
