Half a request behind a whole one counts as begun

What callers saw: two requests sent at once, the second cut in two on the way; with the first answered, a stop closed the connection between the halves, and the second got neither answer nor refusal. Beyond a stop the time-out for half a request did not hold for it, and the connection was closed in silence. Cause: the parser's flag 'inside' was set before each read and taken back at the end of a message; a second message that began in the same read did not set it. Change: inside is what has been begun and is not complete; the flag is gone. Ruled out: bytes that http-parser skips between messages begin nothing (cases of the new test).

--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -8,12 +8,11 @@
 struct GwHttpParser_s {
     GwHttpParserParams params;
     http_parser parser;
-    GwHttpMessage *msg; /* being read, or NULL between messages */
+    GwHttpMessage *msg; /* begun and not complete, or NULL */
     GString *name;      /* the field being read */
     GString *value;
     bool in_value;
     bool head_done; /* fields from here on are trailers: dropped */
-    bool inside;
     uint64_t head_len;
     GwHttpError error;
 };
@@ -228,7 +227,6 @@
     GwHttpMessage *msg = p->msg;
 
     p->msg = NULL;
-    p->inside = false;
     p->params.message(p->params.owner, msg);
     return 0;
 }
@@ -283,7 +281,6 @@
     if (p->error != GW_HTTP_OK || len == 0) {
         return p->error;
     }
-    p->inside = true;
     size_t used = http_parser_execute(&p->parser, &settings, data, len);
     if (p->error == GW_HTTP_OK &&
         (used != len || HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)) {
@@ -291,10 +288,6 @@
                        ? GW_HTTP_LONG_HEAD
                        : GW_HTTP_BAD;
     }
-    /* Between messages http-parser skips empty lines; they begin nothing. */
-    if (p->msg == NULL) {
-        p->inside = false;
-    }
     return p->error;
 }
 
@@ -323,14 +316,17 @@
     return p->msg;
 }
 
+/* A message also begins behind another one of the same read: a connection
+ * with half a request was closed as idle when a flag told the two apart.
+ * Empty lines between messages begin nothing. */
 bool
 GwHttpParser_IsInside(const GwHttpParser *p)
 {
-    return p->inside;
+    return p->msg != NULL;
 }
 
 bool
 GwHttpParser_IsInHead(const GwHttpParser *p)
 {
-    return p->inside && !p->head_done;
+    return p->msg != NULL && !p->head_done;
 }
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -233,7 +233,8 @@
 /* A caller sends two requests at once, and the second is cut in two on the
  * way. With the first answered and half of the second read, the connection
  * was taken for idle and closed in a stop: the second got no answer and no
- * refusal. */
+ * refusal. The parser said "inside a message" by a flag that the first message
+ * took back and the second, in the same read, did not set again. */
 Test(edge_callers, a_connection_with_half_a_request_is_not_idle)
 {
     EdgeEntry entry = EdgeEntry_Start();
--- a/tests/unit/test_http_message.c
+++ b/tests/unit/test_http_message.c
@@ -185,6 +185,37 @@
     }
 }
 
+/* What has been read decides whether a connection is idle, also behind a
+ * whole message of the same read. */
+Test(http_message, half_a_message_is_inside)
+{
+    static const struct {
+        const char *bytes;
+        bool inside;
+        bool in_head;
+    } cases[] = {
+        {"GET / HTTP/1.1\r\n", true, true},
+        {"GET / HTTP/1.1\r\n\r\n", false, false},
+        {"GET / HTTP/1.1\r\n\r\n\r\n", false, false},
+        {"GET / HTTP/1.1\r\n\r\nG", true, true},
+        {"GET / HTTP/1.1\r\n\r\nPUT / HTTP/1.1\r\nContent-Length: 2\r\n\r\na",
+         true, false},
+        {"GET / HTTP/1.1\r\n\r\nPUT / HTTP/1.1\r\nContent-Length: 1\r\n\r\na",
+         false, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Sink sink = {0};
+        GwHttpParser *p = parser(&sink, true);
+        const char *bytes = cases[i].bytes;
+        cr_assert_eq(GwHttpParser_Feed(p, bytes, strlen(bytes)), GW_HTTP_OK);
+        cr_expect_eq(GwHttpParser_IsInside(p), cases[i].inside, "%s", bytes);
+        cr_expect_eq(GwHttpParser_IsInHead(p), cases[i].in_head, "%s", bytes);
+        g_ptr_array_free(sink.messages, TRUE);
+        GwHttpParser_Free(p);
+    }
+}
+
 /* No bytes are not the end of the stream: an answer without a length would be
  * whole too early, and complete a second time at its end. */
 Test(http_message, no_bytes_end_nothing)
