An idle connection is closed without reading any further

What callers saw: a connection that they counted as good ended with no answer to a request just sent, in a stop and at the idle limit. One that may run once only could not be sent again, for it had been read. Cause: idle connections were closed like those behind a last answer: write side shut, and what still came read and dropped for 0.4 s. That is right only behind an answer that says that it closes the connection. Ruled out: a check for unread bytes just before the close as a mend of its own; what comes between check and close, or after it, needs no check, since the kernel resets what nobody reads. Change: GwConn_CloseUnread reads nothing more and closes, at once or as soon as what was written has arrived (10 s at most): the reset would destroy an answer that is still on its way.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -430,7 +430,7 @@
     }
     if (g_queue_is_empty(&caller->exchanges) &&
         is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us)) {
-        GwConn_FinishAndClose(caller->conn);
+        GwConn_CloseUnread(caller->conn);
         free_caller(caller, GW_END_CUT);
     }
 }
@@ -466,7 +466,7 @@
         if (g_queue_is_empty(&caller->exchanges) &&
             !GwConn_IsInside(caller->conn) &&
             !GwConn_HasUnread(caller->conn)) {
-            GwConn_FinishAndClose(caller->conn);
+            GwConn_CloseUnread(caller->conn);
             free_caller(caller, GW_END_CUT);
         }
     }
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -1,8 +1,10 @@
 #include "http/conn.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define GW_CONN_BACKLOG   511
@@ -12,6 +14,8 @@
 /* For what was written to leave: a caller on a busy link takes its time, one
  * that reads nothing must not keep the connection for good. */
 #define GW_DRAIN_MS 10000
+/* How often it is looked whether what was written has arrived. */
+#define GW_SETTLE_MS 20
 
 struct GwConn_s {
     uv_tcp_t tcp;
@@ -487,6 +491,55 @@
     }
 }
 
+/* What was written has arrived at the other side's machine. */
+static bool
+has_arrived(const GwConn *c)
+{
+    int unacked = 0;
+    int fd;
+
+    if (c->writes > 0) {
+        return false;
+    }
+    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+           ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0;
+}
+
+static void
+on_settle(uv_timer_t *timer)
+{
+    GwConn *c = timer->data;
+
+    if (has_arrived(c) || ms_between(c->finish_us, now_us()) >= GW_DRAIN_MS) {
+        close_handle(c);
+    }
+}
+
+/* A request may cross the close. Read and dropped, it would leave its caller
+ * without an answer and without the right to send it again; unread, it is
+ * reset by the kernel, whether it comes before or after the close, and the
+ * caller knows that it did not run. The reset could destroy an answer that has
+ * not arrived, so that is waited for. */
+void
+GwConn_CloseUnread(GwConn *c)
+{
+    if (c->closing || c->finishing) {
+        return;
+    }
+    c->params.owner = NULL;
+    if (has_arrived(c)) {
+        close_handle(c);
+        return;
+    }
+    c->finishing = true;
+    c->finish_us = now_us();
+    GwConn_Pause(c, true);
+    (void)uv_timer_init(c->params.loop, &c->linger);
+    c->linger.data = c;
+    c->has_linger = true;
+    (void)uv_timer_start(&c->linger, on_settle, GW_SETTLE_MS, GW_SETTLE_MS);
+}
+
 void
 GwConn_Close(GwConn *c)
 {
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -61,9 +61,14 @@
 void GwConn_Write(GwConn *c, const GString *text);
 /* A request without a body. */
 void GwConn_WriteGet(GwConn *c, const char *target, const char *host);
-/* Closes once what was written has left (10 s at most), and then the other side
- * has closed too, or 0.4 s have passed. No longer the owner's. */
+/* Behind a last message that says so: closes once what was written has left
+ * (10 s at most), and then the other side has closed too, or 0.4 s have passed.
+ * What still comes is read and dropped. No longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
+/* Closes at once, or when what was written has arrived (10 s at most), and
+ * reads no more: the other side is reset if it sends, or has sent, what nobody
+ * will answer. No longer the owner's. */
+void GwConn_CloseUnread(GwConn *c);
 /* Closes now; what is queued is dropped. */
 void GwConn_Close(GwConn *c);
 /* The same for the connection that `*at` names, if any; `*at` is NULL then. */
--- a/tests/fakes/edge_entry.c
+++ b/tests/fakes/edge_entry.c
@@ -15,6 +15,8 @@
 
 #define WAIT_US 10000000
 #define STEP_US 1000
+/* The least that the kernel grants is about as much. */
+#define NARROW_BYTES 2048
 
 /* ---- The entry ----------------------------------------------------------- */
 
@@ -119,8 +121,8 @@
     return !g_queue_is_empty((GQueue *)&edge->callers);
 }
 
-PlainCaller
-PlainCaller_Connect(EdgeEntry *entry)
+static PlainCaller
+connect_to(EdgeEntry *entry, int receive_bytes)
 {
     struct sockaddr_in at;
     PlainCaller caller = {.entry = entry,
@@ -128,11 +130,27 @@
                           .got = g_string_new(NULL)};
 
     cr_assert(GwConn_ParseAddress(entry->edge->settings->call_address, &at));
+    if (receive_bytes > 0) {
+        (void)setsockopt(caller.fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                         sizeof(receive_bytes));
+    }
     cr_assert_eq(connect(caller.fd, (struct sockaddr *)&at, sizeof(at)), 0);
     cr_assert(EdgeEntry_RunUntil(entry, is_accepted, &caller));
     return caller;
 }
 
+PlainCaller
+PlainCaller_Connect(EdgeEntry *entry)
+{
+    return connect_to(entry, 0);
+}
+
+PlainCaller
+PlainCaller_ConnectNarrow(EdgeEntry *entry)
+{
+    return connect_to(entry, NARROW_BYTES);
+}
+
 void
 PlainCaller_Close(PlainCaller *caller)
 {
--- a/tests/fakes/edge_entry.h
+++ b/tests/fakes/edge_entry.h
@@ -36,6 +36,8 @@
 
 /* Connects, and returns once the entry has accepted. */
 PlainCaller PlainCaller_Connect(EdgeEntry *entry);
+/* The same, but takes few bytes of answers before it reads them. */
+PlainCaller PlainCaller_ConnectNarrow(EdgeEntry *entry);
 void PlainCaller_Close(PlainCaller *caller);
 /* Sends bytes, which wait unread at the entry when this returns. */
 void PlainCaller_Send(PlainCaller *caller, const char *bytes);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -132,7 +132,9 @@
 
 /* The entry closes an idle connection while a request of its caller is on the
  * way. The request was read and dropped, and the connection ended without an
- * answer: the caller may not send it again, since it may have run. */
+ * answer: the caller may not send it again, since it may have run. Idle
+ * connections were closed like those behind a last answer, which read on for
+ * 0.4 s; the entry's counter of dropped requests showed it. */
 Test(edge_callers, a_request_that_crosses_an_idle_close_stays_unread)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(idle_closes); i++) {
@@ -151,6 +153,72 @@
     }
 }
 
+#define MANY 400
+
+static bool
+have_all_arrived(void *ctx)
+{
+    return ((EdgeEntry *)ctx)->edge->counts.arrived == MANY;
+}
+
+static uint32_t
+count_answers(const PlainCaller *caller)
+{
+    uint32_t count = 0;
+
+    for (const char *at = caller->got->str;
+         (at = strstr(at, "HTTP/1.1 404 ")) != NULL; at++) {
+        count++;
+    }
+    return count;
+}
+
+/* Answers are on their way on a narrow link when their connection is closed,
+ * and the caller sends a further request. The reset that this one gets must
+ * not overtake the answers and destroy them. */
+static void
+expect_answers_to_arrive(const IdleClose *end)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_ConnectNarrow(&entry);
+
+    GString *requests = g_string_new(NULL);
+    for (int i = 0; i < MANY; i++) {
+        g_string_append(requests, NOWHERE "\r\n");
+    }
+    PlainCaller_Send(&caller, requests->str);
+    g_string_free(requests, TRUE);
+    cr_assert(EdgeEntry_RunUntil(&entry, have_all_arrived, &entry));
+    end->close(&entry);
+    PlainCaller_Send(&caller, ONCE);
+    (void)PlainCaller_AwaitEnd(&caller);
+    cr_expect_eq(count_answers(&caller), MANY, "%s: %u", end->what,
+                 count_answers(&caller));
+    cr_expect_eq(entry.edge->counts.dropped, 0, "%s", end->what);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
+
+Test(edge_callers, answers_arrive_before_an_idle_close)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(idle_closes); i++) {
+        expect_answers_to_arrive(&idle_closes[i]);
+    }
+}
+
+static void
+end_process(EdgeEntry *entry)
+{
+    GwCallers_CloseAll(entry->edge);
+}
+
+Test(edge_callers, answers_arrive_before_the_end_of_the_process)
+{
+    const IdleClose end = {"the end of the process", end_process};
+
+    expect_answers_to_arrive(&end);
+}
+
 /* The entry was busy or stood still while a connection reached its idle limit
  * and a request came on it. The limit was looked at first, and the request was
  * then read and dropped; its caller had kept to the limit. */
