A connection with a request unread is not closed as idle

What callers saw: an entry that had been busy or had stood still closed a connection at the idle limit although a request had come on it in time, and the request was dropped. Change: both ask the same question, is_idle.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -408,6 +408,15 @@
     return now_us - since_us > (int64_t)limit_ms * 1000;
 }
 
+/* Nothing is under way, nor has a request begun to come: one that came while
+ * the process stood still waits unread when the limits are looked at. */
+static bool
+is_idle(const GwCaller *caller)
+{
+    return caller->exchanges.head == NULL && !GwConn_IsInside(caller->conn) &&
+           !GwConn_HasUnread(caller->conn);
+}
+
 static void
 sweep_one(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
 {
@@ -428,8 +437,8 @@
         }
         return;
     }
-    if (g_queue_is_empty(&caller->exchanges) &&
-        is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us)) {
+    if (is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us) &&
+        is_idle(caller)) {
         GwConn_CloseUnread(caller->conn);
         free_caller(caller, GW_END_CUT);
     }
@@ -463,9 +472,7 @@
     for (GList *at = edge->callers.head, *next; at != NULL; at = next) {
         GwCaller *caller = at->data;
         next = at->next;
-        if (g_queue_is_empty(&caller->exchanges) &&
-            !GwConn_IsInside(caller->conn) &&
-            !GwConn_HasUnread(caller->conn)) {
+        if (is_idle(caller)) {
             GwConn_CloseUnread(caller->conn);
             free_caller(caller, GW_END_CUT);
         }
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -221,7 +221,8 @@
 
 /* The entry was busy or stood still while a connection reached its idle limit
  * and a request came on it. The limit was looked at first, and the request was
- * then read and dropped; its caller had kept to the limit. */
+ * then read and dropped; its caller had kept to the limit. Only a stop asked
+ * the socket whether something had come; the sweep of the limits did not. */
 Test(edge_callers, a_connection_with_a_request_unread_is_not_idle)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(idle_closes); i++) {
