A lowered idle limit holds from the next time that a connection is idle

What callers saw: a new configuration lowered the time after which idle connections are closed; 0.4 s after a request had been sent on a kept connection it ended with no answer. No stop was near. Those that were idle for longer than that were closed at once, while their callers, who use a connection for up to four fifths of the limit that they know, still counted on them. Change: a connection keeps the limit that was in force when it became idle, and the larger of that and the newest one holds. Ruled out: only a grace after the change; it would have to be as long as the old limit. A raised limit holds at once, since callers may know it.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -18,6 +18,7 @@
     GList link;       /* in edge->callers */
     GQueue exchanges; /* GwExchange, oldest first */
     int64_t idle_since_us;
+    uint32_t idle_limit_ms;  /* in force at that time */
     int64_t inside_since_us; /* a message has begun to come; 0: none */
     bool dirty;              /* in edge->dirty: answers wait to be sent */
     uint16_t bad_status; /* to be said when the rest is answered; 0: none */
@@ -87,6 +88,30 @@
     }
 }
 
+static GwCallerLimits
+limits_of(const GwEdge *edge)
+{
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+
+    if (routing != NULL) {
+        return routing->limits;
+    }
+    return (GwCallerLimits){
+        .head_bytes = GW_DEFAULT_HEAD_BYTES,
+        .body_bytes = GW_DEFAULT_BODY_BYTES,
+        .head_timeout_ms = GW_DEFAULT_HEAD_TIMEOUT_MS,
+        .idle_timeout_ms = GW_DEFAULT_IDLE_TIMEOUT_MS,
+    };
+}
+
+/* From here on the connection is idle, unless something is under way. */
+static void
+begin_idle(GwCaller *caller)
+{
+    caller->idle_since_us = GwEdge_Now();
+    caller->idle_limit_ms = limits_of(caller->edge).idle_timeout_ms;
+}
+
 static bool
 is_tail(GwCaller *caller, const GwExchange *x)
 {
@@ -223,7 +248,7 @@
         free_exchange(x);
         x = g_queue_peek_head(&caller->exchanges);
     }
-    caller->idle_since_us = GwEdge_Now();
+    begin_idle(caller);
     if (x == NULL && caller->bad_status != 0) {
         GString *out = g_string_new(NULL);
         write_own(out, caller->bad_status,
@@ -329,22 +354,6 @@
     .dropped = on_dropped,
 };
 
-static GwCallerLimits
-limits_of(const GwEdge *edge)
-{
-    const GwRouting *routing = GwRouter_Routing(edge->router);
-
-    if (routing != NULL) {
-        return routing->limits;
-    }
-    return (GwCallerLimits){
-        .head_bytes = GW_DEFAULT_HEAD_BYTES,
-        .body_bytes = GW_DEFAULT_BODY_BYTES,
-        .head_timeout_ms = GW_DEFAULT_HEAD_TIMEOUT_MS,
-        .idle_timeout_ms = GW_DEFAULT_IDLE_TIMEOUT_MS,
-    };
-}
-
 void
 GwCallers_OnConnection(uv_stream_t *listener, int status)
 {
@@ -367,7 +376,7 @@
     };
     caller->edge = edge;
     caller->link.data = caller;
-    caller->idle_since_us = GwEdge_Now();
+    begin_idle(caller);
     caller->conn = GwConn_Accept(&params, listener);
     if (caller->conn == NULL) {
         g_free(caller);
@@ -437,8 +446,11 @@
         }
         return;
     }
-    if (is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us) &&
-        is_idle(caller)) {
+    /* A lowered limit holds from the next time that it becomes idle: its caller
+     * counts on the one that was in force, and a request would cross the
+     * close. Callers may know a raised one already. */
+    uint32_t idle_ms = MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
+    if (is_late(caller->idle_since_us, idle_ms, now_us) && is_idle(caller)) {
         GwConn_CloseUnread(caller->conn);
         free_caller(caller, GW_END_CUT);
     }
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -243,7 +243,7 @@
 /* A new configuration lowers the idle limit. Connections that were idle for
  * longer than the new limit were closed at the next sweep, though their
  * callers had them under the old one and were still using them: requests
- * crossed the close. */
+ * crossed the close. The sweep knew the newest limit only. */
 Test(edge_callers, a_lowered_idle_limit_leaves_what_is_idle_alone)
 {
     EdgeEntry entry = EdgeEntry_Start();
