Answers on their way arrive before the process ends

What callers saw: on a narrow link, answers that had been written were cut off when their entry ended, if the caller had sent a further request meanwhile. Cause: at the end of the process every connection was closed at once. The kernel goes on sending what it has, but resets the connection, and forgets what it has, as soon as something comes that nobody reads; bytes that it had not taken yet were dropped as well. Change: the end closes like an idle close, when what was written has arrived, 0.5 s at most, since the process is killed soon after. Lines of cut requests are written out before that wait. Ruled out: to read on meanwhile; a request read then would be lost.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -11,6 +11,10 @@
 #define NO_ROOM_RETRY_MS 1000
 /* One that is sent to another entry may go there at once. */
 #define LEAVING_RETRY_MS 20
+/* For the last answers to arrive on a connection that is closed: one that has
+ * been idle, and at the end of the process, which is killed soon after. */
+#define IDLE_WAIT_MS 10000
+#define END_WAIT_MS  500
 
 struct GwCaller_s {
     GwEdge *edge;
@@ -451,7 +455,7 @@
      * close. Callers may know a raised one already. */
     uint32_t idle_ms = MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
     if (is_late(caller->idle_since_us, idle_ms, now_us) && is_idle(caller)) {
-        GwConn_CloseUnread(caller->conn);
+        GwConn_CloseUnread(caller->conn, IDLE_WAIT_MS);
         free_caller(caller, GW_END_CUT);
     }
 }
@@ -467,15 +471,18 @@
     }
 }
 
+/* The lines of what is cut go out first: the process may be killed while the
+ * last answers are on their way. */
 void
 GwCallers_CloseAll(GwEdge *edge)
 {
     GwCaller *caller;
 
     while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
-        GwConn_Close(caller->conn);
+        GwConn_CloseUnread(caller->conn, END_WAIT_MS);
         free_caller(caller, GW_END_CUT);
     }
+    GwLog_Flush();
 }
 
 void
@@ -485,7 +492,7 @@
         GwCaller *caller = at->data;
         next = at->next;
         if (is_idle(caller)) {
-            GwConn_CloseUnread(caller->conn);
+            GwConn_CloseUnread(caller->conn, IDLE_WAIT_MS);
             free_caller(caller, GW_END_CUT);
         }
     }
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -25,9 +25,10 @@
     uint64_t bytes_out;
     int64_t heard_us;
     int64_t wrote_us;
-    int64_t finish_us; /* when the owner ended it */
-    uint32_t idle_ms;  /* before that */
-    uint32_t writes;   /* under way */
+    int64_t finish_us;       /* when the owner ended it */
+    uint32_t idle_ms;        /* before that */
+    int64_t settle_until_us; /* what was written may arrive until then */
+    uint32_t writes;         /* under way */
     uint32_t user_timeout_ms;
     bool connecting;
     bool reading;
@@ -510,7 +511,7 @@
 {
     GwConn *c = timer->data;
 
-    if (has_arrived(c) || ms_between(c->finish_us, now_us()) >= GW_DRAIN_MS) {
+    if (has_arrived(c) || now_us() >= c->settle_until_us) {
         close_handle(c);
     }
 }
@@ -521,7 +522,7 @@
  * caller knows that it did not run. The reset could destroy an answer that has
  * not arrived, so that is waited for. */
 void
-GwConn_CloseUnread(GwConn *c)
+GwConn_CloseUnread(GwConn *c, uint32_t wait_ms)
 {
     if (c->closing || c->finishing) {
         return;
@@ -532,7 +533,7 @@
         return;
     }
     c->finishing = true;
-    c->finish_us = now_us();
+    c->settle_until_us = now_us() + (int64_t)wait_ms * 1000;
     GwConn_Pause(c, true);
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -65,10 +65,10 @@
  * (10 s at most), and then the other side has closed too, or 0.4 s have passed.
  * What still comes is read and dropped. No longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
-/* Closes at once, or when what was written has arrived (10 s at most), and
+/* Closes when what was written has arrived, at once or within that time, and
  * reads no more: the other side is reset if it sends, or has sent, what nobody
  * will answer. No longer the owner's. */
-void GwConn_CloseUnread(GwConn *c);
+void GwConn_CloseUnread(GwConn *c, uint32_t wait_ms);
 /* Closes now; what is queued is dropped. */
 void GwConn_Close(GwConn *c);
 /* The same for the connection that `*at` names, if any; `*at` is NULL then. */
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -212,6 +212,9 @@
     GwCallers_CloseAll(entry->edge);
 }
 
+/* At the end of the process sockets were closed at once. The kernel goes on
+ * sending, but a request that comes then makes it forget what it has: a few
+ * dozen of 400 answers arrived. */
 Test(edge_callers, answers_arrive_before_the_end_of_the_process)
 {
     const IdleClose end = {"the end of the process", end_process};
