Tests that fail: four more ways in which a close or a limit goes wrong

Found by going through every place that closes a caller's connection or decides by its silence: idle time counted from the writing of an answer, not from its arrival; a refusal lost behind a body that takes more than 0.4 s to come; 408 for a request whose rest waits unread; a caller's end unseen behind what is not read.

--- a/tests/fakes/edge_entry.c
+++ b/tests/fakes/edge_entry.c
@@ -16,6 +16,9 @@
 
 #define WAIT_US 10000000
 #define STEP_US 1000
+/* Of the silent server: connections for all slots, and more. */
+#define BACKLOG 128
+#define SLOTS   64
 /* The least that the kernel grants is about as much. Segments are smaller, for
  * one that does not fit the window as a whole waits for a timer. */
 #define NARROW_BYTES         2048
@@ -56,7 +59,7 @@
     FreePort_Address(address);
     cr_assert(GwConn_ParseAddress(address, &at));
     cr_assert_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
-    cr_assert_eq(listen(fd, 16), 0);
+    cr_assert_eq(listen(fd, BACKLOG), 0);
     return fd;
 }
 
@@ -71,7 +74,7 @@
                                &Platform_Adapter, &error);
     cr_assert_not_null(entry.edge, "%s", error != NULL ? error->message : "");
     EdgeEntry_SetIdleLimit(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS);
-    GwServerInfo info = FakeSteering_Info("s1", "s", "r1", "d1", 4);
+    GwServerInfo info = FakeSteering_Info("s1", "s", "r1", "d1", SLOTS);
     info.address = address;
     GwRouter_PutServer(entry.edge->router, GwEdge_Now(), &info,
                        entry.edge->actions);
@@ -108,12 +111,18 @@
         if (GwEdge_Now() > end_us) {
             return false;
         }
-        (void)uv_run(&entry->edge->loop, UV_RUN_NOWAIT);
+        EdgeEntry_RunOnce(entry);
         g_usleep(STEP_US);
     }
     return true;
 }
 
+void
+EdgeEntry_RunOnce(EdgeEntry *entry)
+{
+    (void)uv_run(&entry->edge->loop, UV_RUN_NOWAIT);
+}
+
 /* ---- A caller ------------------------------------------------------------ */
 
 static bool
@@ -222,6 +231,32 @@
     }
 }
 
+void
+PlainCaller_Shut(PlainCaller *caller)
+{
+    struct tcp_info info;
+    socklen_t len = sizeof(info);
+
+    cr_assert_eq(shutdown(caller->fd, SHUT_WR), 0);
+    do {
+        cr_assert_eq(
+            getsockopt(caller->fd, IPPROTO_TCP, TCP_INFO, &info, &len), 0);
+    } while (info.tcpi_state != TCP_FIN_WAIT2);
+}
+
+void
+PlainCaller_Take(PlainCaller *caller, size_t bytes)
+{
+    int now = 1;
+
+    while (caller->got->len < bytes && caller->state == CALLER_WAITS) {
+        look(caller);
+        /* Sends the acknowledgement that the kernel would hold back. */
+        (void)setsockopt(caller->fd, IPPROTO_TCP, TCP_QUICKACK, &now,
+                         sizeof(now));
+    }
+}
+
 static bool
 is_answered(void *ctx)
 {
--- a/tests/fakes/edge_entry.h
+++ b/tests/fakes/edge_entry.h
@@ -20,6 +20,8 @@
 /* Runs the loop until the condition holds; false after 10 s. */
 typedef bool (*EdgeEntryTest)(void *ctx);
 bool EdgeEntry_RunUntil(EdgeEntry *entry, EdgeEntryTest test, void *ctx);
+/* Does what is ready now. */
+void EdgeEntry_RunOnce(EdgeEntry *entry);
 
 typedef enum {
     CALLER_WAITS = 0,
@@ -41,6 +43,11 @@
 void PlainCaller_Close(PlainCaller *caller);
 /* Sends bytes, which wait unread at the entry when this returns. */
 void PlainCaller_Send(PlainCaller *caller, const char *bytes);
+/* Ends what it sends; returns when the entry's kernel knows. */
+void PlainCaller_Shut(PlainCaller *caller);
+/* Takes that many bytes of answers from the kernels alone: the entry does not
+ * run. It knows by then that they have arrived. */
+void PlainCaller_Take(PlainCaller *caller, size_t bytes);
 /* Runs the loop until an answer has come, or the connection is over. */
 CallerState PlainCaller_AwaitAnswer(PlainCaller *caller);
 /* The same until the connection is over, with what came before. */
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -19,6 +19,17 @@
     return GwRouter_OpenCount(entry->edge->router) > 0;
 }
 
+/* As many as one connection may have under way. */
+#define FULL 32
+
+static bool
+is_full(void *ctx)
+{
+    const EdgeEntry *entry = ctx;
+
+    return GwRouter_OpenCount(entry->edge->router) == FULL;
+}
+
 static void
 expect_on_page(const EdgeEntry *entry, const char *line)
 {
@@ -102,10 +113,12 @@
     return caller;
 }
 
+/* As the entry itself does it. */
 static void
 sweep_after(EdgeEntry *entry, int64_t ms)
 {
     GwCallers_Sweep(entry->edge, GwEdge_Now() + ms * 1000);
+    GwEdge_Carry(entry->edge);
 }
 
 static void
@@ -153,7 +166,8 @@
     }
 }
 
-#define MANY 400
+#define MANY      400
+#define NOT_FOUND "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
 static bool
 have_all_arrived(void *ctx)
@@ -173,6 +187,27 @@
     return count;
 }
 
+static void
+send_times(PlainCaller *caller, const char *request, uint32_t times)
+{
+    GString *requests = g_string_new(NULL);
+
+    for (uint32_t i = 0; i < times; i++) {
+        g_string_append(requests, request);
+    }
+    PlainCaller_Send(caller, requests->str);
+    g_string_free(requests, TRUE);
+}
+
+/* The entry has answered all of them, and the caller has read none. */
+static void
+send_many(PlainCaller *caller)
+{
+    send_times(caller, NOWHERE "\r\n", MANY);
+    cr_assert(
+        EdgeEntry_RunUntil(caller->entry, have_all_arrived, caller->entry));
+}
+
 /* Answers are on their way on a narrow link when their connection is closed,
  * and the caller sends a further request. The reset that this one gets must
  * not overtake the answers and destroy them. */
@@ -182,13 +217,7 @@
     EdgeEntry entry = EdgeEntry_Start();
     PlainCaller caller = PlainCaller_ConnectNarrow(&entry);
 
-    GString *requests = g_string_new(NULL);
-    for (int i = 0; i < MANY; i++) {
-        g_string_append(requests, NOWHERE "\r\n");
-    }
-    PlainCaller_Send(&caller, requests->str);
-    g_string_free(requests, TRUE);
-    cr_assert(EdgeEntry_RunUntil(&entry, have_all_arrived, &entry));
+    send_many(&caller);
     end->close(&entry);
     PlainCaller_Send(&caller, ONCE);
     (void)PlainCaller_AwaitEnd(&caller);
@@ -322,3 +351,124 @@
     PlainCaller_Close(&caller);
     EdgeEntry_Stop(&entry);
 }
+
+/* The answers take their time on a narrow link. The caller counts from their
+ * arrival, for up to four fifths of the limit; the entry counted from the
+ * moment at which it had written them, and closed the connection just before
+ * the caller's next request. */
+Test(edge_callers, a_connection_is_idle_from_the_arrival_of_its_answer)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_ConnectNarrow(&entry);
+
+    send_many(&caller);
+    sweep_after(&entry, 0);
+    PlainCaller_Take(&caller, MANY * strlen(NOT_FOUND));
+    cr_assert_eq(count_answers(&caller), MANY);
+    sweep_after(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS * 3 / 5);
+    sweep_after(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS * 7 / 5);
+    PlainCaller_Send(&caller, NOWHERE "\r\n");
+    cr_expect_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+    cr_expect_gt(caller.got->len, 0);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
+
+static void
+refuse_long(EdgeEntry *entry, PlainCaller *caller)
+{
+    (void)entry;
+    PlainCaller_Send(caller, NOWHERE "Content-Length: 1000000000000\r\n\r\n");
+}
+
+static void
+refuse_for_room(EdgeEntry *entry, PlainCaller *caller)
+{
+    entry->edge->bodies.max = 1;
+    PlainCaller_Send(caller, NOWHERE "Content-Length: 2000\r\n\r\n");
+}
+
+static void
+refuse_slow(EdgeEntry *entry, PlainCaller *caller)
+{
+    PlainCaller_Send(caller, NOWHERE "Content-Length: 2000\r\n\r\n");
+    EdgeEntry_RunOnce(entry);
+    sweep_after(entry, GW_DEFAULT_IDLE_TIMEOUT_MS + 1000);
+}
+
+#define PIECE    "0123456789"
+#define PIECES   12
+#define PIECE_MS 60 /* all take longer than a close lingers in silence */
+
+/* A request is refused at its head, and its caller sends the whole body before
+ * it looks for an answer. The entry read on for 0.4 s behind its refusal, and
+ * then reset the connection: the refusal was lost, and with it the promise
+ * that the request has not run. */
+Test(edge_callers, a_refusal_outlives_the_body_that_still_comes)
+{
+    static const struct {
+        const char *status;
+        void (*refuse)(EdgeEntry *entry, PlainCaller *caller);
+    } cases[] = {
+        {"HTTP/1.1 413 ", refuse_long},
+        {"HTTP/1.1 503 ", refuse_for_room},
+        {"HTTP/1.1 408 ", refuse_slow},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EdgeEntry entry = EdgeEntry_Start();
+        PlainCaller caller = PlainCaller_Connect(&entry);
+
+        cases[i].refuse(&entry, &caller);
+        for (int k = 0; k < PIECES && caller.state != CALLER_RESET; k++) {
+            PlainCaller_Send(&caller, PIECE);
+            EdgeEntry_RunOnce(&entry);
+            g_usleep(PIECE_MS * 1000);
+            PlainCaller_Take(&caller, 0);
+        }
+        cr_expect_eq(PlainCaller_AwaitEnd(&caller), CALLER_ENDED, "%s",
+                     cases[i].status);
+        cr_expect(g_str_has_prefix(caller.got->str, cases[i].status), "%s: %s",
+                  cases[i].status, caller.got->str);
+        PlainCaller_Close(&caller);
+        EdgeEntry_Stop(&entry);
+    }
+}
+
+/* The entry stood still while the rest of a request came. The limit for half
+ * a request was looked at first, and the request refused as too slow although
+ * its bytes were there. */
+Test(edge_callers, a_request_whose_rest_is_unread_is_not_late)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_Connect(&entry);
+
+    PlainCaller_Send(&caller, NOWHERE);
+    EdgeEntry_RunOnce(&entry);
+    sweep_after(&entry, 0);
+    PlainCaller_Send(&caller, "\r\n");
+    sweep_after(&entry, GW_DEFAULT_HEAD_TIMEOUT_MS + 1000);
+    cr_expect_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+    cr_expect(g_str_has_prefix(caller.got->str, "HTTP/1.1 404 "), "%s",
+              caller.got->str);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
+
+/* A caller sends more requests at once than the entry takes, which stops
+ * reading; then it leaves. Its end stood behind what was not read, and its
+ * requests went on at the servers until the first one was answered. */
+Test(edge_callers, a_caller_that_is_not_read_can_leave)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_Connect(&entry);
+
+    send_times(&caller, AGAIN, FULL);
+    cr_assert(EdgeEntry_RunUntil(&entry, is_full, &entry));
+    PlainCaller_Send(&caller, AGAIN);
+    PlainCaller_Shut(&caller);
+    sweep_after(&entry, 0);
+    cr_expect_eq(GwRouter_OpenCount(entry.edge->router), 0);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
