A refusal outlives the body that still comes

What callers saw: a request was refused at its head (413, 431, 503 for lack of room, 408) while its body was still on its way; a caller that first sends all and then reads found its connection reset in place of the refusal. For 503 and 408 that also lost the promise that the request has not run. Cause: a close behind a last answer reads on for 0.4 s from the answer, and then closes with bytes unread, which resets the connection. Change: it reads on until the other side has sent nothing for 0.4 s, 10 s in all at most. Before it takes the other side for silent it asks the socket, for a process that has stood still has not read. Ruled out: a longer fixed time; a body takes what its link takes, and silent callers would be kept for as long. What is left: a body that takes more than 10 s behind its refusal.

--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -430,15 +430,26 @@
     g_string_free(out, TRUE);
 }
 
+/* Closes when the other side is silent. One that still sends a body has not
+ * looked for its answer yet, and a reset would destroy it. */
 static void
 on_linger(uv_timer_t *timer)
 {
-    close_handle(timer->data);
+    GwConn *c = timer->data;
+    int64_t at_us = now_us();
+    bool silent =
+        ms_between(c->heard_us, at_us) >= GW_LINGER_MS && !GwConn_HasUnread(c);
+
+    if (silent || ms_between(c->finish_us, at_us) >= GW_DRAIN_MS) {
+        close_handle(c);
+        return;
+    }
+    (void)uv_timer_start(timer, on_linger, GW_LINGER_MS, 0);
 }
 
 /* A close with unread bytes resets the connection, which may destroy an
  * answer on its way; so the write side is shut first, and what still comes
- * is read and dropped until the other side closes. */
+ * is read and dropped until the other side closes or falls silent. */
 static void
 on_drained(uv_shutdown_t *req, int status)
 {
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -62,8 +62,8 @@
 /* A request without a body. */
 void GwConn_WriteGet(GwConn *c, const char *target, const char *host);
 /* Behind a last message that says so: closes once what was written has left
- * (10 s at most), and then the other side has closed too, or 0.4 s have passed.
- * What still comes is read and dropped. No longer the owner's. */
+ * and then the other side has closed too or sent nothing for 0.4 s, 10 s in all
+ * at most. What still comes is read and dropped. No longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
 /* Closes when what was written has arrived, at once or within that time, and
  * reads no more: the other side is reset if it sends, or has sent, what nobody
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -403,7 +403,8 @@
 /* A request is refused at its head, and its caller sends the whole body before
  * it looks for an answer. The entry read on for 0.4 s behind its refusal, and
  * then reset the connection: the refusal was lost, and with it the promise
- * that the request has not run. */
+ * that the request has not run. The time was counted from the refusal, not
+ * from what came last. */
 Test(edge_callers, a_refusal_outlives_the_body_that_still_comes)
 {
     static const struct {
