A request whose rest waits unread is not late

What callers saw: 408 for a request of which all bytes had arrived in time, after its entry had stood still or while it had stopped reading. Cause: the limits for half a request were looked at before the socket was read; timers of the loop come first. Change: what waits unread counts as sent in time. Ruled out: a caller that keeps its entry waiting by sending byte after byte; its head is bounded in length, and a body that comes was never limited by time.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -444,7 +444,9 @@
         int64_t since = GwConn_IsInHead(caller->conn)
                             ? caller->inside_since_us
                             : GwConn_LastHeard(caller->conn);
-        if (caller->bad_status == 0 && is_late(since, limit_ms, now_us)) {
+        /* What waits unread was sent in time: the process stood still. */
+        if (caller->bad_status == 0 && is_late(since, limit_ms, now_us) &&
+            !GwConn_HasUnread(caller->conn)) {
             caller->bad_status = 408; /* it was not whole, so it did not run */
             mark(caller);
         }
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -438,7 +438,7 @@
 
 /* The entry stood still while the rest of a request came. The limit for half
  * a request was looked at first, and the request refused as too slow although
- * its bytes were there. */
+ * its bytes were there: timers of the loop come before reads. */
 Test(edge_callers, a_request_whose_rest_is_unread_is_not_late)
 {
     EdgeEntry entry = EdgeEntry_Start();
