A caller that is not read can leave

What was seen: a caller with 32 requests under way is not read for a while. If it left then, its requests stayed open here and at the servers until one of them was answered. Cause: the loop tells the end of a stream only where it reads. Ruled out: to read on; what comes behind 32 requests is left unread so that one caller can't fill the memory. A peek shows the unread bytes only.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -430,26 +430,39 @@
            !GwConn_HasUnread(caller->conn);
 }
 
+/* Half a request has come. */
+static void
+sweep_inside(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
+{
+    bool in_head = GwConn_IsInHead(caller->conn);
+
+    if (caller->inside_since_us == 0) {
+        caller->inside_since_us = now_us;
+    }
+    uint32_t limit_ms =
+        in_head ? limits->head_timeout_ms : limits->idle_timeout_ms;
+    int64_t since =
+        in_head ? caller->inside_since_us : GwConn_LastHeard(caller->conn);
+    /* What waits unread was sent in time: the process stood still. */
+    if (caller->bad_status == 0 && is_late(since, limit_ms, now_us) &&
+        !GwConn_HasUnread(caller->conn)) {
+        caller->bad_status = 408; /* it was not whole, so it did not run */
+        mark(caller);
+    }
+}
+
 static void
 sweep_one(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
 {
+    /* Its requests would go on at servers, for nobody. */
+    if (GwConn_HasLeftUnread(caller->conn)) {
+        GwConn_Close(caller->conn);
+        free_caller(caller, GW_END_LEFT);
+        return;
+    }
     GwConn_SetLimits(caller->conn, limits->head_bytes, limits->body_bytes);
     if (GwConn_IsInside(caller->conn)) {
-        if (caller->inside_since_us == 0) {
-            caller->inside_since_us = now_us;
-        }
-        uint32_t limit_ms = GwConn_IsInHead(caller->conn)
-                                ? limits->head_timeout_ms
-                                : limits->idle_timeout_ms;
-        int64_t since = GwConn_IsInHead(caller->conn)
-                            ? caller->inside_since_us
-                            : GwConn_LastHeard(caller->conn);
-        /* What waits unread was sent in time: the process stood still. */
-        if (caller->bad_status == 0 && is_late(since, limit_ms, now_us) &&
-            !GwConn_HasUnread(caller->conn)) {
-            caller->bad_status = 408; /* it was not whole, so it did not run */
-            mark(caller);
-        }
+        sweep_inside(caller, limits, now_us);
         return;
     }
     /* A lowered limit holds from the next time that it becomes idle: its caller
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -636,6 +636,23 @@
            (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/* A stream that is not read tells no end, and a peek shows only what comes
+ * first; the state of the connection shows it. */
+bool
+GwConn_HasLeftUnread(const GwConn *c)
+{
+    struct tcp_info info;
+    socklen_t len = sizeof(info);
+    int fd;
+
+    if (c->reading || c->connecting || c->closing ||
+        uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+        getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0) {
+        return false;
+    }
+    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+}
+
 uv_tcp_t *
 GwConn_Listen(uv_loop_t *loop, const char *address,
               uv_connection_cb on_connection, void *data)
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -84,6 +84,9 @@
 /* Bytes or an end wait unread: what is sent now would meet a stray answer or
  * a closed connection. Costs one system call. */
 bool GwConn_HasUnread(const GwConn *c);
+/* Paused, and the other side has closed or reset, also behind bytes that are
+ * not read. Costs one system call while paused. */
+bool GwConn_HasLeftUnread(const GwConn *c);
 
 /* "ip:port" to an address; false when it is not one. */
 bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -458,7 +458,8 @@
 
 /* A caller sends more requests at once than the entry takes, which stops
  * reading; then it leaves. Its end stood behind what was not read, and its
- * requests went on at the servers until the first one was answered. */
+ * requests went on at the servers until the first one was answered. The loop
+ * tells no end of a stream that it does not read. */
 Test(edge_callers, a_caller_that_is_not_read_can_leave)
 {
     EdgeEntry entry = EdgeEntry_Start();
