--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -9,6 +9,10 @@
 #define PIPELINE_MAX 32
 /* When a caller whose body found no room may come back. */
 #define NO_ROOM_RETRY_MS 1000
+/* For the last answers to arrive on a connection that is closed: one that has
+ * been idle, and at the end of the process, which is killed soon after. */
+#define IDLE_WAIT_MS 10000
+#define END_WAIT_MS  500
 
 struct GwCaller_s {
     GwEdge *edge;
@@ -16,6 +20,8 @@
     GList link;       /* in edge->callers */
     GQueue exchanges; /* GwExchange, oldest first */
     int64_t idle_since_us;
+    uint32_t idle_limit_ms;  /* in force when it became idle */
+    bool arriving;           /* its last answer may not have arrived */
     int64_t inside_since_us; /* a message has begun to come; 0: none */
     bool dirty;              /* in edge->dirty: answers wait to be sent */
     uint16_t bad_status; /* to be said when the rest is answered; 0: none */
@@ -32,9 +38,28 @@
     g_free(x);
 }
 
-/* The connection is gone or about to be: what is under way is abandoned. */
+/* Requests without an answer yet: those that wait behind others have no line
+ * otherwise. */
 static void
-free_caller(GwCaller *caller)
+note_open(const GwExchange *x, GwRequestEnd end)
+{
+    int64_t now_us = GwEdge_Now();
+    GwRequestStory story = {.took_ms =
+                                (uint32_t)((now_us - x->arrived_us) / 1000)};
+
+    if (x->out != NULL) {
+        return;
+    }
+    if (x->request != NULL) {
+        story = GwRequest_Story(x->request, now_us);
+    }
+    GwEdge_NoteEnd(x, end, 0, GW_WHY_NONE, &story);
+}
+
+/* The connection is gone or about to be: what is under way is abandoned, and
+ * ends in that way. */
+static void
+free_caller(GwCaller *caller, GwRequestEnd open_end)
 {
     GwEdge *edge = caller->edge;
     GwExchange *x;
@@ -44,9 +69,8 @@
         g_queue_remove(&edge->dirty, caller);
     }
     while ((x = g_queue_pop_head(&caller->exchanges)) != NULL) {
+        note_open(x, open_end);
         if (x->request != NULL) {
-            GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
-            GwEdge_NoteEnd(x, GW_END_LEFT, 0, GW_WHY_NONE, &story);
             GwServerLink_Cancel(x);
             GwRouter_Gone(edge->router, GwEdge_Now(), x->request,
                           edge->actions);
@@ -67,6 +91,30 @@
     }
 }
 
+static GwCallerLimits
+limits_of(const GwEdge *edge)
+{
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+
+    if (routing != NULL) {
+        return routing->limits;
+    }
+    return (GwCallerLimits){
+        .head_bytes = GW_DEFAULT_HEAD_BYTES,
+        .body_bytes = GW_DEFAULT_BODY_BYTES,
+        .head_timeout_ms = GW_DEFAULT_HEAD_TIMEOUT_MS,
+        .idle_timeout_ms = GW_DEFAULT_IDLE_TIMEOUT_MS,
+    };
+}
+
+/* From here on the connection is idle, unless something is under way. */
+static void
+begin_idle(GwCaller *caller)
+{
+    caller->idle_since_us = GwEdge_Now();
+    caller->idle_limit_ms = limits_of(caller->edge).idle_timeout_ms;
+}
+
 static bool
 is_tail(GwCaller *caller, const GwExchange *x)
 {
@@ -187,7 +235,8 @@
         free_exchange(x);
         x = g_queue_peek_head(&caller->exchanges);
     }
-    caller->idle_since_us = GwEdge_Now();
+    begin_idle(caller);
+    caller->arriving = true;
     if (x == NULL && caller->bad_status != 0) {
         GString *out = g_string_new(NULL);
         write_own(out, caller->bad_status,
@@ -198,7 +247,7 @@
     }
     if (close) {
         GwConn_FinishAndClose(caller->conn);
-        free_caller(caller);
+        free_caller(caller, GW_END_CUT);
         return;
     }
     GwConn_Pause(caller->conn,
@@ -247,7 +296,7 @@
     GwEdge *edge = caller->edge;
 
     if (end != GW_CONN_BAD) {
-        free_caller(caller);
+        free_caller(caller, GW_END_LEFT);
         GwEdge_Carry(edge);
         return;
     }
@@ -269,27 +318,30 @@
     GwEdge_Carry(edge);
 }
 
+/* Right only behind an answer that said that it closes the connection: the
+ * caller knows then that nothing behind it was run, and sends it again. With
+ * an idle_ms above some milliseconds there was no such answer, and the caller
+ * can't know. */
+static void
+on_dropped(void *host, const GwConnDropped *dropped)
+{
+    GwEdge *edge = host;
+    const char *name = edge->adapter->request_id;
+    const char *id =
+        dropped->msg != NULL ? GwHttpMessage_Get(dropped->msg, name) : NULL;
+
+    edge->counts.dropped++;
+    GwLog_Event(GW_LOG_REQUEST_DROPPED,
+                "request=%.40s closing_ms=%u idle_ms=%u", id != NULL ? id : "",
+                dropped->closing_ms, dropped->idle_ms);
+}
+
 static const GwConnOps caller_ops = {
     .message = on_message,
     .ended = on_ended,
+    .dropped = on_dropped,
 };
 
-static GwCallerLimits
-limits_of(const GwEdge *edge)
-{
-    const GwRouting *routing = GwRouter_Routing(edge->router);
-
-    if (routing != NULL) {
-        return routing->limits;
-    }
-    return (GwCallerLimits){
-        .head_bytes = GW_DEFAULT_HEAD_BYTES,
-        .body_bytes = GW_DEFAULT_BODY_BYTES,
-        .head_timeout_ms = GW_DEFAULT_HEAD_TIMEOUT_MS,
-        .idle_timeout_ms = GW_DEFAULT_IDLE_TIMEOUT_MS,
-    };
-}
-
 void
 GwCallers_OnConnection(uv_stream_t *listener, int status)
 {
@@ -304,6 +356,7 @@
         .loop = &edge->loop,
         .ops = &caller_ops,
         .owner = caller,
+        .host = edge,
         .requests = true,
         .head_max = limits.head_bytes,
         .body_max = limits.body_bytes,
@@ -311,7 +364,7 @@
     };
     caller->edge = edge;
     caller->link.data = caller;
-    caller->idle_since_us = GwEdge_Now();
+    begin_idle(caller);
     caller->conn = GwConn_Accept(&params, listener);
     if (caller->conn == NULL) {
         g_free(caller);
@@ -352,30 +405,63 @@
     return now_us - since_us > (int64_t)limit_ms * 1000;
 }
 
+/* Nothing is under way, nor has a request begun to come: one that came while
+ * the process stood still waits unread when the limits are looked at. */
+static bool
+is_idle(const GwCaller *caller)
+{
+    return caller->exchanges.head == NULL && !GwConn_IsInside(caller->conn) &&
+           !GwConn_HasUnread(caller->conn);
+}
+
+/* Half a request has come. */
+static void
+sweep_inside(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
+{
+    bool in_head = GwConn_IsInHead(caller->conn);
+
+    if (caller->inside_since_us == 0) {
+        caller->inside_since_us = now_us;
+    }
+    uint32_t limit_ms =
+        in_head ? limits->head_timeout_ms : limits->idle_timeout_ms;
+    int64_t since =
+        in_head ? caller->inside_since_us : GwConn_LastHeard(caller->conn);
+    /* What waits unread was sent in time: the process stood still. */
+    if (caller->bad_status == 0 && is_late(since, limit_ms, now_us) &&
+        !GwConn_HasUnread(caller->conn)) {
+        caller->bad_status = 408; /* it was not whole, so it did not run */
+        mark(caller);
+    }
+}
+
 static void
 sweep_one(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
 {
+    /* Its requests would go on at servers, for nobody. */
+    if (GwConn_HasLeftUnread(caller->conn)) {
+        GwConn_Close(caller->conn);
+        free_caller(caller, GW_END_LEFT);
+        return;
+    }
     GwConn_SetLimits(caller->conn, limits->head_bytes, limits->body_bytes);
     if (GwConn_IsInside(caller->conn)) {
-        if (caller->inside_since_us == 0) {
-            caller->inside_since_us = now_us;
-        }
-        uint32_t limit_ms = GwConn_IsInHead(caller->conn)
-                                ? limits->head_timeout_ms
-                                : limits->idle_timeout_ms;
-        int64_t since = GwConn_IsInHead(caller->conn)
-                            ? caller->inside_since_us
-                            : GwConn_LastHeard(caller->conn);
-        if (caller->bad_status == 0 && is_late(since, limit_ms, now_us)) {
-            caller->bad_status = 408; /* it was not whole, so it did not run */
-            mark(caller);
-        }
+        sweep_inside(caller, limits, now_us);
         return;
     }
-    if (g_queue_is_empty(&caller->exchanges) &&
-        is_late(caller->idle_since_us, limits->idle_timeout_ms, now_us)) {
-        GwConn_FinishAndClose(caller->conn);
-        free_caller(caller);
+    /* Its caller counts from the arrival of the answer, which takes its time on
+     * a narrow link. */
+    if (caller->arriving && GwConn_HasArrived(caller->conn)) {
+        caller->arriving = false;
+        caller->idle_since_us = now_us;
+    }
+    /* A lowered limit holds from the next time that it becomes idle: its caller
+     * counts on the one that was in force, and a request would cross the
+     * close. Callers may know a raised one already. */
+    uint32_t idle_ms = MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
+    if (is_late(caller->idle_since_us, idle_ms, now_us) && is_idle(caller)) {
+        GwConn_CloseUnread(caller->conn, IDLE_WAIT_MS);
+        free_caller(caller, GW_END_CUT);
     }
 }
 
@@ -390,15 +476,18 @@
     }
 }
 
+/* The lines of what is cut go out first: the process may be killed while the
+ * last answers are on their way. */
 void
 GwCallers_CloseAll(GwEdge *edge)
 {
     GwCaller *caller;
 
     while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
-        GwConn_Close(caller->conn);
-        free_caller(caller);
+        GwConn_CloseUnread(caller->conn, END_WAIT_MS);
+        free_caller(caller, GW_END_CUT);
     }
+    GwLog_Flush();
 }
 
 void
@@ -407,11 +496,9 @@
     for (GList *at = edge->callers.head, *next; at != NULL; at = next) {
         GwCaller *caller = at->data;
         next = at->next;
-        if (g_queue_is_empty(&caller->exchanges) &&
-            !GwConn_IsInside(caller->conn) &&
-            !GwConn_HasUnread(caller->conn)) {
-            GwConn_FinishAndClose(caller->conn);
-            free_caller(caller);
+        if (is_idle(caller)) {
+            GwConn_CloseUnread(caller->conn, IDLE_WAIT_MS);
+            free_caller(caller, GW_END_CUT);
         }
     }
 }
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -1,8 +1,10 @@
 #include "http/conn.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define GW_CONN_BACKLOG   511
@@ -12,6 +14,8 @@
 /* For what was written to leave: a caller on a busy link takes its time, one
  * that reads nothing must not keep the connection for good. */
 #define GW_DRAIN_MS 10000
+/* How often it is looked whether what was written has arrived. */
+#define GW_SETTLE_MS 20
 
 struct GwConn_s {
     uv_tcp_t tcp;
@@ -20,11 +24,16 @@
     GwHttpParser *parser;
     uint64_t bytes_out;
     int64_t heard_us;
-    uint32_t writes; /* under way */
+    int64_t wrote_us;
+    int64_t finish_us;       /* when the owner ended it */
+    uint32_t idle_ms;        /* before that */
+    int64_t settle_until_us; /* what was written may arrive until then */
+    uint32_t writes;         /* under way */
     uint32_t user_timeout_ms;
     bool connecting;
     bool reading;
     bool finishing; /* close when nothing is left to write */
+    bool watching;  /* finishing, and requests that still come are told */
     bool closing;
     bool feeding; /* inside the parser: it must outlive the call */
     bool doomed;  /* free when the parser returns and the handle is closed */
@@ -85,12 +94,43 @@
     uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
+static uint32_t
+ms_between(int64_t from_us, int64_t to_us)
+{
+    return (uint32_t)(MAX(to_us - from_us, 0) / 1000);
+}
+
+static void
+note_dropped(GwConn *c, const GwHttpMessage *msg)
+{
+    GwConnDropped dropped = {
+        .msg = msg,
+        .closing_ms = ms_between(c->finish_us, now_us()),
+        .idle_ms = c->idle_ms,
+    };
+
+    if (c->params.ops->dropped != NULL) {
+        c->params.ops->dropped(c->params.host, &dropped);
+    }
+}
+
+/* Tells of a request of which only a part was read, and of no more. */
+static void
+stop_watching(GwConn *c)
+{
+    if (c->watching && GwHttpParser_IsInside(c->parser)) {
+        note_dropped(c, GwHttpParser_Begun(c->parser));
+    }
+    c->watching = false;
+}
+
 static void
 close_handle(GwConn *c)
 {
     if (c->closing) {
         return;
     }
+    stop_watching(c);
     c->closing = true;
     if (c->has_linger) {
         uv_close((uv_handle_t *)&c->linger, on_timer_closed);
@@ -116,7 +156,11 @@
 static void
 bad(GwConn *c)
 {
-    if (c->closing || c->finishing) {
+    if (c->finishing) {
+        stop_watching(c);
+        return;
+    }
+    if (c->closing) {
         return;
     }
     GwConn_Pause(c, true);
@@ -129,6 +173,9 @@
     GwConn *c = owner;
 
     if (c->closing || c->finishing) {
+        if (c->watching) {
+            note_dropped(c, msg);
+        }
         GwHttpMessage_Free(msg);
         return;
     }
@@ -171,10 +218,11 @@
     if (len == UV_EOF && !has_ended_in_order(c)) {
         len = UV_ECONNRESET;
     }
-    if (c->finishing) {
-        if (len < 0) {
-            close_handle(c);
-        }
+    if (c->finishing && len < 0) {
+        close_handle(c);
+        return;
+    }
+    if (c->finishing && !c->watching) {
         return;
     }
     c->feeding = true;
@@ -349,6 +397,7 @@
         return;
     }
     c->bytes_out += text->len;
+    c->wrote_us = now_us();
     if (c->writes == 0 && !c->connecting) {
         uv_buf_t whole = uv_buf_init(text->str, (unsigned int)text->len);
         int rc = uv_try_write((uv_stream_t *)&c->tcp, &whole, 1);
@@ -381,15 +430,26 @@
     g_string_free(out, TRUE);
 }
 
+/* Closes when the other side is silent. One that still sends a body has not
+ * looked for its answer yet, and a reset would destroy it. */
 static void
 on_linger(uv_timer_t *timer)
 {
-    close_handle(timer->data);
+    GwConn *c = timer->data;
+    int64_t at_us = now_us();
+    bool silent =
+        ms_between(c->heard_us, at_us) >= GW_LINGER_MS && !GwConn_HasUnread(c);
+
+    if (silent || ms_between(c->finish_us, at_us) >= GW_DRAIN_MS) {
+        close_handle(c);
+        return;
+    }
+    (void)uv_timer_start(timer, on_linger, GW_LINGER_MS, 0);
 }
 
 /* A close with unread bytes resets the connection, which may destroy an
  * answer on its way; so the write side is shut first, and what still comes
- * is read and dropped until the other side closes. */
+ * is read and dropped until the other side closes or falls silent. */
 static void
 on_drained(uv_shutdown_t *req, int status)
 {
@@ -406,6 +466,19 @@
     free_if_over(c);
 }
 
+/* From here on requests are not answered; they are told to `dropped`, up to the
+ * first with a body, which is not held. What was refused half read is not
+ * another request. */
+static void
+watch(GwConn *c)
+{
+    c->finish_us = now_us();
+    c->idle_ms = ms_between(MAX(c->heard_us, c->wrote_us), c->finish_us);
+    c->watching = c->params.requests && !GwHttpParser_IsInside(c->parser) &&
+                  GwHttpParser_Error(c->parser) == GW_HTTP_OK;
+    GwHttpParser_SetLimits(c->parser, c->params.head_max, 0);
+}
+
 void
 GwConn_FinishAndClose(GwConn *c)
 {
@@ -414,6 +487,7 @@
     }
     c->finishing = true;
     c->params.owner = NULL;
+    watch(c);
     GwConn_Pause(c, false);
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
@@ -429,6 +503,41 @@
     }
 }
 
+static void
+on_settle(uv_timer_t *timer)
+{
+    GwConn *c = timer->data;
+
+    if (GwConn_HasArrived(c) || now_us() >= c->settle_until_us) {
+        close_handle(c);
+    }
+}
+
+/* A request may cross the close. Read and dropped, it would leave its caller
+ * without an answer and without the right to send it again; unread, it is
+ * reset by the kernel, whether it comes before or after the close, and the
+ * caller knows that it did not run. The reset could destroy an answer that has
+ * not arrived, so that is waited for. */
+void
+GwConn_CloseUnread(GwConn *c, uint32_t wait_ms)
+{
+    if (c->closing || c->finishing) {
+        return;
+    }
+    c->params.owner = NULL;
+    if (GwConn_HasArrived(c)) {
+        close_handle(c);
+        return;
+    }
+    c->finishing = true;
+    c->settle_until_us = now_us() + (int64_t)wait_ms * 1000;
+    GwConn_Pause(c, true);
+    (void)uv_timer_init(c->params.loop, &c->linger);
+    c->linger.data = c;
+    c->has_linger = true;
+    (void)uv_timer_start(&c->linger, on_settle, GW_SETTLE_MS, GW_SETTLE_MS);
+}
+
 void
 GwConn_Close(GwConn *c)
 {
@@ -478,6 +587,7 @@
 void
 GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max)
 {
+    c->params.head_max = head_max;
     GwHttpParser_SetLimits(c->parser, head_max, body_max);
 }
 
@@ -496,6 +606,19 @@
     }
 }
 
+bool
+GwConn_HasArrived(const GwConn *c)
+{
+    int unacked = 0;
+    int fd;
+
+    if (c->writes > 0) {
+        return false;
+    }
+    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+           ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0;
+}
+
 bool
 GwConn_HasUnread(const GwConn *c)
 {
@@ -512,6 +635,23 @@
            (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/* A stream that is not read tells no end, and a peek shows only what comes
+ * first; the state of the connection shows it. */
+bool
+GwConn_HasLeftUnread(const GwConn *c)
+{
+    struct tcp_info info;
+    socklen_t len = sizeof(info);
+    int fd;
+
+    if (c->reading || c->connecting || c->closing ||
+        uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+        getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0) {
+        return false;
+    }
+    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+}
+
 uv_tcp_t *
 GwConn_Listen(uv_loop_t *loop, const char *address,
               uv_connection_cb on_connection, void *data)
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -15,6 +15,14 @@
     GW_CONN_BAD = 3     /* bytes that are no message; see GwConn_Error */
 } GwConnEnd;
 
+/* A request, or what came of it, that was read while its connection was being
+ * closed: nobody answers it. */
+typedef struct {
+    const GwHttpMessage *msg; /* its head may be cut short; NULL: no head */
+    uint32_t closing_ms;      /* since the close began */
+    uint32_t idle_ms;         /* without a byte either way before the close */
+} GwConnDropped;
+
 /* Callbacks never come from inside a call of this module. `ended` comes at
  * most once, and never after a close by the owner. After ENDED and FAILED the
  * connection is gone; after BAD it can still be written to, and the owner
@@ -24,12 +32,15 @@
     void (*message)(void *owner, GwHttpMessage *msg); /* takes over */
     bool (*to_head)(void *owner);
     void (*ended)(void *owner, GwConnEnd end);
+    /* After GwConn_FinishAndClose; may be NULL. */
+    void (*dropped)(void *host, const GwConnDropped *dropped);
 } GwConnOps;
 
 typedef struct {
     uv_loop_t *loop;
     const GwConnOps *ops;
     void *owner;
+    void *host;    /* outlives owner and connection; for `dropped` */
     bool requests; /* reads requests; else answers */
     uint64_t head_max;
     uint64_t body_max;
@@ -50,9 +61,14 @@
 void GwConn_Write(GwConn *c, const GString *text);
 /* A request without a body. */
 void GwConn_WriteGet(GwConn *c, const char *target, const char *host);
-/* Closes once what was written has left (10 s at most), and then the other side
- * has closed too, or 0.4 s have passed. No longer the owner's. */
+/* Behind a last message that says so: closes once what was written has left
+ * and then the other side has closed too or sent nothing for 0.4 s, 10 s in all
+ * at most. What still comes is read and dropped. No longer the owner's. */
 void GwConn_FinishAndClose(GwConn *c);
+/* Closes when what was written has arrived, at once or within that time, and
+ * reads no more: the other side is reset if it sends, or has sent, what nobody
+ * will answer. No longer the owner's. */
+void GwConn_CloseUnread(GwConn *c, uint32_t wait_ms);
 /* Closes now; what is queued is dropped. */
 void GwConn_Close(GwConn *c);
 /* The same for the connection that `*at` names, if any; `*at` is NULL then. */
@@ -65,9 +81,15 @@
 int64_t GwConn_LastHeard(const GwConn *c); /* us, uv_hrtime */
 void GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max);
 void GwConn_Pause(GwConn *c, bool paused);
+/* What was written has arrived at the other side's machine. Costs one system
+ * call. */
+bool GwConn_HasArrived(const GwConn *c);
 /* Bytes or an end wait unread: what is sent now would meet a stray answer or
  * a closed connection. Costs one system call. */
 bool GwConn_HasUnread(const GwConn *c);
+/* Paused, and the other side has closed or reset, also behind bytes that are
+ * not read. Costs one system call while paused. */
+bool GwConn_HasLeftUnread(const GwConn *c);
 
 /* "ip:port" to an address; false when it is not one. */
 bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
