Show how long the turns of an entry's loop take

Cause: an entry that reads nothing for seconds can't be told from one that has nothing to read. Each line of a request counts from when it was read, so a loop that was behind by seconds left lines that say waited_ms=0.

Ruled out: lateness of the 250 ms timer alone. It misses turns that end before it is due, and can't tell what the last look at the sockets has seen.

Change: GwTurns measures each turn from the wake-up to the next look at the sockets, without the wait. On the metrics page gw_loop_busy_ms_total, gw_loop_turns_long_total and gw_loop_turn_max_ms; one line LOOP_LATE (106) for a turn above 100 ms, which is at most ten a second by itself. A host of one entry for tests, whose loop runs a turn at a time.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -15,6 +15,7 @@
     X(SETTINGS_BAD, 103, ERROR, "the settings were refused") \
     X(SETTINGS_AGAIN, 104, INFO, "the settings are to be read again") \
     X(STOP_LISTENING, 105, INFO, "a stopping process takes nothing new") \
+    X(LOOP_LATE, 106, WARN, "a turn of the event loop took long") \
     /* 200: configuration */ \
     X(CONFIG_IN_FORCE, 200, INFO, "a configuration version is in force") \
     X(CONFIG_REFUSED, 201, ERROR, "a configuration document was refused") \
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -277,6 +277,17 @@
 
 /* ---- Start and end ------------------------------------------------------- */
 
+/* Each line stands for more than GW_TURN_LONG_US, so they can't be many. */
+static void
+on_long_turn(void *ctx, int64_t turn_us)
+{
+    const GwEdge *edge = ctx;
+
+    GwLog_Event(GW_LOG_LOOP_LATE, "turn_ms=%" PRId64 " open=%u callers=%u",
+                turn_us / 1000, GwRouter_OpenCount(edge->router),
+                g_queue_get_length((GQueue *)&edge->callers));
+}
+
 static void
 start_timers(GwEdge *edge)
 {
@@ -325,6 +336,7 @@
     GwEdge_NoteSettings(edge);
     edge->adapter = adapter;
     (void)uv_loop_init(&edge->loop);
+    edge->turns = GwTurns_Create(&edge->loop, on_long_turn, edge);
     edge->bodies.max = (uint64_t)settings->memory_mb * BODIES_SHARE;
     edge->started_us = GwEdge_Now();
     edge->armed_us = INT64_MAX;
@@ -372,6 +384,7 @@
     GwFeed_Close(edge->operator_feed);
     GwFeed_Close(edge->server_feed);
     GwPeers_Close(edge->peers);
+    GwTurns_Close(edge->turns);
     if (edge->call_listener != NULL) {
         uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
     }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -7,6 +7,7 @@
 #include "edge/edge.h"
 #include "godwitridge_errors.h"
 #include "edge/meters.h"
+#include "edge/turns.h"
 #include "http/serve.h"
 
 #include <inttypes.h>
@@ -57,6 +58,7 @@
     GQueue pools;      /* GwPool, one for each server */
     GQueue connecting; /* GwServerLink */
     GwMeters *meters;
+    GwTurns *turns;
     GwFeed *operator_feed;
     GwFeed *server_feed;
     GwPeers *peers;
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -58,6 +58,7 @@
 {
     const GwRouting *routing = GwRouter_Routing(edge->router);
     const GwPeersView peers = GwPeers_View(edge->peers);
+    const GwTurnsView turns = GwTurns_View(edge->turns);
 
     GwMeters_Write(edge->meters, out);
     write_counter(out, "gw_requests_total", edge->counts.arrived);
@@ -69,6 +70,10 @@
     write_counter(out, "gw_row_bytes_out_total", edge->counts.row_bytes_out);
     write_counter(out, "gw_row_bytes_in_total", edge->counts.row_bytes_in);
     write_counter(out, "gw_log_dropped_total", GwLog_Dropped());
+    write_counter(out, "gw_loop_busy_ms_total",
+                  (uint64_t)turns.busy_us / 1000);
+    write_counter(out, "gw_loop_turns_long_total", turns.count_long);
+    write_gauge(out, "gw_loop_turn_max_ms", (double)turns.max_us / 1000);
     write_gauge(out, "gw_ready", GwEdge_IsReady(edge));
     write_gauge(out, "gw_config_version",
                 routing != NULL ? (double)routing->version : 0);
--- /dev/null
+++ b/tests/fakes/edge_host.c
@@ -0,0 +1,213 @@
+#include "fakes/edge_host.h"
+
+#include "fakes/free_port.h"
+#include "fakes/steering.h"
+#include "platform/platform.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Between turns, for bytes on their way between sockets of this machine; and
+ * how often that is tried. */
+#define PAUSE_US  200
+#define TURNS_MAX 25000
+/* Callers have time, whatever else this machine does meanwhile. */
+#define OBJECTIVE_MS 10000
+#define TIMEOUT_MS   30000
+
+static GwEdgeSettings *
+settings(void)
+{
+    static const char *const places[] = {"call",    "ready", "directory",
+                                         "control", "peer",  "store"};
+    GString *text = g_string_new("{\"name\":\"e1\",\"region\":\"r1\","
+                                 "\"domain\":\"d1\","
+                                 "\"regions\":{\"d1\":\"r1\"},"
+                                 "\"retry_ratio\":1");
+    GError *error = NULL;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(places); i++) {
+        char address[GW_ADDR_MAX];
+        FreePort_Address(address);
+        g_string_append_printf(text, ",\"%s_address\":\"%s\"", places[i],
+                               address);
+    }
+    g_string_append_c(text, '}');
+    GwEdgeSettings *s = GwEdgeSettings_Parse(text->str, text->len, &error);
+    g_string_free(text, TRUE);
+    g_assert_no_error(error);
+    return s;
+}
+
+EdgeHost *
+EdgeHost_Create(void)
+{
+    EdgeHost *h = g_new0(EdgeHost, 1);
+    GwRouting *routing = FakeSteering_Routing(1, 3);
+    GError *error = NULL;
+
+    for (uint32_t i = 0; i < routing->hosts[0].route_count; i++) {
+        routing->hosts[0].routes[i].objective_ms = OBJECTIVE_MS;
+        routing->hosts[0].routes[i].timeout_ms = TIMEOUT_MS;
+    }
+    h->edge = GwEdge_Create(settings(), "", &Platform_Adapter, &error);
+    g_assert_no_error(error);
+    (void)GwRouter_SetRouting(h->edge->router, routing);
+    GwRouting_Unref(routing);
+    return h;
+}
+
+void
+EdgeHost_Free(EdgeHost *h)
+{
+    GwEdge_Free(h->edge);
+    for (uint32_t i = 0; i < h->server_count; i++) {
+        EdgeHostServer *s = &h->servers[i];
+        close(s->listener);
+        for (uint32_t k = 0; k < s->conn_count; k++) {
+            close(s->conns[k].fd);
+            g_string_free(s->conns[k].seen, TRUE);
+        }
+    }
+    g_free(h);
+}
+
+void
+EdgeHost_PutServer(EdgeHost *h, const EdgeHostServer *s, uint32_t slots)
+{
+    GwServerInfo info = FakeSteering_Info(s->id, "s", "r1", "d1", slots);
+
+    info.address = s->address;
+    GwRouter_PutServer(h->edge->router, GwEdge_Now(), &info, h->edge->actions);
+    GwEdge_Carry(h->edge);
+}
+
+void
+EdgeHost_AddServer(EdgeHost *h, const char *id, uint32_t slots)
+{
+    EdgeHostServer *s = &h->servers[h->server_count++];
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(at);
+
+    g_strlcpy(s->id, id, sizeof(s->id));
+    s->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    g_assert_cmpint(bind(s->listener, (struct sockaddr *)&at, len), ==, 0);
+    g_assert_cmpint(listen(s->listener, 16), ==, 0);
+    (void)getsockname(s->listener, (struct sockaddr *)&at, &len);
+    g_snprintf(s->address, sizeof(s->address), "127.0.0.1:%u",
+               ntohs(at.sin_port));
+    EdgeHost_PutServer(h, s, slots);
+}
+
+void
+EdgeHost_Turn(EdgeHost *h)
+{
+    (void)uv_run(&h->edge->loop, UV_RUN_NOWAIT);
+}
+
+bool
+EdgeHost_Until(EdgeHost *h, bool (*is_so)(void *ctx), void *ctx)
+{
+    for (int i = 0; i < TURNS_MAX && !is_so(ctx); i++) {
+        EdgeHost_Turn(h);
+        g_usleep(PAUSE_US);
+    }
+    return is_so(ctx);
+}
+
+int
+EdgeHost_Call(EdgeHost *h)
+{
+    struct sockaddr_in at;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_true(GwConn_ParseAddress(h->edge->settings->call_address, &at));
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&at, sizeof(at)), ==, 0);
+    return fd;
+}
+
+static void
+send_all(int fd, char *text)
+{
+    size_t len = strlen(text);
+
+    g_assert_cmpint(send(fd, text, len, MSG_NOSIGNAL), ==, (ssize_t)len);
+    g_free(text);
+}
+
+void
+EdgeHost_Ask(int caller, const char *path, const char *id)
+{
+    send_all(caller, g_strdup_printf("GET %s%s HTTP/1.1\r\nHost: h\r\n"
+                                     "%s: %s\r\n%s: %d\r\n\r\n",
+                                     path, id, Platform_Adapter.request_id, id,
+                                     Platform_Adapter.time_left, TIMEOUT_MS));
+}
+
+const char *
+EdgeHost_Read(int fd)
+{
+    static char text[65536];
+    ssize_t len = recv(fd, text, sizeof(text) - 1, MSG_DONTWAIT);
+
+    text[MAX(len, 0)] = '\0';
+    return text;
+}
+
+/* The part of the request line that names the request. */
+static bool
+has_asked(const EdgeHostConn *conn, const char *id)
+{
+    char *line = g_strdup_printf("/%s HTTP/1.1\r\n", id);
+    bool found = strstr(conn->seen->str, line) != NULL;
+
+    g_free(line);
+    return found;
+}
+
+uint32_t
+EdgeHost_Got(EdgeHostServer *s, const char *id)
+{
+    uint32_t count = 0;
+    int fd;
+
+    while ((fd = accept(s->listener, NULL, NULL)) >= 0) {
+        g_assert_cmpuint(s->conn_count, <, EDGE_HOST_CONNS_MAX);
+        s->conns[s->conn_count++] =
+            (EdgeHostConn){.fd = fd, .seen = g_string_new(NULL)};
+    }
+    for (uint32_t i = 0; i < s->conn_count; i++) {
+        g_string_append(s->conns[i].seen, EdgeHost_Read(s->conns[i].fd));
+        count += has_asked(&s->conns[i], id);
+    }
+    return count;
+}
+
+static void
+say(EdgeHostServer *s, const char *id, const char *status, const char *mark)
+{
+    for (uint32_t i = 0; i < s->conn_count; i++) {
+        if (has_asked(&s->conns[i], id)) {
+            send_all(s->conns[i].fd,
+                     g_strdup_printf("HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n"
+                                     "Content-Length: 0\r\n\r\n",
+                                     status, Platform_Adapter.request_id, id,
+                                     mark));
+        }
+    }
+}
+
+void
+EdgeHost_Answer(EdgeHostServer *s, const char *id)
+{
+    say(s, id, "200 OK", Platform_Adapter.seal);
+}
+
+void
+EdgeHost_Refuse(EdgeHostServer *s, const char *id)
+{
+    say(s, id, "503 Busy", Platform_Adapter.not_run);
+}
