Look for the caller before a request leaves for a server

Callers saw nothing of it: they had left. Servers ran requests for nobody, up to 3.7 s after their callers had closed their connections, while other callers were refused for lack of room.

Cause: what an entry that is behind reads late, it passes on in the same turn, and what has waited it passes on as room comes. The end of the caller's connection lies unread in a later event of that turn, or is not read at all while the connection is paused. Nothing looked whether the caller was there.

Ruled out: the caller's end being lost (it is read and the attempt cancelled, but after the request has left); requests that had been passed on in time and were cancelled late.

Change: write_request(), the one place that all of them pass (new, after a wait, at a second try, as the connection is made), asks the caller's socket; an end is seen behind unread bytes too. A caller that has left is put aside and dropped once the actions are carried out that may name its requests; the server's connection, unused, is kept.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -20,6 +20,7 @@
     int64_t idle_since_us;
     int64_t inside_since_us; /* a message has begun to come; 0: none */
     bool dirty;              /* in edge->dirty: answers wait to be sent */
+    bool gone;               /* in edge->gone: it has left */
     uint16_t bad_status; /* to be said when the rest is answered; 0: none */
 };
 
@@ -45,6 +46,9 @@
     if (caller->dirty) {
         g_queue_remove(&edge->dirty, caller);
     }
+    if (caller->gone) {
+        g_queue_remove(&edge->gone, caller);
+    }
     while ((x = g_queue_pop_head(&caller->exchanges)) != NULL) {
         if (x->request != NULL) {
             GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
@@ -69,6 +73,29 @@
     }
 }
 
+bool
+GwExchange_HasCaller(GwExchange *x)
+{
+    GwCaller *caller = x->caller;
+
+    if (!caller->gone && GwConn_HasEnded(caller->conn)) {
+        caller->gone = true;
+        g_queue_push_tail(&caller->edge->gone, caller);
+    }
+    return !caller->gone;
+}
+
+void
+GwCallers_DropGone(GwEdge *edge)
+{
+    GwCaller *caller;
+
+    while ((caller = g_queue_peek_head(&edge->gone)) != NULL) {
+        GwConn_Close(caller->conn);
+        free_caller(caller);
+    }
+}
+
 static bool
 is_tail(GwCaller *caller, const GwExchange *x)
 {
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -170,13 +170,15 @@
         return;
     }
     edge->carrying = true;
-    while (edge->actions->len > 0 || !g_queue_is_empty(&edge->dirty)) {
+    while (edge->actions->len > 0 || !g_queue_is_empty(&edge->gone) ||
+           !g_queue_is_empty(&edge->dirty)) {
         for (guint i = 0; i < edge->actions->len; i++) {
             /* Carrying out may append, which may move the array. */
             GwDo act = g_array_index(edge->actions, GwDo, i);
             carry_one(edge, &act);
         }
         g_array_set_size(edge->actions, 0);
+        GwCallers_DropGone(edge);
         GwCaller *caller = g_queue_pop_head(&edge->dirty);
         if (caller != NULL) {
             GwCaller_Flush(caller);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -55,6 +55,7 @@
     bool carrying;     /* actions are being carried out */
     GQueue callers;    /* GwCaller, all that are open */
     GQueue dirty;      /* GwCaller with answers to send */
+    GQueue gone;       /* GwCaller found to have left, to be dropped */
     GQueue pools;      /* GwPool, one for each server */
     GQueue connecting; /* GwServerLink */
     GwMeters *meters;
@@ -99,6 +100,10 @@
 void GwCallers_CloseIdle(GwEdge *edge);
 void GwCallers_CloseAll(GwEdge *edge);
 void GwCaller_Flush(GwCaller *caller); /* sends what is ready, in order */
+/* Asks the socket whether the caller is still there. One that has left is
+ * dropped once the actions are carried out that may name its requests. */
+bool GwExchange_HasCaller(GwExchange *x);
+void GwCallers_DropGone(GwEdge *edge);
 void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
 void GwExchange_PassOn(GwExchange *x);
 
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -100,11 +100,48 @@
 
 /* ---- Requests out -------------------------------------------------------- */
 
+/* Closes the connections that were idle longest, above this entry's part of
+ * what the server takes: a server resets those beyond, of whoever comes. */
+static void
+trim_idle(GwPool *pool)
+{
+    uint32_t most =
+        GwRouter_IdleConnectionsMax(pool->edge->router, pool->server);
+
+    while (g_queue_get_length(&pool->idle) > most) {
+        discard(g_queue_peek_head(&pool->idle));
+    }
+}
+
+/* Kept for the next request: not a byte of this one has left, so it is idle
+ * for as long as before. */
+static void
+put_back_unused(GwServerLink *link)
+{
+    link->exchange->link = NULL;
+    link->exchange = NULL;
+    g_queue_push_tail_link(&link->pool->idle, &link->node);
+    if (link->pool->server == NULL) {
+        discard(link);
+        return;
+    }
+    trim_idle(link->pool);
+}
+
+/* Each request passes here before its first byte leaves, whether it has just
+ * been read, has waited, or is tried again. An entry that is behind has the
+ * end of the caller's connection unread then: passed on, the request would
+ * take a slot to answer nobody. */
 static void
 write_request(GwServerLink *link)
 {
     GwExchange *x = link->exchange;
     const GwAdapter *names = link->edge->adapter;
+
+    if (!GwExchange_HasCaller(x)) {
+        put_back_unused(link);
+        return;
+    }
     int64_t spent_ms = (GwEdge_Now() - link->given_us) / 1000;
     int64_t left_ms = MAX((int64_t)link->left_ms - spent_ms, 0);
     const char *const drop[] = {names->time_left, names->expect_server,
@@ -256,11 +293,14 @@
 on_connected(void *owner)
 {
     GwServerLink *link = owner;
+    GwEdge *edge = link->edge;
 
     link->connecting = false;
-    g_queue_unlink(&link->edge->connecting, &link->node);
-    link->connect_us = GwEdge_Now() - link->begun_us;
+    g_queue_unlink(&edge->connecting, &link->node);
+    link->idle_us = GwEdge_Now();
+    link->connect_us = link->idle_us - link->begun_us;
     write_request(link);
+    GwEdge_Carry(edge);
 }
 
 /* ---- Answers in ---------------------------------------------------------- */
@@ -322,19 +362,6 @@
     return ours != NULL && strcmp(theirs, ours) == 0;
 }
 
-/* Closes the connections that were idle longest, above this entry's part of
- * what the server takes: a server resets those beyond, of whoever comes. */
-static void
-trim_idle(GwPool *pool)
-{
-    uint32_t most =
-        GwRouter_IdleConnectionsMax(pool->edge->router, pool->server);
-
-    while (g_queue_get_length(&pool->idle) > most) {
-        discard(g_queue_peek_head(&pool->idle));
-    }
-}
-
 /* Keeps the connection for the next request, if the server goes on with it. */
 static void
 put_back(GwServerLink *link, const GwHttpMessage *msg)
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -1,6 +1,7 @@
 #include "http/conn.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -512,6 +513,22 @@
            (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool
+GwConn_HasEnded(const GwConn *c)
+{
+    struct pollfd end = {.events = POLLRDHUP};
+    char byte;
+
+    if (c->closing || uv_fileno((const uv_handle_t *)&c->tcp, &end.fd) != 0) {
+        return true;
+    }
+    ssize_t len = recv(end.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (len <= 0) {
+        return len == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+    return poll(&end, 1, 0) > 0;
+}
+
 uv_tcp_t *
 GwConn_Listen(uv_loop_t *loop, const char *address,
               uv_connection_cb on_connection, void *data)
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -69,6 +69,10 @@
  * a closed connection. Costs one system call. */
 bool GwConn_HasUnread(const GwConn *c);
 
+/* The other side has closed or reset the connection, also where that lies
+ * unread, behind bytes that do. One system call, two where bytes wait. */
+bool GwConn_HasEnded(const GwConn *c);
+
 /* "ip:port" to an address; false when it is not one. */
 bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
 /* A listening socket; NULL with a log line by the caller on failure. */
