Count the looks at servers that placing requests takes

Cause: the time of a turn of the loop goes with requests times servers, and neither the metrics nor the benches showed it.

Change: the core counts each server that it looks at to place a request (gw_server_looks_total); bench_router_cost has a table of what an entry spends on a second of 250 requests whose servers are full.

--- a/bench/router_cost.c
+++ b/bench/router_cost.c
@@ -7,8 +7,9 @@
 #include <stdio.h>
 #include <time.h>
 
-#define OBJECTS 2000
-#define ROUNDS  20000
+#define OBJECTS    2000
+#define ROUNDS     20000
+#define WAIT_PER_S 250
 
 static double
 cpu_us(void)
@@ -69,10 +70,54 @@
     FakeSteering_Free(f);
 }
 
+/* Requests beyond what the servers have room for; they wait. */
+static void
+fill(FakeSteering *f, uint32_t servers, uint32_t waiting)
+{
+    uint32_t room = servers * (4 + GW_SLOTS_AHEAD);
+
+    for (uint32_t i = 0; i < room + waiting; i++) {
+        (void)FakeSteering_Arrive(f, "/again/", NULL, 3000);
+    }
+}
+
+/* One second of an entry whose servers are full: requests come and end, and
+ * some wait. */
+static void
+measure_waiting(uint32_t servers, uint32_t waiting)
+{
+    FakeSteering *f = FakeSteering_Create("r1", "d1");
+    uint32_t oldest = 0;
+    double held = 0;
+
+    FakeSteering_Configure(f, 1, 2);
+    put_servers(f, servers);
+    fill(f, servers, waiting);
+    uint64_t looks = GwRouter_Looks(f->router);
+    double start = cpu_us();
+    for (uint32_t i = 0; i < WAIT_PER_S; i++) {
+        held += GwRouter_OpenCount(f->router);
+        while (((FakeRequest *)f->requests->pdata[oldest])->server == NULL) {
+            oldest++;
+        }
+        FakeSteering_End(f, f->requests->pdata[oldest], GW_ATTEMPT_ANSWERED,
+                         200);
+        (void)FakeSteering_Arrive(f, "/again/", NULL, 3000);
+        FakeSteering_Pass(f, FAKE_US_PER_S / WAIT_PER_S);
+    }
+    double took = cpu_us() - start;
+    double seen = (double)(GwRouter_Looks(f->router) - looks);
+    printf("| %u | %.0f | %.1f | %.2f | %.1f |\n", servers,
+           held / WAIT_PER_S - servers * (4 + GW_SLOTS_AHEAD), took / 1000,
+           seen / 1e6, seen > 0 ? took * 1000 / seen : 0);
+    FakeSteering_Free(f);
+}
+
 int
 main(void)
 {
     static const uint32_t sizes[] = {24, 100, 300, 600, 1000};
+    static const uint32_t waits[] = {0, 10, 100, 300};
 
     printf("| servers of the service | first request of an object, us | "
            "warm one, us | bytes a server | bytes an object |\n"
@@ -80,5 +125,13 @@
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         measure(sizes[i]);
     }
+    printf("\n| servers of the service | requests that wait | processor for a "
+           "second of %d requests, ms | million looks | ns a look, all "
+           "included |\n|---|---|---|---|---|\n",
+           WAIT_PER_S);
+    for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
+        measure_waiting(24, waits[i]);
+        measure_waiting(500, waits[i]);
+    }
     return 0;
 }
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -73,6 +73,7 @@
     write_counter(out, "gw_loop_busy_ms_total",
                   (uint64_t)turns.busy_us / 1000);
     write_counter(out, "gw_loop_turns_long_total", turns.count_long);
+    write_counter(out, "gw_server_looks_total", GwRouter_Looks(edge->router));
     write_gauge(out, "gw_loop_turn_max_ms", (double)turns.max_us / 1000);
     write_gauge(out, "gw_ready", GwEdge_IsReady(edge));
     write_gauge(out, "gw_config_version",
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -194,6 +194,7 @@
     GPtrArray *servers = req->service->servers;
     Candidate best = {0};
 
+    look->r->looks += servers->len;
     for (guint i = 0; i < servers->len; i++) {
         GwServer *s = servers->pdata[i];
         if (!may_take(look, s) ||
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -487,3 +487,9 @@
 {
     return g_hash_table_size(r->open);
 }
+
+uint64_t
+GwRouter_Looks(const GwRouter *r)
+{
+    return r->looks;
+}
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -194,6 +194,7 @@
     uint32_t all_slots;
     uint32_t regions;
     int64_t started_us;
+    uint64_t looks; /* at servers, to place requests */
 };
 
 /* servers.c */
--- a/tests/unit/test_turns.c
+++ b/tests/unit/test_turns.c
@@ -88,6 +88,7 @@
         "\ngw_loop_busy_ms_total ",
         "\ngw_loop_turns_long_total ",
         "\ngw_loop_turn_max_ms ",
+        "\ngw_server_looks_total ",
     };
     EdgeHost *h = EdgeHost_Create();
     GString *page = g_string_new(NULL);
