Pass over servers that can't be better, on a bound of their cost

Cause: to place a request for which no server has a place, each server of the service was judged in full: hash look-ups, divisions and an exp().

Ruled out: fewer servers in the search (a sample): choices would change.

Change: a server is judged only if its cost with a free slot and no work, and then with the lesser of its two measures of work, is below the best so far. Evacuated failure domains are looked up only where there are any. The choice is the same; cold servers are looked at in any case, which fills their tokens.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -32,6 +32,8 @@
  * for one more. */
 #define OBJECT_US 10000.0
 #define BUSY_US   150000.0
+/* Keeps a lower bound below what rounding makes of the sum that it bounds. */
+#define ALMOST_ONE (1 - 1e-9)
 /* A further place is made where the server was less busy than this lately. */
 #define IDLE_BELOW 0.35
 
@@ -78,6 +80,14 @@
     GwDriftSide side;
 } Look;
 
+/* There is mostly none at all, and a look-up hashes the name. */
+static bool
+is_evacuated(const GwRouter *r, const GwServer *s)
+{
+    return g_hash_table_size(r->evacuated) > 0 &&
+           g_hash_table_contains(r->evacuated, s->domain);
+}
+
 static bool
 may_take(const Look *look, GwServer *s)
 {
@@ -87,7 +97,7 @@
      * by hash only, and a route may have moved. Run there, the request would
      * be answered by a service that it was never sent to. */
     if (s->service != look->req->service || s->draining || !s->listed ||
-        s->slots == 0 || g_hash_table_contains(r->evacuated, s->domain) ||
+        s->slots == 0 || is_evacuated(r, s) ||
         (look->side == GW_DRIFT_NEAR && !s->same_region) ||
         (look->side == GW_DRIFT_FAR && s->same_region) ||
         !GwRoute_AllowsRegion(look->req->route, s->path->region) ||
@@ -186,7 +196,30 @@
     return SPREAD_US * (double)(mix >> 11) * 0x1p-53;
 }
 
-/* The best server that is no place of the object yet. */
+/* What the object's work would cost there if a slot were free and the server
+ * had been idle: the real cost is never less. In the same order of terms as
+ * `judge` and `best_new` have, so that rounding can't turn it around. */
+static double
+least_cost_us(const Look *look, const GwServer *s, double extra_us)
+{
+    double est_us = s->path->rtt_us + look->req->state->cold_us * s->slow;
+
+    return est_us + distance_us(s) + extra_us;
+}
+
+/* The same with what it has to do now: the mean lies between what is in its
+ * slots and what the mean was. */
+static double
+least_busy_us(const Look *look, const GwServer *s)
+{
+    double now = GwServer_InSlots(look->r, s) / (double)MAX(s->slots, 1);
+
+    return BUSY_US * MIN(s->busy, now) * ALMOST_ONE;
+}
+
+/* The best server that is no place of the object yet. A service may have a
+ * thousand: those that can't be better than the best so far are told by a few
+ * additions, or an entry with a tenth of a core spends it here. */
 static Candidate
 best_new(const Look *look)
 {
@@ -197,13 +230,22 @@
     look->r->looks += servers->len;
     for (guint i = 0; i < servers->len; i++) {
         GwServer *s = servers->pdata[i];
+        double extra_us = spread_of(req, s) + OBJECT_US * s->objects;
+        /* A cold one is looked at in any case: that fills its tokens. */
+        if (best.server != NULL && !GwServer_IsCold(s, look->now_us)) {
+            double least_us = least_cost_us(look, s, extra_us);
+            if (least_us >= best.cost_us ||
+                least_us + least_busy_us(look, s) >= best.cost_us) {
+                continue;
+            }
+        }
         if (!may_take(look, s) ||
             (req->key != NULL && GwKey_At(req->key, s) != NULL)) {
             continue;
         }
         Candidate c = judge(look, s, req->state->cold_us);
-        c.cost_us += spread_of(req, s) + OBJECT_US * s->objects +
-                     BUSY_US * GwServer_Busy(look->r, s, look->now_us);
+        c.cost_us +=
+            extra_us + BUSY_US * GwServer_Busy(look->r, s, look->now_us);
         keep_better(&best, &c);
     }
     return best;
--- /dev/null
+++ b/tests/unit/test_router_choice.c
@@ -0,0 +1,111 @@
+/* Which of a service's servers is chosen, whatever shortens the search. */
+#include "router/router_internal.h"
+#include "unit/steering_cases.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define SERVERS 40
+#define SEEDS   200
+
+static const char *const regions[] = {"r1", "r2", "r3"};
+static const char *const domains[] = {"d1", "d2", "d3"};
+
+/* A state of the server that requests and reports could have led to. */
+static void
+set_any(GwServer *s, GwRng *rng, int64_t now_us)
+{
+    s->slots = 1 + GwRng_Below(rng, 8);
+    s->peers_in_flight = GwRng_Below(rng, 2 * s->slots);
+    s->peers_far = GwRng_Below(rng, s->peers_in_flight + 1);
+    s->claims = GwRng_Below(rng, 3);
+    s->objects = GwRng_Below(rng, 20);
+    s->busy = GwRng_Below(rng, 1500) / 1000.0;
+    s->busy_at_us = now_us - GwRng_Below(rng, 4000000);
+    s->slow = 0.5 + GwRng_Below(rng, 4000) / 1000.0;
+    s->draining = GwRng_Below(rng, 20) == 0;
+    s->eject_until_us = GwRng_Below(rng, 20) == 0 ? now_us + 1 : 0;
+    s->cold_until_us = GwRng_Below(rng, 20) == 0 ? now_us + 1 : 0;
+}
+
+static GwServer *
+choose_among(FakeSteering *f, GwRequest *req, GPtrArray *servers)
+{
+    GPtrArray *all = req->service->servers;
+
+    req->service->servers = servers;
+    GwServer *chosen = GwRouter_Choose(f->router, f->now_us, req).server;
+    req->service->servers = all;
+    return chosen;
+}
+
+/* Between the two, with the other one looked at first. */
+static GwServer *
+better_of(FakeSteering *f, GwRequest *req, GwServer *other, GwServer *best)
+{
+    GPtrArray *pair = g_ptr_array_new();
+
+    g_ptr_array_add(pair, other);
+    g_ptr_array_add(pair, best);
+    GwServer *chosen = choose_among(f, req, pair);
+    g_ptr_array_free(pair, TRUE);
+    return chosen;
+}
+
+/* All servers are full as it arrives, so it waits. */
+static GwRequest *
+waiting_request(FakeSteering *f, const char *key)
+{
+    GwPeerLoad loads[SERVERS];
+    GwPeerInfo peer = {.name = "e2",
+                       .region = "r1",
+                       .serves = true,
+                       .load_count = SERVERS,
+                       .loads = loads};
+    GPtrArray *servers = GwRouter_ServiceOf(f->router, "s")->servers;
+
+    for (guint i = 0; i < servers->len; i++) {
+        loads[i] = (GwPeerLoad){GwServer_Hash(servers->pdata[i]), 6};
+    }
+    GwRouter_PutPeer(f->router, f->now_us, &peer);
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/", key, 3000);
+    cr_assert_null(req->server);
+    cr_assert_not_null(req->handle);
+    return req->handle;
+}
+
+/* A service may have a thousand servers, and a look at each of them for each
+ * request takes more than a small instance has; so most are passed over on a
+ * bound of their cost. If that bound were too high for any of them, requests
+ * would go to a worse server, and nothing but their times would tell. Each
+ * server is held against the chosen one alone, and is looked at first. */
+Test(router_choice, no_server_that_is_passed_over_is_better)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        GwRng rng = GwRng_Make(seed);
+        FakeSteering *f = Steering_Start(2);
+        char id[8];
+
+        for (int i = 0; i < SERVERS; i++) {
+            g_snprintf(id, sizeof(id), "s%d", i);
+            FakeSteering_Put(f, id, regions[i % 3], domains[i % 3], 4);
+        }
+        GwRequest *req = waiting_request(f, seed % 2 == 0 ? "k" : NULL);
+        GPtrArray *all = req->service->servers;
+        for (guint i = 0; i < all->len; i++) {
+            set_any(all->pdata[i], &rng, f->now_us);
+        }
+        GwServer *best = choose_among(f, req, all);
+        cr_assert_not_null(best, "seed %d", (int)seed);
+        for (guint i = 0; i < all->len; i++) {
+            GwServer *other = all->pdata[i];
+            cr_expect_eq(better_of(f, req, other, best), best,
+                         "seed %d: %s is better than %s", (int)seed, other->id,
+                         best->id);
+        }
+        for (guint i = 0; i < all->len; i++) {
+            ((GwServer *)all->pdata[i])->claims = 0;
+        }
+        Steering_Finish(f);
+    }
+}
