Judge what waits anew only where a look could change something

Callers of an entry with a tenth of a core got no answer for seconds: it read nothing meanwhile.

Cause: each request that came, each that ended, each caller that left and each deadline had all that wait for the service judged anew, each against all its servers. The work of a second grew with requests times waiting times servers, so the further the entry was behind the slower it went. In a log of such an entry one turn of 2.9 s held some 320 refusals, 9 ms each.

Ruled out: deadlines alone (a turn of seconds held no tick); the log and the reads of rows (no line of them in these turns); answers (few in them).

Change: a request that waits keeps the server that it waits for. It is judged again when there is room there, when a slot would come too late for it, when it is among the first two who would go to any server and one has become free, and in a pass over all.

--- a/bench/router_cost.c
+++ b/bench/router_cost.c
@@ -10,6 +10,7 @@
 #define OBJECTS    2000
 #define ROUNDS     20000
 #define WAIT_PER_S 250
+#define LEFT_MS    10000
 
 static double
 cpu_us(void)
@@ -70,45 +71,67 @@
     FakeSteering_Free(f);
 }
 
-/* Requests beyond what the servers have room for; they wait. */
 static void
-fill(FakeSteering *f, uint32_t servers, uint32_t waiting)
+add_waiting(void *ctx, const GwServiceView *view)
 {
-    uint32_t room = servers * (4 + GW_SLOTS_AHEAD);
+    *(double *)ctx += view->waiting;
+}
 
-    for (uint32_t i = 0; i < room + waiting; i++) {
-        (void)FakeSteering_Arrive(f, "/again/", NULL, 3000);
-    }
+static double
+count_waiting(const FakeSteering *f)
+{
+    double waiting = 0;
+
+    GwRouter_EachService(f->router, f->now_us, add_waiting, &waiting);
+    return waiting;
+}
+
+static void
+arrive(FakeSteering *f, uint32_t i, bool keyed)
+{
+    char key[16];
+
+    g_snprintf(key, sizeof(key), "%u", i % OBJECTS);
+    (void)FakeSteering_Arrive(f, "/again/", keyed ? key : NULL, LEFT_MS);
 }
 
 /* One second of an entry whose servers are full: requests come and end, and
  * some wait. */
 static void
-measure_waiting(uint32_t servers, uint32_t waiting)
+measure_waiting(uint32_t servers, uint32_t waiting, bool keyed)
 {
     FakeSteering *f = FakeSteering_Create("r1", "d1");
+    GwRouting *routing = FakeSteering_Routing(1, 2);
     uint32_t oldest = 0;
     double held = 0;
 
-    FakeSteering_Configure(f, 1, 2);
+    /* Of callers with time, so that many wait. */
+    for (uint32_t i = 0; i < routing->hosts[0].route_count; i++) {
+        routing->hosts[0].routes[i].objective_ms = LEFT_MS / 2;
+        routing->hosts[0].routes[i].timeout_ms = LEFT_MS;
+    }
+    (void)GwRouter_SetRouting(f->router, routing);
+    GwRouting_Unref(routing);
     put_servers(f, servers);
-    fill(f, servers, waiting);
+    for (uint32_t i = 0; i < 20000 && count_waiting(f) < waiting; i++) {
+        arrive(f, i, keyed);
+    }
     uint64_t looks = GwRouter_Looks(f->router);
     double start = cpu_us();
     for (uint32_t i = 0; i < WAIT_PER_S; i++) {
-        held += GwRouter_OpenCount(f->router);
+        held += count_waiting(f);
         while (((FakeRequest *)f->requests->pdata[oldest])->server == NULL) {
             oldest++;
         }
         FakeSteering_End(f, f->requests->pdata[oldest], GW_ATTEMPT_ANSWERED,
                          200);
-        (void)FakeSteering_Arrive(f, "/again/", NULL, 3000);
+        arrive(f, i, keyed);
         FakeSteering_Pass(f, FAKE_US_PER_S / WAIT_PER_S);
     }
     double took = cpu_us() - start;
     double seen = (double)(GwRouter_Looks(f->router) - looks);
-    printf("| %u | %.0f | %.1f | %.2f | %.1f |\n", servers,
-           held / WAIT_PER_S - servers * (4 + GW_SLOTS_AHEAD), took / 1000,
+    printf("| %u | %.0f%s | %.1f | %.2f | %.1f |\n", servers,
+           held / WAIT_PER_S, keyed ? ", for places" : "", took / 1000,
            seen / 1e6, seen > 0 ? took * 1000 / seen : 0);
     FakeSteering_Free(f);
 }
@@ -117,7 +140,7 @@
 main(void)
 {
     static const uint32_t sizes[] = {24, 100, 300, 600, 1000};
-    static const uint32_t waits[] = {0, 10, 100, 300};
+    static const uint32_t waits[] = {1, 100, 900};
 
     printf("| servers of the service | first request of an object, us | "
            "warm one, us | bytes a server | bytes an object |\n"
@@ -130,8 +153,9 @@
            "included |\n|---|---|---|---|---|\n",
            WAIT_PER_S);
     for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
-        measure_waiting(24, waits[i]);
-        measure_waiting(500, waits[i]);
+        measure_waiting(24, waits[i], false);
+        measure_waiting(500, waits[i], false);
+        measure_waiting(500, waits[i], true);
     }
     return 0;
 }
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -34,6 +34,8 @@
 #define BUSY_US   150000.0
 /* Keeps a lower bound below what rounding makes of the sum that it bounds. */
 #define ALMOST_ONE (1 - 1e-9)
+/* What a judgement takes besides its search, in looks at servers. */
+#define OWN_LOOKS 40
 /* A further place is made where the server was less busy than this lately. */
 #define IDLE_BELOW 0.35
 
@@ -121,6 +123,12 @@
     return known + s->claims;
 }
 
+bool
+GwServer_HasRoom(const GwRouter *r, const GwServer *s, int64_t now_us)
+{
+    return GwServer_Occupied(r, s, now_us) < s->slots + GW_SLOTS_AHEAD;
+}
+
 static double
 distance_us(const GwServer *s)
 {
@@ -292,7 +300,9 @@
             return choice_of(look, &fresh);
         }
     }
-    return choice_of(look, &place);
+    GwChoice c = choice_of(look, &place);
+    c.is_place = true;
+    return c;
 }
 
 /* Whether all that may take the request is in the region, or all outside. */
@@ -311,6 +321,7 @@
         .now_us = now_us,
         .panic = is_panic(req->service, now_us),
     };
+    r->looks += OWN_LOOKS;
     GwChoice c = choose_one(&look);
     GwDriftSide side = GwRouter_DriftSide(r, now_us);
 
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -183,8 +183,8 @@
 void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
 int64_t GwRouter_NextDeadline(const GwRouter *r); /* INT64_MAX: none */
 uint32_t GwRouter_OpenCount(const GwRouter *r);
-/* Servers looked at to place requests, since the start: what most of the
- * core's work grows with. */
+/* Servers looked at to place requests, since the start, and what judging a
+ * request takes besides as so many looks: most of the core's work. */
 uint64_t GwRouter_Looks(const GwRouter *r);
 
 typedef enum {
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -45,6 +45,9 @@
     bool panic;          /* most of the servers are ejected, */
     int64_t panic_at_us; /* as of then */
     bool has_room;       /* requests left; others may be placed */
+    int64_t pass_due_us; /* all that wait are not judged anew before */
+    double pass_looks;   /* at servers, of the last such pass for each */
+    GwServer *freed;     /* has room since the last pass; or NULL */
     double work_us;      /* mean time a request takes a slot */
     double cold_per_s;
     uint32_t connections_max; /* of one server, from all entries; 0: any */
@@ -158,9 +161,12 @@
     bool sent_alone; /* a slot was free then: its time is the work's */
     const GwServer *refused_for; /* the best one; set as the request ends */
     bool waits;
-    bool late;         /* waits, though its answer will be late */
-    bool may_have_run; /* an attempt ended without proof of the contrary */
-    uint32_t sends;    /* all, also those that met no server */
+    bool late;            /* waits, though its answer will be late */
+    int64_t too_late_us;  /* with a slot as of then its answer is of no use */
+    GwServer *waits_for;  /* it had no room; NULL: to be judged */
+    bool waits_for_place; /* and is a place of its object */
+    bool may_have_run;    /* an attempt ended without proof of the contrary */
+    uint32_t sends;       /* all, also those that met no server */
     char last_server[48];
     uint32_t arrivals; /* attempts that a server saw */
     uint32_t unsent;
@@ -229,11 +235,14 @@
     bool ready;       /* a slot is free there now */
     bool in_time;     /* its answer would be */
     bool wants_far;   /* the best server is in another region */
+    bool is_place;    /* it is a place of the object */
     double est_us;    /* until its answer */
     double wait_us;   /* of it, until a slot is free */
 } GwChoice;
 
 GwChoice GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req);
+/* One more may be sent there now, beside what waits for it. */
+bool GwServer_HasRoom(const GwRouter *r, const GwServer *s, int64_t now_us);
 
 /* drift.c */
 typedef enum {
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -82,7 +82,18 @@
 static void
 delist(GwRouter *r, GwServer *s, GArray *actions)
 {
+    GPtrArray *waiting = s->service->waiting;
+
     s->listed = false;
+    if (s->service->freed == s) {
+        s->service->freed = NULL;
+    }
+    for (guint i = 0; i < waiting->len; i++) {
+        GwRequest *req = waiting->pdata[i];
+        if (req->waits_for == s) {
+            req->waits_for = NULL;
+        }
+    }
     (void)g_ptr_array_remove(s->service->servers, s);
     (void)g_hash_table_remove(r->servers, s->id);
     if (s->refs == 0) {
