Drop callers who have left one at a time

Cause: a fault of the look for the caller before a request leaves. Where several callers were found to have left in one go, all were dropped before the next actions were carried out. The room that the first left could have been given to a request of the second: an action named it, and it was freed.

Ruled out: the same in other places.

Change: one is dropped, then the actions are carried out, then the next.

Measured: edge_late/callers_who_leave_together_make_room_for_each_other: use after free by the address sanitizer before, passes now.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -85,12 +85,14 @@
     return !caller->gone;
 }
 
+/* One at a time: the room that it leaves may have been given to a request of
+ * the next one, which an action names then. */
 void
-GwCallers_DropGone(GwEdge *edge)
+GwCallers_DropOneGone(GwEdge *edge)
 {
-    GwCaller *caller;
+    GwCaller *caller = g_queue_peek_head(&edge->gone);
 
-    while ((caller = g_queue_peek_head(&edge->gone)) != NULL) {
+    if (caller != NULL) {
         GwConn_Close(caller->conn);
         free_caller(caller);
     }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -178,7 +178,7 @@
             carry_one(edge, &act);
         }
         g_array_set_size(edge->actions, 0);
-        GwCallers_DropGone(edge);
+        GwCallers_DropOneGone(edge);
         GwCaller *caller = g_queue_pop_head(&edge->dirty);
         if (caller != NULL) {
             GwCaller_Flush(caller);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -103,7 +103,7 @@
 /* Asks the socket whether the caller is still there. One that has left is
  * dropped once the actions are carried out that may name its requests. */
 bool GwExchange_HasCaller(GwExchange *x);
-void GwCallers_DropGone(GwEdge *edge);
+void GwCallers_DropOneGone(GwEdge *edge);
 void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
 void GwExchange_PassOn(GwExchange *x);
 
--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -66,6 +66,9 @@
     for (uint32_t i = 0; i < h->server_count; i++) {
         EdgeHostServer *s = &h->servers[i];
         close(s->listener);
+        for (int k = 0; s->is_blocked && k < EDGE_HOST_BLOCK; k++) {
+            close(s->blocked[k]);
+        }
         for (uint32_t k = 0; k < s->conn_count; k++) {
             close(s->conns[k].fd);
             g_string_free(s->conns[k].seen, TRUE);
@@ -102,6 +105,21 @@
     EdgeHost_PutServer(h, s, slots);
 }
 
+/* With the queue full, the kernel drops the first packet of a connection. */
+void
+EdgeHost_Block(EdgeHostServer *s)
+{
+    struct sockaddr_in at;
+
+    g_assert_true(GwConn_ParseAddress(s->address, &at));
+    g_assert_cmpint(listen(s->listener, 0), ==, 0);
+    for (int i = 0; i < EDGE_HOST_BLOCK; i++) {
+        s->blocked[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        (void)connect(s->blocked[i], (struct sockaddr *)&at, sizeof(at));
+    }
+    s->is_blocked = true;
+}
+
 void
 EdgeHost_Turn(EdgeHost *h)
 {
@@ -139,12 +157,18 @@
 }
 
 void
-EdgeHost_Ask(int caller, const char *path, const char *id)
+EdgeHost_AskFor(int caller, const char *path, const char *id, uint32_t left_ms)
 {
     send_all(caller, g_strdup_printf("GET %s%s HTTP/1.1\r\nHost: h\r\n"
-                                     "%s: %s\r\n%s: %d\r\n\r\n",
+                                     "%s: %s\r\n%s: %u\r\n\r\n",
                                      path, id, Platform_Adapter.request_id, id,
-                                     Platform_Adapter.time_left, TIMEOUT_MS));
+                                     Platform_Adapter.time_left, left_ms));
+}
+
+void
+EdgeHost_Ask(int caller, const char *path, const char *id)
+{
+    EdgeHost_AskFor(caller, path, id, TIMEOUT_MS);
 }
 
 const char *
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -8,6 +8,7 @@
 
 #define EDGE_HOST_SERVERS_MAX 4
 #define EDGE_HOST_CONNS_MAX   64
+#define EDGE_HOST_BLOCK       4
 
 /* One connection from the entry, and all that came on it. */
 typedef struct {
@@ -21,6 +22,8 @@
     int listener;
     EdgeHostConn conns[EDGE_HOST_CONNS_MAX];
     uint32_t conn_count;
+    int blocked[EDGE_HOST_BLOCK]; /* connections that fill its queue */
+    bool is_blocked;
 } EdgeHostServer;
 
 typedef struct {
@@ -35,6 +38,8 @@
 void EdgeHost_AddServer(EdgeHost *h, const char *id, uint32_t slots);
 /* Tells the entry of it once more, with so many slots. */
 void EdgeHost_PutServer(EdgeHost *h, const EdgeHostServer *s, uint32_t slots);
+/* It takes no connection any more, and resets none. */
+void EdgeHost_Block(EdgeHostServer *s);
 /* One turn of the loop, which does not wait. */
 void EdgeHost_Turn(EdgeHost *h);
 /* Turns until it is so; false when it never comes to it, in seconds. */
@@ -44,6 +49,9 @@
 int EdgeHost_Call(EdgeHost *h);
 /* A whole request; its id goes in the line of the target too. */
 void EdgeHost_Ask(int caller, const char *path, const char *id);
+/* The same, of a caller who waits for so long. */
+void EdgeHost_AskFor(int caller, const char *path, const char *id,
+                     uint32_t left_ms);
 /* What came on a connection and was not read, as text; "" for nothing. */
 const char *EdgeHost_Read(int fd);
 /* Whether that request has come to the server, and how often. */
--- a/tests/unit/test_edge_late.c
+++ b/tests/unit/test_edge_late.c
@@ -33,6 +33,7 @@
     CallerThen then;
     const char *awaited; /* id of a request */
     uint32_t before;     /* times that it had come when its caller decided */
+    uint32_t open;       /* requests, as awaited */
 } Late;
 
 /* At all servers together. */
@@ -114,21 +115,24 @@
     close(late->caller);
 }
 
-/* Requests that are answered leave three kept connections at both servers,
- * which have two slots and get one more ahead. */
+/* Requests that are answered leave as many kept connections, half of them at
+ * each server: all come at once, and the servers have just that much room. */
 static void
-keep_connections(Late *late)
+keep_connections(Late *late, uint32_t count)
 {
-    static const char *const ids[] = {"w1", "w2", "w3", "w4", "w5", "w6"};
+    char id[16];
 
-    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
-        EdgeHost_Ask(late->other, "/again/", ids[i]);
+    for (uint32_t i = 0; i < count; i++) {
+        g_snprintf(id, sizeof(id), "w%u", i);
+        EdgeHost_Ask(late->other, "/again/", id);
     }
-    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
-        await_request(late, ids[i]);
+    for (uint32_t i = 0; i < count; i++) {
+        g_snprintf(id, sizeof(id), "w%u", i);
+        await_request(late, id);
     }
-    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
-        answer(late, ids[i]);
+    for (uint32_t i = 0; i < count; i++) {
+        g_snprintf(id, sizeof(id), "w%u", i);
+        answer(late, id);
     }
     cr_assert(EdgeHost_Until(late->h, is_idle, late));
 }
@@ -136,17 +140,17 @@
 static void
 send_at_arrival(Late *late)
 {
-    keep_connections(late);
+    keep_connections(late, 6);
     EdgeHost_Ask(late->caller, "/again/", "late");
     do_then(late);
 }
 
 static bool
-is_waiting(void *ctx)
+has_open(void *ctx)
 {
     const Late *late = ctx;
 
-    return GwRouter_OpenCount(late->h->edge->router) == 5;
+    return GwRouter_OpenCount(late->h->edge->router) == late->open;
 }
 
 /* The servers have one slot now, and one ahead: the fifth request waits. */
@@ -155,7 +159,7 @@
 {
     static const char *const ids[] = {"f1", "f2", "f3", "f4"};
 
-    keep_connections(late);
+    keep_connections(late, 6);
     for (uint32_t i = 0; i < late->h->server_count; i++) {
         EdgeHost_PutServer(late->h, &late->h->servers[i], 1);
     }
@@ -167,7 +171,8 @@
         await_request(late, ids[i]);
     }
     EdgeHost_Ask(late->caller, "/again/", "late");
-    cr_assert(EdgeHost_Until(late->h, is_waiting, late));
+    late->open = G_N_ELEMENTS(ids) + 1;
+    cr_assert(EdgeHost_Until(late->h, has_open, late));
     cr_assert_eq(got(late, "late"), 0);
     answer(late, "f1");
     do_then(late);
@@ -176,7 +181,7 @@
 static void
 send_second_try(Late *late)
 {
-    keep_connections(late);
+    keep_connections(late, 6);
     EdgeHost_Ask(late->caller, "/again/", "late");
     await_request(late, "late");
     late->before = 1;
@@ -272,3 +277,61 @@
         EdgeHost_Free(late.h);
     }
 }
+
+#define LEAVERS      4
+#define EACH         4 /* requests of one of them */
+#define HELD         6 /* by the first caller */
+#define KEPT_EACH    6
+#define SLOTS_BEFORE (KEPT_EACH - GW_SLOTS_AHEAD)
+#define SLOTS_NOW    (HELD / 2 - GW_SLOTS_AHEAD)
+
+static void
+ask_many(int caller, char name, uint32_t count)
+{
+    char id[16];
+
+    for (uint32_t i = 0; i < count; i++) {
+        g_snprintf(id, sizeof(id), "%c%u", name, i);
+        EdgeHost_Ask(caller, "/again/", id);
+    }
+}
+
+/* Several callers with more than one request each leave while their entry is
+ * behind, after one whose requests held all slots. Some of them are found to
+ * have left in one go. As the first is dropped, the room that it leaves goes
+ * to a request of the next one, who is dropped too: the entry must not pass on
+ * what is gone. */
+Test(edge_late, callers_who_leave_together_make_room_for_each_other)
+{
+    Late late = {.h = EdgeHost_Create()};
+    int callers[LEAVERS];
+
+    EdgeHost_AddServer(late.h, "a", SLOTS_BEFORE);
+    EdgeHost_AddServer(late.h, "b", SLOTS_BEFORE);
+    late.other = EdgeHost_Call(late.h);
+    keep_connections(&late, 2 * KEPT_EACH);
+    EdgeHost_PutServer(late.h, &late.h->servers[0], SLOTS_NOW);
+    EdgeHost_PutServer(late.h, &late.h->servers[1], SLOTS_NOW);
+    late.caller = EdgeHost_Call(late.h);
+    ask_many(late.caller, 'f', HELD);
+    late.open = HELD;
+    cr_assert(EdgeHost_Until(late.h, has_open, &late));
+    for (int i = 0; i < LEAVERS; i++) {
+        callers[i] = EdgeHost_Call(late.h);
+        ask_many(callers[i], (char)('l' + i), EACH);
+    }
+    late.open = HELD + EACH * LEAVERS;
+    cr_assert(EdgeHost_Until(late.h, has_open, &late));
+    EdgeHost_Turn(late.h);
+    close(late.caller);
+    for (int i = 0; i < LEAVERS; i++) {
+        close(callers[i]);
+    }
+    cr_expect(EdgeHost_Until(late.h, is_idle, &late));
+    cr_expect_eq(got(&late, "f0"), 1);
+    cr_expect_eq(got(&late, "l0"), 0);
+    EdgeHost_Ask(late.other, "/again/", "next");
+    await_request(&late, "next");
+    close(late.other);
+    EdgeHost_Free(late.h);
+}
