Give a connection up only after a look at whether it was made

Callers were refused beside idle servers: their entry passed over sound ones.

Cause: connections to servers that were not made within 0.3 s are given up by a timer, and timers come before the sockets in each turn of the loop.

Not known: how many of the 62 had been made.

Change: the time until the loop's last look at the sockets counts, not the clock. What is never made is given up as before.

Measured: edge_late/a_connection_is_given_up_only_after_a_look_at_it: case 0 (made while the loop slept) failed before, both cases pass now.

--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -487,11 +487,15 @@
     }
 }
 
-/* Connections that are not made in time are given link: a machine without
- * power answers nothing. */
+/* Connections that are not made in time are given up: a machine without power
+ * answers nothing. One that was made while the loop was busy is seen only at
+ * its next look, so the time until its last look counts; by the clock, an
+ * entry that is behind takes all servers for gone. */
 static void
-sweep_connecting(GwEdge *edge, int64_t now_us)
+sweep_connecting(GwEdge *edge)
 {
+    int64_t seen_us = GwTurns_SeenUntil(edge->turns);
+
     for (GList *at = edge->connecting.head, *next; at != NULL; at = next) {
         GwServerLink *link = at->data;
         uint32_t limit_ms =
@@ -499,7 +503,7 @@
                 ? CONNECT_FAR_MS
                 : CONNECT_NEAR_MS;
         next = at->next;
-        if (now_us - link->begun_us > (int64_t)limit_ms * 1000) {
+        if (seen_us - link->begun_us > (int64_t)limit_ms * 1000) {
             GwExchange *x = link->exchange;
             GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT};
             discard(link);
@@ -540,5 +544,5 @@
         next = at->next;
         close_idle(at->data, now_us);
     }
-    sweep_connecting(edge, now_us);
+    sweep_connecting(edge);
 }
--- a/tests/unit/test_edge_late.c
+++ b/tests/unit/test_edge_late.c
@@ -278,6 +278,66 @@
     }
 }
 
+/* Longer than a connection to a server may take. */
+#define STALL_US 700000
+
+static void
+see_ejected(void *ctx, const GwServiceView *view)
+{
+    *(uint32_t *)ctx += view->ejected;
+}
+
+static uint32_t
+count_ejected(const EdgeHost *h)
+{
+    uint32_t ejected = 0;
+
+    GwRouter_EachService(h->edge->router, GwEdge_Now(), see_ejected, &ejected);
+    return ejected;
+}
+
+static bool
+is_decided(void *ctx)
+{
+    Late *late = ctx;
+
+    return got(late, "late") > 0 || count_ejected(late->h) > 0;
+}
+
+/* An entry begins connections to sound servers, and its loop does nothing for
+ * longer than a connection may take. They were made at once, but its clock is
+ * the first thing that it looks at: it gives them up, passes over the servers
+ * as if they were gone, and callers are refused beside idle servers. One that
+ * is really not made is still given up. */
+Test(edge_late, a_connection_is_given_up_only_after_a_look_at_it)
+{
+    static const struct {
+        bool is_made;
+        uint32_t come;
+        uint32_t ejected;
+    } cases[] = {{true, 1, 0}, {false, 0, 1}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Late late = {.h = EdgeHost_Create()};
+
+        EdgeHost_AddServer(late.h, "a", 2);
+        if (!cases[i].is_made) {
+            EdgeHost_Block(&late.h->servers[0]);
+        }
+        late.caller = EdgeHost_Call(late.h);
+        EdgeHost_Ask(late.caller, "/again/", "late");
+        while (g_queue_is_empty(&late.h->edge->connecting)) {
+            EdgeHost_Turn(late.h);
+        }
+        g_usleep(STALL_US);
+        cr_expect(EdgeHost_Until(late.h, is_decided, &late), "case %zu", i);
+        cr_expect_eq(count_ejected(late.h), cases[i].ejected, "case %zu", i);
+        cr_expect_eq(got(&late, "late"), cases[i].come, "case %zu", i);
+        close(late.caller);
+        EdgeHost_Free(late.h);
+    }
+}
+
 #define LEAVERS      4
 #define EACH         4 /* requests of one of them */
 #define HELD         6 /* by the first caller */
