Say that time is over only after a look for the answer

Callers were told 504 though their answers had come to the entry.

Cause: the timer of the deadlines comes before the sockets in each turn, so after a long turn what has come meanwhile is judged as not come: the answer is dropped with its connection. In the log of such an entry one tick after a turn of seconds said 504 to some 410 requests; how many of their answers had come is not known. And where dealing with one deadline takes until the next is over, timer comes upon timer and the loop never looks at its sockets.

Ruled out: servers that answer late (in the test the server answers at once).

Change: a deadline after the loop's last look at the sockets waits for one more look. It is at most one look each time.

Measured: edge_late/time_is_over_only_after_a_look_for_the_answer: case 0 (answered, and the loop slept) got 504 before, gets its answer now; case 1 (never answered) still gets 504. Timer upon timer has no test of its own.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -12,6 +12,10 @@
 /* Lines are written out every half second: each write is paid for, and a
  * killed process loses what it has not written. */
 #define LOG_FLUSH_SWEEPS 2
+/* A timer may fire before its time by what its clock is too coarse for. */
+#define TIMER_EARLY_US 2000
+/* Timers of no time at all would come before the look at the sockets. */
+#define LOOK_FIRST_MS 1
 /* After this part of its grace it waits for no request any more. */
 #define LEAVE_SHARE 0.85
 
@@ -136,11 +140,19 @@
     }
 }
 
+/* Timers come before the sockets in each turn. After a long turn an answer, or
+ * the end of a connection, may lie unread that came before the deadline: time
+ * is over only once the loop has looked. That also keeps it reading where the
+ * next deadline has passed whenever one has been dealt with. */
 static void
 on_deadline(uv_timer_t *timer)
 {
     GwEdge *edge = timer->data;
 
+    if (GwTurns_SeenUntil(edge->turns) + TIMER_EARLY_US < edge->armed_us) {
+        (void)uv_timer_start(timer, on_deadline, LOOK_FIRST_MS, 0);
+        return;
+    }
     edge->armed_us = INT64_MAX;
     GwRouter_Tick(edge->router, GwEdge_Now(), edge->actions);
     GwEdge_Carry(edge);
--- a/tests/unit/test_edge_late.c
+++ b/tests/unit/test_edge_late.c
@@ -338,6 +338,56 @@
     }
 }
 
+/* What the request's caller gives it; with what is kept for the server's word
+ * that is less than a stall. */
+#define SHORT_MS 300
+
+static char answer_text[4096];
+
+static bool
+has_answer(void *ctx)
+{
+    const Late *late = ctx;
+    const char *text = EdgeHost_Read(late->caller);
+
+    if (text[0] != '\0') {
+        g_strlcpy(answer_text, text, sizeof(answer_text));
+    }
+    return answer_text[0] != '\0';
+}
+
+/* A server answers in time, and its entry is behind: when it looks at its
+ * clock the request's time is over, and the answer lies unread. The caller,
+ * who still waits, was told 504 though it could have had the answer. One that
+ * really isn't answered is still told so. */
+Test(edge_late, time_is_over_only_after_a_look_for_the_answer)
+{
+    static const struct {
+        bool is_answered;
+        const char *status;
+    } cases[] = {{true, "HTTP/1.1 200 "}, {false, "HTTP/1.1 504 "}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Late late = {.h = EdgeHost_Create()};
+
+        answer_text[0] = '\0';
+        EdgeHost_AddServer(late.h, "a", 2);
+        late.caller = EdgeHost_Call(late.h);
+        EdgeHost_AskFor(late.caller, "/again/", "late", SHORT_MS);
+        await_request(&late, "late");
+        if (cases[i].is_answered) {
+            answer(&late, "late");
+        }
+        g_usleep(STALL_US);
+        cr_expect(EdgeHost_Until(late.h, has_answer, &late), "case %zu", i);
+        cr_expect_eq(
+            strncmp(answer_text, cases[i].status, strlen(cases[i].status)), 0,
+            "case %zu: %.20s", i, answer_text);
+        close(late.caller);
+        EdgeHost_Free(late.h);
+    }
+}
+
 #define LEAVERS      4
 #define EACH         4 /* requests of one of them */
 #define HELD         6 /* by the first caller */
