--- a/bench/router_cost.c
+++ b/bench/router_cost.c
@@ -7,8 +7,10 @@
 #include <stdio.h>
 #include <time.h>
 
-#define OBJECTS 2000
-#define ROUNDS  20000
+#define OBJECTS    2000
+#define ROUNDS     20000
+#define WAIT_PER_S 250
+#define LEFT_MS    10000
 
 static double
 cpu_us(void)
@@ -69,10 +71,76 @@
     FakeSteering_Free(f);
 }
 
+static void
+add_waiting(void *ctx, const GwServiceView *view)
+{
+    *(double *)ctx += view->waiting;
+}
+
+static double
+count_waiting(const FakeSteering *f)
+{
+    double waiting = 0;
+
+    GwRouter_EachService(f->router, f->now_us, add_waiting, &waiting);
+    return waiting;
+}
+
+static void
+arrive(FakeSteering *f, uint32_t i, bool keyed)
+{
+    char key[16];
+
+    g_snprintf(key, sizeof(key), "%u", i % OBJECTS);
+    (void)FakeSteering_Arrive(f, "/again/", keyed ? key : NULL, LEFT_MS);
+}
+
+/* One second of an entry whose servers are full: requests come and end, and
+ * some wait. */
+static void
+measure_waiting(uint32_t servers, uint32_t waiting, bool keyed)
+{
+    FakeSteering *f = FakeSteering_Create("r1", "d1");
+    GwRouting *routing = FakeSteering_Routing(1, 2);
+    uint32_t oldest = 0;
+    double held = 0;
+
+    /* Of callers with time, so that many wait. */
+    for (uint32_t i = 0; i < routing->hosts[0].route_count; i++) {
+        routing->hosts[0].routes[i].objective_ms = LEFT_MS / 2;
+        routing->hosts[0].routes[i].timeout_ms = LEFT_MS;
+    }
+    (void)GwRouter_SetRouting(f->router, routing);
+    GwRouting_Unref(routing);
+    put_servers(f, servers);
+    for (uint32_t i = 0; i < 20000 && count_waiting(f) < waiting; i++) {
+        arrive(f, i, keyed);
+    }
+    uint64_t looks = GwRouter_Looks(f->router);
+    double start = cpu_us();
+    for (uint32_t i = 0; i < WAIT_PER_S; i++) {
+        held += count_waiting(f);
+        while (((FakeRequest *)f->requests->pdata[oldest])->server == NULL) {
+            oldest++;
+        }
+        FakeSteering_End(f, f->requests->pdata[oldest], GW_ATTEMPT_ANSWERED,
+                         200);
+        arrive(f, i, keyed);
+        FakeSteering_Pass(f, FAKE_US_PER_S / WAIT_PER_S);
+    }
+    double took = cpu_us() - start;
+    double seen = (double)(GwRouter_Looks(f->router) - looks);
+    printf("| %u | %.0f%s | %.1f | %.2f | %.1f |\n", servers,
+           held / WAIT_PER_S, keyed ? ", for places" : "", took / 1000,
+           seen / 1e6, seen > 0 ? took * 1000 / seen : 0);
+    FakeSteering_Free(f);
+}
+
 int
 main(void)
 {
     static const uint32_t sizes[] = {24, 100, 300, 600, 1000};
+    static const uint32_t waits[] = {1, 100, 900};
 
     printf("| servers of the service | first request of an object, us | "
            "warm one, us | bytes a server | bytes an object |\n"
@@ -80,5 +148,14 @@
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         measure(sizes[i]);
     }
+    printf("\n| servers of the service | requests that wait | processor for a "
+           "second of %d requests, ms | million looks | ns a look, all "
+           "included |\n|---|---|---|---|---|\n",
+           WAIT_PER_S);
+    for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
+        measure_waiting(24, waits[i], false);
+        measure_waiting(500, waits[i], false);
+        measure_waiting(500, waits[i], true);
+    }
     return 0;
 }
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -24,6 +24,7 @@
     bool arriving;           /* its last answer may not have arrived */
     int64_t inside_since_us; /* a message has begun to come; 0: none */
     bool dirty;              /* in edge->dirty: answers wait to be sent */
+    bool gone;               /* in edge->gone: it has left */
     uint16_t bad_status; /* to be said when the rest is answered; 0: none */
 };
 
@@ -68,6 +69,9 @@
     if (caller->dirty) {
         g_queue_remove(&edge->dirty, caller);
     }
+    if (caller->gone) {
+        g_queue_remove(&edge->gone, caller);
+    }
     while ((x = g_queue_pop_head(&caller->exchanges)) != NULL) {
         note_open(x, open_end);
         if (x->request != NULL) {
@@ -115,6 +119,31 @@
     caller->idle_limit_ms = limits_of(caller->edge).idle_timeout_ms;
 }
 
+bool
+GwExchange_HasCaller(GwExchange *x)
+{
+    GwCaller *caller = x->caller;
+
+    if (!caller->gone && GwConn_HasEnded(caller->conn)) {
+        caller->gone = true;
+        g_queue_push_tail(&caller->edge->gone, caller);
+    }
+    return !caller->gone;
+}
+
+/* One at a time: the room that it leaves may have been given to a request of
+ * the next one, which an action names then. */
+void
+GwCallers_DropOneGone(GwEdge *edge)
+{
+    GwCaller *caller = g_queue_peek_head(&edge->gone);
+
+    if (caller != NULL) {
+        GwConn_Close(caller->conn);
+        free_caller(caller, GW_END_LEFT);
+    }
+}
+
 static bool
 is_tail(GwCaller *caller, const GwExchange *x)
 {
@@ -438,8 +467,9 @@
 static void
 sweep_one(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
 {
-    /* Its requests would go on at servers, for nobody. */
-    if (GwConn_HasLeftUnread(caller->conn)) {
+    /* The loop tells an end only where it reads; the requests would go on at
+     * servers, for nobody. */
+    if (GwConn_IsPaused(caller->conn) && GwConn_HasEnded(caller->conn)) {
         GwConn_Close(caller->conn);
         free_caller(caller, GW_END_LEFT);
         return;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -16,6 +16,10 @@
 /* Lines are written out every half second: each write is paid for, and a
  * killed process loses what it has not written. */
 #define LOG_FLUSH_SWEEPS 2
+/* A timer may fire before its time by what its clock is too coarse for. */
+#define TIMER_EARLY_US 2000
+/* Timers of no time at all would come before the look at the sockets. */
+#define LOOK_FIRST_MS 1
 
 int64_t
 GwEdge_Now(void)
@@ -140,11 +144,19 @@
     }
 }
 
+/* Timers come before the sockets in each turn. After a long turn an answer, or
+ * the end of a connection, may lie unread that came before the deadline: time
+ * is over only once the loop has looked. That also keeps it reading where the
+ * next deadline has passed whenever one has been dealt with. */
 static void
 on_deadline(uv_timer_t *timer)
 {
     GwEdge *edge = timer->data;
 
+    if (GwTurns_SeenUntil(edge->turns) + TIMER_EARLY_US < edge->armed_us) {
+        (void)uv_timer_start(timer, on_deadline, LOOK_FIRST_MS, 0);
+        return;
+    }
     edge->armed_us = INT64_MAX;
     GwRouter_Tick(edge->router, GwEdge_Now(), edge->actions);
     GwEdge_Carry(edge);
@@ -174,13 +186,15 @@
         return;
     }
     edge->carrying = true;
-    while (edge->actions->len > 0 || !g_queue_is_empty(&edge->dirty)) {
+    while (edge->actions->len > 0 || !g_queue_is_empty(&edge->gone) ||
+           !g_queue_is_empty(&edge->dirty)) {
         for (guint i = 0; i < edge->actions->len; i++) {
             /* Carrying out may append, which may move the array. */
             GwDo act = g_array_index(edge->actions, GwDo, i);
             carry_one(edge, &act);
         }
         g_array_set_size(edge->actions, 0);
+        GwCallers_DropOneGone(edge);
         GwCaller *caller = g_queue_pop_head(&edge->dirty);
         if (caller != NULL) {
             GwCaller_Flush(caller);
@@ -201,14 +215,17 @@
     uv_stop(&edge->loop);
 }
 
-/* What waits for a connection to its server has not left, so its caller can
- * still be told that it did not run. */
+/* What waits for a slot or for a connection to its server has not left, so its
+ * caller can still be told that it did not run. */
 static void
 on_leave_end(uv_timer_t *timer)
 {
     GwEdge *edge = timer->data;
 
+    int64_t now_us = GwEdge_Now();
+
     GwServerLink_GiveUpConnecting(edge);
+    GwRouter_Stop(edge->router, now_us, now_us, edge->actions);
     GwEdge_Carry(edge);
     end_run(edge);
 }
@@ -310,6 +327,17 @@
 
 /* ---- Start and end ------------------------------------------------------- */
 
+/* Each line stands for more than GW_TURN_LONG_US, so they can't be many. */
+static void
+on_long_turn(void *ctx, int64_t turn_us)
+{
+    const GwEdge *edge = ctx;
+
+    GwLog_Event(GW_LOG_LOOP_LATE, "turn_ms=%" PRId64 " open=%u callers=%u",
+                turn_us / 1000, GwRouter_OpenCount(edge->router),
+                g_queue_get_length((GQueue *)&edge->callers));
+}
+
 static void
 start_timers(GwEdge *edge)
 {
@@ -355,6 +383,7 @@
     GwEdge_NoteSettings(edge);
     edge->adapter = adapter;
     (void)uv_loop_init(&edge->loop);
+    edge->turns = GwTurns_Create(&edge->loop, on_long_turn, edge);
     edge->bodies.max = (uint64_t)settings->memory_mb * BODIES_SHARE;
     edge->started_us = GwEdge_Now();
     edge->armed_us = INT64_MAX;
@@ -402,6 +431,7 @@
     GwFeed_Close(edge->operator_feed);
     GwFeed_Close(edge->server_feed);
     GwPeers_Close(edge->peers);
+    GwTurns_Close(edge->turns);
     if (edge->call_listener != NULL) {
         uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
     }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -8,6 +8,7 @@
 #include "godwitridge_errors.h"
 #include "edge/meters.h"
 #include "edge/stop_signal.h"
+#include "edge/turns.h"
 #include "http/serve.h"
 
 #include <inttypes.h>
@@ -55,9 +56,11 @@
     bool carrying;     /* actions are being carried out */
     GQueue callers;    /* GwCaller, all that are open */
     GQueue dirty;      /* GwCaller with answers to send */
+    GQueue gone;       /* GwCaller found to have left, to be dropped */
     GQueue pools;      /* GwPool, one for each server */
     GQueue connecting; /* GwServerLink */
     GwMeters *meters;
+    GwTurns *turns;
     GwFeed *operator_feed;
     GwFeed *server_feed;
     GwPeers *peers;
@@ -102,6 +105,10 @@
 void GwCallers_CloseIdle(GwEdge *edge);
 void GwCallers_CloseAll(GwEdge *edge);
 void GwCaller_Flush(GwCaller *caller); /* sends what is ready, in order */
+/* Asks the socket whether the caller is still there. One that has left is
+ * dropped once the actions are carried out that may name its requests. */
+bool GwExchange_HasCaller(GwExchange *x);
+void GwCallers_DropOneGone(GwEdge *edge);
 void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
 void GwExchange_PassOn(GwExchange *x);
 
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -2,6 +2,7 @@
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -635,21 +636,26 @@
            (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-/* A stream that is not read tells no end, and a peek shows only what comes
- * first; the state of the connection shows it. */
 bool
-GwConn_HasLeftUnread(const GwConn *c)
+GwConn_IsPaused(const GwConn *c)
 {
-    struct tcp_info info;
-    socklen_t len = sizeof(info);
-    int fd;
+    return !c->reading;
+}
 
-    if (c->reading || c->connecting || c->closing ||
-        uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-        getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0) {
-        return false;
+bool
+GwConn_HasEnded(const GwConn *c)
+{
+    struct pollfd end = {.events = POLLRDHUP};
+    char byte;
+
+    if (c->closing || uv_fileno((const uv_handle_t *)&c->tcp, &end.fd) != 0) {
+        return true;
+    }
+    ssize_t len = recv(end.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (len <= 0) {
+        return len == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
-    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+    return poll(&end, 1, 0) > 0;
 }
 
 uv_tcp_t *
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -81,15 +81,17 @@
 int64_t GwConn_LastHeard(const GwConn *c); /* us, uv_hrtime */
 void GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max);
 void GwConn_Pause(GwConn *c, bool paused);
+bool GwConn_IsPaused(const GwConn *c);
 /* What was written has arrived at the other side's machine. Costs one system
  * call. */
 bool GwConn_HasArrived(const GwConn *c);
 /* Bytes or an end wait unread: what is sent now would meet a stray answer or
  * a closed connection. Costs one system call. */
 bool GwConn_HasUnread(const GwConn *c);
-/* Paused, and the other side has closed or reset, also behind bytes that are
- * not read. Costs one system call while paused. */
-bool GwConn_HasLeftUnread(const GwConn *c);
+
+/* The other side has closed or reset the connection, also where that lies
+ * unread, behind bytes that do. One system call, two where bytes wait. */
+bool GwConn_HasEnded(const GwConn *c);
 
 /* "ip:port" to an address; false when it is not one. */
 bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -180,13 +180,17 @@
 GwRequestStory GwRequest_Story(const GwRequest *req, int64_t now_us);
 void GwRouter_Settle(GwRouter *r, int64_t now_us, GArray *actions);
 /* This entry stops: what it has begun by then has to be over at `end_us`, when
- * it closes the connections of its callers. */
+ * it closes the connections of its callers. Called once more at the end, it
+ * refuses what still waits. */
 void GwRouter_Stop(GwRouter *r, int64_t now_us, int64_t end_us,
                    GArray *actions);
 /* What time does; to be called at GwRouter_NextDeadline. */
 void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
 int64_t GwRouter_NextDeadline(const GwRouter *r); /* INT64_MAX: none */
 uint32_t GwRouter_OpenCount(const GwRouter *r);
+/* Servers looked at to place requests, since the start, and what judging a
+ * request takes besides as so many looks: most of the core's work. */
+uint64_t GwRouter_Looks(const GwRouter *r);
 
 typedef enum {
     GW_DO_ACCEPT = 1,   /* `request` is the handle of this arrival */
--- a/lib/router/stop.c
+++ b/lib/router/stop.c
@@ -23,7 +23,9 @@
     r->end_us = end_us;
     g_hash_table_iter_init(&iter, r->services);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        GwRouter_Pump(r, now_us, value, actions);
+        GwServiceState *service = value;
+        service->pass_due_us = now_us;
+        GwRouter_Pump(r, now_us, service, actions);
     }
 }
 
@@ -45,19 +47,18 @@
     return (r->end_us - WAY_BACK_US - now_us) / 2;
 }
 
-/* Whether a request that gets a slot after `wait_us` can be over before the
- * entry ends. An object is taken to be cold everywhere: a server that has
- * forgotten it needs three times as long. */
-bool
-GwRouter_EndsInTime(const GwRouter *r, int64_t now_us, const GwRequest *req,
-                    const GwServer *s, double wait_us)
+int64_t
+GwRouter_LastSlotUs(const GwRouter *r, int64_t now_us, const GwRequest *req,
+                    const GwServer *s)
 {
 #if GW_MUTANT == 77 /* breaks: sent though the entry ends before its run */
-    return true;
+    return INT64_MAX;
 #endif
     if (gives_up_before(r, req)) {
-        return true;
+        return INT64_MAX;
     }
+    /* An object is taken to be cold everywhere: a server that has forgotten it
+     * needs three times as long. */
     double run_us = RUN_SPREAD * MAX(req->state->cold_us, req->state->warm_us);
     double way_us = 0;
 
@@ -66,8 +67,7 @@
         run_us *= MAX(slow, 1.0);
         way_us = s->path->rtt_us;
     }
-    return run_us <=
-           (double)server_time_us(r, now_us + (int64_t)(way_us + wait_us));
+    return r->end_us - WAY_BACK_US - (int64_t)(way_us + 2 * run_us);
 }
 
 /* The end of the time that a server is given for a request. It answers when
