A fleet after a burst is held against the same play without one

Cause: the check. Ruled out: further places of objects that stay.

The check now holds each play against the same seeds without a burst, with twelve seeds for few entries, and lets the last requests end; the bound is the same.

--- a/tests/unit/test_overload.c
+++ b/tests/unit/test_overload.c
@@ -10,7 +10,9 @@
 #include <math.h>
 
 #define CASES(cases) (sizeof(cases) / sizeof((cases)[0]))
-#define SEEDS        3
+/* Until a play's own chance is well below what is asked of it: few entries see
+ * few requests. */
+#define SEEDS_OF(entries) ((entries) > 15 ? 3 : 12)
 
 /* Loads reach an entry by one that adds up: half a period, and one more. */
 #define SUMS_MS  50
@@ -49,7 +51,7 @@
         .burst = burst,
         .burst_from_s = 14,
         .burst_to_s = 20,
-        .seconds = 28,
+        .seconds = 30, /* two more than are judged: all of these are over */
         .seed = seed,
     };
 }
@@ -85,7 +87,7 @@
 {
     Goodput sum = {0};
 
-    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+    for (uint64_t seed = 1; seed <= SEEDS_OF(entries); seed++) {
         FleetParams params = fleet_of(entries, burst, seed);
         Goodput g = goodput_of(&params);
         sum.before += g.before;
@@ -111,15 +113,20 @@
     }
 }
 
-/* When the burst is over callers have again what they had before: objects got
- * further places while it lasted, more than servers remember, and some went to
- * other regions; both go on for seconds. */
+/* When the burst is over callers have again what they would have had without
+ * it: objects got further places while it lasted, more than servers remember,
+ * and some went to other regions; both go on for seconds.
+ *
+ * Each play is held against the same one without a burst. Held against its own
+ * time before the burst a fleet of 12 was found wanting with no burst at all:
+ * that time is its best, and the last requests were not over when it ended. */
 Test(overload, a_burst_leaves_nothing_behind)
 {
     for (size_t i = 0; i < CASES(cases); i++) {
+        Goodput calm = goodput_of_seeds(cases[i].entries, 1.0);
         Goodput g = goodput_of_seeds(cases[i].entries, cases[i].burst);
-        cr_expect_geq(g.after, 0.95 * g.before, "case %zu: %.0f of %.0f", i,
-                      g.after, g.before);
+        cr_expect_geq(g.after, 0.95 * calm.after, "case %zu: %.0f of %.0f", i,
+                      g.after, calm.after);
     }
 }
 
