Reproduce requests that are cut in planned stops, with real processes

Callers saw connections closed with no answer when entries were replaced one after another.

The stand-in site now plays events from a named pipe and sends the signals itself, so that it knows what came after SIGTERM. Callers may stay at their entry until nobody listens there, servers have cold work with a seeded spread.

--- a/bench/edge_path.c
+++ b/bench/edge_path.c
@@ -166,7 +166,6 @@
         .loop = &bench.loop,
         .adapter = &Platform_Adapter,
         .slots = 8,
-        .runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .rng = &rng,
     };
     g_strlcpy(params.id, "server-0", sizeof(params.id));
--- a/standins/site.sh
+++ b/standins/site.sh
@@ -40,6 +40,51 @@
     echo "${list#,}"
 }
 
+# The world plays events and signals entries, so that it can tell what came
+# after a signal. After gw_begin. usage: site_begin_played [OPTION...]
+site_begin_played() {
+    local name
+    site_pipe=$gw_dir/commands
+    mkfifo "$site_pipe" || return 1
+    # Held open for both, so that no writer waits and none ends it.
+    exec {site_commands}<>"$site_pipe"
+    site_start_world --commands "$site_pipe" "$@"
+    for name in "${site_entries[@]}"; do
+        site_write_settings "$name"
+        site_play_start "$name"
+    done
+}
+
+# usage: site_play EVENT...
+site_play() {
+    printf '%s\n' "$*" >&"$site_commands"
+}
+
+site_address() { # NAME
+    echo "127.0.0.1:$(site_port "$1" 0)"
+}
+
+site_play_start() { # NAME
+    site_play start "$(site_address "$1")"
+    site_start_entry "$1"
+}
+
+site_play_signal() { # NAME SIGNAL
+    site_play signal "$2" "$(site_address "$1")" "${gw_pid[$1]}"
+}
+
+# Waits for the end of a process that has got a signal; gives its exit code.
+# One that is still there after 45 s is killed.
+site_wait_end() { # NAME
+    local rc=0 pid=${gw_pid[$1]}
+    { # the shell itself says "Killed" of a job
+        gw_await 45 gw_ended "$1" || kill -KILL "$pid"
+        wait "$pid" || rc=$?
+    } 2>/dev/null
+    unset "gw_pid[$1]"
+    return "$rc"
+}
+
 # Starts the site's other parts. usage: site_start_world [OPTION...]
 site_start_world() {
     gw_start world "$gw_out"/standin_site --store "127.0.0.1:$gw_base" \
@@ -59,11 +104,24 @@
     site_start_world "$@"
 }
 
+# The configuration with long time-outs of its routes, for slow servers.
+site_slow_config() {
+    site_config=$gw_dir/config.json
+    sed -E 's/"timeout":"[0-9]+ms"/"timeout":"9000ms"/' \
+        deploy/demo/config.json >"$site_config"
+}
+
+# The requests that broke a promise, or whose connection ended unanswered.
+site_broken() {
+    grep -E '^(CUT|FALSE|BARE|NO|WRONG|DOUBLED|BEHIND|crossed)' \
+        "$gw_dir/world.log"
+}
+
 # Waits for the end of the world and prints what it saw.
 site_conclude() {
     local rc=0
     wait "${gw_pid[world]}" || rc=$?
     unset 'gw_pid[world]'
-    grep '^site:' "$gw_dir/world.log"
+    grep -E '^(site|stops|calm):' "$gw_dir/world.log"
     return "$rc"
 }
--- a/standins/site/caller.c
+++ b/standins/site/caller.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #define LOOKUP_EVERY_US 2000000
-#define LEFT_MS         3000
 #define PAUSE_MS        8
-#define OBJECTS         20
+/* One in so many pauses is long, where callers rest. */
+#define RESTS_ONE_IN 8
 
 typedef enum { STEP_LOOKUP = 1, STEP_CONNECT, STEP_ANSWER, STEP_PAUSE } Step;
 
@@ -19,10 +19,10 @@
     bool idle;
     GPtrArray *entries; /* addresses */
     int64_t looked_us;
+    char at[32];   /* the entry that it is connected to, or was last */
+    uint32_t life; /* which process of it */
     uint64_t seq;
-    char id[64];
-    bool once;
-    int64_t sent_us;
+    GQueue sent; /* SiteRequest, oldest first */
     uv_timer_t timer;
 };
 
@@ -88,30 +88,56 @@
 }
 
 static void
-send_request(SiteCaller *c)
+write_request(SiteCaller *c, GString *out, bool first)
 {
     static const char *const paths[] = {"look-up", "look-up", "booking",
                                         "confirm"};
     const GwAdapter *a = c->params.adapter;
     uint32_t kind = GwRng_Below(c->params.rng, G_N_ELEMENTS(paths));
-    GString *out = g_string_new(NULL);
+    bool once = kind >= 2;
+    char id[48];
 
-    c->once = kind >= 2;
-    g_snprintf(c->id, sizeof(c->id), "c%u-%lu", c->params.number,
+    g_snprintf(id, sizeof(id), "c%u-%lu", c->params.number,
                (unsigned long)++c->seq);
-    g_string_printf(out,
-                    "%s /%s/x HTTP/1.1\r\nHost: demo.example\r\n%s: %s\r\n"
-                    "%s: %u\r\n%s: %d\r\n%s\r\n",
-                    c->once ? "POST" : "GET", paths[kind], a->request_id,
-                    c->id, a->object_key, GwRng_Below(c->params.rng, OBJECTS),
-                    a->time_left, LEFT_MS,
-                    c->once ? "Content-Length: 0\r\n" : "");
-    c->params.report->sent++;
-    c->sent_us = now_us();
+    g_string_append_printf(
+        out,
+        "%s /%s/x HTTP/1.1\r\nHost: demo.example\r\n%s: %s\r\n"
+        "%s: %u\r\n%s: %u\r\n%s\r\n",
+        once ? "POST" : "GET", paths[kind], a->request_id, id, a->object_key,
+        GwRng_Below(c->params.rng, c->params.objects), a->time_left,
+        c->params.left_ms, once ? "Content-Length: 0\r\n" : "");
+    SiteSending sending = {.id = id,
+                           .once = once,
+                           .entry = c->at,
+                           .life = c->life,
+                           .first = first};
+    g_queue_push_tail(&c->sent, SiteJournal_Sent(c->params.journal, &sending));
+}
+
+static void
+send_requests(SiteCaller *c, bool fresh)
+{
+    GString *out = g_string_new(NULL);
+
+    for (uint32_t i = 0; i < MAX(c->params.depth, 1); i++) {
+        write_request(c, out, fresh && i == 0);
+    }
     c->step = STEP_ANSWER;
     write_text(c, out);
 }
 
+/* What was sent on a connection that has ended gets no answer any more. */
+static void
+give_up_sent(SiteCaller *c, SiteOutcome outcome)
+{
+    SiteEnd end = {.outcome = outcome};
+    SiteRequest *req;
+
+    while ((req = g_queue_pop_head(&c->sent)) != NULL) {
+        SiteJournal_Ended(req, &end);
+    }
+}
+
 static void
 ask_directory(SiteCaller *c)
 {
@@ -126,6 +152,12 @@
     write_text(c, out);
 }
 
+static bool
+is_stale(const SiteCaller *c)
+{
+    return now_us() - c->looked_us > LOOKUP_EVERY_US;
+}
+
 static void
 next(SiteCaller *c)
 {
@@ -134,8 +166,13 @@
         c->idle = true;
         return;
     }
-    bool stale = now_us() - c->looked_us > LOOKUP_EVERY_US;
-    if (c->entries->len == 0 || stale) {
+    if (c->conn != NULL && !c->to_directory &&
+        (c->params.keeps || !is_stale(c))) {
+        send_requests(c, false);
+        return;
+    }
+    bool stays = c->params.keeps && c->at[0] != '\0';
+    if (!stays && (c->entries->len == 0 || is_stale(c))) {
         c->step = STEP_LOOKUP;
         c->to_directory = true;
         if (!connect_to(c, pick(c, c->params.directories))) {
@@ -143,13 +180,12 @@
         }
         return;
     }
-    if (c->conn != NULL && !c->to_directory) {
-        send_request(c);
-        return;
-    }
     c->to_directory = false;
     c->step = STEP_CONNECT;
-    if (!connect_to(c, pick(c, c->entries))) {
+    if (!stays) {
+        g_strlcpy(c->at, pick(c, c->entries), sizeof(c->at));
+    }
+    if (!connect_to(c, c->at)) {
         pause_for(c, 100);
     }
 }
@@ -163,7 +199,8 @@
         ask_directory(c);
     }
     else {
-        send_request(c);
+        c->life = SiteJournal_Life(c->params.journal, c->at);
+        send_requests(c, true);
     }
 }
 
@@ -184,38 +221,44 @@
     g_strfreev(words);
 }
 
-static uint32_t
-runs_of(const SiteCaller *c)
-{
-    return GPOINTER_TO_UINT(g_hash_table_lookup(c->params.runs, c->id));
-}
-
+/* The answer to the oldest of what was sent. A refusal in the middle of
+ * several can't say that the connection ends. */
 static void
-judge(SiteCaller *c, const GwHttpMessage *msg)
+take_answer(SiteCaller *c, const GwHttpMessage *msg)
 {
-    SiteReport *r = c->params.report;
-    int64_t took_us = now_us() - c->sent_us;
+    SiteRequest *req = g_queue_pop_head(&c->sent);
+    SiteEnd end = {
+        .comeback = GwHttpMessage_Get(msg, "retry-after") != NULL,
+        .closing = !msg->keep_alive || !g_queue_is_empty(&c->sent),
+    };
 
     if (msg->status == 200) {
-        r->answered++;
-        r->wrong += strcmp(msg->body->str, c->id) != 0;
-        g_array_append_val(r->latencies_us, took_us);
+        end.outcome = SITE_REQUEST_ANSWERED;
+        end.wrong = strcmp(msg->body->str, SiteRequest_Id(req)) != 0;
     }
     else if (msg->status == 503) {
-        r->not_run++;
-        r->false_refusals += c->once && runs_of(c) > 0;
+        end.outcome = SITE_REQUEST_REFUSED;
     }
     else {
-        r->unknown++;
+        end.outcome = SITE_REQUEST_UNKNOWN;
     }
-    r->doubled += c->once && runs_of(c) > 1;
+    SiteJournal_Ended(req, &end);
+}
+
+static uint32_t
+pause_ms(SiteCaller *c)
+{
+    bool rests =
+        c->params.rest_ms > 0 && GwRng_Below(c->params.rng, RESTS_ONE_IN) == 0;
+
+    return rests ? GwRng_Below(c->params.rng, c->params.rest_ms) : PAUSE_MS;
 }
 
 static void
 on_message(void *owner, GwHttpMessage *msg)
 {
     SiteCaller *c = owner;
-    uint32_t wait_ms = PAUSE_MS;
+    uint32_t wait_ms = pause_ms(c);
 
     if (c->to_directory) {
         if (msg->status == 200) {
@@ -226,16 +269,24 @@
     }
     else {
         const char *later = GwHttpMessage_Get(msg, "retry-after");
-        judge(c, msg);
+        if (g_queue_is_empty(&c->sent)) {
+            SiteJournal_Stray(c->params.journal);
+        }
+        else {
+            take_answer(c, msg);
+        }
         if (later != NULL) {
             wait_ms = (uint32_t)(g_ascii_strtod(later, NULL) * 1000);
         }
         if (!msg->keep_alive) {
             hang_up(c);
+            give_up_sent(c, SITE_REQUEST_BEHIND);
         }
     }
     GwHttpMessage_Free(msg);
-    pause_for(c, wait_ms);
+    if (g_queue_is_empty(&c->sent)) {
+        pause_for(c, wait_ms);
+    }
 }
 
 static void
@@ -245,11 +296,12 @@
 
     if (end == GW_CONN_BAD) {
         hang_up(c);
+        SiteJournal_Stray(c->params.journal);
     }
     c->conn = NULL;
-    if (c->step == STEP_ANSWER) {
-        c->params.report->lost++;
-        c->params.report->doubled += c->once && runs_of(c) > 1;
+    give_up_sent(c, SITE_REQUEST_CLOSED);
+    if (c->step == STEP_CONNECT) {
+        c->at[0] = '\0'; /* nobody listens there */
     }
     if (c->step != STEP_PAUSE) {
         c->looked_us = 0;
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -129,11 +129,15 @@
     const char *key =
         GwHttpMessage_Get(link->msg, s->params.adapter->object_key);
     bool warm = key != NULL && g_hash_table_contains(s->remembered, key);
-    uint32_t work_ms = warm ? s->params.work_ms * 3 / 10 : s->params.work_ms;
-    gpointer count = g_hash_table_lookup(s->params.runs, id_of(link));
+    uint32_t cold_ms = s->params.work_ms;
+    if (s->params.spread_ms > 0) {
+        cold_ms += GwRng_Below(s->params.rng, s->params.spread_ms);
+    }
+    uint32_t work_ms = warm ? cold_ms * 3 / 10 : cold_ms;
 
-    g_hash_table_replace(s->params.runs, g_strdup(id_of(link)),
-                         GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+    if (s->params.journal != NULL) {
+        SiteJournal_Ran(s->params.journal, id_of(link));
+    }
     if (key != NULL) {
         g_hash_table_add(s->remembered, g_strdup(key));
     }
@@ -219,6 +223,14 @@
     return s->served;
 }
 
+void
+SiteServer_SetFaults(SiteServer *s, uint32_t permille)
+{
+    s->params.lose_answer = permille;
+    s->params.stray = permille;
+    s->params.refuse = permille;
+}
+
 void
 SiteServer_MarkDrained(SiteServer *s, int64_t now_us)
 {
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -8,6 +8,85 @@
 #include "edge/adapter.h"
 #include "http/conn.h"
 
+#include <stdio.h>
+
+/* ---- Journal: what callers sent and got, and what servers ran ------------ */
+
+typedef struct SiteJournal_s SiteJournal;
+typedef struct SiteRequest_s SiteRequest; /* one, by its id */
+
+typedef enum {
+    SITE_REQUEST_OPEN = 0,
+    SITE_REQUEST_ANSWERED,
+    SITE_REQUEST_REFUSED, /* "it did not run" */
+    SITE_REQUEST_UNKNOWN, /* it may have run */
+    SITE_REQUEST_CLOSED,  /* the connection ended with no answer */
+    SITE_REQUEST_BEHIND   /* an answer before its own closed the connection */
+} SiteOutcome;
+
+typedef struct {
+    const char *id;
+    bool once;         /* may not run twice */
+    const char *entry; /* address */
+    uint32_t life;     /* of the connection, see SiteJournal_Life */
+    bool first;        /* on its connection */
+} SiteSending;
+
+typedef struct {
+    SiteOutcome outcome;
+    bool wrong;    /* the answer to another request */
+    bool comeback; /* a refusal that says when to come back */
+    bool closing;  /* says that the connection ends */
+} SiteEnd;
+
+typedef struct {
+    uint64_t sent;
+    uint64_t answered;
+    uint64_t not_run;
+    uint64_t unknown;
+    uint64_t lost;           /* connection ended with no answer: the sum of */
+    uint64_t cut_in_stop;    /* sent after its entry's SIGTERM; ran, or the
+                              entry had it for a while */
+    uint64_t cut_early;      /* under way at SIGTERM, and grace not over */
+    uint64_t cut_sound;      /* its entry had got no signal */
+    uint64_t cut_at_grace;   /* under way at SIGTERM, and grace over */
+    uint64_t killed;         /* its entry was killed */
+    uint64_t crossed;        /* did not run: sent just when the entry closed */
+    uint64_t behind;         /* did not run: sent together with one before it,
+                              whose answer closed the connection */
+    uint64_t no_outcome;     /* open when the site ended */
+    uint64_t wrong;          /* an answer to another request */
+    uint64_t doubled;        /* at most once, and ran more often */
+    uint64_t false_refusals; /* "not run", and it had or did later */
+    uint64_t bare_refusals;  /* in a stop, without a time to come back, or
+                                the connection stayed open */
+    GArray *latencies_us;    /* of answered ones: int64_t, sorted */
+} SiteVerdict;
+
+SiteJournal *SiteJournal_Create(void);
+/* An entry's process is about to start; it is known by its callers' address.
+ */
+void SiteJournal_Started(SiteJournal *j, const char *entry);
+/* A signal is being sent to it. */
+void SiteJournal_Signalled(SiteJournal *j, const char *entry, int signum);
+/* Which process of the entry a connection that is made now is with. */
+uint32_t SiteJournal_Life(SiteJournal *j, const char *entry);
+SiteRequest *SiteJournal_Sent(SiteJournal *j, const SiteSending *sending);
+const char *SiteRequest_Id(const SiteRequest *req);
+void SiteJournal_Ended(SiteRequest *req, const SiteEnd *end);
+/* Bytes came to a caller that had asked nothing, or that are no answer. */
+void SiteJournal_Stray(SiteJournal *j);
+void SiteJournal_Ran(SiteJournal *j, const char *id);
+/* What is sent from now on, once faults are over, is counted on its own. */
+void SiteJournal_Calm(SiteJournal *j);
+/* Answered and all of those. */
+void SiteJournal_CountCalm(const SiteJournal *j, uint64_t *answered,
+                           uint64_t *sent);
+/* Judges all; a line goes to `log` for each request that was cut or broke a
+ * promise. */
+SiteVerdict SiteJournal_Conclude(const SiteJournal *j, uint32_t grace_ms,
+                                 FILE *log);
+
 /* ---- The store ----------------------------------------------------------- */
 
 typedef struct SiteStore_s SiteStore;
@@ -38,45 +117,41 @@
     char id[32];
     char address[32];
     uint32_t slots;
-    uint32_t work_ms; /* of a cold run; a warm one takes 0.3 of it */
+    uint32_t work_ms;   /* of a cold run; a warm one takes 0.3 of it */
+    uint32_t spread_ms; /* more, at most, of a cold run */
     /* Shares of requests, in permille, with each fault. */
     uint32_t lose_answer; /* runs, and resets the connection */
     uint32_t stray;       /* answers twice */
     uint32_t refuse;      /* says that it did not run */
-    GHashTable *runs;     /* request id -> count, shared by all servers */
+    SiteJournal *journal; /* shared by all servers; NULL: none is kept */
     GwRng *rng;
 } SiteServerParams;
 
 SiteServer *SiteServer_Create(const SiteServerParams *params);
 uint32_t SiteServer_Served(const SiteServer *s);
-/* Requests that reached it after this call are counted as late. */
+void SiteServer_SetFaults(SiteServer *s, uint32_t permille);
+/* Requests that reach it some time after this call are counted as late; with
+ * 0 none are. */
 void SiteServer_MarkDrained(SiteServer *s, int64_t now_us);
 uint32_t SiteServer_Late(const SiteServer *s);
 
 /* ---- Callers ------------------------------------------------------------- */
 
-typedef struct {
-    uint64_t sent;
-    uint64_t answered;
-    uint64_t not_run;
-    uint64_t unknown;
-    uint64_t lost;           /* connection ended with no answer */
-    uint64_t wrong;          /* an answer to another request */
-    uint64_t doubled;        /* at most once, and ran more often */
-    uint64_t false_refusals; /* "not run", and it had */
-    GArray *latencies_us;    /* of answered ones: int64_t */
-} SiteReport;
-
 typedef struct {
     uv_loop_t *loop;
     const GwAdapter *adapter;
     GPtrArray *directories; /* addresses */
     const char *region;
     const char *domain;
-    GHashTable *runs;
+    SiteJournal *journal;
     GwRng *rng;
-    SiteReport *report;
     uint32_t number;
+    uint32_t objects; /* that requests are about */
+    uint32_t left_ms; /* that it says it will wait */
+    uint32_t depth;   /* requests that it sends at once on its connection */
+    uint32_t rest_ms; /* at most, between some of its requests; 0: none */
+    bool keeps;       /* uses one entry, whatever the directory says, until
+                         nobody listens there */
 } SiteCallerParams;
 
 typedef struct SiteCaller_s SiteCaller;
@@ -85,4 +160,13 @@
 void SiteCaller_Stop(SiteCaller *c); /* begins no further request */
 bool SiteCaller_IsIdle(const SiteCaller *c);
 
+/* ---- Commands ------------------------------------------------------------ */
+
+/* Takes the words of one line; the last is NULL. */
+typedef void (*SiteCommandFn)(void *owner, char **words);
+
+/* Reads lines from a named pipe for as long as the loop runs. */
+bool SiteCommands_Open(uv_loop_t *loop, const char *path, SiteCommandFn run,
+                       void *owner);
+
 #endif
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -5,10 +5,14 @@
  * Events are named on the command line by the second: --drain 3 takes the
  * first server of each service away, --config 4 puts a newer version,
  * --store-busy 5 turns the store off for two seconds, --compact 8 drops its
- * history. */
+ * history. Others are read as lines from the pipe of --commands, so that a
+ * script can play any series; see `commands` below. Entries are signalled
+ * from here then, so that it is known which requests came after a signal. */
 #include "platform/platform.h"
 #include "standins/site/site.h"
 
+#include <errno.h>
+#include <inttypes.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -17,6 +21,9 @@
 
 #define SERVERS 6
 #define TICK_MS 50
+/* Callers get so long after the end to hear of what they have sent. */
+#define END_S         15
+#define FIRST_VERSION 3 /* of the file given */
 
 typedef struct {
     char *store;
@@ -32,6 +39,17 @@
     int config_s;
     int store_busy_s;
     int compact_s;
+    char *commands;
+    int grace_ms;
+    int left_ms;
+    int work_ms;
+    int spread_ms;
+    int objects;
+    int rest_ms;
+    int keep;
+    int depth;
+    int slots;
+    int refuse; /* permille */
 } Arguments;
 
 typedef struct {
@@ -42,16 +60,20 @@
     SiteStore *store;
     char *config;
     char *server_text;
-    GHashTable *runs;
+    uint32_t version; /* of the configuration */
+    SiteJournal *journal;
     SiteServer *servers[SERVERS];
+    bool draining[SERVERS];
+    SiteStoreMode store_mode;
+    GHashTable *paused; /* addresses of entries */
     GPtrArray *callers;
     GPtrArray *directories;
-    SiteReport report;
     int64_t start_us;
     bool drained;
     bool reconfigured;
     bool compacted;
-    bool store_back;
+    bool calm;
+    bool misled; /* by a line that is no command */
 } Site;
 
 static bool
@@ -70,10 +92,29 @@
         {"seed", 0, POPT_ARG_INT, &a->seed, 0, "seed", "N"},
         {"faults", 0, POPT_ARG_INT, &a->faults, 0,
          "permille of requests that meet a faulty server", "N"},
+        {"refuse", 0, POPT_ARG_INT, &a->refuse, 0,
+         "permille of requests that a server refuses", "N"},
         {"drain", 0, POPT_ARG_INT, &a->drain_s, 0, "second", "S"},
         {"new-config", 0, POPT_ARG_INT, &a->config_s, 0, "second", "S"},
         {"store-busy", 0, POPT_ARG_INT, &a->store_busy_s, 0, "second", "S"},
         {"compact", 0, POPT_ARG_INT, &a->compact_s, 0, "second", "S"},
+        {"commands", 0, POPT_ARG_STRING, &a->commands, 0,
+         "named pipe of events, one a line", "F"},
+        {"grace-ms", 0, POPT_ARG_INT, &a->grace_ms, 0, "of entries", "N"},
+        {"left-ms", 0, POPT_ARG_INT, &a->left_ms, 0, "that callers will wait",
+         "N"},
+        {"work-ms", 0, POPT_ARG_INT, &a->work_ms, 0, "of a cold run", "N"},
+        {"work-spread-ms", 0, POPT_ARG_INT, &a->spread_ms, 0,
+         "more, at most, of a cold run", "N"},
+        {"objects", 0, POPT_ARG_INT, &a->objects, 0, "that requests are about",
+         "N"},
+        {"rest-ms", 0, POPT_ARG_INT, &a->rest_ms, 0,
+         "longest rest of a caller", "N"},
+        {"keep", 0, POPT_ARG_NONE, &a->keep, 0,
+         "three of four callers stay at their entry until it is gone", NULL},
+        {"depth", 0, POPT_ARG_INT, &a->depth, 0,
+         "requests that one of four callers sends at once", "N"},
+        {"slots", 0, POPT_ARG_INT, &a->slots, 0, "of a server", "N"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext ctx = poptGetContext("standin_site", argc, argv, options, 0);
@@ -111,15 +152,17 @@
     char *text = g_strdup(site->server_text);
     char *key = g_strdup_printf("server-%d", i);
     char *address = g_strdup_printf("127.0.0.1:%d", site->args.port + i);
+    char *slots = g_strdup_printf("%d", site->args.slots);
 
     text = replaced(text, "@ADDRESS@", address);
     text = replaced(text, "@BORN@", "1");
     text = replaced(text, "@SERVICE@", service_of(i));
     text = replaced(text, "@DOMAIN@", i < SERVERS / 2 ? "d1" : "d2");
-    text = replaced(text, "@SLOTS@", "3");
+    text = replaced(text, "@SLOTS@", slots);
     text = replaced(text, "@STATE@", state);
     text = replaced(text, "@SEQ@", "1");
     SiteStore_Put(site->store, Platform_Adapter.server_table, key, text);
+    g_free(slots);
     g_free(address);
     g_free(key);
     g_free(text);
@@ -132,12 +175,13 @@
         SiteServerParams params = {
             .loop = &site->loop,
             .adapter = &Platform_Adapter,
-            .slots = 3,
-            .work_ms = 40,
+            .slots = (uint32_t)site->args.slots,
+            .work_ms = (uint32_t)site->args.work_ms,
+            .spread_ms = (uint32_t)site->args.spread_ms,
             .lose_answer = (uint32_t)site->args.faults,
             .stray = (uint32_t)site->args.faults,
-            .refuse = (uint32_t)site->args.faults,
-            .runs = site->runs,
+            .refuse = (uint32_t)MAX(site->args.refuse, site->args.faults),
+            .journal = site->journal,
             .rng = &site->rng,
         };
         g_snprintf(params.id, sizeof(params.id), "server-%d", i);
@@ -162,10 +206,14 @@
             .directories = site->directories,
             .region = "r1",
             .domain = i % 2 == 0 ? "d1" : "d2",
-            .runs = site->runs,
+            .journal = site->journal,
             .rng = &site->rng,
-            .report = &site->report,
             .number = (uint32_t)i,
+            .objects = (uint32_t)site->args.objects,
+            .left_ms = (uint32_t)site->args.left_ms,
+            .depth = i % 4 == 1 ? (uint32_t)site->args.depth : 1,
+            .rest_ms = (uint32_t)site->args.rest_ms,
+            .keeps = site->args.keep && i % 4 != 0,
         };
         g_ptr_array_add(site->callers, SiteCaller_Create(&params));
     }
@@ -179,6 +227,220 @@
     return second > 0 && now_us - site->start_us >= (int64_t)second * 1000000;
 }
 
+static void
+put_config(Site *site, const char *pattern, const char *text)
+{
+    GRegex *regex = g_regex_new(pattern, 0, 0, NULL);
+    char *changed =
+        g_regex_replace_literal(regex, site->config, -1, 0, text, 0, NULL);
+
+    g_regex_unref(regex);
+    g_free(site->config);
+    site->config = changed;
+    SiteStore_Put(site->store, Platform_Adapter.operator_table, "config",
+                  site->config);
+}
+
+/* ---- Commands ------------------------------------------------------------ */
+
+/* Entries can't learn of a drain while the store is off or they are paused:
+ * their time to do so begins anew afterwards. */
+static void
+watch_drains(Site *site)
+{
+    bool known = site->store_mode == SITE_STORE_UP &&
+                 g_hash_table_size(site->paused) == 0;
+    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+
+    for (int i = 0; i < SERVERS; i++) {
+        SiteServer_MarkDrained(site->servers[i],
+                               site->draining[i] && known ? now_us : 0);
+    }
+}
+
+static void
+set_draining(Site *site, char **words, bool draining)
+{
+    int i = (int)strtol(words[1], NULL, 10);
+
+    if (i >= 0 && i < SERVERS) {
+        site->draining[i] = draining;
+        put_server(site, i, draining ? "draining" : "ready");
+        watch_drains(site);
+    }
+}
+
+static void
+run_drain(Site *site, char **words)
+{
+    set_draining(site, words, true);
+}
+
+static void
+run_ready(Site *site, char **words)
+{
+    set_draining(site, words, false);
+}
+
+static void
+run_signal(Site *site, char **words)
+{
+    static const struct {
+        const char *name;
+        int number;
+    } signals[] = {{"TERM", SIGTERM},
+                   {"KILL", SIGKILL},
+                   {"STOP", SIGSTOP},
+                   {"CONT", SIGCONT},
+                   {"HUP", SIGHUP}};
+    pid_t pid = (pid_t)strtol(words[3], NULL, 10);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+        int number = signals[i].number;
+        if (strcmp(signals[i].name, words[1]) != 0 || pid <= 1) {
+            continue;
+        }
+        SiteJournal_Signalled(site->journal, words[2], number);
+        if (kill(pid, number) != 0) {
+            (void)printf("event signal to %s: %s\n", words[2],
+                         strerror(errno));
+        }
+        if (number == SIGSTOP) {
+            (void)g_hash_table_add(site->paused, g_strdup(words[2]));
+        }
+        else {
+            (void)g_hash_table_remove(site->paused, words[2]);
+        }
+        watch_drains(site);
+    }
+}
+
+static void
+run_start(Site *site, char **words)
+{
+    SiteJournal_Started(site->journal, words[1]);
+}
+
+static void
+run_store(Site *site, char **words)
+{
+    site->store_mode = strcmp(words[1], "busy") == 0     ? SITE_STORE_BUSY
+                       : strcmp(words[1], "silent") == 0 ? SITE_STORE_SILENT
+                                                         : SITE_STORE_UP;
+    SiteStore_SetMode(site->store, site->store_mode);
+    watch_drains(site);
+}
+
+static void
+run_compact(Site *site, char **words)
+{
+    (void)words;
+    SiteStore_Compact(site->store);
+}
+
+static void
+set_evacuated(Site *site, const char *domain, const char *value)
+{
+    char *key = g_strdup_printf("evacuate/%s", domain);
+
+    SiteStore_Put(site->store, Platform_Adapter.operator_table, key, value);
+    g_free(key);
+}
+
+static void
+run_evacuate(Site *site, char **words)
+{
+    set_evacuated(site, words[1], "{}");
+}
+
+static void
+run_return(Site *site, char **words)
+{
+    set_evacuated(site, words[1], NULL);
+}
+
+/* A new version, with another time after which idle connections are closed.
+ */
+static void
+run_config(Site *site, char **words)
+{
+    char *version = g_strdup_printf("\"version\":%u", ++site->version);
+    char *idle = g_strdup_printf("\"idle_timeout\":\"%sms\"", words[1]);
+
+    put_config(site, "\"version\":[0-9]+", version);
+    put_config(site, "\"idle_timeout\":\"[^\"]*\"", idle);
+    g_free(version);
+    g_free(idle);
+}
+
+static void
+run_faults(Site *site, char **words)
+{
+    for (int i = 0; i < SERVERS; i++) {
+        SiteServer_SetFaults(site->servers[i],
+                             (uint32_t)strtoul(words[1], NULL, 10));
+    }
+}
+
+static void
+run_calm(Site *site, char **words)
+{
+    (void)words;
+    site->calm = true;
+    SiteJournal_Calm(site->journal);
+}
+
+static void
+run_end(Site *site, char **words)
+{
+    (void)words;
+    site->args.seconds =
+        (int)(((int64_t)(uv_hrtime() / 1000) - site->start_us) / 1000000);
+}
+
+static const struct {
+    const char *name;
+    guint words;
+    void (*run)(Site *site, char **words);
+} commands[] = {
+    {"signal", 4, run_signal}, /* NAME ADDRESS PID */
+    {"start", 2, run_start},   /* ADDRESS; before the process is */
+    {"store", 2, run_store},   /* up, busy or silent */
+    {"compact", 1, run_compact}, {"drain", 2, run_drain},       /* NUMBER */
+    {"ready", 2, run_ready},     {"evacuate", 2, run_evacuate}, /* DOMAIN */
+    {"return", 2, run_return},   {"config", 2, run_config},     /* IDLE MS */
+    {"faults", 2, run_faults},                                  /* PERMILLE */
+    {"calm", 1, run_calm}, /* no further fault: requests are answered */
+    {"end", 1, run_end},
+};
+
+static void
+on_command(void *owner, char **words)
+{
+    Site *site = owner;
+    char *line = g_strjoinv(" ", words);
+    bool known = false;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(commands[i].name, words[0]) == 0 &&
+            commands[i].words == g_strv_length(words)) {
+            (void)printf(
+                "event at_ms=%" PRId64 " %s\n",
+                ((int64_t)(uv_hrtime() / 1000) - site->start_us) / 1000, line);
+            commands[i].run(site, words);
+            known = true;
+        }
+    }
+    if (!known) {
+        (void)printf("event not understood: %s\n", line);
+        site->misled = true;
+    }
+    (void)fflush(stdout);
+    g_free(line);
+}
+
+/* ---- Events by the second ------------------------------------------------ */
+
 static void
 play_events(Site *site)
 {
@@ -193,10 +455,7 @@
     }
     if (!site->reconfigured && is_due(site, site->args.config_s)) {
         site->reconfigured = true;
-        site->config =
-            replaced(site->config, "\"version\":3", "\"version\":9");
-        SiteStore_Put(site->store, Platform_Adapter.operator_table, "config",
-                      site->config);
+        put_config(site, "\"version\":3", "\"version\":9");
     }
     if (!site->compacted && is_due(site, site->args.compact_s)) {
         site->compacted = true;
@@ -223,20 +482,11 @@
         }
         idle = idle && SiteCaller_IsIdle(c);
     }
-    if (idle || is_due(site, site->args.seconds + 10)) {
+    if (idle || is_due(site, site->args.seconds + END_S)) {
         uv_stop(&site->loop);
     }
 }
 
-static int
-compare(const void *a, const void *b)
-{
-    int64_t x = *(const int64_t *)a;
-    int64_t y = *(const int64_t *)b;
-
-    return (x > y) - (x < y);
-}
-
 static double
 quantile_ms(const GArray *sorted, double q)
 {
@@ -247,28 +497,67 @@
     return (double)g_array_index(sorted, int64_t, at) / 1000.0;
 }
 
+/* Nine of ten requests are answered once no fault is left. */
+static bool
+has_recovered(const Site *site)
+{
+    uint64_t answered;
+    uint64_t sent;
+
+    if (!site->calm) {
+        return true;
+    }
+    SiteJournal_CountCalm(site->journal, &answered, &sent);
+    (void)printf("calm: %lu of %lu answered\n", (unsigned long)answered,
+                 (unsigned long)sent);
+    return sent > 0 && answered * 10 >= sent * 9;
+}
+
+/* What is judged where the entries are signalled from here. */
+static bool
+stops_were_clean(const SiteVerdict *v)
+{
+    (void)printf(
+        "stops: %lu cut that came in a stop, %lu before the grace "
+        "was over, %lu by a sound entry, %lu bare refusals, %lu "
+        "without an outcome, %lu behind an answer that closed; %lu cut "
+        "at the end of the grace, %lu by a kill, %lu crossed a "
+        "close\n",
+        (unsigned long)v->cut_in_stop, (unsigned long)v->cut_early,
+        (unsigned long)v->cut_sound, (unsigned long)v->bare_refusals,
+        (unsigned long)v->no_outcome, (unsigned long)v->behind,
+        (unsigned long)v->cut_at_grace, (unsigned long)v->killed,
+        (unsigned long)v->crossed);
+    return v->cut_in_stop + v->cut_early + v->cut_sound + v->bare_refusals +
+               v->no_outcome + v->behind ==
+           0;
+}
+
 static int
 conclude(Site *site)
 {
-    SiteReport *r = &site->report;
+    SiteVerdict v = SiteJournal_Conclude(
+        site->journal, (uint32_t)site->args.grace_ms, stdout);
     uint32_t late = 0;
 
     for (int i = 0; i < SERVERS; i++) {
         late += SiteServer_Late(site->servers[i]);
     }
-    qsort(r->latencies_us->data, r->latencies_us->len, sizeof(int64_t),
-          compare);
     (void)printf("site: %lu sent, %lu answered, %lu not run, %lu unknown, "
                  "%lu cut; %lu doubled, %lu false refusals, %lu wrong "
                  "answers, %u after a drain; p50 %.1f ms, p99 %.1f ms\n",
-                 (unsigned long)r->sent, (unsigned long)r->answered,
-                 (unsigned long)r->not_run, (unsigned long)r->unknown,
-                 (unsigned long)r->lost, (unsigned long)r->doubled,
-                 (unsigned long)r->false_refusals, (unsigned long)r->wrong,
-                 late, quantile_ms(r->latencies_us, 0.5),
-                 quantile_ms(r->latencies_us, 0.99));
-    bool kept = r->doubled + r->false_refusals + r->wrong + late == 0 &&
-                r->answered > 0;
+                 (unsigned long)v.sent, (unsigned long)v.answered,
+                 (unsigned long)v.not_run, (unsigned long)v.unknown,
+                 (unsigned long)v.lost, (unsigned long)v.doubled,
+                 (unsigned long)v.false_refusals, (unsigned long)v.wrong, late,
+                 quantile_ms(v.latencies_us, 0.5),
+                 quantile_ms(v.latencies_us, 0.99));
+    bool kept = v.doubled + v.false_refusals + v.wrong + late == 0 &&
+                v.answered > 0 && !site->misled;
+    if (site->args.commands != NULL) {
+        kept = stops_were_clean(&v) && kept;
+        kept = has_recovered(site) && kept;
+    }
     return kept ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
@@ -280,14 +569,21 @@
     (void)uv_loop_init(&site->loop);
     site->rng = GwRng_Make((uint64_t)site->args.seed);
     site->start_us = (int64_t)(uv_hrtime() / 1000);
-    site->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    site->journal = SiteJournal_Create();
+    site->paused =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    site->version = FIRST_VERSION;
     site->callers = g_ptr_array_new();
-    site->report.latencies_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
     site->directories = g_ptr_array_new_with_free_func(g_free);
     for (char **at = list; *at != NULL; at++) {
         g_ptr_array_add(site->directories, g_strdup(*at));
     }
     g_strfreev(list);
+    if (site->args.commands != NULL &&
+        !SiteCommands_Open(&site->loop, site->args.commands, on_command,
+                           site)) {
+        return false;
+    }
     site->store =
         SiteStore_Create(&site->loop, site->args.store, &Platform_Adapter);
     if (site->store == NULL ||
@@ -304,7 +600,15 @@
 int
 main(int argc, const char **argv)
 {
-    static Site site = {.args = {.seconds = 10, .callers = 20, .seed = 1}};
+    static Site site = {.args = {.seconds = 10,
+                                 .callers = 20,
+                                 .seed = 1,
+                                 .grace_ms = 6000,
+                                 .left_ms = 3000,
+                                 .work_ms = 40,
+                                 .objects = 20,
+                                 .depth = 1,
+                                 .slots = 3}};
 
     if (!parse(argc, argv, &site.args)) {
         return 2;
