In a stop a route counts as its longest run, and one unseen as too long

Cause: until there are measurements the mean stands for nothing, and single runs are longer than any mean. Class: a bound that rests on a belief. Ruled out: the arithmetic of the end (each was given what was left).

Change: the longest run of a route is remembered and fades by a hundredth with each further one; a stop counts with it. A route of which no run was seen is begun only if its caller or its route gives up before the end.

Measured: router_stop/what_may_take_long_is_refused: two of three cases failed before, all pass; prop_router 300 courses.

--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -57,6 +57,7 @@
     char *name;
     double warm_us;
     double cold_us;
+    double longest_us;   /* that a run took, which fades; 0: none was seen */
     uint32_t open;       /* requests that point here */
     int64_t left_max_us; /* what callers give a request at first */
     int64_t *credit;     /* smooth weighted round robin: one for each part */
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -19,6 +19,9 @@
  * against the waves of a day. */
 #define BUSY_TAU_US 1500000.0
 
+/* Of the longest run of a route, how much fades with each further one. */
+#define LONGEST_FADES 0.01
+
 void
 GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s)
 {
@@ -483,7 +486,9 @@
     GwServer *s = req->server;
     double took =
         (double)(now_us - req->sent_us - end->connect_us) - s->path->rtt_us;
+    double faded = req->state->longest_us * (1 - LONGEST_FADES);
 
+    req->state->longest_us = MAX(faded, took);
     if (took < 1000.0 || !req->sent_alone) {
         return;
     }
--- a/lib/router/stop.c
+++ b/lib/router/stop.c
@@ -57,6 +57,9 @@
     if (gives_up_before(r, req)) {
         return INT64_MAX;
     }
+    if (req->state->longest_us == 0) {
+        return INT64_MIN; /* nobody has seen what such a run takes */
+    }
     /* An object is taken to be cold everywhere: a server that has forgotten it
      * needs three times as long. */
     double run_us = RUN_SPREAD * MAX(req->state->cold_us, req->state->warm_us);
@@ -67,6 +70,7 @@
         run_us *= MAX(slow, 1.0);
         way_us = s->path->rtt_us;
     }
+    run_us = MAX(run_us, req->state->longest_us);
     return r->end_us - WAY_BACK_US - (int64_t)(way_us + 2 * run_us);
 }
 
--- a/tests/unit/test_router_stop.c
+++ b/tests/unit/test_router_stop.c
@@ -179,6 +179,38 @@
     Steering_Finish(f);
 }
 
+/* An entry that has just started is stopped again: it has seen no run of the
+ * route, or one that was far longer than the mean. What it takes such work to
+ * need by its objective may be far too little. */
+Test(router_stop, what_may_take_long_is_refused)
+{
+    static const struct {
+        const char *what;
+        bool taught;
+        int64_t long_run_ms; /* one such run; 0: none */
+        bool sent;
+    } cases[] = {
+        {"nothing is known", false, 0, false},
+        {"runs of one length", true, 0, true},
+        {"one was longer", true, 900, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = cases[i].taught ? start() : Steering_Start(2);
+        FakeSteering_Put(f, "a", "r1", "d1", 1);
+        if (cases[i].long_run_ms > 0) {
+            FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, LEFT_MS);
+            FakeSteering_Pass(f, cases[i].long_run_ms * MS);
+            FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        }
+        FakeSteering_Stop(f, STOP_MS * MS);
+        pass_until(f, 1700);
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, LEFT_MS);
+        cr_expect_eq(req->server != NULL, cases[i].sent, "%s", cases[i].what);
+        Steering_Finish(f);
+    }
+}
+
 /* What was under way when the signal came goes on with all of its time: it was
  * taken before anybody knew. */
 Test(router_stop, what_was_under_way_goes_on)
