Stand-in servers keep to the time that they are given

They now answer 504 when it is over, counted from the start of the run, and refuse what has waited for as long in their queue.

--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -1,6 +1,7 @@
 #include "http/serve.h"
 #include "standins/site/site.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 typedef struct {
@@ -8,6 +9,8 @@
     GwClient *client;
     GwHttpMessage *msg; /* being run, or queued; NULL */
     uv_timer_t timer;   /* of the run */
+    int64_t asked_us;
+    int64_t left_ms; /* of a run, and of a wait for a slot; < 0: not said */
     bool running;
 } Link;
 
@@ -60,6 +63,26 @@
 }
 
 static void run(Link *link);
+static void refuse(Link *link, uint16_t status);
+
+/* Gives the slot to the next one whose time has not passed in the queue. */
+static void
+run_next(SiteServer *s)
+{
+    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+    Link *next;
+
+    while (s->running < s->params.slots &&
+           (next = g_queue_pop_head(&s->queued)) != NULL) {
+        int64_t until_us = next->asked_us + next->left_ms * 1000;
+        if (next->left_ms >= 0 && now_us > until_us) {
+            refuse(next, 503);
+        }
+        else {
+            run(next);
+        }
+    }
+}
 
 static void
 finish(Link *link)
@@ -71,10 +94,7 @@
     if (link->running) {
         link->running = false;
         s->running--;
-        Link *next = g_queue_pop_head(&s->queued);
-        if (next != NULL) {
-            run(next);
-        }
+        run_next(s);
     }
 }
 
@@ -122,6 +142,20 @@
     g_free(seal);
 }
 
+/* The time that it was given counts from the start of the run. */
+static void
+on_time_over(uv_timer_t *timer)
+{
+    Link *link = timer->data;
+    SiteServer *s = link->server;
+    char *seal =
+        g_strdup_printf("%s: %s\r\n", s->params.adapter->seal, s->params.id);
+
+    write_answer(link, 504, seal, id_of(link), "");
+    finish(link);
+    g_free(seal);
+}
+
 static void
 run(Link *link)
 {
@@ -143,6 +177,11 @@
     }
     link->running = true;
     s->running++;
+    if (link->left_ms >= 0 && link->left_ms < work_ms) {
+        (void)uv_timer_start(&link->timer, on_time_over,
+                             (uint64_t)link->left_ms, 0);
+        return;
+    }
     (void)uv_timer_start(&link->timer, on_worked, work_ms, 0);
 }
 
@@ -180,9 +219,12 @@
     Link *link = link_of(s, client);
     const char *expected =
         GwHttpMessage_Get(msg, s->params.adapter->expect_server);
+    const char *left = GwHttpMessage_Get(msg, s->params.adapter->time_left);
     int64_t now_us = (int64_t)(uv_hrtime() / 1000);
 
     link->msg = msg;
+    link->asked_us = now_us;
+    link->left_ms = left != NULL ? strtoll(left, NULL, 10) : -1;
     if (s->drained_us != 0 && now_us > s->drained_us + DRAIN_US) {
         s->late++;
     }
