A stop ends only after those who came have been accepted and heard

Callers saw: a connection made in a stop while its entry was held up for 2.2 s of a grace of 4 s was reset with its request unread.

The same at the end of the grace for a process that stood still until then. Ruled out: the close of the listener itself (it waits for the accepting turn).

The stop has a file of its own, lib/edge/leave.c.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -3,13 +3,6 @@
 #include <signal.h>
 #include <string.h>
 
-/* A leaving entry still takes new connections for this part of its grace:
- * callers use it until their directory's answer is too old. What it may still
- * send to servers is lib/router/stop.c's to say. */
-#define LISTEN_SHARE 0.5
-/* It ends after this part of its grace at the latest. The rest is for a signal
- * that was noticed late, and for answers on their way out. */
-#define END_SHARE 0.9
 /* Bodies may take a third of the memory: buffers are up to twice as large as
  * what they hold. */
 #define BODIES_SHARE ((1 << 20) / 3)
@@ -18,8 +11,6 @@
 #define LOG_FLUSH_SWEEPS 2
 /* A timer may fire before its time by what its clock is too coarse for. */
 #define TIMER_EARLY_US 2000
-/* Timers of no time at all would come before the look at the sockets. */
-#define LOOK_FIRST_MS 1
 
 int64_t
 GwEdge_Now(void)
@@ -154,7 +145,7 @@
     GwEdge *edge = timer->data;
 
     if (GwTurns_SeenUntil(edge->turns) + TIMER_EARLY_US < edge->armed_us) {
-        (void)uv_timer_start(timer, on_deadline, LOOK_FIRST_MS, 0);
+        (void)uv_timer_start(timer, on_deadline, GW_LOOK_FIRST_MS, 0);
         return;
     }
     edge->armed_us = INT64_MAX;
@@ -204,98 +195,7 @@
     arm(edge);
 }
 
-/* ---- Leaving ------------------------------------------------------------- */
-
-static void
-end_run(GwEdge *edge)
-{
-    GwLog_Event(GW_LOG_STOP_DONE, "open=%u after_ms=%" PRId64,
-                GwRouter_OpenCount(edge->router),
-                (GwEdge_Now() - edge->leaving_us) / 1000);
-    uv_stop(&edge->loop);
-}
-
-/* What waits for a slot or for a connection to its server has not left, so its
- * caller can still be told that it did not run. */
-static void
-on_leave_end(uv_timer_t *timer)
-{
-    GwEdge *edge = timer->data;
-
-    int64_t now_us = GwEdge_Now();
-
-    GwServerLink_GiveUpConnecting(edge);
-    GwRouter_Stop(edge->router, now_us, now_us, edge->actions);
-    GwEdge_Carry(edge);
-    end_run(edge);
-}
-
-void
-GwEdge_NoticeStop(GwEdge *edge)
-{
-    int64_t told_us = GwStopSignal_At();
-
-    if (edge->leaving || told_us == 0) {
-        return;
-    }
-    int64_t now_us = GwEdge_Now();
-    int64_t stay_us = (int64_t)(edge->settings->grace_ms * END_SHARE * 1000);
-    int64_t end_us = told_us + stay_us;
-    edge->leaving = true;
-    edge->leaving_us = told_us;
-    GwLog_Event(GW_LOG_STOP_BEGIN, "open=%u noticed_ms=%" PRId64,
-                GwRouter_OpenCount(edge->router),
-                (now_us - edge->leaving_us) / 1000);
-    uv_update_time(&edge->loop);
-    (void)uv_timer_start(&edge->leave_end, on_leave_end,
-                         (uint64_t)MAX(end_us - now_us, 0) / 1000, 0);
-    GwRouter_Stop(edge->router, now_us, end_us, edge->actions);
-    GwPeers_Announce(edge->peers);
-}
-
-/* A connection that waits to be accepted is reset with its listener, and its
- * caller has already sent a request: the listener is closed only right after
- * the loop has accepted all that had come. */
-static void
-on_listened(uv_check_t *check)
-{
-    GwEdge *edge = check->data;
-
-    (void)uv_check_stop(check);
-    if (edge->call_listener != NULL) {
-        uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
-        edge->call_listener = NULL;
-    }
-}
-
-static void
-go_on_leaving(GwEdge *edge, int64_t now_us)
-{
-    int64_t gone_ms = (now_us - edge->leaving_us) / 1000;
-
-    if ((double)gone_ms < edge->settings->grace_ms * LISTEN_SHARE) {
-        return;
-    }
-    if (edge->call_listener != NULL &&
-        !uv_is_active((const uv_handle_t *)&edge->listened)) {
-        GwLog_Event(GW_LOG_STOP_LISTENING, "open=%u after_ms=%" PRId64,
-                    GwRouter_OpenCount(edge->router), gone_ms);
-        (void)uv_check_start(&edge->listened, on_listened);
-    }
-    GwCallers_CloseIdle(edge);
-    if (g_queue_is_empty(&edge->callers)) {
-        end_run(edge);
-    }
-}
-
-static void
-on_told_to_stop(void *owner)
-{
-    GwEdge *edge = owner;
-
-    GwEdge_NoticeStop(edge);
-    GwEdge_Carry(edge);
-}
+/* ---- Signals and sweeps ----------------------------------------------------- */
 
 static void
 on_hangup(uv_signal_t *handle, int signum)
@@ -317,7 +217,7 @@
     GwPeers_Sweep(edge->peers, now_us);
     GwEdge_Reload(edge, false);
     if (edge->leaving) {
-        go_on_leaving(edge, now_us);
+        GwEdge_GoOnLeaving(edge, now_us);
     }
     GwEdge_Carry(edge);
     if (++edge->sweeps % LOG_FLUSH_SWEEPS == 0) {
@@ -346,11 +246,7 @@
     (void)uv_timer_init(&edge->loop, &edge->sweep);
     edge->sweep.data = edge;
     (void)uv_timer_start(&edge->sweep, on_sweep, 0, GW_SWEEP_MS);
-    (void)uv_timer_init(&edge->loop, &edge->leave_end);
-    edge->leave_end.data = edge;
-    (void)uv_check_init(&edge->loop, &edge->listened);
-    edge->listened.data = edge;
-    GwStopSignal_Start(&edge->stop_signal, &edge->loop, on_told_to_stop, edge);
+    GwEdge_AwaitStop(edge);
     (void)uv_signal_init(&edge->loop, &edge->hangup);
     edge->hangup.data = edge;
     (void)uv_signal_start(&edge->hangup, on_hangup, SIGHUP);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -15,6 +15,9 @@
 
 /* Housekeeping: idle connections, time-outs of seconds, peers gone silent. */
 #define GW_SWEEP_MS 250
+/* Of a timer that waits for a look at the sockets. One of no time at all would
+ * come before it. */
+#define GW_LOOK_FIRST_MS 1
 
 typedef struct GwCaller_s GwCaller;
 typedef struct GwServerLink_s GwServerLink;
@@ -45,6 +48,7 @@
     uv_timer_t deadline; /* of the router */
     uv_timer_t sweep;
     uv_timer_t leave_end; /* of a stop */
+    uint32_t end_looks;   /* at the sockets, since that time */
     uv_check_t listened;  /* runs when all that has come was accepted */
     GwStopSignal stop_signal;
     uv_signal_t hangup;
@@ -88,6 +92,10 @@
  * made ready, until nothing is left; arms the router's timer. To be called
  * last in each callback of the loop. */
 void GwEdge_Carry(GwEdge *edge);
+/* leave.c */
+/* From now on the entry stops at a signal. */
+void GwEdge_AwaitStop(GwEdge *edge);
+void GwEdge_GoOnLeaving(GwEdge *edge, int64_t now_us); /* at each sweep */
 /* Begins the stop if its signal has come. Called before each request is begun
  * too: the signal may lie seconds back when the loop hears of it. Appends
  * actions, to be carried out by the caller. */
