A connection is idle from the arrival of its answer

What callers saw: a connection on a narrow link was closed at the entry's idle limit although its caller had it idle for less than four fifths of that, and the next request crossed the close. Cause: idle time was counted from the moment at which the answer had been handed to the kernel; the caller counts from its arrival. An answer that does not arrive within the limit is waited for as before. Ruled out: a fixed margin; it would have to cover the slowest link.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -22,7 +22,8 @@
     GList link;       /* in edge->callers */
     GQueue exchanges; /* GwExchange, oldest first */
     int64_t idle_since_us;
-    uint32_t idle_limit_ms;  /* in force at that time */
+    uint32_t idle_limit_ms;  /* in force when it became idle */
+    bool arriving;           /* its last answer may not have arrived */
     int64_t inside_since_us; /* a message has begun to come; 0: none */
     bool dirty;              /* in edge->dirty: answers wait to be sent */
     uint16_t bad_status; /* to be said when the rest is answered; 0: none */
@@ -253,6 +254,7 @@
         x = g_queue_peek_head(&caller->exchanges);
     }
     begin_idle(caller);
+    caller->arriving = true;
     if (x == NULL && caller->bad_status != 0) {
         GString *out = g_string_new(NULL);
         write_own(out, caller->bad_status,
@@ -465,6 +467,12 @@
         sweep_inside(caller, limits, now_us);
         return;
     }
+    /* Its caller counts from the arrival of the answer, which takes its time on
+     * a narrow link. */
+    if (caller->arriving && GwConn_HasArrived(caller->conn)) {
+        caller->arriving = false;
+        caller->idle_since_us = now_us;
+    }
     /* A lowered limit holds from the next time that it becomes idle: its caller
      * counts on the one that was in force, and a request would cross the
      * close. Callers may know a raised one already. */
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -503,26 +503,12 @@
     }
 }
 
-/* What was written has arrived at the other side's machine. */
-static bool
-has_arrived(const GwConn *c)
-{
-    int unacked = 0;
-    int fd;
-
-    if (c->writes > 0) {
-        return false;
-    }
-    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-           ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0;
-}
-
 static void
 on_settle(uv_timer_t *timer)
 {
     GwConn *c = timer->data;
 
-    if (has_arrived(c) || now_us() >= c->settle_until_us) {
+    if (GwConn_HasArrived(c) || now_us() >= c->settle_until_us) {
         close_handle(c);
     }
 }
@@ -539,7 +525,7 @@
         return;
     }
     c->params.owner = NULL;
-    if (has_arrived(c)) {
+    if (GwConn_HasArrived(c)) {
         close_handle(c);
         return;
     }
@@ -620,6 +606,19 @@
     }
 }
 
+bool
+GwConn_HasArrived(const GwConn *c)
+{
+    int unacked = 0;
+    int fd;
+
+    if (c->writes > 0) {
+        return false;
+    }
+    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+           ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0;
+}
+
 bool
 GwConn_HasUnread(const GwConn *c)
 {
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -81,6 +81,9 @@
 int64_t GwConn_LastHeard(const GwConn *c); /* us, uv_hrtime */
 void GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max);
 void GwConn_Pause(GwConn *c, bool paused);
+/* What was written has arrived at the other side's machine. Costs one system
+ * call. */
+bool GwConn_HasArrived(const GwConn *c);
 /* Bytes or an end wait unread: what is sent now would meet a stray answer or
  * a closed connection. Costs one system call. */
 bool GwConn_HasUnread(const GwConn *c);
--- a/tests/fakes/edge_entry.c
+++ b/tests/fakes/edge_entry.c
@@ -211,6 +211,7 @@
 {
     char bytes[4096];
     int error = 0;
+    int now = 1;
     socklen_t len = sizeof(error);
     ssize_t count;
 
@@ -218,7 +219,10 @@
            0) {
         g_string_append_len(caller->got, bytes, count);
     }
-    if (count < 0 && errno != EAGAIN) {
+    bool failed = count < 0 && errno != EAGAIN;
+    /* Sends the acknowledgement that the kernel would hold back. */
+    (void)setsockopt(caller->fd, IPPROTO_TCP, TCP_QUICKACK, &now, sizeof(now));
+    if (failed) {
         caller->state = CALLER_RESET;
         return;
     }
@@ -247,13 +251,8 @@
 void
 PlainCaller_Take(PlainCaller *caller, size_t bytes)
 {
-    int now = 1;
-
     while (caller->got->len < bytes && caller->state == CALLER_WAITS) {
         look(caller);
-        /* Sends the acknowledgement that the kernel would hold back. */
-        (void)setsockopt(caller->fd, IPPROTO_TCP, TCP_QUICKACK, &now,
-                         sizeof(now));
     }
 }
 
--- a/tests/fakes/edge_entry.h
+++ b/tests/fakes/edge_entry.h
@@ -48,7 +48,7 @@
 /* Takes that many bytes of answers from the kernels alone: the entry does not
  * run. It knows by then that they have arrived. */
 void PlainCaller_Take(PlainCaller *caller, size_t bytes);
-/* Runs the loop until an answer has come, or the connection is over. */
+/* Runs the loop until an answer has come and the entry's kernel knows that, or the connection is over. */
 CallerState PlainCaller_AwaitAnswer(PlainCaller *caller);
 /* The same until the connection is over, with what came before. */
 CallerState PlainCaller_AwaitEnd(PlainCaller *caller);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -102,17 +102,6 @@
     EdgeEntry_Stop(&entry);
 }
 
-/* Has one answer and keeps its connection. */
-static PlainCaller
-connect_idle(EdgeEntry *entry)
-{
-    PlainCaller caller = PlainCaller_Connect(entry);
-
-    PlainCaller_Send(&caller, NOWHERE "\r\n");
-    cr_assert_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
-    return caller;
-}
-
 /* As the entry itself does it. */
 static void
 sweep_after(EdgeEntry *entry, int64_t ms)
@@ -121,6 +110,24 @@
     GwEdge_Carry(entry->edge);
 }
 
+/* Its request is answered, and the entry knows that the answer has arrived. */
+static void
+become_idle(PlainCaller *caller)
+{
+    PlainCaller_Send(caller, NOWHERE "\r\n");
+    cr_assert_eq(PlainCaller_AwaitAnswer(caller), CALLER_WAITS);
+    sweep_after(caller->entry, 0);
+}
+
+static PlainCaller
+connect_idle(EdgeEntry *entry)
+{
+    PlainCaller caller = PlainCaller_Connect(entry);
+
+    become_idle(&caller);
+    return caller;
+}
+
 static void
 sweep_above_limit(EdgeEntry *entry)
 {
@@ -313,8 +320,7 @@
 
         EdgeEntry_SetIdleLimit(&entry, cases[i].limit_ms);
         if (lowered) {
-            PlainCaller_Send(&caller, NOWHERE "\r\n");
-            cr_assert_eq(PlainCaller_AwaitAnswer(&caller), CALLER_WAITS);
+            become_idle(&caller);
         }
         sweep_after(&entry, cases[i].idle_ms);
         if (cases[i].state == CALLER_ENDED) {
@@ -354,8 +360,8 @@
 
 /* The answers take their time on a narrow link. The caller counts from their
  * arrival, for up to four fifths of the limit; the entry counted from the
- * moment at which it had written them, and closed the connection just before
- * the caller's next request. */
+ * moment at which it had handed them to its kernel, and closed the connection
+ * just before the caller's next request. */
 Test(edge_callers, a_connection_is_idle_from_the_arrival_of_its_answer)
 {
     EdgeEntry entry = EdgeEntry_Start();
