--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -1,4 +1,4 @@
-#include "http/conn.h"
+#include "http/conn_internal.h"
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -9,39 +9,6 @@
 
 #define GW_CONN_BACKLOG   511
 #define GW_READ_BUF_BYTES 65536
-/* Behind the last byte, for the other side's close. */
-#define GW_LINGER_MS 400
-/* For what was written to leave: a caller on a busy link takes its time, one
- * that reads nothing must not keep the connection for good. */
-#define GW_DRAIN_MS 10000
-/* How often it is looked whether what was written has arrived. */
-#define GW_SETTLE_MS 20
-
-struct GwConn_s {
-    uv_tcp_t tcp;
-    uv_connect_t connect;
-    GwConnParams params;
-    GwHttpParser *parser;
-    uint64_t bytes_out;
-    int64_t heard_us;
-    int64_t wrote_us;
-    int64_t finish_us;       /* when the owner ended it */
-    uint32_t idle_ms;        /* before that */
-    int64_t settle_until_us; /* what was written may arrive until then */
-    uint32_t writes;         /* under way */
-    uint32_t user_timeout_ms;
-    bool connecting;
-    bool reading;
-    bool finishing; /* close when nothing is left to write */
-    bool watching;  /* finishing, and requests that still come are told */
-    bool closing;
-    bool feeding; /* inside the parser: it must outlive the call */
-    bool doomed;  /* free when the parser returns and the handle is closed */
-    bool handle_closed;
-    uv_timer_t linger; /* bounds the wait for the other side's close */
-    bool has_linger;
-};
-
 typedef struct {
     uv_write_t req;
     uv_buf_t buf;
@@ -60,92 +27,19 @@
     *buf = uv_buf_init(read_buf, sizeof(read_buf));
 }
 
-static int64_t
-now_us(void)
+int64_t
+GwConn_NowUs(void)
 {
     return (int64_t)(uv_hrtime() / 1000);
 }
 
-static void
-free_if_over(GwConn *c)
-{
-    if (!c->handle_closed || c->feeding || c->writes > 0) {
-        return;
-    }
-    GwHttpParser_Free(c->parser);
-    g_free(c);
-}
-
-static void
-on_closed(uv_handle_t *handle)
-{
-    GwConn *c = handle->data;
-
-    c->handle_closed = true;
-    free_if_over(c);
-}
-
-static void
-on_timer_closed(uv_handle_t *handle)
-{
-    GwConn *c = handle->data;
-
-    c->has_linger = false;
-    uv_close((uv_handle_t *)&c->tcp, on_closed);
-}
-
-static uint32_t
-ms_between(int64_t from_us, int64_t to_us)
-{
-    return (uint32_t)(MAX(to_us - from_us, 0) / 1000);
-}
-
-static void
-note_dropped(GwConn *c, const GwHttpMessage *msg)
-{
-    GwConnDropped dropped = {
-        .msg = msg,
-        .closing_ms = ms_between(c->finish_us, now_us()),
-        .idle_ms = c->idle_ms,
-    };
-
-    if (c->params.ops->dropped != NULL) {
-        c->params.ops->dropped(c->params.host, &dropped);
-    }
-}
-
-/* Tells of a request of which only a part was read, and of no more. */
-static void
-stop_watching(GwConn *c)
-{
-    if (c->watching && GwHttpParser_IsInside(c->parser)) {
-        note_dropped(c, GwHttpParser_Begun(c->parser));
-    }
-    c->watching = false;
-}
-
-static void
-close_handle(GwConn *c)
-{
-    if (c->closing) {
-        return;
-    }
-    stop_watching(c);
-    c->closing = true;
-    if (c->has_linger) {
-        uv_close((uv_handle_t *)&c->linger, on_timer_closed);
-        return;
-    }
-    uv_close((uv_handle_t *)&c->tcp, on_closed);
-}
-
 static void
 end(GwConn *c, GwConnEnd how)
 {
     if (c->closing) {
         return;
     }
-    close_handle(c);
+    GwConn_CloseHandle(c);
     if (c->params.ops->ended != NULL && c->params.owner != NULL) {
         c->params.ops->ended(c->params.owner, how);
     }
@@ -157,7 +51,7 @@
 bad(GwConn *c)
 {
     if (c->finishing) {
-        stop_watching(c);
+        GwConn_StopWatching(c);
         return;
     }
     if (c->closing) {
@@ -174,7 +68,7 @@
 
     if (c->closing || c->finishing) {
         if (c->watching) {
-            note_dropped(c, msg);
+            GwConn_NoteDropped(c, msg);
         }
         GwHttpMessage_Free(msg);
         return;
@@ -214,12 +108,12 @@
     if (len == 0 || c->closing) {
         return;
     }
-    c->heard_us = now_us();
+    c->heard_us = GwConn_NowUs();
     if (len == UV_EOF && !has_ended_in_order(c)) {
         len = UV_ECONNRESET;
     }
     if (c->finishing && len < 0) {
-        close_handle(c);
+        GwConn_CloseHandle(c);
         return;
     }
     if (c->finishing && !c->watching) {
@@ -240,7 +134,7 @@
         end(c, len == UV_EOF && error == GW_HTTP_OK ? GW_CONN_ENDED
                                                     : GW_CONN_FAILED);
     }
-    free_if_over(c);
+    GwConn_FreeIfOver(c);
 }
 
 /* Probes every second, three of them: libuv sets the first one only and
@@ -295,7 +189,7 @@
     c->parser = GwHttpParser_Create(&parser);
     (void)uv_tcp_init(params->loop, &c->tcp);
     c->tcp.data = c;
-    c->heard_us = now_us();
+    c->heard_us = GwConn_NowUs();
     return c;
 }
 
@@ -305,7 +199,7 @@
     GwConn *c = create(params);
 
     if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
-        close_handle(c);
+        GwConn_CloseHandle(c);
         return NULL;
     }
     set_options(c);
@@ -327,7 +221,7 @@
         end(c, GW_CONN_FAILED);
         return;
     }
-    c->heard_us = now_us();
+    c->heard_us = GwConn_NowUs();
     c->reading = true;
     (void)uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
     c->params.ops->connected(c->params.owner);
@@ -364,7 +258,7 @@
     int rc = uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)&to,
                             on_connect);
     if (rc != 0) {
-        close_handle(c);
+        GwConn_CloseHandle(c);
         return NULL;
     }
     set_options(c);
@@ -383,7 +277,7 @@
     if (!c->closing && status != 0) {
         end(c, GW_CONN_FAILED);
     }
-    free_if_over(c);
+    GwConn_FreeIfOver(c);
 }
 
 /* Tries to hand the bytes to the kernel at once, which saves a wake-up and a
@@ -397,7 +291,7 @@
         return;
     }
     c->bytes_out += text->len;
-    c->wrote_us = now_us();
+    c->wrote_us = GwConn_NowUs();
     if (c->writes == 0 && !c->connecting) {
         uv_buf_t whole = uv_buf_init(text->str, (unsigned int)text->len);
         int rc = uv_try_write((uv_stream_t *)&c->tcp, &whole, 1);
@@ -430,130 +324,6 @@
     g_string_free(out, TRUE);
 }
 
-/* Closes when the other side is silent. One that still sends a body has not
- * looked for its answer yet, and a reset would destroy it. */
-static void
-on_linger(uv_timer_t *timer)
-{
-    GwConn *c = timer->data;
-    int64_t at_us = now_us();
-    bool silent =
-        ms_between(c->heard_us, at_us) >= GW_LINGER_MS && !GwConn_HasUnread(c);
-
-    if (silent || ms_between(c->finish_us, at_us) >= GW_DRAIN_MS) {
-        close_handle(c);
-        return;
-    }
-    (void)uv_timer_start(timer, on_linger, GW_LINGER_MS, 0);
-}
-
-/* A close with unread bytes resets the connection, which may destroy an
- * answer on its way; so the write side is shut first, and what still comes
- * is read and dropped until the other side closes or falls silent. */
-static void
-on_drained(uv_shutdown_t *req, int status)
-{
-    GwConn *c = req->data;
-
-    g_free(req);
-    c->writes--;
-    if (status != 0) {
-        close_handle(c);
-    }
-    else if (!c->closing) {
-        (void)uv_timer_start(&c->linger, on_linger, GW_LINGER_MS, 0);
-    }
-    free_if_over(c);
-}
-
-/* From here on requests are not answered; they are told to `dropped`, up to the
- * first with a body, which is not held. What was refused half read is not
- * another request. */
-static void
-watch(GwConn *c)
-{
-    c->finish_us = now_us();
-    c->idle_ms = ms_between(MAX(c->heard_us, c->wrote_us), c->finish_us);
-    c->watching = c->params.requests && !GwHttpParser_IsInside(c->parser) &&
-                  GwHttpParser_Error(c->parser) == GW_HTTP_OK;
-    GwHttpParser_SetLimits(c->parser, c->params.head_max, 0);
-}
-
-void
-GwConn_FinishAndClose(GwConn *c)
-{
-    if (c->closing || c->finishing) {
-        return;
-    }
-    c->finishing = true;
-    c->params.owner = NULL;
-    watch(c);
-    GwConn_Pause(c, false);
-    (void)uv_timer_init(c->params.loop, &c->linger);
-    c->linger.data = c;
-    c->has_linger = true;
-    (void)uv_timer_start(&c->linger, on_linger, GW_DRAIN_MS, 0);
-    uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
-    req->data = c;
-    c->writes++;
-    if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_drained) != 0) {
-        c->writes--;
-        g_free(req);
-        close_handle(c);
-    }
-}
-
-static void
-on_settle(uv_timer_t *timer)
-{
-    GwConn *c = timer->data;
-
-    if (GwConn_HasArrived(c) || now_us() >= c->settle_until_us) {
-        close_handle(c);
-    }
-}
-
-/* A request may cross the close. Read and dropped, it would leave its caller
- * without an answer and without the right to send it again; unread, it is
- * reset by the kernel, whether it comes before or after the close, and the
- * caller knows that it did not run. The reset could destroy an answer that has
- * not arrived, so that is waited for. */
-void
-GwConn_CloseUnread(GwConn *c, uint32_t wait_ms)
-{
-    if (c->closing || c->finishing) {
-        return;
-    }
-    c->params.owner = NULL;
-    if (GwConn_HasArrived(c)) {
-        close_handle(c);
-        return;
-    }
-    c->finishing = true;
-    c->settle_until_us = now_us() + (int64_t)wait_ms * 1000;
-    GwConn_Pause(c, true);
-    (void)uv_timer_init(c->params.loop, &c->linger);
-    c->linger.data = c;
-    c->has_linger = true;
-    (void)uv_timer_start(&c->linger, on_settle, GW_SETTLE_MS, GW_SETTLE_MS);
-}
-
-void
-GwConn_Close(GwConn *c)
-{
-    c->params.owner = NULL;
-    close_handle(c);
-}
-
-void
-GwConn_CloseAt(GwConn **at)
-{
-    if (*at != NULL) {
-        GwConn_Close(*at);
-        *at = NULL;
-    }
-}
-
 GwHttpError
 GwConn_Error(const GwConn *c)
 {
