Leave descriptors to servers' connections when callers are many

Callers of the last entry of a region that took any got no answer any more, until the end: it did nothing at all.

Cause: an entry accepted callers until it had no descriptor left. libuv then closes a spare one to accept and close what waits; where that makes no room for a socket, its loop of accepts never ends. Descriptors had reached 2658 a second before, of 3900 for sockets. It was not seen as long as placing requests was so slow that callers gave up before.

Change: the setting fd_limit, from the platform's settings; callers' connections take a third of it. Those beyond wait in the kernel to be accepted until others leave. A stopping entry accepts all, as it closes its listener.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -7,6 +7,10 @@
 /* Requests of one connection that are under way at once; what comes behind
  * them stays unread, so a caller that never reads holds no more than this. */
 #define PIPELINE_MAX 32
+/* Of the descriptors, what callers' connections may take: each request under
+ * way needs one more, to its server, and kept ones stay open beside them. With
+ * none left no server can be reached, and the loop accepts without end. */
+#define CALLERS_SHARE 3
 /* When a caller whose body found no room may come back. */
 #define NO_ROOM_RETRY_MS 1000
 /* One that is sent to another entry may go there at once. */
@@ -61,6 +65,7 @@
     }
     GwRouter_Settle(edge->router, GwEdge_Now(), edge->actions);
     g_free(caller);
+    GwCallers_Resume(edge);
 }
 
 /* Its answers are sent once all that the router said is carried out. */
@@ -337,6 +342,24 @@
     };
 }
 
+static bool
+is_full(const GwEdge *edge)
+{
+    return !edge->leaving && g_queue_get_length((GQueue *)&edge->callers) >=
+                                 edge->settings->fd_limit / CALLERS_SHARE;
+}
+
+void
+GwCallers_Resume(GwEdge *edge)
+{
+    if (edge->callers_wait && edge->call_listener != NULL) {
+        edge->callers_wait = false;
+        GwCallers_OnConnection((uv_stream_t *)edge->call_listener, 0);
+    }
+}
+
+/* libuv listens no further until a connection that it reported is accepted, so
+ * the next ones wait in the kernel while there are many. */
 void
 GwCallers_OnConnection(uv_stream_t *listener, int status)
 {
@@ -346,6 +369,10 @@
     if (status != 0) {
         return;
     }
+    edge->callers_wait = is_full(edge);
+    if (edge->callers_wait) {
+        return;
+    }
     GwCaller *caller = g_new0(GwCaller, 1);
     GwConnParams params = {
         .loop = &edge->loop,
@@ -442,6 +469,7 @@
 {
     GwCaller *caller;
 
+    edge->callers_wait = false; /* nobody is accepted any more */
     while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
         GwConn_Close(caller->conn);
         free_caller(caller);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -212,6 +212,7 @@
     edge->leaving_us = GwEdge_Now();
     GwLog_Event(GW_LOG_STOP_BEGIN, "open=%u",
                 GwRouter_OpenCount(edge->router));
+    GwCallers_Resume(edge);
     GwPeers_Announce(edge->peers);
 }
 
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -54,6 +54,7 @@
     GArray *actions;   /* GwDo; reused */
     bool carrying;     /* actions are being carried out */
     GQueue callers;    /* GwCaller, all that are open */
+    bool callers_wait; /* one is there to be accepted, but there are many */
     GQueue dirty;      /* GwCaller with answers to send */
     GQueue gone;       /* GwCaller found to have left, to be dropped */
     GQueue pools;      /* GwPool, one for each server */
@@ -96,6 +97,8 @@
 
 /* callers.c */
 void GwCallers_OnConnection(uv_stream_t *listener, int status);
+/* Takes on those that wait to be accepted, if some do. */
+void GwCallers_Resume(GwEdge *edge);
 void GwCallers_Sweep(GwEdge *edge, int64_t now_us);
 void GwCallers_CloseIdle(GwEdge *edge);
 void GwCallers_CloseAll(GwEdge *edge);
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -13,6 +13,7 @@
 #define ROW_GRACE_MS  2000
 #define ENTRIES_MAX   16
 #define MEMORY_MB     256
+#define FD_LIMIT      1024
 /* Of an instance that says nothing of itself. */
 #define LINK_MBPS     1000.0
 #define CPU_SHARE     1.0
@@ -144,10 +145,13 @@
 {
     static const GwReadBound memory = {
         .min = 16, .max = 1 << 20, .optional = true};
+    static const GwReadBound descriptors = {
+        .min = 64, .max = 1 << 20, .optional = true};
     double link_mbps = LINK_MBPS;
     double cpu_share = CPU_SHARE;
 
     if (!GwRead_U32(at, "memory_mb", &memory, &s->memory_mb, error) ||
+        !GwRead_U32(at, "fd_limit", &descriptors, &s->fd_limit, error) ||
         !read_real(at, "link_mbps", LINK_MBPS_MAX, &link_mbps, error) ||
         !read_real(at, "cpu_share", CPU_SHARE_MAX, &cpu_share, error)) {
         return false;
@@ -220,6 +224,7 @@
         "row_grace",
         "log_level",
         "memory_mb",
+        "fd_limit",
         "link_mbps",
         "cpu_share",
         NULL,
@@ -258,6 +263,7 @@
         .regions =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
         .memory_mb = MEMORY_MB,
+        .fd_limit = FD_LIMIT,
         .grace_ms = 10000,
         .lookup_ttl_ms = LOOKUP_TTL_MS,
         .row_grace_ms = ROW_GRACE_MS,
--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -17,6 +17,7 @@
     GPtrArray *seeds;    /* peer addresses to try before any is known */
     GHashTable *regions; /* failure domain -> region */
     uint32_t memory_mb;  /* that the process may take */
+    uint32_t fd_limit;   /* descriptors that it may have open */
     uint32_t link_kbps;  /* of this instance's link */
     uint32_t cpu_milli;  /* thousandths of a core that it may use */
     uint32_t grace_ms;   /* from the signal to stop to the end */
--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -25,7 +25,8 @@
     GString *text = g_string_new("{\"name\":\"e1\",\"region\":\"r1\","
                                  "\"domain\":\"d1\","
                                  "\"regions\":{\"d1\":\"r1\"},"
-                                 "\"retry_ratio\":1");
+                                 "\"retry_ratio\":1,"
+                                 "\"fd_limit\":120");
     GError *error = NULL;
 
     for (size_t i = 0; i < G_N_ELEMENTS(places); i++) {
@@ -98,7 +99,7 @@
     g_strlcpy(s->id, id, sizeof(s->id));
     s->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     g_assert_cmpint(bind(s->listener, (struct sockaddr *)&at, len), ==, 0);
-    g_assert_cmpint(listen(s->listener, 16), ==, 0);
+    g_assert_cmpint(listen(s->listener, 128), ==, 0);
     (void)getsockname(s->listener, (struct sockaddr *)&at, &len);
     g_snprintf(s->address, sizeof(s->address), "127.0.0.1:%u",
                ntohs(at.sin_port));
--- a/tests/unit/test_edge_late.c
+++ b/tests/unit/test_edge_late.c
@@ -445,3 +445,49 @@
     close(late.other);
     EdgeHost_Free(late.h);
 }
+
+#define CALLERS    60 /* more than may be connected at once, */
+#define CONNECTED  40 /* a third of the descriptors of EdgeHost_Create */
+#define MANY_SLOTS 100
+
+static bool
+is_connected(void *ctx)
+{
+    const Late *late = ctx;
+
+    return g_queue_get_length(&late->h->edge->callers) >= CONNECTED;
+}
+
+/* Many callers come to one entry at once, as when all others of its region
+ * stop. It accepted until it had no descriptor left: then no connection to a
+ * server could be made, and the loop tried to accept without end and did
+ * nothing else any more. Callers wait to be accepted instead, and each is
+ * served as others leave. */
+Test(edge_late, callers_leave_descriptors_for_servers)
+{
+    Late late = {.h = EdgeHost_Create()};
+    int callers[CALLERS];
+    char id[16];
+
+    EdgeHost_AddServer(late.h, "a", MANY_SLOTS);
+    for (int i = 0; i < CALLERS; i++) {
+        callers[i] = EdgeHost_Call(late.h);
+        g_snprintf(id, sizeof(id), "c%d", i);
+        EdgeHost_Ask(callers[i], "/again/", id);
+    }
+    cr_assert(EdgeHost_Until(late.h, is_connected, &late));
+    for (int i = 0; i < CONNECTED; i++) {
+        g_snprintf(id, sizeof(id), "c%d", i);
+        await_request(&late, id);
+    }
+    cr_expect_eq(g_queue_get_length(&late.h->edge->callers), CONNECTED);
+    cr_expect_eq(got(&late, "c40"), 0);
+    for (int i = 0; i < CALLERS; i++) {
+        g_snprintf(id, sizeof(id), "c%d", i);
+        await_request(&late, id);
+        cr_expect_leq(g_queue_get_length(&late.h->edge->callers), CONNECTED);
+        close(callers[i]);
+    }
+    cr_expect(EdgeHost_Until(late.h, is_idle, &late));
+    EdgeHost_Free(late.h);
+}
--- a/tests/unit/test_edge_settings.c
+++ b/tests/unit/test_edge_settings.c
@@ -13,10 +13,10 @@
 
 Test(edge_settings, good_ones_are_read)
 {
-    static const char text[] =
-        SETTINGS(",\"seeds\":[\"10.0.0.2:9\"],\"seeds_peer_port\":5,"
-                 "\"retry_ratio\":0.25,\"retry_extra\":58,"
-                 "\"retry_window\":\"10s\",\"grace\":\"6s\"");
+    static const char text[] = SETTINGS(
+        ",\"seeds\":[\"10.0.0.2:9\"],\"seeds_peer_port\":5,"
+        "\"retry_ratio\":0.25,\"retry_extra\":58,"
+        "\"retry_window\":\"10s\",\"grace\":\"6s\",\"fd_limit\":4100");
     GError *error = NULL;
     GwEdgeSettings *s = GwEdgeSettings_Parse(text, strlen(text), &error);
 
@@ -29,6 +29,7 @@
     cr_expect_eq(s->router.retry_extra, 58);
     cr_expect_eq(s->router.retry_window_ms, 10000);
     cr_expect_eq(s->grace_ms, 6000);
+    cr_expect_eq(s->fd_limit, 4100);
     GwEdgeSettings_Free(s);
 }
 
@@ -46,6 +47,7 @@
         {SETTINGS(",\"retry_ratio\":2"), "retry_ratio"},
         {SETTINGS(",\"retry_ratio\":\"1\""), "retry_ratio"},
         {SETTINGS(",\"retry_extra\":-1"), "retry_extra"},
+        {SETTINGS(",\"fd_limit\":10"), "fd_limit"},
         {SETTINGS(",\"seeds\":[\"nowhere\"]"), "seeds"},
         {SETTINGS(",\"seeds\":{}"), "seeds"},
         {SETTINGS(",\"seeds_peer_port\":70000"), "seeds_peer_port"},
