--- a/lib/edge/leave.c
+++ b/lib/edge/leave.c
@@ -88,6 +88,7 @@
     (void)uv_timer_start(&edge->leave_end, on_leave_end,
                          (uint64_t)MAX(end_us - now_us, 0) / 1000, 0);
     GwRouter_Stop(edge->router, now_us, end_us, edge->actions);
+    GwCallers_Resume(edge);
     GwPeers_Announce(edge->peers);
 }
 
