Answers to requests of one read go out when all of them are parsed

Callers saw: of three requests in one piece in a stop the first was refused and closed the connection, two got nothing.

Cause: answers were carried out after each parsed message, and an answer that is the last one known closes the connection of a stopping entry. Ruled out: requests still in the socket (those are seen as unread).

Change: a connection tells its owner when all of a read were handed over, and callers' answers go out then.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -320,6 +320,16 @@
         GwConn_Pause(caller->conn, true);
     }
     start_next(caller);
+}
+
+/* Answers go out only now: the first of several requests that came together may
+ * be refused at once, and an answer that closes the connection has to be the
+ * last of them. */
+static void
+on_read(void *owner)
+{
+    GwCaller *caller = owner;
+
     GwEdge_Carry(caller->edge);
 }
 
@@ -372,6 +382,7 @@
 
 static const GwConnOps caller_ops = {
     .message = on_message,
+    .read = on_read,
     .ended = on_ended,
     .dropped = on_dropped,
 };
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -30,6 +30,8 @@
 typedef struct {
     void (*connected)(void *owner);
     void (*message)(void *owner, GwHttpMessage *msg); /* takes over */
+    /* All messages of one read were given to `message`; may be NULL. */
+    void (*read)(void *owner);
     bool (*to_head)(void *owner);
     void (*ended)(void *owner, GwConnEnd end);
     /* After GwConn_FinishAndClose; may be NULL. */
--- a/standins/site.sh
+++ b/standins/site.sh
@@ -112,6 +112,19 @@
         deploy/demo/config.json >"$site_config"
 }
 
+# The configuration with one more route, of which nobody has seen a run, and
+# time for callers to send half a request and wait.
+site_late_config() {
+    local route='{"name":"long","prefix":"/long/","kind":"unsafe",'
+    route+='"timeout":"20000ms","objective":"6000ms","priority":1,'
+    route+='"service":"slots","max_attempts":2,"sticky_sessions":true,'
+    route+='"home_regions":[]},'
+    site_config=$gw_dir/config.json
+    sed -e 's/"header_timeout":"3000ms"/"header_timeout":"30s"/' \
+        -e "s|\"paths\":\[|\"paths\":[$route|" \
+        deploy/demo/config.json >"$site_config"
+}
+
 # The requests that broke a promise, or whose connection ended unanswered.
 site_broken() {
     grep -E '^(CUT|FALSE|BARE|NO|WRONG|DOUBLED|BEHIND|crossed)' \
