In a stop nothing is begun behind another on its connection

Callers saw: a request sent 0.5 s after the signal, behind one that was under way, was answered by its server after 0.04 s; the answer waited for the first one's and went with the process.

Cause: requests that may be repeated are begun side by side, each judged by its own time; that its answer has to wait for another was in nobody's account. Ruled out: those that may run once (they wait already).

Change: in a stop a request waits until those before it on its connection are answered. What is not begun at the end may be sent again by its caller.

Measured: edge_stop/nothing_is_begun_behind_another failed, passes.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -224,14 +224,17 @@
 
 /* Starts what may run now. A request that may run once only waits until all
  * before it on its connection are answered: if one of those closed the
- * connection, the caller would send it again. */
+ * connection, the caller would send it again. In a stop all wait: the one
+ * before may outlast the entry, and an answer behind it would go with it. */
 static void
 start_next(GwCaller *caller)
 {
+    GwEdge *edge = caller->edge;
+
     for (GList *at = caller->exchanges.head; at != NULL; at = at->next) {
         GwExchange *x = at->data;
         bool first = at == caller->exchanges.head;
-        if (!x->started && !x->idempotent && !first) {
+        if (!x->started && !first && (!x->idempotent || edge->leaving)) {
             return;
         }
         if (!x->started) {
