Test that fails: a caller that reads nothing fills the memory

What was seen: beside the pause of reading at 32 requests under way. Requests that are answered at once are never 32, and their answers queue up here without a bound when the caller does not read them: in one trial with a real entry 40 MB of requests took 440 MB of memory. The entry in the process of the test ignores SIGPIPE, as the program does.

--- a/tests/fakes/edge_entry.c
+++ b/tests/fakes/edge_entry.c
@@ -9,6 +9,7 @@
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -16,6 +17,8 @@
 
 #define WAIT_US 10000000
 #define STEP_US 1000
+/* Turns of the loop without a byte taken, after which none will be. */
+#define REFUSED_MAX 500
 /* Of the silent server: connections for all slots, and more. */
 #define BACKLOG 128
 #define SLOTS   64
@@ -70,6 +73,7 @@
     char address[GW_ADDR_MAX];
     EdgeEntry entry = {.silent = listen_silently(address)};
 
+    (void)signal(SIGPIPE, SIG_IGN); /* as the program does */
     entry.edge = GwEdge_Create(make_settings(), "no settings file",
                                &Platform_Adapter, &error);
     cr_assert_not_null(entry.edge, "%s", error != NULL ? error->message : "");
@@ -235,6 +239,24 @@
     }
 }
 
+size_t
+PlainCaller_Flood(PlainCaller *caller, const char *text, size_t most)
+{
+    size_t sent = 0;
+    size_t len = strlen(text);
+    int refused = 0;
+
+    while (sent < most && refused < REFUSED_MAX) {
+        size_t from = sent % len;
+        ssize_t count = send(caller->fd, text + from, len - from,
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
+        refused = count > 0 ? 0 : refused + 1;
+        sent += count > 0 ? (size_t)count : 0;
+        EdgeEntry_RunOnce(caller->entry);
+    }
+    return sent;
+}
+
 void
 PlainCaller_Shut(PlainCaller *caller)
 {
--- a/tests/fakes/edge_entry.h
+++ b/tests/fakes/edge_entry.h
@@ -43,6 +43,9 @@
 void PlainCaller_Close(PlainCaller *caller);
 /* Sends bytes, which wait unread at the entry when this returns. */
 void PlainCaller_Send(PlainCaller *caller, const char *bytes);
+/* Sends the text again and again, and reads nothing, until the entry takes no
+ * more or that many bytes have gone; returns how many have. */
+size_t PlainCaller_Flood(PlainCaller *caller, const char *text, size_t most);
 /* Ends what it sends; returns when the entry's kernel knows. */
 void PlainCaller_Shut(PlainCaller *caller);
 /* Takes that many bytes of answers from the kernels alone: the entry does not
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -480,3 +480,29 @@
     PlainCaller_Close(&caller);
     EdgeEntry_Stop(&entry);
 }
+
+#define FLOOD_BYTES (8u << 20) /* more than buffers of kernels on the way */
+
+/* A caller sends requests without end and reads no answer. The entry read on
+ * and kept the answers: ten bytes of memory for each that the caller sent. */
+Test(edge_callers, a_caller_that_reads_nothing_is_not_read_either)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_ConnectNarrow(&entry);
+    GString *text = g_string_new(NULL);
+
+    for (int i = 0; i < MANY; i++) {
+        g_string_append(text, NOWHERE "\r\n");
+    }
+    size_t sent = PlainCaller_Flood(&caller, text->str, FLOOD_BYTES);
+    cr_expect_lt(sent, FLOOD_BYTES);
+    uint64_t before = entry.edge->counts.arrived;
+    while (caller.got->len < sent && entry.edge->counts.arrived == before) {
+        PlainCaller_Take(&caller, caller.got->len + 1);
+        EdgeEntry_RunOnce(&entry);
+    }
+    cr_expect_gt(entry.edge->counts.arrived, before, "it is read again");
+    g_string_free(text, TRUE);
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
