A caller that reads no answers is not read either

What was seen: a caller that sends requests without end and reads no answer made the entry keep all answers: its memory had no bound. Cause: reading stopped only at 32 requests under way; those that are answered at once are never under way, and their answers queue up behind the kernel. Change: a connection that reads requests stops while more than 256 KB of what was written are untaken, and goes on when they are taken. Ruled out: the same towards servers; they may answer before they have taken the whole request.

--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -9,6 +9,9 @@
 
 #define GW_CONN_BACKLOG   511
 #define GW_READ_BUF_BYTES 65536
+/* Written to a caller and not taken by the kernel yet; above it no further
+ * request is read. */
+#define GW_OUT_MAX_BYTES (256u << 10)
 typedef struct {
     uv_write_t req;
     uv_buf_t buf;
@@ -265,6 +268,34 @@
     return c;
 }
 
+/* Answers to a caller that sends on and reads nothing would fill the memory:
+ * it is read again when it has taken what was written. The other way round a
+ * server may answer before it has taken the whole request. */
+static bool
+is_clogged(const GwConn *c)
+{
+    return c->params.requests && !c->finishing &&
+           uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) >
+               GW_OUT_MAX_BYTES;
+}
+
+static void
+update_reading(GwConn *c)
+{
+    bool reads = !c->paused && !is_clogged(c);
+
+    if (c->closing || c->connecting || c->reading == reads) {
+        return;
+    }
+    c->reading = reads;
+    if (reads) {
+        (void)uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+    }
+    else {
+        (void)uv_read_stop((uv_stream_t *)&c->tcp);
+    }
+}
+
 static void
 on_written(uv_write_t *req, int status)
 {
@@ -277,6 +308,7 @@
     if (!c->closing && status != 0) {
         end(c, GW_CONN_FAILED);
     }
+    update_reading(c);
     GwConn_FreeIfOver(c);
 }
 
@@ -312,6 +344,7 @@
         g_free(w->buf.base);
         g_free(w);
     }
+    update_reading(c);
 }
 
 void
@@ -364,16 +397,8 @@
 void
 GwConn_Pause(GwConn *c, bool paused)
 {
-    if (c->closing || c->reading != paused) {
-        return;
-    }
-    c->reading = !paused;
-    if (paused) {
-        (void)uv_read_stop((uv_stream_t *)&c->tcp);
-    }
-    else {
-        (void)uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
-    }
+    c->paused = paused;
+    update_reading(c);
 }
 
 bool
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -80,6 +80,8 @@
 uint64_t GwConn_BytesOut(const GwConn *c);
 int64_t GwConn_LastHeard(const GwConn *c); /* us, uv_hrtime */
 void GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max);
+/* Stops reading. A connection that reads requests does so by itself while the
+ * other side leaves much of what was written untaken. */
 void GwConn_Pause(GwConn *c, bool paused);
 /* What was written has arrived at the other side's machine. Costs one system
  * call. */
--- a/lib/http/conn_internal.h
+++ b/lib/http/conn_internal.h
@@ -19,6 +19,7 @@
     uint32_t user_timeout_ms;
     bool connecting;
     bool reading;
+    bool paused;    /* by its owner */
     bool finishing; /* close when nothing is left to write */
     bool watching;  /* finishing, and requests that still come are told */
     bool closing;
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -484,7 +484,8 @@
 #define FLOOD_BYTES (8u << 20) /* more than buffers of kernels on the way */
 
 /* A caller sends requests without end and reads no answer. The entry read on
- * and kept the answers: ten bytes of memory for each that the caller sent. */
+ * and kept the answers: ten bytes of memory for each that the caller sent.
+ * Only requests under way stopped it, and these were over at once. */
 Test(edge_callers, a_caller_that_reads_nothing_is_not_read_either)
 {
     EdgeEntry entry = EdgeEntry_Start();
