--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -7,13 +7,6 @@
 /* Waiting requests are judged anew this often: estimates move with the peers'
  * reports, and a first run may end earlier than expected. */
 #define REJUDGE_US 15000
-/* But all that wait are judged anew only as often as takes so many looks at
- * servers, which is a tenth of what a tenth of a core has time for
- * (bench_router_cost). */
-#define LOOKS_PER_US 0.5
-/* Of those that would go to any server with room, so many are judged when one
- * has some; the first mostly takes it. */
-#define ASKED_MAX 2
 /* Sends that met no server cost no server anything, but time. */
 #define UNSENT_MAX 3
 /* Of the retries that all entries together may make, so that requests counted
@@ -77,20 +70,11 @@
     return story;
 }
 
-static void
-stop_waiting(GwRequest *req)
-{
-    if (req->waits) {
-        req->waits = false;
-        (void)g_ptr_array_remove(req->service->waiting, req);
-    }
-}
-
 /* Ends the bookkeeping of a request; its last action has been appended. */
 static void
 finish(GwRouter *r, GwRequest *req)
 {
-    stop_waiting(req);
+    GwRequest_StopWaiting(req);
     if (req->deadline != GW_HEAP_OUT) {
         GwHeap_Remove(&r->deadlines, &req->deadline);
     }
@@ -162,7 +146,7 @@
 {
     GwKeyServer *at = req->key != NULL ? GwKey_At(req->key, s) : NULL;
 
-    stop_waiting(req);
+    GwRequest_StopWaiting(req);
     req->server = s;
     req->sent_us = now_us;
     req->sent_warm = at != NULL;
@@ -192,15 +176,6 @@
                        : 0;
 }
 
-/* One that waits takes the next slot there, before those behind it. */
-static void
-claim(GwServiceState *service, GwServer *s)
-{
-    if (s->claims++ == 0) {
-        g_ptr_array_add(service->claimed, s);
-    }
-}
-
 /* An answer after this is worth nothing. */
 static int64_t
 too_late_us(const GwRequest *req)
@@ -211,8 +186,8 @@
 /* Sends the request, keeps it waiting, or refuses it. What comes too late is
  * still worth a little, so it may wait behind all that comes in time; where
  * even that takes long the caller is told at once when to come back. */
-static void
-place(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
+void
+GwRequest_Place(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
     GwChoice c = GwRouter_Choose(r, now_us, req);
     req->expected_us = now_us - req->arrived_us + (int64_t)c.est_us;
@@ -239,7 +214,7 @@
         reply(r, now_us, req, GW_WHY_NO_ROOM, actions);
         return;
     }
-    claim(req->service, c.server);
+    GwServer_Claim(c.server);
     /* One that has just become late is judged once more, behind the others. */
     req->waits_for = req->late == was_late ? c.server : NULL;
     req->waits_for_place = c.is_place;
@@ -251,129 +226,6 @@
     move_deadline(r, req, MIN(req->give_up_us, again_us));
 }
 
-static void
-drop_claims(GwServiceState *service)
-{
-    for (guint i = 0; i < service->claimed->len; i++) {
-        ((GwServer *)service->claimed->pdata[i])->claims = 0;
-    }
-    g_ptr_array_set_size(service->claimed, 0);
-}
-
-/* A pass over what waits for a service. */
-typedef struct {
-    GwRouter *r;
-    int64_t now_us;
-    GwServiceState *service;
-    GArray *actions;
-    bool all;             /* are judged */
-    const GwServer *free; /* has room that one of them may take; or NULL */
-    uint32_t asked;       /* of those who would go to any server */
-} Pass;
-
-/* Whether a look could change anything for it: it is new, there is room where
- * it waits, a slot would come too late now, or there is room elsewhere and it
- * waits for no place in particular. All others stay as they are until the next
- * pass over all. */
-static bool
-is_to_be_judged(Pass *pass, const GwRequest *req)
-{
-    if (pass->all || req->waits_for == NULL ||
-        pass->now_us >= req->too_late_us ||
-        GwServer_HasRoom(pass->r, req->waits_for, pass->now_us)) {
-        return true;
-    }
-    if (pass->free == NULL || req->waits_for_place ||
-        pass->asked == ASKED_MAX ||
-        !GwServer_HasRoom(pass->r, pass->free, pass->now_us)) {
-        return false;
-    }
-    pass->asked++;
-    return true;
-}
-
-static void
-place_all(Pass *pass, bool late)
-{
-    GPtrArray *waiting = pass->service->waiting;
-
-    for (guint i = 0; i < waiting->len;) {
-        GwRequest *req = waiting->pdata[i];
-        if (req->late == late && is_to_be_judged(pass, req)) {
-            place(pass->r, pass->now_us, req, pass->actions);
-        }
-        else if (req->late == late) {
-            claim(pass->service, req->waits_for);
-        }
-        /* The one that was placed has left the array. */
-        if (i < waiting->len && waiting->pdata[i] == req) {
-            i++;
-        }
-    }
-}
-
-/* From when on a pass over all may be made again, after one that begins now. */
-static int64_t
-next_pass_us(const GwServiceState *service, int64_t now_us)
-{
-    double looks = service->pass_looks * service->waiting->len;
-
-    return now_us + (int64_t)(looks / LOOKS_PER_US);
-}
-
-/* Places what waits for the service: what can be in time before what can't,
- * each by priority and arrival. Each request that comes or ends calls for it,
- * so if all were judged each time, an entry would spend the more on it the
- * further it is behind. */
-void
-GwRouter_Pump(GwRouter *r, int64_t now_us, GwServiceState *service,
-              GArray *actions)
-{
-    guint count = service->waiting->len;
-    Pass pass = {
-        .r = r,
-        .now_us = now_us,
-        .service = service,
-        .actions = actions,
-        .all = now_us >= service->pass_due_us,
-        .free = service->freed,
-    };
-    uint64_t looks = r->looks;
-
-    service->freed = NULL;
-    if (count == 0) {
-        return;
-    }
-    if (pass.all) {
-        service->pass_due_us = next_pass_us(service, now_us);
-    }
-    drop_claims(service);
-    place_all(&pass, false);
-    place_all(&pass, true);
-    drop_claims(service);
-    if (pass.all) {
-        service->pass_looks = (double)(r->looks - looks) / count;
-    }
-}
-
-void
-GwRequest_Wait(GwRequest *req)
-{
-    GPtrArray *waiting = req->service->waiting;
-    guint at = waiting->len;
-
-    while (at > 0) {
-        const GwRequest *other = waiting->pdata[at - 1];
-        if (other->route->priority <= req->route->priority) {
-            break;
-        }
-        at--;
-    }
-    g_ptr_array_insert(waiting, (gint)at, req);
-    req->waits = true;
-    req->waits_for = NULL;
-}
-
 /* Servers that went may still be named by actions that are not carried out
  * yet: steps come from inside of carrying them out too. */
 void
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -264,8 +264,9 @@
 /* requests.c */
 /* Appends an action of that request, to be filled in. */
 GwDo *GwRouter_AddDo(GArray *actions, GwDoKind kind, GwRequest *req);
-/* Puts it where it is served in its turn: by priority, then arrival. */
-void GwRequest_Wait(GwRequest *req);
+/* Sends the request, keeps it waiting, or refuses it. */
+void GwRequest_Place(GwRouter *r, int64_t now_us, GwRequest *req,
+                     GArray *actions);
 void GwRouter_EarnRetry(GwRouter *r, GwServiceState *service);
 /* Entries that could be alive: what is bounded for all together is divided by
  * this. */
@@ -275,6 +276,14 @@
 uint32_t GwRouter_ComebackMs(GwRouter *r);
 /* Frees the servers that nothing names any more; each step begins with it. */
 void GwRouter_FreeFreed(GwRouter *r, const GArray *actions);
+
+/* waiting.c */
+/* Puts it where it is served in its turn: by priority, then arrival. */
+void GwRequest_Wait(GwRequest *req);
+void GwRequest_StopWaiting(GwRequest *req);
+/* For one that waits: in this pass, those behind it find a slot less there. */
+void GwServer_Claim(GwServer *s);
+/* Places what waits for the service, as far as that may have changed. */
 void GwRouter_Pump(GwRouter *r, int64_t now_us, GwServiceState *service,
                    GArray *actions);
 
