A request that has waited goes on the connection that its room came with

Callers saw nothing; entries made a new connection for each request that had waited, and closed the one on which the answer had come.

Cause: what an answer leads to was carried out while that answer was still being parsed, so its connection was taken for one with bytes unread behind it. Ruled out: idle limits and the bound on kept connections.

Change: it is carried out once the whole read is parsed. A second answer in the same read is seen before the connection is used again.

Measured: edge_links/what_has_waited_goes_on_the_connection_that_is_free: 6 connections for 6 requests in two slots before, 2 now.

--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -362,8 +362,9 @@
     return ours != NULL && strcmp(theirs, ours) == 0;
 }
 
-/* Keeps the connection for the next request, if the server goes on with it. */
-static void
+/* Keeps the connection for the next request, if the server goes on with it;
+ * else it is gone. */
+static bool
 put_back(GwServerLink *link, const GwHttpMessage *msg)
 {
     const char *keep = GwHttpMessage_Get(msg, "keep-alive");
@@ -381,9 +382,22 @@
     if (!msg->keep_alive || !msg->framed || link->spoiled ||
         link->pool->server == NULL) {
         discard(link);
-        return;
+        return false;
     }
-    trim_idle(link->pool);
+    GwPool *pool = link->pool;
+    trim_idle(pool); /* this one last */
+    return !g_queue_is_empty(&pool->idle);
+}
+
+/* What an answer leads to is carried out once the whole read is parsed: only
+ * then is it known that nothing stands behind the answer, and the next request
+ * can go on its connection. */
+static void
+on_read(void *owner)
+{
+    const GwServerLink *link = owner;
+
+    GwEdge_Carry(link->edge);
 }
 
 static void
@@ -396,6 +410,7 @@
     if (x == NULL) {
         GwHttpMessage_Free(msg);
         discard(link); /* an answer that nobody waits for */
+        GwEdge_Carry(edge);
         return;
     }
     if (msg->status < 200) {
@@ -410,9 +425,11 @@
     GwAttemptEnd end = end_of(link, msg);
     x->answer = msg;
     x->link = NULL;
-    put_back(link, msg);
+    bool kept = put_back(link, msg);
     report(x, &end);
-    GwEdge_Carry(edge);
+    if (!kept) {
+        GwEdge_Carry(edge);
+    }
 }
 
 static void
@@ -431,8 +448,8 @@
         GwAttemptEnd end = {.outcome =
                                 sent ? GW_ATTEMPT_BROKEN : GW_ATTEMPT_UNSENT};
         report(x, &end);
-        GwEdge_Carry(edge);
     }
+    GwEdge_Carry(edge);
 }
 
 static bool
@@ -447,6 +464,7 @@
 static const GwConnOps link_ops = {
     .connected = on_connected,
     .message = on_message,
+    .read = on_read,
     .to_head = on_to_head,
     .ended = on_ended,
 };
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -138,7 +138,7 @@
         end(c, len == UV_EOF && error == GW_HTTP_OK ? GW_CONN_ENDED
                                                     : GW_CONN_FAILED);
     }
-    else if (c->params.ops->read != NULL && !c->finishing) {
+    else if (c->params.ops->read != NULL && !c->closing && !c->finishing) {
         c->params.ops->read(c->params.owner);
     }
     GwConn_FreeIfOver(c);
