A full entry closes the connection that was idle longest

Callers of an entry at which a third of its descriptors are taken waited to be accepted until one of the others left, though most of those asked nothing: for as long as the configuration lets a connection be idle.

Cause: callers' connections were bounded without a way to make room. Ruled out: more descriptors for callers (each request needs another to its server).

Change: connections are kept in the order in which they became idle, and the first that has nothing under way is closed, unread, for the one that comes.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -1,5 +1,5 @@
 /* Callers' connections: requests in, answers out in the same order. */
-#include "edge/edge_internal.h"
+#include "edge/callers_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -7,31 +7,8 @@
 /* Requests of one connection that are under way at once; what comes behind
  * them stays unread, so a caller that never reads holds no more than this. */
 #define PIPELINE_MAX 32
-/* Of the descriptors, what callers' connections may take: each request under
- * way needs one more, to its server, and kept ones stay open beside them. With
- * none left no server can be reached, and the loop accepts without end. */
-#define CALLERS_SHARE 3
 /* When a caller whose body found no room may come back. */
 #define NO_ROOM_RETRY_MS 1000
-/* For the last answers to arrive on a connection that is closed: one that has
- * been idle, and at the end of the process, which is killed soon after. */
-#define IDLE_WAIT_MS 10000
-#define END_WAIT_MS  500
-
-struct GwCaller_s {
-    GwEdge *edge;
-    GwConn *conn;
-    GList link;       /* in edge->callers */
-    GQueue exchanges; /* GwExchange, oldest first */
-    int64_t idle_since_us;
-    uint32_t idle_limit_ms;  /* in force when it became idle */
-    bool arriving;           /* its last answer may not have arrived */
-    int64_t inside_since_us; /* a message has begun to come; 0: none */
-    bool dirty;              /* in edge->dirty: answers wait to be sent */
-    bool gone;               /* in edge->gone: it has left */
-    uint16_t bad_status; /* to be said when the rest is answered; 0: none */
-};
-
 static void
 free_exchange(GwExchange *x)
 {
@@ -63,8 +40,8 @@
 
 /* The connection is gone or about to be: what is under way is abandoned, and
  * ends in that way. */
-static void
-free_caller(GwCaller *caller, GwRequestEnd open_end)
+void
+GwCaller_Free(GwCaller *caller, GwRequestEnd open_end)
 {
     GwEdge *edge = caller->edge;
     GwExchange *x;
@@ -91,8 +68,8 @@
 }
 
 /* Its answers are sent once all that the router said is carried out. */
-static void
-mark(GwCaller *caller)
+void
+GwCaller_Mark(GwCaller *caller)
 {
     if (!caller->dirty) {
         caller->dirty = true;
@@ -100,30 +77,6 @@
     }
 }
 
-static GwCallerLimits
-limits_of(const GwEdge *edge)
-{
-    const GwRouting *routing = GwRouter_Routing(edge->router);
-
-    if (routing != NULL) {
-        return routing->limits;
-    }
-    return (GwCallerLimits){
-        .head_bytes = GW_DEFAULT_HEAD_BYTES,
-        .body_bytes = GW_DEFAULT_BODY_BYTES,
-        .head_timeout_ms = GW_DEFAULT_HEAD_TIMEOUT_MS,
-        .idle_timeout_ms = GW_DEFAULT_IDLE_TIMEOUT_MS,
-    };
-}
-
-/* From here on the connection is idle, unless something is under way. */
-static void
-begin_idle(GwCaller *caller)
-{
-    caller->idle_since_us = GwEdge_Now();
-    caller->idle_limit_ms = limits_of(caller->edge).idle_timeout_ms;
-}
-
 bool
 GwExchange_HasCaller(GwExchange *x)
 {
@@ -145,7 +98,7 @@
 
     if (caller != NULL) {
         GwConn_Close(caller->conn);
-        free_caller(caller, GW_END_LEFT);
+        GwCaller_Free(caller, GW_END_LEFT);
     }
 }
 
@@ -272,7 +225,7 @@
         free_exchange(x);
         x = g_queue_peek_head(&caller->exchanges);
     }
-    begin_idle(caller);
+    GwCaller_BeginIdle(caller);
     caller->arriving = true;
     if (x == NULL && caller->bad_status != 0) {
         GString *out = g_string_new(NULL);
@@ -284,7 +237,7 @@
     }
     if (close) {
         GwConn_FinishAndClose(caller->conn);
-        free_caller(caller, GW_END_CUT);
+        GwCaller_Free(caller, GW_END_CUT);
         return;
     }
     GwConn_Pause(caller->conn,
@@ -344,7 +297,7 @@
 
     if (end != GW_CONN_BAD) {
         GwEdge_NoticeStop(edge);
-        free_caller(caller, GW_END_LEFT);
+        GwCaller_Free(caller, GW_END_LEFT);
         GwEdge_Carry(edge);
         return;
     }
@@ -362,7 +315,7 @@
         caller->bad_status = 400;
         break;
     }
-    mark(caller);
+    GwCaller_Mark(caller);
     GwEdge_Carry(edge);
 }
 
@@ -391,17 +344,11 @@
     .dropped = on_dropped,
 };
 
-static bool
-is_full(const GwEdge *edge)
-{
-    return !edge->leaving && g_queue_get_length((GQueue *)&edge->callers) >=
-                                 edge->settings->fd_limit / CALLERS_SHARE;
-}
-
 void
 GwCallers_Resume(GwEdge *edge)
 {
-    if (edge->callers_wait && edge->call_listener != NULL) {
+    if (edge->callers_wait && edge->call_listener != NULL &&
+        GwCallers_HaveRoom(edge)) {
         edge->callers_wait = false;
         GwCallers_OnConnection((uv_stream_t *)edge->call_listener, 0);
     }
@@ -413,12 +360,12 @@
 GwCallers_OnConnection(uv_stream_t *listener, int status)
 {
     GwEdge *edge = listener->data;
-    GwCallerLimits limits = limits_of(edge);
+    GwCallerLimits limits = GwCallers_Limits(edge);
 
     if (status != 0) {
         return;
     }
-    edge->callers_wait = is_full(edge);
+    edge->callers_wait = !GwCallers_MakeRoom(edge);
     if (edge->callers_wait) {
         return;
     }
@@ -435,13 +382,13 @@
     };
     caller->edge = edge;
     caller->link.data = caller;
-    begin_idle(caller);
     caller->conn = GwConn_Accept(&params, listener);
     if (caller->conn == NULL) {
         g_free(caller);
         return;
     }
     g_queue_push_tail_link(&edge->callers, &caller->link);
+    GwCaller_BeginIdle(caller);
 }
 
 /* ---- Ends of requests ---------------------------------------------------- */
@@ -452,7 +399,7 @@
     x->request = NULL;
     x->out = g_string_new(NULL);
     write_own(x->out, status, retry_after_ms, false);
-    mark(x->caller);
+    GwCaller_Mark(x->caller);
 }
 
 void
@@ -465,113 +412,5 @@
     x->request = NULL;
     x->out = g_string_sized_new(x->answer->body->len + 512);
     GwHttpMessage_WriteAnswer(x->answer, &how, x->out);
-    mark(x->caller);
-}
-
-/* ---- Time ---------------------------------------------------------------- */
-
-static bool
-is_late(int64_t since_us, uint32_t limit_ms, int64_t now_us)
-{
-    return now_us - since_us > (int64_t)limit_ms * 1000;
-}
-
-/* Nothing is under way, nor has a request begun to come: one that came while
- * the process stood still waits unread when the limits are looked at. */
-static bool
-is_idle(const GwCaller *caller)
-{
-    return caller->exchanges.head == NULL && !GwConn_IsInside(caller->conn) &&
-           !GwConn_HasUnread(caller->conn);
-}
-
-/* Half a request has come. */
-static void
-sweep_inside(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
-{
-    bool in_head = GwConn_IsInHead(caller->conn);
-
-    if (caller->inside_since_us == 0) {
-        caller->inside_since_us = now_us;
-    }
-    uint32_t limit_ms =
-        in_head ? limits->head_timeout_ms : limits->idle_timeout_ms;
-    int64_t since =
-        in_head ? caller->inside_since_us : GwConn_LastHeard(caller->conn);
-    /* What waits unread was sent in time: the process stood still. */
-    if (caller->bad_status == 0 && is_late(since, limit_ms, now_us) &&
-        !GwConn_HasUnread(caller->conn)) {
-        caller->bad_status = 408; /* it was not whole, so it did not run */
-        mark(caller);
-    }
-}
-
-static void
-sweep_one(GwCaller *caller, const GwCallerLimits *limits, int64_t now_us)
-{
-    /* The loop tells an end only where it reads; the requests would go on at
-     * servers, for nobody. */
-    if (GwConn_IsPaused(caller->conn) && GwConn_HasEnded(caller->conn)) {
-        GwConn_Close(caller->conn);
-        free_caller(caller, GW_END_LEFT);
-        return;
-    }
-    GwConn_SetLimits(caller->conn, limits->head_bytes, limits->body_bytes);
-    if (GwConn_IsInside(caller->conn)) {
-        sweep_inside(caller, limits, now_us);
-        return;
-    }
-    /* Its caller counts from the arrival of the answer, which takes its time on
-     * a narrow link. */
-    if (caller->arriving && GwConn_HasArrived(caller->conn)) {
-        caller->arriving = false;
-        caller->idle_since_us = now_us;
-    }
-    /* A lowered limit holds from the next time that it becomes idle: its caller
-     * counts on the one that was in force, and a request would cross the
-     * close. Callers may know a raised one already. */
-    uint32_t idle_ms = MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
-    if (is_late(caller->idle_since_us, idle_ms, now_us) && is_idle(caller)) {
-        GwConn_CloseUnread(caller->conn, IDLE_WAIT_MS);
-        free_caller(caller, GW_END_CUT);
-    }
-}
-
-void
-GwCallers_Sweep(GwEdge *edge, int64_t now_us)
-{
-    GwCallerLimits limits = limits_of(edge);
-
-    for (GList *at = edge->callers.head, *next; at != NULL; at = next) {
-        next = at->next;
-        sweep_one(at->data, &limits, now_us);
-    }
-}
-
-/* The lines of what is cut go out first: the process may be killed while the
- * last answers are on their way. */
-void
-GwCallers_CloseAll(GwEdge *edge)
-{
-    GwCaller *caller;
-
-    edge->callers_wait = false; /* nobody is accepted any more */
-    while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
-        GwConn_CloseUnread(caller->conn, END_WAIT_MS);
-        free_caller(caller, GW_END_CUT);
-    }
-    GwLog_Flush();
-}
-
-void
-GwCallers_CloseIdle(GwEdge *edge)
-{
-    for (GList *at = edge->callers.head, *next; at != NULL; at = next) {
-        GwCaller *caller = at->data;
-        next = at->next;
-        if (is_idle(caller)) {
-            GwConn_CloseUnread(caller->conn, IDLE_WAIT_MS);
-            free_caller(caller, GW_END_CUT);
-        }
-    }
+    GwCaller_Mark(x->caller);
 }
