Ports that tests take are theirs while they live

Seen: 'can't listen' in one of three runs of the cases with an entry in their process, beside other tests. Cause: a port was looked at by binding and closing it, and listened at later; processes whose ids differ by 258 walk over the same ports.

--- a/tests/fakes/free_port.h
+++ b/tests/fakes/free_port.h
@@ -4,9 +4,11 @@
 
 #include "config/model.h"
 
-/* The port lies below the range from which the kernel takes the ports of
- * outgoing connections: a connection to a free port in that range can be
- * given the very same port, and then connects to itself. */
+/* Nobody else who asks here, in any process, gets the same port while this
+ * process lives: a port that is only looked at may be taken by another test
+ * before it is listened at. The port lies below the range from which the kernel
+ * takes the ports of outgoing connections: a connection to a free port in that
+ * range can be given the very same port, and then connects to itself. */
 void FreePort_Address(char out[GW_ADDR_MAX]);
 
 #endif
