A stopping entry is not ready, also before its loop has heard of the signal

The two safeguards of stops that no case caught: the notice at the end of an attempt, and readiness.

Ruled out: a further case for the first.

Change: edge_stop/not_ready_from_the_signal_on, an entry with its store, told to stop between two turns of its loop.

--- a/tests/unit/test_edge_stop.c
+++ b/tests/unit/test_edge_stop.c
@@ -1,6 +1,7 @@
 /* A stop of an entry in the process of the test: callers are plain sockets, and
  * the loop runs when the test says so. */
 #include "fakes/edge_host.h"
+#include "fakes/raw_server.h"
 
 #include <criterion/criterion.h>
 #include <signal.h>
@@ -155,6 +156,49 @@
     finish(&stop);
 }
 
+#define EMPTY_TABLE                                                           \
+    "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{\"rows\":[],\"ver\":1}"
+
+static bool
+is_ready(void *ctx)
+{
+    return GwEdge_IsReady(((Stop *)ctx)->h->edge);
+}
+
+static guint
+count_named(const Stop *stop)
+{
+    GPtrArray *named = GwPeers_Directory(stop->h->edge->peers, "r1", "d1");
+    guint count = named->len;
+
+    g_ptr_array_free(named, TRUE);
+    return count;
+}
+
+/* Callers are sent to an entry that has been told to stop. */
+Test(edge_stop, not_ready_from_the_signal_on, .timeout = 30)
+{
+    static const RawStep plan[RAW_CONNECTIONS_MAX][RAW_STEPS_MAX] = {
+        {{RAW_ANSWER, EMPTY_TABLE}, {RAW_STALL, NULL}},
+        {{RAW_ANSWER, EMPTY_TABLE}, {RAW_STALL, NULL}},
+        {{RAW_ANSWER, EMPTY_TABLE}, {RAW_STALL, NULL}},
+        {{RAW_ANSWER, EMPTY_TABLE}, {RAW_STALL, NULL}},
+    };
+    RawServer *store = RawServer_Start(plan);
+    Stop stop = start(4);
+    GwEdgeSettings *settings = stop.h->edge->settings;
+
+    g_strlcpy(settings->store_address, RawServer_Address(store),
+              sizeof(settings->store_address));
+    cr_assert(EdgeHost_Until(stop.h, is_ready, &stop));
+    cr_expect_eq(count_named(&stop), 1);
+    (void)raise(SIGTERM); /* the loop has not heard of it yet */
+    cr_expect_not(is_ready(&stop));
+    cr_expect_eq(count_named(&stop), 0);
+    finish(&stop);
+    RawServer_Stop(store);
+}
+
 /* Several come in one piece, and none can end in the stop. Each is refused, and
  * the last alone closes the connection: what is read behind an answer that
  * closes it would get nothing. */
