Count control bytes by what they are for and how far they go

Cause: what entries spend on each other was one counter of datagrams and one of rows, so nobody could say what grows with size, or which bytes are paid for.

Change: gw_control_bytes_total{kind,way}, and a line CONTROL_COST every 10 s with the calls to the store. Callers' traffic is not in it.

Ruled out: counting rows where they are told; the teller does not know how far the asker is, the asker does.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -16,6 +16,7 @@
     X(SETTINGS_AGAIN, 104, INFO, "the settings are to be read again") \
     X(STOP_LISTENING, 105, INFO, "a stopping process takes no new connection") \
     X(LOOP_LATE, 106, WARN, "a turn of the event loop took long") \
+    X(CONTROL_COST, 107, INFO, "bytes spent on other entries, by kind") \
     /* 200: configuration */ \
     X(CONFIG_IN_FORCE, 200, INFO, "a configuration version is in force") \
     X(CONFIG_REFUSED, 201, ERROR, "a configuration document was refused") \
--- /dev/null
+++ b/lib/edge/control_cost.c
@@ -0,0 +1,70 @@
+#include "edge/control_cost.h"
+
+#include <inttypes.h>
+
+const char *
+GwControlKind_Name(GwControlKind kind)
+{
+    static const char *const names[GW_CONTROL_KIND_COUNT] = {
+        [GW_CONTROL_SIGNS] = "signs", [GW_CONTROL_LOADS] = "loads",
+        [GW_CONTROL_SUMS] = "sums",   [GW_CONTROL_PLACES] = "places",
+        [GW_CONTROL_ROWS] = "rows",
+    };
+
+    return names[kind];
+}
+
+const char *
+GwWay_Name(GwWay way)
+{
+    static const char *const names[GW_WAY_COUNT] = {
+        [GW_WAY_DOMAIN] = "domain",
+        [GW_WAY_REGION] = "region",
+        [GW_WAY_FAR] = "far",
+    };
+
+    return names[way];
+}
+
+uint64_t
+GwControlCost_Total(const GwControlCost *cost)
+{
+    uint64_t total = 0;
+
+    for (int kind = 0; kind < GW_CONTROL_KIND_COUNT; kind++) {
+        for (int way = 0; way < GW_WAY_COUNT; way++) {
+            total += cost->bytes[kind][way];
+        }
+    }
+    return total;
+}
+
+void
+GwControlCost_Write(const GwControlCost *cost, GString *out)
+{
+    g_string_append(out, "# TYPE gw_control_bytes_total counter\n");
+    for (int kind = 0; kind < GW_CONTROL_KIND_COUNT; kind++) {
+        for (int way = 0; way < GW_WAY_COUNT; way++) {
+            g_string_append_printf(
+                out,
+                "gw_control_bytes_total{kind=\"%s\",way=\"%s\"} %" PRIu64 "\n",
+                GwControlKind_Name((GwControlKind)kind),
+                GwWay_Name((GwWay)way), cost->bytes[kind][way]);
+        }
+    }
+}
+
+void
+GwControlCost_WriteLine(const GwControlCost *cost, const GwControlCost *before,
+                        GString *out)
+{
+    for (int kind = 0; kind < GW_CONTROL_KIND_COUNT; kind++) {
+        g_string_append_printf(
+            out, " %s=", GwControlKind_Name((GwControlKind)kind));
+        for (int way = 0; way < GW_WAY_COUNT; way++) {
+            g_string_append_printf(out, "%s%" PRIu64, way > 0 ? "/" : "",
+                                   cost->bytes[kind][way] -
+                                       before->bytes[kind][way]);
+        }
+    }
+}
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -9,6 +9,8 @@
 /* Lines are written out every half second: each write is paid for, and a
  * killed process loses what it has not written. */
 #define LOG_FLUSH_SWEEPS 2
+/* Between two lines of what is spent on other entries. */
+#define COST_PERIOD_US 10000000
 /* A timer may fire before its time by what its clock is too coarse for. */
 #define TIMER_EARLY_US 2000
 
@@ -205,6 +207,22 @@
     GwEdge_Reload(handle->data, true);
 }
 
+static void
+log_cost(GwEdge *edge, int64_t now_us)
+{
+    GString *line = g_string_new(NULL);
+
+    GwControlCost_WriteLine(&edge->cost, &edge->cost_logged, line);
+    GwLog_Event(GW_LOG_CONTROL_COST, "span_ms=%" PRId64 " calls=%" PRIu64 "%s",
+                (now_us - edge->cost_logged_us) / 1000,
+                edge->counts.store_calls - edge->store_calls_logged,
+                line->str);
+    g_string_free(line, TRUE);
+    edge->cost_logged = edge->cost;
+    edge->store_calls_logged = edge->counts.store_calls;
+    edge->cost_logged_us = now_us;
+}
+
 static void
 on_sweep(uv_timer_t *timer)
 {
@@ -222,6 +240,9 @@
         GwEdge_GoOnLeaving(edge, now_us);
     }
     GwEdge_Carry(edge);
+    if (now_us - edge->cost_logged_us >= COST_PERIOD_US) {
+        log_cost(edge, now_us);
+    }
     if (++edge->sweeps % LOG_FLUSH_SWEEPS == 0) {
         GwLog_Flush();
     }
@@ -284,6 +305,7 @@
     edge->turns = GwTurns_Create(&edge->loop, on_long_turn, edge);
     edge->bodies.max = (uint64_t)settings->memory_mb * BODIES_SHARE;
     edge->started_us = GwEdge_Now();
+    edge->cost_logged_us = edge->started_us;
     edge->armed_us = INT64_MAX;
     edge->controls =
         g_ptr_array_new_with_free_func((GDestroyNotify)GwServe_Free);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "config/model.h"
+#include "edge/control_cost.h"
 #include "edge/edge.h"
 #include "godwitridge_errors.h"
 #include "edge/meters.h"
@@ -83,10 +84,12 @@
         uint64_t reuses;
         uint64_t store_calls;
         uint64_t reports;
-        uint64_t report_bytes;
         uint64_t row_bytes_out; /* rows told to peers */
-        uint64_t row_bytes_in;  /* and learned from them */
     } counts;
+    GwControlCost cost;        /* datagrams sent, rows received */
+    GwControlCost cost_logged; /* as of the last CONTROL_COST */
+    uint64_t store_calls_logged;
+    int64_t cost_logged_us;
 };
 
 int64_t GwEdge_Now(void); /* us, a clock that only rises */
@@ -196,6 +199,8 @@
 void GwPeers_Hurry(GwPeers *peers);
 /* The same, to those of the failure domain. */
 void GwPeers_HurryDomain(GwPeers *peers);
+/* How far bytes go to and from the peer of that address. */
+GwWay GwPeers_WayTo(const GwPeers *peers, const char *address);
 /* Addresses for callers of that place, best first. */
 GPtrArray *GwPeers_Directory(const GwPeers *peers, const char *region,
                              const char *domain);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -413,7 +413,10 @@
         ask_peer(feed);
         return;
     }
-    feed->edge->counts.row_bytes_in += msg->body->len;
+    if (!feed->peer_is_store) {
+        GwWay way = GwPeers_WayTo(feed->edge->peers, feed->peer_address);
+        feed->edge->cost.bytes[GW_CONTROL_ROWS][way] += msg->body->len;
+    }
     if (msg->status == 200) {
         set = feed->edge->adapter->read_rows(msg->body->str, msg->body->len,
                                              NULL);
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -76,6 +76,26 @@
            now_us - peer->heard_us < MAX(limit_us, SILENT_MIN_US);
 }
 
+GwWay
+GwPeerEntry_Way(const GwPeers *peers, const GwPeerEntry *peer)
+{
+    const GwRouterParams *own = &peers->edge->settings->router;
+
+    if (strcmp(peer->region, own->region) != 0) {
+        return GW_WAY_FAR;
+    }
+    return strcmp(peer->domain, own->domain) == 0 ? GW_WAY_DOMAIN
+                                                  : GW_WAY_REGION;
+}
+
+GwWay
+GwPeers_WayTo(const GwPeers *peers, const char *address)
+{
+    const GwPeerEntry *peer = g_hash_table_lookup(peers->by_address, address);
+
+    return peer != NULL ? GwPeerEntry_Way(peers, peer) : GW_WAY_FAR;
+}
+
 GwPeerScan
 GwPeers_Scan(const GwPeers *peers, const char *region, const char *domain)
 {
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -128,6 +128,7 @@
 
 /* places.c */
 bool GwPeers_IsNear(const GwPeers *peers, const GwPeerEntry *peer);
+GwWay GwPeerEntry_Way(const GwPeers *peers, const GwPeerEntry *peer);
 /* What the next report tells the peer, in place of `out`: GwPlacement. Returns
  * how many of them, the first, are known to be warm. */
 uint32_t GwPeers_PlacementsFor(GwPeers *peers, GwPeerEntry *peer,
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -224,6 +224,36 @@
     }
 }
 
+static size_t
+loads_size(const Report *report)
+{
+    size_t size = 0;
+
+    for (size_t i = 0; i < report->n_sums; i++) {
+        size += gw__peer__sum__get_packed_size(report->sums[i]);
+    }
+    for (size_t i = 0; i < report->n_load_counts; i++) {
+        size += sizeof(uint32_t) + 1 + (report->load_counts[i] > 127);
+    }
+    return size;
+}
+
+static void
+note_cost(const GwPeers *peers, const GwPeerEntry *peer, const Report *report,
+          size_t len)
+{
+    GwControlCost *cost = &peers->edge->cost;
+    GwWay way = GwPeerEntry_Way(peers, peer);
+    size_t loads = loads_size(report);
+    size_t places =
+        report->n_placed_objects * (sizeof(uint64_t) + sizeof(uint32_t));
+
+    cost->bytes[report->n_sums > 0 ? GW_CONTROL_SUMS : GW_CONTROL_LOADS]
+               [way] += loads;
+    cost->bytes[GW_CONTROL_PLACES][way] += places;
+    cost->bytes[GW_CONTROL_SIGNS][way] += len - loads - places;
+}
+
 void
 GwPeers_Tell(GwPeers *peers, GwPeerEntry *peer, bool with_known)
 {
@@ -260,7 +290,7 @@
         size_t len = gw__peer__report__pack(&report, bytes);
         uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
         edge->counts.reports++;
-        edge->counts.report_bytes += len;
+        note_cost(peers, peer, &report, len);
         peer->told_bytes = (uint32_t)len;
         (void)uv_udp_try_send(&peers->udp, &buf, 1,
                               (const struct sockaddr *)&peer->to);
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -67,9 +67,8 @@
     write_counter(out, "gw_reuses_total", edge->counts.reuses);
     write_counter(out, "gw_store_calls_total", edge->counts.store_calls);
     write_counter(out, "gw_reports_total", edge->counts.reports);
-    write_counter(out, "gw_report_bytes_total", edge->counts.report_bytes);
     write_counter(out, "gw_row_bytes_out_total", edge->counts.row_bytes_out);
-    write_counter(out, "gw_row_bytes_in_total", edge->counts.row_bytes_in);
+    GwControlCost_Write(&edge->cost, out);
     write_counter(out, "gw_log_dropped_total", GwLog_Dropped());
     write_counter(out, "gw_loop_busy_ms_total",
                   (uint64_t)turns.busy_us / 1000);
