Rows go to peers packed, compressed and only where they say something new

Ruled out: whole tables asked for because marks of removals had been forgotten (they live 120 s).

Change: a server's countdown that goes as expected is no news, and the version that entries compare rises with news only. A peer that knows an older version says by a digest what it has, and is told that this is all. Rows between entries are protobuf under zstd in place of base64 in JSON. Reads from peers have a file of their own.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 MUTANT  ?=
 
 PKGS    := glib-2.0 json-c libprotobuf-c libcurl popt log4c libxxhash \
-           liburcu liburcu-memb libuv
+           liburcu liburcu-memb libuv libzstd
 CFLAGS  ?= -O2 -g
 CSTD    := -std=gnu11 -D_GNU_SOURCE
 WARN    := -Wall -Wextra -Werror -Wshadow -Wvla -Wno-unused-parameter
--- /dev/null
+++ b/fuzz/fuzz_rows.c
@@ -0,0 +1,36 @@
+/* Rows from a peer, and what peers ask for: nothing may crash, and rows that
+ * are accepted are the same after a trip over the wire. */
+#include "store/rows_wire.h"
+
+#include <stdlib.h>
+
+static void
+unpack(const char *bytes, size_t len)
+{
+    GwRowSet *set = GwRowSet_Unpack(bytes, len);
+
+    if (set == NULL) {
+        return;
+    }
+    GByteArray *again = GwRowSet_Pack(set);
+    GwRowSet *second = GwRowSet_Unpack((const char *)again->data, again->len);
+    if (second == NULL || second->rows->len != set->rows->len ||
+        second->version != set->version) {
+        abort();
+    }
+    GwRowSet_Free(second);
+    GwRowSet_Free(set);
+    g_byte_array_free(again, TRUE);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    char *text = g_strndup((const char *)data, size);
+    GwRowsAsk ask;
+
+    unpack((const char *)data, size);
+    (void)GwRowsAsk_ReadTarget(text, &ask);
+    g_free(text);
+    return 0;
+}
--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -8,7 +8,7 @@
 out=build-fuzz
 mkdir -p "$out"
 pkgs=(glib-2.0 json-c libprotobuf-c libcurl popt log4c libxxhash liburcu
-      liburcu-memb)
+      liburcu-memb libzstd)
 read -ra cflags < <(pkg-config --cflags "${pkgs[@]}")
 read -ra libs < <(pkg-config --libs "${pkgs[@]}")
 san=-fsanitize=fuzzer,address,undefined
--- a/lib/edge/beliefs.c
+++ b/lib/edge/beliefs.c
@@ -47,6 +47,39 @@
     }
 }
 
+/* A server's own count of how long it stays cold may be off by this before
+ * entries are told: it is cold for longer, or warm sooner, than they believe.
+ * Sent work too early it falls over; too late costs a little room. */
+#define COLD_LONGER_MS 300
+#define WARM_SOONER_MS 2000
+
+static bool
+is_same_server(const GwRegistered *a, const GwRegistered *b)
+{
+    return a->born_ms == b->born_ms && a->slots == b->slots &&
+           a->draining == b->draining && strcmp(a->service, b->service) == 0 &&
+           strcmp(a->address, b->address) == 0 &&
+           strcmp(a->domain, b->domain) == 0;
+}
+
+bool
+GwBeliefs_IsNews(void *ctx, const char *key, const char *old, int64_t age_us,
+                 const char *value)
+{
+    const GwAdapter *adapter = ((GwEdge *)ctx)->adapter;
+    GwRegistered was;
+    GwRegistered is;
+
+    if (!adapter->read_server(key, old, &was, NULL) ||
+        !adapter->read_server(key, value, &is, NULL) ||
+        !is_same_server(&was, &is)) {
+        return true;
+    }
+    int64_t expected_ms = MAX(was.warmup_left_ms - age_us / 1000, 0);
+    int64_t longer_ms = is.warmup_left_ms - expected_ms;
+    return longer_ms > COLD_LONGER_MS || longer_ms < -WARM_SOONER_MS;
+}
+
 void
 GwBeliefs_OnServerRow(void *ctx, const GwStoreRow *row)
 {
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -69,21 +69,27 @@
 static void
 answer_rows(GwEdge *edge, GwClient *client, const char *target)
 {
-    char *table = NULL;
-    char *body = NULL;
-    uint64_t after = 0;
-    uint16_t status = 404;
-
-    if (edge->adapter->parse_feed_target(target, &table, &after)) {
-        status = GwFeed_Answer(edge->operator_feed, table, after, &body);
-        if (status == 404) {
-            status = GwFeed_Answer(edge->server_feed, table, after, &body);
+    GwFeed *const feeds[] = {edge->operator_feed, edge->server_feed};
+    GwServeAnswer answer = {.status = 404, .body = "{}"};
+    GByteArray *rows = NULL;
+    GwRowsAsk ask;
+
+    if (GwRowsAsk_ReadTarget(target, &ask)) {
+        for (size_t i = 0; i < G_N_ELEMENTS(feeds) && answer.status == 404;
+             i++) {
+            rows = GwFeed_Answer(feeds[i], &ask, &answer.status);
         }
     }
-    send_answer(client, status, NULL, body != NULL ? body : "{}");
-    edge->counts.row_bytes_out += body != NULL ? strlen(body) : 0;
-    g_free(body);
-    g_free(table);
+    if (rows != NULL) {
+        answer.type = "application/octet-stream";
+        answer.body = (const char *)rows->data;
+        answer.body_len = rows->len;
+        edge->counts.row_bytes_out += rows->len;
+        GwClient_Answer(client, &answer);
+        g_byte_array_free(rows, TRUE);
+        return;
+    }
+    GwClient_Answer(client, &answer);
 }
 
 static bool
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -316,6 +316,7 @@
         GwFeed_Create(edge, adapter->operator_table, GwBeliefs_OnOperatorRow);
     edge->server_feed =
         GwFeed_Create(edge, adapter->server_table, GwBeliefs_OnServerRow);
+    GwFeed_SetIsNews(edge->server_feed, GwBeliefs_IsNews);
     edge->peers = GwPeers_Create(edge, &why);
     start_timers(edge);
     if (why != NULL || !listen_all(edge, &why)) {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -11,6 +11,7 @@
 #include "edge/stop_signal.h"
 #include "edge/turns.h"
 #include "http/serve.h"
+#include "store/rows_wire.h"
 
 #include <inttypes.h>
 
@@ -139,6 +140,7 @@
 /* feed.c */
 void GwFeed_Close(GwFeed *feed);
 GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed);
+void GwFeed_SetIsNews(GwFeed *feed, GwRowIsNews is_news);
 void GwFeed_Free(GwFeed *feed);
 void GwFeed_Sweep(GwFeed *feed, int64_t now_us);
 /* Whether this entry reads the table from the store, or leaves that to peers. */
@@ -163,14 +165,17 @@
 bool GwFeed_MayAskStore(const GwFeed *feed);
 /* About how many bytes a peer would be told that knows that version. */
 uint64_t GwFeed_BytesAfter(const GwFeed *feed, uint64_t version);
-/* Answers a peer's read of this copy: 200 with a body, freed by g_free; 404
- * for another table or an unknown one; 410 when the peer has to read all. */
-uint16_t GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after,
-                       char **body);
+/* Answers a peer's read of this copy: 200 with packed rows; 404 for another
+ * table or an unknown one; 410 when the peer has to read all. */
+GByteArray *GwFeed_Answer(const GwFeed *feed, const GwRowsAsk *ask,
+                          uint16_t *status);
 
 /* beliefs.c */
 void GwBeliefs_OnOperatorRow(void *ctx, const GwStoreRow *row);
 void GwBeliefs_OnServerRow(void *ctx, const GwStoreRow *row);
+/* GwRowIsNews of servers' rows. */
+bool GwBeliefs_IsNews(void *ctx, const char *key, const char *old,
+                      int64_t age_us, const char *value);
 
 /* status.c */
 void GwStatus_WriteMetrics(GwEdge *edge, GString *out);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -1,6 +1,6 @@
-/* The store's rows: one long poll for each table, a full reading where the
- * history is gone, and peers while the store turns this entry away. */
-#include "edge/edge_internal.h"
+/* The store's rows: one long poll for each table, and a full reading where the
+ * history is gone. */
+#include "edge/feed_internal.h"
 #include "store/away.h"
 
 #include <stdlib.h>
@@ -13,60 +13,14 @@
 /* Between an answer and the next poll: changes come in bursts, and one poll
  * brings them all. */
 #define PAUSE_US 300000
-/* A copy that was fed by nobody for so long is read anew as a whole: marks of
- * dropped rows may be missing by now. */
-#define STALE_US 60000000
 /* An answer that is later than the wait by this much won't come. */
-#define ANSWER_MS 1500
-/* A peer answers at once, so that a lost one must not keep the entry from
- * asking the next: two regions' round trip and its processor's turn. Time
- * without a byte counts: on a link of 10 Mbit/s a row of 300 KB that four read
- * at once takes a second. */
-#define PEER_ANSWER_MS 600
-/* In all, so that one who dribbles doesn't keep the entry either. */
-#define PEER_WHOLE_MS 4000
-/* After a call for rows that the store did not answer, peers are asked. */
-#define STORE_FAILED_US 2000000
-#define RETRY_MIN_MS    150
-#define RETRY_MAX_MS    1000
+#define ANSWER_MS    1500
+#define RETRY_MIN_MS 150
+#define RETRY_MAX_MS 1000
 /* The store did not answer for so long: rows may have lapsed meanwhile. */
-#define AWAY_US       1000000
-#define ROWS_BODY_MAX (8u << 20)
-
-typedef enum {
-    PHASE_READ = 1, /* a full reading, page by page */
-    PHASE_FEED = 2  /* changes after `version` */
-} Phase;
-
-struct GwFeed_s {
-    GwEdge *edge;
-    char *table;
-    GwRowCache *cache;
-    GwConn *conn;
-    GwRowSet *pages;   /* of the full reading under way */
-    uint64_t version;  /* the feed goes on from here */
-    int64_t ask_at_us; /* the next poll; 0: none is due */
-    int64_t fresh_us;  /* last news, from the store or a peer */
-    int64_t asked_us;
-    int64_t retry_at_us;
-    int64_t answered_us;   /* last good answer */
-    int64_t away_until_us; /* the store was away; lapsed rows may come back */
-    uint32_t wait_ms;
-    uint32_t retry_ms;
-    Phase phase;
-    bool reads; /* this entry is one of those that read the store */
-    bool known; /* the table has been read, here or by a peer */
-    /* One read at a time from a peer, or once from the store. */
-    bool peer_full;     /* it is of the whole table */
-    bool peer_is_store; /* and it is the store that is asked */
-    GwConn *peer;
-    int64_t peer_asked_us;
-    int64_t store_failed_us; /* it did not answer such a read; 0: never */
-    char peer_address[64];
-};
+#define AWAY_US 1000000
 
 static const GwConnOps store_ops;
-static const GwConnOps peer_ops;
 
 GwFeed *
 GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed)
@@ -84,6 +38,12 @@
     return feed;
 }
 
+void
+GwFeed_SetIsNews(GwFeed *feed, GwRowIsNews is_news)
+{
+    GwRowCache_SetIsNews(feed->cache, is_news);
+}
+
 static void
 close_store(GwFeed *feed)
 {
@@ -252,7 +212,7 @@
     feed->fresh_us = now_us;
     bool news = set->rows->len > 0;
     if (feed->phase == PHASE_FEED) {
-        GwRowCache_Apply(feed->cache, now_us, set);
+        GwRowCache_ApplyChanges(feed->cache, now_us, set);
         feed->version = MAX(feed->version, set->version);
         GwRowSet_Free(set);
     }
@@ -329,193 +289,6 @@
     .ended = on_store_ended,
 };
 
-/* ---- Peers --------------------------------------------------------------- */
-
-/* The store keeps no history from the beginning, so the whole table is another
- * call there. */
-static void
-ask_peer(GwFeed *feed)
-{
-    const GwAdapter *a = feed->edge->adapter;
-    bool whole = feed->peer_full && feed->peer_is_store;
-    char *target =
-        whole ? a->read_target(feed->table, NULL)
-              : a->feed_target(feed->table,
-                               feed->peer_full ? 0 : GwFeed_Version(feed), 0);
-
-    GwConn_WriteGet(feed->peer, target,
-                    feed->peer_is_store ? feed->edge->settings->store_address
-                                        : "peer");
-    g_free(target);
-    feed->edge->counts.store_calls += feed->peer_is_store;
-}
-
-static void
-note_store_failed(GwFeed *feed)
-{
-    if (feed->peer_is_store) {
-        feed->store_failed_us = GwEdge_Now();
-    }
-}
-
-static void
-on_peer_connected(void *owner)
-{
-    GwFeed *feed = owner;
-
-    feed->peer_full = GwEdge_Now() - feed->fresh_us > STALE_US;
-    ask_peer(feed);
-}
-
-/* How an entry that does not read the store came to know what is in force. */
-static void
-log_taken(const GwFeed *feed, const GwRowSet *set)
-{
-    const GwEdge *edge = feed->edge;
-
-    if (set->rows->len > 0 && feed == edge->operator_feed) {
-        GwLog_Event(GW_LOG_ROWS_TAKEN,
-                    "rows=%u version=%" PRIu64 " from=%s address=%s "
-                    "took_ms=%" PRId64,
-                    set->rows->len, set->version,
-                    feed->peer_is_store ? "store" : "peer", feed->peer_address,
-                    (GwEdge_Now() - feed->peer_asked_us) / 1000);
-    }
-}
-
-static void
-take_from_peer(GwFeed *feed, const GwRowSet *set)
-{
-    int64_t now_us = GwEdge_Now();
-
-    log_taken(feed, set);
-
-    if (feed->peer_full || !feed->known) {
-        GwRowCache_ApplyFull(feed->cache, now_us, set);
-    }
-    else {
-        GwRowCache_Apply(feed->cache, now_us, set);
-    }
-    feed->fresh_us = now_us;
-    feed->known = true;
-}
-
-static void
-on_peer_message(void *owner, GwHttpMessage *msg)
-{
-    GwFeed *feed = owner;
-    GwRowSet *set = NULL;
-
-    if (msg->status == 410 && !feed->peer_full) {
-        /* It does not know of all that was removed since. */
-        GwHttpMessage_Free(msg);
-        feed->peer_full = true;
-        ask_peer(feed);
-        return;
-    }
-    if (!feed->peer_is_store) {
-        GwWay way = GwPeers_WayTo(feed->edge->peers, feed->peer_address);
-        feed->edge->cost.bytes[GW_CONTROL_ROWS][way] += msg->body->len;
-    }
-    if (msg->status == 200) {
-        set = feed->edge->adapter->read_rows(msg->body->str, msg->body->len,
-                                             NULL);
-    }
-    GwHttpMessage_Free(msg);
-    GwConn_CloseAt(&feed->peer);
-    if (set == NULL || set->more) {
-        note_store_failed(feed); /* a part of a table is not told as such */
-        GwRowSet_Free(set);
-        set = NULL;
-    }
-    if (set != NULL) {
-        take_from_peer(feed, set);
-        GwRowSet_Free(set);
-        GwPeers_HurryDomain(feed->edge->peers);
-        GwEdge_Carry(feed->edge);
-    }
-}
-
-static void
-on_peer_ended(void *owner, GwConnEnd end)
-{
-    GwFeed *feed = owner;
-
-    if (end == GW_CONN_BAD) {
-        GwConn_CloseAt(&feed->peer);
-    }
-    feed->peer = NULL;
-    note_store_failed(feed);
-}
-
-static const GwConnOps peer_ops = {
-    .connected = on_peer_connected,
-    .message = on_peer_message,
-    .ended = on_peer_ended,
-};
-
-static void
-read_once(GwFeed *feed, const char *address, bool is_store)
-{
-    GwConnParams params = {
-        .loop = &feed->edge->loop,
-        .ops = &peer_ops,
-        .owner = feed,
-        .head_max = 64 << 10,
-        .body_max = ROWS_BODY_MAX,
-    };
-    feed->peer_asked_us = GwEdge_Now();
-    feed->peer_is_store = is_store;
-    g_strlcpy(feed->peer_address, address, sizeof(feed->peer_address));
-    feed->peer = GwConn_Connect(&params, address);
-}
-
-void
-GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version)
-{
-    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
-        read_once(feed, address, false);
-    }
-}
-
-void
-GwFeed_AskStore(GwFeed *feed, uint64_t version)
-{
-    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
-        read_once(feed, feed->edge->settings->store_address, true);
-    }
-}
-
-bool
-GwFeed_MayAskStore(const GwFeed *feed)
-{
-    return !feed->reads &&
-           (feed->store_failed_us == 0 ||
-            GwEdge_Now() - feed->store_failed_us > STORE_FAILED_US);
-}
-
-uint64_t
-GwFeed_BytesAfter(const GwFeed *feed, uint64_t version)
-{
-    return GwRowCache_BytesAfter(feed->cache, version);
-}
-
-uint16_t
-GwFeed_Answer(const GwFeed *feed, const char *table, uint64_t after,
-              char **body)
-{
-    if (strcmp(table, feed->table) != 0 || !feed->known) {
-        return 404;
-    }
-    if (after != 0 && !GwRowCache_KnowsAllAfter(feed->cache, after)) {
-        return 410;
-    }
-    GwRowSet *set = GwRowCache_After(feed->cache, after);
-    *body = feed->edge->adapter->write_rows(feed->table, set);
-    GwRowSet_Free(set);
-    return 200;
-}
-
 /* ---- Time ---------------------------------------------------------------- */
 
 static void
@@ -526,7 +299,7 @@
         .ops = &store_ops,
         .owner = feed,
         .head_max = 64 << 10,
-        .body_max = ROWS_BODY_MAX,
+        .body_max = GW_ROWS_MAX_BYTES,
         .user_timeout_ms = ANSWER_MS,
         .keepalive = true,
     };
@@ -566,15 +339,6 @@
            feed->conn != NULL && feed->retry_ms == RETRY_MIN_MS;
 }
 
-static bool
-is_peer_silent(const GwFeed *feed, int64_t now_us)
-{
-    int64_t heard_us = MAX(feed->peer_asked_us, GwConn_LastHeard(feed->peer));
-
-    return now_us - heard_us > PEER_ANSWER_MS * 1000 ||
-           now_us - feed->peer_asked_us > PEER_WHOLE_MS * 1000;
-}
-
 void
 GwFeed_Sweep(GwFeed *feed, int64_t now_us)
 {
@@ -593,8 +357,5 @@
         GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=silent", feed->table);
         back_off(feed);
     }
-    if (feed->peer != NULL && is_peer_silent(feed, now_us)) {
-        GwConn_CloseAt(&feed->peer);
-        note_store_failed(feed);
-    }
+    GwFeed_SweepPeer(feed, now_us);
 }
--- /dev/null
+++ b/lib/edge/feed_peers.c
@@ -0,0 +1,254 @@
+/* Rows of the store that come from a peer, or go to one: what entries that do
+ * not read the store themselves live on. */
+#include "edge/feed_internal.h"
+
+#include <string.h>
+
+/* A copy that was fed by nobody for so long is read anew as a whole: marks of
+ * dropped rows may be missing by now. */
+#define STALE_US 60000000
+/* A peer answers at once, so that a lost one must not keep the entry from
+ * asking the next: two regions' round trip and its processor's turn. Time
+ * without a byte counts: on a link of 10 Mbit/s a row of 300 KB that four read
+ * at once takes a second. */
+#define PEER_ANSWER_MS 600
+/* In all, so that one who dribbles doesn't keep the entry either. */
+#define PEER_WHOLE_MS 4000
+/* After a call for rows that the store did not answer, peers are asked. */
+#define STORE_FAILED_US 2000000
+
+static const GwConnOps peer_ops;
+
+/* The store keeps no history from the beginning, so the whole table is another
+ * call there. */
+static void
+ask_store_once(GwFeed *feed)
+{
+    const GwAdapter *a = feed->edge->adapter;
+    char *target = feed->peer_full
+                       ? a->read_target(feed->table, NULL)
+                       : a->feed_target(feed->table, GwFeed_Version(feed), 0);
+
+    GwConn_WriteGet(feed->peer, target, feed->edge->settings->store_address);
+    g_free(target);
+    feed->edge->counts.store_calls++;
+}
+
+static void
+ask_peer(GwFeed *feed)
+{
+    GwRowsAsk ask = {.after = feed->peer_full ? 0 : GwFeed_Version(feed)};
+
+    if (feed->peer_is_store) {
+        ask_store_once(feed);
+        return;
+    }
+    if (ask.after > 0) {
+        ask.digest = GwRowCache_Digest(feed->cache);
+    }
+    g_strlcpy(ask.table, feed->table, sizeof(ask.table));
+    char *target = GwRowsAsk_WriteTarget(&ask);
+    GwConn_WriteGet(feed->peer, target, "peer");
+    g_free(target);
+}
+
+static void
+note_store_failed(GwFeed *feed)
+{
+    if (feed->peer_is_store) {
+        feed->store_failed_us = GwEdge_Now();
+    }
+}
+
+static void
+on_peer_connected(void *owner)
+{
+    GwFeed *feed = owner;
+
+    feed->peer_full = GwEdge_Now() - feed->fresh_us > STALE_US;
+    ask_peer(feed);
+}
+
+/* How an entry that does not read the store came to know what is in force. */
+static void
+log_taken(const GwFeed *feed, const GwRowSet *set)
+{
+    const GwEdge *edge = feed->edge;
+
+    if (set->rows->len > 0 && feed == edge->operator_feed) {
+        GwLog_Event(GW_LOG_ROWS_TAKEN,
+                    "rows=%u version=%" PRIu64 " from=%s address=%s "
+                    "took_ms=%" PRId64,
+                    set->rows->len, set->version,
+                    feed->peer_is_store ? "store" : "peer", feed->peer_address,
+                    (GwEdge_Now() - feed->peer_asked_us) / 1000);
+    }
+}
+
+static void
+take_from_peer(GwFeed *feed, const GwRowSet *set)
+{
+    int64_t now_us = GwEdge_Now();
+
+    log_taken(feed, set);
+
+    if (feed->peer_full || !feed->known) {
+        GwRowCache_ApplyFull(feed->cache, now_us, set);
+    }
+    else {
+        GwRowCache_Apply(feed->cache, now_us, set);
+    }
+    feed->fresh_us = now_us;
+    feed->known = true;
+}
+
+static void
+on_peer_message(void *owner, GwHttpMessage *msg)
+{
+    GwFeed *feed = owner;
+    GwRowSet *set = NULL;
+
+    if (msg->status == 410 && !feed->peer_full) {
+        /* It does not know of all that was removed since. */
+        GwHttpMessage_Free(msg);
+        feed->peer_full = true;
+        ask_peer(feed);
+        return;
+    }
+    if (!feed->peer_is_store) {
+        GwWay way = GwPeers_WayTo(feed->edge->peers, feed->peer_address);
+        feed->edge->cost.bytes[GW_CONTROL_ROWS][way] += msg->body->len;
+    }
+    if (msg->status == 200) {
+        set = feed->peer_is_store
+                  ? feed->edge->adapter->read_rows(msg->body->str,
+                                                   msg->body->len, NULL)
+                  : GwRowSet_Unpack(msg->body->str, msg->body->len);
+    }
+    GwHttpMessage_Free(msg);
+    GwConn_CloseAt(&feed->peer);
+    if (set == NULL || set->more) {
+        note_store_failed(feed); /* a part of a table is not told as such */
+        GwRowSet_Free(set);
+        set = NULL;
+    }
+    if (set != NULL) {
+        take_from_peer(feed, set);
+        GwRowSet_Free(set);
+        GwPeers_HurryDomain(feed->edge->peers);
+        GwEdge_Carry(feed->edge);
+    }
+}
+
+static void
+on_peer_ended(void *owner, GwConnEnd end)
+{
+    GwFeed *feed = owner;
+
+    if (end == GW_CONN_BAD) {
+        GwConn_CloseAt(&feed->peer);
+    }
+    feed->peer = NULL;
+    note_store_failed(feed);
+}
+
+static const GwConnOps peer_ops = {
+    .connected = on_peer_connected,
+    .message = on_peer_message,
+    .ended = on_peer_ended,
+};
+
+static void
+read_once(GwFeed *feed, const char *address, bool is_store)
+{
+    GwConnParams params = {
+        .loop = &feed->edge->loop,
+        .ops = &peer_ops,
+        .owner = feed,
+        .head_max = 64 << 10,
+        .body_max = GW_ROWS_MAX_BYTES,
+    };
+    feed->peer_asked_us = GwEdge_Now();
+    feed->peer_is_store = is_store;
+    g_strlcpy(feed->peer_address, address, sizeof(feed->peer_address));
+    feed->peer = GwConn_Connect(&params, address);
+}
+
+void
+GwFeed_AskPeer(GwFeed *feed, const char *address, uint64_t version)
+{
+    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
+        read_once(feed, address, false);
+    }
+}
+
+void
+GwFeed_AskStore(GwFeed *feed, uint64_t version)
+{
+    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
+        read_once(feed, feed->edge->settings->store_address, true);
+    }
+}
+
+bool
+GwFeed_MayAskStore(const GwFeed *feed)
+{
+    return !feed->reads &&
+           (feed->store_failed_us == 0 ||
+            GwEdge_Now() - feed->store_failed_us > STORE_FAILED_US);
+}
+
+uint64_t
+GwFeed_BytesAfter(const GwFeed *feed, uint64_t version)
+{
+    return GwRowCache_BytesAfter(feed->cache, version);
+}
+
+/* Whether the asker has all that is here, though it knows of an older version
+ * only: tables are read at many versions when many entries start at once. */
+static bool
+has_the_same(const GwFeed *feed, const GwRowsAsk *ask)
+{
+    return ask->digest != 0 && ask->digest == GwRowCache_Digest(feed->cache);
+}
+
+GByteArray *
+GwFeed_Answer(const GwFeed *feed, const GwRowsAsk *ask, uint16_t *status)
+{
+    uint64_t after = ask->after;
+
+    *status = 404;
+    if (strcmp(ask->table, feed->table) != 0 || !feed->known) {
+        return NULL;
+    }
+    if (after != 0 && !GwRowCache_KnowsAllAfter(feed->cache, after)) {
+        if (!has_the_same(feed, ask)) {
+            *status = 410;
+            return NULL;
+        }
+        after = GwFeed_Version(feed);
+    }
+    GwRowSet *set = GwRowCache_After(feed->cache, after);
+    GByteArray *bytes = GwRowSet_Pack(set);
+    GwRowSet_Free(set);
+    *status = 200;
+    return bytes;
+}
+
+static bool
+is_silent(const GwFeed *feed, int64_t now_us)
+{
+    int64_t heard_us = MAX(feed->peer_asked_us, GwConn_LastHeard(feed->peer));
+
+    return now_us - heard_us > PEER_ANSWER_MS * 1000 ||
+           now_us - feed->peer_asked_us > PEER_WHOLE_MS * 1000;
+}
+
+void
+GwFeed_SweepPeer(GwFeed *feed, int64_t now_us)
+{
+    if (feed->peer != NULL && is_silent(feed, now_us)) {
+        GwConn_CloseAt(&feed->peer);
+        note_store_failed(feed);
+    }
+}
--- a/lib/http/serve.c
+++ b/lib/http/serve.c
@@ -133,16 +133,19 @@
 void
 GwClient_Answer(GwClient *client, const GwServeAnswer *answer)
 {
-    GString *out = g_string_sized_new(strlen(answer->body) + 256);
+    size_t len =
+        answer->body_len > 0 ? answer->body_len : strlen(answer->body);
+    GString *out = g_string_sized_new(len + 256);
 
     g_string_append_printf(
         out,
         "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-        "%s%s\r\n%s",
+        "%s%s\r\n",
         answer->status, phrase(answer->status),
-        answer->type != NULL ? answer->type : "application/json",
-        strlen(answer->body), answer->fields != NULL ? answer->fields : "",
-        answer->close ? "Connection: close\r\n" : "", answer->body);
+        answer->type != NULL ? answer->type : "application/json", len,
+        answer->fields != NULL ? answer->fields : "",
+        answer->close ? "Connection: close\r\n" : "");
+    g_string_append_len(out, answer->body, (gssize)len);
     GwConn_Write(client->conn, out);
     g_string_free(out, TRUE);
 }
--- a/lib/http/serve.h
+++ b/lib/http/serve.h
@@ -29,6 +29,7 @@
     const char *type;   /* of the body; NULL for JSON */
     const char *fields; /* further header lines; NULL for none */
     const char *body;   /* "" for none */
+    size_t body_len;    /* 0: it is text, up to its NUL */
     bool close;         /* says that the connection will end */
 } GwServeAnswer;
 
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -1,6 +1,7 @@
 #include "store/rows.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* A dropped row is remembered for so long: longer than a peer may lag. */
 #define MARK_LIFE_US 120000000
@@ -19,6 +20,7 @@
     int64_t grace_until_us;
     int64_t grace_us;
     GwRowChanged changed;
+    GwRowIsNews is_news; /* NULL: every change is */
     void *ctx;
 };
 
@@ -41,6 +43,7 @@
     if (row != NULL) {
         g_free(row->key);
         g_free(row->value);
+        g_free(row->news_value);
         g_free(row);
     }
 }
@@ -88,6 +91,12 @@
     }
 }
 
+void
+GwRowCache_SetIsNews(GwRowCache *cache, GwRowIsNews is_news)
+{
+    cache->is_news = is_news;
+}
+
 uint64_t
 GwRowCache_Version(const GwRowCache *cache)
 {
@@ -115,46 +124,100 @@
     return row != NULL && !row->removed ? row : NULL;
 }
 
-static void
+static const char *
+news_of(const GwStoreRow *row)
+{
+    return row->news_value != NULL ? row->news_value : row->value;
+}
+
+static bool
+is_news(const GwRowCache *cache, int64_t now_us, const GwStoreRow *old,
+        const GwStoreRow *row)
+{
+    if (old == NULL || old->removed || row->removed) {
+        return true;
+    }
+    if (strcmp(news_of(old), row->value) == 0) {
+        return false;
+    }
+    return cache->is_news == NULL ||
+           cache->is_news(cache->ctx, row->key, news_of(old),
+                          now_us - old->news_us, row->value);
+}
+
+static GwStoreRow *
+copy_row(int64_t now_us, const GwStoreRow *old, const GwStoreRow *row,
+         bool news)
+{
+    GwStoreRow *copy =
+        GwStoreRow_Create(row->key, row->value, row->version, row->removed);
+
+    copy->removed_us = now_us;
+    copy->news_version = news ? row->version : old->news_version;
+    copy->news_us = news ? now_us : old->news_us;
+    if (!news) {
+        copy->news_value = g_strdup(news_of(old));
+    }
+    return copy;
+}
+
+/* Whether the row brought news. */
+static bool
 put(GwRowCache *cache, int64_t now_us, const GwStoreRow *row)
 {
     GwStoreRow *old = g_hash_table_lookup(cache->rows, row->key);
 
     if (old != NULL && old->version >= row->version) {
-        return;
+        return false;
     }
     /* All that lived at `marks_since` was read: an older row that is not known
      * here has gone, and this copy of it is late. Nothing would ever remove
      * it again. */
     if (old == NULL && row->version <= cache->marks_since) {
-        return;
+        return false;
     }
     if (row->removed && now_us < cache->grace_until_us && old != NULL &&
         !old->removed) {
         set_missing(cache, row->key, now_us + cache->grace_us, row->version);
-        return;
+        return true;
     }
-    bool same = old != NULL && !old->removed && !row->removed &&
-                strcmp(old->value, row->value) == 0;
-    GwStoreRow *copy =
-        GwStoreRow_Create(row->key, row->value, row->version, row->removed);
-    copy->removed_us = now_us;
-    (void)g_hash_table_remove(cache->missing, row->key);
+    bool news = is_news(cache, now_us, old, row);
+    /* Peers were told that it is gone. */
+    bool is_back = g_hash_table_remove(cache->missing, row->key);
+    GwStoreRow *copy = copy_row(now_us, old, row, news || is_back);
     g_hash_table_replace(cache->rows, copy->key, copy);
-    if (!same) {
+    if (news) {
         cache->changed(cache->ctx, copy);
     }
+    return news || is_back;
 }
 
-void
-GwRowCache_Apply(GwRowCache *cache, int64_t now_us, const GwRowSet *set)
+static bool
+put_all(GwRowCache *cache, int64_t now_us, const GwRowSet *set)
 {
+    bool news = false;
+
     for (guint i = 0; i < set->rows->len; i++) {
-        put(cache, now_us, set->rows->pdata[i]);
+        news |= put(cache, now_us, set->rows->pdata[i]);
     }
+    return news;
+}
+
+void
+GwRowCache_Apply(GwRowCache *cache, int64_t now_us, const GwRowSet *set)
+{
+    (void)put_all(cache, now_us, set);
     cache->version = MAX(cache->version, set->version);
 }
 
+void
+GwRowCache_ApplyChanges(GwRowCache *cache, int64_t now_us, const GwRowSet *set)
+{
+    if (put_all(cache, now_us, set)) {
+        cache->version = MAX(cache->version, set->version);
+    }
+}
+
 static void
 drop(GwRowCache *cache, int64_t now_us, const char *key, uint64_t version)
 {
@@ -162,7 +225,7 @@
         .key = (char *)key, .version = version, .removed = true};
 
     cache->grace_until_us = 0;
-    put(cache, now_us, &gone);
+    (void)put(cache, now_us, &gone);
 }
 
 void
@@ -263,6 +326,24 @@
     cache->grace_us = grace_us;
 }
 
+uint64_t
+GwRowCache_Digest(const GwRowCache *cache)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint64_t digest = 0;
+
+    g_hash_table_iter_init(&iter, cache->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwStoreRow *row = value;
+        if (!row->removed &&
+            !g_hash_table_contains(cache->missing, row->key)) {
+            digest ^= XXH64(row->key, strlen(row->key), row->news_version);
+        }
+    }
+    return digest;
+}
+
 uint64_t
 GwRowCache_BytesAfter(const GwRowCache *cache, uint64_t version)
 {
@@ -276,7 +357,7 @@
     g_hash_table_iter_init(&iter, cache->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwStoreRow *row = value;
-        if (row->version > version && !row->removed) {
+        if (row->news_version > version && !row->removed) {
             bytes += strlen(row->value);
         }
     }
@@ -309,7 +390,7 @@
                 set->rows,
                 GwStoreRow_Create(row->key, NULL, missing->version, true));
         }
-        else if (row->version > version) {
+        else if (row->news_version > version) {
             g_ptr_array_add(set->rows,
                             GwStoreRow_Create(row->key, row->value,
                                               row->version, row->removed));
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &gw__peer__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__peer__row__init
+                     (Gw__Peer__Row         *message)
+{
+  static const Gw__Peer__Row init_value = GW__PEER__ROW__INIT;
+  *message = init_value;
+}
+size_t gw__peer__row__get_packed_size
+                     (const Gw__Peer__Row *message)
+{
+  assert(message->base.descriptor == &gw__peer__row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__peer__row__pack
+                     (const Gw__Peer__Row *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__peer__row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__peer__row__pack_to_buffer
+                     (const Gw__Peer__Row *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__peer__row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Peer__Row *
+       gw__peer__row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Peer__Row *)
+     protobuf_c_message_unpack (&gw__peer__row__descriptor,
+                                allocator, len, data);
+}
+void   gw__peer__row__free_unpacked
+                     (Gw__Peer__Row *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__peer__row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__peer__rows__init
+                     (Gw__Peer__Rows         *message)
+{
+  static const Gw__Peer__Rows init_value = GW__PEER__ROWS__INIT;
+  *message = init_value;
+}
+size_t gw__peer__rows__get_packed_size
+                     (const Gw__Peer__Rows *message)
+{
+  assert(message->base.descriptor == &gw__peer__rows__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__peer__rows__pack
+                     (const Gw__Peer__Rows *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__peer__rows__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__peer__rows__pack_to_buffer
+                     (const Gw__Peer__Rows *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__peer__rows__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Peer__Rows *
+       gw__peer__rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Peer__Rows *)
+     protobuf_c_message_unpack (&gw__peer__rows__descriptor,
+                                allocator, len, data);
+}
+void   gw__peer__rows__free_unpacked
+                     (Gw__Peer__Rows *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__peer__rows__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor gw__peer__sum__field_descriptors[3] =
 {
   {
@@ -512,3 +602,131 @@
   (ProtobufCMessageInit) gw__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__peer__row__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Row, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Row, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Row, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Row, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__peer__row__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  3,   /* field[3] = removed */
+  2,   /* field[2] = value */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gw__peer__row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__peer__row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.peer.Row",
+  "Row",
+  "Gw__Peer__Row",
+  "gw.peer",
+  sizeof(Gw__Peer__Row),
+  4,
+  gw__peer__row__field_descriptors,
+  gw__peer__row__field_indices_by_name,
+  1,  gw__peer__row__number_ranges,
+  (ProtobufCMessageInit) gw__peer__row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__peer__rows__field_descriptors[2] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Peer__Rows, n_rows),
+    offsetof(Gw__Peer__Rows, rows),
+    &gw__peer__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Rows, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__peer__rows__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gw__peer__rows__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__peer__rows__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.peer.Rows",
+  "Rows",
+  "Gw__Peer__Rows",
+  "gw.peer",
+  sizeof(Gw__Peer__Rows),
+  2,
+  gw__peer__rows__field_descriptors,
+  gw__peer__rows__field_indices_by_name,
+  1,  gw__peer__rows__number_ranges,
+  (ProtobufCMessageInit) gw__peer__rows__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct Gw__Peer__Sum Gw__Peer__Sum;
 typedef struct Gw__Peer__Report Gw__Peer__Report;
+typedef struct Gw__Peer__Row Gw__Peer__Row;
+typedef struct Gw__Peer__Rows Gw__Peer__Rows;
 
 
 /* --- enums --- */
@@ -139,6 +141,37 @@
     , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * Rows of a table of the store, from a peer that has them; compressed whole.
+ */
+struct  Gw__Peer__Row
+{
+  ProtobufCMessage base;
+  char *key;
+  uint64_t version;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean removed;
+};
+#define GW__PEER__ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__peer__row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+
+
+struct  Gw__Peer__Rows
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Gw__Peer__Row **rows;
+  /*
+   * all that matters up to it is in them
+   */
+  uint64_t version;
+};
+#define GW__PEER__ROWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__peer__rows__descriptor) \
+    , 0,NULL, 0 }
+
+
 /* Gw__Peer__Sum methods */
 void   gw__peer__sum__init
                      (Gw__Peer__Sum         *message);
@@ -177,6 +210,44 @@
 void   gw__peer__report__free_unpacked
                      (Gw__Peer__Report *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Peer__Row methods */
+void   gw__peer__row__init
+                     (Gw__Peer__Row         *message);
+size_t gw__peer__row__get_packed_size
+                     (const Gw__Peer__Row   *message);
+size_t gw__peer__row__pack
+                     (const Gw__Peer__Row   *message,
+                      uint8_t             *out);
+size_t gw__peer__row__pack_to_buffer
+                     (const Gw__Peer__Row   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Peer__Row *
+       gw__peer__row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__peer__row__free_unpacked
+                     (Gw__Peer__Row *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__Peer__Rows methods */
+void   gw__peer__rows__init
+                     (Gw__Peer__Rows         *message);
+size_t gw__peer__rows__get_packed_size
+                     (const Gw__Peer__Rows   *message);
+size_t gw__peer__rows__pack
+                     (const Gw__Peer__Rows   *message,
+                      uint8_t             *out);
+size_t gw__peer__rows__pack_to_buffer
+                     (const Gw__Peer__Rows   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Peer__Rows *
+       gw__peer__rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__peer__rows__free_unpacked
+                     (Gw__Peer__Rows *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Gw__Peer__Sum_Closure)
@@ -185,6 +256,12 @@
 typedef void (*Gw__Peer__Report_Closure)
                  (const Gw__Peer__Report *message,
                   void *closure_data);
+typedef void (*Gw__Peer__Row_Closure)
+                 (const Gw__Peer__Row *message,
+                  void *closure_data);
+typedef void (*Gw__Peer__Rows_Closure)
+                 (const Gw__Peer__Rows *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -193,6 +270,8 @@
 
 extern const ProtobufCMessageDescriptor gw__peer__sum__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__report__descriptor;
+extern const ProtobufCMessageDescriptor gw__peer__row__descriptor;
+extern const ProtobufCMessageDescriptor gw__peer__rows__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/tests/unit/test_rows_wire.c
@@ -0,0 +1,93 @@
+#include "store/rows_wire.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+static GwRowSet *
+make_set(uint32_t count)
+{
+    GwRowSet *set = GwRowSet_Create();
+
+    for (uint32_t i = 0; i < count; i++) {
+        char *key = g_strdup_printf("server-%u", i);
+        char *value = g_strdup_printf("{\"address\":\"10.0.0.%u:1\"}", i);
+        bool removed = i % 3 == 2;
+        g_ptr_array_add(
+            set->rows,
+            GwStoreRow_Create(key, removed ? NULL : value, 100 + i, removed));
+        g_free(key);
+        g_free(value);
+    }
+    set->version = 100 + count;
+    return set;
+}
+
+/* Rows that a peer tells are those that it has. */
+Test(rows_wire, rows_are_the_same_behind_the_wire)
+{
+    static const uint32_t counts[] = {0, 1, 3, 1000};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+        GwRowSet *set = make_set(counts[i]);
+        GByteArray *bytes = GwRowSet_Pack(set);
+        GwRowSet *got = GwRowSet_Unpack((const char *)bytes->data, bytes->len);
+        cr_assert_not_null(got);
+        cr_expect_eq(got->version, set->version);
+        cr_assert_eq(got->rows->len, counts[i]);
+        for (guint k = 0; k < counts[i]; k++) {
+            const GwStoreRow *a = set->rows->pdata[k];
+            const GwStoreRow *b = got->rows->pdata[k];
+            cr_expect_str_eq(a->key, b->key);
+            cr_expect_eq(a->version, b->version);
+            cr_expect_eq(a->removed, b->removed);
+            cr_expect_eq(g_strcmp0(a->value, b->value), 0);
+        }
+        GwRowSet_Free(got);
+        GwRowSet_Free(set);
+        g_byte_array_free(bytes, TRUE);
+    }
+}
+
+/* A torn or foreign answer names no rows. */
+Test(rows_wire, what_was_not_packed_here_is_refused)
+{
+    GwRowSet *set = make_set(50);
+    GByteArray *bytes = GwRowSet_Pack(set);
+
+    for (guint len = 0; len < bytes->len; len++) {
+        cr_expect_null(GwRowSet_Unpack((const char *)bytes->data, len));
+    }
+    cr_expect_null(GwRowSet_Unpack("{\"rows\":[]}", 11));
+    GwRowSet_Free(set);
+    g_byte_array_free(bytes, TRUE);
+}
+
+Test(rows_wire, targets)
+{
+    static const struct {
+        const char *target;
+        bool read;
+    } cases[] = {
+        {"/rows?table=servers&after=42&digest=1f", true},
+        {"/rows?table=servers&after=42&digest=1f&more=1", false},
+        {"/rows?table=&after=42&digest=1f", false},
+        {"/rows?table=servers&after=x&digest=1f", false},
+        {"/rows", false},
+        {"/other", false},
+    };
+    GwRowsAsk ask = {.table = "servers", .after = 42, .digest = 0x1f};
+    char *target = GwRowsAsk_WriteTarget(&ask);
+
+    cr_expect_str_eq(target, cases[0].target);
+    g_free(target);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwRowsAsk got = {.after = 0};
+        cr_expect_eq(GwRowsAsk_ReadTarget(cases[i].target, &got),
+                     cases[i].read, "%s", cases[i].target);
+        if (cases[i].read) {
+            cr_expect_str_eq(got.table, "servers");
+            cr_expect_eq(got.after, 42);
+            cr_expect_eq(got.digest, 0x1f);
+        }
+    }
+}
--- a/tests/unit/test_store_rows.c
+++ b/tests/unit/test_store_rows.c
@@ -220,3 +220,101 @@
     GwRowCache_Free(cache);
     g_string_free(sink.log, TRUE);
 }
+
+static bool
+is_not_a_step(void *ctx, const char *key, const char *old, int64_t age_us,
+              const char *value)
+{
+    (void)ctx;
+    (void)key;
+    (void)old;
+    (void)age_us;
+    return strcmp(value, "step") != 0;
+}
+
+/* Changes that say nothing new would be fetched by every entry. */
+Test(store_rows, peers_hear_of_news_only)
+{
+    Sink sink = {.log = g_string_new(NULL)};
+    GwRowCache *cache = GwRowCache_Create(on_change, &sink);
+    GwRowSet *set = set_of("a1=x", 1);
+    GwRowSet *step = set_of("a2=step", 2);
+    GwRowSet *same = set_of("a3=x", 3);
+    GwRowSet *news = set_of("a4=y", 4);
+
+    GwRowCache_SetIsNews(cache, is_not_a_step);
+    GwRowCache_ApplyChanges(cache, SEC, set);
+    GwRowCache_ApplyChanges(cache, SEC, step);
+    GwRowCache_ApplyChanges(cache, SEC, same);
+    cr_expect_eq(GwRowCache_Version(cache), 1);
+    cr_expect_str_eq(sink.log->str, "+a=x ");
+    GwRowSet *after = GwRowCache_After(cache, 1);
+    cr_expect_eq(after->rows->len, 0);
+    GwRowSet_Free(after);
+    GwRowCache_ApplyChanges(cache, SEC, news);
+    cr_expect_eq(GwRowCache_Version(cache), 4);
+    after = GwRowCache_After(cache, 1);
+    cr_expect_eq(after->rows->len, 1);
+    GwRowSet_Free(after);
+    GwRowSet_Free(set);
+    GwRowSet_Free(step);
+    GwRowSet_Free(same);
+    GwRowSet_Free(news);
+    GwRowCache_Free(cache);
+    g_string_free(sink.log, TRUE);
+}
+
+/* A peer that was told of a lapsed row has dropped it: its return is news,
+ * though the value is the old one. */
+Test(store_rows, a_row_that_comes_back_is_told_to_peers)
+{
+    Sink sink = {.log = g_string_new(NULL)};
+    GwRowCache *cache = GwRowCache_Create(on_change, &sink);
+    GwRowSet *set = set_of("a1=x", 1);
+    GwRowSet *gone = set_of("a2-", 2);
+    GwRowSet *back = set_of("a3=x", 3);
+
+    GwRowCache_ApplyChanges(cache, SEC, set);
+    GwRowCache_SetGrace(cache, 3 * SEC, 2 * SEC);
+    GwRowCache_ApplyChanges(cache, SEC, gone);
+    cr_expect_eq(GwRowCache_Version(cache), 2);
+    GwRowCache_ApplyChanges(cache, SEC, back);
+    cr_expect_eq(GwRowCache_Version(cache), 3);
+    GwRowSet *after = GwRowCache_After(cache, 2);
+    cr_assert_eq(after->rows->len, 1);
+    cr_expect_not(((GwStoreRow *)after->rows->pdata[0])->removed);
+    GwRowSet_Free(after);
+    GwRowSet_Free(set);
+    GwRowSet_Free(gone);
+    GwRowSet_Free(back);
+    GwRowCache_Free(cache);
+    g_string_free(sink.log, TRUE);
+}
+
+/* Two readings of the same rows at different versions are the same. */
+Test(store_rows, the_digest_is_of_rows_and_not_of_versions)
+{
+    Sink sink = {.log = g_string_new(NULL)};
+    GwRowCache *one = GwRowCache_Create(on_change, &sink);
+    GwRowCache *two = GwRowCache_Create(on_change, &sink);
+    GwRowSet *early = set_of("a1=x b2=y", 5);
+    GwRowSet *late = set_of("a1=x b2=y", 6);
+    GwRowSet *other = set_of("a1=x b7=y", 7);
+
+    GwRowCache_ApplyFull(one, SEC, early);
+    GwRowCache_ApplyFull(two, SEC, late);
+    cr_expect_eq(GwRowCache_Digest(one), GwRowCache_Digest(two));
+    GwRowCache_ApplyFull(two, SEC, other);
+    cr_expect_eq(GwRowCache_Digest(one), GwRowCache_Digest(two),
+                 "the same value again is no news");
+    GwRowSet *gone = set_of("b8-", 8);
+    GwRowCache_ApplyChanges(two, SEC, gone);
+    cr_expect_neq(GwRowCache_Digest(one), GwRowCache_Digest(two));
+    GwRowSet_Free(gone);
+    GwRowSet_Free(early);
+    GwRowSet_Free(late);
+    GwRowSet_Free(other);
+    GwRowCache_Free(one);
+    GwRowCache_Free(two);
+    g_string_free(sink.log, TRUE);
+}
