A start tells few, and reads rows from a peer

Cause, by the meter and by plays of planned stops: each entry that starts told all others that it was there and was answered by each; each that heard of it told it the addresses of up to 64 others; and it read all rows from the store by itself, with a poll of each table that nobody needed. At 195 entries that is 49 MB and 1316 calls before the first caller; in waves of stops, for each start.

Ruled out: fewer signs of life; in the steady state they are 2 KB/s of an entry.

Change: an entry's row in the store says where it is. A newcomer tells all of its region and two of each failure domain elsewhere; those of other regions answer in their turn, but for the ones that add up loads. It asks three for addresses, and only while it knows nobody. It waits 150 ms to hear of a peer that has the rows and takes them from there; when all start at once each reads for itself as before, but at the first start of all the first of each region reads and the others wait for it. The one that reads for a region tells all when that changes. Entries that are known but were not heard of yet share the extra of retries, and are told of this one at a pace that counts them.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -34,7 +34,6 @@
     feed->retry_ms = RETRY_MIN_MS;
     feed->answered_us = GwEdge_Now();
     feed->fresh_us = feed->answered_us;
-    feed->reads = true;
     return feed;
 }
 
--- a/lib/edge/fetch.c
+++ b/lib/edge/fetch.c
@@ -17,6 +17,7 @@
         .domain_size = 1,
         .teller = near ? GwNews_IsBefore(&self, &told) : GW_NEWS_OUTSIDE,
         .waited_us = GwEdge_Now() - peers->behind_since_us,
+        .starts = !GwFeed_IsKnown(peers->edge->server_feed),
     };
     GwPeerScan scan = GwPeers_Scan(peers, NULL, own->domain);
     const GwPeerEntry *peer;
--- a/lib/edge/introduce.h
+++ b/lib/edge/introduce.h
@@ -24,4 +24,27 @@
 bool GwIntroduce_TellsPlaces(const char *own, const char *newcomer,
                              const GPtrArray *others);
 
+/* An entry as its row in the store tells it. */
+typedef struct {
+    char name[64];
+    char address[64]; /* for peers */
+    char region[64];  /* "": the row does not say */
+    char domain[64];
+    uint32_t link_kbps;
+    uint32_t cpu_milli;
+} GwEntryRow;
+
+/* The row's value; freed by g_free. The row's key is the name. */
+char *GwEntryRow_WriteValue(const GwEntryRow *row);
+bool GwEntryRow_Read(const char *key, const char *value, GwEntryRow *row);
+
+/* Of the entries of another failure domain of another region, so many hear of
+ * a newcomer at once: those that add up its loads, or would next. */
+#define GW_GREETED_FAR 2
+
+/* Whom a newcomer tells at once that it is there: all of its region, and few
+ * of the others, who have time. Sets `greeted` for each of the rows. */
+void GwIntroduce_ChooseGreeted(const char *region, const GArray *rows,
+                               bool *greeted);
+
 #endif
--- a/lib/edge/join.c
+++ b/lib/edge/join.c
@@ -1,5 +1,6 @@
 /* How an entry finds the others: it writes its own row into the store and
  * reads those of all. Seeds stand in while the store is away. */
+#include "edge/introduce.h"
 #include "edge/peers_internal.h"
 
 #include <string.h>
@@ -21,10 +22,16 @@
 {
     const GwEdgeSettings *own = peers->edge->settings;
     const GwAdapter *a = peers->edge->adapter;
-    char *body =
-        a->write_body(ENTRY_TABLE, own->router.name, own->peer_address);
+    GwEntryRow row = {.link_kbps = own->link_kbps,
+                      .cpu_milli = own->cpu_milli};
     GString *out = g_string_new(NULL);
 
+    g_strlcpy(row.address, own->peer_address, sizeof(row.address));
+    g_strlcpy(row.region, own->router.region, sizeof(row.region));
+    g_strlcpy(row.domain, own->router.domain, sizeof(row.domain));
+    char *value = GwEntryRow_WriteValue(&row);
+    char *body = a->write_body(ENTRY_TABLE, own->router.name, value);
+
     g_string_printf(out,
                     "POST %s HTTP/1.1\r\nHost: %s\r\n"
                     "Content-Type: application/json\r\n"
@@ -33,6 +40,7 @@
     GwConn_Write(peers->join, out);
     g_string_free(out, TRUE);
     g_free(body);
+    g_free(value);
 }
 
 static void
@@ -56,17 +64,41 @@
     ask_join(owner);
 }
 
-static void
-take_entries(GwPeers *peers, const GwRowSet *set)
+static GArray *
+read_entries(const GwRowSet *set)
 {
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(GwEntryRow));
+
     for (guint i = 0; i < set->rows->len; i++) {
         const GwStoreRow *row = set->rows->pdata[i];
+        GwEntryRow entry;
+        if (!row->removed && GwEntryRow_Read(row->key, row->value, &entry)) {
+            g_array_append_val(rows, entry);
+        }
+    }
+    return rows;
+}
+
+/* Those that are greeted hear of this entry now, the others in their turn. */
+static void
+take_entries(GwPeers *peers, const GwRowSet *set)
+{
+    const char *region = peers->edge->settings->router.region;
+    GArray *rows = read_entries(set);
+    bool *greeted = g_new(bool, rows->len + 1);
+
+    GwIntroduce_ChooseGreeted(region, rows, greeted);
+    for (guint i = 0; i < rows->len; i++) {
         GwPeerEntry *peer =
-            row->removed ? NULL : GwPeers_Add(peers, row->value);
-        if (peer != NULL) {
+            GwPeers_Add(peers, g_array_index(rows, GwEntryRow, i).address);
+        if (peer != NULL && greeted[i]) {
             GwPeers_Tell(peers, peer, false);
         }
     }
+    GwPeers_SetPeriods(peers, GwEdge_Now());
+    GwPeers_SpreadUntold(peers);
+    g_free(greeted);
+    g_array_free(rows, TRUE);
 }
 
 static void
--- a/lib/edge/news.c
+++ b/lib/edge/news.c
@@ -26,8 +26,10 @@
 bool
 GwNews_AsksNow(const GwNewsSight *sight)
 {
+    int64_t wait_us = sight->starts ? GW_NEWS_START_WAIT_US : GW_NEWS_WAIT_US;
+
     if (sight->own == 0 || sight->domain_size < GW_NEWS_DOMAIN_MIN ||
-        sight->waited_us >= GW_NEWS_WAIT_US) {
+        sight->waited_us >= wait_us) {
         return true;
     }
     return sight->teller == (sight->own - 1) / GW_NEWS_FAN;
--- a/lib/edge/news.h
+++ b/lib/edge/news.h
@@ -19,7 +19,9 @@
 /* The one above may be cut off: so long it is waited for, three steps of a
  * report and an answer. */
 #define GW_NEWS_WAIT_US 800000
-#define GW_NEWS_OUTSIDE UINT32_MAX
+/* The same of an entry that has no rows at all, and takes no callers yet. */
+#define GW_NEWS_START_WAIT_US 200000
+#define GW_NEWS_OUTSIDE       UINT32_MAX
 
 /* An entry, as far as it matters who does what loads an instance. */
 typedef struct {
@@ -52,6 +54,7 @@
     uint32_t own;         /* place of this entry among them, from 0 */
     uint32_t teller;   /* of the one that has the rows; OUTSIDE: elsewhere */
     int64_t waited_us; /* since we heard that we lack rows */
+    bool starts;       /* we have none yet */
 } GwNewsSight;
 
 bool GwNews_AsksNow(const GwNewsSight *sight);
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -156,6 +156,8 @@
     }
     g_hash_table_foreach_remove(peers->by_address, is_forgotten, &now_us);
     GwPeers_SetPeriods(peers, now_us);
+    GwRouter_SetEntries(peers->edge->router,
+                        g_hash_table_size(peers->by_address) + 1);
     GwPeers_ChooseAggregators(peers, now_us);
     GwPeers_ChooseReader(peers, now_us);
     GwPeers_SweepJoin(peers, now_us);
@@ -281,8 +283,14 @@
 static void
 on_timer(uv_timer_t *timer)
 {
-    GwPeers_TellDue(timer->data, GwEdge_Now());
-    GwPeers_AskDue(timer->data);
+    GwPeers *peers = timer->data;
+    int64_t now_us = GwEdge_Now();
+
+    GwPeers_TellDue(peers, now_us);
+    GwPeers_AskDue(peers);
+    if (!GwEdge_IsReady(peers->edge)) {
+        GwPeers_ChooseReader(peers, now_us);
+    }
 }
 
 GwPeers *
@@ -299,6 +307,7 @@
     peers->relayed_region = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
     peers->sum = GwLoadSum_Create();
     peers->stretch = 1;
+    peers->stretch_unheard = 1;
     /* A clock may be set back between two starts; names must not repeat. */
     (void)uv_random(NULL, NULL, &peers->start, sizeof(peers->start), 0, NULL);
     peers->step = GW_JOIN_WRITE;
@@ -314,7 +323,7 @@
     for (guint i = 0; i < edge->settings->seeds->len; i++) {
         (void)GwPeers_Add(peers, edge->settings->seeds->pdata[i]);
     }
-    (void)uv_timer_start(&peers->timer, on_timer, TICK_MS, TICK_MS);
+    (void)uv_timer_start(&peers->timer, on_timer, 0, TICK_MS);
     return peers;
 }
 
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -8,6 +8,8 @@
 
 /* Addresses in an answer of the directory, and told to a new entry. */
 #define GW_KNOWN_MAX 64
+/* Of one report. */
+#define GW_REPORT_MAX_BYTES 16384
 
 /* Whose loads a report tells; numbers as on the wire. */
 typedef enum {
@@ -64,8 +66,14 @@
     GHashTable *by_address; /* peer_address -> GwPeerEntry */
     uint64_t start;
     uint64_t seq;
-    double stretch; /* of all periods, so that reports stay few */
-    uint32_t live;  /* peers that are heard */
+    double stretch;         /* of all periods, so that reports stay few */
+    double stretch_unheard; /* the same for peers that may not be there */
+    uint32_t asked_known;   /* peers that were asked for addresses, since */
+    int64_t asked_known_us;
+    int64_t informed_us; /* a peer had the tables; 0: none was heard of yet */
+    bool reads_well;     /* as it was told to all */
+    int64_t reads_well_us;
+    uint32_t live; /* peers that are heard */
     /* News that another of the failure domain is left to fetch, since then,
      * and who has it. */
     bool behind;
@@ -108,6 +116,10 @@
 void GwPeers_TellDue(GwPeers *peers, int64_t now_us);
 /* Sets how much reports are stretched for the peers that are there now. */
 void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
+/* Those that were told nothing yet are told in their turn, not all at once. */
+void GwPeers_SpreadUntold(GwPeers *peers);
+
+/* reports_in.c */
 bool GwPeers_ListenReports(GwPeers *peers);
 
 /* aggregate.c */
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -13,8 +13,20 @@
  * reading for nothing costs a call. */
 #define HEARD_PERIODS 2.4
 #define HEARD_MIN_US  1200000
-/* An entry that has just started reads for itself until it knows its peers. */
-#define START_US 1000000
+/* An entry that starts gets its tables from a peer, which costs no call. It
+ * waits so long to hear of one that has them, and then for the tables. When all
+ * start at once nobody has them: each reads for itself, for callers wait. */
+#define SEEK_US      150000
+#define PEER_ROWS_US 700000
+/* At the first start of all callers come later: the first of each region reads
+ * when it knows its peers, and the others if they still lack the tables then. */
+#define FIRST_SEEK_US  600000
+#define FIRST_ALONE_US 2500000
+/* An entry that has just started may not have heard yet of those that read for
+ * other regions. */
+#define SETTLE_US 3000000
+/* Between two announcements of who reads. */
+#define ANNOUNCE_US 2000000
 
 GwNewsEntry
 GwPeers_Own(const GwPeers *peers)
@@ -46,30 +58,107 @@
     return now_us - peer->heard_us < MAX(limit_us, HEARD_MIN_US);
 }
 
-void
-GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
+/* Of this region, the one that reads for it, as far as peers are known. */
+static bool
+is_first(const GwPeers *peers)
 {
-    GwEdge *edge = peers->edge;
-    const GwRouterParams *own = &edge->settings->router;
     GwNewsEntry self = GwPeers_Own(peers);
-    bool first = true;
-    uint32_t others = 0;
-    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
+    GwPeerScan scan =
+        GwPeers_Scan(peers, peers->edge->settings->router.region, NULL);
     const GwPeerEntry *peer;
 
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        others += peer->reads && is_heard_lately(peer, now_us);
         GwNewsEntry other = GwPeerEntry_AsNews(peer);
-        if (strcmp(peer->region, own->region) == 0 &&
+        if (GwNews_IsBefore(&other, &self)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The same among all that are heard, also those that are not ready yet. */
+static bool
+is_first_known(const GwPeers *peers, int64_t now_us)
+{
+    const char *region = peers->edge->settings->router.region;
+    GwNewsEntry self = GwPeers_Own(peers);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeerEntry *peer = value;
+        GwNewsEntry other = GwPeerEntry_AsNews(peer);
+        if (GwPeerEntry_IsLive(peer, now_us) &&
+            strcmp(peer->region, region) == 0 &&
             GwNews_IsBefore(&other, &self)) {
-            first = false;
+            return false;
         }
     }
-    bool lacks = !edge->leaving && !GwEdge_IsReady(edge);
-    bool reads = first || others < OTHERS_MIN || lacks ||
-                 now_us - edge->started_us < START_US;
+    return true;
+}
+
+static uint32_t
+count_readers(const GwPeers *peers, int64_t now_us)
+{
+    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
+    const GwPeerEntry *peer;
+    uint32_t count = 0;
+
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
+        count += peer->reads && is_heard_lately(peer, now_us);
+    }
+    return count;
+}
+
+static bool
+reads_to_start(const GwPeers *peers, int64_t now_us)
+{
+    int64_t age_us = now_us - peers->edge->started_us;
+
+    if (peers->informed_us != 0) {
+        return now_us - peers->informed_us > PEER_ROWS_US;
+    }
+    if (peers->edge->settings->first_start) {
+        return age_us > FIRST_ALONE_US ||
+               (age_us > FIRST_SEEK_US && is_first_known(peers, now_us));
+    }
+    return age_us > SEEK_US;
+}
+
+/* Others decide by who reads whether they have to. */
+static void
+announce(GwPeers *peers, int64_t now_us)
+{
+    GwEdge *edge = peers->edge;
+    bool well = GwFeed_IsHealthy(edge->operator_feed) &&
+                GwFeed_IsHealthy(edge->server_feed);
+
+    if (well != peers->reads_well &&
+        now_us - peers->reads_well_us > ANNOUNCE_US) {
+        peers->reads_well = well;
+        peers->reads_well_us = now_us;
+        GwPeers_Announce(peers);
+    }
+}
+
+void
+GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
+{
+    GwEdge *edge = peers->edge;
+    uint32_t others = count_readers(peers, now_us);
+    bool settles = now_us - edge->started_us < SETTLE_US;
+    bool first = is_first(peers);
+    bool reads = first || others < (settles ? 1 : OTHERS_MIN);
+
+    if (!edge->leaving && !GwEdge_IsReady(edge)) {
+        reads = reads_to_start(peers, now_us);
+    }
     GwFeed_SetReads(edge->operator_feed, reads);
     GwFeed_SetReads(edge->server_feed, reads);
+    if (first) {
+        announce(peers, now_us);
+    }
 }
 
 uint32_t
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -1,4 +1,4 @@
-/* Reports between entries, one datagram each.
+/* Reports to other entries, one datagram each.
  *
  * A report is whole and repeated, so a lost one costs a period and nothing
  * else. Entries that share backend servers need each other's load and places
@@ -7,12 +7,10 @@
  * (aggregate.c), and the periods of all other reports grow with the number of
  * entries: what one entry sends a second is bounded. Bytes between failure
  * domains are paid for, so names and addresses go along only now and then. */
-#include "edge/introduce.h"
 #include "edge/peers_internal.h"
 
 #include "wire/peer.pb-c.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 /* Periods: with entries of the failure domain, of the region, and of others.
@@ -29,12 +27,13 @@
  * of the region, and of other regions, whose bytes are paid for. */
 #define SUM_REGION_MS GW_SUM_PERIOD_MIN_MS
 #define SUM_FAR_MS    500
+/* An entry that knows nobody asks so many in this time. */
+#define ASK_KNOWN_MAX 3
+#define ASK_KNOWN_US  1000000
 /* Every so many reports tell names and addresses. */
-#define IDENTITY_EVERY   8
-#define PLACEMENTS_MAX   400
-#define LOADS_MAX        GW_SUM_LOADS_MAX
-#define REPORT_MAX_BYTES 16384
-#define ADDRESS_MAX      32
+#define IDENTITY_EVERY 8
+#define PLACEMENTS_MAX 400
+#define LOADS_MAX      GW_SUM_LOADS_MAX
 
 typedef Gw__Peer__Report Report;
 
@@ -54,8 +53,8 @@
 static uint32_t
 period_ms(const GwPeers *peers, const GwPeerEntry *peer)
 {
-    uint32_t stretched =
-        (uint32_t)(base_period_ms(peers, peer) * peers->stretch);
+    double stretch = peer->heard ? peers->stretch : peers->stretch_unheard;
+    uint32_t stretched = (uint32_t)(base_period_ms(peers, peer) * stretch);
 
     switch (GwPeers_LoadsFor(peers, peer)) {
     case GW_LOADS_OWN:
@@ -76,6 +75,8 @@
     GHashTableIter iter;
     gpointer value;
     double per_s = 0;
+    double unheard_per_s = 0;
+    double most_per_s = peers->by_sums ? SIGNS_PER_S : REPORTS_PER_S;
 
     peers->live = 0;
     g_hash_table_iter_init(&iter, peers->by_address);
@@ -85,12 +86,31 @@
             peers->live++;
             per_s += 1000.0 / base_period_ms(peers, peer);
         }
+        else if (!peer->heard) {
+            unheard_per_s += 1000.0 / base_period_ms(peers, peer);
+        }
     }
-    peers->stretch =
-        MAX(1.0, per_s / (peers->by_sums ? SIGNS_PER_S : REPORTS_PER_S));
+    peers->stretch = MAX(1.0, per_s / most_per_s);
+    peers->stretch_unheard = MAX(1.0, (per_s + unheard_per_s) / SIGNS_PER_S);
 }
 
-/* ---- Out ----------------------------------------------------------------- */
+void
+GwPeers_SpreadUntold(GwPeers *peers)
+{
+    int64_t now_us = GwEdge_Now();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwPeerEntry *peer = value;
+        if (peer->told_us == 0) {
+            int64_t period_us = (int64_t)period_ms(peers, peer) * 1000;
+            peer->told_us =
+                now_us - g_str_hash(peer->peer_address) % period_us;
+        }
+    }
+}
 
 typedef struct {
     uint32_t count;
@@ -254,13 +274,30 @@
     cost->bytes[GW_CONTROL_SIGNS][way] += len - loads - places;
 }
 
+/* An entry that knows nobody asks a few at a time: each answers with all that
+ * it knows. */
+static bool
+asks_known(GwPeers *peers)
+{
+    int64_t now_us = GwEdge_Now();
+
+    if (peers->live >= 2) {
+        return false;
+    }
+    if (now_us - peers->asked_known_us > ASK_KNOWN_US) {
+        peers->asked_known_us = now_us;
+        peers->asked_known = 0;
+    }
+    return peers->asked_known++ < ASK_KNOWN_MAX;
+}
+
 void
 GwPeers_Tell(GwPeers *peers, GwPeerEntry *peer, bool with_known)
 {
     GwEdge *edge = peers->edge;
     Report report = GW__PEER__REPORT__INIT;
     Arrays arrays;
-    uint8_t bytes[REPORT_MAX_BYTES];
+    uint8_t bytes[GW_REPORT_MAX_BYTES];
 
     report.start = peers->start;
     report.seq = ++peers->seq;
@@ -276,6 +313,7 @@
         GwFeed_BytesAfter(edge->operator_feed, peer->operator_version),
         UINT32_MAX);
     report.is_new = peers->live < 2;
+    report.asks_known = asks_known(peers);
     report.knows = g_hash_table_size(peers->by_address);
     if (!peer->heard || with_known || report.is_new ||
         peer->told++ % IDENTITY_EVERY == 0) {
@@ -344,212 +382,3 @@
         }
     }
 }
-
-/* ---- In ------------------------------------------------------------------ */
-
-static void
-replace_text(char **at, const char *text)
-{
-    if (strcmp(*at, text) != 0) {
-        g_free(*at);
-        *at = g_strdup(text);
-    }
-}
-
-/* Datagrams overtake each other; those of a process that has ended since may
- * still come. */
-static bool
-is_newer(const GwPeerEntry *peer, const Report *report)
-{
-    if (!peer->heard) {
-        return true;
-    }
-    if (report->start == peer->start) {
-        return report->seq > peer->seq;
-    }
-    return report->start != peer->last_start;
-}
-
-static bool
-has_identity(const Report *report)
-{
-    return report->name[0] != '\0';
-}
-
-static void
-take_identity(GwPeerEntry *peer, const Report *report)
-{
-    replace_text(&peer->name, report->name);
-    replace_text(&peer->region, report->region);
-    replace_text(&peer->domain, report->domain);
-    replace_text(&peer->call_address, report->call_address);
-    peer->link_kbps = report->link_kbps;
-    peer->cpu_milli = report->cpu_milli;
-}
-
-static uint32_t
-read_loads(const uint32_t *servers, size_t n_servers, const uint32_t *counts,
-           size_t n_counts, GwPeerLoad *out)
-{
-    size_t count = MIN(MIN(n_servers, n_counts), LOADS_MAX);
-
-    for (size_t i = 0; i < count; i++) {
-        out[i] = (GwPeerLoad){servers[i], counts[i]};
-    }
-    return (uint32_t)count;
-}
-
-/* Loads that come both by themselves and within a sum would count twice: who
- * is told sums counts nothing else. */
-static void
-take_loads(GwPeers *peers, GwPeerEntry *peer, const Report *report)
-{
-    GwRouter *router = peers->edge->router;
-    GwPeerLoad loads[LOADS_MAX];
-    GwPeerInfo info = {
-        .name = peer->name,
-        .region = peer->region,
-        .serves = report->serves,
-        .loads = loads,
-    };
-    uint32_t count =
-        read_loads(report->load_servers, report->n_load_servers,
-                   report->load_counts, report->n_load_counts, loads);
-
-    peer->loads_us = 0;
-    if (report->loads_of == GW_LOADS_OWN ||
-        report->loads_of == GW_LOADS_DOMAIN) {
-        GwPeers_NoteLoads(peers, peer, loads, count);
-    }
-    info.load_count = peers->by_sums && !peers->aggregates ? 0 : count;
-    GwRouter_PutPeer(router, GwEdge_Now(), &info);
-    if (report->loads_of != GW_LOADS_ALL || !peers->by_sums ||
-        peers->aggregates) {
-        return;
-    }
-    peers->sums_heard_us = GwEdge_Now();
-    GwRouter_DropSums(router, GwEdge_Now());
-    for (size_t i = 0; i < MIN(report->n_sums, GW_SUM_REGIONS_MAX); i++) {
-        const Gw__Peer__Sum *sum = report->sums[i];
-        count = read_loads(sum->servers, sum->n_servers, sum->counts,
-                           sum->n_counts, loads);
-        GwRouter_PutSum(router, GwEdge_Now(), sum->region, count, loads);
-    }
-}
-
-static void
-take_placements(GwPeers *peers, const GwPeerEntry *peer, const Report *report)
-{
-    size_t placed = MIN(report->n_placed_objects, report->n_placed_servers);
-
-    for (size_t i = 0; i < placed; i++) {
-        GwPlacement placement = {.object = report->placed_objects[i],
-                                 .server = report->placed_servers[i],
-                                 .warm = i < report->placed_warm};
-        GwRouter_PutPlacement(peers->edge->router, GwEdge_Now(), &placement);
-        if (!placement.warm) {
-            GwPeers_RelayPlacement(peers, peer, &placement);
-        }
-    }
-}
-
-static void
-note(GwPeerEntry *peer, const Report *report)
-{
-    if (report->start != peer->start) {
-        peer->last_start = peer->start;
-        peer->start = report->start;
-    }
-    peer->seq = report->seq;
-    peer->serves = report->serves;
-    peer->reads = report->reads;
-    peer->saw_away = report->store_was_away;
-    peer->next_ms = report->next_ms;
-    peer->heard = true;
-    peer->heard_us = GwEdge_Now();
-    peer->operator_version = report->operator_version;
-    peer->server_version = report->server_version;
-    peer->news_bytes = report->news_bytes;
-}
-
-static void
-take(GwPeers *peers, const char *from, const Report *report)
-{
-    GwEdge *edge = peers->edge;
-    GwPeerEntry *peer = GwPeers_Add(peers, from);
-
-    if (peer == NULL || !is_newer(peer, report) ||
-        (peer->start != report->start && !has_identity(report))) {
-        return;
-    }
-    bool was_live = GwPeerEntry_IsLive(peer, GwEdge_Now());
-    if (has_identity(report)) {
-        take_identity(peer, report);
-    }
-    if (!was_live) {
-        GwLog_Event(GW_LOG_MEMBER_UP, "member=%s domain=%s", peer->name,
-                    peer->domain);
-    }
-    note(peer, report);
-    take_loads(peers, peer, report);
-    take_placements(peers, peer, report);
-    for (size_t i = 0; i < report->n_known; i++) {
-        (void)GwPeers_Add(peers, report->known[i]);
-    }
-    GwFeed_NotePeer(edge->server_feed, GwEdge_Now(), report->store_was_away);
-    if (report->is_new) {
-        GwPeers_MakeBacklog(peers, peer);
-    }
-    if (report->is_new || !was_live) {
-        GwPeers_Tell(
-            peers, peer,
-            report->is_new &&
-                GwIntroduce_TellsAddresses(
-                    g_hash_table_size(peers->by_address), report->knows));
-    }
-    GwPeers_AskForRows(peers, peer);
-}
-
-static void
-on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-    static char bytes[REPORT_MAX_BYTES];
-
-    (void)handle;
-    (void)size;
-    *buf = uv_buf_init(bytes, sizeof(bytes));
-}
-
-static void
-on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
-            const struct sockaddr *from, unsigned flags)
-{
-    GwPeers *peers = udp->data;
-    char ip[INET_ADDRSTRLEN];
-    char address[ADDRESS_MAX];
-
-    (void)flags;
-    if (len <= 0 || from == NULL || from->sa_family != AF_INET) {
-        return;
-    }
-    const struct sockaddr_in *in = (const struct sockaddr_in *)from;
-    (void)uv_ip4_name(in, ip, sizeof(ip));
-    g_snprintf(address, sizeof(address), "%s:%u", ip, ntohs(in->sin_port));
-    Report *report = gw__peer__report__unpack(NULL, (size_t)len,
-                                              (const uint8_t *)buf->base);
-    if (report != NULL) {
-        take(peers, address, report);
-        gw__peer__report__free_unpacked(report, NULL);
-        GwEdge_Carry(peers->edge);
-    }
-}
-
-bool
-GwPeers_ListenReports(GwPeers *peers)
-{
-    struct sockaddr_in at;
-
-    return GwConn_ParseAddress(peers->edge->settings->peer_address, &at) &&
-           uv_udp_bind(&peers->udp, (const struct sockaddr *)&at, 0) == 0 &&
-           uv_udp_recv_start(&peers->udp, on_alloc, on_datagram) == 0;
-}
--- /dev/null
+++ b/lib/edge/reports_in.c
@@ -0,0 +1,238 @@
+/* Reports from other entries: what they say of themselves, of loads and of
+ * places, and what is answered at once. */
+#include "edge/introduce.h"
+#include "edge/peers_internal.h"
+
+#include "wire/peer.pb-c.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define LOADS_MAX   GW_SUM_LOADS_MAX
+#define ADDRESS_MAX 32
+
+typedef Gw__Peer__Report Report;
+
+static void
+replace_text(char **at, const char *text)
+{
+    if (strcmp(*at, text) != 0) {
+        g_free(*at);
+        *at = g_strdup(text);
+    }
+}
+
+/* Datagrams overtake each other; those of a process that has ended since may
+ * still come. */
+static bool
+is_newer(const GwPeerEntry *peer, const Report *report)
+{
+    if (!peer->heard) {
+        return true;
+    }
+    if (report->start == peer->start) {
+        return report->seq > peer->seq;
+    }
+    return report->start != peer->last_start;
+}
+
+static bool
+has_identity(const Report *report)
+{
+    return report->name[0] != '\0';
+}
+
+static void
+take_identity(GwPeerEntry *peer, const Report *report)
+{
+    replace_text(&peer->name, report->name);
+    replace_text(&peer->region, report->region);
+    replace_text(&peer->domain, report->domain);
+    replace_text(&peer->call_address, report->call_address);
+    peer->link_kbps = report->link_kbps;
+    peer->cpu_milli = report->cpu_milli;
+}
+
+static uint32_t
+read_loads(const uint32_t *servers, size_t n_servers, const uint32_t *counts,
+           size_t n_counts, GwPeerLoad *out)
+{
+    size_t count = MIN(MIN(n_servers, n_counts), LOADS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        out[i] = (GwPeerLoad){servers[i], counts[i]};
+    }
+    return (uint32_t)count;
+}
+
+/* Loads that come both by themselves and within a sum would count twice: who
+ * is told sums counts nothing else. */
+static void
+take_loads(GwPeers *peers, GwPeerEntry *peer, const Report *report)
+{
+    GwRouter *router = peers->edge->router;
+    GwPeerLoad loads[LOADS_MAX];
+    GwPeerInfo info = {
+        .name = peer->name,
+        .region = peer->region,
+        .serves = report->serves,
+        .loads = loads,
+    };
+    uint32_t count =
+        read_loads(report->load_servers, report->n_load_servers,
+                   report->load_counts, report->n_load_counts, loads);
+
+    peer->loads_us = 0;
+    if (report->loads_of == GW_LOADS_OWN ||
+        report->loads_of == GW_LOADS_DOMAIN) {
+        GwPeers_NoteLoads(peers, peer, loads, count);
+    }
+    info.load_count = peers->by_sums && !peers->aggregates ? 0 : count;
+    GwRouter_PutPeer(router, GwEdge_Now(), &info);
+    if (report->loads_of != GW_LOADS_ALL || !peers->by_sums ||
+        peers->aggregates) {
+        return;
+    }
+    peers->sums_heard_us = GwEdge_Now();
+    GwRouter_DropSums(router, GwEdge_Now());
+    for (size_t i = 0; i < MIN(report->n_sums, GW_SUM_REGIONS_MAX); i++) {
+        const Gw__Peer__Sum *sum = report->sums[i];
+        count = read_loads(sum->servers, sum->n_servers, sum->counts,
+                           sum->n_counts, loads);
+        GwRouter_PutSum(router, GwEdge_Now(), sum->region, count, loads);
+    }
+}
+
+static void
+take_placements(GwPeers *peers, const GwPeerEntry *peer, const Report *report)
+{
+    size_t placed = MIN(report->n_placed_objects, report->n_placed_servers);
+
+    for (size_t i = 0; i < placed; i++) {
+        GwPlacement placement = {.object = report->placed_objects[i],
+                                 .server = report->placed_servers[i],
+                                 .warm = i < report->placed_warm};
+        GwRouter_PutPlacement(peers->edge->router, GwEdge_Now(), &placement);
+        if (!placement.warm) {
+            GwPeers_RelayPlacement(peers, peer, &placement);
+        }
+    }
+}
+
+static void
+note(GwPeerEntry *peer, const Report *report)
+{
+    if (report->start != peer->start) {
+        peer->last_start = peer->start;
+        peer->start = report->start;
+    }
+    peer->seq = report->seq;
+    peer->serves = report->serves;
+    peer->reads = report->reads;
+    peer->saw_away = report->store_was_away;
+    peer->next_ms = report->next_ms;
+    peer->heard = true;
+    peer->heard_us = GwEdge_Now();
+    peer->operator_version = report->operator_version;
+    peer->server_version = report->server_version;
+    peer->news_bytes = report->news_bytes;
+}
+
+/* Those of other regions hear of this entry in their turn, but for those who
+ * add up loads: at hundreds of entries a start of all would make each answer
+ * each. */
+static bool
+answers_at_once(const GwPeers *peers, const GwPeerEntry *peer, bool was_live,
+                const Report *report)
+{
+    if (was_live && !report->is_new) {
+        return false;
+    }
+    return GwPeers_IsNear(peers, peer) || !peers->by_sums || peers->aggregates;
+}
+
+static void
+take(GwPeers *peers, const char *from, const Report *report)
+{
+    GwEdge *edge = peers->edge;
+    GwPeerEntry *peer = GwPeers_Add(peers, from);
+
+    if (peer == NULL || !is_newer(peer, report) ||
+        (peer->start != report->start && !has_identity(report))) {
+        return;
+    }
+    bool was_live = GwPeerEntry_IsLive(peer, GwEdge_Now());
+    if (has_identity(report)) {
+        take_identity(peer, report);
+    }
+    if (!was_live) {
+        GwLog_Event(GW_LOG_MEMBER_UP, "member=%s domain=%s", peer->name,
+                    peer->domain);
+    }
+    note(peer, report);
+    take_loads(peers, peer, report);
+    take_placements(peers, peer, report);
+    for (size_t i = 0; i < report->n_known; i++) {
+        (void)GwPeers_Add(peers, report->known[i]);
+    }
+    GwFeed_NotePeer(edge->server_feed, GwEdge_Now(), report->store_was_away);
+    if (report->is_new) {
+        GwPeers_MakeBacklog(peers, peer);
+    }
+    if (report->asks_known || answers_at_once(peers, peer, was_live, report)) {
+        GwPeers_Tell(
+            peers, peer,
+            report->asks_known &&
+                GwIntroduce_TellsAddresses(
+                    g_hash_table_size(peers->by_address), report->knows));
+    }
+    if (peers->informed_us == 0 && report->server_version > 0 &&
+        report->operator_version > 0) {
+        peers->informed_us = GwEdge_Now();
+    }
+    GwPeers_AskForRows(peers, peer);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+    static char bytes[GW_REPORT_MAX_BYTES];
+
+    (void)handle;
+    (void)size;
+    *buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
+            const struct sockaddr *from, unsigned flags)
+{
+    GwPeers *peers = udp->data;
+    char ip[INET_ADDRSTRLEN];
+    char address[ADDRESS_MAX];
+
+    (void)flags;
+    if (len <= 0 || from == NULL || from->sa_family != AF_INET) {
+        return;
+    }
+    const struct sockaddr_in *in = (const struct sockaddr_in *)from;
+    (void)uv_ip4_name(in, ip, sizeof(ip));
+    g_snprintf(address, sizeof(address), "%s:%u", ip, ntohs(in->sin_port));
+    Report *report = gw__peer__report__unpack(NULL, (size_t)len,
+                                              (const uint8_t *)buf->base);
+    if (report != NULL) {
+        take(peers, address, report);
+        gw__peer__report__free_unpacked(report, NULL);
+        GwEdge_Carry(peers->edge);
+    }
+}
+
+bool
+GwPeers_ListenReports(GwPeers *peers)
+{
+    struct sockaddr_in at;
+
+    return GwConn_ParseAddress(peers->edge->settings->peer_address, &at) &&
+           uv_udp_bind(&peers->udp, (const struct sockaddr *)&at, 0) == 0 &&
+           uv_udp_recv_start(&peers->udp, on_alloc, on_datagram) == 0;
+}
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -222,6 +222,7 @@
         "grace",
         "lookup_ttl",
         "row_grace",
+        "first_start",
         "log_level",
         "memory_mb",
         "fd_limit",
@@ -247,6 +248,7 @@
            read_seeds(at, s->seeds, error) &&
            move_seeds(at, s->seeds, error) &&
            read_regions(at, s->regions, error) && read_bounds(at, s, error) &&
+           GwRead_Bool(at, "first_start", &s->first_start, error) &&
            read_level(at, s, error);
 }
 
--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -22,6 +22,7 @@
     uint32_t cpu_milli;  /* thousandths of a core that it may use */
     uint32_t grace_ms;   /* from the signal to stop to the end */
     uint32_t lookup_ttl_ms;
+    bool first_start;      /* of the whole system: nobody calls yet */
     uint32_t row_grace_ms; /* rows that lapsed may come back for so long */
     char log_level[8];
 } GwEdgeSettings;
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -271,7 +271,13 @@
 {
     uint32_t heard = g_hash_table_size(r->peers) + 1;
 
-    return MAX(MAX(r->params.entries_max, 1), heard * 3 / 2);
+    return MAX(MAX(r->params.entries_max, 1), MAX(heard, r->entries) * 3 / 2);
+}
+
+void
+GwRouter_SetEntries(GwRouter *r, uint32_t count)
+{
+    r->entries = count;
 }
 
 /* Whether another attempt may be made, and pays for it. A send that met no
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -232,6 +232,9 @@
     GwRequestStory story;    /* ANSWER, REPLY */
 } GwDo;
 
+/* So many entries may be alive, this one included, whether they were heard of
+ * or not; they share the extra of retries. */
+void GwRouter_SetEntries(GwRouter *r, uint32_t count);
 /* Idle connections that this entry may keep open to the server, so that those
  * of all entries leave half of its connections to requests. */
 uint32_t GwRouter_IdleConnectionsMax(const GwRouter *r, const GwServer *s);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -194,6 +194,7 @@
     GArray *placements; /* GwPlacement of this entry, oldest first */
     GwHeap deadlines;
     GwDrift drift;
+    uint32_t entries; /* that may be alive; 0: the host has not said */
     /* Of servers that may take work, as far as `room_known`: */
     bool room_known;
     bool room_lost; /* the region has fewer since the last look */
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -251,7 +251,7 @@
   (ProtobufCMessageInit) gw__peer__sum__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[25] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[26] =
 {
   {
     "name",
@@ -553,8 +553,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks_known",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, asks_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
+  25,   /* field[25] = asks_known */
   5,   /* field[5] = call_address */
   21,   /* field[21] = cpu_milli */
   4,   /* field[4] = domain */
@@ -585,7 +598,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -595,7 +608,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  25,
+  26,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   2,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -93,6 +93,10 @@
    * addresses of other entries that the sender has
    */
   uint32_t knows;
+  /*
+   * the sender lacks addresses of others
+   */
+  protobuf_c_boolean asks_known;
   /*
    * the sender has just started, or was alone
    */
@@ -138,7 +142,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
