Test that fails: a request is refused beside an idle server

Cause: the server is chosen by its cost alone, and asked for room after. One that came back counts as fast as the mean; the others are remembered as slower, and as they get no work that memory stays. When the chosen one is full and late, the request is refused without a look at a server that has room.

Ruled out: ejection, drain, evacuation (the entry's log), a pause of the entry.

Tried and taken back: to choose, where the best is full and late, the best that has room or answers in time. Within the region alone a server's rank would depend on which others are looked at, which no_server_that_is_passed_over_is_better forbids. Left: let the memory of slowness fade, or a cost for being refused.

--- a/tests/unit/test_router_choice.c
+++ b/tests/unit/test_router_choice.c
@@ -109,3 +109,27 @@
         Steering_Finish(f);
     }
 }
+
+#define MS 1000
+
+/* Callers were refused for lack of room while two servers stood idle: they had
+ * been slower lately, and a full one that had just come back cost less. */
+Test(router_choice, nobody_is_refused_beside_an_idle_server)
+{
+    static const double slow[] = {1.5, 2, 4};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(slow); i++) {
+        FakeSteering *f = Steering_Start(2);
+        FakeSteering_Put(f, "idle", "r1", "d1", 10);
+        GPtrArray *servers = GwRouter_ServiceOf(f->router, "s")->servers;
+        ((GwServer *)servers->pdata[0])->slow = slow[i];
+        FakeSteering_Put(f, "back", "r1", "d1", 10);
+        for (int k = 0; k < 20; k++) {
+            FakeRequest *req = FakeSteering_Arrive(f, "/again/", NULL, 8000);
+            cr_expect_not_null(req->server, "slow %.1f, request %d", slow[i],
+                               k);
+            FakeSteering_Pass(f, 10 * MS);
+        }
+        Steering_Finish(f);
+    }
+}
