--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -69,7 +69,8 @@
     GHashTable *by_address; /* peer_address -> GwPeerEntry */
     uint64_t start;
     uint64_t seq;
-    double stretch;         /* of all periods, so that reports stay few */
+    double stretch; /* of all periods, so that reports stay few */
+    uint32_t ups;   /* peers that are heard since the periods were set */
     double stretch_unheard; /* the same for peers that may not be there */
     uint32_t asked_known;   /* peers that were asked for addresses, since */
     int64_t asked_known_us;
@@ -84,6 +85,7 @@
     char teller[32];
     GwConn *join;
     GwJoinStep step;
+    char *join_after; /* the last row read; NULL: none yet */
     int64_t join_at_us;
     bool by_sums;    /* loads are told by way of who adds them up, */
     bool aggregates; /* and in this failure domain this entry does */
@@ -126,6 +128,9 @@
 void GwPeers_TellDue(GwPeers *peers, int64_t now_us);
 /* Sets how much reports are stretched for the peers that are there now. */
 void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
+/* A peer is heard that was not: when all start at once they are many long
+ * before the next sweep. */
+void GwPeers_NoteUp(GwPeers *peers);
 /* Those that were told nothing yet are told in their turn, not all at once. */
 void GwPeers_SpreadUntold(GwPeers *peers);
 
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -27,6 +27,8 @@
  * of the region, and of other regions, whose bytes are paid for. */
 #define SUM_REGION_MS GW_SUM_PERIOD_MIN_MS
 #define SUM_FAR_MS    500
+/* Periods are set anew for so many more peers. */
+#define UPS_MAX 8
 /* An entry that knows nobody asks so many in this time. */
 #define ASK_KNOWN_MAX 3
 #define ASK_KNOWN_US  1000000
@@ -79,6 +81,7 @@
     double most_per_s = peers->by_sums ? SIGNS_PER_S : REPORTS_PER_S;
 
     peers->live = 0;
+    peers->ups = 0;
     g_hash_table_iter_init(&iter, peers->by_address);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwPeerEntry *peer = value;
@@ -94,6 +97,14 @@
     peers->stretch_unheard = MAX(1.0, (per_s + unheard_per_s) / SIGNS_PER_S);
 }
 
+void
+GwPeers_NoteUp(GwPeers *peers)
+{
+    if (++peers->ups >= UPS_MAX) {
+        GwPeers_SetPeriods(peers, GwEdge_Now());
+    }
+}
+
 void
 GwPeers_SpreadUntold(GwPeers *peers)
 {
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -179,6 +179,7 @@
         take_identity(peer, report);
     }
     if (!was_live) {
+        GwPeers_NoteUp(peers);
         GwLog_Event(GW_LOG_MEMBER_UP, "member=%s domain=%s", peer->name,
                     peer->domain);
     }
--- a/tests/unit/test_aggregate.c
+++ b/tests/unit/test_aggregate.c
@@ -307,3 +307,18 @@
     free_view(first);
     free_view(view);
 }
+
+/* All start at once: until the next sweep each told each as if they were two. */
+Test(aggregate, reports_are_stretched_as_peers_come_up)
+{
+    View *view = create_view(0);
+    uint32_t ups = 0;
+
+    view->peers.stretch = 1;
+    while (view->peers.stretch < 2 && ups < ENTRIES) {
+        GwPeers_NoteUp(&view->peers);
+        ups++;
+    }
+    cr_expect_leq(ups, 8);
+    free_view(view);
+}
