Entries are read from the store page by page

Cause: the store answers with at most 500 rows, and an entry took the first answer for all. Above that many rows, which those of entries that are gone count among, it would not find the others while its seeds are down.

Ruled out: a bound on rows; nobody removes those of entries that are gone (left).

Change: it reads on from the last key while the store says that there is more.

Test: edge_join/entries_are_read_page_by_page failed before, passes.

--- a/lib/edge/join.c
+++ b/lib/edge/join.c
@@ -53,7 +53,7 @@
         write_own_row(peers);
         return;
     }
-    char *target = edge->adapter->read_target(ENTRY_TABLE, NULL);
+    char *target = edge->adapter->read_target(ENTRY_TABLE, peers->join_after);
     GwConn_WriteGet(peers->join, target, edge->settings->store_address);
     g_free(target);
 }
@@ -122,9 +122,17 @@
         ask_join(peers);
     }
     else {
-        peers->step = GW_JOIN_DONE;
         take_entries(peers, set);
-        GwConn_CloseAt(&peers->join);
+        if (set->more && set->rows->len > 0) {
+            const GwStoreRow *last = set->rows->pdata[set->rows->len - 1];
+            g_free(peers->join_after);
+            peers->join_after = g_strdup(last->key);
+            ask_join(peers);
+        }
+        else {
+            peers->step = GW_JOIN_DONE;
+            GwConn_CloseAt(&peers->join);
+        }
     }
     GwRowSet_Free(set);
 }
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -348,5 +348,6 @@
     g_array_free(peers->relayed_domain, TRUE);
     g_array_free(peers->relayed_region, TRUE);
     GwPeers_FreeSums(peers);
+    g_free(peers->join_after);
     g_free(peers);
 }
