A newcomer leaves cold servers of regions that it has not heard of alone

Cause, read in the code: entries of other regions are heard of in their turn since starts tell few, and one that has heard of nobody in a server's region takes itself for one that may feed it while it is cold. Two feeders are above what a cold server bears.

Ruled out: more greetings; rows of entries that are gone stand among those that are greeted.

Change: servers of such a region are fed 20 s after the start at the earliest. Test: router/a_newcomer_leaves_cold_servers_of_other_regions_alone failed before, passes; prop_router passes.

--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -11,6 +11,8 @@
 /* After a start an entry knows no peers yet and would take itself for the one
  * that feeds every cold server. */
 #define FEED_AFTER_START_US 2000000
+/* Those of other regions are heard of later where entries are many. */
+#define FEED_FAR_AFTER_START_US 20000000
 /* Of the rate that a cold server bears, so that a late or doubled belief about
  * who feeds it still stays within the bound. */
 #define FEED_SHARE 0.9
@@ -399,7 +401,7 @@
  * a cold server gets holds over all entries together, so one entry feeds it:
  * of those that serve, in its region if there are any, the first by a hash. */
 static bool
-is_feeder(GwRouter *r, const GwServer *s)
+is_feeder(GwRouter *r, const GwServer *s, int64_t now_us)
 {
     uint64_t own = feed_rank(s, r->params.name);
     bool first = true;
@@ -421,7 +423,8 @@
             first = false;
         }
     }
-    return first;
+    return first &&
+           (in_region || now_us >= r->started_us + FEED_FAR_AFTER_START_US);
 }
 
 /* Whether a token for the cold server is there. An entry that has only now
@@ -432,7 +435,8 @@
 {
     double per_s = s->service->cold_per_s * FEED_SHARE;
 
-    if (now_us < r->started_us + FEED_AFTER_START_US || !is_feeder(r, s)) {
+    if (now_us < r->started_us + FEED_AFTER_START_US ||
+        !is_feeder(r, s, now_us)) {
         s->feeds = false;
         return false;
     }
--- a/tests/unit/test_router_limits.c
+++ b/tests/unit/test_router_limits.c
@@ -159,6 +159,21 @@
     Steering_Finish(f);
 }
 
+/* An entry that has heard of nobody in the server's region fed it beside that
+ * region's own feeder. */
+Test(router, a_newcomer_leaves_cold_servers_of_other_regions_alone)
+{
+    FakeSteering *f = Steering_Start(2);
+    FakeSteering_Put(f, "far", "r2", "d9", 2);
+
+    FakeSteering_SetCold(f, "far", 60000);
+    FakeSteering_Pass(f, 15 * FAKE_US_PER_S);
+    cr_expect_null(FakeSteering_Arrive(f, "/once/", NULL, 3000)->server);
+    FakeSteering_Pass(f, 10 * FAKE_US_PER_S);
+    cr_expect_not_null(FakeSteering_Arrive(f, "/once/", NULL, 3000)->server);
+    Steering_Finish(f);
+}
+
 /* Servers reset connections beyond a bound that counts those of all entries.
  * If each entry kept what it ever opened, a fleet of entries would fill the
  * bound with idle ones, and requests would meet resets. */
