A report that is too long for a datagram goes without its places

Cause, read in the code: a report above 16 KiB was not sent at all, at its turn and again at the next, and its entry would count as gone. Changes of a sum for a receiver that stood still for seconds come near that above 5,000 cells.

Change: such a report goes without its places, which are told twice, and if need be without its sum; after two seconds its receiver asks for the whole, in parts.

--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -286,6 +286,23 @@
     return peers->asked_known++ < ASK_KNOWN_MAX;
 }
 
+/* A report that is too long for a datagram goes without its places, which are
+ * told twice, or without its sum: who gets none for long asks for all of it, in
+ * parts. */
+static void
+shorten(Report *report)
+{
+    if (gw__peer__report__get_packed_size(report) > GW_REPORT_MAX_BYTES) {
+        report->n_placed_objects = 0;
+        report->n_placed_servers = 0;
+        report->placed_warm = 0;
+    }
+    if (gw__peer__report__get_packed_size(report) > GW_REPORT_MAX_BYTES) {
+        report->sum = NULL;
+        report->loads_of = GW_LOADS_NONE;
+    }
+}
+
 void
 GwPeers_Tell(GwPeers *peers, GwPeerEntry *peer, bool with_known)
 {
@@ -320,6 +337,7 @@
     if (with_known) {
         fill_known(peers, &report, &arrays);
     }
+    shorten(&report);
     if (gw__peer__report__get_packed_size(&report) <= sizeof(bytes)) {
         size_t len = gw__peer__report__pack(&report, bytes);
         uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
