The case of cold servers of other regions puts its server there

Its server had been put back into the entry's own region by the fake's SetCold, and the first token was missing in any case. Now it puts the server itself and asks each second: with the new condition taken out it fails, with it it passes.

--- a/tests/unit/test_router_limits.c
+++ b/tests/unit/test_router_limits.c
@@ -166,11 +166,23 @@
     FakeSteering *f = Steering_Start(2);
     FakeSteering_Put(f, "far", "r2", "d9", 2);
 
-    FakeSteering_SetCold(f, "far", 60000);
-    FakeSteering_Pass(f, 15 * FAKE_US_PER_S);
-    cr_expect_null(FakeSteering_Arrive(f, "/once/", NULL, 3000)->server);
-    FakeSteering_Pass(f, 10 * FAKE_US_PER_S);
-    cr_expect_not_null(FakeSteering_Arrive(f, "/once/", NULL, 3000)->server);
+    uint32_t early = 0;
+    uint32_t late = 0;
+
+    GwServerInfo info = FakeSteering_Info("far", "s", "r2", "d9", 2);
+
+    info.warmup_left_ms = 60000;
+    GwRouter_PutServer(f->router, f->now_us, &info, f->actions);
+    FakeSteering_Carry(f);
+    for (int second = 0; second < 30; second++) {
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        *(second < 20 ? &early : &late) += req->sends;
+        FakeSteering_Pass(f, FAKE_US_PER_S / 2);
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+        FakeSteering_Pass(f, FAKE_US_PER_S / 2);
+    }
+    cr_expect_eq(early, 0);
+    cr_expect_gt(late, 5);
     Steering_Finish(f);
 }
 
