--- /dev/null
+++ b/lib/router/peers.c
@@ -0,0 +1,165 @@
+/* What other entries have in flight at backend servers, as they tell it. */
+#include "router/router_internal.h"
+
+#include <string.h>
+
+/* A server that came after a report was counted in holds nothing of it: the
+ * count never falls below zero. */
+static void
+move_count(uint32_t *count, uint32_t by, bool add)
+{
+    *count = add ? *count + by : *count > by ? *count - by : 0;
+}
+
+static void
+move_at(GwRouter *r, int64_t now_us, GwServer *s, const char *region,
+        uint32_t by, bool add)
+{
+    GwServer_NoteBusy(r, s, now_us);
+    move_count(&s->peers_in_flight, by, add);
+    if (strcmp(region, s->path->region) != 0) {
+        move_count(&s->peers_far, by, add);
+    }
+}
+
+static void
+count_loads(GwRouter *r, int64_t now_us, const GwPeer *peer, bool add)
+{
+    for (guint i = 0; i < peer->loads->len; i++) {
+        const GwPeerLoad *load = &g_array_index(peer->loads, GwPeerLoad, i);
+        GwServer *s =
+            g_hash_table_lookup(r->by_hash, GUINT_TO_POINTER(load->server));
+        if (s != NULL) {
+            move_at(r, now_us, s, peer->region, load->in_flight, add);
+        }
+    }
+}
+
+/* The one of that name, which is made where it is not there yet. */
+static GwPeer *
+peer_of(GHashTable *peers, const char *name, const char *region)
+{
+    GwPeer *peer = g_hash_table_lookup(peers, name);
+
+    if (peer == NULL) {
+        peer = g_new0(GwPeer, 1);
+        peer->name = g_strdup(name);
+        peer->region = g_strdup(region);
+        peer->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
+        g_hash_table_insert(peers, peer->name, peer);
+    }
+    return peer;
+}
+
+static void
+set_loads(GwRouter *r, int64_t now_us, GwPeer *peer, uint32_t count,
+          const GwPeerLoad *loads)
+{
+    count_loads(r, now_us, peer, false);
+    g_array_set_size(peer->loads, 0);
+    if (count > 0) {
+        g_array_append_vals(peer->loads, loads, count);
+    }
+    count_loads(r, now_us, peer, true);
+}
+
+void
+GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info)
+{
+    GwPeer *peer = peer_of(r->peers, info->name, info->region);
+
+    peer->serves = info->serves;
+    set_loads(r, now_us, peer, info->load_count, info->loads);
+}
+
+/* Sums are told as what has changed, so one of a server that is not known yet
+ * is kept for when it comes (GwRouter_AddSums). */
+void
+GwRouter_SetSum(GwRouter *r, int64_t now_us, const char *region,
+                uint32_t server, uint32_t count)
+{
+    gpointer key = GUINT_TO_POINTER(server);
+    GHashTable *counts = g_hash_table_lookup(r->sums, region);
+    GwServer *s = g_hash_table_lookup(r->by_hash, key);
+
+    if (counts == NULL) {
+        counts = g_hash_table_new(g_direct_hash, g_direct_equal);
+        g_hash_table_insert(r->sums, g_strdup(region), counts);
+    }
+    uint32_t old = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key));
+    if (s != NULL) {
+        move_at(r, now_us, s, region, old, false);
+        move_at(r, now_us, s, region, count, true);
+    }
+    if (count > 0) {
+        g_hash_table_insert(counts, key, GUINT_TO_POINTER(count));
+    }
+    else {
+        g_hash_table_remove(counts, key);
+    }
+}
+
+void
+GwRouter_AddSums(GwRouter *r, int64_t now_us, GwServer *s)
+{
+    GHashTableIter iter;
+    gpointer region;
+    gpointer counts;
+
+    g_hash_table_iter_init(&iter, r->sums);
+    while (g_hash_table_iter_next(&iter, &region, &counts)) {
+        gpointer count =
+            g_hash_table_lookup(counts, GUINT_TO_POINTER(GwServer_Hash(s)));
+        move_at(r, now_us, s, region, GPOINTER_TO_UINT(count), true);
+    }
+}
+
+void
+GwRouter_DropSums(GwRouter *r, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer region;
+    gpointer counts;
+
+    g_hash_table_iter_init(&iter, r->sums);
+    while (g_hash_table_iter_next(&iter, &region, &counts)) {
+        GHashTableIter at;
+        gpointer key;
+        gpointer count;
+        g_hash_table_iter_init(&at, counts);
+        while (g_hash_table_iter_next(&at, &key, &count)) {
+            GwServer *s = g_hash_table_lookup(r->by_hash, key);
+            if (s != NULL) {
+                move_at(r, now_us, s, region, GPOINTER_TO_UINT(count), false);
+            }
+        }
+    }
+    g_hash_table_remove_all(r->sums);
+}
+
+void
+GwRouter_DropPeer(GwRouter *r, int64_t now_us, const char *name)
+{
+    GwPeer *peer = g_hash_table_lookup(r->peers, name);
+
+    if (peer != NULL) {
+        count_loads(r, now_us, peer, false);
+        g_hash_table_remove(r->peers, name);
+    }
+}
+
+void
+GwRouter_OwnLoads(const GwRouter *r, GArray *out)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwServer *s = value;
+        if (s->in_flight > 0) {
+            GwPeerLoad load = {GwServer_Hash(s), s->in_flight};
+            g_array_append_val(out, load);
+        }
+    }
+}
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -221,6 +221,10 @@
 void GwServer_NoteBusy(const GwRouter *r, GwServer *s, int64_t now_us);
 bool GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us);
 
+/* peers.c */
+/* Adds to a new server what sums have told of it. */
+void GwRouter_AddSums(GwRouter *r, int64_t now_us, GwServer *s);
+
 /* keys.c */
 uint64_t GwHash_Text(const char *text, uint64_t seed);
 GwKey *GwRouter_KeyOf(GwRouter *r, int64_t now_us, const GwRoute *route,
