After a reading of the whole change: what was dead, twice, or in the wrong place

- The adapter still parsed what peers ask in the store's format, which no entry asks any more.
- Two functions told whether an entry is the first of its region, one among those that serve and one among all that are heard: one, with the question as argument.
- The size of each report was worked out three times before it was sent: once, and again only for one that is too long.
- Periods asked by names how far a peer is; GwPeerEntry_Way says it.
- A feed was made in two calls.

Behaviour is the same. Ruled out: leaving GwControlCost_Total out, which only its case calls; the case would lose an assertion.

--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -44,10 +44,6 @@
     /* Paths and bodies of the store's calls; results are freed by g_free. */
     char *(*feed_target)(const char *table, uint64_t after, uint32_t wait_ms);
     char *(*read_target)(const char *table, const char *from_key);
-    /* Reads what `feed_target` writes, for peers that ask this entry; the
-     * table is freed by g_free. */
-    bool (*parse_feed_target)(const char *target, char **table,
-                              uint64_t *after);
     char *(*write_body)(const char *table, const char *key, const char *value);
     const char *write_target;
     GwRowSet *(*read_rows)(const char *text, size_t len, GError **error);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -312,11 +312,10 @@
     edge->meters = GwMeters_Create();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
-    edge->operator_feed =
-        GwFeed_Create(edge, adapter->operator_table, GwBeliefs_OnOperatorRow);
-    edge->server_feed =
-        GwFeed_Create(edge, adapter->server_table, GwBeliefs_OnServerRow);
-    GwFeed_SetIsNews(edge->server_feed, GwBeliefs_IsNews);
+    edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
+                                        GwBeliefs_OnOperatorRow, NULL);
+    edge->server_feed = GwFeed_Create(edge, adapter->server_table,
+                                      GwBeliefs_OnServerRow, GwBeliefs_IsNews);
     edge->peers = GwPeers_Create(edge, &why);
     start_timers(edge);
     if (why != NULL || !listen_all(edge, &why)) {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -139,8 +139,9 @@
 
 /* feed.c */
 void GwFeed_Close(GwFeed *feed);
-GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed);
-void GwFeed_SetIsNews(GwFeed *feed, GwRowIsNews is_news);
+/* `is_news`: NULL where every change is. */
+GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed,
+                      GwRowIsNews is_news);
 void GwFeed_Free(GwFeed *feed);
 void GwFeed_Sweep(GwFeed *feed, int64_t now_us);
 /* Whether this entry reads the table from the store, or leaves that to peers. */
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -23,13 +23,15 @@
 static const GwConnOps store_ops;
 
 GwFeed *
-GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed)
+GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed,
+              GwRowIsNews is_news)
 {
     GwFeed *feed = g_new0(GwFeed, 1);
 
     feed->edge = edge;
     feed->table = g_strdup(table);
     feed->cache = GwRowCache_Create(changed, edge);
+    GwRowCache_SetIsNews(feed->cache, is_news);
     feed->phase = PHASE_READ;
     feed->retry_ms = RETRY_MIN_MS;
     feed->answered_us = GwEdge_Now();
@@ -37,12 +39,6 @@
     return feed;
 }
 
-void
-GwFeed_SetIsNews(GwFeed *feed, GwRowIsNews is_news)
-{
-    GwRowCache_SetIsNews(feed->cache, is_news);
-}
-
 static void
 close_store(GwFeed *feed)
 {
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -58,27 +58,10 @@
     return now_us - peer->heard_us < MAX(limit_us, HEARD_MIN_US);
 }
 
-/* Of this region, the one that reads for it, as far as peers are known. */
+/* Whether this entry is the one that reads for its region: among the peers that
+ * serve, or, while none can yet, among all that are heard. */
 static bool
-is_first(const GwPeers *peers)
-{
-    GwNewsEntry self = GwPeers_Own(peers);
-    GwPeerScan scan =
-        GwPeers_Scan(peers, peers->edge->settings->router.region, NULL);
-    const GwPeerEntry *peer;
-
-    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        GwNewsEntry other = GwPeerEntry_AsNews(peer);
-        if (GwNews_IsBefore(&other, &self)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* The same among all that are heard, also those that are not ready yet. */
-static bool
-is_first_known(const GwPeers *peers, int64_t now_us)
+is_first(const GwPeers *peers, int64_t now_us, bool of_serving)
 {
     const char *region = peers->edge->settings->router.region;
     GwNewsEntry self = GwPeers_Own(peers);
@@ -89,7 +72,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwPeerEntry *peer = value;
         GwNewsEntry other = GwPeerEntry_AsNews(peer);
-        if (GwPeerEntry_IsLive(peer, now_us) &&
+        if ((peer->serves || !of_serving) &&
+            GwPeerEntry_IsLive(peer, now_us) &&
             strcmp(peer->region, region) == 0 &&
             GwNews_IsBefore(&other, &self)) {
             return false;
@@ -121,7 +105,7 @@
     }
     if (peers->edge->settings->first_start) {
         return age_us > FIRST_ALONE_US ||
-               (age_us > FIRST_SEEK_US && is_first_known(peers, now_us));
+               (age_us > FIRST_SEEK_US && is_first(peers, now_us, false));
     }
     return age_us > SEEK_US;
 }
@@ -148,7 +132,7 @@
     GwEdge *edge = peers->edge;
     uint32_t others = count_readers(peers, now_us);
     bool settles = now_us - edge->started_us < SETTLE_US;
-    bool first = is_first(peers);
+    bool first = is_first(peers, now_us, true);
     bool reads = first || others < (settles ? 1 : OTHERS_MIN);
 
     if (!edge->leaving && !GwEdge_IsReady(edge)) {
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -42,12 +42,14 @@
 static uint32_t
 base_period_ms(const GwPeers *peers, const GwPeerEntry *peer)
 {
-    if (!GwPeers_IsNear(peers, peer)) {
+    switch (GwPeerEntry_Way(peers, peer)) {
+    case GW_WAY_DOMAIN:
+        return SAME_DOMAIN_MS;
+    case GW_WAY_REGION:
+        return SAME_REGION_MS;
+    default:
         return FAR_MS;
     }
-    bool same =
-        strcmp(peer->domain, peers->edge->settings->router.domain) == 0;
-    return same ? SAME_DOMAIN_MS : SAME_REGION_MS;
 }
 
 /* Who is told loads is told soon; the others only need to know that this entry
@@ -288,19 +290,24 @@
 
 /* A report that is too long for a datagram goes without its places, which are
  * told twice, or without its sum: who gets none for long asks for all of it, in
- * parts. */
-static void
-shorten(Report *report)
+ * parts. Returns the size that is left. */
+static size_t
+fit(Report *report)
 {
-    if (gw__peer__report__get_packed_size(report) > GW_REPORT_MAX_BYTES) {
+    size_t len = gw__peer__report__get_packed_size(report);
+
+    if (len > GW_REPORT_MAX_BYTES) {
         report->n_placed_objects = 0;
         report->n_placed_servers = 0;
         report->placed_warm = 0;
+        len = gw__peer__report__get_packed_size(report);
     }
-    if (gw__peer__report__get_packed_size(report) > GW_REPORT_MAX_BYTES) {
+    if (len > GW_REPORT_MAX_BYTES) {
         report->sum = NULL;
         report->loads_of = GW_LOADS_NONE;
+        len = gw__peer__report__get_packed_size(report);
     }
+    return len;
 }
 
 void
@@ -337,9 +344,9 @@
     if (with_known) {
         fill_known(peers, &report, &arrays);
     }
-    shorten(&report);
-    if (gw__peer__report__get_packed_size(&report) <= sizeof(bytes)) {
-        size_t len = gw__peer__report__pack(&report, bytes);
+    size_t len = fit(&report);
+    if (len <= sizeof(bytes)) {
+        (void)gw__peer__report__pack(&report, bytes);
         uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
         edge->counts.reports++;
         note_cost(peers, peer, &report, len);
