Broken attempts are logged with a fingerprint of their request

Change: ATTEMPT_FAILED with outcome=broken carries a digest of method, host, target, caller's address and body. A refused connection is told apart from one that fails otherwise. Nothing is decided by either.

--- /dev/null
+++ b/lib/common/fingerprint.c
@@ -0,0 +1,78 @@
+#include "common/fingerprint.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DIGITS 16 /* of each half */
+
+/* Each part follows its length, so that none can run into the next. */
+static void
+add(GChecksum *sum, const char *part, size_t len)
+{
+    uint64_t size = GUINT64_TO_LE((uint64_t)len);
+
+    g_checksum_update(sum, (const guchar *)&size, sizeof(size));
+    g_checksum_update(sum, (const guchar *)part, (gssize)len);
+}
+
+GwFingerprint
+GwFingerprint_Make(const GwFingerprintParts *parts)
+{
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+    guint8 digest[32];
+    gsize len = sizeof(digest);
+    GwFingerprint f;
+
+    add(sum, parts->method, strlen(parts->method));
+    add(sum, parts->host, strlen(parts->host));
+    add(sum, parts->target, strlen(parts->target));
+    add(sum, parts->caller, strlen(parts->caller));
+    add(sum, parts->body, parts->body_len);
+    g_checksum_get_digest(sum, digest, &len);
+    g_checksum_free(sum);
+    memcpy(&f, digest, sizeof(f));
+    f.hi = GUINT64_FROM_BE(f.hi);
+    f.lo = GUINT64_FROM_BE(f.lo);
+    return f;
+}
+
+bool
+GwFingerprint_Equal(const GwFingerprint *a, const GwFingerprint *b)
+{
+    return a->hi == b->hi && a->lo == b->lo;
+}
+
+guint
+GwFingerprint_Hash(gconstpointer fingerprint)
+{
+    return (guint)((const GwFingerprint *)fingerprint)->lo;
+}
+
+gboolean
+GwFingerprint_EqualKeys(gconstpointer a, gconstpointer b)
+{
+    return GwFingerprint_Equal(a, b);
+}
+
+void
+GwFingerprint_Write(const GwFingerprint *f, char text[GW_FINGERPRINT_TEXT])
+{
+    g_snprintf(text, GW_FINGERPRINT_TEXT, "%016" PRIx64 "%016" PRIx64, f->hi,
+               f->lo);
+}
+
+bool
+GwFingerprint_Read(const char *text, GwFingerprint *out)
+{
+    char half[DIGITS + 1];
+
+    if (strspn(text, "0123456789abcdefABCDEF") != 2 * DIGITS ||
+        text[2 * DIGITS] != '\0') {
+        return false;
+    }
+    g_strlcpy(half, text, sizeof(half));
+    out->hi = strtoull(half, NULL, 16);
+    out->lo = strtoull(text + DIGITS, NULL, 16);
+    return true;
+}
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -156,6 +156,28 @@
     return rest != text && ms >= 0 && ms < INT32_MAX ? ms * 1000 : -1;
 }
 
+const GwFingerprint *
+GwExchange_Fingerprint(GwExchange *x)
+{
+    const char *host = GwHttpMessage_Get(x->msg, "host");
+    char ip[GW_CONN_IP_MAX];
+    GwFingerprintParts parts = {
+        .method = x->msg->method,
+        .host = host != NULL ? host : "",
+        .target = x->msg->target->str,
+        .caller = ip,
+        .body = x->msg->body->str,
+        .body_len = x->msg->body->len,
+    };
+
+    if (!x->has_fingerprint) {
+        GwConn_PeerIp(x->caller->conn, ip);
+        x->fingerprint = GwFingerprint_Make(&parts);
+        x->has_fingerprint = true;
+    }
+    return &x->fingerprint;
+}
+
 static void
 start(GwExchange *x)
 {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -2,6 +2,7 @@
 #ifndef GW_EDGE_INTERNAL_H
 #define GW_EDGE_INTERNAL_H
 
+#include "common/fingerprint.h"
 #include "common/log.h"
 #include "config/model.h"
 #include "edge/control_cost.h"
@@ -37,6 +38,8 @@
     GString *out;          /* what goes to the caller; NULL until it is over */
     bool started;          /* given to the router */
     bool idempotent;
+    bool has_fingerprint;
+    GwFingerprint fingerprint;
     int64_t arrived_us;
 } GwExchange;
 
@@ -127,6 +130,8 @@
 void GwCallers_DropOneGone(GwEdge *edge);
 void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
 void GwExchange_PassOn(GwExchange *x);
+/* Worked out on first use. */
+const GwFingerprint *GwExchange_Fingerprint(GwExchange *x);
 
 /* server_links.c */
 void GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t left_ms);
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -194,17 +194,24 @@
     return "";
 }
 
+/* An attempt that broke may come again under another id, at any entry: its
+ * fingerprint ties them together. */
 static void
-log_failure(const GwExchange *x, const GwAttemptEnd *end)
+log_failure(GwExchange *x, const GwAttemptEnd *end)
 {
     GwEdge *edge = x->edge;
     const char *id = GwHttpMessage_Get(x->msg, edge->adapter->request_id);
     GwRequestStory story = GwRequest_Story(x->request, GwEdge_Now());
+    char text[GW_FINGERPRINT_TEXT] = "";
 
+    if (end->outcome == GW_ATTEMPT_BROKEN) {
+        GwFingerprint_Write(GwExchange_Fingerprint(x), text);
+    }
     GwLog_Event(GW_LOG_ATTEMPT_FAILED,
-                "request=%.40s server=%s outcome=%s status=%u after_ms=%u",
+                "request=%.40s server=%s outcome=%s status=%u after_ms=%u "
+                "fingerprint=%s",
                 id != NULL ? id : "", story.server, outcome_name(end->outcome),
-                end->status, story.took_ms - story.waited_ms);
+                end->status, story.took_ms - story.waited_ms, text);
 }
 
 static void
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -12,7 +12,8 @@
 typedef enum {
     GW_CONN_ENDED = 1,  /* the other side closed in order */
     GW_CONN_FAILED = 2, /* reset, time-out, or never made */
-    GW_CONN_BAD = 3     /* bytes that are no message; see GwConn_Error */
+    GW_CONN_BAD = 3,    /* bytes that are no message; see GwConn_Error */
+    GW_CONN_REFUSED = 4 /* never made: nothing listens at that address */
 } GwConnEnd;
 
 /* A request, or what came of it, that was read while its connection was being
@@ -24,9 +25,8 @@
 } GwConnDropped;
 
 /* Callbacks never come from inside a call of this module. `ended` comes at
- * most once, and never after a close by the owner. After ENDED and FAILED the
- * connection is gone; after BAD it can still be written to, and the owner
- * closes it. */
+ * most once, and never after a close by the owner. After BAD it can still be
+ * written to, and the owner closes it; else the connection is gone. */
 typedef struct {
     void (*connected)(void *owner);
     void (*message)(void *owner, GwHttpMessage *msg); /* takes over */
@@ -97,6 +97,10 @@
  * unread, behind bytes that do. One system call, two where bytes wait. */
 bool GwConn_HasEnded(const GwConn *c);
 
+/* The IP address of the other side, without its port; "" where it is gone. */
+#define GW_CONN_IP_MAX 16
+void GwConn_PeerIp(const GwConn *c, char ip[GW_CONN_IP_MAX]);
+
 /* "ip:port" to an address; false when it is not one. */
 bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
 /* A listening socket; NULL with a log line by the caller on failure. */
