Test that fails: a request that crashes servers is sent to them without end

The small site has servers that crash under a request and come back as a new process, and callers that send such a request again and again, each time to an entry that they look up anew. It counts what reaches servers later than 3 s after the third crash, by target.

--- a/standins/site/caller.c
+++ b/standins/site/caller.c
@@ -5,6 +5,8 @@
 
 #define LOOKUP_EVERY_US 2000000
 #define PAUSE_MS        8
+/* Of one that sends the same request again, whatever it is told. */
+#define AGAIN_MS 150
 /* One in so many pauses is long, where callers rest. */
 #define RESTS_ONE_IN 8
 
@@ -93,19 +95,22 @@
     static const char *const paths[] = {"look-up", "look-up", "booking",
                                         "confirm"};
     const GwAdapter *a = c->params.adapter;
-    uint32_t kind = GwRng_Below(c->params.rng, G_N_ELEMENTS(paths));
+    bool crashes = c->params.crashes;
+    uint32_t kind = crashes ? c->params.number % G_N_ELEMENTS(paths)
+                            : GwRng_Below(c->params.rng, G_N_ELEMENTS(paths));
     bool once = kind >= 2;
     char id[48];
 
-    g_snprintf(id, sizeof(id), "c%u-%lu", c->params.number,
-               (unsigned long)++c->seq);
+    g_snprintf(id, sizeof(id), "%c%u-%lu", crashes ? 'x' : 'c',
+               c->params.number, (unsigned long)++c->seq);
     g_string_append_printf(
         out,
-        "%s /%s/x HTTP/1.1\r\nHost: demo.example\r\n%s: %s\r\n"
+        "%s /%s/%s HTTP/1.1\r\nHost: demo.example\r\n%s: %s\r\n"
         "%s: %u\r\n%s: %u\r\n%s\r\n",
-        once ? "POST" : "GET", paths[kind], a->request_id, id, a->object_key,
-        GwRng_Below(c->params.rng, c->params.objects), a->time_left,
-        c->params.left_ms, once ? "Content-Length: 0\r\n" : "");
+        once ? "POST" : "GET", paths[kind], crashes ? "crash" : "x",
+        a->request_id, id, a->object_key,
+        crashes ? 0 : GwRng_Below(c->params.rng, c->params.objects),
+        a->time_left, c->params.left_ms, once ? "Content-Length: 0\r\n" : "");
     SiteSending sending = {.id = id,
                            .once = once,
                            .entry = c->at,
@@ -171,6 +176,7 @@
         send_requests(c, false);
         return;
     }
+    hang_up(c);
     bool stays = c->params.keeps && c->at[0] != '\0';
     if (!stays && (c->entries->len == 0 || is_stale(c))) {
         c->step = STEP_LOOKUP;
@@ -284,6 +290,10 @@
         }
     }
     GwHttpMessage_Free(msg);
+    if (c->params.crashes && !c->to_directory) {
+        hang_up(c);
+        wait_ms = AGAIN_MS;
+    }
     if (g_queue_is_empty(&c->sent)) {
         pause_for(c, wait_ms);
     }
--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -1,4 +1,4 @@
-#include "standins/site/site.h"
+#include "standins/site/journal_internal.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -39,17 +39,8 @@
     int64_t ran_us; /* the first run's begin */
 };
 
-struct SiteJournal_s {
-    GHashTable *entries;  /* address -> Entry */
-    GHashTable *requests; /* id -> SiteRequest */
-    GPtrArray *in_order;  /* SiteRequest, as sent */
-    guint calm_at;        /* index of the first one sent in the calm */
-    uint64_t strays;
-    int64_t start_us;
-};
-
-static int64_t
-now_us(void)
+int64_t
+SiteJournal_NowUs(void)
 {
     return (int64_t)(uv_hrtime() / 1000);
 }
@@ -77,8 +68,9 @@
     j->entries = g_hash_table_new(g_str_hash, g_str_equal);
     j->requests = g_hash_table_new(g_str_hash, g_str_equal);
     j->in_order = g_ptr_array_new();
+    j->crashers = g_hash_table_new(g_str_hash, g_str_equal);
     j->calm_at = G_MAXUINT;
-    j->start_us = now_us();
+    j->start_us = SiteJournal_NowUs();
     return j;
 }
 
@@ -95,7 +87,7 @@
 {
     GArray *lives = entry_of(j, entry)->lives;
     Life *life = &g_array_index(lives, Life, lives->len - 1);
-    int64_t at_us = now_us();
+    int64_t at_us = SiteJournal_NowUs();
 
     switch (signum) {
     case SIGTERM:
@@ -137,7 +129,7 @@
     req->once = sending->once;
     req->life = sending->life;
     req->first = sending->first;
-    req->sent_us = now_us();
+    req->sent_us = SiteJournal_NowUs();
     (void)g_hash_table_insert(j->requests, req->id, req);
     g_ptr_array_add(j->in_order, req);
     return req;
@@ -147,7 +139,7 @@
 SiteJournal_Ended(SiteRequest *req, const SiteEnd *end)
 {
     req->end = *end;
-    req->ended_us = now_us();
+    req->ended_us = SiteJournal_NowUs();
 }
 
 const char *
@@ -168,7 +160,7 @@
     SiteRequest *req = g_hash_table_lookup(j->requests, id);
 
     if (req != NULL) {
-        req->ran_us = req->runs == 0 ? now_us() : req->ran_us;
+        req->ran_us = req->runs == 0 ? SiteJournal_NowUs() : req->ran_us;
         req->runs++;
     }
 }
@@ -338,5 +330,6 @@
         }
     }
     g_array_sort(verdict.latencies_us, compare);
+    SiteJournal_ConcludeCrashes(j, log, &verdict);
     return verdict;
 }
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -7,6 +7,7 @@
 typedef struct {
     SiteServer *server;
     GwClient *client;
+    GList node;         /* in the server's links */
     GwHttpMessage *msg; /* being run, or queued; NULL */
     uv_timer_t timer;   /* of the run */
     int64_t asked_us;
@@ -16,6 +17,9 @@
 
 struct SiteServer_s {
     SiteServerParams params;
+    GwServe *serve;     /* NULL between a crash and the restart */
+    uv_timer_t process; /* the next crash, or the restart after one */
+    GQueue links;       /* Link */
     uint32_t running;
     GQueue queued;          /* Link */
     GHashTable *remembered; /* object keys */
@@ -28,6 +32,8 @@
 #define QUEUE_MAX 9
 /* From the report that it leaves to the last request. */
 #define DRAIN_US 2500000
+/* From the begin of a run to the crash that it causes. */
+#define CRASH_MS 15
 
 static bool
 chance(SiteServer *s, uint32_t permille)
@@ -114,10 +120,65 @@
     if (link != NULL) {
         (void)g_queue_remove(&link->server->queued, link);
         finish(link);
+        g_queue_unlink(&link->server->links, &link->node);
         uv_close((uv_handle_t *)&link->timer, free_link);
     }
 }
 
+/* ---- Crashes ------------------------------------------------------------- */
+
+static const GwServeOps ops;
+
+static void
+on_restart(uv_timer_t *timer)
+{
+    SiteServer *s = timer->data;
+
+    s->serve = GwServe_Create(s->params.loop, s->params.address, &ops, s);
+    g_assert_nonnull(s->serve);
+    s->params.restarted(s->params.owner, s->params.number);
+}
+
+/* The process ends, and all that it ran. */
+static void
+on_crash(uv_timer_t *timer)
+{
+    SiteServer *s = timer->data;
+    GList *at;
+
+    GwServe_Free(s->serve);
+    s->serve = NULL;
+    while ((at = g_queue_pop_head_link(&s->links)) != NULL) {
+        Link *link = at->data;
+        GwHttpMessage_Free(link->msg);
+        uv_close((uv_handle_t *)&link->timer, free_link);
+    }
+    g_queue_clear(&s->queued);
+    s->running = 0;
+    SiteServer_Forget(s);
+    (void)uv_timer_start(&s->process, on_restart, s->params.restart_ms, 0);
+}
+
+static bool
+is_crashing(const Link *link)
+{
+    return link->server->params.journal != NULL &&
+           Site_Crashes(link->msg->target->str);
+}
+
+static void
+begin_crash(Link *link)
+{
+    SiteServer *s = link->server;
+
+    SiteJournal_Crashed(s->params.journal, link->msg->target->str);
+    if (!uv_is_active((uv_handle_t *)&s->process)) {
+        (void)uv_timer_start(&s->process, on_crash, CRASH_MS, 0);
+    }
+}
+
+/* ---- Runs ---------------------------------------------------------------- */
+
 static void
 on_worked(uv_timer_t *timer)
 {
@@ -177,6 +238,10 @@
     }
     link->running = true;
     s->running++;
+    if (is_crashing(link)) {
+        begin_crash(link);
+        return;
+    }
     if (link->left_ms >= 0 && link->left_ms < work_ms) {
         (void)uv_timer_start(&link->timer, on_time_over,
                              (uint64_t)link->left_ms, 0);
@@ -207,6 +272,8 @@
         link->client = client;
         (void)uv_timer_init(s->params.loop, &link->timer);
         link->timer.data = link;
+        link->node.data = link;
+        g_queue_push_tail_link(&s->links, &link->node);
         *GwClient_User(client) = link;
     }
     return link;
@@ -228,6 +295,9 @@
     if (s->drained_us != 0 && now_us > s->drained_us + DRAIN_US) {
         s->late++;
     }
+    if (is_crashing(link)) {
+        SiteJournal_CrashReached(s->params.journal, msg->target->str);
+    }
     if (expected != NULL && strcmp(expected, s->params.id) != 0) {
         refuse(link, 421);
     }
@@ -252,10 +322,14 @@
     s->params = *params;
     s->remembered =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    if (GwServe_Create(params->loop, params->address, &ops, s) == NULL) {
+    s->serve = GwServe_Create(params->loop, params->address, &ops, s);
+    if (s->serve == NULL) {
+        g_hash_table_destroy(s->remembered);
         g_free(s);
         return NULL;
     }
+    (void)uv_timer_init(params->loop, &s->process);
+    s->process.data = s;
     return s;
 }
 
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -10,6 +10,13 @@
 
 #include <stdio.h>
 
+/* A request that has crashed so many servers reaches servers no more than
+ * SITE_CRASH_SENDS_MAX times, once entries had SITE_CONTACT_US to tell each
+ * other. */
+#define SITE_CRASHES_MAX     3
+#define SITE_CRASH_SENDS_MAX 3
+#define SITE_CONTACT_US      3000000
+
 /* ---- Journal: what callers sent and got, and what servers ran ------------ */
 
 typedef struct SiteJournal_s SiteJournal;
@@ -64,6 +71,10 @@
     uint64_t calm_sent;      /* since then */
     uint64_t calm_answered;
     uint64_t late;        /* reached a server after its drain */
+    uint64_t crash_sends; /* of the request that was sent most often: those
+                             that reached a server though it had crashed
+                             SITE_CRASHES_MAX, and not lately */
+    uint64_t crashes;     /* of servers, by all requests */
     bool misled;          /* by an event that was not understood */
     GArray *latencies_us; /* of answered ones: int64_t, sorted */
 } SiteVerdict;
@@ -82,6 +93,11 @@
 /* Bytes came to a caller that had asked nothing, or that are no answer. */
 void SiteJournal_Stray(SiteJournal *j);
 void SiteJournal_Ran(SiteJournal *j, const char *id);
+/* Whether requests for the target crash the servers that run them. */
+bool Site_Crashes(const char *target);
+/* A request for such a target has reached a server, and has crashed it. */
+void SiteJournal_CrashReached(SiteJournal *j, const char *target);
+void SiteJournal_Crashed(SiteJournal *j, const char *target);
 /* What is sent from now on, once faults are over, is counted on its own. */
 void SiteJournal_Calm(SiteJournal *j);
 /* Judges all; a line goes to `log` for each request that was cut or broke a
@@ -129,6 +145,11 @@
     uint32_t lose_answer; /* runs, and resets the connection */
     uint32_t stray;       /* answers twice */
     uint32_t refuse;      /* says that it did not run */
+    uint32_t restart_ms;  /* after a crash */
+    /* It is back after a crash, as a new process. */
+    void (*restarted)(void *owner, uint32_t number);
+    void *owner;
+    uint32_t number;
     SiteJournal *journal; /* shared by all servers; NULL: none is kept */
     GwRng *rng;
 } SiteServerParams;
@@ -158,7 +179,9 @@
     uint32_t left_ms; /* that it says it will wait */
     uint32_t depth;   /* requests that it sends at once on its connection */
     uint32_t rest_ms; /* at most, between some of its requests; 0: none */
-    bool keeps;       /* uses one entry, whatever the directory says, until
+    bool crashes; /* sends one request again and again, each time to an entry
+                     that it looks up anew; it crashes the servers that run it */
+    bool keeps;   /* uses one entry, whatever the directory says, until
                          nobody listens there */
 } SiteCallerParams;
 
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -32,6 +32,8 @@
         {"true-refusals", v->false_refusals, false},
         {"own-answers", v->wrong, false},
         {"drains", v->late, false},
+        {"crash-budget",
+         v->crash_sends > SITE_CRASH_SENDS_MAX ? v->crash_sends : 0, false},
         {"service", v->answered == 0, false},
         {"events", v->misled, false},
         {"stops", v->cut_in_stop + v->cut_early, true},
@@ -81,6 +83,11 @@
                  (unsigned long)v->false_refusals, (unsigned long)v->wrong,
                  (unsigned long)v->late, quantile_ms(v->latencies_us, 0.5),
                  quantile_ms(v->latencies_us, 0.99));
+    if (v->crashes > 0) {
+        (void)printf("crashes: %lu servers crashed by requests, %lu sends of "
+                     "one after its third crash\n",
+                     (unsigned long)v->crashes, (unsigned long)v->crash_sends);
+    }
     if (played) {
         tell_stops(v);
     }
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -50,6 +50,8 @@
     int depth;
     int slots;
     int refuse; /* permille */
+    int crashers;
+    int restart_ms;
 } Arguments;
 
 typedef struct {
@@ -115,6 +117,10 @@
         {"depth", 0, POPT_ARG_INT, &a->depth, 0,
          "requests that one of four callers sends at once", "N"},
         {"slots", 0, POPT_ARG_INT, &a->slots, 0, "of a server", "N"},
+        {"crashers", 0, POPT_ARG_INT, &a->crashers, 0,
+         "callers whose one request crashes the servers that run it", "N"},
+        {"restart-ms", 0, POPT_ARG_INT, &a->restart_ms, 0,
+         "from a server's crash to its next start", "N"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext ctx = poptGetContext("standin_site", argc, argv, options, 0);
@@ -170,6 +176,16 @@
     g_free(text);
 }
 
+/* Each restart of a server has a time of its own, by which entries know it. */
+static void
+on_restarted(void *owner, uint32_t number)
+{
+    Site *site = owner;
+
+    site->born[number]++;
+    put_server(site, (int)number, "ready");
+}
+
 static bool
 start_servers(Site *site)
 {
@@ -183,6 +199,10 @@
             .lose_answer = (uint32_t)site->args.faults,
             .stray = (uint32_t)site->args.faults,
             .refuse = (uint32_t)MAX(site->args.refuse, site->args.faults),
+            .restart_ms = (uint32_t)site->args.restart_ms,
+            .restarted = on_restarted,
+            .owner = site,
+            .number = (uint32_t)i,
             .journal = site->journal,
             .rng = &site->rng,
         };
@@ -201,7 +221,7 @@
 static void
 start_callers(Site *site)
 {
-    for (int i = 0; i < site->args.callers; i++) {
+    for (int i = 0; i < site->args.callers + site->args.crashers; i++) {
         SiteCallerParams params = {
             .loop = &site->loop,
             .adapter = &Platform_Adapter,
@@ -215,6 +235,7 @@
             .left_ms = (uint32_t)site->args.left_ms,
             .depth = i % 4 == 1 ? (uint32_t)site->args.depth : 1,
             .rest_ms = (uint32_t)site->args.rest_ms,
+            .crashes = i >= site->args.callers,
             .keeps = site->args.keep && i % 4 != 0,
         };
         g_ptr_array_add(site->callers, SiteCaller_Create(&params));
@@ -557,7 +578,8 @@
                                  .work_ms = 40,
                                  .objects = 20,
                                  .depth = 1,
-                                 .slots = 3}};
+                                 .slots = 3,
+                                 .restart_ms = 1000}};
 
     if (!parse(argc, argv, &site.args)) {
         return 2;
--- a/tests/unit/test_fingerprint.c
+++ b/tests/unit/test_fingerprint.c
@@ -43,11 +43,12 @@
 
 Test(fingerprint, its_text_can_be_read_back)
 {
-    static const char *const bad[] = {
-        "", "0", "0123456789abcdef0123456789abcde",
-        "0123456789abcdef0123456789abcdeg",
-        "0123456789abcdef0123456789abcdef0",
-        "-123456789abcdef0123456789abcdef"};
+    static const char *const bad[] = {"",
+                                      "0",
+                                      "0123456789abcdef0123456789abcde",
+                                      "0123456789abcdef0123456789abcdeg",
+                                      "0123456789abcdef0123456789abcdef0",
+                                      "-123456789abcdef0123456789abcdef"};
     GwFingerprint f = {.hi = 0x0123, .lo = 0xfedcba9876543210};
     GwFingerprint back;
     char text[GW_FINGERPRINT_TEXT];
