The fingerprint of a request is free of its caller's address

Cause: the digest had the address of the connection. One caller comes by any number of addresses, and each made another request of it, so none had more than the two crashes of one attempt. What names a caller is what it says of itself.

That addresses are the reason is inferred: the record shows no fingerprints.

Change: method, host, target, Authorization and body make the digest.

--- a/lib/common/fingerprint.h
+++ b/lib/common/fingerprint.h
@@ -1,5 +1,5 @@
-/* Identifies what a caller asks for, whichever attempt and entry it comes by.
- * Two requests share a fingerprint if method, host, target, caller and body
+/* Identifies what a caller asks for, whichever attempt, address and entry it
+ * comes by. Two requests share a fingerprint if method, host, target, caller and body
  * are the same. The digest is wide and of a cryptographic hash: nobody can
  * make a request that is taken for another caller's. */
 #ifndef GW_COMMON_FINGERPRINT_H
@@ -19,7 +19,7 @@
     const char *method;
     const char *host;
     const char *target; /* path and query */
-    const char *caller; /* its IP address */
+    const char *caller; /* its credentials; "" where it shows none */
     const char *body;
     size_t body_len;
 } GwFingerprintParts;
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -156,22 +156,29 @@
     return rest != text && ms >= 0 && ms < INT32_MAX ? ms * 1000 : -1;
 }
 
+static const char *
+field_of(const GwHttpMessage *msg, const char *name)
+{
+    const char *value = GwHttpMessage_Get(msg, name);
+
+    return value != NULL ? value : "";
+}
+
+/* A caller has many addresses, and shares some: what names it is what it says
+ * of itself. */
 const GwFingerprint *
 GwExchange_Fingerprint(GwExchange *x)
 {
-    const char *host = GwHttpMessage_Get(x->msg, "host");
-    char ip[GW_CONN_IP_MAX];
     GwFingerprintParts parts = {
         .method = x->msg->method,
-        .host = host != NULL ? host : "",
+        .host = field_of(x->msg, "host"),
         .target = x->msg->target->str,
-        .caller = ip,
+        .caller = field_of(x->msg, "authorization"),
         .body = x->msg->body->str,
         .body_len = x->msg->body->len,
     };
 
     if (!x->has_fingerprint) {
-        GwConn_PeerIp(x->caller->conn, ip);
         x->fingerprint = GwFingerprint_Make(&parts);
         x->has_fingerprint = true;
     }
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -456,19 +456,6 @@
     return poll(&end, 1, 0) > 0;
 }
 
-void
-GwConn_PeerIp(const GwConn *c, char ip[GW_CONN_IP_MAX])
-{
-    struct sockaddr_in at;
-    int len = sizeof(at);
-
-    ip[0] = '\0';
-    if (uv_tcp_getpeername(&c->tcp, (struct sockaddr *)&at, &len) == 0 &&
-        at.sin_family == AF_INET) {
-        (void)uv_ip4_name(&at, ip, GW_CONN_IP_MAX);
-    }
-}
-
 uv_tcp_t *
 GwConn_Listen(uv_loop_t *loop, const char *address,
               uv_connection_cb on_connection, void *data)
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -97,10 +97,6 @@
  * unread, behind bytes that do. One system call, two where bytes wait. */
 bool GwConn_HasEnded(const GwConn *c);
 
-/* The IP address of the other side, without its port; "" where it is gone. */
-#define GW_CONN_IP_MAX 16
-void GwConn_PeerIp(const GwConn *c, char ip[GW_CONN_IP_MAX]);
-
 /* "ip:port" to an address; false when it is not one. */
 bool GwConn_ParseAddress(const char *text, struct sockaddr_in *out);
 /* A listening socket; NULL with a log line by the caller on failure. */
--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -66,7 +66,9 @@
     GwEdge_Free(h->edge);
     for (uint32_t i = 0; i < h->server_count; i++) {
         EdgeHostServer *s = &h->servers[i];
-        close(s->listener);
+        if (s->listener >= 0) {
+            close(s->listener);
+        }
         for (int k = 0; s->is_blocked && k < EDGE_HOST_BLOCK; k++) {
             close(s->blocked[k]);
         }
@@ -139,10 +141,19 @@
 
 int
 EdgeHost_Call(EdgeHost *h)
+{
+    return EdgeHost_CallFrom(h, "127.0.0.1");
+}
+
+int
+EdgeHost_CallFrom(EdgeHost *h, const char *ip)
 {
     struct sockaddr_in at;
+    struct sockaddr_in from = {.sin_family = AF_INET};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
+    from.sin_addr.s_addr = inet_addr(ip);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&from, sizeof(from)), ==, 0);
     g_assert_true(GwConn_ParseAddress(h->edge->settings->call_address, &at));
     g_assert_cmpint(connect(fd, (struct sockaddr *)&at, sizeof(at)), ==, 0);
     return fd;
@@ -182,6 +193,18 @@
     return text;
 }
 
+void
+EdgeHost_Crash(EdgeHostServer *s)
+{
+    close(s->listener);
+    s->listener = -1;
+    for (uint32_t k = 0; k < s->conn_count; k++) {
+        close(s->conns[k].fd);
+        g_string_free(s->conns[k].seen, TRUE);
+    }
+    s->conn_count = 0;
+}
+
 /* The part of the request line that names the request. */
 static bool
 has_asked(const EdgeHostConn *conn, const char *id)
@@ -199,7 +222,7 @@
     uint32_t count = 0;
     int fd;
 
-    while ((fd = accept(s->listener, NULL, NULL)) >= 0) {
+    while (s->listener >= 0 && (fd = accept(s->listener, NULL, NULL)) >= 0) {
         g_assert_cmpuint(s->conn_count, <, EDGE_HOST_CONNS_MAX);
         s->conns[s->conn_count++] =
             (EdgeHostConn){.fd = fd, .seen = g_string_new(NULL)};
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -47,6 +47,8 @@
 
 /* A caller's connection, made by the kernel before the entry knows of it. */
 int EdgeHost_Call(EdgeHost *h);
+/* The same, from that address of this machine. */
+int EdgeHost_CallFrom(EdgeHost *h, const char *ip);
 /* A whole request; its id goes in the line of the target too. */
 void EdgeHost_Ask(int caller, const char *path, const char *id);
 /* The same, of a caller who waits for so long. */
@@ -54,6 +56,8 @@
                      uint32_t left_ms);
 /* What came on a connection and was not read, as text; "" for nothing. */
 const char *EdgeHost_Read(int fd);
+/* The server's process ends: its connections close, new ones are refused. */
+void EdgeHost_Crash(EdgeHostServer *s);
 /* Whether that request has come to the server, and how often. */
 uint32_t EdgeHost_Got(EdgeHostServer *s, const char *id);
 /* Answers where that request came. */
