Operators list requests that are held, and release them

godwitctl suspects and release, /suspects and /suspects/release at the control address, gw_suspects{state}.

--- a/lib/admin/client.c
+++ b/lib/admin/client.c
@@ -187,15 +187,29 @@
     return out;
 }
 
-char *
-GwAdminClient_Page(GwAdminClient *client, const char *path, GError **error)
+static char *
+fetch_page(GwAdminClient *client, const char *method, const char *path,
+           GError **error)
 {
-    GwFetch fetch = {.method = "GET"};
+    GwFetch fetch = {.method = method};
     GwFetched got = {0};
     char *text = NULL;
+
     if (fetch_admin(client, fetch, path, &got, error)) {
         text = g_strdup(got.body->str);
     }
     GwFetched_Clear(&got);
     return text;
 }
+
+char *
+GwAdminClient_Page(GwAdminClient *client, const char *path, GError **error)
+{
+    return fetch_page(client, "GET", path, error);
+}
+
+char *
+GwAdminClient_Post(GwAdminClient *client, const char *path, GError **error)
+{
+    return fetch_page(client, "POST", path, error);
+}
--- a/lib/admin/client.h
+++ b/lib/admin/client.h
@@ -40,6 +40,10 @@
 /* Reads a page of the admin address, such as "/dump"; NULL with `error`. */
 char *GwAdminClient_Page(GwAdminClient *client, const char *path,
                          GError **error);
+/* Asks for what a page of the admin address does, such as "/suspects/release";
+ * the answer's text, or NULL with `error`. */
+char *GwAdminClient_Post(GwAdminClient *client, const char *path,
+                         GError **error);
 /* Any exchange; false with `error` when no whole answer came. */
 bool GwAdminClient_Fetch(GwAdminClient *client, const GwFetch *fetch,
                          GwFetched *out, GError **error);
--- a/lib/admin/ctl.c
+++ b/lib/admin/ctl.c
@@ -62,6 +62,10 @@
      "call a service through an entry, with a ticket"},
     {"top", GwCtl_Top, 0, 0, "[--limit N]",
      "backend servers, those passed over first, then the busiest"},
+    {"suspects", GwCtl_Suspects, 0, 0, "",
+     "requests that servers crashed under, and those that are held for it"},
+    {"release", GwCtl_Release, 1, 1, "FINGERPRINT",
+     "let a held request go, at all entries"},
     {"explain", GwCtl_Explain, 2, 1000, "ID LOG...",
      "what became of a request, from the logs of entries (- for standard "
      "input)"},
--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -147,6 +147,61 @@
     return code;
 }
 
+/* ---- suspects ------------------------------------------------------------ */
+
+static void
+show_suspects(struct json_object *suspects)
+{
+    printf("%-32s %-8s %7s %10s %10s\n", "fingerprint", "state", "crashes",
+           "last s ago", "held for s");
+    for (size_t i = 0; i < json_object_array_length(suspects); i++) {
+        struct json_object *s = json_object_array_get_idx(suspects, i);
+        printf("%-32s %-8s %7" PRId64 " %10" PRId64 " %10" PRId64 "\n",
+               GwJson_Text(s, "fingerprint"), GwJson_Text(s, "state"),
+               GwJson_Number(s, "crashes"), GwJson_Number(s, "age_ms") / 1000,
+               GwJson_Number(s, "held_ms") / 1000);
+    }
+}
+
+GwCtlExit
+GwCtl_Suspects(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    char *text = GwAdminClient_Page(ctl->client, "/suspects", &error);
+
+    if (text == NULL) {
+        return GwCtl_Fail(error);
+    }
+    if (ctl->options->json) {
+        puts(text);
+    }
+    else {
+        struct json_object *suspects = json_tokener_parse(text);
+        show_suspects(suspects);
+        json_object_put(suspects);
+    }
+    g_free(text);
+    return GW_CTL_OK;
+}
+
+GwCtlExit
+GwCtl_Release(const GwCtl *ctl)
+{
+    GError *error = NULL;
+    char *query = g_uri_escape_string(ctl->argv[0], NULL, FALSE);
+    char *path = g_strdup_printf("/suspects/release?fingerprint=%s", query);
+    char *text = GwAdminClient_Post(ctl->client, path, &error);
+
+    g_free(query);
+    g_free(path);
+    if (text == NULL) {
+        return GwCtl_Fail(error);
+    }
+    printf("%s", text);
+    g_free(text);
+    return GW_CTL_OK;
+}
+
 /* ---- explain ------------------------------------------------------------- */
 
 static bool
--- a/lib/admin/ctl_internal.h
+++ b/lib/admin/ctl_internal.h
@@ -52,6 +52,8 @@
 GwCtlExit GwCtl_Metrics(const GwCtl *ctl);
 GwCtlExit GwCtl_Call(const GwCtl *ctl);
 GwCtlExit GwCtl_Top(const GwCtl *ctl);
+GwCtlExit GwCtl_Suspects(const GwCtl *ctl);
+GwCtlExit GwCtl_Release(const GwCtl *ctl);
 GwCtlExit GwCtl_Explain(const GwCtl *ctl);
 /* Shows the status when an entry of godwitedge is asked; else false. */
 bool GwCtl_TryEntryStatus(const GwCtl *ctl);
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -92,6 +92,27 @@
     GwClient_Answer(client, &answer);
 }
 
+static void
+release_suspect(GwEdge *edge, GwClient *client, const char *target)
+{
+    char *text = parameter(target, "fingerprint");
+    GwFingerprint f;
+
+    if (text == NULL || !GwFingerprint_Read(text, &f)) {
+        send_answer(client, 400, "text/plain",
+                    "fingerprint: 32 hexadecimal digits are needed\n");
+    }
+    else if (!GwQuarantine_Release(GwRouter_Quarantine(edge->router),
+                                   GwEdge_Now(), &f)) {
+        send_answer(client, 404, "text/plain",
+                    "no request of this fingerprint is under suspicion\n");
+    }
+    else {
+        send_answer(client, 200, "text/plain", "released\n");
+    }
+    g_free(text);
+}
+
 static bool
 is_path(const char *target, const char *path)
 {
@@ -106,7 +127,11 @@
     GwEdge *edge = owner;
     const char *target = msg->target->str;
 
-    if (strcmp(msg->method, "GET") != 0) {
+    if (strcmp(msg->method, "POST") == 0 &&
+        is_path(target, "/suspects/release")) {
+        release_suspect(edge, client, target);
+    }
+    else if (strcmp(msg->method, "GET") != 0) {
         send_answer(client, 405, "text/plain", "GET only\n");
     }
     else if (is_path(target, edge->adapter->ready_path)) {
@@ -124,6 +149,9 @@
     else if (is_path(target, "/dump")) {
         answer_page(edge, client, NULL, GwStatus_WriteDump);
     }
+    else if (is_path(target, "/suspects")) {
+        answer_page(edge, client, NULL, GwStatus_WriteSuspects);
+    }
     else if (is_path(target, "/status")) {
         answer_page(edge, client, NULL, GwStatus_Write);
     }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -198,6 +198,8 @@
 void GwStatus_WriteMetrics(GwEdge *edge, GString *out);
 void GwStatus_WriteDump(GwEdge *edge, GString *out);
 void GwStatus_Write(GwEdge *edge, GString *out);
+/* Requests that servers crashed under, as JSON. */
+void GwStatus_WriteSuspects(GwEdge *edge, GString *out);
 
 /* peers.c */
 typedef struct {
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -53,6 +53,31 @@
         GwFeed_IsHealthy(feed), table, GwFeed_WasAway(feed, now_us));
 }
 
+static void
+count_suspect(void *ctx, const GwSuspect *suspect, GwSuspectState state,
+              int64_t until_us)
+{
+    uint32_t *counts = ctx;
+
+    (void)suspect;
+    (void)until_us;
+    counts[state]++;
+}
+
+static void
+write_suspect_counts(GwEdge *edge, GString *out)
+{
+    uint32_t counts[GW_SUSPECT_HELD + 1] = {0};
+
+    GwQuarantine_Each(GwRouter_Quarantine(edge->router), GwEdge_Now(),
+                      count_suspect, counts);
+    for (int i = GW_SUSPECT_WATCHED; i <= GW_SUSPECT_HELD; i++) {
+        g_string_append_printf(out, "gw_suspects{state=\"%s\"} %u\n",
+                               GwSuspectState_Name((GwSuspectState)i),
+                               counts[i]);
+    }
+}
+
 void
 GwStatus_WriteMetrics(GwEdge *edge, GString *out)
 {
@@ -84,6 +109,7 @@
     write_gauge(out, "gw_body_bytes", (double)edge->bodies.held);
     write_gauge(out, "gw_peers_live", peers.live);
     write_gauge(out, "gw_peer_loads_age_ms", (double)peers.loads_age_ms);
+    write_suspect_counts(edge, out);
     write_table(out, "operator", edge->operator_feed);
     write_table(out, "servers", edge->server_feed);
     GwRouter_EachService(edge->router, GwEdge_Now(), write_service, out);
@@ -95,6 +121,42 @@
     GwRouter_Dump(edge->router, GwEdge_Now(), out);
 }
 
+static void
+add_suspect(void *ctx, const GwSuspect *suspect, GwSuspectState state,
+            int64_t until_us)
+{
+    struct json_object *item = json_object_new_object();
+    struct json_object *servers = json_object_new_array();
+    char text[GW_FINGERPRINT_TEXT];
+
+    GwFingerprint_Write(&suspect->fingerprint, text);
+    GwJson_SetText(item, "fingerprint", text);
+    GwJson_SetText(item, "state", GwSuspectState_Name(state));
+    GwJson_SetU64(item, "crashes", suspect->server_count);
+    GwJson_SetU64(item, "age_ms", suspect->age_ms);
+    GwJson_SetU64(item, "held_ms",
+                  (uint64_t)MAX(until_us - GwEdge_Now(), 0) / 1000);
+    for (uint32_t i = 0; i < suspect->server_count; i++) {
+        char start[GW_FINGERPRINT_TEXT];
+        g_snprintf(start, sizeof(start), "%016" PRIx64, suspect->servers[i]);
+        json_object_array_add(servers, json_object_new_string(start));
+    }
+    json_object_object_add(item, "servers", servers);
+    json_object_array_add(ctx, item);
+}
+
+void
+GwStatus_WriteSuspects(GwEdge *edge, GString *out)
+{
+    struct json_object *all = json_object_new_array();
+
+    GwQuarantine_Each(GwRouter_Quarantine(edge->router), GwEdge_Now(),
+                      add_suspect, all);
+    g_string_append(
+        out, json_object_to_json_string_ext(all, JSON_C_TO_STRING_PLAIN));
+    json_object_put(all);
+}
+
 static const char *
 state_name(const GwEdge *edge)
 {
