Held requests are kept in the store; postmortem of crashing requests

Where all entries lose power at once, what they knew of a request that crashes servers goes with them, and it has to crash three more.

Change: a held request is a row of the store, written by two entries that a hash chooses, also when it is let go; an entry reads the rows once after its start, but not when the whole system starts for the first time.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -1,4 +1,4 @@
-#include "edge/edge_internal.h"
+#include "edge/held_rows.h"
 
 #include <signal.h>
 #include <string.h>
@@ -109,8 +109,12 @@
                        : state == GW_SUSPECT_WATCHED ? GW_LOG_REQUEST_SUSPECT
                                                      : GW_LOG_REQUEST_CLEARED;
     char text[GW_FINGERPRINT_TEXT];
+    GwEdge *edge = ctx;
 
-    (void)ctx;
+    if ((state == GW_SUSPECT_HELD || old == GW_SUSPECT_HELD) &&
+        GwPeers_IsWriterOf(edge->peers, suspect->fingerprint.lo)) {
+        GwHeldRows_Write(edge->held_rows, suspect);
+    }
     GwFingerprint_Write(&suspect->fingerprint, text);
     GwLog_Event(event, "fingerprint=%s crashes=%u was=%s age_ms=%u", text,
                 suspect->server_count, GwSuspectState_Name(old),
@@ -259,6 +263,7 @@
     GwFeed_Sweep(edge->operator_feed, now_us);
     GwFeed_Sweep(edge->server_feed, now_us);
     GwPeers_Sweep(edge->peers, now_us);
+    GwHeldRows_Sweep(edge->held_rows, now_us);
     GwEdge_Reload(edge, false);
     if (edge->leaving) {
         GwEdge_GoOnLeaving(edge, now_us);
@@ -336,6 +341,7 @@
     edge->meters = GwMeters_Create();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
+    edge->held_rows = GwHeldRows_Create(edge);
     GwQuarantine_SetNote(GwRouter_Quarantine(edge->router), on_suspect, edge);
     edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
                                         GwBeliefs_OnOperatorRow, NULL);
@@ -375,6 +381,7 @@
     GwServerLink_CloseAll(edge);
     GwFeed_Close(edge->operator_feed);
     GwFeed_Close(edge->server_feed);
+    GwHeldRows_Close(edge->held_rows);
     GwPeers_Close(edge->peers);
     GwTurns_Close(edge->turns);
     if (edge->call_listener != NULL) {
@@ -395,6 +402,7 @@
     GwFeed_Free(edge->operator_feed);
     GwFeed_Free(edge->server_feed);
     GwPeers_Free(edge->peers);
+    GwHeldRows_Free(edge->held_rows);
     GwRouter_Free(edge->router);
     g_array_free(edge->actions, TRUE);
     g_ptr_array_free(edge->controls, TRUE);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -26,6 +26,7 @@
 typedef struct GwServerLink_s GwServerLink;
 typedef struct GwFeed_s GwFeed;
 typedef struct GwPeers_s GwPeers;
+typedef struct GwHeldRows_s GwHeldRows;
 
 /* One request of a caller, from its arrival to its answer. */
 typedef struct {
@@ -74,6 +75,7 @@
     GwFeed *operator_feed;
     GwFeed *server_feed;
     GwPeers *peers;
+    GwHeldRows *held_rows;
     uint32_t sweeps;
     bool servers_known; /* the registry has been read once */
     int64_t started_us;
@@ -223,6 +225,9 @@
 void GwPeers_Hurry(GwPeers *peers);
 /* The same, to those of the failure domain. */
 void GwPeers_HurryDomain(GwPeers *peers);
+/* Whether this entry is one of the few that write the row of that name, as all
+ * decide alike by a hash. */
+bool GwPeers_IsWriterOf(const GwPeers *peers, uint64_t name);
 /* How far bytes go to and from the peer of that address. */
 GwWay GwPeers_WayTo(const GwPeers *peers, const char *address);
 /* Addresses for callers of that place, best first. */
--- /dev/null
+++ b/lib/edge/held_rows.c
@@ -0,0 +1,265 @@
+#include "edge/held_rows.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HELD_TABLE "held"
+/* To the store, and before the next try. */
+#define CALL_TIMEOUT_US 1500000
+#define RETRY_US        700000
+#define ROWS_BODY_MAX   (8u << 20)
+/* Rows that wait to be written. */
+#define WAITING_MAX 256
+
+struct GwHeldRows_s {
+    GwEdge *edge;
+    GwConn *conn;
+    bool has_read;
+    char *after;    /* the last row read; NULL: none yet */
+    GQueue waiting; /* GwSuspect, to be written */
+    int64_t at_us;  /* of the next try, or the end of this one */
+};
+
+/* ---- Values -------------------------------------------------------------- */
+
+char *
+GwHeldRow_WriteValue(const GwSuspect *suspect, int64_t now_s)
+{
+    GString *out = g_string_new(NULL);
+
+    g_string_printf(out, "%u %" PRId64 " %u", suspect->generation,
+                    now_s - suspect->age_ms / 1000, suspect->span_ms);
+    for (uint32_t i = 0; i < suspect->server_count; i++) {
+        g_string_append_printf(out, " %016" PRIx64, suspect->servers[i]);
+    }
+    return g_string_free(out, FALSE);
+}
+
+static bool
+read_servers(char *const *words, GwSuspect *out)
+{
+    for (; *words != NULL; words++) {
+        char *rest;
+        if (out->server_count == GW_SUSPECT_SERVERS_MAX) {
+            return false;
+        }
+        out->servers[out->server_count++] = strtoull(*words, &rest, 16);
+        if (rest == *words || *rest != '\0') {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+GwHeldRow_Read(const char *key, const char *value, int64_t now_s,
+               GwSuspect *out)
+{
+    char **words = g_strsplit(value, " ", -1);
+    int64_t at_s = 0;
+    int64_t age_s = 0;
+
+    *out = (GwSuspect){.generation = 0};
+    bool good = GwFingerprint_Read(key, &out->fingerprint) &&
+                g_strv_length(words) >= 3 &&
+                sscanf(value, "%u %" SCNd64 " %u", &out->generation, &at_s,
+                       &out->span_ms) == 3 &&
+                read_servers(words + 3, out);
+    if (good) {
+        age_s = CLAMP(now_s - at_s, 0, UINT32_MAX / 1000);
+        out->age_ms = (uint32_t)age_s * 1000;
+    }
+    g_strfreev(words);
+    return good;
+}
+
+static int64_t
+now_s(void)
+{
+    return g_get_real_time() / G_USEC_PER_SEC;
+}
+
+/* ---- Calls --------------------------------------------------------------- */
+
+static void
+retry(GwHeldRows *rows)
+{
+    GwConn_CloseAt(&rows->conn);
+    rows->at_us = GwEdge_Now() + RETRY_US;
+}
+
+static void
+write_row(GwHeldRows *rows, const GwSuspect *suspect)
+{
+    const GwAdapter *a = rows->edge->adapter;
+    GString *out = g_string_new(NULL);
+    char key[GW_FINGERPRINT_TEXT];
+
+    GwFingerprint_Write(&suspect->fingerprint, key);
+    char *value = GwHeldRow_WriteValue(suspect, now_s());
+    char *body = a->write_body(HELD_TABLE, key, value);
+    g_string_printf(out,
+                    "POST %s HTTP/1.1\r\nHost: %s\r\n"
+                    "Content-Type: application/json\r\n"
+                    "Content-Length: %zu\r\n\r\n%s",
+                    a->write_target, rows->edge->settings->store_address,
+                    strlen(body), body);
+    GwConn_Write(rows->conn, out);
+    g_string_free(out, TRUE);
+    g_free(body);
+    g_free(value);
+}
+
+/* The next call, or the end of the connection. */
+static void
+go_on(GwHeldRows *rows)
+{
+    const GwEdge *edge = rows->edge;
+    const GwSuspect *next = g_queue_peek_head(&rows->waiting);
+
+    if (rows->has_read && next == NULL) {
+        GwConn_CloseAt(&rows->conn);
+        return;
+    }
+    rows->edge->counts.store_calls++;
+    rows->at_us = GwEdge_Now() + CALL_TIMEOUT_US;
+    if (rows->has_read) {
+        write_row(rows, next);
+        return;
+    }
+    char *target = edge->adapter->read_target(HELD_TABLE, rows->after);
+    GwConn_WriteGet(rows->conn, target, edge->settings->store_address);
+    g_free(target);
+}
+
+static bool
+take_rows(GwHeldRows *rows, const GwHttpMessage *msg)
+{
+    GwRowSet *set =
+        rows->edge->adapter->read_rows(msg->body->str, msg->body->len, NULL);
+
+    if (set == NULL) {
+        return false;
+    }
+    for (guint i = 0; i < set->rows->len; i++) {
+        const GwStoreRow *row = set->rows->pdata[i];
+        GwSuspect suspect;
+        if (!row->removed &&
+            GwHeldRow_Read(row->key, row->value, now_s(), &suspect)) {
+            GwQuarantine_Merge(GwRouter_Quarantine(rows->edge->router),
+                               GwEdge_Now(), &suspect);
+        }
+    }
+    rows->has_read = !set->more || set->rows->len == 0;
+    if (!rows->has_read) {
+        const GwStoreRow *last = set->rows->pdata[set->rows->len - 1];
+        g_free(rows->after);
+        rows->after = g_strdup(last->key);
+    }
+    GwRowSet_Free(set);
+    return true;
+}
+
+static void
+on_message(void *owner, GwHttpMessage *msg)
+{
+    GwHeldRows *rows = owner;
+    bool good = msg->status == 200;
+
+    if (good && rows->has_read) {
+        g_free(g_queue_pop_head(&rows->waiting));
+    }
+    else if (good) {
+        good = take_rows(rows, msg);
+    }
+    GwHttpMessage_Free(msg);
+    if (good) {
+        go_on(rows);
+    }
+    else {
+        retry(rows);
+    }
+}
+
+static void
+on_connected(void *owner)
+{
+    go_on(owner);
+}
+
+static void
+on_ended(void *owner, GwConnEnd end)
+{
+    GwHeldRows *rows = owner;
+
+    if (end != GW_CONN_BAD) {
+        rows->conn = NULL;
+    }
+    retry(rows);
+}
+
+static const GwConnOps held_ops = {
+    .connected = on_connected,
+    .message = on_message,
+    .ended = on_ended,
+};
+
+void
+GwHeldRows_Sweep(GwHeldRows *rows, int64_t now_us)
+{
+    GwConnParams params = {
+        .loop = &rows->edge->loop,
+        .ops = &held_ops,
+        .owner = rows,
+        .head_max = 64 << 10,
+        .body_max = ROWS_BODY_MAX,
+    };
+
+    if (now_us < rows->at_us ||
+        (rows->has_read && g_queue_is_empty(&rows->waiting))) {
+        return;
+    }
+    if (rows->conn != NULL) {
+        retry(rows);
+        return;
+    }
+    rows->at_us = now_us + CALL_TIMEOUT_US;
+    rows->conn = GwConn_Connect(&params, rows->edge->settings->store_address);
+}
+
+void
+GwHeldRows_Write(GwHeldRows *rows, const GwSuspect *suspect)
+{
+    if (g_queue_get_length(&rows->waiting) < WAITING_MAX) {
+        g_queue_push_tail(&rows->waiting,
+                          g_memdup2(suspect, sizeof(*suspect)));
+    }
+}
+
+/* A system that starts for the first time has held nothing yet. */
+GwHeldRows *
+GwHeldRows_Create(GwEdge *edge)
+{
+    GwHeldRows *rows = g_new0(GwHeldRows, 1);
+
+    rows->edge = edge;
+    rows->has_read = edge->settings->first_start;
+    return rows;
+}
+
+void
+GwHeldRows_Close(GwHeldRows *rows)
+{
+    GwConn_CloseAt(&rows->conn);
+}
+
+void
+GwHeldRows_Free(GwHeldRows *rows)
+{
+    if (rows == NULL) {
+        return;
+    }
+    g_queue_clear_full(&rows->waiting, g_free);
+    g_free(rows->after);
+    g_free(rows);
+}
--- /dev/null
+++ b/tests/session/site_crashing_requests_kept.sh
@@ -0,0 +1,35 @@
+#!/bin/bash
+# All entries are killed at once while a request that crashes servers goes on
+# coming: those that start anew must know it, and not learn of it by further
+# crashes.
+# usage: site_crashing_requests_kept.sh BUILD
+set -uo pipefail
+cd "$(dirname "$0")/../.." || exit 2
+. standins/lib.sh
+. standins/site.sh
+
+is_held() { # ENTRY
+    "$gw_out"/godwitctl --admin "127.0.0.1:$(site_port "$1" 3)" suspects \
+        2>/dev/null | grep -E ' held ' >/dev/null
+}
+
+site_begin "$1" --seconds 14 --callers 10 --crashers 2 || exit 1
+for name in "${site_entries[@]}"; do
+    gw_await 8 is_held "$name" || gw_fail "$name holds nothing" || exit 1
+done
+sleep 4 # what is sent from now on counts
+for name in "${site_entries[@]}"; do
+    gw_end "$name" KILL
+done
+for name in "${site_entries[@]}"; do
+    site_start_entry "$name"
+done
+rc=0
+site_conclude || rc=1
+grep -E '^(crasher|crashes:)' "$gw_dir/world.log"
+grep -E '^crasher ' "$gw_dir/world.log" | grep -qv ' 0 sends after' &&
+    { gw_fail "further servers had to crash"; rc=1; }
+for name in "${site_entries[@]}"; do
+    is_held "$name" || gw_fail "$name has forgotten it" || rc=1
+done
+exit $rc
