Test that fails: servers that name a limit get what each entry takes for itself

The small site has servers that name a limit and count what comes from 3 s later on, by the rule: in any 4 s no more than one and a half times what the limit allows and 5. No entry reads the limit; the adapter only has its name.

--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -35,6 +35,7 @@
     const char *load;          /* running,waiting,slots at the server */
     const char *not_run;       /* the server says that it did not run it */
     const char *cold_ms;
+    const char *limit; /* requests a second that the server takes at most */
     /* Paths that entries answer. */
     const char *ready_path;
     const char *directory_path;
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -24,6 +24,10 @@
     GQueue queued;          /* Link */
     GHashTable *remembered; /* object keys */
     uint32_t served;
+    double limit_per_s; /* that it names; 0: none */
+    int64_t limit_us;   /* it counts from then on */
+    GArray *arrivals;   /* since then: int64_t us */
+    uint32_t above_limit;
     int64_t drained_us; /* 0: not */
     uint32_t late;
 };
@@ -46,10 +50,17 @@
              const char *body)
 {
     const GwAdapter *a = link->server->params.adapter;
+    GString *text = g_string_new(extra);
+
+    if (link->server->limit_per_s > 0) {
+        g_string_append_printf(text, "%s: %.1f\r\n", a->limit,
+                               link->server->limit_per_s);
+    }
     char *fields = g_strdup_printf(
         "%s: %s\r\n%s: %u,%u,%u\r\n%s", a->request_id, id, a->load,
         link->server->running, link->server->queued.length,
-        link->server->params.slots, extra);
+        link->server->params.slots, text->str);
+    g_string_free(text, TRUE);
     GwServeAnswer answer = {.status = status,
                             .type = "application/octet-stream",
                             .fields = fields,
@@ -279,6 +290,29 @@
     return link;
 }
 
+/* How many came in the span that ends now, against what the limit allows. */
+static void
+count_arrival(SiteServer *s, int64_t now_us)
+{
+    double most = s->limit_per_s * SITE_LIMIT_OVER * SITE_LIMIT_SPAN_US / 1e6 +
+                  SITE_LIMIT_SLACK;
+    guint old = 0;
+
+    if (s->limit_per_s == 0 || now_us < s->limit_us) {
+        return;
+    }
+    g_array_append_val(s->arrivals, now_us);
+    while (g_array_index(s->arrivals, int64_t, old) <
+           now_us - SITE_LIMIT_SPAN_US) {
+        old++;
+    }
+    g_array_remove_range(s->arrivals, 0, old);
+    if (s->arrivals->len > most) {
+        s->above_limit =
+            MAX(s->above_limit, s->arrivals->len - (uint32_t)most);
+    }
+}
+
 static void
 on_asked(void *owner, GwClient *client, GwHttpMessage *msg)
 {
@@ -289,6 +323,7 @@
     const char *left = GwHttpMessage_Get(msg, s->params.adapter->time_left);
     int64_t now_us = (int64_t)(uv_hrtime() / 1000);
 
+    count_arrival(s, now_us);
     link->msg = msg;
     link->asked_us = now_us;
     link->left_ms = left != NULL ? strtoll(left, NULL, 10) : -1;
@@ -328,6 +363,7 @@
         g_free(s);
         return NULL;
     }
+    s->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
     (void)uv_timer_init(params->loop, &s->process);
     s->process.data = s;
     return s;
@@ -364,3 +400,17 @@
 {
     return s->late;
 }
+
+void
+SiteServer_SetLimit(SiteServer *s, double per_s)
+{
+    s->limit_per_s = per_s;
+    s->limit_us = (int64_t)(uv_hrtime() / 1000) + SITE_CONTACT_US;
+    g_array_set_size(s->arrivals, 0);
+}
+
+uint32_t
+SiteServer_AboveLimit(const SiteServer *s)
+{
+    return s->above_limit;
+}
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -17,6 +17,13 @@
 #define SITE_CRASH_SENDS_MAX 3
 #define SITE_CONTACT_US      3000000
 
+/* A server that names a limit gets no more in SITE_LIMIT_SPAN_US than half as
+ * much again and SITE_LIMIT_SLACK, later than SITE_CONTACT_US after it first
+ * did. */
+#define SITE_LIMIT_OVER    1.5
+#define SITE_LIMIT_SLACK   5
+#define SITE_LIMIT_SPAN_US 4000000
+
 /* ---- Journal: what callers sent and got, and what servers ran ------------ */
 
 typedef struct SiteJournal_s SiteJournal;
@@ -75,6 +82,7 @@
                              that reached a server though it had crashed
                              SITE_CRASHES_MAX, and not lately */
     uint64_t crashes;     /* of servers, by all requests */
+    uint64_t above_limit; /* the most that a server got above its limit */
     bool misled;          /* by an event that was not understood */
     GArray *latencies_us; /* of answered ones: int64_t, sorted */
 } SiteVerdict;
@@ -163,6 +171,10 @@
  * 0 none are. */
 void SiteServer_MarkDrained(SiteServer *s, int64_t now_us);
 uint32_t SiteServer_Late(const SiteServer *s);
+/* Names that many requests a second as its limit from now on; 0 names none. */
+void SiteServer_SetLimit(SiteServer *s, double per_s);
+/* How many more it got than its limit allows, in the worst span. */
+uint32_t SiteServer_AboveLimit(const SiteServer *s);
 
 /* ---- Callers ------------------------------------------------------------- */
 
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -32,6 +32,7 @@
         {"true-refusals", v->false_refusals, false},
         {"own-answers", v->wrong, false},
         {"drains", v->late, false},
+        {"server-limits", v->above_limit, false},
         {"crash-budget",
          v->crash_sends > SITE_CRASH_SENDS_MAX ? v->crash_sends : 0, false},
         {"service", v->answered == 0, false},
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -20,6 +20,7 @@
 #include <string.h>
 
 #define SERVERS 6
+#define LIMITED 2 /* of them name a limit: one of each service */
 #define TICK_MS 50
 /* Callers get so long after the end to hear of what they have sent. */
 #define END_S         15
@@ -52,6 +53,8 @@
     int refuse; /* permille */
     int crashers;
     int restart_ms;
+    double limit; /* requests a second */
+    int limit_s;
 } Arguments;
 
 typedef struct {
@@ -74,6 +77,7 @@
     int64_t start_us;
     bool drained;
     bool reconfigured;
+    bool limited;
     bool compacted;
     bool misled; /* by a line that is no command */
 } Site;
@@ -119,6 +123,9 @@
         {"slots", 0, POPT_ARG_INT, &a->slots, 0, "of a server", "N"},
         {"crashers", 0, POPT_ARG_INT, &a->crashers, 0,
          "callers whose one request crashes the servers that run it", "N"},
+        {"limit", 0, POPT_ARG_DOUBLE, &a->limit, 0,
+         "requests a second that some servers name as their limit", "N"},
+        {"limit-from", 0, POPT_ARG_INT, &a->limit_s, 0, "second", "S"},
         {"restart-ms", 0, POPT_ARG_INT, &a->restart_ms, 0,
          "from a server's crash to its next start", "N"},
         POPT_AUTOHELP POPT_TABLEEND,
@@ -486,6 +493,12 @@
         site->reconfigured = true;
         put_config(site, "\"version\":3", "\"version\":9");
     }
+    if (!site->limited && is_due(site, site->args.limit_s)) {
+        site->limited = true;
+        for (int i = 0; i < LIMITED; i++) {
+            SiteServer_SetLimit(site->servers[i], site->args.limit);
+        }
+    }
     if (!site->compacted && is_due(site, site->args.compact_s)) {
         site->compacted = true;
         SiteStore_Compact(site->store);
@@ -525,6 +538,7 @@
     v.misled = site->misled;
     for (int i = 0; i < SERVERS; i++) {
         v.late += SiteServer_Late(site->servers[i]);
+        v.above_limit += SiteServer_AboveLimit(site->servers[i]);
     }
     bool kept = SiteVerdict_Tell(&v, site->args.commands != NULL);
     g_array_free(v.latencies_us, TRUE);
