--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -88,14 +88,15 @@
 show_server(struct json_object *s)
 {
     printf("%-20s %-16s %-16s %5" PRId64 " %9" PRId64 " %6" PRId64 " %6" PRId64
-           " %7" PRId64 " %8" PRId64 " %s%s\n",
+           " %7" PRId64 " %8" PRId64 " %s%s%s\n",
            GwJson_Text(s, "id"), GwJson_Text(s, "service"),
            GwJson_Text(s, "failure_domain"), GwJson_Number(s, "slots"),
            GwJson_Number(s, "in_flight"), GwJson_Number(s, "peers_in_flight"),
            GwJson_Number(s, "busy_percent"), GwJson_Number(s, "slow_percent"),
            GwJson_Number(s, "ejected_ms"),
            GwJson_Number(s, "draining") ? "draining " : "",
-           GwJson_Number(s, "cold") ? "cold" : "");
+           GwJson_Number(s, "cold") ? "cold " : "",
+           json_object_object_get(s, "limit_per_s") != NULL ? "limited" : "");
 }
 
 static void
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -41,6 +41,8 @@
     X(REQUEST_SUSPECT, 505, WARN, "servers crashed that ran a request") \
     X(REQUEST_HELD, 506, ERROR, "a request is refused: it crashes servers") \
     X(REQUEST_CLEARED, 507, INFO, "a request is no longer under suspicion") \
+    X(SERVER_LIMIT, 508, WARN, "a backend server names a limit") \
+    X(SERVER_UNLIMITED, 509, INFO, "a backend server names no limit any more") \
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
     X(REQUEST_REPLIED, 601, INFO, "a request got an answer of our own") \
--- a/lib/edge/answers.c
+++ b/lib/edge/answers.c
@@ -1,6 +1,7 @@
 /* What the answer of a backend server says. */
 #include "edge/edge_internal.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,6 +18,42 @@
     }
 }
 
+/* A number of requests a second, zero among them. */
+static bool
+read_limit(const char *text, double *out)
+{
+    char *rest;
+    double value = g_ascii_strtod(text, &rest);
+
+    if (rest == text || *rest != '\0' || !isfinite(value) || value < 0) {
+        return false;
+    }
+    *out = value;
+    return true;
+}
+
+/* Of several, the lowest that can be read. */
+static void
+read_limits(const GwHttpMessage *msg, const char *name, GwAttemptEnd *end)
+{
+    end->limit = GW_LIMIT_NONE;
+    for (guint i = 0; i < msg->fields->len; i++) {
+        const GwHttpField *f = &g_array_index(msg->fields, GwHttpField, i);
+        double per_s;
+        if (g_ascii_strcasecmp(msg->text->str + f->name, name) != 0) {
+            continue;
+        }
+        if (!read_limit(msg->text->str + f->value, &per_s)) {
+            end->limit = end->limit == GW_LIMIT_NAMED ? GW_LIMIT_NAMED
+                                                      : GW_LIMIT_UNSAID;
+        }
+        else if (end->limit != GW_LIMIT_NAMED || per_s < end->limit_per_s) {
+            end->limit = GW_LIMIT_NAMED;
+            end->limit_per_s = per_s;
+        }
+    }
+}
+
 static GwAttemptOutcome
 outcome_of(const GwAdapter *names, const GwHttpMessage *msg)
 {
@@ -43,6 +80,7 @@
     };
 
     read_load(GwHttpMessage_Get(msg, names->load), &end);
+    read_limits(msg, names->limit, &end);
     return end;
 }
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -121,6 +121,19 @@
                 suspect->age_ms);
 }
 
+static void
+on_limit(void *ctx, const GwServer *s, double per_s)
+{
+    (void)ctx;
+    if (per_s < 0) {
+        GwLog_Event(GW_LOG_SERVER_UNLIMITED, "server=%s", GwServer_Id(s));
+    }
+    else {
+        GwLog_Event(GW_LOG_SERVER_LIMIT, "server=%s per_s=%.3f",
+                    GwServer_Id(s), per_s);
+    }
+}
+
 static void
 carry_one(GwEdge *edge, const GwDo *act)
 {
@@ -343,6 +356,7 @@
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
     edge->held_rows = GwHeldRows_Create(edge);
     GwQuarantine_SetNote(GwRouter_Quarantine(edge->router), on_suspect, edge);
+    GwRouter_SetLimitNote(edge->router, on_limit, edge);
     edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
                                         GwBeliefs_OnOperatorRow, NULL);
     edge->server_feed = GwFeed_Create(edge, adapter->server_table,
--- /dev/null
+++ b/lib/edge/limits.c
@@ -0,0 +1,77 @@
+/* Limits that servers name, in the reports of entries (rumor.h). */
+#include "edge/peers_internal.h"
+
+static uint32_t
+next_limits(GwPeers *peers, GwPeerEntry *peer, GwLimit *out)
+{
+    const GwRouter *router = peers->edge->router;
+    int64_t now_us = GwEdge_Now();
+    int64_t since_us = 0;
+    uint32_t count = 0;
+
+    switch (GwRumorPeer_Next(&peer->limits, now_us, &since_us)) {
+    case GW_RUMOR_NOTHING:
+        break;
+    case GW_RUMOR_NEWS:
+        count = GwRouter_Limits(router, now_us, since_us, out, GW_LIMITS_MAX);
+        break;
+    case GW_RUMOR_PAGE:
+        count = GwRouter_Limits(router, now_us, 0, out, GW_LIMITS_MAX);
+        break;
+    }
+    return count;
+}
+
+void
+GwPeers_FillLimits(GwPeers *peers, GwPeerEntry *peer, Gw__Peer__Report *report,
+                   GwLimitArrays *arrays)
+{
+    report->limits_sum = GwRouter_LimitsSum(peers->edge->router);
+    report->n_limits = next_limits(peers, peer, arrays->known);
+    for (size_t i = 0; i < report->n_limits; i++) {
+        Gw__Peer__Limit *told = &arrays->told[i];
+        gw__peer__limit__init(told);
+        told->server = arrays->known[i].server;
+        told->per_s = arrays->known[i].per_s;
+        told->age_ms = arrays->known[i].age_ms;
+        arrays->list[i] = told;
+    }
+    report->limits = arrays->list;
+}
+
+void
+GwPeers_TakeLimits(GwPeers *peers, GwPeerEntry *peer,
+                   const Gw__Peer__Report *report)
+{
+    GwRouter *router = peers->edge->router;
+    int64_t now_us = GwEdge_Now();
+
+    for (size_t i = 0; i < report->n_limits; i++) {
+        GwLimit limit = {.server = report->limits[i]->server,
+                         .per_s = report->limits[i]->per_s,
+                         .age_ms = report->limits[i]->age_ms};
+        GwRouter_PutLimit(router, now_us, &limit);
+    }
+    if (GwRumorPeer_Heard(&peer->limits, now_us, report->limits_sum,
+                          GwRouter_LimitsSum(router),
+                          GwRouter_LimitsChangedUs(router))) {
+        peer->hurry = true;
+    }
+}
+
+void
+GwPeers_SpreadLimits(GwPeers *peers, int64_t now_us)
+{
+    GwPeerEntry *chosen[GW_RUMOR_FAN + 1];
+
+    if (GwRouter_LimitsChangedUs(peers->edge->router) <=
+        peers->limits_spread_us) {
+        return;
+    }
+    peers->limits_spread_us = now_us;
+    GwPeers_ChooseSome(peers, chosen);
+    for (int i = 0; chosen[i] != NULL; i++) {
+        chosen[i]->limits.news = true;
+        chosen[i]->hurry = true;
+    }
+}
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -288,6 +288,7 @@
     int64_t now_us = GwEdge_Now();
 
     GwPeers_SpreadSuspects(peers, now_us);
+    GwPeers_SpreadLimits(peers, now_us);
     GwPeers_TellDue(peers, now_us);
     GwPeers_AskDue(peers);
     if (!GwEdge_IsReady(peers->edge)) {
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -5,8 +5,8 @@
 #include "edge/edge_internal.h"
 #include "edge/load_sum.h"
 #include "edge/news.h"
+#include "edge/rumor.h"
 #include "edge/sum_change.h"
-#include "edge/suspect_news.h"
 
 /* Addresses in an answer of the directory, and told to a new entry. */
 #define GW_KNOWN_MAX 64
@@ -55,7 +55,8 @@
     GwSumAck ack;     /* what it has of the sum that it is told */
     GArray *backlog;  /* GwPlacement still to be told to it; or NULL */
     uint64_t backlog_start; /* of the process that it was made for */
-    GwSuspectPeer suspects;
+    GwRumorPeer suspects;
+    GwRumorPeer limits;
 } GwPeerEntry;
 
 typedef enum {
@@ -106,6 +107,7 @@
     GArray *loads;              /* reused */
     GArray *placements;         /* reused */
     int64_t suspects_spread_us; /* news of suspects was passed on until then */
+    int64_t limits_spread_us;   /* the same of limits */
     uint32_t suspects_from;     /* where the next page of them begins */
 };
 
@@ -177,6 +179,8 @@
 void GwPeers_MakeBacklog(GwPeers *peers, GwPeerEntry *peer);
 
 /* suspects.c */
+/* Of one report. */
+#define GW_SUSPECTS_MAX 64
 typedef struct {
     GwSuspect known[GW_SUSPECTS_MAX];
     Gw__Peer__Suspect told[GW_SUSPECTS_MAX];
@@ -190,6 +194,22 @@
                           const Gw__Peer__Report *report);
 /* Sees to it that news of suspects reaches every entry soon. */
 void GwPeers_SpreadSuspects(GwPeers *peers, int64_t now_us);
+/* Live peers, each as likely as any other; NULL behind the last. */
+void GwPeers_ChooseSome(GwPeers *peers, GwPeerEntry *chosen[GW_RUMOR_FAN + 1]);
+
+/* limits.c */
+#define GW_LIMITS_MAX 256
+typedef struct {
+    GwLimit known[GW_LIMITS_MAX];
+    Gw__Peer__Limit told[GW_LIMITS_MAX];
+    Gw__Peer__Limit *list[GW_LIMITS_MAX];
+} GwLimitArrays;
+
+void GwPeers_FillLimits(GwPeers *peers, GwPeerEntry *peer,
+                        Gw__Peer__Report *report, GwLimitArrays *arrays);
+void GwPeers_TakeLimits(GwPeers *peers, GwPeerEntry *peer,
+                        const Gw__Peer__Report *report);
+void GwPeers_SpreadLimits(GwPeers *peers, int64_t now_us);
 
 /* fetch.c */
 /* The peer has told its versions. */
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -138,6 +138,7 @@
     uint32_t placed_servers[PLACEMENTS_MAX];
     char *known[GW_KNOWN_MAX];
     GwSuspectArrays suspects;
+    GwLimitArrays limits;
 } Arrays;
 
 static void
@@ -349,6 +350,7 @@
     fill_ack(peer, &report);
     fill_placements(peers, peer, &report, &arrays);
     GwPeers_FillSuspects(peers, peer, &report, &arrays.suspects);
+    GwPeers_FillLimits(peers, peer, &report, &arrays.limits);
     if (with_known) {
         fill_known(peers, &report, &arrays);
     }
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -135,7 +135,8 @@
     if (report->start != peer->start) {
         peer->last_start = peer->start;
         peer->start = report->start;
-        peer->suspects = (GwSuspectPeer){0};
+        peer->suspects = (GwRumorPeer){0};
+        peer->limits = (GwRumorPeer){0};
     }
     peer->seq = report->seq;
     peer->serves = report->serves;
@@ -188,6 +189,7 @@
     take_loads(peers, peer, report);
     take_placements(peers, peer, report);
     GwPeers_TakeSuspects(peers, peer, report);
+    GwPeers_TakeLimits(peers, peer, report);
     for (size_t i = 0; i < report->n_known; i++) {
         (void)GwPeers_Add(peers, report->known[i]);
     }
--- a/lib/edge/suspects.c
+++ b/lib/edge/suspects.c
@@ -1,4 +1,4 @@
-/* Requests that crash servers, in the reports of entries (suspect_news.h). */
+/* Requests that crash servers, in the reports of entries (rumor.h). */
 #include "edge/peers_internal.h"
 
 #include <string.h>
@@ -33,16 +33,36 @@
     return true;
 }
 
+static uint32_t
+next_suspects(GwPeers *peers, GwPeerEntry *peer, GwSuspect *out)
+{
+    GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
+    int64_t now_us = GwEdge_Now();
+    int64_t since_us;
+    uint32_t count = 0;
+
+    switch (GwRumorPeer_Next(&peer->suspects, now_us, &since_us)) {
+    case GW_RUMOR_NOTHING:
+        break;
+    case GW_RUMOR_NEWS:
+        count = GwQuarantine_News(q, now_us, since_us, out, GW_SUSPECTS_MAX);
+        peer->suspects.page = count == GW_SUSPECTS_MAX;
+        break;
+    case GW_RUMOR_PAGE:
+        count = GwQuarantine_Page(q, now_us, &peers->suspects_from, out,
+                                  GW_SUSPECTS_MAX);
+        break;
+    }
+    return count;
+}
+
 void
 GwPeers_FillSuspects(GwPeers *peers, GwPeerEntry *peer,
                      Gw__Peer__Report *report, GwSuspectArrays *arrays)
 {
-    GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
-
-    report->suspects_sum = GwQuarantine_Sum(q);
-    report->n_suspects =
-        GwSuspectPeer_Tell(&peer->suspects, q, GwEdge_Now(),
-                           &peers->suspects_from, arrays->known);
+    report->suspects_sum =
+        GwQuarantine_Sum(GwRouter_Quarantine(peers->edge->router));
+    report->n_suspects = next_suspects(peers, peer, arrays->known);
     for (size_t i = 0; i < report->n_suspects; i++) {
         write_suspect(&arrays->known[i], &arrays->told[i]);
         arrays->list[i] = &arrays->told[i];
@@ -55,53 +75,55 @@
                      const Gw__Peer__Report *report)
 {
     GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
-    GwSuspect known[GW_SUSPECTS_MAX];
-    uint32_t count = 0;
+    int64_t now_us = GwEdge_Now();
 
-    for (size_t i = 0; i < MIN(report->n_suspects, GW_SUSPECTS_MAX); i++) {
-        count += read_suspect(report->suspects[i], &known[count]);
+    for (size_t i = 0; i < report->n_suspects; i++) {
+        GwSuspect s;
+        if (read_suspect(report->suspects[i], &s)) {
+            GwQuarantine_Merge(q, now_us, &s);
+        }
     }
-    if (GwSuspectPeer_Take(&peer->suspects, q, GwEdge_Now(),
-                           report->suspects_sum, known, count)) {
+    if (GwRumorPeer_Heard(&peer->suspects, now_us, report->suspects_sum,
+                          GwQuarantine_Sum(q), GwQuarantine_ChangedUs(q))) {
         peer->hurry = true;
     }
 }
 
-/* Each of the live peers is as likely as any other. */
-static void
-hurry_some(GwPeers *peers)
+void
+GwPeers_ChooseSome(GwPeers *peers, GwPeerEntry *chosen[GW_RUMOR_FAN + 1])
 {
-    GwPeerEntry *chosen[GW_SUSPECT_FAN] = {NULL};
     GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
     GwPeerEntry *peer;
     gint seen = 0;
 
+    memset(chosen, 0, (GW_RUMOR_FAN + 1) * sizeof(*chosen));
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        gint at =
-            seen < GW_SUSPECT_FAN ? seen : g_random_int_range(0, seen + 1);
+        gint at = seen < GW_RUMOR_FAN ? seen : g_random_int_range(0, seen + 1);
         seen++;
-        if (at < GW_SUSPECT_FAN) {
+        if (at < GW_RUMOR_FAN) {
             chosen[at] = peer;
         }
     }
-    for (int i = 0; i < GW_SUSPECT_FAN && chosen[i] != NULL; i++) {
-        chosen[i]->suspects.news = true;
-        chosen[i]->hurry = true;
-    }
 }
 
 void
 GwPeers_SpreadSuspects(GwPeers *peers, int64_t now_us)
 {
     GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
+    GwPeerEntry *chosen[GW_RUMOR_FAN + 1];
 
     if (GwQuarantine_IsEmpty(q)) {
         return;
     }
     GwQuarantine_Tick(q, now_us);
-    if (GwQuarantine_ChangedUs(q) > peers->suspects_spread_us) {
-        peers->suspects_spread_us = now_us;
-        hurry_some(peers);
+    if (GwQuarantine_ChangedUs(q) <= peers->suspects_spread_us) {
+        return;
+    }
+    peers->suspects_spread_us = now_us;
+    GwPeers_ChooseSome(peers, chosen);
+    for (int i = 0; chosen[i] != NULL; i++) {
+        chosen[i]->suspects.news = true;
+        chosen[i]->hurry = true;
     }
 }
 
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -107,6 +107,9 @@
         (!look->panic && look->now_us < s->eject_until_us)) {
         return false;
     }
+    if (GwServer_IsLimited(s) && !GwRouter_FeedsLimited(r, s, look->now_us)) {
+        return false;
+    }
     return !GwServer_IsCold(s, look->now_us) ||
            GwRouter_FeedsCold(r, s, look->now_us);
 }
@@ -126,7 +129,8 @@
 bool
 GwServer_HasRoom(const GwRouter *r, const GwServer *s, int64_t now_us)
 {
-    return GwServer_Occupied(r, s, now_us) < s->slots + GW_SLOTS_AHEAD;
+    return GwServer_Occupied(r, s, now_us) < s->slots + GW_SLOTS_AHEAD &&
+           GwServer_LimitWaitUs(s, now_us) <= 0;
 }
 
 static double
@@ -151,16 +155,18 @@
 {
     double busy = GwServer_Occupied(look->r, s, look->now_us);
     double limit = s->slots + GW_SLOTS_AHEAD;
-    double wait = 0;
+    double wait = GwServer_LimitWaitUs(s, look->now_us);
+    bool is_free = busy < limit && wait <= 0;
 
     if (busy >= limit) {
-        wait = (busy - limit + 1) * s->service->work_us * s->slow /
-               (double)s->slots;
+        double slot_us = (busy - limit + 1) * s->service->work_us * s->slow /
+                         (double)s->slots;
+        wait = MAX(wait, slot_us);
     }
     if (GwServer_IsCold(s, look->now_us)) {
         work_us *= 2;
     }
-    Candidate c = {.server = s, .wait_us = wait, .is_free = busy < limit};
+    Candidate c = {.server = s, .wait_us = wait, .is_free = is_free};
     c.est_us = s->path->rtt_us + wait + work_us * s->slow;
     c.cost_us = c.est_us + distance_us(s);
     c.last_slot_us =
@@ -302,6 +308,13 @@
 static GwChoice
 choose_one(Look *look)
 {
+    GwServer *unheard =
+        GwRouter_UnheardLimited(look->r, look->now_us, look->req->service);
+
+    if (unheard != NULL && may_take(look, unheard)) {
+        Candidate c = judge(look, unheard, look->req->state->cold_us);
+        return choice_of(look, &c);
+    }
     Candidate place = best_place(look);
 
     if (place.server == NULL) {
--- /dev/null
+++ b/lib/router/feeding.c
@@ -0,0 +1,325 @@
+/* Rates that a server bears from all entries together: of one that is cold, and
+ * of one that names a limit.
+ *
+ * No entry knows what the others send, so the rate is dealt to few of them, who
+ * feed the server: the first by a hash, of those that serve, in its region if
+ * there are any. Each entry works out the same. A cold server has one feeder; a
+ * limit is shared by as many as can each hold a request ready and still keep
+ * within what the server is promised. */
+#include "router/router_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+/* After a start an entry knows no peers yet and would take itself for the one
+ * that feeds every server. */
+#define FEED_AFTER_START_US 2000000
+/* Those of other regions are heard of later where entries are many. */
+#define FEED_FAR_AFTER_START_US 20000000
+/* Of the rate that a cold server bears, so that a late or doubled belief about
+ * who feeds it still stays within the bound. */
+#define FEED_SHARE 0.9
+#define FEED_BURST 2.0
+/* Feeders of a limited server: what they hold ready comes on top of its limit,
+ * which it may be exceeded by half and 5 requests in 4 s. */
+#define LIMIT_SHARE       0.95
+#define FEEDERS_PER_LIMIT 2.0
+#define FEEDERS_MIN       1.0
+/* A server that takes nothing would never be heard of again. */
+#define LIMIT_FLOOR 0.2
+/* Of the time for which a feeder may save up what it doesn't use. */
+#define LIMIT_SAVED_S     0.25
+#define LIMIT_WAIT_MAX_US 3.6e9
+/* Who feeds a server is worked out anew after this. */
+#define RANK_LIFE_US 100000
+/* Answers of one server overtake each other: a limit rises, or ends, only when
+ * none has named the lower one for this long. */
+#define LIMIT_KEPT_US 500000
+/* A feeder that hears nothing of its server sends it a request after this. */
+#define UNHEARD_US       2000000
+#define UNHEARD_EVERY_US 100000
+/* Above it a server has no limit that any entry could meet. */
+#define LIMIT_MAX 1e6
+
+static uint64_t
+feed_rank(const GwServer *s, const char *entry)
+{
+    return GwHash_Text(entry, s->hash);
+}
+
+/* Where this entry stands among those that may feed the server. */
+typedef struct {
+    bool may_feed;
+    uint32_t before; /* that come first */
+    uint32_t count;  /* of all, with this one */
+} FeedRank;
+
+static FeedRank
+rank_of(GwRouter *r, const GwServer *s, int64_t now_us)
+{
+    FeedRank rank = {.may_feed = true, .count = 1};
+    uint64_t own = feed_rank(s, r->params.name);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeer *peer = value;
+        bool in_region = strcmp(peer->region, s->path->region) == 0;
+        if (peer->serves && in_region && !s->same_region) {
+            return (FeedRank){.may_feed = false};
+        }
+        if (peer->serves && in_region == s->same_region) {
+            rank.count++;
+            rank.before += feed_rank(s, peer->name) > own;
+        }
+    }
+    rank.may_feed =
+        now_us >= r->started_us + FEED_AFTER_START_US &&
+        (s->same_region || now_us >= r->started_us + FEED_FAR_AFTER_START_US);
+    return rank;
+}
+
+/* ---- Cold servers -------------------------------------------------------- */
+
+/* Whether a token for the cold server is there. An entry that has only now
+ * become the feeder starts with none: the one before it may just have spent
+ * its own. */
+bool
+GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us)
+{
+    double per_s = s->service->cold_per_s * FEED_SHARE;
+    FeedRank rank = rank_of(r, s, now_us);
+
+    if (!rank.may_feed || rank.before > 0) {
+        s->feeds = false;
+        return false;
+    }
+    if (!s->feeds) {
+        s->feeds = true;
+        s->cold_tokens = (GwBucket){.max = FEED_BURST, .at_us = now_us};
+    }
+    GwBucket_Fill(&s->cold_tokens, now_us, per_s);
+#if GW_MUTANT == 73 /* breaks: a cold server gets all that comes */
+    return true;
+#endif
+    return s->cold_tokens.tokens >= 1.0;
+}
+
+/* ---- Limits -------------------------------------------------------------- */
+
+bool
+GwServer_IsLimited(const GwServer *s)
+{
+    return s->limit.per_s >= 0;
+}
+
+static double
+tokens_at(const GwServer *s, int64_t now_us)
+{
+    double grown =
+        s->limit.share * (double)(now_us - s->limit.tokens_us) / 1e6;
+    double most = MAX(1.0, s->limit.share * LIMIT_SAVED_S);
+
+    return MIN(s->limit.tokens + MAX(grown, 0), most);
+}
+
+static void
+set_share(GwServer *s, int64_t now_us, double share)
+{
+    bool goes_on = s->limit.share > 0 && share > 0;
+
+    s->limit.tokens = goes_on ? tokens_at(s, now_us) : 0;
+#if GW_MUTANT == 85 /* breaks: each new share begins with a burst */
+    s->limit.tokens = 1.0 + share;
+#endif
+    s->limit.tokens_us = now_us;
+    s->limit.share = share;
+}
+
+static double
+share_of(GwRouter *r, const GwServer *s, int64_t now_us)
+{
+    FeedRank rank = rank_of(r, s, now_us);
+    double most = FEEDERS_MIN + FEEDERS_PER_LIMIT * s->limit.per_s;
+    uint32_t feeders = (uint32_t)MIN(most, rank.count);
+
+#if GW_MUTANT == 84 /* breaks: each entry takes the whole limit */
+    return s->limit.per_s;
+#endif
+    if (!rank.may_feed || rank.before >= feeders) {
+        return 0;
+    }
+    return MAX(s->limit.per_s * LIMIT_SHARE, LIMIT_FLOOR) / feeders;
+}
+
+bool
+GwRouter_FeedsLimited(GwRouter *r, GwServer *s, int64_t now_us)
+{
+    if (now_us - s->limit.ranked_us >= RANK_LIFE_US) {
+        double share = share_of(r, s, now_us);
+        s->limit.ranked_us = now_us;
+        if (share != s->limit.share) {
+            set_share(s, now_us, share);
+        }
+    }
+    return s->limit.share > 0;
+}
+
+double
+GwServer_LimitWaitUs(const GwServer *s, int64_t now_us)
+{
+    double lacks = 1.0 + s->claims - tokens_at(s, now_us);
+
+    if (!GwServer_IsLimited(s) || lacks <= 0) {
+        return 0;
+    }
+    return MIN(lacks * 1e6 / MAX(s->limit.share, 1e-9), LIMIT_WAIT_MAX_US);
+}
+
+void
+GwServer_SpendLimit(GwServer *s, int64_t now_us)
+{
+    s->limit.tokens = tokens_at(s, now_us) - 1.0;
+    s->limit.tokens_us = now_us;
+}
+
+GwServer *
+GwRouter_UnheardLimited(GwRouter *r, int64_t now_us, GwServiceState *service)
+{
+    if (r->limits_us == 0 || now_us < service->unheard_due_us) {
+        return NULL;
+    }
+    service->unheard_due_us = now_us + UNHEARD_EVERY_US;
+    r->looks += service->servers->len;
+    for (guint i = 0; i < service->servers->len; i++) {
+        GwServer *s = service->servers->pdata[i];
+        if (GwServer_IsLimited(s) && now_us - s->limit.heard_us > UNHEARD_US &&
+            GwRouter_FeedsLimited(r, s, now_us) &&
+            GwServer_LimitWaitUs(s, now_us) <= 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+/* Adopts what is known of the limit since `at_us`. */
+static void
+set_limit(GwRouter *r, int64_t now_us, GwServer *s, double per_s,
+          int64_t at_us)
+{
+    s->limit.per_s = per_s;
+    s->limit.at_us = at_us;
+    s->limit.seen_us = at_us;
+    s->limit.changed_us = now_us;
+    s->limit.ranked_us = 0;
+    r->limits_us = now_us;
+    if (r->note_limit != NULL) {
+        r->note_limit(r->note_limit_ctx, s, per_s);
+    }
+}
+
+void
+GwRouter_LearnLimit(GwRouter *r, int64_t now_us, GwServer *s,
+                    const GwAttemptEnd *end)
+{
+    double per_s =
+        end->limit == GW_LIMIT_NAMED ? MIN(end->limit_per_s, LIMIT_MAX) : -1;
+    bool was = GwServer_IsLimited(s);
+
+    if (end->limit != GW_LIMIT_UNSAID) {
+        s->limit.heard_us = now_us;
+    }
+    bool is_lower = per_s >= 0 && (!was || per_s < s->limit.per_s);
+
+    if (end->limit == GW_LIMIT_UNSAID || per_s == s->limit.per_s ||
+        (!was && per_s < 0)) {
+        s->limit.seen_us = now_us;
+    }
+#if GW_MUTANT == 86 /* breaks: a limit never ends */
+    else if (per_s < 0) {
+        return;
+    }
+#endif
+    else if (is_lower || now_us - s->limit.seen_us > LIMIT_KEPT_US) {
+        set_limit(r, now_us, s, per_s, now_us);
+    }
+}
+
+/* ---- Limits that other entries know --------------------------------------- */
+
+void
+GwRouter_PutLimit(GwRouter *r, int64_t now_us, const GwLimit *limit)
+{
+    GwServer *s =
+        g_hash_table_lookup(r->by_hash, GUINT_TO_POINTER(limit->server));
+    int64_t at_us = now_us - (int64_t)limit->age_ms * 1000;
+    double per_s = limit->per_s >= 0 ? MIN(limit->per_s, LIMIT_MAX) : -1;
+
+    if (s == NULL || isnan(limit->per_s)) {
+        return;
+    }
+    if (per_s == s->limit.per_s) {
+        s->limit.at_us = MIN(s->limit.at_us, at_us);
+    }
+    else if (at_us > s->limit.at_us) {
+        set_limit(r, now_us, s, per_s, at_us);
+    }
+}
+
+uint32_t
+GwRouter_Limits(const GwRouter *r, int64_t now_us, int64_t since_us,
+                GwLimit *out, uint32_t most)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->servers);
+    while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwServer *s = value;
+        if (s->limit.changed_us != 0 && s->limit.changed_us >= since_us) {
+            out[count++] = (GwLimit){
+                .server = GwServer_Hash(s),
+                .per_s = s->limit.per_s,
+                .age_ms = (uint32_t)(MAX(now_us - s->limit.at_us, 0) / 1000),
+            };
+        }
+    }
+    return count;
+}
+
+uint64_t
+GwRouter_LimitsSum(const GwRouter *r)
+{
+    uint64_t sum = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    if (r->limits_us == 0) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iter, r->servers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwServer *s = value;
+        if (GwServer_IsLimited(s)) {
+            uint64_t mix = (s->hash ^ (uint64_t)(s->limit.per_s * 1000)) *
+                           0x9e3779b97f4a7c15ULL;
+            sum += mix ^ (mix >> 29);
+        }
+    }
+    return sum;
+}
+
+int64_t
+GwRouter_LimitsChangedUs(const GwRouter *r)
+{
+    return r->limits_us;
+}
+
+void
+GwRouter_SetLimitNote(GwRouter *r, GwLimitNote note, void *ctx)
+{
+    r->note_limit = note;
+    r->note_limit_ctx = ctx;
+}
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -185,6 +185,9 @@
     if (GwServer_IsCold(s, now_us)) {
         s->cold_tokens.tokens -= 1.0;
     }
+    if (GwServer_IsLimited(s)) {
+        GwServer_SpendLimit(s, now_us);
+    }
     if (req->key != NULL && !req->is_suspect) {
         GwRouter_UseKey(r, req->key, s, now_us);
     }
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -121,6 +121,29 @@
 void GwRouter_OwnPlacements(GwRouter *r, int64_t now_us, int64_t age_us,
                             int64_t life_us, GArray *out);
 
+/* The requests a second that a server takes from all entries together, as it
+ * named them `age_ms` ago. */
+typedef struct {
+    uint32_t server; /* GwServer_Hash */
+    double per_s;    /* < 0: it names none any more */
+    uint32_t age_ms;
+} GwLimit;
+
+/* Called when a limit begins, changes or ends. */
+typedef void (*GwLimitNote)(void *ctx, const GwServer *s, double per_s);
+
+void GwRouter_SetLimitNote(GwRouter *r, GwLimitNote note, void *ctx);
+/* Another entry says so; the younger word counts. */
+void GwRouter_PutLimit(GwRouter *r, int64_t now_us, const GwLimit *limit);
+/* Those that changed here since, at most `most`. Returns how many. */
+uint32_t GwRouter_Limits(const GwRouter *r, int64_t now_us, int64_t since_us,
+                         GwLimit *out, uint32_t most);
+/* Of all that are in force; the same at entries that know the same, 0 for
+ * none. */
+uint64_t GwRouter_LimitsSum(const GwRouter *r);
+/* When one has changed last; 0: never. */
+int64_t GwRouter_LimitsChangedUs(const GwRouter *r);
+
 /* ---- The life of a request ---------------------------------------------- */
 
 typedef struct {
@@ -140,6 +163,13 @@
     GW_ATTEMPT_BROKEN = 4    /* sent, and no whole answer: may have run */
 } GwAttemptOutcome;
 
+/* What an answer says of the requests a second that its server takes. */
+typedef enum {
+    GW_LIMIT_UNSAID = 0, /* no answer, or not to be read */
+    GW_LIMIT_NONE,       /* as many as come */
+    GW_LIMIT_NAMED
+} GwLimitWord;
+
 typedef struct {
     GwAttemptOutcome outcome;
     uint16_t status;   /* ANSWERED, REFUSED */
@@ -149,6 +179,8 @@
     uint32_t waiting;
     uint32_t cold_ms;   /* > 0: the server says that it is cold */
     int64_t connect_us; /* time of a connection made for this; 0: reused */
+    GwLimitWord limit;
+    double limit_per_s; /* where NAMED */
     bool closed;        /* BROKEN: the server closed or reset the connection */
     /* Of the request; where `closed`, or GwRouter_WantsFingerprints says so. */
     const GwFingerprint *fingerprint;
@@ -268,6 +300,7 @@
     const char *name;
     uint32_t servers; /* listed */
     uint32_t ejected;
+    uint32_t limited; /* name a limit */
     uint32_t waiting;         /* requests */
     uint32_t in_flight;       /* of this entry */
     uint32_t peers_in_flight; /* as they last reported */
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -41,14 +41,15 @@
     GPtrArray *servers; /* GwServer, borrowed */
     GPtrArray *waiting; /* GwRequest in the order in which they are served */
     GwBucket retries;
-    GPtrArray *claimed;  /* GwServer with claims, in one pass of placing */
-    bool panic;          /* most of the servers are ejected, */
-    int64_t panic_at_us; /* as of then */
-    bool has_room;       /* requests left; others may be placed */
-    int64_t pass_due_us; /* all that wait are not judged anew before */
-    double pass_looks;   /* at servers, of the last such pass for each */
-    GwServer *freed;     /* has room since the last pass; or NULL */
-    double work_us;      /* mean time a request takes a slot */
+    GPtrArray *claimed;     /* GwServer with claims, in one pass of placing */
+    bool panic;             /* most of the servers are ejected, */
+    int64_t panic_at_us;    /* as of then */
+    bool has_room;          /* requests left; others may be placed */
+    int64_t pass_due_us;    /* all that wait are not judged anew before */
+    double pass_looks;      /* at servers, of the last such pass for each */
+    GwServer *freed;        /* has room since the last pass; or NULL */
+    int64_t unheard_due_us; /* limits that nobody asks for are looked for */
+    double work_us;         /* mean time a request takes a slot */
     double cold_per_s;
     uint32_t connections_max; /* of one server, from all entries; 0: any */
 } GwServiceState;
@@ -71,6 +72,19 @@
     bool measured; /* else it is what is assumed of such a way */
 } GwPath;
 
+/* The requests a second that a server takes from all entries together. */
+typedef struct {
+    double per_s;       /* < 0: it names none */
+    int64_t at_us;      /* since then */
+    int64_t seen_us;    /* an answer said so last */
+    int64_t heard_us;   /* last answer of any kind; with its limit, or none */
+    int64_t changed_us; /* it became known here; 0: it never named one */
+    double share;       /* of this entry, a second */
+    int64_t ranked_us;  /* as of then */
+    double tokens;
+    int64_t tokens_us;
+} GwServerLimit;
+
 struct GwServer_s {
     char *id;
     char *address;
@@ -97,6 +111,7 @@
     int64_t eject_until_us;
     int64_t cold_until_us;
     GwBucket cold_tokens;
+    GwServerLimit limit;
     bool feeds;  /* this entry fed it at the last look */
     bool probed; /* the host connects to it, to see whether it is alive */
     int64_t load_at_us;
@@ -208,6 +223,9 @@
     uint32_t near_slots;
     uint32_t all_slots;
     uint32_t regions;
+    int64_t limits_us; /* one has changed last; 0: never */
+    GwLimitNote note_limit;
+    void *note_limit_ctx;
     int64_t started_us;
     int64_t end_us; /* of a stop; INT64_MAX: none was begun */
     uint64_t looks; /* at servers, to place requests */
@@ -226,7 +244,22 @@
 /* The mean of its slots in use over the last seconds, 0 to 1 and above. */
 double GwServer_Busy(const GwRouter *r, const GwServer *s, int64_t now_us);
 void GwServer_NoteBusy(const GwRouter *r, GwServer *s, int64_t now_us);
+
+/* feeding.c */
 bool GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us);
+bool GwServer_IsLimited(const GwServer *s);
+/* Whether this entry has a share of the server's limit. */
+bool GwRouter_FeedsLimited(GwRouter *r, GwServer *s, int64_t now_us);
+/* Until its share allows one more, behind those that wait for the server. */
+double GwServer_LimitWaitUs(const GwServer *s, int64_t now_us);
+void GwServer_SpendLimit(GwServer *s, int64_t now_us);
+/* A limited server of which this entry has heard nothing for long, though its
+ * share allows a request: that one would tell whether the limit still stands.
+ * NULL: none, or it was looked for a moment ago. */
+GwServer *GwRouter_UnheardLimited(GwRouter *r, int64_t now_us,
+                                  GwServiceState *service);
+void GwRouter_LearnLimit(GwRouter *r, int64_t now_us, GwServer *s,
+                         const GwAttemptEnd *end);
 
 /* peers.c */
 /* Adds to a new server what sums have told of it. */
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -8,15 +8,6 @@
  * answer that hung for seconds must not bar a server for minutes. */
 #define SLOW_MIN 0.5
 #define SLOW_MAX 16.0
-/* After a start an entry knows no peers yet and would take itself for the one
- * that feeds every cold server. */
-#define FEED_AFTER_START_US 2000000
-/* Those of other regions are heard of later where entries are many. */
-#define FEED_FAR_AFTER_START_US 20000000
-/* Of the rate that a cold server bears, so that a late or doubled belief about
- * who feeds it still stays within the bound. */
-#define FEED_SHARE 0.9
-#define FEED_BURST 2.0
 /* Over which the mean of slots in use decays: some requests long, and short
  * against the waves of a day. */
 #define BUSY_TAU_US 1500000.0
@@ -137,6 +128,7 @@
     s->same_region = strcmp(info->region, r->params.region) == 0;
     s->slow = 1.0;
     s->busy_at_us = r->started_us;
+    s->limit.per_s = -1;
     s->listed = true;
     g_ptr_array_add(s->service->servers, s);
     g_hash_table_insert(r->servers, s->id, s);
@@ -224,68 +216,6 @@
     GwRouter_DriftServers(r);
 }
 
-/* ---- Cold servers -------------------------------------------------------- */
-
-static uint64_t
-feed_rank(const GwServer *s, const char *entry)
-{
-    return GwHash_Text(entry, s->hash);
-}
-
-/* Whether this entry is the one that feeds the cold server. The bound on what
- * a cold server gets holds over all entries together, so one entry feeds it:
- * of those that serve, in its region if there are any, the first by a hash. */
-static bool
-is_feeder(GwRouter *r, const GwServer *s, int64_t now_us)
-{
-    uint64_t own = feed_rank(s, r->params.name);
-    bool first = true;
-    bool in_region = s->same_region;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, r->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const GwPeer *peer = value;
-        if (!peer->serves) {
-            continue;
-        }
-        bool peer_in_region = strcmp(peer->region, s->path->region) == 0;
-        if (peer_in_region && !in_region) {
-            return false;
-        }
-        if (peer_in_region == in_region && feed_rank(s, peer->name) > own) {
-            first = false;
-        }
-    }
-    return first &&
-           (in_region || now_us >= r->started_us + FEED_FAR_AFTER_START_US);
-}
-
-/* Whether a token for the cold server is there. An entry that has only now
- * become the feeder starts with none: the one before it may just have spent
- * its own. */
-bool
-GwRouter_FeedsCold(GwRouter *r, GwServer *s, int64_t now_us)
-{
-    double per_s = s->service->cold_per_s * FEED_SHARE;
-
-    if (now_us < r->started_us + FEED_AFTER_START_US ||
-        !is_feeder(r, s, now_us)) {
-        s->feeds = false;
-        return false;
-    }
-    if (!s->feeds) {
-        s->feeds = true;
-        s->cold_tokens = (GwBucket){.max = FEED_BURST, .at_us = now_us};
-    }
-    GwBucket_Fill(&s->cold_tokens, now_us, per_s);
-#if GW_MUTANT == 73 /* breaks: a cold server gets all that comes */
-    return true;
-#endif
-    return s->cold_tokens.tokens >= 1.0;
-}
-
 /* ---- How busy ------------------------------------------------------------ */
 
 /* Of a request to another region, the part of its time that it spends in a
@@ -411,6 +341,9 @@
         s->load_running = end->running;
         s->load_waiting = end->waiting;
     }
+    if (!end->other_server) {
+        GwRouter_LearnLimit(r, now_us, s, end);
+    }
     if (end->cold_ms > 0) {
         s->cold_until_us = now_us + (int64_t)end->cold_ms * 1000;
     }
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -17,6 +17,7 @@
     for (guint i = 0; i < service->servers->len; i++) {
         const GwServer *s = service->servers->pdata[i];
         view.ejected += now_us < s->eject_until_us;
+        view.limited += GwServer_IsLimited(s);
         view.in_flight += s->in_flight;
         view.peers_in_flight += s->peers_in_flight;
     }
@@ -58,6 +59,12 @@
     GwJson_SetU64(item, "ejected_ms", (uint64_t)ejected_us / 1000);
     GwJson_SetBool(item, "draining", s->draining);
     GwJson_SetBool(item, "cold", GwServer_IsCold(s, now_us));
+    if (GwServer_IsLimited(s)) {
+        json_object_object_add(item, "limit_per_s",
+                               json_object_new_double(s->limit.per_s));
+        json_object_object_add(item, "limit_share_per_s",
+                               json_object_new_double(s->limit.share));
+    }
     return item;
 }
 
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &gw__peer__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__peer__limit__init
+                     (Gw__Peer__Limit         *message)
+{
+  static const Gw__Peer__Limit init_value = GW__PEER__LIMIT__INIT;
+  *message = init_value;
+}
+size_t gw__peer__limit__get_packed_size
+                     (const Gw__Peer__Limit *message)
+{
+  assert(message->base.descriptor == &gw__peer__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__peer__limit__pack
+                     (const Gw__Peer__Limit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__peer__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__peer__limit__pack_to_buffer
+                     (const Gw__Peer__Limit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__peer__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Peer__Limit *
+       gw__peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Peer__Limit *)
+     protobuf_c_message_unpack (&gw__peer__limit__descriptor,
+                                allocator, len, data);
+}
+void   gw__peer__limit__free_unpacked
+                     (Gw__Peer__Limit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__peer__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__peer__report__init
                      (Gw__Peer__Report         *message)
 {
@@ -503,7 +548,71 @@
   (ProtobufCMessageInit) gw__peer__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[31] =
+static const ProtobufCFieldDescriptor gw__peer__limit__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Limit, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Limit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Limit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__peer__limit__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = per_s */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange gw__peer__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__peer__limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.peer.Limit",
+  "Limit",
+  "Gw__Peer__Limit",
+  "gw.peer",
+  sizeof(Gw__Peer__Limit),
+  3,
+  gw__peer__limit__field_descriptors,
+  gw__peer__limit__field_indices_by_name,
+  1,  gw__peer__limit__number_ranges,
+  (ProtobufCMessageInit) gw__peer__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[33] =
 {
   {
     "name",
@@ -877,6 +986,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits_sum",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, limits_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    35,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Peer__Report, n_limits),
+    offsetof(Gw__Peer__Report, limits),
+    &gw__peer__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   24,   /* field[24] = asks_known */
@@ -886,6 +1019,8 @@
   12,   /* field[12] = is_new */
   11,   /* field[11] = known */
   19,   /* field[19] = knows */
+  32,   /* field[32] = limits */
+  31,   /* field[31] = limits_sum */
   20,   /* field[20] = link_kbps */
   10,   /* field[10] = load_counts */
   9,   /* field[9] = load_servers */
@@ -916,7 +1051,7 @@
   { 1, 0 },
   { 7, 5 },
   { 26, 23 },
-  { 0, 31 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -926,7 +1061,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  31,
+  33,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   3,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Gw__Peer__SumChange Gw__Peer__SumChange;
 typedef struct Gw__Peer__Suspect Gw__Peer__Suspect;
+typedef struct Gw__Peer__Limit Gw__Peer__Limit;
 typedef struct Gw__Peer__Report Gw__Peer__Report;
 typedef struct Gw__Peer__Row Gw__Peer__Row;
 typedef struct Gw__Peer__Rows Gw__Peer__Rows;
@@ -109,6 +110,27 @@
     , 0, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * The requests a second that a server takes from all entries together.
+ */
+struct  Gw__Peer__Limit
+{
+  ProtobufCMessage base;
+  uint32_t server;
+  /*
+   * below zero: it names none any more
+   */
+  double per_s;
+  /*
+   * since it said so
+   */
+  uint32_t age_ms;
+};
+#define GW__PEER__LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__peer__limit__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Gw__Peer__Report
 {
   ProtobufCMessage base;
@@ -212,6 +234,12 @@
   uint64_t suspects_sum;
   size_t n_suspects;
   Gw__Peer__Suspect **suspects;
+  /*
+   * of all limits that the sender knows
+   */
+  uint64_t limits_sum;
+  size_t n_limits;
+  Gw__Peer__Limit **limits;
   /*
    * the receiver lacks so much of the operators' rows
    */
@@ -219,7 +247,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -291,6 +319,25 @@
 void   gw__peer__suspect__free_unpacked
                      (Gw__Peer__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Peer__Limit methods */
+void   gw__peer__limit__init
+                     (Gw__Peer__Limit         *message);
+size_t gw__peer__limit__get_packed_size
+                     (const Gw__Peer__Limit   *message);
+size_t gw__peer__limit__pack
+                     (const Gw__Peer__Limit   *message,
+                      uint8_t             *out);
+size_t gw__peer__limit__pack_to_buffer
+                     (const Gw__Peer__Limit   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Peer__Limit *
+       gw__peer__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__peer__limit__free_unpacked
+                     (Gw__Peer__Limit *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Peer__Report methods */
 void   gw__peer__report__init
                      (Gw__Peer__Report         *message);
@@ -356,6 +403,9 @@
 typedef void (*Gw__Peer__Suspect_Closure)
                  (const Gw__Peer__Suspect *message,
                   void *closure_data);
+typedef void (*Gw__Peer__Limit_Closure)
+                 (const Gw__Peer__Limit *message,
+                  void *closure_data);
 typedef void (*Gw__Peer__Report_Closure)
                  (const Gw__Peer__Report *message,
                   void *closure_data);
@@ -373,6 +423,7 @@
 
 extern const ProtobufCMessageDescriptor gw__peer__sum_change__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__suspect__descriptor;
+extern const ProtobufCMessageDescriptor gw__peer__limit__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__report__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__row__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__rows__descriptor;
--- a/tests/fakes/outages.c
+++ b/tests/fakes/outages.c
@@ -2,11 +2,13 @@
 
 #include "common/heap.h"
 #include "common/rng.h"
-#include "edge/suspect_news.h"
+#include "edge/rumor.h"
 #include "router/router_internal.h"
 
 #include <string.h>
 
+#define LIMITS_MAX    128
+#define SUSPECTS_MAX  64 /* of one datagram */
 #define START_US      1000000
 #define NEAR_US       1000
 #define FAR_US        20000
@@ -45,6 +47,12 @@
     bool draining;
     bool says_nothing; /* of its drain */
     GQueue running;    /* Attempt */
+    bool is_limited;
+    int64_t limit_us; /* since when it names one */
+    GArray *arrivals; /* int64_t us, that count */
+    int64_t *told_us; /* each entry, by an answer that it passed on */
+    uint32_t got;     /* while limited, once entries had time */
+    uint32_t got_after;
 } Server;
 
 typedef struct {
@@ -53,10 +61,12 @@
     uint32_t region;
     GwRouter *router;
     GArray *actions;
-    GwSuspectPeer *peers;
+    GwRumorPeer *peers;
+    GwRumorPeer *limit_peers;
     uint32_t from;
     uint32_t next_peer;
     int64_t spread_us;
+    int64_t limits_spread_us;
     bool *hurry;
     GHashTable *handles; /* GwServer that the core has not given up */
     bool armed;
@@ -101,10 +111,13 @@
 typedef struct {
     Entry *from;
     Entry *to;
+    uint64_t limits_sum;
+    uint32_t limit_count;
+    GwLimit limits[LIMITS_MAX];
     uint32_t to_life;
     uint64_t sum;
     uint32_t count;
-    GwSuspect suspects[GW_SUSPECTS_MAX];
+    GwSuspect suspects[SUSPECTS_MAX];
 } Datagram;
 
 typedef struct {
@@ -131,7 +144,9 @@
     EV_DATAGRAM,
     EV_PROBED,
     EV_OUTAGE,
-    EV_ENTRY_FAULT
+    EV_ENTRY_FAULT,
+    EV_LIMIT,
+    EV_LIMIT_OVER
 } EventKind;
 
 typedef struct {
@@ -158,6 +173,7 @@
     uint64_t spoilt_permille;
     uint64_t next_content;
     bool crashes_told;
+    bool limits_over;
     OutageReport report;
 };
 
@@ -274,6 +290,21 @@
     return routing;
 }
 
+static void
+introduce_others(World *w, Entry *e)
+{
+    for (uint32_t i = 0; i < w->p->entries; i++) {
+        char name[16];
+        char region[8];
+        GwPeerInfo info = {.name = name, .region = region, .serves = true};
+        g_snprintf(name, sizeof(name), "e%u", i);
+        g_snprintf(region, sizeof(region), "r%u", i % REGIONS);
+        if (i != e->number) {
+            GwRouter_PutPeer(e->router, w->now_us, &info);
+        }
+    }
+}
+
 static void
 start_entry(World *w, Entry *e)
 {
@@ -291,12 +322,15 @@
                e->number / REGIONS % 2);
     e->router = GwRouter_Create(&params, w->now_us);
     e->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
-    e->peers = g_new0(GwSuspectPeer, w->p->entries);
+    e->peers = g_new0(GwRumorPeer, w->p->entries);
+    e->limit_peers = g_new0(GwRumorPeer, w->p->entries);
+    e->limits_spread_us = 0;
     e->hurry = g_new0(bool, w->p->entries);
     e->handles = g_hash_table_new(NULL, NULL);
     e->armed = false;
     e->spread_us = 0;
     (void)GwRouter_SetRouting(e->router, w->routing);
+    introduce_others(w, e);
     for (uint32_t i = 0; i < w->p->servers; i++) {
         const Server *s = &w->servers[i];
         if (s->listening || s->dark) {
@@ -311,6 +345,7 @@
     GwRouter_Free(e->router);
     g_array_free(e->actions, TRUE);
     g_free(e->peers);
+    g_free(e->limit_peers);
     g_free(e->hurry);
     g_hash_table_destroy(e->handles);
 }
@@ -487,6 +522,10 @@
     s->dark = false;
     s->draining = false;
     s->born++;
+    /* Another process: what the one before it named is over. */
+    s->limit_us = s->limit_us != 0 ? w->now_us : 0;
+    g_array_set_size(s->arrivals, 0);
+    memset(s->told_us, 0, w->p->entries * sizeof(*s->told_us));
     at(w, w->now_us + ROW_LAG_US, EV_ROW, s);
 }
 
@@ -521,6 +560,35 @@
     }
 }
 
+/* By the rule: what entries sent that had passed on an answer with the limit
+ * half a second before, from `contact` after it was first named. */
+static void
+count_limited(World *w, const Attempt *a)
+{
+    Server *s = a->server;
+    const Entry *e = a->call->entry;
+    int64_t told_us = s->told_us[e->number];
+    double most = 1.5 * 4 * w->p->limit_per_s + 5;
+    guint old = 0;
+
+    if (!s->is_limited || w->now_us < s->limit_us + CONTACT_US) {
+        return;
+    }
+    s->got++;
+    if (told_us == 0 || w->now_us - told_us < 500000 || !is_in_touch(e)) {
+        return;
+    }
+    g_array_append_val(s->arrivals, w->now_us);
+    while (g_array_index(s->arrivals, int64_t, old) < w->now_us - 4000000) {
+        old++;
+    }
+    g_array_remove_range(s->arrivals, 0, old);
+    if (s->arrivals->len > most) {
+        w->report.above_limit =
+            MAX(w->report.above_limit, s->arrivals->len - (uint32_t)most);
+    }
+}
+
 static void
 reach(World *w, Attempt *a)
 {
@@ -537,6 +605,8 @@
         answer_at(w, a, back_us, (GwAttemptEnd){.outcome = GW_ATTEMPT_UNSENT});
         return;
     }
+    count_limited(w, a);
+    s->got_after += w->limits_over;
     if (a->born != s->born) {
         answer_at(w, a, back_us,
                   (GwAttemptEnd){.outcome = GW_ATTEMPT_REFUSED,
@@ -575,7 +645,12 @@
 ran(World *w, Attempt *a)
 {
     int64_t back_us = w->now_us + way_us(a->call->entry, a->server);
-    GwAttemptEnd good = {.outcome = GW_ATTEMPT_ANSWERED, .status = 200};
+    GwAttemptEnd good = {
+        .outcome = GW_ATTEMPT_ANSWERED,
+        .status = 200,
+        .limit = a->server->is_limited ? GW_LIMIT_NAMED : GW_LIMIT_NONE,
+        .limit_per_s = w->p->limit_per_s,
+    };
 
     if (a->ended || !g_queue_remove(&a->server->running, a)) {
         return;
@@ -715,6 +790,9 @@
         return;
     }
     call->attempt = NULL;
+    if (a->end.limit == GW_LIMIT_NAMED && a->server->told_us[e->number] == 0) {
+        a->server->told_us[e->number] = w->now_us;
+    }
     if (refused && g_hash_table_contains(e->handles, a->handle)) {
         GwRouter_Probed(e->router, w->now_us, a->handle, GW_PROBE_REFUSED,
                         e->actions);
@@ -743,18 +821,63 @@
 
 /* ---- Reports ------------------------------------------------------------- */
 
+static void
+fill_limits(Entry *e, uint32_t to, Datagram *d)
+{
+    int64_t now_us = e->world->now_us;
+    int64_t since_us = 0;
+    GwRumorTells tells =
+        GwRumorPeer_Next(&e->limit_peers[to], now_us, &since_us);
+
+    d->limits_sum = GwRouter_LimitsSum(e->router);
+    if (tells != GW_RUMOR_NOTHING) {
+        d->limit_count = GwRouter_Limits(e->router, now_us,
+                                         tells == GW_RUMOR_NEWS ? since_us : 0,
+                                         d->limits, LIMITS_MAX);
+    }
+}
+
+static void
+take_limits(const Datagram *d)
+{
+    Entry *e = d->to;
+    uint32_t from = d->from->number;
+    int64_t now_us = e->world->now_us;
+
+    for (uint32_t i = 0; i < d->limit_count; i++) {
+        GwRouter_PutLimit(e->router, now_us, &d->limits[i]);
+    }
+    if (GwRumorPeer_Heard(&e->limit_peers[from], now_us, d->limits_sum,
+                          GwRouter_LimitsSum(e->router),
+                          GwRouter_LimitsChangedUs(e->router))) {
+        e->hurry[from] = true;
+    }
+}
+
 static void
 tell(Entry *e, uint32_t to)
 {
     World *w = e->world;
     GwQuarantine *q = GwRouter_Quarantine(e->router);
     Datagram *d = g_new0(Datagram, 1);
+    int64_t since_us = 0;
 
     e->hurry[to] = false;
     *d = (Datagram){.from = e, .to = &w->entries[to]};
-    d->count =
-        GwSuspectPeer_Tell(&e->peers[to], q, w->now_us, &e->from, d->suspects);
+    switch (GwRumorPeer_Next(&e->peers[to], w->now_us, &since_us)) {
+    case GW_RUMOR_NOTHING:
+        break;
+    case GW_RUMOR_NEWS:
+        d->count = GwQuarantine_News(q, w->now_us, since_us, d->suspects,
+                                     SUSPECTS_MAX);
+        break;
+    case GW_RUMOR_PAGE:
+        d->count = GwQuarantine_Page(q, w->now_us, &e->from, d->suspects,
+                                     SUSPECTS_MAX);
+        break;
+    }
     d->sum = GwQuarantine_Sum(q);
+    fill_limits(e, to, d);
     w->report.records_told += d->count;
     if (chance(w, LOSS_PERMILLE) || w->now_us < e->cut_until_us ||
         w->now_us < d->to->cut_until_us) {
@@ -769,11 +892,16 @@
 {
     Entry *e = d->to;
     uint32_t from = d->from->number;
+    GwQuarantine *q = GwRouter_Quarantine(e->router);
 
-    if (GwSuspectPeer_Take(&e->peers[from], GwRouter_Quarantine(e->router),
-                           w->now_us, d->sum, d->suspects, d->count)) {
+    for (uint32_t i = 0; i < d->count; i++) {
+        GwQuarantine_Merge(q, w->now_us, &d->suspects[i]);
+    }
+    if (GwRumorPeer_Heard(&e->peers[from], w->now_us, d->sum,
+                          GwQuarantine_Sum(q), GwQuarantine_ChangedUs(q))) {
         e->hurry[from] = true;
     }
+    take_limits(d);
     g_free(d);
 }
 
@@ -783,13 +911,21 @@
     World *w = e->world;
     GwQuarantine *q = GwRouter_Quarantine(e->router);
 
+    if (GwRouter_LimitsChangedUs(e->router) > e->limits_spread_us) {
+        e->limits_spread_us = w->now_us;
+        for (int i = 0; i < GW_RUMOR_FAN; i++) {
+            uint32_t to = below(w, w->p->entries);
+            e->limit_peers[to].news = true;
+            e->hurry[to] = true;
+        }
+    }
     if (GwQuarantine_IsEmpty(q)) {
         return;
     }
     GwQuarantine_Tick(q, w->now_us);
     if (GwQuarantine_ChangedUs(q) > e->spread_us) {
         e->spread_us = w->now_us;
-        for (int i = 0; i < GW_SUSPECT_FAN; i++) {
+        for (int i = 0; i < GW_RUMOR_FAN; i++) {
             uint32_t to = below(w, w->p->entries);
             e->peers[to].news = true;
             e->hurry[to] = true;
@@ -842,7 +978,7 @@
 
     at(w, w->now_us + REPORT_US, EV_REPORT, NULL);
     for (uint32_t i = 0; i < w->p->entries; i++) {
-        any = any ||
+        any = any || w->p->limited_percent > 0 ||
               !GwQuarantine_IsEmpty(GwRouter_Quarantine(w->entries[i].router));
     }
     for (uint32_t i = 0; any && i < w->p->entries; i++) {
@@ -1000,12 +1136,58 @@
         e->life++;
         start_entry(w, e);
         for (uint32_t i = 0; i < w->p->entries; i++) {
-            w->entries[i].peers[e->number] = (GwSuspectPeer){0};
+            w->entries[i].peers[e->number] = (GwRumorPeer){0};
+            w->entries[i].limit_peers[e->number] = (GwRumorPeer){0};
         }
         break;
     }
 }
 
+static void
+limit_some(World *w)
+{
+    for (uint32_t i = 0; i < w->p->servers; i++) {
+        Server *s = &w->servers[i];
+        s->is_limited = below(w, 100) < w->p->limited_percent;
+        s->limit_us = s->is_limited ? w->now_us : 0;
+    }
+}
+
+static void
+end_limits(World *w)
+{
+    for (uint32_t i = 0; i < w->p->servers; i++) {
+        w->servers[i].is_limited = false;
+    }
+    w->limits_over = true;
+}
+
+static void
+sum_up_limits(World *w)
+{
+    double seconds = w->p->seconds - 2.0 - OUTAGE_CONTACT_MS / 1000.0;
+    double got = 0;
+    double limited = 0;
+    double after = 0;
+    double after_all = 0;
+
+    for (uint32_t i = 0; i < w->p->servers; i++) {
+        const Server *s = &w->servers[i];
+        got += s->got;
+        limited += s->limit_us != 0;
+        after += s->limit_us != 0 ? s->got_after : 0;
+        w->report.after_idle +=
+            w->limits_over && s->limit_us != 0 && s->got_after == 0;
+        after_all += s->got_after;
+    }
+    if (limited > 0 && w->p->limit_per_s > 0) {
+        w->report.limit_used = got / (limited * seconds * w->p->limit_per_s);
+    }
+    if (after_all > 0 && limited > 0) {
+        w->report.after_used = after / after_all / (limited / w->p->servers);
+    }
+}
+
 /* ---- The loop ------------------------------------------------------------ */
 
 /* The entry that the event is for, where it can't take it while frozen. */
@@ -1092,6 +1274,12 @@
     case EV_ENTRY_FAULT:
         play_entry_fault(w);
         break;
+    case EV_LIMIT:
+        limit_some(w);
+        break;
+    case EV_LIMIT_OVER:
+        end_limits(w);
+        break;
     }
 }
 
@@ -1110,6 +1298,8 @@
         g_snprintf(s->domain, sizeof(s->domain), "d%u-%u", s->region,
                    i / REGIONS % 2);
         g_queue_init(&s->running);
+        s->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+        s->told_us = g_new0(int64_t, w->p->entries);
     }
     for (uint32_t i = 0; i < w->p->entries; i++) {
         w->entries[i] = (Entry){.world = w,
@@ -1135,6 +1325,8 @@
     }
     for (uint32_t i = 0; i < w->p->servers; i++) {
         g_queue_clear(&w->servers[i].running);
+        g_array_free(w->servers[i].arrivals, TRUE);
+        g_free(w->servers[i].told_us);
     }
 }
 
@@ -1167,6 +1359,13 @@
     at(w, w->now_us, EV_ARRIVE, NULL);
     at(w, w->now_us, EV_REPORT, NULL);
     at(w, w->now_us + 1500000, EV_OUTAGE, NULL);
+    if (w->p->limited_percent > 0) {
+        at(w, w->now_us + 2000000, EV_LIMIT, NULL);
+    }
+    if (w->p->unlimited_s > 0) {
+        at(w, w->now_us + (int64_t)(w->p->unlimited_s * 1e6), EV_LIMIT_OVER,
+           NULL);
+    }
     if (w->p->entry_faults) {
         at(w, w->now_us + ENTRY_FAULT_US, EV_ENTRY_FAULT, NULL);
     }
@@ -1199,6 +1398,7 @@
         step(w, e);
         g_free(e);
     }
+    sum_up_limits(w);
     tear_down(w);
     return w->report;
 }
--- a/tests/fakes/outages.h
+++ b/tests/fakes/outages.h
@@ -31,6 +31,9 @@
     uint32_t crashers; /* requests that crash each server that runs them */
     bool entry_faults; /* entries freeze, are cut off, start again */
     bool hot;          /* two requests are more than half of the traffic */
+    uint32_t limited_percent; /* of the servers name a limit from 2 s on, */
+    double limit_per_s;       /* this one, of all entries together */
+    double unlimited_s;       /* and none any more from then on; 0: never */
     double seconds;
     uint64_t seed;
 } OutageParams;
@@ -48,6 +51,12 @@
     uint64_t records_told; /* of suspects, between entries */
     uint32_t learned_ms;   /* from the third crash until the last entry in
                               touch holds the request; 0: none was held */
+    /* Of the limited server that got most: what it got in some span, from
+     * entries that it had told, above what is allowed; 0 where that is kept. */
+    uint32_t above_limit;
+    double limit_used; /* what limited servers got, as a share of the limit */
+    double after_used; /* the same once they name none, of their part */
+    uint32_t after_idle; /* of these, that got nothing any more */
 } OutageReport;
 
 #define OUTAGE_CONTACT_MS 3000
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -76,6 +76,9 @@
 81 outages - a run that ends well clears a request
 82 outages - a request that crashes servers is sent to few
 83 outages - crashes of one moment hold no request
+84 outages - a limit is shared by all entries
+85 outages - a feeder begins with nothing saved
+86 outages - a limit ends when its server says so
 '
 
 # Builds what the mutant changes, over a copy of the plain objects, and runs
--- a/tests/property/outages.cpp
+++ b/tests/property/outages.cpp
@@ -1,6 +1,6 @@
 // Many entries beside servers that end in every way, on virtual time: requests
-// that crash servers are sent to few of them, and nothing else is refused as
-// if it did. GW_LONG=1 plays a thousand seeds of each outage.
+// that crash servers are sent to few of them, nothing else is refused as if it
+// did, and limits that servers name hold for all entries together. GW_LONG=1 plays a thousand seeds of each outage.
 #include <glib.h>
 
 extern "C" {
@@ -11,6 +11,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <initializer_list>
 
 namespace {
 
@@ -145,18 +146,89 @@
     return wrong == 0;
 }
 
+// Guards against: a server that names a limit for all entries together gets it
+// from each, or more while entries come, go and miss each other's word.
+bool
+limitsAreKept(const Size &size)
+{
+    static const struct {
+        uint32_t percent;
+        double perS;
+    } cases[] = {{20, 5.7}, {100, 5.7}, {100, 0.4}, {30, 0}, {20, 40}};
+    bool ok = true;
+
+    for (const auto &one : cases) {
+        uint32_t above = 0;
+        double used = 0;
+        uint32_t seeds = (seedsOf(size) + 4) / 5;
+        for (uint32_t seed = 1; seed <= seeds; seed++) {
+            OutageParams params = {};
+            params.entries = size.entries;
+            params.servers = size.servers;
+            params.kind = seed % 3 == 0 ? OUTAGE_CRASHES : OUTAGE_NONE;
+            params.entry_faults = seed % 2 == 0;
+            params.limited_percent = one.percent;
+            params.limit_per_s = one.perS;
+            params.seconds = 14;
+            params.seed = seed;
+            OutageReport report = Outages_Play(&params);
+            above = report.above_limit > above ? report.above_limit : above;
+            used += report.limit_used / seeds;
+        }
+        std::printf("limit of %.1f a second at %u %% of the servers, %u "
+                    "entries: at most %u above what is allowed, %.2f of it "
+                    "used, %u seeds\n",
+                    one.perS, one.percent, size.entries, above,
+                    one.perS > 0 ? used : 0, seeds);
+        ok = ok && above == 0;
+    }
+    return ok;
+}
+
+// Guards against: servers that name no limit any more stand idle.
+bool
+limitsEnd()
+{
+    constexpr uint32_t kSeeds = 6;
+    bool ok = true;
+
+    for (double perS : {5.7, 0.0}) {
+        double share = 0;
+        uint32_t idle = 0;
+        for (uint32_t seed = 1; seed <= kSeeds; seed++) {
+            OutageParams params = {};
+            params.entries = 12;
+            params.servers = 36;
+            params.limited_percent = 30;
+            params.limit_per_s = perS;
+            params.unlimited_s = 8;
+            params.seconds = 24;
+            params.seed = seed;
+            OutageReport report = Outages_Play(&params);
+            share += report.after_used / kSeeds;
+            idle += report.after_idle;
+        }
+        std::printf("after a limit of %.1f servers get %.2f of their part, %u "
+                    "stand idle\n",
+                    perS, share, idle);
+        ok = ok && idle == 0;
+    }
+    return ok;
+}
+
 } // namespace
 
 int
 main()
 {
-    bool ok = theCauseShieldsOthers();
+    bool ok = theCauseShieldsOthers() && limitsEnd();
     for (const Size &size : kSizes) {
         for (int kind = 0; kind < OUTAGE_KIND_COUNT; kind++) {
             ok = outagesConvictNobody(size, static_cast<OutageKind>(kind)) &&
                  ok;
         }
         ok = crashersReachFewServers(size) && ok;
+        ok = limitsAreKept(size) && ok;
     }
     return ok ? 0 : 1;
 }
--- /dev/null
+++ b/tests/unit/test_answers.c
@@ -0,0 +1,60 @@
+/* What answers of backend servers say. */
+#include "edge/edge_internal.h"
+#include "platform/platform.h"
+
+#include <criterion/criterion.h>
+
+static GwAttemptEnd
+end_with(const char *first, const char *second)
+{
+    GwHttpMessage *msg = GwHttpMessage_Create();
+    const char *name = Platform_Adapter.limit;
+
+    msg->status = 200;
+    GwHttpMessage_Add(msg, Platform_Adapter.seal, "x");
+    if (first != NULL) {
+        GwHttpMessage_Add(msg, name, first);
+    }
+    if (second != NULL) {
+        GwHttpMessage_Add(msg, name, second);
+    }
+    GwAttemptEnd end = GwAnswer_End(&Platform_Adapter, msg, 0);
+    GwHttpMessage_Free(msg);
+    return end;
+}
+
+/* Guards against: an odd limit stops a sound server, or frees one in need. */
+Test(answers, limits)
+{
+    static const struct {
+        const char *first;
+        const char *second;
+        GwLimitWord word;
+        double per_s;
+    } cases[] = {
+        {NULL, NULL, GW_LIMIT_NONE, 0},
+        {"5.7", NULL, GW_LIMIT_NAMED, 5.7},
+        {"0", NULL, GW_LIMIT_NAMED, 0},
+        {"1e3", NULL, GW_LIMIT_NAMED, 1000},
+        {"1e308", NULL, GW_LIMIT_NAMED, 1e308},
+        {"1e309", NULL, GW_LIMIT_UNSAID, 0},
+        {"-1", NULL, GW_LIMIT_UNSAID, 0},
+        {"nan", NULL, GW_LIMIT_UNSAID, 0},
+        {"inf", NULL, GW_LIMIT_UNSAID, 0},
+        {"", NULL, GW_LIMIT_UNSAID, 0},
+        {"five", NULL, GW_LIMIT_UNSAID, 0},
+        {"5,7", NULL, GW_LIMIT_UNSAID, 0},
+        {"5.7/s", NULL, GW_LIMIT_UNSAID, 0},
+        {"9", "5.7", GW_LIMIT_NAMED, 5.7},
+        {"5.7", "x", GW_LIMIT_NAMED, 5.7},
+        {"x", "5.7", GW_LIMIT_NAMED, 5.7},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwAttemptEnd end = end_with(cases[i].first, cases[i].second);
+        cr_expect_eq(end.limit, cases[i].word, "case %zu", i);
+        cr_expect(end.limit != GW_LIMIT_NAMED ||
+                      end.limit_per_s == cases[i].per_s,
+                  "case %zu: %g", i, end.limit_per_s);
+    }
+}
