--- a/lib/edge/suspects.c
+++ b/lib/edge/suspects.c
@@ -96,7 +96,9 @@
     GwPeerEntry *peer;
     gint seen = 0;
 
-    memset(chosen, 0, (GW_RUMOR_FAN + 1) * sizeof(*chosen));
+    for (int i = 0; i <= GW_RUMOR_FAN; i++) {
+        chosen[i] = NULL;
+    }
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
         gint at = seen < GW_RUMOR_FAN ? seen : g_random_int_range(0, seen + 1);
         seen++;
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -300,7 +300,7 @@
     const char *name;
     uint32_t servers; /* listed */
     uint32_t ejected;
-    uint32_t limited; /* name a limit */
+    uint32_t limited;         /* name a limit */
     uint32_t waiting;         /* requests */
     uint32_t in_flight;       /* of this entry */
     uint32_t peers_in_flight; /* as they last reported */
