--- /dev/null
+++ b/tests/fakes/outages_callers.c
@@ -0,0 +1,107 @@
+/* Callers and what they ask for. */
+#include "fakes/outages_internal.h"
+
+Entry *
+Outages_AnyEntry(World *w)
+{
+    return &w->entries[Outages_Below(w, w->p->entries)];
+}
+
+void
+OutageCall_Arrive(Call *call)
+{
+    World *w = call->world;
+    Entry *e = Outages_AnyEntry(w);
+    GwArrival arrival = {
+        .user = call,
+        .host = "h",
+        .path = call->content->path,
+        .key = call->content->key,
+        .left_us = 2500000,
+    };
+
+    while (OutageEntry_IsFrozen(e)) {
+        e = Outages_AnyEntry(w);
+    }
+    call->entry = e;
+    call->life = e->life;
+    call->tries++;
+    if (GwRouter_WantsFingerprints(e->router)) {
+        arrival.fingerprint = &call->content->fingerprint;
+    }
+    GwRouter_Arrive(e->router, w->now_us, &arrival, e->actions);
+    OutageEntry_Carry(e);
+}
+
+Content *
+Outages_NewContent(World *w, bool crashes, bool once)
+{
+    Content *c = g_new0(Content, 1);
+    uint64_t n = ++w->next_content;
+
+    c->fingerprint = (GwFingerprint){.hi = n * 0x9e3779b97f4a7c15ULL,
+                                     .lo = n * 0xd6e8feb86659fd93ULL};
+    g_strlcpy(c->path, once ? "/once/" : "/again/", sizeof(c->path));
+    g_snprintf(c->key, sizeof(c->key), "k%u", Outages_Below(w, 40));
+    c->crashes = crashes;
+    g_ptr_array_add(w->contents, c);
+    return c;
+}
+
+static void
+call_with(World *w, Content *content)
+{
+    Call *call = g_new0(Call, 1);
+
+    *call = (Call){.world = w, .content = content};
+    g_ptr_array_add(w->calls, call);
+    w->report.asked += !content->crashes;
+    OutageCall_Arrive(call);
+}
+
+void
+Outages_NewCall(World *w)
+{
+    bool popular = Outages_Below(w, 100) < (w->p->hot ? 60 : 25);
+    uint32_t which = Outages_Below(w, w->p->hot ? HOT : POPULAR);
+    Content *content =
+        popular ? &w->popular[which]
+                : Outages_NewContent(w, false, Outages_Below(w, 3) == 0);
+    double per_s = 12.0 * w->p->servers;
+
+    Outages_At(w,
+               w->now_us + (int64_t)(1e6 / per_s *
+                                     (0.5 + Outages_Below(w, 1000) / 1000.0)),
+               EV_ARRIVE, NULL);
+    call_with(w, content);
+}
+
+void
+Outages_CallCrasher(World *w, Content *content)
+{
+    Outages_At(w, w->now_us + CRASHER_US / 2 + Outages_Below(w, CRASHER_US),
+               EV_CRASHER, content);
+    call_with(w, content);
+}
+
+/* A caller comes back once after a refusal, or where it may repeat. */
+void
+OutageCall_End(Call *call, const GwDo *act)
+{
+    World *w = call->world;
+    bool answered = act->kind == GW_DO_ANSWER && act->status < 500;
+    bool once = strcmp(call->content->path, "/once/") == 0;
+
+    call->request = NULL;
+    w->report.answered += answered && !call->content->crashes;
+    if (act->kind == GW_DO_REPLY && act->why == GW_WHY_QUARANTINED) {
+        w->report.innocent_refused += !call->content->crashes;
+        w->report.crasher_refused += call->content->crashes;
+    }
+    if (!answered && call->tries < 2 && (act->status == 503 || !once)) {
+        Outages_At(w, w->now_us + 50000 + Outages_Below(w, 300000),
+                   EV_COMEBACK, call);
+        return;
+    }
+    call->over = true;
+}
--- /dev/null
+++ b/tests/fakes/outages_entries.c
@@ -0,0 +1,126 @@
+/* Entries: what they know at first, and whether they are in touch. */
+#include "fakes/outages_internal.h"
+
+bool
+OutageEntry_IsFrozen(const Entry *e)
+{
+    return e->world->now_us < e->frozen_until_us;
+}
+
+bool
+OutageEntry_IsInTouch(const Entry *e)
+{
+    return e->world->now_us - e->touch_us > CONTACT_US;
+}
+
+void
+OutageEntry_PutServer(Entry *e, const Server *s, bool draining)
+{
+    char region[8];
+    GwServerInfo info = {
+        .id = s->id,
+        .born_ms = s->born,
+        .service = "s",
+        .address = "a",
+        .domain = s->domain,
+        .region = region,
+        .slots = SLOTS,
+        .draining = draining,
+    };
+
+    g_snprintf(region, sizeof(region), "r%u", s->region);
+    GwRouter_PutServer(e->router, e->world->now_us, &info, e->actions);
+    OutageEntry_Carry(e);
+}
+
+GwRouting *
+Outages_MakeRouting(void)
+{
+    static const char *const prefixes[] = {"/once/", "/again/"};
+    GwRouting *routing = GwRouting_Create(1, 1);
+
+    routing->version = 1;
+    routing->services[0] =
+        (GwRouteService){.name = g_strdup("s"), .cold_per_s = 5};
+    routing->hosts[0].host = g_strdup("h");
+    routing->hosts[0].route_count = 2;
+    routing->hosts[0].routes = g_new0(GwRoute, 2);
+    for (int i = 0; i < 2; i++) {
+        GwRoute *route = &routing->hosts[0].routes[i];
+        *route = (GwRoute){
+            .name = g_strdup(prefixes[i]),
+            .prefix = g_strdup(prefixes[i]),
+            .idempotent = i == 1,
+            .warm_keys = true,
+            .timeout_ms = 2500,
+            .objective_ms = 400,
+            .priority = 1,
+            .attempts_max = 3,
+            .part_count = 1,
+            .parts = g_new0(GwRoutePart, 1),
+        };
+        route->parts[0] = (GwRoutePart){.service = g_strdup("s"), .weight = 1};
+    }
+    GwRouting_Seal(routing);
+    return routing;
+}
+
+static void
+introduce_others(World *w, Entry *e)
+{
+    for (uint32_t i = 0; i < w->p->entries; i++) {
+        char name[16];
+        char region[8];
+        GwPeerInfo info = {.name = name, .region = region, .serves = true};
+        g_snprintf(name, sizeof(name), "e%u", i);
+        g_snprintf(region, sizeof(region), "r%u", i % REGIONS);
+        if (i != e->number) {
+            GwRouter_PutPeer(e->router, w->now_us, &info);
+        }
+    }
+}
+
+void
+OutageEntry_Start(World *w, Entry *e)
+{
+    GwRouterParams params = {
+        .retry_ratio = 0.2,
+        .retry_extra = 100,
+        .retry_window_ms = 10000,
+        .entries_max = w->p->entries,
+        .seed = w->p->seed * 1000 + e->number,
+    };
+
+    g_snprintf(params.name, sizeof(params.name), "e%u", e->number);
+    g_snprintf(params.region, sizeof(params.region), "r%u", e->region);
+    g_snprintf(params.domain, sizeof(params.domain), "d%u-%u", e->region,
+               e->number / REGIONS % 2);
+    e->router = GwRouter_Create(&params, w->now_us);
+    e->actions = g_array_new(FALSE, FALSE, sizeof(GwDo));
+    e->peers = g_new0(GwRumorPeer, w->p->entries);
+    e->limit_peers = g_new0(GwRumorPeer, w->p->entries);
+    e->limits_spread_us = 0;
+    e->hurry = g_new0(bool, w->p->entries);
+    e->handles = g_hash_table_new(NULL, NULL);
+    e->armed = false;
+    e->spread_us = 0;
+    (void)GwRouter_SetRouting(e->router, w->routing);
+    introduce_others(w, e);
+    for (uint32_t i = 0; i < w->p->servers; i++) {
+        const Server *s = &w->servers[i];
+        if (s->listening || s->dark) {
+            OutageEntry_PutServer(e, s, s->draining && !s->says_nothing);
+        }
+    }
+}
+
+void
+OutageEntry_Stop(Entry *e)
+{
+    GwRouter_Free(e->router);
+    g_array_free(e->actions, TRUE);
+    g_free(e->peers);
+    g_free(e->limit_peers);
+    g_free(e->hurry);
+    g_hash_table_destroy(e->handles);
+}
--- /dev/null
+++ b/tests/fakes/outages_host.c
@@ -0,0 +1,330 @@
+/* What entries do with the actions of the core, and tell each other. */
+#include "fakes/outages_internal.h"
+
+static Server *
+server_of(World *w, const char *id)
+{
+    return &w->servers[strtoul(id + 1, NULL, 10)];
+}
+
+/* The core says when it gives up one that the host keeps something for. */
+static void
+keep_handle(Entry *e, GwServer *handle)
+{
+    *GwServer_User(handle) = e;
+    (void)g_hash_table_add(e->handles, handle);
+}
+
+static void
+send(Call *call, GwServer *handle)
+{
+    World *w = call->world;
+    Attempt *a = g_new0(Attempt, 1);
+
+    a->call = call;
+    a->handle = handle;
+    a->server = server_of(w, GwServer_Id(handle));
+    a->born = handle->born_ms;
+    keep_handle(call->entry, handle);
+    call->attempt = a;
+    g_ptr_array_add(w->attempts, a);
+    Outages_At(w, w->now_us + 3 * Outages_WayUs(call->entry, a->server),
+               EV_REACH, a);
+}
+
+static void
+probe(Entry *e, GwServer *handle)
+{
+    World *w = e->world;
+    Probe *p = g_new0(Probe, 1);
+
+    *p = (Probe){.entry = e,
+                 .life = e->life,
+                 .handle = handle,
+                 .server = server_of(w, GwServer_Id(handle))};
+    p->born = handle->born_ms;
+    keep_handle(e, handle);
+    Outages_At(w,
+               w->now_us + 2 * Outages_WayUs(e, p->server) +
+                   Outages_Below(w, 1000),
+               EV_PROBED, p);
+}
+
+void
+OutageCall_Drop(Call *call)
+{
+    if (call->attempt != NULL) {
+        (void)g_queue_remove(&call->attempt->server->running, call->attempt);
+        call->attempt->dropped = true;
+        call->attempt = NULL;
+    }
+}
+
+static void
+carry_one(Entry *e, const GwDo *act)
+{
+    Call *call = act->user;
+
+    switch (act->kind) {
+    case GW_DO_ACCEPT:
+        call->request = act->request;
+        break;
+    case GW_DO_SEND:
+        send(call, act->server);
+        break;
+    case GW_DO_CANCEL:
+        OutageCall_Drop(call);
+        break;
+    case GW_DO_ANSWER:
+    case GW_DO_REPLY:
+        OutageCall_End(call, act);
+        break;
+    case GW_DO_PROBE:
+        probe(e, act->server);
+        break;
+    case GW_DO_FORGET:
+        (void)g_hash_table_remove(e->handles, act->server);
+        break;
+    case GW_DO_NOTE_EJECTED:
+    case GW_DO_NOTE_BACK:
+        break;
+    }
+}
+
+void
+OutageEntry_Carry(Entry *e)
+{
+    World *w = e->world;
+
+    for (guint i = 0; i < e->actions->len; i++) {
+        GwDo act = g_array_index(e->actions, GwDo, i);
+        carry_one(e, &act);
+    }
+    g_array_set_size(e->actions, 0);
+    int64_t due_us = GwRouter_NextDeadline(e->router);
+    if (!e->armed && due_us != INT64_MAX) {
+        e->armed = true;
+        Outages_At(w, MAX(due_us, e->frozen_until_us), EV_TICK, e);
+    }
+}
+
+/* ---- What comes to entries ----------------------------------------------- */
+
+static bool
+is_current(const Attempt *a)
+{
+    return !a->dropped && a->call->life == a->call->entry->life;
+}
+
+void
+OutageAttempt_Answer(World *w, Attempt *a)
+{
+    Call *call = a->call;
+    Entry *e = call->entry;
+    bool refused = a->end.outcome == GW_ATTEMPT_UNSENT && !a->server->dark;
+
+    if (!is_current(a)) {
+        return;
+    }
+    call->attempt = NULL;
+    if (a->end.limit == GW_LIMIT_NAMED && a->server->told_us[e->number] == 0) {
+        a->server->told_us[e->number] = w->now_us;
+    }
+    if (refused && g_hash_table_contains(e->handles, a->handle)) {
+        GwRouter_Probed(e->router, w->now_us, a->handle, GW_PROBE_REFUSED,
+                        e->actions);
+    }
+    if (GwRouter_WantsFingerprints(e->router)) {
+        a->end.fingerprint = &call->content->fingerprint;
+    }
+    GwRouter_Ended(e->router, w->now_us, call->request, &a->end, e->actions);
+    OutageEntry_Carry(e);
+}
+
+void
+OutageProbe_End(World *w, Probe *p)
+{
+    Entry *e = p->entry;
+    GwProbeResult result = p->server->dark        ? GW_PROBE_SILENT
+                           : p->server->listening ? GW_PROBE_ALIVE
+                                                  : GW_PROBE_REFUSED;
+
+    if (p->life == e->life && g_hash_table_contains(e->handles, p->handle)) {
+        GwRouter_Probed(e->router, w->now_us, p->handle, result, e->actions);
+        OutageEntry_Carry(e);
+    }
+    g_free(p);
+}
+
+/* ---- Reports ------------------------------------------------------------- */
+
+static void
+fill_limits(Entry *e, uint32_t to, Datagram *d)
+{
+    int64_t now_us = e->world->now_us;
+    int64_t since_us = 0;
+    GwRumorTells tells =
+        GwRumorPeer_Next(&e->limit_peers[to], now_us, &since_us);
+
+    d->limits_sum = GwRouter_LimitsSum(e->router);
+    if (tells != GW_RUMOR_NOTHING) {
+        d->limit_count = GwRouter_Limits(e->router, now_us,
+                                         tells == GW_RUMOR_NEWS ? since_us : 0,
+                                         d->limits, LIMITS_MAX);
+    }
+}
+
+static void
+take_limits(const Datagram *d)
+{
+    Entry *e = d->to;
+    uint32_t from = d->from->number;
+    int64_t now_us = e->world->now_us;
+
+    for (uint32_t i = 0; i < d->limit_count; i++) {
+        GwRouter_PutLimit(e->router, now_us, &d->limits[i]);
+    }
+    if (GwRumorPeer_Heard(&e->limit_peers[from], now_us, d->limits_sum,
+                          GwRouter_LimitsSum(e->router),
+                          GwRouter_LimitsChangedUs(e->router))) {
+        e->hurry[from] = true;
+    }
+}
+
+static void
+tell(Entry *e, uint32_t to)
+{
+    World *w = e->world;
+    GwQuarantine *q = GwRouter_Quarantine(e->router);
+    Datagram *d = g_new0(Datagram, 1);
+    int64_t since_us = 0;
+
+    e->hurry[to] = false;
+    *d = (Datagram){.from = e, .to = &w->entries[to]};
+    switch (GwRumorPeer_Next(&e->peers[to], w->now_us, &since_us)) {
+    case GW_RUMOR_NOTHING:
+        break;
+    case GW_RUMOR_NEWS:
+        d->count = GwQuarantine_News(q, w->now_us, since_us, d->suspects,
+                                     SUSPECTS_MAX);
+        break;
+    case GW_RUMOR_PAGE:
+        d->count = GwQuarantine_Page(q, w->now_us, &e->from, d->suspects,
+                                     SUSPECTS_MAX);
+        break;
+    }
+    d->sum = GwQuarantine_Sum(q);
+    fill_limits(e, to, d);
+    w->report.records_told += d->count;
+    if (Outages_Chance(w, LOSS_PERMILLE) || w->now_us < e->cut_until_us ||
+        w->now_us < d->to->cut_until_us) {
+        g_free(d);
+        return;
+    }
+    Outages_At(w, w->now_us + NEAR_US + Outages_Below(w, 40000), EV_DATAGRAM,
+               d);
+}
+
+void
+OutageDatagram_Take(World *w, Datagram *d)
+{
+    Entry *e = d->to;
+    uint32_t from = d->from->number;
+    GwQuarantine *q = GwRouter_Quarantine(e->router);
+
+    for (uint32_t i = 0; i < d->count; i++) {
+        GwQuarantine_Merge(q, w->now_us, &d->suspects[i]);
+    }
+    if (GwRumorPeer_Heard(&e->peers[from], w->now_us, d->sum,
+                          GwQuarantine_Sum(q), GwQuarantine_ChangedUs(q))) {
+        e->hurry[from] = true;
+    }
+    take_limits(d);
+    g_free(d);
+}
+
+static void
+spread(Entry *e)
+{
+    World *w = e->world;
+    GwQuarantine *q = GwRouter_Quarantine(e->router);
+
+    if (GwRouter_LimitsChangedUs(e->router) > e->limits_spread_us) {
+        e->limits_spread_us = w->now_us;
+        for (int i = 0; i < GW_RUMOR_FAN; i++) {
+            uint32_t to = Outages_Below(w, w->p->entries);
+            e->limit_peers[to].news = true;
+            e->hurry[to] = true;
+        }
+    }
+    if (GwQuarantine_IsEmpty(q)) {
+        return;
+    }
+    GwQuarantine_Tick(q, w->now_us);
+    if (GwQuarantine_ChangedUs(q) > e->spread_us) {
+        e->spread_us = w->now_us;
+        for (int i = 0; i < GW_RUMOR_FAN; i++) {
+            uint32_t to = Outages_Below(w, w->p->entries);
+            e->peers[to].news = true;
+            e->hurry[to] = true;
+        }
+    }
+}
+
+static void
+tell_due(Entry *e)
+{
+    uint32_t count = e->world->p->entries;
+    uint32_t due = count <= 15 ? count / 2 : REPORTS_PER_S / 20;
+
+    for (uint32_t i = 0; i < due; i++) {
+        e->next_peer = (e->next_peer + 1) % count;
+        e->hurry[e->next_peer] = true;
+    }
+    e->hurry[e->number] = false;
+    for (uint32_t i = 0; i < count; i++) {
+        if (e->hurry[i]) {
+            tell(e, i);
+        }
+    }
+}
+
+static void
+note_learned(World *w)
+{
+    for (uint32_t i = 0; i < w->p->crashers; i++) {
+        const Content *c = &w->crashers[i];
+        bool held = c->third_us != 0 && !w->crashes_told;
+        for (uint32_t k = 0; held && k < w->p->entries; k++) {
+            Entry *e = &w->entries[k];
+            held = !OutageEntry_IsInTouch(e) ||
+                   GwQuarantine_HeldUntil(GwRouter_Quarantine(e->router),
+                                          w->now_us, &c->fingerprint) != 0;
+        }
+        if (held) {
+            w->crashes_told = true;
+            w->report.learned_ms =
+                (uint32_t)((w->now_us - c->third_us) / 1000);
+        }
+    }
+}
+
+void
+Outages_Report(World *w)
+{
+    bool any = false;
+
+    Outages_At(w, w->now_us + REPORT_US, EV_REPORT, NULL);
+    for (uint32_t i = 0; i < w->p->entries; i++) {
+        any = any || w->p->limited_percent > 0 ||
+              !GwQuarantine_IsEmpty(GwRouter_Quarantine(w->entries[i].router));
+    }
+    for (uint32_t i = 0; any && i < w->p->entries; i++) {
+        Entry *e = &w->entries[i];
+        if (!OutageEntry_IsFrozen(e)) {
+            spread(e);
+            tell_due(e);
+        }
+    }
+    note_learned(w);
+}
