A poll that the store never answers is noticed in time for the next change

Cause: the store was silent from 14 to 23 s. Polls that it takes meanwhile are never answered, also when it is back, and an entry waits 6 s and 1.5 for one. All readers had asked in the last second of the silence, so nobody heard of a change until 7.5 s later.

Ruled out: what this work added (the old code does the same); one entry cut off (all were behind until 30.8 s).

Change: the store is asked to hold a poll for 3.5 s, and for 0.8 s while it has not answered since it failed.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -6,17 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* How long the store may hold a poll that has nothing to say. Each call is
- * priced; but a store that takes a poll and never answers, while its machine
- * lives, is noticed only when this is over. */
-#define WAIT_MS 6000
 /* Between an answer and the next poll: changes come in bursts, and one poll
  * brings them all. */
 #define PAUSE_US 300000
-/* An answer that is later than the wait by this much won't come. */
-#define ANSWER_MS    1500
-#define RETRY_MIN_MS 150
-#define RETRY_MAX_MS 1000
 /* The store did not answer for so long: rows may have lapsed meanwhile. */
 #define AWAY_US 1000000
 
@@ -33,7 +25,7 @@
     feed->cache = GwRowCache_Create(changed, edge);
     GwRowCache_SetIsNews(feed->cache, is_news);
     feed->phase = PHASE_READ;
-    feed->retry_ms = RETRY_MIN_MS;
+    feed->retry_ms = GW_POLL_RETRY_MIN_MS;
     feed->answered_us = GwEdge_Now();
     feed->fresh_us = feed->answered_us;
     return feed;
@@ -90,7 +82,7 @@
 {
     close_store(feed);
     feed->retry_at_us = GwEdge_Now() + (int64_t)feed->retry_ms * 1000;
-    feed->retry_ms = MIN(feed->retry_ms * 2, RETRY_MAX_MS);
+    feed->retry_ms = MIN(feed->retry_ms * 2, GW_POLL_RETRY_MAX_MS);
 }
 
 static const char *
@@ -114,8 +106,9 @@
         target = a->read_target(feed->table, last_key(feed->pages));
     }
     else {
-        feed->wait_ms = WAIT_MS;
-        target = a->feed_target(feed->table, feed->version, WAIT_MS);
+        feed->wait_ms =
+            GwStorePoll_WaitMs(feed->retry_ms > GW_POLL_RETRY_MIN_MS);
+        target = a->feed_target(feed->table, feed->version, feed->wait_ms);
     }
     GwConn_WriteGet(feed->conn, target, edge->settings->store_address);
     g_free(target);
@@ -166,9 +159,9 @@
 note_answer(GwFeed *feed)
 {
     int64_t now_us = GwEdge_Now();
-    bool failed =
-        now_us - feed->answered_us > AWAY_US + (int64_t)WAIT_MS * 1000 ||
-        feed->retry_ms > RETRY_MIN_MS;
+    bool failed = now_us - feed->answered_us >
+                      AWAY_US + (int64_t)GwStorePoll_WaitMs(false) * 1000 ||
+                  feed->retry_ms > GW_POLL_RETRY_MIN_MS;
 
     if (set_grace_if_away(feed, now_us, failed, false)) {
         feed->away_until_us = now_us + grace_us(feed);
@@ -176,7 +169,7 @@
                     feed->table, (now_us - feed->answered_us) / 1000);
     }
     feed->answered_us = now_us;
-    feed->retry_ms = RETRY_MIN_MS;
+    feed->retry_ms = GW_POLL_RETRY_MIN_MS;
 }
 
 /* Joins a page to those before it. The newest version is that of the first
@@ -295,7 +288,7 @@
         .owner = feed,
         .head_max = 64 << 10,
         .body_max = GW_ROWS_MAX_BYTES,
-        .user_timeout_ms = ANSWER_MS,
+        .user_timeout_ms = GW_POLL_ANSWER_MS,
         .keepalive = true,
     };
 
@@ -331,13 +324,13 @@
 GwFeed_IsHealthy(const GwFeed *feed)
 {
     return feed->reads && feed->known && feed->phase == PHASE_FEED &&
-           feed->conn != NULL && feed->retry_ms == RETRY_MIN_MS;
+           feed->conn != NULL && feed->retry_ms == GW_POLL_RETRY_MIN_MS;
 }
 
 void
 GwFeed_Sweep(GwFeed *feed, int64_t now_us)
 {
-    int64_t limit_us = ((int64_t)feed->wait_ms + ANSWER_MS) * 1000;
+    int64_t limit_us = ((int64_t)feed->wait_ms + GW_POLL_ANSWER_MS) * 1000;
 
     GwRowCache_Tick(feed->cache, now_us);
     if (feed->ask_at_us != 0 && now_us >= feed->ask_at_us) {
--- a/lib/store/away.c
+++ b/lib/store/away.c
@@ -1,8 +1,17 @@
 #include "store/away.h"
 
+#define WAIT_MS      3500
+#define WAIT_AWAY_MS 800
+
 bool
 GwStoreSight_WasAway(const GwStoreSight *sight)
 {
     return sight->failed && !sight->reads_well &&
            sight->peers_reading_well == 0;
 }
+
+uint32_t
+GwStorePoll_WaitMs(bool was_away)
+{
+    return was_away ? WAIT_AWAY_MS : WAIT_MS;
+}
--- a/lib/store/away.h
+++ b/lib/store/away.h
@@ -19,4 +19,16 @@
  * requests to servers that have left. */
 bool GwStoreSight_WasAway(const GwStoreSight *sight);
 
+/* How long the store may hold a poll that has nothing to say. Each call is
+ * priced; but a store that takes a poll and never answers, while its machine
+ * lives, is noticed only when this and GW_POLL_ANSWER_MS are over.
+ * `was_away`: it has not answered since it failed. It may go on taking polls
+ * that it never answers, so it is asked for less then. */
+uint32_t GwStorePoll_WaitMs(bool was_away);
+/* An answer that is later than the wait by this much won't come. */
+#define GW_POLL_ANSWER_MS 1500
+/* Before a failed call is made again; doubled with each that fails. */
+#define GW_POLL_RETRY_MIN_MS 150
+#define GW_POLL_RETRY_MAX_MS 1000
+
 #endif
