A limit is asked after only with what can end in the stop

Found by reading: a feeder that has heard nothing of a limited server sends it the next request, and didn't ask whether its run ends before the entry does. router_stop/no_limit_is_asked_after_with_what_can_not_end failed before: the request was taken. The choice goes through the same check as any other now.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -313,7 +313,11 @@
 
     if (unheard != NULL && may_take(look, unheard)) {
         Candidate c = judge(look, unheard, look->req->state->cold_us);
-        return choice_of(look, &c);
+        Candidate best = {0};
+        keep_better(look, &best, &c);
+        if (best.server != NULL) {
+            return choice_of(look, &best);
+        }
     }
     Candidate place = best_place(look);
 
--- a/lib/router/feeding.c
+++ b/lib/router/feeding.c
@@ -130,7 +130,6 @@
     bool goes_on = s->limit.share > 0 && share > 0;
 
     s->limit.tokens = goes_on ? tokens_at(s, now_us) : 0;
-
     s->limit.tokens_us = now_us;
     s->limit.share = share;
 }
--- a/tests/unit/test_router_stop.c
+++ b/tests/unit/test_router_stop.c
@@ -286,3 +286,30 @@
     cr_expect_eq(req->status, 0, "%u", req->status);
     Steering_Finish(f);
 }
+
+/* Guards against: a request is sent to ask after a server's limit though the
+ * stop ends before its run. */
+Test(router_stop, no_limit_is_asked_after_with_what_can_not_end)
+{
+    FakeSteering *f = Steering_Start(1);
+    GwLimit limit = {.per_s = 6};
+
+    FakeSteering_Put(f, "a", "r1", "d1", 4);
+    FakeSteering_Pass(f, 3 * FAKE_US_PER_S);
+    for (int i = 0; i < 20; i++) {
+        FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+        cr_assert_not_null(req->server);
+        limit.server = GwServer_Hash(req->server);
+        FakeSteering_Pass(f, FAKE_US_PER_S / 2);
+        FakeSteering_End(f, req, GW_ATTEMPT_ANSWERED, 200);
+    }
+    GwRouter_PutLimit(f->router, f->now_us, &limit);
+    FakeRequest *first = FakeSteering_Arrive(f, "/once/", NULL, 10);
+    FakeSteering_Pass(f, 3 * FAKE_US_PER_S);
+    cr_assert(first->over);
+    FakeSteering_Stop(f, FAKE_US_PER_S / 2);
+    FakeRequest *req = FakeSteering_Arrive(f, "/once/", NULL, 3000);
+    cr_expect_null(req->server);
+    cr_expect_eq(req->status, 503);
+    Steering_Finish(f);
+}
