The case of callers who leave together doesn't depend on this machine's speed

Cause: its setup. Twelve answers teach the entry how fast its two servers are; beside load one is taken for slower, and requests of the first caller wait for the other, as they may within 10 s. Then the first caller doesn't hold all slots, and a request of the next one is under way before anybody leaves.

Change: both servers are taken to be equally fast before the callers ask.

--- a/tests/unit/test_edge_late.c
+++ b/tests/unit/test_edge_late.c
@@ -1,6 +1,7 @@
 /* An entry whose loop is behind: what has come to its sockets lies unread
  * while it decides. */
 #include "fakes/edge_host.h"
+#include "router/router_internal.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
@@ -406,6 +407,18 @@
     }
 }
 
+/* How long this machine took for the first answers must not decide which server
+ * is the better one: requests would wait for it beside a free slot. */
+static void
+forget_speeds(EdgeHost *h)
+{
+    GPtrArray *servers = GwRouter_ServiceOf(h->edge->router, "s")->servers;
+
+    for (guint i = 0; i < servers->len; i++) {
+        ((GwServer *)servers->pdata[i])->slow = 1.0;
+    }
+}
+
 /* Several callers with more than one request each leave while their entry is
  * behind, after one whose requests held all slots. Some of them are found to
  * have left in one go. As the first is dropped, the room that it leaves goes
@@ -422,6 +435,7 @@
     keep_connections(&late, 2 * KEPT_EACH);
     EdgeHost_PutServer(late.h, &late.h->servers[0], SLOTS_NOW);
     EdgeHost_PutServer(late.h, &late.h->servers[1], SLOTS_NOW);
+    forget_speeds(late.h);
     late.caller = EdgeHost_Call(late.h);
     ask_many(late.caller, 'f', HELD);
     late.open = HELD;
