A release told by another entry no longer ends a build with checks

Cause: a record of a released request, or of one that ran well, has no servers, and the message then has no array; it was copied with memcpy from NULL. In builds with the undefined-behaviour check two of three entries ended. Plain builds copy nothing and go on.

Ruled out: the session itself, which finds the admin address of an ended entry closed; the other decoders, which copy no arrays of messages.

Change: the ids are copied one by one. edge_crashes/ a_release_is_taken_from_another_entry takes a record, its release and the outdated record again.

--- a/lib/edge/suspects.c
+++ b/lib/edge/suspects.c
@@ -1,8 +1,6 @@
 /* Requests that crash servers, in the reports of entries (rumor.h). */
 #include "edge/peers_internal.h"
 
-#include <string.h>
-
 static void
 write_suspect(const GwSuspect *s, Gw__Peer__Suspect *out)
 {
@@ -29,7 +27,9 @@
         .span_ms = from->span_ms,
         .server_count = (uint32_t)from->n_servers,
     };
-    memcpy(out->servers, from->servers, from->n_servers * sizeof(uint64_t));
+    for (size_t i = 0; i < from->n_servers; i++) {
+        out->servers[i] = from->servers[i];
+    }
     return true;
 }
 
--- a/tests/unit/test_edge_crashes.c
+++ b/tests/unit/test_edge_crashes.c
@@ -1,4 +1,5 @@
 /* Requests that crash servers, as sockets show it. */
+#include "edge/peers_internal.h"
 #include "fakes/edge_host.h"
 
 #include <criterion/criterion.h>
@@ -73,3 +74,39 @@
     }
     EdgeHost_Free(h);
 }
+
+/* Guards against: an entry ends, or keeps a request's crashes, when another
+ * entry tells that the request was released: such a record has no servers. */
+Test(edge_crashes, a_release_is_taken_from_another_entry)
+{
+    static const GwFingerprint f = {.hi = 1, .lo = 2};
+    static uint64_t servers[] = {11, 12, 13};
+    static const struct {
+        uint32_t generation;
+        size_t server_count;
+        uint32_t crashes; /* known then */
+    } told[] = {{1, 3, 3}, {2, 0, 0}, {1, 3, 0}};
+    EdgeHost *h = EdgeHost_Create();
+    GwPeers peers = {.edge = h->edge};
+    GwPeerEntry peer = {0};
+    GwQuarantine *q = GwRouter_Quarantine(h->edge->router);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(told); i++) {
+        Gw__Peer__Suspect suspect = GW__PEER__SUSPECT__INIT;
+        suspect.fingerprint_hi = f.hi;
+        suspect.fingerprint_lo = f.lo;
+        suspect.generation = told[i].generation;
+        suspect.n_servers = told[i].server_count;
+        suspect.servers = told[i].server_count > 0 ? servers : NULL;
+        Gw__Peer__Suspect *list[] = {&suspect};
+        Gw__Peer__Report report = GW__PEER__REPORT__INIT;
+        report.n_suspects = 1;
+        report.suspects = list;
+
+        GwPeers_TakeSuspects(&peers, &peer, &report);
+
+        cr_expect_eq(GwQuarantine_Crashes(q, &f), told[i].crashes,
+                     "record %zu", i);
+    }
+    EdgeHost_Free(h);
+}
