Who writes a held row is ranked by the hash that ranks all else

GwPeers_IsWriterOf had a mix of its own beside GwHash_Text, by which introducers, readers and feeders are ranked. Other two entries may be the writers now; that there are two, and that all agree, is as before.

--- a/lib/edge/suspects.c
+++ b/lib/edge/suspects.c
@@ -1,6 +1,8 @@
 /* Requests that crash servers, in the reports of entries (rumor.h). */
 #include "edge/peers_internal.h"
 
+#include "router/router_internal.h"
+
 static void
 write_suspect(const GwSuspect *s, Gw__Peer__Suspect *out)
 {
@@ -132,24 +134,16 @@
 /* So many write a row: one would do, and it may be lost. */
 #define WRITERS 2
 
-static uint64_t
-rank_of(const char *entry, uint64_t name)
-{
-    uint64_t rank = (g_str_hash(entry) ^ name) * 0x9e3779b97f4a7c15ULL;
-
-    return rank ^ (rank >> 32);
-}
-
 bool
 GwPeers_IsWriterOf(const GwPeers *peers, uint64_t name)
 {
-    uint64_t own = rank_of(peers->edge->settings->router.name, name);
+    uint64_t own = GwHash_Text(peers->edge->settings->router.name, name);
     GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
     const GwPeerEntry *peer;
     uint32_t before = 0;
 
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        before += rank_of(peer->name, name) > own;
+        before += GwHash_Text(peer->name, name) > own;
     }
     return before < WRITERS;
 }
