One way to spread news of suspects and of limits

Both kinds chose peers at random and marked them in copies of one loop, and the choice stood in the file of one of them. Kinds of rumours are places of an array now; lib/edge/spread.c serves both. No change of behaviour.

--- a/lib/edge/limits.c
+++ b/lib/edge/limits.c
@@ -9,7 +9,8 @@
     int64_t since_us = 0;
     uint32_t count = 0;
 
-    switch (GwRumorPeer_Next(&peer->limits, now_us, &since_us)) {
+    switch (
+        GwRumorPeer_Next(&peer->rumors[GW_RUMORS_LIMITS], now_us, &since_us)) {
     case GW_RUMOR_NOTHING:
         break;
     case GW_RUMOR_NEWS:
@@ -52,8 +53,8 @@
                          .age_ms = report->limits[i]->age_ms};
         GwRouter_PutLimit(router, now_us, &limit);
     }
-    if (GwRumorPeer_Heard(&peer->limits, now_us, report->limits_sum,
-                          GwRouter_LimitsSum(router),
+    if (GwRumorPeer_Heard(&peer->rumors[GW_RUMORS_LIMITS], now_us,
+                          report->limits_sum, GwRouter_LimitsSum(router),
                           GwRouter_LimitsChangedUs(router))) {
         peer->hurry = true;
     }
@@ -62,16 +63,6 @@
 void
 GwPeers_SpreadLimits(GwPeers *peers, int64_t now_us)
 {
-    GwPeerEntry *chosen[GW_RUMOR_FAN + 1];
-
-    if (GwRouter_LimitsChangedUs(peers->edge->router) <=
-        peers->limits_spread_us) {
-        return;
-    }
-    peers->limits_spread_us = now_us;
-    GwPeers_ChooseSome(peers, chosen);
-    for (int i = 0; chosen[i] != NULL; i++) {
-        chosen[i]->limits.news = true;
-        chosen[i]->hurry = true;
-    }
+    GwPeers_Spread(peers, GW_RUMORS_LIMITS, now_us,
+                   GwRouter_LimitsChangedUs(peers->edge->router));
 }
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -21,6 +21,12 @@
     GW_LOADS_ALL = 3     /* the sum of all but the receiver */
 } GwLoadsTold;
 
+typedef enum {
+    GW_RUMORS_SUSPECTS = 0,
+    GW_RUMORS_LIMITS,
+    GW_RUMORS_COUNT
+} GwRumorKind;
+
 /* Another entry, as this one knows it. */
 typedef struct {
     char *name; /* "" until the first report: a seed */
@@ -55,8 +61,7 @@
     GwSumAck ack;     /* what it has of the sum that it is told */
     GArray *backlog;  /* GwPlacement still to be told to it; or NULL */
     uint64_t backlog_start; /* of the process that it was made for */
-    GwRumorPeer suspects;
-    GwRumorPeer limits;
+    GwRumorPeer rumors[GW_RUMORS_COUNT];
 } GwPeerEntry;
 
 typedef enum {
@@ -104,11 +109,10 @@
     int64_t sums_heard_us;
     GArray *relayed_domain; /* GwPlacement to pass on, by where from */
     GArray *relayed_region;
-    GArray *loads;              /* reused */
-    GArray *placements;         /* reused */
-    int64_t suspects_spread_us; /* news of suspects was passed on until then */
-    int64_t limits_spread_us;   /* the same of limits */
-    uint32_t suspects_from;     /* where the next page of them begins */
+    GArray *loads;                      /* reused */
+    GArray *placements;                 /* reused */
+    int64_t spread_us[GW_RUMORS_COUNT]; /* news was passed on until then */
+    uint32_t suspects_from; /* where the next page of them begins */
 };
 
 /* The peers that serve and are live, of one region or failure domain, or of
@@ -178,6 +182,11 @@
 /* A new entry of the region is told once where objects are warm. */
 void GwPeers_MakeBacklog(GwPeers *peers, GwPeerEntry *peer);
 
+/* spread.c */
+/* Has a few peers told at once of what has changed since the last call. */
+void GwPeers_Spread(GwPeers *peers, GwRumorKind kind, int64_t now_us,
+                    int64_t changed_us);
+
 /* suspects.c */
 /* Of one report. */
 #define GW_SUSPECTS_MAX 64
@@ -194,8 +203,6 @@
                           const Gw__Peer__Report *report);
 /* Sees to it that news of suspects reaches every entry soon. */
 void GwPeers_SpreadSuspects(GwPeers *peers, int64_t now_us);
-/* Live peers, each as likely as any other; NULL behind the last. */
-void GwPeers_ChooseSome(GwPeers *peers, GwPeerEntry *chosen[GW_RUMOR_FAN + 1]);
 
 /* limits.c */
 #define GW_LIMITS_MAX 256
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -135,8 +135,7 @@
     if (report->start != peer->start) {
         peer->last_start = peer->start;
         peer->start = report->start;
-        peer->suspects = (GwRumorPeer){0};
-        peer->limits = (GwRumorPeer){0};
+        memset(peer->rumors, 0, sizeof(peer->rumors));
     }
     peer->seq = report->seq;
     peer->serves = report->serves;
--- /dev/null
+++ b/lib/edge/spread.c
@@ -0,0 +1,39 @@
+/* Which peers hear news at once (rumor.h). */
+#include "edge/peers_internal.h"
+
+/* Live peers, each as likely as any other; NULL behind the last. */
+static void
+choose_some(GwPeers *peers, GwPeerEntry *chosen[GW_RUMOR_FAN + 1])
+{
+    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
+    GwPeerEntry *peer;
+    gint seen = 0;
+
+    for (int i = 0; i <= GW_RUMOR_FAN; i++) {
+        chosen[i] = NULL;
+    }
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
+        gint at = seen < GW_RUMOR_FAN ? seen : g_random_int_range(0, seen + 1);
+        seen++;
+        if (at < GW_RUMOR_FAN) {
+            chosen[at] = peer;
+        }
+    }
+}
+
+void
+GwPeers_Spread(GwPeers *peers, GwRumorKind kind, int64_t now_us,
+               int64_t changed_us)
+{
+    GwPeerEntry *chosen[GW_RUMOR_FAN + 1];
+
+    if (changed_us <= peers->spread_us[kind]) {
+        return;
+    }
+    peers->spread_us[kind] = now_us;
+    choose_some(peers, chosen);
+    for (int i = 0; chosen[i] != NULL; i++) {
+        chosen[i]->rumors[kind].news = true;
+        chosen[i]->hurry = true;
+    }
+}
--- a/lib/edge/suspects.c
+++ b/lib/edge/suspects.c
@@ -39,16 +39,17 @@
 next_suspects(GwPeers *peers, GwPeerEntry *peer, GwSuspect *out)
 {
     GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
+    GwRumorPeer *rumors = &peer->rumors[GW_RUMORS_SUSPECTS];
     int64_t now_us = GwEdge_Now();
     int64_t since_us;
     uint32_t count = 0;
 
-    switch (GwRumorPeer_Next(&peer->suspects, now_us, &since_us)) {
+    switch (GwRumorPeer_Next(rumors, now_us, &since_us)) {
     case GW_RUMOR_NOTHING:
         break;
     case GW_RUMOR_NEWS:
         count = GwQuarantine_News(q, now_us, since_us, out, GW_SUSPECTS_MAX);
-        peer->suspects.page = count == GW_SUSPECTS_MAX;
+        rumors->page = count == GW_SUSPECTS_MAX;
         break;
     case GW_RUMOR_PAGE:
         count = GwQuarantine_Page(q, now_us, &peers->suspects_from, out,
@@ -85,49 +86,22 @@
             GwQuarantine_Merge(q, now_us, &s);
         }
     }
-    if (GwRumorPeer_Heard(&peer->suspects, now_us, report->suspects_sum,
-                          GwQuarantine_Sum(q), GwQuarantine_ChangedUs(q))) {
+    if (GwRumorPeer_Heard(&peer->rumors[GW_RUMORS_SUSPECTS], now_us,
+                          report->suspects_sum, GwQuarantine_Sum(q),
+                          GwQuarantine_ChangedUs(q))) {
         peer->hurry = true;
     }
 }
 
-void
-GwPeers_ChooseSome(GwPeers *peers, GwPeerEntry *chosen[GW_RUMOR_FAN + 1])
-{
-    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
-    GwPeerEntry *peer;
-    gint seen = 0;
-
-    for (int i = 0; i <= GW_RUMOR_FAN; i++) {
-        chosen[i] = NULL;
-    }
-    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        gint at = seen < GW_RUMOR_FAN ? seen : g_random_int_range(0, seen + 1);
-        seen++;
-        if (at < GW_RUMOR_FAN) {
-            chosen[at] = peer;
-        }
-    }
-}
-
 void
 GwPeers_SpreadSuspects(GwPeers *peers, int64_t now_us)
 {
     GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
-    GwPeerEntry *chosen[GW_RUMOR_FAN + 1];
 
-    if (GwQuarantine_IsEmpty(q)) {
-        return;
-    }
-    GwQuarantine_Tick(q, now_us);
-    if (GwQuarantine_ChangedUs(q) <= peers->suspects_spread_us) {
-        return;
-    }
-    peers->suspects_spread_us = now_us;
-    GwPeers_ChooseSome(peers, chosen);
-    for (int i = 0; chosen[i] != NULL; i++) {
-        chosen[i]->suspects.news = true;
-        chosen[i]->hurry = true;
+    if (!GwQuarantine_IsEmpty(q)) {
+        GwQuarantine_Tick(q, now_us);
+        GwPeers_Spread(peers, GW_RUMORS_SUSPECTS, now_us,
+                       GwQuarantine_ChangedUs(q));
     }
 }
 
