--- a/lib/router/feeding.c
+++ b/lib/router/feeding.c
@@ -114,23 +114,16 @@
     return s->limit.per_s >= 0;
 }
 
-static double
-tokens_at(const GwServer *s, int64_t now_us)
-{
-    double grown =
-        s->limit.share * (double)(now_us - s->limit.tokens_us) / 1e6;
-    double most = MAX(1.0, s->limit.share * LIMIT_SAVED_S);
-
-    return MIN(s->limit.tokens + MAX(grown, 0), most);
-}
-
 static void
 set_share(GwServer *s, int64_t now_us, double share)
 {
     bool goes_on = s->limit.share > 0 && share > 0;
 
-    s->limit.tokens = goes_on ? tokens_at(s, now_us) : 0;
-    s->limit.tokens_us = now_us;
+    GwBucket_Fill(&s->limit.tokens, now_us, s->limit.share);
+    if (!goes_on) {
+        s->limit.tokens.tokens = 0;
+    }
+    s->limit.tokens.max = MAX(1.0, share * LIMIT_SAVED_S);
     s->limit.share = share;
 }
 
@@ -166,9 +159,12 @@
 double
 GwServer_LimitWaitUs(const GwServer *s, int64_t now_us)
 {
-    double lacks = 1.0 + s->claims - tokens_at(s, now_us);
-
-    if (!GwServer_IsLimited(s) || lacks <= 0) {
+    if (!GwServer_IsLimited(s)) {
+        return 0;
+    }
+    double lacks = 1.0 + s->claims -
+                   GwBucket_At(&s->limit.tokens, now_us, s->limit.share);
+    if (lacks <= 0) {
         return 0;
     }
     return MIN(lacks * 1e6 / MAX(s->limit.share, 1e-9), LIMIT_WAIT_MAX_US);
@@ -177,8 +173,8 @@
 void
 GwServer_SpendLimit(GwServer *s, int64_t now_us)
 {
-    s->limit.tokens = tokens_at(s, now_us) - 1.0;
-    s->limit.tokens_us = now_us;
+    GwBucket_Fill(&s->limit.tokens, now_us, s->limit.share);
+    s->limit.tokens.tokens -= 1.0;
 }
 
 GwServer *
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -34,6 +34,8 @@
     int64_t at_us;
 } GwBucket;
 
+/* The tokens that Fill would leave there. */
+double GwBucket_At(const GwBucket *b, int64_t now_us, double per_s);
 void GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s);
 
 typedef struct {
@@ -81,8 +83,7 @@
     int64_t changed_us; /* it became known here; 0: it never named one */
     double share;       /* of this entry, a second */
     int64_t ranked_us;  /* as of then */
-    double tokens;
-    int64_t tokens_us;
+    GwBucket tokens;
 } GwServerLimit;
 
 struct GwServer_s {
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -15,16 +15,22 @@
 /* Of the longest run of a route, how much fades with each further one. */
 #define LONGEST_FADES 0.01
 
-void
-GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s)
+double
+GwBucket_At(const GwBucket *b, int64_t now_us, double per_s)
 {
+    double tokens = b->tokens;
+
     if (b->at_us != 0 && now_us > b->at_us) {
-        b->tokens += per_s * (double)(now_us - b->at_us) / 1e6;
+        tokens += per_s * (double)(now_us - b->at_us) / 1e6;
     }
+    return MIN(tokens, b->max);
+}
+
+void
+GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s)
+{
+    b->tokens = GwBucket_At(b, now_us, per_s);
     b->at_us = now_us;
-    if (b->tokens > b->max) {
-        b->tokens = b->max;
-    }
 }
 
 GwServiceState *
