--- a/lib/router/feeding.c
+++ b/lib/router/feeding.c
@@ -218,15 +218,13 @@
 {
     double per_s =
         end->limit == GW_LIMIT_NAMED ? MIN(end->limit_per_s, LIMIT_MAX) : -1;
-    bool was = GwServer_IsLimited(s);
+    bool is_lower =
+        per_s >= 0 && (!GwServer_IsLimited(s) || per_s < s->limit.per_s);
 
     if (end->limit != GW_LIMIT_UNSAID) {
         s->limit.heard_us = now_us;
     }
-    bool is_lower = per_s >= 0 && (!was || per_s < s->limit.per_s);
-
-    if (end->limit == GW_LIMIT_UNSAID || per_s == s->limit.per_s ||
-        (!was && per_s < 0)) {
+    if (end->limit == GW_LIMIT_UNSAID || per_s == s->limit.per_s) {
         s->limit.seen_us = now_us;
     }
 #if GW_MUTANT == 85 /* breaks: a limit never ends */
