One mixer for sums and random numbers

Sums of suspects copied the mixer of splitmix64 that GwRng_Next has, and those of limits had a third one. Both call GwRng_Mix now. A comment of fingerprint.h is wrapped.

--- a/lib/common/fingerprint.h
+++ b/lib/common/fingerprint.h
@@ -1,7 +1,7 @@
 /* Identifies what a caller asks for, whichever attempt, address and entry it
- * comes by. Two requests share a fingerprint if method, host, target, caller and body
- * are the same. The digest is wide and of a cryptographic hash: nobody can
- * make a request that is taken for another caller's. */
+ * comes by. Two requests share a fingerprint if method, host, target, caller
+ * and body are the same. The digest is wide and of a cryptographic hash: nobody
+ * can make a request that is taken for another caller's. */
 #ifndef GW_COMMON_FINGERPRINT_H
 #define GW_COMMON_FINGERPRINT_H
 
--- a/lib/common/rng.c
+++ b/lib/common/rng.c
@@ -2,6 +2,15 @@
 
 #include <assert.h>
 
+/* The mixer of splitmix64. */
+uint64_t
+GwRng_Mix(uint64_t x)
+{
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
 /* Starts a generator; any seed is good, zero included. */
 GwRng
 GwRng_Make(uint64_t seed)
@@ -9,15 +18,12 @@
     return (GwRng){.state = seed};
 }
 
-/* The next 64 bits: a Weyl sequence through a bit mixer (splitmix64). */
+/* The next 64 bits: a Weyl sequence through a bit mixer. */
 uint64_t
 GwRng_Next(GwRng *rng)
 {
     rng->state += 0x9e3779b97f4a7c15ULL;
-    uint64_t z = rng->state;
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    return z ^ (z >> 31);
+    return GwRng_Mix(rng->state);
 }
 
 /* A number in [0, bound); the bias of the multiply is below 2^-32. */
--- a/lib/common/rng.h
+++ b/lib/common/rng.h
@@ -10,6 +10,8 @@
     uint64_t state;
 } GwRng;
 
+/* Spreads what tells two numbers apart over all bits; 0 stays 0. */
+uint64_t GwRng_Mix(uint64_t x);
 GwRng GwRng_Make(uint64_t seed);
 uint64_t GwRng_Next(GwRng *rng);
 uint32_t GwRng_Below(GwRng *rng, uint32_t bound);
--- a/lib/router/feeding.c
+++ b/lib/router/feeding.c
@@ -294,9 +294,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwServer *s = value;
         if (GwServer_IsLimited(s)) {
-            uint64_t mix = (s->hash ^ (uint64_t)(s->limit.per_s * 1000)) *
-                           0x9e3779b97f4a7c15ULL;
-            sum += mix ^ (mix >> 29);
+            sum += GwRng_Mix(s->hash ^ (uint64_t)(s->limit.per_s * 1000));
         }
     }
     return sum;
--- a/lib/router/quarantine_news.c
+++ b/lib/router/quarantine_news.c
@@ -2,6 +2,8 @@
  * merges. */
 #include "router/quarantine_internal.h"
 
+#include "common/rng.h"
+
 /* A record that isn't known is not taken over any more so long before its end:
  * entries that forget it a little earlier than others would go on forever. */
 #define LAST_US 60000000
@@ -100,22 +102,14 @@
     }
 }
 
-static uint64_t
-mix(uint64_t x)
-{
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
-}
-
 static uint64_t
 sum_of(const GwSuspect *s)
 {
-    uint64_t sum = mix(s->fingerprint.hi ^ mix(s->fingerprint.lo) ^
-                       mix(s->generation + 1));
+    uint64_t sum = GwRng_Mix(s->fingerprint.hi ^ GwRng_Mix(s->fingerprint.lo) ^
+                             GwRng_Mix(s->generation + 1));
 
     for (uint32_t i = 0; i < s->server_count; i++) {
-        sum = mix(sum ^ s->servers[i]);
+        sum = GwRng_Mix(sum ^ s->servers[i]);
     }
     return sum;
 }
