The key behind which a page follows, in one place

Three readers of pages took the last row apart by themselves; the one of feeds moves to the rows and serves all.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -85,15 +85,6 @@
     feed->retry_ms = MIN(feed->retry_ms * 2, GW_POLL_RETRY_MAX_MS);
 }
 
-static const char *
-last_key(const GwRowSet *set)
-{
-    if (set == NULL || set->rows->len == 0) {
-        return NULL;
-    }
-    return ((GwStoreRow *)set->rows->pdata[set->rows->len - 1])->key;
-}
-
 static void
 ask(GwFeed *feed)
 {
@@ -103,7 +94,7 @@
 
     if (feed->phase == PHASE_READ) {
         feed->wait_ms = 0;
-        target = a->read_target(feed->table, last_key(feed->pages));
+        target = a->read_target(feed->table, GwRowSet_LastKey(feed->pages));
     }
     else {
         feed->wait_ms =
--- a/lib/edge/held_rows.c
+++ b/lib/edge/held_rows.c
@@ -145,9 +145,8 @@
     }
     rows->has_read = !set->more || set->rows->len == 0;
     if (!rows->has_read) {
-        const GwStoreRow *last = set->rows->pdata[set->rows->len - 1];
         g_free(rows->after);
-        rows->after = g_strdup(last->key);
+        rows->after = g_strdup(GwRowSet_LastKey(set));
     }
     GwRowSet_Free(set);
     return true;
--- a/lib/edge/join.c
+++ b/lib/edge/join.c
@@ -117,9 +117,8 @@
     else {
         take_entries(peers, set);
         if (set->more && set->rows->len > 0) {
-            const GwStoreRow *last = set->rows->pdata[set->rows->len - 1];
             g_free(peers->join_after);
-            peers->join_after = g_strdup(last->key);
+            peers->join_after = g_strdup(GwRowSet_LastKey(set));
             ask_join(peers);
         }
         else {
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -67,6 +67,15 @@
     }
 }
 
+const char *
+GwRowSet_LastKey(const GwRowSet *set)
+{
+    if (set == NULL || set->rows->len == 0) {
+        return NULL;
+    }
+    return ((GwStoreRow *)set->rows->pdata[set->rows->len - 1])->key;
+}
+
 GwRowCache *
 GwRowCache_Create(GwRowChanged changed, void *ctx)
 {
--- a/lib/store/rows.h
+++ b/lib/store/rows.h
@@ -38,6 +38,9 @@
 
 GwRowSet *GwRowSet_Create(void);
 void GwRowSet_Free(GwRowSet *set);
+/* Where the next page begins: behind this key. NULL for a set without rows,
+ * and for no set. */
+const char *GwRowSet_LastKey(const GwRowSet *set);
 
 /* One table's copy. */
 typedef struct GwRowCache_s GwRowCache;
