--- a/standins/site.sh
+++ b/standins/site.sh
@@ -61,6 +61,13 @@
     printf '%s\n' "$*" >&"$site_commands"
 }
 
+# Asks an entry as operators do.
+site_ctl() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$gw_out"/godwitctl --admin "127.0.0.1:$(site_port "$name" 3)" "$@"
+}
+
 site_address() { # NAME
     echo "127.0.0.1:$(site_port "$1" 0)"
 }
--- a/tests/session/site_crashing_requests.sh
+++ b/tests/session/site_crashing_requests.sh
@@ -8,14 +8,8 @@
 . standins/lib.sh
 . standins/site.sh
 
-ctl() { # ENTRY COMMAND...
-    local name=$1
-    shift
-    "$gw_out"/godwitctl --admin "127.0.0.1:$(site_port "$name" 3)" "$@"
-}
-
 is_held() { # ENTRY FINGERPRINT
-    ctl "$1" suspects 2>/dev/null | grep -E "^$2 +held " >/dev/null
+    site_ctl "$1" suspects 2>/dev/null | grep -E "^$2 +held " >/dev/null
 }
 
 is_free() { # ENTRY FINGERPRINT
@@ -33,11 +27,11 @@
 ! grep -q 'request=c' <<<"$lines" || gw_fail "others were held" || rc=1
 
 # Operators see what is held at any entry, and let it go at all of them.
-held=$(ctl e2 suspects | awk '$2 == "held" { print $1; exit }')
-ctl e3 metrics | grep -E '^gw_suspects\{state="held"\} [1-9]' ||
+held=$(site_ctl e2 suspects | awk '$2 == "held" { print $1; exit }')
+site_ctl e3 metrics | grep -E '^gw_suspects\{state="held"\} [1-9]' ||
     gw_fail "no metric" || rc=1
 is_held e3 "$held" || gw_fail "e3 does not hold \"$held\"" || rc=1
-! ctl e2 release 0123 2>/dev/null || gw_fail "released what is none" || rc=1
-ctl e2 release "$held" || gw_fail "not released" || rc=1
+! site_ctl e2 release 0123 2>/dev/null || gw_fail "released what is none" || rc=1
+site_ctl e2 release "$held" || gw_fail "not released" || rc=1
 gw_await 10 is_free e3 "$held" || gw_fail "still held at e3" || rc=1
 exit $rc
--- a/tests/session/site_crashing_requests_kept.sh
+++ b/tests/session/site_crashing_requests_kept.sh
@@ -9,8 +9,7 @@
 . standins/site.sh
 
 is_held() { # ENTRY
-    "$gw_out"/godwitctl --admin "127.0.0.1:$(site_port "$1" 3)" suspects \
-        2>/dev/null | grep -E ' held ' >/dev/null
+    site_ctl "$1" suspects 2>/dev/null | grep -E ' held ' >/dev/null
 }
 
 site_begin "$1" --seconds 14 --callers 10 --crashers 2 || exit 1
--- a/tests/session/site_explain.sh
+++ b/tests/session/site_explain.sh
@@ -11,12 +11,6 @@
 . standins/lib.sh
 . standins/site.sh
 
-ask() { # ENTRY COMMAND...
-    local name=$1
-    shift
-    "$gw_out"/godwitctl --admin "127.0.0.1:$(site_port "$name" 3)" "$@"
-}
-
 # Whether what the command prints has the pattern.
 shows() { # PATTERN COMMAND...
     local pattern=$1
@@ -33,15 +27,15 @@
 }
 
 site_begin "$1" --seconds 10 --callers 40 --faults 60 || exit 1
-expect 'members, 3 of them live' ask e1 status
-expect '^ready, version [1-9]' ask e1 status
-expect '"state":"ready"' ask e1 --json status
-expect '^server-[0-9] ' ask e2 top --limit 3
-[ "$(ask e2 top --limit 3 | wc -l)" -eq 4 ] ||
+expect 'members, 3 of them live' site_ctl e1 status
+expect '^ready, version [1-9]' site_ctl e1 status
+expect '"state":"ready"' site_ctl e1 --json status
+expect '^server-[0-9] ' site_ctl e2 top --limit 3
+[ "$(site_ctl e2 top --limit 3 | wc -l)" -eq 4 ] ||
     gw_fail "top --limit 3 has other than a head and 3 lines" || exit 1
 expect 'gw_request_ms_count\{route="[^"]+",end="answered"\} [1-9]' \
-    ask e3 metrics
-expect '^gw_config_version [1-9]' ask e3 metrics
+    site_ctl e3 metrics
+expect '^gw_config_version [1-9]' site_ctl e3 metrics
 site_conclude >/dev/null
 
 logs=("$gw_dir"/e1.log "$gw_dir"/e2.log "$gw_dir"/e3.log)
