The stand-in site reads its command line in a file of its own

Options and their defaults move as they are. Lint clean; site_server_limits passes; called without options it prints its usage and gives 2, as before.

--- /dev/null
+++ b/standins/site/options.h
@@ -0,0 +1,42 @@
+/* The command line of standin_site. */
+#ifndef STANDINS_SITE_OPTIONS_H
+#define STANDINS_SITE_OPTIONS_H
+
+#include <stdbool.h>
+
+typedef struct {
+    char *store;
+    char *directories;
+    char *config;
+    char *server;
+    int port;
+    int seconds;
+    int callers;
+    int seed;
+    int faults; /* permille */
+    int drain_s;
+    int config_s;
+    int store_busy_s;
+    int compact_s;
+    char *commands;
+    int grace_ms;
+    int left_ms;
+    int work_ms;
+    int spread_ms;
+    int objects;
+    int rest_ms;
+    int keep;
+    int depth;
+    int slots;
+    int refuse; /* permille */
+    int crashers;
+    int restart_ms;
+    double limit; /* requests a second */
+    int limit_s;
+} SiteOptions;
+
+/* What isn't said has a default. False, with the usage on stderr, where the
+ * line can't be understood or lacks what is needed. */
+bool SiteOptions_Read(SiteOptions *a, int argc, const char **argv);
+
+#endif
