Log which entries read the store and why, and how old a call or a read is

Cause: the logs could not tell an entry that trusts a silent reader from one that asks itself, nor an old read from a new one. Ruled out: nothing yet; no decision changes. Change: events STORE_READS and ROWS_OLDER; gauges version_seen and unanswered_ms by table.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -58,6 +58,8 @@
     X(STORE_BACK, 701, INFO, "the platform's table is available again") \
     X(PROOF_LOST, 702, WARN, "keys are refused: revocations may be missing") \
     X(PROOF_BACK, 703, INFO, "keys are accepted: the configuration is fresh") \
+    X(STORE_READS, 704, INFO, "this entry begins or ends to read the store") \
+    X(ROWS_OLDER, 705, WARN, "a read was older than the rows held") \
     /* 800: administration */ \
     X(ADMIN_ACCEPTED, 800, INFO, "a change was accepted") \
     X(ADMIN_REFUSED, 801, INFO, "a change was refused") \
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -216,6 +216,8 @@
  * store. */
 void GwFeed_NotePeerReport(GwFeed *feed, int64_t now_us, bool saw_outage);
 uint64_t GwFeed_Version(const GwFeed *feed);
+/* How long the current call to the store is unanswered; 0: there is none. */
+int64_t GwFeed_UnansweredMs(const GwFeed *feed, int64_t now_us);
 /* Time since the last answer about the table, from the store or a peer. */
 int64_t GwFeed_AgeMs(const GwFeed *feed, int64_t now_us);
 bool GwFeed_IsLoaded(const GwFeed *feed);
@@ -266,6 +268,9 @@
 typedef struct {
     uint32_t live;
     int64_t loads_age_ms; /* oldest load report of peers sharing servers */
+    /* Newest versions of the tables that live peers have. */
+    uint64_t operator_version;
+    uint64_t server_version;
 } GwPeersView;
 
 GwPeersView GwPeers_View(const GwPeers *peers);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -65,6 +65,14 @@
     return GwRowCache_Version(feed->cache);
 }
 
+int64_t
+GwFeed_UnansweredMs(const GwFeed *feed, int64_t now_us)
+{
+    bool is_asking = feed->conn != NULL && feed->next_poll_us == 0;
+
+    return is_asking ? (now_us - feed->polled_us) / 1000 : 0;
+}
+
 int64_t
 GwFeed_AgeMs(const GwFeed *feed, int64_t now_us)
 {
@@ -210,6 +218,19 @@
     }
 }
 
+/* Logs a read of the whole table that is older than the rows held. */
+static void
+log_if_older(const GwFeed *feed)
+{
+    uint64_t held = GwFeed_Version(feed);
+
+    if (feed->pages->version < held) {
+        GwLog_Event(GW_LOG_ROWS_OLDER,
+                    "table=%s version=%" PRIu64 " held=%" PRIu64, feed->table,
+                    feed->pages->version, held);
+    }
+}
+
 static void
 apply_rows(GwFeed *feed, GwRowSet *set)
 {
@@ -224,6 +245,7 @@
         GwRowSet_Free(set);
     }
     else if (!append_page(feed, set)) {
+        log_if_older(feed);
         GwRowCache_ApplyFull(feed->cache, now_us, feed->pages);
         feed->version = feed->pages->version;
         feed->phase = PHASE_FEED;
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -252,6 +252,9 @@
             continue;
         }
         view.live++;
+        view.operator_version =
+            MAX(view.operator_version, peer->operator_version);
+        view.server_version = MAX(view.server_version, peer->server_version);
         if (GwPeers_CountsLoadsOf(peers, peer)) {
             view.loads_age_ms =
                 MAX(view.loads_age_ms, (now_us - peer->last_report_us) / 1000);
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -95,6 +95,7 @@
     uint32_t address_requests;  /* sent since address_requests_us */
     int64_t address_requests_us;
     int64_t tables_seen_us; /* first report of a peer with tables; 0: none */
+    const char *reads_why;  /* why this entry reads the store, as logged */
     bool announced_reading; /* as last announced to all peers */
     int64_t announced_us;
     uint32_t live; /* number of live peers */
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -132,6 +132,24 @@
     }
 }
 
+/* Logs that this entry begins or ends to read the store, and what it believes
+ * of the other readers and of its own rows. */
+static void
+log_reads(GwPeers *peers, const char *why, uint32_t other_readers,
+          int64_t now_us)
+{
+    const GwEdge *edge = peers->edge;
+
+    if (why == peers->reads_why) {
+        return;
+    }
+    peers->reads_why = why;
+    GwLog_Event(GW_LOG_STORE_READS,
+                "why=%s other_readers=%u version=%" PRIu64 " news_ms=%" PRId64,
+                why, other_readers, GwFeed_Version(edge->operator_feed),
+                GwFeed_AgeMs(edge->operator_feed, now_us));
+}
+
 void
 GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
 {
@@ -142,13 +160,20 @@
     bool is_region_first = rank == 0;
     bool reads = is_region_first ||
                  other_readers < (is_settling ? 1 : OTHER_READERS_MIN);
+    const char *why = is_region_first ? "first" : "few-readers";
 
     if (!edge->is_stopping && !GwEdge_IsReady(edge)) {
         reads = reads_at_start(peers, now_us);
+        why = "start";
     }
-    GwFeed_SetReads(edge->operator_feed,
-                    reads || GwEdge_SeeksProof(edge, rank));
+    bool seeks_proof = GwEdge_SeeksProof(edge, rank);
+    GwFeed_SetReads(edge->operator_feed, reads || seeks_proof);
     GwFeed_SetReads(edge->server_feed, reads);
+    log_reads(peers,
+              reads         ? why
+              : seeks_proof ? "proof"
+                            : "none",
+              other_readers, now_us);
     if (is_region_first) {
         announce(peers, now_us);
     }
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -41,18 +41,22 @@
 }
 
 static void
-write_table(GString *out, const char *table, const GwFeed *feed)
+write_table(GString *out, const char *table, const GwFeed *feed, uint64_t seen)
 {
     int64_t now_us = GwEdge_Now();
 
     g_string_append_printf(
         out,
         "gw_table_version{table=\"%s\"} %" PRIu64 "\n"
+        "gw_table_version_seen{table=\"%s\"} %" PRIu64 "\n"
+        "gw_table_unanswered_ms{table=\"%s\"} %" PRId64 "\n"
         "gw_table_news_age_ms{table=\"%s\"} %" PRId64 "\n"
         "gw_table_read_here{table=\"%s\"} %d\n"
         "gw_table_store_was_away{table=\"%s\"} %d\n",
-        table, GwFeed_Version(feed), table, GwFeed_AgeMs(feed, now_us), table,
-        GwFeed_IsHealthy(feed), table, GwFeed_HadOutage(feed, now_us));
+        table, GwFeed_Version(feed), table, MAX(seen, GwFeed_Version(feed)),
+        table, GwFeed_UnansweredMs(feed, now_us), table,
+        GwFeed_AgeMs(feed, now_us), table, GwFeed_IsHealthy(feed), table,
+        GwFeed_HadOutage(feed, now_us));
 }
 
 static void
@@ -116,8 +120,8 @@
     write_gauge(out, "gw_proof_age_ms", (double)GwEdge_ProofAgeMs(edge));
     write_gauge(out, "gw_keys_accepted", GwEdge_HasProof(edge));
     GwQuotas_WriteMetrics(edge, out);
-    write_table(out, "operator", edge->operator_feed);
-    write_table(out, "servers", edge->server_feed);
+    write_table(out, "operator", edge->operator_feed, peers.operator_version);
+    write_table(out, "servers", edge->server_feed, peers.server_version);
     GwRouter_EachService(edge->router, GwEdge_Now(), write_service, out);
 }
 
