When entries call the store is decided in modules without I/O

Cause: the times at which the store is called, a call is given up or an entry reads at all stood in the code of sockets, where no test on virtual time reaches them. Change: lib/store/follower.c (calls about one table, and the copy) and lib/store/reader.c (who reads); lib/edge/feed.c and readers.c keep the I/O. No figure or decision changes.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -3,12 +3,6 @@
 #include "edge/feed_internal.h"
 #include "store/outage.h"
 
-#include <stdlib.h>
-#include <string.h>
-
-/* Pause between an answer and the next poll: changes come in bursts, and a
- * poll after the pause returns the whole burst. */
-#define POLL_PAUSE_US 300000
 /* The store counts as unavailable after this time without an answer: rows may
  * have expired meanwhile. */
 #define OUTAGE_MIN_US 1000000
@@ -23,28 +17,15 @@
 
     feed->edge = edge;
     feed->table = g_strdup(table);
-    feed->cache = GwRowCache_Create(changed, edge);
-    GwRowCache_SetIsUpdate(feed->cache, is_update);
-    feed->phase = PHASE_READ;
-    feed->retry_ms = GW_POLL_RETRY_MIN_MS;
-    feed->answered_us = GwEdge_Now();
-    feed->updated_us = feed->answered_us;
+    feed->follower = GwFollower_Create(changed, edge, GwEdge_Now());
+    GwRowCache_SetIsUpdate(GwFeed_Cache(feed), is_update);
     return feed;
 }
 
-static void
-close_store(GwFeed *feed)
-{
-    GwConn_CloseAndClear(&feed->conn);
-    feed->next_poll_us = 0;
-    GwRowSet_Free(feed->pages);
-    feed->pages = NULL;
-}
-
 void
 GwFeed_Close(GwFeed *feed)
 {
-    close_store(feed);
+    GwConn_CloseAndClear(&feed->conn);
     GwConn_CloseAndClear(&feed->peer);
 }
 
@@ -54,77 +35,51 @@
     if (feed == NULL) {
         return;
     }
-    GwRowCache_Free(feed->cache);
+    GwFollower_Free(feed->follower);
     g_free(feed->table);
     g_free(feed);
 }
 
+GwRowCache *
+GwFeed_Cache(const GwFeed *feed)
+{
+    return GwFollower_Cache(feed->follower);
+}
+
 uint64_t
 GwFeed_Version(const GwFeed *feed)
 {
-    return GwRowCache_Version(feed->cache);
+    return GwRowCache_Version(GwFeed_Cache(feed));
 }
 
 int64_t
 GwFeed_UnansweredMs(const GwFeed *feed, int64_t now_us)
 {
-    bool is_asking = feed->conn != NULL && feed->next_poll_us == 0;
-
-    return is_asking ? (now_us - feed->polled_us) / 1000 : 0;
+    return GwFollower_UnansweredUs(feed->follower, now_us) / 1000;
 }
 
 int64_t
 GwFeed_AgeMs(const GwFeed *feed, int64_t now_us)
 {
-    return (now_us - feed->updated_us) / 1000;
+    return (now_us - GwFollower_UpdatedUs(feed->follower)) / 1000;
 }
 
 bool
 GwFeed_IsLoaded(const GwFeed *feed)
 {
-    return feed->known;
+    return GwFollower_IsKnown(feed->follower);
 }
 
-/* Closes the connection and schedules a retry with exponential backoff. */
-static void
-back_off(GwFeed *feed)
-{
-    close_store(feed);
-    feed->retry_at_us = GwEdge_Now() + (int64_t)feed->retry_ms * 1000;
-    feed->retry_ms = MIN(feed->retry_ms * 2, GW_POLL_RETRY_MAX_MS);
-}
-
-static void
-send_poll(GwFeed *feed)
+bool
+GwFeed_IsHealthy(const GwFeed *feed)
 {
-    GwEdge *edge = feed->edge;
-    const GwAdapter *a = edge->adapter;
-    char *target;
-
-    if (feed->pages == NULL) {
-        feed->asked_us = GwEdge_BootNow();
-    }
-    if (feed->phase == PHASE_READ) {
-        feed->wait_ms = 0;
-        target = a->read_target(feed->table, GwRowSet_LastKey(feed->pages));
-    }
-    else {
-        feed->wait_ms =
-            feed->poll_period_ms > 0
-                ? 0
-                : GwStorePoll_WaitMs(feed->retry_ms > GW_POLL_RETRY_MIN_MS);
-        target = a->feed_target(feed->table, feed->version, feed->wait_ms);
-    }
-    GwConn_WriteGet(feed->conn, target, edge->settings->store_address);
-    g_free(target);
-    edge->counts.store_calls++;
-    feed->polled_us = GwEdge_Now();
+    return GwFollower_IsHealthy(feed->follower);
 }
 
 void
 GwFeed_SetPollPeriod(GwFeed *feed, uint32_t period_ms)
 {
-    feed->poll_period_ms = period_ms;
+    GwFollower_SetPeriod(feed->follower, period_ms);
 }
 
 static int64_t
@@ -156,7 +111,8 @@
     if (!GwStoreHealth_HadOutage(&sight)) {
         return false;
     }
-    GwRowCache_SetGrace(feed->cache, now_us + grace_us(feed), grace_us(feed));
+    GwRowCache_SetGrace(GwFeed_Cache(feed), now_us + grace_us(feed),
+                        grace_us(feed));
     return true;
 }
 
@@ -173,94 +129,114 @@
 note_store_answer(GwFeed *feed)
 {
     int64_t now_us = GwEdge_Now();
+    int64_t answered_us = GwFollower_AnsweredUs(feed->follower);
     bool failed =
-        now_us - feed->answered_us >
+        now_us - answered_us >
             OUTAGE_MIN_US + (int64_t)GwStorePoll_WaitMs(false) * 1000 ||
-        feed->retry_ms > GW_POLL_RETRY_MIN_MS;
+        GwFollower_HasFailed(feed->follower);
 
     if (set_grace_after_outage(feed, now_us, failed, false)) {
         feed->outage_grace_until_us = now_us + grace_us(feed);
         GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
-                    feed->table, (now_us - feed->answered_us) / 1000);
+                    feed->table, (now_us - answered_us) / 1000);
     }
-    feed->answered_us = now_us;
-    feed->retry_ms = GW_POLL_RETRY_MIN_MS;
 }
 
-/* Appends a page to the read in progress; returns whether more pages follow.
- * The version of the result is that of the first page: the feed sends all
- * later changes. */
-static bool
-append_page(GwFeed *feed, GwRowSet *set)
+/* ---- Calls to the store -------------------------------------------------- */
+
+static void
+fail_call(GwFeed *feed)
+{
+    GwConn_CloseAndClear(&feed->conn);
+    GwFollower_OnFailure(feed->follower, GwEdge_Now());
+}
+
+/* Writes the call to the open connection. */
+static void
+write_call(GwFeed *feed)
 {
-    bool more = set->more && set->rows->len > 0;
+    GwEdge *edge = feed->edge;
+    const GwAdapter *a = edge->adapter;
+    const GwStoreCall *call = &feed->call;
+    char *target =
+        call->kind == GW_CALL_READ
+            ? a->read_target(feed->table, call->from_key)
+            : a->feed_target(feed->table, call->after, call->wait_ms);
 
-    if (feed->pages == NULL) {
-        feed->pages = set;
-        return more;
+    GwConn_WriteGet(feed->conn, target, edge->settings->store_address);
+    g_free(target);
+    edge->counts.store_calls++;
+    GwFollower_OnSent(feed->follower, GwEdge_Now(), GwEdge_BootNow());
+}
+
+static void
+connect_store(GwFeed *feed)
+{
+    GwConnParams params = {
+        .loop = &feed->edge->loop,
+        .ops = &store_ops,
+        .owner = feed,
+        .head_max = 64 << 10,
+        .body_max = GW_ROWS_MAX_BYTES,
+        .user_timeout_ms = GW_POLL_MARGIN_MS,
+        .keepalive = true,
+    };
+
+    feed->conn = GwConn_Connect(&params, feed->edge->settings->store_address);
+    if (feed->conn == NULL) {
+        fail_call(feed);
+    }
+}
+
+static void
+call_store(GwFeed *feed)
+{
+    if (!GwFollower_NextCall(feed->follower, GwEdge_Now(), &feed->call)) {
+        return;
     }
-    for (guint i = 0; i < set->rows->len; i++) {
-        g_ptr_array_add(feed->pages->rows, set->rows->pdata[i]);
+    if (feed->conn == NULL) {
+        connect_store(feed);
+    }
+    else {
+        write_call(feed);
     }
-    g_ptr_array_set_free_func(set->rows, NULL);
-    GwRowSet_Free(set);
-    return more;
 }
 
-/* All pages are read. They have every change that the store had acknowledged
- * when the first one was requested; how much later the store answered is not
- * known. */
+/* The copy has every change that the store had acknowledged when the first
+ * page was requested; how much later the store answered is not known. */
 static void
 note_proof(const GwFeed *feed)
 {
     if (feed == feed->edge->operator_feed) {
-        GwEdge_NoteProof(feed->edge, feed->asked_us);
+        GwEdge_NoteProof(feed->edge, GwFollower_AskedUs(feed->follower));
     }
 }
 
-/* Logs a read of the whole table that is older than the rows held. */
+/* Logs an answer that is older than the rows held. */
 static void
-log_if_older(const GwFeed *feed)
+log_if_older(const GwFeed *feed, const GwRowSet *set)
 {
     uint64_t held = GwFeed_Version(feed);
 
-    if (feed->pages->version < held) {
+    if (set->version < held) {
         GwLog_Event(GW_LOG_ROWS_OLDER,
                     "table=%s version=%" PRIu64 " held=%" PRIu64, feed->table,
-                    feed->pages->version, held);
+                    set->version, held);
     }
 }
 
 static void
 apply_rows(GwFeed *feed, GwRowSet *set)
 {
-    int64_t now_us = GwEdge_Now();
+    bool has_rows = set->rows->len > 0;
 
     note_store_answer(feed);
-    feed->updated_us = now_us;
-    bool has_rows = set->rows->len > 0;
-    if (feed->phase == PHASE_FEED) {
-        GwRowCache_ApplyChanges(feed->cache, now_us, set);
-        feed->version = MAX(feed->version, set->version);
-        GwRowSet_Free(set);
-    }
-    else if (!append_page(feed, set)) {
-        log_if_older(feed);
-        GwRowCache_ApplyFull(feed->cache, now_us, feed->pages);
-        feed->version = feed->pages->version;
-        feed->phase = PHASE_FEED;
-        feed->known = true;
-        GwRowSet_Free(feed->pages);
-        feed->pages = NULL;
-    }
-    if (feed->pages != NULL) {
-        send_poll(feed);
+    log_if_older(feed, set);
+    if (GwFollower_OnRows(feed->follower, GwEdge_Now(), set)) {
+        note_proof(feed);
     }
     else {
-        feed->next_poll_us =
-            MAX(now_us + POLL_PAUSE_US,
-                feed->polled_us + (int64_t)feed->poll_period_ms * 1000);
-        note_proof(feed);
+        call_store(feed);
     }
     if (has_rows) {
         GwPeers_ExpediteRegion(feed->edge->peers);
@@ -276,9 +252,9 @@
     GwRowSet *set = NULL;
 
     if (msg->status == 410) {
-        feed->phase = PHASE_READ;
         GwHttpMessage_Free(msg);
-        send_poll(feed);
+        GwFollower_OnGone(feed->follower, GwEdge_Now());
+        call_store(feed);
         return;
     }
     if (msg->status == 200) {
@@ -292,7 +268,7 @@
         g_error_free(error);
     }
     if (set == NULL) {
-        back_off(feed);
+        fail_call(feed);
         return;
     }
     apply_rows(feed, set);
@@ -301,7 +277,7 @@
 static void
 on_store_connected(void *owner)
 {
-    send_poll(owner);
+    write_call(owner);
 }
 
 static void
@@ -312,7 +288,7 @@
     if (end != GW_CONN_MALFORMED) {
         feed->conn = NULL;
     }
-    back_off(feed);
+    fail_call(feed);
 }
 
 static const GwConnOps store_ops = {
@@ -321,74 +297,22 @@
     .ended = on_store_ended,
 };
 
-/* ---- Connection and time-outs -------------------------------------------- */
-
-static void
-connect_store(GwFeed *feed)
-{
-    GwConnParams params = {
-        .loop = &feed->edge->loop,
-        .ops = &store_ops,
-        .owner = feed,
-        .head_max = 64 << 10,
-        .body_max = GW_ROWS_MAX_BYTES,
-        .user_timeout_ms = GW_POLL_MARGIN_MS,
-        .keepalive = true,
-    };
-
-    feed->polled_us = GwEdge_Now();
-    feed->wait_ms = 0;
-    feed->conn = GwConn_Connect(&params, feed->edge->settings->store_address);
-    if (feed->conn == NULL) {
-        back_off(feed);
-    }
-}
-
-/* An entry that starts to read the store continues from the version that it
- * has received from peers. */
 void
 GwFeed_SetReads(GwFeed *feed, bool reads)
 {
-    if (feed->reads == reads) {
-        return;
-    }
-    feed->reads = reads;
-    feed->answered_us = GwEdge_Now(); /* not polled, so no outage */
-    if (!reads) {
-        close_store(feed);
-        return;
-    }
-    if (feed->known) {
-        feed->phase = PHASE_FEED;
-        feed->version = GwFeed_Version(feed);
+    if (GwFollower_SetReads(feed->follower, GwEdge_Now(), reads) && !reads) {
+        GwConn_CloseAndClear(&feed->conn);
     }
-    feed->retry_at_us = 0;
-}
-
-bool
-GwFeed_IsHealthy(const GwFeed *feed)
-{
-    return feed->reads && feed->known && feed->phase == PHASE_FEED &&
-           feed->conn != NULL && feed->retry_ms == GW_POLL_RETRY_MIN_MS;
 }
 
 void
 GwFeed_Sweep(GwFeed *feed, int64_t now_us)
 {
-    int64_t limit_us = ((int64_t)feed->wait_ms + GW_POLL_MARGIN_MS) * 1000;
-
-    GwRowCache_Expire(feed->cache, now_us);
-    if (feed->next_poll_us != 0 && now_us >= feed->next_poll_us) {
-        feed->next_poll_us = 0;
-        send_poll(feed);
-    }
-    if (feed->conn == NULL && feed->reads && now_us >= feed->retry_at_us) {
-        connect_store(feed);
-    }
-    else if (feed->conn != NULL && feed->next_poll_us == 0 &&
-             now_us - feed->polled_us > limit_us) {
+    GwRowCache_Expire(GwFeed_Cache(feed), now_us);
+    call_store(feed);
+    if (GwFollower_IsOverdue(feed->follower, now_us)) {
         GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=silent", feed->table);
-        back_off(feed);
+        fail_call(feed);
     }
     GwFeed_SweepPeer(feed, now_us);
 }
--- a/lib/edge/feed_peers.c
+++ b/lib/edge/feed_peers.c
@@ -6,7 +6,7 @@
 
 /* A copy that was not refreshed for this long is read again in full:
  * tombstones of removed rows may have expired. */
-#define STALE_US 60000000
+#define STALE_MS 60000
 /* Maximum time without a byte from a peer before another peer is tried: a
  * round trip between two regions and the peer's processing. The time of the
  * whole transfer can be longer: on a link of 10 Mbit/s a row of 300 KB that
@@ -47,7 +47,7 @@
         return;
     }
     if (request.after > 0) {
-        request.digest = GwRowCache_Digest(feed->cache);
+        request.digest = GwRowCache_Digest(GwFeed_Cache(feed));
     }
     g_strlcpy(request.table, feed->table, sizeof(request.table));
     char *target = GwRowsRequest_WriteTarget(&request);
@@ -68,7 +68,7 @@
 {
     GwFeed *feed = owner;
 
-    feed->peer_full = GwEdge_Now() - feed->updated_us > STALE_US;
+    feed->peer_full = GwFeed_AgeMs(feed, GwEdge_Now()) > STALE_MS;
     request_rows(feed);
 }
 
@@ -91,18 +91,8 @@
 static void
 apply_rows(GwFeed *feed, const GwRowSet *set)
 {
-    int64_t now_us = GwEdge_Now();
-
     log_rows(feed, set);
-
-    if (feed->peer_full || !feed->known) {
-        GwRowCache_ApplyFull(feed->cache, now_us, set);
-    }
-    else {
-        GwRowCache_Apply(feed->cache, now_us, set);
-    }
-    feed->updated_us = now_us;
-    feed->known = true;
+    GwFollower_OnPeerRows(feed->follower, GwEdge_Now(), set, feed->peer_full);
     if (feed->peer_is_store && feed == feed->edge->operator_feed) {
         GwEdge_NoteProof(feed->edge, feed->peer_asked_us);
     }
@@ -201,7 +191,7 @@
 bool
 GwFeed_MayReadFromStore(const GwFeed *feed)
 {
-    return !feed->reads &&
+    return !GwFollower_Reads(feed->follower) &&
            (feed->store_failed_us == 0 ||
             GwEdge_Now() - feed->store_failed_us > STORE_FAILED_US);
 }
@@ -209,7 +199,7 @@
 uint64_t
 GwFeed_BytesAfter(const GwFeed *feed, uint64_t version)
 {
-    return GwRowCache_BytesAfter(feed->cache, version);
+    return GwRowCache_BytesAfter(GwFeed_Cache(feed), version);
 }
 
 /* Whether the requester's rows are equal to this copy although its version
@@ -219,7 +209,7 @@
 has_same_rows(const GwFeed *feed, const GwRowsRequest *request)
 {
     return request->digest != 0 &&
-           request->digest == GwRowCache_Digest(feed->cache);
+           request->digest == GwRowCache_Digest(GwFeed_Cache(feed));
 }
 
 GByteArray *
@@ -229,17 +219,18 @@
     uint64_t after = request->after;
 
     *status = 404;
-    if (strcmp(request->table, feed->table) != 0 || !feed->known) {
+    if (strcmp(request->table, feed->table) != 0 || !GwFeed_IsLoaded(feed)) {
         return NULL;
     }
-    if (after != 0 && !GwRowCache_HasRemovalsAfter(feed->cache, after)) {
+    if (after != 0 &&
+        !GwRowCache_HasRemovalsAfter(GwFeed_Cache(feed), after)) {
         if (!has_same_rows(feed, request)) {
             *status = 410;
             return NULL;
         }
         after = GwFeed_Version(feed);
     }
-    GwRowSet *set = GwRowCache_After(feed->cache, after);
+    GwRowSet *set = GwRowCache_After(GwFeed_Cache(feed), after);
     GByteArray *bytes = GwRowSet_Pack(set);
     GwRowSet_Free(set);
     *status = 200;
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -1,20 +1,10 @@
-/* Chooses the entries that read the store. Calls to the store are paid for
- * and rate limited, and all entries would read the same rows. One entry per
- * region polls; the other entries receive reports of the changed versions and
- * fetch the rows from a peer. */
+/* Chooses the entries that read the store (store/reader.h). The other entries
+ * receive reports of the changed versions and fetch the rows from a peer. */
 #include "edge/peers_internal.h"
+#include "store/reader.h"
 
 #include <string.h>
 
-/* With fewer other readers than this, every entry reads: the store may have
- * rejected the readers, or the readers may be unreachable. */
-#define OTHER_READERS_MIN 2
-/* A reader counts for this long after its last report, which is shorter
- * than the time after which a peer counts as dead: changes must arrive within
- * 2.5 s even if all readers stop at once, while a needless read costs only one
- * call. */
-#define READER_PERIODS 2.4
-#define READER_MIN_US  1200000
 /* A new entry fetches its tables from a peer, which costs no call: it waits
  * SEEK_US for a report of a peer that has them, and PEER_ROWS_US for the
  * rows. When all entries start together no peer has the tables, and each entry
@@ -26,9 +16,6 @@
  * they still lack the tables at FIRST_READ_US. */
 #define FIRST_SEEK_US 600000
 #define FIRST_READ_US 2500000
-/* A new entry may not have received reports from the readers of other
- * regions yet. */
-#define SETTLE_US 3000000
 /* Minimum interval between two announcements of a reader. */
 #define ANNOUNCE_US 2000000
 
@@ -54,14 +41,6 @@
     };
 }
 
-static bool
-is_recent(const GwPeerEntry *peer, int64_t now_us)
-{
-    int64_t limit_us = (int64_t)(READER_PERIODS * peer->next_ms * 1000);
-
-    return now_us - peer->last_report_us < MAX(limit_us, READER_MIN_US);
-}
-
 /* Number of entries of the region that rank before this one: of the serving
  * peers, or, if `of_serving` is false, of all live peers, for when none can
  * serve yet. */
@@ -94,7 +73,9 @@
     uint32_t count = 0;
 
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        count += peer->reads_store && is_recent(peer, now_us);
+        count +=
+            peer->reads_store &&
+            GwReader_IsRecent(now_us - peer->last_report_us, peer->next_ms);
     }
     return count;
 }
@@ -154,13 +135,14 @@
 GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
 {
     GwEdge *edge = peers->edge;
-    uint32_t other_readers = count_readers(peers, now_us);
-    bool is_settling = now_us - edge->started_us < SETTLE_US;
     uint32_t rank = rank_in_region(peers, now_us, true);
-    bool is_region_first = rank == 0;
-    bool reads = is_region_first ||
-                 other_readers < (is_settling ? 1 : OTHER_READERS_MIN);
-    const char *why = is_region_first ? "first" : "few-readers";
+    GwReaderView view = {
+        .is_region_first = rank == 0,
+        .other_readers = count_readers(peers, now_us),
+        .is_settling = GwReader_IsSettling(now_us - edge->started_us),
+    };
+    bool reads = GwReaderView_Reads(&view);
+    const char *why = view.is_region_first ? "first" : "few-readers";
 
     if (!edge->is_stopping && !GwEdge_IsReady(edge)) {
         reads = reads_at_start(peers, now_us);
@@ -173,8 +155,8 @@
               reads         ? why
               : seeks_proof ? "proof"
                             : "none",
-              other_readers, now_us);
-    if (is_region_first) {
+              view.other_readers, now_us);
+    if (view.is_region_first) {
         announce(peers, now_us);
     }
 }
