--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -44,8 +44,9 @@
     /* Tables of the store. */
     const char *operator_table;
     const char *server_table;
-    /* Paths and bodies of calls to the store; free results with g_free. */
-    char *(*feed_target)(const char *table, uint64_t after, uint32_t wait_ms);
+    /* Paths and bodies of calls to the store; free results with g_free. The
+     * store answers them at once. */
+    char *(*feed_target)(const char *table, uint64_t after);
     char *(*read_target)(const char *table, const char *from_key);
     char *(*write_body)(const char *table, const char *key, const char *value);
     const char *write_target;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -60,7 +60,7 @@
                 request_summary->server, request_summary->attempts,
                 request_summary->waited_ms, request_summary->took_ms,
                 request_summary->expected_ms, request_summary->version,
-                GwFeed_AgeMs(x->edge->server_feed, GwEdge_Now()), more);
+                GwFeed_AgeMs(x->edge->server_feed), more);
 }
 
 /* Logs one line per request: its id, the versions and ages of the data used to
@@ -288,8 +288,8 @@
     GwEdge_CheckStopSignal(edge);
     GwCallers_Sweep(edge, now_us);
     GwServerLink_Sweep(edge, now_us);
-    GwFeed_Sweep(edge->operator_feed, now_us);
-    GwFeed_Sweep(edge->server_feed, now_us);
+    GwFeed_Sweep(edge->operator_feed);
+    GwFeed_Sweep(edge->server_feed);
     GwPeers_Sweep(edge->peers, now_us);
     GwQuarantineRows_Sweep(edge->quarantine_rows, now_us);
     GwEdge_SweepProof(edge);
@@ -377,7 +377,6 @@
     GwRouter_SetLimitCallback(edge->router, on_limit, edge);
     edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
                                         GwRouterRows_OnOperatorRow, NULL);
-    GwEdge_ApplyRevocationBound(edge);
     edge->server_feed =
         GwFeed_Create(edge, adapter->server_table, GwRouterRows_OnServerRow,
                       GwRouterRows_IsChange);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -135,8 +135,9 @@
 /* Records that this entry's copy of the operators' rows has all changes up to
  * that time (GwEdge_BootNow). */
 void GwEdge_NoteProof(GwEdge *edge, int64_t as_of_us);
-/* Sets how often the operators' rows are read, after the settings changed. */
-void GwEdge_ApplyRevocationBound(GwEdge *edge);
+/* Tells the feeds how fast changes must be in force, after the settings
+ * changed. */
+void GwEdge_ApplyChangeBound(GwEdge *edge);
 /* Whether keys may be accepted: their revocation would be known, or needs no
  * bound. */
 bool GwEdge_HasProof(const GwEdge *edge);
@@ -201,9 +202,11 @@
 GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed,
                       GwRowIsUpdate is_update);
 void GwFeed_Free(GwFeed *feed);
-void GwFeed_Sweep(GwFeed *feed, int64_t now_us);
-/* Sets how often the store is polled. 0, the default: by long polls. */
-void GwFeed_SetPollPeriod(GwFeed *feed, uint32_t period_ms);
+/* Carries out due calls to the store. */
+void GwFeed_Tick(GwFeed *feed);
+void GwFeed_Sweep(GwFeed *feed);
+/* Sets the time within which a change must be in force. */
+void GwFeed_SetBound(GwFeed *feed, uint32_t bound_ms);
 /* Selects whether this entry reads the table from the store or relies on
  * peers. */
 void GwFeed_SetReads(GwFeed *feed, bool reads);
@@ -211,15 +214,15 @@
 bool GwFeed_IsHealthy(const GwFeed *feed);
 /* Whether this entry recently saw an outage of the store during which no peer
  * could read it either. */
-bool GwFeed_HadOutage(const GwFeed *feed, int64_t now_us);
+bool GwFeed_HadOutage(const GwFeed *feed);
 /* Handles a peer's report; `saw_outage`: the peer observed an outage of the
  * store. */
-void GwFeed_NotePeerReport(GwFeed *feed, int64_t now_us, bool saw_outage);
+void GwFeed_NotePeerReport(GwFeed *feed, bool saw_outage);
 uint64_t GwFeed_Version(const GwFeed *feed);
 /* How long the current call to the store is unanswered; 0: there is none. */
-int64_t GwFeed_UnansweredMs(const GwFeed *feed, int64_t now_us);
+int64_t GwFeed_UnansweredMs(const GwFeed *feed);
 /* Time since the last answer about the table, from the store or a peer. */
-int64_t GwFeed_AgeMs(const GwFeed *feed, int64_t now_us);
+int64_t GwFeed_AgeMs(const GwFeed *feed);
 bool GwFeed_IsLoaded(const GwFeed *feed);
 /* Reads the missing rows from a peer that has a newer version. */
 void GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -1,12 +1,8 @@
-/* Rows of the store: a long poll for each table, and a read of the whole table
- * where the store no longer has the history. */
+/* Rows of the store: carries out the calls that a follower decides
+ * (store/follower.h). */
 #include "edge/feed_internal.h"
 #include "store/outage.h"
 
-/* The store counts as unavailable after this time without an answer: rows may
- * have expired meanwhile. */
-#define OUTAGE_MIN_US 1000000
-
 static const GwConnOps store_ops;
 
 GwFeed *
@@ -17,15 +13,29 @@
 
     feed->edge = edge;
     feed->table = g_strdup(table);
-    feed->follower = GwFollower_Create(changed, edge, GwEdge_Now());
+    feed->follower =
+        GwFollower_Create(changed, edge, GwEdge_BootNow(),
+                          GwEdgeSettings_ChangeBoundMs(edge->settings));
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        feed->links[i].feed = feed;
+    }
     GwRowCache_SetIsUpdate(GwFeed_Cache(feed), is_update);
     return feed;
 }
 
+static void
+close_links(GwFeed *feed)
+{
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        GwConn_CloseAndClear(&feed->links[i].conn);
+        feed->links[i].call.id = 0;
+    }
+}
+
 void
 GwFeed_Close(GwFeed *feed)
 {
-    GwConn_CloseAndClear(&feed->conn);
+    close_links(feed);
     GwConn_CloseAndClear(&feed->peer);
 }
 
@@ -53,15 +63,15 @@
 }
 
 int64_t
-GwFeed_UnansweredMs(const GwFeed *feed, int64_t now_us)
+GwFeed_UnansweredMs(const GwFeed *feed)
 {
-    return GwFollower_UnansweredUs(feed->follower, now_us) / 1000;
+    return GwFollower_UnansweredUs(feed->follower, GwEdge_BootNow()) / 1000;
 }
 
 int64_t
-GwFeed_AgeMs(const GwFeed *feed, int64_t now_us)
+GwFeed_AgeMs(const GwFeed *feed)
 {
-    return (now_us - GwFollower_UpdatedUs(feed->follower)) / 1000;
+    return (GwEdge_BootNow() - GwFollower_UpdatedUs(feed->follower)) / 1000;
 }
 
 bool
@@ -73,13 +83,13 @@
 bool
 GwFeed_IsHealthy(const GwFeed *feed)
 {
-    return GwFollower_IsHealthy(feed->follower);
+    return GwFollower_IsHealthy(feed->follower, GwEdge_BootNow());
 }
 
 void
-GwFeed_SetPollPeriod(GwFeed *feed, uint32_t period_ms)
+GwFeed_SetBound(GwFeed *feed, uint32_t bound_ms)
 {
-    GwFollower_SetPeriod(feed->follower, period_ms);
+    GwFollower_SetBound(feed->follower, bound_ms);
 }
 
 static int64_t
@@ -89,9 +99,9 @@
 }
 
 bool
-GwFeed_HadOutage(const GwFeed *feed, int64_t now_us)
+GwFeed_HadOutage(const GwFeed *feed)
 {
-    return now_us < feed->outage_grace_until_us;
+    return GwEdge_BootNow() < feed->outage_grace_until_us;
 }
 
 /* A row that expired while the store was unavailable is written again by its
@@ -117,23 +127,20 @@
 }
 
 void
-GwFeed_NotePeerReport(GwFeed *feed, int64_t now_us, bool saw_outage)
+GwFeed_NotePeerReport(GwFeed *feed, bool saw_outage)
 {
-    bool polls_succeed =
-        GwFeed_IsHealthy(feed) && !GwFeed_HadOutage(feed, now_us);
+    bool polls_succeed = GwFeed_IsHealthy(feed) && !GwFeed_HadOutage(feed);
 
-    (void)set_grace_after_outage(feed, now_us, saw_outage, polls_succeed);
+    (void)set_grace_after_outage(feed, GwEdge_BootNow(), saw_outage,
+                                 polls_succeed);
 }
 
 static void
 note_store_answer(GwFeed *feed)
 {
-    int64_t now_us = GwEdge_Now();
+    int64_t now_us = GwEdge_BootNow();
     int64_t answered_us = GwFollower_AnsweredUs(feed->follower);
-    bool failed =
-        now_us - answered_us >
-            OUTAGE_MIN_US + (int64_t)GwStorePoll_WaitMs(false) * 1000 ||
-        GwFollower_HasFailed(feed->follower);
+    bool failed = GwFollower_IsAway(feed->follower, now_us);
 
     if (set_grace_after_outage(feed, now_us, failed, false)) {
         feed->outage_grace_until_us = now_us + grace_us(feed);
@@ -144,66 +151,92 @@
 
 /* ---- Calls to the store -------------------------------------------------- */
 
-static void
-fail_call(GwFeed *feed)
-{
-    GwConn_CloseAndClear(&feed->conn);
-    GwFollower_OnFailure(feed->follower, GwEdge_Now());
-}
-
 /* Writes the call to the open connection. */
 static void
-write_call(GwFeed *feed)
+write_call(GwStoreLink *link)
 {
+    GwFeed *feed = link->feed;
     GwEdge *edge = feed->edge;
     const GwAdapter *a = edge->adapter;
-    const GwStoreCall *call = &feed->call;
-    char *target =
-        call->kind == GW_CALL_READ
-            ? a->read_target(feed->table, call->from_key)
-            : a->feed_target(feed->table, call->after, call->wait_ms);
+    const GwStoreCall *call = &link->call;
+    char *target = call->kind == GW_CALL_READ
+                       ? a->read_target(feed->table, call->from_key)
+                       : a->feed_target(feed->table, call->after);
 
-    GwConn_WriteGet(feed->conn, target, edge->settings->store_address);
+    GwConn_WriteGet(link->conn, target, edge->settings->store_address);
     g_free(target);
     edge->counts.store_calls++;
-    GwFollower_OnSent(feed->follower, GwEdge_Now(), GwEdge_BootNow());
+    link->received_us = GwConn_LastReceivedUs(link->conn);
 }
 
+/* The call failed, and its connection is not used again. */
 static void
-connect_store(GwFeed *feed)
+fail_call(GwStoreLink *link)
 {
+    uint32_t id = link->call.id;
+
+    link->call.id = 0;
+    GwConn_CloseAndClear(&link->conn);
+    GwFollower_OnFailure(link->feed->follower, GwEdge_BootNow(), id);
+}
+
+static void
+connect_store(GwStoreLink *link)
+{
+    GwEdge *edge = link->feed->edge;
     GwConnParams params = {
-        .loop = &feed->edge->loop,
+        .loop = &edge->loop,
         .ops = &store_ops,
-        .owner = feed,
+        .owner = link,
         .head_max = 64 << 10,
         .body_max = GW_ROWS_MAX_BYTES,
-        .user_timeout_ms = GW_POLL_MARGIN_MS,
+        .user_timeout_ms = edge->settings->config_bound_ms,
         .keepalive = true,
     };
 
-    feed->conn = GwConn_Connect(&params, feed->edge->settings->store_address);
-    if (feed->conn == NULL) {
-        fail_call(feed);
+    link->conn = GwConn_Connect(&params, edge->settings->store_address);
+    if (link->conn == NULL) {
+        fail_call(link);
     }
 }
 
+/* Returns an open connection without a call, or else an unused slot. */
+static GwStoreLink *
+find_link(GwFeed *feed)
+{
+    GwStoreLink *unused = NULL;
+
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        GwStoreLink *link = &feed->links[i];
+        if (link->call.id == 0 && link->conn != NULL) {
+            return link;
+        }
+        if (link->call.id == 0) {
+            unused = link;
+        }
+    }
+    return unused;
+}
+
 static void
 call_store(GwFeed *feed)
 {
-    if (!GwFollower_NextCall(feed->follower, GwEdge_Now(), &feed->call)) {
+    GwStoreLink *link = find_link(feed);
+
+    if (link == NULL ||
+        !GwFollower_NextCall(feed->follower, GwEdge_BootNow(), &link->call)) {
         return;
     }
-    if (feed->conn == NULL) {
-        connect_store(feed);
+    if (link->conn == NULL) {
+        connect_store(link);
     }
     else {
-        write_call(feed);
+        write_call(link);
     }
 }
 
-/* The copy has every change that the store had acknowledged when the first
- * page was requested; how much later the store answered is not known. */
+/* The copy has every change that the store had acknowledged when the question
+ * was asked; how much later the store answered is not known. */
 static void
 note_proof(const GwFeed *feed)
 {
@@ -226,17 +259,39 @@
 }
 
 static void
-apply_rows(GwFeed *feed, GwRowSet *set)
+drop_overdue_calls(GwFeed *feed)
 {
+    uint32_t id;
+
+    while ((id = GwFollower_NextOverdue(feed->follower, GwEdge_BootNow())) !=
+           0) {
+        for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+            GwStoreLink *link = &feed->links[i];
+            if (link->call.id == id) {
+                link->call.id = 0;
+                GwConn_CloseAndClear(&link->conn);
+            }
+        }
+    }
+}
+
+static void
+apply_rows(GwStoreLink *link, GwRowSet *set)
+{
+    GwFeed *feed = link->feed;
+    uint32_t id = link->call.id;
     bool has_rows = set->rows->len > 0;
 
     note_store_answer(feed);
     log_if_older(feed, set);
-    if (GwFollower_OnRows(feed->follower, GwEdge_Now(), set)) {
-        note_proof(feed);
+    link->call.id = 0;
+    if (GwFollower_OnRows(feed->follower, GwEdge_BootNow(), id, set,
+                          &link->call)) {
+        write_call(link);
     }
     else {
-        call_store(feed);
+        note_proof(feed);
+        drop_overdue_calls(feed);
     }
     if (has_rows) {
         GwPeers_ExpediteRegion(feed->edge->peers);
@@ -247,13 +302,16 @@
 static void
 on_store_message(void *owner, GwHttpMessage *msg)
 {
-    GwFeed *feed = owner;
+    GwStoreLink *link = owner;
+    GwFeed *feed = link->feed;
     GError *error = NULL;
     GwRowSet *set = NULL;
 
     if (msg->status == 410) {
+        uint32_t id = link->call.id;
         GwHttpMessage_Free(msg);
-        GwFollower_OnGone(feed->follower, GwEdge_Now());
+        link->call.id = 0;
+        GwFollower_OnGone(feed->follower, GwEdge_BootNow(), id);
         call_store(feed);
         return;
     }
@@ -268,10 +326,10 @@
         g_error_free(error);
     }
     if (set == NULL) {
-        fail_call(feed);
+        fail_call(link);
         return;
     }
-    apply_rows(feed, set);
+    apply_rows(link, set);
 }
 
 static void
@@ -283,12 +341,12 @@
 static void
 on_store_ended(void *owner, GwConnEnd end)
 {
-    GwFeed *feed = owner;
+    GwStoreLink *link = owner;
 
     if (end != GW_CONN_MALFORMED) {
-        feed->conn = NULL;
+        link->conn = NULL;
     }
-    fail_call(feed);
+    fail_call(link);
 }
 
 static const GwConnOps store_ops = {
@@ -300,19 +358,52 @@
 void
 GwFeed_SetReads(GwFeed *feed, bool reads)
 {
-    if (GwFollower_SetReads(feed->follower, GwEdge_Now(), reads) && !reads) {
-        GwConn_CloseAndClear(&feed->conn);
+    if (GwFollower_SetReads(feed->follower, GwEdge_BootNow(), reads) &&
+        !reads) {
+        close_links(feed);
+    }
+}
+
+/* Tells the follower of answers that are still arriving. */
+static void
+note_bytes(GwFeed *feed)
+{
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        GwStoreLink *link = &feed->links[i];
+        if (link->call.id == 0 || link->conn == NULL ||
+            GwConn_LastReceivedUs(link->conn) == link->received_us) {
+            continue;
+        }
+        link->received_us = GwConn_LastReceivedUs(link->conn);
+        GwFollower_OnBytes(feed->follower, GwEdge_BootNow(), link->call.id);
     }
 }
 
+/* Logs once that the store is away. */
+static void
+log_outage(GwFeed *feed)
+{
+    bool is_away = GwFollower_IsAway(feed->follower, GwEdge_BootNow());
+
+    if (is_away && !feed->is_away) {
+        GwLog_Event(GW_LOG_STORE_AWAY, "table=%s unanswered_ms=%" PRId64,
+                    feed->table, GwFeed_UnansweredMs(feed));
+    }
+    feed->is_away = is_away;
+}
+
 void
-GwFeed_Sweep(GwFeed *feed, int64_t now_us)
+GwFeed_Tick(GwFeed *feed)
 {
-    GwRowCache_Expire(GwFeed_Cache(feed), now_us);
+    note_bytes(feed);
     call_store(feed);
-    if (GwFollower_IsOverdue(feed->follower, now_us)) {
-        GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=silent", feed->table);
-        fail_call(feed);
-    }
-    GwFeed_SweepPeer(feed, now_us);
+    drop_overdue_calls(feed);
+    log_outage(feed);
+}
+
+void
+GwFeed_Sweep(GwFeed *feed)
+{
+    GwRowCache_Expire(GwFeed_Cache(feed), GwEdge_BootNow());
+    GwFeed_SweepPeer(feed);
 }
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -5,12 +5,20 @@
 #include "edge/edge_internal.h"
 #include "store/follower.h"
 
+/* A connection to the store, with at most one call in progress. */
+typedef struct {
+    GwFeed *feed;
+    GwConn *conn;        /* NULL: none */
+    GwStoreCall call;    /* id 0: none in progress */
+    int64_t received_us; /* GwConn_LastReceivedUs as last looked at */
+} GwStoreLink;
+
 struct GwFeed_s {
     GwEdge *edge;
     char *table;
     GwFollower *follower;
-    GwConn *conn;                  /* to the store */
-    GwStoreCall call;              /* in progress */
+    GwStoreLink links[GW_FOLLOWER_CALLS_MAX];
+    bool is_away;                  /* as last logged */
     int64_t outage_grace_until_us; /* grace period after an outage */
     /* Fetch of missing rows from a peer, or once from the store; at most one
      * at a time. */
@@ -28,6 +36,6 @@
 
 /* feed_peers.c */
 /* Aborts a read from a peer that takes too long. */
-void GwFeed_SweepPeer(GwFeed *feed, int64_t now_us);
+void GwFeed_SweepPeer(GwFeed *feed);
 
 #endif
--- a/lib/edge/feed_peers.c
+++ b/lib/edge/feed_peers.c
@@ -29,7 +29,7 @@
     const GwAdapter *a = feed->edge->adapter;
     char *target = feed->peer_full
                        ? a->read_target(feed->table, NULL)
-                       : a->feed_target(feed->table, GwFeed_Version(feed), 0);
+                       : a->feed_target(feed->table, GwFeed_Version(feed));
 
     GwConn_WriteGet(feed->peer, target, feed->edge->settings->store_address);
     g_free(target);
@@ -68,7 +68,7 @@
 {
     GwFeed *feed = owner;
 
-    feed->peer_full = GwFeed_AgeMs(feed, GwEdge_Now()) > STALE_MS;
+    feed->peer_full = GwFeed_AgeMs(feed) > STALE_MS;
     request_rows(feed);
 }
 
@@ -92,7 +92,8 @@
 apply_rows(GwFeed *feed, const GwRowSet *set)
 {
     log_rows(feed, set);
-    GwFollower_OnPeerRows(feed->follower, GwEdge_Now(), set, feed->peer_full);
+    GwFollower_OnPeerRows(feed->follower, GwEdge_BootNow(), set,
+                          feed->peer_full);
     if (feed->peer_is_store && feed == feed->edge->operator_feed) {
         GwEdge_NoteProof(feed->edge, feed->peer_asked_us);
     }
@@ -248,9 +249,9 @@
 }
 
 void
-GwFeed_SweepPeer(GwFeed *feed, int64_t now_us)
+GwFeed_SweepPeer(GwFeed *feed)
 {
-    if (feed->peer != NULL && is_timed_out(feed, now_us)) {
+    if (feed->peer != NULL && is_timed_out(feed, GwEdge_Now())) {
         GwConn_CloseAndClear(&feed->peer);
         note_store_failed(feed);
     }
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -323,6 +323,8 @@
     GwPeers *peers = timer->data;
     int64_t now_us = GwEdge_Now();
 
+    GwFeed_Tick(peers->edge->operator_feed);
+    GwFeed_Tick(peers->edge->server_feed);
     GwPeers_GossipSuspects(peers, now_us);
     GwPeers_GossipLimits(peers, now_us);
     GwPeers_SendDueReports(peers, now_us);
--- a/lib/edge/proof.c
+++ b/lib/edge/proof.c
@@ -17,10 +17,6 @@
 #define SEEK_STEP_SHARE 0.01
 #define SEEK_SHARE_MAX  0.6
 
-/* Reads of the operators' rows in the time in which a revocation must be
- * known. */
-#define PROOFS_PER_BOUND 5
-
 int64_t
 GwEdge_BootNow(void)
 {
@@ -37,10 +33,12 @@
 }
 
 void
-GwEdge_ApplyRevocationBound(GwEdge *edge)
+GwEdge_ApplyChangeBound(GwEdge *edge)
 {
-    GwFeed_SetPollPeriod(edge->operator_feed,
-                         edge->settings->revocation_ms / PROOFS_PER_BOUND);
+    uint32_t bound_ms = GwEdgeSettings_ChangeBoundMs(edge->settings);
+
+    GwFeed_SetBound(edge->operator_feed, bound_ms);
+    GwFeed_SetBound(edge->server_feed, bound_ms);
 }
 
 static bool
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -128,7 +128,7 @@
     GwLog_Event(GW_LOG_STORE_READS,
                 "why=%s other_readers=%u version=%" PRIu64 " news_ms=%" PRId64,
                 why, other_readers, GwFeed_Version(edge->operator_feed),
-                GwFeed_AgeMs(edge->operator_feed, now_us));
+                GwFeed_AgeMs(edge->operator_feed));
 }
 
 void
--- a/lib/edge/reload.c
+++ b/lib/edge/reload.c
@@ -75,7 +75,7 @@
     edge->settings = s;
     GwRouter_SetBounds(edge->router, &s->router);
     GwQuota_SetBounds(edge->quota, &s->quota);
-    GwEdge_ApplyRevocationBound(edge);
+    GwEdge_ApplyChangeBound(edge);
     GwEdgeSettings_Free(old);
     GwLog_Event(GW_LOG_SETTINGS_AGAIN, "effect=bounds");
 }
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -357,7 +357,7 @@
     report.serves = GwEdge_IsReady(edge);
     report.reads = GwFeed_IsHealthy(edge->operator_feed) &&
                    GwFeed_IsHealthy(edge->server_feed);
-    report.store_was_away = GwFeed_HadOutage(edge->server_feed, GwEdge_Now());
+    report.store_was_away = GwFeed_HadOutage(edge->server_feed);
     report.next_ms = period_ms(peers, peer);
     report.loads_of = GwPeers_LoadScopeFor(peers, peer);
     report.operator_version = GwFeed_Version(edge->operator_feed);
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -223,8 +223,7 @@
     for (size_t i = 0; i < report->n_known; i++) {
         (void)GwPeers_Add(peers, report->known[i]);
     }
-    GwFeed_NotePeerReport(edge->server_feed, GwEdge_Now(),
-                          report->store_was_away);
+    GwFeed_NotePeerReport(edge->server_feed, report->store_was_away);
     if (report->is_new) {
         GwPeers_MakeBacklog(peers, peer);
     }
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -10,12 +10,14 @@
 /* Directory answers expire after this time: short enough for callers to stop
  * using a stopped entry soon, and long enough for each caller to send at most
  * one directory request in two seconds. */
-#define LOOKUP_TTL_MS   2000
-#define ROW_GRACE_MS    2000
-#define QUOTA_WINDOW_MS 5000
-#define ENTRIES_MAX     16
-#define MEMORY_MB       256
-#define FD_LIMIT        1024
+#define LOOKUP_TTL_MS       2000
+#define ROW_GRACE_MS        2000
+#define QUOTA_WINDOW_MS     5000
+#define CHANGE_BOUND_MS     2500u
+#define CHANGE_BOUND_MIN_MS 500u
+#define ENTRIES_MAX         16
+#define MEMORY_MB           256
+#define FD_LIMIT            1024
 /* Defaults for an instance whose settings don't state its capacity. */
 #define LINK_MBPS     1000.0
 #define CPU_SHARE     1.0
@@ -69,6 +71,17 @@
     return true;
 }
 
+/* Within a shorter bound the store can't be asked and the entries told. */
+static bool
+read_change_bound(const GwReadContext *at, const char *key, uint32_t *out,
+                  GError **error)
+{
+    return read_duration(at, key, out, error) &&
+           (*out >= CHANGE_BOUND_MIN_MS ||
+            GwRead_Fail(at, key, GW_RESULT_OUT_OF_BOUNDS, error,
+                        "a time of at least %u ms", CHANGE_BOUND_MIN_MS));
+}
+
 static bool
 read_number(const GwReadContext *at, const char *key, double max, double *out,
             GError **error)
@@ -181,6 +194,8 @@
            GwRead_U32(at, "entries_max", &entries, &r->entries_max, error) &&
            read_duration(at, "grace", &s->grace_ms, error) &&
            read_duration(at, "lookup_ttl", &s->lookup_ttl_ms, error) &&
+           read_change_bound(at, "config_bound", &s->config_bound_ms, error) &&
+           read_change_bound(at, "drain_bound", &s->drain_bound_ms, error) &&
            read_duration(at, "revocation_bound", &s->revocation_ms, error) &&
            read_duration(at, "quota_window", &s->quota.window_ms, error) &&
            read_number(at, "quota_overrun", 1.0, &s->quota.overrun, error) &&
@@ -231,6 +246,8 @@
         "grace",
         "lookup_ttl",
         "row_grace",
+        "config_bound",
+        "drain_bound",
         "revocation_bound",
         "quota_window",
         "quota_overrun",
@@ -282,6 +299,8 @@
         .grace_ms = 10000,
         .lookup_ttl_ms = LOOKUP_TTL_MS,
         .row_grace_ms = ROW_GRACE_MS,
+        .config_bound_ms = CHANGE_BOUND_MS,
+        .drain_bound_ms = CHANGE_BOUND_MS,
         .quota = {.window_ms = QUOTA_WINDOW_MS},
         .log_level = "info",
     };
@@ -322,6 +341,14 @@
     return s;
 }
 
+uint32_t
+GwEdgeSettings_ChangeBoundMs(const GwEdgeSettings *s)
+{
+    uint32_t bound_ms = MIN(s->config_bound_ms, s->drain_bound_ms);
+
+    return s->revocation_ms > 0 ? MIN(bound_ms, s->revocation_ms) : bound_ms;
+}
+
 void
 GwEdgeSettings_Free(GwEdgeSettings *s)
 {
--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -23,6 +23,10 @@
     uint32_t grace_ms;   /* from the stop signal to the exit */
     uint32_t lookup_ttl_ms;
     bool first_start; /* first start of the whole system, without callers */
+    /* Times within which an acknowledged change of the configuration is in
+     * force, and a draining server gets no new work. */
+    uint32_t config_bound_ms;
+    uint32_t drain_bound_ms;
     /* A request sent later than this after a key was revoked must not run
      * with that key; 0: no bound. */
     uint32_t revocation_ms;
@@ -35,5 +39,7 @@
 GwEdgeSettings *GwEdgeSettings_Parse(const char *text, size_t len,
                                      GError **error);
 void GwEdgeSettings_Free(GwEdgeSettings *s);
+/* Time within which any change of the store's rows must be in force. */
+uint32_t GwEdgeSettings_ChangeBoundMs(const GwEdgeSettings *s);
 
 #endif
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -43,8 +43,6 @@
 static void
 write_table(GString *out, const char *table, const GwFeed *feed, uint64_t seen)
 {
-    int64_t now_us = GwEdge_Now();
-
     g_string_append_printf(
         out,
         "gw_table_version{table=\"%s\"} %" PRIu64 "\n"
@@ -54,9 +52,8 @@
         "gw_table_read_here{table=\"%s\"} %d\n"
         "gw_table_store_was_away{table=\"%s\"} %d\n",
         table, GwFeed_Version(feed), table, MAX(seen, GwFeed_Version(feed)),
-        table, GwFeed_UnansweredMs(feed, now_us), table,
-        GwFeed_AgeMs(feed, now_us), table, GwFeed_IsHealthy(feed), table,
-        GwFeed_HadOutage(feed, now_us));
+        table, GwFeed_UnansweredMs(feed), table, GwFeed_AgeMs(feed), table,
+        GwFeed_IsHealthy(feed), table, GwFeed_HadOutage(feed));
 }
 
 static void
@@ -183,7 +180,6 @@
     const GwRouting *routing = GwRouter_Routing(edge->router);
     const GwFeed *servers = edge->server_feed;
     const GwPeersView peers = GwPeers_View(edge->peers);
-    int64_t now_us = GwEdge_Now();
     struct json_object *root = json_object_new_object();
 
     GwJson_SetText(root, "name", own->name);
@@ -195,11 +191,10 @@
     GwJson_SetU64(root, "open_calls", GwRouter_OpenCount(edge->router));
     GwJson_SetU64(root, "servers", GwRouter_ServerCount(edge->router));
     GwJson_SetU64(root, "live", peers.live + 1);
-    GwJson_SetU64(root, "news_ms_ago",
-                  (uint64_t)GwFeed_AgeMs(servers, now_us));
+    GwJson_SetU64(root, "news_ms_ago", (uint64_t)GwFeed_AgeMs(servers));
     GwJson_SetU64(root, "loads_ms_ago", (uint64_t)peers.loads_age_ms);
     GwJson_SetBool(root, "reads_store", GwFeed_IsHealthy(servers));
-    GwJson_SetBool(root, "store_was_away", GwFeed_HadOutage(servers, now_us));
+    GwJson_SetBool(root, "store_was_away", GwFeed_HadOutage(servers));
     json_object_object_add(root, "members", GwPeers_Members(edge->peers));
     g_string_append(
         out, json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -1,55 +1,79 @@
 #include "store/follower.h"
 
-#include "store/outage.h"
+/* Shares of the bound: between two calls, and the longest back-off. A change
+ * takes a call, a report and a fetch to be in force everywhere, and after an
+ * outage of the store a back-off before that. */
+#define PERIOD_SHARE    0.2
+#define RETRY_MAX_SHARE 0.4
+/* Back-off after a failed call; doubles with each further failure. */
+#define RETRY_MIN_MS 150
 
-/* Pause between an answer and the next poll: changes come in bursts, and a
- * poll after the pause returns the whole burst. */
-#define POLL_PAUSE_US 300000
+/* The store counts as away without an answer for this time and two periods. */
+#define AWAY_US 1000000
+
+/* A call in progress. */
+typedef struct {
+    uint32_t id; /* 0: the slot is free */
+    GwStoreCallKind kind;
+    int64_t asked_us; /* its first page */
+    int64_t heard_us; /* when it was sent, or bytes of the answer came */
+    uint64_t after;
+    GwRowSet *pages;    /* rows of the pages so far */
+    bool is_superseded; /* a later call was answered */
+} Call;
 
 struct GwFollower_s {
     GwRowCache *cache;
-    GwRowSet *pages;       /* rows of the full read in progress */
-    uint64_t version;      /* version after which the next poll reads */
+    uint64_t version;      /* version after which the next call reads */
     GwStoreCallKind phase; /* kind of the next call */
     bool reads;
     bool is_known;
-    bool is_calling;
-    bool has_called; /* since it began to read, or since the last failure */
-    int64_t due_us;  /* next call */
-    int64_t sent_us; /* the call in progress, or since when it connects */
-    int64_t asked_us;
+    bool has_answered; /* since it began to read */
+    Call calls[GW_FOLLOWER_CALLS_MAX];
+    uint32_t last_id;
+    int64_t due_us;   /* next call */
+    int64_t asked_us; /* of the last complete answer */
     int64_t answered_us;
     int64_t updated_us;
-    uint32_t wait_ms;
-    uint32_t retry_ms;
-    uint32_t period_ms;
+    uint32_t failures; /* calls refused or unanswered since the last answer */
+    bool is_refused;   /* a call failed since the last answer */
+    uint32_t bound_ms;
 };
 
 GwFollower *
-GwFollower_Create(GwRowChanged changed, void *ctx, int64_t now_us)
+GwFollower_Create(GwRowChanged changed, void *ctx, int64_t now_us,
+                  uint32_t bound_ms)
 {
     GwFollower *f = g_new0(GwFollower, 1);
 
     f->cache = GwRowCache_Create(changed, ctx);
     f->phase = GW_CALL_READ;
-    f->retry_ms = GW_POLL_RETRY_MIN_MS;
     f->answered_us = now_us;
     f->updated_us = now_us;
+    f->bound_ms = bound_ms;
     return f;
 }
 
 static void
-drop_pages(GwFollower *f)
+end_call(Call *call)
+{
+    GwRowSet_Free(call->pages);
+    *call = (Call){0};
+}
+
+static void
+end_all_calls(GwFollower *f)
 {
-    GwRowSet_Free(f->pages);
-    f->pages = NULL;
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        end_call(&f->calls[i]);
+    }
 }
 
 void
 GwFollower_Free(GwFollower *f)
 {
     if (f != NULL) {
-        drop_pages(f);
+        end_all_calls(f);
         GwRowCache_Free(f->cache);
         g_free(f);
     }
@@ -62,9 +86,9 @@
 }
 
 void
-GwFollower_SetPeriod(GwFollower *f, uint32_t period_ms)
+GwFollower_SetBound(GwFollower *f, uint32_t bound_ms)
 {
-    f->period_ms = period_ms;
+    f->bound_ms = bound_ms;
 }
 
 /* An entry that begins to read the store continues from the version that it
@@ -76,11 +100,12 @@
         return false;
     }
     f->reads = reads;
-    f->answered_us = now_us; /* not polled, so no outage */
-    f->is_calling = false;
-    f->has_called = false;
+    f->answered_us = now_us; /* not called, so no outage */
+    f->has_answered = false;
+    f->failures = 0;
+    f->is_refused = false;
     f->due_us = now_us;
-    drop_pages(f);
+    end_all_calls(f);
     if (reads && f->is_known) {
         f->phase = GW_CALL_FEED;
         f->version = GwRowCache_Version(f->cache);
@@ -100,129 +125,225 @@
     return f->is_known;
 }
 
+static int64_t
+period_us(const GwFollower *f)
+{
+    return (int64_t)(PERIOD_SHARE * f->bound_ms * 1000);
+}
+
 bool
-GwFollower_IsHealthy(const GwFollower *f)
+GwFollower_IsHealthy(const GwFollower *f, int64_t now_us)
 {
-    return f->reads && f->is_known && f->phase == GW_CALL_FEED &&
-           f->has_called && !GwFollower_HasFailed(f);
+    return f->reads && f->is_known && f->has_answered && f->failures == 0 &&
+           GwFollower_UnansweredUs(f, now_us) <= period_us(f);
 }
 
-static uint32_t
-wait_ms(const GwFollower *f)
+static int64_t
+retry_us(const GwFollower *f)
 {
-    if (f->phase == GW_CALL_READ || f->period_ms > 0) {
-        return 0;
+    uint32_t max_ms = (uint32_t)(RETRY_MAX_SHARE * f->bound_ms);
+    uint32_t ms = RETRY_MIN_MS;
+
+    for (uint32_t i = 1; i < f->failures && ms < max_ms; i++) {
+        ms *= 2;
+    }
+    return (int64_t)MIN(ms, max_ms) * 1000;
+}
+
+static Call *
+find_call(GwFollower *f, uint32_t id)
+{
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        if (f->calls[i].id == id) {
+            return &f->calls[i];
+        }
     }
-    return GwStorePoll_WaitMs(GwFollower_HasFailed(f));
+    return NULL;
+}
+
+static uint32_t
+next_id(GwFollower *f)
+{
+    f->last_id = f->last_id == UINT32_MAX ? 1 : f->last_id + 1;
+    return f->last_id;
+}
+
+static GwStoreCall
+question(const Call *call)
+{
+    return (GwStoreCall){
+        .id = call->id,
+        .kind = call->kind,
+        .from_key = GwRowSet_LastKey(call->pages),
+        .after = call->after,
+    };
 }
 
 bool
-GwFollower_NextCall(GwFollower *f, int64_t now_us, GwStoreCall *call)
+GwFollower_NextCall(GwFollower *f, int64_t now_us, GwStoreCall *next)
 {
-    if (!f->reads || f->is_calling || now_us < f->due_us) {
+    Call *call = find_call(f, 0);
+
+    if (!f->reads || call == NULL || now_us < f->due_us) {
         return false;
     }
-    f->is_calling = true;
-    f->has_called = true;
-    f->sent_us = now_us;
-    f->wait_ms = 0; /* until the call is sent */
-    *call = (GwStoreCall){
+    if (GwFollower_UnansweredUs(f, now_us) > 0) {
+        f->failures++;
+    }
+    *call = (Call){
+        .id = next_id(f),
         .kind = f->phase,
-        .from_key = GwRowSet_LastKey(f->pages),
+        .asked_us = now_us,
+        .heard_us = now_us,
         .after = f->version,
-        .wait_ms = wait_ms(f),
     };
+    f->due_us = now_us + MAX(period_us(f), retry_us(f));
+    *next = question(call);
     return true;
 }
 
-void
-GwFollower_OnSent(GwFollower *f, int64_t now_us, int64_t boot_us)
-{
-    f->sent_us = now_us;
-    f->wait_ms = wait_ms(f);
-    if (f->pages == NULL) {
-        f->asked_us = boot_us;
-    }
-}
-
-/* Appends a page to the read in progress; returns whether more pages follow.
- * The version of the result is that of the first page: the feed sends all
- * later changes. */
+/* Appends a page to the call's rows; returns whether more pages follow. The
+ * version of the result is that of the first page: the feed sends all later
+ * changes. */
 static bool
-append_page(GwFollower *f, GwRowSet *set)
+append_page(Call *call, GwRowSet *set)
 {
     bool more = set->more && set->rows->len > 0;
 
-    if (f->pages == NULL) {
-        f->pages = set;
+    if (call->pages == NULL) {
+        call->pages = set;
         return more;
     }
     for (guint i = 0; i < set->rows->len; i++) {
-        g_ptr_array_add(f->pages->rows, set->rows->pdata[i]);
+        g_ptr_array_add(call->pages->rows, set->rows->pdata[i]);
     }
     g_ptr_array_set_free_func(set->rows, NULL);
     GwRowSet_Free(set);
     return more;
 }
 
-bool
-GwFollower_OnRows(GwFollower *f, int64_t now_us, GwRowSet *set)
+static void
+apply_answer(GwFollower *f, int64_t now_us, const Call *call)
 {
-    f->is_calling = false;
-    f->answered_us = now_us;
-    f->updated_us = now_us;
-    f->retry_ms = GW_POLL_RETRY_MIN_MS;
-    if (f->phase == GW_CALL_FEED) {
+    const GwRowSet *set = call->pages;
+
+    if (call->kind == GW_CALL_FEED) {
         GwRowCache_ApplyChanges(f->cache, now_us, set);
-        f->version = MAX(f->version, set->version);
-        GwRowSet_Free(set);
-    }
-    else if (append_page(f, set)) {
-        f->due_us = now_us;
-        return false;
     }
     else {
-        GwRowCache_ApplyFull(f->cache, now_us, f->pages);
-        f->version = f->pages->version;
+        GwRowCache_ApplyFull(f->cache, now_us, set);
         f->phase = GW_CALL_FEED;
         f->is_known = true;
-        drop_pages(f);
     }
-    f->due_us =
-        MAX(now_us + POLL_PAUSE_US, f->sent_us + (int64_t)f->period_ms * 1000);
-    return true;
+    f->version = MAX(f->version, set->version);
+    f->asked_us = MAX(f->asked_us, call->asked_us);
+}
+
+/* Earlier calls, which are lost or late, are of no use any more. */
+static void
+supersede_calls(GwFollower *f, int64_t asked_us)
+{
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        f->calls[i].is_superseded =
+            f->calls[i].id != 0 && f->calls[i].asked_us < asked_us;
+    }
+}
+
+bool
+GwFollower_OnRows(GwFollower *f, int64_t now_us, uint32_t id, GwRowSet *set,
+                  GwStoreCall *next)
+{
+    Call *call = find_call(f, id);
+
+    if (call == NULL || id == 0) {
+        GwRowSet_Free(set);
+        return false;
+    }
+    f->has_answered = true;
+    f->failures = 0;
+    f->is_refused = false;
+    f->answered_us = now_us;
+    f->updated_us = now_us;
+    if (append_page(call, set) && call->kind == GW_CALL_READ) {
+        call->heard_us = now_us;
+        f->due_us = now_us + period_us(f);
+        *next = question(call);
+        return true;
+    }
+    apply_answer(f, now_us, call);
+    f->due_us = MAX(now_us, call->asked_us + period_us(f));
+    supersede_calls(f, call->asked_us);
+    end_call(call);
+    return false;
 }
 
 void
-GwFollower_OnGone(GwFollower *f, int64_t now_us)
+GwFollower_OnGone(GwFollower *f, int64_t now_us, uint32_t id)
 {
-    f->is_calling = false;
-    f->phase = GW_CALL_READ;
-    f->due_us = now_us;
+    Call *call = find_call(f, id);
+
+    if (call != NULL && id != 0) {
+        end_call(call);
+        f->phase = GW_CALL_READ;
+        f->due_us = now_us;
+    }
 }
 
 void
-GwFollower_OnFailure(GwFollower *f, int64_t now_us)
+GwFollower_OnFailure(GwFollower *f, int64_t now_us, uint32_t id)
 {
-    f->is_calling = false;
-    f->has_called = false;
-    drop_pages(f);
-    f->due_us = now_us + (int64_t)f->retry_ms * 1000;
-    f->retry_ms = MIN(f->retry_ms * 2, GW_POLL_RETRY_MAX_MS);
+    Call *call = find_call(f, id);
+
+    if (call == NULL || id == 0) {
+        return;
+    }
+    end_call(call);
+    f->is_refused = true;
+    /* The back-off follows the last call; an earlier one says nothing new. */
+    if (id == f->last_id) {
+        f->failures++;
+        f->due_us = now_us + retry_us(f);
+    }
 }
 
-bool
-GwFollower_IsOverdue(const GwFollower *f, int64_t now_us)
+void
+GwFollower_OnBytes(GwFollower *f, int64_t now_us, uint32_t id)
 {
-    int64_t limit_us = ((int64_t)f->wait_ms + GW_POLL_MARGIN_MS) * 1000;
+    Call *call = find_call(f, id);
 
-    return f->is_calling && now_us - f->sent_us > limit_us;
+    if (call != NULL && id != 0) {
+        call->heard_us = now_us;
+        f->due_us = MAX(f->due_us, now_us + period_us(f));
+    }
+}
+
+uint32_t
+GwFollower_NextOverdue(GwFollower *f, int64_t now_us)
+{
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        Call *call = &f->calls[i];
+        bool is_late = now_us - call->heard_us > (int64_t)f->bound_ms * 1000;
+        if (call->id != 0 && (call->is_superseded || is_late)) {
+            uint32_t id = call->id;
+            end_call(call);
+            return id;
+        }
+    }
+    return 0;
 }
 
 int64_t
 GwFollower_UnansweredUs(const GwFollower *f, int64_t now_us)
 {
-    return f->is_calling ? now_us - f->sent_us : 0;
+    int64_t longest_us = 0;
+
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        const Call *call = &f->calls[i];
+        if (call->id != 0 && !call->is_superseded) {
+            longest_us = MAX(longest_us, now_us - call->heard_us);
+        }
+    }
+    return longest_us;
 }
 
 int64_t
@@ -232,9 +353,12 @@
 }
 
 bool
-GwFollower_HasFailed(const GwFollower *f)
+GwFollower_IsAway(const GwFollower *f, int64_t now_us)
 {
-    return f->retry_ms > GW_POLL_RETRY_MIN_MS;
+    int64_t silent_us = now_us - f->answered_us;
+
+    return f->reads &&
+           (f->is_refused || silent_us > AWAY_US + 2 * period_us(f));
 }
 
 int64_t
--- a/lib/store/outage.h
+++ b/lib/store/outage.h
@@ -1,5 +1,4 @@
-/* Distinguishes an outage of the store from a lost connection of one entry,
- * and sets the timing of polls. */
+/* Distinguishes an outage of the store from a lost connection of one entry. */
 #ifndef GW_STORE_OUTAGE_H
 #define GW_STORE_OUTAGE_H
 
@@ -21,17 +20,4 @@
  * to servers that have stopped. */
 bool GwStoreHealth_HadOutage(const GwStoreHealth *health);
 
-/* Returns for how long the store may hold a poll without changes. A long wait
- * saves calls, which are billed. But a store process that accepts a poll and
- * never answers, on a running machine, is detected only after this wait plus
- * GW_POLL_MARGIN_MS. `is_unavailable`: the store has not answered since the
- * last failure and may keep accepting polls without answering, so the wait is
- * shorter. */
-uint32_t GwStorePoll_WaitMs(bool is_unavailable);
-/* A poll fails if the answer is later than the wait by this margin. */
-#define GW_POLL_MARGIN_MS 1500
-/* Back-off before a failed call is repeated; doubles with each failure. */
-#define GW_POLL_RETRY_MIN_MS 150
-#define GW_POLL_RETRY_MAX_MS 1000
-
 #endif
--- a/tests/fakes/follow_faults.c
+++ b/tests/fakes/follow_faults.c
@@ -36,8 +36,7 @@
     char text[32];
 
     g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, version);
-    (void)FollowStore_Put(run->store, run->now_us, FOLLOW_OPERATOR, CONFIG_KEY,
-                          text);
+    (void)FollowStore_Put(run->store, FOLLOW_OPERATOR, CONFIG_KEY, text);
 }
 
 static void
@@ -46,8 +45,7 @@
     char key[16];
 
     g_snprintf(key, sizeof(key), "%u", server);
-    (void)FollowStore_Put(run->store, run->now_us, FOLLOW_SERVERS, key,
-                          "draining");
+    (void)FollowStore_Put(run->store, FOLLOW_SERVERS, key, "draining");
 }
 
 static void
@@ -56,8 +54,7 @@
     for (uint32_t i = 0; i < SERVERS; i++) {
         char key[16];
         g_snprintf(key, sizeof(key), "%u", i);
-        (void)FollowStore_Put(run->store, run->now_us, FOLLOW_SERVERS, key,
-                              "ready");
+        (void)FollowStore_Put(run->store, FOLLOW_SERVERS, key, "ready");
     }
 }
 
--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -106,10 +106,10 @@
 {
     FollowEntry_Stop(e);
     e->process = ++run->processes;
-    e->followers[FOLLOW_OPERATOR] =
-        GwFollower_Create(on_operator_row, e, run->now_us);
+    e->followers[FOLLOW_OPERATOR] = GwFollower_Create(
+        on_operator_row, e, run->now_us, run->params.bound_ms);
     e->followers[FOLLOW_SERVERS] =
-        GwFollower_Create(on_server_row, e, run->now_us);
+        GwFollower_Create(on_server_row, e, run->now_us, run->params.bound_ms);
     memset(e->is_connected, 0, sizeof(e->is_connected));
     memset(e->fetches, 0, sizeof(e->fetches));
     memset(e->drained, 0, sizeof(e->drained));
@@ -131,27 +131,18 @@
     int64_t way_us = FollowRun_StoreWayUs(e);
     CallAnswer to = {
         .caller = e->index, .process = e->process, .table = (FollowTable)t};
+    GwStoreCall call;
 
-    if (!GwFollower_NextCall(e->followers[t], run->now_us, &e->calls[t])) {
+    if (!GwFollower_NextCall(e->followers[t], run->now_us, &call)) {
         return;
     }
-    to.call = ++e->call_ids[t];
-    if (run->now_us < e->cut_until_us) {
-        return;
+    to.call = call.id;
+    if (run->now_us >= e->cut_until_us) {
+        FollowStore_Call(run->store,
+                         run->now_us + (e->is_connected[t] ? 1 : 3) * way_us,
+                         way_us, &call, &to);
     }
-    GwFollower_OnSent(e->followers[t], run->now_us, run->now_us);
-    FollowStore_Call(run->store,
-                     run->now_us + (e->is_connected[t] ? 1 : 3) * way_us,
-                     way_us, &e->calls[t], &to);
-    e->is_connected[t] = true;
-}
-
-static void
-fail_call(FollowRun *run, FollowEntry *e, int t)
-{
     e->is_connected[t] = false;
-    e->call_ids[t]++; /* a later answer is dropped */
-    GwFollower_OnFailure(e->followers[t], run->now_us);
 }
 
 static void
@@ -168,11 +159,10 @@
 void
 FollowEntry_OnAnswer(FollowRun *run, FollowEntry *e, CallAnswer *a)
 {
-    bool is_current =
-        a->process == e->process && a->call == e->call_ids[a->table];
     GwFollower *f = e->followers[a->table];
+    GwStoreCall next;
 
-    if (!is_current) {
+    if (a->process != e->process) {
         GwRowSet_Free(a->rows);
         return;
     }
@@ -180,16 +170,18 @@
     case CALL_LOST:
         break;
     case CALL_REFUSED:
-        fail_call(run, e, a->table);
+        GwFollower_OnFailure(f, run->now_us, a->call);
         break;
     case CALL_GONE:
-        GwFollower_OnGone(f, run->now_us);
+        e->is_connected[a->table] = true;
+        GwFollower_OnGone(f, run->now_us, a->call);
         break;
     case CALL_ROWS:
+        e->is_connected[a->table] = true;
         if (a->rows->rows->len > 0) {
             expedite(run, e, true);
         }
-        (void)GwFollower_OnRows(f, run->now_us, a->rows);
+        (void)GwFollower_OnRows(f, run->now_us, a->call, a->rows, &next);
         break;
     }
 }
@@ -341,8 +333,9 @@
         .to = to->index,
         .process = e->process,
         .serves = is_loaded(e),
-        .reads = GwFollower_IsHealthy(e->followers[FOLLOW_OPERATOR]) &&
-                 GwFollower_IsHealthy(e->followers[FOLLOW_SERVERS]),
+        .reads =
+            GwFollower_IsHealthy(e->followers[FOLLOW_OPERATOR], run->now_us) &&
+            GwFollower_IsHealthy(e->followers[FOLLOW_SERVERS], run->now_us),
         .next_ms = period_ms(run, e, to),
         .versions = {version_of(e, FOLLOW_OPERATOR),
                      version_of(e, FOLLOW_SERVERS)},
@@ -439,25 +432,12 @@
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
         if (GwFollower_SetReads(e->followers[t], run->now_us, reads)) {
             e->is_connected[t] = false;
-            e->call_ids[t]++;
         }
     }
 }
 
 /* ---- Steps ------------------------------------------------------------- */
 
-static void
-sweep(FollowRun *run, FollowEntry *e)
-{
-    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        call_store(run, e, t);
-        if (GwFollower_IsOverdue(e->followers[t], run->now_us)) {
-            fail_call(run, e, t);
-        }
-    }
-    choose_reader(run, e);
-}
-
 void
 FollowEntry_Step(FollowRun *run, FollowEntry *e)
 {
@@ -469,15 +449,15 @@
     e->ticks++;
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
         finish_fetch(run, e, t);
+        call_store(run, e, t);
+        while (GwFollower_NextOverdue(e->followers[t], run->now_us) != 0) {
+        }
     }
     send_due_reports(run, e);
     if (e->awaits_rows_us != 0) {
         fetch_from(run, e, e->awaited);
     }
-    if (e->ticks % SWEEP_TICKS == 0) {
-        sweep(run, e);
-    }
-    else if (!is_loaded(e)) {
+    if (e->ticks % SWEEP_TICKS == 0 || !is_loaded(e)) {
         choose_reader(run, e);
     }
     FollowRun_Check(run, e);
--- a/tests/fakes/follow_internal.h
+++ b/tests/fakes/follow_internal.h
@@ -47,9 +47,7 @@
     uint32_t domain; /* over all regions */
     uint32_t process;
     GwFollower *followers[FOLLOW_TABLE_COUNT];
-    GwStoreCall calls[FOLLOW_TABLE_COUNT];
-    bool is_connected[FOLLOW_TABLE_COUNT];
-    uint32_t call_ids[FOLLOW_TABLE_COUNT];
+    bool is_connected[FOLLOW_TABLE_COUNT]; /* and the connection is idle */
     FollowFetch fetches[FOLLOW_TABLE_COUNT];
     FollowPeer *peers;
     int64_t started_us;
--- a/tests/fakes/follow_store.c
+++ b/tests/fakes/follow_store.c
@@ -12,14 +12,6 @@
     int64_t until_us;
 } CallerMode;
 
-/* A poll that waits for a change. */
-typedef struct {
-    int64_t due_us;
-    int64_t way_us;
-    uint64_t after;
-    CallAnswer to;
-} HeldPoll;
-
 struct FollowStore_s {
     uint64_t version;
     uint64_t history_from;
@@ -29,7 +21,6 @@
     uint32_t reads_per_s;
     uint32_t reads; /* since reads_since_us */
     int64_t reads_since_us;
-    GArray *held;    /* HeldPoll */
     GArray *answers; /* CallAnswer */
     uint64_t calls;
 };
@@ -42,7 +33,6 @@
     s->modes = g_new0(CallerMode, callers);
     s->callers = callers;
     s->reads_per_s = reads_per_s;
-    s->held = g_array_new(FALSE, FALSE, sizeof(HeldPoll));
     s->answers = g_array_new(FALSE, FALSE, sizeof(CallAnswer));
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
         s->rows[t] =
@@ -60,7 +50,6 @@
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
         g_ptr_array_free(s->rows[t], TRUE);
     }
-    g_array_free(s->held, TRUE);
     g_array_free(s->answers, TRUE);
     g_free(s->modes);
     g_free(s);
@@ -71,14 +60,6 @@
                     int64_t until_us)
 {
     s->modes[caller] = (CallerMode){.mode = mode, .until_us = until_us};
-    if (mode != STORE_SILENT) {
-        return;
-    }
-    for (guint i = s->held->len; i > 0; i--) {
-        if (g_array_index(s->held, HeldPoll, i - 1).to.caller == caller) {
-            g_array_remove_index_fast(s->held, i - 1);
-        }
-    }
 }
 
 StoreMode
@@ -123,27 +104,9 @@
     g_array_append_val(s->answers, to);
 }
 
-static void
-answer_held(FollowStore *s, int64_t now_us, FollowTable table)
-{
-    for (guint i = s->held->len; i > 0; i--) {
-        HeldPoll poll = g_array_index(s->held, HeldPoll, i - 1);
-        if (poll.to.table != table) {
-            continue;
-        }
-        GwRowSet *rows = rows_after(s, table, poll.after, true);
-        if (rows->rows->len == 0 && now_us < poll.due_us) {
-            GwRowSet_Free(rows);
-            continue;
-        }
-        answer(s, now_us + poll.way_us, poll.to, CALL_ROWS, rows);
-        g_array_remove_index_fast(s->held, i - 1);
-    }
-}
-
 uint64_t
-FollowStore_Put(FollowStore *s, int64_t now_us, FollowTable table,
-                const char *key, const char *value)
+FollowStore_Put(FollowStore *s, FollowTable table, const char *key,
+                const char *value)
 {
     s->version++;
     for (guint i = 0; i < s->rows[table]->len; i++) {
@@ -155,7 +118,6 @@
     }
     g_ptr_array_add(s->rows[table],
                     GwStoreRow_Create(key, value, s->version, value == NULL));
-    answer_held(s, now_us, table);
     return s->version;
 }
 
@@ -183,17 +145,8 @@
         answer(s, back_us, *to, CALL_GONE, NULL);
         return;
     }
-    GwRowSet *rows = rows_after(s, to->table, call->after, true);
-    if (rows->rows->len > 0 || call->wait_ms == 0) {
-        answer(s, back_us, *to, CALL_ROWS, rows);
-        return;
-    }
-    GwRowSet_Free(rows);
-    HeldPoll poll = {.due_us = now_us + (int64_t)call->wait_ms * MS,
-                     .way_us = way_us + ANSWER_US,
-                     .after = call->after,
-                     .to = *to};
-    g_array_append_val(s->held, poll);
+    answer(s, back_us, *to, CALL_ROWS,
+           rows_after(s, to->table, call->after, true));
 }
 
 void
@@ -224,9 +177,6 @@
 bool
 FollowStore_NextAnswer(FollowStore *s, int64_t now_us, CallAnswer *out)
 {
-    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        answer_held(s, now_us, (FollowTable)t);
-    }
     for (guint i = 0; i < s->answers->len; i++) {
         if (g_array_index(s->answers, CallAnswer, i).at_us <= now_us) {
             *out = g_array_index(s->answers, CallAnswer, i);
--- a/tests/fakes/follow_store.h
+++ b/tests/fakes/follow_store.h
@@ -1,6 +1,6 @@
 /* The platform's store on virtual time, as entries see it that follow its
- * tables: rows with one version counter, polls that are held, calls that are
- * refused, answered late or never, and a history that is dropped. */
+ * tables: rows with one version counter, calls that are refused, answered late
+ * or never, and a history that is dropped. */
 #ifndef GW_TESTS_FAKES_FOLLOW_STORE_H
 #define GW_TESTS_FAKES_FOLLOW_STORE_H
 
@@ -42,8 +42,8 @@
 FollowStore *FollowStore_Create(uint32_t callers, uint32_t reads_per_s);
 void FollowStore_Free(FollowStore *s);
 /* Writes a row (NULL: removes it); returns its version. */
-uint64_t FollowStore_Put(FollowStore *s, int64_t now_us, FollowTable table,
-                         const char *key, const char *value);
+uint64_t FollowStore_Put(FollowStore *s, FollowTable table, const char *key,
+                         const char *value);
 void FollowStore_SetMode(FollowStore *s, uint32_t caller, StoreMode mode,
                          int64_t until_us);
 StoreMode FollowStore_Mode(const FollowStore *s, uint32_t caller,
--- a/tests/property/follow.cpp
+++ b/tests/property/follow.cpp
@@ -136,6 +136,9 @@
         {kLarge, FOLLOW_STORE_SILENT, FOLLOW_PAUSE, 10},
         {kSmall, FOLLOW_CALM, FOLLOW_SOME_SILENT, 3},
         {kLarge, FOLLOW_SOME_SILENT, FOLLOW_STORE_SILENT, 3},
+        {kSmall, FOLLOW_CALM, FOLLOW_STORE_SLOW, 13},
+        {kLarge, FOLLOW_SOME_SILENT, FOLLOW_PAUSE, 3},
+        {kTarget, FOLLOW_SOME_SILENT, FOLLOW_SOME_REFUSED, 1},
     };
     bool ok = true;
 
--- a/tests/unit/test_store_outage.c
+++ b/tests/unit/test_store_outage.c
@@ -1,4 +1,5 @@
-/* Detection of outages of the store, and the timing of polls after them. */
+/* Detection of outages of the store, and the timing of calls after them. */
+#include "store/follower.h"
 #include "store/outage.h"
 
 #include <criterion/criterion.h>
@@ -37,34 +38,54 @@
 /* Guaranteed to operators: 3 s after the end of an outage, every change that is
  * 2.5 s old is in force. */
 #define RECOVERY_MAX_MS 3000
+#define BOUND_MS        2500
+#define TICK_MS         50
 
-/* The store accepts polls without answering from `outage_at_ms` on, for
+static void
+ignore_row(void *ctx, const GwStoreRow *row)
+{
+    (void)ctx;
+    (void)row;
+}
+
+/* A store that answers within a tick, but not calls from `outage_at_ms` on, for
  * `for_ms`. Returns the time in ms from the end of the outage until the entry
- * sends the next poll, the first that is answered. */
+ * sends the next call, the first that is answered. */
 static uint32_t
 recovery_ms(uint32_t outage_at_ms, uint32_t for_ms)
 {
     uint32_t outage_end_ms = outage_at_ms + for_ms;
-    uint32_t retry_ms = GW_POLL_RETRY_MIN_MS;
-    uint32_t poll_at_ms = GwStorePoll_WaitMs(false) + GW_POLL_MARGIN_MS;
+    GwFollower *f = GwFollower_Create(ignore_row, NULL, 0, BOUND_MS);
+    uint32_t now_ms = 0;
+    GwStoreCall call;
 
-    for (;;) {
-        poll_at_ms += retry_ms;
-        retry_ms = retry_ms * 2 < GW_POLL_RETRY_MAX_MS ? retry_ms * 2
-                                                       : GW_POLL_RETRY_MAX_MS;
-        if (poll_at_ms >= outage_end_ms) {
-            return poll_at_ms - outage_end_ms;
+    (void)GwFollower_SetReads(f, 0, true);
+    for (;; now_ms += TICK_MS) {
+        int64_t now_us = (int64_t)now_ms * 1000;
+        while (GwFollower_NextOverdue(f, now_us) != 0) {
+        }
+        if (!GwFollower_NextCall(f, now_us, &call)) {
+            continue;
+        }
+        if (now_ms >= outage_end_ms) {
+            break;
+        }
+        if (now_ms < outage_at_ms) {
+            GwRowSet *set = GwRowSet_Create();
+            set->version = 1;
+            (void)GwFollower_OnRows(f, now_us, call.id, set, &call);
         }
-        poll_at_ms += GwStorePoll_WaitMs(true) + GW_POLL_MARGIN_MS;
     }
+    GwFollower_Free(f);
+    return now_ms - outage_end_ms;
 }
 
-/* Guards against all entries missing a change after an outage because each
- * waits for a poll that is never answered. */
-Test(store_outage, a_poll_that_is_never_answered_is_noticed_in_time)
+/* Guards against: all entries miss a change after an outage because each waits
+ * for a call that is never answered. */
+Test(store_outage, a_call_that_is_never_answered_is_noticed_in_time)
 {
     for (uint32_t outage_at_ms = 1; outage_at_ms < 3500; outage_at_ms += 50) {
-        for (uint32_t for_ms = 50; for_ms < 15000; for_ms += 50) {
+        for (uint32_t for_ms = 50; for_ms < 15000; for_ms += 250) {
             cr_expect_leq(recovery_ms(outage_at_ms, for_ms), RECOVERY_MAX_MS,
                           "outage at %u ms for %u ms: recovery took %u ms",
                           outage_at_ms, for_ms,
