--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -80,8 +80,7 @@
     GwPeers *peers;
     GwQuarantineRows *quarantine_rows;
     GwQuota *quota;
-    GwProof proof;      /* that the operators' rows are the newest */
-    bool is_proof_lost; /* as last logged */
+    bool is_proof_lost; /* GwEdge_HasProof, as last logged */
     uint32_t sweeps;
     bool servers_known; /* the registry has been read once */
     int64_t started_us;
@@ -132,9 +131,6 @@
 /* proof.c */
 /* us; unlike GwEdge_Now, includes the time while the machine was suspended. */
 int64_t GwEdge_BootNow(void);
-/* Records that this entry's copy of the operators' rows has all changes up to
- * that time (GwEdge_BootNow). */
-void GwEdge_NoteProof(GwEdge *edge, int64_t as_of_us);
 /* Tells the feeds how fast changes must be in force, after the settings
  * changed. */
 void GwEdge_ApplyChangeBound(GwEdge *edge);
@@ -148,10 +144,6 @@
 void GwEdge_ApplyProof(GwEdge *edge);
 /* Logs when the proof was lost or regained, and tells peers. */
 void GwEdge_SweepProof(GwEdge *edge);
-/* Whether this entry should read the store itself as the proofs that it gets
- * from others are old. Entries with a higher rank wait longer. */
-bool GwEdge_SeeksProof(const GwEdge *edge, uint32_t rank);
-
 /* callers.c */
 void GwCallers_OnConnection(uv_stream_t *listener, int status);
 /* Accepts waiting connections if accepting was paused and slots are free. */
@@ -221,11 +213,17 @@
 uint64_t GwFeed_Version(const GwFeed *feed);
 /* How long the current call to the store is unanswered; 0: there is none. */
 int64_t GwFeed_UnansweredMs(const GwFeed *feed);
-/* Time since the last answer about the table, from the store or a peer. */
+/* Proof that the copy has all changes up to a time (GwEdge_BootNow). */
+const GwProof *GwFeed_Proof(const GwFeed *feed);
+/* A peer proved how new its copy is. */
+void GwFeed_NoteProof(GwFeed *feed, const GwPeerProof *proof);
+/* Age of the proof, or without one the time since the start. */
 int64_t GwFeed_AgeMs(const GwFeed *feed);
 bool GwFeed_IsLoaded(const GwFeed *feed);
-/* Reads the missing rows from a peer that has a newer version. */
-void GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version);
+/* Reads the missing rows from a peer that has a newer version. `proof`: how new
+ * the peer's copy is at least. */
+void GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version,
+                         const GwPeerProof *proof);
 /* Reads the missing rows from the store, once: for rows too large to be
  * exchanged between peers. */
 void GwFeed_ReadFromStore(GwFeed *feed, uint64_t version);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -71,7 +71,19 @@
 int64_t
 GwFeed_AgeMs(const GwFeed *feed)
 {
-    return (GwEdge_BootNow() - GwFollower_UpdatedUs(feed->follower)) / 1000;
+    return GwFollower_AgeUs(feed->follower, GwEdge_BootNow()) / 1000;
+}
+
+const GwProof *
+GwFeed_Proof(const GwFeed *feed)
+{
+    return GwFollower_Proof(feed->follower);
+}
+
+void
+GwFeed_NoteProof(GwFeed *feed, const GwPeerProof *proof)
+{
+    GwFollower_NoteProof(feed->follower, proof);
 }
 
 bool
@@ -235,16 +247,6 @@
     }
 }
 
-/* The copy has every change that the store had acknowledged when the question
- * was asked; how much later the store answered is not known. */
-static void
-note_proof(const GwFeed *feed)
-{
-    if (feed == feed->edge->operator_feed) {
-        GwEdge_NoteProof(feed->edge, GwFollower_AskedUs(feed->follower));
-    }
-}
-
 /* Logs an answer that is older than the rows held. */
 static void
 log_if_older(const GwFeed *feed, const GwRowSet *set)
@@ -290,7 +292,6 @@
         write_call(link);
     }
     else {
-        note_proof(feed);
         drop_overdue_calls(feed);
     }
     if (has_rows) {
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -26,7 +26,7 @@
     bool peer_is_store; /* fetches from the store */
     GwConn *peer;
     int64_t peer_sent_us;
-    int64_t peer_asked_us;   /* the same, by GwEdge_BootNow */
+    GwPeerProof peer_proof;  /* how new its rows are at least */
     int64_t store_failed_us; /* last failed fetch from the store; 0: never */
     char peer_address[64];
 };
--- a/lib/edge/feed_peers.c
+++ b/lib/edge/feed_peers.c
@@ -93,10 +93,7 @@
 {
     log_rows(feed, set);
     GwFollower_OnPeerRows(feed->follower, GwEdge_BootNow(), set,
-                          feed->peer_full);
-    if (feed->peer_is_store && feed == feed->edge->operator_feed) {
-        GwEdge_NoteProof(feed->edge, feed->peer_asked_us);
-    }
+                          feed->peer_full, &feed->peer_proof);
 }
 
 static void
@@ -157,7 +154,8 @@
 };
 
 static void
-fetch_once(GwFeed *feed, const char *address, bool is_store)
+fetch_once(GwFeed *feed, const char *address, bool is_store,
+           const GwPeerProof *proof)
 {
     GwConnParams params = {
         .loop = &feed->edge->loop,
@@ -167,25 +165,28 @@
         .body_max = GW_ROWS_MAX_BYTES,
     };
     feed->peer_sent_us = GwEdge_Now();
-    feed->peer_asked_us = GwEdge_BootNow();
+    feed->peer_proof = *proof;
     feed->peer_is_store = is_store;
     g_strlcpy(feed->peer_address, address, sizeof(feed->peer_address));
     feed->peer = GwConn_Connect(&params, address);
 }
 
 void
-GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version)
+GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version,
+                    const GwPeerProof *proof)
 {
     if (feed->peer == NULL && version > GwFeed_Version(feed)) {
-        fetch_once(feed, address, false);
+        fetch_once(feed, address, false, proof);
     }
 }
 
 void
 GwFeed_ReadFromStore(GwFeed *feed, uint64_t version)
 {
+    GwPeerProof proof = {.as_of_us = GwEdge_BootNow()};
+
     if (feed->peer == NULL && version > GwFeed_Version(feed)) {
-        fetch_once(feed, feed->edge->settings->store_address, true);
+        fetch_once(feed, feed->edge->settings->store_address, true, &proof);
     }
 }
 
--- a/lib/edge/fetch.c
+++ b/lib/edge/fetch.c
@@ -80,9 +80,9 @@
     }
     peers->awaits_rows = false;
     GwFeed_ReadFromPeer(edge->operator_feed, peer->peer_address,
-                        peer->operator_version);
+                        peer->operator_version, &peer->operator_proof);
     GwFeed_ReadFromPeer(edge->server_feed, peer->peer_address,
-                        peer->server_version);
+                        peer->server_version, &peer->server_proof);
 }
 
 void
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -8,6 +8,7 @@
 #include "edge/fetch_tree.h"
 #include "edge/gossip.h"
 #include "edge/sum_change.h"
+#include "store/reader.h"
 
 /* Maximum addresses in a directory answer, and in the bootstrap state sent
  * to a new entry. */
@@ -46,13 +47,16 @@
     uint64_t last_process_id; /* process ID before the last restart */
     uint64_t seq;
     bool serves;
-    bool reads_store;  /* reads the store successfully */
-    bool saw_outage;   /* reports a recent store outage */
-    bool has_reported; /* has sent at least one report */
-    bool lacks_proof;  /* refuses requests that need a key */
-    uint32_t knows;    /* addresses of entries that it has */
-    uint64_t quota_id; /* GwQuotaMember.id */
-    GwClockEcho echo;  /* its clock, to be returned to it */
+    bool reads_store;           /* reads the store successfully */
+    bool saw_outage;            /* reports a recent store outage */
+    bool has_reported;          /* has sent at least one report */
+    bool lacks_proof;           /* refuses requests that need a key */
+    uint32_t knows;             /* addresses of entries that it has */
+    uint64_t quota_id;          /* GwQuotaMember.id */
+    GwClockEcho echo;           /* its clock, to be returned to it */
+    int64_t proof_sent_us;      /* last report to it with proofs */
+    GwPeerProof operator_proof; /* the last that it sent */
+    GwPeerProof server_proof;
     int64_t last_report_us;
     uint32_t next_ms;    /* time to its next report, as it announced */
     int64_t sent_us;     /* last report, or start of the first period */
@@ -94,9 +98,9 @@
     double unseen_period_scale; /* factor for peers that never reported */
     uint32_t address_requests;  /* sent since address_requests_us */
     int64_t address_requests_us;
-    int64_t tables_seen_us; /* first report of a peer with tables; 0: none */
-    const char *reads_why;  /* why this entry reads the store, as logged */
-    bool announced_reading; /* as last announced to all peers */
+    int64_t tables_seen_us;   /* first report of a peer with tables; 0: none */
+    GwReadReason read_reason; /* as last logged */
+    bool announced_reading;   /* as last announced to all peers */
     int64_t announced_us;
     uint32_t live; /* number of live peers */
     /* Since awaits_rows_since_us this entry waits for another entry of the
--- a/lib/edge/proof.c
+++ b/lib/edge/proof.c
@@ -1,9 +1,6 @@
-/* Proof that the configuration is the newest one, without which keys are
- * refused: a key that an operator revoked must not be accepted any more
- * within a bound, also at an entry that can't reach the store.
- *
- * Entries that read the store get a proof with each answer, and all reports
- * pass proofs on (store/proof.h). */
+/* Keys are refused without a recent proof that the configuration is the newest
+ * one (store/proof.h): a key that an operator revoked must not be accepted any
+ * more within a bound, also at an entry that can't reach the store. */
 #include "edge/edge_internal.h"
 
 #include <time.h>
@@ -11,12 +8,6 @@
 /* Part of the bound that is not used: clocks run at slightly different
  * rates. */
 #define MARGIN_MS 200
-/* Ages, as shares of the bound, at which an entry reads the store itself: that
- * of the first entry of a region, the step to the next one, and the most. */
-#define SEEK_SHARE      0.4
-#define SEEK_STEP_SHARE 0.01
-#define SEEK_SHARE_MAX  0.6
-
 int64_t
 GwEdge_BootNow(void)
 {
@@ -26,12 +17,6 @@
     return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
 
-void
-GwEdge_NoteProof(GwEdge *edge, int64_t as_of_us)
-{
-    GwProof_Note(&edge->proof, as_of_us);
-}
-
 void
 GwEdge_ApplyChangeBound(GwEdge *edge)
 {
@@ -50,6 +35,13 @@
            routing->requires_keys;
 }
 
+/* When the configuration was proven to be the newest; 0: never. */
+static int64_t
+proven_us(const GwEdge *edge)
+{
+    return GwFeed_Proof(edge->operator_feed)->as_of_us;
+}
+
 /* Time left until the proof is too old; negative if it is. */
 static int64_t
 time_left_us(const GwEdge *edge)
@@ -57,22 +49,21 @@
     int64_t bound_ms =
         MAX((int64_t)edge->settings->revocation_ms - MARGIN_MS, 0);
 
-    return edge->proof.as_of_us + bound_ms * 1000 - GwEdge_BootNow();
+    return proven_us(edge) + bound_ms * 1000 - GwEdge_BootNow();
 }
 
 bool
 GwEdge_HasProof(const GwEdge *edge)
 {
     return !needs_proof(edge) ||
-           (edge->proof.as_of_us != 0 && time_left_us(edge) > 0);
+           (proven_us(edge) != 0 && time_left_us(edge) > 0);
 }
 
 int64_t
 GwEdge_ProofAgeMs(const GwEdge *edge)
 {
-    return edge->proof.as_of_us != 0
-               ? (GwEdge_BootNow() - edge->proof.as_of_us) / 1000
-               : -1;
+    return proven_us(edge) != 0 ? (GwEdge_BootNow() - proven_us(edge)) / 1000
+                                : -1;
 }
 
 void
@@ -82,7 +73,7 @@
 
     if (needs_proof(edge)) {
         until_us =
-            edge->proof.as_of_us != 0 ? GwEdge_Now() + time_left_us(edge) : 0;
+            proven_us(edge) != 0 ? GwEdge_Now() + time_left_us(edge) : 0;
     }
     GwRouter_SetProvenUntil(edge->router, until_us);
 }
@@ -101,14 +92,3 @@
                 "age_ms=%" PRId64, GwEdge_ProofAgeMs(edge));
     GwPeers_ExpediteRegion(edge->peers);
 }
-
-bool
-GwEdge_SeeksProof(const GwEdge *edge, uint32_t rank)
-{
-    double share = SEEK_SHARE + SEEK_STEP_SHARE * rank;
-    int64_t age_ms = GwEdge_ProofAgeMs(edge);
-
-    return needs_proof(edge) &&
-           (age_ms < 0 || (double)age_ms > MIN(share, SEEK_SHARE_MAX) *
-                                               edge->settings->revocation_ms);
-}
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -1,7 +1,6 @@
 /* Chooses the entries that read the store (store/reader.h). The other entries
  * receive reports of the changed versions and fetch the rows from a peer. */
 #include "edge/peers_internal.h"
-#include "store/reader.h"
 
 #include <string.h>
 
@@ -65,21 +64,6 @@
     return before;
 }
 
-static uint32_t
-count_readers(const GwPeers *peers, int64_t now_us)
-{
-    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
-    const GwPeerEntry *peer;
-    uint32_t count = 0;
-
-    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        count +=
-            peer->reads_store &&
-            GwReader_IsRecent(now_us - peer->last_report_us, peer->next_ms);
-    }
-    return count;
-}
-
 static bool
 reads_at_start(const GwPeers *peers, int64_t now_us)
 {
@@ -113,50 +97,51 @@
     }
 }
 
-/* Logs that this entry begins or ends to read the store, and what it believes
- * of the other readers and of its own rows. */
+/* Logs that this entry begins or ends to read the store. */
 static void
-log_reads(GwPeers *peers, const char *why, uint32_t other_readers,
-          int64_t now_us)
+log_reads(GwPeers *peers, GwReadReason reason)
 {
     const GwEdge *edge = peers->edge;
 
-    if (why == peers->reads_why) {
+    if (reason == peers->read_reason) {
         return;
     }
-    peers->reads_why = why;
+    peers->read_reason = reason;
     GwLog_Event(GW_LOG_STORE_READS,
-                "why=%s other_readers=%u version=%" PRIu64 " news_ms=%" PRId64,
-                why, other_readers, GwFeed_Version(edge->operator_feed),
-                GwFeed_AgeMs(edge->operator_feed));
+                "why=%s version=%" PRIu64 " news_ms=%" PRId64
+                " server_news_ms=%" PRId64,
+                GwReadReason_Name(reason), GwFeed_Version(edge->operator_feed),
+                GwFeed_AgeMs(edge->operator_feed),
+                GwFeed_AgeMs(edge->server_feed));
 }
 
-void
-GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
+static GwReadReason
+reason_to_read(const GwPeers *peers, int64_t now_us)
 {
-    GwEdge *edge = peers->edge;
-    uint32_t rank = rank_in_region(peers, now_us, true);
+    const GwEdge *edge = peers->edge;
     GwReaderView view = {
-        .is_region_first = rank == 0,
-        .other_readers = count_readers(peers, now_us),
-        .is_settling = GwReader_IsSettling(now_us - edge->started_us),
+        .rank = rank_in_region(peers, now_us, true),
+        .age_us = 1000 * MAX(GwFeed_AgeMs(edge->operator_feed),
+                             GwFeed_AgeMs(edge->server_feed)),
+        .bound_ms = GwEdgeSettings_ChangeBoundMs(edge->settings),
     };
-    bool reads = GwReaderView_Reads(&view);
-    const char *why = view.is_region_first ? "first" : "few-readers";
 
     if (!edge->is_stopping && !GwEdge_IsReady(edge)) {
-        reads = reads_at_start(peers, now_us);
-        why = "start";
+        return reads_at_start(peers, now_us) ? GW_READS_START : GW_READS_NOT;
     }
-    bool seeks_proof = GwEdge_SeeksProof(edge, rank);
-    GwFeed_SetReads(edge->operator_feed, reads || seeks_proof);
-    GwFeed_SetReads(edge->server_feed, reads);
-    log_reads(peers,
-              reads         ? why
-              : seeks_proof ? "proof"
-                            : "none",
-              view.other_readers, now_us);
-    if (view.is_region_first) {
+    return GwReaderView_Reason(&view);
+}
+
+void
+GwPeers_ChooseReader(GwPeers *peers, int64_t now_us)
+{
+    GwEdge *edge = peers->edge;
+    GwReadReason reason = reason_to_read(peers, now_us);
+
+    GwFeed_SetReads(edge->operator_feed, reason != GW_READS_NOT);
+    GwFeed_SetReads(edge->server_feed, reason != GW_READS_NOT);
+    log_reads(peers, reason);
+    if (reason == GW_READS_FIRST) {
         announce(peers, now_us);
     }
 }
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -35,6 +35,10 @@
  * interval. */
 #define ADDRESS_REQUESTS_MAX 3
 #define ADDRESS_REQUESTS_US  1000000
+/* Periods of the proofs in reports, as shares of the time within which changes
+ * must be in force. */
+#define PROOF_SHARE        0.05
+#define PROOF_REMOTE_SHARE 0.2
 /* One report out of this many carries name and addresses. */
 #define IDENTITY_EVERY 8
 #define PLACEMENTS_MAX 400
@@ -210,23 +214,40 @@
     }
 }
 
-/* Adds the proof of the operators' version, if revocations have a bound. */
+/* Whether the next report to the peer carries proofs. They cost bytes, so not
+ * every report does. */
+static bool
+is_proof_due(const GwPeers *peers, const GwPeerEntry *peer, int64_t now_us)
+{
+    const GwEdgeSettings *own = peers->edge->settings;
+    double share =
+        GwPeers_IsInRegion(peers, peer) ? PROOF_SHARE : PROOF_REMOTE_SHARE;
+    double period_us = share * GwEdgeSettings_ChangeBoundMs(own) * 1000;
+
+    return (double)(now_us - peer->proof_sent_us) >= period_us;
+}
+
+/* Adds the proofs that the reported versions are the newest. */
 static void
-fill_proof(const GwPeers *peers, const GwPeerEntry *peer, Report *report)
+fill_proofs(const GwPeers *peers, GwPeerEntry *peer, Report *report)
 {
     const GwEdge *edge = peers->edge;
     int64_t now_us = GwEdge_BootNow();
 
-    if (edge->settings->revocation_ms == 0) {
+    report->lacks_proof = !GwEdge_HasProof(edge);
+    if (!is_proof_due(peers, peer, now_us)) {
         return;
     }
-    GwProofReport proof = GwProof_Report(&edge->proof, &peer->echo, now_us);
-    report->clock_ms = proof.clock_ms;
-    report->echo_process = proof.echo_process;
-    report->echo_clock_ms = proof.echo_clock_ms;
-    report->echo_held_ms = proof.echo_held_ms;
-    report->proof_age_ms = proof.age_ms;
-    report->lacks_proof = !GwEdge_HasProof(edge);
+    peer->proof_sent_us = now_us;
+    GwClockReport clocks = GwClockEcho_Report(&peer->echo, now_us);
+    report->clock_ms = clocks.clock_ms;
+    report->echo_process = clocks.echo_process;
+    report->echo_clock_ms = clocks.echo_clock_ms;
+    report->echo_held_ms = clocks.echo_held_ms;
+    report->proof_age_ms =
+        GwProof_WireAge(GwFeed_Proof(edge->operator_feed), now_us);
+    report->server_proof_age_ms =
+        GwProof_WireAge(GwFeed_Proof(edge->server_feed), now_us);
 }
 
 /* Adds the placements that are newer than the report before the last one to
@@ -374,7 +395,7 @@
     }
     fill_loads(peers, peer, &report, &arrays);
     fill_ack(peer, &report);
-    fill_proof(peers, peer, &report);
+    fill_proofs(peers, peer, &report);
     fill_placements(peers, peer, &report, &arrays);
     GwPeers_FillSuspects(peers, peer, &report, &arrays.suspects);
     GwPeers_FillLimits(peers, peer, &report, &arrays.limits);
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -115,29 +115,44 @@
     GwRouter_PutPeer(peers->edge->router, GwEdge_Now(), &info);
 }
 
-/* A peer's proof holds for this entry's copy of the rows too, unless the copy
- * is older than the peer's. */
+/* Returns the peer's proof about a table, if the report has one, and notes it
+ * for this entry's copy. */
+static GwPeerProof
+apply_proof(const GwPeers *peers, GwFeed *feed, const GwClockReport *clocks,
+            uint32_t wire_age, uint64_t version)
+{
+    GwPeerProof proof = {.version = version};
+
+    if (GwProof_FromPeer(clocks, wire_age, peers->process_id, GwEdge_BootNow(),
+                         &proof.as_of_us)) {
+        GwFeed_NoteProof(feed, &proof);
+    }
+    return proof;
+}
+
 static void
-apply_proof(GwPeers *peers, GwPeerEntry *peer, const Report *report)
+apply_proofs(GwPeers *peers, GwPeerEntry *peer, const Report *report)
 {
     GwEdge *edge = peers->edge;
-    int64_t now_us = GwEdge_BootNow();
-    GwProofReport proof = {
+    GwClockReport clocks = {
         .clock_ms = report->clock_ms,
         .echo_process = report->echo_process,
         .echo_clock_ms = report->echo_clock_ms,
         .echo_held_ms = report->echo_held_ms,
-        .age_ms = report->proof_age_ms,
     };
-    int64_t as_of_us;
 
     peer->lacks_proof = report->lacks_proof;
-    GwClockEcho_Note(&peer->echo, report->start, report->clock_ms, now_us);
-    if (GwFeed_IsLoaded(edge->operator_feed) &&
-        GwFeed_Version(edge->operator_feed) >= report->operator_version &&
-        GwProof_FromPeer(&proof, peers->process_id, now_us, &as_of_us)) {
-        GwEdge_NoteProof(edge, as_of_us);
+    if (report->clock_ms == 0) {
+        return; /* this report has none */
     }
+    GwClockEcho_Note(&peer->echo, report->start, report->clock_ms,
+                     GwEdge_BootNow());
+    peer->operator_proof =
+        apply_proof(peers, edge->operator_feed, &clocks, report->proof_age_ms,
+                    report->operator_version);
+    peer->server_proof =
+        apply_proof(peers, edge->server_feed, &clocks,
+                    report->server_proof_age_ms, report->server_version);
 }
 
 static void
@@ -163,6 +178,8 @@
         peer->last_process_id = peer->process_id;
         peer->process_id = report->start;
         memset(peer->gossip, 0, sizeof(peer->gossip));
+        peer->operator_proof = (GwPeerProof){0};
+        peer->server_proof = (GwPeerProof){0};
     }
     peer->seq = report->seq;
     peer->serves = report->serves;
@@ -217,7 +234,7 @@
     store_state(peer, report);
     apply_loads(peers, peer, report);
     apply_placements(peers, peer, report);
-    apply_proof(peers, peer, report);
+    apply_proofs(peers, peer, report);
     GwPeers_ApplySuspects(peers, peer, report);
     GwPeers_ApplyLimits(peers, peer, report);
     for (size_t i = 0; i < report->n_known; i++) {
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -1,5 +1,9 @@
 #include "store/follower.h"
 
+#ifndef GW_MUTANT
+#define GW_MUTANT 0 /* tests/mutants.sh disables one safeguard at a time */
+#endif
+
 /* Shares of the bound: between two calls, and the longest back-off. A change
  * takes a call, a report and a fetch to be in force everywhere, and after an
  * outage of the store a back-off before that. */
@@ -31,10 +35,10 @@
     bool has_answered; /* since it began to read */
     Call calls[GW_FOLLOWER_CALLS_MAX];
     uint32_t last_id;
-    int64_t due_us;   /* next call */
-    int64_t asked_us; /* of the last complete answer */
+    int64_t due_us; /* next call */
     int64_t answered_us;
-    int64_t updated_us;
+    int64_t created_us;
+    GwProof proof;
     uint32_t failures; /* calls refused or unanswered since the last answer */
     bool is_refused;   /* a call failed since the last answer */
     uint32_t bound_ms;
@@ -49,7 +53,7 @@
     f->cache = GwRowCache_Create(changed, ctx);
     f->phase = GW_CALL_READ;
     f->answered_us = now_us;
-    f->updated_us = now_us;
+    f->created_us = now_us;
     f->bound_ms = bound_ms;
     return f;
 }
@@ -187,6 +191,11 @@
     if (!f->reads || call == NULL || now_us < f->due_us) {
         return false;
     }
+#if GW_MUTANT == 100 /* breaks: an unanswered call does not delay the next */
+    if (GwFollower_UnansweredUs(f, now_us) > 0) {
+        return false;
+    }
+#endif
     if (GwFollower_UnansweredUs(f, now_us) > 0) {
         f->failures++;
     }
@@ -236,7 +245,7 @@
         f->is_known = true;
     }
     f->version = MAX(f->version, set->version);
-    f->asked_us = MAX(f->asked_us, call->asked_us);
+    GwProof_Note(&f->proof, call->asked_us);
 }
 
 /* Earlier calls, which are lost or late, are of no use any more. */
@@ -263,7 +272,6 @@
     f->failures = 0;
     f->is_refused = false;
     f->answered_us = now_us;
-    f->updated_us = now_us;
     if (append_page(call, set) && call->kind == GW_CALL_READ) {
         call->heard_us = now_us;
         f->due_us = now_us + period_us(f);
@@ -361,15 +369,9 @@
            (f->is_refused || silent_us > AWAY_US + 2 * period_us(f));
 }
 
-int64_t
-GwFollower_AskedUs(const GwFollower *f)
-{
-    return f->asked_us;
-}
-
 void
 GwFollower_OnPeerRows(GwFollower *f, int64_t now_us, const GwRowSet *set,
-                      bool is_full)
+                      bool is_full, const GwPeerProof *proof)
 {
     if (is_full || !f->is_known) {
         GwRowCache_ApplyFull(f->cache, now_us, set);
@@ -377,12 +379,32 @@
     else {
         GwRowCache_Apply(f->cache, now_us, set);
     }
-    f->updated_us = now_us;
     f->is_known = true;
+    GwFollower_NoteProof(f, proof);
+}
+
+const GwProof *
+GwFollower_Proof(const GwFollower *f)
+{
+    return &f->proof;
+}
+
+void
+GwFollower_NoteProof(GwFollower *f, const GwPeerProof *proof)
+{
+    bool is_current = GwRowCache_Version(f->cache) >= proof->version;
+
+#if GW_MUTANT == 101 /* breaks: a proof holds for copies as new as its own */
+    is_current = true;
+#endif
+    if (f->is_known && is_current) {
+        GwProof_Note(&f->proof, proof->as_of_us);
+    }
 }
 
 int64_t
-GwFollower_UpdatedUs(const GwFollower *f)
+GwFollower_AgeUs(const GwFollower *f, int64_t now_us)
 {
-    return f->updated_us;
+    return now_us -
+           (f->proof.as_of_us != 0 ? f->proof.as_of_us : f->created_us);
 }
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -10,6 +10,7 @@
 #ifndef GW_STORE_FOLLOWER_H
 #define GW_STORE_FOLLOWER_H
 
+#include "store/proof.h"
 #include "store/rows.h"
 
 typedef struct GwFollower_s GwFollower;
@@ -66,14 +67,18 @@
 int64_t GwFollower_AnsweredUs(const GwFollower *f);
 /* Whether calls failed, or were not answered for long, since then. */
 bool GwFollower_IsAway(const GwFollower *f, int64_t now_us);
-/* When the question of the last complete answer was asked: the copy has all
- * changes that were acknowledged before. */
-int64_t GwFollower_AskedUs(const GwFollower *f);
 
-/* A peer sent its copy, whole or what this entry lacked. */
+/* A peer sent its copy, whole or what this entry lacked, and proved how new it
+ * is. */
 void GwFollower_OnPeerRows(GwFollower *f, int64_t now_us, const GwRowSet *set,
-                           bool is_full);
-/* Time of the last answer about the table, from the store or a peer. */
-int64_t GwFollower_UpdatedUs(const GwFollower *f);
+                           bool is_full, const GwPeerProof *proof);
+/* Proof that the copy has all changes that were acknowledged up to a time: the
+ * question of a complete answer, or what a peer proved. */
+const GwProof *GwFollower_Proof(const GwFollower *f);
+/* A peer proved how new its copy is. That holds for this copy too, unless it is
+ * older. */
+void GwFollower_NoteProof(GwFollower *f, const GwPeerProof *proof);
+/* Age of the proof, or without one the time since the start. */
+int64_t GwFollower_AgeUs(const GwFollower *f, int64_t now_us);
 
 #endif
--- a/lib/store/proof.c
+++ b/lib/store/proof.c
@@ -31,38 +31,41 @@
     return ms > AGE_MAX_MS ? AGE_MAX_MS : (uint32_t)ms;
 }
 
-GwProofReport
-GwProof_Report(const GwProof *proof, const GwClockEcho *echo, int64_t now_us)
+uint32_t
+GwProof_WireAge(const GwProof *proof, int64_t now_us)
 {
-    GwProofReport report = {.clock_ms = (uint32_t)(now_us / 1000)};
+    /* Rounded up, and one more, as 0 means that there is none. */
+    return proof->as_of_us != 0 ? clamp_ms(now_us - proof->as_of_us) + 2 : 0;
+}
+
+GwClockReport
+GwClockEcho_Report(const GwClockEcho *echo, int64_t now_us)
+{
+    GwClockReport report = {.clock_ms = (uint32_t)(now_us / 1000)};
 
     if (echo->process != 0) {
         report.echo_process = (uint32_t)echo->process;
         report.echo_clock_ms = echo->clock_ms;
         report.echo_held_ms = clamp_ms(now_us - echo->received_us);
     }
-    if (proof->as_of_us != 0) {
-        /* Rounded up, and one more, as 0 means that there is none. */
-        report.age_ms = clamp_ms(now_us - proof->as_of_us) + 2;
-    }
     return report;
 }
 
 bool
-GwProof_FromPeer(const GwProofReport *report, uint64_t own_process,
-                 int64_t now_us, int64_t *as_of_us)
+GwProof_FromPeer(const GwClockReport *report, uint32_t wire_age,
+                 uint64_t own_process, int64_t now_us, int64_t *as_of_us)
 {
     /* Time since this process sent the echoed clock value. */
     uint32_t elapsed_ms = (uint32_t)(now_us / 1000) - report->echo_clock_ms;
 
-    if (report->age_ms == 0 || report->age_ms > AGE_MAX_MS ||
+    if (wire_age == 0 || wire_age > AGE_MAX_MS ||
         report->echo_process != (uint32_t)own_process ||
         elapsed_ms > AGE_MAX_MS || report->echo_held_ms > elapsed_ms) {
         return false;
     }
-    uint32_t age_ms = elapsed_ms - report->echo_held_ms + report->age_ms - 1;
+    uint32_t age_ms = elapsed_ms - report->echo_held_ms + wire_age - 1;
 #if GW_MUTANT == 92 /* breaks: a message counts as fresh when it is read */
-    age_ms = report->age_ms - 1;
+    age_ms = wire_age - 1;
 #endif
     /* The clock value was rounded down to a whole ms when it was sent. */
     *as_of_us = now_us / 1000 * 1000 - (int64_t)age_ms * 1000;
--- a/lib/store/reader.c
+++ b/lib/store/reader.c
@@ -1,36 +1,44 @@
 #include "store/reader.h"
 
-/* With fewer other readers than this, every entry reads: the store may have
- * rejected the readers, or the readers may be unreachable. */
-#define OTHER_READERS_MIN 2
-/* A reader counts for this long after its last report, which is shorter
- * than the time after which a peer counts as dead: changes must arrive within
- * 2.5 s even if all readers stop at once, while a needless read costs only one
- * call. */
-#define READER_PERIODS 2.4
-#define READER_MIN_US  1200000
-/* A new entry may not have received reports from the readers of other
- * regions yet. */
-#define SETTLE_US 3000000
+#ifndef GW_MUTANT
+#define GW_MUTANT 0 /* tests/mutants.sh disables one safeguard at a time */
+#endif
 
-bool
-GwReaderView_Reads(const GwReaderView *view)
-{
-    uint32_t others_min = view->is_settling ? 1 : OTHER_READERS_MIN;
-
-    return view->is_region_first || view->other_readers < others_min;
-}
+/* Ages of the proof, as shares of the bound, at which the second entry of a
+ * region reads the store itself, the step to each further one, and the most.
+ * An earlier entry's proof reaches the later ones before they call. */
+#define STALE_SHARE      0.5
+#define STALE_STEP_SHARE 0.01
+#define STALE_SHARE_MAX  0.6
 
-bool
-GwReader_IsRecent(int64_t age_us, uint32_t next_ms)
+GwReadReason
+GwReaderView_Reason(const GwReaderView *view)
 {
-    int64_t limit_us = (int64_t)(READER_PERIODS * next_ms * 1000);
+    double share = STALE_SHARE + STALE_STEP_SHARE * view->rank;
 
-    return age_us < (limit_us > READER_MIN_US ? limit_us : READER_MIN_US);
+    if (view->rank == 0) {
+        return GW_READS_FIRST;
+    }
+    if (share > STALE_SHARE_MAX) {
+        share = STALE_SHARE_MAX;
+    }
+#if GW_MUTANT == 102 /* breaks: an entry without a recent proof reads */
+    return GW_READS_NOT;
+#endif
+    return (double)view->age_us > share * view->bound_ms * 1000
+               ? GW_READS_STALE
+               : GW_READS_NOT;
 }
 
-bool
-GwReader_IsSettling(int64_t age_us)
+const char *
+GwReadReason_Name(GwReadReason reason)
 {
-    return age_us < SETTLE_US;
+    static const char *const names[] = {
+        [GW_READS_NOT] = "none",
+        [GW_READS_START] = "start",
+        [GW_READS_FIRST] = "first",
+        [GW_READS_STALE] = "stale",
+    };
+
+    return names[reason];
 }
--- a/lib/store/reader.h
+++ b/lib/store/reader.h
@@ -1,25 +1,32 @@
 /* Decides which entries read the store. Calls to the store are paid for and
  * rate limited, and all entries would read the same rows: one entry of each
- * region, its first by rank, reads, and the others rely on it. */
+ * region, its first by rank, reads, and the others rely on it.
+ *
+ * They rely on it only while its reports prove that their rows are the newest
+ * (store/proof.h). An entry without a recent proof reads the store itself,
+ * whatever others report: a reader that hears nothing, a peer that is behind
+ * and a report that is lost look like a store without changes. */
 #ifndef GW_STORE_READER_H
 #define GW_STORE_READER_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
-/* What an entry that has its tables knows of itself and of the others. */
+typedef enum {
+    GW_READS_NOT = 0,
+    GW_READS_START, /* lacks the tables */
+    GW_READS_FIRST, /* first entry of its region */
+    GW_READS_STALE  /* has no recent proof */
+} GwReadReason;
+
+/* An entry that has its tables. */
 typedef struct {
-    bool is_region_first;   /* by rank, of the region's entries */
-    uint32_t other_readers; /* that reported recently that they read */
-    bool is_settling;       /* started recently */
+    uint32_t rank;     /* among the entries of its region, from 0 */
+    int64_t age_us;    /* of the older proof of its tables */
+    uint32_t bound_ms; /* a change must be in force within this time */
 } GwReaderView;
 
-/* Whether this entry reads the store. */
-bool GwReaderView_Reads(const GwReaderView *view);
-/* Whether a report of another reader still counts. `next_ms`: the time to the
- * next one that it announced. */
-bool GwReader_IsRecent(int64_t age_us, uint32_t next_ms);
-/* Whether an entry that started `age_us` ago counts as settling. */
-bool GwReader_IsSettling(int64_t age_us);
+/* Why this entry reads the store, or GW_READS_NOT. */
+GwReadReason GwReaderView_Reason(const GwReaderView *view);
+const char *GwReadReason_Name(GwReadReason reason);
 
 #endif
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -657,7 +657,7 @@
   (ProtobufCMessageInit) gw__peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[39] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[40] =
 {
   {
     "name",
@@ -1127,6 +1127,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_proof_age_ms",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, server_proof_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   24,   /* field[24] = asks_known */
@@ -1158,6 +1170,7 @@
   17,   /* field[17] = reads */
   3,   /* field[3] = region */
   2,   /* field[2] = seq */
+  39,   /* field[39] = server_proof_age_ms */
   8,   /* field[8] = server_version */
   6,   /* field[6] = serves */
   1,   /* field[1] = start */
@@ -1174,7 +1187,7 @@
   { 1, 0 },
   { 7, 5 },
   { 26, 23 },
-  { 0, 39 }
+  { 0, 40 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -1184,7 +1197,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  39,
+  40,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   3,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -271,6 +271,10 @@
    * the sender refuses all keys
    */
   protobuf_c_boolean lacks_proof;
+  /*
+   * as proof_age_ms, of server_version
+   */
+  uint32_t server_proof_age_ms;
   /*
    * the receiver lacks so much of the operators' rows
    */
@@ -278,7 +282,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -22,6 +22,10 @@
 #define FETCH_LOST_US  (600 * MS)
 #define FETCH_SLOW_US  (900 * MS)
 #define LOSS_PER_MILLE 5
+#define SKEW_MAX_S     1000
+/* Periods of proofs in reports, as shares of the bound. */
+#define PROOF_SHARE        0.05
+#define PROOF_REMOTE_SHARE 0.2
 
 uint32_t
 FollowRun_Below(FollowRun *run, uint32_t most)
@@ -29,6 +33,12 @@
     return GwRng_Below(&run->rng, most);
 }
 
+int64_t
+FollowEntry_Clock(const FollowRun *run, const FollowEntry *e)
+{
+    return run->now_us + e->skew_us;
+}
+
 int64_t
 FollowRun_WayUs(const FollowEntry *from, const FollowEntry *to)
 {
@@ -106,10 +116,11 @@
 {
     FollowEntry_Stop(e);
     e->process = ++run->processes;
+    e->skew_us = (int64_t)FollowRun_Below(run, SKEW_MAX_S) * S;
     e->followers[FOLLOW_OPERATOR] = GwFollower_Create(
         on_operator_row, e, run->now_us, run->params.bound_ms);
-    e->followers[FOLLOW_SERVERS] =
-        GwFollower_Create(on_server_row, e, run->now_us, run->params.bound_ms);
+    e->followers[FOLLOW_SERVERS] = GwFollower_Create(
+        on_server_row, e, FollowEntry_Clock(run, e), run->params.bound_ms);
     memset(e->is_connected, 0, sizeof(e->is_connected));
     memset(e->fetches, 0, sizeof(e->fetches));
     memset(e->drained, 0, sizeof(e->drained));
@@ -133,7 +144,8 @@
         .caller = e->index, .process = e->process, .table = (FollowTable)t};
     GwStoreCall call;
 
-    if (!GwFollower_NextCall(e->followers[t], run->now_us, &call)) {
+    if (!GwFollower_NextCall(e->followers[t], FollowEntry_Clock(run, e),
+                             &call)) {
         return;
     }
     to.call = call.id;
@@ -170,18 +182,19 @@
     case CALL_LOST:
         break;
     case CALL_REFUSED:
-        GwFollower_OnFailure(f, run->now_us, a->call);
+        GwFollower_OnFailure(f, FollowEntry_Clock(run, e), a->call);
         break;
     case CALL_GONE:
         e->is_connected[a->table] = true;
-        GwFollower_OnGone(f, run->now_us, a->call);
+        GwFollower_OnGone(f, FollowEntry_Clock(run, e), a->call);
         break;
     case CALL_ROWS:
         e->is_connected[a->table] = true;
         if (a->rows->rows->len > 0) {
             expedite(run, e, true);
         }
-        (void)GwFollower_OnRows(f, run->now_us, a->call, a->rows, &next);
+        (void)GwFollower_OnRows(f, FollowEntry_Clock(run, e), a->call, a->rows,
+                                &next);
         break;
     }
 }
@@ -205,6 +218,7 @@
     *f = (FollowFetch){.is_active = true,
                        .provider = provider,
                        .provider_process = e->peers[provider].process,
+                       .proof = e->peers[provider].proofs[t],
                        .done_us = run->now_us + took_us};
     f->is_lost = took_us > FETCH_LOST_US ||
                  !FollowRun_IsReached(run, e, from) ||
@@ -233,7 +247,8 @@
     uint64_t after = version_of(e, t);
     bool is_full = after == 0 || !GwRowCache_HasRemovalsAfter(cache, after);
     GwRowSet *rows = GwRowCache_After(cache, is_full ? 0 : after);
-    GwFollower_OnPeerRows(own, run->now_us, rows, is_full);
+    GwFollower_OnPeerRows(own, FollowEntry_Clock(run, e), rows, is_full,
+                          &f->proof);
     GwRowSet_Free(rows);
     expedite(run, e, false);
 }
@@ -324,6 +339,27 @@
     return (uint32_t)(base_ms(e, to) * MAX(scale, 1.0));
 }
 
+static void
+fill_proofs(FollowRun *run, FollowEntry *e, const FollowEntry *to,
+            FollowReport *report)
+{
+    FollowPeer *peer = &e->peers[to->index];
+    double share = e->region == to->region ? PROOF_SHARE : PROOF_REMOTE_SHARE;
+    int64_t clock_us = FollowEntry_Clock(run, e);
+
+    report->has_proofs = (double)(run->now_us - peer->proof_sent_us) >=
+                         share * run->params.bound_ms * MS;
+    if (!report->has_proofs) {
+        return;
+    }
+    peer->proof_sent_us = run->now_us;
+    report->clocks = GwClockEcho_Report(&peer->echo, clock_us);
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        report->ages[t] =
+            GwProof_WireAge(GwFollower_Proof(e->followers[t]), clock_us);
+    }
+}
+
 static void
 send_report(FollowRun *run, FollowEntry *e, FollowEntry *to)
 {
@@ -333,14 +369,12 @@
         .to = to->index,
         .process = e->process,
         .serves = is_loaded(e),
-        .reads =
-            GwFollower_IsHealthy(e->followers[FOLLOW_OPERATOR], run->now_us) &&
-            GwFollower_IsHealthy(e->followers[FOLLOW_SERVERS], run->now_us),
         .next_ms = period_ms(run, e, to),
         .versions = {version_of(e, FOLLOW_OPERATOR),
                      version_of(e, FOLLOW_SERVERS)},
     };
 
+    fill_proofs(run, e, to, &report);
     peer->sent_us = run->now_us;
     peer->is_urgent = false;
     if (!FollowRun_IsReached(run, e, to) ||
@@ -367,6 +401,27 @@
     }
 }
 
+static void
+apply_proofs(FollowRun *run, FollowEntry *e, const FollowReport *report)
+{
+    FollowPeer *peer = &e->peers[report->from];
+    int64_t clock_us = FollowEntry_Clock(run, e);
+
+    if (!report->has_proofs) {
+        return;
+    }
+    GwClockEcho_Note(&peer->echo, report->process, report->clocks.clock_ms,
+                     clock_us);
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        GwPeerProof proof = {.version = report->versions[t]};
+        if (GwProof_FromPeer(&report->clocks, report->ages[t], e->process,
+                             clock_us, &proof.as_of_us)) {
+            GwFollower_NoteProof(e->followers[t], &proof);
+        }
+        peer->proofs[t] = proof;
+    }
+}
+
 void
 FollowEntry_OnReport(FollowRun *run, FollowEntry *e,
                      const FollowReport *report)
@@ -376,15 +431,18 @@
     if (report->process < peer->process) {
         return;
     }
+    if (report->process != peer->process) {
+        memset(peer->proofs, 0, sizeof(peer->proofs));
+    }
     peer->process = report->process;
     peer->serves = report->serves;
-    peer->reads = report->reads;
     peer->next_ms = report->next_ms;
     peer->reported_us = run->now_us;
     memcpy(peer->versions, report->versions, sizeof(peer->versions));
     if (e->tables_seen_us == 0 && report->serves) {
         e->tables_seen_us = run->now_us;
     }
+    apply_proofs(run, e, report);
     fetch_from(run, e, report->from);
 }
 
@@ -410,27 +468,22 @@
 static void
 choose_reader(FollowRun *run, FollowEntry *e)
 {
-    GwReaderView view = {
-        .is_region_first = true,
-        .is_settling = GwReader_IsSettling(run->now_us - e->started_us),
-    };
+    int64_t clock_us = FollowEntry_Clock(run, e);
+    GwReaderView view = {.bound_ms = run->params.bound_ms};
 
-    for (uint32_t i = 0; i < run->params.entries; i++) {
+    for (uint32_t i = 0; i < e->index; i++) {
         const FollowPeer *peer = &e->peers[i];
-        if (i == e->index || !peer->serves || !is_live(run, peer)) {
-            continue;
-        }
-        view.other_readers +=
-            peer->reads &&
-            GwReader_IsRecent(run->now_us - peer->reported_us, peer->next_ms);
-        if (i < e->index && run->entries[i].region == e->region) {
-            view.is_region_first = false;
-        }
+        view.rank += run->entries[i].region == e->region && peer->serves &&
+                     is_live(run, peer);
+    }
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        view.age_us =
+            MAX(view.age_us, GwFollower_AgeUs(e->followers[t], clock_us));
     }
-    bool reads =
-        is_loaded(e) ? GwReaderView_Reads(&view) : reads_at_start(run, e);
+    bool reads = is_loaded(e) ? GwReaderView_Reason(&view) != GW_READS_NOT
+                              : reads_at_start(run, e);
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        if (GwFollower_SetReads(e->followers[t], run->now_us, reads)) {
+        if (GwFollower_SetReads(e->followers[t], clock_us, reads)) {
             e->is_connected[t] = false;
         }
     }
@@ -450,7 +503,8 @@
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
         finish_fetch(run, e, t);
         call_store(run, e, t);
-        while (GwFollower_NextOverdue(e->followers[t], run->now_us) != 0) {
+        while (GwFollower_NextOverdue(e->followers[t],
+                                      FollowEntry_Clock(run, e)) != 0) {
         }
     }
     send_due_reports(run, e);
--- a/tests/fakes/follow_internal.h
+++ b/tests/fakes/follow_internal.h
@@ -21,12 +21,14 @@
 typedef struct {
     uint32_t process; /* 0: no report yet */
     bool serves;
-    bool reads;
     uint32_t next_ms;
     int64_t reported_us;
     int64_t sent_us; /* last report to it */
     bool is_urgent;
+    int64_t proof_sent_us; /* last report to it with proofs */
+    GwClockEcho echo;
     uint64_t versions[FOLLOW_TABLE_COUNT];
+    GwPeerProof proofs[FOLLOW_TABLE_COUNT];
 } FollowPeer;
 
 typedef struct {
@@ -36,6 +38,7 @@
     uint32_t provider;
     uint32_t provider_process;
     int64_t done_us;
+    GwPeerProof proof;
 } FollowFetch;
 
 typedef struct FollowRun_s FollowRun;
@@ -46,6 +49,7 @@
     uint32_t region;
     uint32_t domain; /* over all regions */
     uint32_t process;
+    int64_t skew_us; /* of its clock */
     GwFollower *followers[FOLLOW_TABLE_COUNT];
     bool is_connected[FOLLOW_TABLE_COUNT]; /* and the connection is idle */
     FollowFetch fetches[FOLLOW_TABLE_COUNT];
@@ -69,8 +73,10 @@
     uint32_t to;
     uint32_t process; /* of the sender */
     bool serves;
-    bool reads;
     uint32_t next_ms;
+    bool has_proofs;
+    GwClockReport clocks;
+    uint32_t ages[FOLLOW_TABLE_COUNT]; /* of the proofs, as on the wire */
     uint64_t versions[FOLLOW_TABLE_COUNT];
 } FollowReport;
 
@@ -102,6 +108,8 @@
 };
 
 uint32_t FollowRun_Below(FollowRun *run, uint32_t most);
+/* The entry's clock. */
+int64_t FollowEntry_Clock(const FollowRun *run, const FollowEntry *e);
 /* One-way delay between two entries, and to the store. */
 int64_t FollowRun_WayUs(const FollowEntry *from, const FollowEntry *to);
 int64_t FollowRun_StoreWayUs(const FollowEntry *e);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -87,6 +87,9 @@
 95 quota GW_SIZE=12 unused tokens are lost above the burst
 96 quota GW_SIZE=12 a ceded part ends
 97 quota GW_SIZE=12 a lent token is used once
+100 unit.follower - an unanswered call to the store does not delay the next
+101 unit.follower - a proof of freshness holds for copies as new as its own
+102 follow - an entry without a recent proof reads the store
 '
 
 # Rebuilds the objects that the mutant changes, in a copy of the normal build,
--- a/tests/property/proof.cpp
+++ b/tests/property/proof.cpp
@@ -28,7 +28,8 @@
     uint32_t from;
     uint64_t process;
     uint64_t version;
-    GwProofReport report;
+    GwClockReport clocks;
+    uint32_t age;
 };
 
 struct Entry {
@@ -116,10 +117,10 @@
         if (m.version > e.version && below(4) != 0) {
             e.version = m.version;
         }
-        GwClockEcho_Note(&e.echoes[m.from], m.process, m.report.clock_ms,
+        GwClockEcho_Note(&e.echoes[m.from], m.process, m.clocks.clock_ms,
                          clock);
         if (e.version >= m.version &&
-            GwProof_FromPeer(&m.report, e.process, clock, &asOf)) {
+            GwProof_FromPeer(&m.clocks, m.age, e.process, clock, &asOf)) {
             GwProof_Note(&e.proof, asOf);
         }
     }
@@ -134,9 +135,9 @@
                 continue;
             }
             e.reportDue[to] = now + 100 * kMs + below(400 * kMs);
-            Message m = {
-                from, e.process, e.version,
-                GwProof_Report(&e.proof, &e.echoes[to], now + e.skew)};
+            Message m = {from, e.process, e.version,
+                         GwClockEcho_Report(&e.echoes[to], now + e.skew),
+                         GwProof_WireAge(&e.proof, now + e.skew)};
             if (now < e.cutUntil || now < entries[to].cutUntil ||
                 below(10) == 0) {
                 continue;
--- a/tests/unit/test_edge_keys.c
+++ b/tests/unit/test_edge_keys.c
@@ -1,6 +1,7 @@
 /* Keys on the wire: what callers may send, and what servers, logs and pages
  * must never show. */
 #include "common/log.h"
+#include "edge/feed_internal.h"
 #include "fakes/edge_host.h"
 #include "fakes/steering.h"
 #include "platform/platform.h"
@@ -232,11 +233,24 @@
     GwRouting_Unref(routing);
 }
 
-/* As if the process had been paused for longer than the bound. */
+/* As if a peer had sent the rows just now. */
+static void
+prove(GwEdge *edge)
+{
+    GwPeerProof proof = {.as_of_us = GwEdge_BootNow()};
+    GwRowSet *none = GwRowSet_Create();
+
+    GwFollower_OnPeerRows(edge->operator_feed->follower, GwEdge_BootNow(),
+                          none, true, &proof);
+    GwRowSet_Free(none);
+}
+
+/* As if the process had been paused for longer than the bound: the bound is
+ * shorter than any proof is old. */
 static void
 age_proof(GwEdge *edge)
 {
-    edge->proof.as_of_us = GwEdge_BootNow() - 6000000;
+    edge->settings->revocation_ms = 1;
 }
 
 /* Guards against: a request is sent although its key was revoked, or the proof
@@ -257,7 +271,7 @@
                                      Platform_Adapter.request_id, key_line);
         int status = 0;
         h->edge->settings->revocation_ms = 5000;
-        GwEdge_NoteProof(h->edge, GwEdge_BootNow());
+        prove(h->edge);
         EdgeHost_SendText(c.fd, text);
         cr_assert(EdgeHost_RunUntil(h, is_connecting, &c));
         cases[i].change(h->edge);
--- /dev/null
+++ b/tests/unit/test_follower.c
@@ -0,0 +1,199 @@
+/* When a table of the store is read, and what proves that its copy is new. */
+#include "store/follower.h"
+
+#include <criterion/criterion.h>
+
+#define MS       1000
+#define S        1000000
+#define BOUND_MS 2500
+
+static void
+ignore_row(void *ctx, const GwStoreRow *row)
+{
+    (void)ctx;
+    (void)row;
+}
+
+static GwRowSet *
+rows(uint64_t version, const char *key, bool more)
+{
+    GwRowSet *set = GwRowSet_Create();
+
+    if (key != NULL) {
+        g_ptr_array_add(set->rows,
+                        GwStoreRow_Create(key, "value", version, false));
+    }
+    set->version = version;
+    set->more = more;
+    return set;
+}
+
+static GwFollower *
+create(int64_t now_us)
+{
+    GwFollower *f = GwFollower_Create(ignore_row, NULL, now_us, BOUND_MS);
+
+    (void)GwFollower_SetReads(f, now_us, true);
+    return f;
+}
+
+/* Creates one that has the table at `version`, read at `now_us`. */
+static GwFollower *
+create_known(int64_t now_us, uint64_t version)
+{
+    GwFollower *f = create(now_us);
+    GwStoreCall call;
+
+    cr_assert(GwFollower_NextCall(f, now_us, &call));
+    (void)GwFollower_OnRows(f, now_us, call.id, rows(version, "a", false),
+                            &call);
+    return f;
+}
+
+/* Guards against: a peer's proof is taken for a copy that is older than the
+ * peer's. */
+Test(follower, a_proof_holds_for_a_copy_that_is_as_new)
+{
+    static const struct {
+        uint64_t version; /* of the peer's copy; this one has 10 */
+        int64_t as_of_us;
+        bool holds;
+    } cases[] = {
+        {9, 5 * S, true}, {10, 5 * S, true},  {11, 5 * S, false},
+        {10, 0, false},   {10, S / 2, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwFollower *f = create_known(1 * S, 10);
+        GwPeerProof proof = {.version = cases[i].version,
+                             .as_of_us = cases[i].as_of_us};
+        GwFollower_NoteProof(f, &proof);
+        cr_expect_eq(GwFollower_Proof(f)->as_of_us,
+                     cases[i].holds ? cases[i].as_of_us : 1 * S, "case %zu",
+                     i);
+        GwFollower_Free(f);
+    }
+}
+
+/* Guards against: rows of a peer that has restarted with an older copy are
+ * proven by what it said before. */
+Test(follower, rows_that_are_older_than_their_proof_prove_nothing)
+{
+    static const uint64_t versions[] = {9, 12, 20};
+    GwPeerProof proof = {.version = 12, .as_of_us = 5 * S};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
+        GwFollower *f = create_known(1 * S, 8);
+        GwRowSet *set = rows(versions[i], "b", false);
+        GwFollower_OnPeerRows(f, 6 * S, set, false, &proof);
+        cr_expect_eq(GwFollower_Proof(f)->as_of_us,
+                     versions[i] >= 12 ? 5 * S : 1 * S, "case %zu", i);
+        GwRowSet_Free(set);
+        GwFollower_Free(f);
+    }
+}
+
+/* Guards against: an entry waits for a call that is never answered. */
+Test(follower, an_unanswered_call_does_not_hold_up_the_next)
+{
+    GwFollower *f = create_known(0, 1);
+    GwStoreCall call;
+    uint32_t lost_id = 0;
+    int64_t last_us = 0;
+    uint32_t sent = 0;
+
+    for (int64_t now_us = 0; now_us < 20 * S; now_us += 50 * MS) {
+        while (GwFollower_NextOverdue(f, now_us) != 0) {
+        }
+        if (!GwFollower_NextCall(f, now_us, &call)) {
+            continue;
+        }
+        cr_expect_leq(now_us - last_us, 1050 * MS, "after %d ms",
+                      (int)(now_us / MS));
+        lost_id = lost_id == 0 ? call.id : lost_id;
+        last_us = now_us;
+        sent++;
+    }
+    cr_expect_geq(sent, 19);
+    cr_expect_not(GwFollower_IsHealthy(f, 20 * S));
+    cr_expect(GwFollower_IsAway(f, 20 * S));
+    (void)GwFollower_OnRows(f, 20 * S, call.id, rows(2, NULL, false), &call);
+    cr_expect(GwFollower_IsHealthy(f, 20 * S));
+    cr_expect_not(GwFollower_IsAway(f, 20 * S));
+    GwFollower_Free(f);
+}
+
+/* Guards against: the answer to an earlier call counts after a later one. */
+Test(follower, an_answer_drops_the_earlier_calls)
+{
+    GwFollower *f = create_known(0, 1);
+    GwStoreCall first;
+    GwStoreCall second;
+    GwStoreCall next;
+
+    cr_assert(GwFollower_NextCall(f, 1 * S, &first));
+    cr_assert(GwFollower_NextCall(f, 2 * S, &second));
+    (void)GwFollower_OnRows(f, 2 * S, second.id, rows(5, "b", false), &next);
+    cr_expect_eq(GwFollower_UnansweredUs(f, 2 * S), 0);
+    cr_expect_eq(GwFollower_NextOverdue(f, 2 * S), first.id);
+    cr_expect_eq(GwFollower_NextOverdue(f, 2 * S), 0);
+    (void)GwFollower_OnRows(f, 3 * S, first.id, rows(4, "c", false), &next);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)), 5);
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 2 * S);
+    GwFollower_Free(f);
+}
+
+/* Guards against: a table of several pages counts as complete after one, or as
+ * newer than its first page. */
+Test(follower, a_table_is_known_after_its_last_page)
+{
+    GwFollower *f = create(1 * S);
+    GwStoreCall call;
+
+    cr_assert(GwFollower_NextCall(f, 1 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_READ);
+    cr_expect_null(call.from_key);
+    cr_assert(GwFollower_OnRows(f, 2 * S, call.id, rows(7, "a", true), &call));
+    cr_expect_str_eq(call.from_key, "a");
+    cr_expect_not(GwFollower_IsKnown(f));
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 0);
+    cr_assert_not(
+        GwFollower_OnRows(f, 3 * S, call.id, rows(9, "b", false), &call));
+    cr_expect(GwFollower_IsKnown(f));
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 1 * S);
+    cr_assert(GwFollower_NextCall(f, 4 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_FEED);
+    cr_expect_eq(call.after, 7);
+    GwFollower_Free(f);
+}
+
+/* Guards against: a long answer on a narrow link is asked for again and
+ * again. */
+Test(follower, an_answer_that_arrives_slowly_is_not_unanswered)
+{
+    GwFollower *f = create(0);
+    GwStoreCall call;
+    GwStoreCall other;
+
+    cr_assert(GwFollower_NextCall(f, 0, &call));
+    for (int64_t now_us = 0; now_us < 9 * S; now_us += 100 * MS) {
+        GwFollower_OnBytes(f, now_us, call.id);
+        cr_expect_not(GwFollower_NextCall(f, now_us, &other));
+        cr_expect_eq(GwFollower_NextOverdue(f, now_us), 0);
+    }
+    GwFollower_Free(f);
+}
+
+/* Guards against: after its history was dropped the store is asked for changes
+ * again. */
+Test(follower, a_dropped_history_is_followed_by_a_full_read)
+{
+    GwFollower *f = create_known(0, 1);
+    GwStoreCall call;
+
+    cr_assert(GwFollower_NextCall(f, 1 * S, &call));
+    GwFollower_OnGone(f, 1 * S, call.id);
+    cr_assert(GwFollower_NextCall(f, 1 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_READ);
+    GwFollower_Free(f);
+}
--- a/tests/unit/test_proof.c
+++ b/tests/unit/test_proof.c
@@ -22,15 +22,15 @@
         int64_t proof_us = there_us - GwRng_Below(&rng, 6 * S);
         int64_t back_us = there_us + GwRng_Below(&rng, 3 * S);
         int64_t read_us = back_us + GwRng_Below(&rng, 10 * S);
-        GwProof none = {0};
         GwClockEcho no_echo = {0};
-        GwProofReport sent = GwProof_Report(&none, &no_echo, start_us);
+        GwClockReport sent = GwClockEcho_Report(&no_echo, start_us);
         GwProof proof = {.as_of_us = proof_us + skew_us};
         GwClockEcho echo = {0};
         GwClockEcho_Note(&echo, 42, sent.clock_ms, there_us + skew_us);
-        GwProofReport reply = GwProof_Report(&proof, &echo, back_us + skew_us);
+        GwClockReport reply = GwClockEcho_Report(&echo, back_us + skew_us);
+        uint32_t age = GwProof_WireAge(&proof, back_us + skew_us);
         int64_t as_of_us = 0;
-        cr_assert(GwProof_FromPeer(&reply, 42, read_us, &as_of_us));
+        cr_assert(GwProof_FromPeer(&reply, age, 42, read_us, &as_of_us));
         cr_assert_leq(as_of_us, proof_us, "seed case %d", i);
         cr_assert_geq(as_of_us, proof_us - (there_us - start_us) - 4 * MS,
                       "seed case %d", i);
@@ -42,28 +42,26 @@
 Test(proof, a_message_without_an_echo_of_this_process_proves_nothing)
 {
     static const struct {
-        GwProofReport report;
+        GwClockReport report;
+        uint32_t age;
         bool is_proof;
     } cases[] = {
-        {{.echo_process = 42, .echo_clock_ms = 9000, .age_ms = 11}, true},
-        {{.echo_process = 41, .echo_clock_ms = 9000, .age_ms = 11}, false},
-        {{.echo_process = 42, .echo_clock_ms = 9000, .age_ms = 0}, false},
-        {{.echo_process = 42, .echo_clock_ms = 10001, .age_ms = 11}, false},
-        {{.echo_process = 42,
-          .echo_clock_ms = 9000,
-          .echo_held_ms = 1001,
-          .age_ms = 11},
+        {{.echo_process = 42, .echo_clock_ms = 9000}, 11, true},
+        {{.echo_process = 41, .echo_clock_ms = 9000}, 11, false},
+        {{.echo_process = 42, .echo_clock_ms = 9000}, 0, false},
+        {{.echo_process = 42, .echo_clock_ms = 10001}, 11, false},
+        {{.echo_process = 42, .echo_clock_ms = 9000, .echo_held_ms = 1001},
+         11,
          false},
-        {{.echo_process = 42, .echo_clock_ms = 9000, .age_ms = UINT32_MAX},
-         false},
-        {{0}, false},
+        {{.echo_process = 42, .echo_clock_ms = 9000}, UINT32_MAX, false},
+        {{0}, 0, false},
     };
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         int64_t as_of_us = 0;
-        cr_expect_eq(
-            GwProof_FromPeer(&cases[i].report, 42, 10 * (int64_t)S, &as_of_us),
-            cases[i].is_proof, "case %zu", i);
+        cr_expect_eq(GwProof_FromPeer(&cases[i].report, cases[i].age, 42,
+                                      10 * (int64_t)S, &as_of_us),
+                     cases[i].is_proof, "case %zu", i);
     }
 }
 
@@ -72,15 +70,16 @@
 Test(proof, the_clock_of_a_message_may_wrap)
 {
     int64_t wrap_us = ((int64_t)UINT32_MAX + 1) * MS;
-    GwProofReport sent =
-        GwProof_Report(&(GwProof){0}, &(GwClockEcho){0}, wrap_us - 50 * MS);
+    GwClockReport sent =
+        GwClockEcho_Report(&(GwClockEcho){0}, wrap_us - 50 * MS);
     GwClockEcho echo = {0};
     GwProof proof = {.as_of_us = 4 * (int64_t)S};
     int64_t as_of_us = 0;
 
     GwClockEcho_Note(&echo, 42, sent.clock_ms, 5 * (int64_t)S);
-    GwProofReport reply = GwProof_Report(&proof, &echo, 5 * (int64_t)S);
-    cr_assert(GwProof_FromPeer(&reply, 42, wrap_us + 50 * MS, &as_of_us));
+    GwClockReport reply = GwClockEcho_Report(&echo, 5 * (int64_t)S);
+    uint32_t age = GwProof_WireAge(&proof, 5 * (int64_t)S);
+    cr_assert(GwProof_FromPeer(&reply, age, 42, wrap_us + 50 * MS, &as_of_us));
     cr_expect_leq(as_of_us, wrap_us - 1050 * MS);
     cr_expect_geq(as_of_us, wrap_us - 1053 * MS);
 }
