Servers' rows are read only when the store's version has moved

Ruled out: long polls for one of them (a held call can't be told from a lost one); a longer period (half of the bound is spent on the age of the proof). The operators' rows are read at the period; if the answer's version is that which the copy of the servers' rows has, nothing has changed there and the answer proves that copy too, else the servers' rows are read at once. An outage is judged by the table that is read.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -380,6 +380,7 @@
     edge->server_feed =
         GwFeed_Create(edge, adapter->server_table, GwRouterRows_OnServerRow,
                       GwRouterRows_IsChange);
+    GwFeed_FollowOther(edge->server_feed);
     edge->peers = GwPeers_Create(edge, &why);
     GwQuotas_Init(edge);
     start_timers(edge);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -197,6 +197,9 @@
 /* Carries out due calls to the store. */
 void GwFeed_Tick(GwFeed *feed);
 void GwFeed_Sweep(GwFeed *feed);
+/* Reads the table only when an answer about the other one shows that the store
+ * has changed. */
+void GwFeed_FollowOther(GwFeed *feed);
 /* Sets the time within which a change must be in force. */
 void GwFeed_SetBound(GwFeed *feed, uint32_t bound_ms);
 /* Selects whether this entry reads the table from the store or relies on
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -98,6 +98,12 @@
     return GwFollower_IsHealthy(feed->follower, GwEdge_BootNow());
 }
 
+void
+GwFeed_FollowOther(GwFeed *feed)
+{
+    GwFollower_FollowOther(feed->follower);
+}
+
 void
 GwFeed_SetBound(GwFeed *feed, uint32_t bound_ms)
 {
@@ -147,17 +153,20 @@
                                  polls_succeed);
 }
 
+/* Servers' rows may have expired while the store did not answer, whichever
+ * table was asked. */
 static void
-note_store_answer(GwFeed *feed)
+note_store_answer(const GwFeed *feed)
 {
+    GwFeed *servers = feed->edge->server_feed;
     int64_t now_us = GwEdge_BootNow();
-    int64_t answered_us = GwFollower_AnsweredUs(feed->follower);
     bool failed = GwFollower_IsAway(feed->follower, now_us);
 
-    if (set_grace_after_outage(feed, now_us, failed, false)) {
-        feed->outage_grace_until_us = now_us + grace_us(feed);
+    if (set_grace_after_outage(servers, now_us, failed, false)) {
+        servers->outage_grace_until_us = now_us + grace_us(servers);
         GwLog_Event(GW_LOG_STORE_BACK, "table=%s away_ms=%" G_GINT64_FORMAT,
-                    feed->table, (now_us - answered_us) / 1000);
+                    feed->table,
+                    (now_us - GwFollower_AnsweredUs(feed->follower)) / 1000);
     }
 }
 
@@ -277,6 +286,20 @@
     }
 }
 
+/* Reads the servers' rows if an answer about the operators' rows shows that the
+ * store has changed. */
+static void
+tell_other_feed(const GwFeed *feed)
+{
+    GwFeed *servers = feed->edge->server_feed;
+
+    if (feed != servers) {
+        GwFollower_OnOther(servers->follower, GwEdge_BootNow(),
+                           GwFollower_LastAnswer(feed->follower));
+        call_store(servers);
+    }
+}
+
 static void
 apply_rows(GwStoreLink *link, GwRowSet *set)
 {
@@ -293,6 +316,7 @@
     }
     else {
         drop_overdue_calls(feed);
+        tell_other_feed(feed);
     }
     if (has_rows) {
         GwPeers_ExpediteRegion(feed->edge->peers);
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -33,14 +33,16 @@
     bool reads;
     bool is_known;
     bool has_answered; /* since it began to read */
+    bool follows_other;
     Call calls[GW_FOLLOWER_CALLS_MAX];
     uint32_t last_id;
     int64_t due_us; /* next call */
     int64_t answered_us;
     int64_t created_us;
     GwProof proof;
-    uint32_t failures; /* calls refused or unanswered since the last answer */
-    bool is_refused;   /* a call failed since the last answer */
+    GwPeerProof answer; /* the last complete one */
+    uint32_t failures;  /* calls refused or unanswered since the last answer */
+    bool is_refused;    /* a call failed since the last answer */
     uint32_t bound_ms;
 };
 
@@ -95,6 +97,19 @@
     f->bound_ms = bound_ms;
 }
 
+void
+GwFollower_FollowOther(GwFollower *f)
+{
+    f->follows_other = true;
+}
+
+/* Whether calls wait for news about another table. */
+static bool
+waits_for_other(const GwFollower *f)
+{
+    return f->follows_other && f->is_known && f->phase == GW_CALL_FEED;
+}
+
 /* An entry that begins to read the store continues from the version that it
  * has received from peers. */
 bool
@@ -114,6 +129,9 @@
         f->phase = GW_CALL_FEED;
         f->version = GwRowCache_Version(f->cache);
     }
+    if (waits_for_other(f)) {
+        f->due_us = INT64_MAX;
+    }
     return true;
 }
 
@@ -245,6 +263,8 @@
         f->is_known = true;
     }
     f->version = MAX(f->version, set->version);
+    f->answer =
+        (GwPeerProof){.version = set->version, .as_of_us = call->asked_us};
     GwProof_Note(&f->proof, call->asked_us);
 }
 
@@ -279,12 +299,35 @@
         return true;
     }
     apply_answer(f, now_us, call);
-    f->due_us = MAX(now_us, call->asked_us + period_us(f));
+    f->due_us = waits_for_other(f)
+                    ? INT64_MAX
+                    : MAX(now_us, call->asked_us + period_us(f));
     supersede_calls(f, call->asked_us);
     end_call(call);
     return false;
 }
 
+const GwPeerProof *
+GwFollower_LastAnswer(const GwFollower *f)
+{
+    return &f->answer;
+}
+
+void
+GwFollower_OnOther(GwFollower *f, int64_t now_us, const GwPeerProof *answer)
+{
+    if (!f->reads || !waits_for_other(f)) {
+        return;
+    }
+    if (answer->version > f->version) {
+        f->due_us = MIN(f->due_us, now_us);
+        return;
+    }
+    f->has_answered = true;
+    f->answered_us = now_us;
+    GwProof_Note(&f->proof, answer->as_of_us);
+}
+
 void
 GwFollower_OnGone(GwFollower *f, int64_t now_us, uint32_t id)
 {
@@ -366,7 +409,8 @@
     int64_t silent_us = now_us - f->answered_us;
 
     return f->reads &&
-           (f->is_refused || silent_us > AWAY_US + 2 * period_us(f));
+           (f->is_refused ||
+            (!waits_for_other(f) && silent_us > AWAY_US + 2 * period_us(f)));
 }
 
 void
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -36,6 +36,9 @@
 void GwFollower_Free(GwFollower *f);
 GwRowCache *GwFollower_Cache(const GwFollower *f);
 void GwFollower_SetBound(GwFollower *f, uint32_t bound_ms);
+/* Once the table is known, it is read only when the answer about another table
+ * shows that the store has changed (GwFollower_OnOther). */
+void GwFollower_FollowOther(GwFollower *f);
 /* Begins or ends to call the store. Returns whether that is a change; the
  * calling function must drop all calls in progress when it ends. */
 bool GwFollower_SetReads(GwFollower *f, int64_t now_us, bool reads);
@@ -51,6 +54,13 @@
  * question for the next page, if the call goes on. */
 bool GwFollower_OnRows(GwFollower *f, int64_t now_us, uint32_t id,
                        GwRowSet *set, GwStoreCall *next);
+/* The last complete answer: the version that the store had, and when it was
+ * asked. */
+const GwPeerProof *GwFollower_LastAnswer(const GwFollower *f);
+/* The store answered about another table. All tables share one version counter:
+ * if this copy has that version, nothing in this table has changed. */
+void GwFollower_OnOther(GwFollower *f, int64_t now_us,
+                        const GwPeerProof *answer);
 /* The store no longer has the history after the call's version. */
 void GwFollower_OnGone(GwFollower *f, int64_t now_us, uint32_t id);
 /* The call was refused, or its connection ended. */
--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -121,6 +121,7 @@
         on_operator_row, e, run->now_us, run->params.bound_ms);
     e->followers[FOLLOW_SERVERS] = GwFollower_Create(
         on_server_row, e, FollowEntry_Clock(run, e), run->params.bound_ms);
+    GwFollower_FollowOther(e->followers[FOLLOW_SERVERS]);
     memset(e->is_connected, 0, sizeof(e->is_connected));
     memset(e->fetches, 0, sizeof(e->fetches));
     memset(e->drained, 0, sizeof(e->drained));
@@ -195,6 +196,11 @@
         }
         (void)GwFollower_OnRows(f, FollowEntry_Clock(run, e), a->call, a->rows,
                                 &next);
+        if (a->table == FOLLOW_OPERATOR) {
+            GwFollower_OnOther(e->followers[FOLLOW_SERVERS],
+                               FollowEntry_Clock(run, e),
+                               GwFollower_LastAnswer(f));
+        }
         break;
     }
 }
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -197,3 +197,29 @@
     cr_expect_eq(call.kind, GW_CALL_READ);
     GwFollower_Free(f);
 }
+
+/* Guards against: a table that waits for news about another one is not read
+ * when the store has changed, or is read although it has not. */
+Test(follower, a_table_is_read_when_another_shows_that_the_store_changed)
+{
+    static const struct {
+        uint64_t version; /* of the store; the copy has 10 */
+        bool is_read;
+    } cases[] = {{9, false}, {10, false}, {11, true}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwFollower *f = create(0);
+        GwStoreCall call;
+        GwPeerProof answer = {.version = cases[i].version, .as_of_us = 9 * S};
+        GwFollower_FollowOther(f);
+        cr_assert(GwFollower_NextCall(f, 0, &call));
+        (void)GwFollower_OnRows(f, 0, call.id, rows(10, "a", false), &call);
+        cr_expect_not(GwFollower_NextCall(f, 9 * S, &call));
+        GwFollower_OnOther(f, 9 * S, &answer);
+        cr_expect_eq(GwFollower_NextCall(f, 9 * S, &call), cases[i].is_read,
+                     "case %zu", i);
+        cr_expect_eq(GwFollower_Proof(f)->as_of_us,
+                     cases[i].is_read ? 0 : 9 * S, "case %zu", i);
+        GwFollower_Free(f);
+    }
+}
