--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -243,15 +243,15 @@
 
 static void
 send_response(EdgeHostServer *s, const char *id, const char *status,
-              const char *mark)
+              const char *mark, const char *fields)
 {
     for (uint32_t i = 0; i < s->conn_count; i++) {
         if (has_request(&s->conns[i], id)) {
             send_all(s->conns[i].fd,
-                     g_strdup_printf("HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n"
+                     g_strdup_printf("HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s"
                                      "Content-Length: 0\r\n\r\n",
                                      status, Platform_Adapter.request_id, id,
-                                     mark));
+                                     mark, fields));
         }
     }
 }
@@ -259,11 +259,23 @@
 void
 EdgeHost_Answer(EdgeHostServer *s, const char *id)
 {
-    send_response(s, id, "200 OK", Platform_Adapter.seal);
+    EdgeHost_AnswerWith(s, id, "");
+}
+
+void
+EdgeHost_AnswerWith(EdgeHostServer *s, const char *id, const char *fields)
+{
+    send_response(s, id, "200 OK", Platform_Adapter.seal, fields);
 }
 
 void
 EdgeHost_Refuse(EdgeHostServer *s, const char *id)
 {
-    send_response(s, id, "503 Busy", Platform_Adapter.not_run);
+    EdgeHost_RefuseWith(s, id, "");
+}
+
+void
+EdgeHost_RefuseWith(EdgeHostServer *s, const char *id, const char *fields)
+{
+    send_response(s, id, "503 Busy", Platform_Adapter.not_run, fields);
 }
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -66,5 +66,10 @@
 void EdgeHost_Answer(EdgeHostServer *s, const char *id);
 /* Refuses that request, with proof that it did not run. */
 void EdgeHost_Refuse(EdgeHostServer *s, const char *id);
+/* As those two, with further header lines, each with its line end. */
+void EdgeHost_AnswerWith(EdgeHostServer *s, const char *id,
+                         const char *fields);
+void EdgeHost_RefuseWith(EdgeHostServer *s, const char *id,
+                         const char *fields);
 
 #endif
