A server that says in its answers that it leaves gets no more requests

Seen by servers: requests 2.9 and 3.2 s after an entry had passed on an answer that says that the server leaves (DRAIN in the operators' record); the row that says so waited 13 s for the store. Cause: nobody read the word; only rows told a drain. And what a row told was lost with the row: expired while the store was away and written again as ready, it came back as a server to use. Change: lib/router/leaving.c keeps the starts (id and time of start) that are known to leave, from rows and answers alike, apart from the servers' rows; only a later start ends it. Requests that wait for the server's next slot choose again at once. The word is the value 1 in any field of that name; others are ignored; a 421 speaks of another server. Ruled out: a bit in the server's state, which is freed with its row; a row's version, since the row may be older than the answer. Why it works: every send goes through the choice of an eligible server, and a start that leaves is never one again.

--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -36,6 +36,7 @@
     const char *not_run; /* set when the server did not run the request */
     const char *cold_ms;
     const char *limit;        /* maximum requests/s of the server */
+    const char *leaving;      /* "1": the server leaves */
     const char *credential;   /* key of the caller; never forwarded */
     const char *organisation; /* name of the caller's organisation */
     /* Paths served by entries. */
--- a/lib/edge/answers.c
+++ b/lib/edge/answers.c
@@ -54,6 +54,20 @@
     }
 }
 
+/* Whether any of the fields of this name has the value. */
+static bool
+has_value(const GwHttpMessage *msg, const char *name, const char *value)
+{
+    for (guint i = 0; i < msg->fields->len; i++) {
+        const GwHttpField *f = &g_array_index(msg->fields, GwHttpField, i);
+        if (g_ascii_strcasecmp(msg->text->str + f->name, name) == 0 &&
+            strcmp(msg->text->str + f->value, value) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static GwAttemptOutcome
 attempt_outcome(const GwAdapter *names, const GwHttpMessage *msg)
 {
@@ -76,6 +90,7 @@
         .status = msg->status,
         .other_server = msg->status == 421,
         .cold_ms = cold != NULL ? (uint32_t)strtoul(cold, NULL, 10) : 0,
+        .leaving = has_value(msg, names->leaving, "1"),
         .connect_us = connect_us,
     };
 
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -78,6 +78,8 @@
         g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_hash_table_destroy);
     r->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    r->leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     r->paths = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_path);
     r->remote_rtt_us = GW_REMOTE_RTT_US;
     r->open = g_hash_table_new(NULL, NULL);
@@ -131,6 +133,7 @@
     g_hash_table_destroy(r->peers);
     g_hash_table_destroy(r->region_loads);
     g_hash_table_destroy(r->evacuated);
+    g_hash_table_destroy(r->leaving);
     g_hash_table_destroy(r->paths);
     g_hash_table_destroy(r->routes);
     g_hash_table_destroy(r->services);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -197,6 +197,7 @@
     uint32_t running; /* from the load report */
     uint32_t waiting;
     uint32_t cold_ms;   /* > 0: the server states that it is cold */
+    bool leaving;       /* the server states that it leaves */
     int64_t connect_us; /* time to set up a new connection; 0: reused */
     GwLimitStatement limit;
     double limit_per_s; /* if GW_LIMIT_STATED */
@@ -281,6 +282,7 @@
     GW_ROUTER_PROBE, /* connect to `server`, then call GwRouter_ProbeEnded */
     GW_ROUTER_DROP_SERVER,  /* drop the host's state of the removed `server` */
     GW_ROUTER_LOG_EJECTED,  /* log that `server` is ejected for left_ms */
+    GW_ROUTER_LOG_LEAVING,  /* log that `server` states that it leaves */
     GW_ROUTER_LOG_RECOVERED /* log that `server` runs without errors again */
 } GwRouterActionKind;
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -221,6 +221,7 @@
     GHashTable
         *region_loads; /* region -> (server hash -> requests in flight) */
     GHashTable *evacuated;
+    GHashTable *leaving;        /* server id -> Leaving, in leaving.c */
     GHashTable *paths;          /* region -> GwPath */
     double remote_rtt_us;       /* mean round trip to other regions */
     GHashTable *open;           /* set of GwRequest */
@@ -265,6 +266,15 @@
 void GwServer_UpdateUtilization(const GwRouter *r, GwServer *s,
                                 int64_t now_us);
 
+/* Requests that wait for the server's next slot choose again. */
+void GwServer_DropReservations(GwServer *s);
+
+/* leaving.c */
+/* Whether that start of the server is known to be leaving. */
+bool GwRouter_IsLeaving(const GwRouter *r, const char *id, uint64_t born_ms);
+/* The server leaves, as its row or an answer says: it gets no more requests. */
+void GwRouter_NoteLeaving(GwRouter *r, int64_t now_us, GwServer *s);
+
 /* rate_owners.c */
 bool GwRouter_HasColdToken(GwRouter *r, GwServer *s, int64_t now_us);
 bool GwServer_IsLimited(const GwServer *s);
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -80,22 +80,28 @@
     }
 }
 
-/* Removes a server. Attempts in progress keep it allocated until they end. */
-static void
-delist(GwRouter *r, GwServer *s, GArray *actions)
+void
+GwServer_DropReservations(GwServer *s)
 {
     GPtrArray *waiting = s->service->waiting;
 
-    s->listed = false;
-    if (s->service->freed_server == s) {
-        s->service->freed_server = NULL;
-    }
     for (guint i = 0; i < waiting->len; i++) {
         GwRequest *req = waiting->pdata[i];
         if (req->awaited_server == s) {
             req->awaited_server = NULL;
         }
     }
+}
+
+/* Removes a server. Attempts in progress keep it allocated until they end. */
+static void
+delist(GwRouter *r, GwServer *s, GArray *actions)
+{
+    s->listed = false;
+    if (s->service->freed_server == s) {
+        s->service->freed_server = NULL;
+    }
+    GwServer_DropReservations(s);
     (void)g_ptr_array_remove(s->service->servers, s);
     (void)g_hash_table_remove(r->servers, s->id);
     if (s->refs == 0) {
@@ -166,12 +172,12 @@
         GwRouter_AddRegionLoads(r, now_us, s);
     }
     s->slots = info->slots;
-    /* Draining never ends within one start of a server: a report without it is
-     * an older one that arrived late. */
 #if GW_MUTANT == 72 /* breaks: an older report ends draining */
     s->draining = info->draining;
 #else
-    s->draining = s->draining || info->draining;
+    if (info->draining || GwRouter_IsLeaving(r, info->id, info->born_ms)) {
+        GwRouter_NoteLeaving(r, now_us, s);
+    }
 #endif
     if (info->warmup_left_ms > 0) {
         s->cold_until_us = now_us + (int64_t)info->warmup_left_ms * 1000;
@@ -311,6 +317,15 @@
     s->failures = 0;
 }
 
+static void
+learn_leaving(GwRouter *r, int64_t now_us, GwServer *s, GArray *actions)
+{
+    if (!s->draining) {
+        add_log_action(GW_ROUTER_LOG_LEAVING, s, 0, actions);
+    }
+    GwRouter_NoteLeaving(r, now_us, s);
+}
+
 static void
 learn_time(GwRouter *r, int64_t now_us, GwRequest *req,
            const GwAttemptEnd *end)
@@ -353,6 +368,9 @@
     if (!end->other_server) {
         GwRouter_LearnLimit(r, now_us, s, end);
     }
+    if (end->leaving && !end->other_server) {
+        learn_leaving(r, now_us, s, actions);
+    }
     if (end->cold_ms > 0) {
         s->cold_until_us = now_us + (int64_t)end->cold_ms * 1000;
     }
--- a/tests/fakes/outages_host.c
+++ b/tests/fakes/outages_host.c
@@ -88,6 +88,7 @@
         (void)g_hash_table_remove(e->handles, act->server);
         break;
     case GW_ROUTER_LOG_EJECTED:
+    case GW_ROUTER_LOG_LEAVING:
     case GW_ROUTER_LOG_RECOVERED:
         break;
     }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -89,6 +89,7 @@
 97 quota GW_SIZE=12 a lent token is used once
 100 unit.follower - an unanswered call to the store does not delay the next
 101 unit.follower - a proof of freshness holds for copies as new as its own
+103 unit.server_leaving - no row takes back that a server leaves
 102 follow - an entry without a recent proof reads the store
 '
 
