A server that asks an entry for rest gets none of its requests until then

Cause: nobody read Retry-After. A server that refuses was left alone for 0.1 s, and for none while more than half of a service is ejected. One function tells when a server may get a request by what it has stated, a limit or a rest (GwServer_SendWaitUs): choice, waiting, refusals and Retry-After see a rest as a wait. Objects of a resting server go elsewhere if that serves them better. The first byte is held back if the rest began while the connection was set up (GwRouter_MaySend); such an attempt says nothing of the server. A server that says for how long isn't ejected. Event BACKEND_RESTS, gw_service_resting. Ruled out: an ejection with that time, which panic ignores and a probe ends. Why it works: every first byte asks the one function.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -46,6 +46,7 @@
     X(ORG_LIMITED, 510, WARN, "an organisation is over its quota") \
     X(ORG_UNLIMITED, 511, INFO, "an organisation is within its quota again") \
     X(BACKEND_LEAVING, 512, INFO, "a backend server's answer says it leaves") \
+    X(BACKEND_RESTS, 513, INFO, "a backend server asks for rest") \
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
     X(REQUEST_REPLIED, 601, INFO, "the entry itself answered a request") \
--- a/lib/edge/answers.c
+++ b/lib/edge/answers.c
@@ -54,6 +54,38 @@
     }
 }
 
+/* Longest rest that is read, in seconds. */
+#define REST_MAX_S 1e6
+
+/* Parses a number of seconds; no date. */
+static double
+read_rest_s(const char *text)
+{
+    char *rest;
+    double value = g_ascii_strtod(text, &rest);
+
+    if (rest == text || *rest != '\0' || !isfinite(value) || value <= 0) {
+        return 0;
+    }
+    return MIN(value, REST_MAX_S);
+}
+
+/* The longest rest that a refusal asks for; 0: none. */
+static int64_t
+read_rest_us(const GwHttpMessage *msg)
+{
+    double longest_s = 0;
+
+    for (guint i = 0; msg->status == 503 && i < msg->fields->len; i++) {
+        const GwHttpField *f = &g_array_index(msg->fields, GwHttpField, i);
+        if (g_ascii_strcasecmp(msg->text->str + f->name, "retry-after") == 0) {
+            double rest_s = read_rest_s(msg->text->str + f->value);
+            longest_s = MAX(longest_s, rest_s);
+        }
+    }
+    return (int64_t)(longest_s * 1e6);
+}
+
 /* Whether any of the fields of this name has the value. */
 static bool
 has_value(const GwHttpMessage *msg, const char *name, const char *value)
@@ -91,6 +123,7 @@
         .other_server = msg->status == 421,
         .cold_ms = cold != NULL ? (uint32_t)strtoul(cold, NULL, 10) : 0,
         .leaving = has_value(msg, names->leaving, "1"),
+        .rest_us = read_rest_us(msg),
         .connect_us = connect_us,
     };
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -186,6 +186,10 @@
         GwLog_Event(GW_LOG_BACKEND_LEAVING, "server=%s",
                     GwServer_Id(act->server));
         break;
+    case GW_ROUTER_LOG_RESTING:
+        GwLog_Event(GW_LOG_BACKEND_RESTS, "server=%s for_ms=%u",
+                    GwServer_Id(act->server), act->left_ms);
+        break;
     case GW_ROUTER_LOG_RECOVERED:
         GwLog_Event(GW_LOG_BACKEND_BACK, "server=%s",
                     GwServer_Id(act->server));
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -212,7 +212,8 @@
  * read, after queueing, and on a retry. If the loop is behind, the end of the
  * caller's connection may still be unread; forwarding the request would then
  * use a slot to answer a disconnected caller. The caller's key may have been
- * revoked while the connection was set up or the process was paused. */
+ * revoked, or the server may have asked for rest, while the connection was set
+ * up or the process was paused. */
 static void
 write_request(GwServerLink *link)
 {
@@ -226,7 +227,7 @@
     GwEdge_ApplyProof(edge);
 #if GW_MUTANT != 93 /* breaks: a key revoked during the connect is used */
     if (!GwRouter_MaySend(edge->router, GwEdge_Now(), x->request)) {
-        GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT};
+        GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT, .withheld = true};
         return_unsent(link);
         report_attempt(x, &end);
         return;
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -29,14 +29,15 @@
                            "gw_service_servers{service=\"%s\"} %u\n"
                            "gw_service_ejected{service=\"%s\"} %u\n"
                            "gw_service_limited{service=\"%s\"} %u\n"
+                           "gw_service_resting{service=\"%s\"} %u\n"
                            "gw_service_waiting{service=\"%s\"} %u\n"
                            "gw_service_in_flight{service=\"%s\"} %u\n"
                            "gw_service_peers_in_flight{service=\"%s\"} %u\n"
                            "gw_service_retries_left{service=\"%s\"} %.2f\n",
                            name, view->servers, name, view->ejected, name,
-                           view->limited, name, view->waiting, name,
-                           view->in_flight, name, view->peers_in_flight, name,
-                           view->retries_left);
+                           view->limited, name, view->resting, name,
+                           view->waiting, name, view->in_flight, name,
+                           view->peers_in_flight, name, view->retries_left);
     g_free(name);
 }
 
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -130,7 +130,7 @@
 GwServer_HasCapacity(const GwRouter *r, const GwServer *s, int64_t now_us)
 {
     return GwServer_Load(r, s, now_us) < s->slots + GW_SLOTS_AHEAD &&
-           GwServer_LimitWaitUs(s, now_us) <= 0;
+           GwServer_SendWaitUs(s, now_us) <= 0 && GwServer_HasTrialSlot(s);
 }
 
 static double
@@ -172,13 +172,16 @@
 {
     double load = GwServer_Load(search->r, s, search->now_us);
     double limit = s->slots + GW_SLOTS_AHEAD;
-    double wait = GwServer_LimitWaitUs(s, search->now_us);
-    bool has_free_slot = load < limit && wait <= 0;
+    double wait = GwServer_SendWaitUs(s, search->now_us);
+    double run_us = s->service->work_us * s->slowdown;
+    bool has_trial_slot = GwServer_HasTrialSlot(s);
+    bool has_free_slot = load < limit && wait <= 0 && has_trial_slot;
 
     if (load >= limit) {
-        double slot_us = (load - limit + 1) * s->service->work_us *
-                         s->slowdown / (double)s->slots;
-        wait = MAX(wait, slot_us);
+        wait = MAX(wait, (load - limit + 1) * run_us / (double)s->slots);
+    }
+    if (!has_trial_slot) {
+        wait = MAX(wait, run_us);
     }
     if (GwServer_IsCold(s, search->now_us)) {
         work_us *= 2;
@@ -352,6 +355,19 @@
     };
 }
 
+/* Whether the request goes to a server that is no placement of its object,
+ * though it has one, where it would wait and be late. */
+static bool
+leaves_placement(const Search *search, const Candidate *place,
+                 const Candidate *fresh)
+{
+    if (fresh->server != NULL &&
+        GwServer_IsResting(place->server, search->now_us)) {
+        return is_better(fresh, place);
+    }
+    return is_idle_below(search, fresh, IDLE_UTILIZATION_MAX);
+}
+
 /* The best server without regard to the share of cross-region requests. */
 static GwChoice
 choose_server(Search *search)
@@ -375,7 +391,7 @@
     }
     if (!place.has_free_slot && !is_in_time(search, place.est_us)) {
         Candidate fresh = best_new(search);
-        if (is_idle_below(search, &fresh, IDLE_UTILIZATION_MAX)) {
+        if (leaves_placement(search, &place, &fresh)) {
             return choice_of(search, &fresh);
         }
     }
--- a/lib/router/rate_owners.c
+++ b/lib/router/rate_owners.c
@@ -194,7 +194,7 @@
         if (GwServer_IsLimited(s) &&
             now_us - s->limit.answered_us > STALE_LIMIT_US &&
             GwRouter_HasLimitShare(r, s, now_us) &&
-            GwServer_LimitWaitUs(s, now_us) <= 0) {
+            GwServer_SendWaitUs(s, now_us) <= 0) {
             return s;
         }
     }
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -387,6 +387,16 @@
     GwServer_Unref(r, s, actions);
 }
 
+/* A server that rests may be tried later. */
+static void
+forget_withheld(GwRequest *req, const GwServer *s, const GwAttemptEnd *end)
+{
+    if (end->withheld && req->tried_count > 0 &&
+        req->tried[req->tried_count - 1] == s) {
+        req->tried_count--;
+    }
+}
+
 /* Retries or ends the request after an attempt that got no answer. */
 static void
 after_failure(GwRouter *r, int64_t now_us, GwRequest *req, GwServer *s,
@@ -395,6 +405,7 @@
     if (end->outcome == GW_ATTEMPT_UNSENT) {
         req->attempts--;
         req->unsent++;
+        forget_withheld(req, s, end);
     }
     else {
         req->arrivals++;
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -198,6 +198,8 @@
     uint32_t waiting;
     uint32_t cold_ms;   /* > 0: the server states that it is cold */
     bool leaving;       /* the server states that it leaves */
+    int64_t rest_us;    /* > 0: the server wants no request for this long */
+    bool withheld;      /* UNSENT: GwRouter_MaySend did not allow it */
     int64_t connect_us; /* time to set up a new connection; 0: reused */
     GwLimitStatement limit;
     double limit_per_s; /* if GW_LIMIT_STATED */
@@ -242,8 +244,9 @@
 void GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
                      GArray *actions);
 /* Whether the request may still be sent: its caller's key is valid, and proven
- * to be. To be called right before the first byte is sent; if it returns
- * false, the attempt must end as GW_ATTEMPT_UNSENT. */
+ * to be, and the server has not asked for rest since it was chosen. To be
+ * called right before the first byte is sent; if it returns false, the attempt
+ * must end as GW_ATTEMPT_UNSENT, withheld. */
 bool GwRouter_MaySend(GwRouter *r, int64_t now_us, GwRequest *req);
 /* Name of the caller's organisation, or NULL; valid until the next call of
  * the router. */
@@ -283,6 +286,7 @@
     GW_ROUTER_DROP_SERVER,  /* drop the host's state of the removed `server` */
     GW_ROUTER_LOG_EJECTED,  /* log that `server` is ejected for left_ms */
     GW_ROUTER_LOG_LEAVING,  /* log that `server` states that it leaves */
+    GW_ROUTER_LOG_RESTING,  /* log that `server` wants rest for left_ms */
     GW_ROUTER_LOG_RECOVERED /* log that `server` runs without errors again */
 } GwRouterActionKind;
 
@@ -336,6 +340,7 @@
     uint32_t servers; /* in the registry */
     uint32_t ejected;
     uint32_t limited;         /* with a rate limit */
+    uint32_t resting;         /* asked this entry for rest */
     uint32_t waiting;         /* requests */
     uint32_t in_flight;       /* requests of this entry */
     uint32_t peers_in_flight; /* as last reported */
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -111,6 +111,9 @@
     double slowdown;   /* run time relative to other servers */
     uint32_t failures; /* in a row */
     int64_t eject_until_us;
+    int64_t
+        rest_until_us; /* the server asked this entry for rest until then */
+    bool is_on_trial;  /* no good answer since the rest */
     int64_t cold_until_us;
     GwBucket cold_tokens;
     GwServerLimit limit;
@@ -266,6 +269,9 @@
 void GwServer_UpdateUtilization(const GwRouter *r, GwServer *s,
                                 int64_t now_us);
 
+/* Time until the server may get one more request of this entry, by the limit
+ * and the rest that it has stated. */
+double GwServer_SendWaitUs(const GwServer *s, int64_t now_us);
 /* Requests that wait for the server's next slot choose again. */
 void GwServer_DropReservations(GwServer *s);
 
@@ -275,6 +281,18 @@
 /* The server leaves, as its row or an answer says: it gets no more requests. */
 void GwRouter_NoteLeaving(GwRouter *r, int64_t now_us, GwServer *s);
 
+/* rest.c */
+/* The server refused a request and wants none for `rest_us`. */
+void GwRouter_LearnRest(GwRouter *r, int64_t now_us, GwServer *s,
+                        int64_t rest_us);
+bool GwServer_IsResting(const GwServer *s, int64_t now_us);
+double GwServer_RestWaitUs(const GwServer *s, int64_t now_us);
+/* Whether the server may get a request beside those of this entry that it
+ * has. */
+bool GwServer_HasTrialSlot(const GwServer *s);
+/* The server has answered a request. */
+void GwServer_EndTrial(GwServer *s, int64_t now_us);
+
 /* rate_owners.c */
 bool GwRouter_HasColdToken(GwRouter *r, GwServer *s, int64_t now_us);
 bool GwServer_IsLimited(const GwServer *s);
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -228,6 +228,13 @@
     GwRouter_NoteServersChanged(r);
 }
 
+double
+GwServer_SendWaitUs(const GwServer *s, int64_t now_us)
+{
+    return MAX(GwServer_LimitWaitUs(s, now_us),
+               GwServer_RestWaitUs(s, now_us));
+}
+
 /* ---- Utilization --------------------------------------------------------- */
 
 /* For requests between regions, the part of their time that they spend in a
@@ -309,8 +316,9 @@
 }
 
 static void
-learn_success(GwServer *s, GArray *actions)
+learn_success(GwServer *s, int64_t now_us, GArray *actions)
 {
+    GwServer_EndTrial(s, now_us);
     if (s->failures > 0) {
         add_log_action(GW_ROUTER_LOG_RECOVERED, s, 0, actions);
     }
@@ -357,6 +365,9 @@
 {
     GwServer *s = req->server;
 
+    if (end->withheld) {
+        return;
+    }
     if (end->connect_us > 0) {
         learn_rtt(r, s, end->connect_us);
     }
@@ -371,13 +382,17 @@
     if (end->leaving && !end->other_server) {
         learn_leaving(r, now_us, s, actions);
     }
+    if (end->rest_us > 0 && !end->other_server) {
+        add_log_action(GW_ROUTER_LOG_RESTING, s, end->rest_us, actions);
+        GwRouter_LearnRest(r, now_us, s, end->rest_us);
+    }
     if (end->cold_ms > 0) {
         s->cold_until_us = now_us + (int64_t)end->cold_ms * 1000;
     }
     switch (end->outcome) {
     case GW_ATTEMPT_ANSWERED:
         if (end->status < 500) {
-            learn_success(s, actions);
+            learn_success(s, now_us, actions);
             learn_time(r, now_us, req, end);
         }
         else if (end->status != 504) {
@@ -386,10 +401,14 @@
         break;
     case GW_ATTEMPT_REFUSED:
         /* The server is full although it seemed to have capacity: it is
-         * ejected for a short time. If another server uses the address, for
-         * longer. */
-        s->eject_until_us =
-            now_us + (end->other_server ? GW_EJECT_MAX_US : GW_EJECT_US / 4);
+         * ejected for a short time, unless it says for how long. If another
+         * server uses the address, for longer. */
+        if (end->other_server) {
+            s->eject_until_us = now_us + GW_EJECT_MAX_US;
+        }
+        else if (end->rest_us == 0) {
+            s->eject_until_us = now_us + GW_EJECT_US / 4;
+        }
         break;
     case GW_ATTEMPT_UNSENT:
     case GW_ATTEMPT_LOST:
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -18,6 +18,7 @@
         const GwServer *s = service->servers->pdata[i];
         view.ejected += now_us < s->eject_until_us;
         view.limited += GwServer_IsLimited(s);
+        view.resting += GwServer_IsResting(s, now_us);
         view.in_flight += s->in_flight;
         view.peers_in_flight += s->peers_in_flight;
     }
--- a/tests/fakes/fleet.c
+++ b/tests/fakes/fleet.c
@@ -311,6 +311,7 @@
     case GW_ROUTER_DROP_SERVER:
     case GW_ROUTER_LOG_EJECTED:
     case GW_ROUTER_LOG_LEAVING:
+    case GW_ROUTER_LOG_RESTING:
     case GW_ROUTER_LOG_RECOVERED:
         break;
     }
--- a/tests/fakes/outages_host.c
+++ b/tests/fakes/outages_host.c
@@ -89,6 +89,7 @@
         break;
     case GW_ROUTER_LOG_EJECTED:
     case GW_ROUTER_LOG_LEAVING:
+    case GW_ROUTER_LOG_RESTING:
     case GW_ROUTER_LOG_RECOVERED:
         break;
     }
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -291,6 +291,7 @@
     case GW_ROUTER_DROP_SERVER:
     case GW_ROUTER_LOG_EJECTED:
     case GW_ROUTER_LOG_LEAVING:
+    case GW_ROUTER_LOG_RESTING:
     case GW_ROUTER_LOG_RECOVERED:
         break;
     }
@@ -334,6 +335,15 @@
 {
     GwAttemptEnd end = {.outcome = outcome, .status = status};
 
+    FakeSteering_EndAttemptSo(f, req, &end);
+}
+
+void
+FakeSteering_EndAttemptSo(FakeSteering *f, FakeRequest *req,
+                          const GwAttemptEnd *end)
+{
+    GwAttemptOutcome outcome = end->outcome;
+
     if (req->server == NULL || req->handle == NULL) {
         return;
     }
@@ -341,7 +351,7 @@
     req->servers += outcome != GW_ATTEMPT_UNSENT;
     req->may_have_run = req->may_have_run || outcome == GW_ATTEMPT_LOST ||
                         outcome == GW_ATTEMPT_ANSWERED;
-    GwRouter_AttemptEnded(f->router, f->now_us, req->handle, &end, f->actions);
+    GwRouter_AttemptEnded(f->router, f->now_us, req->handle, end, f->actions);
     FakeSteering_RunActions(f);
 }
 
--- a/tests/fakes/steering.h
+++ b/tests/fakes/steering.h
@@ -74,6 +74,8 @@
 /* Ends the current attempt. */
 void FakeSteering_EndAttempt(FakeSteering *f, FakeRequest *req,
                              GwAttemptOutcome outcome, uint16_t status);
+void FakeSteering_EndAttemptSo(FakeSteering *f, FakeRequest *req,
+                               const GwAttemptEnd *end);
 /* The caller disconnects. */
 void FakeSteering_Disconnect(FakeSteering *f, FakeRequest *req);
 /* Starts a graceful stop. Requests sent from now on must end within
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -90,6 +90,7 @@
 100 unit.follower - an unanswered call to the store does not delay the next
 101 unit.follower - a proof of freshness holds for copies as new as its own
 103 unit.server_leaving - no row takes back that a server leaves
+104 unit.server_rest - a server that rests gets no requests
 102 follow - an entry without a recent proof reads the store
 '
 
