--- a/tests/fakes/outages.c
+++ b/tests/fakes/outages.c
@@ -13,6 +13,8 @@
         [OUTAGE_INVALID_ANSWERS] = "spoilt",
         [OUTAGE_POWER_LOSSES] = "silence",
         [OUTAGE_DRAINS] = "drains",
+        [OUTAGE_SHEDS] = "sheds",
+        [OUTAGE_LEAVES] = "leaves",
     };
 
     return names[kind];
@@ -95,6 +97,9 @@
     case EV_TICK:
         tick(e->subject);
         break;
+    case EV_WRITE:
+        OutageAttempt_Write(w, e->subject);
+        break;
     case EV_DELIVER:
         OutageAttempt_Deliver(w, e->subject);
         break;
@@ -159,6 +164,7 @@
         g_queue_init(&s->running);
         s->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
         s->limit_known_us = g_new0(int64_t, w->p->entries);
+        s->words = g_new0(OutageWord, w->p->entries);
     }
     for (uint32_t i = 0; i < w->p->entries; i++) {
         w->entries[i] = (Entry){.world = w,
@@ -186,6 +192,7 @@
         g_queue_clear(&w->servers[i].running);
         g_array_free(w->servers[i].arrivals, TRUE);
         g_free(w->servers[i].limit_known_us);
+        g_free(w->servers[i].words);
     }
 }
 
--- a/tests/fakes/outages.h
+++ b/tests/fakes/outages.h
@@ -19,6 +19,8 @@
     OUTAGE_INVALID_ANSWERS,   /* invalid answers */
     OUTAGE_POWER_LOSSES,      /* a server loses power every 300 ms */
     OUTAGE_DRAINS,            /* drains; some servers do not announce them */
+    OUTAGE_SHEDS,             /* servers refuse and ask for rest */
+    OUTAGE_LEAVES, /* servers leave, and say so in their answers only */
     OUTAGE_KIND_COUNT
 } OutageKind;
 
@@ -60,6 +62,16 @@
     /* After the limits ended, as share of an equal part. */
     double used_share_after;
     uint32_t still_idle; /* formerly limited servers that stay idle */
+    uint32_t shed;       /* requests that servers refused, asking for rest */
+    /* Most requests that reached a server from one entry in a rest that it had
+     * asked that entry for, from 0.5 s after the refusal on. */
+    uint32_t in_rest;
+    /* Requests that callers sent later than 2.5 s after the entry had passed
+     * on an answer of a server that leaves, and that reached that server. */
+    uint32_t after_leaving;
+    /* Requests refused for want of a server or a slot while a server of the
+     * region that takes work had been idle for a while. */
+    uint32_t refused_beside_idle;
 } OutageReport;
 
 #define OUTAGE_GOSSIP_MS 3000
--- a/tests/fakes/outages_callers.c
+++ b/tests/fakes/outages_callers.c
@@ -25,6 +25,7 @@
     }
     call->entry = e;
     call->incarnation = e->incarnation;
+    call->arrived_us = w->now_us;
     call->tries++;
     if (GwRouter_WantsFingerprints(e->router)) {
         arrival.fingerprint = &call->content->fingerprint;
--- a/tests/fakes/outages_faults.c
+++ b/tests/fakes/outages_faults.c
@@ -108,6 +108,11 @@
         }
         again_us = 700000;
         break;
+    case OUTAGE_SHEDS:
+    case OUTAGE_LEAVES:
+        Outages_InjectBackpressure(w, step);
+        again_us = 900000;
+        break;
     case OUTAGE_NONE:
     case OUTAGE_KIND_COUNT:
         return;
@@ -134,6 +139,7 @@
 
     Outages_Schedule(w, w->now_us + ENTRY_FAULT_US, EV_ENTRY_FAULT, NULL);
     e->last_fault_us = w->now_us + for_us;
+    OutageEntry_ForgetWords(w, e); /* excused by the rules */
     switch (Outages_RandomBelow(w, 3)) {
     case 0:
         e->frozen_until_us = w->now_us + for_us;
--- a/tests/fakes/outages_host.c
+++ b/tests/fakes/outages_host.c
@@ -29,6 +29,10 @@
     keep_handle(call->entry, handle);
     call->attempt = a;
     g_ptr_array_add(w->attempts, a);
+    if (w->p->kind == OUTAGE_SHEDS || w->p->kind == OUTAGE_LEAVES) {
+        OutageAttempt_Connect(w, a);
+        return;
+    }
     Outages_Schedule(w,
                      w->now_us + 3 * Outages_DelayUs(call->entry, a->server),
                      EV_DELIVER, a);
@@ -77,8 +81,11 @@
     case GW_ROUTER_CANCEL:
         OutageCall_Drop(call);
         break;
-    case GW_ROUTER_ANSWER:
     case GW_ROUTER_REPLY:
+        Outages_CheckRefusal(e->world, call, act->why);
+        OutageCall_End(call, act);
+        break;
+    case GW_ROUTER_ANSWER:
         OutageCall_End(call, act);
         break;
     case GW_ROUTER_PROBE:
@@ -132,6 +139,7 @@
         return;
     }
     call->attempt = NULL;
+    OutageServer_NoteAnswer(w, a);
     if (a->end.limit == GW_LIMIT_STATED &&
         a->server->limit_known_us[e->index] == 0) {
         a->server->limit_known_us[e->index] = w->now_us;
--- a/tests/fakes/outages_internal.h
+++ b/tests/fakes/outages_internal.h
@@ -11,6 +11,8 @@
 
 #include <string.h>
 
+/* A server without requests for this long is idle. */
+#define IDLE_AFTER_US 300000
 /* A server is idle below this share of the average requests of the others. */
 #define IDLE_SHARE          0.1
 #define LIMITS_MAX          128
@@ -43,6 +45,15 @@
 typedef struct OutageWorld_s World;
 typedef struct Attempt_s Attempt;
 
+/* What a server has said to one entry, as its rules are judged. */
+typedef struct {
+    uint32_t incarnation; /* of the entry, plus one */
+    int64_t leaving_us;   /* it passed on an answer that says so; 0: none */
+    int64_t rest_us;      /* the first refusal of the current rest; 0: none */
+    int64_t rest_until_us;
+    uint32_t in_rest;
+} OutageWord;
+
 typedef struct {
     uint32_t index;
     char id[16];
@@ -53,7 +64,12 @@
     bool is_powered_off;
     bool draining;
     bool drains_silently; /* does not announce its drain */
-    GQueue running;       /* Attempt */
+    bool is_leaving;      /* says so in its answers */
+    int64_t sheds_until_us;
+    int64_t rest_us; /* that it asks for while it sheds */
+    int64_t idle_since_us;
+    OutageWord *words; /* by entry */
+    GQueue running;    /* Attempt */
     bool is_limited;
     int64_t limit_us;        /* since when a limit is stated; 0: never */
     GArray *arrivals;        /* int64_t us, from entries that know the limit */
@@ -102,6 +118,7 @@
     GwRequest *request;
     Attempt *attempt;
     bool own_content;
+    int64_t arrived_us;
     uint32_t tries;
     bool over;
 } Call;
@@ -141,6 +158,7 @@
     EV_CRASHER,
     EV_RETRY,
     EV_TICK,
+    EV_WRITE,
     EV_DELIVER,
     EV_RUN_END,
     EV_ANSWER,
@@ -224,6 +242,18 @@
 void Outages_EndLimits(World *w);
 void Outages_SummarizeLimits(World *w);
 
+/* outages_backpressure.c */
+void Outages_InjectBackpressure(World *w, uint32_t step);
+bool OutageServer_IsShedding(const Server *s, int64_t now_us);
+void OutageServer_ForgetWords(const World *w, Server *s);
+void OutageEntry_ForgetWords(World *w, const Entry *e);
+void OutageAttempt_Connect(World *w, Attempt *a);
+void OutageAttempt_Write(World *w, Attempt *a);
+void OutageServer_CheckWords(World *w, const Attempt *a);
+void OutageServer_Shed(World *w, Attempt *a);
+void OutageServer_NoteAnswer(World *w, const Attempt *a);
+void Outages_CheckRefusal(World *w, const Call *call, GwReplyReason why);
+
 /* outages_host.c */
 void OutageCall_Drop(Call *call);
 void OutageEntry_RunActions(Entry *e);
--- a/tests/fakes/outages_servers.c
+++ b/tests/fakes/outages_servers.c
@@ -71,7 +71,10 @@
     s->listening = true;
     s->is_powered_off = false;
     s->draining = false;
+    s->is_leaving = false;
+    s->sheds_until_us = 0;
     s->born_ms++;
+    OutageServer_ForgetWords(w, s);
     /* A new process: limits stated by the previous one are void. */
     s->limit_us = s->limit_us != 0 ? w->now_us : 0;
     g_array_set_size(s->arrivals, 0);
@@ -168,6 +171,11 @@
                                               .other_server = true});
         return;
     }
+    OutageServer_CheckWords(w, a);
+    if (OutageServer_IsShedding(s, w->now_us)) {
+        OutageServer_Shed(w, a);
+        return;
+    }
     if (a->dropped) {
         return;
     }
@@ -208,11 +216,13 @@
         .status = 200,
         .limit = a->server->is_limited ? GW_LIMIT_STATED : GW_LIMIT_NONE,
         .limit_per_s = w->p->limit_per_s,
+        .leaving = a->server->is_leaving,
     };
 
     if (a->ended || !g_queue_remove(&a->server->running, a)) {
         return;
     }
+    a->server->idle_since_us = w->now_us;
     if (Outages_Chance(w, w->lost_answer_permille)) {
         OutageAttempt_AnswerAt(w, a, back_us, OutageAttempt_ConnectionLost(a));
     }
--- a/tests/property/outages.cpp
+++ b/tests/property/outages.cpp
@@ -223,6 +223,51 @@
     return ok;
 }
 
+// Guards against: a server that has asked an entry for rest, or has said in an
+// answer that it leaves, gets requests of that entry, also by a connection that
+// was being set up, a retry, or after its row was written again; or callers are
+// refused beside idle servers.
+bool
+serversWordsAreKept(const Size &size, OutageKind kind)
+{
+    uint32_t inRest = 0;
+    uint32_t afterLeaving = 0;
+    uint32_t refused = 0;
+    uint64_t shed = 0;
+    uint64_t asked = 0;
+    uint64_t answered = 0;
+    uint32_t seeds = (seedsOf(size) + 1) / 2;
+
+    for (uint32_t seed = 1; seed <= seeds; seed++) {
+        OutageParams params = {};
+        params.entries = size.entries;
+        params.servers = size.servers;
+        params.kind = kind;
+        params.entry_faults = seed % 2 == 0;
+        params.hot = seed % 4 >= 2;
+        params.seconds = 24;
+        params.seed = seed;
+        OutageReport report = Outages_Run(&params);
+        inRest = report.in_rest > inRest ? report.in_rest : inRest;
+        afterLeaving += report.after_leaving;
+        refused += report.refused_beside_idle;
+        shed += report.shed;
+        asked += report.asked;
+        answered += report.answered;
+    }
+    std::printf("%s, %u entries: at most %u requests in a rest, %u after a "
+                "server said that it leaves, %u refused beside an idle "
+                "server, %.2f %% turned away by servers, %.2f %% not "
+                "answered, %u seeds\n",
+                OutageKind_Name(kind), size.entries, inRest, afterLeaving,
+                refused,
+                100.0 * static_cast<double>(shed) / static_cast<double>(asked),
+                100.0 - 100.0 * static_cast<double>(answered) /
+                            static_cast<double>(asked),
+                seeds);
+    return inRest <= 2 && afterLeaving == 0 && refused == 0;
+}
+
 } // namespace
 
 int
@@ -235,6 +280,8 @@
                                             static_cast<OutageKind>(kind)) &&
                  ok;
         }
+        ok = serversWordsAreKept(size, OUTAGE_SHEDS) && ok;
+        ok = serversWordsAreKept(size, OUTAGE_LEAVES) && ok;
         ok = crashersReachFewServers(size) && ok;
         ok = limitsAreKept(size) && ok;
     }
