Idle connections to servers are a file of their own

Ruled out: shorter comments, which hide that the file had two concerns. Change: server_pools.c keeps the idle connections of each server; server_links.c sends requests and reads answers. No decision changes.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -176,7 +176,7 @@
 bool GwAnswer_IsTo(const GwAdapter *names, const GwHttpMessage *msg,
                    const GwHttpMessage *request);
 
-/* server_links.c */
+/* server_links.c, server_pools.c */
 void GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t time_left_ms);
 void GwServerLink_Cancel(GwExchange *x);
 /* Connects to check that the server is alive, and reports the result to the
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -1,21 +1,9 @@
-/* Connections to backend servers: each carries one request at a time and is
- * kept open for the next request. */
-#include "edge/edge_internal.h"
+/* Requests on connections to backend servers: each carries one request at a
+ * time and is kept open for the next request. */
+#include "edge/server_links_internal.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-/* Maximum idle time of a connection whose server sent no keep-alive
- * timeout. */
-#define IDLE_DEFAULT_MS 4000
-/* Subtracted from the server's keep-alive timeout, so that no request crosses
- * the server's close. */
-#define IDLE_MARGIN_MS 700
-/* A non-idempotent request reuses only a connection with traffic within this
- * time: a middlebox may have dropped the state of a connection that was idle
- * for longer, and then the entry can't know whether the request ran. A new
- * connection costs about 1 ms. */
-#define NON_IDEMPOTENT_IDLE_MS 1500
 /* Connect time-outs for servers in the same region and in other regions;
  * longer than the round trip. */
 #define CONNECT_SAME_REGION_MS  300
@@ -26,133 +14,10 @@
 /* Maximum size of an answer, which is buffered whole. */
 #define ANSWER_MAX (32u << 20)
 
-typedef struct {
-    GList node; /* in edge->pools */
-    GwEdge *edge;
-    GwServer *server; /* NULL once the router has removed it */
-    char *id;
-    GQueue idle; /* GwServerLink, most recently used at the tail */
-    uint32_t open;
-} GwPool;
-
-struct GwServerLink_s {
-    GwEdge *edge;
-    GwPool *pool;
-    GwConn *conn;
-    GwExchange *exchange;     /* NULL while idle */
-    GList node;               /* in edge->connecting, then in pool->idle */
-    int64_t connect_began_us; /* start of the connect */
-    int64_t connect_us;       /* duration of the connect; 0 when reused */
-    int64_t idle_since_us;    /* start of the idle time */
-    uint32_t idle_max_ms;
-    uint32_t time_left_ms; /* time left for the request at assigned_us */
-    int64_t assigned_us;
-    bool connecting;
-    bool has_stray_answer; /* not reusable */
-};
-
 static const GwConnOps link_ops;
 
-static GwPool *
-pool_of(GwEdge *edge, GwServer *s)
-{
-    void **user = GwServer_User(s);
-
-    if (*user == NULL) {
-        GwPool *pool = g_new0(GwPool, 1);
-        pool->edge = edge;
-        pool->server = s;
-        pool->id = g_strdup(GwServer_Id(s));
-        pool->node.data = pool;
-        g_queue_push_tail_link(&edge->pools, &pool->node);
-        *user = pool;
-    }
-    return *user;
-}
-
-static void
-free_pool_if_unused(GwPool *pool)
-{
-    if (pool->server == NULL && pool->open == 0) {
-        g_queue_unlink(&pool->edge->pools, &pool->node);
-        g_free(pool->id);
-        g_free(pool);
-    }
-}
-
-static void
-close_link(GwServerLink *link)
-{
-    GwPool *pool = link->pool;
-
-    if (link->connecting) {
-        g_queue_unlink(&link->edge->connecting, &link->node);
-    }
-    else if (link->exchange == NULL) {
-        g_queue_unlink(&pool->idle, &link->node);
-    }
-    if (link->exchange != NULL) {
-        link->exchange->link = NULL;
-    }
-    if (link->conn != NULL) {
-        GwConn_Close(link->conn);
-    }
-    pool->open--;
-    free_pool_if_unused(pool);
-    g_free(link);
-}
-
 /* ---- Sending requests ---------------------------------------------------- */
 
-/* Closes the longest-idle connections above this entry's share of the
- * connections that the server accepts: a server resets connections above its
- * limit, whichever entry they belong to. */
-static void
-trim_idle(GwPool *pool)
-{
-    uint32_t most =
-        GwRouter_IdleConnectionsMax(pool->edge->router, pool->server);
-
-    while (g_queue_get_length(&pool->idle) > most) {
-        close_link(g_queue_peek_head(&pool->idle));
-    }
-}
-
-/* Returns a connection to the pool without having sent anything on it, so its
- * idle time continues to count. */
-static void
-return_unsent(GwServerLink *link)
-{
-    link->exchange->link = NULL;
-    link->exchange = NULL;
-    g_queue_push_tail_link(&link->pool->idle, &link->node);
-    if (link->pool->server == NULL) {
-        close_link(link);
-        return;
-    }
-    trim_idle(link->pool);
-}
-
-static GwServerLink *
-take_idle(GwPool *pool, bool idempotent, int64_t now_us)
-{
-    GList *at;
-
-    while ((at = g_queue_peek_tail_link(&pool->idle)) != NULL) {
-        GwServerLink *link = at->data;
-        int64_t idle_ms = (now_us - link->idle_since_us) / 1000;
-        if (idle_ms < link->idle_max_ms && !GwConn_HasUnread(link->conn)) {
-            if (!idempotent && idle_ms > NON_IDEMPOTENT_IDLE_MS) {
-                return NULL;
-            }
-            g_queue_unlink(&pool->idle, at);
-            return link;
-        }
-        close_link(link);
-    }
-    return NULL;
-}
-
 static const char *
 outcome_name(GwAttemptOutcome outcome)
 {
@@ -221,14 +86,14 @@
     GwEdge *edge = link->edge;
 
     if (!GwExchange_IsCallerConnected(x)) {
-        return_unsent(link);
+        GwServerLink_ReturnUnsent(link);
         return;
     }
     GwEdge_ApplyProof(edge);
 #if GW_MUTANT != 93 /* breaks: a key revoked during the connect is used */
     if (!GwRouter_MaySend(edge->router, GwEdge_Now(), x->request)) {
         GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT, .withheld = true};
-        return_unsent(link);
+        GwServerLink_ReturnUnsent(link);
         report_attempt(x, &end);
         return;
     }
@@ -241,7 +106,7 @@
 }
 
 static GwServerLink *
-connect_new(GwPool *pool)
+connect_new(GwServerPool *pool)
 {
     GwEdge *edge = pool->edge;
     GwServerLink *link = g_new0(GwServerLink, 1);
@@ -260,7 +125,7 @@
     link->node.data = link;
     link->connect_began_us = GwEdge_Now();
     link->connecting = true;
-    link->idle_max_ms = IDLE_DEFAULT_MS;
+    link->idle_max_ms = GW_SERVER_IDLE_MS;
     link->conn = GwConn_Connect(&params, GwServer_Address(pool->server));
     if (link->conn == NULL) {
         g_free(link);
@@ -276,8 +141,9 @@
 GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t time_left_ms)
 {
     GwEdge *edge = x->edge;
-    GwPool *pool = pool_of(edge, s);
-    GwServerLink *link = take_idle(pool, x->idempotent, GwEdge_Now());
+    GwServerPool *pool = GwServerPool_Of(edge, s);
+    GwServerLink *link =
+        GwServerPool_TakeIdle(pool, x->idempotent, GwEdge_Now());
     bool reused = link != NULL;
 
     if (link == NULL) {
@@ -303,7 +169,7 @@
 
 /* Reports the server state found by a connection that carries no request. */
 static void
-report_probe(GwPool *pool, GwProbeResult result)
+report_probe(GwServerPool *pool, GwProbeResult result)
 {
     if (pool->server != NULL) {
         GwEdge_CheckStopSignal(pool->edge);
@@ -315,7 +181,7 @@
 void
 GwServerLink_Probe(GwEdge *edge, GwServer *s)
 {
-    GwPool *pool = pool_of(edge, s);
+    GwServerPool *pool = GwServerPool_Of(edge, s);
 
     if (connect_new(pool) == NULL) {
         report_probe(pool, GW_PROBE_TIMEOUT);
@@ -326,7 +192,7 @@
 GwServerLink_Cancel(GwExchange *x)
 {
     if (x->link != NULL) {
-        close_link(x->link);
+        GwServerLink_Close(x->link);
         x->link = NULL;
     }
 }
@@ -336,15 +202,8 @@
 static void
 finish_probe(GwServerLink *link)
 {
-    GwPool *pool = link->pool;
-
-    g_queue_push_tail_link(&pool->idle, &link->node);
-    if (pool->server == NULL) {
-        close_link(link);
-        return;
-    }
-    report_probe(pool, GW_PROBE_ALIVE);
-    trim_idle(pool);
+    report_probe(link->pool, GW_PROBE_ALIVE);
+    GwServerPool_PutIdle(link->pool, link);
 }
 
 static void
@@ -368,33 +227,6 @@
 
 /* ---- Receiving answers --------------------------------------------------- */
 
-/* Returns the connection to the pool if the server keeps it open, otherwise
- * closes it. Returns whether the pool has an idle connection. */
-static bool
-return_answered(GwServerLink *link, const GwHttpMessage *msg)
-{
-    const char *keep = GwHttpMessage_Get(msg, "keep-alive");
-    const char *timeout = keep != NULL ? strstr(keep, "timeout=") : NULL;
-
-    link->exchange = NULL;
-    link->idle_since_us = GwEdge_Now();
-    if (timeout != NULL) {
-        long s = strtol(timeout + strlen("timeout="), NULL, 10);
-        link->idle_max_ms = s > 0 && s < 3600
-                                ? (uint32_t)s * 1000 - IDLE_MARGIN_MS
-                                : IDLE_DEFAULT_MS;
-    }
-    g_queue_push_tail_link(&link->pool->idle, &link->node);
-    if (!msg->keep_alive || !msg->framed || link->has_stray_answer ||
-        link->pool->server == NULL) {
-        close_link(link);
-        return false;
-    }
-    GwPool *pool = link->pool;
-    trim_idle(pool); /* closes this connection last */
-    return !g_queue_is_empty(&pool->idle);
-}
-
 /* Runs the actions that follow from an answer only after the whole read is
  * parsed: only then is it known that no data follows the answer, and that the
  * connection can carry the next request. */
@@ -415,7 +247,7 @@
 
     if (x == NULL) {
         GwHttpMessage_Free(msg);
-        close_link(link); /* unsolicited answer */
+        GwServerLink_Close(link); /* unsolicited answer */
         GwEdge_RunActions(edge);
         return;
     }
@@ -431,7 +263,7 @@
     GwAttemptEnd end = GwAnswer_End(edge->adapter, msg, link->connect_us);
     x->answer = msg;
     x->link = NULL;
-    bool kept = return_answered(link, msg);
+    bool kept = GwServerLink_ReturnAnswered(link, msg);
     report_attempt(x, &end);
     if (!kept) {
         GwEdge_RunActions(edge);
@@ -455,7 +287,7 @@
     else if (link->connecting && x == NULL) {
         report_probe(link->pool, GW_PROBE_TIMEOUT);
     }
-    close_link(link);
+    GwServerLink_Close(link);
     if (x != NULL) {
         GwAttemptEnd end = {.outcome =
                                 sent ? GW_ATTEMPT_LOST : GW_ATTEMPT_UNSENT};
@@ -482,42 +314,7 @@
     .ended = on_ended,
 };
 
-/* ---- Removed servers and time-outs --------------------------------------- */
-
-static void
-close_idle(GwPool *pool, int64_t before_us)
-{
-    GwServerLink *link;
-
-    while ((link = g_queue_peek_head(&pool->idle)) != NULL) {
-        int64_t until =
-            link->idle_since_us + (int64_t)link->idle_max_ms * 1000;
-        if (until > before_us) {
-            break;
-        }
-        bool last = pool->open == 1 && pool->server == NULL;
-        close_link(link);
-        if (last) {
-            return; /* the pool was freed as well */
-        }
-    }
-}
-
-void
-GwServerLink_DropServer(GwEdge *edge, GwServer *s)
-{
-    GwPool *pool = *GwServer_User(s);
-
-    (void)edge;
-    if (pool != NULL) {
-        pool->server = NULL;
-        if (pool->open == 0) {
-            free_pool_if_unused(pool);
-            return;
-        }
-        close_idle(pool, INT64_MAX);
-    }
-}
+/* ---- Time-outs --------------------------------------- */
 
 static void
 abort_connecting(GwServerLink *link)
@@ -528,7 +325,7 @@
     if (x == NULL) {
         report_probe(link->pool, GW_PROBE_TIMEOUT);
     }
-    close_link(link);
+    GwServerLink_Close(link);
     if (x != NULL) {
         report_attempt(x, &end);
     }
@@ -567,35 +364,12 @@
     }
 }
 
-/* Closes connections that are idle or being established. A connection with a
- * request in progress is closed along with its caller's. */
-void
-GwServerLink_CloseAll(GwEdge *edge)
-{
-    GwServerLink *link;
-    GwPool *pool;
-
-    while ((link = g_queue_peek_head(&edge->connecting)) != NULL) {
-        close_link(link);
-    }
-    while ((pool = g_queue_peek_head(&edge->pools)) != NULL) {
-        while ((link = g_queue_peek_head(&pool->idle)) != NULL) {
-            pool->open++; /* keeps the pool until the loop ends */
-            close_link(link);
-            pool->open--;
-        }
-        pool->server = NULL;
-        pool->open = 0;
-        free_pool_if_unused(pool);
-    }
-}
-
 void
 GwServerLink_Sweep(GwEdge *edge, int64_t now_us)
 {
     for (GList *at = edge->pools.head, *next; at != NULL; at = next) {
         next = at->next;
-        close_idle(at->data, now_us);
+        GwServerPool_CloseIdle(at->data, now_us);
     }
     sweep_connecting(edge);
 }
