What a server states is kept by its start, not by its row

Seen by servers: where rows expire and are written again while the store is away, a server that had asked an entry for rest got up to 33 of its requests, and 2 requests reached a server after an entry had passed on its word that it leaves. Cause: rest, cold time and limit stood in the object that is made from a row and freed with it; and an answer that arrives after its server's row was written again was noted at the old object only. Change: GwServerStart (starts.c) has what a server states about itself: that it leaves, rest, cold time, limit. It is found by id and time of start, and shared by all objects of that start; it takes the place of leaving.c. A row of an earlier start gets a state of its own, so it doesn't replace the latest one, and none if the latest start leaves. Ruled out: copying the state to the new object, which loses what an answer tells afterwards. Why it works: a start has one state for as long as any row or request refers to it, and after that.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -97,8 +97,8 @@
     /* A placement of the object may belong to another service: reports name
      * objects by hash only, and a route may have been moved to another
      * service. The wrong service would then answer the request. */
-    if (s->service != search->req->service || s->draining || !s->listed ||
-        s->slots == 0 || is_evacuated(r, s) ||
+    if (s->service != search->req->service || s->start->is_leaving ||
+        !s->listed || s->slots == 0 || is_evacuated(r, s) ||
         (search->region_rule == GW_REGIONS_LOCAL && !s->same_region) ||
         (search->region_rule == GW_REGIONS_REMOTE && s->same_region) ||
         !GwRequest_AllowsRegion(search->req, s->path->region) ||
--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -21,7 +21,7 @@
 static bool
 may_have_crashed(const GwServer *s)
 {
-    return s->listed && !s->draining;
+    return s->listed && !s->start->is_leaving;
 }
 
 void
--- a/lib/router/cross_region.c
+++ b/lib/router/cross_region.c
@@ -78,7 +78,8 @@
     g_hash_table_iter_init(&iter, r->servers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwServer *s = value;
-        if (s->draining || g_hash_table_contains(r->evacuated, s->domain)) {
+        if (s->start->is_leaving ||
+            g_hash_table_contains(r->evacuated, s->domain)) {
             continue;
         }
         g_hash_table_add(regions, s->path->region);
--- a/lib/router/rate_owners.c
+++ b/lib/router/rate_owners.c
@@ -113,49 +113,51 @@
 bool
 GwServer_IsLimited(const GwServer *s)
 {
-    return s->limit.per_s >= 0;
+    return s->start->limit.per_s >= 0;
 }
 
 static void
 set_share(GwServer *s, int64_t now_us, double share)
 {
-    bool is_continued = s->limit.share_per_s > 0 && share > 0;
+    bool is_continued = s->start->limit.share_per_s > 0 && share > 0;
 
-    GwBucket_Fill(&s->limit.tokens, now_us, s->limit.share_per_s);
+    GwBucket_Fill(&s->start->limit.tokens, now_us,
+                  s->start->limit.share_per_s);
     if (!is_continued) {
-        s->limit.tokens.tokens = 0;
+        s->start->limit.tokens.tokens = 0;
     }
-    s->limit.tokens.max = MAX(1.0, share * LIMIT_BURST_S);
-    s->limit.share_per_s = share;
+    s->start->limit.tokens.max = MAX(1.0, share * LIMIT_BURST_S);
+    s->start->limit.share_per_s = share;
 }
 
 static double
 compute_share(GwRouter *r, const GwServer *s, int64_t now_us)
 {
     OwnerRank rank = compute_rank(r, s, now_us);
-    double most = OWNERS_MIN + OWNERS_PER_LIMIT * s->limit.per_s;
+    double most = OWNERS_MIN + OWNERS_PER_LIMIT * s->start->limit.per_s;
     uint32_t owners = (uint32_t)MIN(most, rank.count);
 
 #if GW_MUTANT == 84 /* breaks: each entry uses the whole limit */
-    return s->limit.per_s;
+    return s->start->limit.per_s;
 #endif
     if (!rank.may_own || rank.before >= owners) {
         return 0;
     }
-    return MAX(s->limit.per_s * LIMIT_SHARE, LIMIT_SHARE_MIN_PER_S) / owners;
+    return MAX(s->start->limit.per_s * LIMIT_SHARE, LIMIT_SHARE_MIN_PER_S) /
+           owners;
 }
 
 bool
 GwRouter_HasLimitShare(GwRouter *r, GwServer *s, int64_t now_us)
 {
-    if (now_us - s->limit.share_at_us >= RANK_LIFE_US) {
+    if (now_us - s->start->limit.share_at_us >= RANK_LIFE_US) {
         double share = compute_share(r, s, now_us);
-        s->limit.share_at_us = now_us;
-        if (share != s->limit.share_per_s) {
+        s->start->limit.share_at_us = now_us;
+        if (share != s->start->limit.share_per_s) {
             set_share(s, now_us, share);
         }
     }
-    return s->limit.share_per_s > 0;
+    return s->start->limit.share_per_s > 0;
 }
 
 double
@@ -164,21 +166,22 @@
     if (!GwServer_IsLimited(s)) {
         return 0;
     }
-    double missing =
-        1.0 + s->reservations -
-        GwBucket_At(&s->limit.tokens, now_us, s->limit.share_per_s);
+    double missing = 1.0 + s->reservations -
+                     GwBucket_At(&s->start->limit.tokens, now_us,
+                                 s->start->limit.share_per_s);
     if (missing <= 0) {
         return 0;
     }
-    return MIN(missing * 1e6 / MAX(s->limit.share_per_s, 1e-9),
+    return MIN(missing * 1e6 / MAX(s->start->limit.share_per_s, 1e-9),
                LIMIT_WAIT_MAX_US);
 }
 
 void
 GwServer_SpendLimit(GwServer *s, int64_t now_us)
 {
-    GwBucket_Fill(&s->limit.tokens, now_us, s->limit.share_per_s);
-    s->limit.tokens.tokens -= 1.0;
+    GwBucket_Fill(&s->start->limit.tokens, now_us,
+                  s->start->limit.share_per_s);
+    s->start->limit.tokens.tokens -= 1.0;
 }
 
 GwServer *
@@ -192,7 +195,7 @@
     for (guint i = 0; i < service->servers->len; i++) {
         GwServer *s = service->servers->pdata[i];
         if (GwServer_IsLimited(s) &&
-            now_us - s->limit.answered_us > STALE_LIMIT_US &&
+            now_us - s->start->limit.answered_us > STALE_LIMIT_US &&
             GwRouter_HasLimitShare(r, s, now_us) &&
             GwServer_SendWaitUs(s, now_us) <= 0) {
             return s;
@@ -206,11 +209,11 @@
 set_limit(GwRouter *r, int64_t now_us, GwServer *s, double per_s,
           int64_t at_us)
 {
-    s->limit.per_s = per_s;
-    s->limit.at_us = at_us;
-    s->limit.confirmed_us = at_us;
-    s->limit.changed_us = now_us;
-    s->limit.share_at_us = 0;
+    s->start->limit.per_s = per_s;
+    s->start->limit.at_us = at_us;
+    s->start->limit.confirmed_us = at_us;
+    s->start->limit.changed_us = now_us;
+    s->start->limit.share_at_us = 0;
     r->limits_changed_us = now_us;
     if (r->limit_callback != NULL) {
         r->limit_callback(r->limit_callback_ctx, s, per_s);
@@ -223,21 +226,22 @@
 {
     double per_s =
         end->limit == GW_LIMIT_STATED ? MIN(end->limit_per_s, LIMIT_MAX) : -1;
-    bool is_lower =
-        per_s >= 0 && (!GwServer_IsLimited(s) || per_s < s->limit.per_s);
+    bool is_lower = per_s >= 0 &&
+                    (!GwServer_IsLimited(s) || per_s < s->start->limit.per_s);
 
     if (end->limit != GW_LIMIT_UNKNOWN) {
-        s->limit.answered_us = now_us;
+        s->start->limit.answered_us = now_us;
     }
-    if (end->limit == GW_LIMIT_UNKNOWN || per_s == s->limit.per_s) {
-        s->limit.confirmed_us = now_us;
+    if (end->limit == GW_LIMIT_UNKNOWN || per_s == s->start->limit.per_s) {
+        s->start->limit.confirmed_us = now_us;
     }
 #if GW_MUTANT == 85 /* breaks: a limit never ends */
     else if (per_s < 0) {
         return;
     }
 #endif
-    else if (is_lower || now_us - s->limit.confirmed_us > LIMIT_HOLD_US) {
+    else if (is_lower ||
+             now_us - s->start->limit.confirmed_us > LIMIT_HOLD_US) {
         set_limit(r, now_us, s, per_s, now_us);
     }
 }
@@ -255,10 +259,10 @@
     if (s == NULL || isnan(limit->per_s)) {
         return;
     }
-    if (per_s == s->limit.per_s) {
-        s->limit.at_us = MIN(s->limit.at_us, at_us);
+    if (per_s == s->start->limit.per_s) {
+        s->start->limit.at_us = MIN(s->start->limit.at_us, at_us);
     }
-    else if (at_us > s->limit.at_us) {
+    else if (at_us > s->start->limit.at_us) {
         set_limit(r, now_us, s, per_s, at_us);
     }
 }
@@ -274,11 +278,13 @@
     g_hash_table_iter_init(&iter, r->servers);
     while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwServer *s = value;
-        if (s->limit.changed_us != 0 && s->limit.changed_us >= since_us) {
+        if (s->start->limit.changed_us != 0 &&
+            s->start->limit.changed_us >= since_us) {
             out[count++] = (GwLimit){
                 .server = GwServer_Hash(s),
-                .per_s = s->limit.per_s,
-                .age_ms = (uint32_t)(MAX(now_us - s->limit.at_us, 0) / 1000),
+                .per_s = s->start->limit.per_s,
+                .age_ms =
+                    (uint32_t)(MAX(now_us - s->start->limit.at_us, 0) / 1000),
             };
         }
     }
@@ -299,7 +305,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwServer *s = value;
         if (GwServer_IsLimited(s)) {
-            sum += GwRng_Mix(s->hash ^ (uint64_t)(s->limit.per_s * 1000));
+            sum +=
+                GwRng_Mix(s->hash ^ (uint64_t)(s->start->limit.per_s * 1000));
         }
     }
     return sum;
--- a/lib/router/rest.c
+++ b/lib/router/rest.c
@@ -16,7 +16,7 @@
 #if GW_MUTANT == 104 /* breaks: a server that rests gets no requests */
     return false;
 #endif
-    return now_us < s->rest_until_us;
+    return now_us < s->start->rest_until_us;
 }
 
 /* A later refusal may ask for less, but the earlier rest still holds. */
@@ -28,24 +28,26 @@
     int64_t until_us =
         now_us + rest + GwRng_Below(&r->rng, (uint32_t)most_us + 1);
 
-    if (until_us > s->rest_until_us) {
-        s->rest_until_us = until_us;
+    if (until_us > s->start->rest_until_us) {
+        s->start->rest_until_us = until_us;
     }
-    s->is_on_trial = true;
-    GwServer_DropReservations(s);
+    s->start->is_on_trial = true;
+    GwRouter_NoteStated(r, s);
 }
 
 void
 GwServer_EndTrial(GwServer *s, int64_t now_us)
 {
-    s->is_on_trial = s->is_on_trial && GwServer_IsResting(s, now_us);
+    s->start->is_on_trial =
+        s->start->is_on_trial && GwServer_IsResting(s, now_us);
 }
 
 double
 GwServer_RestWaitUs(const GwServer *s, int64_t now_us)
 {
-    return GwServer_IsResting(s, now_us) ? (double)(s->rest_until_us - now_us)
-                                         : 0;
+    return GwServer_IsResting(s, now_us)
+               ? (double)(s->start->rest_until_us - now_us)
+               : 0;
 }
 
 /* After a rest, one request at a time shows whether the server takes work
@@ -53,5 +55,5 @@
 bool
 GwServer_HasTrialSlot(const GwServer *s)
 {
-    return !s->is_on_trial || s->in_flight + s->reservations == 0;
+    return !s->start->is_on_trial || s->in_flight + s->reservations == 0;
 }
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -41,6 +41,7 @@
 {
     GwServer *s = item;
 
+    GwServerStart_Unref(s->start);
     g_free(s->id);
     g_free(s->address);
     g_free(s->domain);
@@ -78,8 +79,7 @@
         g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_hash_table_destroy);
     r->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    r->leaving =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    r->starts = GwServerStarts_Create();
     r->paths = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_path);
     r->remote_rtt_us = GW_REMOTE_RTT_US;
     r->open = g_hash_table_new(NULL, NULL);
@@ -133,12 +133,12 @@
     g_hash_table_destroy(r->peers);
     g_hash_table_destroy(r->region_loads);
     g_hash_table_destroy(r->evacuated);
-    g_hash_table_destroy(r->leaving);
     g_hash_table_destroy(r->paths);
     g_hash_table_destroy(r->routes);
     g_hash_table_destroy(r->services);
     g_array_free(r->placements, TRUE);
     g_ptr_array_free(r->removed_servers, TRUE);
+    g_hash_table_destroy(r->starts);
     GwRouting_Unref(r->routing);
     g_ptr_array_free(r->awaiting_probe, TRUE);
     g_ptr_array_free(r->awaiting_token, TRUE);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -87,7 +87,21 @@
     GwBucket tokens;
 } GwServerLimit;
 
+/* What a server has stated since one of its starts; see starts.c. */
+typedef struct {
+    char *id;
+    uint64_t born_ms;
+    uint32_t refs;       /* one of r->starts, one of each GwServer */
+    uint64_t row_number; /* of its last row; all rows are counted */
+    bool is_leaving;
+    int64_t rest_until_us; /* it asked this entry for rest until then */
+    bool is_on_trial;      /* no good answer since the rest */
+    int64_t cold_until_us;
+    GwServerLimit limit;
+} GwServerStart;
+
 struct GwServer_s {
+    GwServerStart *start;
     char *id;
     char *address;
     char *domain;
@@ -97,7 +111,6 @@
     uint64_t hash;
     uint32_t slots;
     bool listed; /* still in the registry */
-    bool draining;
     bool same_domain;
     bool same_region;
     uint32_t refs;      /* attempts in progress */
@@ -111,12 +124,7 @@
     double slowdown;   /* run time relative to other servers */
     uint32_t failures; /* in a row */
     int64_t eject_until_us;
-    int64_t
-        rest_until_us; /* the server asked this entry for rest until then */
-    bool is_on_trial;  /* no good answer since the rest */
-    int64_t cold_until_us;
     GwBucket cold_tokens;
-    GwServerLimit limit;
     bool owns_rate;     /* this entry owned the cold rate at the last check */
     bool probed;        /* a probe connection is in progress */
     int64_t load_at_us; /* last load report */
@@ -224,7 +232,8 @@
     GHashTable
         *region_loads; /* region -> (server hash -> requests in flight) */
     GHashTable *evacuated;
-    GHashTable *leaving;        /* server id -> Leaving, in leaving.c */
+    GHashTable *starts;         /* server id -> GwServerStart, the latest */
+    uint64_t row_count;         /* rows that created a GwServer */
     GHashTable *paths;          /* region -> GwPath */
     double remote_rtt_us;       /* mean round trip to other regions */
     GHashTable *open;           /* set of GwRequest */
@@ -275,11 +284,17 @@
 /* Requests that wait for the server's next slot choose again. */
 void GwServer_DropReservations(GwServer *s);
 
-/* leaving.c */
-/* Whether that start of the server is known to be leaving. */
-bool GwRouter_IsLeaving(const GwRouter *r, const char *id, uint64_t born_ms);
+/* starts.c */
+GHashTable *GwServerStarts_Create(void);
+/* Returns the state of that start, to be released by GwServerStart_Unref. */
+GwServerStart *GwServerStart_Ref(GwRouter *r, const char *id,
+                                 uint64_t born_ms);
+void GwServerStart_Unref(GwServerStart *start);
+/* The server has stated something by which it may get no request now: those
+ * that wait for it choose again. */
+void GwRouter_NoteStated(GwRouter *r, const GwServer *s);
 /* The server leaves, as its row or an answer says: it gets no more requests. */
-void GwRouter_NoteLeaving(GwRouter *r, int64_t now_us, GwServer *s);
+void GwRouter_LearnLeaving(GwRouter *r, const GwServer *s);
 
 /* rest.c */
 /* The server refused a request and wants none for `rest_us`. */
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -53,7 +53,7 @@
 bool
 GwServer_IsCold(const GwServer *s, int64_t now_us)
 {
-    return now_us < s->cold_until_us;
+    return now_us < s->start->cold_until_us;
 }
 
 static void
@@ -129,6 +129,7 @@
 {
     GwServer *s = g_new0(GwServer, 1);
 
+    s->start = GwServerStart_Ref(r, info->id, info->born_ms);
     s->id = g_strdup(info->id);
     s->address = g_strdup(info->address);
     s->domain = g_strdup(info->domain);
@@ -140,7 +141,6 @@
     s->same_region = strcmp(info->region, r->params.region) == 0;
     s->slowdown = 1.0;
     s->utilization_at_us = r->started_us;
-    s->limit.per_s = -1;
     s->listed = true;
     g_ptr_array_add(s->service->servers, s);
     g_hash_table_insert(r->servers, s->id, s);
@@ -172,15 +172,15 @@
         GwRouter_AddRegionLoads(r, now_us, s);
     }
     s->slots = info->slots;
-#if GW_MUTANT == 72 /* breaks: an older report ends draining */
-    s->draining = info->draining;
-#else
-    if (info->draining || GwRouter_IsLeaving(r, info->id, info->born_ms)) {
-        GwRouter_NoteLeaving(r, now_us, s);
+    if (info->draining) {
+        GwRouter_LearnLeaving(r, s);
     }
+#if GW_MUTANT == 72 /* breaks: an older report ends draining */
+    s->start->is_leaving = info->draining;
 #endif
     if (info->warmup_left_ms > 0) {
-        s->cold_until_us = now_us + (int64_t)info->warmup_left_ms * 1000;
+        s->start->cold_until_us =
+            now_us + (int64_t)info->warmup_left_ms * 1000;
     }
     GwRouter_NoteServersChanged(r);
 }
@@ -326,12 +326,12 @@
 }
 
 static void
-learn_leaving(GwRouter *r, int64_t now_us, GwServer *s, GArray *actions)
+learn_leaving(GwRouter *r, GwServer *s, GArray *actions)
 {
-    if (!s->draining) {
+    if (!s->start->is_leaving) {
         add_log_action(GW_ROUTER_LOG_LEAVING, s, 0, actions);
     }
-    GwRouter_NoteLeaving(r, now_us, s);
+    GwRouter_LearnLeaving(r, s);
 }
 
 static void
@@ -380,14 +380,14 @@
         GwRouter_LearnLimit(r, now_us, s, end);
     }
     if (end->leaving && !end->other_server) {
-        learn_leaving(r, now_us, s, actions);
+        learn_leaving(r, s, actions);
     }
     if (end->rest_us > 0 && !end->other_server) {
         add_log_action(GW_ROUTER_LOG_RESTING, s, end->rest_us, actions);
         GwRouter_LearnRest(r, now_us, s, end->rest_us);
     }
     if (end->cold_ms > 0) {
-        s->cold_until_us = now_us + (int64_t)end->cold_ms * 1000;
+        s->start->cold_until_us = now_us + (int64_t)end->cold_ms * 1000;
     }
     switch (end->outcome) {
     case GW_ATTEMPT_ANSWERED:
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -58,13 +58,14 @@
                   (uint64_t)(100 * GwServer_Utilization(r, s, now_us)));
     GwJson_SetU64(item, "slow_percent", (uint64_t)(100 * s->slowdown));
     GwJson_SetU64(item, "ejected_ms", (uint64_t)ejected_us / 1000);
-    GwJson_SetBool(item, "draining", s->draining);
+    GwJson_SetBool(item, "draining", s->start->is_leaving);
     GwJson_SetBool(item, "cold", GwServer_IsCold(s, now_us));
     if (GwServer_IsLimited(s)) {
         json_object_object_add(item, "limit_per_s",
-                               json_object_new_double(s->limit.per_s));
-        json_object_object_add(item, "limit_share_per_s",
-                               json_object_new_double(s->limit.share_per_s));
+                               json_object_new_double(s->start->limit.per_s));
+        json_object_object_add(
+            item, "limit_share_per_s",
+            json_object_new_double(s->start->limit.share_per_s));
     }
     return item;
 }
--- a/tests/unit/test_router_choice.c
+++ b/tests/unit/test_router_choice.c
@@ -24,9 +24,9 @@
     s->utilization = GwRng_Below(rng, 1500) / 1000.0;
     s->utilization_at_us = now_us - GwRng_Below(rng, 4000000);
     s->slowdown = 0.5 + GwRng_Below(rng, 4000) / 1000.0;
-    s->draining = GwRng_Below(rng, 20) == 0;
+    s->start->is_leaving = GwRng_Below(rng, 20) == 0;
     s->eject_until_us = GwRng_Below(rng, 20) == 0 ? now_us + 1 : 0;
-    s->cold_until_us = GwRng_Below(rng, 20) == 0 ? now_us + 1 : 0;
+    s->start->cold_until_us = GwRng_Below(rng, 20) == 0 ? now_us + 1 : 0;
 }
 
 static GwServer *
