Operators see servers that leave or rest; the stand-in site says it in answers

Cause: a refusal near a server that rests, or that leaves without a row, could not be explained from dump, top or explain; and no run of real processes had a server that says that it leaves. Change: `rest_ms` in the dump, `resting` in godwitctl top, both events in explain (a case in test_explain); drained servers of the stand-in site say that they leave.

--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -94,7 +94,7 @@
 {
     printf(
         "%-20s %-16s %-16s %5" PRId64 " %9" PRId64 " %6" PRId64 " %6" PRId64
-        " %7" PRId64 " %8" PRId64 " %s%s%s\n",
+        " %7" PRId64 " %8" PRId64 " %s%s%s%s\n",
         GwJson_GetText(s, "id"), GwJson_GetText(s, "service"),
         GwJson_GetText(s, "failure_domain"), GwJson_GetInt64(s, "slots"),
         GwJson_GetInt64(s, "in_flight"), GwJson_GetInt64(s, "peers_in_flight"),
@@ -102,6 +102,7 @@
         GwJson_GetInt64(s, "ejected_ms"),
         GwJson_GetInt64(s, "draining") ? "draining " : "",
         GwJson_GetInt64(s, "cold") ? "cold " : "",
+        GwJson_GetInt64(s, "rest_ms") > 0 ? "resting " : "",
         json_object_object_get(s, "limit_per_s") != NULL ? "limited" : "");
 }
 
--- a/lib/admin/explain.c
+++ b/lib/admin/explain.c
@@ -221,6 +221,12 @@
     case GW_LOG_BACKEND_DRAINING:
         record_server_change(state, fields, time_ms, "started to drain");
         break;
+    case GW_LOG_BACKEND_LEAVING:
+        record_server_change(state, fields, time_ms, "said that it leaves");
+        break;
+    case GW_LOG_BACKEND_RESTS:
+        record_server_change(state, fields, time_ms, "asked for rest");
+        break;
     case GW_LOG_BACKEND_GONE:
         record_server_change(state, fields, time_ms,
                              "was removed from the registry");
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -60,6 +60,8 @@
     GwJson_SetU64(item, "ejected_ms", (uint64_t)ejected_us / 1000);
     GwJson_SetBool(item, "draining", s->start->is_leaving);
     GwJson_SetBool(item, "cold", GwServer_IsCold(s, now_us));
+    GwJson_SetU64(item, "rest_ms",
+                  (uint64_t)GwServer_RestWaitUs(s, now_us) / 1000);
     if (GwServer_IsLimited(s)) {
         json_object_object_add(item, "limit_per_s",
                                json_object_new_double(s->start->limit.per_s));
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -29,6 +29,7 @@
     GArray *arrivals;   /* within SITE_LIMIT_SPAN_US: int64_t us */
     uint32_t above_limit;
     int64_t drained_us; /* 0: not drained */
+    bool is_leaving;    /* says so in its answers */
     uint32_t late;
 };
 
@@ -57,6 +58,9 @@
         g_string_append_printf(text, "%s: %.1f\r\n", a->limit,
                                conn->server->limit_per_s);
     }
+    if (conn->server->is_leaving) {
+        g_string_append_printf(text, "%s: 1\r\n", a->leaving);
+    }
     char *fields = g_strdup_printf(
         "%s: %s\r\n%s: %u,%u,%u\r\n%s", a->request_id, id, a->load,
         conn->server->running, conn->server->queued.length,
@@ -405,6 +409,12 @@
     s->drained_us = now_us;
 }
 
+void
+SiteServer_SetLeaving(SiteServer *s, bool is_leaving)
+{
+    s->is_leaving = is_leaving;
+}
+
 uint32_t
 SiteServer_LateRequests(const SiteServer *s)
 {
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -187,6 +187,8 @@
 /* Marks the server as drained since `now_us`; requests that arrive more than
  * 2.5 s later count as late. 0 clears the mark. */
 void SiteServer_MarkDrained(SiteServer *s, int64_t now_us);
+/* While set, all answers say that the server leaves. */
+void SiteServer_SetLeaving(SiteServer *s, bool is_leaving);
 uint32_t SiteServer_LateRequests(const SiteServer *s);
 /* Sets the rate limit that the server announces, in requests per second; 0:
  * none. */
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -259,6 +259,7 @@
         site->birth[i]++;
         SiteServer_ClearCache(site->servers[i]);
     }
+    SiteServer_SetLeaving(site->servers[i], draining);
     put_server(site, (int)i, draining ? "draining" : "ready");
     update_drain_marks(site);
 }
@@ -452,6 +453,7 @@
         site->drained = true;
         for (int i = 0; i < 2; i++) {
             put_server(site, i, "draining");
+            SiteServer_SetLeaving(site->servers[i], true);
             SiteServer_MarkDrained(site->servers[i], now_us);
         }
     }
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -34,6 +34,14 @@
      {"best=s2 best_busy=1/3",
       "unknown: an attempt may have run it; for another, even the best"},
      "not run"},
+    {"a server's request for rest is named",
+     {"e1 time_ms=1000 event=513 name=BACKEND_RESTS server=s1 for_ms=3000",
+      "e1 time_ms=1000 event=604 name=ATTEMPT_FAILED request=r1 server=s1 "
+      "outcome=refused status=503 after_ms=2",
+      "e1 time_ms=1002 event=601 name=REQUEST_REPLIED request=r1 status=503 "
+      "why=no-retry server=s1 attempts=1 config=4 news_ms=100"},
+     {"outcome=refused", "s1 asked for rest 2 ms before", "not run"},
+     "stale"},
     {"a refusal based on an outdated server list is marked as stale",
      {"e1 time_ms=1000 event=700 name=STORE_AWAY table=servers why=silent",
       "e1 time_ms=9500 event=601 name=REQUEST_REPLIED request=r1 status=503 "
