An answer of the store that is older than the copy proves nothing

Cause: the proof followed from when the call was sent, whatever it returned. Change: an answer whose version is below the copy's is applied, since rows only rise, and proves nothing; it isn't passed on as an answer about the other table either. Ruled out: calling again at once; the next call is due in a fifth of the bound anyway.

--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -253,6 +253,7 @@
 apply_answer(GwFollower *f, int64_t now_us, const Call *call)
 {
     const GwRowSet *set = call->pages;
+    bool is_older = set->version < GwRowCache_Version(f->cache);
 
     if (call->kind == GW_CALL_FEED) {
         GwRowCache_ApplyChanges(f->cache, now_us, set);
@@ -263,6 +264,9 @@
         f->is_known = true;
     }
     f->version = MAX(f->version, set->version);
+    if (is_older) {
+        return; /* the store may have answered from an older state */
+    }
     f->answer =
         (GwPeerProof){.version = set->version, .as_of_us = call->asked_us};
     GwProof_Note(&f->proof, call->asked_us);
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -93,6 +93,25 @@
     }
 }
 
+/* Guards against: a store that answers from an older state proves that the
+ * copy is the newest, so that the entry asks nobody else. */
+Test(follower, an_answer_that_is_older_than_the_copy_proves_nothing)
+{
+    static const uint64_t versions[] = {8, 10, 12};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
+        GwFollower *f = create_known(1 * S, 10);
+        GwStoreCall call;
+        cr_assert(GwFollower_NextCall(f, 2 * S, &call));
+        (void)GwFollower_OnRows(f, 2 * S, call.id,
+                                rows(versions[i], "b", false), &call);
+        cr_expect_eq(GwFollower_Proof(f)->as_of_us,
+                     versions[i] >= 10 ? 2 * S : 1 * S, "case %zu", i);
+        cr_expect_geq(GwRowCache_Version(GwFollower_Cache(f)), 10);
+        GwFollower_Free(f);
+    }
+}
+
 /* Guards against: an entry waits for a call that is never answered. */
 Test(follower, an_unanswered_call_does_not_hold_up_the_next)
 {
