--- a/lib/admin/explain.c
+++ b/lib/admin/explain.c
@@ -1,4 +1,4 @@
-#include "admin/explain.h"
+#include "admin/explain_internal.h"
 
 #include "common/json.h"
 #include "common/log_events.h"
@@ -8,10 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Above this age the server list of an entry is reported as stale. Must be
- * longer than 6 s: a poll of the store returns after that time when nothing
- * has changed. */
-#define SERVER_LIST_STALE_MS 8000
+/* Above this age the server list of an entry is reported as stale: longer than
+ * the time within which operators want changes to be in force. */
+#define SERVER_LIST_STALE_MS 5000
 /* A change of a server is added as a note to a line of the request that names
  * the server and follows within this time. */
 #define SERVER_CHANGE_SHOWN_MS 10000
@@ -30,15 +29,6 @@
     GHashTable *servers;          /* id -> ServerChange */
 } EntryState;
 
-/* A log line of the request. */
-typedef struct {
-    int64_t time_ms;
-    uint32_t event;
-    char *source;
-    GHashTable *fields;
-    GPtrArray *notes; /* char * */
-} Step;
-
 /* A configuration version that came into force at an entry. */
 typedef struct {
     int64_t time_ms;
@@ -49,7 +39,7 @@
 struct GwExplain_s {
     char *id;
     GHashTable *entry_states; /* source -> EntryState */
-    GPtrArray *steps;         /* Step * */
+    GPtrArray *steps;         /* GwExplainStep * */
     GArray *activations;      /* Activation */
 };
 
@@ -65,7 +55,7 @@
 static void
 free_step(gpointer item)
 {
-    Step *step = item;
+    GwExplainStep *step = item;
 
     g_hash_table_destroy(step->fields);
     g_ptr_array_free(step->notes, TRUE);
@@ -133,18 +123,18 @@
     return fields;
 }
 
-static const char *
-field_text(GHashTable *fields, const char *key)
+const char *
+GwExplain_FieldText(GHashTable *fields, const char *key)
 {
     const char *value = g_hash_table_lookup(fields, key);
 
     return value != NULL ? value : "";
 }
 
-static int64_t
-field_number(GHashTable *fields, const char *key)
+int64_t
+GwExplain_FieldNumber(GHashTable *fields, const char *key)
 {
-    return g_ascii_strtoll(field_text(fields, key), NULL, 10);
+    return g_ascii_strtoll(GwExplain_FieldText(fields, key), NULL, 10);
 }
 
 static EntryState *
@@ -169,7 +159,8 @@
 
     *change = (ServerChange){.at_ms = time_ms, .what = what};
     g_hash_table_replace(state->servers,
-                         g_strdup(field_text(fields, "server")), change);
+                         g_strdup(GwExplain_FieldText(fields, "server")),
+                         change);
 }
 
 static void
@@ -177,7 +168,8 @@
                   int64_t time_ms, GHashTable *fields)
 {
     Activation activation = {.time_ms = time_ms,
-                             .version = field_number(fields, "version"),
+                             .version =
+                                 GwExplain_FieldNumber(fields, "version"),
                              .source = g_strdup(source)};
 
     state->version = activation.version;
@@ -246,11 +238,11 @@
 
 /* ---- Notes --------------------------------------------------------------- */
 
-static void add_note(Step *step, const char *format, ...)
+static void add_note(GwExplainStep *step, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
 static void
-add_note(Step *step, const char *format, ...)
+add_note(GwExplainStep *step, const char *format, ...)
 {
     va_list args;
 
@@ -260,11 +252,11 @@
 }
 
 static void
-note_entry_state(Step *step, const EntryState *state)
+note_entry_state(GwExplainStep *step, const EntryState *state)
 {
-    const char *server = field_text(step->fields, "server");
+    const char *server = GwExplain_FieldText(step->fields, "server");
     const ServerChange *change = g_hash_table_lookup(state->servers, server);
-    int64_t list_age_ms = field_number(step->fields, "news_ms");
+    int64_t list_age_ms = GwExplain_FieldNumber(step->fields, "news_ms");
 
     if (state->unavailable_since_ms != 0) {
         add_note(step, "stale: the store had not answered for %" PRId64 " ms",
@@ -288,9 +280,9 @@
 /* Adds a note on the first newer configuration that was already in force at
  * another entry. */
 static void
-note_newer_version(const GwExplain *ex, Step *step)
+note_newer_version(const GwExplain *ex, GwExplainStep *step)
 {
-    int64_t version = field_number(step->fields, "config");
+    int64_t version = GwExplain_FieldNumber(step->fields, "config");
     const Activation *newer = NULL;
 
     for (guint i = 0; version != 0 && i < ex->activations->len; i++) {
@@ -325,11 +317,11 @@
                        : word != NULL    ? word + 1
                                          : prefix;
     GHashTable *fields = read_fields(start);
-    uint32_t event = (uint32_t)field_number(fields, "event");
-    int64_t time_ms = field_number(fields, "time_ms");
+    uint32_t event = (uint32_t)GwExplain_FieldNumber(fields, "event");
+    int64_t time_ms = GwExplain_FieldNumber(fields, "time_ms");
 
-    if (strcmp(field_text(fields, "request"), ex->id) == 0) {
-        Step *step = g_new0(Step, 1);
+    if (strcmp(GwExplain_FieldText(fields, "request"), ex->id) == 0) {
+        GwExplainStep *step = g_new0(GwExplainStep, 1);
         step->time_ms = time_ms;
         step->event = event;
         step->source = g_strdup(name);
@@ -351,160 +343,6 @@
     return ex->steps->len;
 }
 
-/* ---- Conclusion ---------------------------------------------------------- */
-
-typedef struct {
-    const char *reason;
-    const char *text;
-} ReplyReason;
-
-/* Reasons of replies that an entry generated. */
-static const ReplyReason reply_reasons[] = {
-    {"no-config", "the entry had no configuration yet"},
-    {"no-route", "no route of the configuration matches it"},
-    {"unauthorized", "no organisation holds the caller's key"},
-    {"unproven", "nothing proved in time that its key was not revoked"},
-    {"over-quota", "its organisation had used up its quota"},
-    {"quota-unknown", "no entry answered for its organisation's quota"},
-    {"no-server", "no server of the service was eligible"},
-    {"no-room", "even the best server would have answered too late"},
-    {"no-retry",
-     "every attempt was refused or found no server, and no attempt "
-     "was left"},
-    {"timeout",
-     "it was sent, and its deadline passed before an answer arrived"},
-    {"time-unsent", "its deadline passed before a server was free"},
-    {"broken",
-     "it was sent, and no complete answer arrived; it was not retried"},
-};
-
-static const char *
-reply_reason_text(const char *reason)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(reply_reasons); i++) {
-        if (strcmp(reply_reasons[i].reason, reason) == 0) {
-            return reply_reasons[i].text;
-        }
-    }
-    return "for a reason unknown to this program";
-}
-
-/* The status gives whether the request may have run, the reason why no further
- * attempt followed. */
-static void
-conclude_reply(const Step *step, GString *out)
-{
-    const char *reason = field_text(step->fields, "why");
-    int64_t status = field_number(step->fields, "status");
-    bool sent =
-        strcmp(reason, "timeout") == 0 || strcmp(reason, "broken") == 0;
-
-    if (status == 503) {
-        g_string_append(out, "not run: ");
-    }
-    else if (status != 404) {
-        g_string_append(out, sent ? "unknown: "
-                                  : "unknown: an attempt may have run it; for "
-                                    "another, ");
-    }
-    g_string_append(out, reply_reason_text(reason));
-}
-
-/* Describes an answer by a server, with the likely causes of its latency. */
-static void
-conclude_answer(const Step *step, GString *out)
-{
-    int64_t took_ms = field_number(step->fields, "took_ms");
-    int64_t waited_ms = field_number(step->fields, "waited_ms");
-
-    g_string_append_printf(out, "answered by %s with %s after %" PRId64 " ms",
-                           field_text(step->fields, "server"),
-                           field_text(step->fields, "status"), took_ms);
-    if (waited_ms * 2 > took_ms) {
-        g_string_append_printf(out, ", %" PRId64 " of them waiting for a slot",
-                               waited_ms);
-    }
-    if (field_number(step->fields, "far")) {
-        g_string_append(out, ", in another region");
-    }
-    if (!field_number(step->fields, "warm")) {
-        g_string_append(out,
-                        ", by a server that did not have its object cached");
-    }
-    if (field_number(step->fields, "attempts") > 1) {
-        g_string_append_printf(out, ", at attempt %s",
-                               field_text(step->fields, "attempts"));
-    }
-}
-
-static void
-conclude_cut(const Step *step, GString *out)
-{
-    if (field_number(step->fields, "attempts") > 0) {
-        g_string_append(out, "unknown: it was sent, and its entry stopped "
-                             "before an answer arrived");
-    }
-    else {
-        g_string_append(out, "not run: its entry stopped before it was sent");
-    }
-}
-
-static void
-conclude_step(const Step *step, GString *out)
-{
-    switch (step->event) {
-    case GW_LOG_REQUEST_ANSWERED:
-        conclude_answer(step, out);
-        break;
-    case GW_LOG_REQUEST_LEFT:
-        g_string_append_printf(out, "its caller disconnected after %s ms",
-                               field_text(step->fields, "took_ms"));
-        break;
-    case GW_LOG_REQUEST_CUT:
-        conclude_cut(step, out);
-        break;
-    case GW_LOG_REQUEST_DROPPED:
-        g_string_append(out, "not run: it arrived while its connection was "
-                             "closing, and was not answered");
-        break;
-    default:
-        conclude_reply(step, out);
-        break;
-    }
-}
-
-static gint
-compare_time(gconstpointer a, gconstpointer b)
-{
-    const Step *x = *(Step *const *)a;
-    const Step *y = *(Step *const *)b;
-
-    return (x->time_ms > y->time_ms) - (x->time_ms < y->time_ms);
-}
-
-static char *
-conclude(GwExplain *ex)
-{
-    GString *out = g_string_new(NULL);
-    const Step *last = NULL;
-
-    g_ptr_array_sort(ex->steps, compare_time);
-    for (guint i = 0; i < ex->steps->len; i++) {
-        const Step *step = ex->steps->pdata[i];
-        last = step->event != GW_LOG_ATTEMPT_FAILED ? step : last;
-    }
-    if (last == NULL) {
-        g_string_append(out, ex->steps->len == 0
-                                 ? "no log line of this request was found"
-                                 : "its outcome is not in these logs: the "
-                                   "entry failed, or the line was dropped");
-    }
-    else {
-        conclude_step(last, out);
-    }
-    return g_string_free(out, FALSE);
-}
-
 /* ---- Output -------------------------------------------------------------- */
 
 static const char *const shown_fields[] = {
@@ -514,13 +352,13 @@
 };
 
 static void
-write_step(const Step *step, int64_t from_ms, GString *out)
+write_step(const GwExplainStep *step, int64_t from_ms, GString *out)
 {
     g_string_append_printf(out, "  +%" PRId64 " ms %s %s",
                            step->time_ms - from_ms, step->source,
                            GwLogEvent_Name(step->event));
     for (size_t i = 0; i < G_N_ELEMENTS(shown_fields); i++) {
-        const char *value = field_text(step->fields, shown_fields[i]);
+        const char *value = GwExplain_FieldText(step->fields, shown_fields[i]);
         if (value[0] != '\0') {
             g_string_append_printf(out, " %s=%s", shown_fields[i], value);
         }
@@ -532,11 +370,21 @@
     }
 }
 
-/* Requires that all lines have been added, since logs of other entries may be
- * added after the lines of the request. */
+static gint
+compare_time(gconstpointer a, gconstpointer b)
+{
+    const GwExplainStep *x = *(GwExplainStep *const *)a;
+    const GwExplainStep *y = *(GwExplainStep *const *)b;
+
+    return (x->time_ms > y->time_ms) - (x->time_ms < y->time_ms);
+}
+
+/* Orders the lines, and notes newer configurations: logs of other entries may
+ * be added after the lines of the request. */
 static void
-note_newer_versions(GwExplain *ex)
+complete(GwExplain *ex)
 {
+    g_ptr_array_sort(ex->steps, compare_time);
     for (guint i = 0; i < ex->steps->len; i++) {
         note_newer_version(ex, ex->steps->pdata[i]);
     }
@@ -545,12 +393,12 @@
 void
 GwExplain_Write(GwExplain *ex, GString *out)
 {
-    char *conclusion = conclude(ex);
+    complete(ex);
+    char *conclusion = GwExplain_Conclude(ex->steps);
 
-    note_newer_versions(ex);
     g_string_append_printf(out, "request %s\n", ex->id);
     for (guint i = 0; i < ex->steps->len; i++) {
-        const Step *first = ex->steps->pdata[0];
+        const GwExplainStep *first = ex->steps->pdata[0];
         write_step(ex->steps->pdata[i], first->time_ms, out);
     }
     g_string_append_printf(out, "%s\n", conclusion);
@@ -558,7 +406,7 @@
 }
 
 static struct json_object *
-step_json(const Step *step)
+step_json(const GwExplainStep *step)
 {
     struct json_object *item = json_object_new_object();
     struct json_object *notes = json_object_new_array();
@@ -567,7 +415,7 @@
     GwJson_SetText(item, "entry", step->source);
     GwJson_SetText(item, "event", GwLogEvent_Name(step->event));
     for (size_t i = 0; i < G_N_ELEMENTS(shown_fields); i++) {
-        const char *value = field_text(step->fields, shown_fields[i]);
+        const char *value = GwExplain_FieldText(step->fields, shown_fields[i]);
         if (value[0] != '\0') {
             GwJson_SetText(item, shown_fields[i], value);
         }
@@ -583,11 +431,11 @@
 void
 GwExplain_WriteJson(GwExplain *ex, GString *out)
 {
-    char *conclusion = conclude(ex);
+    complete(ex);
+    char *conclusion = GwExplain_Conclude(ex->steps);
     struct json_object *root = json_object_new_object();
     struct json_object *steps = json_object_new_array();
 
-    note_newer_versions(ex);
     GwJson_SetText(root, "request", ex->id);
     for (guint i = 0; i < ex->steps->len; i++) {
         json_object_array_add(steps, step_json(ex->steps->pdata[i]));
