--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -7,25 +7,14 @@
 #include <string.h>
 
 #define STORE_READS_PER_S 16000
-/* Report periods, as those of entries. */
-#define DOMAIN_MS      50
-#define REGION_MS      100
-#define REMOTE_MS      250
-#define SUM_REMOTE_MS  500
-#define REPORTS_PER_S  80.0
-#define LIVENESS_PER_S 40.0
 /* Start of an entry: how long it waits for a peer that has the tables, and
  * for the rows. */
 #define SEEK_US      (150 * MS)
 #define PEER_ROWS_US (700 * MS)
 /* A peer that does not answer a fetch is given up after this time. */
-#define FETCH_LOST_US  (600 * MS)
-#define FETCH_SLOW_US  (900 * MS)
-#define LOSS_PER_MILLE 5
-#define SKEW_MAX_S     1000
-/* Periods of proofs in reports, as shares of the bound. */
-#define PROOF_SHARE        0.05
-#define PROOF_REMOTE_SHARE 0.2
+#define FETCH_LOST_US (600 * MS)
+#define FETCH_SLOW_US (900 * MS)
+#define SKEW_MAX_S    1000
 
 uint32_t
 FollowRun_Below(FollowRun *run, uint32_t most)
@@ -89,14 +78,14 @@
     }
 }
 
-static uint64_t
-version_of(const FollowEntry *e, int table)
+uint64_t
+FollowEntry_Version(const FollowEntry *e, int table)
 {
     return GwRowCache_Version(GwFollower_Cache(e->followers[table]));
 }
 
-static bool
-is_loaded(const FollowEntry *e)
+bool
+FollowEntry_IsLoaded(const FollowEntry *e)
 {
     return GwFollower_IsKnown(e->followers[FOLLOW_OPERATOR]) &&
            GwFollower_IsKnown(e->followers[FOLLOW_SERVERS]);
@@ -213,7 +202,8 @@
     const FollowEntry *from = &run->entries[provider];
     FollowFetch *f = &e->fetches[t];
 
-    if (f->is_active || e->peers[provider].versions[t] <= version_of(e, t)) {
+    if (f->is_active ||
+        e->peers[provider].versions[t] <= FollowEntry_Version(e, t)) {
         return;
     }
     int64_t took_us =
@@ -250,7 +240,7 @@
         return;
     }
     const GwRowCache *cache = GwFollower_Cache(from->followers[t]);
-    uint64_t after = version_of(e, t);
+    uint64_t after = FollowEntry_Version(e, t);
     bool is_full = after == 0 || !GwRowCache_HasRemovalsAfter(cache, after);
     GwRowSet *rows = GwRowCache_After(cache, is_full ? 0 : after);
     GwFollower_OnPeerRows(own, FollowEntry_Clock(run, e), rows, is_full,
@@ -269,7 +259,7 @@
         .domain_size = 1,
         .provider_rank = same_domain ? provider > e->index : GW_FETCH_OUTSIDE,
         .waited_us = run->now_us - e->awaits_rows_us,
-        .is_bootstrapping = !is_loaded(e),
+        .is_bootstrapping = !FollowEntry_IsLoaded(e),
     };
 
     for (uint32_t i = 0; i < run->params.entries; i++) {
@@ -283,13 +273,15 @@
     return GwFetchView_MayFetch(&view);
 }
 
-static void
-fetch_from(FollowRun *run, FollowEntry *e, uint32_t provider)
+void
+FollowEntry_FetchFrom(FollowRun *run, FollowEntry *e, uint32_t provider)
 {
     const FollowPeer *peer = &e->peers[provider];
 
-    if (peer->versions[FOLLOW_OPERATOR] <= version_of(e, FOLLOW_OPERATOR) &&
-        peer->versions[FOLLOW_SERVERS] <= version_of(e, FOLLOW_SERVERS)) {
+    if (peer->versions[FOLLOW_OPERATOR] <=
+            FollowEntry_Version(e, FOLLOW_OPERATOR) &&
+        peer->versions[FOLLOW_SERVERS] <=
+            FollowEntry_Version(e, FOLLOW_SERVERS)) {
         return;
     }
     if (e->awaits_rows_us == 0) {
@@ -304,154 +296,6 @@
     fetch(run, e, FOLLOW_SERVERS, provider);
 }
 
-/* ---- Reports ----------------------------------------------------------- */
-
-/* The first entry of a failure domain aggregates. */
-static bool
-is_aggregator(const FollowRun *run, const FollowEntry *e)
-{
-    return e->index == 0 || run->entries[e->index - 1].domain != e->domain;
-}
-
-static double
-base_ms(const FollowEntry *a, const FollowEntry *b)
-{
-    if (a->region != b->region) {
-        return REMOTE_MS;
-    }
-    return a->domain == b->domain ? DOMAIN_MS : REGION_MS;
-}
-
-static uint32_t
-period_ms(const FollowRun *run, const FollowEntry *e, const FollowEntry *to)
-{
-    bool uses_sums = run->params.entries > SUMS_ABOVE;
-    double per_s = 0;
-
-    if (uses_sums && e->domain == to->domain &&
-        (is_aggregator(run, e) || is_aggregator(run, to))) {
-        return DOMAIN_MS;
-    }
-    if (uses_sums && is_aggregator(run, e) && is_aggregator(run, to)) {
-        return e->region == to->region ? DOMAIN_MS : SUM_REMOTE_MS;
-    }
-    /* Domains and regions are of about equal size. */
-    double in_domain = (double)run->params.entries / run->domains;
-    double in_region = (double)run->params.entries / REGIONS;
-    per_s = in_domain * 1000 / DOMAIN_MS +
-            (in_region - in_domain) * 1000 / REGION_MS +
-            (run->params.entries - in_region) * 1000 / REMOTE_MS;
-    double scale = per_s / (uses_sums ? LIVENESS_PER_S : REPORTS_PER_S);
-    return (uint32_t)(base_ms(e, to) * MAX(scale, 1.0));
-}
-
-static void
-fill_proofs(FollowRun *run, FollowEntry *e, const FollowEntry *to,
-            FollowReport *report)
-{
-    FollowPeer *peer = &e->peers[to->index];
-    double share = e->region == to->region ? PROOF_SHARE : PROOF_REMOTE_SHARE;
-    int64_t clock_us = FollowEntry_Clock(run, e);
-
-    report->has_proofs = (double)(run->now_us - peer->proof_sent_us) >=
-                         share * run->params.bound_ms * MS;
-    if (!report->has_proofs) {
-        return;
-    }
-    peer->proof_sent_us = run->now_us;
-    report->clocks = GwClockEcho_Report(&peer->echo, clock_us);
-    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        report->ages[t] =
-            GwProof_WireAge(GwFollower_Proof(e->followers[t]), clock_us);
-    }
-}
-
-static void
-send_report(FollowRun *run, FollowEntry *e, FollowEntry *to)
-{
-    FollowPeer *peer = &e->peers[to->index];
-    FollowReport report = {
-        .from = e->index,
-        .to = to->index,
-        .process = e->process,
-        .serves = is_loaded(e),
-        .next_ms = period_ms(run, e, to),
-        .versions = {version_of(e, FOLLOW_OPERATOR),
-                     version_of(e, FOLLOW_SERVERS)},
-    };
-
-    fill_proofs(run, e, to, &report);
-    peer->sent_us = run->now_us;
-    peer->is_urgent = false;
-    if (!FollowRun_IsReached(run, e, to) ||
-        FollowRun_Below(run, 1000) < LOSS_PER_MILLE) {
-        return;
-    }
-    int64_t step = (run->now_us + FollowRun_WayUs(e, to)) / STEP_US + 1;
-    g_array_append_val(run->network[step % RING], report);
-}
-
-static void
-send_due_reports(FollowRun *run, FollowEntry *e)
-{
-    for (uint32_t i = 0; i < run->params.entries; i++) {
-        FollowPeer *peer = &e->peers[i];
-        FollowEntry *to = &run->entries[i];
-        if (to == e) {
-            continue;
-        }
-        int64_t due_us = peer->sent_us + (int64_t)period_ms(run, e, to) * MS;
-        if (peer->is_urgent || run->now_us >= due_us - 5 * MS) {
-            send_report(run, e, to);
-        }
-    }
-}
-
-static void
-apply_proofs(FollowRun *run, FollowEntry *e, const FollowReport *report)
-{
-    FollowPeer *peer = &e->peers[report->from];
-    int64_t clock_us = FollowEntry_Clock(run, e);
-
-    if (!report->has_proofs) {
-        return;
-    }
-    GwClockEcho_Note(&peer->echo, report->process, report->clocks.clock_ms,
-                     clock_us);
-    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        GwPeerProof proof = {.version = report->versions[t]};
-        if (GwProof_FromPeer(&report->clocks, report->ages[t], e->process,
-                             clock_us, &proof.as_of_us)) {
-            GwFollower_NoteProof(e->followers[t], &proof);
-        }
-        peer->proofs[t] = proof;
-    }
-}
-
-void
-FollowEntry_OnReport(FollowRun *run, FollowEntry *e,
-                     const FollowReport *report)
-{
-    FollowPeer *peer = &e->peers[report->from];
-
-    if (report->process < peer->process) {
-        return;
-    }
-    if (report->process != peer->process) {
-        memset(peer->proofs, 0, sizeof(peer->proofs));
-    }
-    peer->process = report->process;
-    peer->serves = report->serves;
-    peer->next_ms = report->next_ms;
-    peer->reported_us = run->now_us;
-    memcpy(peer->versions, report->versions, sizeof(peer->versions));
-    if (e->tables_seen_us == 0 && report->serves) {
-        e->tables_seen_us = run->now_us;
-    }
-    apply_proofs(run, e, report);
-    fetch_from(run, e, report->from);
-}
-
 /* ---- Who reads --------------------------------------------------------- */
 
 static bool
@@ -486,8 +330,9 @@
         view.age_us =
             MAX(view.age_us, GwFollower_AgeUs(e->followers[t], clock_us));
     }
-    bool reads = is_loaded(e) ? GwReaderView_Reason(&view) != GW_READS_NOT
-                              : reads_at_start(run, e);
+    bool reads = FollowEntry_IsLoaded(e)
+                     ? GwReaderView_Reason(&view) != GW_READS_NOT
+                     : reads_at_start(run, e);
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
         if (GwFollower_SetReads(e->followers[t], clock_us, reads)) {
             e->is_connected[t] = false;
@@ -513,11 +358,11 @@
                                       FollowEntry_Clock(run, e)) != 0) {
         }
     }
-    send_due_reports(run, e);
+    FollowEntry_SendDueReports(run, e);
     if (e->awaits_rows_us != 0) {
-        fetch_from(run, e, e->awaited);
+        FollowEntry_FetchFrom(run, e, e->awaited);
     }
-    if (e->ticks % SWEEP_TICKS == 0 || !is_loaded(e)) {
+    if (e->ticks % SWEEP_TICKS == 0 || !FollowEntry_IsLoaded(e)) {
         choose_reader(run, e);
     }
     FollowRun_Check(run, e);
--- a/tests/fakes/follow_internal.h
+++ b/tests/fakes/follow_internal.h
@@ -121,9 +121,19 @@
 void FollowEntry_Stop(FollowEntry *e);
 /* Runs what is due at the entry. */
 void FollowEntry_Step(FollowRun *run, FollowEntry *e);
+void FollowEntry_OnAnswer(FollowRun *run, FollowEntry *e, CallAnswer *answer);
+
+/* Version of the entry's copy of a table. */
+uint64_t FollowEntry_Version(const FollowEntry *e, int table);
+/* Whether it has both tables. */
+bool FollowEntry_IsLoaded(const FollowEntry *e);
+/* Fetches what the entry lacks from a peer, if that is due. */
+void FollowEntry_FetchFrom(FollowRun *run, FollowEntry *e, uint32_t provider);
+
+/* follow_reports.c */
+void FollowEntry_SendDueReports(FollowRun *run, FollowEntry *e);
 void FollowEntry_OnReport(FollowRun *run, FollowEntry *e,
                           const FollowReport *report);
-void FollowEntry_OnAnswer(FollowRun *run, FollowEntry *e, CallAnswer *answer);
 
 /* follow_faults.c */
 /* Makes changes and faults that are due. */
