Property: the store answers some entries from an older state

The rule holds at every entry in touch, and an answer from an older state excuses none. The fake of the store keeps what was written and when, and answers half of the entries as it was a second before.

--- a/tests/fakes/follow_faults.c
+++ b/tests/fakes/follow_faults.c
@@ -17,6 +17,7 @@
         [FOLLOW_STORE_SILENT] = "store-silent",
         [FOLLOW_STORE_REFUSES] = "store-refuses",
         [FOLLOW_STORE_SLOW] = "store-slow",
+        [FOLLOW_SOME_STALE] = "some-stale",
         [FOLLOW_HISTORY] = "history",
         [FOLLOW_CUT] = "cut",
         [FOLLOW_ONE_WAY] = "one-way",
@@ -36,7 +37,8 @@
     char text[32];
 
     g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, version);
-    (void)FollowStore_Put(run->store, FOLLOW_OPERATOR, CONFIG_KEY, text);
+    (void)FollowStore_Put(run->store, run->now_us, FOLLOW_OPERATOR, CONFIG_KEY,
+                          text);
 }
 
 static void
@@ -45,7 +47,8 @@
     char key[16];
 
     g_snprintf(key, sizeof(key), "%u", server);
-    (void)FollowStore_Put(run->store, FOLLOW_SERVERS, key, "draining");
+    (void)FollowStore_Put(run->store, run->now_us, FOLLOW_SERVERS, key,
+                          "draining");
 }
 
 static void
@@ -54,7 +57,8 @@
     for (uint32_t i = 0; i < SERVERS; i++) {
         char key[16];
         g_snprintf(key, sizeof(key), "%u", i);
-        (void)FollowStore_Put(run->store, FOLLOW_SERVERS, key, "ready");
+        (void)FollowStore_Put(run->store, run->now_us, FOLLOW_SERVERS, key,
+                              "ready");
     }
 }
 
@@ -183,6 +187,9 @@
     case FOLLOW_STORE_SLOW:
         set_store_mode(run, STORE_IS_SLOW, 100, until_us);
         break;
+    case FOLLOW_SOME_STALE:
+        set_store_mode(run, STORE_IS_STALE, 50, until_us);
+        break;
     case FOLLOW_HISTORY:
         FollowStore_DropHistory(run->store);
         run->store_disturbed_us = run->now_us;
@@ -218,17 +225,18 @@
 
 /* ---- Rules ------------------------------------------------------------- */
 
+/* Answers from an older state excuse nothing. */
 static bool
 is_disturbed(const FollowRun *run, const FollowEntry *e)
 {
+    StoreMode mode = FollowStore_Mode(run->store, e->index, run->now_us);
     bool is_one_way =
         run->now_us < run->one_way_until_us &&
         (e->domain == run->one_way_from || e->domain == run->one_way_to);
 
     return is_one_way || run->now_us < e->slow_until_us ||
            run->now_us < e->cut_until_us ||
-           FollowStore_Mode(run->store, e->index, run->now_us) !=
-               STORE_ANSWERS;
+           (mode != STORE_ANSWERS && mode != STORE_IS_STALE);
 }
 
 /* An entry in touch must have every change that was acknowledged `bound_ms`
--- a/tests/fakes/follow_fleet.h
+++ b/tests/fakes/follow_fleet.h
@@ -15,12 +15,13 @@
     FOLLOW_STORE_SILENT,  /* the store never answers any entry */
     FOLLOW_STORE_REFUSES, /* the store refuses all entries */
     FOLLOW_STORE_SLOW,
-    FOLLOW_HISTORY, /* the store drops its history */
-    FOLLOW_CUT,     /* failure domains are cut off */
-    FOLLOW_ONE_WAY, /* messages pass one way between two failure domains */
-    FOLLOW_PAUSE,   /* entries are paused */
-    FOLLOW_SLOW,    /* entries run slowly */
-    FOLLOW_RESTART, /* entries are killed and start again */
+    FOLLOW_SOME_STALE, /* the store answers half from an older state */
+    FOLLOW_HISTORY,    /* the store drops its history */
+    FOLLOW_CUT,        /* failure domains are cut off */
+    FOLLOW_ONE_WAY,    /* messages pass one way between two failure domains */
+    FOLLOW_PAUSE,      /* entries are paused */
+    FOLLOW_SLOW,       /* entries run slowly */
+    FOLLOW_RESTART,    /* entries are killed and start again */
     FOLLOW_FAULT_COUNT
 } FollowFault;
 
--- a/tests/fakes/follow_store.c
+++ b/tests/fakes/follow_store.c
@@ -5,6 +5,7 @@
 #define MS        1000
 #define ANSWER_US (4 * MS)
 #define SLOW_US   (200 * MS)
+#define STALE_US  (1000 * MS)
 #define RATE_SPAN (1000 * MS)
 
 typedef struct {
@@ -12,10 +13,16 @@
     int64_t until_us;
 } CallerMode;
 
+typedef struct {
+    int64_t at_us;
+    FollowTable table;
+    GwStoreRow *row;
+} Write;
+
 struct FollowStore_s {
     uint64_t version;
     uint64_t history_from;
-    GPtrArray *rows[FOLLOW_TABLE_COUNT]; /* GwStoreRow, newest of each key */
+    GArray *writes; /* Write, in order */
     CallerMode *modes;
     uint32_t callers;
     uint32_t reads_per_s;
@@ -34,10 +41,7 @@
     s->callers = callers;
     s->reads_per_s = reads_per_s;
     s->answers = g_array_new(FALSE, FALSE, sizeof(CallAnswer));
-    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        s->rows[t] =
-            g_ptr_array_new_with_free_func((GDestroyNotify)GwStoreRow_Free);
-    }
+    s->writes = g_array_new(FALSE, FALSE, sizeof(Write));
     return s;
 }
 
@@ -47,9 +51,10 @@
     for (guint i = 0; i < s->answers->len; i++) {
         GwRowSet_Free(g_array_index(s->answers, CallAnswer, i).rows);
     }
-    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        g_ptr_array_free(s->rows[t], TRUE);
+    for (guint i = 0; i < s->writes->len; i++) {
+        GwStoreRow_Free(g_array_index(s->writes, Write, i).row);
     }
+    g_array_free(s->writes, TRUE);
     g_array_free(s->answers, TRUE);
     g_free(s->modes);
     g_free(s);
@@ -76,21 +81,30 @@
     s->history_from = s->version;
 }
 
+/* The newest row of each key that was written after a version, as the table
+ * was at `as_of_us`. */
 static GwRowSet *
-rows_after(const FollowStore *s, FollowTable table, uint64_t after,
-           bool with_removed)
+rows_after(const FollowStore *s, int64_t as_of_us, FollowTable table,
+           uint64_t after, bool with_removed)
 {
     GwRowSet *set = GwRowSet_Create();
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
-    for (guint i = 0; i < s->rows[table]->len; i++) {
-        const GwStoreRow *row = s->rows[table]->pdata[i];
-        if (row->version > after && (with_removed || !row->removed)) {
+    for (guint i = s->writes->len; i > 0; i--) {
+        const Write *write = &g_array_index(s->writes, Write, i - 1);
+        const GwStoreRow *row = write->row;
+        if (write->at_us > as_of_us) {
+            continue;
+        }
+        set->version = MAX(set->version, row->version);
+        if (write->table == table && g_hash_table_add(seen, row->key) &&
+            row->version > after && (with_removed || !row->removed)) {
             g_ptr_array_add(set->rows,
                             GwStoreRow_Create(row->key, row->value,
                                               row->version, row->removed));
         }
     }
-    set->version = s->version;
+    g_hash_table_destroy(seen);
     return set;
 }
 
@@ -105,19 +119,15 @@
 }
 
 uint64_t
-FollowStore_Put(FollowStore *s, FollowTable table, const char *key,
-                const char *value)
+FollowStore_Put(FollowStore *s, int64_t now_us, FollowTable table,
+                const char *key, const char *value)
 {
     s->version++;
-    for (guint i = 0; i < s->rows[table]->len; i++) {
-        const GwStoreRow *row = s->rows[table]->pdata[i];
-        if (strcmp(row->key, key) == 0) {
-            g_ptr_array_remove_index_fast(s->rows[table], i);
-            break;
-        }
-    }
-    g_ptr_array_add(s->rows[table],
-                    GwStoreRow_Create(key, value, s->version, value == NULL));
+    Write write = {
+        .at_us = now_us,
+        .table = table,
+        .row = GwStoreRow_Create(key, value, s->version, value == NULL)};
+    g_array_append_val(s->writes, write);
     return s->version;
 }
 
@@ -132,13 +142,14 @@
 }
 
 static void
-answer_call(FollowStore *s, int64_t now_us, int64_t way_us,
+answer_call(FollowStore *s, int64_t now_us, int64_t as_of_us, int64_t way_us,
             const GwStoreCall *call, const CallAnswer *to)
 {
     int64_t back_us = now_us + ANSWER_US + way_us;
 
     if (call->kind == GW_CALL_READ) {
-        answer(s, back_us, *to, CALL_ROWS, rows_after(s, to->table, 0, false));
+        answer(s, back_us, *to, CALL_ROWS,
+               rows_after(s, as_of_us, to->table, 0, false));
         return;
     }
     if (call->after < s->history_from) {
@@ -146,7 +157,7 @@
         return;
     }
     answer(s, back_us, *to, CALL_ROWS,
-           rows_after(s, to->table, call->after, true));
+           rows_after(s, as_of_us, to->table, call->after, true));
 }
 
 void
@@ -161,14 +172,17 @@
         answer(s, now_us + way_us, *to, CALL_REFUSED, NULL);
         break;
     case STORE_IS_SLOW:
-        answer_call(s, now_us, way_us + SLOW_US, call, to);
+        answer_call(s, now_us, now_us, way_us + SLOW_US, call, to);
+        break;
+    case STORE_IS_STALE:
+        answer_call(s, now_us, now_us - STALE_US, way_us, call, to);
         break;
     case STORE_ANSWERS:
         if (is_over_rate(s, now_us)) {
             answer(s, now_us + way_us, *to, CALL_REFUSED, NULL);
         }
         else {
-            answer_call(s, now_us, way_us, call, to);
+            answer_call(s, now_us, now_us, way_us, call, to);
         }
         break;
     }
--- a/tests/fakes/follow_store.h
+++ b/tests/fakes/follow_store.h
@@ -18,6 +18,7 @@
     STORE_SILENT, /* takes calls and never answers, also when it is back */
     STORE_REFUSES,
     STORE_IS_SLOW,
+    STORE_IS_STALE /* answers from a state that is a second old */
 } StoreMode;
 
 typedef enum {
@@ -42,8 +43,8 @@
 FollowStore *FollowStore_Create(uint32_t callers, uint32_t reads_per_s);
 void FollowStore_Free(FollowStore *s);
 /* Writes a row (NULL: removes it); returns its version. */
-uint64_t FollowStore_Put(FollowStore *s, FollowTable table, const char *key,
-                         const char *value);
+uint64_t FollowStore_Put(FollowStore *s, int64_t now_us, FollowTable table,
+                         const char *key, const char *value);
 void FollowStore_SetMode(FollowStore *s, uint32_t caller, StoreMode mode,
                          int64_t until_us);
 StoreMode FollowStore_Mode(const FollowStore *s, uint32_t caller,
