--- a/tests/fakes/outages.c
+++ b/tests/fakes/outages.c
@@ -164,7 +164,7 @@
         g_queue_init(&s->running);
         s->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
         s->limit_known_us = g_new0(int64_t, w->p->entries);
-        s->words = g_new0(OutageWord, w->p->entries);
+        s->statements = g_new0(OutageStatement, w->p->entries);
     }
     for (uint32_t i = 0; i < w->p->entries; i++) {
         w->entries[i] = (Entry){.world = w,
@@ -192,7 +192,7 @@
         g_queue_clear(&w->servers[i].running);
         g_array_free(w->servers[i].arrivals, TRUE);
         g_free(w->servers[i].limit_known_us);
-        g_free(w->servers[i].words);
+        g_free(w->servers[i].statements);
     }
 }
 
--- a/tests/fakes/outages_backpressure.c
+++ b/tests/fakes/outages_backpressure.c
@@ -12,28 +12,28 @@
 /* A connection may take so much longer to set up. */
 #define SLOW_CONNECT_US 250000
 
-static OutageWord *
-word_of(Server *s, const Entry *e)
+static OutageStatement *
+statement_of(Server *s, const Entry *e)
 {
-    OutageWord *word = &s->words[e->index];
+    OutageStatement *st = &s->statements[e->index];
 
-    if (word->incarnation != e->incarnation + 1) {
-        *word = (OutageWord){.incarnation = e->incarnation + 1};
+    if (st->incarnation != e->incarnation + 1) {
+        *st = (OutageStatement){.incarnation = e->incarnation + 1};
     }
-    return word;
+    return st;
 }
 
 void
-OutageServer_ForgetWords(const World *w, Server *s)
+OutageServer_ForgetStatements(const World *w, Server *s)
 {
-    memset(s->words, 0, w->p->entries * sizeof(*s->words));
+    memset(s->statements, 0, w->p->entries * sizeof(*s->statements));
 }
 
 void
-OutageEntry_ForgetWords(World *w, const Entry *e)
+OutageEntry_ForgetStatements(World *w, const Entry *e)
 {
     for (uint32_t i = 0; i < w->p->servers; i++) {
-        w->servers[i].words[e->index] = (OutageWord){0};
+        w->servers[i].statements[e->index] = (OutageStatement){0};
     }
 }
 
@@ -61,7 +61,7 @@
 }
 
 /* While the store is away, rows of servers expire and are written again, as
- * they were: the store has not got the word. */
+ * they were: the store does not know that the server leaves. */
 static void
 rewrite_row(World *w, const Server *s)
 {
@@ -144,19 +144,19 @@
 
 /* Counts a request that reaches a server. */
 void
-OutageServer_CheckWords(World *w, const Attempt *a)
+OutageServer_CheckStatements(World *w, const Attempt *a)
 {
     Server *s = a->server;
-    OutageWord *word = word_of(s, a->call->entry);
+    OutageStatement *st = statement_of(s, a->call->entry);
 
-    if (word->leaving_us != 0 &&
-        a->call->arrived_us > word->leaving_us + DRAIN_US) {
+    if (st->leaving_us != 0 &&
+        a->call->arrived_us > st->leaving_us + DRAIN_US) {
         w->report.after_leaving++;
     }
-    if (w->now_us > word->rest_us + REST_AFTER_US &&
-        w->now_us < word->rest_until_us && word->rest_us != 0) {
-        word->in_rest++;
-        w->report.in_rest = MAX(w->report.in_rest, word->in_rest);
+    if (w->now_us > st->rest_us + REST_AFTER_US &&
+        w->now_us < st->rest_until_us && st->rest_us != 0) {
+        st->in_rest++;
+        w->report.in_rest = MAX(w->report.in_rest, st->in_rest);
     }
 }
 
@@ -165,14 +165,14 @@
 OutageServer_Shed(World *w, Attempt *a)
 {
     Server *s = a->server;
-    OutageWord *word = word_of(s, a->call->entry);
+    OutageStatement *st = statement_of(s, a->call->entry);
 
     w->report.shed++;
-    if (w->now_us >= word->rest_until_us) {
-        word->rest_us = w->now_us;
-        word->in_rest = 0;
+    if (w->now_us >= st->rest_until_us) {
+        st->rest_us = w->now_us;
+        st->in_rest = 0;
     }
-    word->rest_until_us = MAX(word->rest_until_us, w->now_us + s->rest_us);
+    st->rest_until_us = MAX(st->rest_until_us, w->now_us + s->rest_us);
     OutageAttempt_AnswerAt(w, a,
                            w->now_us + Outages_DelayUs(a->call->entry, s),
                            (GwAttemptEnd){.outcome = GW_ATTEMPT_REFUSED,
@@ -185,11 +185,11 @@
 void
 OutageServer_NoteAnswer(World *w, const Attempt *a)
 {
-    OutageWord *word = word_of(a->server, a->call->entry);
+    OutageStatement *st = statement_of(a->server, a->call->entry);
 
     if (a->end.leaving && a->end.outcome == GW_ATTEMPT_ANSWERED &&
-        a->born_ms == a->server->born_ms && word->leaving_us == 0) {
-        word->leaving_us = w->now_us;
+        a->born_ms == a->server->born_ms && st->leaving_us == 0) {
+        st->leaving_us = w->now_us;
     }
 }
 
@@ -204,9 +204,9 @@
     }
     for (uint32_t i = 0; i < w->p->servers; i++) {
         Server *s = &w->servers[i];
-        const OutageWord *word = word_of(s, e);
+        const OutageStatement *st = statement_of(s, e);
         if (s->region == e->region && s->listening && !s->is_leaving &&
-            w->now_us >= word->rest_until_us + REST_SPREAD_US &&
+            w->now_us >= st->rest_until_us + REST_SPREAD_US &&
             !OutageServer_IsShedding(s, w->now_us) && s->running.length == 0 &&
             w->now_us > s->idle_since_us + IDLE_AFTER_US) {
             w->report.refused_beside_idle++;
--- a/tests/fakes/outages_faults.c
+++ b/tests/fakes/outages_faults.c
@@ -139,7 +139,7 @@
 
     Outages_Schedule(w, w->now_us + ENTRY_FAULT_US, EV_ENTRY_FAULT, NULL);
     e->last_fault_us = w->now_us + for_us;
-    OutageEntry_ForgetWords(w, e); /* excused by the rules */
+    OutageEntry_ForgetStatements(w, e); /* excused by the rules */
     switch (Outages_RandomBelow(w, 3)) {
     case 0:
         e->frozen_until_us = w->now_us + for_us;
--- a/tests/fakes/outages_internal.h
+++ b/tests/fakes/outages_internal.h
@@ -52,7 +52,7 @@
     int64_t rest_us;      /* the first refusal of the current rest; 0: none */
     int64_t rest_until_us;
     uint32_t in_rest;
-} OutageWord;
+} OutageStatement;
 
 typedef struct {
     uint32_t index;
@@ -68,8 +68,8 @@
     int64_t sheds_until_us;
     int64_t rest_us; /* that it asks for while it sheds */
     int64_t idle_since_us;
-    OutageWord *words; /* by entry */
-    GQueue running;    /* Attempt */
+    OutageStatement *statements; /* by entry */
+    GQueue running;              /* Attempt */
     bool is_limited;
     int64_t limit_us;        /* since when a limit is stated; 0: never */
     GArray *arrivals;        /* int64_t us, from entries that know the limit */
@@ -245,11 +245,11 @@
 /* outages_backpressure.c */
 void Outages_InjectBackpressure(World *w, uint32_t step);
 bool OutageServer_IsShedding(const Server *s, int64_t now_us);
-void OutageServer_ForgetWords(const World *w, Server *s);
-void OutageEntry_ForgetWords(World *w, const Entry *e);
+void OutageServer_ForgetStatements(const World *w, Server *s);
+void OutageEntry_ForgetStatements(World *w, const Entry *e);
 void OutageAttempt_Connect(World *w, Attempt *a);
 void OutageAttempt_Write(World *w, Attempt *a);
-void OutageServer_CheckWords(World *w, const Attempt *a);
+void OutageServer_CheckStatements(World *w, const Attempt *a);
 void OutageServer_Shed(World *w, Attempt *a);
 void OutageServer_NoteAnswer(World *w, const Attempt *a);
 void Outages_CheckRefusal(World *w, const Call *call, GwReplyReason why);
--- a/tests/fakes/outages_servers.c
+++ b/tests/fakes/outages_servers.c
@@ -74,7 +74,7 @@
     s->is_leaving = false;
     s->sheds_until_us = 0;
     s->born_ms++;
-    OutageServer_ForgetWords(w, s);
+    OutageServer_ForgetStatements(w, s);
     /* A new process: limits stated by the previous one are void. */
     s->limit_us = s->limit_us != 0 ? w->now_us : 0;
     g_array_set_size(s->arrivals, 0);
@@ -171,7 +171,7 @@
                                               .other_server = true});
         return;
     }
-    OutageServer_CheckWords(w, a);
+    OutageServer_CheckStatements(w, a);
     if (OutageServer_IsShedding(s, w->now_us)) {
         OutageServer_Shed(w, a);
         return;
--- a/tests/property/outages.cpp
+++ b/tests/property/outages.cpp
@@ -233,7 +233,7 @@
 // was being set up, a retry, or after its row was written again; or callers are
 // refused beside idle servers.
 bool
-serversWordsAreKept(const Size &size, OutageKind kind)
+serversStatementsAreKept(const Size &size, OutageKind kind)
 {
     uint32_t inRest = 0;
     uint32_t afterLeaving = 0;
@@ -279,8 +279,8 @@
                                             static_cast<OutageKind>(kind)) &&
                  ok;
         }
-        ok = serversWordsAreKept(size, OUTAGE_SHEDS) && ok;
-        ok = serversWordsAreKept(size, OUTAGE_LEAVES) && ok;
+        ok = serversStatementsAreKept(size, OUTAGE_SHEDS) && ok;
+        ok = serversStatementsAreKept(size, OUTAGE_LEAVES) && ok;
         ok = crashersReachFewServers(size) && ok;
         ok = limitsAreKept(size) && ok;
     }
