--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -19,7 +19,7 @@
 mapfile -t sources < <(ls lib/common/*.c lib/wire/*.c lib/platform/*.c \
     lib/config/*.c lib/blocks/*.c lib/entry/tickets.c \
     lib/http/message.c lib/http/parser.c lib/route/*.c lib/store/*.c \
-    lib/admin/explain.c \
+    lib/admin/explain*.c \
     platform/*.c 2>/dev/null)
 
 for target in fuzz/fuzz_*.c; do
