Tests of the store: all outages of before, and one clock for both followers

Cause: when test_store_outage was moved to the follower it began to walk the length of outages in steps of 250 ms in place of 50, without a word; a fifth of the cases is weaker. And the fake that follows the store started the follower of the operators' rows by the run's clock, not the entry's. Change: steps of 50 ms again; the entry's clock for both.

--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -107,7 +107,7 @@
     e->process = ++run->processes;
     e->skew_us = (int64_t)FollowRun_Below(run, SKEW_MAX_S) * S;
     e->followers[FOLLOW_OPERATOR] = GwFollower_Create(
-        on_operator_row, e, run->now_us, run->params.bound_ms);
+        on_operator_row, e, FollowEntry_Clock(run, e), run->params.bound_ms);
     e->followers[FOLLOW_SERVERS] = GwFollower_Create(
         on_server_row, e, FollowEntry_Clock(run, e), run->params.bound_ms);
     GwFollower_FollowOther(e->followers[FOLLOW_SERVERS]);
--- a/tests/unit/test_store_outage.c
+++ b/tests/unit/test_store_outage.c
@@ -85,7 +85,7 @@
 Test(store_outage, a_call_that_is_never_answered_is_noticed_in_time)
 {
     for (uint32_t outage_at_ms = 1; outage_at_ms < 3500; outage_at_ms += 50) {
-        for (uint32_t for_ms = 50; for_ms < 15000; for_ms += 250) {
+        for (uint32_t for_ms = 50; for_ms < 15000; for_ms += 50) {
             cr_expect_leq(recovery_ms(outage_at_ms, for_ms), RECOVERY_MAX_MS,
                           "outage at %u ms for %u ms: recovery took %u ms",
                           outage_at_ms, for_ms,
