Log and count how connections to servers fail

An attempt that met no server, or lost its connection, said only unsent or broken. Refused, reset and timed out need different hypotheses in the incident of entries cut off from servers: a refusal within a millisecond and a connect that hangs for 300 ms looked alike. ATTEMPT_FAILED has link=, the metrics have gw_server_links_failed_total{how} and the age of the last answer of a service.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -92,6 +92,7 @@
         uint64_t arrived;
         uint64_t dropped; /* requests received after a close */
         uint64_t connects;
+        uint64_t links_failed[GW_LINK_END_COUNT]; /* to servers */
         uint64_t reuses;
         uint64_t store_calls;
         uint64_t reports;
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -49,10 +49,11 @@
         GwFingerprint_Format(GwExchange_Fingerprint(x), text);
     }
     GwLog_Event(GW_LOG_ATTEMPT_FAILED,
-                "request=%.40s server=%s outcome=%s status=%u after_ms=%u "
-                "fingerprint=%s",
+                "request=%.40s server=%s outcome=%s link=%s status=%u "
+                "after_ms=%u fingerprint=%s",
                 id != NULL ? id : "", request_summary.server,
-                outcome_name(end->outcome), end->status,
+                outcome_name(end->outcome), GwLinkEnd_Name(end->link),
+                end->status,
                 request_summary.took_ms - request_summary.waited_ms, text);
 }
 
@@ -270,6 +271,23 @@
     }
 }
 
+static GwLinkEnd
+link_end(GwConnEnd how)
+{
+    switch (how) {
+    case GW_CONN_REFUSED:
+        return GW_LINK_REFUSED;
+    case GW_CONN_TIMED_OUT:
+        return GW_LINK_TIMEOUT;
+    case GW_CONN_MALFORMED:
+        return GW_LINK_OK;
+    case GW_CONN_ENDED:
+    case GW_CONN_FAILED:
+        break;
+    }
+    return GW_LINK_RESET;
+}
+
 static void
 on_ended(void *owner, GwConnEnd how)
 {
@@ -278,6 +296,11 @@
     GwExchange *x = link->exchange;
     bool sent = GwConn_BytesOut(link->conn) > 0;
 
+    /* An idle connection that the server closes has not failed. */
+    if (x != NULL || link->connecting || how != GW_CONN_ENDED) {
+        edge->counts.links_failed[link_end(how)]++;
+    }
+
     if (how != GW_CONN_MALFORMED) {
         link->conn = NULL; /* closed by GwConn */
     }
@@ -290,7 +313,8 @@
     GwServerLink_Close(link);
     if (x != NULL) {
         GwAttemptEnd end = {.outcome =
-                                sent ? GW_ATTEMPT_LOST : GW_ATTEMPT_UNSENT};
+                                sent ? GW_ATTEMPT_LOST : GW_ATTEMPT_UNSENT,
+                            .link = link_end(how)};
         end.closed = sent && how != GW_CONN_MALFORMED;
         report_attempt(x, &end);
     }
@@ -320,8 +344,9 @@
 abort_connecting(GwServerLink *link)
 {
     GwExchange *x = link->exchange;
-    GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT};
+    GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT, .link = GW_LINK_TIMEOUT};
 
+    link->edge->counts.links_failed[GW_LINK_TIMEOUT]++;
     if (x == NULL) {
         report_probe(link->pool, GW_PROBE_TIMEOUT);
     }
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -33,11 +33,14 @@
                            "gw_service_waiting{service=\"%s\"} %u\n"
                            "gw_service_in_flight{service=\"%s\"} %u\n"
                            "gw_service_peers_in_flight{service=\"%s\"} %u\n"
-                           "gw_service_retries_left{service=\"%s\"} %.2f\n",
+                           "gw_service_retries_left{service=\"%s\"} %.2f\n"
+                           "gw_service_answer_age_ms{service=\"%s\"} %" PRId64
+                           "\n",
                            name, view->servers, name, view->ejected, name,
                            view->limited, name, view->resting, name,
                            view->waiting, name, view->in_flight, name,
-                           view->peers_in_flight, name, view->retries_left);
+                           view->peers_in_flight, name, view->retries_left,
+                           name, view->answer_age_ms);
     g_free(name);
 }
 
@@ -93,6 +96,11 @@
     write_counter(out, "gw_requests_total", edge->counts.arrived);
     write_counter(out, "gw_requests_dropped_total", edge->counts.dropped);
     write_counter(out, "gw_connects_total", edge->counts.connects);
+    for (int i = GW_LINK_REFUSED; i < GW_LINK_END_COUNT; i++) {
+        g_string_append_printf(
+            out, "gw_server_links_failed_total{how=\"%s\"} %" PRIu64 "\n",
+            GwLinkEnd_Name((GwLinkEnd)i), edge->counts.links_failed[i]);
+    }
     write_counter(out, "gw_reuses_total", edge->counts.reuses);
     write_counter(out, "gw_store_calls_total", edge->counts.store_calls);
     write_counter(out, "gw_reports_total", edge->counts.reports);
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -37,6 +37,20 @@
     return (int64_t)(uv_hrtime() / 1000);
 }
 
+/* How a connection ended that libuv reports with an error. */
+static GwConnEnd
+end_of_error(int error)
+{
+    switch (error) {
+    case UV_ECONNREFUSED:
+        return GW_CONN_REFUSED;
+    case UV_ETIMEDOUT:
+        return GW_CONN_TIMED_OUT;
+    default:
+        return GW_CONN_FAILED;
+    }
+}
+
 static void
 end_conn(GwConn *c, GwConnEnd how)
 {
@@ -135,8 +149,9 @@
         reject_input(c);
     }
     else if (len < 0) {
-        end_conn(c, len == UV_EOF && error == GW_HTTP_OK ? GW_CONN_ENDED
-                                                         : GW_CONN_FAILED);
+        end_conn(c, len == UV_EOF && error == GW_HTTP_OK
+                        ? GW_CONN_ENDED
+                        : end_of_error((int)len));
     }
     else if (c->params.ops->read != NULL && !c->is_closing &&
              !c->is_finishing) {
@@ -226,8 +241,7 @@
         return;
     }
     if (status != 0) {
-        end_conn(c,
-                 status == UV_ECONNREFUSED ? GW_CONN_REFUSED : GW_CONN_FAILED);
+        end_conn(c, end_of_error(status));
         return;
     }
     c->received_us = GwConn_NowUs();
@@ -313,7 +327,7 @@
     g_free(w->buf.base);
     g_free(w);
     if (!c->is_closing && status != 0) {
-        end_conn(c, GW_CONN_FAILED);
+        end_conn(c, end_of_error(status));
     }
     update_reading(c);
     GwConn_FreeIfUnused(c);
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -11,9 +11,10 @@
 
 typedef enum {
     GW_CONN_ENDED = 1,     /* orderly close by the peer */
-    GW_CONN_FAILED = 2,    /* reset, time-out, or failed to connect */
+    GW_CONN_FAILED = 2,    /* reset, or failed to connect */
     GW_CONN_MALFORMED = 3, /* malformed message; see GwConn_Error */
-    GW_CONN_REFUSED = 4    /* connection refused: no listener at the address */
+    GW_CONN_REFUSED = 4,   /* connection refused: no listener at the address */
+    GW_CONN_TIMED_OUT = 5  /* the peer's kernel acknowledged nothing in time */
 } GwConnEnd;
 
 /* A request, possibly incomplete, that arrived while its connection was
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -48,6 +48,19 @@
     return names[why];
 }
 
+const char *
+GwLinkEnd_Name(GwLinkEnd end)
+{
+    static const char *const names[] = {
+        [GW_LINK_OK] = "ok",
+        [GW_LINK_REFUSED] = "refused",
+        [GW_LINK_RESET] = "reset",
+        [GW_LINK_TIMEOUT] = "timeout",
+    };
+
+    return names[end];
+}
+
 uint16_t
 GwReplyReason_Status(GwReplyReason why)
 {
@@ -451,6 +464,7 @@
     }
     release_server(r, now_us, req, good, actions);
     if (answered) {
+        service->answered_us = now_us;
         /* During a stop the server's answer is passed on even if it is an
          * error: a retry might end too late, and the answer would be lost. */
         bool again = !good && req->route->idempotent && r->end_us == INT64_MAX;
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -182,6 +182,17 @@
     GW_ATTEMPT_LOST = 4      /* sent, no whole answer: may have run */
 } GwAttemptOutcome;
 
+/* How the connection of an attempt failed. */
+typedef enum {
+    GW_LINK_OK = 0,
+    GW_LINK_REFUSED, /* no listener at the address */
+    GW_LINK_RESET,   /* reset or closed by the server, or no route to it */
+    GW_LINK_TIMEOUT, /* not established, or not acknowledged, in time */
+    GW_LINK_END_COUNT
+} GwLinkEnd;
+
+const char *GwLinkEnd_Name(GwLinkEnd end);
+
 /* Whether an answer states a limit on the server's requests per second. */
 typedef enum {
     GW_LIMIT_UNKNOWN = 0, /* no answer, or not readable */
@@ -204,6 +215,7 @@
     GwLimitStatement limit;
     double limit_per_s; /* if GW_LIMIT_STATED */
     bool closed;        /* LOST: the server closed or reset the connection */
+    GwLinkEnd link;     /* UNSENT, LOST: how the connection failed */
     /* Of the request; set if `closed` or GwRouter_WantsFingerprints. */
     const GwFingerprint *fingerprint;
 } GwAttemptEnd;
@@ -345,6 +357,7 @@
     uint32_t in_flight;       /* requests of this entry */
     uint32_t peers_in_flight; /* as last reported */
     double retries_left;
+    int64_t answer_age_ms; /* since the last answer of any server; -1: none */
 } GwServiceView;
 
 void GwRouter_EachService(const GwRouter *r, int64_t now_us,
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -12,6 +12,9 @@
         .servers = service->servers->len,
         .waiting = service->waiting->len,
         .retries_left = service->retries.tokens,
+        .answer_age_ms = service->answered_us > 0
+                             ? (now_us - service->answered_us) / 1000
+                             : -1,
     };
 
     for (guint i = 0; i < service->servers->len; i++) {
