A proxy between entries and servers of the stand-in site; failing tests

The soak had no faults on the links between processes, so no test had ever cut an entry from its servers. standin_site now has a proxy in front of each server that makes the links of chosen entries silent, resets them, or sets up no new ones; packet filters on its sockets make the silence real (no acknowledgement, no reset). Entries are told apart by the new setting source_address.

--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -119,6 +119,9 @@
         .body_max = ANSWER_MAX,
         .budget = &edge->bodies,
         .user_timeout_ms = USER_TIMEOUT_MS,
+        .source = edge->settings->source_address[0] != '\0'
+                      ? edge->settings->source_address
+                      : NULL,
     };
 
     link->edge = edge;
--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -4,6 +4,7 @@
 #include "config/reader.h"
 #include "router/router_internal.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #define DURATION_MAX_MS 3600000
@@ -157,6 +158,21 @@
            GwRead_Address(at, key, out, error);
 }
 
+static bool
+read_source_address(const GwReadContext *at, GwEdgeSettings *s, GError **error)
+{
+    struct in_addr ip;
+
+    if (!json_object_object_get_ex(at->object, "source_address", NULL)) {
+        return true;
+    }
+    return read_text(at, "source_address", s->source_address,
+                     sizeof(s->source_address), error) &&
+           (inet_pton(AF_INET, s->source_address, &ip) == 1 ||
+            GwRead_Fail(at, "source_address", GW_RESULT_INVALID, error,
+                        "an IP address"));
+}
+
 /* Reads the capacity of the instance. */
 static bool
 read_capacity(const GwReadContext *at, GwEdgeSettings *s, GError **error)
@@ -236,6 +252,7 @@
         "metrics_address",
         "peer_address",
         "store_address",
+        "source_address",
         "seeds",
         "seeds_peer_port",
         "regions",
@@ -275,6 +292,7 @@
                                  error) &&
            GwRead_Address(at, "peer_address", s->peer_address, error) &&
            GwRead_Address(at, "store_address", s->store_address, error) &&
+           read_source_address(at, s, error) &&
            read_seeds(at, s->seeds, error) &&
            override_seed_ports(at, s->seeds, error) &&
            read_regions(at, s->regions, error) && read_bounds(at, s, error) &&
--- a/lib/edge/settings.h
+++ b/lib/edge/settings.h
@@ -14,6 +14,8 @@
     char metrics_address[64];   /* counters for a collector; "" for none */
     char peer_address[64];      /* other entries: UDP, and TCP for rows */
     char store_address[64];
+    /* IP address that connections to servers come from; "": any. */
+    char source_address[32];
     GPtrArray *seeds;    /* peer addresses to contact at the start */
     GHashTable *regions; /* failure domain -> region */
     uint32_t memory_mb;  /* limit for the process */
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -25,22 +25,21 @@
     GString *out = ctx;
     char *name = g_strescape(view->name, NULL);
 
-    g_string_append_printf(out,
-                           "gw_service_servers{service=\"%s\"} %u\n"
-                           "gw_service_ejected{service=\"%s\"} %u\n"
-                           "gw_service_limited{service=\"%s\"} %u\n"
-                           "gw_service_resting{service=\"%s\"} %u\n"
-                           "gw_service_waiting{service=\"%s\"} %u\n"
-                           "gw_service_in_flight{service=\"%s\"} %u\n"
-                           "gw_service_peers_in_flight{service=\"%s\"} %u\n"
-                           "gw_service_retries_left{service=\"%s\"} %.2f\n"
-                           "gw_service_answer_age_ms{service=\"%s\"} %" PRId64
-                           "\n",
-                           name, view->servers, name, view->ejected, name,
-                           view->limited, name, view->resting, name,
-                           view->waiting, name, view->in_flight, name,
-                           view->peers_in_flight, name, view->retries_left,
-                           name, view->answer_age_ms);
+    g_string_append_printf(
+        out,
+        "gw_service_servers{service=\"%s\"} %u\n"
+        "gw_service_ejected{service=\"%s\"} %u\n"
+        "gw_service_limited{service=\"%s\"} %u\n"
+        "gw_service_resting{service=\"%s\"} %u\n"
+        "gw_service_waiting{service=\"%s\"} %u\n"
+        "gw_service_in_flight{service=\"%s\"} %u\n"
+        "gw_service_peers_in_flight{service=\"%s\"} %u\n"
+        "gw_service_retries_left{service=\"%s\"} %.2f\n"
+        "gw_service_answer_age_ms{service=\"%s\"} %" PRId64 "\n",
+        name, view->servers, name, view->ejected, name, view->limited, name,
+        view->resting, name, view->waiting, name, view->in_flight, name,
+        view->peers_in_flight, name, view->retries_left, name,
+        view->answer_age_ms);
     g_free(name);
 }
 
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -267,6 +267,16 @@
            uv_ip4_addr(host, (int)port, out) == 0;
 }
 
+static bool
+bind_source(GwConn *c)
+{
+    struct sockaddr_in from;
+
+    return c->params.source == NULL ||
+           (uv_ip4_addr(c->params.source, 0, &from) == 0 &&
+            uv_tcp_bind(&c->tcp, (const struct sockaddr *)&from, 0) == 0);
+}
+
 GwConn *
 GwConn_Connect(const GwConnParams *params, const char *address)
 {
@@ -278,9 +288,9 @@
     GwConn *c = create(params);
     c->connect.data = c;
     c->is_connecting = true;
-    int rc = uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)&to,
-                            on_connect);
-    if (rc != 0) {
+    if (!bind_source(c) ||
+        uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)&to,
+                       on_connect) != 0) {
         GwConn_CloseHandle(c);
         return NULL;
     }
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -59,6 +59,9 @@
     uint32_t user_timeout_ms;
     /* Sends TCP keep-alive probes every second, for long waits. */
     bool keepalive;
+    /* IP address that an outgoing connection comes from; NULL: the system
+     * chooses. */
+    const char *source;
 } GwConnParams;
 
 /* Accepts the next connection of a listener; NULL on failure. */
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -53,7 +53,7 @@
     GwServer *freed_server; /* has got capacity since the last pass; or NULL */
     int64_t stale_limit_due_us; /* next search for a stale limit */
     double work_us;             /* mean time that a request occupies a slot */
-    int64_t answered_us; /* last answer of any server; 0: none yet */
+    int64_t answered_us;        /* last answer of any server; 0: none yet */
     double cold_per_s; /* maximum requests per second to a cold server */
     uint32_t connections_max; /* to one server, of all entries; 0: any */
 } GwServiceState;
--- a/standins/site.sh
+++ b/standins/site.sh
@@ -43,6 +43,17 @@
     echo $((gw_base + 10 * ${1#e} + $2))
 }
 
+# Prints the address that an entry connects to servers from.
+site_source() { # NAME
+    echo "127.0.0.$((10 + ${1#e}))"
+}
+
+# Cuts the links of an entry to all servers, or sets them up again.
+# usage: site_set_links NAME up|silent|reset|no-setup
+site_set_links() {
+    site_send_event links "$2" "$(site_source "$1")" "$(site_address "$1")"
+}
+
 site_write_settings() { # NAME
     cat >"$gw_dir/$1.json" <<JSON
 { /* an entry of the small site */
@@ -52,6 +63,7 @@
   "directory_address": "127.0.0.1:$(site_port "$1" 2)",
   "control_address": "127.0.0.1:$(site_port "$1" 3)",
   "peer_address": "127.0.0.1:$(site_port "$1" 4)",
+  "source_address": "$(site_source "$1")",
   "store_address": "127.0.0.1:$gw_base",
   "regions": {"d1": "r1", "d2": "r1"}, "link_mbps": $site_link_mbps,
   "retry_ratio": 0.2, "retry_extra": 60, "grace": "$site_grace"$site_more_settings
@@ -176,6 +188,6 @@
     local rc=0
     wait "${gw_pid[simulator]}" || rc=$?
     unset 'gw_pid[simulator]'
-    grep -E '^(site|stops|calm|broken|organisations|organisation [a-z]+):' "$gw_dir/simulator.log"
+    grep -E '^(site|stops|links|calm|broken|organisations|organisation [a-z]+):' "$gw_dir/simulator.log"
     return "$rc"
 }
--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -24,9 +24,20 @@
 } Process;
 
 typedef struct {
-    GArray *processes; /* Process */
+    GArray *processes;    /* Process */
+    bool is_cut;          /* has no links to servers */
+    int64_t links_us;     /* last change of the links */
+    int64_t disturbed_us; /* last start or signal */
 } Entry;
 
+/* Whether a request counts for the comparison of entries with and without
+ * links to servers. */
+typedef enum {
+    LINKS_IGNORED = 0,
+    LINKS_CUT,
+    LINKS_UP /* sent while other entries were cut off */
+} LinksAtSending;
+
 struct SiteRequest_s {
     char id[48];
     bool once;
@@ -38,6 +49,7 @@
     SiteResult end;
     uint32_t runs;
     int64_t ran_us; /* start of the first run */
+    LinksAtSending links;
 };
 
 int64_t
@@ -81,6 +93,37 @@
     Process process = {0};
 
     g_array_append_val(entry_of(j, entry)->processes, process);
+    entry_of(j, entry)->disturbed_us = SiteJournal_NowUs();
+}
+
+void
+SiteJournal_LinksChanged(SiteJournal *j, const char *entry, bool is_cut)
+{
+    Entry *e = entry_of(j, entry);
+
+    if (e->is_cut != is_cut) {
+        e->is_cut = is_cut;
+        e->links_us = SiteJournal_NowUs();
+        j->cut_entries += is_cut ? 1 : -1;
+    }
+}
+
+void
+SiteJournal_Disturbed(SiteJournal *j)
+{
+    j->disturbed_us = SiteJournal_NowUs();
+}
+
+static LinksAtSending
+links_at_sending(SiteJournal *j, const Entry *e, int64_t now_us)
+{
+    int64_t disturbed_us = MAX(e->disturbed_us, j->disturbed_us);
+
+    if (j->cut_entries == 0 ||
+        now_us - MAX(disturbed_us, e->links_us) < SITE_EXCHANGE_US) {
+        return LINKS_IGNORED;
+    }
+    return e->is_cut ? LINKS_CUT : LINKS_UP;
 }
 
 void
@@ -90,6 +133,7 @@
     Process *process = &g_array_index(processes, Process, processes->len - 1);
     int64_t at_us = SiteJournal_NowUs();
 
+    entry_of(j, entry)->disturbed_us = at_us;
     switch (signum) {
     case SIGTERM:
         if (process->term_us == 0) {
@@ -131,6 +175,8 @@
     req->process = sending->process;
     req->first = sending->first;
     req->sent_us = SiteJournal_NowUs();
+    req->links =
+        links_at_sending(j, entry_of(j, sending->entry), req->sent_us);
     (void)g_hash_table_insert(j->requests, req->id, req);
     g_ptr_array_add(j->in_order, req);
     return req;
@@ -314,6 +360,32 @@
     }
 }
 
+/* A request that is refused for its organisation says nothing of links, nor
+ * does one whose entry was signalled meanwhile. */
+static void
+count_links(const Evaluation *evaluation, const SiteRequest *req)
+{
+    SiteVerdict *v = evaluation->verdict;
+    const Entry *e = g_hash_table_lookup(evaluation->j->entries, req->entry);
+    bool answered = req->end.outcome == SITE_REQUEST_ANSWERED;
+
+    if (req->links == LINKS_IGNORED || req->end.for_organisation ||
+        (e->disturbed_us > req->sent_us && e->disturbed_us < req->ended_us)) {
+        return;
+    }
+    if (req->links == LINKS_CUT) {
+        v->cut_sent++;
+        v->cut_answered += answered;
+        if (!answered) {
+            log_request(evaluation, req, "no answer without links");
+        }
+    }
+    else {
+        v->linked_sent++;
+        v->linked_answered += answered;
+    }
+}
+
 static int
 compare(const void *a, const void *b)
 {
@@ -336,6 +408,7 @@
     for (guint i = 0; i < j->in_order->len; i++) {
         const SiteRequest *req = j->in_order->pdata[i];
         evaluate_request(&evaluation, req);
+        count_links(&evaluation, req);
         if (i >= j->recovery_start &&
             req->end.outcome != SITE_REQUEST_UNAUTHORIZED) {
             verdict.recovery_sent++;
--- a/standins/site/journal_internal.h
+++ b/standins/site/journal_internal.h
@@ -19,6 +19,8 @@
     guint recovery_start; /* index of the first request after all faults */
     uint64_t strays;
     int64_t start_us;
+    int64_t disturbed_us; /* last fault that affects all entries */
+    uint32_t cut_entries; /* entries without links to servers */
 };
 
 int64_t SiteJournal_NowUs(void);
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -7,6 +7,7 @@
 #include "common/rng.h"
 #include "edge/adapter.h"
 #include "http/conn.h"
+#include "standins/site/proxy.h"
 
 #include <stdio.h>
 
@@ -24,6 +25,12 @@
 #define SITE_LIMIT_SLACK   5
 #define SITE_LIMIT_SPAN_US 4000000
 
+/* From SITE_EXCHANGE_US after the links of an entry to the servers are cut, it
+ * must have requests answered at least SITE_CUT_SHARE times as often as the
+ * entries with links, but for SITE_CUT_SLACK of them. */
+#define SITE_CUT_SHARE 0.95
+#define SITE_CUT_SLACK 2
+
 /* ---- Journal: requests and answers of callers, runs of servers ----------- */
 
 typedef struct SiteJournal_s SiteJournal;
@@ -49,9 +56,10 @@
 
 typedef struct {
     SiteOutcome outcome;
-    bool wrong;           /* the answer belongs to another request */
-    bool has_retry_after; /* a refusal with Retry-After */
-    bool is_closing;      /* the answer announces the end of the connection */
+    bool wrong;            /* the answer belongs to another request */
+    bool for_organisation; /* refused for its key or its quota */
+    bool has_retry_after;  /* a refusal with Retry-After */
+    bool is_closing;       /* the answer announces the end of the connection */
 } SiteResult;
 
 typedef struct {
@@ -92,6 +100,12 @@
     /* Requests above the limit: the worst span of each server, summed. */
     uint64_t above_limit;
     bool has_invalid_event;
+    /* Requests sent to entries without links to servers, and to the others
+     * meanwhile; undisturbed entries only. */
+    uint64_t cut_sent;
+    uint64_t cut_answered;
+    uint64_t linked_sent;
+    uint64_t linked_answered;
     GArray *latencies_us; /* of answered requests: int64_t, sorted */
 } SiteVerdict;
 
@@ -101,6 +115,10 @@
 void SiteJournal_Started(SiteJournal *j, const char *entry);
 /* Records that a signal is being sent to the current process of an entry. */
 void SiteJournal_Signalled(SiteJournal *j, const char *entry, int signum);
+/* Records that the links of an entry to all servers are cut, or up again. */
+void SiteJournal_LinksChanged(SiteJournal *j, const char *entry, bool is_cut);
+/* Records a fault that affects all entries. */
+void SiteJournal_Disturbed(SiteJournal *j);
 /* Returns the number of the entry's current process, for a new connection. */
 uint32_t SiteJournal_CurrentProcess(SiteJournal *j, const char *entry);
 SiteRequest *SiteJournal_Sent(SiteJournal *j, const SiteRequestInfo *sending);
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -20,6 +20,20 @@
             v->recovery_answered * 10 < v->recovery_sent * 9);
 }
 
+/* Returns the number of requests that entries without links to servers left
+ * unanswered beyond what SITE_CUT_SHARE allows. */
+static uint64_t
+unserved_without_links(const SiteVerdict *v)
+{
+    if (v->cut_sent == 0 || v->linked_sent == 0) {
+        return 0;
+    }
+    double share = (double)v->linked_answered / (double)v->linked_sent;
+    double owed = SITE_CUT_SHARE * share * (double)v->cut_sent;
+    double missing = owed - (double)v->cut_answered - SITE_CUT_SLACK;
+    return missing > 0 ? (uint64_t)missing + 1 : 0;
+}
+
 /* Prints a line for each violated guarantee. Returns true when there is
  * none. */
 static bool
@@ -39,6 +53,7 @@
          v->crash_sends > SITE_CRASH_SENDS_MAX ? v->crash_sends : 0, false},
         {"service", v->answered == 0, false},
         {"events", v->has_invalid_event, false},
+        {"links", unserved_without_links(v), true},
         {"stops", v->cut_in_stop + v->cut_early, true},
         {"no-cuts", v->cut_unsignalled, true},
         {"pipelines", v->behind, true},
@@ -95,6 +110,13 @@
     if (played) {
         print_stops(v);
     }
+    if (v->cut_sent > 0) {
+        (void)printf(
+            "links: %lu of %lu answered by entries without links to "
+            "servers, %lu of %lu by the others meanwhile\n",
+            (unsigned long)v->cut_answered, (unsigned long)v->cut_sent,
+            (unsigned long)v->linked_answered, (unsigned long)v->linked_sent);
+    }
     if (v->faults_ended) {
         (void)printf("calm: %lu of %lu answered\n",
                      (unsigned long)v->recovery_answered,
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -21,9 +21,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVERS 6
-#define LIMITED 2 /* servers that announce a limit: one of each service */
-#define TICK_MS 50
+#define SERVERS       6
+#define PRIVATE_PORTS 20 /* offset from the port of a server's proxy */
+#define LIMITED       2 /* servers that announce a limit: one of each service */
+#define TICK_MS       50
 /* Time after the end for callers to receive pending answers. */
 #define END_S         15
 #define FIRST_VERSION 3 /* of the given file */
@@ -42,6 +43,7 @@
     bool revoked;
     SiteJournal *journal;
     SiteServer *servers[SERVERS];
+    SiteProxy *proxies[SERVERS]; /* entries connect to these */
     bool draining[SERVERS];
     uint32_t birth[SERVERS];
     SiteStoreMode store_mode;
@@ -108,6 +110,19 @@
     put_server(site, (int)number, "ready");
 }
 
+static bool
+start_proxy(Site *site, int i)
+{
+    char *address = g_strdup_printf("127.0.0.1:%d", site->args.port + i);
+    char *server =
+        g_strdup_printf("127.0.0.1:%d", site->args.port + PRIVATE_PORTS + i);
+
+    site->proxies[i] = SiteProxy_Create(&site->loop, address, server);
+    g_free(server);
+    g_free(address);
+    return site->proxies[i] != NULL;
+}
+
 static bool
 start_servers(Site *site)
 {
@@ -131,9 +146,9 @@
         };
         g_snprintf(params.id, sizeof(params.id), "server-%d", i);
         g_snprintf(params.address, sizeof(params.address), "127.0.0.1:%d",
-                   site->args.port + i);
+                   site->args.port + PRIVATE_PORTS + i);
         site->servers[i] = SiteServer_Create(&params);
-        if (site->servers[i] == NULL) {
+        if (site->servers[i] == NULL || !start_proxy(site, i)) {
             return false;
         }
         put_server(site, i, "ready");
@@ -322,9 +337,23 @@
                        : strcmp(words[1], "silent") == 0 ? SITE_STORE_SILENT
                                                          : SITE_STORE_UP;
     SiteStore_SetMode(site->store, site->store_mode);
+    SiteJournal_Disturbed(site->journal);
     update_drain_marks(site);
 }
 
+static void
+run_links(Site *site, char **words)
+{
+    SiteLinkState state = SITE_LINK_UP;
+    bool valid = SiteLinkState_Read(words[1], &state);
+
+    for (int i = 0; i < SERVERS && valid; i++) {
+        valid = SiteProxy_SetLinks(site->proxies[i], words[2], state);
+    }
+    SiteJournal_LinksChanged(site->journal, words[3], state != SITE_LINK_UP);
+    site->has_invalid_event = site->has_invalid_event || !valid;
+}
+
 static void
 run_compact(Site *site, char **words)
 {
@@ -406,6 +435,7 @@
     {"start", 2, run_start},   /* ADDRESS; before the process starts */
     {"store", 2, run_store},   /* up, busy or silent */
     {"compact", 1, run_compact},
+    {"links", 4, run_links}, /* STATE SOURCE ADDRESS */
     {"drain", 2, run_drain}, /* NUMBER */
     {"ready", 2, run_ready},
     {"evacuate", 2, run_evacuate}, /* DOMAIN */
--- a/tests/soak/one.sh
+++ b/tests/soak/one.sh
@@ -101,6 +101,24 @@
     done | sort -n
 }
 
+# Adds cuts of the links between entries and all servers, some at once. Drawn
+# after everything else, so that the other faults of a seed stay as they were.
+schedule_links() {
+    local left at entries links name
+    random_below 3
+    for ((left = 1 + drawn; left > 0; left--)); do
+        random_below $((last_fault_ms - first_fault_ms - 6000))
+        at=$((first_fault_ms + drawn))
+        choose links silent reset no-setup
+        choose entries e1 e2 "e3 e4" "e1 e3" "e2 e4" "e1 e2 e3"
+        for name in $entries; do
+            echo "$at links $name $links"
+            random_below 4000
+            echo "$((at + 4000 + drawn)) links $name up"
+        done
+    done
+}
+
 # ---- Actions ----------------------------------------------------------------
 
 # Succeeds when the process has installed its handlers of SIGHUP and SIGTERM;
@@ -146,6 +164,10 @@
     takes_signals "$1" && send_signal "$1" HUP
 }
 
+do_links() { # NAME STATE
+    site_set_links "$1" "$2"
+}
+
 do_event() { # EVENT...
     site_send_event "$@"
 }
@@ -218,6 +240,7 @@
     local name i
     for name in "${site_entries[@]}"; do
         do_resume "$name"
+        site_set_links "$name" up
     done
     for i in 0 1 2 3 4 5; do
         site_send_event ready "$i"
@@ -303,6 +326,8 @@
 # Two of three values close idle connections early.
 choose idle_ms 300 1000 15000
 site_send_event config "$idle_ms"
+schedule_links >>"$gw_dir/schedule"
+sort -n -o "$gw_dir/schedule" "$gw_dir/schedule"
 play_schedule
 end_faults
 gw_await 45 all_ready ||
