--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -47,6 +47,8 @@
     X(ORG_UNLIMITED, 511, INFO, "an organisation is within its quota again") \
     X(BACKEND_LEAVING, 512, INFO, "a backend server's answer says it leaves") \
     X(BACKEND_RESTS, 513, INFO, "a backend server asks for rest") \
+    X(SERVICE_UNREACHED, 514, WARN, "no connection to a service is set up") \
+    X(SERVICE_REACHED, 515, INFO, "connections to a service are set up again") \
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
     X(REQUEST_REPLIED, 601, INFO, "the entry itself answered a request") \
@@ -55,6 +57,8 @@
     X(ATTEMPT_FAILED, 604, WARN, "an attempt ended without an answer") \
     X(REQUEST_CUT, 605, WARN, "the entry stopped before a request's answer") \
     X(REQUEST_DROPPED, 606, INFO, "a request after a close was not answered") \
+    X(PASS_ON_FAILED, 607, WARN, "another entry did not answer a request") \
+    X(PASS_ON_DENIED, 608, WARN, "a request was not meant for this entry") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table is unavailable") \
     X(STORE_BACK, 701, INFO, "the platform's table is available again") \
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -1,6 +1,7 @@
 /* Connections from callers: parses requests and sends the answers in the order
  * of the requests. */
 #include "edge/callers_internal.h"
+#include "edge/relay.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -59,6 +60,7 @@
         log_open_exchange(x, open_end);
         if (x->request != NULL) {
             GwServerLink_Cancel(x);
+            GwRelay_Cancel(x);
             GwRouter_CallerDisconnected(edge->router, GwEdge_Now(), x->request,
                                         edge->actions);
         }
@@ -140,7 +142,8 @@
 }
 
 static void
-write_reply(GString *out, uint16_t status, uint32_t retry_after_ms, bool close)
+write_reply(GString *out, uint16_t status, uint32_t retry_after_ms,
+            const char *fields, bool close)
 {
     g_string_append_printf(out, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n",
                            status, status_text(status));
@@ -148,6 +151,7 @@
         g_string_append_printf(out, "Retry-After: %u.%03u\r\n",
                                retry_after_ms / 1000, retry_after_ms % 1000);
     }
+    g_string_append(out, fields);
     g_string_append(out, close ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
@@ -211,6 +215,17 @@
     return &x->fingerprint;
 }
 
+/* The request is meant for another process, or does not come from an entry. */
+static void
+refuse_stranger(GwExchange *x)
+{
+    GwRouterAction refusal = {
+        .kind = GW_ROUTER_REPLY, .user = x, .status = 421};
+
+    GwLog_Event(GW_LOG_PASS_ON_DENIED, "status=%u", refusal.status);
+    GwExchange_Reply(x, &refusal);
+}
+
 static void
 start_exchange(GwExchange *x)
 {
@@ -223,6 +238,8 @@
         .key = GwHttpMessage_Get(x->msg, edge->adapter->object_key),
         .credential = GwHttpMessage_GetOnly(x->msg, edge->adapter->credential),
         .left_us = read_time_left_us(x),
+        .is_passed_on = x->is_passed_on,
+        .objective_left_us = GwRelay_ReadObjectiveUs(x->msg),
     };
 
     if (GwRouter_WantsFingerprints(edge->router)) {
@@ -230,7 +247,12 @@
     }
 
     x->started = true;
+    if (x->is_passed_on && !GwRelay_IsAuthorized(edge, x->msg)) {
+        refuse_stranger(x);
+        return;
+    }
     edge->counts.arrived++;
+    edge->counts.taken_over += x->is_passed_on;
     GwEdge_CheckStopSignal(edge);
     GwEdge_ApplyProof(edge);
     GwRouter_Arrive(edge->router, GwEdge_Now(), &arrival, edge->actions);
@@ -294,7 +316,7 @@
     if (x == NULL && caller->error_status != 0) {
         GString *out = g_string_new(NULL);
         write_reply(out, caller->error_status,
-                    caller->error_status == 503 ? OVER_BUDGET_RETRY_MS : 0,
+                    caller->error_status == 503 ? OVER_BUDGET_RETRY_MS : 0, "",
                     true);
         GwConn_Write(caller->conn, out);
         g_string_free(out, TRUE);
@@ -334,6 +356,7 @@
     x->caller = caller;
     x->msg = msg;
     x->idempotent = is_idempotent(caller->edge, msg);
+    x->is_passed_on = caller->is_peer;
     x->arrived_us = GwEdge_Now();
     caller->partial_since_us = 0;
     g_queue_push_tail(&caller->exchanges, x);
@@ -409,6 +432,33 @@
     .dropped = on_dropped,
 };
 
+static GwCaller *
+accept_caller(GwEdge *edge, uv_stream_t *listener)
+{
+    GwCallerLimits limits = GwCallers_Limits(edge);
+    GwCaller *caller = g_new0(GwCaller, 1);
+    GwConnParams params = {
+        .loop = &edge->loop,
+        .ops = &caller_ops,
+        .owner = caller,
+        .host = edge,
+        .requests = true,
+        .head_max = limits.head_bytes,
+        .body_max = limits.body_bytes,
+        .budget = &edge->bodies,
+    };
+    caller->edge = edge;
+    caller->link.data = caller;
+    caller->conn = GwConn_Accept(&params, listener);
+    if (caller->conn == NULL) {
+        g_free(caller);
+        return NULL;
+    }
+    g_queue_push_tail_link(&edge->callers, &caller->link);
+    GwCaller_BeginIdle(caller);
+    return caller;
+}
+
 void
 GwCallers_Resume(GwEdge *edge)
 {
@@ -426,57 +476,56 @@
 GwCallers_OnConnection(uv_stream_t *listener, int status)
 {
     GwEdge *edge = listener->data;
-    GwCallerLimits limits = GwCallers_Limits(edge);
 
     if (status != 0) {
         return;
     }
     edge->is_accept_paused = !GwCallers_FreeSlot(edge);
-    if (edge->is_accept_paused) {
-        return;
+    if (!edge->is_accept_paused) {
+        (void)accept_caller(edge, listener);
     }
-    GwCaller *caller = g_new0(GwCaller, 1);
-    GwConnParams params = {
-        .loop = &edge->loop,
-        .ops = &caller_ops,
-        .owner = caller,
-        .host = edge,
-        .requests = true,
-        .head_max = limits.head_bytes,
-        .body_max = limits.body_bytes,
-        .budget = &edge->bodies,
-    };
-    caller->edge = edge;
-    caller->link.data = caller;
-    caller->conn = GwConn_Accept(&params, listener);
-    if (caller->conn == NULL) {
-        g_free(caller);
-        return;
+}
+
+void
+GwCallers_AcceptPeer(GwEdge *edge, uv_stream_t *listener)
+{
+    GwCaller *caller = accept_caller(edge, listener);
+
+    if (caller != NULL) {
+        caller->is_peer = true;
     }
-    g_queue_push_tail_link(&edge->callers, &caller->link);
-    GwCaller_BeginIdle(caller);
 }
 
 /* ---- Completed requests -------------------------------------------------- */
 
 void
-GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms)
+GwExchange_Reply(GwExchange *x, const GwRouterAction *act)
 {
+    char *fields = x->is_passed_on ? GwRelay_WriteEnd(act) : NULL;
+
     x->request = NULL;
     x->out = g_string_new(NULL);
-    write_reply(x->out, status, retry_after_ms, false);
+    write_reply(x->out, act->status, act->retry_after_ms,
+                fields != NULL ? fields : "", false);
+    g_free(fields);
     GwCaller_ScheduleFlush(x->caller);
 }
 
 void
-GwExchange_ForwardAnswer(GwExchange *x)
+GwExchange_ForwardAnswer(GwExchange *x, const GwRouterAction *act)
 {
+    static const char *const drop[] = {GW_RELAY_OUTCOME, GW_RELAY_SERVER,
+                                       NULL};
+    char *fields = x->is_passed_on ? GwRelay_WriteEnd(act) : NULL;
     GwHttpWriteOptions how = {
+        .drop = drop,
+        .extra = fields,
         .is_head_response = strcmp(x->msg->method, "HEAD") == 0,
     };
 
     x->request = NULL;
     x->out = g_string_sized_new(x->answer->body->len + 512);
     GwHttpMessage_WriteResponse(x->answer, &how, x->out);
+    g_free(fields);
     GwCaller_ScheduleFlush(x->caller);
 }
--- a/lib/edge/callers_idle.c
+++ b/lib/edge/callers_idle.c
@@ -1,5 +1,6 @@
 /* Limits on the lifetime and number of connections from callers. */
 #include "edge/callers_internal.h"
+#include "edge/relay.h"
 
 /* Callers may use one of FD_PARTS parts of the file descriptors: each
  * request in progress needs another one for its server, and idle server
@@ -12,6 +13,9 @@
  * being idle, and at process exit, where the process is killed soon after. */
 #define IDLE_LINGER_MS 10000
 #define EXIT_LINGER_MS 500
+/* Idle time of a connection from another entry, which closes it itself before
+ * that. */
+#define PEER_IDLE_MS 5000
 
 GwCallerLimits
 GwCallers_Limits(const GwEdge *edge)
@@ -124,7 +128,10 @@
         GwCaller_Free(caller, GW_END_DISCONNECTED);
         return;
     }
-    GwConn_SetLimits(caller->conn, limits->head_bytes, limits->body_bytes);
+    GwConn_SetLimits(caller->conn,
+                     limits->head_bytes +
+                         (caller->is_peer ? GW_RELAY_HEAD_BYTES : 0),
+                     limits->body_bytes);
     if (GwConn_IsInMessage(caller->conn)) {
         check_partial_request(caller, limits, now_us);
         return;
@@ -139,7 +146,9 @@
      * idle: the caller relies on the limit in force before, and its request
      * could cross the close. A raised limit applies at once, because callers
      * may know it already. */
-    uint32_t idle_ms = MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
+    uint32_t idle_ms =
+        caller->is_peer ? PEER_IDLE_MS
+                        : MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
     if (is_overdue(caller->idle_since_us, idle_ms, now_us) &&
         is_idle(caller)) {
         GwConn_CloseUnread(caller->conn, IDLE_LINGER_MS);
--- a/lib/edge/callers_internal.h
+++ b/lib/edge/callers_internal.h
@@ -16,6 +16,7 @@
     int64_t partial_since_us; /* start of a partly received message; 0: none */
     bool is_flush_pending;    /* in edge->flush_queue: has answers to send */
     bool is_disconnected;     /* in edge->disconnected, to be freed */
+    bool is_peer;             /* another entry, which passes requests on */
     uint16_t error_status; /* error to send after the other answers; 0: none */
 };
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -1,4 +1,5 @@
 #include "edge/quarantine_rows.h"
+#include "edge/relay.h"
 
 #include <signal.h>
 #include <string.h>
@@ -13,6 +14,7 @@
 #define COST_PERIOD_US 10000000
 /* A timer may fire early by up to the resolution of its clock. */
 #define TIMER_EARLY_US 2000
+#define HOP_TEXT_SIZE  64
 
 int64_t
 GwEdge_Now(void)
@@ -38,7 +40,8 @@
 /* Logs the reason for an answer made by the entry itself. */
 static void
 log_reply(const GwExchange *x, const char *id, uint16_t status,
-          GwReplyReason why, const GwRequestSummary *request_summary)
+          GwReplyReason why, const GwRequestSummary *request_summary,
+          const char *hop)
 {
     char more[96] = "";
 
@@ -55,12 +58,26 @@
     GwLog_Event(GW_LOG_REQUEST_REPLIED,
                 "request=%.40s status=%u why=%s route=%s server=%s "
                 "attempts=%u waited_ms=%u took_ms=%u expected_ms=%u config="
-                "%" PRIu64 " news_ms=%" PRId64 "%s",
+                "%" PRIu64 " news_ms=%" PRId64 "%s%s",
                 id, status, GwReplyReason_Name(why), request_summary->route,
                 request_summary->server, request_summary->attempts,
                 request_summary->waited_ms, request_summary->took_ms,
                 request_summary->expected_ms, request_summary->version,
-                GwFeed_AgeMs(x->edge->server_feed), more);
+                GwFeed_AgeMs(x->edge->server_feed), more, hop);
+}
+
+/* How the request came from another entry or went to one; "" for most. */
+static void
+write_hop(const GwExchange *x, const GwRequestSummary *request_summary,
+          char out[HOP_TEXT_SIZE])
+{
+    out[0] = '\0';
+    if (request_summary->peer[0] != '\0') {
+        g_snprintf(out, HOP_TEXT_SIZE, " by=%s", request_summary->peer);
+    }
+    else if (x->is_passed_on) {
+        g_strlcpy(out, " for=member", HOP_TEXT_SIZE);
+    }
 }
 
 /* Logs one line per request: its id, the versions and ages of the data used to
@@ -74,20 +91,22 @@
     const char *id = GwHttpMessage_Get(x->msg, x->edge->adapter->request_id);
     const char *route =
         request_summary->route[0] != '\0' ? request_summary->route : "(none)";
+    char hop[HOP_TEXT_SIZE];
 
     id = id != NULL ? id : "";
+    write_hop(x, request_summary, hop);
     GwMeters_Add(x->edge->meters, route, end, why, request_summary->took_ms);
     switch (end) {
     case GW_END_ANSWERED:
     case GW_END_FAILED:
-        GwLog_Event(GW_LOG_REQUEST_ANSWERED,
-                    "request=%.40s status=%u route=%s server=%s attempts=%u "
-                    "waited_ms=%u took_ms=%u warm=%d far=%d config=%" PRIu64,
-                    id, status, request_summary->route,
-                    request_summary->server, request_summary->attempts,
-                    request_summary->waited_ms, request_summary->took_ms,
-                    request_summary->warm, request_summary->far,
-                    request_summary->version);
+        GwLog_Event(
+            GW_LOG_REQUEST_ANSWERED,
+            "request=%.40s status=%u route=%s server=%s attempts=%u "
+            "waited_ms=%u took_ms=%u warm=%d far=%d config=%" PRIu64 "%s",
+            id, status, request_summary->route, request_summary->server,
+            request_summary->attempts, request_summary->waited_ms,
+            request_summary->took_ms, request_summary->warm,
+            request_summary->far, request_summary->version, hop);
         break;
     case GW_END_DISCONNECTED:
     case GW_END_INTERRUPTED:
@@ -105,7 +124,7 @@
     case GW_END_UNAUTHORIZED:
     case GW_END_OVER_QUOTA:
     case GW_END_COUNT:
-        log_reply(x, id, status, why, request_summary);
+        log_reply(x, id, status, why, request_summary, hop);
         break;
     }
 }
@@ -143,6 +162,27 @@
     }
 }
 
+/* Peers learn at once what this entry doesn't reach, or reaches again. */
+static void
+on_reach_change(void *ctx, const GwReachChange *change)
+{
+    GwEdge *edge = ctx;
+
+    if (change->is_reached) {
+        GwLog_Event(GW_LOG_SERVICE_REACHED, "service=%s unreached_ms=%u",
+                    change->service, change->failing_ms);
+    }
+    else {
+        GwLog_Event(GW_LOG_SERVICE_UNREACHED,
+                    "service=%s failing_ms=%u refused=%u reset=%u timeout=%u",
+                    change->service, change->failing_ms,
+                    change->failed[GW_LINK_REFUSED],
+                    change->failed[GW_LINK_RESET],
+                    change->failed[GW_LINK_TIMEOUT]);
+    }
+    GwPeers_Announce(edge->peers);
+}
+
 static void
 run_action(GwEdge *edge, const GwRouterAction *act)
 {
@@ -156,21 +196,26 @@
         /* From the configuration that admitted the request, which may be newer
          * than the configuration at its arrival. */
         x->idempotent = act->idempotent;
-        GwServerLink_Send(x, act->server, act->left_ms);
+        GwServerLink_Send(x, act);
+        break;
+    case GW_ROUTER_PASS_ON:
+        x->idempotent = act->idempotent;
+        GwRelay_Send(x, act);
         break;
     case GW_ROUTER_CANCEL:
         GwServerLink_Cancel(x);
+        GwRelay_Cancel(x);
         break;
     case GW_ROUTER_ANSWER:
         GwEdge_LogRequestEnd(
             x, act->status < 500 ? GW_END_ANSWERED : GW_END_FAILED,
             act->status, GW_REPLY_NONE, &act->request_summary);
-        GwExchange_ForwardAnswer(x);
+        GwExchange_ForwardAnswer(x, act);
         break;
     case GW_ROUTER_REPLY:
         GwEdge_LogRequestEnd(x, GwRequestEnd_OfReply(act->status), act->status,
                              act->why, &act->request_summary);
-        GwExchange_Reply(x, act->status, act->retry_after_ms);
+        GwExchange_Reply(x, act);
         break;
     case GW_ROUTER_PROBE:
         GwServerLink_Probe(edge, act->server);
@@ -296,6 +341,7 @@
     GwEdge_CheckStopSignal(edge);
     GwCallers_Sweep(edge, now_us);
     GwServerLink_Sweep(edge, now_us);
+    GwRelay_Sweep(edge, now_us);
     GwFeed_Sweep(edge->operator_feed);
     GwFeed_Sweep(edge->server_feed);
     GwPeers_Sweep(edge->peers, now_us);
@@ -354,7 +400,7 @@
                     address);
         return false;
     }
-    return GwControl_Listen(edge, error);
+    return GwControl_Listen(edge, error) && GwRelay_Listen(edge, error);
 }
 
 GwEdge *
@@ -383,6 +429,7 @@
     GwQuarantine_SetCallback(GwRouter_Quarantine(edge->router), on_suspect,
                              edge);
     GwRouter_SetLimitCallback(edge->router, on_limit, edge);
+    GwRouter_SetReachCallback(edge->router, on_reach_change, edge);
     edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
                                         GwRouterRows_OnOperatorRow, NULL);
     edge->server_feed =
@@ -422,11 +469,15 @@
     GwCallers_CloseAll(edge);
     GwControl_CloseAll(edge);
     GwServerLink_CloseAll(edge);
+    GwRelay_CloseAll(edge);
     GwFeed_Close(edge->operator_feed);
     GwFeed_Close(edge->server_feed);
     GwQuarantineRows_Close(edge->quarantine_rows);
     GwPeers_Close(edge->peers);
     GwTurns_Close(edge->turns);
+    if (edge->relay_listener != NULL) {
+        uv_close((uv_handle_t *)edge->relay_listener, (uv_close_cb)g_free);
+    }
     if (edge->call_listener != NULL) {
         uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
     }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -27,6 +27,7 @@
 
 typedef struct GwCaller_s GwCaller;
 typedef struct GwServerLink_s GwServerLink;
+typedef struct GwRelayLink_s GwRelayLink;
 typedef struct GwFeed_s GwFeed;
 typedef struct GwPeers_s GwPeers;
 typedef struct GwQuarantineRows_s GwQuarantineRows;
@@ -38,9 +39,11 @@
     GwHttpMessage *msg;    /* the request as received */
     GwRequest *request;    /* router's state, while the request is open */
     GwServerLink *link;    /* connection of the current attempt */
+    GwRelayLink *relay;    /* the same, if another entry makes it */
     GwHttpMessage *answer; /* complete answer of the last attempt */
     GString *out;          /* encoded answer; NULL until the request is done */
     bool started;          /* passed to the router */
+    bool is_passed_on;     /* the caller is another entry */
     bool idempotent;
     bool has_fingerprint;
     GwFingerprint fingerprint;
@@ -63,7 +66,8 @@
     uv_signal_t hangup;
     GPtrArray *controls; /* GwHttpListener */
     uv_tcp_t *call_listener;
-    GwHttpBudget bodies; /* shared by callers and servers */
+    uv_tcp_t *relay_listener; /* requests that other entries pass on */
+    GwHttpBudget bodies;      /* shared by callers and servers */
     GwRouter *router;
     GArray *actions; /* GwRouterAction; pending actions of the router */
     bool is_running_actions; /* GwEdge_RunActions is running */
@@ -73,6 +77,7 @@
     GQueue disconnected;     /* GwCaller, disconnected, to be freed */
     GQueue pools;            /* GwPool, one per server */
     GQueue connecting;       /* GwServerLink */
+    GQueue relays;           /* GwRelayLink */
     GwMeters *meters;
     GwTurns *turns;
     GwFeed *operator_feed;
@@ -92,6 +97,8 @@
         uint64_t arrived;
         uint64_t dropped; /* requests received after a close */
         uint64_t connects;
+        uint64_t passed_on[GW_ATTEMPT_LOST + 1]; /* by outcome */
+        uint64_t taken_over; /* requests passed on to this entry */
         uint64_t links_failed[GW_LINK_END_COUNT]; /* to servers */
         uint64_t reuses;
         uint64_t store_calls;
@@ -157,8 +164,10 @@
  * once the actions that may refer to its requests have run. */
 bool GwExchange_IsCallerConnected(GwExchange *x);
 void GwCallers_FreeOneDisconnected(GwEdge *edge);
-void GwExchange_Reply(GwExchange *x, uint16_t status, uint32_t retry_after_ms);
-void GwExchange_ForwardAnswer(GwExchange *x);
+/* Accepts the next connection of another entry. */
+void GwCallers_AcceptPeer(GwEdge *edge, uv_stream_t *listener);
+void GwExchange_Reply(GwExchange *x, const GwRouterAction *act);
+void GwExchange_ForwardAnswer(GwExchange *x, const GwRouterAction *act);
 /* Computed on first use. */
 const GwFingerprint *GwExchange_Fingerprint(GwExchange *x);
 
@@ -178,7 +187,8 @@
                    const GwHttpMessage *request);
 
 /* server_links.c, server_pools.c */
-void GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t time_left_ms);
+const char *GwAttemptOutcome_Name(GwAttemptOutcome outcome);
+void GwServerLink_Send(GwExchange *x, const GwRouterAction *act);
 void GwServerLink_Cancel(GwExchange *x);
 /* Connects to check that the server is alive, and reports the result to the
  * router. */
@@ -299,6 +309,8 @@
 /* Whether this entry is one of the few that write the row of that name. All
  * entries choose the same writers by a hash of the name. */
 bool GwPeers_IsWriterOf(const GwPeers *peers, uint64_t name);
+/* The random number of this process in its reports. */
+uint64_t GwPeers_ProcessId(const GwPeers *peers);
 /* Distance class of the traffic with the peer at that address. */
 GwDistance GwPeers_DistanceTo(const GwPeers *peers, const char *address);
 /* Entry addresses for callers in the region and failure domain, best first. */
--- a/lib/edge/forward.c
+++ b/lib/edge/forward.c
@@ -1,5 +1,5 @@
 /* The request as a backend server receives it. */
-#include "edge/edge_internal.h"
+#include "edge/relay.h"
 
 /* Header lines that the entry sets itself. */
 static char *
@@ -27,9 +27,14 @@
                         int64_t time_left_ms)
 {
     const GwAdapter *names = x->edge->adapter;
-    const char *const drop[] = {
-        names->time_left,  names->expect_server, "expect",
-        names->credential, names->organisation,  NULL};
+    const char *const drop[] = {names->time_left,
+                                names->expect_server,
+                                "expect",
+                                names->credential,
+                                names->organisation,
+                                GW_RELAY_PROCESS,
+                                GW_RELAY_OBJECTIVE,
+                                NULL};
     char *extra = write_own_fields(x, server_id, time_left_ms);
     GwHttpWriteOptions how = {.drop = drop, .extra = extra};
     GString *out = g_string_sized_new(x->msg->body->len + 512);
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -1,9 +1,11 @@
 /* Table of the other entries: liveness, and the directory for callers. */
 #include "common/json.h"
 #include "edge/peers_internal.h"
+#include "edge/relay.h"
 
 #include <json-c/json.h>
 
+#include <arpa/inet.h>
 #include <string.h>
 
 /* The shortest period of reports. */
@@ -172,13 +174,62 @@
     GwPeers_SweepJoin(peers, now_us);
 }
 
+/* ---- Requests passed on to peers ----------------------------------------- */
+
+uint64_t
+GwPeers_ProcessId(const GwPeers *peers)
+{
+    return peers->process_id;
+}
+
+bool
+GwPeers_RelayAddress(const char *peer_address, char out[32])
+{
+    struct sockaddr_in at;
+    const char *colon = strrchr(peer_address, ':');
+
+    if (!GwConn_ParseAddress(peer_address, &at) ||
+        ntohs(at.sin_port) == UINT16_MAX) {
+        return false;
+    }
+    g_snprintf(out, 32, "%.*s:%u", (int)(colon - peer_address), peer_address,
+               ntohs(at.sin_port) + 1);
+    return true;
+}
+
+bool
+GwPeers_FindRelay(const GwPeers *peers, const char *name, GwRelayTarget *out)
+{
+    GwPeerScan scan = GwPeers_Scan(peers, NULL, NULL);
+    const GwPeerEntry *peer;
+
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
+        if (strcmp(peer->name, name) == 0) {
+            out->process_id = peer->process_id;
+            return GwPeers_RelayAddress(peer->peer_address, out->address);
+        }
+    }
+    return false;
+}
+
+/* ---- Directory ----------------------------------------------------------- */
+
 /* Which entries a directory answer may name. */
 typedef struct {
     const char *region; /* NULL: any */
     const char *domain; /* NULL: any */
-    bool proven;        /* only entries that accept requests with keys */
+    bool able; /* only entries that accept keys and connect to all services */
 } DirectoryScope;
 
+static bool
+is_able(const GwEdge *edge)
+{
+    uint32_t unreached;
+
+    return GwEdge_HasProof(edge) &&
+           GwRouter_UnreachedServices(edge->router, &unreached, 1) == 0;
+}
+
 static void
 collect_addresses(const GwPeers *peers, const DirectoryScope *scope,
                   GPtrArray *out)
@@ -188,13 +239,13 @@
     GwPeerScan scan = GwPeers_Scan(peers, scope->region, scope->domain);
     GwPeerEntry *peer;
 
-    if (GwEdge_IsReady(edge) && (!scope->proven || GwEdge_HasProof(edge)) &&
+    if (GwEdge_IsReady(edge) && (!scope->able || is_able(edge)) &&
         matches(scope->region, own->region) &&
         matches(scope->domain, own->domain)) {
         g_ptr_array_add(out, (char *)edge->settings->call_address);
     }
     while ((peer = GwPeerScan_Next(&scan)) != NULL) {
-        if (!scope->proven || !peer->lacks_proof) {
+        if (!scope->able || (!peer->lacks_proof && !peer->lacks_servers)) {
             g_ptr_array_add(out, peer->call_address);
         }
     }
@@ -202,15 +253,15 @@
 
 /* Lists the entries of the caller's failure domain if there are at least
  * two, so that the caller survives the loss of one; else those of its
- * region; else all. Entries that refuse all keys are named only if there are
- * no others. */
+ * region; else all. Entries that refuse all keys, or that can't connect to the
+ * servers of a service, are named only if there are no others. */
 GPtrArray *
 GwPeers_Directory(const GwPeers *peers, const char *region, const char *domain)
 {
     const DirectoryScope scopes[] = {
-        {.region = region, .domain = domain, .proven = true},
-        {.region = region, .proven = true},
-        {.proven = true},
+        {.region = region, .domain = domain, .able = true},
+        {.region = region, .able = true},
+        {.able = true},
         {.region = region, .domain = domain},
         {.region = region},
         {.region = NULL},
@@ -227,7 +278,7 @@
         else {
             g_ptr_array_free(found, TRUE);
         }
-        if (scopes[i].proven && scopes[i].region == NULL && out->len > 0) {
+        if (scopes[i].able && scopes[i].region == NULL && out->len > 0) {
             break;
         }
     }
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -51,6 +51,7 @@
     bool saw_outage;            /* reports a recent store outage */
     bool has_reported;          /* has sent at least one report */
     bool lacks_proof;           /* refuses requests that need a key */
+    bool lacks_servers;         /* can't connect to some service */
     uint32_t knows;             /* addresses of entries that it has */
     uint64_t quota_id;          /* GwQuotaMember.id */
     GwClockEcho echo;           /* its clock, to be returned to it */
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -148,6 +148,7 @@
     char *known[GW_KNOWN_ADDRESSES_MAX];
     GwSuspectArrays suspects;
     GwLimitArrays limits;
+    uint32_t unreached[GW_UNREACHED_MAX];
 } Arrays;
 
 static void
@@ -393,6 +394,9 @@
         peer->sent_count++ % IDENTITY_EVERY == 0) {
         fill_identity(peers, &report);
     }
+    report.unreached = arrays.unreached;
+    report.n_unreached = GwRouter_UnreachedServices(
+        edge->router, arrays.unreached, GW_UNREACHED_MAX);
     fill_loads(peers, peer, &report, &arrays);
     fill_ack(peer, &report);
     fill_proofs(peers, peer, &report);
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -103,7 +103,10 @@
     GwPeerInfo info = {
         .name = peer->name,
         .region = peer->region,
+        .domain = peer->domain,
         .serves = report->serves,
+        .unreached_count = (uint32_t)report->n_unreached,
+        .unreached = report->unreached,
     };
 
     store_loads(peers, peer, report);
@@ -183,6 +186,7 @@
     }
     peer->seq = report->seq;
     peer->serves = report->serves;
+    peer->lacks_servers = report->n_unreached > 0;
     peer->reads_store = report->reads;
     peer->saw_outage = report->store_was_away;
     peer->next_ms = report->next_ms;
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -18,8 +18,8 @@
 
 /* ---- Sending requests ---------------------------------------------------- */
 
-static const char *
-outcome_name(GwAttemptOutcome outcome)
+const char *
+GwAttemptOutcome_Name(GwAttemptOutcome outcome)
 {
     switch (outcome) {
     case GW_ATTEMPT_ANSWERED:
@@ -52,7 +52,7 @@
                 "request=%.40s server=%s outcome=%s link=%s status=%u "
                 "after_ms=%u fingerprint=%s",
                 id != NULL ? id : "", request_summary.server,
-                outcome_name(end->outcome), GwLinkEnd_Name(end->link),
+                GwAttemptOutcome_Name(end->outcome), GwLinkEnd_Name(end->link),
                 end->status,
                 request_summary.took_ms - request_summary.waited_ms, text);
 }
@@ -142,24 +142,25 @@
 }
 
 void
-GwServerLink_Send(GwExchange *x, GwServer *s, uint32_t time_left_ms)
+GwServerLink_Send(GwExchange *x, const GwRouterAction *act)
 {
     GwEdge *edge = x->edge;
-    GwServerPool *pool = GwServerPool_Of(edge, s);
+    GwServerPool *pool = GwServerPool_Of(edge, act->server);
     GwServerLink *link =
         GwServerPool_TakeIdle(pool, x->idempotent, GwEdge_Now());
     bool reused = link != NULL;
 
-    if (link == NULL) {
+    if (link == NULL && !act->reuses_connection) {
         link = connect_new(pool);
     }
     if (link == NULL) {
-        GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT};
+        GwAttemptEnd end = {.outcome = GW_ATTEMPT_UNSENT,
+                            .no_connection = act->reuses_connection};
         report_attempt(x, &end);
         return;
     }
     link->exchange = x;
-    link->time_left_ms = time_left_ms;
+    link->time_left_ms = act->left_ms;
     link->assigned_us = GwEdge_Now();
     x->link = link;
     GwHttpMessage_Free(x->answer);
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -35,11 +35,12 @@
         "gw_service_in_flight{service=\"%s\"} %u\n"
         "gw_service_peers_in_flight{service=\"%s\"} %u\n"
         "gw_service_retries_left{service=\"%s\"} %.2f\n"
-        "gw_service_answer_age_ms{service=\"%s\"} %" PRId64 "\n",
+        "gw_service_answer_age_ms{service=\"%s\"} %" PRId64 "\n"
+        "gw_service_reached{service=\"%s\"} %d\n",
         name, view->servers, name, view->ejected, name, view->limited, name,
         view->resting, name, view->waiting, name, view->in_flight, name,
         view->peers_in_flight, name, view->retries_left, name,
-        view->answer_age_ms);
+        view->answer_age_ms, name, view->is_reached);
     g_free(name);
 }
 
@@ -95,6 +96,13 @@
     write_counter(out, "gw_requests_total", edge->counts.arrived);
     write_counter(out, "gw_requests_dropped_total", edge->counts.dropped);
     write_counter(out, "gw_connects_total", edge->counts.connects);
+    for (int i = GW_ATTEMPT_ANSWERED; i <= GW_ATTEMPT_LOST; i++) {
+        g_string_append_printf(
+            out, "gw_passed_on_total{outcome=\"%s\"} %" PRIu64 "\n",
+            GwAttemptOutcome_Name((GwAttemptOutcome)i),
+            edge->counts.passed_on[i]);
+    }
+    write_counter(out, "gw_taken_over_total", edge->counts.taken_over);
     for (int i = GW_LINK_REFUSED; i < GW_LINK_END_COUNT; i++) {
         g_string_append_printf(
             out, "gw_server_links_failed_total{how=\"%s\"} %" PRIu64 "\n",
--- a/lib/edge/stop.c
+++ b/lib/edge/stop.c
@@ -1,6 +1,6 @@
 /* Graceful stop of the entry, from the signal to the end of the loop.
  * lib/router/stop.c decides which requests may still be sent to servers. */
-#include "edge/edge_internal.h"
+#include "edge/relay.h"
 
 /* Part of the grace period in which new connections are accepted: callers use
  * the entry until the answer that they have from the directory expires. */
@@ -36,6 +36,8 @@
     (void)uv_check_stop(check);
     uv_close((uv_handle_t *)edge->call_listener, (uv_close_cb)g_free);
     edge->call_listener = NULL;
+    uv_close((uv_handle_t *)edge->relay_listener, (uv_close_cb)g_free);
+    edge->relay_listener = NULL;
 }
 
 static void
@@ -61,6 +63,7 @@
 
     stop_listening(edge, now_us);
     GwServerLink_AbortConnecting(edge);
+    GwRelay_AbortConnecting(edge);
     GwRouter_Stop(edge->router, now_us, now_us, edge->actions);
     GwEdge_RunActions(edge);
     if (edge->end_polls < END_POLLS) {
--- a/lib/router/access.c
+++ b/lib/router/access.c
@@ -115,7 +115,7 @@
 GwRouter_MaySend(GwRouter *r, int64_t now_us, GwRequest *req)
 {
     return GwRequest_CheckAccess(r, now_us, req) == GW_REPLY_NONE &&
-           !GwServer_IsResting(req->server, now_us);
+           (req->server == NULL || !GwServer_IsResting(req->server, now_us));
 }
 
 const char *
--- a/lib/router/admission.c
+++ b/lib/router/admission.c
@@ -12,7 +12,8 @@
 needs_token(const GwRouter *r, const GwRequest *req)
 {
     return r->quota != NULL && req->organisation != NULL &&
-           !req->route->allows_anonymous && !req->has_token;
+           !req->is_passed_on && !req->route->allows_anonymous &&
+           !req->has_token;
 }
 
 /* Stops waiting for a token. */
--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -16,6 +16,9 @@
 #define SERVER_TIMEOUT_ANSWER_US 120000
 /* After a route's timeout the caller gets its answer at once. */
 #define TIMEOUT_SLACK_US 30000
+/* A request that another entry passed on is answered this long after its time
+ * is over, which is before that entry answers itself. */
+#define PASSED_ON_ANSWER_US 20000
 /* Longest wait of a request that misses its objective, in objectives. */
 #define LATE_WAIT_OBJECTIVES 1.5
 
@@ -79,8 +82,9 @@
 }
 
 static void
-set_deadlines(GwRequest *req, int64_t now_us, int64_t left_us)
+set_deadlines(GwRequest *req, int64_t now_us, const GwArrival *arrival)
 {
+    int64_t left_us = arrival->left_us;
     int64_t timeout_us = (int64_t)req->route->timeout_ms * 1000;
 
     if (left_us < 0) {
@@ -91,11 +95,17 @@
                                    : DEFAULT_OBJECTIVE_US;
     req->arrived_us = now_us;
     req->objective_end_us =
-        now_us + objective_end_us - spent_earlier_us(req->state, left_us);
+        now_us +
+        (req->is_passed_on
+             ? arrival->objective_left_us
+             : objective_end_us - spent_earlier_us(req->state, left_us));
     req->useless_after_us =
         now_us + (int64_t)(objective_end_us * LATE_WAIT_OBJECTIVES);
     req->server_deadline_us = now_us + left_us;
     req->give_up_us = now_us + left_us + SERVER_TIMEOUT_ANSWER_US;
+    if (req->is_passed_on) {
+        req->give_up_us = now_us + left_us + PASSED_ON_ANSWER_US;
+    }
     if (timeout_us > 0) {
         req->server_deadline_us =
             MIN(req->server_deadline_us, now_us + timeout_us);
@@ -145,7 +155,8 @@
         GwRouter_FindOrAddService(r, next_service(route, req->state));
     GwRequest_SetAccess(r, req, arrival->credential);
     req->deadline = GW_HEAP_ABSENT;
-    set_deadlines(req, now_us, arrival->left_us);
+    req->is_passed_on = arrival->is_passed_on;
+    set_deadlines(req, now_us, arrival);
     if (arrival->key != NULL && route->has_key_affinity) {
         req->key = GwRouter_FindOrAddKey(r, now_us, route, req->service,
                                          arrival->key);
@@ -155,7 +166,9 @@
         req->fingerprint = *arrival->fingerprint;
     }
     g_hash_table_add(r->open, req);
-    GwRouter_EarnRetry(r, req->service);
+    if (!req->is_passed_on) {
+        GwRouter_EarnRetry(r, req->service);
+    }
     (void)GwRouter_AddAction(actions, GW_ROUTER_ACCEPT, req);
     GwRequest_Admit(r, now_us, req, actions);
 }
--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -37,10 +37,9 @@
     }
     GwQuarantine_NoteConnectionLost(r->quarantine, now_us, fingerprint,
                                     s->hash);
+    s->probes_again = s->probed;
     if (!s->probed) {
-        GwRouterAction probe = {.kind = GW_ROUTER_PROBE, .server = s};
-        s->probed = true;
-        g_array_append_val(actions, probe);
+        GwServer_Probe(s, actions);
     }
 }
 
@@ -105,6 +104,22 @@
 {
     GwRouter_FreeRemoved(r, actions);
     s->probed = false;
+    if (result == GW_PROBE_ALIVE) {
+        GwRouter_NoteConnected(r, now_us, s, now_us);
+        if (s->probes_again) {
+            /* The probe was under way when a connection was lost, so it may
+             * have found the server just before it crashed. */
+            s->probes_again = false;
+            GwServer_Probe(s, actions);
+            return;
+        }
+    }
+    else {
+        GwRouter_NoteConnectFailed(
+            r, now_us, s,
+            result == GW_PROBE_REFUSED ? GW_LINK_REFUSED : GW_LINK_TIMEOUT,
+            actions);
+    }
     if (result == GW_PROBE_REFUSED && may_have_crashed(s)) {
         GwQuarantine_NoteCrash(r->quarantine, now_us, s->hash);
     }
--- a/lib/router/peers.c
+++ b/lib/router/peers.c
@@ -37,14 +37,16 @@
 }
 
 static GwPeer *
-find_or_add_peer(GHashTable *peers, const char *name, const char *region)
+find_or_add_peer(GHashTable *peers, const GwPeerInfo *info)
 {
-    GwPeer *peer = g_hash_table_lookup(peers, name);
+    GwPeer *peer = g_hash_table_lookup(peers, info->name);
 
     if (peer == NULL) {
         peer = g_new0(GwPeer, 1);
-        peer->name = g_strdup(name);
-        peer->region = g_strdup(region);
+        peer->name = g_strdup(info->name);
+        peer->region = g_strdup(info->region);
+        peer->domain = g_strdup(info->domain != NULL ? info->domain : "");
+        peer->hash = GwHash_Text(info->name, 0);
         peer->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
         g_hash_table_insert(peers, peer->name, peer);
     }
@@ -66,9 +68,14 @@
 void
 GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info)
 {
-    GwPeer *peer = find_or_add_peer(r->peers, info->name, info->region);
+    GwPeer *peer = find_or_add_peer(r->peers, info);
 
     peer->serves = info->serves;
+    peer->unreached_count = MIN(info->unreached_count, GW_UNREACHED_MAX);
+    if (peer->unreached_count > 0) {
+        memcpy(peer->unreached, info->unreached,
+               peer->unreached_count * sizeof(*peer->unreached));
+    }
     set_loads(r, now_us, peer, info->load_count, info->loads);
 }
 
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -36,6 +36,7 @@
         [GW_REPLY_OVER_QUOTA] = "over-quota",
         [GW_REPLY_QUOTA_UNKNOWN] = "quota-unknown",
         [GW_REPLY_NO_SERVER] = "no-server",
+        [GW_REPLY_CUT_OFF] = "cut-off",
         [GW_REPLY_NO_CAPACITY] = "no-room",
         [GW_REPLY_NO_RETRY] = "no-retry",
         [GW_REPLY_TIMEOUT] = "timeout",
@@ -94,6 +95,7 @@
     GwRequestSummary request_summary = {
         .version = req->routing->version,
         .attempts = req->sends,
+        .has_reached = req->arrivals > 0,
         .waited_ms = (uint32_t)((until_us - req->arrived_us) / 1000),
         .took_ms = (uint32_t)((now_us - req->arrived_us) / 1000),
         .expected_ms = (uint32_t)(req->expected_us / 1000),
@@ -105,6 +107,8 @@
               sizeof(request_summary.route));
     g_strlcpy(request_summary.server, req->last_server,
               sizeof(request_summary.server));
+    g_strlcpy(request_summary.peer, req->last_peer,
+              sizeof(request_summary.peer));
     if (req->refused_for != NULL) {
         const GwServer *best = req->refused_for;
         g_strlcpy(request_summary.best, best->id,
@@ -158,6 +162,9 @@
     if (why == GW_REPLY_OVER_QUOTA || why == GW_REPLY_QUOTA_UNKNOWN) {
         return req->retry_after_ms;
     }
+    if (req->peer_retry_after_ms > 0) {
+        return req->peer_retry_after_ms;
+    }
     if (why == GW_REPLY_NO_CAPACITY) {
         return slot_retry_after_ms(r, req);
     }
@@ -239,6 +246,7 @@
     GwRouterAction *out = GwRouter_AddAction(actions, GW_ROUTER_SEND, req);
     out->server = s;
     out->idempotent = req->route->idempotent;
+    out->reuses_connection = GwService_IsUnreached(req->service);
     int64_t until_us = GwRouter_ServerUntil(r, now_us, req);
     out->left_ms =
         until_us > now_us ? (uint32_t)((until_us - now_us) / 1000) : 0;
@@ -257,9 +265,30 @@
     if (r->end_us != INT64_MAX) {
         return GW_REPLY_LEAVING;
     }
+    if (GwService_IsUnreached(req->service)) {
+        return GW_REPLY_CUT_OFF;
+    }
     return req->attempts > 0 ? GW_REPLY_NO_RETRY : GW_REPLY_NO_SERVER;
 }
 
+/* Whether the request is to be passed on though a server may be left for
+ * it. */
+static bool
+prefers_peer(GwRouter *r, int64_t now_us, const GwRequest *req)
+{
+    return !req->is_passed_on &&
+           (GwService_IsUnreached(req->service) ||
+            !GwRouter_TakesBack(r, now_us, req->service));
+}
+
+/* Whether connections to servers of the service fail, so that another entry
+ * may have a server where this one has none. */
+static bool
+has_failing_links(const GwRequest *req)
+{
+    return req->service->reach.failing_since_us != 0;
+}
+
 /* Sends the request, keeps it waiting, or refuses it. A late answer is still
  * of some use, so a late request may wait behind all requests that can meet
  * their objective; if its answer would be useless by then, the request is
@@ -277,10 +306,18 @@
         GwRequest_Refuse(r, now_us, req, GW_REPLY_QUARANTINED, actions);
         return;
     }
+    if (prefers_peer(r, now_us, req) &&
+        GwRequest_PassOn(r, now_us, req, actions)) {
+        return;
+    }
     GwChoice c = GwRouter_Choose(r, now_us, req);
     req->expected_us = now_us - req->arrived_us + (int64_t)c.est_us;
     req->slot_wait_us = c.wait_us;
 
+    if (c.server == NULL && has_failing_links(req) &&
+        GwRequest_PassOn(r, now_us, req, actions)) {
+        return;
+    }
     if (c.server == NULL) {
         GwRouter_NoteRegionRefused(r, now_us, c.prefers_remote);
         GwRequest_Refuse(r, now_us, req, why_no_server(r, req), actions);
@@ -354,6 +391,12 @@
 
 /* Returns whether another attempt is allowed, and charges the retry budget. A
  * retry is free if no earlier attempt reached a server. */
+static uint32_t
+attempts_max(const GwRequest *req)
+{
+    return req->is_passed_on ? 1 : MAX(req->route->attempts_max, 1);
+}
+
 static bool
 may_retry(GwRouter *r, int64_t now_us, GwRequest *req)
 {
@@ -363,7 +406,7 @@
     double window_s = MAX(r->params.retry_window_ms, 1) / 1000.0;
 
 #if GW_MUTANT != 75 /* breaks: a request is sent to any number of servers */
-    if (req->attempts >= MAX(req->route->attempts_max, 1)) {
+    if (req->attempts >= attempts_max(req)) {
         return false;
     }
 #endif
@@ -410,10 +453,8 @@
     }
 }
 
-/* Retries or ends the request after an attempt that got no answer. */
 static void
-after_failure(GwRouter *r, int64_t now_us, GwRequest *req, GwServer *s,
-              const GwAttemptEnd *end, GArray *actions)
+count_attempt(GwRequest *req, const GwServer *s, const GwAttemptEnd *end)
 {
     if (end->outcome == GW_ATTEMPT_UNSENT) {
         req->attempts--;
@@ -423,6 +464,13 @@
     else {
         req->arrivals++;
     }
+}
+
+/* Retries or ends the request after an attempt that got no answer. */
+static void
+after_failure(GwRouter *r, int64_t now_us, GwRequest *req, GwServer *s,
+              const GwAttemptEnd *end, GArray *actions)
+{
     if (end->outcome == GW_ATTEMPT_LOST) {
         req->may_have_run = true;
     }
@@ -432,7 +480,14 @@
         return;
     }
 #endif
-    if (req->unsent >= UNSENT_MAX || !may_retry(r, now_us, req)) {
+    bool may_go_on = may_retry(r, now_us, req);
+    if (may_go_on && req->unsent >= UNSENT_MAX) {
+        if (GwRequest_PassOn(r, now_us, req, actions)) {
+            return;
+        }
+        may_go_on = false;
+    }
+    if (!may_go_on) {
         GwRequest_Refuse(r, now_us, req,
                          req->may_have_run ? GW_REPLY_MAY_HAVE_RUN
                                            : GW_REPLY_NO_RETRY,
@@ -444,6 +499,55 @@
     }
 }
 
+void
+GwRequest_EndAttempt(GwRouter *r, int64_t now_us, GwRequest *req, GwServer *s,
+                     const GwAttemptEnd *end, GArray *actions)
+{
+    bool good = end->outcome == GW_ATTEMPT_ANSWERED && end->status < 500;
+
+    if (end->outcome != GW_ATTEMPT_ANSWERED) {
+        after_failure(r, now_us, req, s, end, actions);
+        return;
+    }
+    /* During a stop the server's answer is passed on even if it is an error: a
+     * retry might end too late, and the answer would be lost. */
+    bool again = !good && req->route->idempotent && r->end_us == INT64_MAX;
+    req->service->answered_us = now_us;
+    if (again && may_retry(r, now_us, req)) {
+        req->may_have_run = true;
+        GwRequest_Enqueue(req);
+        return;
+    }
+    GwRouterAction *out = GwRouter_AddAction(actions, GW_ROUTER_ANSWER, req);
+    out->status = end->status;
+    out->request_summary = GwRequest_Summarize(req, now_us);
+    finish(r, req);
+}
+
+/* What the attempt shows about the links to servers. */
+static void
+note_link(GwRouter *r, int64_t now_us, const GwRequest *req, GwServer *s,
+          const GwAttemptEnd *end, GArray *actions)
+{
+    bool is_unsent = end->outcome == GW_ATTEMPT_UNSENT;
+
+    if (is_unsent && !end->withheld && !end->no_connection) {
+        GwRouter_NoteConnectFailed(
+            r, now_us, s,
+            end->link != GW_LINK_OK ? end->link : GW_LINK_REFUSED, actions);
+    }
+    else if (!is_unsent && end->connect_us > 0) {
+        GwRouter_NoteConnected(r, now_us, s, req->sent_us + end->connect_us);
+    }
+    if (end->outcome == GW_ATTEMPT_LOST && end->link == GW_LINK_TIMEOUT) {
+        GwRouter_NoteSilence(r, now_us, s, actions);
+    }
+    if (end->outcome == GW_ATTEMPT_ANSWERED ||
+        end->outcome == GW_ATTEMPT_REFUSED) {
+        s->answered_us = now_us;
+    }
+}
+
 void
 GwRouter_AttemptEnded(GwRouter *r, int64_t now_us, GwRequest *req,
                       const GwAttemptEnd *end, GArray *actions)
@@ -462,34 +566,20 @@
     else if (good && end->fingerprint != NULL) {
         GwQuarantine_NoteSuccess(r->quarantine, now_us, end->fingerprint);
     }
+    note_link(r, now_us, req, s, end, actions);
     release_server(r, now_us, req, good, actions);
-    if (answered) {
-        service->answered_us = now_us;
-        /* During a stop the server's answer is passed on even if it is an
-         * error: a retry might end too late, and the answer would be lost. */
-        bool again = !good && req->route->idempotent && r->end_us == INT64_MAX;
-        req->arrivals++;
-        if (again && may_retry(r, now_us, req)) {
-            req->may_have_run = true;
-            GwRequest_Enqueue(req);
-        }
-        else {
-            GwRouterAction *out =
-                GwRouter_AddAction(actions, GW_ROUTER_ANSWER, req);
-            out->status = end->status;
-            out->request_summary = GwRequest_Summarize(req, now_us);
-            finish(r, req);
-        }
-    }
-    else {
-        after_failure(r, now_us, req, s, end, actions);
-    }
+    count_attempt(req, s, end);
+    GwRequest_EndAttempt(r, now_us, req, s, end, actions);
     GwRouter_DispatchWaiting(r, now_us, service, actions);
 }
 
 static void
 cancel(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
+    if (req->peer[0] != '\0') {
+        (void)GwRouter_AddAction(actions, GW_ROUTER_CANCEL, req);
+        GwRequest_ReleasePeer(r, req);
+    }
     if (req->server != NULL) {
         GwRouterAction *out =
             GwRouter_AddAction(actions, GW_ROUTER_CANCEL, req);
@@ -506,6 +596,7 @@
     if (req->server != NULL) {
         release_server(r, now_us, req, false, actions);
     }
+    GwRequest_ReleasePeer(r, req);
     req->service->needs_dispatch = true;
     finish(r, req);
 }
@@ -531,18 +622,23 @@
 int64_t
 GwRouter_NextDeadline(const GwRouter *r)
 {
-    return r->deadlines.count > 0 ? GwHeap_TopKey(&r->deadlines) : INT64_MAX;
+    int64_t due_us =
+        r->deadlines.count > 0 ? GwHeap_TopKey(&r->deadlines) : INT64_MAX;
+
+    return MIN(due_us, r->reach_due_us);
 }
 
 void
 GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions)
 {
     GwRouter_FreeRemoved(r, actions);
+    GwRouter_TickReach(r, now_us, actions);
     while (r->deadlines.count > 0 && GwHeap_TopKey(&r->deadlines) <= now_us) {
         GwRequest *req = GwHeap_Top(&r->deadlines);
         GwServiceState *service = req->service;
         if (now_us >= req->give_up_us) {
-            bool sent = req->server != NULL || req->may_have_run;
+            bool sent = req->server != NULL || req->peer[0] != '\0' ||
+                        req->may_have_run;
             cancel(r, now_us, req, actions);
             GwRequest_Refuse(r, now_us, req,
                              sent ? GW_REPLY_TIMEOUT : GW_REPLY_TIMEOUT_UNSENT,
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -31,6 +31,7 @@
     GwPeer *peer = item;
 
     g_array_free(peer->loads, TRUE);
+    g_free(peer->domain);
     g_free(peer->region);
     g_free(peer->name);
     g_free(peer);
@@ -64,6 +65,7 @@
 
     r->params = *params;
     r->started_us = now_us;
+    r->reach_due_us = INT64_MAX;
     r->end_us = INT64_MAX;
     r->proven_until_us = INT64_MAX;
     r->rng = GwRng_Make(params->seed);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -96,12 +96,22 @@
     uint32_t in_flight;
 } GwPeerLoad;
 
+/* Names a service in messages between entries. */
+uint32_t GwService_Hash(const char *name);
+
+/* Unreached services that an entry reports at most. */
+#define GW_UNREACHED_MAX 16
+
 typedef struct {
     const char *name;
     const char *region;
-    bool serves; /* ready and not stopping */
+    const char *domain; /* NULL: unknown */
+    bool serves;        /* ready and not stopping */
     uint32_t load_count;
     const GwPeerLoad *loads;
+    /* Services whose servers the peer can't connect to. */
+    uint32_t unreached_count;
+    const uint32_t *unreached; /* GwService_Hash */
 } GwPeerInfo;
 
 void GwRouter_PutPeer(GwRouter *r, int64_t now_us, const GwPeerInfo *info);
@@ -161,6 +171,37 @@
 /* Time of the last change of any limit; 0: never. */
 int64_t GwRouter_LimitsChangedUs(const GwRouter *r);
 
+/* ---- Links to servers ---------------------------------------------------- */
+
+/* How the connection of an attempt failed. */
+typedef enum {
+    GW_LINK_OK = 0,
+    GW_LINK_REFUSED, /* no listener at the address */
+    GW_LINK_RESET,   /* reset or closed by the server, or no route to it */
+    GW_LINK_TIMEOUT, /* not established, or not acknowledged, in time */
+    GW_LINK_END_COUNT
+} GwLinkEnd;
+
+const char *GwLinkEnd_Name(GwLinkEnd end);
+
+/* This entry can't connect to the servers of a service any more, or can
+ * again. */
+typedef struct {
+    const char *service;
+    bool is_reached;
+    uint32_t failing_ms;    /* since the first connection failed */
+    const uint32_t *failed; /* connections since then, by GwLinkEnd */
+} GwReachChange;
+
+typedef void (*GwReachCallback)(void *ctx, const GwReachChange *change);
+
+void GwRouter_SetReachCallback(GwRouter *r, GwReachCallback callback,
+                               void *ctx);
+/* Copies the services that this entry can't connect to (GwService_Hash), at
+ * most `most`, for the reports to peers. Returns their number. */
+uint32_t GwRouter_UnreachedServices(const GwRouter *r, uint32_t *out,
+                                    uint32_t most);
+
 /* ---- Requests ------------------------------------------------------------ */
 
 typedef struct {
@@ -173,6 +214,10 @@
     int64_t left_us; /* time that the caller waits; < 0: not stated */
     /* NULL unless GwRouter_WantsFingerprints. */
     const GwFingerprint *fingerprint;
+    /* Another entry passed the request on: it is sent to one server at most,
+     * and needs no quota. */
+    bool is_passed_on;
+    int64_t objective_left_us; /* if passed on: time to the objective */
 } GwArrival;
 
 typedef enum {
@@ -182,17 +227,6 @@
     GW_ATTEMPT_LOST = 4      /* sent, no whole answer: may have run */
 } GwAttemptOutcome;
 
-/* How the connection of an attempt failed. */
-typedef enum {
-    GW_LINK_OK = 0,
-    GW_LINK_REFUSED, /* no listener at the address */
-    GW_LINK_RESET,   /* reset or closed by the server, or no route to it */
-    GW_LINK_TIMEOUT, /* not established, or not acknowledged, in time */
-    GW_LINK_END_COUNT
-} GwLinkEnd;
-
-const char *GwLinkEnd_Name(GwLinkEnd end);
-
 /* Whether an answer states a limit on the server's requests per second. */
 typedef enum {
     GW_LIMIT_UNKNOWN = 0, /* no answer, or not readable */
@@ -211,6 +245,7 @@
     bool leaving;       /* the server states that it leaves */
     int64_t rest_us;    /* > 0: the server wants no request for this long */
     bool withheld;      /* UNSENT: GwRouter_MaySend did not allow it */
+    bool no_connection; /* UNSENT: only an open connection was to be used */
     int64_t connect_us; /* time to set up a new connection; 0: reused */
     GwLimitStatement limit;
     double limit_per_s; /* if GW_LIMIT_STATED */
@@ -220,6 +255,15 @@
     const GwFingerprint *fingerprint;
 } GwAttemptEnd;
 
+/* End of an attempt at another entry (GW_ROUTER_PASS_ON). */
+typedef struct {
+    GwAttemptEnd attempt;
+    bool has_reached;        /* the request may have reached a server */
+    bool has_no_capacity;    /* not run: no server would have room in time */
+    uint32_t retry_after_ms; /* that the entry states; 0: none */
+    const char *server;      /* id of the server; NULL: unknown */
+} GwPassedOnEnd;
+
 /* Result of a probe connection to a server (GW_ROUTER_PROBE). */
 typedef enum {
     GW_PROBE_ALIVE = 1,
@@ -232,7 +276,9 @@
     char route[48];
     char server[48];      /* of the last attempt; "" if there was none */
     uint64_t version;     /* of the configuration that admitted the request */
+    char peer[48];        /* entry that it was passed on to; "": none */
     uint32_t attempts;    /* attempts, also those that reached no server */
+    bool has_reached;     /* an attempt reached a server */
     uint32_t waited_ms;   /* until the last attempt, else until now */
     uint32_t took_ms;     /* since arrival */
     uint32_t expected_ms; /* total time expected at the last evaluation */
@@ -260,6 +306,11 @@
  * called right before the first byte is sent; if it returns false, the attempt
  * must end as GW_ATTEMPT_UNSENT, withheld. */
 bool GwRouter_MaySend(GwRouter *r, int64_t now_us, GwRequest *req);
+/* Name of the entry that the request is passed on to. */
+const char *GwRequest_Peer(const GwRequest *req);
+/* Ends an attempt that was passed on to another entry. */
+void GwRouter_PassedOnEnded(GwRouter *r, int64_t now_us, GwRequest *req,
+                            const GwPassedOnEnd *end, GArray *actions);
 /* Name of the caller's organisation, or NULL; valid until the next call of
  * the router. */
 const char *GwRequest_Organisation(const GwRequest *req);
@@ -291,6 +342,7 @@
 typedef enum {
     GW_ROUTER_ACCEPT = 1, /* `request` is the handle of this arrival */
     GW_ROUTER_SEND,       /* one attempt at `server` */
+    GW_ROUTER_PASS_ON,    /* one attempt at the entry GwRequest_Peer */
     GW_ROUTER_CANCEL,     /* abandon the attempt and close its connection */
     GW_ROUTER_ANSWER, /* pass on the last attempt's answer; ends the request */
     GW_ROUTER_REPLY, /* answer with `status` of this entry; ends the request */
@@ -311,6 +363,7 @@
     GW_REPLY_OVER_QUOTA,     /* the organisation's quota is used up */
     GW_REPLY_QUOTA_UNKNOWN,  /* nobody answers for the organisation's quota */
     GW_REPLY_NO_SERVER,      /* no backend server is eligible */
+    GW_REPLY_CUT_OFF,        /* no server is reached, nor an entry that is */
     GW_REPLY_NO_CAPACITY,    /* no slot would be free in time */
     GW_REPLY_NO_RETRY,       /* not run, and no attempt is left */
     GW_REPLY_TIMEOUT,        /* sent, then timed out */
@@ -328,11 +381,13 @@
     void *user;
     GwRequest *request;
     GwServer *server;
-    uint32_t left_ms;                 /* SEND: remaining time of the caller */
-    bool idempotent;                  /* SEND */
-    uint16_t status;                  /* REPLY */
-    uint32_t retry_after_ms;          /* REPLY: 0 for none */
-    GwReplyReason why;                /* REPLY */
+    uint32_t left_ms; /* SEND, PASS_ON: remaining time of the caller */
+    int32_t objective_left_ms; /* PASS_ON: time to the objective */
+    bool idempotent;           /* SEND, PASS_ON */
+    bool reuses_connection;    /* SEND: on an open connection, or not at all */
+    uint16_t status;           /* REPLY */
+    uint32_t retry_after_ms;   /* REPLY: 0 for none */
+    GwReplyReason why;         /* REPLY */
     GwRequestSummary request_summary; /* ANSWER, REPLY */
 } GwRouterAction;
 
@@ -358,6 +413,7 @@
     uint32_t peers_in_flight; /* as last reported */
     double retries_left;
     int64_t answer_age_ms; /* since the last answer of any server; -1: none */
+    bool is_reached;       /* connections to its servers can be set up */
 } GwServiceView;
 
 void GwRouter_EachService(const GwRouter *r, int64_t now_us,
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -39,6 +39,18 @@
 double GwBucket_At(const GwBucket *b, int64_t now_us, double per_s);
 void GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s);
 
+/* Whether connections to the servers of a service can be set up; reach.c. */
+typedef struct {
+    int64_t
+        failing_since_us;   /* first failure after the last success; 0: none */
+    int64_t unreached_us;   /* start of the current outage; 0: none */
+    int64_t reached_us;     /* end of the last outage; 0: never */
+    uint32_t good_connects; /* in a row, in an outage */
+    int64_t confirmed_us;   /* start of the last round of probes */
+    uint32_t confirms;      /* probes of that round */
+    uint32_t failed[GW_LINK_END_COUNT]; /* since failing_since_us */
+} GwReach;
+
 typedef struct {
     char *name;
     GPtrArray *servers; /* GwServer, borrowed */
@@ -55,6 +67,7 @@
     double work_us;             /* mean time that a request occupies a slot */
     int64_t answered_us;        /* last answer of any server; 0: none yet */
     double cold_per_s; /* maximum requests per second to a cold server */
+    GwReach reach;
     uint32_t connections_max; /* to one server, of all entries; 0: any */
 } GwServiceState;
 
@@ -122,12 +135,15 @@
     uint32_t objects;      /* objects with a placement here */
     double utilization;    /* moving average of slots in use over slots */
     int64_t utilization_at_us;
-    double slowdown;   /* run time relative to other servers */
-    uint32_t failures; /* in a row */
+    double slowdown;           /* run time relative to other servers */
+    uint32_t failures;         /* in a row */
+    int64_t connect_failed_us; /* 0: the last connection was set up */
+    int64_t answered_us;
     int64_t eject_until_us;
     GwBucket cold_tokens;
     bool owns_rate;     /* this entry owned the cold rate at the last check */
     bool probed;        /* a probe connection is in progress */
+    bool probes_again;  /* it does not show whether the server is alive */
     int64_t load_at_us; /* last load report */
     uint32_t load_running;
     uint32_t load_waiting;
@@ -150,8 +166,14 @@
 typedef struct {
     char *name;
     char *region;
+    char *domain;
+    uint64_t hash; /* of the name */
     bool serves;
     GArray *loads; /* GwPeerLoad */
+    uint32_t unreached_count;
+    uint32_t unreached[GW_UNREACHED_MAX]; /* services, GwService_Hash */
+    uint32_t passed_on;     /* requests of this entry in progress there */
+    int64_t avoid_until_us; /* it could not be connected to */
 } GwPeer;
 
 /* The share of requests sent to other regions, and its limit. */
@@ -213,6 +235,12 @@
     bool may_have_run; /* an attempt ended without proof that it did not run */
     uint32_t sends;    /* all attempts, also those that reached no server */
     char last_server[48];
+    bool is_passed_on; /* another entry passed it on to this one */
+    char peer[64];     /* entry of the attempt in progress; "": none */
+    char last_peer[48];
+    uint32_t hops; /* times passed on since an attempt reached a server */
+    uint64_t tried_peers[3]; /* of these hops, hashes of names */
+    uint32_t peer_retry_after_ms;
     uint32_t arrivals; /* ended attempts that reached a server */
     uint32_t unsent;   /* attempts that reached no server */
     uint32_t tried_count;
@@ -256,6 +284,10 @@
     int64_t limits_changed_us; /* last change of any limit; 0: never */
     GwLimitCallback limit_callback;
     void *limit_callback_ctx;
+    uint32_t unreached_count; /* services */
+    int64_t reach_due_us;     /* next probes; INT64_MAX: none */
+    GwReachCallback reach_callback;
+    void *reach_callback_ctx;
     int64_t started_us;
     int64_t end_us;       /* end of a graceful stop; INT64_MAX: not stopping */
     uint64_t evaluations; /* server evaluations since the start */
@@ -361,6 +393,33 @@
 bool GwServer_HasCapacity(const GwRouter *r, const GwServer *s,
                           int64_t now_us);
 
+/* reach.c */
+/* Asks the host to connect to the server, without a request. */
+void GwServer_Probe(GwServer *s, GArray *actions);
+/* A connection to the server was set up at `at_us`. */
+void GwRouter_NoteConnected(GwRouter *r, int64_t now_us, GwServer *s,
+                            int64_t at_us);
+void GwRouter_NoteConnectFailed(GwRouter *r, int64_t now_us, GwServer *s,
+                                GwLinkEnd how, GArray *actions);
+/* An open connection to the server acknowledges nothing any more. */
+void GwRouter_NoteSilence(GwRouter *r, int64_t now_us, GwServer *s,
+                          GArray *actions);
+/* Sends due probes to servers of unreached services. */
+void GwRouter_TickReach(GwRouter *r, int64_t now_us, GArray *actions);
+bool GwService_IsUnreached(const GwServiceState *service);
+/* Whether a request is sent from here again, after an outage. */
+bool GwRouter_TakesBack(GwRouter *r, int64_t now_us,
+                        const GwServiceState *service);
+/* Whether the server has answered since connections began to fail. */
+bool GwServer_StillAnswers(const GwServer *s);
+
+/* pass_on.c */
+/* Passes the request on to another entry. Returns false if there is none that
+ * may take it. */
+bool GwRequest_PassOn(GwRouter *r, int64_t now_us, GwRequest *req,
+                      GArray *actions);
+void GwRequest_ReleasePeer(GwRouter *r, GwRequest *req);
+
 /* cross_region.c */
 typedef enum {
     GW_REGIONS_ALL = 0,
@@ -437,6 +496,11 @@
                                    GwRequest *req);
 
 /* requests.c */
+/* Continues or ends the request after an attempt, which is counted already. */
+/* `s`: the server of the attempt; NULL: another entry. */
+void GwRequest_EndAttempt(GwRouter *r, int64_t now_us, GwRequest *req,
+                          GwServer *s, const GwAttemptEnd *end,
+                          GArray *actions);
 /* Status of an answer to a request that did not run, or timed out. */
 uint16_t GwReplyReason_Status(GwReplyReason why);
 /* Appends an action for the request; the caller fills in the other fields. */
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -366,7 +366,7 @@
 {
     GwServer *s = req->server;
 
-    if (end->withheld) {
+    if (end->withheld || end->no_connection) {
         return;
     }
     if (end->connect_us > 0) {
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -17,6 +17,7 @@
                              : -1,
     };
 
+    view.is_reached = !GwService_IsUnreached(service);
     for (guint i = 0; i < service->servers->len; i++) {
         const GwServer *s = service->servers->pdata[i];
         view.ejected += now_us < s->eject_until_us;
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -657,7 +657,7 @@
   (ProtobufCMessageInit) gw__peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[40] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[41] =
 {
   {
     "name",
@@ -1139,6 +1139,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreached",
+    43,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Gw__Peer__Report, n_unreached),
+    offsetof(Gw__Peer__Report, unreached),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   24,   /* field[24] = asks_known */
@@ -1181,13 +1193,14 @@
   27,   /* field[27] = sum_seq */
   30,   /* field[30] = suspects */
   29,   /* field[29] = suspects_sum */
+  40,   /* field[40] = unreached */
 };
 static const ProtobufCIntRange gw__peer__report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
   { 26, 23 },
-  { 0, 40 }
+  { 0, 41 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -1197,7 +1210,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  40,
+  41,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   3,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -275,6 +275,11 @@
    * as proof_age_ms, of server_version
    */
   uint32_t server_proof_age_ms;
+  /*
+   * Services whose servers the sender can't connect to, by a hash of the name.
+   */
+  size_t n_unreached;
+  uint32_t *unreached;
   /*
    * the receiver lacks so much of the operators' rows
    */
@@ -282,7 +287,7 @@
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/fakes/fleet.c
+++ b/tests/fakes/fleet.c
@@ -307,6 +307,12 @@
             end_call(f, call, false);
         }
         break;
+    case GW_ROUTER_PASS_ON: /* no entry reaches another one here */
+        GwRouter_PassedOnEnded(
+            call->entry->router, f->now_us, call->request,
+            &(GwPassedOnEnd){.attempt.outcome = GW_ATTEMPT_UNSENT},
+            call->entry->actions);
+        break;
     case GW_ROUTER_PROBE:
     case GW_ROUTER_DROP_SERVER:
     case GW_ROUTER_LOG_EJECTED:
--- a/tests/fakes/outages.h
+++ b/tests/fakes/outages.h
@@ -20,7 +20,10 @@
     OUTAGE_POWER_LOSSES,      /* a server loses power every 300 ms */
     OUTAGE_DRAINS,            /* drains; some servers do not announce them */
     OUTAGE_SHEDS,             /* servers refuse and ask for rest */
-    OUTAGE_LEAVES, /* servers leave, and say so in their answers only */
+    OUTAGE_LEAVES,        /* servers leave, and say so in their answers only */
+    OUTAGE_LINKS_SILENT,  /* entries lose all links: nothing passes */
+    OUTAGE_LINKS_RESET,   /* connections are reset, new ones time out */
+    OUTAGE_LINKS_REFUSED, /* connections live on, new ones are refused */
     OUTAGE_KIND_COUNT
 } OutageKind;
 
@@ -72,8 +75,21 @@
     /* Requests refused for want of a server or a slot while a server of the
      * region that takes work had been idle for a while. */
     uint32_t refused_beside_idle;
+    /* First tries at entries without links to servers, from OUTAGE_GOSSIP_MS
+     * after the cut, and at the other entries meanwhile. */
+    uint32_t cut_tries;
+    uint32_t cut_answered;
+    uint32_t linked_tries;
+    uint32_t linked_answered;
+    uint32_t hops;           /* requests passed on between entries */
+    uint32_t hops_of_hops;   /* requests that were passed on twice */
+    uint32_t doubled;        /* at-most-once requests that ran twice */
+    uint32_t false_refusals; /* refused as not run, though they ran */
+    uint32_t convictions;    /* harmless requests in quarantine anywhere */
 } OutageReport;
 
+bool OutageKind_CutsLinks(OutageKind kind);
+
 #define OUTAGE_GOSSIP_MS 3000
 
 OutageReport Outages_Run(const OutageParams *params);
--- a/tests/fakes/outages_callers.c
+++ b/tests/fakes/outages_callers.c
@@ -27,6 +27,10 @@
     call->incarnation = e->incarnation;
     call->arrived_us = w->now_us;
     call->tries++;
+    call->runs = call->content->runs;
+    if (call->tries == 1) {
+        call->links = OutageEntry_Links(e);
+    }
     if (GwRouter_WantsFingerprints(e->router)) {
         arrival.fingerprint = &call->content->fingerprint;
     }
@@ -87,6 +91,24 @@
     send_call(w, content);
 }
 
+/* Counts the outcome of a first try, and refusals of requests that ran. */
+static void
+judge(const Call *call, const GwRouterAction *act, bool answered)
+{
+    OutageReport *report = &call->world->report;
+    bool refused = act->kind == GW_ROUTER_REPLY && act->status == 503;
+    bool once = strcmp(call->content->path, "/once/") == 0;
+
+    if (call->tries == 1) {
+        report->cut_tries += call->links == OUTAGE_LINKS_CUT;
+        report->cut_answered += call->links == OUTAGE_LINKS_CUT && answered;
+        report->linked_tries += call->links == OUTAGE_LINKS_UP;
+        report->linked_answered += call->links == OUTAGE_LINKS_UP && answered;
+    }
+    report->false_refusals +=
+        refused && once && call->content->runs > call->runs;
+}
+
 /* Ends a call. The caller retries once after a refusal, or after any failure
  * of an idempotent request. */
 void
@@ -97,6 +119,11 @@
     bool once = strcmp(call->content->path, "/once/") == 0;
 
     call->request = NULL;
+    if (call->inner_of != NULL) {
+        OutageHop_EndInner(call, act);
+        return;
+    }
+    judge(call, act, answered);
     w->report.answered += answered && !call->content->crashes;
     if (act->kind == GW_ROUTER_REPLY && act->why == GW_REPLY_QUARANTINED) {
         w->report.harmless_refused += !call->content->crashes;
--- a/tests/fakes/outages_faults.c
+++ b/tests/fakes/outages_faults.c
@@ -113,6 +113,11 @@
         Outages_InjectBackpressure(w, step);
         again_us = 900000;
         break;
+    case OUTAGE_LINKS_SILENT:
+    case OUTAGE_LINKS_RESET:
+    case OUTAGE_LINKS_REFUSED:
+        Outages_CutLinks(w, step);
+        return;
     case OUTAGE_NONE:
     case OUTAGE_KIND_COUNT:
         return;
@@ -149,8 +154,11 @@
         break;
     default:
         drop_calls_of(w, e);
+        OutageEntry_LoseHops(w, e);
         OutageEntry_Stop(e);
         e->incarnation++;
+        e->told_unreached = 0;
+        memset(e->links, 0, w->p->servers * sizeof(*e->links));
         OutageEntry_Start(w, e);
         for (uint32_t i = 0; i < w->p->entries; i++) {
             w->entries[i].peers[e->index] = (GwGossipPeer){0};
--- a/tests/fakes/outages_servers.c
+++ b/tests/fakes/outages_servers.c
@@ -180,6 +180,9 @@
         return;
     }
     g_queue_push_tail(&s->running, a);
+    c->runs++;
+    w->report.doubled +=
+        c->runs > 1 && !c->crashes && strcmp(c->path, "/once/") == 0;
     if (c->crashes) {
         count_send(w, a);
         Outages_Schedule(w, w->now_us + 5000 + Outages_RandomBelow(w, 90000),
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -31,6 +31,7 @@
     f->now_us = FAKE_US_PER_S;
     f->router = GwRouter_Create(&f->params, f->now_us);
     f->actions = g_array_new(FALSE, FALSE, sizeof(GwRouterAction));
+    f->probed = g_ptr_array_new();
     f->requests = g_ptr_array_new_with_free_func(g_free);
     f->servers = g_ptr_array_new_with_free_func(free_server);
     f->broken = g_string_new(NULL);
@@ -45,6 +46,7 @@
     }
     GwRouter_Free(f->router);
     g_array_free(f->actions, TRUE);
+    g_ptr_array_free(f->probed, TRUE);
     g_ptr_array_free(f->requests, TRUE);
     g_ptr_array_free(f->servers, TRUE);
     g_string_free(f->broken, TRUE);
@@ -267,6 +269,19 @@
     req->handle = NULL;
 }
 
+static void
+end_probes(FakeSteering *f, GwProbeResult result)
+{
+    GPtrArray *probed = f->probed;
+
+    f->probed = g_ptr_array_new();
+    for (guint i = 0; i < probed->len; i++) {
+        GwRouter_ProbeEnded(f->router, f->now_us, probed->pdata[i], result,
+                            f->actions);
+    }
+    g_ptr_array_free(probed, TRUE);
+}
+
 static void
 run_action(FakeSteering *f, const GwRouterAction *act)
 {
@@ -279,15 +294,26 @@
     case GW_ROUTER_SEND:
         on_send(f, req, act);
         break;
+    case GW_ROUTER_PASS_ON:
+        req->is_passed_on = true;
+        req->hops++;
+        req->left_ms = act->left_ms;
+        break;
     case GW_ROUTER_CANCEL:
         req->may_have_run = true;
         req->server = NULL;
+        req->is_passed_on = false;
         break;
     case GW_ROUTER_ANSWER:
     case GW_ROUTER_REPLY:
         on_end(f, req, act);
         break;
     case GW_ROUTER_PROBE:
+        g_ptr_array_add(f->probed, act->server);
+        if (!f->holds_probes) {
+            end_probes(f, GW_PROBE_ALIVE);
+        }
+        break;
     case GW_ROUTER_DROP_SERVER:
     case GW_ROUTER_LOG_EJECTED:
     case GW_ROUTER_LOG_LEAVING:
@@ -319,6 +345,7 @@
         .key = key,
         .left_us = left_ms * 1000,
         .credential = f->credential,
+        .is_passed_on = f->arrivals_are_passed_on,
     };
 
     req->idempotent = strncmp(path, "/again/", 7) == 0;
@@ -355,6 +382,30 @@
     FakeSteering_RunActions(f);
 }
 
+void
+FakeSteering_EndProbes(FakeSteering *f, GwProbeResult result)
+{
+    end_probes(f, result);
+    FakeSteering_RunActions(f);
+}
+
+void
+FakeSteering_EndHop(FakeSteering *f, FakeRequest *req,
+                    const GwPassedOnEnd *end)
+{
+    GwAttemptOutcome outcome = end->attempt.outcome;
+
+    if (!req->is_passed_on || req->handle == NULL) {
+        return;
+    }
+    req->is_passed_on = false;
+    req->servers += end->has_reached;
+    req->may_have_run = req->may_have_run || outcome == GW_ATTEMPT_LOST ||
+                        outcome == GW_ATTEMPT_ANSWERED;
+    GwRouter_PassedOnEnded(f->router, f->now_us, req->handle, end, f->actions);
+    FakeSteering_RunActions(f);
+}
+
 void
 FakeSteering_Disconnect(FakeSteering *f, FakeRequest *req)
 {
--- a/tests/property/outages.cpp
+++ b/tests/property/outages.cpp
@@ -267,12 +267,62 @@
     return inRest <= 2 && afterLeaving == 0 && refused == 0;
 }
 
+// Guards against: entries that reach no server refuse or lose requests that
+// other entries could serve, run one twice, refuse one that ran, pass one on
+// twice, or make innocent requests suspects of crashes.
+bool
+cutEntriesServe(const Size &size, OutageKind kind)
+{
+    constexpr double kShare = 0.95;
+    OutageReport sum = {};
+    uint32_t seeds = (seedsOf(size) + 1) / 2;
+
+    for (uint32_t seed = 1; seed <= seeds; seed++) {
+        OutageParams params = {};
+        params.entries = size.entries;
+        params.servers = size.servers;
+        params.kind = kind;
+        params.entry_faults = seed % 4 == 0;
+        params.hot = seed % 2 == 0;
+        params.seed = seed;
+        params.seconds = 36;
+        OutageReport report = Outages_Run(&params);
+        sum.cut_tries += report.cut_tries;
+        sum.cut_answered += report.cut_answered;
+        sum.linked_tries += report.linked_tries;
+        sum.linked_answered += report.linked_answered;
+        sum.doubled += report.doubled;
+        sum.false_refusals += report.false_refusals;
+        sum.hops += report.hops;
+        sum.hops_of_hops += report.hops_of_hops;
+        sum.harmless_refused += report.harmless_refused;
+    }
+    std::printf("%s, %u entries: first tries answered at cut entries %u of "
+                "%u, at others %u of %u; %u passed on, %u twice; %u doubled, "
+                "%u false refusals, %u quarantined, %u seeds\n",
+                OutageKind_Name(kind), size.entries, sum.cut_answered,
+                sum.cut_tries, sum.linked_answered, sum.linked_tries, sum.hops,
+                sum.hops_of_hops, sum.doubled, sum.false_refusals,
+                sum.harmless_refused, seeds);
+    double owed = kShare * sum.linked_answered / sum.linked_tries;
+    return sum.cut_tries > 0 && sum.cut_answered >= owed * sum.cut_tries &&
+           sum.doubled == 0 && sum.false_refusals == 0 &&
+           sum.hops_of_hops == 0 && sum.harmless_refused == 0;
+}
+
 } // namespace
 
 int
 main()
 {
     bool ok = explainedCrashesQuarantineOnlyTheCause() && limitsEnd();
+    for (OutageKind kind :
+         {OUTAGE_LINKS_SILENT, OUTAGE_LINKS_RESET, OUTAGE_LINKS_REFUSED}) {
+        ok = cutEntriesServe({4, 12, 20, 1000}, kind) && ok;
+        for (const Size &size : kSizes) {
+            ok = cutEntriesServe(size, kind) && ok;
+        }
+    }
     for (const Size &size : kSizes) {
         for (int kind = 0; kind < OUTAGE_KIND_COUNT; kind++) {
             ok = outagesQuarantineNoRequest(size,
