The end of an attempt is a file of its own

What follows on an attempt (retry, answer, refusal, the retry budget) goes to attempts.c; no change of behaviour.

--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -495,12 +495,19 @@
 int64_t GwRequest_QuarantinedUntil(GwRouter *r, int64_t now_us,
                                    GwRequest *req);
 
-/* requests.c */
+/* attempts.c */
+/* Ends the attempt in progress at a server. `ran`: with success. */
+void GwRequest_ReleaseServer(GwRouter *r, int64_t now_us, GwRequest *req,
+                             bool ran, GArray *actions);
 /* Continues or ends the request after an attempt, which is counted already. */
 /* `s`: the server of the attempt; NULL: another entry. */
 void GwRequest_EndAttempt(GwRouter *r, int64_t now_us, GwRequest *req,
                           GwServer *s, const GwAttemptEnd *end,
                           GArray *actions);
+
+/* requests.c */
+/* Frees a request whose last action has been appended. */
+void GwRequest_Finish(GwRouter *r, GwRequest *req);
 /* Status of an answer to a request that did not run, or timed out. */
 uint16_t GwReplyReason_Status(GwReplyReason why);
 /* Appends an action for the request; the caller fills in the other fields. */
