--- a/tests/fakes/outages.c
+++ b/tests/fakes/outages.c
@@ -18,6 +18,7 @@
         [OUTAGE_LINKS_SILENT] = "links-silent",
         [OUTAGE_LINKS_RESET] = "links-reset",
         [OUTAGE_LINKS_REFUSED] = "links-refused",
+        [OUTAGE_LINKS_BROKEN] = "links-broken",
     };
 
     return names[kind];
--- a/tests/fakes/outages.h
+++ b/tests/fakes/outages.h
@@ -24,6 +24,7 @@
     OUTAGE_LINKS_SILENT,  /* entries lose all links: nothing passes */
     OUTAGE_LINKS_RESET,   /* connections are reset, new ones time out */
     OUTAGE_LINKS_REFUSED, /* connections live on, new ones are refused */
+    OUTAGE_LINKS_BROKEN,  /* connections are reset, new ones are refused */
     OUTAGE_KIND_COUNT
 } OutageKind;
 
--- a/tests/fakes/outages_faults.c
+++ b/tests/fakes/outages_faults.c
@@ -116,6 +116,7 @@
     case OUTAGE_LINKS_SILENT:
     case OUTAGE_LINKS_RESET:
     case OUTAGE_LINKS_REFUSED:
+    case OUTAGE_LINKS_BROKEN:
         Outages_CutLinks(w, step);
         return;
     case OUTAGE_NONE:
--- a/tests/fakes/outages_host.c
+++ b/tests/fakes/outages_host.c
@@ -328,6 +328,29 @@
     }
 }
 
+static void
+count_quarantined(void *ctx, const GwSuspect *suspect, GwSuspectState state,
+                  int64_t until_us)
+{
+    uint32_t *count = ctx;
+
+    (void)suspect;
+    (void)until_us;
+    *count += state == GW_SUSPECT_QUARANTINED;
+}
+
+/* Without crashing requests, no request may be quarantined. */
+static void
+note_convictions(World *w)
+{
+    for (uint32_t i = 0; w->p->crashers == 0 && i < w->p->entries; i++) {
+        uint32_t count = 0;
+        GwQuarantine_Each(GwRouter_Quarantine(w->entries[i].router), w->now_us,
+                          count_quarantined, &count);
+        w->report.convictions = MAX(w->report.convictions, count);
+    }
+}
+
 static void
 note_quarantined(World *w)
 {
@@ -368,5 +391,6 @@
     for (uint32_t i = 0; i < w->p->entries; i++) {
         OutageEntry_TellReach(w, &w->entries[i]);
     }
+    note_convictions(w);
     note_quarantined(w);
 }
--- a/tests/fakes/outages_links.c
+++ b/tests/fakes/outages_links.c
@@ -15,7 +15,14 @@
 OutageKind_CutsLinks(OutageKind kind)
 {
     return kind == OUTAGE_LINKS_SILENT || kind == OUTAGE_LINKS_RESET ||
-           kind == OUTAGE_LINKS_REFUSED;
+           kind == OUTAGE_LINKS_REFUSED || kind == OUTAGE_LINKS_BROKEN;
+}
+
+static bool
+refuses_connects(const World *w)
+{
+    return w->p->kind == OUTAGE_LINKS_REFUSED ||
+           w->p->kind == OUTAGE_LINKS_BROKEN;
 }
 
 static bool
@@ -48,7 +55,7 @@
 static void
 fail_connect(World *w, Attempt *a)
 {
-    if (w->p->kind == OUTAGE_LINKS_REFUSED) {
+    if (refuses_connects(w)) {
         OutageAttempt_AnswerAt(
             w, a, w->now_us + 2 * Outages_DelayUs(a->call->entry, a->server),
             unsent(GW_LINK_REFUSED));
@@ -126,14 +133,14 @@
     if (!is_cut(p->entry)) {
         return GW_PROBE_ALIVE;
     }
-    return p->entry->world->p->kind == OUTAGE_LINKS_REFUSED ? GW_PROBE_REFUSED
-                                                            : GW_PROBE_TIMEOUT;
+    return refuses_connects(p->entry->world) ? GW_PROBE_REFUSED
+                                             : GW_PROBE_TIMEOUT;
 }
 
 int64_t
 OutageProbe_DelayUs(World *w, const Entry *e)
 {
-    return is_cut(e) && w->p->kind != OUTAGE_LINKS_REFUSED
+    return is_cut(e) && !refuses_connects(w)
                ? CONNECT_TIMEOUT_US + Outages_RandomBelow(w, CONNECT_SPREAD_US)
                : 0;
 }
@@ -145,7 +152,8 @@
 {
     e->links_cut_until_us = w->links_cut_until_us;
     for (uint32_t i = 0; i < w->p->servers; i++) {
-        if (w->p->kind == OUTAGE_LINKS_RESET) {
+        if (w->p->kind == OUTAGE_LINKS_RESET ||
+            w->p->kind == OUTAGE_LINKS_BROKEN) {
             e->links[i].idle = 0;
         }
     }
--- a/tests/property/outages.cpp
+++ b/tests/property/outages.cpp
@@ -296,18 +296,23 @@
         sum.hops += report.hops;
         sum.hops_of_hops += report.hops_of_hops;
         sum.harmless_refused += report.harmless_refused;
+        sum.convictions += report.convictions;
+        sum.records_sent += report.records_sent;
     }
     std::printf("%s, %u entries: first tries answered at cut entries %u of "
                 "%u, at others %u of %u; %u passed on, %u twice; %u doubled, "
-                "%u false refusals, %u quarantined, %u seeds\n",
+                "%u false refusals, %u quarantined, %u refused for it, "
+                "%lu records of suspects sent, %u seeds\n",
                 OutageKind_Name(kind), size.entries, sum.cut_answered,
                 sum.cut_tries, sum.linked_answered, sum.linked_tries, sum.hops,
                 sum.hops_of_hops, sum.doubled, sum.false_refusals,
-                sum.harmless_refused, seeds);
+                sum.convictions, sum.harmless_refused,
+                static_cast<unsigned long>(sum.records_sent), seeds);
     double owed = kShare * sum.linked_answered / sum.linked_tries;
     return sum.cut_tries > 0 && sum.cut_answered >= owed * sum.cut_tries &&
            sum.doubled == 0 && sum.false_refusals == 0 &&
-           sum.hops_of_hops == 0 && sum.harmless_refused == 0;
+           sum.hops_of_hops == 0 && sum.harmless_refused == 0 &&
+           sum.convictions == 0 && sum.records_sent == 0;
 }
 
 } // namespace
@@ -316,8 +321,8 @@
 main()
 {
     bool ok = explainedCrashesQuarantineOnlyTheCause() && limitsEnd();
-    for (OutageKind kind :
-         {OUTAGE_LINKS_SILENT, OUTAGE_LINKS_RESET, OUTAGE_LINKS_REFUSED}) {
+    for (OutageKind kind : {OUTAGE_LINKS_SILENT, OUTAGE_LINKS_RESET,
+                            OUTAGE_LINKS_REFUSED, OUTAGE_LINKS_BROKEN}) {
         ok = cutEntriesServe({4, 12, 20, 1000}, kind) && ok;
         for (const Size &size : kSizes) {
             ok = cutEntriesServe(size, kind) && ok;
