--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -35,13 +35,21 @@
                : "",
            GwJson_GetInt64(status, "loads_ms_ago"),
            GwJson_GetInt64(status, "live"));
+    int64_t unreached = GwJson_GetInt64(status, "unreached_services");
+    if (unreached > 0) {
+        printf("cut off from the servers of %" PRId64 " services: their "
+               "requests are passed on\n",
+               unreached);
+    }
     for (size_t i = 0; i < json_object_array_length(members); i++) {
         struct json_object *item = json_object_array_get_idx(members, i);
-        printf("  %-28s %-12s last message %" PRId64 " ms ago%s\n",
+        printf("  %-28s %-12s last message %" PRId64 " ms ago%s%s\n",
                GwJson_GetText(item, "name"), GwJson_GetText(item, "state"),
                GwJson_GetInt64(item, "heard_ms_ago"),
-               GwJson_GetInt64(item, "reads_store") ? "  reads the store"
-                                                    : "");
+               GwJson_GetInt64(item, "reads_store") ? "  reads the store" : "",
+               GwJson_GetInt64(item, "lacks_servers")
+                   ? "  cut off from servers"
+                   : "");
     }
 }
 
--- a/lib/admin/explain.c
+++ b/lib/admin/explain.c
@@ -27,6 +27,8 @@
     int64_t unavailable_since_ms; /* of the store; 0: available */
     int64_t stopping_since_ms;    /* 0: no graceful stop */
     GHashTable *servers;          /* id -> ServerChange */
+    int64_t unreached_since_ms;   /* all of some service; 0: none */
+    uint32_t unreached;           /* services */
 } EntryState;
 
 /* A configuration version that came into force at an entry. */
@@ -211,6 +213,7 @@
         state->version = 0;
         state->unavailable_since_ms = 0;
         state->stopping_since_ms = 0;
+        state->unreached = 0;
         g_hash_table_remove_all(state->servers);
         break;
     case GW_LOG_STOP_BEGIN:
@@ -227,6 +230,14 @@
     case GW_LOG_STORE_BACK:
         state->unavailable_since_ms = 0;
         break;
+    case GW_LOG_SERVICE_UNREACHED:
+        if (state->unreached++ == 0) {
+            state->unreached_since_ms = time_ms;
+        }
+        break;
+    case GW_LOG_SERVICE_REACHED:
+        state->unreached -= state->unreached > 0;
+        break;
     default:
         change = server_change_text(event);
         if (change != NULL) {
@@ -266,6 +277,12 @@
         add_note(step, "stale: no update of the servers for %" PRId64 " ms",
                  list_age_ms);
     }
+    if (state->unreached > 0) {
+        add_note(step,
+                 "the entry had not reached the servers of a service for "
+                 "%" PRId64 " ms",
+                 step->time_ms - state->unreached_since_ms);
+    }
     if (state->stopping_since_ms != 0) {
         add_note(step, "the entry had been stopping for %" PRId64 " ms",
                  step->time_ms - state->stopping_since_ms);
@@ -348,7 +365,8 @@
 static const char *const shown_fields[] = {
     "status",    "why",     "route",       "server",  "outcome",    "attempts",
     "waited_ms", "took_ms", "expected_ms", "warm",    "far",        "after_ms",
-    "config",    "best",    "best_busy",   "idle_ms", "closing_ms",
+    "config",    "best",    "best_busy",   "idle_ms", "closing_ms", "link",
+    "member",    "reached", "by",          "for",
 };
 
 static void
--- a/lib/admin/explain_conclude.c
+++ b/lib/admin/explain_conclude.c
@@ -22,6 +22,10 @@
     {"over-quota", "its organisation had used up its quota"},
     {"quota-unknown", "no entry answered for its organisation's quota"},
     {"no-server", "no server of the service was eligible"},
+    {"cut-off",
+     "its entry reached no server of the service, and no other entry took it"},
+    {"leaving", "its entry was stopping, and could end before the request"},
+    {"quarantined", "servers had crashed while running it"},
     {"no-room", "even the best server would have answered too late"},
     {"no-retry",
      "every attempt was refused or found no server, and no attempt "
@@ -80,10 +84,15 @@
         g_string_append_printf(out, ", %" PRId64 " of them waiting for a slot",
                                waited_ms);
     }
+    if (GwExplain_FieldText(step->fields, "by")[0] != '\0') {
+        g_string_append_printf(out, ", to which %s sent it",
+                               GwExplain_FieldText(step->fields, "by"));
+    }
     if (GwExplain_FieldNumber(step->fields, "far")) {
         g_string_append(out, ", in another region");
     }
-    if (!GwExplain_FieldNumber(step->fields, "warm")) {
+    if (!GwExplain_FieldNumber(step->fields, "warm") &&
+        GwExplain_FieldText(step->fields, "by")[0] == '\0') {
         g_string_append(out,
                         ", by a server that did not have its object cached");
     }
@@ -129,6 +138,16 @@
     }
 }
 
+/* Whether the caller's entry ends the request here; a line of an entry that it
+ * was passed on to ends an attempt. */
+static bool
+is_end(const GwExplainStep *step)
+{
+    return step->event != GW_LOG_ATTEMPT_FAILED &&
+           step->event != GW_LOG_PASS_ON_FAILED &&
+           GwExplain_FieldText(step->fields, "for")[0] == '\0';
+}
+
 char *
 GwExplain_Conclude(const GPtrArray *steps)
 {
@@ -137,7 +156,7 @@
 
     for (guint i = 0; i < steps->len; i++) {
         const GwExplainStep *step = steps->pdata[i];
-        last = step->event != GW_LOG_ATTEMPT_FAILED ? step : last;
+        last = is_end(step) ? step : last;
     }
     if (last == NULL) {
         g_string_append(out, steps->len == 0
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -335,6 +335,7 @@
     GwJson_SetU64(item, "operator_row", peer->operator_version);
     GwJson_SetU64(item, "server_row", peer->server_version);
     GwJson_SetBool(item, "reads_store", peer->reads_store);
+    GwJson_SetBool(item, "lacks_servers", peer->lacks_servers);
     return item;
 }
 
--- a/lib/edge/relay.c
+++ b/lib/edge/relay.c
@@ -1,12 +1,12 @@
 #include "edge/relay.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#define ANSWERED "answered"
-#define NOT_RUN  "not-run"
-#define REACHED  "; reached"
-#define NO_ROOM  "; no-room"
+#define OBJECTIVE_MAX_MS INT64_C(3600000)
+#define ANSWERED         "answered"
+#define NOT_RUN          "not-run"
+#define REACHED          "; reached"
+#define NO_ROOM          "; no-room"
 
 /* ---- Passing a request on ------------------------------------------------ */
 
@@ -60,7 +60,9 @@
 {
     const char *text = GwHttpMessage_GetOnly(msg, GW_RELAY_OBJECTIVE);
 
-    return text != NULL ? strtol(text, NULL, 10) * INT64_C(1000) : 0;
+    int64_t ms = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+    return CLAMP(ms, -OBJECTIVE_MAX_MS, OBJECTIVE_MAX_MS) * 1000;
 }
 
 static const char *
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -197,6 +197,7 @@
     const GwFeed *servers = edge->server_feed;
     const GwPeersView peers = GwPeers_View(edge->peers);
     struct json_object *root = json_object_new_object();
+    uint32_t unreached[GW_UNREACHED_MAX];
 
     GwJson_SetText(root, "name", own->name);
     GwJson_SetText(root, "region", own->region);
@@ -210,6 +211,9 @@
     GwJson_SetU64(root, "news_ms_ago", (uint64_t)GwFeed_AgeMs(servers));
     GwJson_SetU64(root, "loads_ms_ago", (uint64_t)peers.loads_age_ms);
     GwJson_SetBool(root, "reads_store", GwFeed_IsHealthy(servers));
+    GwJson_SetU64(
+        root, "unreached_services",
+        GwRouter_UnreachedServices(edge->router, unreached, GW_UNREACHED_MAX));
     GwJson_SetBool(root, "store_was_away", GwFeed_HadOutage(servers));
     json_object_object_add(root, "members", GwPeers_Members(edge->peers));
     g_string_append(
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -42,6 +42,26 @@
       "why=no-retry server=s1 attempts=1 config=4 news_ms=100"},
      {"outcome=refused", "s1 asked for rest 2 ms before", "not run"},
      "stale"},
+    {"a request that was passed on is told over both entries",
+     {"e1 time_ms=1000 event=514 name=SERVICE_UNREACHED service=s "
+      "failing_ms=300 refused=0 reset=0 timeout=3",
+      "e1 time_ms=1200 event=607 name=PASS_ON_FAILED request=r1 member=e3 "
+      "outcome=unsent reached=0 status=0 after_ms=1",
+      "e2 time_ms=1290 event=602 name=REQUEST_ANSWERED request=r1 status=200 "
+      "route=x server=s2 attempts=1 waited_ms=0 took_ms=60 warm=1 far=0 "
+      "config=4 for=member",
+      "e1 time_ms=1280 event=602 name=REQUEST_ANSWERED request=r1 status=200 "
+      "route=x server=s2 attempts=2 waited_ms=1 took_ms=80 warm=0 far=0 "
+      "config=4 by=e2"},
+     {"member=e3", "for=member",
+      "the entry had not reached the servers of a service for 200 ms",
+      "answered by s2 with 200 after 80 ms, to which e2 sent it, at attempt"},
+     "cached"},
+    {"a refusal of an entry without links is explained",
+     {"e1 time_ms=1000 event=601 name=REQUEST_REPLIED request=r1 status=503 "
+      "why=cut-off server= attempts=0 config=4 news_ms=100"},
+     {"not run: its entry reached no server of the service"},
+     NULL},
     {"a refusal based on an outdated server list is marked as stale",
      {"e1 time_ms=1000 event=700 name=STORE_AWAY table=servers why=silent",
       "e1 time_ms=9500 event=601 name=REQUEST_REPLIED request=r1 status=503 "
