--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -1,5 +1,8 @@
 #include "fakes/edge_host.h"
 
+#include "edge/peers_internal.h"
+#include "edge/relay.h"
+
 #include "fakes/free_port.h"
 #include "fakes/steering.h"
 #include "platform/platform.h"
@@ -92,10 +95,10 @@
     GwEdge_RunActions(h->edge);
 }
 
-void
-EdgeHost_AddServer(EdgeHost *h, const char *id, uint32_t slots)
+/* Opens a port; returns its number. */
+static uint16_t
+listen_as(EdgeHostServer *s, const char *id)
 {
-    EdgeHostServer *s = &h->servers[h->server_count++];
     struct sockaddr_in at = {.sin_family = AF_INET,
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t len = sizeof(at);
@@ -107,9 +110,54 @@
     (void)getsockname(s->listener, (struct sockaddr *)&at, &len);
     g_snprintf(s->address, sizeof(s->address), "127.0.0.1:%u",
                ntohs(at.sin_port));
+    return ntohs(at.sin_port);
+}
+
+void
+EdgeHost_AddServer(EdgeHost *h, const char *id, uint32_t slots)
+{
+    EdgeHostServer *s = &h->servers[h->server_count++];
+
+    (void)listen_as(s, id);
     EdgeHost_PutServer(h, s, slots);
 }
 
+EdgeHostServer *
+EdgeHost_AddPeer(EdgeHost *h, const char *name, uint64_t process_id)
+{
+    EdgeHostServer *s = &h->servers[h->server_count++];
+    char address[32];
+    GwPeerInfo info = {
+        .name = name, .region = "r1", .domain = "d1", .serves = true};
+
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+               listen_as(s, name) - 1);
+    GwPeerEntry *peer = GwPeers_Add(h->edge->peers, address);
+    g_free(peer->name);
+    peer->name = g_strdup(name);
+    peer->process_id = process_id;
+    peer->serves = true;
+    peer->has_reported = true;
+    peer->last_report_us = GwEdge_Now();
+    peer->next_ms = UINT16_MAX; /* live for the whole test */
+    GwRouter_PutPeer(h->edge->router, GwEdge_Now(), &info);
+    return s;
+}
+
+int
+EdgeHost_ConnectAsPeer(EdgeHost *h)
+{
+    char address[32];
+    struct sockaddr_in at;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_true(
+        GwPeers_RelayAddress(h->edge->settings->peer_address, address));
+    g_assert_true(GwConn_ParseAddress(address, &at));
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&at, sizeof(at)), ==, 0);
+    return fd;
+}
+
 /* With a full accept queue the kernel drops the SYN of new connections. */
 void
 EdgeHost_Block(EdgeHostServer *s)
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -19,7 +19,7 @@
 typedef struct {
     char id[16];
     char address[32];
-    int listener;
+    int listener; /* -1: none */
     EdgeHostConn conns[EDGE_HOST_CONNS_MAX];
     uint32_t conn_count;
     int blocked[EDGE_HOST_BLOCK]; /* connections that fill the accept queue */
@@ -36,6 +36,12 @@
 EdgeHost *EdgeHost_Create(void);
 void EdgeHost_Free(EdgeHost *h);
 void EdgeHost_AddServer(EdgeHost *h, const char *id, uint32_t slots);
+/* Opens the port of another entry for requests that are passed on, with the
+ * methods of a server, and makes it a live peer of that name. */
+EdgeHostServer *EdgeHost_AddPeer(EdgeHost *h, const char *name,
+                                 uint64_t process_id);
+/* Connects as another entry does that passes a request on. */
+int EdgeHost_ConnectAsPeer(EdgeHost *h);
 /* Reports the server to the entry again, with that many slots. */
 void EdgeHost_PutServer(EdgeHost *h, const EdgeHostServer *s, uint32_t slots);
 /* The server accepts no more connections, and resets none. */
