--- a/lib/edge/relay.c
+++ b/lib/edge/relay.c
@@ -22,6 +22,9 @@
     };
 
     if (outcome == NULL) {
+#if GW_MUTANT == 114 /* breaks: silence on the outcome is proof */
+        end.attempt.outcome = GW_ATTEMPT_REFUSED;
+#endif
         return end;
     }
     if (g_str_has_prefix(outcome, ANSWERED)) {
--- a/lib/router/admission.c
+++ b/lib/router/admission.c
@@ -11,9 +11,13 @@
 static bool
 needs_token(const GwRouter *r, const GwRequest *req)
 {
+#if GW_MUTANT != 116 /* breaks: a request uses a token at each entry */
+    if (req->is_passed_on) {
+        return false;
+    }
+#endif
     return r->quota != NULL && req->organisation != NULL &&
-           !req->is_passed_on && !req->route->allows_anonymous &&
-           !req->has_token;
+           !req->route->allows_anonymous && !req->has_token;
 }
 
 /* Stops waiting for a token. */
--- a/lib/router/attempts.c
+++ b/lib/router/attempts.c
@@ -34,6 +34,9 @@
 static uint32_t
 attempts_max(const GwRequest *req)
 {
+#if GW_MUTANT == 117 /* breaks: each entry counts its own attempts only */
+    return MAX(req->route->attempts_max, 1);
+#endif
     return req->is_passed_on ? 1 : MAX(req->route->attempts_max, 1);
 }
 
--- a/lib/router/pass_on.c
+++ b/lib/router/pass_on.c
@@ -46,14 +46,22 @@
 }
 
 /* The body of a request with homes goes to no entry outside of them. */
+static bool
+is_home(const GwPeer *peer, const GwRequest *req)
+{
+#if GW_MUTANT == 115 /* breaks: a body goes to an entry outside of its homes */
+    return true;
+#endif
+    return !GwRequest_IsRegionBound(req) ||
+           GwRequest_AllowsRegion(req, peer->region);
+}
+
 static bool
 may_take(const GwPeer *peer, int64_t now_us, const GwRequest *req)
 {
     return peer->serves && now_us >= peer->avoid_until_us &&
            peer->passed_on < PASSED_ON_MAX && reaches(peer, req->service) &&
-           (!GwRequest_IsRegionBound(req) ||
-            GwRequest_AllowsRegion(req, peer->region)) &&
-           !was_passed_to(req, peer);
+           is_home(peer, req) && !was_passed_to(req, peer);
 }
 
 static uint32_t
--- a/lib/router/quarantine.c
+++ b/lib/router/quarantine.c
@@ -366,12 +366,26 @@
     }
 }
 
-/* A record that was never sent is unknown elsewhere and can be removed. */
+static void
+forget_lost_connections(GwQuarantine *q, const GwFingerprint *f)
+{
+    for (guint i = q->lost_connections->len; i > 0; i--) {
+        const GwLostConnection *lost =
+            &g_array_index(q->lost_connections, GwLostConnection, i - 1);
+        if (GwFingerprint_Equal(&lost->fingerprint, f)) {
+            g_array_remove_index(q->lost_connections, i - 1);
+        }
+    }
+}
+
+/* Clears the request, also of crashes that are not confirmed yet. A record that
+ * was never sent is unknown elsewhere and can be removed. */
 static bool
 clear(GwQuarantine *q, int64_t now_us, const GwFingerprint *f)
 {
     GwSuspectRecord *rec = GwQuarantine_Find(q, f);
 
+    forget_lost_connections(q, f);
     if (rec == NULL || rec->s.server_count == 0) {
         return false;
     }
@@ -388,26 +402,12 @@
     return true;
 }
 
-static void
-forget_lost_connections(GwQuarantine *q, const GwFingerprint *f)
-{
-    for (guint i = q->lost_connections->len; i > 0; i--) {
-        const GwLostConnection *lost =
-            &g_array_index(q->lost_connections, GwLostConnection, i - 1);
-        if (GwFingerprint_Equal(&lost->fingerprint, f)) {
-            g_array_remove_index(q->lost_connections, i - 1);
-        }
-    }
-}
-
-/* Also clears the request of crashes that are not confirmed yet. */
 void
 GwQuarantine_NoteSuccess(GwQuarantine *q, int64_t now_us,
                          const GwFingerprint *f)
 {
 #if GW_MUTANT != 81 /* breaks: a successful run clears nothing */
     (void)clear(q, now_us, f);
-    forget_lost_connections(q, f);
 #endif
 }
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -91,6 +91,14 @@
 101 unit.follower - a proof of freshness holds for copies as new as its own
 103 unit.server_leaving - no row takes back that a server leaves
 104 unit.server_rest - a server that rests gets no requests
+110 outages - an entry notices that it is cut off from servers
+111 unit.router_pass_on - a request takes one hop
+112 unit.edge_relay - only entries pass requests on
+113 outages - lost links of an entry are no crashes of servers
+114 unit.edge_relay - the outcome at another entry is known only if it says so
+115 unit.router_pass_on - homes bind the entries that get the body
+116 unit.admission - a request that was passed on uses one token
+117 unit.router_pass_on - attempts are counted over both entries
 102 follow - an entry without a recent proof reads the store
 '
 
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -115,6 +115,21 @@
     }
 }
 
+/* Guards against: a request that another entry passed on, with a token of its
+ * own, uses a second one. */
+Test(admission, a_request_that_was_passed_on_needs_no_token)
+{
+    Setup s = start(1, 1, OWN);
+
+    s.f->arrivals_are_passed_on = true;
+    for (int i = 0; i < 40; i++) {
+        const FakeRequest *req =
+            FakeSteering_Arrive(s.f, "/once/x", NULL, LEFT_MS);
+        cr_expect_not_null(req->server, "request %d", i);
+    }
+    stop(&s);
+}
+
 static GwQuotaMessage
 next_of_kind(Setup *s, GwQuotaMessageKind kind)
 {
--- a/tests/unit/test_router_pass_on.c
+++ b/tests/unit/test_router_pass_on.c
@@ -241,6 +241,7 @@
 
     FakeSteering_PutServer(f, "s0", "r1", "d1", 8);
     FakeSteering_PutServer(f, "s1", "r1", "d1", 8);
+    earn_retries(f);
     f->arrivals_are_passed_on = true;
     FakeRequest *req = FakeSteering_Arrive(f, "/again/x", NULL, LEFT_MS);
     cr_assert_not_null(req->server);
