--- a/tests/fakes/raw_server.c
+++ b/tests/fakes/raw_server.c
@@ -110,8 +110,9 @@
         Connection *c = &server->connections[i];
         *c =
             (Connection){.server = server, .steps = server->plan[i], .fd = fd};
-        pthread_create(&c->thread, NULL, serve_connection, c);
+        /* Counted before it can answer. */
         atomic_fetch_add(&server->connected, 1);
+        pthread_create(&c->thread, NULL, serve_connection, c);
     }
 }
 
