Soak: links are compared over requests that no fault met on their way

Whether a signal to the entry met the request is now noted when it ends; the last signal of the whole run decided before, so that later ones hid it.

--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -50,6 +50,8 @@
     uint32_t runs;
     int64_t ran_us; /* start of the first run */
     LinksAtSending links;
+    SiteJournal *journal;
+    bool is_disturbed; /* by a fault between sending and end */
 };
 
 int64_t
@@ -101,9 +103,10 @@
 {
     Entry *e = entry_of(j, entry);
 
+    j->links_us = SiteJournal_NowUs();
     if (e->is_cut != is_cut) {
         e->is_cut = is_cut;
-        e->links_us = SiteJournal_NowUs();
+        e->links_us = j->links_us;
         j->cut_entries += is_cut ? 1 : -1;
     }
 }
@@ -197,6 +200,7 @@
     req->process = sending->process;
     req->first = sending->first;
     req->sent_us = SiteJournal_NowUs();
+    req->journal = j;
     req->links =
         links_at_sending(j, entry_of(j, sending->entry), req->sent_us);
     (void)g_hash_table_insert(j->requests, req->id, req);
@@ -207,8 +211,13 @@
 void
 SiteJournal_Ended(SiteRequest *req, const SiteResult *end)
 {
+    const SiteJournal *j = req->journal;
+    const Entry *e = g_hash_table_lookup(j->entries, req->entry);
+
     req->end = *end;
     req->ended_us = SiteJournal_NowUs();
+    req->is_disturbed =
+        MAX(MAX(j->links_us, j->disturbed_us), e->disturbed_us) > req->sent_us;
 }
 
 const char *
@@ -383,16 +392,16 @@
 }
 
 /* A request that is refused for its organisation says nothing of links, nor
- * does one whose entry was signalled meanwhile. */
+ * does one in progress while its entry was signalled, or any entry lost its
+ * links: it may have been passed on to that entry. */
 static void
 count_links(const Evaluation *evaluation, const SiteRequest *req)
 {
     SiteVerdict *v = evaluation->verdict;
-    const Entry *e = g_hash_table_lookup(evaluation->j->entries, req->entry);
     bool answered = req->end.outcome == SITE_REQUEST_ANSWERED;
 
     if (req->links == LINKS_IGNORED || req->end.for_organisation ||
-        (e->disturbed_us > req->sent_us && e->disturbed_us < req->ended_us)) {
+        req->is_disturbed) {
         return;
     }
     if (req->links == LINKS_CUT) {
--- a/standins/site/journal_internal.h
+++ b/standins/site/journal_internal.h
@@ -21,6 +21,7 @@
     int64_t start_us;
     int64_t disturbed_us; /* last fault that affects all entries */
     uint32_t cut_entries; /* entries without links to servers */
+    int64_t links_us;     /* last change of the links of any entry */
 };
 
 int64_t SiteJournal_NowUs(void);
