Reports of unreached services go out after the router's call, once a second at most

A service whose servers all crash is unreached at every entry: with 195 entries each change was told by all to all at once, from within a call of the router.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -15,6 +15,8 @@
 /* A timer may fire early by up to the resolution of its clock. */
 #define TIMER_EARLY_US 2000
 #define HOP_TEXT_SIZE  64
+/* Shortest time between reports to all peers of unreached services. */
+#define REACH_PERIOD_US 1000000
 
 int64_t
 GwEdge_Now(void)
@@ -162,7 +164,6 @@
     }
 }
 
-/* Peers learn at once what this entry doesn't reach, or reaches again. */
 static void
 on_reach_change(void *ctx, const GwReachChange *change)
 {
@@ -180,7 +181,7 @@
                     change->failed[GW_LINK_RESET],
                     change->failed[GW_LINK_TIMEOUT]);
     }
-    GwPeers_Announce(edge->peers);
+    edge->has_reach_news = true;
 }
 
 static void
@@ -280,6 +281,22 @@
                          (uint64_t)MAX(wait_ms, 0), 0);
 }
 
+/* Peers learn at once what this entry doesn't reach, or reaches again. If that
+ * changes more often, their next regular reports say so. */
+static void
+tell_reach(GwEdge *edge)
+{
+    int64_t now_us = GwEdge_Now();
+
+    if (edge->has_reach_news) {
+        edge->has_reach_news = false;
+        if (now_us - edge->reach_told_us >= REACH_PERIOD_US) {
+            edge->reach_told_us = now_us;
+            GwPeers_Announce(edge->peers);
+        }
+    }
+}
+
 void
 GwEdge_RunActions(GwEdge *edge)
 {
@@ -303,6 +320,7 @@
         }
     }
     edge->is_running_actions = false;
+    tell_reach(edge);
     GwQuotas_SendMessages(edge);
     arm_deadline(edge);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -85,7 +85,9 @@
     GwPeers *peers;
     GwQuarantineRows *quarantine_rows;
     GwQuota *quota;
-    bool is_proof_lost; /* GwEdge_HasProof, as last logged */
+    bool is_proof_lost;  /* GwEdge_HasProof, as last logged */
+    bool has_reach_news; /* peers don't know yet which services are reached */
+    int64_t reach_told_us;
     uint32_t sweeps;
     bool servers_known; /* the registry has been read once */
     int64_t started_us;
