--- a/tests/session/site_entries_cut_off.sh
+++ b/tests/session/site_entries_cut_off.sh
@@ -18,11 +18,23 @@
     done
 }
 
-# e2 alone, then both entries of a failure domain.
-play() { # BUILD STATE
+begin() { # BUILD
     gw_begin "$1" hen-viec-small || return 1
     site_begin_with_events --seconds 60 --callers 40 --keep || return 1
     sleep 4
+}
+
+conclude() {
+    sleep 4
+    site_send_event calm
+    sleep 2
+    site_send_event end
+    site_conclude
+}
+
+# Cuts off e2 alone, then both entries of a failure domain.
+play_cuts() { # BUILD STATE
+    begin "$1" || return 1
     set_links "$2" e2
     sleep "$cut_s"
     set_links up e2
@@ -30,11 +42,27 @@
     set_links "$2" e2 e4
     sleep "$cut_s"
     set_links up e2 e4
+    conclude
+}
+
+# The entries that take requests of e2 stop, one in order and one by a kill,
+# while a server drains and the configuration changes.
+play_stops() { # BUILD STATE
+    begin "$1" || return 1
+    set_links "$2" e2
     sleep 4
-    site_send_event calm
-    sleep 2
-    site_send_event end
-    site_conclude
+    site_send_event drain 1
+    site_signal_with_event e1 TERM
+    site_send_event config 400
+    site_wait_end e1 || gw_fail "e1 did not stop in order" || return 1
+    site_start_with_event e1
+    sleep 3
+    site_signal_with_event e3 KILL
+    sleep 1
+    site_start_with_event e3
+    sleep 3
+    set_links up e2
+    conclude
 }
 
 out=$1
@@ -43,7 +71,9 @@
 for state in "${@:-silent reset no-setup}"; do
     for one in $state; do
         gw_say "links: $one"
-        (play "$out" "$one") || failed=1
+        (play_cuts "$out" "$one") || failed=1
     done
 done
+gw_say "links: reset, and other entries stop"
+(play_stops "$out" reset) || failed=1
 exit "$failed"
