--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -219,7 +219,10 @@
         GwExchange_Reply(x, act);
         break;
     case GW_ROUTER_PROBE:
-        GwServerLink_Probe(edge, act->server);
+        /* It may have left the registry since the action was appended. */
+        if (GwServer_IsListed(act->server)) {
+            GwServerLink_Probe(edge, act->server);
+        }
         break;
     case GW_ROUTER_DROP_SERVER:
         GwServerLink_DropServer(edge, act->server);
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -252,6 +252,12 @@
     return !s->same_region;
 }
 
+bool
+GwServer_IsListed(const GwServer *s)
+{
+    return s->listed;
+}
+
 void **
 GwServer_User(GwServer *s)
 {
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -401,6 +401,7 @@
 const char *GwServer_Address(const GwServer *s);
 uint32_t GwServer_Hash(const GwServer *s);
 bool GwServer_IsRemote(const GwServer *s); /* in another region */
+bool GwServer_IsListed(const GwServer *s); /* still in the registry */
 /* State of a service, for metrics. */
 typedef struct {
     const char *name;
