--- a/standins/site/journal_internal.h
+++ b/standins/site/journal_internal.h
@@ -22,6 +22,7 @@
     int64_t disturbed_us; /* last fault that affects all entries */
     uint32_t cut_entries; /* entries without links to servers */
     int64_t links_us;     /* last change of the links of any entry */
+    bool do_servers_fail; /* many requests, at random */
 };
 
 int64_t SiteJournal_NowUs(void);
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -117,6 +117,8 @@
 void SiteJournal_Signalled(SiteJournal *j, const char *entry, int signum);
 /* Records that the links of an entry to all servers are cut, or up again. */
 void SiteJournal_LinksChanged(SiteJournal *j, const char *entry, bool is_cut);
+/* Records whether servers fail many requests at random. */
+void SiteJournal_ServersFail(SiteJournal *j, bool do_fail);
 /* Records a fault that affects all entries. */
 void SiteJournal_Disturbed(SiteJournal *j);
 /* Returns the number of the entry's current process, for a new connection. */
