An entry is not avoided because a key was revoked; plainer name

A request whose key was revoked while the connection to another entry was set up counted as a failed connection, and that entry was not asked for a second.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -217,7 +217,7 @@
 
 /* The request is meant for another process, or does not come from an entry. */
 static void
-refuse_stranger(GwExchange *x)
+refuse_unauthorized(GwExchange *x)
 {
     GwRouterAction refusal = {
         .kind = GW_ROUTER_REPLY, .user = x, .status = 421};
@@ -248,7 +248,7 @@
 
     x->started = true;
     if (x->is_passed_on && !GwRelay_IsAuthorized(edge, x->msg)) {
-        refuse_stranger(x);
+        refuse_unauthorized(x);
         return;
     }
     edge->counts.arrived++;
--- a/lib/router/pass_on.c
+++ b/lib/router/pass_on.c
@@ -199,7 +199,8 @@
     GwAttemptOutcome outcome = end->attempt.outcome;
 
     GwRouter_FreeRemoved(r, actions);
-    if (outcome == GW_ATTEMPT_UNSENT && peer != NULL) {
+    if (outcome == GW_ATTEMPT_UNSENT && !end->attempt.withheld &&
+        peer != NULL) {
         peer->avoid_until_us = now_us + AVOID_US;
     }
     GwRequest_ReleasePeer(r, req);
