--- a/standins/site/proxy.c
+++ b/standins/site/proxy.c
@@ -41,7 +41,8 @@
 
 struct SiteProxy_s {
     uv_loop_t *loop;
-    uv_tcp_t *listener;
+    char address[32];
+    uv_tcp_t *listener; /* NULL: connections are refused */
     struct sockaddr_in server;
     GQueue links; /* Link */
     SourceState sources[SOURCES_MAX];
@@ -384,16 +385,32 @@
     apply_state(link, state_of(p, link->source));
 }
 
+bool
+SiteProxy_SetListening(SiteProxy *p, bool listens)
+{
+    GList *first;
+
+    if (listens) {
+        p->listener = GwConn_Listen(p->loop, p->address, on_connection, p);
+        return p->listener != NULL && filter_listener(p);
+    }
+    uv_close((uv_handle_t *)p->listener, (uv_close_cb)g_free);
+    p->listener = NULL;
+    while ((first = g_queue_peek_head_link(&p->links)) != NULL) {
+        close_link(first->data);
+    }
+    return true;
+}
+
 SiteProxy *
 SiteProxy_Create(uv_loop_t *loop, int port, const char *server)
 {
     SiteProxy *p = g_new0(SiteProxy, 1);
-    char address[32];
 
-    g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+    g_snprintf(p->address, sizeof(p->address), "127.0.0.1:%d", port);
     p->loop = loop;
-    p->listener = GwConn_Listen(loop, address, on_connection, p);
-    if (p->listener == NULL || !GwConn_ParseAddress(server, &p->server)) {
+    if (!SiteProxy_SetListening(p, true) ||
+        !GwConn_ParseAddress(server, &p->server)) {
         g_free(p);
         return NULL;
     }
@@ -417,7 +434,7 @@
     }
     p->source_count = MAX(p->source_count, i + 1);
     p->sources[i] = (SourceState){.source = ntohl(at.s_addr), .state = state};
-    if (!filter_listener(p)) {
+    if (p->listener != NULL && !filter_listener(p)) {
         return false;
     }
     for (GList *l = p->links.head, *next; l != NULL; l = next) {
--- a/standins/site/proxy.h
+++ b/standins/site/proxy.h
@@ -12,6 +12,9 @@
 /* Listens at a port of the loopback interface and forwards to `server`. Returns
  * NULL if the port can't be used. */
 SiteProxy *SiteProxy_Create(uv_loop_t *loop, int port, const char *server);
+/* Closes all connections and refuses new ones, as when the process of the
+ * server has exited, or listens again. Returns false if it can't listen. */
+bool SiteProxy_SetListening(SiteProxy *p, bool listens);
 /* Sets the state of the links from a source address at all proxies: up, silent,
  * reset or no-setup. Returns false if an argument is invalid or the kernel
  * refuses a filter. */
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -166,6 +166,7 @@
 
     GwHttpListener_Free(s->serve);
     s->serve = NULL;
+    s->params.crashed(s->params.owner, s->params.number);
     while ((at = g_queue_pop_head_link(&s->connections)) != NULL) {
         Connection *conn = at->data;
         GwHttpMessage_Free(conn->msg);
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -190,7 +190,8 @@
     uint32_t stray;       /* answered twice */
     uint32_t refuse;      /* refused as not run */
     uint32_t restart_ms;  /* delay after a crash */
-    /* Called when the server has restarted after a crash. */
+    /* Called when the server crashes, and when it has restarted. */
+    void (*crashed)(void *owner, uint32_t number);
     void (*restarted)(void *owner, uint32_t number);
     void *owner;
     uint32_t number;
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -100,6 +100,12 @@
     g_free(text);
 }
 
+static void
+on_crashed(void *owner, uint32_t number)
+{
+    (void)SiteProxy_SetListening(((Site *)owner)->proxies[number], false);
+}
+
 /* Registers the restarted server with a new birth time, by which entries
  * detect the restart. */
 static void
@@ -107,6 +113,7 @@
 {
     Site *site = owner;
 
+    g_assert_true(SiteProxy_SetListening(site->proxies[number], true));
     site->birth[number]++;
     put_server(site, (int)number, "ready");
 }
@@ -125,6 +132,7 @@
             .stray = (uint32_t)site->args.faults,
             .refuse = (uint32_t)MAX(site->args.refuse, site->args.faults),
             .restart_ms = (uint32_t)site->args.restart_ms,
+            .crashed = on_crashed,
             .restarted = on_restarted,
             .owner = site,
             .number = (uint32_t)i,
