--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -52,6 +52,7 @@
     LinksAtSending links;
     SiteJournal *journal;
     bool is_disturbed; /* by a fault between sending and end */
+    bool lost_links;   /* its entry lost its links to servers meanwhile */
 };
 
 int64_t
@@ -222,6 +223,7 @@
 
     req->end = *end;
     req->ended_us = SiteJournal_NowUs();
+    req->lost_links = e->is_cut && e->links_us > req->sent_us;
     req->is_disturbed =
         MAX(MAX(j->links_us, j->disturbed_us), e->disturbed_us) > req->sent_us;
 }
@@ -307,6 +309,9 @@
     if (process->kill_us != 0 && req->ended_us >= process->kill_us) {
         v->killed++;
     }
+    else if (req->lost_links) {
+        v->cut_without_links++;
+    }
     else if (req->runs == 0 && req->end.outcome == SITE_REQUEST_PIPELINED) {
         v->behind++;
         log_request(evaluation, req,
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -68,7 +68,7 @@
     uint64_t not_run;
     uint64_t unauthorized;
     uint64_t unknown;
-    /* Connections closed without an answer: the sum of the next seven. */
+    /* Connections closed without an answer: the sum of the next eight. */
     uint64_t lost;
     /* Sent after SIGTERM to the entry; ran, or the entry held the request for
      * a while. */
@@ -77,6 +77,8 @@
     uint64_t cut_unsignalled; /* the entry had received no signal */
     uint64_t cut_at_grace;    /* in flight at SIGTERM, after the grace */
     uint64_t killed;          /* the entry was killed */
+    /* The entry lost its links to servers while the request ran. */
+    uint64_t cut_without_links;
     /* Not run: sent while the entry closed the connection. */
     uint64_t crossed;
     /* Not run: pipelined after a request whose answer closed the connection.
