--- a/tests/unit/test_edge_relay.c
+++ b/tests/unit/test_edge_relay.c
@@ -319,3 +319,57 @@
     cr_expect(g_str_has_prefix(ctx.answer, "HTTP/1.1 502"), "%s", ctx.answer);
     EdgeHost_Free(h);
 }
+
+/* ---- The directory ------------------------------------------------------- */
+
+static GwPeerEntry *
+add_named_peer(EdgeHost *h, const char *name)
+{
+    GwPeerScan scan;
+    GwPeerEntry *peer;
+
+    (void)EdgeHost_AddPeer(h, name, PEER_PROCESS);
+    scan = GwPeers_Scan(h->edge->peers, NULL, NULL);
+    while ((peer = GwPeerScan_Next(&scan)) != NULL) {
+        if (strcmp(peer->name, name) == 0) {
+            g_free(peer->call_address);
+            peer->call_address = g_strdup(name);
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+/* Guards against: callers are sent to an entry that reaches no server, or to
+ * none because all of them do. */
+Test(edge_relay, the_directory_names_cut_entries_last)
+{
+    static const struct {
+        bool lacks_servers[2];
+        guint named;
+        const char *first; /* NULL: any */
+    } cases[] = {
+        {{false, false}, 2, NULL},
+        {{true, false}, 1, "e3"},
+        {{false, true}, 1, "e2"},
+        {{true, true}, 2, NULL},
+    };
+    EdgeHost *h = EdgeHost_Create();
+    GwPeerEntry *peers[2];
+
+    peers[0] = add_named_peer(h, "e2");
+    peers[1] = add_named_peer(h, "e3");
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (int k = 0; k < 2; k++) {
+            peers[k]->lacks_servers = cases[i].lacks_servers[k];
+        }
+        GPtrArray *named = GwPeers_Directory(h->edge->peers, "r1", "d1");
+        cr_expect_eq(named->len, cases[i].named, "case %zu: %u", i,
+                     named->len);
+        cr_expect(cases[i].first == NULL ||
+                      strcmp(named->pdata[0], cases[i].first) == 0,
+                  "case %zu", i);
+        g_ptr_array_free(named, TRUE);
+    }
+    EdgeHost_Free(h);
+}
