Site of stand-ins: events and rows of the store in files of their own

Ruled out: a change of behaviour: functions moved unchanged, those called from another file got the prefix Site_.

--- /dev/null
+++ b/standins/site/events.c
@@ -0,0 +1,241 @@
+/* Events that a script sends as lines. */
+#include "platform/platform.h"
+#include "standins/site/simulation.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MANY_FAULTS 50 /* permille */
+
+/* Restarts the time that entries have to learn of a drain: they cannot while
+ * the store is unavailable or an entry is paused. */
+static void
+update_drain_marks(Site *site)
+{
+    bool known = site->store_mode == SITE_STORE_UP &&
+                 g_hash_table_size(site->paused) == 0;
+    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        SiteServer_MarkDrained(site->servers[i],
+                               site->draining[i] && known ? now_us : 0);
+    }
+}
+
+/* Starts or ends the drain of a server. After a drain the server is a new
+ * process without cached objects. */
+static void
+set_draining(Site *site, const char *number, bool draining)
+{
+    long i = strtol(number, NULL, 10);
+
+    if (i < 0 || i >= SITE_SERVERS || site->draining[i] == draining) {
+        return;
+    }
+    site->draining[i] = draining;
+    if (!draining) {
+        site->birth[i]++;
+        SiteServer_ClearCache(site->servers[i]);
+    }
+    SiteServer_SetLeaving(site->servers[i], draining);
+    Site_PutServer(site, (int)i, draining ? "draining" : "ready");
+    update_drain_marks(site);
+}
+
+static void
+run_drain(Site *site, char **words)
+{
+    set_draining(site, words[1], true);
+}
+
+static void
+run_ready(Site *site, char **words)
+{
+    set_draining(site, words[1], false);
+}
+
+static void
+run_signal(Site *site, char **words)
+{
+    static const struct {
+        const char *name;
+        int number;
+    } signals[] = {{"TERM", SIGTERM},
+                   {"KILL", SIGKILL},
+                   {"STOP", SIGSTOP},
+                   {"CONT", SIGCONT},
+                   {"HUP", SIGHUP}};
+    pid_t pid = (pid_t)strtol(words[3], NULL, 10);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+        int number = signals[i].number;
+        if (strcmp(signals[i].name, words[1]) != 0 || pid <= 1) {
+            continue;
+        }
+        SiteJournal_Signalled(site->journal, words[2], number);
+        if (kill(pid, number) != 0) {
+            (void)printf("event signal to %s: %s\n", words[2],
+                         strerror(errno));
+        }
+        if (number == SIGSTOP) {
+            (void)g_hash_table_add(site->paused, g_strdup(words[2]));
+        }
+        else if (number == SIGCONT || number == SIGKILL) {
+            (void)g_hash_table_remove(site->paused, words[2]);
+        }
+        update_drain_marks(site);
+    }
+}
+
+static void
+run_start(Site *site, char **words)
+{
+    SiteJournal_Started(site->journal, words[1]);
+}
+
+static void
+run_store(Site *site, char **words)
+{
+    site->store_mode = strcmp(words[1], "busy") == 0     ? SITE_STORE_BUSY
+                       : strcmp(words[1], "silent") == 0 ? SITE_STORE_SILENT
+                                                         : SITE_STORE_UP;
+    SiteStore_SetMode(site->store, site->store_mode);
+    SiteJournal_Disturbed(site->journal);
+    update_drain_marks(site);
+}
+
+static void
+run_links(Site *site, char **words)
+{
+    bool is_cut = strcmp(words[1], "up") != 0;
+
+    if (!SiteProxies_SetLinks(site->proxies, SITE_SERVERS, words[1],
+                              words[2])) {
+        site->has_invalid_event = true;
+    }
+    SiteJournal_LinksChanged(site->journal, words[3], is_cut);
+}
+
+static void
+run_compact(Site *site, char **words)
+{
+    (void)words;
+    SiteStore_Compact(site->store);
+}
+
+static void
+set_evacuated(Site *site, const char *domain, const char *value)
+{
+    char *key = g_strdup_printf("evacuate/%s", domain);
+
+    SiteStore_Put(site->store, Platform_Adapter.operator_table, key, value);
+    g_free(key);
+}
+
+static void
+run_evacuate(Site *site, char **words)
+{
+    set_evacuated(site, words[1], "{}");
+}
+
+static void
+run_return(Site *site, char **words)
+{
+    set_evacuated(site, words[1], NULL);
+}
+
+/* Writes a new configuration version with another idle timeout. */
+static void
+run_config(Site *site, char **words)
+{
+    char *version = g_strdup_printf("\"version\":%u", ++site->version);
+    char *idle = g_strdup_printf("\"idle_timeout\":\"%sms\"", words[1]);
+
+    Site_PutConfig(site, "\"version\":[0-9]+", version);
+    Site_PutConfig(site, "\"idle_timeout\":\"[^\"]*\"", idle);
+    g_free(version);
+    g_free(idle);
+}
+
+static void
+run_faults(Site *site, char **words)
+{
+    uint32_t permille = (uint32_t)strtoul(words[1], NULL, 10);
+
+    SiteJournal_ServersFail(site->journal, permille >= MANY_FAULTS);
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        SiteServer_SetFaults(site->servers[i], permille);
+    }
+}
+
+static void
+run_revoke(Site *site, char **words)
+{
+    (void)words;
+    Site_RevokeKey(site);
+}
+
+static void
+run_calm(Site *site, char **words)
+{
+    (void)words;
+    SiteJournal_FaultsEnded(site->journal);
+}
+
+static void
+run_end(Site *site, char **words)
+{
+    (void)words;
+    site->args.seconds =
+        (int)(((int64_t)(uv_hrtime() / 1000) - site->start_us) / 1000000);
+}
+
+static const struct {
+    const char *name;
+    guint words;
+    void (*run)(Site *site, char **words);
+} events[] = {
+    {"signal", 4, run_signal}, /* NAME ADDRESS PID */
+    {"start", 2, run_start},   /* ADDRESS; before the process starts */
+    {"store", 2, run_store},   /* up, busy or silent */
+    {"compact", 1, run_compact},
+    {"links", 4, run_links}, /* STATE SOURCE ADDRESS */
+    {"drain", 2, run_drain}, /* NUMBER */
+    {"ready", 2, run_ready},
+    {"evacuate", 2, run_evacuate}, /* DOMAIN */
+    {"return", 2, run_return},
+    {"config", 2, run_config}, /* IDLE MS */
+    {"faults", 2, run_faults}, /* PERMILLE */
+    {"revoke", 1, run_revoke},
+    {"calm", 1, run_calm}, /* faults are over: requests are answered */
+    {"end", 1, run_end},
+};
+
+void
+Site_RunEvent(void *owner, char **words)
+{
+    Site *site = owner;
+    char *line = g_strjoinv(" ", words);
+    bool known = false;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
+        if (strcmp(events[i].name, words[0]) == 0 &&
+            events[i].words == g_strv_length(words)) {
+            (void)printf(
+                "event at_ms=%" PRId64 " %s\n",
+                ((int64_t)(uv_hrtime() / 1000) - site->start_us) / 1000, line);
+            events[i].run(site, words);
+            known = true;
+        }
+    }
+    if (!known) {
+        (void)printf("unknown event: %s\n", line);
+        site->has_invalid_event = true;
+    }
+    (void)fflush(stdout);
+    g_free(line);
+}
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -6,24 +6,17 @@
  * each service, --new-config 4 writes a newer configuration, --store-busy 5
  * makes the store unavailable for two seconds, --compact 8 drops its history.
  * Further events are read as lines from the named pipe of --commands, so that
- * a script can run any sequence; see `commands` below. The simulator then
- * sends the signals to the entries itself, so that the journal knows which
- * requests were sent after a signal. */
+ * a script can run any sequence; see `events` in site/events.c. The simulator
+ * then sends the signals to the entries itself, so that the journal knows
+ * which requests were sent after a signal. */
 #include "platform/platform.h"
-#include "standins/site/options.h"
-#include "standins/site/organisations.h"
-#include "standins/site/site.h"
+#include "standins/site/simulation.h"
 
-#include <errno.h>
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#define SERVERS       6
 #define PRIVATE_PORTS 20 /* offset from the port of a server's proxy */
-#define MANY_FAULTS   50 /* permille */
 #define LIMITED       2 /* servers that announce a limit: one of each service */
 #define TICK_MS       50
 /* Time after the end for callers to receive pending answers. */
@@ -31,75 +24,6 @@
 #define FIRST_VERSION 3 /* of the given file */
 #define LATER_VERSION 9 /* of --new-config */
 
-typedef struct {
-    SiteOptions args;
-    uv_loop_t loop;
-    uv_timer_t tick;
-    GwRng rng;
-    SiteStore *store;
-    char *config;
-    char *server_text;
-    uint32_t version; /* of the configuration */
-    SiteOrganisations *organisations;
-    bool revoked;
-    SiteJournal *journal;
-    SiteServer *servers[SERVERS];
-    SiteProxy *proxies[SERVERS]; /* entries connect to these */
-    bool draining[SERVERS];
-    uint32_t birth[SERVERS];
-    SiteStoreMode store_mode;
-    GHashTable *paused; /* addresses of entries */
-    GPtrArray *callers;
-    GPtrArray *directories;
-    int64_t start_us;
-    bool drained;
-    bool reconfigured;
-    bool limited;
-    bool compacted;
-    bool has_invalid_event; /* an event line was invalid */
-} Site;
-
-static char *
-replaced(char *text, const char *name, const char *value)
-{
-    char **parts = g_strsplit(text, name, -1);
-    char *joined = g_strjoinv(value, parts);
-
-    g_strfreev(parts);
-    g_free(text);
-    return joined;
-}
-
-static const char *
-service_of(int i)
-{
-    return i % 2 == 0 ? "slots" : "ledger";
-}
-
-static void
-put_server(Site *site, int i, const char *state)
-{
-    char *text = g_strdup(site->server_text);
-    char *key = g_strdup_printf("server-%d", i);
-    char *address = g_strdup_printf("127.0.0.1:%d", site->args.port + i);
-    char *slots = g_strdup_printf("%d", site->args.slots);
-    char *birth = g_strdup_printf("%u", site->birth[i] + 1);
-
-    text = replaced(text, "@ADDRESS@", address);
-    text = replaced(text, "@BORN@", birth);
-    text = replaced(text, "@SERVICE@", service_of(i));
-    text = replaced(text, "@DOMAIN@", i < SERVERS / 2 ? "d1" : "d2");
-    text = replaced(text, "@SLOTS@", slots);
-    text = replaced(text, "@STATE@", state);
-    text = replaced(text, "@SEQ@", "1");
-    SiteStore_Put(site->store, Platform_Adapter.server_table, key, text);
-    g_free(birth);
-    g_free(slots);
-    g_free(address);
-    g_free(key);
-    g_free(text);
-}
-
 static void
 on_crashed(void *owner, uint32_t number)
 {
@@ -115,13 +39,13 @@
 
     g_assert_true(SiteProxy_SetListening(site->proxies[number], true));
     site->birth[number]++;
-    put_server(site, (int)number, "ready");
+    Site_PutServer(site, (int)number, "ready");
 }
 
 static bool
 start_servers(Site *site)
 {
-    for (int i = 0; i < SERVERS; i++) {
+    for (int i = 0; i < SITE_SERVERS; i++) {
         SiteServerParams params = {
             .loop = &site->loop,
             .adapter = &Platform_Adapter,
@@ -149,7 +73,7 @@
         if (site->servers[i] == NULL || site->proxies[i] == NULL) {
             return false;
         }
-        put_server(site, i, "ready");
+        Site_PutServer(site, i, "ready");
     }
     return true;
 }
@@ -187,289 +111,6 @@
     return second > 0 && now_us - site->start_us >= (int64_t)second * 1000000;
 }
 
-static void
-put_config(Site *site, const char *pattern, const char *text)
-{
-    GRegex *regex = g_regex_new(pattern, 0, 0, NULL);
-    char *changed =
-        g_regex_replace_literal(regex, site->config, -1, 0, text, 0, NULL);
-
-    g_regex_unref(regex);
-    g_free(site->config);
-    site->config = changed;
-    SiteStore_Put(site->store, Platform_Adapter.operator_table, "config",
-                  site->config);
-}
-
-/* Adds the organisations to the configuration. False if the file can't be
- * read. */
-static bool
-add_organisations(Site *site)
-{
-    char *text = NULL;
-
-    if (site->args.organisations == NULL) {
-        return true;
-    }
-    if (!g_file_get_contents(site->args.organisations, &text, NULL, NULL)) {
-        return false;
-    }
-    char *rate = g_strdup_printf("%g", site->args.beta_rate);
-    text = replaced(text, "@RATE@", rate);
-    char *config = g_strdup_printf("{%s%s", text, site->config + 1);
-    g_free(site->config);
-    site->config = config;
-    site->organisations = SiteOrganisations_Create(site->args.beta_rate);
-    g_free(rate);
-    g_free(text);
-    return true;
-}
-
-static void
-revoke_key(Site *site)
-{
-    char *version = g_strdup_printf("\"version\":%u", site->version + 1);
-
-    if (site->organisations != NULL && !site->revoked) {
-        site->revoked = true;
-        site->version++;
-        put_config(site, ",\"beta-old-key-[0-9a-f]+\"", "");
-        put_config(site, "\"version\":[0-9]+", version);
-        SiteOrganisations_Revoked(site->organisations);
-    }
-    g_free(version);
-}
-
-/* ---- Commands ------------------------------------------------------------ */
-
-/* Restarts the time that entries have to learn of a drain: they cannot while
- * the store is unavailable or an entry is paused. */
-static void
-update_drain_marks(Site *site)
-{
-    bool known = site->store_mode == SITE_STORE_UP &&
-                 g_hash_table_size(site->paused) == 0;
-    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
-
-    for (int i = 0; i < SERVERS; i++) {
-        SiteServer_MarkDrained(site->servers[i],
-                               site->draining[i] && known ? now_us : 0);
-    }
-}
-
-/* Starts or ends the drain of a server. After a drain the server is a new
- * process without cached objects. */
-static void
-set_draining(Site *site, const char *number, bool draining)
-{
-    long i = strtol(number, NULL, 10);
-
-    if (i < 0 || i >= SERVERS || site->draining[i] == draining) {
-        return;
-    }
-    site->draining[i] = draining;
-    if (!draining) {
-        site->birth[i]++;
-        SiteServer_ClearCache(site->servers[i]);
-    }
-    SiteServer_SetLeaving(site->servers[i], draining);
-    put_server(site, (int)i, draining ? "draining" : "ready");
-    update_drain_marks(site);
-}
-
-static void
-run_drain(Site *site, char **words)
-{
-    set_draining(site, words[1], true);
-}
-
-static void
-run_ready(Site *site, char **words)
-{
-    set_draining(site, words[1], false);
-}
-
-static void
-run_signal(Site *site, char **words)
-{
-    static const struct {
-        const char *name;
-        int number;
-    } signals[] = {{"TERM", SIGTERM},
-                   {"KILL", SIGKILL},
-                   {"STOP", SIGSTOP},
-                   {"CONT", SIGCONT},
-                   {"HUP", SIGHUP}};
-    pid_t pid = (pid_t)strtol(words[3], NULL, 10);
-
-    for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
-        int number = signals[i].number;
-        if (strcmp(signals[i].name, words[1]) != 0 || pid <= 1) {
-            continue;
-        }
-        SiteJournal_Signalled(site->journal, words[2], number);
-        if (kill(pid, number) != 0) {
-            (void)printf("event signal to %s: %s\n", words[2],
-                         strerror(errno));
-        }
-        if (number == SIGSTOP) {
-            (void)g_hash_table_add(site->paused, g_strdup(words[2]));
-        }
-        else if (number == SIGCONT || number == SIGKILL) {
-            (void)g_hash_table_remove(site->paused, words[2]);
-        }
-        update_drain_marks(site);
-    }
-}
-
-static void
-run_start(Site *site, char **words)
-{
-    SiteJournal_Started(site->journal, words[1]);
-}
-
-static void
-run_store(Site *site, char **words)
-{
-    site->store_mode = strcmp(words[1], "busy") == 0     ? SITE_STORE_BUSY
-                       : strcmp(words[1], "silent") == 0 ? SITE_STORE_SILENT
-                                                         : SITE_STORE_UP;
-    SiteStore_SetMode(site->store, site->store_mode);
-    SiteJournal_Disturbed(site->journal);
-    update_drain_marks(site);
-}
-
-static void
-run_links(Site *site, char **words)
-{
-    bool is_cut = strcmp(words[1], "up") != 0;
-
-    if (!SiteProxies_SetLinks(site->proxies, SERVERS, words[1], words[2])) {
-        site->has_invalid_event = true;
-    }
-    SiteJournal_LinksChanged(site->journal, words[3], is_cut);
-}
-
-static void
-run_compact(Site *site, char **words)
-{
-    (void)words;
-    SiteStore_Compact(site->store);
-}
-
-static void
-set_evacuated(Site *site, const char *domain, const char *value)
-{
-    char *key = g_strdup_printf("evacuate/%s", domain);
-
-    SiteStore_Put(site->store, Platform_Adapter.operator_table, key, value);
-    g_free(key);
-}
-
-static void
-run_evacuate(Site *site, char **words)
-{
-    set_evacuated(site, words[1], "{}");
-}
-
-static void
-run_return(Site *site, char **words)
-{
-    set_evacuated(site, words[1], NULL);
-}
-
-/* Writes a new configuration version with another idle timeout. */
-static void
-run_config(Site *site, char **words)
-{
-    char *version = g_strdup_printf("\"version\":%u", ++site->version);
-    char *idle = g_strdup_printf("\"idle_timeout\":\"%sms\"", words[1]);
-
-    put_config(site, "\"version\":[0-9]+", version);
-    put_config(site, "\"idle_timeout\":\"[^\"]*\"", idle);
-    g_free(version);
-    g_free(idle);
-}
-
-static void
-run_faults(Site *site, char **words)
-{
-    uint32_t permille = (uint32_t)strtoul(words[1], NULL, 10);
-
-    SiteJournal_ServersFail(site->journal, permille >= MANY_FAULTS);
-    for (int i = 0; i < SERVERS; i++) {
-        SiteServer_SetFaults(site->servers[i], permille);
-    }
-}
-
-static void
-run_revoke(Site *site, char **words)
-{
-    (void)words;
-    revoke_key(site);
-}
-
-static void
-run_calm(Site *site, char **words)
-{
-    (void)words;
-    SiteJournal_FaultsEnded(site->journal);
-}
-
-static void
-run_end(Site *site, char **words)
-{
-    (void)words;
-    site->args.seconds =
-        (int)(((int64_t)(uv_hrtime() / 1000) - site->start_us) / 1000000);
-}
-
-static const struct {
-    const char *name;
-    guint words;
-    void (*run)(Site *site, char **words);
-} commands[] = {
-    {"signal", 4, run_signal}, /* NAME ADDRESS PID */
-    {"start", 2, run_start},   /* ADDRESS; before the process starts */
-    {"store", 2, run_store},   /* up, busy or silent */
-    {"compact", 1, run_compact},
-    {"links", 4, run_links}, /* STATE SOURCE ADDRESS */
-    {"drain", 2, run_drain}, /* NUMBER */
-    {"ready", 2, run_ready},
-    {"evacuate", 2, run_evacuate}, /* DOMAIN */
-    {"return", 2, run_return},
-    {"config", 2, run_config}, /* IDLE MS */
-    {"faults", 2, run_faults}, /* PERMILLE */
-    {"revoke", 1, run_revoke},
-    {"calm", 1, run_calm}, /* faults are over: requests are answered */
-    {"end", 1, run_end},
-};
-
-static void
-on_command(void *owner, char **words)
-{
-    Site *site = owner;
-    char *line = g_strjoinv(" ", words);
-    bool known = false;
-
-    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
-        if (strcmp(commands[i].name, words[0]) == 0 &&
-            commands[i].words == g_strv_length(words)) {
-            (void)printf(
-                "event at_ms=%" PRId64 " %s\n",
-                ((int64_t)(uv_hrtime() / 1000) - site->start_us) / 1000, line);
-            commands[i].run(site, words);
-            known = true;
-        }
-    }
-    if (!known) {
-        (void)printf("unknown event: %s\n", line);
-        site->has_invalid_event = true;
-    }
-    (void)fflush(stdout);
-    g_free(line);
-}
-
 /* ---- Scheduled events ---------------------------------------------------- */
 
 static void
@@ -480,7 +121,7 @@
     if (!site->drained && is_due(site, site->args.drain_s)) {
         site->drained = true;
         for (int i = 0; i < 2; i++) {
-            put_server(site, i, "draining");
+            Site_PutServer(site, i, "draining");
             SiteServer_SetLeaving(site->servers[i], true);
             SiteServer_MarkDrained(site->servers[i], now_us);
         }
@@ -488,7 +129,7 @@
     if (!site->reconfigured && is_due(site, site->args.config_s)) {
         site->reconfigured = true;
         site->version = LATER_VERSION;
-        put_config(site, "\"version\":3", "\"version\":9");
+        Site_PutConfig(site, "\"version\":3", "\"version\":9");
     }
     if (!site->limited && is_due(site, site->args.limit_s)) {
         site->limited = true;
@@ -497,7 +138,7 @@
         }
     }
     if (is_due(site, site->args.revoke_s)) {
-        revoke_key(site);
+        Site_RevokeKey(site);
     }
     if (!site->compacted && is_due(site, site->args.compact_s)) {
         site->compacted = true;
@@ -536,7 +177,7 @@
         site->journal, (uint32_t)site->args.grace_ms, stdout);
 
     v.has_invalid_event = site->has_invalid_event;
-    for (int i = 0; i < SERVERS; i++) {
+    for (int i = 0; i < SITE_SERVERS; i++) {
         v.late += SiteServer_LateRequests(site->servers[i]);
         v.above_limit += SiteServer_AboveLimit(site->servers[i]);
     }
@@ -567,7 +208,7 @@
     }
     g_strfreev(list);
     if (site->args.commands != NULL &&
-        !SiteCommands_Open(&site->loop, site->args.commands, on_command,
+        !SiteCommands_Open(&site->loop, site->args.commands, Site_RunEvent,
                            site)) {
         return false;
     }
@@ -577,7 +218,7 @@
         !g_file_get_contents(site->args.config, &site->config, NULL, NULL) ||
         !g_file_get_contents(site->args.server, &site->server_text, NULL,
                              NULL) ||
-        !add_organisations(site)) {
+        !Site_AddOrganisations(site)) {
         return false;
     }
     SiteStore_Put(site->store, Platform_Adapter.operator_table, "config",
