An entry refuses requests until it knows which ones are quarantined

Callers saw, after all entries were killed at once: a request that crashes servers ran again at each new entry before it was refused. Cause: an entry took requests as soon as it had the configuration; the table of quarantined requests is read beside it and may come later. Reading the tables again until then: an entry whose peers gave it the tables would read the store for nothing, so readers go by the tables alone. Change: the router refuses arrivals (quarantine-unknown, 503) until the table was read, a peer that serves has the same checksum, or 5 s have passed.

--- a/lib/admin/explain_conclude.c
+++ b/lib/admin/explain_conclude.c
@@ -16,6 +16,8 @@
 /* Reasons of replies that an entry generated. */
 static const ReplyReason reply_reasons[] = {
     {"no-config", "the entry had no configuration yet"},
+    {"quarantine-unknown",
+     "the entry had not yet learned which requests are quarantined"},
     {"no-route", "no route of the configuration matches it"},
     {"unauthorized", "no organisation holds the caller's key"},
     {"unproven", "nothing proved in time that its key was not revoked"},
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -25,12 +25,19 @@
 }
 
 bool
-GwEdge_IsReady(const GwEdge *edge)
+GwEdge_HasTables(const GwEdge *edge)
 {
-    return GwStopSignal_At() == 0 && GwRouter_Routing(edge->router) != NULL &&
+    return GwRouter_Routing(edge->router) != NULL &&
            GwFeed_IsLoaded(edge->server_feed);
 }
 
+bool
+GwEdge_IsReady(const GwEdge *edge)
+{
+    return GwStopSignal_At() == 0 && GwEdge_HasTables(edge) &&
+           GwQuarantineRows_IsLoaded(edge->quarantine_rows);
+}
+
 const char *
 GwEdge_RegionOf(const GwEdge *edge, const char *domain)
 {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -133,8 +133,9 @@
 void GwEdge_LogRequestEnd(const GwExchange *x, GwRequestEnd end,
                           uint16_t status, GwReplyReason why,
                           const GwRequestSummary *request_summary);
-/* Whether the entry has a configuration and the registry, and is not
- * stopping. */
+/* Whether the entry has a configuration and the registry. */
+bool GwEdge_HasTables(const GwEdge *edge);
+/* Whether it has them, knows the quarantined requests, and is not stopping. */
 bool GwEdge_IsReady(const GwEdge *edge);
 const char *GwEdge_RegionOf(const GwEdge *edge, const char *domain);
 
--- a/lib/edge/quarantine_rows.c
+++ b/lib/edge/quarantine_rows.c
@@ -8,6 +8,9 @@
 #define CALL_TIMEOUT_US 1500000
 #define RETRY_US        700000
 #define ROWS_BODY_MAX   (8u << 20)
+/* Longest time from the start until the entry takes requests without having
+ * read the rows: two calls that time out, and another one. */
+#define LOAD_MAX_US 5000000
 /* Maximum rows waiting to be written. */
 #define WAITING_MAX 256
 
@@ -15,6 +18,7 @@
     GwEdge *edge;
     GwConn *conn;
     bool has_read;
+    bool is_loaded; /* GwQuarantineRows_IsLoaded */
     char *after;    /* key of the last row read; NULL: none yet */
     GQueue waiting; /* GwSuspect waiting to be written */
     /* Time of the next attempt, or time limit of the current one. */
@@ -145,7 +149,10 @@
         }
     }
     rows->has_read = !set->more || set->rows->len == 0;
-    if (!rows->has_read) {
+    if (rows->has_read) {
+        GwQuarantineRows_MarkLoaded(rows);
+    }
+    else {
         g_free(rows->after);
         rows->after = g_strdup(GwRowSet_LastKey(set));
     }
@@ -197,6 +204,19 @@
     .ended = on_ended,
 };
 
+bool
+GwQuarantineRows_IsLoaded(const GwQuarantineRows *rows)
+{
+    return rows->is_loaded;
+}
+
+void
+GwQuarantineRows_MarkLoaded(GwQuarantineRows *rows)
+{
+    rows->is_loaded = true;
+    GwRouter_SetQuarantineKnown(rows->edge->router, true);
+}
+
 void
 GwQuarantineRows_Sweep(GwQuarantineRows *rows, int64_t now_us)
 {
@@ -208,6 +228,9 @@
         .body_max = ROWS_BODY_MAX,
     };
 
+    if (!rows->is_loaded && now_us - rows->edge->started_us > LOAD_MAX_US) {
+        GwQuarantineRows_MarkLoaded(rows);
+    }
     if (now_us < rows->at_us ||
         (rows->has_read && g_queue_is_empty(&rows->waiting))) {
         return;
@@ -237,6 +260,8 @@
 
     rows->edge = edge;
     rows->has_read = edge->settings->first_start;
+    rows->is_loaded = rows->has_read;
+    GwRouter_SetQuarantineKnown(edge->router, rows->is_loaded);
     return rows;
 }
 
--- a/lib/edge/quarantine_rows.h
+++ b/lib/edge/quarantine_rows.h
@@ -8,6 +8,13 @@
 GwQuarantineRows *GwQuarantineRows_Create(GwEdge *edge);
 void GwQuarantineRows_Close(GwQuarantineRows *rows);
 void GwQuarantineRows_Free(GwQuarantineRows *rows);
+/* Returns whether the entry knows what was quarantined when it started: it has
+ * read the rows, or GwQuarantineRows_MarkLoaded was called. After 5 s without
+ * either, true as well, since callers wait. Until then, the router refuses all
+ * requests. */
+bool GwQuarantineRows_IsLoaded(const GwQuarantineRows *rows);
+/* The entry knows the rows from elsewhere. */
+void GwQuarantineRows_MarkLoaded(GwQuarantineRows *rows);
 /* Reads the rows after a start; writes queued rows. */
 void GwQuarantineRows_Sweep(GwQuarantineRows *rows, int64_t now_us);
 /* Queues a row for a request that was quarantined or released. Dropped when
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -126,7 +126,7 @@
         .bound_ms = GwEdgeSettings_ChangeBoundMs(edge->settings),
     };
 
-    if (!edge->is_stopping && !GwEdge_IsReady(edge)) {
+    if (!edge->is_stopping && !GwEdge_HasTables(edge)) {
         return reads_at_start(peers, now_us) ? GW_READS_START : GW_READS_NOT;
     }
     return GwReaderView_Reason(&view);
--- a/lib/edge/suspects.c
+++ b/lib/edge/suspects.c
@@ -1,5 +1,6 @@
 /* Exchanges suspects (requests that crash servers) in reports (gossip.h). */
 #include "edge/peers_internal.h"
+#include "edge/quarantine_rows.h"
 
 #include "router/router_internal.h"
 
@@ -80,6 +81,7 @@
 {
     GwQuarantine *q = GwRouter_Quarantine(peers->edge->router);
     int64_t now_us = GwEdge_Now();
+    uint64_t sum;
 
     for (size_t i = 0; i < report->n_suspects; i++) {
         GwSuspect s;
@@ -87,8 +89,12 @@
             GwQuarantine_Merge(q, now_us, &s);
         }
     }
+    sum = GwQuarantine_Checksum(q);
+    if (report->serves && report->suspects_sum == sum) {
+        GwQuarantineRows_MarkLoaded(peers->edge->quarantine_rows);
+    }
     if (GwGossipPeer_OnChecksum(&peer->gossip[GW_GOSSIP_SUSPECTS], now_us,
-                                report->suspects_sum, GwQuarantine_Checksum(q),
+                                report->suspects_sum, sum,
                                 GwQuarantine_ChangedUs(q))) {
         peer->is_urgent = true;
     }
--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -22,6 +22,12 @@
     return r->quarantine;
 }
 
+void
+GwRouter_SetQuarantineKnown(GwRouter *r, bool is_known)
+{
+    r->awaits_quarantine = !is_known;
+}
+
 bool
 GwRouter_WantsFingerprints(const GwRouter *r)
 {
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -38,6 +38,7 @@
         [GW_REPLY_MAY_HAVE_RUN] = "broken",
         [GW_REPLY_LEAVING] = "leaving",
         [GW_REPLY_QUARANTINED] = "quarantined",
+        [GW_REPLY_QUARANTINE_UNKNOWN] = "quarantine-unknown",
     };
 
     return names[why];
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -293,6 +293,9 @@
 
 /* Requests that crashed servers; see quarantine.h. */
 GwQuarantine *GwRouter_Quarantine(GwRouter *r);
+/* Sets whether the requests quarantined before the start are known; true, the
+ * default. Until they are, all arrivals are refused. */
+void GwRouter_SetQuarantineKnown(GwRouter *r, bool is_known);
 /* Returns whether any request is a suspect, so that arrivals need
  * fingerprints. */
 bool GwRouter_WantsFingerprints(const GwRouter *r);
@@ -371,6 +374,7 @@
     GW_REPLY_MAY_HAVE_RUN,   /* an attempt may have run */
     GW_REPLY_LEAVING,     /* the entry is stopping and accepts nothing new */
     GW_REPLY_QUARANTINED, /* the request crashes the servers that run it */
+    GW_REPLY_QUARANTINE_UNKNOWN, /* it may be quarantined elsewhere */
     GW_REPLY_COUNT
 } GwReplyReason;
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -252,6 +252,7 @@
     GwRng rng;
     GwRouting *routing;
     int64_t proven_until_us; /* GwRouter_SetProvenUntil */
+    bool awaits_quarantine;  /* GwRouter_SetQuarantineKnown */
     GHashTable *services;    /* name -> GwServiceState */
     GHashTable *routes;      /* name -> GwRouteState */
     GHashTable *servers;     /* id -> GwServer */
--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -100,9 +100,7 @@
 static void
 run_store(Site *site, char **words)
 {
-    site->store_mode = strcmp(words[1], "busy") == 0     ? SITE_STORE_BUSY
-                       : strcmp(words[1], "silent") == 0 ? SITE_STORE_SILENT
-                                                         : SITE_STORE_UP;
+    site->store_mode = SiteStore_ParseMode(words[1]);
     SiteStore_SetMode(site->store, site->store_mode);
     SiteJournal_Disturbed(site->journal);
     update_drain_marks(site);
@@ -201,7 +199,7 @@
 } events[] = {
     {"signal", 4, run_signal}, /* NAME ADDRESS PID */
     {"start", 2, run_start},   /* ADDRESS; before the process starts */
-    {"store", 2, run_store},   /* up, busy or silent */
+    {"store", 2, run_store},   /* see SiteStore_ParseMode */
     {"compact", 1, run_compact},
     {"links", 4, run_links}, /* STATE SOURCE ADDRESS */
     {"drain", 2, run_drain}, /* NUMBER */
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -160,10 +160,15 @@
 
 typedef enum {
     SITE_STORE_UP = 0,
-    SITE_STORE_BUSY,  /* 503 to every call */
-    SITE_STORE_SILENT /* accepts calls, never answers */
+    SITE_STORE_BUSY,        /* 503 to every call */
+    SITE_STORE_SILENT,      /* accepts calls, never answers */
+    SITE_STORE_WITHOUT_HELD /* 503 to reads of the quarantined requests */
 } SiteStoreMode;
 
+/* Returns the mode called "up", "busy", "silent" or "without-held"; up for any
+ * other name. */
+SiteStoreMode SiteStore_ParseMode(const char *name);
+
 SiteStore *SiteStore_Create(uv_loop_t *loop, const char *address,
                             const GwAdapter *adapter);
 void SiteStore_Put(SiteStore *s, const char *table, const char *key,
--- a/standins/site/store.c
+++ b/standins/site/store.c
@@ -146,23 +146,51 @@
     }
 }
 
+SiteStoreMode
+SiteStore_ParseMode(const char *name)
+{
+    static const char *const names[] = {
+        [SITE_STORE_BUSY] = "busy",
+        [SITE_STORE_SILENT] = "silent",
+        [SITE_STORE_WITHOUT_HELD] = "without-held",
+    };
+
+    for (size_t i = 1; i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(names[i], name) == 0) {
+            return (SiteStoreMode)i;
+        }
+    }
+    return SITE_STORE_UP;
+}
+
+static bool
+is_turned_away(const SiteStore *s, const PlatformCall *call)
+{
+    return s->mode == SITE_STORE_BUSY || (s->mode == SITE_STORE_WITHOUT_HELD &&
+                                          call->kind == PLATFORM_CALL_READ &&
+                                          g_strcmp0(call->table, "held") == 0);
+}
+
 static void
 on_request(void *owner, GwClient *client, GwHttpMessage *msg)
 {
     SiteStore *s = owner;
     PlatformCall call = {0};
 
-    if (s->mode == SITE_STORE_BUSY) {
+    bool is_valid =
+        Platform_ParseCall(msg->method, msg->target->str, msg->body, &call);
+
+    if (s->mode == SITE_STORE_SILENT) {
+        /* no answer */
+    }
+    else if (is_turned_away(s, &call)) {
         answer(client, 503, "{}");
     }
-    else if (s->mode == SITE_STORE_UP) {
-        if (Platform_ParseCall(msg->method, msg->target->str, msg->body,
-                               &call)) {
-            serve(s, client, &call);
-        }
-        else {
-            answer(client, 404, "{}");
-        }
+    else if (is_valid) {
+        serve(s, client, &call);
+    }
+    else {
+        answer(client, 404, "{}");
     }
     PlatformCall_Clear(&call);
     GwHttpMessage_Free(msg);
@@ -198,7 +226,7 @@
 void
 SiteStore_Sweep(SiteStore *s)
 {
-    if (s->mode != SITE_STORE_UP) {
+    if (s->mode == SITE_STORE_BUSY || s->mode == SITE_STORE_SILENT) {
         return;
     }
     for (GList *at = s->feeds.head, *next; at != NULL; at = next) {
--- a/tests/fakes/edge_entry.c
+++ b/tests/fakes/edge_entry.c
@@ -1,5 +1,6 @@
 #include "fakes/edge_entry.h"
 
+#include "edge/quarantine_rows.h"
 #include "fakes/free_port.h"
 #include "fakes/steering.h"
 #include "platform/platform.h"
@@ -77,6 +78,7 @@
     entry.edge = GwEdge_Create(make_settings(), "no settings file",
                                &Platform_Adapter, &error);
     cr_assert_not_null(entry.edge, "%s", error != NULL ? error->message : "");
+    GwQuarantineRows_MarkLoaded(entry.edge->quarantine_rows);
     EdgeEntry_SetIdleLimit(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS);
     GwServerInfo info = FakeSteering_Info("s1", "s", "r1", "d1", SLOTS);
     info.address = address;
--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -1,6 +1,7 @@
 #include "fakes/edge_host.h"
 
 #include "edge/peers_internal.h"
+#include "edge/quarantine_rows.h"
 #include "edge/relay.h"
 
 #include "fakes/free_port.h"
@@ -60,6 +61,7 @@
     }
     h->edge = GwEdge_Create(settings(), "", &Platform_Adapter, &error);
     g_assert_no_error(error);
+    GwQuarantineRows_MarkLoaded(h->edge->quarantine_rows);
     (void)GwRouter_SetRouting(h->edge->router, routing);
     GwRouting_Unref(routing);
     return h;
