--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -27,10 +27,16 @@
 
 /* From SITE_EXCHANGE_US after the links of an entry to the servers are cut, it
  * must have requests answered at least SITE_CUT_SHARE times as often as the
- * entries with links, but for SITE_CUT_SLACK of them. */
+ * entries with links, but for SITE_CUT_SLACK of them; while an entry with
+ * links runs that was not told to end. */
 #define SITE_CUT_SHARE 0.95
 #define SITE_CUT_SLACK 2
 
+typedef int64_t (*SiteClock)(void);
+
+/* The monotonic clock, in us. */
+int64_t Site_NowUs(void);
+
 /* ---- Journal: requests and answers of callers, runs of servers ----------- */
 
 typedef struct SiteJournal_s SiteJournal;
@@ -111,7 +117,8 @@
     GArray *latencies_us; /* of answered requests: int64_t, sorted */
 } SiteVerdict;
 
-SiteJournal *SiteJournal_Create(void);
+SiteJournal *SiteJournal_Create(SiteClock now_us);
+void SiteJournal_Free(SiteJournal *j);
 /* Records that a process of an entry is about to start. Entries are identified
  * by their call address. */
 void SiteJournal_Started(SiteJournal *j, const char *entry);
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -106,7 +106,7 @@
 static bool
 is_due(const Site *site, int second)
 {
-    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+    int64_t now_us = Site_NowUs();
 
     return second > 0 && now_us - site->start_us >= (int64_t)second * 1000000;
 }
@@ -116,7 +116,7 @@
 static void
 run_scheduled_events(Site *site)
 {
-    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+    int64_t now_us = Site_NowUs();
 
     if (!site->drained && is_due(site, site->args.drain_s)) {
         site->drained = true;
@@ -196,8 +196,8 @@
 
     (void)uv_loop_init(&site->loop);
     site->rng = GwRng_Make((uint64_t)site->args.seed);
-    site->start_us = (int64_t)(uv_hrtime() / 1000);
-    site->journal = SiteJournal_Create();
+    site->start_us = Site_NowUs();
+    site->journal = SiteJournal_Create(Site_NowUs);
     site->paused =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     site->version = FIRST_VERSION;
