Session: an asked entry falls silent; no entry has links to servers

Ruled out: a fault; both plays passed on the code as it is, so nothing failed first. Change: a fifth play of site_entries_cut_off pauses an entry that takes another one's requests for 4 s, then cuts all entries for 5 s.

--- a/tests/session/site_entries_cut_off.sh
+++ b/tests/session/site_entries_cut_off.sh
@@ -65,6 +65,24 @@
     conclude
 }
 
+# An entry that takes requests of e2 falls silent for a while. Then no entry
+# has links, and all must serve again afterwards.
+play_pause() { # BUILD STATE
+    begin "$1" || return 1
+    set_links "$2" e2
+    sleep 4
+    site_signal_with_event e1 STOP
+    sleep 4
+    site_signal_with_event e1 CONT
+    sleep 4
+    set_links up e2
+    sleep 2
+    set_links "$2" "${site_entries[@]}"
+    sleep 5
+    set_links up "${site_entries[@]}"
+    conclude
+}
+
 out=$1
 shift
 failed=0
@@ -76,4 +94,6 @@
 done
 gw_say "links: reset, and other entries stop"
 (play_stops "$out" reset) || failed=1
+gw_say "links: silent, and another entry falls silent; then none has links"
+(play_pause "$out" silent) || failed=1
 exit "$failed"
