--- a/tests/check.sh
+++ b/tests/check.sh
@@ -71,20 +71,21 @@
     failed=$((failed + bad - $(known_red_units)))
 }
 
-# Runs the programs of a kind in parallel. prop_pairs takes longest and is
-# split into parts.
+# Runs the programs of a kind in parallel. The two that take longest are split
+# into parts.
 parts=6
 jobs_of() { # prefix
     for bin in "$out"/"$1"_*; do
         case $bin in *.d | *.log) continue ;; esac
         [ -x "$bin" ] || continue
-        if [ "$(basename "$bin")" = prop_pairs ]; then
+        case $(basename "$bin") in
+        prop_outages | prop_pairs)
             for part in $(seq 1 $parts); do
                 echo "$bin $part/$parts"
             done
-        else
-            echo "$bin all"
-        fi
+            ;;
+        *) echo "$bin all" ;;
+        esac
     done
 }
 
--- a/tests/property/outages.cpp
+++ b/tests/property/outages.cpp
@@ -10,6 +10,8 @@
 #include "router/quarantine.h"
 }
 
+#include "part.hpp"
+
 #include <cstdio>
 #include <cstdlib>
 #include <initializer_list>
@@ -320,24 +322,34 @@
 int
 main()
 {
-    bool ok = explainedCrashesQuarantineOnlyTheCause() && limitsEnd();
+    Part part;
+    bool ok = true;
+    auto check = [&](auto holds) {
+        if (part.takesNext()) {
+            ok = holds() && ok;
+        }
+    };
+
+    check(explainedCrashesQuarantineOnlyTheCause);
+    check(limitsEnd);
     for (OutageKind kind : {OUTAGE_LINKS_SILENT, OUTAGE_LINKS_RESET,
                             OUTAGE_LINKS_REFUSED, OUTAGE_LINKS_BROKEN}) {
-        ok = cutEntriesServe({4, 12, 20, 1000}, kind) && ok;
+        check([&] { return cutEntriesServe({4, 12, 20, 1000}, kind); });
         for (const Size &size : kSizes) {
-            ok = cutEntriesServe(size, kind) && ok;
+            check([&] { return cutEntriesServe(size, kind); });
         }
     }
     for (const Size &size : kSizes) {
         for (int kind = 0; kind < OUTAGE_KIND_COUNT; kind++) {
-            ok = outagesQuarantineNoRequest(size,
-                                            static_cast<OutageKind>(kind)) &&
-                 ok;
+            check([&] {
+                return outagesQuarantineNoRequest(
+                    size, static_cast<OutageKind>(kind));
+            });
         }
-        ok = serversStatementsAreKept(size, OUTAGE_SHEDS) && ok;
-        ok = serversStatementsAreKept(size, OUTAGE_LEAVES) && ok;
-        ok = crashersReachFewServers(size) && ok;
-        ok = limitsAreKept(size) && ok;
+        check([&] { return serversStatementsAreKept(size, OUTAGE_SHEDS); });
+        check([&] { return serversStatementsAreKept(size, OUTAGE_LEAVES); });
+        check([&] { return crashersReachFewServers(size); });
+        check([&] { return limitsAreKept(size); });
     }
     return ok ? 0 : 1;
 }
--- a/tests/property/pairs.cpp
+++ b/tests/property/pairs.cpp
@@ -7,6 +7,8 @@
 #include "fakes/scenario.h"
 }
 
+#include "part.hpp"
+
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -39,25 +41,18 @@
 {
     const char *wanted = std::getenv("GW_PAIR");
     uint64_t seeds = std::getenv("GW_LONG") != nullptr ? 10 : 1;
-    uint32_t part = 1;
-    uint32_t parts = 1;
-    uint32_t pair = 0;
+    Part part;
     uint32_t runs = 0;
     uint32_t violated = 0;
 
     if (argc > 1) {
         seeds = std::strtoull(argv[1], nullptr, 10);
     }
-    // GW_PART=2/6 runs the second of six parts of the pairs.
-    const char *share = std::getenv("GW_PART");
-    if (share == nullptr || std::sscanf(share, "%u/%u", &part, &parts) != 2) {
-        part = parts = 1;
-    }
     for (int a = 0; a < FAKE_FAULT_COUNT; a++) {
         for (int b = a; b < FAKE_FAULT_COUNT; b++) {
             std::string title = std::string(FakeFault_Name(FakeFault(a))) +
                                 "+" + FakeFault_Name(FakeFault(b));
-            if (pair++ % parts != part - 1) {
+            if (!part.takesNext()) {
                 continue;
             }
             if (wanted != nullptr && title.find(wanted) == std::string::npos) {
