An entry cut off from one service suspects none of its requests

Seen: in unit router_crashes, an entry whose links to one service are reset and refused counted a crash as soon as it connected to a server of another service, though its peer still reached the first one. Cause: any server was taken as a witness that this entry has links. A connection to another service says nothing about the links to this one. Ruled out: no witness but servers of the same service. Change: a server of another service counts only while the service is unreached and no entry that serves reports that it reaches it.

--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -2,7 +2,10 @@
  *
  * A server that closes its connections and refuses new ones has crashed, or
  * this entry has lost its links. So a crash counts only once a connection to
- * another server has been set up after the refusal. */
+ * another server of its service has been set up after the refusal. If there is
+ * none, the service has crashed as a whole or this entry is cut off from it: a
+ * server of another service shows that this entry has links, and the other
+ * entries whether it is the only one that doesn't reach the service. */
 #include "router/router_internal.h"
 
 /* Limit of the wait for a probe before a retry, in addition to two round
@@ -13,6 +16,7 @@
 
 typedef struct {
     uint64_t server; /* GwServer.hash */
+    const GwServiceState *service;
     int64_t refused_us;
 } UnconfirmedCrash;
 
@@ -118,7 +122,8 @@
 static void
 note_refused(GwRouter *r, int64_t now_us, const GwServer *s)
 {
-    UnconfirmedCrash crash = {.server = s->hash, .refused_us = now_us};
+    UnconfirmedCrash crash = {
+        .server = s->hash, .service = s->service, .refused_us = now_us};
 
 #if GW_MUTANT == 113 /* breaks: lost links of an entry count as crashes */
     GwQuarantine_NoteCrash(r->quarantine, now_us, s->hash);
@@ -137,6 +142,24 @@
     return g_array_new(FALSE, FALSE, sizeof(UnconfirmedCrash));
 }
 
+/* Whether a connection to `s`, set up at `connected_us`, shows that the refusal
+ * was not due to the links of this entry. */
+static bool
+shows_crash(const GwRouter *r, const UnconfirmedCrash *crash,
+            const GwServer *s, int64_t connected_us)
+{
+    if (crash->server == s->hash || connected_us < crash->refused_us) {
+        return false;
+    }
+#if GW_MUTANT != 119 /* breaks: a cut from one service counts as crashes */
+    if (crash->service != s->service) {
+        return GwService_IsUnreached(crash->service) &&
+               !GwRouter_IsReachedByPeer(r, crash->service);
+    }
+#endif
+    return true;
+}
+
 void
 GwRouter_ConfirmCrashes(GwRouter *r, int64_t now_us, const GwServer *s,
                         int64_t connected_us)
@@ -146,17 +169,17 @@
     for (guint i = 0; i < crashes->len;) {
         UnconfirmedCrash crash = g_array_index(crashes, UnconfirmedCrash, i);
         bool is_over = now_us - crash.refused_us > CONFIRM_MAX_US;
-        if (!is_over &&
-            (crash.server == s->hash || connected_us < crash.refused_us)) {
+        bool is_shown = !is_over && shows_crash(r, &crash, s, connected_us);
+        if (!is_over && !is_shown) {
             i++;
             continue;
         }
         g_array_remove_index(crashes, i);
-        if (is_over || crash.server == s->hash) {
-            GwQuarantine_NoteAlive(r->quarantine, crash.server);
+        if (is_shown) {
+            GwQuarantine_NoteCrash(r->quarantine, now_us, crash.server);
         }
         else {
-            GwQuarantine_NoteCrash(r->quarantine, now_us, crash.server);
+            GwQuarantine_NoteAlive(r->quarantine, crash.server);
         }
     }
 }
--- a/lib/router/pass_on.c
+++ b/lib/router/pass_on.c
@@ -34,6 +34,22 @@
     return true;
 }
 
+bool
+GwRouter_IsReachedByPeer(const GwRouter *r, const GwServiceState *service)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwPeer *peer = value;
+        if (peer->serves && reaches(peer, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 was_passed_to(const GwRequest *req, const GwPeer *peer)
 {
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -421,6 +421,9 @@
 bool GwRequest_PassOn(GwRouter *r, int64_t now_us, GwRequest *req,
                       GArray *actions);
 void GwRequest_ReleasePeer(GwRouter *r, GwRequest *req);
+/* Whether another entry that serves reports that it reaches the service. */
+bool GwRouter_IsReachedByPeer(const GwRouter *r,
+                              const GwServiceState *service);
 
 /* cross_region.c */
 typedef enum {
@@ -480,8 +483,9 @@
 
 /* crashes.c */
 GArray *GwCrashes_Create(void);
-/* A connection to the server was set up at `connected_us`: this entry has
- * links, so that other servers that refused connections before have crashed. */
+/* A connection to the server was set up at `connected_us`: servers that refused
+ * connections before have crashed, if it shows that this entry has links to
+ * them. */
 void GwRouter_ConfirmCrashes(GwRouter *r, int64_t now_us, const GwServer *s,
                              int64_t connected_us);
 /* Records that the server closed the connection of an attempt, and asks the
