Servers that are back are used while their service is still unreached

Cause: while a service is unreached, only servers that still answer on open connections were chosen. That is right for an entry that is cut off; a server that has registered or accepted a connection since then shows otherwise. Ruled out: one good connection ends the outage. An entry with a flapping link would take all requests back each time. Change: such a server is chosen, and new connections to it are set up, until one fails.

--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -78,7 +78,6 @@
     GwRequest *req;
     int64_t now_us;
     bool panic;
-    bool reuses_connection; /* only servers that still answer on one */
     GwRegionRule region_rule;
 } Search;
 
@@ -104,7 +103,7 @@
         (search->region_rule == GW_REGIONS_REMOTE && s->same_region) ||
         !GwRequest_AllowsRegion(search->req, s->path->region) ||
         was_tried(search->req, s) ||
-        (search->reuses_connection && !GwServer_StillAnswers(s)) ||
+        (!GwServer_MayConnect(s) && !GwServer_StillAnswers(s)) ||
         (!search->panic && search->now_us < s->eject_until_us)) {
         return false;
     }
@@ -410,7 +409,6 @@
         .req = req,
         .now_us = now_us,
         .panic = is_panic(req->service, now_us),
-        .reuses_connection = GwService_IsUnreached(req->service),
     };
     r->evaluations += FIXED_EVALUATIONS;
     GwChoice c = choose_server(&search);
--- a/lib/router/reach.c
+++ b/lib/router/reach.c
@@ -216,6 +216,7 @@
         return; /* set up before the links failed */
     }
     s->connect_failed_us = 0;
+    s->connected_us = now_us;
     GwRouter_ConfirmCrashes(r, now_us, s, at_us);
     if (reach->unreached_us != 0) {
         if (++reach->good_connects < REACHED_CONNECTS) {
@@ -238,6 +239,7 @@
         reach->failing_since_us = now_us;
     }
     s->connect_failed_us = now_us;
+    s->connected_us = 0;
     reach->failed[how]++;
     reach->good_connects = 0;
 #if GW_MUTANT == 110 /* breaks: an entry never notices that it is cut off */
@@ -287,14 +289,21 @@
            GwRng_Below(&r->rng, TAKE_BACK_US) < since_us;
 }
 
-/* Whether the server has answered on an open connection since connections
- * began to fail. */
 bool
 GwServer_StillAnswers(const GwServer *s)
 {
     return s->answered_us > s->service->reach.failing_since_us;
 }
 
+bool
+GwServer_MayConnect(const GwServer *s)
+{
+    const GwReach *reach = &s->service->reach;
+
+    return reach->unreached_us == 0 ||
+           s->connected_us > reach->failing_since_us;
+}
+
 uint32_t
 GwRouter_UnreachedServices(const GwRouter *r, uint32_t *out, uint32_t most)
 {
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -240,7 +240,7 @@
     GwRouterAction *out = GwRouter_AddAction(actions, GW_ROUTER_SEND, req);
     out->server = s;
     out->idempotent = req->route->idempotent;
-    out->reuses_connection = GwService_IsUnreached(req->service);
+    out->reuses_connection = !GwServer_MayConnect(s);
     int64_t until_us = GwRouter_ServerUntil(r, now_us, req);
     out->left_ms =
         until_us > now_us ? (uint32_t)((until_us - now_us) / 1000) : 0;
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -138,6 +138,8 @@
     double slowdown;           /* run time relative to other servers */
     uint32_t failures;         /* in a row */
     int64_t connect_failed_us; /* 0: the last connection was set up */
+    /* Last connection, or the registration; 0: the last connection failed. */
+    int64_t connected_us;
     int64_t answered_us;
     int64_t eject_until_us;
     GwBucket cold_tokens;
@@ -414,6 +416,9 @@
                         const GwServiceState *service);
 /* Whether the server has answered since connections began to fail. */
 bool GwServer_StillAnswers(const GwServer *s);
+/* Whether the service is reached, or this server has registered or accepted a
+ * connection since it is not. */
+bool GwServer_MayConnect(const GwServer *s);
 
 /* pass_on.c */
 /* Passes the request on to another entry. Returns false if there is none that
--- a/lib/router/servers.c
+++ b/lib/router/servers.c
@@ -170,6 +170,7 @@
     }
     if (s == NULL) {
         s = create_server(r, info);
+        s->connected_us = now_us;
         GwRouter_AddRegionLoads(r, now_us, s);
     }
     s->slots = info->slots;
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -245,6 +245,7 @@
         f->firsts++;
     }
     req->server = act->server;
+    req->reuses_connection = act->reuses_connection;
     req->left_ms = act->left_ms;
     g_strlcpy(req->server_id, GwServer_Id(act->server),
               sizeof(req->server_id));
--- a/tests/fakes/steering.h
+++ b/tests/fakes/steering.h
@@ -15,8 +15,9 @@
     bool is_passed_on; /* the current attempt is at another entry */
     uint32_t hops;     /* times passed on */
     uint32_t sends;
-    uint32_t servers; /* attempts that reached a server */
-    GwServer *server; /* of the current attempt */
+    uint32_t servers;       /* attempts that reached a server */
+    GwServer *server;       /* of the current attempt */
+    bool reuses_connection; /* of the current attempt */
     char server_id[16];
     int64_t until_us;        /* deadline of the caller or the route */
     uint32_t left_ms;        /* passed with the last send */
--- a/tests/unit/test_router_reach.c
+++ b/tests/unit/test_router_reach.c
@@ -199,3 +199,42 @@
     cr_expect_eq(sent->status, 503);
     Steering_Finish(f);
 }
+
+/* Guards against: after all servers of a service crashed, those that are back
+ * get no requests until several probes have succeeded. */
+Test(router_reach, servers_that_are_back_are_used_while_unreached)
+{
+    static const struct {
+        const char *name;
+        bool is_probed;      /* a probe connects to one of the servers */
+        const char *started; /* server that registers, NULL: none */
+        bool is_used;
+    } cases[] = {
+        {"none is back", false, NULL, false},
+        {"one accepted a connection", true, NULL, true},
+        {"a new one has registered", false, "s9", true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = start(3);
+        fail_request(f, GW_LINK_REFUSED);
+        cr_assert(is_unreached(f));
+        FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
+        FakeSteering_Advance(f, 260 * MS);
+        if (cases[i].is_probed) {
+            cr_assert_eq(f->probed->len, 1);
+            FakeSteering_EndProbes(f, GW_PROBE_ALIVE);
+        }
+        if (cases[i].started != NULL) {
+            FakeSteering_PutServer(f, cases[i].started, "r1", "d1", 8);
+        }
+        cr_assert(is_unreached(f), "%s", cases[i].name);
+        FakeRequest *req = FakeSteering_Arrive(f, "/again/x", NULL, LEFT_MS);
+        cr_expect_eq(req->server != NULL, cases[i].is_used, "%s",
+                     cases[i].name);
+        cr_expect_not(req->reuses_connection, "%s", cases[i].name);
+        end_attempt(f, req, GW_ATTEMPT_UNSENT, GW_LINK_REFUSED, 0);
+        cr_expect(req->over, "%s: a refusal ends its use", cases[i].name);
+        Steering_Finish(f);
+    }
+}
