Refused connections await the confirmation of a crash once per server

Cause: each refused connection, also one that no request was lost with, was appended to the crashes that await confirmation; while a service is unreached nothing removed them. In a long outage the list grew with every attempt and probe, and the first connection afterwards walked it. Change: one record a server, made only if a request lost its connection to it; a further refusal extends the time for its confirmation, as before.

--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -17,7 +17,8 @@
 typedef struct {
     uint64_t server; /* GwServer.hash */
     const GwServiceState *service;
-    int64_t refused_us;
+    int64_t refused_us; /* first refused connection */
+    int64_t last_refused_us;
 } UnconfirmedCrash;
 
 GwQuarantine *
@@ -119,11 +120,23 @@
     }
 }
 
+static UnconfirmedCrash *
+find_unconfirmed(const GwRouter *r, uint64_t server)
+{
+    for (guint i = 0; i < r->unconfirmed_crashes->len; i++) {
+        UnconfirmedCrash *crash =
+            &g_array_index(r->unconfirmed_crashes, UnconfirmedCrash, i);
+        if (crash->server == server) {
+            return crash;
+        }
+    }
+    return NULL;
+}
+
 static void
 note_refused(GwRouter *r, int64_t now_us, const GwServer *s)
 {
-    UnconfirmedCrash crash = {
-        .server = s->hash, .service = s->service, .refused_us = now_us};
+    UnconfirmedCrash *known = find_unconfirmed(r, s->hash);
 
 #if GW_MUTANT == 113 /* breaks: lost links of an entry count as crashes */
     GwQuarantine_NoteCrash(r->quarantine, now_us, s->hash);
@@ -131,9 +144,17 @@
 #endif
     if (GwRouter_ServerCount(r) == 1) {
         GwQuarantine_NoteCrash(r->quarantine, now_us, s->hash);
-        return;
     }
-    g_array_append_val(r->unconfirmed_crashes, crash);
+    else if (known != NULL) {
+        known->last_refused_us = now_us;
+    }
+    else if (GwQuarantine_HasLostConnection(r->quarantine, s->hash)) {
+        UnconfirmedCrash crash = {.server = s->hash,
+                                  .service = s->service,
+                                  .refused_us = now_us,
+                                  .last_refused_us = now_us};
+        g_array_append_val(r->unconfirmed_crashes, crash);
+    }
 }
 
 GArray *
@@ -168,7 +189,7 @@
 
     for (guint i = 0; i < crashes->len;) {
         UnconfirmedCrash crash = g_array_index(crashes, UnconfirmedCrash, i);
-        bool is_over = now_us - crash.refused_us > CONFIRM_MAX_US;
+        bool is_over = now_us - crash.last_refused_us > CONFIRM_MAX_US;
         bool is_shown = !is_over && shows_crash(r, &crash, s, connected_us);
         if (!is_over && !is_shown) {
             i++;
--- a/lib/router/quarantine.c
+++ b/lib/router/quarantine.c
@@ -331,6 +331,18 @@
     g_array_append_val(q->lost_connections, b);
 }
 
+bool
+GwQuarantine_HasLostConnection(const GwQuarantine *q, uint64_t server)
+{
+    for (guint i = 0; i < q->lost_connections->len; i++) {
+        if (g_array_index(q->lost_connections, GwLostConnection, i).server ==
+            server) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 GwQuarantine_NoteCrash(GwQuarantine *q, int64_t now_us, uint64_t server)
 {
--- a/lib/router/quarantine.h
+++ b/lib/router/quarantine.h
@@ -70,6 +70,9 @@
 /* The server closed the connection of the request without an answer. */
 void GwQuarantine_NoteConnectionLost(GwQuarantine *q, int64_t now_us,
                                      const GwFingerprint *f, uint64_t server);
+/* Whether a request lost its connection to the server, and a crash is neither
+ * noted nor ruled out. */
+bool GwQuarantine_HasLostConnection(const GwQuarantine *q, uint64_t server);
 /* The server process crashed: all requests whose connections it recently
  * closed become suspects. */
 void GwQuarantine_NoteCrash(GwQuarantine *q, int64_t now_us, uint64_t server);
--- a/tests/unit/test_router_crashes.c
+++ b/tests/unit/test_router_crashes.c
@@ -1,7 +1,7 @@
 /* Which failures of servers count as crashes of the requests that they ran. */
 #include "unit/steering_cases.h"
 
-#include "router/quarantine.h"
+#include "router/router_internal.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
@@ -90,3 +90,18 @@
         GwQuarantine_Crashes(GwRouter_Quarantine(f->router), &crasher), 0);
     Steering_Finish(f);
 }
+
+/* Guards against: each refused connection of a long outage takes memory, and
+ * time whenever a connection is set up. */
+Test(router_crashes, refused_connections_await_confirmation_once_a_server)
+{
+    FakeSteering *f = start();
+
+    lose_connection(f);
+    for (int i = 0; i < 100; i++) {
+        FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
+        FakeSteering_Advance(f, 260 * MS);
+    }
+    cr_expect_leq(f->router->unconfirmed_crashes->len, 1);
+    Steering_Finish(f);
+}
