A request is judged 150 ms after its third crash is known, not after it happened

Cause: the delay exists so that the records of all requests of a crash are there before one is judged. It ran from the loss of the connection. Since a crash waits for a witness, up to 1 s, it was over when the crash was counted: the first request of the crash was judged before the others had theirs. Change: the delay runs from when the entry counts the crash or hears of it.

--- a/lib/router/quarantine.c
+++ b/lib/router/quarantine.c
@@ -234,7 +234,7 @@
         rec->threshold_us = 0;
     }
     else if (rec->threshold_us == 0) {
-        rec->threshold_us = rec->at_us;
+        rec->threshold_us = now_us;
     }
     if (rec->is_shared) {
         q->changed_us = now_us;
--- a/lib/router/quarantine_internal.h
+++ b/lib/router/quarantine_internal.h
@@ -13,7 +13,7 @@
     int64_t first_us; /* of the first crash */
     int64_t at_us;    /* of the last crash, or of the clearance */
     int64_t changed_us;
-    int64_t threshold_us;       /* of the crash that reached the threshold */
+    int64_t threshold_us;       /* when the threshold was reached; 0: not */
     bool is_shared;             /* shared with other entries */
     GwSuspectState state;       /* as last passed to q->callback */
     uint64_t evaluated_version; /* q->version for which is_cause is valid */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -130,6 +130,38 @@
     }
 }
 
+static void
+count_quarantined(void *ctx, const GwSuspect *suspect, GwSuspectState old,
+                  GwSuspectState state)
+{
+    uint32_t *count = ctx;
+
+    *count += state == GW_SUSPECT_QUARANTINED;
+}
+
+/* Guards against: when a crash is confirmed long after its connections were
+ * lost, a request is judged before the others that ran there are counted. */
+Test(quarantine, a_crash_confirmed_late_is_judged_with_all_its_requests)
+{
+    GwQuarantine *q = GwQuarantine_Create();
+    uint32_t quarantined = 0;
+    int64_t now_us = S;
+
+    GwQuarantine_SetCallback(q, count_quarantined, &quarantined);
+    for (uint64_t server = 1; server <= 2; server++) {
+        now_us += APART_US;
+        crash(q, now_us, server, 1, 2);
+    }
+    now_us += APART_US;
+    for (uint64_t i = 1; i <= 2; i++) {
+        GwFingerprint f = request(i);
+        GwQuarantine_NoteConnectionLost(q, now_us, &f, 3);
+    }
+    GwQuarantine_NoteCrash(q, now_us + 900 * MS, 3);
+    cr_expect_eq(quarantined, 0);
+    GwQuarantine_Free(q);
+}
+
 /* Guards against: requests that ran beside the cause are quarantined with
  * it. */
 Test(quarantine, the_cause_explains_the_crashes_of_others)
