Session: an entry is cut off from one of two services

The stand-in site cuts the links of an entry to the servers of one service ("links STATE SOURCE ADDRESS SERVICE"); the check is the one of a whole cut. No product code.

--- a/standins/site.sh
+++ b/standins/site.sh
@@ -48,10 +48,12 @@
     echo "127.0.0.$((10 + ${1#e}))"
 }
 
-# Cuts the links of an entry to all servers, or sets them up again.
-# usage: site_set_links NAME up|silent|reset|no-setup
+# Cuts the links of an entry to all servers, or to those of one service, or sets
+# them up again.
+# usage: site_set_links NAME up|silent|reset|no-setup [SERVICE]
 site_set_links() {
-    site_send_event links "$2" "$(site_source "$1")" "$(site_address "$1")"
+    site_send_event links "$2" "$(site_source "$1")" "$(site_address "$1")" \
+        ${3:+"$3"}
 }
 
 site_write_settings() { # NAME
--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -109,10 +109,18 @@
 static void
 run_links(Site *site, char **words)
 {
+    const char *service = words[4]; /* NULL: all */
     bool is_cut = strcmp(words[1], "up") != 0;
+    SiteProxy *proxies[SITE_SERVERS];
+    int count = 0;
 
-    if (!SiteProxies_SetLinks(site->proxies, SITE_SERVERS, words[1],
-                              words[2])) {
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        if (service == NULL || strcmp(service, Site_ServiceOf(i)) == 0) {
+            proxies[count++] = site->proxies[i];
+        }
+    }
+    if (count == 0 ||
+        !SiteProxies_SetLinks(proxies, count, words[1], words[2])) {
         site->has_invalid_event = true;
     }
     SiteJournal_LinksChanged(site->journal, words[3], is_cut);
@@ -200,7 +208,8 @@
     {"start", 2, run_start},   /* ADDRESS; before the process starts */
     {"store", 2, run_store},   /* see SiteStore_ParseMode */
     {"compact", 1, run_compact},
-    {"links", 4, run_links}, /* STATE SOURCE ADDRESS */
+    {"links", 4, run_links}, /* STATE SOURCE ADDRESS [SERVICE] */
+    {"links", 5, run_links},
     {"drain", 2, run_drain}, /* NUMBER */
     {"ready", 2, run_ready},
     {"evacuate", 2, run_evacuate}, /* DOMAIN */
--- a/standins/site/rows.c
+++ b/standins/site/rows.c
@@ -13,8 +13,8 @@
     return joined;
 }
 
-static const char *
-service_of(int i)
+const char *
+Site_ServiceOf(int i)
 {
     return i % 2 == 0 ? "slots" : "ledger";
 }
@@ -30,7 +30,7 @@
 
     text = replaced(text, "@ADDRESS@", address);
     text = replaced(text, "@BORN@", birth);
-    text = replaced(text, "@SERVICE@", service_of(i));
+    text = replaced(text, "@SERVICE@", Site_ServiceOf(i));
     text = replaced(text, "@DOMAIN@", i < SITE_SERVERS / 2 ? "d1" : "d2");
     text = replaced(text, "@SLOTS@", slots);
     text = replaced(text, "@STATE@", state);
--- a/standins/site/simulation.h
+++ b/standins/site/simulation.h
@@ -38,6 +38,8 @@
     bool has_invalid_event; /* an event line was invalid */
 };
 
+/* The service of a server. */
+const char *Site_ServiceOf(int i);
 /* Writes the row of a server in that state ("ready", "draining"). */
 void Site_PutServer(Site *site, int i, const char *state);
 /* Replaces what matches `pattern` in the configuration, and writes it. */
--- a/tests/session/site_entries_cut_off.sh
+++ b/tests/session/site_entries_cut_off.sh
@@ -91,6 +91,15 @@
     conclude
 }
 
+# Cuts e2 off from one of the two services.
+play_service() { # BUILD STATE
+    begin "$1" || return 1
+    site_set_links e2 "$2" slots
+    sleep "$cut_s"
+    site_set_links e2 up slots
+    conclude
+}
+
 out=$1
 shift
 failed=0
@@ -102,6 +111,10 @@
 done
 gw_say "links: reset, and other entries stop"
 (play_stops "$out" reset) || failed=1
+for state in silent reset; do
+    gw_say "links: $state, to one service"
+    (play_service "$out" "$state") || failed=1
+done
 gw_say "links: silent, and another entry falls silent; then none has links"
 (play_pause "$out" silent) || failed=1
 exit "$failed"
