Servers that refuse connections at once are tried while unreached

While a service was unreached, each server got requests only once a probe or its row showed it; then all callers came at once, the crashing ones among them. Refusing without trying is meant for connections that hang; a refused one costs a round trip. Change: only servers whose last connection timed out are left out. only_open_connections_are_used_while_unreached now plays time-outs, which its line names; it played refusals, which are tried now.

--- a/lib/router/reach.c
+++ b/lib/router/reach.c
@@ -216,6 +216,7 @@
         return; /* set up before the links failed */
     }
     s->connect_failed_us = 0;
+    s->connect_timed_out = false;
     s->connected_us = now_us;
     GwRouter_ConfirmCrashes(r, now_us, s, at_us);
     if (reach->unreached_us != 0) {
@@ -240,6 +241,7 @@
     }
     s->connect_failed_us = now_us;
     s->connected_us = 0;
+    s->connect_timed_out = how == GW_LINK_TIMEOUT;
     reach->failed[how]++;
     reach->good_connects = 0;
 #if GW_MUTANT == 110 /* breaks: an entry never notices that it is cut off */
@@ -300,7 +302,7 @@
 {
     const GwReach *reach = &s->service->reach;
 
-    return reach->unreached_us == 0 ||
+    return reach->unreached_us == 0 || !s->connect_timed_out ||
            s->connected_us > reach->failing_since_us;
 }
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -138,6 +138,7 @@
     double slowdown;           /* run time relative to other servers */
     uint32_t failures;         /* in a row */
     int64_t connect_failed_us; /* 0: the last connection was set up */
+    bool connect_timed_out;    /* the last connection that failed */
     /* Last connection, or the registration; 0: the last connection failed. */
     int64_t connected_us;
     int64_t answered_us;
@@ -417,7 +418,7 @@
 /* Whether the server has answered since connections began to fail. */
 bool GwServer_StillAnswers(const GwServer *s);
 /* Whether the service is reached, or this server has registered or accepted a
- * connection since it is not. */
+ * connection since it is not, or refuses connections, which takes no time. */
 bool GwServer_MayConnect(const GwServer *s);
 
 /* pass_on.c */
--- a/tests/unit/test_router_reach.c
+++ b/tests/unit/test_router_reach.c
@@ -177,8 +177,8 @@
     FakeSteering *f = start(4);
     FakeRequest *open = FakeSteering_Arrive(f, "/again/x", NULL, LEFT_MS);
 
-    fail_request(f, GW_LINK_REFUSED);
-    FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
+    fail_request(f, GW_LINK_TIMEOUT);
+    FakeSteering_EndProbes(f, GW_PROBE_TIMEOUT);
     cr_assert(is_unreached(f));
     const FakeRequest *refused =
         FakeSteering_Arrive(f, "/again/x", NULL, LEFT_MS);
@@ -217,9 +217,9 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         FakeSteering *f = start(3);
-        fail_request(f, GW_LINK_REFUSED);
+        fail_request(f, GW_LINK_TIMEOUT);
         cr_assert(is_unreached(f));
-        FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
+        FakeSteering_EndProbes(f, GW_PROBE_TIMEOUT);
         FakeSteering_Advance(f, 260 * MS);
         if (cases[i].is_probed) {
             cr_assert_eq(f->probed->len, 1);
@@ -233,8 +233,29 @@
         cr_expect_eq(req->server != NULL, cases[i].is_used, "%s",
                      cases[i].name);
         cr_expect_not(req->reuses_connection, "%s", cases[i].name);
-        end_attempt(f, req, GW_ATTEMPT_UNSENT, GW_LINK_REFUSED, 0);
-        cr_expect(req->over, "%s: a refusal ends its use", cases[i].name);
+        end_attempt(f, req, GW_ATTEMPT_UNSENT, GW_LINK_TIMEOUT, 0);
+        cr_expect(req->over, "%s: a time-out ends its use", cases[i].name);
         Steering_Finish(f);
     }
 }
+
+/* Guards against: an entry takes a service whose servers all crashed for
+ * unreached, and the first of them that is back gets no requests until a probe
+ * finds it. */
+Test(router_reach, servers_that_refuse_at_once_are_tried_while_unreached)
+{
+    FakeSteering *f = start(3);
+
+    fail_request(f, GW_LINK_REFUSED);
+    FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
+    cr_assert(is_unreached(f));
+    FakeSteering_Advance(f, 260 * MS); /* past PANIC_INTERVAL_US */
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/x", NULL, LEFT_MS);
+    cr_assert_not_null(req->server);
+    cr_expect_not(req->reuses_connection);
+    while (!req->over) {
+        end_attempt(f, req, GW_ATTEMPT_UNSENT, GW_LINK_REFUSED, 0);
+    }
+    cr_expect_eq(req->status, 503);
+    Steering_Finish(f);
+}
