Probes of a failing service go to servers whose last connection worked

Cause: the probe that looks for a witness of a crash went to any server that had not failed since connections began to fail, also to one that had crashed earlier. Each such refusal used up one of three probes in 200 ms, and the crash found no witness beside a server that was up. Change: servers whose last connection worked are probed first, then those that failed earlier, then, while unreached, those that failed since.

--- a/lib/router/reach.c
+++ b/lib/router/reach.c
@@ -67,11 +67,28 @@
     return s->connect_failed_us >= service->reach.failing_since_us;
 }
 
-/* Probes up to `count` servers, from a random one on, with or without those to
- * which connections have failed. Returns the number. */
+/* How likely a connection to the server is to show that the service is
+ * reached: the most likely first. */
+typedef enum {
+    PROBE_UP = 0, /* the last connection was set up */
+    PROBE_DOWN,   /* it had failed before connections began to fail */
+    PROBE_FAILED, /* it has failed since then */
+} ProbeRank;
+
+static ProbeRank
+rank_of(const GwServiceState *service, const GwServer *s)
+{
+    if (s->connect_failed_us == 0) {
+        return PROBE_UP;
+    }
+    return has_failed(service, s) ? PROBE_FAILED : PROBE_DOWN;
+}
+
+/* Probes up to `count` servers of the rank, from a random one on. Returns the
+ * number. */
 static uint32_t
-probe_some(GwRouter *r, GwServiceState *service, bool failed, uint32_t count,
-           GArray *actions)
+probe_rank(GwRouter *r, GwServiceState *service, ProbeRank rank,
+           uint32_t count, GArray *actions)
 {
     guint len = service->servers->len;
     guint from = len > 0 ? GwRng_Below(&r->rng, len) : 0;
@@ -80,7 +97,7 @@
     for (guint i = 0; i < len && probed < count; i++) {
         GwServer *s = service->servers->pdata[(from + i) % len];
         if (!s->probed && !s->start->is_leaving &&
-            has_failed(service, s) == failed) {
+            rank_of(service, s) == rank) {
             GwServer_Probe(s, actions);
             probed++;
         }
@@ -88,16 +105,15 @@
     return probed;
 }
 
-/* Servers to which no connection has failed are the most likely to show that
- * the service is reached. */
 static void
 probe_servers(GwRouter *r, GwServiceState *service, uint32_t count,
               GArray *actions)
 {
-    uint32_t probed = probe_some(r, service, false, count, actions);
+    ProbeRank last =
+        service->reach.unreached_us != 0 ? PROBE_FAILED : PROBE_DOWN;
 
-    if (service->reach.unreached_us != 0) {
-        (void)probe_some(r, service, true, count - probed, actions);
+    for (ProbeRank rank = PROBE_UP; rank <= last; rank++) {
+        count -= probe_rank(r, service, rank, count, actions);
     }
 }
 
--- a/tests/unit/test_router_reach.c
+++ b/tests/unit/test_router_reach.c
@@ -1,6 +1,8 @@
 /* Whether an entry can connect to the servers of a service. */
 #include "unit/steering_cases.h"
 
+#include "router/router_internal.h"
+
 #include <criterion/criterion.h>
 #include <string.h>
 
@@ -69,6 +71,19 @@
     }
 }
 
+/* Makes so many attempts fail to connect, each at another server. */
+static void
+fail_attempts(FakeSteering *f, int count)
+{
+    FakeRequest *req = FakeSteering_Arrive(f, "/again/x", NULL, LEFT_MS);
+
+    for (int i = 0; i < count; i++) {
+        cr_assert_not_null(req->server);
+        end_attempt(f, req, GW_ATTEMPT_UNSENT, GW_LINK_REFUSED, 0);
+    }
+    FakeSteering_Disconnect(f, req);
+}
+
 /* Guards against: one server that is down makes a service unreached, or no
  * number of servers in a row does. */
 Test(router_reach, a_service_is_unreached_after_failures_in_a_row)
@@ -151,6 +166,27 @@
     Steering_Finish(f);
 }
 
+/* Guards against: servers that are known to be down are asked whether the links
+ * work, and the probes run out before one that is up is asked. */
+Test(router_reach, probes_go_to_servers_whose_last_connection_worked)
+{
+    FakeSteering *f = start(6);
+
+    f->holds_probes = false; /* each is answered */
+    fail_attempts(f, 3);
+    f->holds_probes = true;
+    for (int i = 0; i < 20; i++) {
+        FakeSteering_Advance(f, 300 * MS);
+        fail_attempts(f, 1);
+        for (guint k = 0; k < f->probed->len; k++) {
+            const GwServer *s = f->probed->pdata[k];
+            cr_expect_eq(s->connect_failed_us, 0);
+        }
+        FakeSteering_EndProbes(f, GW_PROBE_ALIVE);
+    }
+    Steering_Finish(f);
+}
+
 /* Guards against: servers stay ejected for failures of this entry's links. */
 Test(router_reach, servers_are_used_again_once_reached)
 {
