The crash of the last server of a service counts

Cause: a crash needs a witness, a connection to another server of the service. Where the servers of a small service crash one after the other, there is none for the last; it counted for nobody, and a request that crashes all of them was found out later, or an innocent one first. Change: it counts at once if all other servers of the service are known to have crashed, each with a witness, or leave. Servers that are lost at the same moment still prove nothing, as in a cut.

--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -133,6 +133,23 @@
     return NULL;
 }
 
+/* Whether all other servers of the service are known to have crashed or leave,
+ * which explains why no connection shows that this entry has links. */
+static bool
+are_others_down(const GwRouter *r, const GwServer *s)
+{
+    const GPtrArray *servers = s->service->servers;
+
+    for (guint i = 0; i < servers->len; i++) {
+        const GwServer *other = servers->pdata[i];
+        if (other != s && other->listed && !other->start->is_leaving &&
+            !GwQuarantine_HasCrashed(r->quarantine, other->hash)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 note_refused(GwRouter *r, int64_t now_us, const GwServer *s)
 {
@@ -142,7 +159,7 @@
     GwQuarantine_NoteCrash(r->quarantine, now_us, s->hash);
     return;
 #endif
-    if (GwRouter_ServerCount(r) == 1) {
+    if (are_others_down(r, s)) {
         GwQuarantine_NoteCrash(r->quarantine, now_us, s->hash);
     }
     else if (known != NULL) {
--- a/lib/router/quarantine.c
+++ b/lib/router/quarantine.c
@@ -362,6 +362,12 @@
     }
 }
 
+bool
+GwQuarantine_HasCrashed(const GwQuarantine *q, uint64_t server)
+{
+    return g_hash_table_contains(q->crashes, &server);
+}
+
 /* Whether the process had crashed before: the connection was to the next one,
  * whose start the registry does not show yet. */
 static bool
--- a/lib/router/quarantine.h
+++ b/lib/router/quarantine.h
@@ -73,6 +73,9 @@
 /* Whether a request lost its connection to the server, and a crash is neither
  * noted nor ruled out. */
 bool GwQuarantine_HasLostConnection(const GwQuarantine *q, uint64_t server);
+/* Whether the server process is known, here or from other entries, to have
+ * crashed. */
+bool GwQuarantine_HasCrashed(const GwQuarantine *q, uint64_t server);
 /* The server process crashed: all requests whose connections it recently
  * closed become suspects. */
 void GwQuarantine_NoteCrash(GwQuarantine *q, int64_t now_us, uint64_t server);
--- a/tests/unit/test_router_crashes.c
+++ b/tests/unit/test_router_crashes.c
@@ -49,20 +49,83 @@
     return f;
 }
 
-/* The server closes the connection of a request that it was running. */
+/* Ends all probes, also those that follow: servers that have lost a request
+ * refuse them, and the others too, unless they are alive. */
 static void
-lose_connection(FakeSteering *f)
+end_probes(FakeSteering *f, bool are_others_alive)
+{
+    while (f->probed->len > 0) {
+        GwServer *s = f->probed->pdata[0];
+        bool is_alive = are_others_alive && s->connect_failed_us == 0 &&
+                        !GwQuarantine_HasLostConnection(
+                            GwRouter_Quarantine(f->router), s->hash);
+        (void)g_ptr_array_remove_index(f->probed, 0);
+        GwRouter_ProbeEnded(f->router, f->now_us, s,
+                            is_alive ? GW_PROBE_ALIVE : GW_PROBE_REFUSED,
+                            f->actions);
+        FakeSteering_RunActions(f);
+    }
+}
+
+/* Sends a request to a server that has not crashed. */
+static FakeRequest *
+send_request(FakeSteering *f)
 {
     FakeRequest *req = FakeSteering_Arrive(f, "/once/x", NULL, LEFT_MS);
+
+    cr_assert_not_null(req->server);
+    while (GwQuarantine_HasCrashed(GwRouter_Quarantine(f->router),
+                                   req->server->hash)) {
+        FakeSteering_EndAttempt(f, req, GW_ATTEMPT_UNSENT, 0);
+        cr_assert_not_null(req->server);
+    }
+    return req;
+}
+
+/* The server closes the connection of the request that it was running. */
+static void
+lose_connection(FakeSteering *f, FakeRequest *req)
+{
     GwAttemptEnd end = {.outcome = GW_ATTEMPT_LOST,
                         .link = GW_LINK_RESET,
                         .closed = true,
                         .fingerprint = &crasher};
 
-    cr_assert_not_null(req->server);
     FakeSteering_EndAttemptSo(f, req, &end);
 }
 
+/* Guards against: when the servers of a service crash one after the other, the
+ * crash of the last one counts for nobody. */
+Test(router_crashes, the_last_server_of_a_service_crashes_too)
+{
+    static const struct {
+        const char *name;
+        bool one_by_one; /* else all are lost at the same moment */
+        uint32_t crashes;
+    } cases[] = {
+        {"one after the other", true, 3},
+        {"the links of this entry", false, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        FakeSteering *f = start();
+        FakeRequest *sent[3] = {NULL};
+        put_peer(f, "a", true);
+        for (int n = 0; n < 3 && !cases[i].one_by_one; n++) {
+            sent[n] = send_request(f);
+        }
+        for (int n = 0; n < 3; n++) {
+            lose_connection(f, sent[n] != NULL ? sent[n] : send_request(f));
+            end_probes(f, cases[i].one_by_one);
+            FakeSteering_Advance(f, 50 * MS);
+        }
+        cr_expect_eq(
+            GwQuarantine_Crashes(GwRouter_Quarantine(f->router), &crasher),
+            cases[i].crashes, "%s", cases[i].name);
+        Steering_Finish(f);
+    }
+}
+
 /* Guards against: an entry that is cut off from one service suspects requests
  * as soon as it connects to a server of another one. */
 Test(router_crashes, another_service_says_nothing_while_peers_reach_this_one)
@@ -70,7 +133,7 @@
     FakeSteering *f = start();
 
     put_peer(f, "a", true);
-    lose_connection(f);
+    lose_connection(f, send_request(f));
     for (int i = 0; i < 3; i++) {
         FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
         FakeSteering_Advance(f, 50 * MS);
@@ -97,7 +160,7 @@
 {
     FakeSteering *f = start();
 
-    lose_connection(f);
+    lose_connection(f, send_request(f));
     for (int i = 0; i < 100; i++) {
         FakeSteering_EndProbes(f, GW_PROBE_REFUSED);
         FakeSteering_Advance(f, 260 * MS);
