An older record of a quarantined request applies as soon as it is known

A record read at the start is old; nothing is awaited. Change: it begins then only for crashes so recent that other entries may still be counting them.

--- a/lib/router/quarantine.c
+++ b/lib/router/quarantine.c
@@ -234,7 +234,10 @@
         rec->threshold_us = 0;
     }
     else if (rec->threshold_us == 0) {
-        rec->threshold_us = now_us;
+        /* Crashes that are older are counted everywhere. */
+        rec->threshold_us = now_us - rec->at_us > LOST_CONNECTION_LIFE_US
+                                ? rec->at_us
+                                : now_us;
     }
     if (rec->is_shared) {
         q->changed_us = now_us;
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -162,6 +162,27 @@
     GwQuarantine_Free(q);
 }
 
+/* Guards against: an entry that starts reads which requests are quarantined,
+ * and sends them on until it has judged them anew. */
+Test(quarantine, an_older_record_applies_as_soon_as_it_is_known)
+{
+    GwQuarantine *from = GwQuarantine_Create();
+    GwQuarantine *q = GwQuarantine_Create();
+    GwSuspect s;
+    int64_t now_us = S;
+
+    for (uint64_t server = 1; server <= 3; server++) {
+        now_us += APART_US;
+        crash(from, now_us, server, 1, 1);
+    }
+    now_us += 4 * S;
+    cr_assert_eq(GwQuarantine_Changes(from, now_us, 0, &s, 1), 1);
+    GwQuarantine_Merge(q, now_us, &s);
+    cr_expect(is_quarantined(q, now_us, 1));
+    GwQuarantine_Free(from);
+    GwQuarantine_Free(q);
+}
+
 /* Guards against: requests that ran beside the cause are quarantined with
  * it. */
 Test(quarantine, the_cause_explains_the_crashes_of_others)
