The only server of a service needs a witness of its crash, as others do

Without any other server of the service, "all others have crashed" was true, also for an entry that is cut off from it; and a server that had crashed and is back under a start that is not known yet still counted as down. Change: there must be others, whose last connection failed. The only server of all still counts at once, as before.

--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -2,10 +2,10 @@
  *
  * A server that closes its connections and refuses new ones has crashed, or
  * this entry has lost its links. So a crash counts only once a connection to
- * another server of its service has been set up after the refusal. If there is
- * none, the service has crashed as a whole or this entry is cut off from it: a
- * server of another service shows that this entry has links, and the other
- * entries whether it is the only one that doesn't reach the service. */
+ * another server of its service has been set up after the refusal, or if all
+ * others are known to have crashed before. A server of another service shows
+ * that this entry has links, but only the other entries can tell whether it is
+ * cut off from this service. */
 #include "router/router_internal.h"
 
 /* Limit of the wait for a probe before a retry, in addition to two round
@@ -133,21 +133,26 @@
     return NULL;
 }
 
-/* Whether all other servers of the service are known to have crashed or leave,
- * which explains why no connection shows that this entry has links. */
+/* Whether no other server can show that this entry has links: those of the
+ * service are known to have crashed, or this is the only server of all. */
 static bool
 are_others_down(const GwRouter *r, const GwServer *s)
 {
     const GPtrArray *servers = s->service->servers;
+    uint32_t down = 0;
 
     for (guint i = 0; i < servers->len; i++) {
         const GwServer *other = servers->pdata[i];
-        if (other != s && other->listed && !other->start->is_leaving &&
+        if (other == s || !may_have_crashed(other)) {
+            continue;
+        }
+        if (other->connect_failed_us == 0 ||
             !GwQuarantine_HasCrashed(r->quarantine, other->hash)) {
             return false;
         }
+        down++;
     }
-    return true;
+    return down > 0 || GwRouter_ServerCount(r) == 1;
 }
 
 static void
--- a/lib/router/reach.c
+++ b/lib/router/reach.c
@@ -4,7 +4,8 @@
  * connections may work for a while longer, so only new connections count: a
  * service is unreached once connections to several of its servers have failed
  * in a row, with none set up in between. Until connections succeed again, its
- * requests are passed on to entries that reach the service (pass_on.c). */
+ * requests are passed on to entries that reach the service (pass_on.c). If none
+ * does, its servers may all be down, and those that may be back are tried. */
 #include "router/router_internal.h"
 
 #include <string.h>
--- a/tests/unit/test_router_crashes.c
+++ b/tests/unit/test_router_crashes.c
@@ -34,16 +34,18 @@
     GwRouter_PutPeer(f->router, f->now_us, &info);
 }
 
-/* Servers s0 to s2 of service "s", and t0 and t1 of another one. */
+/* Servers s0, s1 and so on of service "s", and t0 and t1 of another one. */
 static FakeSteering *
-start(void)
+start(uint32_t servers)
 {
     FakeSteering *f = Steering_Start(3);
 
     f->holds_probes = true;
-    put_server(f, "s0", "s");
-    put_server(f, "s1", "s");
-    put_server(f, "s2", "s");
+    for (uint32_t i = 0; i < servers; i++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "s%u", i);
+        put_server(f, id, "s");
+    }
     put_server(f, "t0", "t");
     put_server(f, "t1", "t");
     return f;
@@ -100,21 +102,24 @@
 {
     static const struct {
         const char *name;
-        bool one_by_one; /* else all are lost at the same moment */
+        uint32_t servers; /* of the service */
+        bool one_by_one;  /* else all are lost at the same moment */
         uint32_t crashes;
     } cases[] = {
-        {"one after the other", true, 3},
-        {"the links of this entry", false, 0},
+        {"one after the other", 3, true, 3},
+        {"the links of this entry", 3, false, 0},
+        {"the links of this entry to the only server", 1, false, 0},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        FakeSteering *f = start();
+        FakeSteering *f = start(cases[i].servers);
         FakeRequest *sent[3] = {NULL};
         put_peer(f, "a", true);
-        for (int n = 0; n < 3 && !cases[i].one_by_one; n++) {
+        for (uint32_t n = 0; n < cases[i].servers && !cases[i].one_by_one;
+             n++) {
             sent[n] = send_request(f);
         }
-        for (int n = 0; n < 3; n++) {
+        for (uint32_t n = 0; n < cases[i].servers; n++) {
             lose_connection(f, sent[n] != NULL ? sent[n] : send_request(f));
             end_probes(f, cases[i].one_by_one);
             FakeSteering_Advance(f, 50 * MS);
@@ -130,7 +135,7 @@
  * as soon as it connects to a server of another one. */
 Test(router_crashes, another_service_says_nothing_while_peers_reach_this_one)
 {
-    FakeSteering *f = start();
+    FakeSteering *f = start(3);
 
     put_peer(f, "a", true);
     lose_connection(f, send_request(f));
@@ -158,7 +163,7 @@
  * time whenever a connection is set up. */
 Test(router_crashes, refused_connections_await_confirmation_once_a_server)
 {
-    FakeSteering *f = start();
+    FakeSteering *f = start(3);
 
     lose_connection(f, send_request(f));
     for (int i = 0; i < 100; i++) {
