--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -101,6 +101,7 @@
 117 unit.router_pass_on - attempts are counted over both entries
 118 unit.access - nothing runs before the quarantine is known
 119 unit.router_crashes - lost links to one service are no crashes of its servers
+120 unit.quarantine - a process crashes once
 102 follow - an entry without a recent proof reads the store
 '
 
