Logs and metrics name the era of the store

The logs of the incident can't tell whether the store's history is another one after an outage: they show only that an answer is older than what is held. STORE_ERA is logged when the store names another era than before, with what was held and how old its proof is; ROWS_OLDER and gw_table_era name the era. What entries believe is unchanged.

--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -39,6 +39,7 @@
     const char *leaving;      /* "1": the server leaves */
     const char *credential;   /* key of the caller; never forwarded */
     const char *organisation; /* name of the caller's organisation */
+    const char *store_era; /* in answers of the store (store/version.h) */
     /* Paths served by entries. */
     const char *ready_path;
     const char *directory_path;
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -228,6 +228,8 @@
  * store. */
 void GwFeed_NotePeerReport(GwFeed *feed, bool saw_outage);
 uint64_t GwFeed_Version(const GwFeed *feed);
+/* Era that the store last named; 0: none. */
+uint32_t GwFeed_Era(const GwFeed *feed);
 /* How long the current call to the store is unanswered; 0: there is none. */
 int64_t GwFeed_UnansweredMs(const GwFeed *feed);
 /* Proof that the copy has all changes up to a time (GwEdge_BootNow). */
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -62,6 +62,12 @@
     return GwRowCache_Version(GwFeed_Cache(feed));
 }
 
+uint32_t
+GwFeed_Era(const GwFeed *feed)
+{
+    return feed->era;
+}
+
 int64_t
 GwFeed_UnansweredMs(const GwFeed *feed)
 {
@@ -264,8 +270,26 @@
 
     if (set->version < held) {
         GwLog_Event(GW_LOG_ROWS_OLDER,
-                    "table=%s version=%" PRIu64 " held=%" PRIu64, feed->table,
-                    set->version, held);
+                    "table=%s version=%" PRIu64 " held=%" PRIu64 " era=%u",
+                    feed->table, set->version, held, feed->era);
+    }
+}
+
+static void
+note_era(GwFeed *feed, const GwHttpMessage *msg)
+{
+    uint32_t era = GwStoreEra_Parse(
+        GwHttpMessage_GetOnly(msg, feed->edge->adapter->store_era));
+
+    if (era != 0 && era != feed->era) {
+        if (feed->era != 0) {
+            GwLog_Event(GW_LOG_STORE_ERA,
+                        "table=%s era=%u was=%u held=%" PRIu64
+                        " news_ms=%" PRId64,
+                        feed->table, era, feed->era, GwFeed_Version(feed),
+                        GwFeed_AgeMs(feed));
+        }
+        feed->era = era;
     }
 }
 
@@ -332,6 +356,7 @@
     GError *error = NULL;
     GwRowSet *set = NULL;
 
+    note_era(feed, msg);
     if (msg->status == 410) {
         uint32_t id = link->call.id;
         GwHttpMessage_Free(msg);
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -4,6 +4,7 @@
 
 #include "edge/edge_internal.h"
 #include "store/follower.h"
+#include "store/version.h"
 
 /* A connection to the store, with at most one call in progress. */
 typedef struct {
@@ -18,6 +19,7 @@
     char *table;
     GwFollower *follower;
     GwStoreLink links[GW_FOLLOWER_CALLS_MAX];
+    uint32_t era;                  /* that the store last named; 0: none */
     bool is_away;                  /* as last logged */
     int64_t outage_grace_until_us; /* grace period after an outage */
     /* Fetch of missing rows from a peer, or once from the store; at most one
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -51,13 +51,15 @@
         out,
         "gw_table_version{table=\"%s\"} %" PRIu64 "\n"
         "gw_table_version_seen{table=\"%s\"} %" PRIu64 "\n"
+        "gw_table_era{table=\"%s\"} %u\n"
         "gw_table_unanswered_ms{table=\"%s\"} %" PRId64 "\n"
         "gw_table_news_age_ms{table=\"%s\"} %" PRId64 "\n"
         "gw_table_read_here{table=\"%s\"} %d\n"
         "gw_table_store_was_away{table=\"%s\"} %d\n",
         table, GwFeed_Version(feed), table, MAX(seen, GwFeed_Version(feed)),
-        table, GwFeed_UnansweredMs(feed), table, GwFeed_AgeMs(feed), table,
-        GwFeed_IsHealthy(feed), table, GwFeed_HadOutage(feed));
+        table, GwFeed_Era(feed), table, GwFeed_UnansweredMs(feed), table,
+        GwFeed_AgeMs(feed), table, GwFeed_IsHealthy(feed), table,
+        GwFeed_HadOutage(feed));
 }
 
 static void
