Tests of a store that is restored from a copy: known red

The fleet that follows the store now knows three states of a server, as servers also leave without a word; a drain must be known as before, a server that is gone must not be ready.

--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -133,13 +133,49 @@
     SiteStore_Compact(site->store);
 }
 
+/* Restores the store from a copy. What the operator and the servers wrote since
+ * is lost until `rewrite`. */
+static void
+run_restore(Site *site, char **words)
+{
+    SiteStore_Restore(site->store, (uint32_t)strtoul(words[1], NULL, 10));
+    SiteJournal_Disturbed(site->journal);
+}
+
+static void
+run_skip(Site *site, char **words)
+{
+    SiteStore_SkipVersions(site->store, strtoul(words[1], NULL, 10));
+}
+
+/* The operator and the servers write what they last wrote. */
+static void
+run_rewrite(Site *site, char **words)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    (void)words;
+    Site_PutConfig(site, NULL, NULL);
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        Site_PutServer(site, i, site->draining[i] ? "draining" : "ready");
+    }
+    g_hash_table_iter_init(&iter, site->evacuated);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        SiteStore_Put(site->store, Platform_Adapter.operator_table, key,
+                      value);
+    }
+    update_drain_marks(site);
+}
+
 static void
 set_evacuated(Site *site, const char *domain, const char *value)
 {
     char *key = g_strdup_printf("evacuate/%s", domain);
 
     SiteStore_Put(site->store, Platform_Adapter.operator_table, key, value);
-    g_free(key);
+    g_hash_table_replace(site->evacuated, key, g_strdup(value));
 }
 
 static void
@@ -208,6 +244,9 @@
     {"start", 2, run_start},   /* ADDRESS; before the process starts */
     {"store", 2, run_store},   /* see SiteStore_ParseMode */
     {"compact", 1, run_compact},
+    {"restore", 2, run_restore}, /* AGE MS */
+    {"rewrite", 1, run_rewrite},
+    {"skip", 2, run_skip},   /* VERSIONS */
     {"links", 4, run_links}, /* STATE SOURCE ADDRESS [SERVICE] */
     {"links", 5, run_links},
     {"drain", 2, run_drain}, /* NUMBER */
--- a/standins/site/rows.c
+++ b/standins/site/rows.c
@@ -27,6 +27,7 @@
     char *address = g_strdup_printf("127.0.0.1:%d", site->args.port + i);
     char *slots = g_strdup_printf("%d", site->args.slots);
     char *birth = g_strdup_printf("%u", site->birth[i] + 1);
+    char *heartbeat = g_strdup_printf("%u", ++site->heartbeats[i]);
 
     text = replaced(text, "@ADDRESS@", address);
     text = replaced(text, "@BORN@", birth);
@@ -34,8 +35,9 @@
     text = replaced(text, "@DOMAIN@", i < SITE_SERVERS / 2 ? "d1" : "d2");
     text = replaced(text, "@SLOTS@", slots);
     text = replaced(text, "@STATE@", state);
-    text = replaced(text, "@SEQ@", "1");
+    text = replaced(text, "@SEQ@", heartbeat);
     SiteStore_Put(site->store, Platform_Adapter.server_table, key, text);
+    g_free(heartbeat);
     g_free(birth);
     g_free(slots);
     g_free(address);
@@ -46,13 +48,14 @@
 void
 Site_PutConfig(Site *site, const char *pattern, const char *text)
 {
-    GRegex *regex = g_regex_new(pattern, 0, 0, NULL);
-    char *changed =
-        g_regex_replace_literal(regex, site->config, -1, 0, text, 0, NULL);
-
-    g_regex_unref(regex);
-    g_free(site->config);
-    site->config = changed;
+    if (pattern != NULL) {
+        GRegex *regex = g_regex_new(pattern, 0, 0, NULL);
+        char *changed =
+            g_regex_replace_literal(regex, site->config, -1, 0, text, 0, NULL);
+        g_regex_unref(regex);
+        g_free(site->config);
+        site->config = changed;
+    }
     SiteStore_Put(site->store, Platform_Adapter.operator_table, "config",
                   site->config);
 }
--- a/standins/site/simulation.h
+++ b/standins/site/simulation.h
@@ -27,7 +27,9 @@
     bool draining[SITE_SERVERS];
     uint32_t birth[SITE_SERVERS];
     SiteStoreMode store_mode;
-    GHashTable *paused; /* addresses of entries */
+    uint32_t heartbeats[SITE_SERVERS]; /* rows that the server has written */
+    GHashTable *paused;                /* addresses of entries */
+    GHashTable *evacuated; /* key -> row of the operator; NULL: removed */
     GPtrArray *callers;
     GPtrArray *directories;
     int64_t start_us;
@@ -42,7 +44,8 @@
 const char *Site_ServiceOf(int i);
 /* Writes the row of a server in that state ("ready", "draining"). */
 void Site_PutServer(Site *site, int i, const char *state);
-/* Replaces what matches `pattern` in the configuration, and writes it. */
+/* Replaces what matches `pattern` in the configuration, and writes it. NULL
+ * changes nothing. */
 void Site_PutConfig(Site *site, const char *pattern, const char *text);
 /* Adds the organisations to the configuration. False if the file can't be
  * read. */
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -185,6 +185,11 @@
 /* Drops the history: older feeds are answered with 410 and must read the
  * whole table again. */
 void SiteStore_Compact(SiteStore *s);
+/* Restores the state of `age_ms` ago, as a new era: what was written since is
+ * lost, and its versions are given out again. */
+void SiteStore_Restore(SiteStore *s, uint32_t age_ms);
+/* Raises the version, as writes to other tables do. */
+void SiteStore_SkipVersions(SiteStore *s, uint64_t count);
 void SiteStore_Sweep(SiteStore *s);
 
 /* ---- Backend servers ----------------------------------------------------- */
--- a/standins/site/store.c
+++ b/standins/site/store.c
@@ -13,10 +13,19 @@
     GList link; /* in store->feeds */
 } Feed;
 
+/* A row that was written, for the restore of a copy. */
+typedef struct {
+    int64_t at_us;
+    char *table;
+    GwStoreRow *row;
+} Write;
+
 struct SiteStore_s {
     uv_loop_t *loop;
     const GwAdapter *adapter;
     GHashTable *tables; /* name -> GPtrArray of GwStoreRow */
+    GPtrArray *writes;  /* Write, in order */
+    uint32_t era;
     uint64_t version;
     uint64_t oldest; /* history below this version is dropped */
     SiteStoreMode mode;
@@ -42,11 +51,13 @@
 }
 
 static void
-answer(GwClient *client, uint16_t status, const char *body)
+answer(const SiteStore *s, GwClient *client, uint16_t status, const char *body)
 {
-    GwHttpResponse out = {.status = status, .body = body};
+    char *era = g_strdup_printf("%s: %u\r\n", s->adapter->store_era, s->era);
+    GwHttpResponse out = {.status = status, .body = body, .fields = era};
 
     GwClient_Respond(client, &out);
+    g_free(era);
 }
 
 /* Returns the rows above a version, with removed rows if `removed`. */
@@ -74,7 +85,7 @@
 {
     char *body = s->adapter->write_rows(table, set);
 
-    answer(client, 200, body);
+    answer(s, client, 200, body);
     g_free(body);
 }
 
@@ -128,7 +139,7 @@
     switch (call->kind) {
     case PLATFORM_CALL_WRITE:
         SiteStore_Put(s, call->table, call->key, call->value);
-        answer(client, 200, "{\"ver\":1}");
+        answer(s, client, 200, "{\"ver\":1}");
         break;
     case PLATFORM_CALL_READ:
         set = rows_after(s, call->table, 0, false);
@@ -136,8 +147,8 @@
         GwRowSet_Free(set);
         break;
     case PLATFORM_CALL_FEED:
-        if (call->after < s->oldest) {
-            answer(client, 410, "{}");
+        if (call->after < s->oldest || call->after > s->version) {
+            answer(s, client, 410, "{}");
         }
         else {
             begin_feed(s, client, call);
@@ -184,13 +195,13 @@
         /* no answer */
     }
     else if (is_turned_away(s, &call)) {
-        answer(client, 503, "{}");
+        answer(s, client, 503, "{}");
     }
     else if (is_valid) {
         serve(s, client, &call);
     }
     else {
-        answer(client, 404, "{}");
+        answer(s, client, 404, "{}");
     }
     PlatformCall_Clear(&call);
     GwHttpMessage_Free(msg);
@@ -210,6 +221,16 @@
 static const GwHttpListenerOps ops = {.asked = on_request,
                                       .gone = on_disconnected};
 
+static void
+free_write(gpointer item)
+{
+    Write *write = item;
+
+    GwStoreRow_Free(write->row);
+    g_free(write->table);
+    g_free(write);
+}
+
 SiteStore *
 SiteStore_Create(uv_loop_t *loop, const char *address,
                  const GwAdapter *adapter)
@@ -220,6 +241,8 @@
     s->adapter = adapter;
     s->tables = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)g_ptr_array_unref);
+    s->writes = g_ptr_array_new_with_free_func(free_write);
+    s->era = 1;
     return GwHttpListener_Create(loop, address, &ops, s) != NULL ? s : NULL;
 }
 
@@ -235,21 +258,36 @@
     }
 }
 
+/* Replaces the row of that key. */
 static void
-set_row(SiteStore *s, const char *table, const char *key, const char *value)
+place_row(SiteStore *s, const char *table, const GwStoreRow *row)
 {
     GPtrArray *rows = table_of(s, table);
 
     for (guint i = 0; i < rows->len; i++) {
-        const GwStoreRow *row = rows->pdata[i];
-        if (strcmp(row->key, key) == 0) {
+        const GwStoreRow *old = rows->pdata[i];
+        if (strcmp(old->key, row->key) == 0) {
             g_ptr_array_remove_index(rows, i);
             break;
         }
     }
+    g_ptr_array_add(rows, GwStoreRow_Create(row->key, row->value, row->version,
+                                            row->removed));
+}
+
+static void
+set_row(SiteStore *s, const char *table, const char *key, const char *value)
+{
+    Write *write = g_new0(Write, 1);
+
     s->version++;
-    g_ptr_array_add(rows,
-                    GwStoreRow_Create(key, value, s->version, value == NULL));
+    *write = (Write){
+        .at_us = now_us(),
+        .table = g_strdup(table),
+        .row = GwStoreRow_Create(key, value, s->version, value == NULL),
+    };
+    g_ptr_array_add(s->writes, write);
+    place_row(s, table, write->row);
     SiteStore_Sweep(s);
 }
 
@@ -278,3 +316,31 @@
     s->version++;
     s->oldest = s->version;
 }
+
+void
+SiteStore_Restore(SiteStore *s, uint32_t age_ms)
+{
+    int64_t copied_us = now_us() - (int64_t)age_ms * 1000;
+    guint kept = 0;
+
+    g_hash_table_remove_all(s->tables);
+    s->version = 0;
+    while (kept < s->writes->len) {
+        const Write *write = s->writes->pdata[kept];
+        if (write->at_us > copied_us) {
+            break;
+        }
+        place_row(s, write->table, write->row);
+        s->version = write->row->version;
+        kept++;
+    }
+    g_ptr_array_set_size(s->writes, (gint)kept);
+    s->oldest = MIN(s->oldest, s->version);
+    s->era++;
+}
+
+void
+SiteStore_SkipVersions(SiteStore *s, uint64_t count)
+{
+    s->version += count;
+}
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -200,6 +200,8 @@
     site->journal = SiteJournal_Create(Site_NowUs);
     site->paused =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    site->evacuated =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     site->version = FIRST_VERSION;
     site->callers = g_ptr_array_new();
     site->directories = g_ptr_array_new_with_free_func(g_free);
--- a/tests/fakes/follow_faults.c
+++ b/tests/fakes/follow_faults.c
@@ -2,10 +2,19 @@
 #include "fakes/follow_internal.h"
 
 /* Virtual time is cut into steps, and an entry acts at its next tick. */
-#define SLACK_US         (2 * STEP_US + TICK_US)
-#define BURST_GAP_US     (30 * MS)
-#define BURST_MAX        8
-#define DRAINS_PER_MILLE 150
+#define SLACK_US           (2 * STEP_US + TICK_US)
+#define BURST_GAP_US       (30 * MS)
+#define BURST_MAX          8
+#define DRAINS_PER_MILLE   150
+#define REMOVALS_PER_MILLE 50
+/* The store is away before it is restored, and its copy is so old at most. */
+#define RESTORE_AWAY_US (2 * S)
+#define COPY_AGE_US     (6 * S)
+/* Operators and servers write what was lost again, and rows of servers that
+ * have ended lapse, within this time after the store's return. */
+#define REWRITE_US  (2 * S)
+#define LAPSE_US    (4500 * MS)
+#define SKIPPED_MAX 300
 
 const char *
 FollowFault_Name(FollowFault fault)
@@ -24,6 +33,7 @@
         [FOLLOW_PAUSE] = "pause",
         [FOLLOW_SLOW] = "slow",
         [FOLLOW_RESTART] = "restart",
+        [FOLLOW_RESTORE] = "restore",
     };
 
     return names[fault];
@@ -41,24 +51,127 @@
                           text);
 }
 
+/* Writes the row of a server, with the number of its heartbeat; NULL removes
+ * it. */
 static void
-drain_server(FollowRun *run, uint32_t server)
+put_server(FollowRun *run, uint32_t server, const char *state)
 {
     char key[16];
+    char value[48];
 
     g_snprintf(key, sizeof(key), "%u", server);
+    g_snprintf(value, sizeof(value), "%s %" G_GUINT64_FORMAT,
+               state != NULL ? state : "", ++run->server_seq);
     (void)FollowStore_Put(run->store, run->now_us, FOLLOW_SERVERS, key,
-                          "draining");
+                          state != NULL ? value : NULL);
 }
 
 static void
 register_servers(FollowRun *run)
 {
     for (uint32_t i = 0; i < SERVERS; i++) {
-        char key[16];
-        g_snprintf(key, sizeof(key), "%u", i);
-        (void)FollowStore_Put(run->store, run->now_us, FOLLOW_SERVERS, key,
-                              "ready");
+        put_server(run, i, "ready");
+    }
+}
+
+static void
+write_change(FollowRun *run, FollowChange *change)
+{
+    change->acked_us = run->now_us;
+    switch (change->kind) {
+    case FOLLOW_CONFIG:
+        change_config(run, change->config);
+        break;
+    case FOLLOW_DRAIN:
+        put_server(run, change->server, "draining");
+        break;
+    case FOLLOW_REMOVAL:
+        put_server(run, change->server, NULL);
+        break;
+    }
+}
+
+/* Whether the server has left, or its drain is lost and not written again. */
+static bool
+has_left(const FollowRun *run, uint32_t server)
+{
+    for (guint i = 0; i < run->changes->len; i++) {
+        const FollowChange *c = &g_array_index(run->changes, FollowChange, i);
+        if (c->kind != FOLLOW_CONFIG && c->server == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- A store that is restored from a copy ------------------------------- */
+
+/* The operator writes the newest configuration again, and servers what they
+ * said; who has ended writes nothing, and its row lapses. */
+static void
+schedule_rewrites(FollowRun *run, int64_t copied_us)
+{
+    guint newest = G_MAXUINT;
+
+    for (guint i = 0; i < run->changes->len; i++) {
+        FollowChange *c = &g_array_index(run->changes, FollowChange, i);
+        FollowRewrite rewrite = {.change = i};
+        if (c->acked_us <= copied_us) {
+            continue;
+        }
+        c->acked_us = INT64_MAX;
+        if (c->kind == FOLLOW_CONFIG) {
+            newest = i;
+            continue;
+        }
+        rewrite.at_us = run->now_us + (c->kind == FOLLOW_REMOVAL
+                                           ? LAPSE_US
+                                           : FollowRun_Below(run, REWRITE_US));
+        g_array_append_val(run->rewrites, rewrite);
+    }
+    if (newest != G_MAXUINT) {
+        FollowRewrite rewrite = {.at_us = run->now_us +
+                                          FollowRun_Below(run, REWRITE_US),
+                                 .change = newest};
+        g_array_append_val(run->rewrites, rewrite);
+    }
+}
+
+static void
+write_again(FollowRun *run)
+{
+    for (guint i = 0; i < run->rewrites->len; i++) {
+        FollowRewrite rewrite = g_array_index(run->rewrites, FollowRewrite, i);
+        FollowChange *c =
+            &g_array_index(run->changes, FollowChange, rewrite.change);
+        if (rewrite.at_us > run->now_us) {
+            continue;
+        }
+        /* A newer configuration may have been written in the meantime. */
+        bool is_newest =
+            c->kind != FOLLOW_CONFIG || c->config == run->newest_config;
+        if (c->acked_us == INT64_MAX && is_newest) {
+            write_change(run, c);
+            if (FollowRun_Below(run, 3) == 0) {
+                FollowStore_SkipVersions(run->store,
+                                         FollowRun_Below(run, SKIPPED_MAX));
+            }
+        }
+        g_array_remove_index_fast(run->rewrites, i--);
+    }
+}
+
+static void
+restore_store(FollowRun *run)
+{
+    int64_t copied_us = run->now_us - FollowRun_Below(run, COPY_AGE_US);
+
+    FollowStore_Restore(run->store, copied_us);
+    schedule_rewrites(run, copied_us);
+    run->restore_us = 0;
+    if (run->restores > 0) {
+        run->restores--;
+        run->restore_us = run->now_us + FollowRun_Below(run, 1 * S);
     }
 }
 
@@ -85,17 +198,20 @@
     if (run->changes->len == 0) {
         register_servers(run);
     }
-    FollowChange change = {.acked_us = run->now_us,
-                           .config = run->changes->len + 1};
-    if (FollowRun_Below(run, 1000) < DRAINS_PER_MILLE) {
-        change.config = 0;
+    FollowChange change = {.config = run->changes->len + 1};
+    uint32_t drawn = FollowRun_Below(run, 1000);
+    if (drawn < DRAINS_PER_MILLE) {
+        change.kind =
+            drawn < REMOVALS_PER_MILLE ? FOLLOW_REMOVAL : FOLLOW_DRAIN;
         change.server = FollowRun_Below(run, SERVERS);
-        drain_server(run, change.server);
     }
-    else {
-        change_config(run, change.config);
+    if (change.kind == FOLLOW_CONFIG) {
+        run->newest_config = change.config;
+    }
+    if (change.kind == FOLLOW_CONFIG || !has_left(run, change.server)) {
+        write_change(run, &change);
+        g_array_append_val(run->changes, change);
     }
-    g_array_append_val(run->changes, change);
     if (run->burst == 0 && FollowRun_Below(run, 5) == 0) {
         run->burst = 1 + FollowRun_Below(run, BURST_MAX);
     }
@@ -205,6 +321,12 @@
     case FOLLOW_RESTART:
         disturb_entries(run, fault, until_us);
         break;
+    case FOLLOW_RESTORE:
+        until_us = run->now_us + FollowRun_Below(run, RESTORE_AWAY_US);
+        set_store_mode(run, STORE_SILENT, 100, until_us);
+        run->restore_us = until_us;
+        run->restores = FollowRun_Below(run, 3);
+        break;
     case FOLLOW_CALM:
     case FOLLOW_FAULT_COUNT:
         break;
@@ -214,6 +336,12 @@
 void
 FollowRun_Disturb(FollowRun *run)
 {
+    if (run->restore_us != 0 && run->now_us >= run->restore_us) {
+        restore_store(run);
+    }
+    if (!is_store_away(run)) {
+        write_again(run);
+    }
     make_changes(run);
     if (run->now_us < run->next_fault_us) {
         return;
@@ -239,6 +367,17 @@
            (mode != STORE_ANSWERS && mode != STORE_IS_STALE);
 }
 
+/* Whether the entry may still use a server that has left. It must know of a
+ * drain; a server that is gone may be unknown to it. */
+static bool
+has_missed(const FollowEntry *e, const FollowChange *c)
+{
+    FollowServerState state = e->servers[c->server];
+
+    return c->kind == FOLLOW_DRAIN ? state != FOLLOW_LEFT
+                                   : state == FOLLOW_READY;
+}
+
 /* An entry in touch must have every change that was acknowledged `bound_ms`
  * ago. */
 void
@@ -263,11 +402,11 @@
     for (guint i = run->changes->len; i > 0; i--) {
         const FollowChange *c =
             &g_array_index(run->changes, FollowChange, i - 1);
-        if (c->config == 0 && c->acked_us <= due_us &&
-            !e->drained[c->server]) {
-            run->report.late_drains++;
+        if (c->kind != FOLLOW_CONFIG) {
+            run->report.late_drains +=
+                c->acked_us <= due_us && has_missed(e, c);
         }
-        if (c->config > e->config) {
+        else if (c->config > e->config && c->acked_us != INT64_MAX) {
             is_late = is_late || c->acked_us <= due_us;
             run->report.worst_ms =
                 MAX(run->report.worst_ms, (run->now_us - c->acked_us) / MS);
--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -72,10 +72,14 @@
 on_server_row(void *ctx, const GwStoreRow *row)
 {
     FollowEntry *e = ctx;
+    FollowServerState *state = &e->servers[atoi(row->key)];
 
-    if (row->removed || strcmp(row->value, "draining") == 0) {
-        e->drained[atoi(row->key)] = true;
+    if (row->removed || g_str_has_prefix(row->value, "draining")) {
+        *state = FOLLOW_LEFT;
+        return;
     }
+    e->run->report.returned += *state == FOLLOW_LEFT;
+    *state = FOLLOW_READY;
 }
 
 uint64_t
@@ -113,7 +117,7 @@
     GwFollower_FollowOther(e->followers[FOLLOW_SERVERS]);
     memset(e->is_connected, 0, sizeof(e->is_connected));
     memset(e->fetches, 0, sizeof(e->fetches));
-    memset(e->drained, 0, sizeof(e->drained));
+    memset(e->servers, 0, sizeof(e->servers));
     memset(e->peers, 0, sizeof(FollowPeer) * run->params.entries);
     e->config = 0;
     e->started_us = run->now_us;
@@ -429,6 +433,7 @@
         g_array_free(run->network[i], TRUE);
     }
     g_array_free(run->changes, TRUE);
+    g_array_free(run->rewrites, TRUE);
     g_free(run->entries);
     FollowStore_Free(run->store);
 }
@@ -451,6 +456,7 @@
     int64_t end_us = run.now_us + (int64_t)params->seconds * S;
     run.next_change_us = run.now_us;
     run.next_fault_us = run.now_us + 5 * S;
+    run.rewrites = g_array_new(FALSE, FALSE, sizeof(FollowRewrite));
     while (run.now_us < end_us) {
         run.now_us += STEP_US;
         FollowRun_Disturb(&run);
--- a/tests/fakes/follow_fleet.h
+++ b/tests/fakes/follow_fleet.h
@@ -22,6 +22,8 @@
     FOLLOW_PAUSE,      /* entries are paused */
     FOLLOW_SLOW,       /* entries run slowly */
     FOLLOW_RESTART,    /* entries are killed and start again */
+    FOLLOW_RESTORE,    /* the store is away and restored from a copy, at times
+                        * twice in a row */
     FOLLOW_FAULT_COUNT
 } FollowFault;
 
@@ -43,6 +45,7 @@
     uint64_t late_configs; /* of them, with a configuration that is too old */
     uint64_t late_drains;  /* of them, without a drain that is due */
     uint64_t reverts;      /* an entry went back to an older configuration */
+    uint64_t returned;     /* a server that had left was ready again */
     int64_t worst_ms;      /* longest time to the configuration in force, of
                             * entries in touch */
     double calls_per_s;    /* to the store, by all entries */
--- a/tests/fakes/follow_internal.h
+++ b/tests/fakes/follow_internal.h
@@ -43,6 +43,13 @@
 
 typedef struct FollowRun_s FollowRun;
 
+/* What an entry believes of a server. */
+typedef enum {
+    FOLLOW_UNKNOWN = 0,
+    FOLLOW_READY, /* gets requests */
+    FOLLOW_LEFT   /* draining, or gone */
+} FollowServerState;
+
 typedef struct {
     FollowRun *run;
     uint32_t index;
@@ -65,7 +72,7 @@
     int64_t cut_until_us;
     int64_t disturbed_us; /* last time that it was not in touch */
     uint64_t config;      /* in force */
-    bool drained[SERVERS];
+    FollowServerState servers[SERVERS];
 } FollowEntry;
 
 typedef struct {
@@ -80,13 +87,27 @@
     uint64_t versions[FOLLOW_TABLE_COUNT];
 } FollowReport;
 
+typedef enum {
+    FOLLOW_CONFIG = 0,
+    FOLLOW_DRAIN,
+    FOLLOW_REMOVAL /* of a server that leaves without a word */
+} FollowChangeKind;
+
 /* A change and when the store acknowledged it. */
 typedef struct {
-    int64_t acked_us;
-    uint64_t config; /* version; 0: the drain of a server */
+    int64_t acked_us; /* INT64_MAX: lost, and not written again yet */
+    FollowChangeKind kind;
+    uint64_t config; /* version */
     uint32_t server;
 } FollowChange;
 
+/* What the operator or a server writes again, or a row that lapses, after the
+ * store was restored. */
+typedef struct {
+    int64_t at_us;
+    guint change;
+} FollowRewrite;
+
 struct FollowRun_s {
     FollowFleetParams params;
     FollowFleetReport report;
@@ -102,6 +123,11 @@
     int64_t next_change_us;
     int64_t next_fault_us;
     int64_t store_disturbed_us;
+    GArray *rewrites;   /* FollowRewrite */
+    int64_t restore_us; /* when the store is restored; 0: it is not */
+    uint32_t restores;  /* left that follow */
+    uint64_t newest_config;
+    uint64_t server_seq;   /* of the last row that a server wrote */
     uint32_t one_way_from; /* domains */
     uint32_t one_way_to;
     int64_t one_way_until_us;
--- a/tests/fakes/follow_store.c
+++ b/tests/fakes/follow_store.c
@@ -20,6 +20,7 @@
 } Write;
 
 struct FollowStore_s {
+    uint32_t era;
     uint64_t version;
     uint64_t history_from;
     GArray *writes; /* Write, in order */
@@ -38,6 +39,7 @@
     FollowStore *s = g_new0(FollowStore, 1);
 
     s->modes = g_new0(CallerMode, callers);
+    s->era = 1;
     s->callers = callers;
     s->reads_per_s = reads_per_s;
     s->answers = g_array_new(FALSE, FALSE, sizeof(CallAnswer));
@@ -81,8 +83,31 @@
     s->history_from = s->version;
 }
 
+void
+FollowStore_Restore(FollowStore *s, int64_t copied_us)
+{
+    guint kept = s->writes->len;
+
+    while (kept > 0 &&
+           g_array_index(s->writes, Write, kept - 1).at_us > copied_us) {
+        kept--;
+        GwStoreRow_Free(g_array_index(s->writes, Write, kept).row);
+    }
+    g_array_set_size(s->writes, kept);
+    s->version =
+        kept > 0 ? g_array_index(s->writes, Write, kept - 1).row->version : 0;
+    s->history_from = MIN(s->history_from, s->version);
+    s->era++;
+}
+
+void
+FollowStore_SkipVersions(FollowStore *s, uint64_t count)
+{
+    s->version += count;
+}
+
 /* The newest row of each key that was written after a version, as the table
- * was at `as_of_us`. */
+ * was at `as_of_us`; INT64_MAX: as it is. */
 static GwRowSet *
 rows_after(const FollowStore *s, int64_t as_of_us, FollowTable table,
            uint64_t after, bool with_removed)
@@ -90,6 +115,9 @@
     GwRowSet *set = GwRowSet_Create();
     GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
+    if (as_of_us == INT64_MAX) {
+        set->version = s->version;
+    }
     for (guint i = s->writes->len; i > 0; i--) {
         const Write *write = &g_array_index(s->writes, Write, i - 1);
         const GwStoreRow *row = write->row;
@@ -114,6 +142,7 @@
 {
     to.at_us = at_us;
     to.outcome = outcome;
+    to.era = s->era;
     to.rows = rows;
     g_array_append_val(s->answers, to);
 }
@@ -152,7 +181,7 @@
                rows_after(s, as_of_us, to->table, 0, false));
         return;
     }
-    if (call->after < s->history_from) {
+    if (call->after < s->history_from || call->after > s->version) {
         answer(s, back_us, *to, CALL_GONE, NULL);
         return;
     }
@@ -172,7 +201,7 @@
         answer(s, now_us + way_us, *to, CALL_REFUSED, NULL);
         break;
     case STORE_IS_SLOW:
-        answer_call(s, now_us, now_us, way_us + SLOW_US, call, to);
+        answer_call(s, now_us, INT64_MAX, way_us + SLOW_US, call, to);
         break;
     case STORE_IS_STALE:
         answer_call(s, now_us, now_us - STALE_US, way_us, call, to);
@@ -182,7 +211,7 @@
             answer(s, now_us + way_us, *to, CALL_REFUSED, NULL);
         }
         else {
-            answer_call(s, now_us, now_us, way_us, call, to);
+            answer_call(s, now_us, INT64_MAX, way_us, call, to);
         }
         break;
     }
--- a/tests/fakes/follow_store.h
+++ b/tests/fakes/follow_store.h
@@ -1,6 +1,7 @@
 /* The platform's store on virtual time, as entries see it that follow its
  * tables: rows with one version counter, calls that are refused, answered late
- * or never, and a history that is dropped. */
+ * or never, a history that is dropped, and eras that begin when the store is
+ * restored from a copy. */
 #ifndef GW_TESTS_FAKES_FOLLOW_STORE_H
 #define GW_TESTS_FAKES_FOLLOW_STORE_H
 
@@ -35,6 +36,7 @@
     FollowTable table;
     uint32_t call;
     CallOutcome outcome;
+    uint32_t era;   /* that the answer names; 0: none */
     GwRowSet *rows; /* CALL_ROWS: owned by the receiver */
 } CallAnswer;
 
@@ -51,6 +53,11 @@
                            int64_t now_us);
 /* Drops the history up to now. */
 void FollowStore_DropHistory(FollowStore *s);
+/* Restores a copy that has the writes up to `copied_us`: the later ones are
+ * lost, their versions are given out again, and a new era begins. */
+void FollowStore_Restore(FollowStore *s, int64_t copied_us);
+/* Raises the version, as writes to other tables do. */
+void FollowStore_SkipVersions(FollowStore *s, uint64_t count);
 /* A call reaches the store at `now_us`; `way_us` is the time back to the
  * caller, who is named by the first fields of `to`. */
 void FollowStore_Call(FollowStore *s, int64_t now_us, int64_t way_us,
