--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -16,7 +16,7 @@
     char *again = Platform_WriteRows("t", set);
     GwRowSet *second = Platform_ReadRows(again, strlen(again), NULL);
     if (second == NULL || second->rows->len != set->rows->len ||
-        second->version != set->version) {
+        GwStoreVersion_Compare(second->version, set->version) != 0) {
         abort();
     }
     GwRowSet_Free(second);
--- a/fuzz/fuzz_rows.c
+++ b/fuzz/fuzz_rows.c
@@ -15,7 +15,7 @@
     GByteArray *again = GwRowSet_Pack(set);
     GwRowSet *second = GwRowSet_Unpack((const char *)again->data, again->len);
     if (second == NULL || second->rows->len != set->rows->len ||
-        second->version != set->version) {
+        GwStoreVersion_Compare(second->version, set->version) != 0) {
         abort();
     }
     GwRowSet_Free(second);
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -66,7 +66,8 @@
     X(PROOF_BACK, 703, INFO, "keys are accepted: the configuration is fresh") \
     X(STORE_READS, 704, INFO, "this entry begins or ends to read the store") \
     X(ROWS_OLDER, 705, WARN, "a read was older than the rows held") \
-    X(STORE_ERA, 706, WARN, "the store names another era: it was restored") \
+    X(STORE_ERA, 706, WARN, "the store was restored from a copy") \
+    X(ROWS_SETTLED, 707, INFO, "rows that a restore put in doubt are settled") \
     /* 800: administration */ \
     X(ADMIN_ACCEPTED, 800, INFO, "a change was accepted") \
     X(ADMIN_REFUSED, 801, INFO, "a change was refused") \
--- a/lib/edge/adapter.h
+++ b/lib/edge/adapter.h
@@ -11,6 +11,7 @@
 typedef struct {
     char id[128];
     uint64_t born_ms;
+    uint64_t heartbeat; /* counts from the start on */
     char service[128];
     char address[64];
     char domain[64];
@@ -39,7 +40,7 @@
     const char *leaving;      /* "1": the server leaves */
     const char *credential;   /* key of the caller; never forwarded */
     const char *organisation; /* name of the caller's organisation */
-    const char *store_era; /* in answers of the store (store/version.h) */
+    const char *store_era;    /* in answers of the store (store/version.h) */
     /* Paths served by entries. */
     const char *ready_path;
     const char *directory_path;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -458,11 +458,19 @@
                              edge);
     GwRouter_SetLimitCallback(edge->router, on_limit, edge);
     GwRouter_SetReachCallback(edge->router, on_reach_change, edge);
-    edge->operator_feed = GwFeed_Create(edge, adapter->operator_table,
-                                        GwRouterRows_OnOperatorRow, NULL);
+    edge->operator_feed =
+        GwFeed_Create(edge, &(GwFeedParams){
+                                .table = adapter->operator_table,
+                                .changed = GwRouterRows_OnOperatorRow,
+                                .order = GwRouterRows_OrderOperatorRow,
+                            });
     edge->server_feed =
-        GwFeed_Create(edge, adapter->server_table, GwRouterRows_OnServerRow,
-                      GwRouterRows_IsChange);
+        GwFeed_Create(edge, &(GwFeedParams){
+                                .table = adapter->server_table,
+                                .changed = GwRouterRows_OnServerRow,
+                                .is_update = GwRouterRows_IsChange,
+                                .order = GwRouterRows_OrderServerRow,
+                            });
     GwFeed_FollowOther(edge->server_feed);
     edge->peers = GwPeers_Create(edge, &why);
     GwQuotas_Init(edge);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -14,6 +14,7 @@
 #include "edge/turns.h"
 #include "http/listener.h"
 #include "store/proof.h"
+#include "store/reader.h"
 #include "store/rows_wire.h"
 
 #include <inttypes.h>
@@ -204,9 +205,14 @@
 
 /* feed.c */
 void GwFeed_Close(GwFeed *feed);
-/* `is_update` selects the changes that are sent to peers; NULL: all. */
-GwFeed *GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed,
-                      GwRowIsUpdate is_update);
+typedef struct {
+    const char *table;
+    GwRowChanged changed;
+    GwRowIsUpdate is_update; /* the changes sent to peers; NULL: all */
+    GwRowOrder order;        /* see store/rows.h */
+} GwFeedParams;
+
+GwFeed *GwFeed_Create(GwEdge *edge, const GwFeedParams *params);
 void GwFeed_Free(GwFeed *feed);
 /* Carries out due calls to the store. */
 void GwFeed_Tick(GwFeed *feed);
@@ -216,9 +222,9 @@
 void GwFeed_FollowOther(GwFeed *feed);
 /* Sets the time within which a change must be in force. */
 void GwFeed_SetBound(GwFeed *feed, uint32_t bound_ms);
-/* Selects whether this entry reads the table from the store or relies on
+/* Sets why this entry reads the table from the store, or that it relies on
  * peers. */
-void GwFeed_SetReads(GwFeed *feed, bool reads);
+void GwFeed_SetReads(GwFeed *feed, GwReadReason reason);
 /* Whether this entry reads the table and the store answers. */
 bool GwFeed_IsHealthy(const GwFeed *feed);
 /* Whether this entry recently saw an outage of the store during which no peer
@@ -227,13 +233,17 @@
 /* Handles a peer's report; `saw_outage`: the peer observed an outage of the
  * store. */
 void GwFeed_NotePeerReport(GwFeed *feed, bool saw_outage);
-uint64_t GwFeed_Version(const GwFeed *feed);
-/* Era that the store last named; 0: none. */
+GwStoreVersion GwFeed_Version(const GwFeed *feed);
+/* Newest era known of the store; 0: none. */
 uint32_t GwFeed_Era(const GwFeed *feed);
+/* Rows that wait for the end of a grace period after a restore of the store. */
+uint32_t GwFeed_PendingRows(const GwFeed *feed);
 /* How long the current call to the store is unanswered; 0: there is none. */
 int64_t GwFeed_UnansweredMs(const GwFeed *feed);
 /* Proof that the copy has all changes up to a time (GwEdge_BootNow). */
 const GwProof *GwFeed_Proof(const GwFeed *feed);
+/* A peer has rows of that era of the store. */
+void GwFeed_ExpectEra(GwFeed *feed, uint32_t era);
 /* A peer proved how new its copy is. */
 void GwFeed_NoteProof(GwFeed *feed, const GwPeerProof *proof);
 /* Age of the proof, or without one the time since the start. */
@@ -241,29 +251,46 @@
 bool GwFeed_IsLoaded(const GwFeed *feed);
 /* Reads the missing rows from a peer that has a newer version. `proof`: how new
  * the peer's copy is at least. */
-void GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version,
-                         const GwPeerProof *proof);
+void GwFeed_ReadFromPeer(GwFeed *feed, const char *address,
+                         GwStoreVersion version, const GwPeerProof *proof);
+/* Reads the whole table from a peer that has values which a restored store
+ * lacks. */
+void GwFeed_ReadWholeFromPeer(GwFeed *feed, const char *address,
+                              const GwPeerProof *proof);
 /* Reads the missing rows from the store, once: for rows too large to be
  * exchanged between peers. */
-void GwFeed_ReadFromStore(GwFeed *feed, uint64_t version);
+void GwFeed_ReadFromStore(GwFeed *feed, GwStoreVersion version);
 /* Whether GwFeed_ReadFromStore may be called: no such read failed recently,
  * and this entry does not read the table from the store anyway. */
 bool GwFeed_MayReadFromStore(const GwFeed *feed);
 /* Approximate size of the rows, in bytes, that a peer with that version
  * lacks. */
-uint64_t GwFeed_BytesAfter(const GwFeed *feed, uint64_t version);
+uint64_t GwFeed_BytesAfter(const GwFeed *feed, GwStoreVersion version);
 /* Answers a peer's read of this entry's copy: 200 with packed rows; 404 for
  * another table or one not read yet; 410 when the peer has to read the whole
  * table. */
 GByteArray *GwFeed_AnswerPeer(const GwFeed *feed, const GwRowsRequest *request,
                               uint16_t *status);
 
+/* store_era.c */
+/* Returns the era that an answer of the store names, and tells the feeds of it;
+ * but for `reader` (or NULL), which applies the rows of the answer itself. */
+uint32_t GwEdge_NoteStoreAnswer(GwEdge *edge, const GwFeed *reader,
+                                const GwHttpMessage *msg);
+
 /* router_rows.c */
 void GwRouterRows_OnOperatorRow(void *ctx, const GwStoreRow *row);
 void GwRouterRows_OnServerRow(void *ctx, const GwStoreRow *row);
 /* GwRowIsUpdate for rows of servers. */
 bool GwRouterRows_IsChange(void *ctx, const char *key, const char *old,
                            int64_t age_us, const char *value);
+/* GwRowOrder: configurations are ordered by their version, servers' rows by
+ * start and heartbeat. */
+GwValueOrder GwRouterRows_OrderOperatorRow(void *ctx, const char *key,
+                                           const char *value,
+                                           const char *than);
+GwValueOrder GwRouterRows_OrderServerRow(void *ctx, const char *key,
+                                         const char *value, const char *than);
 
 /* status.c */
 void GwStatus_WriteMetrics(GwEdge *edge, GString *out);
@@ -289,8 +316,8 @@
     uint32_t live;
     int64_t loads_age_ms; /* oldest load report of peers sharing servers */
     /* Newest versions of the tables that live peers have. */
-    uint64_t operator_version;
-    uint64_t server_version;
+    GwStoreVersion operator_version;
+    GwStoreVersion server_version;
 } GwPeersView;
 
 GwPeersView GwPeers_View(const GwPeers *peers);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -5,21 +5,28 @@
 
 static const GwConnOps store_ops;
 
+static int64_t
+grace_us(const GwFeed *feed)
+{
+    return (int64_t)feed->edge->settings->row_grace_ms * 1000;
+}
+
 GwFeed *
-GwFeed_Create(GwEdge *edge, const char *table, GwRowChanged changed,
-              GwRowIsUpdate is_update)
+GwFeed_Create(GwEdge *edge, const GwFeedParams *params)
 {
     GwFeed *feed = g_new0(GwFeed, 1);
 
     feed->edge = edge;
-    feed->table = g_strdup(table);
+    feed->table = g_strdup(params->table);
     feed->follower =
-        GwFollower_Create(changed, edge, GwEdge_BootNow(),
+        GwFollower_Create(params->changed, edge, GwEdge_BootNow(),
                           GwEdgeSettings_ChangeBoundMs(edge->settings));
     for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
         feed->links[i].feed = feed;
     }
-    GwRowCache_SetIsUpdate(GwFeed_Cache(feed), is_update);
+    GwRowCache_SetIsUpdate(GwFeed_Cache(feed), params->is_update);
+    GwRowCache_SetOrder(GwFeed_Cache(feed), params->order);
+    GwRowCache_SetEraGrace(GwFeed_Cache(feed), grace_us(feed));
     return feed;
 }
 
@@ -56,7 +63,7 @@
     return GwFollower_Cache(feed->follower);
 }
 
-uint64_t
+GwStoreVersion
 GwFeed_Version(const GwFeed *feed)
 {
     return GwRowCache_Version(GwFeed_Cache(feed));
@@ -65,7 +72,13 @@
 uint32_t
 GwFeed_Era(const GwFeed *feed)
 {
-    return feed->era;
+    return GwFollower_Era(feed->follower);
+}
+
+uint32_t
+GwFeed_PendingRows(const GwFeed *feed)
+{
+    return GwRowCache_PendingCount(GwFeed_Cache(feed));
 }
 
 int64_t
@@ -86,6 +99,12 @@
     return GwFollower_Proof(feed->follower);
 }
 
+void
+GwFeed_ExpectEra(GwFeed *feed, uint32_t era)
+{
+    GwFollower_ExpectEra(feed->follower, GwEdge_BootNow(), era);
+}
+
 void
 GwFeed_NoteProof(GwFeed *feed, const GwPeerProof *proof)
 {
@@ -116,12 +135,6 @@
     GwFollower_SetBound(feed->follower, bound_ms);
 }
 
-static int64_t
-grace_us(const GwFeed *feed)
-{
-    return (int64_t)feed->edge->settings->row_grace_ms * 1000;
-}
-
 bool
 GwFeed_HadOutage(const GwFeed *feed)
 {
@@ -145,8 +158,7 @@
     if (!GwStoreHealth_HadOutage(&sight)) {
         return false;
     }
-    GwRowCache_SetGrace(GwFeed_Cache(feed), now_us + grace_us(feed),
-                        grace_us(feed));
+    GwRowCache_SetGrace(GwFeed_Cache(feed), now_us + grace_us(feed));
     return true;
 }
 
@@ -266,30 +278,14 @@
 static void
 log_if_older(const GwFeed *feed, const GwRowSet *set)
 {
-    uint64_t held = GwFeed_Version(feed);
+    GwStoreVersion held = GwFeed_Version(feed);
 
-    if (set->version < held) {
+    if (GwStoreVersion_IsNewer(held, set->version)) {
         GwLog_Event(GW_LOG_ROWS_OLDER,
-                    "table=%s version=%" PRIu64 " held=%" PRIu64 " era=%u",
-                    feed->table, set->version, held, feed->era);
-    }
-}
-
-static void
-note_era(GwFeed *feed, const GwHttpMessage *msg)
-{
-    uint32_t era = GwStoreEra_Parse(
-        GwHttpMessage_GetOnly(msg, feed->edge->adapter->store_era));
-
-    if (era != 0 && era != feed->era) {
-        if (feed->era != 0) {
-            GwLog_Event(GW_LOG_STORE_ERA,
-                        "table=%s era=%u was=%u held=%" PRIu64
-                        " news_ms=%" PRId64,
-                        feed->table, era, feed->era, GwFeed_Version(feed),
-                        GwFeed_AgeMs(feed));
-        }
-        feed->era = era;
+                    "table=%s version=%" PRIu64 " era=%u held=%" PRIu64
+                    " held_era=%u",
+                    feed->table, set->version.number, set->version.era,
+                    held.number, held.era);
     }
 }
 
@@ -342,6 +338,7 @@
         drop_overdue_calls(feed);
         tell_other_feed(feed);
     }
+    GwFeed_LogEra(feed);
     if (has_rows) {
         GwPeers_ExpediteRegion(feed->edge->peers);
     }
@@ -356,7 +353,7 @@
     GError *error = NULL;
     GwRowSet *set = NULL;
 
-    note_era(feed, msg);
+    uint32_t era = GwEdge_NoteStoreAnswer(feed->edge, feed, msg);
     if (msg->status == 410) {
         uint32_t id = link->call.id;
         GwHttpMessage_Free(msg);
@@ -370,6 +367,9 @@
                                              &error);
     }
     GwHttpMessage_Free(msg);
+    if (set != NULL) {
+        GwRowSet_SetEra(set, era);
+    }
     if (error != NULL) {
         GwLog_Event(GW_LOG_STORE_AWAY, "table=%s why=\"%s\"", feed->table,
                     error->message);
@@ -406,10 +406,10 @@
 };
 
 void
-GwFeed_SetReads(GwFeed *feed, bool reads)
+GwFeed_SetReads(GwFeed *feed, GwReadReason reason)
 {
-    if (GwFollower_SetReads(feed->follower, GwEdge_BootNow(), reads) &&
-        !reads) {
+    if (GwFollower_SetReads(feed->follower, GwEdge_BootNow(), reason) &&
+        reason == GW_READS_NOT) {
         close_links(feed);
     }
 }
@@ -455,5 +455,6 @@
 GwFeed_Sweep(GwFeed *feed)
 {
     GwRowCache_Expire(GwFeed_Cache(feed), GwEdge_BootNow());
+    GwFeed_LogEra(feed);
     GwFeed_SweepPeer(feed);
 }
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -4,7 +4,6 @@
 
 #include "edge/edge_internal.h"
 #include "store/follower.h"
-#include "store/version.h"
 
 /* A connection to the store, with at most one call in progress. */
 typedef struct {
@@ -19,7 +18,8 @@
     char *table;
     GwFollower *follower;
     GwStoreLink links[GW_FOLLOWER_CALLS_MAX];
-    uint32_t era;                  /* that the store last named; 0: none */
+    uint32_t era;                  /* as last logged */
+    uint32_t pending_rows;         /* as last logged */
     bool is_away;                  /* as last logged */
     int64_t outage_grace_until_us; /* grace period after an outage */
     /* Fetch of missing rows from a peer, or once from the store; at most one
@@ -36,6 +36,11 @@
 /* feed.c */
 GwRowCache *GwFeed_Cache(const GwFeed *feed);
 
+/* store_era.c */
+/* To be called after each change of the copy: logs that a new era began, and
+ * that the rows that it lacked are back or gone. */
+void GwFeed_LogEra(GwFeed *feed);
+
 /* feed_peers.c */
 /* Aborts a read from a peer that takes too long. */
 void GwFeed_SweepPeer(GwFeed *feed);
--- a/lib/edge/feed_peers.c
+++ b/lib/edge/feed_peers.c
@@ -27,9 +27,10 @@
 request_from_store(GwFeed *feed)
 {
     const GwAdapter *a = feed->edge->adapter;
-    char *target = feed->peer_full
-                       ? a->read_target(feed->table, NULL)
-                       : a->feed_target(feed->table, GwFeed_Version(feed));
+    char *target =
+        feed->peer_full
+            ? a->read_target(feed->table, NULL)
+            : a->feed_target(feed->table, GwFeed_Version(feed).number);
 
     GwConn_WriteGet(feed->peer, target, feed->edge->settings->store_address);
     g_free(target);
@@ -39,14 +40,14 @@
 static void
 request_rows(GwFeed *feed)
 {
-    GwRowsRequest request = {.after =
-                                 feed->peer_full ? 0 : GwFeed_Version(feed)};
+    GwRowsRequest request = {.digest = 0};
 
     if (feed->peer_is_store) {
         request_from_store(feed);
         return;
     }
-    if (request.after > 0) {
+    if (!feed->peer_full && !GwStoreVersion_IsNone(GwFeed_Version(feed))) {
+        request.after = GwFeed_Version(feed);
         request.digest = GwRowCache_Digest(GwFeed_Cache(feed));
     }
     g_strlcpy(request.table, feed->table, sizeof(request.table));
@@ -68,7 +69,7 @@
 {
     GwFeed *feed = owner;
 
-    feed->peer_full = GwFeed_AgeMs(feed) > STALE_MS;
+    feed->peer_full |= GwFeed_AgeMs(feed) > STALE_MS;
     request_rows(feed);
 }
 
@@ -80,9 +81,9 @@
 
     if (set->rows->len > 0 && feed == edge->operator_feed) {
         GwLog_Event(GW_LOG_ROWS_TAKEN,
-                    "rows=%u version=%" PRIu64 " from=%s address=%s "
+                    "rows=%u version=%" PRIu64 " era=%u from=%s address=%s "
                     "took_ms=%" PRId64,
-                    set->rows->len, set->version,
+                    set->rows->len, set->version.number, set->version.era,
                     feed->peer_is_store ? "store" : "peer", feed->peer_address,
                     (GwEdge_Now() - feed->peer_sent_us) / 1000);
     }
@@ -94,6 +95,16 @@
     log_rows(feed, set);
     GwFollower_OnPeerRows(feed->follower, GwEdge_BootNow(), set,
                           feed->peer_full, &feed->peer_proof);
+    GwFeed_LogEra(feed);
+}
+
+/* Changes that the store sent after a version of another era are of no use:
+ * they lack what was written again at lower versions. */
+static bool
+has_other_era(const GwFeed *feed, const GwRowSet *set)
+{
+    return feed->peer_is_store && !feed->peer_full &&
+           set->version.era != GwFeed_Version(feed).era;
 }
 
 static void
@@ -101,7 +112,11 @@
 {
     GwFeed *feed = owner;
     GwRowSet *set = NULL;
+    uint32_t era = 0;
 
+    if (feed->peer_is_store) {
+        era = GwEdge_NoteStoreAnswer(feed->edge, NULL, msg);
+    }
     if (msg->status == 410 && !feed->peer_full) {
         /* The peer no longer has all removals since that version. */
         GwHttpMessage_Free(msg);
@@ -122,7 +137,10 @@
     }
     GwHttpMessage_Free(msg);
     GwConn_CloseAndClear(&feed->peer);
-    if (set == NULL || set->more) {
+    if (set != NULL && feed->peer_is_store) {
+        GwRowSet_SetEra(set, era != 0 ? era : GwFeed_Version(feed).era);
+    }
+    if (set == NULL || set->more || has_other_era(feed, set)) {
         note_store_failed(feed); /* a partial table can't be applied */
         GwRowSet_Free(set);
         set = NULL;
@@ -154,7 +172,7 @@
 };
 
 static void
-fetch_once(GwFeed *feed, const char *address, bool is_store,
+fetch_once(GwFeed *feed, const char *address, bool is_store, bool is_full,
            const GwPeerProof *proof)
 {
     GwConnParams params = {
@@ -167,26 +185,40 @@
     feed->peer_sent_us = GwEdge_Now();
     feed->peer_proof = *proof;
     feed->peer_is_store = is_store;
+    feed->peer_full = is_full;
     g_strlcpy(feed->peer_address, address, sizeof(feed->peer_address));
     feed->peer = GwConn_Connect(&params, address);
 }
 
 void
-GwFeed_ReadFromPeer(GwFeed *feed, const char *address, uint64_t version,
+GwFeed_ReadFromPeer(GwFeed *feed, const char *address, GwStoreVersion version,
                     const GwPeerProof *proof)
 {
-    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
-        fetch_once(feed, address, false, proof);
+    if (feed->peer == NULL &&
+        GwStoreVersion_IsNewer(version, GwFeed_Version(feed))) {
+        fetch_once(feed, address, false, false, proof);
     }
 }
 
 void
-GwFeed_ReadFromStore(GwFeed *feed, uint64_t version)
+GwFeed_ReadWholeFromPeer(GwFeed *feed, const char *address,
+                         const GwPeerProof *proof)
+{
+    if (feed->peer == NULL) {
+        fetch_once(feed, address, false, true, proof);
+    }
+}
+
+void
+GwFeed_ReadFromStore(GwFeed *feed, GwStoreVersion version)
 {
     GwPeerProof proof = {.as_of_us = GwEdge_BootNow()};
 
-    if (feed->peer == NULL && version > GwFeed_Version(feed)) {
-        fetch_once(feed, feed->edge->settings->store_address, true, &proof);
+    if (feed->peer == NULL &&
+        GwStoreVersion_IsNewer(version, GwFeed_Version(feed))) {
+        bool is_full = version.era != GwFeed_Version(feed).era;
+        fetch_once(feed, feed->edge->settings->store_address, true, is_full,
+                   &proof);
     }
 }
 
@@ -199,7 +231,7 @@
 }
 
 uint64_t
-GwFeed_BytesAfter(const GwFeed *feed, uint64_t version)
+GwFeed_BytesAfter(const GwFeed *feed, GwStoreVersion version)
 {
     return GwRowCache_BytesAfter(GwFeed_Cache(feed), version);
 }
@@ -218,13 +250,16 @@
 GwFeed_AnswerPeer(const GwFeed *feed, const GwRowsRequest *request,
                   uint16_t *status)
 {
-    uint64_t after = request->after;
+    GwStoreVersion after = request->after;
 
     *status = 404;
     if (strcmp(request->table, feed->table) != 0 || !GwFeed_IsLoaded(feed)) {
         return NULL;
     }
-    if (after != 0 &&
+    if (after.era == 0) {
+        after.era = GwFeed_Version(feed).era;
+    }
+    if (!GwStoreVersion_IsNone(after) &&
         !GwRowCache_HasRemovalsAfter(GwFeed_Cache(feed), after)) {
         if (!has_same_rows(feed, request)) {
             *status = 410;
--- a/lib/edge/fetch.c
+++ b/lib/edge/fetch.c
@@ -4,6 +4,10 @@
 
 #include <string.h>
 
+/* Minimum interval between two reads of a whole table for a newer
+ * configuration. */
+#define CONFIG_FETCH_US 1000000
+
 /* Ranks this entry and the provider within this entry's failure domain. All
  * entries of the domain know each other, so they agree on the order. */
 static GwFetchView
@@ -39,8 +43,29 @@
 {
     const GwEdge *edge = peers->edge;
 
-    return peer->operator_version > GwFeed_Version(edge->operator_feed) ||
-           peer->server_version > GwFeed_Version(edge->server_feed);
+    return GwStoreVersion_IsNewer(peer->operator_version,
+                                  GwFeed_Version(edge->operator_feed)) ||
+           GwStoreVersion_IsNewer(peer->server_version,
+                                  GwFeed_Version(edge->server_feed));
+}
+
+/* A store that was restored may show an older configuration than a peer has,
+ * at the same version of the table. */
+static void
+fetch_newer_config(GwPeers *peers, const GwPeerEntry *peer)
+{
+    GwEdge *edge = peers->edge;
+    const GwRouting *routing = GwRouter_Routing(edge->router);
+    int64_t now_us = GwEdge_Now();
+
+    if (routing != NULL && peer->config_version > routing->version &&
+        GwStoreVersion_Compare(peer->operator_version,
+                               GwFeed_Version(edge->operator_feed)) == 0 &&
+        now_us - peers->config_fetch_us > CONFIG_FETCH_US) {
+        peers->config_fetch_us = now_us;
+        GwFeed_ReadWholeFromPeer(edge->operator_feed, peer->peer_address,
+                                 &peer->operator_proof);
+    }
 }
 
 /* Whether to read the missing operator rows from the store instead. */
@@ -63,6 +88,7 @@
     GwEdge *edge = peers->edge;
 
     if (!has_newer_rows(peers, peer)) {
+        fetch_newer_config(peers, peer);
         return;
     }
     if (reads_from_store(peers, peer)) {
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -304,8 +304,9 @@
         }
         view.live++;
         view.operator_version =
-            MAX(view.operator_version, peer->operator_version);
-        view.server_version = MAX(view.server_version, peer->server_version);
+            GwStoreVersion_Max(view.operator_version, peer->operator_version);
+        view.server_version =
+            GwStoreVersion_Max(view.server_version, peer->server_version);
         if (GwPeers_CountsLoadsOf(peers, peer)) {
             view.loads_age_ms =
                 MAX(view.loads_age_ms, (now_us - peer->last_report_us) / 1000);
@@ -332,8 +333,9 @@
                                   : "not-serving");
     GwJson_SetU64(item, "heard_ms_ago",
                   (uint64_t)(now_us - peer->last_report_us) / 1000);
-    GwJson_SetU64(item, "operator_row", peer->operator_version);
-    GwJson_SetU64(item, "server_row", peer->server_version);
+    GwJson_SetU64(item, "store_era", peer->operator_version.era);
+    GwJson_SetU64(item, "operator_row", peer->operator_version.number);
+    GwJson_SetU64(item, "server_row", peer->server_version.number);
     GwJson_SetBool(item, "reads_store", peer->reads_store);
     GwJson_SetBool(item, "lacks_servers", peer->lacks_servers);
     return item;
@@ -369,6 +371,18 @@
     }
 }
 
+/* Rows whose grace period is over must not wait for the next sweep. */
+static void
+settle_pending_rows(GwEdge *edge)
+{
+    if (GwFeed_PendingRows(edge->operator_feed) > 0 ||
+        GwFeed_PendingRows(edge->server_feed) > 0) {
+        GwFeed_Sweep(edge->operator_feed);
+        GwFeed_Sweep(edge->server_feed);
+        GwEdge_RunActions(edge);
+    }
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -385,6 +399,7 @@
     if (!GwEdge_IsReady(peers->edge)) {
         GwPeers_ChooseReader(peers, now_us);
     }
+    settle_pending_rows(peers->edge);
 }
 
 GwPeers *
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -65,9 +65,10 @@
     uint32_t sent_bytes; /* size of the last report sent */
     bool is_urgent;      /* send the next report at the next tick */
     int64_t created_us;
-    uint64_t operator_version;
-    uint64_t server_version;
-    uint32_t link_kbps; /* link of its instance; 0: unknown */
+    GwStoreVersion operator_version;
+    GwStoreVersion server_version;
+    uint64_t config_version; /* in force there */
+    uint32_t link_kbps;      /* link of its instance; 0: unknown */
     uint32_t cpu_milli;
     uint32_t missing_bytes; /* of operator rows that only the peer has */
     bool is_aggregator;     /* aggregates the loads of its failure domain */
@@ -103,7 +104,8 @@
     GwReadReason read_reason; /* as last logged */
     bool announced_reading;   /* as last announced to all peers */
     int64_t announced_us;
-    uint32_t live; /* number of live peers */
+    int64_t config_fetch_us; /* last fetch_newer_config */
+    uint32_t live;           /* number of live peers */
     /* Since awaits_rows_since_us this entry waits for another entry of the
      * failure domain to fetch rows that `provider` (an address) has. */
     bool awaits_rows;
--- a/lib/edge/readers.c
+++ b/lib/edge/readers.c
@@ -107,12 +107,13 @@
         return;
     }
     peers->read_reason = reason;
-    GwLog_Event(GW_LOG_STORE_READS,
-                "why=%s version=%" PRIu64 " news_ms=%" PRId64
-                " server_news_ms=%" PRId64,
-                GwReadReason_Name(reason), GwFeed_Version(edge->operator_feed),
-                GwFeed_AgeMs(edge->operator_feed),
-                GwFeed_AgeMs(edge->server_feed));
+    GwLog_Event(
+        GW_LOG_STORE_READS,
+        "why=%s version=%" PRIu64 " era=%u news_ms=%" PRId64
+        " server_news_ms=%" PRId64,
+        GwReadReason_Name(reason), GwFeed_Version(edge->operator_feed).number,
+        GwFeed_Era(edge->operator_feed), GwFeed_AgeMs(edge->operator_feed),
+        GwFeed_AgeMs(edge->server_feed));
 }
 
 static GwReadReason
@@ -138,8 +139,8 @@
     GwEdge *edge = peers->edge;
     GwReadReason reason = reason_to_read(peers, now_us);
 
-    GwFeed_SetReads(edge->operator_feed, reason != GW_READS_NOT);
-    GwFeed_SetReads(edge->server_feed, reason != GW_READS_NOT);
+    GwFeed_SetReads(edge->operator_feed, reason);
+    GwFeed_SetReads(edge->server_feed, reason);
     log_reads(peers, reason);
     if (reason == GW_READS_FIRST) {
         announce(peers, now_us);
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -215,6 +215,23 @@
     }
 }
 
+/* Both versions are told in the newer era: a table of an earlier one counts as
+ * not read yet. */
+static void
+fill_versions(const GwEdge *edge, Report *report)
+{
+    GwStoreVersion operator_version = GwFeed_Version(edge->operator_feed);
+    GwStoreVersion server_version = GwFeed_Version(edge->server_feed);
+
+    report->store_era = MAX(operator_version.era, server_version.era);
+    if (operator_version.era == report->store_era) {
+        report->operator_version = operator_version.number;
+    }
+    if (server_version.era == report->store_era) {
+        report->server_version = server_version.number;
+    }
+}
+
 /* Whether the next report to the peer carries proofs. They cost bytes, so not
  * every report does. */
 static bool
@@ -233,6 +250,7 @@
 fill_proofs(const GwPeers *peers, GwPeerEntry *peer, Report *report)
 {
     const GwEdge *edge = peers->edge;
+    const GwRouting *routing = GwRouter_Routing(edge->router);
     int64_t now_us = GwEdge_BootNow();
 
     report->lacks_proof = !GwEdge_HasProof(edge);
@@ -245,10 +263,17 @@
     report->echo_process = clocks.echo_process;
     report->echo_clock_ms = clocks.echo_clock_ms;
     report->echo_held_ms = clocks.echo_held_ms;
-    report->proof_age_ms =
-        GwProof_WireAge(GwFeed_Proof(edge->operator_feed), now_us);
-    report->server_proof_age_ms =
-        GwProof_WireAge(GwFeed_Proof(edge->server_feed), now_us);
+    if (report->operator_version != 0) {
+        report->proof_age_ms =
+            GwProof_WireAge(GwFeed_Proof(edge->operator_feed), now_us);
+    }
+    if (report->server_version != 0) {
+        report->server_proof_age_ms =
+            GwProof_WireAge(GwFeed_Proof(edge->server_feed), now_us);
+    }
+    if (routing != NULL) {
+        report->config_version = routing->version;
+    }
 }
 
 /* Adds the placements that are newer than the report before the last one to
@@ -382,8 +407,7 @@
     report.store_was_away = GwFeed_HadOutage(edge->server_feed);
     report.next_ms = period_ms(peers, peer);
     report.loads_of = GwPeers_LoadScopeFor(peers, peer);
-    report.operator_version = GwFeed_Version(edge->operator_feed);
-    report.server_version = GwFeed_Version(edge->server_feed);
+    fill_versions(edge, &report);
     report.news_bytes = (uint32_t)MIN(
         GwFeed_BytesAfter(edge->operator_feed, peer->operator_version),
         UINT32_MAX);
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -122,7 +122,7 @@
  * for this entry's copy. */
 static GwPeerProof
 apply_proof(const GwPeers *peers, GwFeed *feed, const GwClockReport *clocks,
-            uint32_t wire_age, uint64_t version)
+            uint32_t wire_age, GwStoreVersion version)
 {
     GwPeerProof proof = {.version = version};
 
@@ -150,12 +150,13 @@
     }
     GwClockEcho_Note(&peer->echo, report->start, report->clock_ms,
                      GwEdge_BootNow());
+    peer->config_version = report->config_version;
     peer->operator_proof =
         apply_proof(peers, edge->operator_feed, &clocks, report->proof_age_ms,
-                    report->operator_version);
+                    peer->operator_version);
     peer->server_proof =
         apply_proof(peers, edge->server_feed, &clocks,
-                    report->server_proof_age_ms, report->server_version);
+                    report->server_proof_age_ms, peer->server_version);
 }
 
 static void
@@ -193,8 +194,10 @@
     peer->knows = report->knows;
     peer->has_reported = true;
     peer->last_report_us = GwEdge_Now();
-    peer->operator_version = report->operator_version;
-    peer->server_version = report->server_version;
+    peer->operator_version =
+        (GwStoreVersion){report->store_era, report->operator_version};
+    peer->server_version =
+        (GwStoreVersion){report->store_era, report->server_version};
     peer->missing_bytes = report->news_bytes;
     peer->ack = (GwSumAck){.epoch = report->sum_epoch,
                            .seq = report->sum_seq,
@@ -245,6 +248,8 @@
         (void)GwPeers_Add(peers, report->known[i]);
     }
     GwFeed_NotePeerReport(edge->server_feed, report->store_was_away);
+    GwFeed_ExpectEra(edge->operator_feed, report->store_era);
+    GwFeed_ExpectEra(edge->server_feed, report->store_era);
     if (report->is_new) {
         GwPeers_MakeBacklog(peers, peer);
     }
--- a/lib/edge/router_rows.c
+++ b/lib/edge/router_rows.c
@@ -13,17 +13,16 @@
     }
     GwRouting *routing = edge->adapter->read_config(row->value, &error);
     if (routing == NULL) {
-        GwLog_Event(GW_LOG_CONFIG_REFUSED,
-                    "row=%" G_GUINT64_FORMAT " why=\"%s\"", row->version,
-                    error->message);
+        GwLog_Event(GW_LOG_CONFIG_REFUSED, "row=%" PRIu64 " era=%u why=\"%s\"",
+                    row->version.number, row->version.era, error->message);
         g_error_free(error);
         return;
     }
     if (GwRouter_SetRouting(edge->router, routing)) {
         GwQuotas_ApplyRouting(edge);
         GwLog_Event(GW_LOG_CONFIG_IN_FORCE,
-                    "version=%" G_GUINT64_FORMAT " row=%" G_GUINT64_FORMAT,
-                    routing->version, row->version);
+                    "version=%" PRIu64 " row=%" PRIu64 " era=%u",
+                    routing->version, row->version.number, row->version.era);
     }
     GwRouting_Unref(routing);
 }
@@ -82,6 +81,49 @@
     return longer_ms > COLD_LONGER_MS || longer_ms < -WARM_SOONER_MS;
 }
 
+static GwValueOrder
+order_numbers(uint64_t a, uint64_t b)
+{
+    return a > b ? GW_ORDER_NEWER : a < b ? GW_ORDER_OLDER : GW_ORDER_SAME;
+}
+
+GwValueOrder
+GwRouterRows_OrderOperatorRow(void *ctx, const char *key, const char *value,
+                              const char *than)
+{
+    const GwAdapter *adapter = ((GwEdge *)ctx)->adapter;
+    const char *name = NULL;
+    GwValueOrder order = GW_ORDER_NONE;
+
+    if (adapter->operator_row(key, &name) != GW_ROW_CONFIG) {
+        return GW_ORDER_NONE;
+    }
+    GwRouting *a = adapter->read_config(value, NULL);
+    GwRouting *b = adapter->read_config(than, NULL);
+    if (a != NULL && b != NULL) {
+        order = order_numbers(a->version, b->version);
+    }
+    GwRouting_Unref(a);
+    GwRouting_Unref(b);
+    return order;
+}
+
+GwValueOrder
+GwRouterRows_OrderServerRow(void *ctx, const char *key, const char *value,
+                            const char *than)
+{
+    const GwAdapter *adapter = ((GwEdge *)ctx)->adapter;
+    GwServerRegistration a;
+    GwServerRegistration b;
+
+    if (!adapter->read_server(key, value, &a, NULL) ||
+        !adapter->read_server(key, than, &b, NULL)) {
+        return GW_ORDER_NONE;
+    }
+    return a.born_ms != b.born_ms ? order_numbers(a.born_ms, b.born_ms)
+                                  : order_numbers(a.heartbeat, b.heartbeat);
+}
+
 void
 GwRouterRows_OnServerRow(void *ctx, const GwStoreRow *row)
 {
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -45,21 +45,24 @@
 }
 
 static void
-write_table(GString *out, const char *table, const GwFeed *feed, uint64_t seen)
+write_table(GString *out, const char *table, const GwFeed *feed,
+            GwStoreVersion seen)
 {
     g_string_append_printf(
         out,
         "gw_table_version{table=\"%s\"} %" PRIu64 "\n"
         "gw_table_version_seen{table=\"%s\"} %" PRIu64 "\n"
         "gw_table_era{table=\"%s\"} %u\n"
+        "gw_table_pending_rows{table=\"%s\"} %u\n"
         "gw_table_unanswered_ms{table=\"%s\"} %" PRId64 "\n"
         "gw_table_news_age_ms{table=\"%s\"} %" PRId64 "\n"
         "gw_table_read_here{table=\"%s\"} %d\n"
         "gw_table_store_was_away{table=\"%s\"} %d\n",
-        table, GwFeed_Version(feed), table, MAX(seen, GwFeed_Version(feed)),
-        table, GwFeed_Era(feed), table, GwFeed_UnansweredMs(feed), table,
-        GwFeed_AgeMs(feed), table, GwFeed_IsHealthy(feed), table,
-        GwFeed_HadOutage(feed));
+        table, GwFeed_Version(feed).number, table,
+        GwStoreVersion_Max(seen, GwFeed_Version(feed)).number, table,
+        GwFeed_Era(feed), table, GwFeed_PendingRows(feed), table,
+        GwFeed_UnansweredMs(feed), table, GwFeed_AgeMs(feed), table,
+        GwFeed_IsHealthy(feed), table, GwFeed_HadOutage(feed));
 }
 
 static void
@@ -207,6 +210,7 @@
     GwJson_SetText(root, "state", state_name(edge));
     GwJson_SetU64(root, "config_version",
                   routing != NULL ? routing->version : 0);
+    GwJson_SetU64(root, "store_era", GwFeed_Era(edge->operator_feed));
     GwJson_SetU64(root, "open_calls", GwRouter_OpenCount(edge->router));
     GwJson_SetU64(root, "servers", GwRouter_ServerCount(edge->router));
     GwJson_SetU64(root, "live", peers.live + 1);
--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -12,6 +12,10 @@
 /* Back-off after a failed call; doubles with each further failure. */
 #define RETRY_MIN_MS 150
 
+/* Answers of an earlier era, to calls made after the newest one was known,
+ * after which that one counts as a mistake. */
+#define CONTRADICTIONS_MAX 3
+
 /* The store counts as away without an answer for this time and two periods. */
 #define AWAY_US 1000000
 
@@ -21,16 +25,20 @@
     GwStoreCallKind kind;
     int64_t asked_us; /* its first page */
     int64_t heard_us; /* when it was sent, or bytes of the answer came */
-    uint64_t after;
+    GwStoreVersion after;
+    uint32_t era;       /* that its answer must belong to */
     GwRowSet *pages;    /* rows of the pages so far */
-    bool is_superseded; /* a later call was answered */
+    bool is_superseded; /* a later call was answered, or a new era began */
 } Call;
 
 struct GwFollower_s {
     GwRowCache *cache;
-    uint64_t version;      /* version after which the next call reads */
-    GwStoreCallKind phase; /* kind of the next call */
-    bool reads;
+    GwStoreVersion version; /* version after which the next call reads */
+    GwStoreCallKind phase;  /* kind of the next call */
+    uint32_t era;           /* newest known; 0: the store names none */
+    uint32_t refuted_era;   /* peers' copies from it on are wrong; 0: none */
+    uint32_t contradictions;
+    GwReadReason reads;
     bool is_known;
     bool has_answered; /* since it began to read */
     bool follows_other;
@@ -110,24 +118,35 @@
     return f->follows_other && f->is_known && f->phase == GW_CALL_FEED;
 }
 
+/* Sets where the next call continues: after the copy's version, or at the
+ * beginning if the copy is of an earlier era. */
+static void
+continue_from_copy(GwFollower *f)
+{
+    f->version = GwRowCache_Version(f->cache);
+    f->phase =
+        f->is_known && f->version.era == f->era ? GW_CALL_FEED : GW_CALL_READ;
+}
+
 /* An entry that begins to read the store continues from the version that it
  * has received from peers. */
 bool
-GwFollower_SetReads(GwFollower *f, int64_t now_us, bool reads)
+GwFollower_SetReads(GwFollower *f, int64_t now_us, GwReadReason reason)
 {
-    if (f->reads == reads) {
+    bool is_change = (f->reads == GW_READS_NOT) != (reason == GW_READS_NOT);
+
+    f->reads = reason;
+    if (!is_change) {
         return false;
     }
-    f->reads = reads;
     f->answered_us = now_us; /* not called, so no outage */
     f->has_answered = false;
     f->failures = 0;
     f->is_refused = false;
     f->due_us = now_us;
     end_all_calls(f);
-    if (reads && f->is_known) {
-        f->phase = GW_CALL_FEED;
-        f->version = GwRowCache_Version(f->cache);
+    if (reason != GW_READS_NOT && f->is_known) {
+        continue_from_copy(f);
     }
     if (waits_for_other(f)) {
         f->due_us = INT64_MAX;
@@ -138,7 +157,7 @@
 bool
 GwFollower_Reads(const GwFollower *f)
 {
-    return f->reads;
+    return f->reads != GW_READS_NOT;
 }
 
 bool
@@ -156,7 +175,8 @@
 bool
 GwFollower_IsHealthy(const GwFollower *f, int64_t now_us)
 {
-    return f->reads && f->is_known && f->has_answered && f->failures == 0 &&
+    return GwFollower_Reads(f) && f->is_known && f->has_answered &&
+           f->failures == 0 &&
            GwFollower_UnansweredUs(f, now_us) <= period_us(f);
 }
 
@@ -197,7 +217,7 @@
         .id = call->id,
         .kind = call->kind,
         .from_key = GwRowSet_LastKey(call->pages),
-        .after = call->after,
+        .after = call->after.number,
     };
 }
 
@@ -206,7 +226,7 @@
 {
     Call *call = find_call(f, 0);
 
-    if (!f->reads || call == NULL || now_us < f->due_us) {
+    if (!GwFollower_Reads(f) || call == NULL || now_us < f->due_us) {
         return false;
     }
 #if GW_MUTANT == 100 /* breaks: an unanswered call does not delay the next */
@@ -223,12 +243,109 @@
         .asked_us = now_us,
         .heard_us = now_us,
         .after = f->version,
+        .era = f->era,
     };
     f->due_us = now_us + MAX(period_us(f), retry_us(f));
     *next = question(call);
     return true;
 }
 
+/* ---- Eras --------------------------------------------------------------- */
+
+uint32_t
+GwFollower_Era(const GwFollower *f)
+{
+    return f->era;
+}
+
+/* Entries that read only for want of a recent proof wait for a moment: the
+ * first reader of the region is about to have the rows. */
+static int64_t
+first_read_us(const GwFollower *f, int64_t now_us)
+{
+    return f->reads == GW_READS_STALE ? now_us + period_us(f) : now_us;
+}
+
+/* Versions count anew, so the table is read from its beginning. */
+static void
+begin_era(GwFollower *f, int64_t now_us, uint32_t era)
+{
+    GwRowCache_ExpectEra(f->cache, now_us, era);
+    f->era = era;
+    f->contradictions = 0;
+    f->phase = GW_CALL_READ;
+    f->due_us = first_read_us(f, now_us);
+    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
+        f->calls[i].is_superseded = f->calls[i].id != 0;
+    }
+}
+
+void
+GwFollower_NoteEra(GwFollower *f, int64_t now_us, uint32_t era)
+{
+    if (era >= f->refuted_era) {
+        f->refuted_era = 0;
+    }
+    if (era > f->era) {
+        begin_era(f, now_us, era);
+    }
+}
+
+/* Whether that era, or an earlier one, turned out not to exist. */
+static bool
+is_refuted(const GwFollower *f, uint32_t era)
+{
+    return f->refuted_era != 0 && era >= f->refuted_era;
+}
+
+void
+GwFollower_ExpectEra(GwFollower *f, int64_t now_us, uint32_t era)
+{
+    if (!is_refuted(f, era)) {
+        GwRowCache_ExpectEra(f->cache, now_us, era);
+    }
+}
+
+/* A call that was made after the newest era was known is answered in an earlier
+ * one. Once may be a mistake of the answer; but if the newest era is the
+ * mistake, no answer would ever count again. */
+static void
+note_contradiction(GwFollower *f, int64_t now_us, uint32_t era)
+{
+    if (++f->contradictions < CONTRADICTIONS_MAX) {
+        return;
+    }
+    f->refuted_era = f->era;
+    GwRowCache_ForgetVersions(f->cache);
+    f->version = GwRowCache_Version(f->cache);
+    begin_era(f, now_us, era);
+}
+
+/* Whether an answer of that era is one to the call. The first page of a table
+ * may be of a newer era than the call, everything else is of no use then. */
+static bool
+accept_era(GwFollower *f, int64_t now_us, Call *call, uint32_t era)
+{
+#if GW_MUTANT == 125 /* breaks: answers of earlier eras are dropped */
+    return true;
+#endif
+    GwFollower_NoteEra(f, now_us, era);
+    if (era < f->era) {
+        if (call->era == f->era) {
+            note_contradiction(f, now_us, era);
+        }
+        return false;
+    }
+    f->contradictions = 0;
+    if (call->kind == GW_CALL_READ && call->pages == NULL) {
+        call->era = era;
+        call->is_superseded = false;
+    }
+    return call->era == era;
+}
+
+/* ---- Answers ------------------------------------------------------------ */
+
 /* Appends a page to the call's rows; returns whether more pages follow. The
  * version of the result is that of the first page: the feed sends all later
  * changes. */
@@ -253,7 +370,8 @@
 apply_answer(GwFollower *f, int64_t now_us, const Call *call)
 {
     const GwRowSet *set = call->pages;
-    bool is_older = set->version < GwRowCache_Version(f->cache);
+    bool is_older =
+        GwStoreVersion_IsNewer(GwRowCache_Version(f->cache), set->version);
 
     if (call->kind == GW_CALL_FEED) {
         GwRowCache_ApplyChanges(f->cache, now_us, set);
@@ -263,7 +381,7 @@
         f->phase = GW_CALL_FEED;
         f->is_known = true;
     }
-    f->version = MAX(f->version, set->version);
+    f->version = GwStoreVersion_Max(f->version, set->version);
     if (is_older) {
         return; /* the store may have answered from an older state */
     }
@@ -277,7 +395,7 @@
 supersede_calls(GwFollower *f, int64_t asked_us)
 {
     for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
-        f->calls[i].is_superseded =
+        f->calls[i].is_superseded |=
             f->calls[i].id != 0 && f->calls[i].asked_us < asked_us;
     }
 }
@@ -296,6 +414,14 @@
     f->failures = 0;
     f->is_refused = false;
     f->answered_us = now_us;
+    if (set->version.era == 0) {
+        GwRowSet_SetEra(set, call->era);
+    }
+    if (!accept_era(f, now_us, call, set->version.era)) {
+        GwRowSet_Free(set);
+        end_call(call);
+        return false;
+    }
     if (append_page(call, set) && call->kind == GW_CALL_READ) {
         call->heard_us = now_us;
         f->due_us = now_us + period_us(f);
@@ -320,13 +446,16 @@
 void
 GwFollower_OnOther(GwFollower *f, int64_t now_us, const GwPeerProof *answer)
 {
-    if (!f->reads || !waits_for_other(f)) {
+    if (!GwFollower_Reads(f) || !waits_for_other(f)) {
         return;
     }
-    if (answer->version > f->version) {
+    if (GwStoreVersion_IsNewer(answer->version, f->version)) {
         f->due_us = MIN(f->due_us, now_us);
         return;
     }
+    if (answer->version.era != f->version.era) {
+        return;
+    }
     f->has_answered = true;
     f->answered_us = now_us;
     GwProof_Note(&f->proof, answer->as_of_us);
@@ -338,9 +467,12 @@
     Call *call = find_call(f, id);
 
     if (call != NULL && id != 0) {
+        bool is_superseded = call->is_superseded;
         end_call(call);
-        f->phase = GW_CALL_READ;
-        f->due_us = now_us;
+        if (!is_superseded) {
+            f->phase = GW_CALL_READ;
+            f->due_us = now_us;
+        }
     }
 }
 
@@ -412,7 +544,7 @@
 {
     int64_t silent_us = now_us - f->answered_us;
 
-    return f->reads &&
+    return GwFollower_Reads(f) &&
            (f->is_refused ||
             (!waits_for_other(f) && silent_us > AWAY_US + 2 * period_us(f)));
 }
@@ -421,6 +553,9 @@
 GwFollower_OnPeerRows(GwFollower *f, int64_t now_us, const GwRowSet *set,
                       bool is_full, const GwPeerProof *proof)
 {
+    if (is_refuted(f, set->version.era)) {
+        return;
+    }
     if (is_full || !f->is_known) {
         GwRowCache_ApplyFull(f->cache, now_us, set);
     }
@@ -428,6 +563,10 @@
         GwRowCache_Apply(f->cache, now_us, set);
     }
     f->is_known = true;
+    if (GwRowCache_Version(f->cache).era > f->era) {
+        begin_era(f, now_us, GwRowCache_Version(f->cache).era);
+        continue_from_copy(f);
+    }
     GwFollower_NoteProof(f, proof);
 }
 
@@ -440,7 +579,9 @@
 void
 GwFollower_NoteProof(GwFollower *f, const GwPeerProof *proof)
 {
-    bool is_current = GwRowCache_Version(f->cache) >= proof->version;
+    GwStoreVersion own = GwRowCache_Version(f->cache);
+    bool is_current = own.era == proof->version.era &&
+                      !GwStoreVersion_IsNewer(proof->version, own);
 
 #if GW_MUTANT == 101 /* breaks: a proof holds for copies as new as its own */
     is_current = true;
--- a/lib/store/follower.h
+++ b/lib/store/follower.h
@@ -6,11 +6,16 @@
  * Every call is one that the store answers at once: a call that the store holds
  * until there is news can't be told from one that it never answers. A call
  * that stays unanswered delays the next one only by the back-off after a
- * failure: several calls may be in progress, each on its own connection. */
+ * failure: several calls may be in progress, each on its own connection.
+ *
+ * Answers name the era of the store. A new era means that the store was
+ * restored from a copy: the table is read again from its beginning, and answers
+ * of earlier eras, which may still arrive, are dropped. */
 #ifndef GW_STORE_FOLLOWER_H
 #define GW_STORE_FOLLOWER_H
 
 #include "store/proof.h"
+#include "store/reader.h"
 #include "store/rows.h"
 
 typedef struct GwFollower_s GwFollower;
@@ -27,7 +32,7 @@
     uint32_t id; /* of the call in progress; never 0 */
     GwStoreCallKind kind;
     const char *from_key; /* READ: last key of the page before; or NULL */
-    uint64_t after;       /* FEED */
+    uint64_t after;       /* FEED: number of a version */
 } GwStoreCall;
 
 /* `bound_ms`: a change must be in force within this time. */
@@ -39,9 +44,9 @@
 /* Once the table is known, it is read only when the answer about another table
  * shows that the store has changed (GwFollower_OnOther). */
 void GwFollower_FollowOther(GwFollower *f);
-/* Begins or ends to call the store. Returns whether that is a change; the
- * calling function must drop all calls in progress when it ends. */
-bool GwFollower_SetReads(GwFollower *f, int64_t now_us, bool reads);
+/* Begins or ends to call the store, and why. Returns whether it begins or ends;
+ * the calling function must drop all calls in progress when it ends. */
+bool GwFollower_SetReads(GwFollower *f, int64_t now_us, GwReadReason reason);
 bool GwFollower_Reads(const GwFollower *f);
 /* Whether the table was read once, from the store or a peer. */
 bool GwFollower_IsKnown(const GwFollower *f);
@@ -50,8 +55,17 @@
 
 /* Returns whether a call is due; it is then in progress. */
 bool GwFollower_NextCall(GwFollower *f, int64_t now_us, GwStoreCall *call);
-/* The call was answered with rows, which are consumed. Returns true, and the
- * question for the next page, if the call goes on. */
+/* Newest era known of the store; 0: none. */
+uint32_t GwFollower_Era(const GwFollower *f);
+/* An answer of the store, about any table, named its era; 0: it named none. To
+ * be called before the answer is handled otherwise. */
+void GwFollower_NoteEra(GwFollower *f, int64_t now_us, uint32_t era);
+/* A peer has rows of that era. What they lack stays for a while from now on,
+ * though they have not arrived yet. */
+void GwFollower_ExpectEra(GwFollower *f, int64_t now_us, uint32_t era);
+/* The call was answered with rows, which are consumed; their era is 0 if the
+ * answer named none. Returns true, and the question for the next page, if the
+ * call goes on. */
 bool GwFollower_OnRows(GwFollower *f, int64_t now_us, uint32_t id,
                        GwRowSet *set, GwStoreCall *next);
 /* The last complete answer: the version that the store had, and when it was
@@ -61,7 +75,7 @@
  * if this copy has that version, nothing in this table has changed. */
 void GwFollower_OnOther(GwFollower *f, int64_t now_us,
                         const GwPeerProof *answer);
-/* The store no longer has the history after the call's version. */
+/* The store does not have the history after the call's version. */
 void GwFollower_OnGone(GwFollower *f, int64_t now_us, uint32_t id);
 /* The call was refused, or its connection ended. */
 void GwFollower_OnFailure(GwFollower *f, int64_t now_us, uint32_t id);
--- a/lib/store/proof.h
+++ b/lib/store/proof.h
@@ -10,8 +10,7 @@
 #ifndef GW_STORE_PROOF_H
 #define GW_STORE_PROOF_H
 
-#include <stdbool.h>
-#include <stdint.h>
+#include "store/version.h"
 
 /* The copy has all changes up to `as_of_us`; 0: none are proven. */
 typedef struct {
@@ -21,7 +20,7 @@
 /* A peer's proof: its copy had `version`, and all changes up to `as_of_us` by
  * this entry's clock; 0: none are proven. */
 typedef struct {
-    uint64_t version;
+    GwStoreVersion version;
     int64_t as_of_us;
 } GwPeerProof;
 
--- a/lib/store/rows_wire.c
+++ b/lib/store/rows_wire.c
@@ -14,9 +14,15 @@
 char *
 GwRowsRequest_WriteTarget(const GwRowsRequest *req)
 {
-    return g_strdup_printf(TARGET_PATH "?table=%s&after=%" PRIu64
-                                       "&digest=%" PRIx64,
-                           req->table, req->after, req->digest);
+    GString *out = g_string_new(NULL);
+
+    g_string_printf(out,
+                    TARGET_PATH "?table=%s&after=%" PRIu64 "&digest=%" PRIx64,
+                    req->table, req->after.number, req->digest);
+    if (req->after.era != 0) {
+        g_string_append_printf(out, "&era=%" PRIu32, req->after.era);
+    }
+    return g_string_free(out, FALSE);
 }
 
 bool
@@ -24,10 +30,18 @@
 {
     int end = 0;
 
-    return sscanf(target,
-                  TARGET_PATH "?table=%63[^&]&after=%" SCNu64
-                              "&digest=%" SCNx64 "%n",
-                  req->table, &req->after, &req->digest, &end) == 3 &&
+    req->after.era = 0;
+    if (sscanf(target,
+               TARGET_PATH "?table=%63[^&]&after=%" SCNu64 "&digest=%" SCNx64
+                           "%n",
+               req->table, &req->after.number, &req->digest, &end) != 3) {
+        return false;
+    }
+    if (target[end] == '\0') {
+        return true;
+    }
+    target += end;
+    return sscanf(target, "&era=%" SCNu32 "%n", &req->after.era, &end) == 1 &&
            target[end] == '\0';
 }
 
@@ -44,13 +58,14 @@
 }
 
 static Gw__Peer__Row *
-pack_row(const GwStoreRow *row)
+pack_row(const GwStoreRow *row, uint32_t era)
 {
     Gw__Peer__Row *out = g_new(Gw__Peer__Row, 1);
 
     gw__peer__row__init(out);
     out->key = row->key;
-    out->version = row->version;
+    out->version = row->version.number;
+    out->eras_back = era - row->version.era;
     out->removed = row->removed;
     if (row->value != NULL) {
         out->value.data = (uint8_t *)row->value;
@@ -66,11 +81,12 @@
     GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
 
     for (guint i = 0; i < set->rows->len; i++) {
-        g_ptr_array_add(list, pack_row(set->rows->pdata[i]));
+        g_ptr_array_add(list, pack_row(set->rows->pdata[i], set->version.era));
     }
     rows.rows = (Gw__Peer__Row **)list->pdata;
     rows.n_rows = list->len;
-    rows.version = set->version;
+    rows.version = set->version.number;
+    rows.era = set->version.era;
     size_t len = gw__peer__rows__get_packed_size(&rows);
     uint8_t *bytes = g_malloc(len + 1);
     (void)gw__peer__rows__pack(&rows, bytes);
@@ -85,7 +101,7 @@
 {
     GwRowSet *set = GwRowSet_Create();
 
-    set->version = rows->version;
+    set->version = (GwStoreVersion){rows->era, rows->version};
     for (size_t i = 0; i < rows->n_rows; i++) {
         const Gw__Peer__Row *row = rows->rows[i];
         char *value =
@@ -94,9 +110,10 @@
                 : g_strndup(row->value.len > 0 ? (const char *)row->value.data
                                                : "",
                             row->value.len);
-        g_ptr_array_add(
-            set->rows,
-            GwStoreRow_Create(row->key, value, row->version, row->removed));
+        const GwStoreVersion version = {
+            rows->era - MIN(row->eras_back, rows->era), row->version};
+        g_ptr_array_add(set->rows, GwStoreRow_Create(row->key, value, version,
+                                                     row->removed));
         g_free(value);
     }
     return set;
--- a/lib/store/rows_wire.h
+++ b/lib/store/rows_wire.h
@@ -6,7 +6,9 @@
 
 typedef struct {
     char table[64];
-    uint64_t after;  /* the requester has all updates up to this; 0: none */
+    /* The requester has all updates up to this. Number 0: none; era 0: of any
+     * era, as entries without eras ask. */
+    GwStoreVersion after;
     uint64_t digest; /* of the requester's rows (GwRowCache_Digest) */
 } GwRowsRequest;
 
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -657,7 +657,7 @@
   (ProtobufCMessageInit) gw__peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[41] =
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[43] =
 {
   {
     "name",
@@ -1151,11 +1151,36 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   24,   /* field[24] = asks_known */
   5,   /* field[5] = call_address */
   33,   /* field[33] = clock_ms */
+  42,   /* field[42] = config_version */
   21,   /* field[21] = cpu_milli */
   4,   /* field[4] = domain */
   35,   /* field[35] = echo_clock_ms */
@@ -1186,6 +1211,7 @@
   8,   /* field[8] = server_version */
   6,   /* field[6] = serves */
   1,   /* field[1] = start */
+  41,   /* field[41] = store_era */
   18,   /* field[18] = store_was_away */
   25,   /* field[25] = sum */
   28,   /* field[28] = sum_cells */
@@ -1200,7 +1226,7 @@
   { 1, 0 },
   { 7, 5 },
   { 26, 23 },
-  { 0, 41 }
+  { 0, 43 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -1210,14 +1236,14 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  41,
+  43,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   3,  gw__peer__report__number_ranges,
   (ProtobufCMessageInit) gw__peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__peer__row__field_descriptors[5] =
 {
   {
     "key",
@@ -1267,8 +1293,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "eras_back",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Row, eras_back),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__row__field_indices_by_name[] = {
+  4,   /* field[4] = eras_back */
   0,   /* field[0] = key */
   3,   /* field[3] = removed */
   2,   /* field[2] = value */
@@ -1277,7 +1316,7 @@
 static const ProtobufCIntRange gw__peer__row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gw__peer__row__descriptor =
 {
@@ -1287,14 +1326,14 @@
   "Gw__Peer__Row",
   "gw.peer",
   sizeof(Gw__Peer__Row),
-  4,
+  5,
   gw__peer__row__field_descriptors,
   gw__peer__row__field_indices_by_name,
   1,  gw__peer__row__number_ranges,
   (ProtobufCMessageInit) gw__peer__row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__rows__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__peer__rows__field_descriptors[3] =
 {
   {
     "rows",
@@ -1320,15 +1359,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Rows, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__rows__field_indices_by_name[] = {
+  2,   /* field[2] = era */
   0,   /* field[0] = rows */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange gw__peer__rows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gw__peer__rows__descriptor =
 {
@@ -1338,7 +1390,7 @@
   "Gw__Peer__Rows",
   "gw.peer",
   sizeof(Gw__Peer__Rows),
-  2,
+  3,
   gw__peer__rows__field_descriptors,
   gw__peer__rows__field_indices_by_name,
   1,  gw__peer__rows__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -153,9 +153,12 @@
    */
   protobuf_c_boolean serves;
   /*
-   * newest row known of each table
+   * newest row known of each table; 0: none
    */
   uint64_t operator_version;
+  /*
+   * of store_era
+   */
   uint64_t server_version;
   size_t n_load_servers;
   uint32_t *load_servers;
@@ -284,10 +287,18 @@
    * the receiver lacks so much of the operators' rows
    */
   uint32_t news_bytes;
+  /*
+   * of both versions; 0: the store names none
+   */
+  uint32_t store_era;
+  /*
+   * Version of the configuration in force; with the proofs only.
+   */
+  uint64_t config_version;
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -300,10 +311,14 @@
   uint64_t version;
   ProtobufCBinaryData value;
   protobuf_c_boolean removed;
+  /*
+   * from the era of all rows to that of this version
+   */
+  uint32_t eras_back;
 };
 #define GW__PEER__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0 }
 
 
 struct  Gw__Peer__Rows
@@ -315,10 +330,14 @@
    * all that matters up to it is in them
    */
   uint64_t version;
+  /*
+   * of the version; 0: the store names none
+   */
+  uint32_t era;
 };
 #define GW__PEER__ROWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__rows__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 /*
--- a/standins/site/store.c
+++ b/standins/site/store.c
@@ -69,13 +69,13 @@
 
     for (guint i = 0; i < rows->len; i++) {
         const GwStoreRow *row = rows->pdata[i];
-        if (row->version > after && (removed || !row->removed)) {
+        if (row->version.number > after && (removed || !row->removed)) {
             g_ptr_array_add(set->rows,
                             GwStoreRow_Create(row->key, row->value,
                                               row->version, row->removed));
         }
     }
-    set->version = s->version;
+    set->version.number = s->version;
     return set;
 }
 
@@ -284,7 +284,8 @@
     *write = (Write){
         .at_us = now_us(),
         .table = g_strdup(table),
-        .row = GwStoreRow_Create(key, value, s->version, value == NULL),
+        .row = GwStoreRow_Create(
+            key, value, (GwStoreVersion){.number = s->version}, value == NULL),
     };
     g_ptr_array_add(s->writes, write);
     place_row(s, table, write->row);
@@ -331,7 +332,7 @@
             break;
         }
         place_row(s, write->table, write->row);
-        s->version = write->row->version;
+        s->version = write->row->version.number;
         kept++;
     }
     g_ptr_array_set_size(s->writes, (gint)kept);
--- a/tests/fakes/follow_faults.c
+++ b/tests/fakes/follow_faults.c
@@ -168,6 +168,8 @@
 
     FollowStore_Restore(run->store, copied_us);
     schedule_rewrites(run, copied_us);
+    run->restored_us = run->now_us;
+    run->store_disturbed_us = run->now_us;
     run->restore_us = 0;
     if (run->restores > 0) {
         run->restores--;
@@ -378,6 +380,20 @@
                                    : state == FOLLOW_READY;
 }
 
+/* The acknowledgement of the store that sets the bound. A removal counts only
+ * while the store is stable: right after its return, rows of live servers are
+ * missing as well. */
+static int64_t
+binding_ack_us(const FollowRun *run, const FollowChange *c)
+{
+    int64_t stable_us =
+        run->restored_us + (int64_t)run->params.contact_ms * MS;
+
+    return c->kind == FOLLOW_REMOVAL && c->acked_us > run->restored_us
+               ? MAX(c->acked_us, stable_us)
+               : c->acked_us;
+}
+
 /* An entry in touch must have every change that was acknowledged `bound_ms`
  * ago. */
 void
@@ -404,7 +420,7 @@
             &g_array_index(run->changes, FollowChange, i - 1);
         if (c->kind != FOLLOW_CONFIG) {
             run->report.late_drains +=
-                c->acked_us <= due_us && has_missed(e, c);
+                binding_ack_us(run, c) <= due_us && has_missed(e, c);
         }
         else if (c->config > e->config && c->acked_us != INT64_MAX) {
             is_late = is_late || c->acked_us <= due_us;
--- a/tests/fakes/follow_fleet.c
+++ b/tests/fakes/follow_fleet.c
@@ -15,6 +15,8 @@
 #define FETCH_LOST_US (600 * MS)
 #define FETCH_SLOW_US (900 * MS)
 #define SKEW_MAX_S    1000
+/* What a restored store lacks stays for this time. */
+#define ERA_GRACE_US (2 * S)
 
 uint32_t
 FollowRun_Below(FollowRun *run, uint32_t most)
@@ -82,7 +84,22 @@
     *state = FOLLOW_READY;
 }
 
-uint64_t
+/* Configurations are their version; a server's row has a state and the number
+ * of its heartbeat. */
+static GwValueOrder
+order_values(void *ctx, const char *key, const char *value, const char *than)
+{
+    const char *number = strchr(value, ' ');
+    const char *other = strchr(than, ' ');
+    uint64_t a = strtoull(number != NULL ? number : value, NULL, 10);
+    uint64_t b = strtoull(other != NULL ? other : than, NULL, 10);
+
+    (void)ctx;
+    (void)key;
+    return a > b ? GW_ORDER_NEWER : a < b ? GW_ORDER_OLDER : GW_ORDER_SAME;
+}
+
+GwStoreVersion
 FollowEntry_Version(const FollowEntry *e, int table)
 {
     return GwRowCache_Version(GwFollower_Cache(e->followers[table]));
@@ -115,6 +132,11 @@
     e->followers[FOLLOW_SERVERS] = GwFollower_Create(
         on_server_row, e, FollowEntry_Clock(run, e), run->params.bound_ms);
     GwFollower_FollowOther(e->followers[FOLLOW_SERVERS]);
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        GwRowCache *cache = GwFollower_Cache(e->followers[t]);
+        GwRowCache_SetOrder(cache, order_values);
+        GwRowCache_SetEraGrace(cache, ERA_GRACE_US);
+    }
     memset(e->is_connected, 0, sizeof(e->is_connected));
     memset(e->fetches, 0, sizeof(e->fetches));
     memset(e->servers, 0, sizeof(e->servers));
@@ -162,6 +184,19 @@
     }
 }
 
+/* Every answer names the era; one with rows counts for its own table once they
+ * are applied. */
+static void
+note_era(FollowRun *run, FollowEntry *e, const CallAnswer *a)
+{
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        if (t != (int)a->table || a->outcome != CALL_ROWS) {
+            GwFollower_NoteEra(e->followers[t], FollowEntry_Clock(run, e),
+                               a->era);
+        }
+    }
+}
+
 void
 FollowEntry_OnAnswer(FollowRun *run, FollowEntry *e, CallAnswer *a)
 {
@@ -172,6 +207,9 @@
         GwRowSet_Free(a->rows);
         return;
     }
+    if (a->outcome != CALL_LOST) {
+        note_era(run, e, a);
+    }
     switch (a->outcome) {
     case CALL_LOST:
         break;
@@ -201,13 +239,14 @@
 /* ---- Fetches from peers ------------------------------------------------ */
 
 static void
-fetch(FollowRun *run, FollowEntry *e, int t, uint32_t provider)
+fetch(FollowRun *run, FollowEntry *e, int t, uint32_t provider, bool is_full)
 {
     const FollowEntry *from = &run->entries[provider];
     FollowFetch *f = &e->fetches[t];
 
     if (f->is_active ||
-        e->peers[provider].versions[t] <= FollowEntry_Version(e, t)) {
+        (!is_full && !GwStoreVersion_IsNewer(e->peers[provider].versions[t],
+                                             FollowEntry_Version(e, t)))) {
         return;
     }
     int64_t took_us =
@@ -216,6 +255,7 @@
         took_us = FollowRun_Below(run, FETCH_SLOW_US);
     }
     *f = (FollowFetch){.is_active = true,
+                       .is_full = is_full,
                        .provider = provider,
                        .provider_process = e->peers[provider].process,
                        .proof = e->peers[provider].proofs[t],
@@ -244,9 +284,11 @@
         return;
     }
     const GwRowCache *cache = GwFollower_Cache(from->followers[t]);
-    uint64_t after = FollowEntry_Version(e, t);
-    bool is_full = after == 0 || !GwRowCache_HasRemovalsAfter(cache, after);
-    GwRowSet *rows = GwRowCache_After(cache, is_full ? 0 : after);
+    GwStoreVersion after = FollowEntry_Version(e, t);
+    bool is_full = f->is_full || GwStoreVersion_IsNone(after) ||
+                   !GwRowCache_HasRemovalsAfter(cache, after);
+    GwRowSet *rows =
+        GwRowCache_After(cache, is_full ? (GwStoreVersion){0} : after);
     GwFollower_OnPeerRows(own, FollowEntry_Clock(run, e), rows, is_full,
                           &f->proof);
     GwRowSet_Free(rows);
@@ -277,15 +319,39 @@
     return GwFetchView_MayFetch(&view);
 }
 
+static bool
+has_newer_rows(const FollowEntry *e, const FollowPeer *peer)
+{
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        if (GwStoreVersion_IsNewer(peer->versions[t],
+                                   FollowEntry_Version(e, t))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The table versions are the same, but the peer has kept a configuration that
+ * the store lost. */
+static void
+fetch_newer_config(FollowRun *run, FollowEntry *e, uint32_t provider)
+{
+    const FollowPeer *peer = &e->peers[provider];
+
+    if (FollowEntry_IsLoaded(e) && peer->config > e->config &&
+        GwStoreVersion_Compare(peer->versions[FOLLOW_OPERATOR],
+                               FollowEntry_Version(e, FOLLOW_OPERATOR)) == 0) {
+        fetch(run, e, FOLLOW_OPERATOR, provider, true);
+    }
+}
+
 void
 FollowEntry_FetchFrom(FollowRun *run, FollowEntry *e, uint32_t provider)
 {
     const FollowPeer *peer = &e->peers[provider];
 
-    if (peer->versions[FOLLOW_OPERATOR] <=
-            FollowEntry_Version(e, FOLLOW_OPERATOR) &&
-        peer->versions[FOLLOW_SERVERS] <=
-            FollowEntry_Version(e, FOLLOW_SERVERS)) {
+    if (!has_newer_rows(e, peer)) {
+        fetch_newer_config(run, e, provider);
         return;
     }
     if (e->awaits_rows_us == 0) {
@@ -296,8 +362,8 @@
         return;
     }
     e->awaits_rows_us = 0;
-    fetch(run, e, FOLLOW_OPERATOR, provider);
-    fetch(run, e, FOLLOW_SERVERS, provider);
+    fetch(run, e, FOLLOW_OPERATOR, provider, false);
+    fetch(run, e, FOLLOW_SERVERS, provider, false);
 }
 
 /* ---- Who reads --------------------------------------------------------- */
@@ -334,11 +400,12 @@
         view.age_us =
             MAX(view.age_us, GwFollower_AgeUs(e->followers[t], clock_us));
     }
-    bool reads = FollowEntry_IsLoaded(e)
-                     ? GwReaderView_Reason(&view) != GW_READS_NOT
-                     : reads_at_start(run, e);
+    GwReadReason reason = GwReaderView_Reason(&view);
+    if (!FollowEntry_IsLoaded(e)) {
+        reason = reads_at_start(run, e) ? GW_READS_START : GW_READS_NOT;
+    }
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
-        if (GwFollower_SetReads(e->followers[t], clock_us, reads)) {
+        if (GwFollower_SetReads(e->followers[t], clock_us, reason)) {
             e->is_connected[t] = false;
         }
     }
@@ -356,6 +423,10 @@
     e->tick_us = run->now_us + (is_slow ? 4 : 1) * TICK_US;
     e->ticks++;
     for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        GwRowCache *cache = GwFollower_Cache(e->followers[t]);
+        if (GwRowCache_PendingCount(cache) > 0) {
+            GwRowCache_Expire(cache, FollowEntry_Clock(run, e));
+        }
         finish_fetch(run, e, t);
         call_store(run, e, t);
         while (GwFollower_NextOverdue(e->followers[t],
--- a/tests/fakes/follow_internal.h
+++ b/tests/fakes/follow_internal.h
@@ -27,7 +27,8 @@
     bool is_urgent;
     int64_t proof_sent_us; /* last report to it with proofs */
     GwClockEcho echo;
-    uint64_t versions[FOLLOW_TABLE_COUNT];
+    GwStoreVersion versions[FOLLOW_TABLE_COUNT];
+    uint64_t config; /* in force there */
     GwPeerProof proofs[FOLLOW_TABLE_COUNT];
 } FollowPeer;
 
@@ -84,7 +85,8 @@
     bool has_proofs;
     GwClockReport clocks;
     uint32_t ages[FOLLOW_TABLE_COUNT]; /* of the proofs, as on the wire */
-    uint64_t versions[FOLLOW_TABLE_COUNT];
+    GwStoreVersion versions[FOLLOW_TABLE_COUNT];
+    uint64_t config;
 } FollowReport;
 
 typedef enum {
@@ -123,9 +125,10 @@
     int64_t next_change_us;
     int64_t next_fault_us;
     int64_t store_disturbed_us;
-    GArray *rewrites;   /* FollowRewrite */
-    int64_t restore_us; /* when the store is restored; 0: it is not */
-    uint32_t restores;  /* left that follow */
+    GArray *rewrites;    /* FollowRewrite */
+    int64_t restore_us;  /* when the store is restored; 0: it is not */
+    uint32_t restores;   /* left that follow */
+    int64_t restored_us; /* last time; 0: never */
     uint64_t newest_config;
     uint64_t server_seq;   /* of the last row that a server wrote */
     uint32_t one_way_from; /* domains */
@@ -150,7 +153,7 @@
 void FollowEntry_OnAnswer(FollowRun *run, FollowEntry *e, CallAnswer *answer);
 
 /* Version of the entry's copy of a table. */
-uint64_t FollowEntry_Version(const FollowEntry *e, int table);
+GwStoreVersion FollowEntry_Version(const FollowEntry *e, int table);
 /* Whether it has both tables. */
 bool FollowEntry_IsLoaded(const FollowEntry *e);
 /* Fetches what the entry lacks from a peer, if that is due. */
--- a/tests/fakes/follow_reports.c
+++ b/tests/fakes/follow_reports.c
@@ -88,6 +88,7 @@
         .next_ms = period_ms(run, e, to),
         .versions = {FollowEntry_Version(e, FOLLOW_OPERATOR),
                      FollowEntry_Version(e, FOLLOW_SERVERS)},
+        .config = e->config,
     };
 
     fill_proofs(run, e, to, &report);
@@ -155,9 +156,14 @@
     peer->next_ms = report->next_ms;
     peer->reported_us = run->now_us;
     memcpy(peer->versions, report->versions, sizeof(peer->versions));
+    peer->config = report->config;
     if (e->tables_seen_us == 0 && report->serves) {
         e->tables_seen_us = run->now_us;
     }
+    for (int t = 0; t < FOLLOW_TABLE_COUNT; t++) {
+        GwFollower_ExpectEra(e->followers[t], FollowEntry_Clock(run, e),
+                             report->versions[t].era);
+    }
     apply_proofs(run, e, report);
     FollowEntry_FetchFrom(run, e, report->from);
 }
--- a/tests/fakes/follow_store.c
+++ b/tests/fakes/follow_store.c
@@ -95,7 +95,9 @@
     }
     g_array_set_size(s->writes, kept);
     s->version =
-        kept > 0 ? g_array_index(s->writes, Write, kept - 1).row->version : 0;
+        kept > 0
+            ? g_array_index(s->writes, Write, kept - 1).row->version.number
+            : 0;
     s->history_from = MIN(s->history_from, s->version);
     s->era++;
 }
@@ -116,7 +118,7 @@
     GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
     if (as_of_us == INT64_MAX) {
-        set->version = s->version;
+        set->version.number = s->version;
     }
     for (guint i = s->writes->len; i > 0; i--) {
         const Write *write = &g_array_index(s->writes, Write, i - 1);
@@ -124,15 +126,16 @@
         if (write->at_us > as_of_us) {
             continue;
         }
-        set->version = MAX(set->version, row->version);
+        set->version.number = MAX(set->version.number, row->version.number);
         if (write->table == table && g_hash_table_add(seen, row->key) &&
-            row->version > after && (with_removed || !row->removed)) {
+            row->version.number > after && (with_removed || !row->removed)) {
             g_ptr_array_add(set->rows,
                             GwStoreRow_Create(row->key, row->value,
                                               row->version, row->removed));
         }
     }
     g_hash_table_destroy(seen);
+    GwRowSet_SetEra(set, s->era);
     return set;
 }
 
@@ -152,10 +155,11 @@
                 const char *key, const char *value)
 {
     s->version++;
-    Write write = {
-        .at_us = now_us,
-        .table = table,
-        .row = GwStoreRow_Create(key, value, s->version, value == NULL)};
+    Write write = {.at_us = now_us,
+                   .table = table,
+                   .row = GwStoreRow_Create(
+                       key, value, (GwStoreVersion){.number = s->version},
+                       value == NULL)};
     g_array_append_val(s->writes, write);
     return s->version;
 }
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -6,6 +6,8 @@
 #define MS       1000
 #define S        1000000
 #define BOUND_MS 2500
+/* The version of that number in a store without eras. */
+#define AT(n) ((GwStoreVersion){.number = (n)})
 
 static void
 ignore_row(void *ctx, const GwStoreRow *row)
@@ -21,9 +23,9 @@
 
     if (key != NULL) {
         g_ptr_array_add(set->rows,
-                        GwStoreRow_Create(key, "value", version, false));
+                        GwStoreRow_Create(key, "value", AT(version), false));
     }
-    set->version = version;
+    set->version = AT(version);
     set->more = more;
     return set;
 }
@@ -65,7 +67,7 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         GwFollower *f = create_known(1 * S, 10);
-        GwPeerProof proof = {.version = cases[i].version,
+        GwPeerProof proof = {.version = AT(cases[i].version),
                              .as_of_us = cases[i].as_of_us};
         GwFollower_NoteProof(f, &proof);
         cr_expect_eq(GwFollower_Proof(f)->as_of_us,
@@ -80,7 +82,7 @@
 Test(follower, rows_that_are_older_than_their_proof_prove_nothing)
 {
     static const uint64_t versions[] = {9, 12, 20};
-    GwPeerProof proof = {.version = 12, .as_of_us = 5 * S};
+    GwPeerProof proof = {.version = AT(12), .as_of_us = 5 * S};
 
     for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
         GwFollower *f = create_known(1 * S, 8);
@@ -107,7 +109,7 @@
                                 rows(versions[i], "b", false), &call);
         cr_expect_eq(GwFollower_Proof(f)->as_of_us,
                      versions[i] >= 10 ? 2 * S : 1 * S, "case %zu", i);
-        cr_expect_geq(GwRowCache_Version(GwFollower_Cache(f)), 10);
+        cr_expect_geq(GwRowCache_Version(GwFollower_Cache(f)).number, 10);
         GwFollower_Free(f);
     }
 }
@@ -157,7 +159,7 @@
     cr_expect_eq(GwFollower_NextOverdue(f, 2 * S), first.id);
     cr_expect_eq(GwFollower_NextOverdue(f, 2 * S), 0);
     (void)GwFollower_OnRows(f, 3 * S, first.id, rows(4, "c", false), &next);
-    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)), 5);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).number, 5);
     cr_expect_eq(GwFollower_Proof(f)->as_of_us, 2 * S);
     GwFollower_Free(f);
 }
@@ -229,7 +231,8 @@
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         GwFollower *f = create(0);
         GwStoreCall call;
-        GwPeerProof answer = {.version = cases[i].version, .as_of_us = 9 * S};
+        GwPeerProof answer = {.version = AT(cases[i].version),
+                              .as_of_us = 9 * S};
         GwFollower_FollowOther(f);
         cr_assert(GwFollower_NextCall(f, 0, &call));
         (void)GwFollower_OnRows(f, 0, call.id, rows(10, "a", false), &call);
@@ -242,3 +245,180 @@
         GwFollower_Free(f);
     }
 }
+
+/* ---- Eras ----------------------------------------------------------------- */
+
+static GwRowSet *
+rows_of_era(uint32_t era, uint64_t version, bool more)
+{
+    GwRowSet *set = rows(version, "a", more);
+
+    GwRowSet_SetEra(set, era);
+    return set;
+}
+
+/* Creates one that has the table at version 10 of era 3. */
+static GwFollower *
+create_in_era(GwReadReason reason)
+{
+    GwFollower *f = GwFollower_Create(ignore_row, NULL, 0, BOUND_MS);
+    GwStoreCall call;
+
+    (void)GwFollower_SetReads(f, 0, reason);
+    cr_assert(GwFollower_NextCall(f, 0, &call));
+    (void)GwFollower_OnRows(f, 0, call.id, rows_of_era(3, 10, false), &call);
+    return f;
+}
+
+/* Guards against: changes that a restored store names after a version of its
+ * earlier history are taken for all that there are, or prove that the copy is
+ * new. */
+Test(follower, a_feed_of_another_era_is_followed_by_a_full_read)
+{
+    static const struct {
+        uint32_t era; /* 0: the answer names none */
+        uint64_t version;
+        bool is_used;
+    } cases[] = {
+        {3, 12, true},  {0, 12, true},  {4, 5, false},
+        {4, 12, false}, {6, 12, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwFollower *f = create_in_era(GW_READS_FIRST);
+        GwStoreCall call;
+        cr_assert(GwFollower_NextCall(f, 2 * S, &call));
+        cr_expect_eq(call.kind, GW_CALL_FEED);
+        cr_expect_eq(call.after, 10);
+        (void)GwFollower_OnRows(
+            f, 2 * S, call.id,
+            rows_of_era(cases[i].era, cases[i].version, false), &call);
+        cr_expect_eq(GwFollower_Proof(f)->as_of_us,
+                     cases[i].is_used ? 2 * S : 0, "case %zu", i);
+        cr_expect_eq(GwFollower_NextCall(f, 2 * S, &call), !cases[i].is_used,
+                     "read again at once, case %zu", i);
+        cr_expect(cases[i].is_used || call.kind == GW_CALL_READ, "case %zu",
+                  i);
+        GwFollower_Free(f);
+    }
+}
+
+/* Guards against: rows of several entries' regions are read from the store at
+ * once after each restore, though the first reader is about to have them. */
+Test(follower, only_first_readers_read_a_new_era_at_once)
+{
+    static const struct {
+        GwReadReason reason;
+        bool at_once;
+    } cases[] = {
+        {GW_READS_FIRST, true},
+        {GW_READS_START, true},
+        {GW_READS_STALE, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GwFollower *f = create_in_era(cases[i].reason);
+        GwStoreCall call;
+        GwFollower_NoteEra(f, 2 * S, 4);
+        cr_expect_eq(GwFollower_NextCall(f, 2 * S, &call), cases[i].at_once,
+                     "case %zu", i);
+        if (!cases[i].at_once) {
+            cr_assert(GwFollower_NextCall(f, 3 * S, &call));
+        }
+        cr_expect_eq(call.kind, GW_CALL_READ, "case %zu", i);
+        GwFollower_Free(f);
+    }
+}
+
+/* Guards against: an answer that was late or of another history counts, or the
+ * pages of two histories are put together. */
+Test(follower, answers_of_earlier_eras_are_dropped)
+{
+    GwFollower *f = create_in_era(GW_READS_FIRST);
+    GwStoreCall late;
+    GwStoreCall call;
+    GwStoreCall next;
+
+    cr_assert(GwFollower_NextCall(f, 1 * S, &late));
+    GwFollower_NoteEra(f, 2 * S, 5);
+    cr_assert(GwFollower_NextCall(f, 2 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_READ);
+    (void)GwFollower_OnRows(f, 2 * S, late.id, rows_of_era(3, 90, false),
+                            &next);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).number, 10);
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 0);
+
+    cr_assert(
+        GwFollower_OnRows(f, 2 * S, call.id, rows_of_era(5, 4, true), &call),
+        "another page");
+    cr_assert_not(
+        GwFollower_OnRows(f, 2 * S, call.id, rows_of_era(6, 4, false), &next),
+        "the read ends");
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).era, 3);
+    cr_assert(GwFollower_NextCall(f, 2 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_READ);
+    cr_expect_null(call.from_key);
+    (void)GwFollower_OnRows(f, 3 * S, call.id, rows_of_era(6, 2, false),
+                            &next);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).era, 6);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).number, 2);
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 2 * S);
+    GwFollower_Free(f);
+}
+
+/* Guards against: one answer with a wrong era, which never comes again, takes
+ * the rows of the live store away for good, or one answer with a smaller era
+ * takes away those of the newest one. */
+Test(follower, an_era_that_the_store_denies_is_given_up)
+{
+    GwFollower *f = create_in_era(GW_READS_FIRST);
+    GwPeerProof proof = {.version = {90, 1}, .as_of_us = 9 * S};
+    GwRowSet *wrong = rows_of_era(90, 50, false);
+    GwStoreCall call;
+    GwStoreCall next;
+    uint64_t version = 20;
+
+    GwFollower_NoteEra(f, 1 * S, 90);
+    for (int64_t now_us = 2 * S; version < 24; now_us += 1 * S) {
+        cr_assert(GwFollower_NextCall(f, now_us, &call));
+        (void)GwFollower_OnRows(f, now_us, call.id,
+                                rows_of_era(3, version++, false), &next);
+    }
+    cr_expect_eq(GwFollower_Era(f), 3);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).number, 23);
+    GwFollower_OnPeerRows(f, 9 * S, wrong, false, &proof);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).era, 3,
+                 "a peer still has the wrong era");
+    cr_assert(GwFollower_NextCall(f, 9 * S, &call));
+    (void)GwFollower_OnRows(f, 9 * S, call.id, rows_of_era(2, 99, false),
+                            &next);
+    cr_expect_eq(GwRowCache_Version(GwFollower_Cache(f)).number, 23,
+                 "one answer of an earlier era");
+    GwRowSet_Free(wrong);
+    GwFollower_Free(f);
+}
+
+/* Guards against: an entry that does not read the store stays in its old era,
+ * or reads everything again when it begins to. */
+Test(follower, rows_of_a_peer_bring_the_new_era)
+{
+    GwFollower *f = create_in_era(GW_READS_FIRST);
+    GwPeerProof proof = {.version = {4, 7}, .as_of_us = 2 * S};
+    GwPeerProof late = {.version = {3, 10}, .as_of_us = 5 * S};
+    GwRowSet *set = rows_of_era(4, 7, false);
+    GwStoreCall call;
+
+    (void)GwFollower_SetReads(f, 1 * S, GW_READS_NOT);
+    GwFollower_OnPeerRows(f, 3 * S, set, false, &proof);
+    cr_expect_eq(GwFollower_Era(f), 4);
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 2 * S);
+    GwFollower_NoteProof(f, &late);
+    cr_expect_eq(GwFollower_Proof(f)->as_of_us, 2 * S,
+                 "a proof of the earlier era proves nothing");
+    (void)GwFollower_SetReads(f, 6 * S, GW_READS_STALE);
+    cr_assert(GwFollower_NextCall(f, 6 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_FEED);
+    cr_expect_eq(call.after, 7);
+    GwRowSet_Free(set);
+    GwFollower_Free(f);
+}
--- a/tests/unit/test_rows_wire.c
+++ b/tests/unit/test_rows_wire.c
@@ -13,13 +13,15 @@
         char *key = g_strdup_printf("server-%u", i);
         char *value = g_strdup_printf("{\"address\":\"10.0.0.%u:1\"}", i);
         bool removed = i % 3 == 2;
-        g_ptr_array_add(
-            set->rows,
-            GwStoreRow_Create(key, removed ? NULL : value, 100 + i, removed));
+        g_ptr_array_add(set->rows,
+                        GwStoreRow_Create(key, removed ? NULL : value,
+                                          (GwStoreVersion){.era = 3 - i % 4,
+                                                           .number = 100 + i},
+                                          removed));
         g_free(key);
         g_free(value);
     }
-    set->version = 100 + count;
+    set->version = (GwStoreVersion){.era = 3, .number = 100 + count};
     return set;
 }
 
@@ -32,13 +34,13 @@
         GByteArray *bytes = GwRowSet_Pack(set);
         GwRowSet *got = GwRowSet_Unpack((const char *)bytes->data, bytes->len);
         cr_assert_not_null(got);
-        cr_expect_eq(got->version, set->version);
+        cr_expect_eq(GwStoreVersion_Compare(got->version, set->version), 0);
         cr_assert_eq(got->rows->len, counts[i]);
         for (guint k = 0; k < counts[i]; k++) {
             const GwStoreRow *a = set->rows->pdata[k];
             const GwStoreRow *b = got->rows->pdata[k];
             cr_expect_str_eq(a->key, b->key);
-            cr_expect_eq(a->version, b->version);
+            cr_expect_eq(GwStoreVersion_Compare(a->version, b->version), 0);
             cr_expect_eq(a->removed, b->removed);
             cr_expect_eq(g_strcmp0(a->value, b->value), 0);
         }
@@ -67,26 +69,34 @@
     static const struct {
         const char *target;
         bool read;
+        uint32_t era;
     } cases[] = {
-        {"/rows?table=servers&after=42&digest=1f", true},
-        {"/rows?table=servers&after=42&digest=1f&more=1", false},
-        {"/rows?table=&after=42&digest=1f", false},
-        {"/rows?table=servers&after=x&digest=1f", false},
-        {"/rows", false},
-        {"/other", false},
+        {"/rows?table=servers&after=42&digest=1f", true, 0},
+        {"/rows?table=servers&after=42&digest=1f&era=7", true, 7},
+        {"/rows?table=servers&after=42&digest=1f&era=", false, 0},
+        {"/rows?table=servers&after=42&digest=1f&era=7x", false, 0},
+        {"/rows?table=servers&after=42&digest=1f&more=1", false, 0},
+        {"/rows?table=&after=42&digest=1f", false, 0},
+        {"/rows?table=servers&after=x&digest=1f", false, 0},
+        {"/rows", false, 0},
+        {"/other", false, 0},
     };
-    GwRowsRequest request = {.table = "servers", .after = 42, .digest = 0x1f};
-    char *target = GwRowsRequest_WriteTarget(&request);
 
-    cr_expect_str_eq(target, cases[0].target);
-    g_free(target);
+    for (size_t i = 0; i < 2; i++) {
+        GwRowsRequest request = {
+            .table = "servers", .after = {cases[i].era, 42}, .digest = 0x1f};
+        char *target = GwRowsRequest_WriteTarget(&request);
+        cr_expect_str_eq(target, cases[i].target);
+        g_free(target);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        GwRowsRequest got = {.after = 0};
+        GwRowsRequest got = {.digest = 0};
         cr_expect_eq(GwRowsRequest_ReadTarget(cases[i].target, &got),
                      cases[i].read, "%s", cases[i].target);
         if (cases[i].read) {
             cr_expect_str_eq(got.table, "servers");
-            cr_expect_eq(got.after, 42);
+            cr_expect_eq(got.after.number, 42);
+            cr_expect_eq(got.after.era, cases[i].era);
             cr_expect_eq(got.digest, 0x1f);
         }
     }
--- a/tests/unit/test_store_outage.c
+++ b/tests/unit/test_store_outage.c
@@ -72,7 +72,7 @@
         }
         if (now_ms < outage_at_ms) {
             GwRowSet *set = GwRowSet_Create();
-            set->version = 1;
+            set->version.number = 1;
             (void)GwFollower_OnRows(f, now_us, call.id, set, &call);
         }
     }
