What entries wrote lately is written again after a restore of the store

Same class, found by looking elsewhere: rows that the system writes itself (`entries`, `held`) are lost with the seconds that the copy lacks, and nobody wrote them again: a request that was quarantined then is free once the last entry that knows it has gone, and entries that start don't find each other's rows. A read in pages could also put pages of two histories together.

When the era changes, an entry writes its own row again if it was acknowledged within the last minute, at a moment drawn from 10 s, and the quarantined or released requests whose rows it wrote within the last minute, as they are now. A page of another era begins the read anew. None of our writes has a condition, so none can hit a version that was given out again.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -338,6 +338,9 @@
 void GwPeers_ExpediteRegion(GwPeers *peers);
 /* As GwPeers_ExpediteRegion, for peers of this failure domain. */
 void GwPeers_ExpediteDomain(GwPeers *peers);
+/* Writes this entry's row into the store again, if a restored store may lack
+ * it. */
+void GwPeers_WriteRowAgain(GwPeers *peers);
 /* Whether this entry is one of the few that write the row of that name. All
  * entries choose the same writers by a hash of the name. */
 bool GwPeers_IsWriterOf(const GwPeers *peers, uint64_t name);
--- a/lib/edge/join.c
+++ b/lib/edge/join.c
@@ -10,6 +10,10 @@
 #define JOIN_TIMEOUT_US 1500000
 #define JOIN_RETRY_US   700000
 #define ROWS_BODY_MAX   (8u << 20)
+/* A copy from which the store is restored is some seconds old. */
+#define COPY_AGE_MAX_US 60000000
+/* Entries that write their rows again spread their calls over this time. */
+#define REWRITE_SPREAD_US 10000000
 
 static void
 retry_join(GwPeers *peers)
@@ -101,7 +105,10 @@
     GwPeers *peers = owner;
     GwRowSet *set = NULL;
     bool ok = msg->status == 200;
+    uint32_t era = GwEdge_NoteStoreAnswer(peers->edge, NULL, msg);
+    bool is_same_era = era == peers->join_era;
 
+    peers->join_era = era;
     if (ok && peers->step == GW_JOIN_READ) {
         set = peers->edge->adapter->read_rows(msg->body->str, msg->body->len,
                                               NULL);
@@ -112,12 +119,18 @@
         retry_join(peers);
     }
     else if (set == NULL) {
+        peers->row_written_us = GwEdge_BootNow();
         peers->step = GW_JOIN_READ;
         send_call(peers);
     }
     else {
         add_entries(peers, set);
-        if (set->more && set->rows->len > 0) {
+        if (!is_same_era && peers->join_after != NULL) {
+            /* The earlier pages were those of another history. */
+            g_clear_pointer(&peers->join_after, g_free);
+            send_call(peers);
+        }
+        else if (set->more && set->rows->len > 0) {
             g_free(peers->join_after);
             peers->join_after = g_strdup(GwRowSet_LastKey(set));
             send_call(peers);
@@ -147,6 +160,21 @@
     .ended = on_join_ended,
 };
 
+void
+GwPeers_WriteRowAgain(GwPeers *peers)
+{
+    int64_t now_us = GwEdge_Now();
+    int64_t age_us = GwEdge_BootNow() - peers->row_written_us;
+
+    if (peers->step == GW_JOIN_DONE && age_us < COPY_AGE_MAX_US) {
+        peers->step = GW_JOIN_WRITE;
+        g_free(peers->join_after);
+        peers->join_after = NULL;
+        peers->next_join_us =
+            now_us + (int64_t)(peers->process_id % REWRITE_SPREAD_US);
+    }
+}
+
 void
 GwPeers_SweepJoin(GwPeers *peers, int64_t now_us)
 {
--- a/lib/edge/quarantine_rows.c
+++ b/lib/edge/quarantine_rows.c
@@ -13,14 +13,18 @@
 #define LOAD_MAX_US 5000000
 /* Maximum rows waiting to be written. */
 #define WAITING_MAX 256
+/* A copy from which the store is restored is some seconds old. */
+#define COPY_AGE_MAX_US 60000000
 
 struct GwQuarantineRows_s {
     GwEdge *edge;
     GwConn *conn;
     bool has_read;
-    bool is_loaded; /* GwQuarantineRows_IsLoaded */
-    char *after;    /* key of the last row read; NULL: none yet */
-    GQueue waiting; /* GwSuspect waiting to be written */
+    bool is_loaded;      /* GwQuarantineRows_IsLoaded */
+    char *after;         /* key of the last row read; NULL: none yet */
+    uint32_t era;        /* of the pages read so far; 0: none */
+    GQueue waiting;      /* GwSuspect waiting to be written */
+    GHashTable *written; /* GwFingerprint -> int64_t, the time of the call */
     /* Time of the next attempt, or time limit of the current one. */
     int64_t at_us;
 };
@@ -140,6 +144,7 @@
     if (set == NULL) {
         return false;
     }
+    GwRowSet_SetEra(set, GwEdge_NoteStoreAnswer(rows->edge, NULL, msg));
     for (guint i = 0; i < set->rows->len; i++) {
         const GwStoreRow *row = set->rows->pdata[i];
         GwSuspect suspect;
@@ -149,6 +154,14 @@
                                GwEdge_Now(), &suspect);
         }
     }
+    if (set->version.era != rows->era && rows->after != NULL) {
+        /* The earlier pages were those of another history. */
+        rows->era = set->version.era;
+        g_clear_pointer(&rows->after, g_free);
+        GwRowSet_Free(set);
+        return true;
+    }
+    rows->era = set->version.era;
     rows->has_read = !set->more || set->rows->len == 0;
     if (rows->has_read) {
         GwQuarantineRows_MarkLoaded(rows);
@@ -161,6 +174,19 @@
     return true;
 }
 
+static void
+note_written(GwQuarantineRows *rows)
+{
+    GwSuspect *suspect = g_queue_pop_head(&rows->waiting);
+    int64_t now_us = GwEdge_BootNow();
+
+    g_hash_table_replace(
+        rows->written,
+        g_memdup2(&suspect->fingerprint, sizeof(suspect->fingerprint)),
+        g_memdup2(&now_us, sizeof(now_us)));
+    g_free(suspect);
+}
+
 static void
 on_message(void *owner, GwHttpMessage *msg)
 {
@@ -168,7 +194,7 @@
     bool ok = msg->status == 200;
 
     if (ok && rows->has_read) {
-        g_free(g_queue_pop_head(&rows->waiting));
+        note_written(rows);
     }
     else if (ok) {
         ok = apply_rows(rows, msg);
@@ -253,6 +279,36 @@
     }
 }
 
+static gboolean
+is_old(gpointer key, gpointer value, gpointer now_us)
+{
+    (void)key;
+    return *(int64_t *)now_us - *(int64_t *)value > COPY_AGE_MAX_US;
+}
+
+static void
+write_again(void *ctx, const GwSuspect *suspect, GwSuspectState state,
+            int64_t until_us)
+{
+    GwQuarantineRows *rows = ctx;
+
+    (void)state;
+    (void)until_us;
+    if (g_hash_table_contains(rows->written, &suspect->fingerprint)) {
+        GwQuarantineRows_Write(rows, suspect);
+    }
+}
+
+void
+GwQuarantineRows_WriteAgain(GwQuarantineRows *rows)
+{
+    int64_t now_us = GwEdge_BootNow();
+
+    (void)g_hash_table_foreach_remove(rows->written, is_old, &now_us);
+    GwQuarantine_Each(GwRouter_Quarantine(rows->edge->router), GwEdge_Now(),
+                      write_again, rows);
+}
+
 /* At the first start of the whole system, there are no rows to read. */
 GwQuarantineRows *
 GwQuarantineRows_Create(GwEdge *edge)
@@ -260,6 +316,8 @@
     GwQuarantineRows *rows = g_new0(GwQuarantineRows, 1);
 
     rows->edge = edge;
+    rows->written = g_hash_table_new_full(
+        GwFingerprint_Hash, GwFingerprint_EqualKeys, g_free, g_free);
     rows->has_read = edge->settings->first_start;
     rows->is_loaded = rows->has_read;
     GwRouter_SetQuarantineKnown(edge->router, rows->is_loaded);
@@ -279,6 +337,7 @@
         return;
     }
     g_queue_clear_full(&rows->waiting, g_free);
+    g_hash_table_destroy(rows->written);
     g_free(rows->after);
     g_free(rows);
 }
--- a/lib/edge/quarantine_rows.h
+++ b/lib/edge/quarantine_rows.h
@@ -20,6 +20,9 @@
 /* Queues a row for a request that was quarantined or released. Dropped when
  * too many rows are waiting. */
 void GwQuarantineRows_Write(GwQuarantineRows *rows, const GwSuspect *suspect);
+/* Queues the rows that this entry wrote lately, as their requests are now: a
+ * restored store may lack them. */
+void GwQuarantineRows_WriteAgain(GwQuarantineRows *rows);
 
 /* Returns a row's value; free with g_free(). The key is the fingerprint.
  * `now_s` is the wall clock, as rows outlive monotonic clocks. */
--- a/lib/edge/store_era.c
+++ b/lib/edge/store_era.c
@@ -1,6 +1,7 @@
 /* Eras of the store (store/version.h): a new one begins when the store was
  * restored from a copy, which lacks what was written last. */
 #include "edge/feed_internal.h"
+#include "edge/quarantine_rows.h"
 
 uint32_t
 GwEdge_NoteStoreAnswer(GwEdge *edge, const GwFeed *reader,
@@ -22,6 +23,7 @@
 static void
 log_new_era(GwFeed *feed, uint32_t era)
 {
+    GwEdge *edge = feed->edge;
     GwStoreVersion held = GwFeed_Version(feed);
 
     GwLog_Event(GW_LOG_STORE_ERA,
@@ -29,6 +31,10 @@
                 " version_era=%u news_ms=%" PRId64 " pending=%u",
                 feed->table, era, feed->era, held.number, held.era,
                 GwFeed_AgeMs(feed), GwFeed_PendingRows(feed));
+    if (feed == edge->operator_feed) {
+        GwPeers_WriteRowAgain(edge->peers);
+        GwQuarantineRows_WriteAgain(edge->quarantine_rows);
+    }
 }
 
 void
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -242,6 +242,7 @@
 {
     const GwPendingReturn *known =
         g_hash_table_lookup(cache->returns, row->key);
+    assert(held != NULL);
     bool has_order = cache->order != NULL && held->last_value != NULL &&
                      cache->order(cache->ctx, row->key, row->value,
                                   held->last_value) != GW_ORDER_NONE;
--- a/tests/unit/test_edge_quarantine_rows.c
+++ b/tests/unit/test_edge_quarantine_rows.c
@@ -116,3 +116,49 @@
         EdgeEntry_Stop(&entry);
     }
 }
+
+/* The store's answers name that era from now on. */
+static void
+set_era(GwEdge *edge, const char *era)
+{
+    GwHttpMessage *msg = GwHttpMessage_Create();
+
+    msg->status = 503;
+    GwHttpMessage_Add(msg, edge->adapter->store_era, era);
+    (void)GwEdge_NoteStoreAnswer(edge, NULL, msg);
+    GwHttpMessage_Free(msg);
+}
+
+/* Guards against: a quarantine that the copy of a restored store lacks ends
+ * with the last entry that knows it. */
+Test(edge_quarantine_rows,
+     rows_written_lately_are_written_again_after_a_restore)
+{
+    static const GwHttpListenerOps ops = {.asked = on_request};
+    EdgeEntry entry = EdgeEntry_Start();
+    GwQuarantineRows *rows = entry.edge->quarantine_rows;
+    Store store = {.awaited = 1};
+    GwSuspect suspect = {.fingerprint = {1, 2},
+                         .server_count = GW_QUARANTINE_CRASHES,
+                         .span_ms = 60000,
+                         .servers = {7, 8, 9}};
+
+    store.listener = GwHttpListener_Create(
+        &entry.edge->loop, entry.edge->settings->store_address, &ops, &store);
+    cr_assert_not_null(store.listener);
+    set_era(entry.edge, "1");
+    GwQuarantine_Merge(GwRouter_Quarantine(entry.edge->router), GwEdge_Now(),
+                       &suspect);
+    GwQuarantine_Tick(GwRouter_Quarantine(entry.edge->router), GwEdge_Now());
+    GwQuarantineRows_Sweep(rows, GwEdge_Now());
+    cr_assert(EdgeEntry_RunUntil(&entry, are_written, &store));
+    for (int i = 0; i < ANSWER_ITERATIONS; i++) {
+        EdgeEntry_RunOnce(&entry);
+        g_usleep(1000);
+    }
+    set_era(entry.edge, "2");
+    store.awaited = 2;
+    cr_expect(EdgeEntry_RunUntil(&entry, are_written, &store));
+    GwHttpListener_Free(store.listener);
+    EdgeEntry_Stop(&entry);
+}
