Soak: a store that comes back from a copy; entries that start get unchanged rows

A request without a version was given the era of the answering entry, so rows of earlier eras counted as known.

The time that entries have for a drain or a revocation begins anew when it is written again: a store that lacks it can tell nobody.

--- a/lib/edge/feed_peers.c
+++ b/lib/edge/feed_peers.c
@@ -256,7 +256,7 @@
     if (strcmp(request->table, feed->table) != 0 || !GwFeed_IsLoaded(feed)) {
         return NULL;
     }
-    if (after.era == 0) {
+    if (after.era == 0 && !GwStoreVersion_IsNone(after)) {
         after.era = GwFeed_Version(feed).era;
     }
     if (!GwStoreVersion_IsNone(after) &&
--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -12,11 +12,11 @@
 #define MANY_FAULTS 50 /* permille */
 
 /* Restarts the time that entries have to learn of a drain: they cannot while
- * the store is unavailable or an entry is paused. */
+ * the store is unavailable or lacks it, or an entry is paused. */
 static void
 update_drain_marks(Site *site)
 {
-    bool known = site->store_mode == SITE_STORE_UP &&
+    bool known = site->store_mode == SITE_STORE_UP && !site->lacks_writes &&
                  g_hash_table_size(site->paused) == 0;
     int64_t now_us = Site_NowUs();
 
@@ -140,6 +140,11 @@
 {
     SiteStore_Restore(site->store, (uint32_t)strtoul(words[1], NULL, 10));
     SiteJournal_Disturbed(site->journal);
+    site->lacks_writes = true;
+    update_drain_marks(site);
+    if (site->revoked) {
+        SiteOrganisations_RevocationLost(site->organisations);
+    }
 }
 
 static void
@@ -166,6 +171,10 @@
         SiteStore_Put(site->store, Platform_Adapter.operator_table, key,
                       value);
     }
+    if (site->revoked) {
+        SiteOrganisations_Revoked(site->organisations);
+    }
+    site->lacks_writes = false;
     update_drain_marks(site);
 }
 
--- a/standins/site/organisations.c
+++ b/standins/site/organisations.c
@@ -146,6 +146,12 @@
     o->revoked_us = now_us();
 }
 
+void
+SiteOrganisations_RevocationLost(SiteOrganisations *o)
+{
+    o->revoked_us = 0;
+}
+
 /* Requests above the quota: those of the worst window that were both sent and
  * run in it. */
 static uint32_t
--- a/standins/site/organisations.h
+++ b/standins/site/organisations.h
@@ -15,6 +15,8 @@
                            const GwHttpMessage *msg, const char *id);
 /* The store has acknowledged the configuration without the revoked key. */
 void SiteOrganisations_Revoked(SiteOrganisations *o);
+/* The store was restored to a state in which the key may be valid. */
+void SiteOrganisations_RevocationLost(SiteOrganisations *o);
 /* Prints what each organisation got, and each violated rule. Returns true if
  * there is none. */
 bool SiteOrganisations_Print(SiteOrganisations *o);
--- a/standins/site/simulation.h
+++ b/standins/site/simulation.h
@@ -37,6 +37,7 @@
     bool reconfigured;
     bool limited;
     bool compacted;
+    bool lacks_writes;      /* the store was restored, without `rewrite` yet */
     bool has_invalid_event; /* an event line was invalid */
 };
 
--- a/tests/soak/one.sh
+++ b/tests/soak/one.sh
@@ -119,6 +119,34 @@
     done
 }
 
+# Restores the store from a copy, at times twice in a row. Drawn last, as the
+# links.
+schedule_restores() {
+    local left at back again word
+    random_below 3
+    for ((left = drawn; left > 0; left--)); do
+        random_below $((last_fault_ms - first_fault_ms))
+        at=$((first_fault_ms + drawn))
+        random_below 1500 && back=$((at + 200 + drawn))
+        choose word busy silent
+        echo "$at event store $word"
+        random_below 9000
+        echo "$back event restore $((300 + drawn))"
+        echo "$back event store up"
+        random_below 2
+        if [ "$drawn" -eq 1 ]; then
+            random_below 900 && again=$((back + 100 + drawn))
+            random_below 9000
+            echo "$again event restore $((300 + drawn))"
+            back=$again
+        fi
+        random_below 1500
+        echo "$((back + 50 + drawn)) event rewrite"
+        random_below 400
+        echo "$((back + 60 + drawn)) event skip $drawn"
+    done
+}
+
 # ---- Actions ----------------------------------------------------------------
 
 # Succeeds when the process has installed its handlers of SIGHUP and SIGTERM;
@@ -246,6 +274,7 @@
         site_send_event ready "$i"
     done
     site_send_event store up
+    site_send_event rewrite
     site_send_event faults 0
     site_send_event return d1
     site_send_event return d2
@@ -327,6 +356,7 @@
 choose idle_ms 300 1000 15000
 site_send_event config "$idle_ms"
 schedule_links >>"$gw_dir/schedule"
+schedule_restores >>"$gw_dir/schedule"
 sort -n -o "$gw_dir/schedule" "$gw_dir/schedule"
 play_schedule
 end_faults
