--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -315,6 +315,9 @@
     if (++f->contradictions < CONTRADICTIONS_MAX) {
         return;
     }
+#if GW_MUTANT == 126 /* breaks: an era that the store denies is given up */
+    return;
+#endif
     f->refuted_era = f->era;
     GwRowCache_ForgetVersions(f->cache);
     f->version = GwRowCache_Version(f->cache);
--- a/lib/store/rows.c
+++ b/lib/store/rows.c
@@ -316,8 +316,7 @@
     if (GwStoreVersion_IsNone(cache->version)) {
         return; /* nothing is held that the store could lack */
     }
-#if GW_MUTANT ==                                                              \
-    124 /* breaks: what a restored store lacks stays for a while */
+#if GW_MUTANT == 124 /* breaks: what a restored store lacks stays */
     return;
 #endif
     GwRowCache_SetGrace(cache, now_us + cache->era_grace_us);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -103,6 +103,12 @@
 119 unit.router_crashes - lost links to one service are no crashes of its servers
 120 unit.quarantine - a process crashes once
 102 follow - an entry without a recent proof reads the store
+121 restored - versions of different eras of the store are not compared
+122 restored - what has an order of its own does not go back
+123 restored - a restored store brings back no row that was removed
+124 unit.store_rows - what a restored store lacks stays for a while
+125 unit.follower - answers of earlier eras are dropped
+126 unit.follower - an era that the store denies is given up
 '
 
 # Rebuilds the objects that the mutant changes, in a copy of the normal build,
