--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -35,6 +35,10 @@
                : "",
            GwJson_GetInt64(status, "loads_ms_ago"),
            GwJson_GetInt64(status, "live"));
+    int64_t era = GwJson_GetInt64(status, "store_era");
+    if (era > 0) {
+        printf("store in era %" PRId64 "\n", era);
+    }
     int64_t unreached = GwJson_GetInt64(status, "unreached_services");
     if (unreached > 0) {
         printf("cut off from the servers of %" PRId64 " services: their "
--- a/lib/edge/fetch.c
+++ b/lib/edge/fetch.c
@@ -4,9 +4,10 @@
 
 #include <string.h>
 
-/* Minimum interval between two reads of a whole table for a newer
- * configuration. */
-#define CONFIG_FETCH_US 1000000
+/* Reads of a whole table for a newer configuration: minimum interval, and
+ * maximum for the same version, which this entry may refuse. */
+#define CONFIG_FETCH_US  1000000
+#define CONFIG_FETCH_MAX 3
 
 /* Ranks this entry and the provider within this entry's failure domain. All
  * entries of the domain know each other, so they agree on the order. */
@@ -58,10 +59,18 @@
     const GwRouting *routing = GwRouter_Routing(edge->router);
     int64_t now_us = GwEdge_Now();
 
-    if (routing != NULL && peer->config_version > routing->version &&
+    if (routing == NULL || peer->config_version <= routing->version ||
         GwStoreVersion_Compare(peer->operator_version,
-                               GwFeed_Version(edge->operator_feed)) == 0 &&
+                               GwFeed_Version(edge->operator_feed)) != 0) {
+        return;
+    }
+    if (peer->config_version != peers->config_wanted) {
+        peers->config_wanted = peer->config_version;
+        peers->config_fetches = 0;
+    }
+    if (peers->config_fetches < CONFIG_FETCH_MAX &&
         now_us - peers->config_fetch_us > CONFIG_FETCH_US) {
+        peers->config_fetches++;
         peers->config_fetch_us = now_us;
         GwFeed_ReadWholeFromPeer(edge->operator_feed, peer->peer_address,
                                  &peer->operator_proof);
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -104,10 +104,13 @@
     GwReadReason read_reason; /* as last logged */
     bool announced_reading;   /* as last announced to all peers */
     int64_t announced_us;
-    int64_t config_fetch_us; /* last fetch_newer_config */
-    int64_t row_written_us;  /* this entry's row in the store; 0: never */
-    uint32_t join_era;       /* of the last answer to a call of join.c */
-    uint32_t live;           /* number of live peers */
+    /* The last reads of a newer configuration (fetch_newer_config). */
+    uint64_t config_wanted;
+    uint32_t config_fetches;
+    int64_t config_fetch_us;
+    int64_t row_written_us; /* this entry's row in the store; 0: never */
+    uint32_t join_era;      /* of the last answer to a call of join.c */
+    uint32_t live;          /* number of live peers */
     /* Since awaits_rows_since_us this entry waits for another entry of the
      * failure domain to fetch rows that `provider` (an address) has. */
     bool awaits_rows;
--- a/tests/unit/test_edge_feed_peers.c
+++ b/tests/unit/test_edge_feed_peers.c
@@ -1,5 +1,6 @@
 /* Rows that an entry sends to its peers. */
 #include "edge/feed_internal.h"
+#include "edge/peers_internal.h"
 #include "fakes/edge_entry.h"
 
 #include <criterion/criterion.h>
@@ -49,3 +50,37 @@
     }
     EdgeEntry_Stop(&entry);
 }
+
+/* Guards against: an entry does not ask for a configuration that a restored
+ * store has lost and a peer has kept; or it asks for one that it refuses again
+ * and again. */
+Test(edge_feed_peers, a_newer_configuration_of_a_peer_is_read_a_few_times)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    GwPeers *peers = entry.edge->peers;
+    GwFeed *feed = entry.edge->operator_feed;
+    uint64_t own = GwRouter_Routing(entry.edge->router)->version;
+    struct {
+        uint64_t config_version; /* of the peer */
+        uint32_t attempts;
+        uint32_t reads;
+    } steps[] = {{own, 5, 0}, {own + 1, 5, 3}, {own + 2, 1, 1}};
+    GwPeerEntry peer = {
+        .peer_address = "127.0.0.1:1",
+        .operator_version = GwFeed_Version(feed),
+        .server_version = GwFeed_Version(entry.edge->server_feed),
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        uint32_t reads = 0;
+        peer.config_version = steps[i].config_version;
+        for (uint32_t k = 0; k < steps[i].attempts; k++) {
+            peers->config_fetch_us = 0;
+            GwPeers_FetchRowsFrom(peers, &peer);
+            reads += feed->peer != NULL;
+            GwConn_CloseAndClear(&feed->peer);
+        }
+        cr_expect_eq(reads, steps[i].reads, "step %zu", i);
+    }
+    EdgeEntry_Stop(&entry);
+}
