--- a/lib/store/follower.c
+++ b/lib/store/follower.c
@@ -1,4 +1,4 @@
-#include "store/follower.h"
+#include "store/follower_internal.h"
 
 #ifndef GW_MUTANT
 #define GW_MUTANT 0 /* tests/mutants.sh disables one safeguard at a time */
@@ -12,48 +12,9 @@
 /* Back-off after a failed call; doubles with each further failure. */
 #define RETRY_MIN_MS 150
 
-/* Answers of an earlier era, to calls made after the newest one was known,
- * after which that one counts as a mistake. */
-#define CONTRADICTIONS_MAX 3
-
 /* The store counts as away without an answer for this time and two periods. */
 #define AWAY_US 1000000
 
-/* A call in progress. */
-typedef struct {
-    uint32_t id; /* 0: the slot is free */
-    GwStoreCallKind kind;
-    int64_t asked_us; /* its first page */
-    int64_t heard_us; /* when it was sent, or bytes of the answer came */
-    GwStoreVersion after;
-    uint32_t era;       /* that its answer must belong to */
-    GwRowSet *pages;    /* rows of the pages so far */
-    bool is_superseded; /* a later call was answered, or a new era began */
-} Call;
-
-struct GwFollower_s {
-    GwRowCache *cache;
-    GwStoreVersion version; /* version after which the next call reads */
-    GwStoreCallKind phase;  /* kind of the next call */
-    uint32_t era;           /* newest known; 0: the store names none */
-    uint32_t refuted_era;   /* peers' copies from it on are wrong; 0: none */
-    uint32_t contradictions;
-    GwReadReason reads;
-    bool is_known;
-    bool has_answered; /* since it began to read */
-    bool follows_other;
-    Call calls[GW_FOLLOWER_CALLS_MAX];
-    uint32_t last_id;
-    int64_t due_us; /* next call */
-    int64_t answered_us;
-    int64_t created_us;
-    GwProof proof;
-    GwPeerProof answer; /* the last complete one */
-    uint32_t failures;  /* calls refused or unanswered since the last answer */
-    bool is_refused;    /* a call failed since the last answer */
-    uint32_t bound_ms;
-};
-
 GwFollower *
 GwFollower_Create(GwRowChanged changed, void *ctx, int64_t now_us,
                   uint32_t bound_ms)
@@ -69,10 +30,10 @@
 }
 
 static void
-end_call(Call *call)
+end_call(GwFollowerCall *call)
 {
     GwRowSet_Free(call->pages);
-    *call = (Call){0};
+    *call = (GwFollowerCall){0};
 }
 
 static void
@@ -166,8 +127,8 @@
     return f->is_known;
 }
 
-static int64_t
-period_us(const GwFollower *f)
+int64_t
+GwFollower_PeriodUs(const GwFollower *f)
 {
     return (int64_t)(PERIOD_SHARE * f->bound_ms * 1000);
 }
@@ -177,7 +138,7 @@
 {
     return GwFollower_Reads(f) && f->is_known && f->has_answered &&
            f->failures == 0 &&
-           GwFollower_UnansweredUs(f, now_us) <= period_us(f);
+           GwFollower_UnansweredUs(f, now_us) <= GwFollower_PeriodUs(f);
 }
 
 static int64_t
@@ -192,7 +153,7 @@
     return (int64_t)MIN(ms, max_ms) * 1000;
 }
 
-static Call *
+static GwFollowerCall *
 find_call(GwFollower *f, uint32_t id)
 {
     for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
@@ -211,7 +172,7 @@
 }
 
 static GwStoreCall
-question(const Call *call)
+question(const GwFollowerCall *call)
 {
     return (GwStoreCall){
         .id = call->id,
@@ -224,7 +185,7 @@
 bool
 GwFollower_NextCall(GwFollower *f, int64_t now_us, GwStoreCall *next)
 {
-    Call *call = find_call(f, 0);
+    GwFollowerCall *call = find_call(f, 0);
 
     if (!GwFollower_Reads(f) || call == NULL || now_us < f->due_us) {
         return false;
@@ -237,7 +198,7 @@
     if (GwFollower_UnansweredUs(f, now_us) > 0) {
         f->failures++;
     }
-    *call = (Call){
+    *call = (GwFollowerCall){
         .id = next_id(f),
         .kind = f->phase,
         .asked_us = now_us,
@@ -245,115 +206,16 @@
         .after = f->version,
         .era = f->era,
     };
-    f->due_us = now_us + MAX(period_us(f), retry_us(f));
+    f->due_us = now_us + MAX(GwFollower_PeriodUs(f), retry_us(f));
     *next = question(call);
     return true;
 }
 
-/* ---- Eras --------------------------------------------------------------- */
-
-uint32_t
-GwFollower_Era(const GwFollower *f)
-{
-    return f->era;
-}
-
-/* Entries that read only for want of a recent proof wait for a moment: the
- * first reader of the region is about to have the rows. */
-static int64_t
-first_read_us(const GwFollower *f, int64_t now_us)
-{
-    return f->reads == GW_READS_STALE ? now_us + period_us(f) : now_us;
-}
-
-/* Versions count anew, so the table is read from its beginning. */
-static void
-begin_era(GwFollower *f, int64_t now_us, uint32_t era)
-{
-    GwRowCache_ExpectEra(f->cache, now_us, era);
-    f->era = era;
-    f->contradictions = 0;
-    f->phase = GW_CALL_READ;
-    f->due_us = first_read_us(f, now_us);
-    for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
-        f->calls[i].is_superseded = f->calls[i].id != 0;
-    }
-}
-
-void
-GwFollower_NoteEra(GwFollower *f, int64_t now_us, uint32_t era)
-{
-    if (era >= f->refuted_era) {
-        f->refuted_era = 0;
-    }
-    if (era > f->era) {
-        begin_era(f, now_us, era);
-    }
-}
-
-/* Whether that era, or an earlier one, turned out not to exist. */
-static bool
-is_refuted(const GwFollower *f, uint32_t era)
-{
-    return f->refuted_era != 0 && era >= f->refuted_era;
-}
-
-void
-GwFollower_ExpectEra(GwFollower *f, int64_t now_us, uint32_t era)
-{
-    if (!is_refuted(f, era)) {
-        GwRowCache_ExpectEra(f->cache, now_us, era);
-    }
-}
-
-/* A call that was made after the newest era was known is answered in an earlier
- * one. Once may be a mistake of the answer; but if the newest era is the
- * mistake, no answer would ever count again. */
-static void
-note_contradiction(GwFollower *f, int64_t now_us, uint32_t era)
-{
-    if (++f->contradictions < CONTRADICTIONS_MAX) {
-        return;
-    }
-#if GW_MUTANT == 126 /* breaks: an era that the store denies is given up */
-    return;
-#endif
-    f->refuted_era = f->era;
-    GwRowCache_ForgetVersions(f->cache);
-    f->version = GwRowCache_Version(f->cache);
-    begin_era(f, now_us, era);
-}
-
-/* Whether an answer of that era is one to the call. The first page of a table
- * may be of a newer era than the call, everything else is of no use then. */
-static bool
-accept_era(GwFollower *f, int64_t now_us, Call *call, uint32_t era)
-{
-#if GW_MUTANT == 125 /* breaks: answers of earlier eras are dropped */
-    return true;
-#endif
-    GwFollower_NoteEra(f, now_us, era);
-    if (era < f->era) {
-        if (call->era == f->era) {
-            note_contradiction(f, now_us, era);
-        }
-        return false;
-    }
-    f->contradictions = 0;
-    if (call->kind == GW_CALL_READ && call->pages == NULL) {
-        call->era = era;
-        call->is_superseded = false;
-    }
-    return call->era == era;
-}
-
-/* ---- Answers ------------------------------------------------------------ */
-
 /* Appends a page to the call's rows; returns whether more pages follow. The
  * version of the result is that of the first page: the feed sends all later
  * changes. */
 static bool
-append_page(Call *call, GwRowSet *set)
+append_page(GwFollowerCall *call, GwRowSet *set)
 {
     bool more = set->more && set->rows->len > 0;
 
@@ -370,7 +232,7 @@
 }
 
 static void
-apply_answer(GwFollower *f, int64_t now_us, const Call *call)
+apply_answer(GwFollower *f, int64_t now_us, const GwFollowerCall *call)
 {
     const GwRowSet *set = call->pages;
     bool is_older =
@@ -407,7 +269,7 @@
 GwFollower_OnRows(GwFollower *f, int64_t now_us, uint32_t id, GwRowSet *set,
                   GwStoreCall *next)
 {
-    Call *call = find_call(f, id);
+    GwFollowerCall *call = find_call(f, id);
 
     if (call == NULL || id == 0) {
         GwRowSet_Free(set);
@@ -420,21 +282,21 @@
     if (set->version.era == 0) {
         GwRowSet_SetEra(set, call->era);
     }
-    if (!accept_era(f, now_us, call, set->version.era)) {
+    if (!GwFollower_AcceptEra(f, now_us, call, set->version.era)) {
         GwRowSet_Free(set);
         end_call(call);
         return false;
     }
     if (append_page(call, set) && call->kind == GW_CALL_READ) {
         call->heard_us = now_us;
-        f->due_us = now_us + period_us(f);
+        f->due_us = now_us + GwFollower_PeriodUs(f);
         *next = question(call);
         return true;
     }
     apply_answer(f, now_us, call);
     f->due_us = waits_for_other(f)
                     ? INT64_MAX
-                    : MAX(now_us, call->asked_us + period_us(f));
+                    : MAX(now_us, call->asked_us + GwFollower_PeriodUs(f));
     supersede_calls(f, call->asked_us);
     end_call(call);
     return false;
@@ -467,7 +329,7 @@
 void
 GwFollower_OnGone(GwFollower *f, int64_t now_us, uint32_t id)
 {
-    Call *call = find_call(f, id);
+    GwFollowerCall *call = find_call(f, id);
 
     if (call != NULL && id != 0) {
         bool is_superseded = call->is_superseded;
@@ -482,7 +344,7 @@
 void
 GwFollower_OnFailure(GwFollower *f, int64_t now_us, uint32_t id)
 {
-    Call *call = find_call(f, id);
+    GwFollowerCall *call = find_call(f, id);
 
     if (call == NULL || id == 0) {
         return;
@@ -499,11 +361,11 @@
 void
 GwFollower_OnBytes(GwFollower *f, int64_t now_us, uint32_t id)
 {
-    Call *call = find_call(f, id);
+    GwFollowerCall *call = find_call(f, id);
 
     if (call != NULL && id != 0) {
         call->heard_us = now_us;
-        f->due_us = MAX(f->due_us, now_us + period_us(f));
+        f->due_us = MAX(f->due_us, now_us + GwFollower_PeriodUs(f));
     }
 }
 
@@ -511,7 +373,7 @@
 GwFollower_NextOverdue(GwFollower *f, int64_t now_us)
 {
     for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
-        Call *call = &f->calls[i];
+        GwFollowerCall *call = &f->calls[i];
         bool is_late = now_us - call->heard_us > (int64_t)f->bound_ms * 1000;
         if (call->id != 0 && (call->is_superseded || is_late)) {
             uint32_t id = call->id;
@@ -528,7 +390,7 @@
     int64_t longest_us = 0;
 
     for (uint32_t i = 0; i < GW_FOLLOWER_CALLS_MAX; i++) {
-        const Call *call = &f->calls[i];
+        const GwFollowerCall *call = &f->calls[i];
         if (call->id != 0 && !call->is_superseded) {
             longest_us = MAX(longest_us, now_us - call->heard_us);
         }
@@ -549,14 +411,15 @@
 
     return GwFollower_Reads(f) &&
            (f->is_refused ||
-            (!waits_for_other(f) && silent_us > AWAY_US + 2 * period_us(f)));
+            (!waits_for_other(f) &&
+             silent_us > AWAY_US + 2 * GwFollower_PeriodUs(f)));
 }
 
 void
 GwFollower_OnPeerRows(GwFollower *f, int64_t now_us, const GwRowSet *set,
                       bool is_full, const GwPeerProof *proof)
 {
-    if (is_refuted(f, set->version.era)) {
+    if (GwFollower_IsRefuted(f, set->version.era)) {
         return;
     }
     if (is_full || !f->is_known) {
@@ -567,7 +430,7 @@
     }
     f->is_known = true;
     if (GwRowCache_Version(f->cache).era > f->era) {
-        begin_era(f, now_us, GwRowCache_Version(f->cache).era);
+        GwFollower_BeginEra(f, now_us, GwRowCache_Version(f->cache).era);
         continue_from_copy(f);
     }
     GwFollower_NoteProof(f, proof);
