--- a/lib/edge/join.c
+++ b/lib/edge/join.c
@@ -106,7 +106,7 @@
     GwRowSet *set = NULL;
     bool ok = msg->status == 200;
     uint32_t era = GwEdge_NoteStoreAnswer(peers->edge, NULL, msg);
-    bool is_same_era = era == peers->join_era;
+    bool is_new_era = peers->join_era != 0 && era != peers->join_era;
 
     peers->join_era = era;
     if (ok && peers->step == GW_JOIN_READ) {
@@ -125,8 +125,9 @@
     }
     else {
         add_entries(peers, set);
-        if (!is_same_era && peers->join_after != NULL) {
-            /* The earlier pages were those of another history. */
+        if (is_new_era) {
+            /* This entry's row and the earlier pages are of another history. */
+            peers->step = GW_JOIN_WRITE;
             g_clear_pointer(&peers->join_after, g_free);
             send_call(peers);
         }
--- a/lib/edge/quarantine_rows.c
+++ b/lib/edge/quarantine_rows.c
@@ -174,12 +174,20 @@
     return true;
 }
 
+static gboolean
+is_old(gpointer key, gpointer value, gpointer now_us)
+{
+    (void)key;
+    return *(int64_t *)now_us - *(int64_t *)value > COPY_AGE_MAX_US;
+}
+
 static void
 note_written(GwQuarantineRows *rows)
 {
     GwSuspect *suspect = g_queue_pop_head(&rows->waiting);
     int64_t now_us = GwEdge_BootNow();
 
+    (void)g_hash_table_foreach_remove(rows->written, is_old, &now_us);
     g_hash_table_replace(
         rows->written,
         g_memdup2(&suspect->fingerprint, sizeof(suspect->fingerprint)),
@@ -279,13 +287,6 @@
     }
 }
 
-static gboolean
-is_old(gpointer key, gpointer value, gpointer now_us)
-{
-    (void)key;
-    return *(int64_t *)now_us - *(int64_t *)value > COPY_AGE_MAX_US;
-}
-
 static void
 write_again(void *ctx, const GwSuspect *suspect, GwSuspectState state,
             int64_t until_us)
--- a/lib/store/follower_era.c
+++ b/lib/store/follower_era.c
@@ -43,6 +43,10 @@
     if (era >= f->refuted_era) {
         f->refuted_era = 0;
     }
+    if (f->era == 0 && GwStoreVersion_IsNone(GwRowCache_Version(f->cache))) {
+        f->era = era; /* nothing is held of an earlier one */
+        return;
+    }
     if (era > f->era) {
         GwFollower_BeginEra(f, now_us, era);
     }
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -20,7 +20,7 @@
 } RawStep;
 
 #define RAW_CONNECTIONS_MAX 4
-#define RAW_STEPS_MAX       5
+#define RAW_STEPS_MAX       6
 
 typedef struct RawServer_s RawServer;
 
--- a/tests/unit/test_follower.c
+++ b/tests/unit/test_follower.c
@@ -422,3 +422,24 @@
     GwRowSet_Free(set);
     GwFollower_Free(f);
 }
+
+/* Guards against: at each start the tables are read twice, since the answer
+ * about one table names the first era that the other one hears of. */
+Test(follower, the_first_era_ends_no_read)
+{
+    GwFollower *f = create(0);
+    GwStoreCall call;
+    GwStoreCall next;
+
+    cr_assert(GwFollower_NextCall(f, 0, &call));
+    GwFollower_NoteEra(f, 1 * MS, 7);
+    cr_expect_eq(GwFollower_NextOverdue(f, 1 * MS), 0);
+    cr_expect_not(GwFollower_NextCall(f, 1 * MS, &next));
+    (void)GwFollower_OnRows(f, 2 * MS, call.id, rows_of_era(7, 4, false),
+                            &next);
+    cr_expect(GwFollower_IsKnown(f));
+    cr_expect_eq(GwFollower_Era(f), 7);
+    cr_assert(GwFollower_NextCall(f, 2 * S, &call));
+    cr_expect_eq(call.kind, GW_CALL_FEED);
+    GwFollower_Free(f);
+}
