--- a/lib/edge/settings.c
+++ b/lib/edge/settings.c
@@ -270,6 +270,7 @@
         "quota_overrun",
         "quota_slack",
         "first_start",
+        "overload_control",
         "log_level",
         "memory_mb",
         "fd_limit",
@@ -297,6 +298,8 @@
            override_seed_ports(at, s->seeds, error) &&
            read_regions(at, s->regions, error) && read_bounds(at, s, error) &&
            GwRead_Bool(at, "first_start", &s->first_start, error) &&
+           GwRead_Bool(at, "overload_control", &s->router.overload_control,
+                       error) &&
            read_log_level(at, s, error);
 }
 
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -92,6 +92,10 @@
     r->awaiting_token = g_ptr_array_new();
     r->quarantine = GwQuarantine_Create();
     r->unconfirmed_crashes = GwCrashes_Create();
+    if (params->overload_control) {
+        r->shortage = GwShortage_Create();
+        r->demand = GwDemandMeter_Create();
+    }
     return r;
 }
 
@@ -146,10 +150,24 @@
     g_ptr_array_free(r->awaiting_probe, TRUE);
     g_ptr_array_free(r->awaiting_token, TRUE);
     GwQuarantine_Free(r->quarantine);
+    GwShortage_Free(r->shortage);
+    GwDemandMeter_Free(r->demand);
     g_array_free(r->unconfirmed_crashes, TRUE);
     g_free(r);
 }
 
+GwShortage *
+GwRouter_Shortage(GwRouter *r)
+{
+    return r->shortage;
+}
+
+GwDemandMeter *
+GwRouter_DemandMeter(GwRouter *r)
+{
+    return r->demand;
+}
+
 void
 GwRouter_SetBounds(GwRouter *r, const GwRouterParams *params)
 {
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -17,6 +17,7 @@
 #include "quota/quota.h"
 #include "route/route.h"
 #include "router/quarantine.h"
+#include "shortage/shortage.h"
 
 /* Requests sent to a server beyond its free slots, so that the next request is
  * already there when a slot becomes free, without waiting for a round trip or
@@ -39,6 +40,8 @@
     uint32_t retry_extra;
     uint32_t retry_window_ms;
     uint32_t entries_max; /* upper bound of the entries alive at once */
+    /* Refuses the requests worth least when capacity is short everywhere. */
+    bool overload_control;
 } GwRouterParams;
 
 GwRouter *GwRouter_Create(const GwRouterParams *params, int64_t now_us);
@@ -57,6 +60,10 @@
  * until it is set again. INT64_MAX, the default: no proof is needed. */
 void GwRouter_SetProvenUntil(GwRouter *r, int64_t until_us);
 
+/* The measure of shortage and the demand of this entry, which the host
+ * exchanges with other entries; NULL without overload control. */
+GwShortage *GwRouter_Shortage(GwRouter *r);
+GwDemandMeter *GwRouter_DemandMeter(GwRouter *r);
 /* Sets the quotas of organisations, owned by the host; NULL, the default:
  * there are none. */
 void GwRouter_SetQuota(GwRouter *r, GwQuota *quota);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -278,6 +278,8 @@
     GwHeap deadlines;
     GwCrossRegion cross_region;
     GwQuarantine *quarantine;
+    GwShortage *shortage;        /* NULL without overload control */
+    GwDemandMeter *demand;       /* likewise */
     GArray *unconfirmed_crashes; /* crashes.c */
     uint32_t entries; /* that may be alive; 0: not set by the host */
     /* Slots of servers that accept requests; valid if `is_capacity_known`. */
