Overload control: demand, shares by level, and load shedding in the router (not fed by reports yet)

Each entry measures the slot time that it is offered by service, region and level; a request below the shared threshold is refused at once. Without the total of all entries everything is admitted; with the setting off the queue is ordered as before.

--- a/lib/router/admission.c
+++ b/lib/router/admission.c
@@ -35,7 +35,7 @@
 {
     GwRequest_CancelTokenWait(r, req);
     GwRequest_SetDeadline(r, req, req->give_up_us);
-    GwRequest_Enqueue(req);
+    GwRequest_Enqueue(r, req);
     GwRouter_DispatchWaiting(r, now_us, req->service, actions);
 }
 
--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -11,6 +11,9 @@
  * two retries. */
 #define CALLER_TIME_DECAY 0.02
 #define SPENT_SHARE_MAX   0.67
+/* A caller that has used less of its time was not refused: the least retry
+ * delay is longer. */
+#define RETURN_SPENT_MIN_US 50000
 /* A server answers shortly after the caller's time is over; that answer states
  * whether the request ran, so the entry waits this long for it. */
 #define SERVER_TIMEOUT_ANSWER_US 120000
@@ -93,12 +96,13 @@
     int64_t objective_end_us = req->route->objective_ms > 0
                                    ? (int64_t)req->route->objective_ms * 1000
                                    : DEFAULT_OBJECTIVE_US;
+    int64_t spent_us =
+        req->is_passed_on ? 0 : spent_earlier_us(req->state, left_us);
     req->arrived_us = now_us;
+    req->is_returning = spent_us >= RETURN_SPENT_MIN_US;
     req->objective_end_us =
-        now_us +
-        (req->is_passed_on
-             ? arrival->objective_left_us
-             : objective_end_us - spent_earlier_us(req->state, left_us));
+        now_us + (req->is_passed_on ? arrival->objective_left_us
+                                    : objective_end_us - spent_us);
     req->useless_after_us =
         now_us + (int64_t)(objective_end_us * LATE_WAIT_OBJECTIVES);
     req->server_deadline_us = now_us + left_us;
--- a/lib/router/attempts.c
+++ b/lib/router/attempts.c
@@ -140,7 +140,7 @@
         return;
     }
     if (!end->closed || !GwRequest_AwaitProbe(r, now_us, req, s)) {
-        GwRequest_Enqueue(req);
+        GwRequest_Enqueue(r, req);
     }
 }
 
@@ -160,9 +160,10 @@
     req->service->answered_us = now_us;
     if (again && may_retry(r, now_us, req)) {
         req->may_have_run = true;
-        GwRequest_Enqueue(req);
+        GwRequest_Enqueue(r, req);
         return;
     }
+    r->returns_answered += req->is_returning;
     GwRouterAction *out = GwRouter_AddAction(actions, GW_ROUTER_ANSWER, req);
     out->status = end->status;
     out->request_summary = GwRequest_Summarize(req, now_us);
--- a/lib/router/crashes.c
+++ b/lib/router/crashes.c
@@ -94,7 +94,7 @@
     if (req->probed_server != NULL) {
         GwRequest_CancelProbeWait(r, req);
         req->is_suspect = true;
-        GwRequest_Enqueue(req);
+        GwRequest_Enqueue(r, req);
     }
 }
 
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -39,6 +39,7 @@
         [GW_REPLY_LEAVING] = "leaving",
         [GW_REPLY_QUARANTINED] = "quarantined",
         [GW_REPLY_QUARANTINE_UNKNOWN] = "quarantine-unknown",
+        [GW_REPLY_SHED] = "shed",
     };
 
     return names[why];
@@ -162,6 +163,9 @@
     if (why == GW_REPLY_NO_CAPACITY) {
         return slot_retry_after_ms(r, req);
     }
+    if (why == GW_REPLY_SHED) {
+        return GwRequest_ShedRetryAfterMs(r, now_us, req);
+    }
     if (why == GW_REPLY_QUARANTINED) {
         int64_t until_us = GwRequest_QuarantinedUntil(r, now_us, req);
         return (uint32_t)MIN((until_us - now_us) / 1000 + 1, UINT32_MAX);
@@ -186,6 +190,7 @@
     }
 #endif
     if (out->status == 503 || out->status == 429) {
+        r->returns_refused += req->is_returning;
         out->retry_after_ms = choose_retry_after_ms(r, now_us, req, why);
         GwRequest_ReturnToken(r, now_us, req);
     }
@@ -317,6 +322,12 @@
         GwRequest_Refuse(r, now_us, req, why_no_server(r, req), actions);
         return;
     }
+    if (GwRequest_IsShed(r, now_us, req, &c)) {
+        GwRouter_NoteRegionRefused(r, now_us, c.prefers_remote);
+        req->refused_for = c.server;
+        GwRequest_Refuse(r, now_us, req, GW_REPLY_SHED, actions);
+        return;
+    }
     if (c.has_free_slot) {
         GwRouter_NoteRegionSent(r, now_us, req, c.prefers_remote,
                                 !c.server->same_region);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -382,6 +382,7 @@
     GW_REPLY_LEAVING,     /* the entry is stopping and accepts nothing new */
     GW_REPLY_QUARANTINED, /* the request crashes the servers that run it */
     GW_REPLY_QUARANTINE_UNKNOWN, /* it may be quarantined elsewhere */
+    GW_REPLY_SHED, /* slots are short at all entries; see lib/shortage */
     GW_REPLY_COUNT
 } GwReplyReason;
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -39,6 +39,28 @@
 double GwBucket_At(const GwBucket *b, int64_t now_us, double per_s);
 void GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s);
 
+/* Requests offered and admitted, decaying; shed.c. */
+typedef struct {
+    double offered;
+    double admitted;
+    int64_t at_us;
+} GwAdmitted;
+
+/* Priorities that are counted apart; lower ones count as the last. */
+#define GW_PRIORITY_CLASSES 8
+
+/* Load shedding of a service; shed.c. */
+typedef struct {
+    int64_t capacity_at_us; /* last count of slots; 0: never */
+    GwAdmitted all;
+    GwAdmitted by_priority[GW_PRIORITY_CLASSES];
+    /* Admissions that the shares allow beyond those made, by level, for servers
+     * of this region and of others. */
+    double local_credit[GW_SHORTAGE_LEVELS];
+    double remote_credit[GW_SHORTAGE_LEVELS];
+    uint64_t shed[GW_SHORTAGE_LEVELS]; /* requests since the start */
+} GwShedding;
+
 /* Whether connections to the servers of a service can be set up; reach.c. */
 typedef struct {
     int64_t
@@ -69,6 +91,7 @@
     double cold_per_s; /* maximum requests per second to a cold server */
     GwReach reach;
     uint32_t connections_max; /* to one server, of all entries; 0: any */
+    GwShedding shedding;
 } GwServiceState;
 
 typedef struct {
@@ -76,7 +99,8 @@
     double warm_us;        /* mean run time where the object is cached */
     double cold_us;        /* mean run time at other servers */
     double longest_run_us; /* longest run, decaying; 0: no run has ended yet */
-    uint32_t open;         /* requests that refer to this state */
+    GwAdmitted admitted;
+    uint32_t open;              /* requests that refer to this state */
     int64_t caller_time_max_us; /* longest time callers allow, decaying */
     int64_t *credit; /* smooth weighted round robin: one counter per part */
     uint32_t credit_count;
@@ -211,6 +235,11 @@
     bool awaits_token;                  /* not placed yet */
     uint32_t retry_after_ms;            /* if refused for the quota */
     GwKey *key;                         /* or NULL */
+    /* Level by which it is admitted and queued; lower is better. */
+    uint32_t level;
+    uint32_t threshold; /* first level refused, when it was refused */
+    bool is_measured;   /* counted in the demand of this entry */
+    bool is_returning;  /* its caller was refused before */
     int64_t arrived_us;
     int64_t objective_end_us;   /* end of the latency objective */
     int64_t useless_after_us;   /* an answer after this is of no use */
@@ -278,7 +307,9 @@
     GwHeap deadlines;
     GwCrossRegion cross_region;
     GwQuarantine *quarantine;
-    GwShortage *shortage;        /* NULL without overload control */
+    GwShortage *shortage;      /* NULL without overload control */
+    uint64_t returns_answered; /* requests of callers refused before */
+    uint64_t returns_refused;
     GwDemandMeter *demand;       /* likewise */
     GArray *unconfirmed_crashes; /* crashes.c */
     uint32_t entries; /* that may be alive; 0: not set by the host */
@@ -489,6 +520,17 @@
 void GwRequest_CancelTokenWait(GwRouter *r, GwRequest *req);
 void GwRequest_ReturnToken(GwRouter *r, int64_t now_us, const GwRequest *req);
 
+/* shed.c */
+/* Sets the level by which a request is queued before a server is chosen. */
+void GwRequest_SetQueueLevel(const GwRouter *r, GwRequest *req);
+/* Counts a request in the demand when it is first placed. Returns whether it
+ * is to be refused because slots are short at all entries. */
+bool GwRequest_IsShed(GwRouter *r, int64_t now_us, GwRequest *req,
+                      const GwChoice *c);
+/* Retry delay of a request that was shed. */
+uint32_t GwRequest_ShedRetryAfterMs(GwRouter *r, int64_t now_us,
+                                    const GwRequest *req);
+
 /* crashes.c */
 GArray *GwCrashes_Create(void);
 /* A connection to the server was set up at `connected_us`: servers that refused
@@ -556,7 +598,7 @@
 /* waiting.c */
 /* Adds the request to its service's queue, ordered by priority, then
  * arrival. */
-void GwRequest_Enqueue(GwRequest *req);
+void GwRequest_Enqueue(GwRouter *r, GwRequest *req);
 void GwRequest_Dequeue(GwRequest *req);
 /* Reserves the server's next slot for a waiting request; requests after it in
  * this pass see one slot less. */
--- a/lib/router/waiting.c
+++ b/lib/router/waiting.c
@@ -122,17 +122,32 @@
     }
 }
 
+/* Whether `a` is dispatched before `b`, which has been queued for longer. With
+ * overload control: what is worth more for its slot time, then who was refused
+ * before, then whose caller leaves first. */
+static bool
+is_before(const GwRouter *r, const GwRequest *a, const GwRequest *b)
+{
+    if (r->shortage == NULL) {
+        return a->priority < b->priority;
+    }
+    if (a->level != b->level) {
+        return a->level < b->level;
+    }
+    if (a->is_returning != b->is_returning) {
+        return a->is_returning;
+    }
+    return a->server_deadline_us < b->server_deadline_us;
+}
+
 void
-GwRequest_Enqueue(GwRequest *req)
+GwRequest_Enqueue(GwRouter *r, GwRequest *req)
 {
     GPtrArray *waiting = req->service->waiting;
     guint at = waiting->len;
 
-    while (at > 0) {
-        const GwRequest *other = waiting->pdata[at - 1];
-        if (other->priority <= req->priority) {
-            break;
-        }
+    GwRequest_SetQueueLevel(r, req);
+    while (at > 0 && is_before(r, req, waiting->pdata[at - 1])) {
         at--;
     }
     g_ptr_array_insert(waiting, (gint)at, req);
