Demand of entries in the reports that carry loads

An aggregator adds up the demand of its failure domain and of the other domains, and returns the total to its entries; few entries add up each other's.

--- a/lib/edge/control_cost.c
+++ b/lib/edge/control_cost.c
@@ -9,7 +9,7 @@
         [GW_CONTROL_LIVENESS] = "signs", [GW_CONTROL_LOADS] = "loads",
         [GW_CONTROL_SUMS] = "sums",      [GW_CONTROL_PLACEMENTS] = "places",
         [GW_CONTROL_ROWS] = "rows",      [GW_CONTROL_SUSPECTS] = "suspects",
-        [GW_CONTROL_QUOTAS] = "quotas",
+        [GW_CONTROL_QUOTAS] = "quotas",  [GW_CONTROL_DEMAND] = "demand",
     };
 
     return names[kind];
--- a/lib/edge/control_cost.h
+++ b/lib/edge/control_cost.h
@@ -14,6 +14,7 @@
     GW_CONTROL_ROWS,         /* rows fetched from a peer */
     GW_CONTROL_SUSPECTS,     /* requests that crash servers */
     GW_CONTROL_QUOTAS,       /* quotas of organisations */
+    GW_CONTROL_DEMAND,       /* slot time that entries are offered */
     GW_CONTROL_KIND_COUNT
 } GwControlKind;
 
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -44,6 +44,9 @@
     if (peer->loads != NULL) {
         g_array_free(peer->loads, TRUE);
     }
+    if (peer->demand != NULL) {
+        g_array_free(peer->demand, TRUE);
+    }
     g_free(peer);
 }
 
@@ -393,6 +396,7 @@
     GwFeed_Tick(peers->edge->server_feed);
     GwPeers_GossipSuspects(peers, now_us);
     GwPeers_GossipLimits(peers, now_us);
+    GwPeers_UpdateDemand(peers, now_us);
     GwPeers_SendDueReports(peers, now_us);
     GwPeers_FetchDueRows(peers);
     GwQuotas_Tick(peers->edge, now_us);
@@ -413,6 +417,7 @@
     peers->by_quota_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     peers->loads = g_array_new(FALSE, FALSE, sizeof(GwPeerLoad));
     peers->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
+    peers->demand = g_array_new(FALSE, FALSE, sizeof(GwDemand));
     peers->domain_relays = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
     peers->region_relays = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
     peers->period_scale = 1;
@@ -458,6 +463,7 @@
     g_hash_table_destroy(peers->by_address);
     g_array_free(peers->loads, TRUE);
     g_array_free(peers->placements, TRUE);
+    g_array_free(peers->demand, TRUE);
     g_array_free(peers->domain_relays, TRUE);
     g_array_free(peers->region_relays, TRUE);
     GwPeers_FreeSums(peers);
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -79,6 +79,9 @@
     GArray *backlog;           /* GwPlacement not sent to it yet; or NULL */
     uint64_t backlog_process_id; /* process it was built for */
     GwGossipPeer gossip[GW_GOSSIP_KIND_COUNT];
+    GArray *demand;          /* GwDemand, own or of its domain; or NULL */
+    int64_t demand_as_of_us; /* time that it describes */
+    int64_t demand_sent_us;  /* last report to it with demand */
 } GwPeerEntry;
 
 typedef enum {
@@ -136,8 +139,10 @@
      * failure domains of the region. */
     GArray *domain_relays;
     GArray *region_relays;
-    GArray *loads;      /* reused */
-    GArray *placements; /* reused */
+    GArray *loads;           /* reused */
+    GArray *placements;      /* reused */
+    GArray *demand;          /* GwDemand, reused */
+    int64_t demand_total_us; /* last total computed by this entry */
     /* Changes up to this time were gossiped. */
     int64_t gossiped_us[GW_GOSSIP_KIND_COUNT];
     uint32_t suspects_cursor; /* start of the next page of suspects */
@@ -253,6 +258,23 @@
                          const Gw__Peer__Report *report);
 void GwPeers_GossipLimits(GwPeers *peers, int64_t now_us);
 
+/* demand.c */
+/* Maximum services and regions in a report. */
+#define GW_DEMANDS_MAX 64
+typedef struct {
+    uint32_t work[GW_DEMANDS_MAX][GW_SHORTAGE_LEVELS];
+    Gw__Peer__Demand messages[GW_DEMANDS_MAX];
+    Gw__Peer__Demand *list[GW_DEMANDS_MAX];
+} GwDemandArrays;
+
+/* Adds the demand that `loads_of` names to a report, if one is due. */
+void GwPeers_FillDemand(GwPeers *peers, GwPeerEntry *peer,
+                        Gw__Peer__Report *report, GwDemandArrays *arrays);
+void GwPeers_ApplyDemand(GwPeers *peers, GwPeerEntry *peer,
+                         const Gw__Peer__Report *report);
+/* Adds up the demand of all entries, unless an aggregator does. */
+void GwPeers_UpdateDemand(GwPeers *peers, int64_t now_us);
+
 /* fetch.c */
 /* The peer reported its table versions. Fetches rows from it if this entry
  * lacks them, or leaves that to another entry of the failure domain for
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -148,6 +148,7 @@
     char *known[GW_KNOWN_ADDRESSES_MAX];
     GwSuspectArrays suspects;
     GwLimitArrays limits;
+    GwDemandArrays demand;
     uint32_t unreached[GW_UNREACHED_MAX];
 } Arrays;
 
@@ -343,13 +344,18 @@
         suspects +=
             gw__peer__suspect__get_packed_size(report->suspects[i]) + 2;
     }
+    size_t demand = 0;
+    for (size_t i = 0; i < report->n_demand; i++) {
+        demand += gw__peer__demand__get_packed_size(report->demand[i]) + 3;
+    }
     GwControlKind kind =
         report->loads_of == GW_LOADS_ALL ? GW_CONTROL_SUMS : GW_CONTROL_LOADS;
     cost->bytes[kind][distance] += loads;
     cost->bytes[GW_CONTROL_PLACEMENTS][distance] += placements;
     cost->bytes[GW_CONTROL_SUSPECTS][distance] += suspects;
+    cost->bytes[GW_CONTROL_DEMAND][distance] += demand;
     cost->bytes[GW_CONTROL_LIVENESS][distance] +=
-        len - loads - placements - suspects;
+        len - loads - placements - suspects - demand;
 }
 
 /* Whether to request addresses from the peer. Only a few requests are sent per
@@ -427,6 +433,7 @@
     fill_placements(peers, peer, &report, &arrays);
     GwPeers_FillSuspects(peers, peer, &report, &arrays.suspects);
     GwPeers_FillLimits(peers, peer, &report, &arrays.limits);
+    GwPeers_FillDemand(peers, peer, &report, &arrays.demand);
     if (with_known) {
         fill_known_addresses(peers, &report, &arrays);
     }
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -244,6 +244,7 @@
     apply_proofs(peers, peer, report);
     GwPeers_ApplySuspects(peers, peer, report);
     GwPeers_ApplyLimits(peers, peer, report);
+    GwPeers_ApplyDemand(peers, peer, report);
     for (size_t i = 0; i < report->n_known; i++) {
         (void)GwPeers_Add(peers, report->known[i]);
     }
--- a/lib/wire/peer.pb-c.c
+++ b/lib/wire/peer.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &gw__peer__limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__peer__demand__init
+                     (Gw__Peer__Demand         *message)
+{
+  static const Gw__Peer__Demand init_value = GW__PEER__DEMAND__INIT;
+  *message = init_value;
+}
+size_t gw__peer__demand__get_packed_size
+                     (const Gw__Peer__Demand *message)
+{
+  assert(message->base.descriptor == &gw__peer__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__peer__demand__pack
+                     (const Gw__Peer__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__peer__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__peer__demand__pack_to_buffer
+                     (const Gw__Peer__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__peer__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Peer__Demand *
+       gw__peer__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Peer__Demand *)
+     protobuf_c_message_unpack (&gw__peer__demand__descriptor,
+                                allocator, len, data);
+}
+void   gw__peer__demand__free_unpacked
+                     (Gw__Peer__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__peer__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__peer__report__init
                      (Gw__Peer__Report         *message)
 {
@@ -657,7 +702,84 @@
   (ProtobufCMessageInit) gw__peer__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[43] =
+static const ProtobufCFieldDescriptor gw__peer__demand__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Demand, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Demand, region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_level",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Demand, first_level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms_per_s",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gw__Peer__Demand, n_work_ms_per_s),
+    offsetof(Gw__Peer__Demand, work_ms_per_s),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__peer__demand__field_indices_by_name[] = {
+  2,   /* field[2] = first_level */
+  1,   /* field[1] = region */
+  0,   /* field[0] = service */
+  3,   /* field[3] = work_ms_per_s */
+};
+static const ProtobufCIntRange gw__peer__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__peer__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.peer.Demand",
+  "Demand",
+  "Gw__Peer__Demand",
+  "gw.peer",
+  sizeof(Gw__Peer__Demand),
+  4,
+  gw__peer__demand__field_descriptors,
+  gw__peer__demand__field_indices_by_name,
+  1,  gw__peer__demand__number_ranges,
+  (ProtobufCMessageInit) gw__peer__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__peer__report__field_descriptors[45] =
 {
   {
     "name",
@@ -1175,6 +1297,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand",
+    46,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Peer__Report, n_demand),
+    offsetof(Gw__Peer__Report, demand),
+    &gw__peer__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand_age_ms",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Peer__Report, demand_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__peer__report__field_indices_by_name[] = {
   24,   /* field[24] = asks_known */
@@ -1182,6 +1328,8 @@
   33,   /* field[33] = clock_ms */
   42,   /* field[42] = config_version */
   21,   /* field[21] = cpu_milli */
+  43,   /* field[43] = demand */
+  44,   /* field[44] = demand_age_ms */
   4,   /* field[4] = domain */
   35,   /* field[35] = echo_clock_ms */
   36,   /* field[36] = echo_held_ms */
@@ -1226,7 +1374,7 @@
   { 1, 0 },
   { 7, 5 },
   { 26, 23 },
-  { 0, 43 }
+  { 0, 45 }
 };
 const ProtobufCMessageDescriptor gw__peer__report__descriptor =
 {
@@ -1236,7 +1384,7 @@
   "Gw__Peer__Report",
   "gw.peer",
   sizeof(Gw__Peer__Report),
-  43,
+  45,
   gw__peer__report__field_descriptors,
   gw__peer__report__field_indices_by_name,
   3,  gw__peer__report__number_ranges,
--- a/lib/wire/peer.pb-c.h
+++ b/lib/wire/peer.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Gw__Peer__SumChange Gw__Peer__SumChange;
 typedef struct Gw__Peer__Suspect Gw__Peer__Suspect;
 typedef struct Gw__Peer__Limit Gw__Peer__Limit;
+typedef struct Gw__Peer__Demand Gw__Peer__Demand;
 typedef struct Gw__Peer__Report Gw__Peer__Report;
 typedef struct Gw__Peer__Row Gw__Peer__Row;
 typedef struct Gw__Peer__Rows Gw__Peer__Rows;
@@ -132,6 +133,33 @@
     , 0, 0, 0 }
 
 
+/*
+ * Slot time offered per second for one service in the servers of one region,
+ * by level of value; see lib/shortage/shortage.h.
+ */
+struct  Gw__Peer__Demand
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the name
+   */
+  uint32_t service;
+  /*
+   * likewise
+   */
+  uint32_t region;
+  /*
+   * of work_ms_per_s
+   */
+  uint32_t first_level;
+  size_t n_work_ms_per_s;
+  uint32_t *work_ms_per_s;
+};
+#define GW__PEER__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__peer__demand__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
 struct  Gw__Peer__Report
 {
   ProtobufCMessage base;
@@ -295,10 +323,20 @@
    * Version of the configuration in force; with the proofs only.
    */
   uint64_t config_version;
+  /*
+   * Demand of those that `loads_of` names; here 3 includes the receiver. Not in
+   * every report.
+   */
+  size_t n_demand;
+  Gw__Peer__Demand **demand;
+  /*
+   * plus one; 0: the report has no demand
+   */
+  uint32_t demand_age_ms;
 };
 #define GW__PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -420,6 +458,25 @@
 void   gw__peer__limit__free_unpacked
                      (Gw__Peer__Limit *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Peer__Demand methods */
+void   gw__peer__demand__init
+                     (Gw__Peer__Demand         *message);
+size_t gw__peer__demand__get_packed_size
+                     (const Gw__Peer__Demand   *message);
+size_t gw__peer__demand__pack
+                     (const Gw__Peer__Demand   *message,
+                      uint8_t             *out);
+size_t gw__peer__demand__pack_to_buffer
+                     (const Gw__Peer__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Peer__Demand *
+       gw__peer__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__peer__demand__free_unpacked
+                     (Gw__Peer__Demand *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Peer__Report methods */
 void   gw__peer__report__init
                      (Gw__Peer__Report         *message);
@@ -507,6 +564,9 @@
 typedef void (*Gw__Peer__Limit_Closure)
                  (const Gw__Peer__Limit *message,
                   void *closure_data);
+typedef void (*Gw__Peer__Demand_Closure)
+                 (const Gw__Peer__Demand *message,
+                  void *closure_data);
 typedef void (*Gw__Peer__Report_Closure)
                  (const Gw__Peer__Report *message,
                   void *closure_data);
@@ -528,6 +588,7 @@
 extern const ProtobufCMessageDescriptor gw__peer__sum_change__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__suspect__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__limit__descriptor;
+extern const ProtobufCMessageDescriptor gw__peer__demand__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__report__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__row__descriptor;
 extern const ProtobufCMessageDescriptor gw__peer__rows__descriptor;
