--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -235,7 +235,7 @@
     bool awaits_token;                  /* not placed yet */
     uint32_t retry_after_ms;            /* if refused for the quota */
     GwKey *key;                         /* or NULL */
-    /* Level by which it is admitted and queued; lower is better. */
+    /* Level by which it was admitted; lower is better. */
     uint32_t level;
     uint32_t threshold; /* first level refused, when it was refused */
     bool is_measured;   /* counted in the demand of this entry */
@@ -521,8 +521,6 @@
 void GwRequest_ReturnToken(GwRouter *r, int64_t now_us, const GwRequest *req);
 
 /* shed.c */
-/* Sets the level by which a request is queued before a server is chosen. */
-void GwRequest_SetQueueLevel(const GwRouter *r, GwRequest *req);
 /* Counts a request in the demand when it is first placed. Returns whether it
  * is to be refused because slots are short at all entries. */
 bool GwRequest_IsShed(GwRouter *r, int64_t now_us, GwRequest *req,
--- a/lib/router/shed.c
+++ b/lib/router/shed.c
@@ -11,8 +11,8 @@
 
 /* Value of an answer after the objective, beside 1 within it. */
 #define LATE_VALUE 0.2
-/* A caller that was refused before counts as worth four times as much: it was
- * promised a slot. */
+/* A caller that was refused before counts as worth four times as much, since it
+ * was told when a slot would be free. */
 #define RETURN_LEVELS 2
 /* The servers of a service are counted again after this time. */
 #define CAPACITY_INTERVAL_US 50000
@@ -52,16 +52,6 @@
     return req->is_returning ? level - MIN(level, RETURN_LEVELS) : level;
 }
 
-void
-GwRequest_SetQueueLevel(const GwRouter *r, GwRequest *req)
-{
-    if (r->shortage != NULL) {
-        req->level = level_of(req, 1,
-                              req->key == NULL ? req->state->cold_us
-                                               : req->state->warm_us);
-    }
-}
-
 /* Expected time in a slot. The first run of an object is taken for a warm one:
  * it makes the following runs warm. */
 static double
@@ -250,9 +240,13 @@
 
     req->is_measured = true;
     req->level = level_of(req, value_of(req, c), slot_us);
-    GwDemandMeter_Add(r->demand, now_us, GwService_Hash(req->service->name),
-                      GwService_Hash(c->server->path->region), req->level,
-                      slot_us);
+    /* A refused caller was counted when it first came. Counting it again would
+     * raise the demand with each refusal. */
+    if (!req->is_returning) {
+        GwDemandMeter_Add(
+            r->demand, now_us, GwService_Hash(req->service->name),
+            GwService_Hash(c->server->path->region), req->level, slot_us);
+    }
     count_capacity(r, now_us, req->service);
     bool admitted = is_admitted(r, now_us, req, c);
     count_request(&req->service->shedding.all, now_us, admitted);
--- a/lib/router/waiting.c
+++ b/lib/router/waiting.c
@@ -123,21 +123,15 @@
 }
 
 /* Whether `a` is dispatched before `b`, which has been queued for longer. With
- * overload control: what is worth more for its slot time, then who was refused
- * before, then whose caller leaves first. */
+ * overload control, callers that were refused before precede others of their
+ * priority: they were told when to come back. */
 static bool
 is_before(const GwRouter *r, const GwRequest *a, const GwRequest *b)
 {
-    if (r->shortage == NULL) {
+    if (a->priority != b->priority) {
         return a->priority < b->priority;
     }
-    if (a->level != b->level) {
-        return a->level < b->level;
-    }
-    if (a->is_returning != b->is_returning) {
-        return a->is_returning;
-    }
-    return a->server_deadline_us < b->server_deadline_us;
+    return r->shortage != NULL && a->is_returning && !b->is_returning;
 }
 
 void
@@ -146,7 +140,6 @@
     GPtrArray *waiting = req->service->waiting;
     guint at = waiting->len;
 
-    GwRequest_SetQueueLevel(r, req);
     while (at > 0 && is_before(r, req, waiting->pdata[at - 1])) {
         at--;
     }
