--- a/lib/admin/ctl.c
+++ b/lib/admin/ctl.c
@@ -71,6 +71,9 @@
     {"explain", GwCtl_Explain, 2, 1000, "ID LOG...",
      "explain the outcome of a request from the logs of entries (- for "
      "standard input)"},
+    {"where", GwCtl_Where, 2, 2,
+     "HOST PATH [--object KEY] [--key-file FILE] [--deadline-ms N]",
+     "show where an entry would send a request now, and why; sends nothing"},
     {"dump", GwCtl_Dump, 0, 0, "", "print the state of the process as JSON"},
     {"metrics", GwCtl_Metrics, 0, 0, "", "print the metrics of the process"},
     {"settings-page", GwCtl_SettingsPage, 0, 0, "",
--- a/lib/admin/ctl.h
+++ b/lib/admin/ctl.h
@@ -32,6 +32,8 @@
     int percent;
     int limit;
     char *before;
+    char *object;
+    char *key_file;
 } GwCtlOptions;
 
 /* Runs a command; argv[0] is the name of the command. */
--- a/lib/admin/ctl_internal.h
+++ b/lib/admin/ctl_internal.h
@@ -45,6 +45,7 @@
 GwCtlExit GwCtl_Create(const GwCtl *ctl);
 GwCtlExit GwCtl_Remove(const GwCtl *ctl);
 GwCtlExit GwCtl_Get(const GwCtl *ctl);
+GwCtlExit GwCtl_Where(const GwCtl *ctl);
 GwCtlExit GwCtl_Snapshot(const GwCtl *ctl);
 GwCtlExit GwCtl_Diff(const GwCtl *ctl);
 GwCtlExit GwCtl_History(const GwCtl *ctl);
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -114,6 +114,46 @@
     g_free(text);
 }
 
+/* Answers what would be done with the request that the query describes. */
+static void
+answer_where(GwEdge *edge, GwClient *client, const char *target)
+{
+    char *host = query_parameter(target, "host");
+    char *path = query_parameter(target, "path");
+    char *object = query_parameter(target, "object");
+    char *credential = query_parameter(target, "key");
+    char *time_ms = query_parameter(target, "time_ms");
+    guint64 left_ms = 0;
+
+    if (host == NULL || path == NULL || path[0] != '/') {
+        send_answer(client, 400, "text/plain",
+                    "host and path are needed, and path begins with /\n");
+    }
+    else if (time_ms != NULL &&
+             !g_ascii_string_to_unsigned(time_ms, 10, 1, INT32_MAX, &left_ms,
+                                         NULL)) {
+        send_answer(client, 400, "text/plain",
+                    "time_ms must be a number of milliseconds\n");
+    }
+    else {
+        GwArrival arrival = {
+            .host = host,
+            .path = path,
+            .key = object,
+            .credential = credential,
+            .left_us = time_ms != NULL ? (int64_t)left_ms * 1000 : -1};
+        GString *out = g_string_new(NULL);
+        GwRouter_Preview(edge->router, GwEdge_Now(), &arrival, out);
+        send_answer(client, 200, NULL, out->str);
+        g_string_free(out, TRUE);
+    }
+    g_free(host);
+    g_free(path);
+    g_free(object);
+    g_free(credential);
+    g_free(time_ms);
+}
+
 static bool
 is_path(const char *target, const char *path)
 {
@@ -156,6 +196,9 @@
     else if (is_path(target, "/organisations")) {
         answer_page(edge, client, NULL, GwQuotas_WritePage);
     }
+    else if (is_path(target, "/where")) {
+        answer_where(edge, client, target);
+    }
     else if (is_path(target, "/status")) {
         answer_page(edge, client, NULL, GwStatus_Write);
     }
--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -1,5 +1,5 @@
 /* Admission of a request: route, service of a split route, and deadlines. */
-#include "router/router_internal.h"
+#include "router/decisions.h"
 
 /* Time that a caller waits if it states none. */
 #define DEFAULT_CALLER_TIME_US 5000000
@@ -25,17 +25,24 @@
 /* Longest wait of a request that misses its objective, in objectives. */
 #define LATE_WAIT_OBJECTIVES 1.5
 
+static void
+init_estimates(const GwRoute *route, GwRouteState *state)
+{
+    double objective_us = MAX(route->objective_ms, 1) * 1000.0;
+
+    state->cold_us = GW_COLD_SHARE * objective_us;
+    state->warm_us = GW_WARM_SHARE * objective_us;
+}
+
 static GwRouteState *
 find_or_add_state(GwRouter *r, const GwRoute *route)
 {
     GwRouteState *state = g_hash_table_lookup(r->routes, route->name);
 
     if (state == NULL) {
-        double objective_end_us = MAX(route->objective_ms, 1) * 1000.0;
         state = g_new0(GwRouteState, 1);
         state->name = g_strdup(route->name);
-        state->cold_us = GW_COLD_SHARE * objective_end_us;
-        state->warm_us = GW_WARM_SHARE * objective_end_us;
+        init_estimates(route, state);
         g_hash_table_insert(r->routes, state->name, state);
     }
     if (state->credit_count != route->part_count) {
@@ -176,3 +183,70 @@
     (void)GwRouter_AddAction(actions, GW_ROUTER_ACCEPT, req);
     GwRequest_Admit(r, now_us, req, actions);
 }
+
+/* ---- Previews ------------------------------------------------------------ */
+
+/* A copy of the route's state, or a new one: a preview must not change the
+ * turns of a traffic split or the times that callers state. */
+static void
+copy_state(const GwRouter *r, const GwRoute *route, GwRouteState *to)
+{
+    const GwRouteState *state = g_hash_table_lookup(r->routes, route->name);
+
+    if (state != NULL) {
+        *to = *state;
+        to->credit = g_memdup2(state->credit,
+                               state->credit_count * sizeof(*state->credit));
+    }
+    else {
+        init_estimates(route, to);
+    }
+    if (to->credit_count != route->part_count) {
+        g_free(to->credit);
+        to->credit = g_new0(int64_t, route->part_count);
+        to->credit_count = route->part_count;
+    }
+}
+
+GwReplyReason
+GwRouter_BeginPreview(GwRouter *r, int64_t now_us, const GwArrival *arrival,
+                      GwPreview *out)
+{
+    GwRequest *req = &out->request;
+    const GwRoute *route =
+        r->routing != NULL
+            ? GwRouting_Match(r->routing, arrival->host, arrival->path)
+            : NULL;
+    GwReplyReason why = GwRouter_CheckArrival(r, now_us, arrival, route);
+
+    if (why != GW_REPLY_NONE || route == NULL) {
+        return why != GW_REPLY_NONE ? why : GW_REPLY_NO_ROUTE;
+    }
+    copy_state(r, route, &out->state);
+    req->route = route;
+    req->state = &out->state;
+    req->service =
+        g_hash_table_lookup(r->services, next_service(route, req->state));
+    if (req->service == NULL) {
+        return GW_REPLY_NO_SERVER;
+    }
+    GwRequest_SetAccess(r, req, arrival->credential);
+    req->deadline = GW_HEAP_ABSENT;
+    req->is_passed_on = arrival->is_passed_on;
+    set_deadlines(req, now_us, arrival);
+    if (arrival->key != NULL && route->has_key_affinity) {
+        req->key = GwRouter_FindKey(r, route, req->service, arrival->key);
+        if (req->key == NULL) {
+            out->key.hash = GwKey_Hash(route, req->service, arrival->key);
+            req->key = &out->key;
+        }
+    }
+    return GW_REPLY_NONE;
+}
+
+void
+GwRouter_EndPreview(GwPreview *preview)
+{
+    GwRouting_Unref(preview->request.access_routing);
+    g_free(preview->state.credit);
+}
--- a/lib/router/choose.c
+++ b/lib/router/choose.c
@@ -8,7 +8,7 @@
  * run. A request waits for a placement of its object as long as the answer
  * still meets the objective; an object gets a further placement only where
  * slots are idle, and only one at a time. */
-#include "router/router_internal.h"
+#include "router/decisions.h"
 
 #include <string.h>
 
@@ -89,30 +89,78 @@
            g_hash_table_contains(r->evacuated, s->domain);
 }
 
-static bool
-is_eligible(const Search *search, GwServer *s)
+const char *
+GwIneligible_Name(GwIneligible why)
+{
+    static const char *const names[] = {
+        [GW_ELIGIBLE] = "",
+        [GW_INELIGIBLE_SERVICE] = "other-service",
+        [GW_INELIGIBLE_LEAVING] = "leaving",
+        [GW_INELIGIBLE_UNLISTED] = "unlisted",
+        [GW_INELIGIBLE_EVACUATED] = "evacuated",
+        [GW_INELIGIBLE_REGION_SHARE] = "region-share",
+        [GW_INELIGIBLE_HOMES] = "homes",
+        [GW_INELIGIBLE_TRIED] = "tried",
+        [GW_INELIGIBLE_UNREACHED] = "unreached",
+        [GW_INELIGIBLE_EJECTED] = "ejected",
+        [GW_INELIGIBLE_LIMITED] = "limited",
+        [GW_INELIGIBLE_COLD] = "cold",
+    };
+
+    return names[why];
+}
+
+static GwIneligible
+why_ineligible(const Search *search, GwServer *s)
 {
     GwRouter *r = search->r;
 
     /* A placement of the object may belong to another service: reports name
      * objects by hash only, and a route may have been moved to another
      * service. The wrong service would then answer the request. */
-    if (s->service != search->req->service || s->start->is_leaving ||
-        !s->listed || s->slots == 0 || is_evacuated(r, s) ||
-        (search->region_rule == GW_REGIONS_LOCAL && !s->same_region) ||
-        (search->region_rule == GW_REGIONS_REMOTE && s->same_region) ||
-        !GwRequest_AllowsRegion(search->req, s->path->region) ||
-        was_tried(search->req, s) ||
-        (!GwServer_MayConnect(s) && !GwServer_StillAnswers(s)) ||
-        (!search->panic && search->now_us < s->eject_until_us)) {
-        return false;
+    if (s->service != search->req->service) {
+        return GW_INELIGIBLE_SERVICE;
+    }
+    if (s->start->is_leaving) {
+        return GW_INELIGIBLE_LEAVING;
+    }
+    if (!s->listed || s->slots == 0) {
+        return GW_INELIGIBLE_UNLISTED;
+    }
+    if (is_evacuated(r, s)) {
+        return GW_INELIGIBLE_EVACUATED;
+    }
+    if ((search->region_rule == GW_REGIONS_LOCAL && !s->same_region) ||
+        (search->region_rule == GW_REGIONS_REMOTE && s->same_region)) {
+        return GW_INELIGIBLE_REGION_SHARE;
+    }
+    if (!GwRequest_AllowsRegion(search->req, s->path->region)) {
+        return GW_INELIGIBLE_HOMES;
+    }
+    if (was_tried(search->req, s)) {
+        return GW_INELIGIBLE_TRIED;
+    }
+    if (!GwServer_MayConnect(s) && !GwServer_StillAnswers(s)) {
+        return GW_INELIGIBLE_UNREACHED;
+    }
+    if (!search->panic && search->now_us < s->eject_until_us) {
+        return GW_INELIGIBLE_EJECTED;
     }
     if (GwServer_IsLimited(s) &&
         !GwRouter_HasLimitShare(r, s, search->now_us)) {
-        return false;
+        return GW_INELIGIBLE_LIMITED;
+    }
+    if (GwServer_IsCold(s, search->now_us) &&
+        !GwRouter_HasColdToken(r, s, search->now_us)) {
+        return GW_INELIGIBLE_COLD;
     }
-    return !GwServer_IsCold(s, search->now_us) ||
-           GwRouter_HasColdToken(r, s, search->now_us);
+    return GW_ELIGIBLE;
+}
+
+static bool
+is_eligible(const Search *search, GwServer *s)
+{
+    return why_ineligible(search, s) == GW_ELIGIBLE;
 }
 
 double
@@ -296,6 +344,24 @@
             utilization_lower_bound(search, s) < IDLE_UTILIZATION_MAX);
 }
 
+/* A server that is not yet a placement of the object. */
+static Candidate
+evaluate_new(const Search *search, GwServer *s, double extra_us)
+{
+    Candidate c = evaluate(search, s, search->req->state->cold_us);
+
+    c.cost_us +=
+        extra_us + UTILIZATION_COST_US *
+                       GwServer_Utilization(search->r, s, search->now_us);
+    return c;
+}
+
+static double
+new_placement_cost_us(const GwRequest *req, const GwServer *s)
+{
+    return hash_spread_cost_us(req, s) + OBJECT_COST_US * s->objects;
+}
+
 /* The best server that is not yet a placement of the object. A service may
  * have a thousand servers, and an entry may have a tenth of a core: servers
  * that can't be better than the best so far are skipped after a few
@@ -310,8 +376,7 @@
     search->r->evaluations += servers->len;
     for (guint i = 0; i < servers->len; i++) {
         GwServer *s = servers->pdata[i];
-        double extra_us =
-            hash_spread_cost_us(req, s) + OBJECT_COST_US * s->objects;
+        double extra_us = new_placement_cost_us(req, s);
         /* Cold servers are never skipped: the check refills their tokens. */
         if (best.server != NULL &&
             (!best.is_last_resort || !may_be_preferred(search, s)) &&
@@ -327,10 +392,7 @@
             (req->key != NULL && GwKey_FindPlacement(req->key, s) != NULL)) {
             continue;
         }
-        Candidate c = evaluate(search, s, req->state->cold_us);
-        c.cost_us +=
-            extra_us + UTILIZATION_COST_US *
-                           GwServer_Utilization(search->r, s, search->now_us);
+        Candidate c = evaluate_new(search, s, extra_us);
         update_best(search, &best, &c);
     }
     return best;
@@ -438,3 +500,33 @@
     }
     return other;
 }
+
+/* Evaluates each server as GwRouter_Choose does without a rule on regions. */
+void
+GwRouter_EachCandidate(GwRouter *r, int64_t now_us, GwRequest *req,
+                       void (*visit)(void *ctx,
+                                     const GwCandidateView *candidate),
+                       void *ctx)
+{
+    Search search = {.r = r, .req = req, .now_us = now_us};
+
+    search.panic = is_panic(req->service, now_us);
+    for (guint i = 0; i < req->service->servers->len; i++) {
+        GwServer *s = req->service->servers->pdata[i];
+        GwCandidateView view = {
+            .server = s,
+            .why = why_ineligible(&search, s),
+            .is_placement = req->key != NULL && !req->is_suspect &&
+                            GwKey_FindPlacement(req->key, s) != NULL,
+            .load = GwServer_Load(r, s, now_us),
+        };
+        Candidate c =
+            view.is_placement
+                ? evaluate(&search, s, req->state->warm_us)
+                : evaluate_new(&search, s, new_placement_cost_us(req, s));
+        view.wait_us = c.wait_us;
+        view.est_us = c.est_us;
+        view.cost_us = c.cost_us;
+        visit(ctx, &view);
+    }
+}
--- a/lib/router/keys.c
+++ b/lib/router/keys.c
@@ -70,13 +70,29 @@
  * request of one route doesn't speed up a request of another route for the
  * same object. The key includes the service, so that a route that moves to
  * another service or is split has placements in each service. */
+uint64_t
+GwKey_Hash(const GwRoute *route, const GwServiceState *service,
+           const char *text)
+{
+    uint64_t seed = GwHash_Text(service->name, GwHash_Text(route->name, 0));
+
+    return GwHash_Text(text, seed);
+}
+
+GwKey *
+GwRouter_FindKey(const GwRouter *r, const GwRoute *route,
+                 const GwServiceState *service, const char *text)
+{
+    uint64_t hash = GwKey_Hash(route, service, text);
+
+    return g_hash_table_lookup(r->keys, &hash);
+}
+
 GwKey *
 GwRouter_FindOrAddKey(GwRouter *r, int64_t now_us, const GwRoute *route,
                       const GwServiceState *service, const char *text)
 {
-    uint64_t seed = GwHash_Text(service->name, GwHash_Text(route->name, 0));
-
-    return find_or_add_key(r, now_us, GwHash_Text(text, seed));
+    return find_or_add_key(r, now_us, GwKey_Hash(route, service, text));
 }
 
 GwKeyPlacement *
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -1,5 +1,5 @@
 /* The states of an admitted request: waiting, sent, retried, ended. */
-#include "router/router_internal.h"
+#include "router/decisions.h"
 
 #include <string.h>
 
@@ -288,77 +288,103 @@
     return req->service->reach.failing_since_us != 0;
 }
 
-/* Sends the request, keeps it waiting, or refuses it. A late answer is still
- * of some use, so a late request may wait behind all requests that can meet
- * their objective; if its answer would be useless by then, the request is
- * refused at once with a retry delay. */
-void
-GwRequest_Place(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
+GwDecision
+GwRequest_Decide(GwRouter *r, int64_t now_us, GwRequest *req)
 {
-    GwReplyReason why = GwRequest_CheckAccess(r, now_us, req);
-
-    if (why != GW_REPLY_NONE) {
-        GwRequest_Refuse(r, now_us, req, why, actions);
-        return;
-    }
-    if (GwRequest_QuarantinedUntil(r, now_us, req) != 0) {
-        GwRequest_Refuse(r, now_us, req, GW_REPLY_QUARANTINED, actions);
-        return;
-    }
-    if (prefers_peer(r, now_us, req) &&
-        GwRequest_PassOn(r, now_us, req, actions)) {
-        return;
-    }
-    GwChoice c = GwRouter_Choose(r, now_us, req);
-    req->expected_us = now_us - req->arrived_us + (int64_t)c.est_us;
-    req->slot_wait_us = c.wait_us;
+    GwDecision d = {.kind = GW_DECIDE_REFUSE};
+
+    d.why = GwRequest_CheckAccess(r, now_us, req);
+    if (d.why == GW_REPLY_NONE &&
+        GwRequest_QuarantinedUntil(r, now_us, req) != 0) {
+        d.why = GW_REPLY_QUARANTINED;
+    }
+    if (d.why != GW_REPLY_NONE) {
+        return d;
+    }
+    d.prefers_peer = prefers_peer(r, now_us, req);
+    d.choice = GwRouter_Choose(r, now_us, req);
+    d.has_chosen = true;
+    if (d.choice.server == NULL) {
+        d.prefers_peer = d.prefers_peer || has_failing_links(req);
+        d.why = why_no_server(r, req);
+        return d;
+    }
+    if (d.choice.has_free_slot) {
+        d.kind = GW_DECIDE_SEND;
+        return d;
+    }
+    /* A late answer is still of some use, so a late request may wait behind
+     * all requests that can meet their objective. */
+    if (!d.choice.in_time &&
+        now_us + (int64_t)d.choice.est_us > last_useful_answer_us(req)) {
+        d.why = GW_REPLY_NO_CAPACITY;
+        return d;
+    }
+    d.kind = GW_DECIDE_WAIT;
+    return d;
+}
 
-    if (c.server == NULL && has_failing_links(req) &&
-        GwRequest_PassOn(r, now_us, req, actions)) {
-        return;
-    }
-    if (c.server == NULL) {
-        GwRouter_NoteRegionRefused(r, now_us, c.prefers_remote);
-        GwRequest_Refuse(r, now_us, req, why_no_server(r, req), actions);
-        return;
-    }
-    if (GwRequest_IsShed(r, now_us, req, &c)) {
-        GwRouter_NoteRegionRefused(r, now_us, c.prefers_remote);
-        req->refused_for = c.server;
-        GwRequest_Refuse(r, now_us, req, GW_REPLY_SHED, actions);
-        return;
-    }
-    if (c.has_free_slot) {
-        GwRouter_NoteRegionSent(r, now_us, req, c.prefers_remote,
-                                !c.server->same_region);
-        send_request(r, now_us, req, c.server, actions);
-        return;
-    }
-    int64_t answer_us = now_us + (int64_t)c.est_us;
+/* Keeps the request in the queue until a slot is expected to be free. */
+static void
+wait_for_slot(GwRouter *r, int64_t now_us, GwRequest *req, const GwChoice *c)
+{
     bool was_late = req->is_late;
-    req->is_late = !c.in_time;
-    if (req->is_late && answer_us > last_useful_answer_us(req)) {
-        GwRouter_NoteRegionRefused(r, now_us, c.prefers_remote);
-        req->refused_for = c.server;
-        GwRequest_Refuse(r, now_us, req, GW_REPLY_NO_CAPACITY, actions);
-        return;
-    }
-    GwServer_Reserve(c.server);
+
+    req->is_late = !c->in_time;
+    GwServer_Reserve(c->server);
     /* A request that has just become late is evaluated again, behind the
      * others. */
-    req->awaited_server = req->is_late == was_late ? c.server : NULL;
-    req->awaits_placement = c.is_placement;
+    req->awaited_server = req->is_late == was_late ? c->server : NULL;
+    req->awaits_placement = c->is_placement;
     req->last_useful_slot_us =
         req->is_late
-            ? last_useful_answer_us(req) - (int64_t)(c.est_us - c.wait_us)
+            ? last_useful_answer_us(req) - (int64_t)(c->est_us - c->wait_us)
             : INT64_MAX;
-    req->last_useful_slot_us = MIN(req->last_useful_slot_us, c.last_slot_us);
+    req->last_useful_slot_us = MIN(req->last_useful_slot_us, c->last_slot_us);
     int64_t again_us =
         MAX(now_us + EVALUATION_INTERVAL_US, req->service->pass_due_us);
     again_us = MIN(again_us, req->last_useful_slot_us);
     GwRequest_SetDeadline(r, req, MIN(req->give_up_us, again_us));
 }
 
+/* Sends the request, keeps it waiting, or refuses it at once with a retry
+ * delay. */
+void
+GwRequest_Place(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
+{
+    GwDecision d = GwRequest_Decide(r, now_us, req);
+    const GwChoice *c = &d.choice;
+
+    if (d.prefers_peer && GwRequest_PassOn(r, now_us, req, actions)) {
+        return;
+    }
+    if (d.has_chosen) {
+        req->expected_us = now_us - req->arrived_us + (int64_t)c->est_us;
+        req->slot_wait_us = c->wait_us;
+    }
+    if (c->server != NULL && GwRequest_IsShed(r, now_us, req, c)) {
+        d.kind = GW_DECIDE_REFUSE;
+        d.why = GW_REPLY_SHED;
+    }
+    switch (d.kind) {
+    case GW_DECIDE_SEND:
+        GwRouter_NoteRegionSent(r, now_us, req, c->prefers_remote,
+                                !c->server->same_region);
+        send_request(r, now_us, req, c->server, actions);
+        break;
+    case GW_DECIDE_WAIT:
+        wait_for_slot(r, now_us, req, c);
+        break;
+    case GW_DECIDE_REFUSE:
+        if (d.has_chosen) {
+            GwRouter_NoteRegionRefused(r, now_us, c->prefers_remote);
+        }
+        req->refused_for = c->server;
+        GwRequest_Refuse(r, now_us, req, d.why, actions);
+        break;
+    }
+}
+
 /* Removed servers may be referred to by actions that the host has not carried
  * out yet: the host may call the router while it carries out actions. */
 void
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -435,6 +435,10 @@
 /* Pointer for the host's connections to the server. */
 void **GwServer_User(GwServer *s);
 
+/* Appends what would be done with this request now, as one line of JSON; sends
+ * and changes nothing. Quotas and the quarantine are left out. */
+void GwRouter_Preview(GwRouter *r, int64_t now_us, const GwArrival *arrival,
+                      GString *out);
 /* Appends the state to `out` as one line of JSON. */
 void GwRouter_Dump(const GwRouter *r, int64_t now_us, GString *out);
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -405,6 +405,11 @@
 uint64_t GwHash_Text(const char *text, uint64_t seed);
 GwKey *GwRouter_FindOrAddKey(GwRouter *r, int64_t now_us, const GwRoute *route,
                              const GwServiceState *service, const char *text);
+uint64_t GwKey_Hash(const GwRoute *route, const GwServiceState *service,
+                    const char *text);
+/* NULL if there was no request for the object lately. */
+GwKey *GwRouter_FindKey(const GwRouter *r, const GwRoute *route,
+                        const GwServiceState *service, const char *text);
 GwKeyPlacement *GwKey_FindPlacement(GwKey *key, const GwServer *s);
 /* Records that a request for the object is sent to the server. */
 void GwRouter_AddPlacement(GwRouter *r, GwKey *key, GwServer *s,
@@ -413,24 +418,6 @@
 void GwKey_RemovePlacement(GwKey *key, const GwServer *s);
 void GwRouter_RemovePlacements(GwRouter *r, const GwServer *s);
 
-/* choose.c */
-typedef struct {
-    GwServer *server;     /* NULL: no server can take the request */
-    bool has_free_slot;   /* a slot is free there now */
-    bool in_time;         /* the answer is expected within the objective */
-    bool prefers_remote;  /* the best server is in another region */
-    bool is_placement;    /* the server is a placement of the object */
-    double est_us;        /* expected time to the answer */
-    double wait_us;       /* part of est_us until a slot is free */
-    int64_t last_slot_us; /* a later run may not end before a stop */
-} GwChoice;
-
-GwChoice GwRouter_Choose(GwRouter *r, int64_t now_us, GwRequest *req);
-/* Returns whether the server can take one more request now, beside the
- * reservations of waiting requests. */
-bool GwServer_HasCapacity(const GwRouter *r, const GwServer *s,
-                          int64_t now_us);
-
 /* reach.c */
 /* Asks the host to connect to the server, without a request. */
 void GwServer_Probe(GwServer *s, GArray *actions);
@@ -520,15 +507,6 @@
 void GwRequest_CancelTokenWait(GwRouter *r, GwRequest *req);
 void GwRequest_ReturnToken(GwRouter *r, int64_t now_us, const GwRequest *req);
 
-/* shed.c */
-/* Counts a request in the demand when it is first placed. Returns whether it
- * is to be refused because slots are short at all entries. */
-bool GwRequest_IsShed(GwRouter *r, int64_t now_us, GwRequest *req,
-                      const GwChoice *c);
-/* Retry delay of a request that was shed. */
-uint32_t GwRequest_ShedRetryAfterMs(GwRouter *r, int64_t now_us,
-                                    const GwRequest *req);
-
 /* crashes.c */
 GArray *GwCrashes_Create(void);
 /* A connection to the server was set up at `connected_us`: servers that refused
--- a/lib/router/shed.c
+++ b/lib/router/shed.c
@@ -5,7 +5,7 @@
  * the servers have capacity for. The decision is made once, when a request is
  * first placed and has not been sent: a refusal is "not run" then, and the
  * caller learns at once when to come back. */
-#include "router/router_internal.h"
+#include "router/decisions.h"
 
 #include <math.h>
 
@@ -72,6 +72,12 @@
     return c->in_time || is_first ? 1 : LATE_VALUE;
 }
 
+uint32_t
+GwRequest_Level(const GwRequest *req, const GwChoice *c)
+{
+    return level_of(req, value_of(req, c), slot_time_us(req, c));
+}
+
 /* ---- Capacity ------------------------------------------------------------ */
 
 typedef struct {
@@ -239,7 +245,7 @@
     double slot_us = slot_time_us(req, c);
 
     req->is_measured = true;
-    req->level = level_of(req, value_of(req, c), slot_us);
+    req->level = GwRequest_Level(req, c);
     /* A refused caller was counted when it first came. Counting it again would
      * raise the demand with each refusal. */
     if (!req->is_returning) {
--- a/lib/router/waiting.c
+++ b/lib/router/waiting.c
@@ -1,6 +1,6 @@
 /* The queue of requests that wait for a server. Chooses the requests to
  * evaluate again after an event. */
-#include "router/router_internal.h"
+#include "router/decisions.h"
 
 /* Bounds the passes over all waiting requests to this many server evaluations
  * per us, a tenth of what a tenth of a core can do (bench_router_cost). */
--- a/programs/godwitctl.c
+++ b/programs/godwitctl.c
@@ -68,6 +68,8 @@
     free(o->operator_name);
     free(o->body_file);
     free(o->before);
+    free(o->object);
+    free(o->key_file);
 }
 
 int
@@ -112,6 +114,10 @@
          "file with the body of a call", "FILE"},
         {"deadline-ms", 0, POPT_ARG_INT, &o.deadline_ms, 0,
          "deadline of a call in ms (5000)", "N"},
+        {"object", 0, POPT_ARG_STRING, &o.object, 0,
+         "object that a request is about", "KEY"},
+        {"key-file", 0, POPT_ARG_STRING, &o.key_file, 0,
+         "file with the key of a caller", "FILE"},
         {"help", 'h', POPT_ARG_NONE, &help, 0, "print help, or help on COMMAND",
          NULL},
         POPT_TABLEEND,
--- a/tests/unit/test_router_choice.c
+++ b/tests/unit/test_router_choice.c
@@ -1,6 +1,6 @@
 /* Choice of a server: the shortcuts of the search must not change its
  * result. */
-#include "router/router_internal.h"
+#include "router/decisions.h"
 #include "unit/steering_cases.h"
 
 #include <criterion/criterion.h>
