--- a/tests/session/site_explain.sh
+++ b/tests/session/site_explain.sh
@@ -37,6 +37,18 @@
 expect 'gw_request_ms_count\{route="[^"]+",end="answered"\} [1-9]' \
     site_ctl e3 metrics
 expect '^gw_config_version [1-9]' site_ctl e3 metrics
+# A preview goes through the running entry and sends nothing.
+expect '^decision: send, server server-[0-9]' \
+    site_ctl e1 where demo.example /look-up/x --object 7
+expect '"candidates":\[\{"server":"server-[0-9]' \
+    site_ctl e1 --json where demo.example /look-up/x --deadline-ms 900
+refused() { # exits with 1
+    ! site_ctl e1 where "$@"
+}
+expect '^decision: refuse, no-route' refused demo.example /none/
+site_ctl e1 where demo.example look-up >/dev/null 2>&1
+[ $? -eq 1 ] || gw_fail "where with a path without / must exit with 1" ||
+    exit 1
 site_conclude >/dev/null
 
 logs=("$gw_dir"/e1.log "$gw_dir"/e2.log "$gw_dir"/e3.log)
