Demand in reports: counted once, with its age, and only with a scope

Cause: a total took any demand in the tables. While two entries aggregated a failure domain, its demand counted twice at the others (15 entries of 12), and so it did at an entry that doesn't use aggregators yet. Each sum was sent as new, so the demand of an entry that had stopped lived for 2 s at each step. A report cut to fit a datagram kept its demand without its scope, and the receiver took a total for the demand of its sender. Pairs that peers make up were added without a bound (683 in the test).

Change: each domain counts the own demand of its entries only, and one sum of each other domain. A sum has the age of what it sums, as the mean over its work; with the age of the oldest part, one entry that has stopped would make all totals too old. Demand without a scope is ignored, and is dropped from a report before the loads are; it is due again at once. A total has at most as many pairs as a report.

Measured: 7 of the 10 cases of edge_demand fail on the code before, none now.

--- a/lib/edge/demand.c
+++ b/lib/edge/demand.c
@@ -1,5 +1,10 @@
 /* Exchanges the demand of entries in the reports that carry loads (aggregate.c),
- * so that all entries know the shortage of slots (lib/shortage). */
+ * so that all entries know the shortage of slots (lib/shortage).
+ *
+ * The demand of an entry is in a total at most once: a failure domain counts
+ * the own demand of its entries only, and of another failure domain exactly one
+ * sum is counted, even while two of its entries aggregate it. A total may lack
+ * some demand, so that less is refused than could be. */
 #include "edge/peers_internal.h"
 
 #include <string.h>
@@ -12,10 +17,12 @@
 /* Demand of a peer counts for this long after the time that it describes. */
 #define DEMAND_LIFE_US 2000000
 
+/* ---- Sums ---------------------------------------------------------------- */
+
 static bool
-has_fresh_demand(const GwPeerEntry *peer, int64_t now_us)
+has_fresh_demand(const GwPeerEntry *peer, GwLoadScope of, int64_t now_us)
 {
-    return peer->demand != NULL &&
+    return peer->demand != NULL && peer->demand_of == of &&
            now_us - peer->demand_as_of_us < DEMAND_LIFE_US;
 }
 
@@ -25,29 +32,128 @@
     return strcmp(peer->domain, peers->edge->settings->router.domain) == 0;
 }
 
-/* Replaces `out` with the demand of this entry, its failure domain or all. */
+/* A sum, and its work multiplied by the age of that work. */
+typedef struct {
+    GArray *demand; /* GwDemand */
+    double work;
+    double aged_work_us;
+} Sum;
+
+static bool
+has_pair(const GArray *sum, const GwDemand *demand)
+{
+    for (guint i = 0; i < sum->len; i++) {
+        const GwDemand *at = &g_array_index(sum, GwDemand, i);
+        if (at->service == demand->service && at->region == demand->region) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adds the demand of a peer. Pairs that no report has room for are left out,
+ * which also bounds the time that a peer with many pairs costs. */
+static void
+add_peer(Sum *sum, const GwPeerEntry *peer, int64_t now_us)
+{
+    double age_us = (double)(now_us - peer->demand_as_of_us);
+
+    for (guint i = 0; i < peer->demand->len; i++) {
+        const GwDemand *demand = &g_array_index(peer->demand, GwDemand, i);
+        if (sum->demand->len >= GW_DEMANDS_MAX &&
+            !has_pair(sum->demand, demand)) {
+            continue;
+        }
+        GwDemand_AddTo(sum->demand, demand, 1);
+        for (uint32_t l = 0; l < GW_SHORTAGE_LEVELS; l++) {
+            sum->work += demand->work_ms_per_s[l];
+            sum->aged_work_us += demand->work_ms_per_s[l] * age_us;
+        }
+    }
+}
+
+/* Work of this entry is as of now. */
 static void
-sum_demand(GwPeers *peers, GwLoadScope scope, int64_t now_us, GArray *out)
+add_own(Sum *sum, const GwPeers *peers, int64_t now_us)
 {
+    GwDemandMeter_Read(GwRouter_DemandMeter(peers->edge->router), now_us,
+                       sum->demand);
+    for (guint i = 0; i < sum->demand->len; i++) {
+        const GwDemand *demand = &g_array_index(sum->demand, GwDemand, i);
+        for (uint32_t l = 0; l < GW_SHORTAGE_LEVELS; l++) {
+            sum->work += demand->work_ms_per_s[l];
+        }
+    }
+}
+
+/* The sum of the peer's failure domain that counts: from its aggregator if
+ * there is one, else the newest. */
+static bool
+is_better_sum(const GwPeerEntry *peer, const GwPeerEntry *than)
+{
+    if (than == NULL || peer->is_aggregator != than->is_aggregator) {
+        return than == NULL || peer->is_aggregator;
+    }
+    return peer->demand_as_of_us > than->demand_as_of_us;
+}
+
+/* Adds one sum for each other failure domain. */
+static void
+add_domain_sums(Sum *sum, const GwPeers *peers, int64_t now_us)
+{
+    GHashTable *best = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GwPeerEntry *peer = value;
+        if (has_fresh_demand(peer, GW_LOADS_DOMAIN, now_us) &&
+            !is_in_domain(peers, peer) &&
+            is_better_sum(peer, g_hash_table_lookup(best, peer->domain))) {
+            g_hash_table_replace(best, peer->domain, peer);
+        }
+    }
+    g_hash_table_iter_init(&iter, best);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        add_peer(sum, value, now_us);
+    }
+    g_hash_table_destroy(best);
+}
+
+/* Replaces `out` with the demand of this entry, its failure domain or all.
+ * Returns the age of the sum in ms: the mean over its work. With the age of its
+ * oldest part, one entry that has stopped would make the totals of all too old
+ * to be used. */
+static uint32_t
+sum_demand(const GwPeers *peers, GwLoadScope scope, int64_t now_us,
+           GArray *out)
+{
+    Sum sum = {.demand = out};
     GHashTableIter iter;
     gpointer value;
 
     g_array_set_size(out, 0);
-    GwDemandMeter_Read(GwRouter_DemandMeter(peers->edge->router), now_us, out);
+    add_own(&sum, peers, now_us);
     if (scope == GW_LOADS_OWN) {
-        return;
+        return 0;
     }
     g_hash_table_iter_init(&iter, peers->by_address);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const GwPeerEntry *peer = value;
-        if (has_fresh_demand(peer, now_us) &&
-            (scope == GW_LOADS_ALL || is_in_domain(peers, peer))) {
-            GwDemand_AddTo(out, (const GwDemand *)peer->demand->data,
-                           peer->demand->len);
+        if (has_fresh_demand(peer, GW_LOADS_OWN, now_us) &&
+            (!peers->uses_sums || is_in_domain(peers, peer))) {
+            add_peer(&sum, peer, now_us);
         }
     }
+    if (scope == GW_LOADS_ALL && peers->uses_sums) {
+        add_domain_sums(&sum, peers, now_us);
+    }
+    return sum.work > 0 ? (uint32_t)(sum.aged_work_us / sum.work / 1000) : 0;
 }
 
+/* ---- Reports ------------------------------------------------------------- */
+
 /* Writes the levels from the first to the last with any work. */
 static Gw__Peer__Demand *
 write_demand(const GwDemand *demand, Gw__Peer__Demand *message, uint32_t *work)
@@ -85,7 +191,7 @@
         return;
     }
     peer->demand_sent_us = now_us;
-    sum_demand(peers, scope, now_us, peers->demand);
+    uint32_t age_ms = sum_demand(peers, scope, now_us, peers->demand);
     report->n_demand = MIN(peers->demand->len, GW_DEMANDS_MAX);
     for (size_t i = 0; i < report->n_demand; i++) {
         arrays->list[i] =
@@ -93,7 +199,17 @@
                          &arrays->messages[i], arrays->work[i]);
     }
     report->demand = arrays->list;
-    report->demand_age_ms = 1;
+    report->demand_age_ms = age_ms + 1;
+}
+
+void
+GwPeers_DropDemand(GwPeerEntry *peer, Gw__Peer__Report *report)
+{
+    if (report->demand_age_ms != 0) {
+        report->n_demand = 0;
+        report->demand_age_ms = 0;
+        peer->demand_sent_us = 0;
+    }
 }
 
 static void
@@ -111,7 +227,7 @@
             demand.work_ms_per_s[message->first_level + j] =
                 message->work_ms_per_s[j];
         }
-        g_array_append_val(out, demand);
+        GwDemand_AddTo(out, &demand, 1);
     }
 }
 
@@ -129,30 +245,38 @@
                     const Gw__Peer__Report *report)
 {
     GwShortage *shortage = GwRouter_Shortage(peers->edge->router);
+    GwLoadScope scope = (GwLoadScope)report->loads_of;
     int64_t now_us = GwEdge_Now();
 
-    if (report->loads_of != GW_LOADS_OWN &&
-        report->loads_of != GW_LOADS_DOMAIN) {
-        peer->demand_as_of_us = now_us - DEMAND_LIFE_US;
+    if (scope != peer->demand_of) {
+        /* What it sent before is in the sum of another entry now. */
+        peer->demand_of = GW_LOADS_NONE;
     }
     if (shortage == NULL || report->demand_age_ms == 0) {
         return;
     }
     uint32_t age_ms = report->demand_age_ms - 1;
-    if (report->loads_of == GW_LOADS_ALL) {
+    switch (scope) {
+    case GW_LOADS_OWN:
+    case GW_LOADS_DOMAIN:
+        if (peer->demand == NULL) {
+            peer->demand = g_array_new(FALSE, FALSE, sizeof(GwDemand));
+        }
+        read_demand(report, peer->demand);
+        peer->demand_of = scope;
+        peer->demand_as_of_us = now_us - (int64_t)age_ms * 1000;
+        break;
+    case GW_LOADS_ALL:
         if (accepts_total(peers, peer)) {
             read_demand(report, peers->demand);
             GwShortage_PutTotal(shortage, now_us, age_ms,
                                 (const GwDemand *)peers->demand->data,
                                 peers->demand->len);
         }
-        return;
-    }
-    if (peer->demand == NULL) {
-        peer->demand = g_array_new(FALSE, FALSE, sizeof(GwDemand));
+        break;
+    default:
+        break;
     }
-    read_demand(report, peer->demand);
-    peer->demand_as_of_us = now_us - (int64_t)age_ms * 1000;
 }
 
 void
@@ -165,8 +289,8 @@
         return;
     }
     peers->demand_total_us = now_us;
-    sum_demand(peers, GW_LOADS_ALL, now_us, peers->demand);
-    GwShortage_PutTotal(shortage, now_us, 0,
+    uint32_t age_ms = sum_demand(peers, GW_LOADS_ALL, now_us, peers->demand);
+    GwShortage_PutTotal(shortage, now_us, age_ms,
                         (const GwDemand *)peers->demand->data,
                         peers->demand->len);
 }
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -79,7 +79,8 @@
     GArray *backlog;           /* GwPlacement not sent to it yet; or NULL */
     uint64_t backlog_process_id; /* process it was built for */
     GwGossipPeer gossip[GW_GOSSIP_KIND_COUNT];
-    GArray *demand;          /* GwDemand, own or of its domain; or NULL */
+    GArray *demand;          /* GwDemand received; or NULL */
+    GwLoadScope demand_of;   /* whose it is; GW_LOADS_NONE: counts no more */
     int64_t demand_as_of_us; /* time that it describes */
     int64_t demand_sent_us;  /* last report to it with demand */
 } GwPeerEntry;
@@ -168,6 +169,9 @@
 /* reports.c */
 /* Sends a report now. `with_known`: includes the addresses of other peers. */
 void GwPeers_SendReport(GwPeers *peers, GwPeerEntry *peer, bool with_known);
+/* Makes a report fit into a datagram. Returns its packed size, which is still
+ * too large if that is not possible. */
+size_t GwPeers_ShrinkReport(GwPeerEntry *peer, Gw__Peer__Report *report);
 void GwPeers_SendDueReports(GwPeers *peers, int64_t now_us);
 /* Recomputes the factors on the report periods from the current peers. */
 void GwPeers_SetPeriods(GwPeers *peers, int64_t now_us);
@@ -270,6 +274,8 @@
 /* Adds the demand that `loads_of` names to a report, if one is due. */
 void GwPeers_FillDemand(GwPeers *peers, GwPeerEntry *peer,
                         Gw__Peer__Report *report, GwDemandArrays *arrays);
+/* Takes the demand out of a report; it is due again at once. */
+void GwPeers_DropDemand(GwPeerEntry *peer, Gw__Peer__Report *report);
 void GwPeers_ApplyDemand(GwPeers *peers, GwPeerEntry *peer,
                          const Gw__Peer__Report *report);
 /* Adds up the demand of all entries, unless an aggregator does. */
--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -375,11 +375,12 @@
     return peers->address_requests++ < ADDRESS_REQUESTS_MAX;
 }
 
-/* Shrinks a report that does not fit into a datagram: drops the placements,
- * which are sent twice, then the loads and their sum. A receiver that gets
- * no sum for long requests it again, in parts. Returns the packed size. */
-static size_t
-shrink_to_fit(Report *report)
+/* Drops first what is sent again soon: the placements, which are sent twice,
+ * then the demand, which is due again at once, then the loads and their sum. A
+ * receiver that gets no sum for long requests it again, in parts. Without
+ * `loads_of` a receiver could not tell whose demand it gets. */
+size_t
+GwPeers_ShrinkReport(GwPeerEntry *peer, Report *report)
 {
     size_t len = gw__peer__report__get_packed_size(report);
 
@@ -389,6 +390,10 @@
         report->placed_warm = 0;
         len = gw__peer__report__get_packed_size(report);
     }
+    if (len > GW_REPORT_MAX_BYTES) {
+        GwPeers_DropDemand(peer, report);
+        len = gw__peer__report__get_packed_size(report);
+    }
     if (len > GW_REPORT_MAX_BYTES) {
         report->sum = NULL;
         report->loads_of = GW_LOADS_NONE;
@@ -437,7 +442,7 @@
     if (with_known) {
         fill_known_addresses(peers, &report, &arrays);
     }
-    size_t len = shrink_to_fit(&report);
+    size_t len = GwPeers_ShrinkReport(peer, &report);
     if (len <= sizeof(bytes)) {
         (void)gw__peer__report__pack(&report, bytes);
         uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned int)len);
--- a/lib/edge/reports_in.c
+++ b/lib/edge/reports_in.c
@@ -184,6 +184,7 @@
         memset(peer->gossip, 0, sizeof(peer->gossip));
         peer->operator_proof = (GwPeerProof){0};
         peer->server_proof = (GwPeerProof){0};
+        peer->demand_of = GW_LOADS_NONE;
     }
     peer->seq = report->seq;
     peer->serves = report->serves;
