A report that can't carry loads leaves out the sender's own loads too

Cause: a report above the size of a datagram said that it carries no loads, but still had the sender's own ones, up to 9 KB, and so could stay too large to be sent at all; its receivers would take the sender for dead.

--- a/lib/edge/reports.c
+++ b/lib/edge/reports.c
@@ -396,6 +396,8 @@
     }
     if (len > GW_REPORT_MAX_BYTES) {
         report->sum = NULL;
+        report->n_load_servers = 0;
+        report->n_load_counts = 0;
         report->loads_of = GW_LOADS_NONE;
         len = gw__peer__report__get_packed_size(report);
     }
--- a/tests/unit/test_edge_demand.c
+++ b/tests/unit/test_edge_demand.c
@@ -578,14 +578,16 @@
 {
     static const struct {
         const char *name;
+        GwLoadScope loads_of;
         uint32_t loads;
         uint32_t addresses;
         bool has_loads; /* in the report that is sent */
         bool has_demand;
     } cases[] = {
-        {"fits", 100, 0, true, true},
-        {"without demand it fits", 1500, 0, true, false},
-        {"without loads only", 1500, 500, false, false},
+        {"fits", GW_LOADS_ALL, 100, 0, true, true},
+        {"without demand it fits", GW_LOADS_ALL, 1500, 0, true, false},
+        {"without loads only", GW_LOADS_ALL, 1500, 500, false, false},
+        {"without own loads only", GW_LOADS_OWN, 1500, 500, false, false},
     };
     uint32_t work[GW_SHORTAGE_LEVELS];
     uint32_t numbers[1500];
@@ -606,8 +608,16 @@
         sum.n_servers = cases[i].loads;
         sum.counts = numbers;
         sum.n_counts = cases[i].loads;
-        report.loads_of = GW_LOADS_ALL;
-        report.sum = &sum;
+        report.loads_of = cases[i].loads_of;
+        if (cases[i].loads_of == GW_LOADS_OWN) {
+            report.load_servers = numbers;
+            report.load_counts = numbers;
+            report.n_load_servers = cases[i].loads;
+            report.n_load_counts = cases[i].loads;
+        }
+        else {
+            report.sum = &sum;
+        }
         report.known = known;
         report.n_known = cases[i].addresses;
         report.demand = list;
@@ -620,8 +630,8 @@
         size_t len = GwPeers_ShrinkReport(&peer, &report);
         cr_expect_eq(len, gw__peer__report__get_packed_size(&report));
         cr_expect_leq(len, REPORT_MAX, "%s: %zu", cases[i].name, len);
-        cr_expect_eq(report.sum != NULL, cases[i].has_loads, "%s",
-                     cases[i].name);
+        cr_expect_eq(report.sum != NULL || report.n_load_servers > 0,
+                     cases[i].has_loads, "%s", cases[i].name);
         cr_expect_eq(report.loads_of != GW_LOADS_NONE, cases[i].has_loads);
         cr_expect_eq(report.n_demand > 0, cases[i].has_demand, "%s",
                      cases[i].name);
