Shortages in metrics, status and log

An operator sees which services lack slots in which region: gauges gw_shortage_threshold, gw_shortage_age_ms and gw_demand_ms_per_s, a line in godwitctl status for each, and the events SHORTAGE_BEGINS and SHORTAGE_ENDS, at most one line a second for each service and region. The router gives the names for the hashes that reports carry.

--- a/lib/admin/ctl_entry.c
+++ b/lib/admin/ctl_entry.c
@@ -11,6 +11,24 @@
 
 #define TOP_DEFAULT 20
 
+/* `all`: NULL in the status of an earlier build. */
+static void
+show_shortages(struct json_object *all)
+{
+    size_t count = all != NULL ? json_object_array_length(all) : 0;
+
+    for (size_t i = 0; i < count; i++) {
+        struct json_object *item = json_object_array_get_idx(all, i);
+        printf("slots of %s are short in region %s: requests are refused from "
+               "level %" PRId64 " on; %.1f slots' work offered to %" PRId64
+               ", %" PRId64 " busy\n",
+               GwJson_GetText(item, "service"), GwJson_GetText(item, "region"),
+               GwJson_GetInt64(item, "threshold"),
+               (double)GwJson_GetInt64(item, "offered_ms_per_s") / 1000,
+               GwJson_GetInt64(item, "slots"), GwJson_GetInt64(item, "busy"));
+    }
+}
+
 static void
 show_status(struct json_object *status)
 {
@@ -45,6 +63,7 @@
                "requests are passed on\n",
                unreached);
     }
+    show_shortages(json_object_object_get(status, "shortages"));
     for (size_t i = 0; i < json_object_array_length(members); i++) {
         struct json_object *item = json_object_array_get_idx(members, i);
         printf("  %-28s %-12s last message %" PRId64 " ms ago%s%s\n",
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -49,6 +49,8 @@
     X(BACKEND_RESTS, 513, INFO, "a backend server asks for rest") \
     X(SERVICE_UNREACHED, 514, WARN, "no connection to a service is set up") \
     X(SERVICE_REACHED, 515, INFO, "connections to a service are set up again") \
+    X(SHORTAGE_BEGINS, 516, WARN, "a service's slots are short in a region") \
+    X(SHORTAGE_ENDS, 517, INFO, "a service's slots are enough again") \
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
     X(REQUEST_REPLIED, 601, INFO, "the entry itself answered a request") \
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -451,6 +451,7 @@
     edge->controls =
         g_ptr_array_new_with_free_func((GDestroyNotify)GwHttpListener_Free);
     edge->meters = GwMeters_Create();
+    edge->shortage_log = GwShortageLog_Create();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwRouterAction));
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
     edge->quarantine_rows = GwQuarantineRows_Create(edge);
@@ -538,6 +539,7 @@
     g_array_free(edge->actions, TRUE);
     g_ptr_array_free(edge->controls, TRUE);
     GwMeters_Free(edge->meters);
+    GwShortageLog_Free(edge->shortage_log);
     GwEdgeSettings_Free(edge->settings);
     g_free(edge->settings_path);
     g_free(edge);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -10,6 +10,7 @@
 #include "edge/edge.h"
 #include "godwitridge_errors.h"
 #include "edge/meters.h"
+#include "edge/shortages.h"
 #include "edge/stop_signal.h"
 #include "edge/turns.h"
 #include "http/listener.h"
@@ -86,6 +87,7 @@
     GwPeers *peers;
     GwQuarantineRows *quarantine_rows;
     GwQuota *quota;
+    GwShortageLog *shortage_log;
     bool is_proof_lost;  /* GwEdge_HasProof, as last logged */
     bool has_reach_news; /* peers don't know yet which services are reached */
     int64_t reach_told_us;
--- a/lib/edge/peers.c
+++ b/lib/edge/peers.c
@@ -397,6 +397,8 @@
     GwPeers_GossipSuspects(peers, now_us);
     GwPeers_GossipLimits(peers, now_us);
     GwPeers_UpdateDemand(peers, now_us);
+    (void)GwShortageLog_Update(peers->edge->shortage_log, peers->edge->router,
+                               now_us);
     GwPeers_SendDueReports(peers, now_us);
     GwPeers_FetchDueRows(peers);
     GwQuotas_Tick(peers->edge, now_us);
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -2,6 +2,7 @@
  * dump of the whole state. */
 #include "common/json.h"
 #include "edge/edge_internal.h"
+#include "edge/shortages.h"
 
 #include <json-c/json.h>
 
@@ -141,6 +142,7 @@
     write_table(out, "operator", edge->operator_feed, peers.operator_version);
     write_table(out, "servers", edge->server_feed, peers.server_version);
     GwRouter_EachService(edge->router, GwEdge_Now(), write_service, out);
+    GwShortages_WriteMetrics(edge->router, GwEdge_Now(), out);
 }
 
 void
@@ -221,6 +223,8 @@
         root, "unreached_services",
         GwRouter_UnreachedServices(edge->router, unreached, GW_UNREACHED_MAX));
     GwJson_SetBool(root, "store_was_away", GwFeed_HadOutage(servers));
+    json_object_object_add(root, "shortages",
+                           GwShortages_Json(edge->router, GwEdge_Now()));
     json_object_object_add(root, "members", GwPeers_Members(edge->peers));
     g_string_append(
         out, json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -432,6 +432,20 @@
 void GwRouter_EachService(const GwRouter *r, int64_t now_us,
                           void (*visit)(void *ctx, const GwServiceView *view),
                           void *ctx);
+/* Demand for a service in a region, and whether its slots are short. A name
+ * that this entry doesn't know is given as its hash, in hex. */
+typedef struct {
+    const char *service;
+    const char *region;
+    const GwShortageView *view;
+} GwNamedShortage;
+
+/* Visits each service and region of the total; none without overload
+ * control. */
+void GwRouter_EachShortage(const GwRouter *r, int64_t now_us,
+                           void (*visit)(void *ctx,
+                                         const GwNamedShortage *named),
+                           void *ctx);
 /* Pointer for the host's connections to the server. */
 void **GwServer_User(GwServer *s);
 
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -44,6 +44,62 @@
     }
 }
 
+/* ---- Shortages ----------------------------------------------------------- */
+
+#define HASH_TEXT_SIZE 9
+
+/* Returns the key that has this hash, or else the hash as text. */
+static const char *
+name_of(GHashTable *by_name, uint32_t hash, char text[HASH_TEXT_SIZE])
+{
+    GHashTableIter iter;
+    gpointer name;
+
+    g_hash_table_iter_init(&iter, by_name);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        if (GwService_Hash(name) == hash) {
+            return name;
+        }
+    }
+    g_snprintf(text, HASH_TEXT_SIZE, "%08x", hash);
+    return text;
+}
+
+typedef struct {
+    const GwRouter *r;
+    void (*visit)(void *ctx, const GwNamedShortage *named);
+    void *ctx;
+} NamedVisit;
+
+static void
+visit_named(void *ctx, const GwShortageView *view)
+{
+    const NamedVisit *v = ctx;
+    char service[HASH_TEXT_SIZE];
+    char region[HASH_TEXT_SIZE];
+    GwNamedShortage named = {
+        .service = name_of(v->r->services, view->service, service),
+        .region = name_of(v->r->paths, view->region, region),
+        .view = view,
+    };
+
+    v->visit(v->ctx, &named);
+}
+
+void
+GwRouter_EachShortage(const GwRouter *r, int64_t now_us,
+                      void (*visit)(void *ctx, const GwNamedShortage *named),
+                      void *ctx)
+{
+    NamedVisit v = {.r = r, .visit = visit, .ctx = ctx};
+
+    if (r->shortage != NULL) {
+        GwShortage_Each(r->shortage, now_us, visit_named, &v);
+    }
+}
+
+/* ---- Dump ---------------------------------------------------------------- */
+
 static struct json_object *
 dump_server(const GwRouter *r, const GwServer *s, int64_t now_us)
 {
