--- a/tests/fakes/edge_entry.c
+++ b/tests/fakes/edge_entry.c
@@ -31,7 +31,7 @@
 /* ---- The entry --------------------------------------------------------- */
 
 static GwEdgeSettings *
-make_settings(void)
+make_settings(const char *name, const char *domain, const char *more)
 {
     char at[7][GW_ADDR_MAX]; /* the port after peer_address is in use */
     GError *error = NULL;
@@ -40,12 +40,12 @@
         FreePort_Address(at[i]);
     }
     char *text = g_strdup_printf(
-        "{\"name\":\"e1\",\"region\":\"r1\",\"domain\":\"d1\","
+        "{\"name\":\"%s\",\"region\":\"r1\",\"domain\":\"%s\","
         "\"call_address\":\"%s\",\"ready_address\":\"%s\","
         "\"directory_address\":\"%s\",\"control_address\":\"%s\","
         "\"peer_address\":\"%s\",\"store_address\":\"%s\","
-        "\"regions\":{\"d1\":\"r1\"},\"grace\":\"6s\"}",
-        at[0], at[1], at[2], at[3], at[4], at[6]);
+        "\"regions\":{\"d1\":\"r1\",\"d2\":\"r1\"},\"grace\":\"6s\"%s}",
+        name, domain, at[0], at[1], at[2], at[3], at[4], at[6], more);
     GwEdgeSettings *settings =
         GwEdgeSettings_Parse(text, strlen(text), &error);
     cr_assert_not_null(settings, "%s", error != NULL ? error->message : "");
@@ -69,14 +69,20 @@
 
 EdgeEntry
 EdgeEntry_Start(void)
+{
+    return EdgeEntry_StartAs("e1", "d1", "");
+}
+
+EdgeEntry
+EdgeEntry_StartAs(const char *name, const char *domain, const char *more)
 {
     GError *error = NULL;
     char address[GW_ADDR_MAX];
     EdgeEntry entry = {.silent = open_silent_listener(address)};
 
     (void)signal(SIGPIPE, SIG_IGN); /* as the program */
-    entry.edge = GwEdge_Create(make_settings(), "no settings file",
-                               &Platform_Adapter, &error);
+    entry.edge = GwEdge_Create(make_settings(name, domain, more),
+                               "no settings file", &Platform_Adapter, &error);
     cr_assert_not_null(entry.edge, "%s", error != NULL ? error->message : "");
     GwQuarantineRows_MarkLoaded(entry.edge->quarantine_rows);
     EdgeEntry_SetIdleLimit(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS);
--- a/tests/fakes/edge_entry.h
+++ b/tests/fakes/edge_entry.h
@@ -14,6 +14,10 @@
 /* Serves the host "h" of FakeSteering_Routing. The backend server of its
  * routes accepts connections and never answers. */
 EdgeEntry EdgeEntry_Start(void);
+/* As EdgeEntry_Start, as the entry of that name and failure domain (d1 or d2,
+ * both in region r1). `more`: further settings, each with a comma in front. */
+EdgeEntry EdgeEntry_StartAs(const char *name, const char *domain,
+                            const char *more);
 void EdgeEntry_Stop(EdgeEntry *entry);
 /* Sets the timeout after which idle connections are closed. */
 void EdgeEntry_SetIdleLimit(EdgeEntry *entry, uint32_t idle_ms);
