Test of control cost: the kind of demand has its row

Cause: added the kind to the table; both cases have failed since, as they name every kind and sum up all counters. The counter of demand, the sum with it and its place in the line are checked as those of the other kinds; all that was checked before still is.

--- a/tests/unit/test_control_cost.c
+++ b/tests/unit/test_control_cost.c
@@ -24,7 +24,8 @@
     cr_expect_not_null(
         strstr(out->str, "{kind=\"suspects\",way=\"far\"} 18\n"));
     cr_expect_not_null(strstr(out->str, "{kind=\"quotas\",way=\"far\"} 21\n"));
-    cr_expect_eq(GwControlCost_Total(&cost), 21 * 22 / 2);
+    cr_expect_not_null(strstr(out->str, "{kind=\"demand\",way=\"far\"} 24\n"));
+    cr_expect_eq(GwControlCost_Total(&cost), 24 * 25 / 2);
     g_string_free(out, TRUE);
 }
 
@@ -40,6 +41,6 @@
     GwControlCost_WriteLine(&now, &before, out);
     cr_expect_str_eq(out->str, " signs=7/0/0 loads=0/0/0 sums=0/0/0 "
                                "places=0/0/0 rows=0/5/0 suspects=0/0/0 "
-                               "quotas=0/0/0");
+                               "quotas=0/0/0 demand=0/0/0");
     g_string_free(out, TRUE);
 }
