Load shedding: shares with few requests, order by priority, retry delays; test_router_shed

Cause, each shown by a case of tests/unit/test_router_shed.c that failed before: - every entry began with a refusal at each level: at a share of 0.9, 200 entries with one request each admitted none, with two each 0.50. Entries now begin with different credits. - a route or priority with fewer than four recent requests at an entry was never owed anything: a route with 0.5 to 1 request per s got 0.000 of 0.952 and of 0.545, an urgent kind 0.100 against 1.000. Both are now owed admissions by a credit, which holds for any number of requests. - the order of priorities was kept at 0.936 against 1.000 (bound 0.05), and priorities from 7 on were counted as one (0.200 against 1.000).

Without overload control nothing changes.

--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -84,8 +84,18 @@
                : spent;
 }
 
+/* With overload control, a time that the caller doesn't state says nothing of
+ * earlier tries: a longer default would make all others count as refused
+ * before. */
+static bool
+states_time(const GwRouter *r, const GwArrival *arrival)
+{
+    return arrival->left_us >= 0 || r->shortage == NULL;
+}
+
 static void
-set_deadlines(GwRequest *req, int64_t now_us, const GwArrival *arrival)
+set_deadlines(const GwRouter *r, GwRequest *req, int64_t now_us,
+              const GwArrival *arrival)
 {
     int64_t left_us = arrival->left_us;
     int64_t timeout_us = (int64_t)req->route->timeout_ms * 1000;
@@ -96,8 +106,9 @@
     int64_t objective_end_us = req->route->objective_ms > 0
                                    ? (int64_t)req->route->objective_ms * 1000
                                    : DEFAULT_OBJECTIVE_US;
-    int64_t spent_us =
-        req->is_passed_on ? 0 : spent_earlier_us(req->state, left_us);
+    int64_t spent_us = req->is_passed_on || !states_time(r, arrival)
+                           ? 0
+                           : spent_earlier_us(req->state, left_us);
     req->arrived_us = now_us;
     req->is_returning = spent_us >= RETURN_SPENT_MIN_US;
     req->objective_end_us =
@@ -160,7 +171,7 @@
     GwRequest_SetAccess(r, req, arrival->credential);
     req->deadline = GW_HEAP_ABSENT;
     req->is_passed_on = arrival->is_passed_on;
-    set_deadlines(req, now_us, arrival);
+    set_deadlines(r, req, now_us, arrival);
     if (arrival->key != NULL && route->has_key_affinity) {
         req->key = GwRouter_FindOrAddKey(r, now_us, route, req->service,
                                          arrival->key);
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -189,8 +189,8 @@
         out->status = 502;
     }
 #endif
+    r->returns_refused += req->is_returning;
     if (out->status == 503 || out->status == 429) {
-        r->returns_refused += req->is_returning;
         out->retry_after_ms = choose_retry_after_ms(r, now_us, req, why);
         GwRequest_ReturnToken(r, now_us, req);
     }
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -46,16 +46,24 @@
     int64_t at_us;
 } GwAdmitted;
 
-/* Priorities that are counted apart; lower ones count as the last. */
+/* Priorities that are counted apart in a service. */
 #define GW_PRIORITY_CLASSES 8
 
+typedef struct {
+    uint32_t priority;
+    GwAdmitted admitted;
+    double owed; /* admissions that other priorities leave to it */
+} GwPriorityClass;
+
 /* Load shedding of a service; shed.c. */
 typedef struct {
     int64_t capacity_at_us; /* last count of slots; 0: never */
     GwAdmitted all;
-    GwAdmitted by_priority[GW_PRIORITY_CLASSES];
+    GwPriorityClass classes[GW_PRIORITY_CLASSES];
+    uint32_t class_count;
     /* Admissions that the shares allow beyond those made, by level, for servers
      * of this region and of others. */
+    bool has_credits;
     double local_credit[GW_SHORTAGE_LEVELS];
     double remote_credit[GW_SHORTAGE_LEVELS];
     uint64_t shed[GW_SHORTAGE_LEVELS]; /* requests since the start */
@@ -99,7 +107,7 @@
     double warm_us;        /* mean run time where the object is cached */
     double cold_us;        /* mean run time at other servers */
     double longest_run_us; /* longest run, decaying; 0: no run has ended yet */
-    GwAdmitted admitted;
+    double owed; /* admissions under a shortage; shed.c */
     uint32_t open;              /* requests that refer to this state */
     int64_t caller_time_max_us; /* longest time callers allow, decaying */
     int64_t *credit; /* smooth weighted round robin: one counter per part */
--- a/lib/router/shed.c
+++ b/lib/router/shed.c
@@ -16,19 +16,25 @@
 #define RETURN_LEVELS 2
 /* The servers of a service are counted again after this time. */
 #define CAPACITY_INTERVAL_US 50000
-/* Time constant of the shares admitted by route and priority. */
+/* Time constant of the shares admitted by service and priority. */
 #define ADMITTED_TAU_US 3000000.0
 /* A route's share admitted is at least this part of its service's. Above the
  * quarter that is owed, since some of the admitted requests still fail. */
 #define ROUTE_SHARE_MIN 0.3
 /* A more urgent priority's share admitted is at most this much below that of a
- * less urgent one. */
-#define URGENT_SHARE_BELOW 0.05
-/* With fewer requests than this, decayed, a share is not significant. */
-#define OFFERED_MIN 4.0
-/* Retry delay for each level that a request lies below the threshold. */
-#define LEVEL_WAIT_US 400000.0
-#define REGIONS_MAX   16
+ * less urgent one. Less than the 0.05 that operators allow, since the shares
+ * are known from samples. */
+#define URGENT_SHARE_BELOW 0.02
+/* A priority without a request for this long doesn't count any more. */
+#define RECENT_US 5000000
+/* Retry delay for each level that a request lies below the threshold, and as a
+ * part of the longest delay, so that levels differ for callers with little
+ * time. */
+#define LEVEL_WAIT_US    400000.0
+#define LEVEL_WAIT_SHARE 0.25
+/* Part of their time that callers wait for a retry. */
+#define RETRY_SHARE_MAX (1.0 / 3)
+#define REGIONS_MAX     16
 
 /* ---- Levels -------------------------------------------------------------- */
 
@@ -98,8 +104,11 @@
 static bool
 accepts_requests(const GwRouter *r, const GwServer *s, int64_t now_us)
 {
-    return !s->start->is_leaving && now_us >= s->eject_until_us &&
-           !g_hash_table_contains(r->evacuated, s->domain);
+    bool is_evacuated = g_hash_table_size(r->evacuated) > 0 &&
+                        g_hash_table_contains(r->evacuated, s->domain);
+
+    return !s->start->is_leaving && !is_evacuated &&
+           (s->service->panic || now_us >= s->eject_until_us);
 }
 
 /* Counts the slots of the service by region. */
@@ -146,57 +155,95 @@
     a->at_us = now_us;
 }
 
-static double
-share_admitted(const GwAdmitted *a)
+/* The counts of the request's priority. Beyond GW_PRIORITY_CLASSES priorities,
+ * that with the oldest last request makes room. */
+static GwPriorityClass *
+find_or_add_class(const GwRequest *req)
 {
-    return a->offered >= OFFERED_MIN ? a->admitted / a->offered : 1;
+    GwShedding *shedding = &req->service->shedding;
+    GwPriorityClass *oldest = &shedding->classes[0];
+
+    for (uint32_t i = 0; i < shedding->class_count; i++) {
+        GwPriorityClass *class = &shedding->classes[i];
+        if (class->priority == req->priority) {
+            return class;
+        }
+        if (class->admitted.at_us < oldest->admitted.at_us) {
+            oldest = class;
+        }
+    }
+    if (shedding->class_count < GW_PRIORITY_CLASSES) {
+        oldest = &shedding->classes[shedding->class_count++];
+    }
+    *oldest = (GwPriorityClass){.priority = req->priority};
+    return oldest;
 }
 
-static GwAdmitted *
-class_of(const GwRequest *req)
+static double
+share_of_all(const GwShedding *shedding)
 {
-    return &req->service->shedding
-                .by_priority[MIN(req->priority, GW_PRIORITY_CLASSES - 1)];
+    const GwAdmitted *all = &shedding->all;
+
+    return all->offered > 0 ? all->admitted / all->offered : 1;
 }
 
-/* Whether a less urgent priority is admitted more often. */
-static bool
-is_behind_less_urgent(const GwRequest *req)
+/* The least share that is to be admitted of the priority: about that of the
+ * less urgent ones of the last seconds. */
+static double
+least_of_class(const GwShedding *shedding, int64_t now_us,
+               const GwPriorityClass *class)
 {
-    const GwShedding *shedding = &req->service->shedding;
-    double own = share_admitted(class_of(req));
-
-    for (uint32_t p = req->priority + 1; p < GW_PRIORITY_CLASSES; p++) {
-        const GwAdmitted *other = &shedding->by_priority[p];
-        if (other->offered >= OFFERED_MIN &&
-            share_admitted(other) > own + URGENT_SHARE_BELOW) {
-            return true;
+    double least = 0;
+
+    for (uint32_t i = 0; i < shedding->class_count; i++) {
+        const GwPriorityClass *other = &shedding->classes[i];
+        const GwAdmitted *a = &other->admitted;
+        if (other->priority > class->priority &&
+            now_us - a->at_us <= RECENT_US && a->offered > 0) {
+            least = MAX(least, a->admitted / a->offered - URGENT_SHARE_BELOW);
         }
     }
-    return false;
+    return least;
 }
 
-/* Whether the request is admitted whatever its level: its route is admitted too
- * rarely, or less often than a less urgent one. */
-static bool
-is_owed(const GwRequest *req)
+/* The least share that is to be admitted of each route. */
+static double
+least_of_route(const GwShedding *shedding)
 {
-    double least =
-        ROUTE_SHARE_MIN * share_admitted(&req->service->shedding.all);
-
 #if GW_MUTANT == 133 /* breaks: a route of low value gets no slots */
-    return is_behind_less_urgent(req);
+    return 0;
 #endif
-    return share_admitted(&req->state->admitted) < least ||
-           is_behind_less_urgent(req);
+    return ROUTE_SHARE_MIN * share_of_all(shedding);
+}
+
+/* ---- Credits ------------------------------------------------------------- */
+
+/* A credit grows with each request by the share that is to be admitted, and an
+ * admission uses up 1 of it: the share holds for any number of requests, and
+ * refusals are spread evenly.
+ *
+ * Entries begin with different credits, else all would refuse their first
+ * requests of a level, and those with few requests more than the share. */
+static void
+init_credits(const GwRouter *r, GwServiceState *service)
+{
+    GwShedding *shedding = &service->shedding;
+
+    if (shedding->has_credits) {
+        return;
+    }
+    shedding->has_credits = true;
+    for (uint32_t i = 0; i < GW_SHORTAGE_LEVELS; i++) {
+        GwRng rng = GwRng_Make(GwHash_Text(r->params.name, i));
+        shedding->local_credit[i] = GwRng_Below(&rng, 1000) / 1000.0;
+        shedding->remote_credit[i] = GwRng_Below(&rng, 1000) / 1000.0;
+    }
 }
 
-/* Whether the share of the level allows one more request. Spreads the refusals
- * evenly over the requests of a level. */
 static bool
 takes_credit(double *credit, double share)
 {
-    *credit = MIN(*credit + share, 1 + share);
+    *credit += share;
     if (*credit < 1) {
         return false;
     }
@@ -204,29 +251,64 @@
     return true;
 }
 
+/* Whether the request is admitted whatever its level: its route is admitted too
+ * rarely, or less often than a less urgent one. */
+static bool
+is_owed(const GwRequest *req, const GwPriorityClass *class)
+{
+    return req->state->owed >= 1 || class->owed >= 1;
+}
+
+/* An excess of admissions counts for one. */
+static void
+pay_owed(double *owed, bool admitted)
+{
+    *owed = MAX(*owed - admitted, -1);
+}
+
 /* ---- Decision ------------------------------------------------------------ */
 
 static bool
-is_admitted(GwRouter *r, int64_t now_us, GwRequest *req, const GwChoice *c)
+is_admitted_by_level(GwRouter *r, int64_t now_us, const GwRequest *req,
+                     const GwServer *s)
+{
+    GwShedding *shedding = &req->service->shedding;
+    double *credit =
+        s->same_region ? shedding->local_credit : shedding->remote_credit;
+    double share = GwShortage_AdmitShare(
+        r->shortage, now_us, GwService_Hash(req->service->name),
+        GwService_Hash(s->path->region), req->level);
+
+    return share >= 1 || takes_credit(&credit[req->level], share);
+}
+
+/* Decides by the level and by what is owed to the request's route and
+ * priority. Both are charged with each admission while slots are short. */
+static bool
+is_admitted(GwRouter *r, int64_t now_us, GwRequest *req,
+            GwPriorityClass *class, const GwServer *s)
 {
     GwShedding *shedding = &req->service->shedding;
-    uint32_t service = GwService_Hash(req->service->name);
-    uint32_t region = GwService_Hash(c->server->path->region);
-    double share = GwShortage_AdmitShare(r->shortage, now_us, service, region,
-                                         req->level);
+    uint32_t threshold = GwShortage_Threshold(
+        r->shortage, now_us, GwService_Hash(req->service->name),
+        GwService_Hash(s->path->region));
 
-    if (share >= 1 || req->is_passed_on || req->sends > 0) {
+    if (threshold == GW_SHORTAGE_LEVELS || req->is_passed_on ||
+        req->sends > 0) {
         return true;
     }
-    double *credit = c->server->same_region ? shedding->local_credit
-                                            : shedding->remote_credit;
-    if (takes_credit(&credit[req->level], share) || is_owed(req)) {
-        return true;
+    init_credits(r, req->service);
+    req->state->owed += least_of_route(shedding);
+    class->owed += least_of_class(shedding, now_us, class);
+    bool admitted =
+        is_admitted_by_level(r, now_us, req, s) || is_owed(req, class);
+    pay_owed(&req->state->owed, admitted);
+    pay_owed(&class->owed, admitted);
+    if (!admitted) {
+        req->threshold = threshold;
+        shedding->shed[req->level]++;
     }
-    req->threshold =
-        GwShortage_Threshold(r->shortage, now_us, service, region);
-    shedding->shed[req->level]++;
-    return false;
+    return admitted;
 }
 
 bool
@@ -236,6 +318,7 @@
     if (r->shortage == NULL || req->is_measured) {
         return false;
     }
+    GwPriorityClass *class = find_or_add_class(req);
     double slot_us = slot_time_us(req, c);
 
     req->is_measured = true;
@@ -248,23 +331,28 @@
             GwService_Hash(c->server->path->region), req->level, slot_us);
     }
     count_capacity(r, now_us, req->service);
-    bool admitted = is_admitted(r, now_us, req, c);
+    bool admitted = is_admitted(r, now_us, req, class, c->server);
     count_request(&req->service->shedding.all, now_us, admitted);
-    count_request(&req->state->admitted, now_us, admitted);
-    count_request(class_of(req), now_us, admitted);
+    count_request(&class->admitted, now_us, admitted);
     return !admitted;
 }
 
 /* The less a request is worth, the later it comes back; callers that were
- * refused together don't come back together. */
+ * refused together don't come back together, and none before a slot is
+ * expected, unless that is after the longest time that callers wait. */
 uint32_t
 GwRequest_ShedRetryAfterMs(GwRouter *r, int64_t now_us, const GwRequest *req)
 {
     uint32_t below = req->level - MIN(req->level, req->threshold);
-    double left_us = (double)(req->server_deadline_us - now_us);
-    double wait_us = MAX(req->slot_wait_us, LEVEL_WAIT_US * (below + 1));
-    uint32_t most_ms = (uint32_t)(MIN(wait_us, left_us / 3) / 1000);
+    double left_us = (double)MAX(req->server_deadline_us - now_us, 0);
+    double most_us = left_us * RETRY_SHARE_MAX;
+    double step_us = MIN(LEVEL_WAIT_US, LEVEL_WAIT_SHARE * most_us);
+    double delay_us = MAX(2 * req->slot_wait_us, step_us * (below + 1));
+
+    delay_us = MIN(delay_us, most_us);
+    double from_us = MAX(delay_us / 2, MIN(req->slot_wait_us, most_us));
+    uint32_t from_ms = (uint32_t)(from_us / 1000);
+    uint32_t to_ms = MAX((uint32_t)(delay_us / 1000), from_ms);
 
-    most_ms = MAX(most_ms, 2);
-    return most_ms / 2 + GwRng_Below(&r->rng, most_ms / 2 + 1);
+    return MAX(from_ms + GwRng_Below(&r->rng, to_ms - from_ms + 1), 1);
 }
