Load shedding: nothing is shed while another region has capacity for the level

Cause: only the region of the chosen server was asked. A request that may use another region, whose servers have capacity for its level, now waits as it does without overload control.

--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -39,6 +39,13 @@
 double GwBucket_At(const GwBucket *b, int64_t now_us, double per_s);
 void GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s);
 
+/* Network path to a region. */
+typedef struct {
+    char *region;
+    double rtt_us;
+    bool measured; /* false: rtt_us is the assumed value */
+} GwPath;
+
 /* Requests offered and admitted, decaying; shed.c. */
 typedef struct {
     double offered;
@@ -46,6 +53,8 @@
     int64_t at_us;
 } GwAdmitted;
 
+/* Regions of a service whose slots are counted. */
+#define GW_SHEDDING_REGIONS_MAX 16
 /* Priorities that are counted apart in a service. */
 #define GW_PRIORITY_CLASSES 8
 
@@ -58,6 +67,8 @@
 /* Load shedding of a service; shed.c. */
 typedef struct {
     int64_t capacity_at_us; /* last count of slots; 0: never */
+    uint32_t region_count;  /* with servers that accept requests */
+    const GwPath *regions[GW_SHEDDING_REGIONS_MAX];
     GwAdmitted all;
     GwPriorityClass classes[GW_PRIORITY_CLASSES];
     uint32_t class_count;
@@ -114,13 +125,6 @@
     uint32_t credit_count;
 } GwRouteState;
 
-/* Network path to a region. */
-typedef struct {
-    char *region;
-    double rtt_us;
-    bool measured; /* false: rtt_us is the assumed value */
-} GwPath;
-
 /* A server's request rate limit, which holds for all entries together. */
 typedef struct {
     double per_s;         /* < 0: the server states no limit */
--- a/lib/router/shed.c
+++ b/lib/router/shed.c
@@ -34,7 +34,6 @@
 #define LEVEL_WAIT_SHARE 0.25
 /* Part of their time that callers wait for a retry. */
 #define RETRY_SHARE_MAX (1.0 / 3)
-#define REGIONS_MAX     16
 
 /* ---- Levels -------------------------------------------------------------- */
 
@@ -94,7 +93,7 @@
             return &regions[i];
         }
     }
-    if (*count == REGIONS_MAX) {
+    if (*count == GW_SHEDDING_REGIONS_MAX) {
         return NULL;
     }
     regions[*count] = (RegionSlots){.path = path};
@@ -115,7 +114,7 @@
 static void
 count_capacity(GwRouter *r, int64_t now_us, GwServiceState *service)
 {
-    RegionSlots regions[REGIONS_MAX];
+    RegionSlots regions[GW_SHEDDING_REGIONS_MAX];
     uint32_t count = 0;
 
     if (service->shedding.capacity_at_us != 0 &&
@@ -135,7 +134,9 @@
             region->busy += MIN(GwServer_SlotsInUse(r, s), s->slots);
         }
     }
+    service->shedding.region_count = count;
     for (uint32_t i = 0; i < count; i++) {
+        service->shedding.regions[i] = regions[i].path;
         GwShortage_PutCapacity(r->shortage, now_us,
                                GwService_Hash(service->name),
                                GwService_Hash(regions[i].path->region),
@@ -195,6 +196,9 @@
 {
     double least = 0;
 
+#if GW_MUTANT == 134 /* breaks: a less urgent kind is admitted more often */
+    return 0;
+#endif
     for (uint32_t i = 0; i < shedding->class_count; i++) {
         const GwPriorityClass *other = &shedding->classes[i];
         const GwAdmitted *a = &other->admitted;
@@ -243,6 +247,9 @@
 static bool
 takes_credit(double *credit, double share)
 {
+#if GW_MUTANT == 136 /* breaks: a share is rounded for each request */
+    return share >= 0.5;
+#endif
     *credit += share;
     if (*credit < 1) {
         return false;
@@ -282,6 +289,29 @@
     return share >= 1 || takes_credit(&credit[req->level], share);
 }
 
+/* Whether servers of another region that the request may use have capacity for
+ * its level. The request then waits until the share of requests sent there has
+ * grown: a region with few servers is always short of slots. */
+static bool
+has_room_elsewhere(const GwRouter *r, int64_t now_us, const GwRequest *req)
+{
+    const GwShedding *shedding = &req->service->shedding;
+    uint32_t service = GwService_Hash(req->service->name);
+
+#if GW_MUTANT == 137 /* breaks: refused beside idle servers elsewhere */
+    return false;
+#endif
+    for (uint32_t i = 0; i < shedding->region_count; i++) {
+        const char *region = shedding->regions[i]->region;
+        if (GwRequest_AllowsRegion(req, region) &&
+            GwShortage_AdmitShare(r->shortage, now_us, service,
+                                  GwService_Hash(region), req->level) >= 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Decides by the level and by what is owed to the request's route and
  * priority. Both are charged with each admission while slots are short. */
 static bool
@@ -300,8 +330,9 @@
     init_credits(r, req->service);
     req->state->owed += least_of_route(shedding);
     class->owed += least_of_class(shedding, now_us, class);
-    bool admitted =
-        is_admitted_by_level(r, now_us, req, s) || is_owed(req, class);
+    bool admitted = has_room_elsewhere(r, now_us, req) ||
+                    is_admitted_by_level(r, now_us, req, s) ||
+                    is_owed(req, class);
     pay_owed(&req->state->owed, admitted);
     pay_owed(&class->owed, admitted);
     if (!admitted) {
@@ -325,7 +356,10 @@
     req->level = level_of(req, value_of(req, c), slot_us);
     /* A refused caller was counted when it first came. Counting it again would
      * raise the demand with each refusal. */
-    if (!req->is_returning) {
+#if GW_MUTANT != 135 /* breaks: refusals raise the demand */
+    if (!req->is_returning)
+#endif
+    {
         GwDemandMeter_Add(
             r->demand, now_us, GwService_Hash(req->service->name),
             GwService_Hash(c->server->path->region), req->level, slot_us);
--- a/tests/unit/test_router_shed.c
+++ b/tests/unit/test_router_shed.c
@@ -93,10 +93,10 @@
 /* States a total in which `level` is admitted by `share`, better levels in
  * full and worse ones not at all. */
 static void
-put_shortage(FakeSteering *f, const char *region, uint32_t level, double share)
+put_shortage(FakeSteering *f, uint32_t level, double share)
 {
     GwDemand demand = {.service = GwService_Hash("s"),
-                       .region = GwService_Hash(region)};
+                       .region = GwService_Hash("r1")};
     double most = UINT32_MAX / 2.0;
 
     for (uint32_t l = level; l < GW_SHORTAGE_LEVELS; l++) {
@@ -111,7 +111,7 @@
 set_short(FakeSteering *f, uint32_t level, double share)
 {
     set_busy(f, "s1", BUSY);
-    put_shortage(f, "r1", level, share);
+    put_shortage(f, level, share);
 }
 
 /* A request for an object of its own that ends at once if it is sent. Returns
@@ -484,30 +484,45 @@
 }
 
 /* Guards against: a request is refused for a shortage in a region where it
- * does not run. */
-Test(router_shed, the_region_of_the_server_decides)
+ * does not run, or while servers of another region that it may use have
+ * capacity. */
+Test(router_shed, the_regions_that_a_request_may_use_decide)
 {
     static const struct {
-        const char *home;
-        const char *short_region;
+        const char *home; /* NULL: all regions */
+        bool is_short[2]; /* r1, r2 */
+        bool has_far_server;
         bool is_shed;
-    } cases[] = {{"r1", "r1", true},
-                 {"r1", "r2", false},
-                 {"r2", "r1", false},
-                 {"r2", "r2", true}};
+    } cases[] = {
+        {"r1", {true, false}, true, true},  {"r1", {false, true}, true, false},
+        {"r2", {true, false}, true, false}, {"r2", {false, true}, true, true},
+        {NULL, {true, false}, true, false}, {NULL, {true, true}, true, true},
+        {NULL, {true, false}, false, true},
+    };
 
     for (size_t i = 0; i < CASES(cases); i++) {
         GwRouting *routing = FakeSteering_Routing(1, 3);
         GwRoute *route = find_route(routing, "/once/");
+        GwDemand demand[2] = {{.region = GwService_Hash("r1")},
+                              {.region = GwService_Hash("r2")}};
         int shed = 0;
-        route->home_count = 1;
-        route->homes = g_new0(char *, 1);
-        route->homes[0] = g_strdup(cases[i].home);
+        if (cases[i].home != NULL) {
+            route->home_count = 1;
+            route->homes = g_new0(char *, 1);
+            route->homes[0] = g_strdup(cases[i].home);
+        }
         FakeSteering *f = start_named("entry", routing, true);
-        FakeSteering_PutServer(f, "s2", "r2", "d2", SLOTS);
         set_busy(f, "s1", BUSY);
-        set_busy(f, "s2", BUSY);
-        put_shortage(f, cases[i].short_region, 0, 0);
+        if (cases[i].has_far_server) {
+            FakeSteering_PutServer(f, "s2", "r2", "d2", SLOTS);
+            set_busy(f, "s2", BUSY);
+        }
+        for (int k = 0; k < 2; k++) {
+            demand[k].service = GwService_Hash("s");
+            demand[k].work_ms_per_s[0] =
+                cases[i].is_short[k] ? UINT32_MAX / 2 : 1;
+        }
+        GwShortage_PutTotal(f->router->shortage, f->now_us, 0, demand, 2);
         for (int k = 0; k < 20; k++) {
             shed += is_shed(f, "/once/");
         }
@@ -763,7 +778,7 @@
                 k < cases[i].ejected ? f->now_us + 5000 * MS : 0;
         }
         /* Three servers carry the work. */
-        put_shortage(f, "r1", ONCE_LEVEL, 1 / 2.9);
+        put_shortage(f, ONCE_LEVEL, 1 / 2.9);
         FakeSteering_Advance(f, 100 * MS);
         for (int k = 0; k < 20; k++) {
             shed += is_shed(f, "/once/");
@@ -790,7 +805,7 @@
         GwShortage *shortage = f->router->shortage;
         f->router->shortage = control ? shortage : NULL;
         if (control) {
-            put_shortage(f, "r1", 15, 1);
+            put_shortage(f, 15, 1);
         }
         uint64_t before = GwRouter_EvaluationCount(f->router);
         for (int k = 0; k < 100; k++) {
