Stand-in site: servers that send without end, callers that read slowly or not at all

Cause: the simulated site had no fault for bytes that never form a response, nor for callers that do not read, so no test showed what entries keep of them.

Requests that a caller abandons without reading are counted on their own, and must still run at most once.

--- a/standins/site.sh
+++ b/standins/site.sh
@@ -190,6 +190,7 @@
     local rc=0
     wait "${gw_pid[simulator]}" || rc=$?
     unset 'gw_pid[simulator]'
-    grep -E '^(site|stops|links|calm|broken|organisations|organisation [a-z]+):' "$gw_dir/simulator.log"
+    grep -E '^(site|stops|links|calm|unread|broken|endless [^:]*|organisations|organisation [a-z]+):' \
+        "$gw_dir/simulator.log"
     return "$rc"
 }
--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -212,12 +212,59 @@
     g_free(idle);
 }
 
+static void
+update_servers_fail(Site *site)
+{
+    SiteJournal_ServersFail(site->journal,
+                            MAX(site->failing, site->endless) >= MANY_FAULTS);
+}
+
+bool
+Site_SetEndless(Site *site, const char *text)
+{
+    static const SiteEndlessFault none;
+    SiteEndlessFault fault;
+
+    if (!SiteEndlessFault_Parse(text, &fault)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < SITE_SERVERS; i++) {
+        SiteServer_SetEndless(site->servers[i],
+                              i < fault.servers ? &fault : &none);
+    }
+    site->endless = fault.permille;
+    SiteJournal_Endless(site->journal, fault.permille > 0 ? text : NULL);
+    update_servers_fail(site);
+    return true;
+}
+
+static void
+run_endless(Site *site, char **words)
+{
+    if (!Site_SetEndless(site, words[1])) {
+        site->has_invalid_event = true;
+    }
+}
+
+static void
+run_reading(Site *site, char **words)
+{
+    if (!SiteReading_Parse(words[1], &site->args.reading)) {
+        site->has_invalid_event = true;
+        return;
+    }
+    for (guint i = 0; i < site->callers->len; i++) {
+        SiteCaller_SetReading(site->callers->pdata[i], site->args.reading);
+    }
+}
+
 static void
 run_faults(Site *site, char **words)
 {
     uint32_t permille = (uint32_t)strtoul(words[1], NULL, 10);
 
-    SiteJournal_ServersFail(site->journal, permille >= MANY_FAULTS);
+    site->failing = permille;
+    update_servers_fail(site);
     for (int i = 0; i < SITE_SERVERS; i++) {
         SiteServer_SetFaults(site->servers[i], permille);
     }
@@ -262,8 +309,10 @@
     {"ready", 2, run_ready},
     {"evacuate", 2, run_evacuate}, /* DOMAIN */
     {"return", 2, run_return},
-    {"config", 2, run_config}, /* IDLE MS */
-    {"faults", 2, run_faults}, /* PERMILLE */
+    {"config", 2, run_config},   /* IDLE MS */
+    {"faults", 2, run_faults},   /* PERMILLE */
+    {"endless", 2, run_endless}, /* see SiteEndlessFault_Parse */
+    {"reading", 2, run_reading}, /* see SiteReading_Parse */
     {"revoke", 1, run_revoke},
     {"calm", 1, run_calm}, /* faults are over: requests are answered */
     {"end", 1, run_end},
--- a/standins/site/journal_internal.h
+++ b/standins/site/journal_internal.h
@@ -11,6 +11,15 @@
     uint32_t sends_after; /* arrivals at servers later than last_allowed_us */
 } SiteCrasher;
 
+/* The requests sent while servers send bytes without end. */
+typedef struct {
+    char *fault;
+    uint64_t struck; /* a server sent bytes without end */
+    /* Requests that got no such bytes instead of their answer. */
+    uint64_t sent;
+    uint64_t answered;
+} SiteEndlessCount;
+
 struct SiteJournal_s {
     SiteClock now_us;
     GHashTable *entries;  /* address -> Entry */
@@ -24,6 +33,8 @@
     uint32_t cut_entries; /* entries without links to servers */
     int64_t links_us;     /* last change of the links of any entry */
     bool do_servers_fail; /* many requests, at random */
+    GArray *endless;      /* SiteEndlessCount, in order of announcement */
+    bool is_endless;      /* the last one of them is in force */
 };
 
 /* crashes.c */
--- a/standins/site/options.h
+++ b/standins/site/options.h
@@ -2,6 +2,8 @@
 #ifndef STANDINS_SITE_OPTIONS_H
 #define STANDINS_SITE_OPTIONS_H
 
+#include "standins/site/site.h"
+
 #include <stdbool.h>
 
 typedef struct {
@@ -36,6 +38,9 @@
     char *organisations;
     double beta_rate; /* requests a second */
     int revoke_s;
+    char *endless; /* see SiteEndlessFault_Parse; NULL: none */
+    int large_callers;
+    SiteReading reading; /* of them */
 } SiteOptions;
 
 /* Parses the command line; missing options get defaults. Prints the usage to
--- a/standins/site/simulation.h
+++ b/standins/site/simulation.h
@@ -39,6 +39,9 @@
     bool compacted;
     bool lacks_writes;      /* the store was restored, without `rewrite` yet */
     bool has_invalid_event; /* an event line was invalid */
+    /* Permille of requests that servers fail, and answer without end. */
+    uint32_t failing;
+    uint32_t endless;
 };
 
 /* The service of a server. */
@@ -54,6 +57,10 @@
 /* Removes the old key of an organisation from the configuration, once. */
 void Site_RevokeKey(Site *site);
 
+/* Sets the fault of servers that send without end; see
+ * SiteEndlessFault_Parse. Returns false if `text` is invalid. */
+bool Site_SetEndless(Site *site, const char *text);
+
 /* Runs the event of a line of --commands; see `events` in events.c. */
 void Site_RunEvent(void *owner, char **words);
 
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -7,6 +7,7 @@
 #include "common/rng.h"
 #include "edge/adapter.h"
 #include "http/conn.h"
+#include "standins/site/endless.h"
 #include "standins/site/proxy.h"
 
 #include <stdio.h>
@@ -49,7 +50,8 @@
     SITE_REQUEST_UNKNOWN,      /* may have run */
     SITE_REQUEST_CLOSED,       /* connection closed without an answer */
     SITE_REQUEST_UNAUTHORIZED, /* 401: must not run */
-    SITE_REQUEST_PIPELINED     /* sent behind a request whose answer closed */
+    SITE_REQUEST_PIPELINED,    /* sent behind a request whose answer closed */
+    SITE_REQUEST_ABANDONED     /* the caller did not read the answer */
 } SiteOutcome;
 
 typedef struct {
@@ -90,6 +92,7 @@
     /* Not run: pipelined after a request whose answer closed the connection.
      */
     uint64_t behind;
+    uint64_t abandoned;      /* answers that callers did not read */
     uint64_t no_outcome;     /* still open at the end */
     uint64_t wrong;          /* answers to another request */
     uint64_t doubled;        /* at-most-once requests that ran more often */
@@ -146,6 +149,14 @@
  * crashed the server. */
 void SiteJournal_CrashReached(SiteJournal *j, const char *target);
 void SiteJournal_Crashed(SiteJournal *j, const char *target);
+/* Announces that servers begin to send bytes without end, or end to (NULL).
+ * SiteJournal_Conclude logs, by announcement, how many of the requests were
+ * answered that got no such bytes instead of their answer. `fault` is
+ * copied. */
+void SiteJournal_Endless(SiteJournal *j, const char *fault);
+/* Records that a server sends bytes without end, behind the answer or instead
+ * of it. */
+void SiteJournal_Struck(SiteJournal *j, const char *id, bool is_answered);
 /* Announces the end of all faults; later requests are also counted
  * separately. */
 void SiteJournal_FaultsEnded(SiteJournal *j);
@@ -192,6 +203,16 @@
 void SiteStore_SkipVersions(SiteStore *s, uint64_t count);
 void SiteStore_Sweep(SiteStore *s);
 
+/* ---- Answers ------------------------------------------------------------- */
+
+/* Size of the answer to a request whose target ends with /large: that of the
+ * largest downloads of deployment G. */
+#define SITE_LARGE_BYTES (540u << 10)
+
+bool Site_IsLarge(const char *target);
+/* Returns the body of the answer to a request. Free with g_free. */
+char *Site_MakeBody(const char *id, bool is_large);
+
 /* ---- Backend servers ----------------------------------------------------- */
 
 typedef struct SiteServer_s SiteServer;
@@ -222,6 +243,8 @@
 SiteServer *SiteServer_Create(const SiteServerParams *params);
 uint32_t SiteServer_Served(const SiteServer *s);
 void SiteServer_SetFaults(SiteServer *s, uint32_t permille);
+/* From now on, a share of the answers is replaced by bytes without end. */
+void SiteServer_SetEndless(SiteServer *s, const SiteEndlessFault *fault);
 /* Makes every object cold, as a restart does. */
 void SiteServer_ClearCache(SiteServer *s);
 /* Marks the server as drained since `now_us`; requests that arrive more than
@@ -259,11 +282,28 @@
     /* Keeps its entry, regardless of the directory, until a connection to it
      * fails. */
     bool keeps_entry;
+    /* Requests large answers, and reads them as SiteCaller_SetReading says. */
+    bool is_large;
 } SiteCallerParams;
 
+/* How callers of large answers read. */
+typedef enum {
+    SITE_READING_USUAL = 0,
+    SITE_READING_SLOW,
+    /* Callers send requests, read nothing and close after some seconds. */
+    SITE_READING_NONE,
+    SITE_READING_MIXED /* half of the callers slowly, the others nothing */
+} SiteReading;
+
+/* Reads "usual", "slow", "none" or "mixed". Returns false for other words. */
+bool SiteReading_Parse(const char *word, SiteReading *out);
+
 typedef struct SiteCaller_s SiteCaller;
 
 SiteCaller *SiteCaller_Create(const SiteCallerParams *params);
+/* Takes effect on the next request; no effect on callers that don't request
+ * large answers. */
+void SiteCaller_SetReading(SiteCaller *c, SiteReading reading);
 void SiteCaller_Stop(SiteCaller *c); /* starts no further request */
 bool SiteCaller_IsIdle(const SiteCaller *c);
 
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -107,6 +107,10 @@
                      "sends of a request after its third crash\n",
                      (unsigned long)v->crashes, (unsigned long)v->crash_sends);
     }
+    if (v->abandoned > 0) {
+        (void)printf("unread: %lu requests of callers that do not read\n",
+                     (unsigned long)v->abandoned);
+    }
     if (played) {
         print_stops(v);
     }
--- a/tests/unit/test_site_journal.c
+++ b/tests/unit/test_site_journal.c
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <signal.h>
+#include <string.h>
 
 static int64_t clock_us;
 
@@ -69,3 +70,85 @@
         SiteJournal_Free(j);
     }
 }
+
+/* Guards against: requests of callers that do not read count as cut off, or
+ * hide a request that ran twice. */
+Test(site_journal, abandoned_requests_are_not_cut_but_may_run_once_only)
+{
+    static const struct {
+        SiteOutcome outcome;
+        int runs;
+        uint64_t lost;
+        uint64_t abandoned;
+        uint64_t doubled;
+    } cases[] = {
+        {SITE_REQUEST_CLOSED, 1, 1, 0, 0},
+        {SITE_REQUEST_ABANDONED, 0, 0, 1, 0},
+        {SITE_REQUEST_ABANDONED, 1, 0, 1, 0},
+        {SITE_REQUEST_ABANDONED, 2, 0, 1, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        clock_us = 1;
+        SiteJournal *j = SiteJournal_Create(now_us);
+        SiteRequestInfo sending = {.id = "r1", .once = true, .entry = "e1"};
+        SiteResult end = {.outcome = cases[i].outcome};
+
+        SiteJournal_Started(j, "e1");
+        SiteRequest *req = SiteJournal_Sent(j, &sending);
+        for (int k = 0; k < cases[i].runs; k++) {
+            SiteJournal_Ran(j, "r1");
+        }
+        SiteJournal_Ended(req, &end);
+        SiteVerdict verdict = SiteJournal_Conclude(j, 1000, stdout);
+        cr_expect_eq(verdict.lost, cases[i].lost, "case %zu", i);
+        cr_expect_eq(verdict.abandoned, cases[i].abandoned, "case %zu", i);
+        cr_expect_eq(verdict.doubled, cases[i].doubled, "case %zu", i);
+        g_array_free(verdict.latencies_us, TRUE);
+        SiteJournal_Free(j);
+    }
+}
+
+/* Guards against: a request that got bytes without end instead of its answer
+ * counts as one that the fault must not harm, or one behind whose answer they
+ * came does not. */
+Test(site_journal, requests_beside_endless_answers_are_counted)
+{
+    static const struct {
+        const char *fault; /* in force when the request is sent */
+        bool is_struck;
+        bool is_answered; /* before the bytes without end */
+        SiteOutcome outcome;
+        const char *line;
+    } cases[] = {
+        {"a", false, false, SITE_REQUEST_ANSWERED, "a: 0, 1 of 1 others"},
+        {"a", false, false, SITE_REQUEST_REFUSED, "a: 0, 0 of 1 others"},
+        {"a", true, true, SITE_REQUEST_UNKNOWN, "a: 1, 0 of 1 others"},
+        {"a", true, false, SITE_REQUEST_UNKNOWN, "a: 1, 0 of 0 others"},
+        {"a", false, false, SITE_REQUEST_ABANDONED, "a: 0, 0 of 0 others"},
+        {NULL, false, false, SITE_REQUEST_ANSWERED, ""},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char text[256] = "";
+        FILE *log = fmemopen(text, sizeof(text), "w");
+        SiteRequestInfo sending = {.id = "r1", .entry = "e1"};
+        SiteResult end = {.outcome = cases[i].outcome};
+        SiteJournal *j = SiteJournal_Create(now_us);
+
+        SiteJournal_Started(j, "e1");
+        SiteJournal_Endless(j, cases[i].fault);
+        SiteRequest *req = SiteJournal_Sent(j, &sending);
+        if (cases[i].is_struck) {
+            SiteJournal_Struck(j, "r1", cases[i].is_answered);
+        }
+        SiteJournal_Ended(req, &end);
+        SiteVerdict verdict = SiteJournal_Conclude(j, 1000, log);
+        (void)fclose(log);
+        cr_expect(strstr(text, cases[i].line) != NULL, "case %zu: %s", i,
+                  text);
+        cr_expect_eq(strstr(text, "endless") == NULL, cases[i].fault == NULL);
+        g_array_free(verdict.latencies_us, TRUE);
+        SiteJournal_Free(j);
+    }
+}
