--- a/lib/edge/answer_bounds.c
+++ b/lib/edge/answer_bounds.c
@@ -8,11 +8,12 @@
  * fragmentation this stays below 32 MB. */
 #define RESPONSES_MAX_BYTES (20u << 20)
 /* A response is too slow if it has been arriving for SLOW_AFTER_US in at least
- * SLOW_READS_MIN reads at less than SLOW_BYTES_PER_S. Callers wait 4 to 6 s,
+ * SLOW_READS_MIN reads at less than SLOW_BYTES_PER_S, which no link in use
+ * falls below. Callers wait 4 to 6 s,
  * so that a request that may be repeated can still be retried. */
 #define SLOW_AFTER_US    INT64_C(2000000)
 #define SLOW_READS_MIN   8
-#define SLOW_BYTES_PER_S 8192.0
+#define SLOW_BYTES_PER_S 512.0
 #define LOG_PERIOD_US    INT64_C(1000000)
 
 void
--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -244,7 +244,7 @@
     GwRequest_SetAccess(r, req, arrival->credential);
     req->deadline = GW_HEAP_ABSENT;
     req->is_passed_on = arrival->is_passed_on;
-    set_deadlines(req, now_us, arrival);
+    set_deadlines(r, req, now_us, arrival);
     if (arrival->key != NULL && route->has_key_affinity) {
         req->key = GwRouter_FindKey(r, route, req->service, arrival->key);
         if (req->key == NULL) {
--- a/tests/unit/test_router_shed.c
+++ b/tests/unit/test_router_shed.c
@@ -4,7 +4,7 @@
  * A fixture states the shortage: other entries occupy most slots of the
  * region, and the total gives each level the share that a case asks for. */
 #include "fakes/steering.h"
-#include "router/router_internal.h"
+#include "router/decisions.h"
 
 #include <criterion/criterion.h>
 #include <math.h>
