Test: a response takes the room of a larger incomplete one, over real sockets

The decision was tested without a network only, and the report of an abort to the connection's owner not at all.

--- a/tests/unit/test_edge_bounds.c
+++ b/tests/unit/test_edge_bounds.c
@@ -176,6 +176,59 @@
     }
 }
 
+/* Sends the bytes, as far as the entry reads them. */
+static void
+send_bytes(Ctx *c, int fd, size_t len)
+{
+    char piece[8192];
+
+    memset(piece, 'x', sizeof(piece));
+    for (int turns = 0; len > 0 && turns < 100000; turns++) {
+        ssize_t sent = send(fd, piece, MIN(len, sizeof(piece)),
+                            MSG_DONTWAIT | MSG_NOSIGNAL);
+        len -= sent > 0 ? (size_t)sent : 0;
+        EdgeHost_RunOnce(c->h);
+    }
+}
+
+/* Guards against: an answer is lost because another one without end has taken
+ * the memory; the aborted request is never answered, or runs again. */
+Test(edge_bounds, an_answer_takes_the_room_of_a_larger_incomplete_one)
+{
+    Ctx c = start("/once/");
+    GwEdge *edge = c.h->edge;
+    EdgeHostServer *s = &c.h->servers[0];
+    int first = c.caller;
+    int second = EdgeHost_Connect(c.h);
+    char *head = answer_head("\r\n");
+
+    EdgeHost_SendRequest(second, "/once/", "r2");
+    c.awaited = "r2";
+    cr_assert(EdgeHost_RunUntil(c.h, was_received, &c));
+    cr_assert_eq(s->conn_count, 2);
+    cr_assert_gt(send(s->conns[0].fd, head, strlen(head), 0), 0);
+    send_bytes(&c, s->conns[0].fd, 1200 << 10);
+    g_free(head);
+    head = g_strdup_printf("HTTP/1.1 200 OK\r\n%s: r2\r\n%s: 1\r\n"
+                           "Content-Length: 600000\r\n\r\n",
+                           Platform_Adapter.request_id, Platform_Adapter.seal);
+    cr_assert_gt(send(s->conns[1].fd, head, strlen(head), 0), 0);
+    send_bytes(&c, s->conns[1].fd, 600000);
+    c.wanted = strlen("HTTP/1.1 502 ");
+    cr_expect(EdgeHost_RunUntil(c.h, has_got, &c));
+    cr_expect(g_str_has_prefix(c.got->str, "HTTP/1.1 502 "), "%s", c.got->str);
+    g_string_truncate(c.got, 0);
+    c.caller = second;
+    c.wanted = 600000 + 20;
+    cr_expect(EdgeHost_RunUntil(c.h, has_got, &c));
+    cr_expect(g_str_has_prefix(c.got->str, "HTTP/1.1 200 "));
+    cr_expect_eq(edge->excess.count, 1);
+    cr_expect_eq(EdgeHost_CountRequests(s, "r1"), 1);
+    close(first);
+    g_free(head);
+    stop(&c);
+}
+
 /* Guards against: one byte each 0.2 s holds a slot and its caller up to the
  * deadline, and the server gets more requests; or an answer that pauses is
  * given up. */
