Demand that waited in the socket during a pause is ignored

Cause: reports don't show when they were sent. An entry that was stopped for seconds read those in its socket as new, and could refuse requests by a total of long ago until the next one came.

Change: after the loop has not run for 1 s, demand is ignored for 200 ms, in which the socket is emptied.

--- a/lib/edge/demand.c
+++ b/lib/edge/demand.c
@@ -17,6 +17,12 @@
 /* Demand of a peer counts for this long after the time that it describes. */
 #define DEMAND_LIFE_US 2000000
 
+/* A loop that has not run for this long was paused, or nearly so. Reports that
+ * came meanwhile wait in the socket and don't show how old they are. */
+#define PAUSE_US 1000000
+/* The reports that waited are read within this time. */
+#define DRAIN_US 200000
+
 /* ---- Sums ---------------------------------------------------------------- */
 
 static bool
@@ -246,6 +252,19 @@
            is_in_domain(peers, peer);
 }
 
+/* Notes that the loop runs. Returns whether reports may have waited during a
+ * pause. */
+static bool
+is_after_pause(GwPeers *peers, int64_t now_us)
+{
+    if (peers->demand_tick_us != 0 &&
+        now_us - peers->demand_tick_us > PAUSE_US) {
+        peers->demand_from_us = now_us + DRAIN_US;
+    }
+    peers->demand_tick_us = now_us;
+    return now_us < peers->demand_from_us;
+}
+
 void
 GwPeers_ApplyDemand(GwPeers *peers, GwPeerEntry *peer,
                     const Gw__Peer__Report *report)
@@ -258,7 +277,8 @@
         /* What it sent before is in the sum of another entry now. */
         peer->demand_of = GW_LOADS_NONE;
     }
-    if (shortage == NULL || report->demand_age_ms == 0) {
+    if (is_after_pause(peers, now_us) || shortage == NULL ||
+        report->demand_age_ms == 0) {
         return;
     }
     uint32_t age_ms = report->demand_age_ms - 1;
@@ -290,6 +310,7 @@
 {
     GwShortage *shortage = GwRouter_Shortage(peers->edge->router);
 
+    (void)is_after_pause(peers, now_us);
     if (shortage == NULL || (peers->uses_sums && !peers->is_aggregator) ||
         now_us - peers->demand_total_us < TOTAL_PERIOD_US) {
         return;
--- a/lib/edge/peers_internal.h
+++ b/lib/edge/peers_internal.h
@@ -144,6 +144,8 @@
     GArray *placements;      /* reused */
     GArray *demand;          /* GwDemand, reused */
     int64_t demand_total_us; /* last total computed by this entry */
+    int64_t demand_tick_us;  /* the loop ran; 0: not yet */
+    int64_t demand_from_us;  /* demand in reports is ignored until then */
     /* Changes up to this time were gossiped. */
     int64_t gossiped_us[GW_GOSSIP_KIND_COUNT];
     uint32_t suspects_cursor; /* start of the next page of suspects */
