Load shedding: metrics, log fields, mutants 133 to 137

gw_shed_total{service,level} and gw_returns_total{outcome}, only with overload control. The line of a shed request names its level, the threshold and the age of the total. A request that another entry could not run is not counted in the demand again.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -52,13 +52,19 @@
           GwReplyReason why, const GwRequestSummary *request_summary,
           const char *hop)
 {
-    char more[96] = "";
+    char more[160] = "";
 
     if (why == GW_REPLY_QUARANTINED) {
         char text[GW_FINGERPRINT_TEXT_SIZE];
         GwFingerprint_Format(&x->fingerprint, text);
         g_snprintf(more, sizeof(more), " fingerprint=%s", text);
     }
+    else if (why == GW_REPLY_SHED) {
+        g_snprintf(more, sizeof(more),
+                   " best=%s level=%u threshold=%u total_ms=%" PRId64,
+                   request_summary->best, request_summary->level,
+                   request_summary->threshold, request_summary->total_age_ms);
+    }
     else if (request_summary->best[0] != '\0') {
         g_snprintf(more, sizeof(more), " best=%s best_busy=%u/%u",
                    request_summary->best, request_summary->best_busy,
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -90,6 +90,40 @@
     }
 }
 
+static void
+write_service_shedding(void *ctx, const GwSheddingView *view)
+{
+    GString *out = ctx;
+    char *name = g_strescape(view->service, NULL);
+
+    for (uint32_t l = 0; l < GW_SHORTAGE_LEVELS; l++) {
+        if (view->shed[l] > 0) {
+            g_string_append_printf(
+                out,
+                "gw_shed_total{service=\"%s\",level=\"%u\"} %" PRIu64 "\n",
+                name, l, view->shed[l]);
+        }
+    }
+    g_free(name);
+}
+
+/* Only with overload control. */
+static void
+write_shedding(const GwEdge *edge, GString *out)
+{
+    GwReturnsView returns = GwRouter_Returns(edge->router);
+
+    if (GwRouter_Shortage(edge->router) == NULL) {
+        return;
+    }
+    GwRouter_EachShedding(edge->router, write_service_shedding, out);
+    g_string_append_printf(
+        out,
+        "gw_returns_total{outcome=\"answered\"} %" PRIu64 "\n"
+        "gw_returns_total{outcome=\"refused\"} %" PRIu64 "\n",
+        returns.answered, returns.refused);
+}
+
 void
 GwStatus_WriteMetrics(GwEdge *edge, GString *out)
 {
@@ -141,6 +175,7 @@
     write_table(out, "operator", edge->operator_feed, peers.operator_version);
     write_table(out, "servers", edge->server_feed, peers.server_version);
     GwRouter_EachService(edge->router, GwEdge_Now(), write_service, out);
+    write_shedding(edge, out);
 }
 
 void
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -97,6 +97,9 @@
         .expected_ms = (uint32_t)(req->expected_us / 1000),
         .warm = req->sent_warm,
         .far = req->sent_remote,
+        .level = req->level,
+        .threshold = req->threshold,
+        .total_age_ms = req->total_age_ms,
     };
 
     g_strlcpy(request_summary.route, req->route->name,
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -296,6 +296,11 @@
     char best[48];
     uint32_t best_busy;
     uint32_t best_slots;
+    /* If shed: its level, the first level not admitted in full, and the age of
+     * the total demand by which that was decided. */
+    uint32_t level;
+    uint32_t threshold;
+    int64_t total_age_ms;
 } GwRequestSummary;
 
 /* Requests that crashed servers; see quarantine.h. */
@@ -432,6 +437,24 @@
 void GwRouter_EachService(const GwRouter *r, int64_t now_us,
                           void (*visit)(void *ctx, const GwServiceView *view),
                           void *ctx);
+/* Load shedding of a service, for metrics. */
+typedef struct {
+    const char *service;
+    const uint64_t *shed; /* requests since the start, by level */
+} GwSheddingView;
+
+/* Visits all services; none without overload control. */
+void GwRouter_EachShedding(const GwRouter *r,
+                           void (*visit)(void *ctx,
+                                         const GwSheddingView *view),
+                           void *ctx);
+/* Requests of callers that were refused before and came back. */
+typedef struct {
+    uint64_t answered; /* by a server */
+    uint64_t refused;  /* or not answered in time */
+} GwReturnsView;
+
+GwReturnsView GwRouter_Returns(const GwRouter *r);
 /* Pointer for the host's connections to the server. */
 void **GwServer_User(GwServer *s);
 
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -5,6 +5,7 @@
 #include "common/heap.h"
 #include "common/rng.h"
 #include "router/router.h"
+#include "router/shedding.h"
 
 #ifndef GW_MUTANT
 #define GW_MUTANT 0 /* tests/mutants.sh disables one safeguard at a time */
@@ -39,47 +40,6 @@
 double GwBucket_At(const GwBucket *b, int64_t now_us, double per_s);
 void GwBucket_Fill(GwBucket *b, int64_t now_us, double per_s);
 
-/* Network path to a region. */
-typedef struct {
-    char *region;
-    double rtt_us;
-    bool measured; /* false: rtt_us is the assumed value */
-} GwPath;
-
-/* Requests offered and admitted, decaying; shed.c. */
-typedef struct {
-    double offered;
-    double admitted;
-    int64_t at_us;
-} GwAdmitted;
-
-/* Regions of a service whose slots are counted. */
-#define GW_SHEDDING_REGIONS_MAX 16
-/* Priorities that are counted apart in a service. */
-#define GW_PRIORITY_CLASSES 8
-
-typedef struct {
-    uint32_t priority;
-    GwAdmitted admitted;
-    double owed; /* admissions that other priorities leave to it */
-} GwPriorityClass;
-
-/* Load shedding of a service; shed.c. */
-typedef struct {
-    int64_t capacity_at_us; /* last count of slots; 0: never */
-    uint32_t region_count;  /* with servers that accept requests */
-    const GwPath *regions[GW_SHEDDING_REGIONS_MAX];
-    GwAdmitted all;
-    GwPriorityClass classes[GW_PRIORITY_CLASSES];
-    uint32_t class_count;
-    /* Admissions that the shares allow beyond those made, by level, for servers
-     * of this region and of others. */
-    bool has_credits;
-    double local_credit[GW_SHORTAGE_LEVELS];
-    double remote_credit[GW_SHORTAGE_LEVELS];
-    uint64_t shed[GW_SHORTAGE_LEVELS]; /* requests since the start */
-} GwShedding;
-
 /* Whether connections to the servers of a service can be set up; reach.c. */
 typedef struct {
     int64_t
@@ -118,13 +78,20 @@
     double warm_us;        /* mean run time where the object is cached */
     double cold_us;        /* mean run time at other servers */
     double longest_run_us; /* longest run, decaying; 0: no run has ended yet */
-    double owed; /* admissions under a shortage; shed.c */
-    uint32_t open;              /* requests that refer to this state */
+    double owed;           /* admissions under a shortage; shed.c */
+    uint32_t open;         /* requests that refer to this state */
     int64_t caller_time_max_us; /* longest time callers allow, decaying */
     int64_t *credit; /* smooth weighted round robin: one counter per part */
     uint32_t credit_count;
 } GwRouteState;
 
+/* Network path to a region. */
+typedef struct {
+    char *region;
+    double rtt_us;
+    bool measured; /* false: rtt_us is the assumed value */
+} GwPath;
+
 /* A server's request rate limit, which holds for all entries together. */
 typedef struct {
     double per_s;         /* < 0: the server states no limit */
@@ -249,9 +216,10 @@
     GwKey *key;                         /* or NULL */
     /* Level by which it was admitted; lower is better. */
     uint32_t level;
-    uint32_t threshold; /* first level refused, when it was refused */
-    bool is_measured;   /* counted in the demand of this entry */
-    bool is_returning;  /* its caller was refused before */
+    uint32_t threshold;   /* first level not admitted in full, when shed */
+    int64_t total_age_ms; /* of the total demand, when shed */
+    bool is_measured;     /* counted in the demand of this entry */
+    bool is_returning;    /* its caller was refused before */
     int64_t arrived_us;
     int64_t objective_end_us;   /* end of the latency objective */
     int64_t useless_after_us;   /* an answer after this is of no use */
--- a/lib/router/shed.c
+++ b/lib/router/shed.c
@@ -136,7 +136,7 @@
     }
     service->shedding.region_count = count;
     for (uint32_t i = 0; i < count; i++) {
-        service->shedding.regions[i] = regions[i].path;
+        service->shedding.regions[i] = regions[i].path->region;
         GwShortage_PutCapacity(r->shortage, now_us,
                                GwService_Hash(service->name),
                                GwService_Hash(regions[i].path->region),
@@ -247,9 +247,6 @@
 static bool
 takes_credit(double *credit, double share)
 {
-#if GW_MUTANT == 136 /* breaks: a share is rounded for each request */
-    return share >= 0.5;
-#endif
     *credit += share;
     if (*credit < 1) {
         return false;
@@ -302,7 +299,7 @@
     return false;
 #endif
     for (uint32_t i = 0; i < shedding->region_count; i++) {
-        const char *region = shedding->regions[i]->region;
+        const char *region = shedding->regions[i];
         if (GwRequest_AllowsRegion(req, region) &&
             GwShortage_AdmitShare(r->shortage, now_us, service,
                                   GwService_Hash(region), req->level) >= 1) {
@@ -312,6 +309,17 @@
     return false;
 }
 
+/* A request that was sent is not refused, since 503 means that it has not run;
+ * one that comes back from another entry was counted there. */
+static bool
+is_first_placement(const GwRequest *req)
+{
+#if GW_MUTANT == 136 /* breaks: a request that was sent is shed */
+    return true;
+#endif
+    return !req->is_measured && req->sends == 0;
+}
+
 /* Decides by the level and by what is owed to the request's route and
  * priority. Both are charged with each admission while slots are short. */
 static bool
@@ -323,8 +331,7 @@
         r->shortage, now_us, GwService_Hash(req->service->name),
         GwService_Hash(s->path->region));
 
-    if (threshold == GW_SHORTAGE_LEVELS || req->is_passed_on ||
-        req->sends > 0) {
+    if (threshold == GW_SHORTAGE_LEVELS || req->is_passed_on) {
         return true;
     }
     init_credits(r, req->service);
@@ -337,6 +344,7 @@
     pay_owed(&class->owed, admitted);
     if (!admitted) {
         req->threshold = threshold;
+        req->total_age_ms = GwShortage_AgeMs(r->shortage, now_us);
         shedding->shed[req->level]++;
     }
     return admitted;
@@ -346,7 +354,7 @@
 GwRequest_IsShed(GwRouter *r, int64_t now_us, GwRequest *req,
                  const GwChoice *c)
 {
-    if (r->shortage == NULL || req->is_measured) {
+    if (r->shortage == NULL || !is_first_placement(req)) {
         return false;
     }
     GwPriorityClass *class = find_or_add_class(req);
--- a/lib/router/view.c
+++ b/lib/router/view.c
@@ -44,6 +44,33 @@
     }
 }
 
+void
+GwRouter_EachShedding(const GwRouter *r,
+                      void (*visit)(void *ctx, const GwSheddingView *view),
+                      void *ctx)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (r->shortage == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, r->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GwServiceState *service = value;
+        GwSheddingView view = {.service = service->name,
+                               .shed = service->shedding.shed};
+        visit(ctx, &view);
+    }
+}
+
+GwReturnsView
+GwRouter_Returns(const GwRouter *r)
+{
+    return (GwReturnsView){.answered = r->returns_answered,
+                           .refused = r->returns_refused};
+}
+
 static struct json_object *
 dump_server(const GwRouter *r, const GwServer *s, int64_t now_us)
 {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -109,6 +109,11 @@
 124 unit.store_rows - what a restored store lacks stays for a while
 125 unit.follower - answers of earlier eras are dropped
 126 unit.follower - an era that the store denies is given up
+133 unit.router_shed - a route of low value gets its part of the slots
+134 unit.router_shed - no less urgent kind is admitted more often
+135 unit.router_shed - a refused caller is counted once in the demand
+136 unit.router_shed - a request that was sent is not shed
+137 unit.router_shed - nothing is shed while another region has capacity
 '
 
 # Rebuilds the objects that the mutant changes, in a copy of the normal build,
--- a/tests/unit/test_router_shed.c
+++ b/tests/unit/test_router_shed.c
@@ -3,6 +3,7 @@
  *
  * A fixture states the shortage: other entries occupy most slots of the
  * region, and the total gives each level the share that a case asks for. */
+#include "fakes/edge_entry.h"
 #include "fakes/steering.h"
 #include "router/router_internal.h"
 
@@ -819,3 +820,80 @@
                   (unsigned long)looks[1], (unsigned long)looks[0]);
     finish(f);
 }
+
+/* ---- Views --------------------------------------------------------------- */
+
+static void
+add_shed(void *ctx, const GwSheddingView *view)
+{
+    uint64_t *count = ctx;
+
+    cr_expect_str_eq(view->service, "s");
+    for (uint32_t l = 0; l < GW_SHORTAGE_LEVELS; l++) {
+        count[l] += view->shed[l];
+    }
+}
+
+/* Guards against: operators can't tell what was shed, and by which total. */
+Test(router_shed, views_show_what_was_shed)
+{
+    FakeSteering *f = start();
+    uint64_t count[GW_SHORTAGE_LEVELS] = {0};
+    uint64_t shed = 0;
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(GwRouterAction));
+    GwArrival arrival = {
+        .host = "h", .path = "/once/", .key = "k", .left_us = LEFT_MS * MS};
+
+    set_short(f, 3, 0);
+    FakeSteering_Advance(f, 300 * MS);
+    set_busy(f, "s1", BUSY);
+    GwRouter_Arrive(f->router, f->now_us, &arrival, actions);
+    cr_assert_eq(actions->len, 2);
+    GwRouterAction *out = &g_array_index(actions, GwRouterAction, 1);
+    cr_assert_eq(out->why, GW_REPLY_SHED);
+    cr_expect_eq(out->request_summary.level, ONCE_LEVEL);
+    cr_expect_eq(out->request_summary.threshold, 3);
+    cr_expect_eq(out->request_summary.total_age_ms, 300);
+    cr_expect_str_eq(out->request_summary.best, "s1");
+    for (int k = 0; k < 5; k++) {
+        shed += is_shed(f, "/again/");
+    }
+    GwRouter_EachShedding(f->router, add_shed, count);
+    cr_expect_eq(count[ONCE_LEVEL], 1);
+    cr_expect_eq(count[AGAIN_LEVEL], shed);
+    cr_expect_eq(GwRouter_Returns(f->router).answered, 0);
+    g_array_free(actions, TRUE);
+    finish(f);
+}
+
+/* Guards against: metrics that are missing, or appear in deployments without
+ * overload control. */
+Test(router_shed, metrics_show_what_was_shed)
+{
+    static const char *const lines[] = {
+        "\ngw_shed_total{service=\"s\",level=\"5\"} 1\n",
+        "\ngw_returns_total{outcome=\"answered\"} 7\n",
+        "\ngw_returns_total{outcome=\"refused\"} 2\n",
+    };
+    EdgeEntry entry = EdgeEntry_Start();
+    FakeSteering *f = start();
+    GwRouter *routers[2] = {entry.edge->router, f->router};
+
+    set_short(f, 3, 0);
+    cr_assert(is_shed(f, "/once/"));
+    f->router->returns_answered = 7;
+    f->router->returns_refused = 2;
+    for (int has_control = 0; has_control < 2; has_control++) {
+        GString *page = g_string_new(NULL);
+        entry.edge->router = routers[has_control];
+        GwStatus_WriteMetrics(entry.edge, page);
+        for (size_t i = 0; i < CASES(lines); i++) {
+            bool is_on_page = strstr(page->str, lines[i]) != NULL;
+            cr_expect_eq(is_on_page, has_control == 1, "%s", lines[i]);
+        }
+        g_string_free(page, TRUE);
+    }
+    entry.edge->router = routers[0];
+    finish(f);
+    EdgeEntry_Stop(&entry);
+}
