--- a/tests/fakes/fleet.h
+++ b/tests/fakes/fleet.h
@@ -11,6 +11,7 @@
 #define FLEET_REGIONS_MAX 4
 #define FLEET_KINDS_MAX   4
 #define FLEET_WINDOWS_MAX 64
+#define FLEET_WINDOW_S    2
 
 /* One kind of request. Kinds with the same service name share the service. */
 typedef struct {
@@ -49,6 +50,8 @@
     double seconds;
     double scale; /* factor of all times of the case; 0: 1 */
     uint64_t seed;
+    bool overload_control;
+    uint32_t totals_lag_ms; /* age of the total demand that entries use */
 } FleetParams;
 
 typedef struct {
@@ -59,10 +62,22 @@
     double worth; /* worth earned / worth of all requests */
 } FleetWindow;
 
+/* Requests of a kind that arrived in a window. */
+typedef struct {
+    uint32_t asked;
+    uint32_t answered;
+    uint32_t in_time;
+    uint32_t refused_first; /* the first try was refused */
+    uint32_t refused_again; /* the retry was refused, or got no answer */
+} FleetKindWindow;
+
 /* Results by window of two seconds (times scale). */
 typedef struct {
     uint32_t window_count;
     FleetWindow windows[FLEET_WINDOWS_MAX];
+    FleetKindWindow kinds[FLEET_KINDS_MAX][FLEET_WINDOWS_MAX];
+    /* Requests that were shed, by the time of the refusal. */
+    uint32_t shed[FLEET_WINDOWS_MAX];
     /* Share of a region's requests sent to other regions. */
     double cross_region_share[FLEET_REGIONS_MAX][FLEET_WINDOWS_MAX];
     double worth;
--- a/tests/fakes/fleet_reports.c
+++ b/tests/fakes/fleet_reports.c
@@ -107,3 +107,41 @@
     }
     Fleet_FreeSnapshot(snap);
 }
+
+/* ---- Demand -------------------------------------------------------------- */
+
+/* Entries add up the demand this often; its messages don't go by the reports of
+ * loads, which are more frequent. */
+#define TOTAL_INTERVAL_MS 100
+
+void
+Fleet_SendTotal(Fleet *f)
+{
+    GArray *total = g_array_new(FALSE, FALSE, sizeof(GwDemand));
+    GArray *own = g_array_new(FALSE, FALSE, sizeof(GwDemand));
+
+    for (guint i = 0; i < f->entries->len; i++) {
+        const Entry *entry = f->entries->pdata[i];
+        g_array_set_size(own, 0);
+        GwDemandMeter_Read(GwRouter_DemandMeter(entry->router), f->now_us,
+                           own);
+        GwDemand_AddTo(total, (const GwDemand *)own->data, own->len);
+    }
+    g_array_free(own, TRUE);
+    Fleet_Schedule(f, f->now_us + Fleet_ScaledUs(f, f->p->totals_lag_ms),
+                   EV_APPLY_TOTAL, total);
+    Fleet_Schedule(f, f->now_us + Fleet_ScaledUs(f, TOTAL_INTERVAL_MS),
+                   EV_TOTAL, NULL);
+}
+
+void
+Fleet_ApplyTotal(Fleet *f, GArray *total)
+{
+    for (guint i = 0; i < f->entries->len; i++) {
+        const Entry *entry = f->entries->pdata[i];
+        GwShortage_PutTotal(GwRouter_Shortage(entry->router), f->now_us,
+                            f->p->totals_lag_ms, (const GwDemand *)total->data,
+                            total->len);
+    }
+    g_array_free(total, TRUE);
+}
--- a/tests/fakes/fleet_setup.c
+++ b/tests/fakes/fleet_setup.c
@@ -90,6 +90,7 @@
         .retry_extra = 100,
         .retry_window_ms = 10000,
         .entries_max = f->p->entries,
+        .overload_control = f->p->overload_control,
         .seed = f->p->seed * 1000 + i,
     };
 
@@ -160,6 +161,9 @@
         if (e->kind == EV_APPLY_REPORTS) {
             Fleet_FreeSnapshot(e->subject);
         }
+        if (e->kind == EV_APPLY_TOTAL) {
+            g_array_free(e->subject, TRUE);
+        }
         g_free(e);
     }
     GwHeap_Free(&f->events);
