--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -117,6 +117,11 @@
 145 unit.edge_bounds - an answer that trickles is aborted
 146 unit.edge_bounds - a caller that reads nothing does not keep the memory
 147 unit.http_budget - a complete response is never aborted
+133 unit.router_shed - a route of low value gets its part of the slots
+134 unit.router_shed - no less urgent kind is admitted more often
+135 unit.router_shed - a refused caller is counted once in the demand
+136 unit.router_shed - a request that was sent is not shed
+137 unit.router_shed - nothing is shed while another region has capacity
 '
 
 # Rebuilds the objects that the mutant changes, in a copy of the normal build,
