Trickling responses: the rate bound is 2 KiB/s, metrics are tested

At 8 KiB/s an entry with little processor time on a slow link could have aborted legitimate responses: 8 reads of one segment each in 2 s are 5.7 KiB/s. The known fault sends one byte each 0.2 s.

--- a/lib/edge/answer_bounds.c
+++ b/lib/edge/answer_bounds.c
@@ -8,11 +8,12 @@
  * fragmentation this stays below 32 MB. */
 #define RESPONSES_MAX_BYTES (20u << 20)
 /* A response is too slow if it has been arriving for SLOW_AFTER_US in at least
- * SLOW_READS_MIN reads at less than SLOW_BYTES_PER_S. Callers wait 4 to 6 s,
- * so that a request that may be repeated can still be retried. */
+ * SLOW_READS_MIN reads at less than SLOW_BYTES_PER_S. That is 512 bytes a read
+ * at most: a congested link delivers whole segments, which are larger. Callers
+ * wait 4 to 6 s, so a request that may be repeated can still be retried. */
 #define SLOW_AFTER_US    INT64_C(2000000)
 #define SLOW_READS_MIN   8
-#define SLOW_BYTES_PER_S 8192.0
+#define SLOW_BYTES_PER_S 2048.0
 #define LOG_PERIOD_US    INT64_C(1000000)
 
 void
--- a/tests/unit/test_edge_bounds.c
+++ b/tests/unit/test_edge_bounds.c
@@ -325,6 +325,15 @@
         cr_expect_eq(edge->bodies.responses, is_queued ? sizes[i] : 0,
                      "%zu: %lu", sizes[i],
                      (unsigned long)edge->bodies.responses);
+        GString *metrics = g_string_new(NULL);
+        GwStatus_WriteMetrics(edge, metrics);
+        cr_expect_eq(strstr(metrics->str, "\ngw_answer_bytes 1200000\n") !=
+                         NULL,
+                     is_queued, "%zu", sizes[i]);
+        cr_expect_not_null(strstr(metrics->str, "\ngw_answer_bytes_max "));
+        cr_expect_not_null(
+            strstr(metrics->str, "\ngw_answers_over_bound_total 0\n"));
+        g_string_free(metrics, TRUE);
         cr_expect_eq(GwConn_IsPaused(caller->conn), is_queued, "%zu",
                      sizes[i]);
         c.wanted = sizes[i] + 20;
