--- a/tests/unit/test_edge_demand.c
+++ b/tests/unit/test_edge_demand.c
@@ -424,6 +424,40 @@
     free_fleet(&f);
 }
 
+/* Guards against: the demand of an entry counts at the aggregator that it has
+ * left, or at those of other failure domains, which get it in a sum; and an
+ * entry takes the total of an aggregator that it doesn't report to. */
+Test(edge_demand, an_entry_counts_only_where_it_reports)
+{
+    Fleet f = create_fleet(ENTRIES, true, ENTRIES);
+
+    exchange(&f, ENTRIES);
+    f.at[4]->peers.period_scale = 1; /* it reports to all */
+    choose_aggregators(&f);
+    pass_time(&f, PERIOD_US);
+    cr_expect_eq(report_to(&f, 4, 0), 1);
+    (void)report_to(&f, 4, 1);
+    (void)report_to(&f, 1, 0);
+    cr_expect_float_eq(entries_in_own_total(f.at[0]), 12, 0.01, "%.2f",
+                       entries_in_total(f.at[0]));
+    peer_of(f.at[6], 0)->serves = false; /* it reports to entry 3 */
+    choose_aggregators(&f);
+    (void)report_to(&f, 6, 0);
+    cr_expect_float_eq(entries_in_own_total(f.at[0]), 11, 0.01, "%.2f",
+                       entries_in_total(f.at[0]));
+    free_fleet(&f);
+
+    f = create_fleet(ENTRIES, true, ENTRIES);
+    (void)report_to(&f, 6, 0);
+    peer_of(f.at[6], 0)->serves = false;
+    choose_aggregators(&f);
+    cr_expect_eq(report_to(&f, 0, 6), 1);
+    cr_expect_eq(GwShortage_AgeMs(GwRouter_Shortage(f.at[6]->edge.router),
+                                  GwEdge_Now()),
+                 -1);
+    free_fleet(&f);
+}
+
 /* ---- Ages ---------------------------------------------------------------- */
 
 /* Guards against: the demand of entries that have stopped counts again for its
