--- a/standins/site/caller.c
+++ b/standins/site/caller.c
@@ -8,13 +8,13 @@
 /* Pause of a caller that repeats a crashing request. */
 #define REPEAT_PAUSE_MS 150
 /* Pause of a caller between large answers. */
-#define LARGE_PAUSE_MS 250
+#define LARGE_PAUSE_MS 1000
 /* A slow caller reads at most 64 KB, the size of one read, each 0.2 s. */
 #define SLOW_READ_MS 200
 /* A caller that does not read sends so many requests, which is more than the
- * buffers of the kernel hold answers for, and closes after 4 s. */
+ * buffers of the kernel hold answers for, and closes after 3 s. */
 #define UNREAD_DEPTH 12
-#define UNREAD_MS    4000
+#define UNREAD_MS    3000
 /* With rest_ms, one in this many pauses is long. */
 #define LONG_PAUSE_ONE_IN 8
 
