--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -348,13 +348,13 @@
     (void)fprintf(evaluation->log,
                   "%s: id=%s once=%d first=%d entry=%s process=%u since=%s "
                   "since_at_ms=%" PRId64 " sent_ms=%" PRId64 " run_ms=%" PRId64
-                  " ended_ms=%" PRId64 " runs=%u\n",
+                  " ended_ms=%" PRId64 " runs=%u struck=%d\n",
                   what, req->id, req->once, req->first, req->entry,
                   req->process, process->term_us > 0 ? "SIGTERM" : "start",
                   (from_us - evaluation->j->start_us) / 1000,
                   (req->sent_us - from_us) / 1000,
                   req->runs > 0 ? (req->ran_us - from_us) / 1000 : -1,
-                  (req->ended_us - from_us) / 1000, req->runs);
+                  (req->ended_us - from_us) / 1000, req->runs, req->is_struck);
 }
 
 /* Classifies a request whose connection closed without an answer. */
--- a/tests/soak/one.sh
+++ b/tests/soak/one.sh
@@ -147,6 +147,34 @@
     done
 }
 
+# Servers that send without end, and callers of large answers that read slowly
+# or not at all, together or alone; in half of the seeds each. Drawn last, as
+# the links.
+schedule_endless() {
+    local at kind speed permille servers word
+    random_below 2
+    if [ "$drawn" -eq 1 ]; then
+        random_below $((last_fault_ms - first_fault_ms - 4000))
+        at=$((first_fault_ms + drawn))
+        choose kind chunked close head behind second any
+        choose speed fast slow
+        choose permille 50 300 600
+        choose servers 1 2 3
+        echo "$at event endless $kind,$speed,$permille,$servers"
+        random_below 3000
+        echo "$((at + 1000 + drawn)) event endless none"
+    fi
+    random_below 2
+    if [ "$drawn" -eq 1 ]; then
+        random_below $((last_fault_ms - first_fault_ms - 4000))
+        at=$((first_fault_ms + drawn))
+        choose word slow none mixed
+        echo "$at event reading $word"
+        random_below 3000
+        echo "$((at + 1000 + drawn)) event reading usual"
+    fi
+}
+
 # ---- Actions ----------------------------------------------------------------
 
 # Succeeds when the process has installed its handlers of SIGHUP and SIGTERM;
@@ -276,6 +304,8 @@
     site_send_event store up
     site_send_event rewrite
     site_send_event faults 0
+    site_send_event endless none
+    site_send_event reading usual
     site_send_event return d1
     site_send_event return d2
     site_send_event config 15000
@@ -347,7 +377,8 @@
     echo "8000 event revoke" >>"$gw_dir/schedule"
     sort -n -o "$gw_dir/schedule" "$gw_dir/schedule"
 fi
-site_begin_with_events "${organisations[@]}" --seconds 120 --callers 16 --slots 10 --keep \
+site_begin_with_events "${organisations[@]}" --seconds 120 --callers 16 \
+    --large-callers 4 --slots 10 --keep \
     --seed "$seed" --grace-ms "$grace_ms" --left-ms 8000 \
     --work-ms "$work_ms" --work-spread-ms "$spread_ms" \
     --faults 10 --depth "${DEPTH:-3}" --rest-ms 1200 \
@@ -357,6 +388,7 @@
 site_send_event config "$idle_ms"
 schedule_links >>"$gw_dir/schedule"
 schedule_restores >>"$gw_dir/schedule"
+schedule_endless >>"$gw_dir/schedule"
 sort -n -o "$gw_dir/schedule" "$gw_dir/schedule"
 play_schedule
 end_faults
