--- a/lib/shortage/demand.c
+++ b/lib/shortage/demand.c
@@ -2,16 +2,22 @@
 #include "shortage/shortage.h"
 
 #include <math.h>
+#include <string.h>
 
-/* Time constant of the rates: long enough for a stable rate at an entry with
- * ten requests per second, short enough for bursts of a few seconds. */
-#define RATE_TAU_US 1000000.0
+/* Rates are those of the last 0.8 s: long enough for a stable rate at an entry
+ * with ten requests per second, and short enough for the total to be without a
+ * burst 2 s after its end; a total takes up to 1.5 s to reach all entries. A
+ * rate that decays exponentially in a second still showed a shortage then. */
+#define WINDOW_US 800000
+#define SLICE_US  100000
+/* The oldest slice counts with the part that is within the window. */
+#define SLICES (WINDOW_US / SLICE_US + 1)
 
 typedef struct {
     uint32_t service;
     uint32_t region;
-    int64_t at_us; /* last decay */
-    double ms_per_s[GW_SHORTAGE_LEVELS];
+    int64_t newest;                        /* number of the newest slice */
+    double ms[SLICES][GW_SHORTAGE_LEVELS]; /* slice n is at n % SLICES */
 } Rate;
 
 struct GwDemandMeter_s {
@@ -36,11 +42,22 @@
     }
 }
 
+/* Drops the rates without work in the window, so that the meter doesn't grow
+ * with each service that ever existed. */
+static void
+drop_unused(GwDemandMeter *m, int64_t slice)
+{
+    for (guint i = m->rates->len; i > 0; i--) {
+        if (slice - g_array_index(m->rates, Rate, i - 1).newest >= SLICES) {
+            g_array_remove_index_fast(m->rates, i - 1);
+        }
+    }
+}
+
 static Rate *
-find_or_add(GwDemandMeter *m, int64_t now_us, uint32_t service,
-            uint32_t region)
+find_or_add(GwDemandMeter *m, int64_t slice, uint32_t service, uint32_t region)
 {
-    Rate empty = {.service = service, .region = region, .at_us = now_us};
+    Rate empty = {.service = service, .region = region, .newest = slice};
 
     for (guint i = 0; i < m->rates->len; i++) {
         Rate *rate = &g_array_index(m->rates, Rate, i);
@@ -48,31 +65,55 @@
             return rate;
         }
     }
+    drop_unused(m, slice);
     g_array_append_val(m->rates, empty);
     return &g_array_index(m->rates, Rate, m->rates->len - 1);
 }
 
-static double
-decay_since(const Rate *rate, int64_t now_us)
+/* Makes `slice` the newest, and empties those that it replaces. */
+static void
+advance(Rate *rate, int64_t slice)
 {
-    return now_us > rate->at_us
-               ? exp(-(double)(now_us - rate->at_us) / RATE_TAU_US)
-               : 1;
+    if (slice - rate->newest >= SLICES) {
+        memset(rate->ms, 0, sizeof rate->ms);
+        rate->newest = slice;
+    }
+    while (rate->newest < slice) {
+        rate->newest++;
+        memset(rate->ms[rate->newest % SLICES], 0, sizeof rate->ms[0]);
+    }
 }
 
 void
 GwDemandMeter_Add(GwDemandMeter *m, int64_t now_us, uint32_t service,
                   uint32_t region, uint32_t level, double slot_us)
 {
-    Rate *rate = find_or_add(m, now_us, service, region);
-    double keep = decay_since(rate, now_us);
+    int64_t slice = MAX(now_us, 0) / SLICE_US;
+
+    /* One odd value would otherwise be the demand of all entries for a
+     * second. */
+    if (!isfinite(slot_us) || slot_us <= 0) {
+        return;
+    }
+    Rate *rate = find_or_add(m, slice, service, region);
+    advance(rate, slice);
+    rate->ms[rate->newest % SLICES][MIN(level, GW_SHORTAGE_LEVELS - 1)] +=
+        slot_us / 1000;
+}
+
+static double
+work_in_window(const Rate *rate, int64_t now_us, uint32_t level)
+{
+    int64_t now_slice = MAX(MAX(now_us, 0) / SLICE_US, rate->newest);
+    double past = (double)(now_us % SLICE_US) / SLICE_US;
+    double ms = 0;
 
-    for (uint32_t i = 0; i < GW_SHORTAGE_LEVELS; i++) {
-        rate->ms_per_s[i] *= keep;
+    for (int64_t i = 0; i < MIN(SLICES, rate->newest + 1); i++) {
+        int64_t age = now_slice - rate->newest + i;
+        double part = age < SLICES - 1 ? 1 : age == SLICES - 1 ? 1 - past : 0;
+        ms += rate->ms[(rate->newest - i) % SLICES][level] * part;
     }
-    rate->at_us = MAX(rate->at_us, now_us);
-    rate->ms_per_s[MIN(level, GW_SHORTAGE_LEVELS - 1)] +=
-        slot_us / 1000.0 * 1e6 / RATE_TAU_US;
+    return ms * 1e6 / WINDOW_US;
 }
 
 void
@@ -80,12 +121,11 @@
 {
     for (guint i = 0; i < m->rates->len; i++) {
         const Rate *rate = &g_array_index(m->rates, Rate, i);
-        double keep = decay_since(rate, now_us);
         GwDemand demand = {.service = rate->service, .region = rate->region};
         uint32_t any = 0;
         for (uint32_t l = 0; l < GW_SHORTAGE_LEVELS; l++) {
-            demand.work_ms_per_s[l] =
-                (uint32_t)MIN(rate->ms_per_s[l] * keep + 0.5, UINT32_MAX);
+            double work = work_in_window(rate, now_us, l);
+            demand.work_ms_per_s[l] = (uint32_t)MIN(work + 0.5, UINT32_MAX);
             any |= demand.work_ms_per_s[l];
         }
         if (any != 0) {
--- a/lib/shortage/shortage.h
+++ b/lib/shortage/shortage.h
@@ -26,12 +26,12 @@
 } GwDemand;
 
 /* Returns the level of a request worth `value` that occupies a slot for
- * `slot_us`. */
+ * `slot_us`; the last one if either is no number. */
 uint32_t GwShortage_Level(double value, double slot_us);
 
 /* ---- Demand of one entry ------------------------------------------------- */
 
-/* Decaying rates by service, region and level. */
+/* Rates of the last 0.8 s by service, region and level. */
 typedef struct GwDemandMeter_s GwDemandMeter;
 
 GwDemandMeter *GwDemandMeter_Create(void);
@@ -49,19 +49,24 @@
 
 GwShortage *GwShortage_Create(void);
 void GwShortage_Free(GwShortage *s);
-/* Sets the demand of all entries together, as of `age_ms` ago. */
+/* Sets the demand of all entries together, as of `age_ms` ago. Ignored if what
+ * is known is newer. */
 void GwShortage_PutTotal(GwShortage *s, int64_t now_us, uint32_t age_ms,
                          const GwDemand *demand, uint32_t count);
-/* Sets the slots that accept requests and the number of them in use. */
+/* Sets the slots that accept requests and the number of them in use. Refuses
+ * nothing if one of them is negative or no finite number. */
 void GwShortage_PutCapacity(GwShortage *s, int64_t now_us, uint32_t service,
                             uint32_t region, double slots, double busy);
 /* Returns the share of the requests of this level that is to be admitted, 0 to
- * 1; 1 without a shortage, or if the total or the capacity is too old. */
+ * 1. 1 without a shortage, if the total or the capacity is too old, or beside
+ * idle servers: with fewer than 0.85 of the slots in use for half a second, or
+ * fewer than 0.6 at once. */
 double GwShortage_AdmitShare(const GwShortage *s, int64_t now_us,
                              uint32_t service, uint32_t region,
                              uint32_t level);
 /* Returns the first level that is not admitted in full, GW_SHORTAGE_LEVELS if
- * all are. */
+ * all are. In a lasting shortage it changes direction at most twice a
+ * second. */
 uint32_t GwShortage_Threshold(const GwShortage *s, int64_t now_us,
                               uint32_t service, uint32_t region);
 /* Returns the age of the total in ms; -1 if there is none. */
