--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -102,6 +102,9 @@
 118 unit.access - nothing runs before the quarantine is known
 119 unit.router_crashes - lost links to one service are no crashes of its servers
 120 unit.quarantine - a process crashes once
+130 unit.shortage - a total that is too old refuses nothing
+131 shortage GW_SIZE=12 nothing is refused after a burst, beside idle servers
+132 shortage GW_SIZE=12 a level that fits in part is admitted in part
 102 follow - an entry without a recent proof reads the store
 121 restored - versions of different eras of the store are not compared
 122 restored - what has an order of its own does not go back
