--- a/lib/edge/demand.c
+++ b/lib/edge/demand.c
@@ -265,6 +265,23 @@
     return now_us < peers->demand_from_us;
 }
 
+/* Uses peers->demand as the total. Reports arrive in order, so it is the newest
+ * one, although its work may be older on average than that of the last: it
+ * counts at least as long as that. */
+static void
+put_total(const GwPeers *peers, uint32_t age_ms, int64_t now_us)
+{
+    GwShortage *shortage = GwRouter_Shortage(peers->edge->router);
+    int64_t last_age_ms = GwShortage_AgeMs(shortage, now_us);
+
+    if (last_age_ms >= 0) {
+        age_ms = (uint32_t)MIN(age_ms, last_age_ms);
+    }
+    GwShortage_PutTotal(shortage, now_us, age_ms,
+                        (const GwDemand *)peers->demand->data,
+                        peers->demand->len);
+}
+
 void
 GwPeers_ApplyDemand(GwPeers *peers, GwPeerEntry *peer,
                     const Gw__Peer__Report *report)
@@ -295,9 +312,7 @@
     case GW_LOADS_ALL:
         if (accepts_total(peers, peer)) {
             read_demand(report, peers->demand);
-            GwShortage_PutTotal(shortage, now_us, age_ms,
-                                (const GwDemand *)peers->demand->data,
-                                peers->demand->len);
+            put_total(peers, age_ms, now_us);
         }
         break;
     default:
@@ -317,7 +332,5 @@
     }
     peers->demand_total_us = now_us;
     uint32_t age_ms = sum_demand(peers, GW_LOADS_ALL, now_us, peers->demand);
-    GwShortage_PutTotal(shortage, now_us, age_ms,
-                        (const GwDemand *)peers->demand->data,
-                        peers->demand->len);
+    put_total(peers, age_ms, now_us);
 }
--- a/lib/shortage/demand.c
+++ b/lib/shortage/demand.c
@@ -4,14 +4,9 @@
 #include <math.h>
 #include <string.h>
 
-/* Rates are those of the last 0.8 s: long enough for a stable rate at an entry
- * with ten requests per second, and short enough for the total to be without a
- * burst 2 s after its end; a total takes up to 1.5 s to reach all entries. A
- * rate that decays exponentially in a second still showed a shortage then. */
-#define WINDOW_US 800000
-#define SLICE_US  100000
+#define SLICE_US 100000
 /* The oldest slice counts with the part that is within the window. */
-#define SLICES (WINDOW_US / SLICE_US + 1)
+#define SLICES (GW_DEMAND_WINDOW_US / SLICE_US + 1)
 
 typedef struct {
     uint32_t service;
@@ -113,7 +108,7 @@
         double part = age < SLICES - 1 ? 1 : age == SLICES - 1 ? 1 - past : 0;
         ms += rate->ms[(rate->newest - i) % SLICES][level] * part;
     }
-    return ms * 1e6 / WINDOW_US;
+    return ms * 1e6 / GW_DEMAND_WINDOW_US;
 }
 
 void
--- a/lib/shortage/shortage.h
+++ b/lib/shortage/shortage.h
@@ -34,6 +34,12 @@
 /* Rates of the last 0.8 s by service, region and level. */
 typedef struct GwDemandMeter_s GwDemandMeter;
 
+/* Rates are those of the last 0.8 s: long enough for a stable rate at an entry
+ * with ten requests per second, and short enough for the total to be without a
+ * burst 2 s after its end; a total takes up to 1.5 s to reach all entries. A
+ * rate that decays exponentially in a second still showed a shortage then. */
+#define GW_DEMAND_WINDOW_US 800000
+
 GwDemandMeter *GwDemandMeter_Create(void);
 void GwDemandMeter_Free(GwDemandMeter *m);
 void GwDemandMeter_Add(GwDemandMeter *m, int64_t now_us, uint32_t service,
--- a/tests/unit/test_edge_demand.c
+++ b/tests/unit/test_edge_demand.c
@@ -79,7 +79,7 @@
     if (has_overload_control) {
         GwDemandMeter_Add(GwRouter_DemandMeter(e->edge.router),
                           GwEdge_Now() + LATER_US, SERVICE, REGION, LEVEL,
-                          OWN_MS * 1000.0);
+                          OWN_MS * GW_DEMAND_WINDOW_US / 1000.0);
     }
     return e;
 }
--- a/tests/unit/test_edge_demand_wire.c
+++ b/tests/unit/test_edge_demand_wire.c
@@ -54,7 +54,7 @@
         if (i != without) {
             GwDemandMeter_Add(GwRouter_DemandMeter(edge->router),
                               GwEdge_Now() + LATER_US, SERVICE, REGION, 5,
-                              OWN_MS * 1000.0);
+                              OWN_MS * GW_DEMAND_WINDOW_US / 1000.0);
         }
         g_free(more);
         g_free(seeds);
