--- a/review/5/readers.c
+++ b/review/5/readers.c
@@ -65,8 +65,10 @@
     "\"sticky_sessions\":false,\"home_regions\":[]}]}]}";
 
 static Upstream upstreams[] = {
-    {.id = "i-shelf-1", .slots = 6}, {.id = "i-shelf-2", .slots = 6},
-    {.id = "i-shelf-3", .slots = 6}, {.id = "i-shelf-4", .slots = 6},
+    {.id = "i-shelf-1", .slots = 6},
+    {.id = "i-shelf-2", .slots = 6},
+    {.id = "i-shelf-3", .slots = 6},
+    {.id = "i-shelf-4", .slots = 6},
 };
 
 static void
@@ -107,8 +109,8 @@
 {
     static gint pages;
     Asked *a = g_new0(Asked, 1);
-    char *target = g_strdup_printf("/bundle/%d",
-                                   g_atomic_int_add(&pages, 1) % 24);
+    char *target =
+        g_strdup_printf("/bundle/%d", g_atomic_int_add(&pages, 1) % 24);
 
     a->id = NewId();
     a->sent_ms = NowMs();
@@ -220,8 +222,7 @@
         if (c->r.fd <= 0) {
             connect_client(c);
         }
-        while (NowMs() < end_ms && c->asked.length < AHEAD &&
-               !c->is_refused) {
+        while (NowMs() < end_ms && c->asked.length < AHEAD && !c->is_refused) {
             ask(c);
         }
         if (c->asked.length == 0) {
--- a/review/standin/small.c
+++ b/review/standin/small.c
@@ -247,8 +247,7 @@
     int64_t until = NowMs() + timeout_ms;
 
     for (;;) {
-        char *end =
-            r->len > 0 ? memmem(r->bytes, r->len, "\n\r\n", 3) : NULL;
+        char *end = r->len > 0 ? memmem(r->bytes, r->len, "\n\r\n", 3) : NULL;
         if (end != NULL) {
             size_t len = (size_t)(end - r->bytes) + 3;
             char *head = g_strndup(r->bytes, len);
@@ -500,9 +499,9 @@
 
     for (guint i = 0; i < rows->len; i++) {
         Row *row = rows->pdata[i];
-        bool fits = after >= 0 ? row->ver > after
-                               : row->value != NULL &&
-                                     strcmp(row->key, from) >= 0;
+        bool fits = after >= 0
+                        ? row->ver > after
+                        : row->value != NULL && strcmp(row->key, from) >= 0;
         if (strcmp(row->table, table) == 0 && fits) {
             g_ptr_array_add(found, row);
         }
@@ -554,9 +553,9 @@
     }
     else if (g_str_has_prefix(target, "/godwitridge/rows-tx") &&
              write_rows(body)) {
-        out = g_strdup_printf("{\"ver\":%" PRId64 ",\"now\":\"%" PRId64
-                              "ms\"}",
-                              newest, NowMs());
+        out =
+            g_strdup_printf("{\"ver\":%" PRId64 ",\"now\":\"%" PRId64 "ms\"}",
+                            newest, NowMs());
     }
     pthread_mutex_unlock(&store_lock);
     g_free(table);
@@ -716,8 +715,8 @@
     note_run(id, RUN_BEGINS, body_bytes);
     if (work(fd, is_in_time ? ms : left_ms)) {
         sent = send_answer(fd, u, s, id,
-                           is_in_time ? "200 OK" : "504 Gateway Timeout",
-                           seal, is_in_time ? u->answer_bytes(target) : 0);
+                           is_in_time ? "200 OK" : "504 Gateway Timeout", seal,
+                           is_in_time ? u->answer_bytes(target) : 0);
     }
     if (is_in_time || !sent) {
         note_run(id, sent ? RUN_ANSWERED : RUN_BROKEN_OFF, body_bytes);
@@ -755,8 +754,7 @@
         s->waiting--;
         s->running++;
         pthread_mutex_unlock(&s->lock);
-        kept = run_request(fd, u, s, words[1], id, left_ms,
-                           BodyLength(head));
+        kept = run_request(fd, u, s, words[1], id, left_ms, BodyLength(head));
         pthread_mutex_lock(&s->lock);
         s->running--;
         pthread_cond_signal(&s->freed);
--- a/review/standin/small.h
+++ b/review/standin/small.h
@@ -91,8 +91,8 @@
 /* What is known of a request by its X-Attempt-Id. */
 typedef struct {
     int runs;
-    int answered; /* runs whose whole answer an upstream has sent */
-    int broken_off; /* runs whose connection was closed before that */
+    int answered;      /* runs whose whole answer an upstream has sent */
+    int broken_off;    /* runs whose connection was closed before that */
     size_t body_bytes; /* of the last run */
     int64_t run_at_ms;
     int64_t answered_at_ms;
