Log requests that are abandoned in transit

Requests were run in an evacuated failure domain 5.8 s after the evacuation was acknowledged, seconds after their callers had got a 504. The log could not tell why: a timed-out attempt that is cancelled leaves no line, and nothing said whether its bytes had reached the server.

ATTEMPT_UNDELIVERED (610) and gw_attempts_undelivered_total name a request whose connection is closed while the receiver, a server or another entry, has not acknowledged all of it.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -62,6 +62,7 @@
     X(PASS_ON_FAILED, 607, WARN, "another entry did not answer a request") \
     X(PASS_ON_DENIED, 608, WARN, "a request was not meant for this entry") \
     X(ANSWER_EXCESS, 609, WARN, "a server's answer exceeded its bounds") \
+    X(ATTEMPT_UNDELIVERED, 610, WARN, "a request was abandoned in transit") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table is unavailable") \
     X(STORE_BACK, 701, INFO, "the platform's table is available again") \
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -110,6 +110,7 @@
         uint64_t taken_over; /* requests passed on to this entry */
         uint64_t links_failed[GW_LINK_END_COUNT]; /* to servers */
         uint64_t reuses;
+        uint64_t undelivered; /* requests abandoned in transit */
         uint64_t store_calls;
         uint64_t reports;
         uint64_t row_bytes_out; /* rows sent to peers */
@@ -196,6 +197,13 @@
 bool GwAnswer_IsTo(const GwAdapter *names, const GwHttpMessage *msg,
                    const GwHttpMessage *request);
 
+/* undelivered.c */
+/* Called before a connection that carries the request is closed. Counts and
+ * logs a request that `receiver`, a server or an entry, has not acknowledged
+ * in full. */
+void GwExchange_NoteUndelivered(const GwExchange *x, const GwConn *conn,
+                                const char *receiver, int64_t sent_us);
+
 /* server_links.c, server_pools.c */
 const char *GwAttemptOutcome_Name(GwAttemptOutcome outcome);
 void GwServerLink_Send(GwExchange *x, const GwRouterAction *act);
--- a/lib/edge/relay_links.c
+++ b/lib/edge/relay_links.c
@@ -38,6 +38,11 @@
         link->exchange->relay = NULL;
     }
     if (link->conn != NULL) {
+        if (link->exchange != NULL) {
+            GwExchange_NoteUndelivered(link->exchange, link->conn,
+                                       link->target.address,
+                                       link->meter.sent_us);
+        }
         GwConn_Close(link->conn);
     }
     g_free(link);
--- a/lib/edge/server_pools.c
+++ b/lib/edge/server_pools.c
@@ -65,6 +65,10 @@
         link->exchange->link = NULL;
     }
     if (link->conn != NULL) {
+        if (link->exchange != NULL) {
+            GwExchange_NoteUndelivered(link->exchange, link->conn, pool->id,
+                                       link->meter.sent_us);
+        }
         GwConn_Close(link->conn);
     }
     pool->open--;
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -149,6 +149,8 @@
             GwLinkEnd_Name((GwLinkEnd)i), edge->counts.links_failed[i]);
     }
     write_counter(out, "gw_reuses_total", edge->counts.reuses);
+    write_counter(out, "gw_attempts_undelivered_total",
+                  edge->counts.undelivered);
     write_counter(out, "gw_store_calls_total", edge->counts.store_calls);
     write_counter(out, "gw_reports_total", edge->counts.reports);
     write_counter(out, "gw_row_bytes_out_total", edge->counts.row_bytes_out);
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -406,17 +406,23 @@
     GwConn_UpdateReading(c);
 }
 
-bool
-GwConn_IsAllAcked(const GwConn *c)
+size_t
+GwConn_UnackedBytes(const GwConn *c)
 {
     int unacked = 0;
     int fd;
 
-    if (c->writes > 0) {
-        return false;
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+        ioctl(fd, SIOCOUTQ, &unacked) != 0) {
+        unacked = 0;
     }
-    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-           ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0;
+    return GwConn_QueuedBytes(c) + (size_t)MAX(unacked, 0);
+}
+
+bool
+GwConn_IsAllAcked(const GwConn *c)
+{
+    return c->writes == 0 && GwConn_UnackedBytes(c) == 0;
 }
 
 bool
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -120,6 +120,9 @@
 /* Whether the peer's kernel has acknowledged all sent bytes. Makes one system
  * call. */
 bool GwConn_IsAllAcked(const GwConn *c);
+/* Bytes that were sent and are not acknowledged by the peer's kernel. Makes
+ * one system call. */
+size_t GwConn_UnackedBytes(const GwConn *c);
 /* Whether unread bytes or an end of the stream are waiting: a request sent now
  * would receive a stray response or a reset. Makes one system call. */
 bool GwConn_HasUnread(const GwConn *c);
