Discard what the peer has not acknowledged when a request is abandoned

Cause: a given-up attempt closed its connection with uv_close, an orderly close. From then on the kernel owns the bytes that are not acknowledged and delivers them once the peer is reachable, also after the process has ended.

Change: an outgoing connection of lib/http discards unacknowledged bytes when it is closed, and resets. SO_LINGER with zero time is set when the connection is made, so that it also acts when the process is killed or exits; a close with everything acknowledged (idle connections, a request that the server has) turns it off first and stays orderly, so that servers see the same end as before. Stated once, for all connections that carry requests of the entry: to servers, other entries and the store.

Weighed: uv_tcp_close_reset at each call site does nothing for a process that ends; a reset at every close also resets idle connections, and a server that works on a request would see a reset in place of an end of stream.

The packet filters of the site's proxy become a module that the fakes use too.

--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -318,6 +318,10 @@
         return NULL;
     }
     set_options(c);
+    c->is_outgoing = true;
+#if GW_MUTANT != 148 /* breaks: the kernel delivers an abandoned request */
+    GwConn_SetDiscard(c, true);
+#endif
     return c;
 }
 
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -70,7 +70,10 @@
 /* Accepts the next connection of a listener; NULL on failure. */
 GwConn *GwConn_Accept(const GwConnParams *params, uv_stream_t *listener);
 /* Starts connecting to ip:port. Returns NULL if the address is invalid or the
- * attempt fails at once. */
+ * attempt fails at once. When such a connection is closed, or the process
+ * ends, bytes that the peer has not acknowledged are discarded and the
+ * connection is reset: the kernel would deliver an abandoned request once the
+ * peer is reachable again. With all bytes acknowledged a close is orderly. */
 GwConn *GwConn_Connect(const GwConnParams *params, const char *address);
 /* Sends bytes. Bytes that the kernel does not take at once are copied and
  * queued. */
--- a/lib/http/conn_close.c
+++ b/lib/http/conn_close.c
@@ -2,6 +2,8 @@
  * reading further. */
 #include "http/conn_internal.h"
 
+#include <sys/socket.h>
+
 /* Time without received bytes after which a graceful close stops waiting for
  * the peer's close. */
 #define GW_LINGER_MS 400
@@ -69,6 +71,17 @@
     c->reports_dropped = false;
 }
 
+void
+GwConn_SetDiscard(const GwConn *c, bool discards)
+{
+    struct linger how = {.l_onoff = discards};
+    int fd;
+
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0) {
+        (void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof(how));
+    }
+}
+
 void
 GwConn_CloseHandle(GwConn *c)
 {
@@ -76,6 +89,11 @@
         return;
     }
     GwConn_StopReporting(c);
+#if GW_MUTANT != 149 /* breaks: idle connections are reset */
+    if (c->is_outgoing && GwConn_IsAllAcked(c)) {
+        GwConn_SetDiscard(c, false);
+    }
+#endif
     c->is_closing = true;
     if (c->has_linger) {
         uv_close((uv_handle_t *)&c->linger, on_timer_closed);
--- a/lib/http/conn_internal.h
+++ b/lib/http/conn_internal.h
@@ -19,6 +19,7 @@
     int64_t ack_deadline_us; /* end of the wait for acknowledgements */
     uint32_t writes;         /* pending write and shutdown requests */
     uint32_t user_timeout_ms;
+    bool is_outgoing; /* carries requests of this process */
     bool is_connecting;
     bool is_reading;
     bool is_paused;       /* by the owner */
@@ -44,6 +45,10 @@
 void GwConn_UpdateReading(GwConn *c);
 
 /* conn_close.c */
+/* Chooses what a close, or the end of the process, does with bytes that the
+ * peer has not acknowledged: discards them and resets the connection, or lets
+ * the kernel deliver them. */
+void GwConn_SetDiscard(const GwConn *c, bool discards);
 void GwConn_CloseHandle(GwConn *c);
 /* Frees the connection if no callback can refer to it any more. */
 void GwConn_FreeIfUnused(GwConn *c);
--- a/standins/site/proxy.c
+++ b/standins/site/proxy.c
@@ -1,9 +1,9 @@
 #include "standins/site/proxy.h"
 
 #include "http/conn.h"
+#include "standins/common/packet_filter.h"
 
 #include <arpa/inet.h>
-#include <linux/filter.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -85,33 +85,6 @@
     return fd;
 }
 
-static bool
-attach_filter(const uv_tcp_t *tcp, struct sock_filter *code, size_t len)
-{
-    struct sock_fprog program = {.len = (unsigned short)len, .filter = code};
-
-    return setsockopt(descriptor_of(tcp), SOL_SOCKET, SO_ATTACH_FILTER,
-                      &program, sizeof(program)) == 0;
-}
-
-/* Drops all packets that arrive at the socket: the other side sees neither an
- * acknowledgement nor a reset. */
-static bool
-drop_all(const uv_tcp_t *tcp)
-{
-    struct sock_filter code[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
-
-    return attach_filter(tcp, code, G_N_ELEMENTS(code));
-}
-
-static bool
-drop_nothing(const uv_tcp_t *tcp)
-{
-    struct sock_filter code[] = {BPF_STMT(BPF_RET | BPF_K, UINT32_MAX)};
-
-    return attach_filter(tcp, code, G_N_ELEMENTS(code));
-}
-
 /* Drops the connection requests of all sources whose links aren't up. */
 static bool
 filter_listener(const SiteProxy *p)
@@ -129,7 +102,7 @@
         }
     }
     code[len++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, UINT32_MAX);
-    return attach_filter(p->listener, code, len);
+    return PacketFilter_Attach(descriptor_of(p->listener), code, len);
 }
 
 /* ---- Forwarding ---------------------------------------------------------- */
@@ -278,7 +251,7 @@
 hold_link(Link *link)
 {
     link->is_held = true;
-    (void)drop_all(&link->entry);
+    (void)PacketFilter_Drop(descriptor_of(&link->entry), true);
     (void)uv_read_stop((uv_stream_t *)&link->entry);
     (void)uv_read_stop((uv_stream_t *)&link->server);
 }
@@ -288,7 +261,7 @@
 {
     if (link->is_held) {
         link->is_held = false;
-        (void)drop_nothing(&link->entry);
+        (void)PacketFilter_Drop(descriptor_of(&link->entry), false);
         if (link->is_connected) {
             read_both(link);
         }
--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -7,6 +7,7 @@
 #include "fakes/free_port.h"
 #include "fakes/steering.h"
 #include "platform/platform.h"
+#include "standins/common/packet_filter.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -264,6 +265,14 @@
     s->conn_count = 0;
 }
 
+void
+EdgeHost_SetCut(EdgeHostServer *s, bool is_cut)
+{
+    for (uint32_t k = 0; k < s->conn_count; k++) {
+        g_assert_true(PacketFilter_Drop(s->conns[k].fd, is_cut));
+    }
+}
+
 /* Whether the connection received the request with that id. */
 static bool
 has_request(const EdgeHostConn *conn, const char *id)
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -66,6 +66,9 @@
 const char *EdgeHost_Read(int fd);
 /* The server exits: connections are closed, new ones refused. */
 void EdgeHost_Crash(EdgeHostServer *s);
+/* Cuts or restores the open connections to the server. Their packets are
+ * dropped, so that the entry's kernel sends them again. */
+void EdgeHost_SetCut(EdgeHostServer *s, bool is_cut);
 /* How often the server received that request. */
 uint32_t EdgeHost_CountRequests(EdgeHostServer *s, const char *id);
 /* Answers that request. */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -120,6 +120,8 @@
 145 unit.edge_bounds - an answer that trickles is aborted
 146 unit.edge_bounds - a caller that reads nothing does not keep the memory
 147 unit.http_budget - a complete response is never aborted
+148 unit.http_conn_close - the kernel delivers no abandoned request
+149 unit.http_conn_close - an idle connection is closed in order
 133 unit.router_shed - a route of low value gets its part of the slots
 134 unit.router_shed - no less urgent kind is admitted more often
 135 unit.router_shed - a refused caller is counted once in the demand
--- a/tests/unit/test_edge_links.c
+++ b/tests/unit/test_edge_links.c
@@ -1,4 +1,5 @@
 /* Reuse of connections to backend servers. */
+#include "edge/server_links_internal.h"
 #include "fakes/edge_host.h"
 #include "router/router_internal.h"
 
@@ -77,3 +78,79 @@
     cr_expect_eq(g_queue_get_length(&edge->pools), 0);
     EdgeHost_Free(h);
 }
+
+/* Longer than the entry's TCP_USER_TIMEOUT, after which its kernel sends
+ * nothing again. */
+#define AFTER_CUT_MS 1500
+
+static bool
+has_idle_connection(void *ctx)
+{
+    Ctx *c = ctx;
+    GwServerPool *pool = g_queue_peek_head(&c->h->edge->pools);
+
+    return pool != NULL && !g_queue_is_empty(&pool->idle);
+}
+
+static bool
+is_written(void *ctx)
+{
+    Ctx *c = ctx;
+
+    return c->h->edge->counts.reuses > 0;
+}
+
+static bool
+is_given_up(void *ctx)
+{
+    Ctx *c = ctx;
+
+    return c->h->edge->counts.undelivered > 0;
+}
+
+/* Guards against: the kernel delivers a request after a cut that its caller
+ * gave up, or got a 504 for. */
+Test(edge_links, an_abandoned_request_is_not_delivered_after_a_cut)
+{
+    static const struct {
+        const char *name;
+        const char *path;
+        uint32_t left_ms;
+        bool leaves; /* the caller */
+    } cases[] = {
+        {"the caller leaves", "/again/", 10000, true},
+        {"the caller of a non-idempotent request leaves", "/once/", 10000,
+         true},
+        {"the time is over", "/again/", 100, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EdgeHost *h = EdgeHost_Create();
+        EdgeHostServer *s = &h->servers[0];
+        Ctx ctx = {.h = h, .awaited = "first"};
+        int caller = EdgeHost_Connect(h);
+
+        EdgeHost_AddServer(h, "a", 1);
+        EdgeHost_SendRequest(caller, "/again/", "first");
+        cr_assert(EdgeHost_RunUntil(h, was_received, &ctx));
+        EdgeHost_Answer(s, "first");
+        cr_assert(EdgeHost_RunUntil(h, has_idle_connection, &ctx));
+        EdgeHost_SetCut(s, true);
+        EdgeHost_SendRequestFor(caller, cases[i].path, "late",
+                                cases[i].left_ms);
+        cr_assert(EdgeHost_RunUntil(h, is_written, &ctx), "%s", cases[i].name);
+        if (cases[i].leaves) {
+            close(caller);
+        }
+        cr_assert(EdgeHost_RunUntil(h, is_given_up, &ctx), "%s",
+                  cases[i].name);
+        EdgeHost_SetCut(s, false);
+        g_usleep(AFTER_CUT_MS * 1000);
+        cr_expect_eq(EdgeHost_CountRequests(s, "late"), 0, "%s",
+                     cases[i].name);
+        if (!cases[i].leaves) {
+            close(caller);
+        }
+        EdgeHost_Free(h);
+    }
+}
--- a/tests/unit/test_edge_relay.c
+++ b/tests/unit/test_edge_relay.c
@@ -11,6 +11,9 @@
 #include <unistd.h>
 
 #define PEER_PROCESS 0x1234567890abcdefULL
+/* Longer than the entry's TCP_USER_TIMEOUT, after which its kernel sends
+ * nothing again. */
+#define AFTER_CUT_MS 1500
 
 typedef struct {
     EdgeHost *h;
@@ -304,6 +307,37 @@
     EdgeHost_Free(h);
 }
 
+static bool
+is_given_up(void *ctx)
+{
+    Ctx *c = ctx;
+
+    return c->h->edge->counts.undelivered > 0;
+}
+
+/* Guards against: the kernel delivers a request to another entry after a cut,
+ * though its caller has left. */
+Test(edge_relay, an_abandoned_request_is_not_delivered_after_a_cut)
+{
+    EdgeHostServer *peer;
+    EdgeHost *h = start_cut(&peer);
+    Ctx ctx = {.h = h, .fd = EdgeHost_Connect(h), .server = peer, .id = "r1"};
+
+    EdgeHost_SendRequestFor(ctx.fd, "/once/", "r1", 5000);
+    cr_assert(EdgeHost_RunUntil(h, has_arrived, &ctx));
+    EdgeHost_AnswerWith(peer, "r1",
+                        GW_RELAY_OUTCOME ": answered; reached\r\n");
+    cr_assert(EdgeHost_RunUntil(h, is_answered, &ctx));
+    EdgeHost_SetCut(peer, true);
+    EdgeHost_SendRequestFor(ctx.fd, "/once/", "r2", 200);
+    cr_assert(EdgeHost_RunUntil(h, is_given_up, &ctx));
+    EdgeHost_SetCut(peer, false);
+    g_usleep(AFTER_CUT_MS * 1000);
+    cr_expect_eq(EdgeHost_CountRequests(peer, "r2"), 0);
+    close(ctx.fd);
+    EdgeHost_Free(h);
+}
+
 /* Guards against: a request that was sent to an entry which then dies is sent
  * again, though it may have run. */
 Test(edge_relay, a_lost_entry_leaves_the_outcome_open)
