godwitd: the kernel delivers no abandoned attempt or call

An attempt at a server that ended with an unknown outcome, and a call to another process that was reported as lost, stayed in the kernel's send queue when their connection was closed, and ran after the cut.

The curl connections discard unacknowledged bytes from the moment their socket is opened, so that a kill discards them too, and close in order when everything is acknowledged. A link discards them when it is closed with calls open; replies are still delivered. The two socket options move from lib/http to lib/common/socket.h, used by all three.

dispatch: an_abandoned_attempt_is_not_delivered_after_a_cut and net: call_of_a_closed_link_is_not_delivered failed without the change (mutants 150 and 151) and pass with it. Left: calls in the queue of a process that is killed, for up to its TCP_USER_TIMEOUT of 3 s; their outcome is unknown to the caller.

--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -1,11 +1,10 @@
+#include "common/socket.h"
 #include "http/conn_internal.h"
 
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define GW_CONN_BACKLOG   511
@@ -413,14 +412,12 @@
 size_t
 GwConn_UnackedBytes(const GwConn *c)
 {
-    int unacked = 0;
+    size_t queued = GwConn_QueuedBytes(c);
     int fd;
 
-    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-        ioctl(fd, SIOCOUTQ, &unacked) != 0) {
-        unacked = 0;
-    }
-    return GwConn_QueuedBytes(c) + (size_t)MAX(unacked, 0);
+    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0
+               ? queued + GwSocket_UnackedBytes(fd)
+               : queued;
 }
 
 bool
--- a/lib/http/conn_close.c
+++ b/lib/http/conn_close.c
@@ -1,9 +1,8 @@
 /* Closing of connections: at once, gracefully after a last message, or without
  * reading further. */
+#include "common/socket.h"
 #include "http/conn_internal.h"
 
-#include <sys/socket.h>
-
 /* Time without received bytes after which a graceful close stops waiting for
  * the peer's close. */
 #define GW_LINGER_MS 400
@@ -74,11 +73,10 @@
 void
 GwConn_SetDiscard(const GwConn *c, bool discards)
 {
-    struct linger how = {.l_onoff = discards};
     int fd;
 
     if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0) {
-        (void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof(how));
+        GwSocket_SetDiscard(fd, discards);
     }
 }
 
--- a/lib/http/conn_internal.h
+++ b/lib/http/conn_internal.h
@@ -45,9 +45,7 @@
 void GwConn_UpdateReading(GwConn *c);
 
 /* conn_close.c */
-/* Chooses what a close, or the end of the process, does with bytes that the
- * peer has not acknowledged: discards them and resets the connection, or lets
- * the kernel deliver them. */
+/* See GwSocket_SetDiscard. */
 void GwConn_SetDiscard(const GwConn *c, bool discards);
 void GwConn_CloseHandle(GwConn *c);
 /* Frees the connection if no callback can refer to it any more. */
--- a/lib/runtime/link.c
+++ b/lib/runtime/link.c
@@ -1,5 +1,6 @@
 /* One peer connection: socket, handshake, reading, writing. Runs on the
  * network thread only. */
+#include "common/socket.h"
 #include "runtime/net_internal.h"
 
 #include <errno.h>
@@ -49,12 +50,27 @@
     }
 }
 
+/* The kernel must not deliver calls that are reported as lost, which may be
+ * resolved by then. Replies are delivered. */
+static void
+close_socket(Link *link)
+{
+    if (link->fd < 0) {
+        return;
+    }
+#if GW_MUTANT != 151 /* breaks: the kernel delivers calls that were lost */
+    if (g_hash_table_size(link->calls) > 0) {
+        GwSocket_SetDiscard(link->fd, true);
+    }
+#endif
+    close(link->fd);
+    link->fd = -1;
+}
+
 void
 Link_Free(Link *link)
 {
-    if (link->fd >= 0) {
-        close(link->fd);
-    }
+    close_socket(link);
     drop_frames(&link->queue);
     drop_frames(&link->urgent);
     Frame_Free(link->writing);
@@ -94,10 +110,7 @@
     GQueue unsent = G_QUEUE_INIT;
     Frame *frame;
 
-    if (link->fd >= 0) {
-        close(link->fd);
-        link->fd = -1;
-    }
+    close_socket(link);
     pthread_mutex_lock(&net->peer_lock);
     while ((frame = g_queue_pop_head(&link->queue)) != NULL) {
         g_queue_push_tail(&unsent, frame);
--- a/lib/runtime/pool.c
+++ b/lib/runtime/pool.c
@@ -1,4 +1,5 @@
 /* Pool of connections to backend servers. */
+#include "common/socket.h"
 #include "runtime/dispatch_internal.h"
 #include "runtime/net_internal.h"
 
@@ -81,10 +82,15 @@
         return CURL_SOCKET_BAD;
     }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+#if GW_MUTANT != 150 /* breaks: the kernel delivers an abandoned attempt */
+    GwSocket_SetDiscard(fd, true);
+#endif
     connection->fd = fd;
     return fd;
 }
 
+/* The kernel must not deliver an attempt that was abandoned; a connection with
+ * everything acknowledged is closed in order. */
 static int
 close_socket(void *arg, curl_socket_t fd)
 {
@@ -92,6 +98,9 @@
     if (connection->fd == fd) {
         connection->fd = -1;
     }
+    if (GwSocket_UnackedBytes(fd) == 0) {
+        GwSocket_SetDiscard(fd, false);
+    }
     return close(fd);
 }
 
--- a/tests/fakes/raw_server.c
+++ b/tests/fakes/raw_server.c
@@ -1,5 +1,7 @@
 #include "fakes/raw_server.h"
 
+#include "standins/common/packet_filter.h"
+
 #include <arpa/inet.h>
 #include <glib.h>
 #include <pthread.h>
@@ -157,6 +159,14 @@
     return atomic_load(&server->connected);
 }
 
+void
+RawServer_SetCut(RawServer *server, bool is_cut)
+{
+    for (uint32_t i = 0; i < atomic_load(&server->connected); i++) {
+        (void)PacketFilter_Drop(server->connections[i].fd, is_cut);
+    }
+}
+
 void
 RawServer_Stop(RawServer *server)
 {
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -4,6 +4,7 @@
 #define GW_TESTS_FAKES_RAW_SERVER_H
 
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef enum {
@@ -30,6 +31,9 @@
 const char *RawServer_Address(const RawServer *server);
 uint32_t RawServer_Requests(RawServer *server);
 uint32_t RawServer_Connections(RawServer *server);
+/* Cuts or restores the open connections: their packets are dropped, and the
+ * client's kernel sends them again. */
+void RawServer_SetCut(RawServer *server, bool is_cut);
 void RawServer_Stop(RawServer *server);
 
 #endif
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -122,6 +122,8 @@
 147 unit.http_budget - a complete response is never aborted
 148 unit.http_conn_close - the kernel delivers no abandoned request
 149 unit.http_conn_close - an idle connection is closed in order
+150 unit.dispatch - the kernel delivers no abandoned attempt
+151 unit.net - the kernel delivers no call that was lost
 133 unit.router_shed - a route of low value gets its part of the slots
 134 unit.router_shed - no less urgent kind is admitted more often
 135 unit.router_shed - a refused caller is counted once in the demand
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -285,6 +285,53 @@
 /* An attempt is aborted while it waits for an answer, as when the deadline of
  * its call passes. The server has the request, so the outcome is
  * "unknown". */
+/* Longer than some retransmissions of the kernel. */
+#define AFTER_CUT_US 1500000
+
+static GwDispatchResult
+run_for(GwDispatcher *d, const char *address, uint32_t time_us)
+{
+    GwAbort *abort = GwAbort_Create();
+    GwDispatchResult result;
+    GwDispatchRequest request = {
+        .address = address,
+        .method = "GET",
+        .target = "/x",
+        .request_id = "1-1-1-1",
+        .idempotent = true,
+        .deadline_us = GwNet_NowUs() + time_us,
+        .give_up_us = GwNet_NowUs() + time_us,
+    };
+
+    GwDispatch_Run(d, &request, abort, &result);
+    GwAbort_Unref(abort);
+    return result;
+}
+
+/* Guards against: the kernel delivers an attempt after a cut that has ended
+ * with an unknown outcome. */
+Test(dispatch, an_abandoned_attempt_is_not_delivered_after_a_cut)
+{
+    RawStep plan[RAW_CONNECTIONS_MAX][RAW_STEPS_MAX] = {
+        {{RAW_ANSWER, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+         {RAW_STALL, NULL}}};
+    RawServer *server = RawServer_Start(plan);
+    GwDispatcher *d = GwDispatcher_Create();
+    const char *address = RawServer_Address(server);
+
+    GwDispatchResult result = run_for(d, address, 10000000);
+    cr_expect_eq(result.outcome, GW_OUTCOME_ANSWERED);
+    GwAnswer_Unref(result.answer);
+    RawServer_SetCut(server, true);
+    result = run_for(d, address, 100000);
+    cr_expect_eq(result.outcome, GW_OUTCOME_UNKNOWN);
+    RawServer_SetCut(server, false);
+    g_usleep(AFTER_CUT_US);
+    cr_expect_eq(RawServer_Requests(server), 1);
+    GwDispatcher_Free(d);
+    RawServer_Stop(server);
+}
+
 Test(dispatch, abort_while_waiting_is_unknown)
 {
     RawStep plan[RAW_CONNECTIONS_MAX][RAW_STEPS_MAX] = {{{RAW_STALL, NULL}}};
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -2,6 +2,7 @@
  * events, not for fixed times. */
 #include "fakes/free_port.h"
 #include "runtime/net.h"
+#include "standins/common/packet_filter.h"
 #include "wire/frame.h"
 
 #include <arpa/inet.h>
@@ -381,6 +382,18 @@
     pthread_mutex_unlock(&m->mutex);
 }
 
+/* Drops the packets of the open connections to the middlebox, or lets them
+ * through again. */
+static void
+set_cut(Middlebox *m, bool is_cut)
+{
+    pthread_mutex_lock(&m->mutex);
+    for (uint32_t i = 0; i < m->count; i += 2) {
+        cr_assert(PacketFilter_Drop(m->fds[i].fd, is_cut));
+    }
+    pthread_mutex_unlock(&m->mutex);
+}
+
 static void
 stop_middlebox(Middlebox *m)
 {
@@ -451,3 +464,34 @@
     stop_node(b);
     stop_middlebox(m);
 }
+
+/* Longer than some retransmissions of the kernel. */
+#define AFTER_CUT_US 1500000
+
+/* Guards against: the kernel delivers a call after a cut, though its process
+ * has closed the connection and ended. */
+Test(net, call_of_a_closed_link_is_not_delivered, .timeout = 30)
+{
+    TestNode *a = start_node(1, KEY, 0);
+    TestNode *b = start_node(2, KEY, 0);
+    Middlebox *m = start_middlebox(b);
+    TestNode seen = reached_through(b, m);
+    GwNetStats before;
+    GwNetStats stats;
+
+    send_call(a, &seen, b->id, 77);
+    wait_for(b, &b->calls, 1);
+    set_cut(m, true);
+    GwNet_Stats(a->net, &before);
+    send_call(a, &seen, b->id, 78);
+    do { /* until it is written */
+        g_usleep(1000);
+        GwNet_Stats(a->net, &stats);
+    } while (stats.frames_out == before.frames_out);
+    stop_node(a);
+    set_cut(m, false);
+    g_usleep(AFTER_CUT_US);
+    cr_expect_eq(b->calls, 1);
+    stop_node(b);
+    stop_middlebox(m);
+}
