--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -48,7 +48,8 @@
     int64_t ended_us;
     SiteResult end;
     uint32_t runs;
-    int64_t ran_us; /* start of the first run */
+    int64_t ran_us;        /* start of the first run */
+    bool is_not_cancelled; /* reached a server SITE_CANCEL_US after its end */
     LinksAtSending links;
     SiteJournal *journal;
     bool is_disturbed; /* by a fault between sending and end */
@@ -275,6 +276,17 @@
     j->strays++;
 }
 
+void
+SiteJournal_Reached(SiteJournal *j, const char *id)
+{
+    SiteRequest *req = g_hash_table_lookup(j->requests, id);
+
+    if (req != NULL && req->end.outcome != SITE_REQUEST_OPEN &&
+        j->now_us() - req->ended_us > SITE_CANCEL_US) {
+        req->is_not_cancelled = true;
+    }
+}
+
 void
 SiteJournal_Ran(SiteJournal *j, const char *id)
 {
@@ -459,6 +471,10 @@
         v->wrong++;
         log_request(evaluation, req, "WRONG answer");
     }
+    if (req->is_not_cancelled) {
+        v->not_cancelled++;
+        log_request(evaluation, req, "NOT CANCELLED");
+    }
     if (req->once && req->runs > 1) {
         v->doubled++;
         log_request(evaluation, req, "DOUBLED");
--- a/standins/site/proxy.c
+++ b/standins/site/proxy.c
@@ -247,11 +247,31 @@
     }
 }
 
+/* Forwards what the kernel has acknowledged already: it was delivered before
+ * the cut. */
+static void
+forward_received(Link *link, uv_tcp_t *from)
+{
+    char bytes[READ_BYTES];
+    uv_buf_t buf = uv_buf_init(bytes, sizeof(bytes));
+    ssize_t len;
+
+    do {
+        len = recv(descriptor_of(from), bytes, sizeof(bytes), MSG_DONTWAIT);
+        if (len >= 0) {
+            on_read((uv_stream_t *)from, len > 0 ? len : UV_EOF, &buf);
+        }
+    } while (len > 0 && !link->is_closing);
+}
+
 static void
 hold_link(Link *link)
 {
     link->is_held = true;
     (void)PacketFilter_Drop(descriptor_of(&link->entry), true);
+    if (link->is_connected) {
+        forward_received(link, &link->entry);
+    }
     (void)uv_read_stop((uv_stream_t *)&link->entry);
     (void)uv_read_stop((uv_stream_t *)&link->server);
 }
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -385,6 +385,9 @@
     }
     count_arrival(s, now_us);
     conn->msg = msg;
+    if (s->params.journal != NULL) {
+        SiteJournal_Reached(s->params.journal, id_of(conn));
+    }
     conn->received_us = now_us;
     conn->left_ms = left != NULL ? strtoll(left, NULL, 10) : -1;
     if (s->drained_us != 0 && now_us > s->drained_us + DRAIN_US) {
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -33,6 +33,10 @@
 #define SITE_CUT_SHARE 0.95
 #define SITE_CUT_SLACK 2
 
+/* A request must not reach a server later than this after its caller had its
+ * outcome. */
+#define SITE_CANCEL_US 250000
+
 typedef int64_t (*SiteClock)(void);
 
 /* The monotonic clock, in us. */
@@ -104,6 +108,8 @@
     uint64_t recovery_sent; /* since then */
     uint64_t recovery_answered;
     uint64_t late; /* requests that reached a server after its drain */
+    /* Requests that reached a server SITE_CANCEL_US after their outcome. */
+    uint64_t not_cancelled;
     /* The most that any one request reached servers after it had crashed
      * SITE_CRASHES_MAX of them and SITE_EXCHANGE_US had passed. */
     uint64_t crash_sends;
@@ -141,6 +147,8 @@
 /* Counts data that a caller received without a pending request, or that is
  * not a valid answer. */
 void SiteJournal_Stray(SiteJournal *j);
+/* Records that a request reached a server, and that it runs. */
+void SiteJournal_Reached(SiteJournal *j, const char *id);
 void SiteJournal_Ran(SiteJournal *j, const char *id);
 /* Returns true when requests for the target crash the servers that run
  * them. */
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -48,6 +48,7 @@
         {"true-refusals", v->false_refusals, false},
         {"own-answers", v->wrong, false},
         {"drains", v->late, false},
+        {"cancels", v->not_cancelled, false},
         {"server-limits", v->above_limit, false},
         {"crash-budget",
          v->crash_sends > SITE_CRASH_SENDS_MAX ? v->crash_sends : 0, false},
--- a/tests/soak/one.sh
+++ b/tests/soak/one.sh
@@ -175,6 +175,26 @@
     fi
 }
 
+# Cuts the links of an entry for less time than its kernel goes on sending, and
+# kills the entry meanwhile in most of the cuts. Drawn last, as the links.
+schedule_short_cuts() {
+    local left at entry
+    random_below 5
+    for ((left = 1 + drawn; left > 0; left--)); do
+        random_below $((last_fault_ms - first_fault_ms))
+        at=$((first_fault_ms + drawn))
+        random_below 4 && entry=e$((1 + drawn))
+        echo "$at links $entry silent"
+        random_below 4
+        if [ "$drawn" -gt 0 ]; then
+            random_below 1500
+            echo "$((at + 150)) kill $entry $drawn"
+        fi
+        random_below 350
+        echo "$((at + 400 + drawn)) links $entry up"
+    done
+}
+
 # ---- Actions ----------------------------------------------------------------
 
 # Succeeds when the process has installed its handlers of SIGHUP and SIGTERM;
@@ -389,6 +409,7 @@
 schedule_links >>"$gw_dir/schedule"
 schedule_restores >>"$gw_dir/schedule"
 schedule_endless >>"$gw_dir/schedule"
+schedule_short_cuts >>"$gw_dir/schedule"
 sort -n -o "$gw_dir/schedule" "$gw_dir/schedule"
 play_schedule
 end_faults
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -22,8 +22,8 @@
 seq "$first" $((first + count - 1)) |
     xargs -P "${SOAK_JOBS:-4}" -I{} bash -c 'one {}' |
     tee "$out/soak-seeds.log"
-guarantees=(at-most-once true-refusals own-answers drains service events links stops
-    no-cuts pipelines refusals-in-stops outcomes recovery versions ends)
+guarantees=(at-most-once true-refusals own-answers drains cancels service events links
+    stops no-cuts pipelines refusals-in-stops outcomes recovery versions ends)
 for guarantee in "${guarantees[@]}"; do
     seeds=
     for ((seed = first; seed < first + count; seed++)); do
--- a/tests/unit/test_site_journal.c
+++ b/tests/unit/test_site_journal.c
@@ -109,6 +109,44 @@
     }
 }
 
+/* Guards against: a request that reaches a server long after its outcome goes
+ * unnoticed. */
+Test(site_journal, requests_must_not_reach_servers_after_their_outcome)
+{
+    static const struct {
+        const char *name;
+        SiteOutcome outcome; /* SITE_REQUEST_OPEN: none yet */
+        int64_t later_us;
+        uint64_t not_cancelled;
+    } cases[] = {
+        {"in progress", SITE_REQUEST_OPEN, 10 * SITE_CANCEL_US, 0},
+        {"crossed its outcome", SITE_REQUEST_UNKNOWN, SITE_CANCEL_US, 0},
+        {"after a failure", SITE_REQUEST_UNKNOWN, SITE_CANCEL_US + 1, 1},
+        {"after a close", SITE_REQUEST_CLOSED, SITE_CANCEL_US + 1, 1},
+        {"after its answer", SITE_REQUEST_ANSWERED, SITE_CANCEL_US + 1, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        clock_us = 1;
+        SiteJournal *j = SiteJournal_Create(now_us);
+        SiteRequestInfo sending = {.id = "r1", .entry = "e1"};
+        SiteResult end = {.outcome = cases[i].outcome};
+
+        SiteJournal_Started(j, "e1");
+        SiteRequest *req = SiteJournal_Sent(j, &sending);
+        if (end.outcome != SITE_REQUEST_OPEN) {
+            SiteJournal_Ended(req, &end);
+        }
+        clock_us += cases[i].later_us;
+        SiteJournal_Reached(j, "r1");
+        SiteVerdict verdict = SiteJournal_Conclude(j, 1000, stdout);
+        cr_expect_eq(verdict.not_cancelled, cases[i].not_cancelled, "%s",
+                     cases[i].name);
+        g_array_free(verdict.latencies_us, TRUE);
+        SiteJournal_Free(j);
+    }
+}
+
 /* Guards against: a request that got bytes without end instead of its answer
  * counts as one that the fault must not harm, or one behind whose answer they
  * came does not. */
