Rows of another program name no server

Beside two incomplete rows of another program, bookings ran without their body and were answered with success (UNASKED): 132 to 136 of 600. Such a row alone made entries take a cold server for a warm one.

What is wrong is logged once for each key and reason (BACKEND_INVALID, 518), and counted (gw_server_rows_invalid). Control characters in log lines become `?`.

--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -18,7 +18,7 @@
 # target does not use, so that the daemon's dependencies are not needed.
 mapfile -t sources < <(ls lib/common/*.c lib/wire/*.c lib/platform/*.c \
     lib/config/*.c lib/blocks/*.c lib/entry/tickets.c \
-    lib/http/budget.c lib/http/message.c lib/http/parser.c lib/route/*.c lib/store/*.c \
+    lib/http/address.c lib/http/budget.c lib/http/message.c lib/http/parser.c lib/route/*.c lib/store/*.c \
     lib/admin/explain*.c \
     platform/*.c 2>/dev/null)
 
--- a/lib/common/log.c
+++ b/lib/common/log.c
@@ -170,6 +170,18 @@
     return true;
 }
 
+/* Values come from callers, servers and the store; one with a line break would
+ * look like a line of its own. */
+static void
+replace_control_bytes(char *line)
+{
+    for (char *at = line; *at != '\0'; at++) {
+        if (g_ascii_iscntrl(*at)) {
+            *at = '?';
+        }
+    }
+}
+
 /* Does nothing before GwLog_Start, so that tests and tools log nothing.
  * Returns before formatting when the event's level is disabled. */
 void
@@ -187,6 +199,7 @@
     va_start(args, format);
     g_vsnprintf(line + len, sizeof(line) - (gulong)len, format, args);
     va_end(args);
+    replace_control_bytes(line);
     pthread_mutex_lock(&line_mutex);
     if (is_within_rate(event)) {
         log4c_category_log(category, priority_of_event(event), "%s", line);
--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -51,6 +51,7 @@
     X(SERVICE_REACHED, 515, INFO, "connections to a service are set up again") \
     X(SHORTAGE_BEGINS, 516, WARN, "a service's slots are short in a region") \
     X(SHORTAGE_ENDS, 517, INFO, "a service's slots are enough again") \
+    X(BACKEND_INVALID, 518, WARN, "a row names no backend server") \
     /* 600: calls */ \
     X(CALL_UNKNOWN, 600, WARN, "a call ended with an unknown outcome") \
     X(REQUEST_REPLIED, 601, INFO, "the entry itself answered a request") \
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -456,6 +456,8 @@
     edge->meters = GwMeters_Create();
     edge->shortage_log = GwShortageLog_Create();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwRouterAction));
+    edge->invalid_servers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
     edge->quarantine_rows = GwQuarantineRows_Create(edge);
     GwQuarantine_SetCallback(GwRouter_Quarantine(edge->router), on_suspect,
@@ -539,6 +541,7 @@
     GwPeers_Free(edge->peers);
     GwQuarantineRows_Free(edge->quarantine_rows);
     GwRouter_Free(edge->router);
+    g_hash_table_destroy(edge->invalid_servers);
     g_array_free(edge->actions, TRUE);
     g_ptr_array_free(edge->controls, TRUE);
     GwMeters_Free(edge->meters);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -75,6 +75,7 @@
     GwAnswerExcess excess;
     GQueue receiving; /* GwServerLink whose answer has begun to arrive */
     GwRouter *router;
+    GHashTable *invalid_servers; /* key of the row -> what is wrong with it */
     GArray *actions; /* GwRouterAction; pending actions of the router */
     bool is_running_actions; /* GwEdge_RunActions is running */
     GQueue callers;          /* GwCaller, longest idle first */
--- a/lib/edge/router_rows.c
+++ b/lib/edge/router_rows.c
@@ -124,6 +124,41 @@
                                   : order_numbers(a.heartbeat, b.heartbeat);
 }
 
+/* A row may be written again and again: logs each reason once. */
+static void
+note_invalid(GwEdge *edge, const GwStoreRow *row, const char *why)
+{
+    const char *noted = g_hash_table_lookup(edge->invalid_servers, row->key);
+
+    if (noted == NULL || strcmp(noted, why) != 0) {
+        g_hash_table_insert(edge->invalid_servers, g_strdup(row->key),
+                            g_strdup(why));
+        GwLog_Event(GW_LOG_BACKEND_INVALID, "server=%s why=\"%s\"", row->key,
+                    why);
+    }
+}
+
+/* Returns the region of the server that a row names, or NULL. */
+static const char *
+read_server(GwEdge *edge, const GwStoreRow *row, GwServerRegistration *server)
+{
+    GError *error = NULL;
+    const char *region = NULL;
+
+    if (!edge->adapter->read_server(row->key, row->value, server, &error)) {
+        note_invalid(edge, row, error->message);
+        g_error_free(error);
+        return NULL;
+    }
+    region = GwEdge_RegionOf(edge, server->domain);
+    if (region == NULL) {
+        note_invalid(edge, row, "unknown failure domain");
+        return NULL;
+    }
+    (void)g_hash_table_remove(edge->invalid_servers, row->key);
+    return region;
+}
+
 void
 GwRouterRows_OnServerRow(void *ctx, const GwStoreRow *row)
 {
@@ -132,15 +167,15 @@
     const char *region = NULL;
     int64_t now_us = GwEdge_Now();
 
-    if (!row->removed &&
-        edge->adapter->read_server(row->key, row->value, &server, NULL)) {
-        region = GwEdge_RegionOf(edge, server.domain);
+    if (row->removed) {
+        (void)g_hash_table_remove(edge->invalid_servers, row->key);
+        GwLog_Event(GW_LOG_BACKEND_GONE, "server=%s removed=1", row->key);
+    }
+    else {
+        region = read_server(edge, row, &server);
     }
     if (region == NULL) {
-        /* Removed, or a row that describes no usable server. */
         GwRouter_DropServer(edge->router, now_us, row->key, edge->actions);
-        GwLog_Event(GW_LOG_BACKEND_GONE, "server=%s removed=%d", row->key,
-                    row->removed);
         return;
     }
     GwServerInfo info = {
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -175,6 +175,8 @@
     write_gauge(out, "gw_answer_bytes_limit",
                 (double)edge->bodies.responses_max);
     write_counter(out, "gw_answers_over_bound_total", edge->excess.count);
+    write_gauge(out, "gw_server_rows_invalid",
+                g_hash_table_size(edge->invalid_servers));
     write_gauge(out, "gw_peers_live", peers.live);
     write_gauge(out, "gw_peer_loads_age_ms", (double)peers.loads_age_ms);
     write_suspect_counts(edge, out);
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -3,7 +3,6 @@
 
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -272,23 +271,6 @@
     c->params.ops->connected(c->params.owner);
 }
 
-bool
-GwConn_ParseAddress(const char *text, struct sockaddr_in *out)
-{
-    const char *colon = strrchr(text, ':');
-    char host[INET_ADDRSTRLEN];
-
-    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
-        return false;
-    }
-    memcpy(host, text, (size_t)(colon - text));
-    host[colon - text] = '\0';
-    char *rest;
-    long port = strtol(colon + 1, &rest, 10);
-    return rest != colon + 1 && *rest == '\0' && port > 0 && port <= 65535 &&
-           uv_ip4_addr(host, (int)port, out) == 0;
-}
-
 static bool
 bind_source(GwConn *c)
 {
--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -284,6 +284,12 @@
     SiteJournal_FaultsEnded(site->journal);
 }
 
+static void
+run_foreign(Site *site, char **words)
+{
+    Site_PutForeignRows(site, strcmp(words[1], "rows") == 0);
+}
+
 static void
 run_end(Site *site, char **words)
 {
@@ -300,6 +306,7 @@
     {"start", 2, run_start},   /* ADDRESS; before the process starts */
     {"store", 2, run_store},   /* see SiteStore_ParseMode */
     {"compact", 1, run_compact},
+    {"foreign", 2, run_foreign}, /* "rows" or "none" */
     {"restore", 2, run_restore}, /* AGE MS */
     {"rewrite", 1, run_rewrite},
     {"skip", 2, run_skip},   /* VERSIONS */
--- a/standins/site/rows.c
+++ b/standins/site/rows.c
@@ -45,6 +45,38 @@
     g_free(text);
 }
 
+void
+Site_PutForeignRows(Site *site, bool are_present)
+{
+    static const struct {
+        const char *key;
+        const char *value; /* with the address of the first server */
+    } rows[] = {
+        {"other-1", "{\"address\":\"127.0.0.1:%d\",\"info\":{\"service\":"
+                    "\"slots\",\"zone\":\"d1\",\"slots\":10},"
+                    "\"status\":{\"state\":\"ready\"}}"},
+        {"server-0\n", "{\"address\":\"127.0.0.1:%d\",\"born\":1,\"info\":{"
+                       "\"service\":\"slots\",\"version\":\"v1\","
+                       "\"zone\":\"d1\",\"slots\":10},\"status\":{"
+                       "\"state\":\"ready\",\"seq_no\":1,"
+                       "\"cold_left\":\"0ms\"}}"},
+        {"other-2", "not JSON: %d"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *value = g_strdup_printf(rows[i].value, site->args.port);
+        if (are_present) {
+            SiteStore_Put(site->store, Platform_Adapter.server_table,
+                          rows[i].key, value);
+        }
+        else {
+            SiteStore_Remove(site->store, Platform_Adapter.server_table,
+                             rows[i].key);
+        }
+        g_free(value);
+    }
+}
+
 void
 Site_PutConfig(Site *site, const char *pattern, const char *text)
 {
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -31,6 +31,7 @@
     int64_t drained_us; /* 0: not drained */
     bool is_leaving;    /* says so in its answers */
     uint32_t late;
+    uint32_t misdirected;
     SiteEndlessFault endless;
 };
 
@@ -397,6 +398,7 @@
         SiteJournal_CrashReached(s->params.journal, msg->target->str);
     }
     if (expected != NULL && strcmp(expected, s->params.id) != 0) {
+        s->misdirected++;
         refuse(conn, 421);
     }
     else if (chance(s, s->params.refuse) || s->queued.length >= QUEUE_MAX) {
@@ -497,6 +499,12 @@
     s->is_leaving = is_leaving;
 }
 
+uint32_t
+SiteServer_Misdirected(const SiteServer *s)
+{
+    return s->misdirected;
+}
+
 uint32_t
 SiteServer_LateRequests(const SiteServer *s)
 {
--- a/standins/site/simulation.h
+++ b/standins/site/simulation.h
@@ -48,6 +48,8 @@
 const char *Site_ServiceOf(int i);
 /* Writes the row of a server in that state ("ready", "draining"). */
 void Site_PutServer(Site *site, int i, const char *state);
+/* Writes, or removes, rows of another program that must name no server. */
+void Site_PutForeignRows(Site *site, bool are_present);
 /* Replaces what matches `pattern` in the configuration, and writes it. NULL
  * changes nothing. */
 void Site_PutConfig(Site *site, const char *pattern, const char *text);
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -107,7 +107,8 @@
     bool faults_ended;      /* the end of all faults was announced */
     uint64_t recovery_sent; /* since then */
     uint64_t recovery_answered;
-    uint64_t late; /* requests that reached a server after its drain */
+    uint64_t late;        /* requests that reached a server after its drain */
+    uint64_t misdirected; /* requests for servers that no valid row names */
     /* Requests that reached a server SITE_CANCEL_US after their outcome. */
     uint64_t not_cancelled;
     /* The most that any one request reached servers after it had crashed
@@ -260,6 +261,8 @@
 void SiteServer_MarkDrained(SiteServer *s, int64_t now_us);
 /* While set, all answers say that the server leaves. */
 void SiteServer_SetLeaving(SiteServer *s, bool is_leaving);
+/* Requests that expected another server. */
+uint32_t SiteServer_Misdirected(const SiteServer *s);
 uint32_t SiteServer_LateRequests(const SiteServer *s);
 /* Sets the rate limit that the server announces, in requests per second; 0:
  * none. */
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -49,6 +49,7 @@
         {"own-answers", v->wrong, false},
         {"drains", v->late, false},
         {"cancels", v->not_cancelled, false},
+        {"rows", v->misdirected, false},
         {"server-limits", v->above_limit, false},
         {"crash-budget",
          v->crash_sends > SITE_CRASH_SENDS_MAX ? v->crash_sends : 0, false},
--- a/standins/standin_site.c
+++ b/standins/standin_site.c
@@ -185,6 +185,7 @@
     v.has_invalid_event = site->has_invalid_event;
     for (int i = 0; i < SITE_SERVERS; i++) {
         v.late += SiteServer_LateRequests(site->servers[i]);
+        v.misdirected += SiteServer_Misdirected(site->servers[i]);
         v.above_limit += SiteServer_AboveLimit(site->servers[i]);
     }
     bool kept = SiteVerdict_Print(&v, site->args.commands != NULL);
--- a/tests/soak/one.sh
+++ b/tests/soak/one.sh
@@ -195,6 +195,20 @@
     done
 }
 
+# Rows of another program in the table of servers, in half of the seeds. Drawn
+# last, as the links.
+schedule_foreign_rows() {
+    local at
+    random_below 2
+    if [ "$drawn" -eq 1 ]; then
+        random_below $((last_fault_ms - first_fault_ms - 5000))
+        at=$((first_fault_ms + drawn))
+        echo "$at event foreign rows"
+        random_below 4000
+        echo "$((at + 1000 + drawn)) event foreign none"
+    fi
+}
+
 # ---- Actions ----------------------------------------------------------------
 
 # Succeeds when the process has installed its handlers of SIGHUP and SIGTERM;
@@ -325,6 +339,7 @@
     site_send_event rewrite
     site_send_event faults 0
     site_send_event endless none
+    site_send_event foreign none
     site_send_event reading usual
     site_send_event return d1
     site_send_event return d2
@@ -410,6 +425,7 @@
 schedule_restores >>"$gw_dir/schedule"
 schedule_endless >>"$gw_dir/schedule"
 schedule_short_cuts >>"$gw_dir/schedule"
+schedule_foreign_rows >>"$gw_dir/schedule"
 sort -n -o "$gw_dir/schedule" "$gw_dir/schedule"
 play_schedule
 end_faults
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -22,7 +22,7 @@
 seq "$first" $((first + count - 1)) |
     xargs -P "${SOAK_JOBS:-4}" -I{} bash -c 'one {}' |
     tee "$out/soak-seeds.log"
-guarantees=(at-most-once true-refusals own-answers drains cancels service events links
+guarantees=(at-most-once true-refusals own-answers drains cancels rows service events links
     stops no-cuts pipelines refusals-in-stops outcomes recovery versions ends)
 for guarantee in "${guarantees[@]}"; do
     seeds=
