Parser: a name that only begins like Transfer-Encoding is another field

A server's answer with a length and such a field was taken for malformed (502 for a request that ran), and a request got 400.

Cause: http-parser sets uses_transfer_encoding once the name matches up to the length of Transfer-Encoding, though more of the name follows, and then rejects a length. The flag is taken back unless the message has the real field; a length beside a real coding is still rejected, in either order.

http_message: requests_are_parsed_or_rejected failed before on the new case and passes now.

--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -155,6 +155,17 @@
     return count_head(p, len + 4); /* ": " and CRLF */
 }
 
+/* http-parser takes each name that begins like Transfer-Encoding for that
+ * field, and then rejects a length beside it. */
+static void
+correct_coding(GwHttpParser *p)
+{
+    if (strcasecmp(p->name->str, "transfer-encoding") != 0 &&
+        GwHttpMessage_Get(p->msg, "transfer-encoding") == NULL) {
+        p->parser.uses_transfer_encoding = 0;
+    }
+}
+
 static int
 on_value(http_parser *parser, const char *at, size_t len)
 {
@@ -163,6 +174,7 @@
     if (!p->in_value) {
         p->in_value = true;
         g_string_truncate(p->value, 0);
+        correct_coding(p);
     }
     g_string_append_len(p->value, at, (gssize)len);
     return count_head(p, len);
--- a/tests/unit/test_http_message.c
+++ b/tests/unit/test_http_message.c
@@ -70,6 +70,18 @@
     {"two lengths",
      "PUT / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
      GW_HTTP_MALFORMED, 0, NULL},
+    {"a name that begins like a coding",
+     "PUT / HTTP/1.1\r\nTransfer-Encodingx: chunked\r\n"
+     "Content-Length: 3\r\n\r\nabc",
+     GW_HTTP_OK, 1, "abc"},
+    {"such a name behind a coding",
+     "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+     "Transfer-Encodingx: y\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+     GW_HTTP_MALFORMED, 0, NULL},
+    {"such a name before a coding",
+     "PUT / HTTP/1.1\r\nTransfer-Encodingx: y\r\nContent-Length: 3\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     GW_HTTP_MALFORMED, 0, NULL},
     {"a coding before chunked",
      "PUT / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
      GW_HTTP_MALFORMED, 0, NULL},
@@ -145,6 +157,10 @@
      GW_HTTP_OK, 0, NULL, false},
     {"sized, cut off", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", false,
      true, GW_HTTP_MALFORMED, 0, NULL, false},
+    {"a name that begins like a coding",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+     "Transfer-Encodingx: chunked\r\n\r\nab",
+     false, false, GW_HTTP_OK, 1, "ab", true},
     {"chunked, cut off",
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false,
      true, GW_HTTP_MALFORMED, 0, NULL, false},
