Accepting resumes, and each listener has descriptors of its own

Idle connections to the directory could use up all descriptors.

Cause: at the limit only the eight callers at the head of a list were looked at, in which requests under way stand before idle connections; a pause ended only when a caller disconnected; readiness did not look at it; connections to the entry's own pages had no idle time and no limit.

Callers without requests are in a list of their own. An entry that has accepted nothing for 1 s at its limit is not ready (gw_accept_paused_ms). The directory and the peers' pages use at most an eighth of the descriptors, readiness, control and metrics a 32nd each; beyond that, and after 15 s, the connection that is idle longest is closed.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -54,6 +54,7 @@
     GwExchange *x;
 
     g_queue_unlink(&edge->callers, &caller->link);
+    GwCaller_EndIdle(caller);
     if (caller->is_flush_pending) {
         g_queue_remove(&edge->flush_queue, caller);
     }
@@ -367,6 +368,7 @@
     x->arrived_us = GwEdge_Now();
     caller->partial_since_us = 0;
     g_queue_push_tail(&caller->exchanges, x);
+    GwCaller_EndIdle(caller);
     if (g_queue_get_length(&caller->exchanges) >= PIPELINE_MAX) {
         GwConn_Pause(caller->conn, true);
     }
@@ -456,6 +458,7 @@
     };
     caller->edge = edge;
     caller->link.data = caller;
+    caller->idle_link.data = caller;
     caller->conn = GwConn_Accept(&params, listener);
     if (caller->conn == NULL) {
         g_free(caller);
@@ -469,8 +472,7 @@
 void
 GwCallers_Resume(GwEdge *edge)
 {
-    if (edge->is_accept_paused && edge->call_listener != NULL &&
-        GwCallers_HasFreeSlot(edge)) {
+    if (edge->is_accept_paused && edge->call_listener != NULL) {
         edge->is_accept_paused = false;
         GwCallers_OnConnection((uv_stream_t *)edge->call_listener, 0);
     }
@@ -489,8 +491,12 @@
     }
     edge->is_accept_paused = !GwCallers_FreeSlot(edge);
     if (!edge->is_accept_paused) {
+        edge->accept_paused_us = 0;
         (void)accept_caller(edge, listener);
     }
+    else if (edge->accept_paused_us == 0) {
+        edge->accept_paused_us = GwEdge_Now();
+    }
 }
 
 void
--- a/lib/edge/callers_idle.c
+++ b/lib/edge/callers_idle.c
@@ -9,6 +9,8 @@
 #define FD_PARTS 3
 /* Number of longest-idle connections checked when a slot is needed. */
 #define IDLEST_CHECKED 8
+/* An entry that accepts nothing for this long is not ready. */
+#define ACCEPT_PAUSE_MAX_MS INT64_C(1000)
 /* Linger times that let the last answers arrive: of a connection closed for
  * being idle, and at process exit, where the process is killed soon after. */
 #define IDLE_LINGER_MS 10000
@@ -38,8 +40,16 @@
     };
 }
 
-/* Starts the connection's idle time, unless a request is in progress. Keeps
- * the list of callers ordered by idle time, longest first. */
+void
+GwCaller_EndIdle(GwCaller *caller)
+{
+    if (caller->is_listed_idle) {
+        caller->is_listed_idle = false;
+        g_queue_unlink(&caller->edge->idle_callers, &caller->idle_link);
+    }
+}
+
+/* Keeps the lists of callers ordered by idle time, longest first. */
 void
 GwCaller_BeginIdle(GwCaller *caller)
 {
@@ -47,6 +57,12 @@
 
     g_queue_unlink(callers, &caller->link);
     g_queue_push_tail_link(callers, &caller->link);
+    GwCaller_EndIdle(caller);
+    if (caller->exchanges.head == NULL) {
+        caller->is_listed_idle = true;
+        g_queue_push_tail_link(&caller->edge->idle_callers,
+                               &caller->idle_link);
+    }
     caller->idle_since_us = GwEdge_Now();
     caller->idle_limit_ms = GwCallers_Limits(caller->edge).idle_timeout_ms;
 }
@@ -72,26 +88,36 @@
 }
 
 /* Closes the longest-idle connection to free a slot: callers keep connections
- * open for long, and new callers would have to wait for them. */
+ * open for long, and new callers would have to wait for them. One on which a
+ * request is arriving goes to the end of the list, so that repeated calls
+ * reach those behind it. */
 bool
 GwCallers_FreeSlot(GwEdge *edge)
 {
-    GList *at = edge->callers.head;
+    GList *at;
 
-    for (int i = 0; i < IDLEST_CHECKED && at != NULL; i++, at = at->next) {
+    for (int i = 0; i < IDLEST_CHECKED && !GwCallers_HasFreeSlot(edge) &&
+                    (at = edge->idle_callers.head) != NULL;
+         i++) {
         GwCaller *caller = at->data;
-        if (GwCallers_HasFreeSlot(edge)) {
-            break;
-        }
         if (is_idle(caller)) {
             GwConn_CloseUnread(caller->conn, IDLE_LINGER_MS);
             GwCaller_Free(caller, GW_END_INTERRUPTED);
             break;
         }
+        g_queue_unlink(&edge->idle_callers, at);
+        g_queue_push_tail_link(&edge->idle_callers, at);
     }
     return GwCallers_HasFreeSlot(edge);
 }
 
+bool
+GwCallers_AreFull(const GwEdge *edge, int64_t now_us)
+{
+    return edge->accept_paused_us != 0 &&
+           now_us - edge->accept_paused_us > ACCEPT_PAUSE_MAX_MS * 1000;
+}
+
 /* ---- Time ---------------------------------------------------------------- */
 
 static bool
@@ -194,6 +220,7 @@
         next = at->next;
         sweep_caller(at->data, &limits, now_us);
     }
+    GwCallers_Resume(edge); /* a request may have ended since the pause */
 }
 
 /* Flushes the log lines of the interrupted requests here: the process may be
--- a/lib/edge/callers_internal.h
+++ b/lib/edge/callers_internal.h
@@ -8,7 +8,9 @@
 struct GwCaller_s {
     GwEdge *edge;
     GwConn *conn;
-    GList link;       /* in edge->callers */
+    GList link;      /* in edge->callers */
+    GList idle_link; /* in edge->idle_callers if is_listed_idle */
+    bool is_listed_idle;
     GQueue exchanges; /* GwExchange, oldest first */
     int64_t idle_since_us;
     uint32_t idle_limit_ms;   /* limit when it became idle */
@@ -32,6 +34,8 @@
 GwCallerLimits GwCallers_Limits(const GwEdge *edge);
 /* Starts the connection's idle time, unless a request is in progress. */
 void GwCaller_BeginIdle(GwCaller *caller);
+/* A request has arrived, or the connection is about to be closed. */
+void GwCaller_EndIdle(GwCaller *caller);
 /* Whether another caller may connect; closes an idle connection if that is
  * needed to free a slot. */
 bool GwCallers_FreeSlot(GwEdge *edge);
--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -208,6 +208,12 @@
     GwHttpMessage_Free(msg);
 }
 
+/* Descriptors: the directory serves all callers, and the peers' listener all
+ * entries; the others a few programs. */
+#define FD_PARTS_MANY  8
+#define FD_PARTS_FEW   32
+#define CLIENT_IDLE_MS 15000
+
 static const GwHttpListenerOps control_ops = {.asked = on_request};
 
 void
@@ -216,26 +222,45 @@
     g_ptr_array_set_size(edge->controls, 0);
 }
 
+void
+GwControl_CloseIdle(GwEdge *edge)
+{
+    for (guint i = 0; i < edge->controls->len; i++) {
+        GwHttpListener_CloseIdle(edge->controls->pdata[i]);
+    }
+}
+
+/* Each listener has descriptors of its own, which neither callers nor the
+ * clients of another one can use up. */
 bool
 GwControl_Listen(GwEdge *edge, GError **error)
 {
-    const char *const addresses[] = {
-        edge->settings->ready_address,   edge->settings->directory_address,
-        edge->settings->control_address, edge->settings->peer_address,
-        edge->settings->metrics_address,
+    const GwEdgeSettings *own = edge->settings;
+    const struct {
+        const char *address;
+        uint32_t fd_parts; /* it may use one of that many parts */
+    } listeners[] = {
+        {own->ready_address, FD_PARTS_FEW},
+        {own->directory_address, FD_PARTS_MANY},
+        {own->control_address, FD_PARTS_FEW},
+        {own->peer_address, FD_PARTS_MANY},
+        {own->metrics_address, FD_PARTS_FEW},
     };
 
-    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
-        if (addresses[i][0] == '\0') {
+    for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+        if (listeners[i].address[0] == '\0') {
             continue;
         }
         GwHttpListener *serve = GwHttpListener_Create(
-            &edge->loop, addresses[i], &control_ops, edge);
+            &edge->loop, listeners[i].address, &control_ops, edge);
         if (serve == NULL) {
             g_set_error(error, GW_ERROR, GW_RESULT_IO, "can't listen at %s",
-                        addresses[i]);
+                        listeners[i].address);
             return false;
         }
+        GwHttpListener_SetLimits(serve,
+                                 MAX(own->fd_limit / listeners[i].fd_parts, 1),
+                                 CLIENT_IDLE_MS);
         g_ptr_array_add(edge->controls, serve);
     }
     return true;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -32,7 +32,8 @@
 GwEdge_IsReady(const GwEdge *edge)
 {
     return GwStopSignal_At() == 0 && GwEdge_HasTables(edge) &&
-           GwQuarantineRows_IsLoaded(edge->quarantine_rows);
+           GwQuarantineRows_IsLoaded(edge->quarantine_rows) &&
+           !GwCallers_AreFull(edge, GwEdge_Now());
 }
 
 const char *
@@ -371,6 +372,7 @@
 
     GwEdge_CheckStopSignal(edge);
     GwCallers_Sweep(edge, now_us);
+    GwControl_CloseIdle(edge);
     GwServerLink_Sweep(edge, now_us);
     GwRelay_Sweep(edge, now_us);
     GwFeed_Sweep(edge->operator_feed);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -79,12 +79,14 @@
     GArray *actions; /* GwRouterAction; pending actions of the router */
     bool is_running_actions; /* GwEdge_RunActions is running */
     GQueue callers;          /* GwCaller, longest idle first */
-    bool is_accept_paused;   /* accepting is paused at the connection limit */
-    GQueue flush_queue;      /* GwCaller with answers to send */
-    GQueue disconnected;     /* GwCaller, disconnected, to be freed */
-    GQueue pools;            /* GwPool, one per server */
-    GQueue connecting;       /* GwServerLink */
-    GQueue relays;           /* GwRelayLink */
+    GQueue idle_callers;   /* GwCaller without requests, longest idle first */
+    bool is_accept_paused; /* accepting is paused at the connection limit */
+    int64_t accept_paused_us; /* since when; 0: it is not */
+    GQueue flush_queue;       /* GwCaller with answers to send */
+    GQueue disconnected;      /* GwCaller, disconnected, to be freed */
+    GQueue pools;             /* GwPool, one per server */
+    GQueue connecting;        /* GwServerLink */
+    GQueue relays;            /* GwRelayLink */
     GwMeters *meters;
     GwTurns *turns;
     GwFeed *operator_feed;
@@ -144,7 +146,8 @@
                           const GwRequestSummary *request_summary);
 /* Whether the entry has a configuration and the registry. */
 bool GwEdge_HasTables(const GwEdge *edge);
-/* Whether it has them, knows the quarantined requests, and is not stopping. */
+/* Whether it has them, knows the quarantined requests, accepts connections,
+ * and is not stopping. */
 bool GwEdge_IsReady(const GwEdge *edge);
 const char *GwEdge_RegionOf(const GwEdge *edge, const char *domain);
 
@@ -166,8 +169,11 @@
 void GwEdge_SweepProof(GwEdge *edge);
 /* callers.c */
 void GwCallers_OnConnection(uv_stream_t *listener, int status);
-/* Accepts waiting connections if accepting was paused and slots are free. */
+/* Accepts waiting connections if accepting was paused and a slot is free or
+ * can be freed. */
 void GwCallers_Resume(GwEdge *edge);
+/* Whether no connection could be accepted for a while. */
+bool GwCallers_AreFull(const GwEdge *edge, int64_t now_us);
 void GwCallers_Sweep(GwEdge *edge, int64_t now_us);
 void GwCallers_CloseIdle(GwEdge *edge);
 void GwCallers_CloseAll(GwEdge *edge);
@@ -377,5 +383,7 @@
 /* control.c */
 bool GwControl_Listen(GwEdge *edge, GError **error);
 void GwControl_CloseAll(GwEdge *edge);
+/* Closes connections of the listeners that are idle for long. */
+void GwControl_CloseIdle(GwEdge *edge);
 
 #endif
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -168,6 +168,10 @@
     write_gauge(out, "gw_open_requests", GwRouter_OpenCount(edge->router));
     write_gauge(out, "gw_caller_connections",
                 g_queue_get_length(&edge->callers));
+    write_gauge(out, "gw_accept_paused_ms",
+                edge->accept_paused_us == 0
+                    ? 0
+                    : (double)(GwEdge_Now() - edge->accept_paused_us) / 1000);
     write_gauge(out, "gw_body_bytes", (double)edge->bodies.held);
     write_gauge(out, "gw_answer_bytes", (double)edge->bodies.responses);
     write_gauge(out, "gw_answer_bytes_max",
--- a/lib/http/listener.c
+++ b/lib/http/listener.c
@@ -4,19 +4,24 @@
 
 #define HEAD_MAX_BYTES (64u << 10)
 #define BODY_MAX_BYTES (1u << 20)
+/* Time for the last response to arrive before an idle connection is closed. */
+#define CLOSE_WAIT_MS 500
 
 struct GwHttpListener_s {
     uv_loop_t *loop;
     uv_tcp_t *tcp;
     const GwHttpListenerOps *ops;
     void *owner;
-    GQueue clients; /* GwClient */
+    GQueue clients;       /* GwClient, longest idle first */
+    uint32_t clients_max; /* 0: no limit */
+    uint32_t idle_ms;     /* 0: no limit */
 };
 
 struct GwClient_s {
     GwHttpListener *listener;
-    GwConn *conn; /* NULL if closed */
-    GList link;   /* in serve->clients */
+    GwConn *conn;      /* NULL if closed */
+    GList link;        /* in serve->clients */
+    int64_t active_us; /* time of the connect or the last response */
     void *user;
 };
 
@@ -32,6 +37,26 @@
     g_free(client);
 }
 
+/* Moves the client to the end of the list, which is ordered by idle time. */
+static void
+note_activity(GwClient *client)
+{
+    GQueue *clients = &client->listener->clients;
+
+    client->active_us = (int64_t)(uv_hrtime() / 1000);
+    g_queue_unlink(clients, &client->link);
+    g_queue_push_tail_link(clients, &client->link);
+}
+
+/* An unread request causes a reset, so that its client can tell that it was
+ * not answered. */
+static void
+close_idle_client(GwClient *client)
+{
+    GwConn_CloseUnread(client->conn, CLOSE_WAIT_MS);
+    end_client(client);
+}
+
 static void
 on_message(void *owner, GwHttpMessage *msg)
 {
@@ -82,6 +107,44 @@
         return;
     }
     g_queue_push_tail_link(&listener->clients, &client->link);
+    note_activity(client);
+    if (listener->clients_max > 0 &&
+        g_queue_get_length(&listener->clients) > listener->clients_max) {
+        close_idle_client(g_queue_peek_head(&listener->clients));
+    }
+}
+
+void
+GwHttpListener_SetLimits(GwHttpListener *listener, uint32_t clients_max,
+                         uint32_t idle_ms)
+{
+    listener->clients_max = clients_max;
+    listener->idle_ms = idle_ms;
+}
+
+void
+GwHttpListener_CloseIdle(GwHttpListener *listener)
+{
+    int64_t until_us =
+        (int64_t)(uv_hrtime() / 1000) - (int64_t)listener->idle_ms * 1000;
+
+    for (GList *at = listener->clients.head, *next;
+         listener->idle_ms > 0 && at != NULL; at = next) {
+        GwClient *client = at->data;
+        next = at->next;
+        if (client->active_us > until_us) {
+            return;
+        }
+        if (!GwConn_HasUnread(client->conn)) {
+            close_idle_client(client);
+        }
+    }
+}
+
+uint32_t
+GwHttpListener_ClientCount(const GwHttpListener *listener)
+{
+    return g_queue_get_length((GQueue *)&listener->clients);
 }
 
 GwHttpListener *
@@ -148,6 +211,7 @@
     g_string_append_len(out, response->body, (gssize)len);
     GwConn_Write(client->conn, out);
     g_string_free(out, TRUE);
+    note_activity(client);
 }
 
 void
--- a/lib/http/listener.h
+++ b/lib/http/listener.h
@@ -22,6 +22,14 @@
 GwHttpListener *GwHttpListener_Create(uv_loop_t *loop, const char *address,
                                       const GwHttpListenerOps *ops,
                                       void *owner);
+/* Bounds the connections in number and idle time; for owners that respond at
+ * once. Beyond `clients_max` the one that is idle longest is closed. */
+void GwHttpListener_SetLimits(GwHttpListener *listener, uint32_t clients_max,
+                              uint32_t idle_ms);
+/* Closes connections on which nothing was accepted or answered for the idle
+ * time. */
+void GwHttpListener_CloseIdle(GwHttpListener *listener);
+uint32_t GwHttpListener_ClientCount(const GwHttpListener *listener);
 /* Closes the listener and all connections without calling `gone`. The memory
  * is released when the loop runs next. */
 void GwHttpListener_Free(GwHttpListener *listener);
--- a/tests/fakes/edge_host.c
+++ b/tests/fakes/edge_host.c
@@ -198,8 +198,8 @@
     return EdgeHost_ConnectFrom(h, "127.0.0.1");
 }
 
-int
-EdgeHost_ConnectFrom(EdgeHost *h, const char *ip)
+static int
+connect_to(const char *address, const char *ip)
 {
     struct sockaddr_in at;
     struct sockaddr_in from = {.sin_family = AF_INET};
@@ -207,11 +207,23 @@
 
     from.sin_addr.s_addr = inet_addr(ip);
     g_assert_cmpint(bind(fd, (struct sockaddr *)&from, sizeof(from)), ==, 0);
-    g_assert_true(GwConn_ParseAddress(h->edge->settings->call_address, &at));
+    g_assert_true(GwConn_ParseAddress(address, &at));
     g_assert_cmpint(connect(fd, (struct sockaddr *)&at, sizeof(at)), ==, 0);
     return fd;
 }
 
+int
+EdgeHost_ConnectFrom(EdgeHost *h, const char *ip)
+{
+    return connect_to(h->edge->settings->call_address, ip);
+}
+
+int
+EdgeHost_ConnectToDirectory(EdgeHost *h)
+{
+    return connect_to(h->edge->settings->directory_address, "127.0.0.1");
+}
+
 static void
 send_all(int fd, char *text)
 {
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -55,6 +55,8 @@
 int EdgeHost_Connect(EdgeHost *h);
 /* As EdgeHost_Connect, from the local address `ip`. */
 int EdgeHost_ConnectFrom(EdgeHost *h, const char *ip);
+/* Connects to the entry's directory. */
+int EdgeHost_ConnectToDirectory(EdgeHost *h);
 /* Sends a complete request; its id is also part of the target. */
 void EdgeHost_SendRequest(int caller, const char *path, const char *id);
 /* As EdgeHost_SendRequest, with the time that the caller waits. */
--- a/tests/unit/test_edge_full.c
+++ b/tests/unit/test_edge_full.c
@@ -82,3 +82,102 @@
     }
     EdgeHost_Free(c.h);
 }
+
+#define BUSY 12 /* more than are checked at once */
+
+static void
+connect_and_wait(Ctx *c, int number)
+{
+    c->caller = EdgeHost_Connect(c->h);
+    g_snprintf(c->id, sizeof(c->id), "c%d", number);
+    EdgeHost_SendRequest(c->caller, "/again/", c->id);
+    cr_assert(EdgeHost_RunUntil(c->h, was_received, c), "%s", c->id);
+}
+
+/* Guards against: a new caller waits although connections are idle, because
+ * requests on connections that were idle before them take long. */
+Test(edge_full, an_idle_connection_is_found_behind_busy_ones, .timeout = 60)
+{
+    Ctx c = {.h = EdgeHost_Create()};
+    int callers[CONNECTIONS_MAX];
+
+    EdgeHost_AddServer(c.h, "a", 2 * CONNECTIONS_MAX);
+    for (int i = 0; i < CONNECTIONS_MAX; i++) {
+        if (i < BUSY) {
+            connect_and_wait(&c, i);
+        }
+        else {
+            connect_and_ask(&c, i);
+        }
+        callers[i] = c.caller;
+    }
+    connect_and_ask(&c, CONNECTIONS_MAX);
+    close(c.caller);
+    for (int i = 0; i < CONNECTIONS_MAX; i++) {
+        c.caller = callers[i];
+        cr_expect_eq(is_closed(&c), i == BUSY, "%d", i);
+        close(callers[i]);
+    }
+    EdgeHost_Free(c.h);
+}
+
+static bool
+are_full(void *ctx)
+{
+    const Ctx *c = ctx;
+
+    return GwCallers_AreFull(c->h->edge, GwEdge_Now());
+}
+
+/* Guards against: accepting stays paused until a caller disconnects, though
+ * requests end, and readiness hides it. */
+Test(edge_full, accepting_resumes_when_requests_end, .timeout = 60)
+{
+    Ctx c = {.h = EdgeHost_Create()};
+    int callers[CONNECTIONS_MAX];
+
+    EdgeHost_AddServer(c.h, "a", 2 * CONNECTIONS_MAX);
+    for (int i = 0; i < CONNECTIONS_MAX; i++) {
+        connect_and_wait(&c, i);
+        callers[i] = c.caller;
+    }
+    c.caller = EdgeHost_Connect(c.h);
+    EdgeHost_SendRequest(c.caller, "/again/", "new");
+    cr_expect(EdgeHost_RunUntil(c.h, are_full, &c));
+    EdgeHost_Answer(&c.h->servers[0], "c7");
+    g_strlcpy(c.id, "new", sizeof(c.id));
+    cr_expect(EdgeHost_RunUntil(c.h, was_received, &c));
+    cr_expect_not(are_full(&c));
+    for (int i = 0; i < CONNECTIONS_MAX; i++) {
+        close(callers[i]);
+    }
+    close(c.caller);
+    EdgeHost_Free(c.h);
+}
+
+#define DIRECTORY_MAX 15 /* an eighth of the descriptors */
+
+/* Guards against: idle connections to the directory use up the descriptors of
+ * callers and servers. */
+Test(edge_full, connections_to_the_directory_are_bounded, .timeout = 60)
+{
+    Ctx c = {.h = EdgeHost_Create()};
+    int idle[3 * DIRECTORY_MAX];
+    int open = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(idle); i++) {
+        idle[i] = EdgeHost_ConnectToDirectory(c.h);
+        EdgeHost_RunOnce(c.h);
+    }
+    c.caller = EdgeHost_ConnectToDirectory(c.h);
+    EdgeHost_SendText(c.caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_expect(EdgeHost_RunUntil(c.h, has_answer, &c));
+    close(c.caller);
+    for (size_t i = 0; i < G_N_ELEMENTS(idle); i++) {
+        c.caller = idle[i];
+        open += !is_closed(&c);
+        close(idle[i]);
+    }
+    cr_expect_eq(open, DIRECTORY_MAX - 1, "%d", open);
+    EdgeHost_Free(c.h);
+}
