A freed connection resumes accepting only into its own slot

Review of: with more connections than the limit (those of other entries count but are not limited), freeing one called FreeSlot, which closes a second one.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -73,7 +73,11 @@
     }
     GwRouter_DispatchPending(edge->router, GwEdge_Now(), edge->actions);
     g_free(caller);
-    GwCallers_Resume(edge);
+    /* Without a free slot it would close another connection, which the loop
+     * that closes this one may have to visit next. */
+    if (GwCallers_HasFreeSlot(edge)) {
+        GwCallers_Resume(edge);
+    }
 }
 
 /* Schedules the connection's answers to be sent after all pending router
