A caller is stalled only if it acknowledges nothing

Callers that read all the time had their kept connections reset in the middle of answers, with 7 to 29 requests that had run behind them (LOST).

Cause: is_stalled looked at the length of a caller's queue, which stays the same while further answers come as fast as the caller reads. It looks at the bytes that the caller's kernel has acknowledged now.

--- a/lib/edge/callers_idle.c
+++ b/lib/edge/callers_idle.c
@@ -18,11 +18,10 @@
 /* Idle time of a connection from another entry, which closes it itself before
  * that. */
 #define PEER_IDLE_MS 5000
-/* A caller that takes less than STALLED_BYTES of its answers in this time is
- * closed when answers use most of their memory. Callers wait for some seconds,
- * so it has gone or will never read. */
-#define STALLED_MS    10000
-#define STALLED_BYTES 4096
+/* A caller that acknowledges nothing of its answers for this time is closed
+ * when answers use most of their memory. Callers wait for some seconds, so it
+ * has gone or will never read. */
+#define STALLED_MS 10000
 
 GwCallerLimits
 GwCallers_Limits(const GwEdge *edge)
@@ -148,16 +147,21 @@
     }
 }
 
-/* Whether the caller leaves its answers unread. */
+/* Whether the caller leaves its answers unread. The length of the queue does
+ * not tell: it stays the same while further answers come as fast as the caller
+ * reads. */
 static bool
 is_stalled(GwCaller *caller, int64_t now_us)
 {
-    size_t queued = GwConn_QueuedBytes(caller->conn);
-    bool takes = queued + STALLED_BYTES <= caller->queued_bytes;
-
-    if (queued == 0 || takes || caller->queued_since_us == 0) {
-        caller->queued_bytes = queued;
-        caller->queued_since_us = queued > 0 ? now_us : 0;
+    if (GwConn_QueuedBytes(caller->conn) == 0) {
+        caller->queued_since_us = 0;
+        return false;
+    }
+    uint64_t acked =
+        GwConn_BytesOut(caller->conn) - GwConn_UnackedBytes(caller->conn);
+    if (caller->queued_since_us == 0 || acked > caller->acked_bytes) {
+        caller->acked_bytes = acked;
+        caller->queued_since_us = now_us;
         return false;
     }
 #if GW_MUTANT == 146 /* breaks: callers that read nothing keep the memory */
--- a/lib/edge/callers_internal.h
+++ b/lib/edge/callers_internal.h
@@ -16,8 +16,8 @@
     uint32_t idle_limit_ms;   /* limit when it became idle */
     bool has_unacked_answer;  /* last answer may be unacknowledged */
     int64_t partial_since_us; /* start of a partly received message; 0: none */
-    size_t queued_bytes;      /* as of queued_since_us */
-    int64_t queued_since_us;  /* it has read nothing since; 0: none queued */
+    uint64_t acked_bytes;     /* as of queued_since_us */
+    int64_t queued_since_us;  /* nothing acknowledged since; 0: none queued */
     bool is_flush_pending;    /* in edge->flush_queue: has answers to send */
     bool is_disconnected;     /* in edge->disconnected, to be freed */
     bool is_peer;             /* another entry, which passes requests on */
--- a/tests/unit/test_edge_bounds.c
+++ b/tests/unit/test_edge_bounds.c
@@ -7,6 +7,7 @@
 #include "router/router_internal.h"
 
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -391,3 +392,55 @@
         stop(&c);
     }
 }
+
+/* Until both socket buffers are full. */
+static void
+settle(Ctx *c)
+{
+    for (int i = 0; i < 100; i++) {
+        EdgeHost_RunOnce(c->h);
+        g_usleep(1000);
+    }
+}
+
+/* Guards against: a caller that reads all the time counts as one that reads
+ * nothing, because further answers keep its queue at the same length. */
+Test(edge_bounds, callers_that_read_steadily_are_not_stalled)
+{
+    static const struct {
+        const char *what;
+        size_t read;
+        bool closed;
+    } cases[] = {
+        {"it reads", 200000, false},
+        {"it does not", 0, true},
+    };
+
+    (void)signal(SIGPIPE, SIG_IGN); /* as the program does */
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Ctx c = start("/once/");
+        GwEdge *edge = c.h->edge;
+        GwCaller *caller = edge->callers.head->data;
+        int small = 32768;
+        int fd;
+
+        cr_assert_eq(uv_fileno((uv_handle_t *)caller->conn, &fd), 0);
+        (void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
+        (void)setsockopt(c.caller, SOL_SOCKET, SO_RCVBUF, &small,
+                         sizeof(small));
+        send_answer(&c, c.h->servers[0].conns[0].fd, 1200000);
+        settle(&c);
+        GwCallers_Sweep(edge, GwEdge_Now());
+        c.wanted = c.got->len + cases[i].read;
+        cr_assert(cases[i].read == 0 || EdgeHost_RunUntil(c.h, has_got, &c));
+        GString *more = g_string_new(NULL);
+        g_string_set_size(more, 400000);
+        memset(more->str, 'x', more->len);
+        GwConn_WriteOwned(caller->conn, more);
+        caller->queued_since_us -= 11000000;
+        GwCallers_Sweep(edge, GwEdge_Now());
+        cr_expect_eq(g_queue_is_empty(&edge->callers), cases[i].closed, "%s",
+                     cases[i].what);
+        stop(&c);
+    }
+}
