Listeners: an idle time above that of the directory's answers

Callers keep an answer of the directory for up to 15 s and may ask again on the same connection; closing it after exactly that time could cross their next question. 60 s; the number of connections is bounded anyway.

--- a/lib/edge/control.c
+++ b/lib/edge/control.c
@@ -210,9 +210,11 @@
 
 /* Descriptors: the directory serves all callers, and the peers' listener all
  * entries; the others a few programs. */
-#define FD_PARTS_MANY  8
-#define FD_PARTS_FEW   32
-#define CLIENT_IDLE_MS 15000
+#define FD_PARTS_MANY 8
+#define FD_PARTS_FEW  32
+/* Callers ask the directory again after 15 s at the latest, some on the same
+ * connection. */
+#define CLIENT_IDLE_MS 60000
 
 static const GwHttpListenerOps control_ops = {.asked = on_request};
 
