--- a/lib/http/listener.c
+++ b/lib/http/listener.c
@@ -141,12 +141,6 @@
     }
 }
 
-uint32_t
-GwHttpListener_ClientCount(const GwHttpListener *listener)
-{
-    return g_queue_get_length((GQueue *)&listener->clients);
-}
-
 GwHttpListener *
 GwHttpListener_Create(uv_loop_t *loop, const char *address,
                       const GwHttpListenerOps *ops, void *owner)
--- a/lib/http/listener.h
+++ b/lib/http/listener.h
@@ -29,7 +29,6 @@
 /* Closes connections on which nothing was accepted or answered for the idle
  * time. */
 void GwHttpListener_CloseIdle(GwHttpListener *listener);
-uint32_t GwHttpListener_ClientCount(const GwHttpListener *listener);
 /* Closes the listener and all connections without calling `gone`. The memory
  * is released when the loop runs next. */
 void GwHttpListener_Free(GwHttpListener *listener);
