Stand-in: rows of another program come from the row template

The rows spelled the platform's field names in standins/. They are made from the template of a server's row now: one without its last member, one complete under a key with a line break, one that can't be read.

--- a/standins/site/rows.c
+++ b/standins/site/rows.c
@@ -19,11 +19,11 @@
     return i % 2 == 0 ? "slots" : "ledger";
 }
 
-void
-Site_PutServer(Site *site, int i, const char *state)
+/* Returns the row of a server; free with g_free. */
+static char *
+write_row(Site *site, int i, const char *state)
 {
     char *text = g_strdup(site->server_text);
-    char *key = g_strdup_printf("server-%d", i);
     char *address = g_strdup_printf("127.0.0.1:%d", site->args.port + i);
     char *slots = g_strdup_printf("%d", site->args.slots);
     char *birth = g_strdup_printf("%u", site->birth[i] + 1);
@@ -36,45 +36,61 @@
     text = replaced(text, "@SLOTS@", slots);
     text = replaced(text, "@STATE@", state);
     text = replaced(text, "@SEQ@", heartbeat);
-    SiteStore_Put(site->store, Platform_Adapter.server_table, key, text);
     g_free(heartbeat);
     g_free(birth);
     g_free(slots);
     g_free(address);
-    g_free(key);
+    return text;
+}
+
+void
+Site_PutServer(Site *site, int i, const char *state)
+{
+    char *key = g_strdup_printf("server-%d", i);
+    char *text = write_row(site, i, state);
+
+    SiteStore_Put(site->store, Platform_Adapter.server_table, key, text);
     g_free(text);
+    g_free(key);
+}
+
+/* Drops the last member of the row's last object. */
+static char *
+without_last_member(const char *row)
+{
+    GRegex *regex = g_regex_new(",[^,]*\\}\\}\\s*$", 0, 0, NULL);
+    char *text = g_regex_replace_literal(regex, row, -1, 0, "}}", 0, NULL);
+
+    g_regex_unref(regex);
+    return text;
 }
 
 void
 Site_PutForeignRows(Site *site, bool are_present)
 {
-    static const struct {
+    char *row = write_row(site, 0, "ready");
+    char *incomplete = without_last_member(row);
+    const struct {
         const char *key;
-        const char *value; /* with the address of the first server */
+        const char *value;
     } rows[] = {
-        {"other-1", "{\"address\":\"127.0.0.1:%d\",\"info\":{\"service\":"
-                    "\"slots\",\"zone\":\"d1\",\"slots\":10},"
-                    "\"status\":{\"state\":\"ready\"}}"},
-        {"server-0\n", "{\"address\":\"127.0.0.1:%d\",\"born\":1,\"info\":{"
-                       "\"service\":\"slots\",\"version\":\"v1\","
-                       "\"zone\":\"d1\",\"slots\":10},\"status\":{"
-                       "\"state\":\"ready\",\"seq_no\":1,"
-                       "\"cold_left\":\"0ms\"}}"},
-        {"other-2", "not JSON: %d"},
+        {"other-1", incomplete},
+        {"server-0\n", row},
+        {"other-2", "not JSON"},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        char *value = g_strdup_printf(rows[i].value, site->args.port);
         if (are_present) {
             SiteStore_Put(site->store, Platform_Adapter.server_table,
-                          rows[i].key, value);
+                          rows[i].key, rows[i].value);
         }
         else {
             SiteStore_Remove(site->store, Platform_Adapter.server_table,
                              rows[i].key);
         }
-        g_free(value);
     }
+    g_free(incomplete);
+    g_free(row);
 }
 
 void
