Log and count each connection of a caller that the entry closes

Callers of large answers lost connections, and the log did not tell a close for idleness from one of a stalled caller, for a slot, or at the end of the process; a connection that was given up with answers on their way had no line at all. CALLER_CLOSED names the reason with the connection's age and the bytes queued, unacknowledged and acknowledged; CALLER_CUT says that a close was given up before the caller had its answers. Both are counted.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -64,6 +64,8 @@
     X(PASS_ON_DENIED, 608, WARN, "a request was not meant for this entry") \
     X(ANSWER_EXCESS, 609, WARN, "a server's answer exceeded its bounds") \
     X(ATTEMPT_UNDELIVERED, 610, WARN, "a request was abandoned in transit") \
+    X(CALLER_CLOSED, 611, INFO, "the entry closed a caller's connection") \
+    X(CALLER_CUT, 612, WARN, "answers to a caller were discarded unread") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table is unavailable") \
     X(STORE_BACK, 701, INFO, "the platform's table is available again") \
--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -335,8 +335,8 @@
         close = true;
     }
     if (close) {
-        GwConn_FinishAndClose(caller->conn);
-        GwCaller_Free(caller, GW_END_INTERRUPTED);
+        GwCaller_Close(caller, caller->error_status != 0 ? GW_CLOSE_REJECTED
+                                                         : GW_CLOSE_LAST);
         return;
     }
     GwConn_Pause(caller->conn,
@@ -443,6 +443,7 @@
     .read = on_read,
     .ended = on_connection_end,
     .dropped = on_dropped,
+    .cut = GwCallers_OnCut,
 };
 
 static GwCaller *
@@ -461,6 +462,7 @@
         .budget = &edge->bodies,
     };
     caller->edge = edge;
+    caller->accepted_us = GwEdge_Now();
     caller->link.data = caller;
     caller->idle_link.data = caller;
     caller->conn = GwConn_Accept(&params, listener);
--- a/lib/edge/callers_idle.c
+++ b/lib/edge/callers_idle.c
@@ -11,10 +11,6 @@
 #define IDLEST_CHECKED 8
 /* An entry that accepts nothing for this long is not ready. */
 #define ACCEPT_PAUSE_MAX_MS INT64_C(1000)
-/* Linger times that let the last answers arrive: of a connection closed for
- * being idle, and at process exit, where the process is killed soon after. */
-#define IDLE_LINGER_MS 10000
-#define EXIT_LINGER_MS 500
 /* Idle time of a connection from another entry, which closes it itself before
  * that. */
 #define PEER_IDLE_MS 5000
@@ -100,8 +96,7 @@
          i++) {
         GwCaller *caller = at->data;
         if (is_idle(caller)) {
-            GwConn_CloseUnread(caller->conn, IDLE_LINGER_MS);
-            GwCaller_Free(caller, GW_END_INTERRUPTED);
+            GwCaller_Close(caller, GW_CLOSE_SLOT);
             break;
         }
         g_queue_unlink(&edge->idle_callers, at);
@@ -183,8 +178,7 @@
     }
     if (is_stalled(caller, now_us) &&
         GwHttpBudget_IsShort(&caller->edge->bodies)) {
-        GwConn_Close(caller->conn);
-        GwCaller_Free(caller, GW_END_DISCONNECTED);
+        GwCaller_Close(caller, GW_CLOSE_STALLED);
         return;
     }
     GwConn_SetLimits(caller->conn,
@@ -210,8 +204,7 @@
                         : MAX(caller->idle_limit_ms, limits->idle_timeout_ms);
     if (is_overdue(caller->idle_since_us, idle_ms, now_us) &&
         is_idle(caller)) {
-        GwConn_CloseUnread(caller->conn, IDLE_LINGER_MS);
-        GwCaller_Free(caller, GW_END_INTERRUPTED);
+        GwCaller_Close(caller, GW_CLOSE_IDLE);
     }
 }
 
@@ -236,8 +229,7 @@
 
     edge->is_accept_paused = false; /* stop accepting */
     while ((caller = g_queue_peek_head(&edge->callers)) != NULL) {
-        GwConn_CloseUnread(caller->conn, EXIT_LINGER_MS);
-        GwCaller_Free(caller, GW_END_INTERRUPTED);
+        GwCaller_Close(caller, GW_CLOSE_EXIT);
     }
     GwLog_Flush();
 }
@@ -249,8 +241,7 @@
         GwCaller *caller = at->data;
         next = at->next;
         if (is_idle(caller)) {
-            GwConn_CloseUnread(caller->conn, IDLE_LINGER_MS);
-            GwCaller_Free(caller, GW_END_INTERRUPTED);
+            GwCaller_Close(caller, GW_CLOSE_STOP);
         }
     }
 }
--- a/lib/edge/callers_internal.h
+++ b/lib/edge/callers_internal.h
@@ -1,5 +1,5 @@
 /* State of a connection from a caller, shared by callers.c (requests and
- * answers) and callers_idle.c (limits). */
+ * answers), callers_idle.c (limits) and callers_close.c. */
 #ifndef GW_EDGE_CALLERS_INTERNAL_H
 #define GW_EDGE_CALLERS_INTERNAL_H
 
@@ -12,6 +12,7 @@
     GList idle_link; /* in edge->idle_callers if is_listed_idle */
     bool is_listed_idle;
     GQueue exchanges; /* GwExchange, oldest first */
+    int64_t accepted_us;
     int64_t idle_since_us;
     uint32_t idle_limit_ms;   /* limit when it became idle */
     bool has_unacked_answer;  /* last answer may be unacknowledged */
@@ -24,6 +25,11 @@
     uint16_t error_status; /* error to send after the other answers; 0: none */
 };
 
+/* Logs and counts that the entry closes the connection, and closes it as the
+ * reason demands. Requests in progress are cancelled. */
+void GwCaller_Close(GwCaller *caller, GwCallerClose why);
+/* GwConnOps.cut of connections from callers. */
+void GwCallers_OnCut(void *host, const GwConnCut *cut);
 /* Removes a connection that is closed or about to be closed. Its requests in
  * progress are cancelled and logged with `open_end`. */
 void GwCaller_Free(GwCaller *caller, GwRequestEnd open_end);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -35,6 +35,18 @@
 typedef struct GwPeers_s GwPeers;
 typedef struct GwQuarantineRows_s GwQuarantineRows;
 
+/* Why the entry closed a caller's connection. */
+typedef enum {
+    GW_CLOSE_IDLE = 0, /* no request for the idle timeout */
+    GW_CLOSE_SLOT,     /* the longest idle one, for a new caller */
+    GW_CLOSE_STALLED,  /* the caller does not read its answers */
+    GW_CLOSE_LAST,     /* after an answer with "Connection: close" */
+    GW_CLOSE_REJECTED, /* after a malformed or late request */
+    GW_CLOSE_STOP,     /* idle during a graceful stop */
+    GW_CLOSE_EXIT,     /* the process exits */
+    GW_CLOSE_COUNT
+} GwCallerClose;
+
 /* A caller's request, from its arrival to its answer. */
 typedef struct {
     GwEdge *edge;
@@ -108,6 +120,8 @@
     struct {
         uint64_t arrived;
         uint64_t dropped; /* requests received after a close */
+        uint64_t callers_closed[GW_CLOSE_COUNT];
+        uint64_t callers_cut; /* closed with answers unacknowledged */
         uint64_t connects;
         uint64_t passed_on[GW_ATTEMPT_LOST + 1]; /* by outcome */
         uint64_t taken_over; /* requests passed on to this entry */
@@ -182,6 +196,7 @@
  * once the actions that may refer to its requests have run. */
 bool GwExchange_IsCallerConnected(GwExchange *x);
 void GwCallers_FreeOneDisconnected(GwEdge *edge);
+const char *GwCallerClose_Name(GwCallerClose why);
 /* Accepts the next connection of another entry. */
 void GwCallers_AcceptPeer(GwEdge *edge, uv_stream_t *listener);
 void GwExchange_Reply(GwExchange *x, const GwRouterAction *act);
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -135,6 +135,13 @@
     GwMeters_Write(edge->meters, out);
     write_counter(out, "gw_requests_total", edge->counts.arrived);
     write_counter(out, "gw_requests_dropped_total", edge->counts.dropped);
+    for (int i = 0; i < GW_CLOSE_COUNT; i++) {
+        g_string_append_printf(
+            out, "gw_callers_closed_total{reason=\"%s\"} %" PRIu64 "\n",
+            GwCallerClose_Name((GwCallerClose)i),
+            edge->counts.callers_closed[i]);
+    }
+    write_counter(out, "gw_callers_cut_total", edge->counts.callers_cut);
     write_counter(out, "gw_connects_total", edge->counts.connects);
     for (int i = GW_ATTEMPT_ANSWERED; i <= GW_ATTEMPT_LOST; i++) {
         g_string_append_printf(
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -25,6 +25,15 @@
     uint32_t idle_ms;         /* time without traffic before the close */
 } GwConnDropped;
 
+/* A connection that was closing and is given up before its peer acknowledged
+ * all bytes. */
+typedef struct {
+    uint32_t closing_ms; /* time since the start of the close */
+    size_t queued_bytes;
+    size_t unacked_bytes; /* includes the queued bytes */
+    uint64_t acked_bytes; /* of the whole connection */
+} GwConnCut;
+
 /* Callbacks are never made from within a call of this module. `ended`
  * is called at most once, and never after the owner closed the
  * connection. After GW_CONN_MALFORMED the owner can still write and must
@@ -41,13 +50,16 @@
     /* Called for requests that arrive after GwConn_FinishAndClose; may be
      * NULL. */
     void (*dropped)(void *host, const GwConnDropped *dropped);
+    /* Called for a connection closed by GwConn_FinishAndClose or
+     * GwConn_CloseUnread whose peer did not get all bytes; may be NULL. */
+    void (*cut)(void *host, const GwConnCut *cut);
 } GwConnOps;
 
 typedef struct {
     uv_loop_t *loop;
     const GwConnOps *ops;
     void *owner;
-    void *host;    /* argument of `dropped`; outlives the connection */
+    void *host; /* argument of `dropped` and `cut`; outlives the connection */
     bool requests; /* reads requests; else responses */
     uint64_t head_max;
     uint64_t body_max;
--- a/lib/http/conn_close.c
+++ b/lib/http/conn_close.c
@@ -100,6 +100,24 @@
     uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
+/* Gives up a connection that is closing. */
+static void
+cut(GwConn *c)
+{
+    size_t unacked = GwConn_UnackedBytes(c);
+    GwConnCut what = {
+        .closing_ms = ms_between(c->finish_us, GwConn_NowUs()),
+        .queued_bytes = GwConn_QueuedBytes(c),
+        .unacked_bytes = unacked,
+        .acked_bytes = c->bytes_out - unacked,
+    };
+
+    if (unacked > 0 && c->params.ops->cut != NULL) {
+        c->params.ops->cut(c->params.host, &what);
+    }
+    GwConn_CloseHandle(c);
+}
+
 /* Closes when the peer sends nothing more. A peer that still sends a body has
  * not read the response yet, which a reset would discard. */
 static void
@@ -110,7 +128,11 @@
     bool is_silent = ms_between(c->received_us, now_us) >= GW_LINGER_MS &&
                      !GwConn_HasUnread(c);
 
-    if (is_silent || ms_between(c->finish_us, now_us) >= GW_FINISH_MAX_MS) {
+    if (ms_between(c->finish_us, now_us) >= GW_FINISH_MAX_MS) {
+        cut(c);
+        return;
+    }
+    if (is_silent) {
         GwConn_CloseHandle(c);
         return;
     }
@@ -180,9 +202,12 @@
 {
     GwConn *c = timer->data;
 
-    if (GwConn_IsAllAcked(c) || GwConn_NowUs() >= c->ack_deadline_us) {
+    if (GwConn_IsAllAcked(c)) {
         GwConn_CloseHandle(c);
     }
+    else if (GwConn_NowUs() >= c->ack_deadline_us) {
+        cut(c);
+    }
 }
 
 /* A request may be in flight during the close. If it were read and dropped,
@@ -203,7 +228,8 @@
         return;
     }
     c->is_finishing = true;
-    c->ack_deadline_us = GwConn_NowUs() + (int64_t)wait_ms * 1000;
+    c->finish_us = GwConn_NowUs();
+    c->ack_deadline_us = c->finish_us + (int64_t)wait_ms * 1000;
     GwConn_Pause(c, true);
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
