Connections: a close lasts as long as the peer reads, within the grace period

A caller that read a last answer (Connection: close) of 32 MB without a pause for 12 s got 10 s of it: a graceful close was cut 10 s after it began. In a graceful stop a close waited for up to 10 s whatever was left of the grace period, so a caller that did not read kept the process until it was killed.

Cause: both closes counted the time since they began. Now they count the time since the peer last made progress (4 KB acknowledged, or all that was on its way), and connections that are closing are given up at 97 % of the grace period. A graceful close also waits until its bytes are acknowledged: a request that came 0.4 s later reset the connection and discarded them.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -460,6 +460,7 @@
         .head_max = limits.head_bytes,
         .body_max = limits.body_bytes,
         .budget = &edge->bodies,
+        .close_by_us = &edge->close_by_us,
     };
     caller->edge = edge;
     caller->accepted_us = GwEdge_Now();
--- a/lib/edge/callers_close.c
+++ b/lib/edge/callers_close.c
@@ -1,10 +1,10 @@
 /* How the entry closes connections of callers, and what it logs of it. */
 #include "edge/callers_internal.h"
 
-/* Linger times that let the last answers arrive: of a connection closed for
- * being idle, and at process exit, where the process is killed soon after. */
-#define IDLE_LINGER_MS 10000
-#define EXIT_LINGER_MS 500
+/* A close waits for the last answers to arrive while their caller makes
+ * progress at least this often; at process exit there is little time left. */
+#define STALL_MS      10000
+#define EXIT_STALL_MS 500
 
 const char *
 GwCallerClose_Name(GwCallerClose why)
@@ -47,10 +47,10 @@
     case GW_CLOSE_IDLE:
     case GW_CLOSE_SLOT:
     case GW_CLOSE_STOP:
-        GwConn_CloseUnread(caller->conn, IDLE_LINGER_MS);
+        GwConn_CloseUnread(caller->conn, STALL_MS);
         break;
     case GW_CLOSE_EXIT:
-        GwConn_CloseUnread(caller->conn, EXIT_LINGER_MS);
+        GwConn_CloseUnread(caller->conn, EXIT_STALL_MS);
         break;
     case GW_CLOSE_LAST:
     case GW_CLOSE_REJECTED:
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -12,6 +12,8 @@
 /* A timer may fire early by up to the resolution of its clock. */
 #define TIMER_EARLY_US 2000
 #define HOP_TEXT_SIZE  64
+/* Time for the last answers to arrive at an exit without a graceful stop. */
+#define CLOSE_WAIT_US 500000
 /* Shortest time between reports to all peers of unreached services. */
 #define REACH_PERIOD_US 1000000
 
@@ -453,6 +455,7 @@
     edge->started_us = GwEdge_Now();
     edge->cost_logged_us = edge->started_us;
     edge->armed_us = INT64_MAX;
+    edge->close_by_us = INT64_MAX;
     edge->controls =
         g_ptr_array_new_with_free_func((GDestroyNotify)GwHttpListener_Free);
     edge->meters = GwMeters_Create();
@@ -510,6 +513,9 @@
     };
 
     edge->is_running_actions = true; /* prevents further actions */
+    if (!edge->is_stopping) {
+        edge->close_by_us = GwEdge_Now() + CLOSE_WAIT_US;
+    }
     GwCallers_CloseAll(edge);
     GwControl_CloseAll(edge);
     GwServerLink_CloseAll(edge);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -116,7 +116,8 @@
     bool is_stopping;
     int64_t stop_signal_us;
     int64_t accept_until_us;
-    int64_t armed_us; /* time at which the deadline timer fires */
+    int64_t close_by_us; /* closing connections are given up then */
+    int64_t armed_us;    /* time at which the deadline timer fires */
     struct {
         uint64_t arrived;
         uint64_t dropped; /* requests received after a close */
--- a/lib/edge/stop.c
+++ b/lib/edge/stop.c
@@ -8,6 +8,9 @@
 /* The loop ends after this part of the grace period at the latest. The rest is
  * a reserve for a busy processor and for the delivery of the last answers. */
 #define END_PART 0.9
+/* Connections that are closing are given up after this part of the grace
+ * period, so that the process ends within it. */
+#define CLOSE_PART 0.97
 /* Number of polls before the loop ends: one to accept connections and one to
  * read their requests, which still have to be refused if the process was
  * stalled until then. */
@@ -86,6 +89,7 @@
     double grace_us = edge->settings->grace_ms * 1000.0;
     int64_t end_us = signalled_us + (int64_t)(grace_us * END_PART);
     edge->accept_until_us = signalled_us + (int64_t)(grace_us * LISTEN_PART);
+    edge->close_by_us = signalled_us + (int64_t)(grace_us * CLOSE_PART);
     edge->is_stopping = true;
     edge->stop_signal_us = signalled_us;
     GwLog_Event(GW_LOG_STOP_BEGIN, "open=%u noticed_ms=%" PRId64,
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -72,6 +72,9 @@
      * lost its connection state, sends no reset. 0: the system's default,
      * minutes. */
     uint32_t user_timeout_ms;
+    /* Time, which may change, at which connections that are closing are given
+     * up; NULL: none. */
+    const int64_t *close_by_us;
     /* Sends TCP keep-alive probes every second, for long waits. */
     bool keepalive;
     /* IP address that an outgoing connection comes from; NULL: the system
@@ -102,13 +105,13 @@
                       const char *body);
 /* Graceful close after a last message with `Connection: close`: sends all
  * queued bytes, then waits until the peer closes or sends nothing for 0.4 s,
- * for at most 10 s in total. Received bytes are read and dropped. The owner
- * must not use `c` afterwards. */
+ * for at most 10 s. Given up if the peer makes no progress for 10 s. Received
+ * bytes are read and dropped. The owner must not use `c` afterwards. */
 void GwConn_FinishAndClose(GwConn *c);
-/* Closes as soon as all sent bytes are acknowledged, or after `wait_ms`,
- * without reading further: a peer that has sent, or sends, an unread request
+/* Closes as soon as all sent bytes are acknowledged, or the peer makes no
+ * progress for `stall_ms`, without reading further: a peer that has sent, or sends, an unread request
  * receives a reset. The owner must not use `c` afterwards. */
-void GwConn_CloseUnread(GwConn *c, uint32_t wait_ms);
+void GwConn_CloseUnread(GwConn *c, uint32_t stall_ms);
 /* Closes at once and drops queued bytes. The owner must not use `c`
  * afterwards. */
 void GwConn_Close(GwConn *c);
--- a/lib/http/conn_close.c
+++ b/lib/http/conn_close.c
@@ -6,10 +6,9 @@
 /* Time without received bytes after which a graceful close stops waiting for
  * the peer's close. */
 #define GW_LINGER_MS 400
-/* Time limit of a graceful close: long enough for a caller on a congested
- * link, bounded so that a caller that reads nothing can't keep the
- * connection. */
-#define GW_FINISH_MAX_MS 10000
+/* A graceful close is given up if the peer makes no progress with the last
+ * bytes for this time, or still sends this long after it has them all. */
+#define GW_FINISH_STALL_MS 10000
 /* Interval of checks whether all sent bytes are acknowledged. */
 #define GW_ACK_CHECK_MS 20
 
@@ -118,6 +117,45 @@
     GwConn_CloseHandle(c);
 }
 
+static bool
+is_past_close_by(const GwConn *c, int64_t now_us)
+{
+#if GW_MUTANT == 155 /* breaks: a slow reader keeps an ending process */
+    return false;
+#endif
+    return c->params.close_by_us != NULL && now_us >= *c->params.close_by_us;
+}
+
+/* Whether the peer received all bytes; if not, ends the close of a peer that
+ * makes no progress. */
+static bool
+is_delivered(GwConn *c, uint32_t stall_ms, int64_t now_us)
+{
+    size_t unacked = GwConn_UnackedBytes(c);
+
+    if (unacked == 0 && c->writes == 0) {
+        return true;
+    }
+    GwSendProgress_Note(&c->closing, c->bytes_out - unacked, unacked, now_us);
+    if (GwSendProgress_StalledUs(&c->closing, now_us) >=
+            (int64_t)stall_ms * 1000 ||
+        is_past_close_by(c, now_us)) {
+        cut(c);
+    }
+    return false;
+}
+
+static void
+check_again(GwConn *c, uv_timer_cb check, uint32_t wait_ms, int64_t now_us)
+{
+    int64_t by_us =
+        c->params.close_by_us != NULL ? *c->params.close_by_us : INT64_MAX;
+    int64_t left_ms = MAX(by_us - now_us, 0) / 1000 + 1;
+
+    (void)uv_timer_start(&c->linger, check,
+                         (uint64_t)MIN(left_ms, (int64_t)wait_ms), 0);
+}
+
 /* Closes when the peer sends nothing more. A peer that still sends a body has
  * not read the response yet, which a reset would discard. */
 static void
@@ -125,18 +163,22 @@
 {
     GwConn *c = timer->data;
     int64_t now_us = GwConn_NowUs();
-    bool is_silent = ms_between(c->received_us, now_us) >= GW_LINGER_MS &&
-                     !GwConn_HasUnread(c);
 
-    if (ms_between(c->finish_us, now_us) >= GW_FINISH_MAX_MS) {
-        cut(c);
-        return;
+    if (is_delivered(c, GW_FINISH_STALL_MS, now_us)) {
+        bool is_silent = ms_between(c->received_us, now_us) >= GW_LINGER_MS &&
+                         !GwConn_HasUnread(c);
+        if (c->delivered_us == 0) {
+            c->delivered_us = now_us;
+        }
+        uint32_t waited_ms = ms_between(c->delivered_us, now_us);
+        if ((is_silent && waited_ms >= GW_LINGER_MS) ||
+            waited_ms >= GW_FINISH_STALL_MS || is_past_close_by(c, now_us)) {
+            GwConn_CloseHandle(c);
+        }
     }
-    if (is_silent) {
-        GwConn_CloseHandle(c);
-        return;
+    if (!c->is_closing) {
+        check_again(c, on_linger, GW_LINGER_MS, now_us);
     }
-    (void)uv_timer_start(timer, on_linger, GW_LINGER_MS, 0);
 }
 
 /* Called after all bytes are sent and the write side is shut down. Closing a
@@ -154,7 +196,8 @@
         GwConn_CloseHandle(c);
     }
     else if (!c->is_closing) {
-        (void)uv_timer_start(&c->linger, on_linger, GW_LINGER_MS, 0);
+        c->delivered_us = 0;
+        check_again(c, on_linger, GW_LINGER_MS, GwConn_NowUs());
     }
     GwConn_FreeIfUnused(c);
 }
@@ -186,7 +229,7 @@
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
     c->has_linger = true;
-    (void)uv_timer_start(&c->linger, on_linger, GW_FINISH_MAX_MS, 0);
+    check_again(c, on_linger, GW_LINGER_MS, GwConn_NowUs());
     uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
     req->data = c;
     c->writes++;
@@ -201,12 +244,13 @@
 on_ack_check(uv_timer_t *timer)
 {
     GwConn *c = timer->data;
+    int64_t now_us = GwConn_NowUs();
 
-    if (GwConn_IsAllAcked(c)) {
+    if (is_delivered(c, c->stall_ms, now_us)) {
         GwConn_CloseHandle(c);
     }
-    else if (GwConn_NowUs() >= c->ack_deadline_us) {
-        cut(c);
+    if (!c->is_closing) {
+        check_again(c, on_ack_check, GW_ACK_CHECK_MS, now_us);
     }
 }
 
@@ -217,7 +261,7 @@
  * discard a response in flight, the close waits for acknowledgement of all
  * sent bytes. */
 void
-GwConn_CloseUnread(GwConn *c, uint32_t wait_ms)
+GwConn_CloseUnread(GwConn *c, uint32_t stall_ms)
 {
     if (c->is_closing || c->is_finishing) {
         return;
@@ -229,13 +273,12 @@
     }
     c->is_finishing = true;
     c->finish_us = GwConn_NowUs();
-    c->ack_deadline_us = c->finish_us + (int64_t)wait_ms * 1000;
+    c->stall_ms = stall_ms;
     GwConn_Pause(c, true);
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
     c->has_linger = true;
-    (void)uv_timer_start(&c->linger, on_ack_check, GW_ACK_CHECK_MS,
-                         GW_ACK_CHECK_MS);
+    check_again(c, on_ack_check, GW_ACK_CHECK_MS, c->finish_us);
 }
 
 void
--- a/lib/http/conn_internal.h
+++ b/lib/http/conn_internal.h
@@ -3,6 +3,7 @@
 #define GW_HTTP_CONN_INTERNAL_H
 
 #include "http/conn.h"
+#include "http/progress.h"
 
 struct GwConn_s {
     uv_tcp_t tcp;
@@ -11,13 +12,15 @@
     GwHttpParser *parser;
     uint64_t bytes_out;
     uint64_t bytes_in;
-    uint64_t reads;          /* that returned bytes */
-    int64_t received_us;     /* time of the last read */
-    int64_t sent_us;         /* time of the last write */
-    int64_t finish_us;       /* start of the graceful close */
-    uint32_t idle_ms;        /* time without traffic before finish_us */
-    int64_t ack_deadline_us; /* end of the wait for acknowledgements */
-    uint32_t writes;         /* pending write and shutdown requests */
+    uint64_t reads;         /* that returned bytes */
+    int64_t received_us;    /* time of the last read */
+    int64_t sent_us;        /* time of the last write */
+    int64_t finish_us;      /* start of the graceful close */
+    uint32_t idle_ms;       /* time without traffic before finish_us */
+    int64_t delivered_us;   /* when a graceful close had sent all bytes */
+    uint32_t stall_ms;      /* see GwConn_CloseUnread */
+    GwSendProgress closing; /* of the peer, since the start of the close */
+    uint32_t writes;        /* pending write and shutdown requests */
     uint32_t user_timeout_ms;
     bool is_outgoing; /* carries requests of this process */
     bool is_connecting;
--- a/tests/unit/test_edge_closes.c
+++ b/tests/unit/test_edge_closes.c
@@ -194,3 +194,32 @@
     PlainCaller_Close(&caller);
     EdgeEntry_Stop(&entry);
 }
+
+static bool
+has_no_callers(void *ctx)
+{
+    return count_open(ctx) == 0;
+}
+
+static bool
+is_cut(void *ctx)
+{
+    return ((EdgeEntry *)ctx)->edge->counts.callers_cut > 0;
+}
+
+/* Guards against: a process outlives its grace period because a caller does
+ * not read the last answers. */
+Test(edge_closes, a_slow_reader_does_not_keep_an_ending_process)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    PlainCaller caller = PlainCaller_ConnectNarrow(&entry);
+
+    leave_answers_unread(&caller);
+    PlainCaller_Send(&caller, UNROUTED "Connection: close\r\n\r\n");
+    cr_assert(EdgeEntry_RunUntil(&entry, has_no_callers, &entry));
+    cr_expect_not(is_cut(&entry));
+    entry.edge->close_by_us = GwEdge_Now();
+    cr_expect(EdgeEntry_RunUntil(&entry, is_cut, &entry));
+    PlainCaller_Close(&caller);
+    EdgeEntry_Stop(&entry);
+}
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -141,12 +141,14 @@
 
 #define LONG_RESPONSE   (32u << 20) /* exceeds both socket buffers */
 #define READER_DELAY_MS 700         /* exceeds the wait for the peer's close */
+#define READER_STEP_MS  24          /* for each 64 KB: 12 s in total */
 
-/* The peer of a connection, which starts to read late. */
+/* The peer of a connection, which starts to read late, or reads steadily. */
 typedef struct SlowReader_s {
     uv_tcp_t tcp;
     uv_timer_t timer;
     Pair *pair;
+    bool is_steady;
     uint64_t bytes;
     bool ended_in_order;
 } SlowReader;
@@ -169,6 +171,9 @@
     (void)buf;
     if (len >= 0) {
         reader->bytes += (uint64_t)len;
+        if (reader->is_steady) {
+            (void)uv_read_stop(stream);
+        }
         return;
     }
     reader->ended_in_order = len == UV_EOF;
@@ -198,7 +203,8 @@
     cr_assert_eq(uv_accept(listener, (uv_stream_t *)&reader->tcp), 0);
     (void)uv_timer_init(&pair->loop, &reader->timer);
     reader->timer.data = reader;
-    (void)uv_timer_start(&reader->timer, on_read_delay, READER_DELAY_MS, 0);
+    (void)uv_timer_start(&reader->timer, on_read_delay, READER_DELAY_MS,
+                         reader->is_steady ? READER_STEP_MS : 0);
 }
 
 static void
@@ -214,15 +220,13 @@
     g_string_free(response, TRUE);
 }
 
-/* Guards against truncating a long last response to a caller on a congested
- * link: the wait for the peer's close must start after the last byte is sent,
- * not with the close. */
-Test(http_conn, a_graceful_close_sends_the_whole_response)
+static void
+expect_whole_response(bool is_steady)
 {
     static const GwConnOps slow_ops = {.connected = on_connected_to_slow,
                                        .message = on_message,
                                        .ended = on_ended};
-    SlowReader reader = {0};
+    SlowReader reader = {.is_steady = is_steady};
     Pair pair = {.slow = &reader};
 
     start_listener(&pair, on_slow_accept);
@@ -240,6 +244,21 @@
     cr_expect(reader.ended_in_order);
 }
 
+/* Guards against truncating a long last response to a caller on a congested
+ * link: the wait for the peer's close must start after the last byte is sent,
+ * not with the close. */
+Test(http_conn, a_graceful_close_sends_the_whole_response)
+{
+    expect_whole_response(false);
+}
+
+/* Guards against: a last response is cut after 10 s although its caller reads
+ * it without a pause. */
+Test(http_conn, a_graceful_close_lasts_as_long_as_the_peer_reads)
+{
+    expect_whole_response(true);
+}
+
 Test(http_conn, only_ipv4_addresses_with_a_port_are_valid)
 {
     static const struct {
