Listener: a client that still reads its page is not idle

A client of the directory, metrics or another page that reads slowly was closed 60 s after the page was queued, or as the longest-idle one for a new client, and what was left was cut after 0.5 s. The same cause as for callers: time since the write. Now such a client is closed only if it makes no progress for 30 s; for a new client, one that has its page goes first.

Test: edge_full, a_client_that_reads_its_page_is_not_closed (mutant 154 has the former verdict).

--- a/lib/http/listener.c
+++ b/lib/http/listener.c
@@ -1,11 +1,18 @@
 #include "http/listener.h"
 
+#include "http/progress.h"
+
 #include <string.h>
 
 #define HEAD_MAX_BYTES (64u << 10)
 #define BODY_MAX_BYTES (1u << 20)
-/* Time for the last response to arrive before an idle connection is closed. */
-#define CLOSE_WAIT_MS 500
+/* A client that makes no progress with its response for this time is closed,
+ * and so is a connection that has been closing without any for the shorter
+ * one. */
+#define STALLED_MS     30000
+#define CLOSE_STALL_MS 500
+/* Number of longest-idle clients checked when there are too many. */
+#define IDLEST_CHECKED 8
 
 struct GwHttpListener_s {
     uv_loop_t *loop;
@@ -21,7 +28,9 @@
     GwHttpListener *listener;
     GwConn *conn;      /* NULL if closed */
     GList link;        /* in serve->clients */
-    int64_t active_us; /* time of the connect or the last response */
+    int64_t active_us; /* of the connect, or the arrival of a response */
+    bool has_unacked;  /* a response may be unacknowledged */
+    GwSendProgress reading;
     void *user;
 };
 
@@ -53,10 +62,57 @@
 static void
 close_idle_client(GwClient *client)
 {
-    GwConn_CloseUnread(client->conn, CLOSE_WAIT_MS);
+    GwConn_CloseUnread(client->conn, CLOSE_STALL_MS);
     end_client(client);
 }
 
+/* Whether the client still reads its response. If it did so at an earlier
+ * call, the arrival of the response counts as activity. */
+static bool
+is_reading(GwClient *client, int64_t now_us)
+{
+#if GW_MUTANT == 154 /* breaks: a client that reads its page is idle */
+    return false;
+#endif
+    if (!client->has_unacked) {
+        return false;
+    }
+    size_t unacked = GwConn_UnackedBytes(client->conn);
+    bool was_reading = client->reading.since_us != 0;
+    GwSendProgress_Note(&client->reading,
+                        GwConn_BytesOut(client->conn) - unacked, unacked,
+                        now_us);
+    if (unacked == 0) {
+        client->has_unacked = false;
+        if (was_reading) {
+            note_activity(client);
+        }
+        return false;
+    }
+    return GwSendProgress_StalledUs(&client->reading, now_us) <
+           (int64_t)STALLED_MS * 1000;
+}
+
+/* Closes the longest-idle client, if possible one that has its response, to
+ * make room for the last of the list. */
+static void
+close_longest_idle(GwHttpListener *listener)
+{
+    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+    GwClient *chosen = g_queue_peek_head(&listener->clients);
+    GList *at = listener->clients.head;
+
+    for (int i = 0; i < IDLEST_CHECKED && at != listener->clients.tail; i++) {
+        GwClient *client = at->data;
+        at = at->next;
+        if (!is_reading(client, now_us)) {
+            chosen = client;
+            break;
+        }
+    }
+    close_idle_client(chosen);
+}
+
 static void
 on_message(void *owner, GwHttpMessage *msg)
 {
@@ -110,7 +166,7 @@
     note_activity(client);
     if (listener->clients_max > 0 &&
         g_queue_get_length(&listener->clients) > listener->clients_max) {
-        close_idle_client(g_queue_peek_head(&listener->clients));
+        close_longest_idle(listener);
     }
 }
 
@@ -125,8 +181,8 @@
 void
 GwHttpListener_CloseIdle(GwHttpListener *listener)
 {
-    int64_t until_us =
-        (int64_t)(uv_hrtime() / 1000) - (int64_t)listener->idle_ms * 1000;
+    int64_t now_us = (int64_t)(uv_hrtime() / 1000);
+    int64_t until_us = now_us - (int64_t)listener->idle_ms * 1000;
 
     for (GList *at = listener->clients.head, *next;
          listener->idle_ms > 0 && at != NULL; at = next) {
@@ -135,7 +191,8 @@
         if (client->active_us > until_us) {
             return;
         }
-        if (!GwConn_HasUnread(client->conn)) {
+        if (!is_reading(client, now_us) && client->active_us <= until_us &&
+            !GwConn_HasUnread(client->conn)) {
             close_idle_client(client);
         }
     }
@@ -205,6 +262,7 @@
     g_string_append_len(out, response->body, (gssize)len);
     GwConn_Write(client->conn, out);
     g_string_free(out, TRUE);
+    client->has_unacked = true;
     note_activity(client);
 }
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -125,6 +125,7 @@
 150 unit.dispatch - the kernel delivers no abandoned attempt
 152 unit.http_budget - an upload leaves room to the responses of others
 153 unit.edge_closes - a connection is not idle while its caller reads
+154 unit.edge_full - a client that reads its page is not idle
 155 unit.edge_closes - a slow reader does not keep an ending process
 151 unit.net - the kernel delivers no call that was lost
 133 unit.router_shed - a route of low value gets its part of the slots
--- a/tests/unit/test_edge_full.c
+++ b/tests/unit/test_edge_full.c
@@ -181,3 +181,58 @@
     cr_expect_eq(open, DIRECTORY_MAX - 1, "%d", open);
     EdgeHost_Free(c.h);
 }
+
+#define PAGES    40
+#define QUIET_MS 500 /* longer than the kernel delays an acknowledgement */
+
+static void
+set_idle_limit(EdgeHost *h, uint32_t idle_ms)
+{
+    for (guint i = 0; i < h->edge->controls->len; i++) {
+        GwHttpListener_SetLimits(h->edge->controls->pdata[i], DIRECTORY_MAX,
+                                 idle_ms);
+    }
+}
+
+static void
+close_idle_clients(EdgeHost *h)
+{
+    set_idle_limit(h, 1);
+    g_usleep(5000); /* more than that idle time */
+    GwControl_CloseIdle(h->edge);
+    set_idle_limit(h, 60000);
+    for (int i = 0; i < 50; i++) {
+        EdgeHost_RunOnce(h);
+        g_usleep(200);
+    }
+}
+
+/* Guards against: a client that still reads a page of the entry is closed as
+ * idle, or never because it once did. */
+Test(edge_full, a_client_that_reads_its_page_is_not_closed, .timeout = 60)
+{
+    Ctx c = {.h = EdgeHost_Create()};
+    int small = 4096;
+
+    c.caller = EdgeHost_ConnectToDirectory(c.h);
+    (void)setsockopt(c.caller, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    for (int i = 0; i < PAGES; i++) {
+        EdgeHost_SendText(c.caller,
+                          "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+        EdgeHost_RunOnce(c.h);
+    }
+    close_idle_clients(c.h);
+    for (int quiet = 0; quiet < QUIET_MS; quiet++) {
+        if (EdgeHost_Read(c.caller)[0] != '\0') {
+            quiet = 0;
+        }
+        EdgeHost_RunOnce(c.h);
+        g_usleep(1000);
+    }
+    cr_expect_not(is_closed(&c));
+    close_idle_clients(c.h);
+    close_idle_clients(c.h);
+    cr_expect(is_closed(&c));
+    close(c.caller);
+    EdgeHost_Free(c.h);
+}
