--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -247,6 +247,7 @@
         .key = GwHttpMessage_Get(x->msg, edge->adapter->object_key),
         .credential = GwHttpMessage_GetOnly(x->msg, edge->adapter->credential),
         .left_us = read_time_left_us(x),
+        .waited_us = GwEdge_Now() - x->arrived_us,
         .is_passed_on = x->is_passed_on,
         .objective_left_us = GwRelay_ReadObjectiveUs(x->msg),
     };
--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -105,6 +105,7 @@
               const GwArrival *arrival)
 {
     int64_t left_us = arrival->left_us;
+    int64_t start_us = now_us - arrival->waited_us;
     int64_t timeout_us = (int64_t)req->route->timeout_ms * 1000;
 
     if (left_us < 0) {
@@ -116,23 +117,23 @@
     int64_t spent_us = req->is_passed_on || !states_time(r, arrival)
                            ? 0
                            : spent_earlier_us(req->state, left_us);
-    req->arrived_us = now_us;
+    req->arrived_us = start_us;
     req->is_returning = spent_us >= RETURN_SPENT_MIN_US;
     req->objective_end_us =
-        now_us + (req->is_passed_on ? arrival->objective_left_us
-                                    : objective_end_us - spent_us);
+        start_us + (req->is_passed_on ? arrival->objective_left_us
+                                      : objective_end_us - spent_us);
     req->useless_after_us =
-        now_us + (int64_t)(objective_end_us * LATE_WAIT_OBJECTIVES);
-    req->server_deadline_us = now_us + left_us;
-    req->give_up_us = now_us + left_us + SERVER_TIMEOUT_ANSWER_US;
+        start_us + (int64_t)(objective_end_us * LATE_WAIT_OBJECTIVES);
+    req->server_deadline_us = start_us + left_us;
+    req->give_up_us = start_us + left_us + SERVER_TIMEOUT_ANSWER_US;
     if (req->is_passed_on) {
-        req->give_up_us = now_us + left_us + PASSED_ON_ANSWER_US;
+        req->give_up_us = start_us + left_us + PASSED_ON_ANSWER_US;
     }
     if (timeout_us > 0) {
         req->server_deadline_us =
-            MIN(req->server_deadline_us, now_us + timeout_us);
+            MIN(req->server_deadline_us, start_us + timeout_us);
         req->give_up_us =
-            MIN(req->give_up_us, now_us + timeout_us + TIMEOUT_SLACK_US);
+            MIN(req->give_up_us, start_us + timeout_us + TIMEOUT_SLACK_US);
     }
 }
 
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -219,6 +219,7 @@
     /* The caller's key; NULL if there is none, or more than one. */
     const char *credential;
     int64_t left_us; /* time that the caller waits; < 0: not stated */
+    int64_t waited_us; /* of this time, spent before this call */
     /* NULL unless GwRouter_WantsFingerprints. */
     const GwFingerprint *fingerprint;
     /* Another entry passed the request on: it is sent to one server at most,
