Callers: reserve room for a large answer before its request is sent

Beside eight callers that read large answers steadily, 43 to 152 of about 4,050 requests got a 502 of the entry's own though their servers had run them; with a send buffer of 16 KB in the kernel 1,269 of 5,161.

Cause: requests were sent, and room was looked for when their answers arrived. Eight callers with eleven requests each had 35 MB of answers on their way to 15 MB of memory. The kernel's send buffers, up to 4 MB a connection, hid it.

GwAnswerRoom reserves room before a request is sent, by the size that its route's answers have had lately. Without room the request waits, callers in turn, one request each; one that would get none before its deadline is refused as not run, with a Retry-After from the measured rate at which room comes free. A caller has an eighth of the room or one answer; answers up to 64 KB wait for nothing. At most 128 KB of a connection wait unsent in the kernel; the rest is queued here, and counted.

Tests: answer_room (virtual time), edge_room.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -16,9 +16,14 @@
  * copy; larger ones are not copied. */
 #define JOINED_BODY_MAX (16u << 10)
 
+/* Bytes of a caller that wait in the kernel, where they count towards no limit
+ * of this process; enough to keep a link busy between two writes. */
+#define UNSENT_MAX_BYTES (128u << 10)
+
 static void
 free_exchange(GwExchange *x)
 {
+    GwExchange_ReleaseRoom(x);
     GwHttpMessage_Free(x->msg);
     GwHttpMessage_Free(x->answer);
     if (x->out != NULL) {
@@ -55,6 +60,7 @@
 
     g_queue_unlink(&edge->callers, &caller->link);
     GwCaller_EndIdle(caller);
+    GwCaller_EndRoomWait(caller);
     if (caller->is_flush_pending) {
         g_queue_remove(&edge->flush_queue, caller);
     }
@@ -164,8 +170,8 @@
     g_string_append(out, close ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
-static int64_t
-read_time_left_us(const GwExchange *x)
+int64_t
+GwExchange_TimeLeftUs(const GwExchange *x)
 {
     const char *text = GwHttpMessage_Get(x->msg, x->edge->adapter->time_left);
     char *rest;
@@ -246,7 +252,7 @@
         .path = x->msg->target->str,
         .key = GwHttpMessage_Get(x->msg, edge->adapter->object_key),
         .credential = GwHttpMessage_GetOnly(x->msg, edge->adapter->credential),
-        .left_us = read_time_left_us(x),
+        .left_us = GwExchange_TimeLeftUs(x),
         .waited_us = GwEdge_Now() - x->arrived_us,
         .is_passed_on = x->is_passed_on,
         .objective_left_us = GwRelay_ReadObjectiveUs(x->msg),
@@ -274,10 +280,11 @@
  * During a graceful stop every request waits for its predecessors: a
  * predecessor may still run when the process exits, and the answers queued
  * behind it would be lost. */
-static void
-start_ready(GwCaller *caller)
+void
+GwCaller_StartReady(GwCaller *caller)
 {
     GwEdge *edge = caller->edge;
+    GwStartVerdict verdict = GW_START_NOW;
 
     for (GList *at = caller->exchanges.head; at != NULL; at = at->next) {
         GwExchange *x = at->data;
@@ -285,6 +292,12 @@
         if (!x->started && !first && (!x->idempotent || edge->is_stopping)) {
             return;
         }
+        if (!x->started) {
+            verdict = GwExchange_TakeRoom(x);
+        }
+        if (verdict == GW_START_WAITS) {
+            return;
+        }
         if (!x->started) {
             start_exchange(x);
         }
@@ -343,7 +356,7 @@
     GwConn_Pause(caller->conn,
                  caller->error_status != 0 ||
                      g_queue_get_length(&caller->exchanges) >= PIPELINE_MAX);
-    start_ready(caller);
+    GwCaller_StartReady(caller);
 }
 
 static bool
@@ -377,7 +390,7 @@
     if (g_queue_get_length(&caller->exchanges) >= PIPELINE_MAX) {
         GwConn_Pause(caller->conn, true);
     }
-    start_ready(caller);
+    GwCaller_StartReady(caller);
 }
 
 /* Sends answers only after the whole read is parsed: the first of several
@@ -391,6 +404,19 @@
     GwEdge_RunActions(caller->edge);
 }
 
+/* The caller has read answers, so that there may be room for others. */
+static void
+on_drained(void *owner)
+{
+    GwCaller *caller = owner;
+
+    caller->edge->is_room_freed = true;
+    if (!caller->awaits_room) {
+        GwCaller_StartReady(caller);
+    }
+    GwEdge_RunActions(caller->edge);
+}
+
 static void
 on_connection_end(void *owner, GwConnEnd end)
 {
@@ -442,6 +468,7 @@
 static const GwConnOps caller_ops = {
     .message = on_message,
     .read = on_read,
+    .drained = on_drained,
     .ended = on_connection_end,
     .dropped = on_dropped,
     .cut = GwCallers_OnCut,
@@ -462,11 +489,13 @@
         .body_max = limits.body_bytes,
         .budget = &edge->bodies,
         .close_by_us = &edge->close_by_us,
+        .unsent_max_bytes = UNSENT_MAX_BYTES,
     };
     caller->edge = edge;
     caller->accepted_us = GwEdge_Now();
     caller->link.data = caller;
     caller->idle_link.data = caller;
+    caller->room_link.data = caller;
     caller->conn = GwConn_Accept(&params, listener);
     if (caller->conn == NULL) {
         g_free(caller);
@@ -525,6 +554,7 @@
     char *fields = x->is_passed_on ? GwRelay_WriteEnd(act) : NULL;
 
     x->request = NULL;
+    GwExchange_ReleaseRoom(x);
     x->out = g_string_new(NULL);
     write_reply(x->out, act->status, act->retry_after_ms,
                 fields != NULL ? fields : "", false);
@@ -546,6 +576,11 @@
     };
 
     x->request = NULL;
+    GwExchange_ReleaseRoom(x);
+    if (act->status < 300 && !how.is_head_response) {
+        GwAnswerRoom_Learn(&x->edge->room, act->request_summary.route,
+                           x->answer->head_len + x->answer->body->len);
+    }
     x->sends_body_apart = how.omits_body;
     x->out =
         g_string_sized_new(512 + (how.omits_body ? 0 : x->answer->body->len));
--- a/lib/edge/callers_idle.c
+++ b/lib/edge/callers_idle.c
@@ -226,6 +226,7 @@
         next = at->next;
         sweep_caller(at->data, &limits, now_us);
     }
+    GwCallers_SweepRoom(edge, now_us);
     GwCallers_Resume(edge); /* a request may have ended since the pause */
 }
 
--- a/lib/edge/callers_internal.h
+++ b/lib/edge/callers_internal.h
@@ -12,6 +12,8 @@
     GList link;      /* in edge->callers */
     GList idle_link; /* in edge->idle_callers if is_listed_idle */
     bool is_listed_idle;
+    GList room_link; /* in edge->room_waiters if awaits_room */
+    bool awaits_room;
     GQueue exchanges; /* GwExchange, oldest first */
     int64_t accepted_us;
     int64_t idle_since_us;
@@ -42,6 +44,24 @@
 void GwCaller_BeginIdle(GwCaller *caller);
 /* A request has arrived, or the connection is about to be closed. */
 void GwCaller_EndIdle(GwCaller *caller);
+/* Starts the requests that may run now. */
+void GwCaller_StartReady(GwCaller *caller);
+
+/* caller_room.c */
+typedef enum {
+    GW_START_NOW = 1,
+    GW_START_WAITS,  /* for room */
+    GW_START_REFUSED /* its reply is scheduled */
+} GwStartVerdict;
+
+/* Reserves room for the answer of a request that is about to start. */
+GwStartVerdict GwExchange_TakeRoom(GwExchange *x);
+/* The answer has arrived, or none will. */
+void GwExchange_ReleaseRoom(GwExchange *x);
+/* The connection is about to be closed. */
+void GwCaller_EndRoomWait(GwCaller *caller);
+void GwCallers_SweepRoom(GwEdge *edge, int64_t now_us);
+
 /* Whether another caller may connect; closes an idle connection if that is
  * needed to free a slot. */
 bool GwCallers_FreeSlot(GwEdge *edge);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -320,7 +320,8 @@
         return;
     }
     edge->is_running_actions = true;
-    while (edge->actions->len > 0 || !g_queue_is_empty(&edge->disconnected) ||
+    while (edge->actions->len > 0 || edge->is_room_freed ||
+           !g_queue_is_empty(&edge->disconnected) ||
            !g_queue_is_empty(&edge->flush_queue)) {
         for (guint i = 0; i < edge->actions->len; i++) {
             /* Copied: running the action may append and so move the array. */
@@ -334,6 +335,9 @@
         if (caller != NULL) {
             GwCaller_Flush(caller);
         }
+        if (edge->is_room_freed) {
+            GwCallers_ServeRoom(edge);
+        }
     }
     edge->is_running_actions = false;
     tell_reach(edge);
@@ -452,6 +456,7 @@
     (void)uv_loop_init(&edge->loop);
     edge->turns = GwTurns_Create(&edge->loop, on_long_turn, edge);
     GwAnswerBounds_Init(&edge->bodies, settings->memory_mb);
+    GwAnswerRoom_Init(&edge->room, &edge->bodies);
     edge->started_us = GwEdge_Now();
     edge->cost_logged_us = edge->started_us;
     edge->armed_us = INT64_MAX;
@@ -553,6 +558,7 @@
     g_array_free(edge->actions, TRUE);
     g_ptr_array_free(edge->controls, TRUE);
     GwMeters_Free(edge->meters);
+    GwAnswerRoom_Clear(&edge->room);
     GwShortageLog_Free(edge->shortage_log);
     GwEdgeSettings_Free(edge->settings);
     g_free(edge->settings_path);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "config/model.h"
 #include "edge/answer_bounds.h"
+#include "edge/answer_room.h"
 #include "edge/control_cost.h"
 #include "edge/edge.h"
 #include "godwitridge_errors.h"
@@ -64,6 +65,7 @@
     bool has_fingerprint;
     GwFingerprint fingerprint;
     int64_t arrived_us;
+    uint64_t room_bytes; /* reserved for its answer */
 } GwExchange;
 
 struct GwEdge_s {
@@ -85,7 +87,12 @@
     uv_tcp_t *relay_listener; /* requests that other entries pass on */
     GwHttpBudget bodies;      /* shared by callers and servers */
     GwAnswerExcess excess;
-    GQueue receiving; /* GwServerLink whose answer has begun to arrive */
+    GwAnswerRoom room;
+    GQueue room_waiters;    /* GwCaller, longest waiting first */
+    GwCaller *room_turn;    /* whose requests are being started */
+    bool is_room_turn_used; /* it was granted one */
+    bool is_room_freed;     /* GwCallers_ServeRoom must run */
+    GQueue receiving;       /* GwServerLink whose answer has begun to arrive */
     GwRouter *router;
     GHashTable *invalid_servers; /* key of the row -> what is wrong with it */
     GArray *actions; /* GwRouterAction; pending actions of the router */
@@ -122,6 +129,7 @@
         uint64_t arrived;
         uint64_t dropped; /* requests received after a close */
         uint64_t callers_closed[GW_CLOSE_COUNT];
+        uint64_t refused_for_room;
         uint64_t callers_cut; /* closed with answers unacknowledged */
         uint64_t connects;
         uint64_t passed_on[GW_ATTEMPT_LOST + 1]; /* by outcome */
@@ -197,6 +205,11 @@
  * once the actions that may refer to its requests have run. */
 bool GwExchange_IsCallerConnected(GwExchange *x);
 void GwCallers_FreeOneDisconnected(GwEdge *edge);
+/* Starts requests that wait for room; caller_room.c. */
+void GwCallers_ServeRoom(GwEdge *edge);
+/* Time that the caller states that it waits, when it sent the request; < 0:
+ * none. */
+int64_t GwExchange_TimeLeftUs(const GwExchange *x);
 const char *GwCallerClose_Name(GwCallerClose why);
 /* Accepts the next connection of another entry. */
 void GwCallers_AcceptPeer(GwEdge *edge, uv_stream_t *listener);
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -185,6 +185,11 @@
                 (double)edge->bodies.responses_peak);
     write_gauge(out, "gw_answer_bytes_limit",
                 (double)edge->bodies.responses_max);
+    write_gauge(out, "gw_answer_bytes_reserved", (double)edge->room.reserved);
+    write_gauge(out, "gw_room_waiters",
+                g_queue_get_length(&edge->room_waiters));
+    write_counter(out, "gw_refused_for_room_total",
+                  edge->counts.refused_for_room);
     write_counter(out, "gw_answers_over_bound_total", edge->excess.count);
     write_gauge(out, "gw_server_rows_invalid",
                 g_hash_table_size(edge->invalid_servers));
--- a/lib/http/budget.c
+++ b/lib/http/budget.c
@@ -1,8 +1,7 @@
 #include "http/budget.h"
 
-/* The limit for responses of that size. */
-static uint64_t
-responses_limit(const GwHttpBudget *b, uint64_t bytes)
+uint64_t
+GwHttpBudget_ResponsesLimit(const GwHttpBudget *b, uint64_t bytes)
 {
     uint64_t max = b->responses_max > 0 ? b->responses_max : b->max;
 
@@ -36,7 +35,7 @@
     if (!h->is_response) {
         return fits_all && b->held - b->responses + more <= b->max - reserve;
     }
-    return b->responses + more <= responses_limit(b, bytes) &&
+    return b->responses + more <= GwHttpBudget_ResponsesLimit(b, bytes) &&
            (fits_all || b->responses + more <= reserve);
 }
 
--- a/lib/http/budget.h
+++ b/lib/http/budget.h
@@ -52,6 +52,8 @@
 void GwHttpHold_Set(GwHttpHold *h, uint64_t bytes);
 void GwHttpHold_Release(GwHttpHold *h);
 
+/* The most that all responses may hold for one of `bytes` to be admitted. */
+uint64_t GwHttpBudget_ResponsesLimit(const GwHttpBudget *b, uint64_t bytes);
 /* Whether responses use more than half of what they may. */
 bool GwHttpBudget_IsShort(const GwHttpBudget *b);
 
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -206,6 +206,12 @@
     if (c->params.keepalive) {
         set_keepalive(c);
     }
+    if (c->params.unsent_max_bytes > 0 &&
+        uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
+        unsigned int max = c->params.unsent_max_bytes;
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max,
+                         sizeof(max));
+    }
     if (c->user_timeout_ms > 0 &&
         uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
         unsigned int ms = c->user_timeout_ms;
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -44,6 +44,8 @@
     /* Called after all messages of one read were passed to `message`; may be
      * NULL. */
     void (*read)(void *owner);
+    /* Called when queued bytes were passed to the kernel; may be NULL. */
+    void (*drained)(void *owner);
     /* Returns whether the next response is to a HEAD request; may be NULL. */
     bool (*is_head_response)(void *owner);
     void (*ended)(void *owner, GwConnEnd end);
@@ -72,6 +74,9 @@
      * lost its connection state, sends no reset. 0: the system's default,
      * minutes. */
     uint32_t user_timeout_ms;
+    /* Unsent bytes that the kernel takes at most (TCP_NOTSENT_LOWAT); the rest
+     * stays queued here. 0: the system's default, up to megabytes. */
+    uint32_t unsent_max_bytes;
     /* Time, which may change, at which connections that are closing are given
      * up; NULL: none. */
     const int64_t *close_by_us;
--- a/lib/http/conn_write.c
+++ b/lib/http/conn_write.c
@@ -30,6 +30,9 @@
         GwConn_End(c, GwConn_EndOfError(status));
     }
     GwConn_UpdateReading(c);
+    if (!c->is_closing && !c->is_finishing && c->params.ops->drained != NULL) {
+        c->params.ops->drained(c->params.owner);
+    }
     GwConn_FreeIfUnused(c);
 }
 
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -39,6 +39,7 @@
         [GW_REPLY_LEAVING] = "leaving",
         [GW_REPLY_QUARANTINED] = "quarantined",
         [GW_REPLY_QUARANTINE_UNKNOWN] = "quarantine-unknown",
+        [GW_REPLY_NO_ANSWER_ROOM] = "no-answer-room",
         [GW_REPLY_SHED] = "shed",
     };
 
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -218,7 +218,7 @@
     const char *key; /* names the object that the request is about; or NULL */
     /* The caller's key; NULL if there is none, or more than one. */
     const char *credential;
-    int64_t left_us; /* time that the caller waits; < 0: not stated */
+    int64_t left_us;   /* time that the caller waits; < 0: not stated */
     int64_t waited_us; /* of this time, spent before this call */
     /* NULL unless GwRouter_WantsFingerprints. */
     const GwFingerprint *fingerprint;
@@ -388,6 +388,7 @@
     GW_REPLY_LEAVING,     /* the entry is stopping and accepts nothing new */
     GW_REPLY_QUARANTINED, /* the request crashes the servers that run it */
     GW_REPLY_QUARANTINE_UNKNOWN, /* it may be quarantined elsewhere */
+    GW_REPLY_NO_ANSWER_ROOM,     /* no memory for its answer in time */
     GW_REPLY_SHED, /* slots are short at all entries; see lib/shortage */
     GW_REPLY_COUNT
 } GwReplyReason;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -127,6 +127,8 @@
 153 unit.edge_closes - a connection is not idle while its caller reads
 154 unit.edge_full - a client that reads its page is not idle
 155 unit.edge_closes - a slow reader does not keep an ending process
+156 unit.answer_room - no request is sent without room for its answer
+157 unit.answer_room - no caller holds the room of all
 151 unit.net - the kernel delivers no call that was lost
 133 unit.router_shed - a route of low value gets its part of the slots
 134 unit.router_shed - no less urgent kind is admitted more often
