Server links: a server may pause while it reads an upload

A server that did not read for 1.2 s while it received an upload lost the connection after 128 KB of 8 MB, and the caller got 502.

Cause: TCP_USER_TIMEOUT, set to 1.2 s to notice servers without power, also counts time in which the peer acknowledges with a closed receive window. The same holds between entries, where the other one may be paused. While a body above 64 KB is sent it is 10 s now; a server that is dead meanwhile is given up at the request's deadline.

Test: edge_uploads, a_server_may_pause_while_it_reads (failed before: 127,973 bytes received).

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -219,6 +219,9 @@
 const GwFingerprint *GwExchange_Fingerprint(GwExchange *x);
 
 /* forward.c */
+/* Sets the connection's TCP_USER_TIMEOUT before the request is sent on it:
+ * `ms`, or a longer one for a long body. */
+void GwExchange_SetUserTimeout(const GwExchange *x, GwConn *conn, uint32_t ms);
 /* Returns the request as it is sent to the server; owned by the calling
  * function. */
 GString *GwExchange_WriteRequest(const GwExchange *x, const char *server_id,
--- a/lib/edge/forward.c
+++ b/lib/edge/forward.c
@@ -1,6 +1,11 @@
 /* The request as a backend server receives it. */
 #include "edge/relay.h"
 
+/* TCP_USER_TIMEOUT also counts time in which the receiver's window is closed.
+ * While a long body is sent, a server may pause, or an entry be paused. */
+#define UPLOAD_TIMEOUT_MS 10000
+#define UPLOAD_BYTES      (64u << 10)
+
 /* Header lines that the entry sets itself. */
 static char *
 write_own_fields(const GwExchange *x, const char *server_id,
@@ -43,3 +48,13 @@
     g_free(extra);
     return out;
 }
+
+void
+GwExchange_SetUserTimeout(const GwExchange *x, GwConn *conn, uint32_t ms)
+{
+#if GW_MUTANT == 158 /* breaks: a server that pauses loses an upload */
+    return;
+#endif
+    GwConn_SetUserTimeout(
+        conn, x->msg->body->len > UPLOAD_BYTES ? UPLOAD_TIMEOUT_MS : ms);
+}
--- a/lib/edge/relay_links.c
+++ b/lib/edge/relay_links.c
@@ -138,6 +138,7 @@
         return;
     }
     GwAnswerMeter_Start(&link->meter, link->conn, GwEdge_Now());
+    GwExchange_SetUserTimeout(x, link->conn, USER_TIMEOUT_MS);
     GwConn_WriteOwned(link->conn, write_text(link));
 }
 
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -100,6 +100,7 @@
     int64_t spent_ms = (GwEdge_Now() - link->assigned_us) / 1000;
     int64_t time_left_ms = MAX((int64_t)link->time_left_ms - spent_ms, 0);
     GwAnswerMeter_Start(&link->meter, link->conn, GwEdge_Now());
+    GwExchange_SetUserTimeout(x, link->conn, USER_TIMEOUT_MS);
     GwConn_WriteOwned(
         link->conn, GwExchange_WriteRequest(x, link->pool->id, time_left_ms));
 }
--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -197,6 +197,17 @@
     }
 }
 
+static void
+set_user_timeout(const GwConn *c)
+{
+    unsigned int ms = c->user_timeout_ms;
+    int fd;
+
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0) {
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    }
+}
+
 static void
 set_options(GwConn *c)
 {
@@ -212,10 +223,17 @@
         (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max,
                          sizeof(max));
     }
-    if (c->user_timeout_ms > 0 &&
-        uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
-        unsigned int ms = c->user_timeout_ms;
-        (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    if (c->user_timeout_ms > 0) {
+        set_user_timeout(c);
+    }
+}
+
+void
+GwConn_SetUserTimeout(GwConn *c, uint32_t ms)
+{
+    if (c->user_timeout_ms != ms && !c->is_closing) {
+        c->user_timeout_ms = ms;
+        set_user_timeout(c);
     }
 }
 
--- a/lib/http/conn.h
+++ b/lib/http/conn.h
@@ -136,6 +136,9 @@
  * uv_hrtime. */
 int64_t GwConn_LastReceivedUs(const GwConn *c);
 void GwConn_SetLimits(GwConn *c, uint64_t head_max, uint64_t body_max);
+/* Changes user_timeout_ms. It also counts time in which the peer acknowledges
+ * but does not read. */
+void GwConn_SetUserTimeout(GwConn *c, uint32_t ms);
 /* Stops or resumes reading. A connection that reads requests also stops by
  * itself while its write queue is long. */
 void GwConn_Pause(GwConn *c, bool paused);
