Connections: the kernel gets the last answers of a connection that is closed

Cause: the limit on unsent bytes in the kernel, which keeps what is held for slow readers in the process, also held in an ending process. The kernel goes on sending after the process has ended. The limit is lifted when a connection is closed. CALLER_CUT is logged only if bytes are discarded.

Tests: edge_closes, the_kernel_gets_the_last_answer (mutant 160); a_slow_reader_does_not_keep_an_ending_process has an answer now that the kernel does not take whole.

--- a/lib/http/conn.c
+++ b/lib/http/conn.c
@@ -197,6 +197,17 @@
     }
 }
 
+void
+GwConn_SetUnsentMax(const GwConn *c, uint32_t bytes)
+{
+    int fd;
+
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0) {
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes,
+                         sizeof(bytes));
+    }
+}
+
 static void
 set_user_timeout(const GwConn *c)
 {
@@ -211,17 +222,12 @@
 static void
 set_options(GwConn *c)
 {
-    int fd;
-
     (void)uv_tcp_nodelay(&c->tcp, 1);
     if (c->params.keepalive) {
         set_keepalive(c);
     }
-    if (c->params.unsent_max_bytes > 0 &&
-        uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
-        unsigned int max = c->params.unsent_max_bytes;
-        (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max,
-                         sizeof(max));
+    if (c->params.unsent_max_bytes > 0) {
+        GwConn_SetUnsentMax(c, c->params.unsent_max_bytes);
     }
     if (c->user_timeout_ms > 0) {
         set_user_timeout(c);
--- a/lib/http/conn_close.c
+++ b/lib/http/conn_close.c
@@ -99,7 +99,20 @@
     uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
-/* Gives up a connection that is closing. */
+/* The kernel goes on sending what it has taken when the connection is closed
+ * or the process ends, so it gets all that it takes. */
+static void
+hand_to_kernel(const GwConn *c)
+{
+#if GW_MUTANT != 160 /* breaks: last answers end with the process */
+    if (c->params.unsent_max_bytes > 0) {
+        GwConn_SetUnsentMax(c, 0);
+    }
+#endif
+}
+
+/* Gives up a connection that is closing. The kernel still delivers what it
+ * has, unless an unread request makes it reset the connection. */
 static void
 cut(GwConn *c)
 {
@@ -111,7 +124,10 @@
         .acked_bytes = c->bytes_out - unacked,
     };
 
-    if (unacked > 0 && c->params.ops->cut != NULL) {
+    bool is_discarded =
+        what.queued_bytes > 0 || (unacked > 0 && GwConn_HasUnread(c));
+
+    if (is_discarded && c->params.ops->cut != NULL) {
         c->params.ops->cut(c->params.host, &what);
     }
     GwConn_CloseHandle(c);
@@ -224,6 +240,7 @@
     }
     c->is_finishing = true;
     c->params.owner = NULL;
+    hand_to_kernel(c);
     start_reporting(c);
     GwConn_Pause(c, false);
     (void)uv_timer_init(c->params.loop, &c->linger);
@@ -274,6 +291,7 @@
     c->is_finishing = true;
     c->finish_us = GwConn_NowUs();
     c->stall_ms = stall_ms;
+    hand_to_kernel(c);
     GwConn_Pause(c, true);
     (void)uv_timer_init(c->params.loop, &c->linger);
     c->linger.data = c;
--- a/lib/http/conn_internal.h
+++ b/lib/http/conn_internal.h
@@ -47,6 +47,9 @@
 /* Reads, or not, by the owner's wish and the length of the write queue. */
 void GwConn_UpdateReading(GwConn *c);
 
+/* Limits the unsent bytes that the kernel takes; 0: the system's default. */
+void GwConn_SetUnsentMax(const GwConn *c, uint32_t bytes);
+
 /* conn_close.c */
 /* See GwSocket_SetDiscard. */
 void GwConn_SetDiscard(const GwConn *c, bool discards);
