Graceful stop: answer the requests that are still open at its end

An entry whose links were silent, or whose server sent a body without end, closed connections at the end of its grace period with requests open, among them those behind the open one on its connection: no answer at all.

Cause: the end of the stop refused what waited, and then ended the loop; what had been sent was dropped with it. GwRouter_EndAll ends every request: 502 for one that was sent or passed on, refused as not run otherwise. What is behind them is refused as it is reached.

Test: edge_stop, requests_that_are_still_open_are_answered (mutant 159, the former end, is caught); the_loop_ends_and_refuses_unsent_requests wanted silence for the request in progress, which was the fault, and wants 502 now.

--- a/lib/edge/caller_room.c
+++ b/lib/edge/caller_room.c
@@ -154,7 +154,8 @@
     GwRoomRequest request = {.bytes = expected_bytes(x, route)};
     uint32_t retry_after_ms = 0;
 
-    if (request.bytes == 0) {
+    /* At the end of a stop the router refuses what arrives. */
+    if (request.bytes == 0 || edge->end_polls > 0) {
         return GW_START_NOW;
     }
     request.caller_bytes = caller_bytes(caller);
--- a/lib/edge/stop.c
+++ b/lib/edge/stop.c
@@ -57,7 +57,9 @@
 }
 
 /* Refuses the requests that wait for a slot or for a connection to their
- * server: no byte of them was sent, so they are known not to have run. */
+ * server: no byte of them was sent, so they are known not to have run. Requests
+ * that are still in progress after the last polls are answered as well: their
+ * server may be silent, or send without end. */
 static void
 on_grace_end(uv_timer_t *timer)
 {
@@ -74,6 +76,10 @@
         (void)uv_timer_start(timer, on_grace_end, GW_AFTER_POLL_MS, 0);
         return;
     }
+#if GW_MUTANT != 159 /* breaks: requests in progress end without an answer */
+    GwRouter_EndAll(edge->router, now_us, edge->actions);
+    GwEdge_RunActions(edge);
+#endif
     end_loop(edge);
 }
 
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -399,8 +399,8 @@
     }
 }
 
-static void
-cancel(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
+void
+GwRequest_Cancel(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
     if (req->peer[0] != '\0') {
         (void)GwRouter_AddAction(actions, GW_ROUTER_CANCEL, req);
@@ -443,6 +443,12 @@
     }
 }
 
+bool
+GwRequest_MayHaveRun(const GwRequest *req)
+{
+    return req->server != NULL || req->peer[0] != '\0' || req->may_have_run;
+}
+
 /* ---- Timers -------------------------------------------------------------- */
 
 int64_t
@@ -463,9 +469,8 @@
         GwRequest *req = GwHeap_Top(&r->deadlines);
         GwServiceState *service = req->service;
         if (now_us >= req->give_up_us) {
-            bool sent = req->server != NULL || req->peer[0] != '\0' ||
-                        req->may_have_run;
-            cancel(r, now_us, req, actions);
+            bool sent = GwRequest_MayHaveRun(req);
+            GwRequest_Cancel(r, now_us, req, actions);
             GwRequest_Refuse(r, now_us, req,
                              sent ? GW_REPLY_TIMEOUT : GW_REPLY_TIMEOUT_UNSENT,
                              actions);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -346,6 +346,9 @@
  * call at the end refuses the requests that still wait. */
 void GwRouter_Stop(GwRouter *r, int64_t now_us, int64_t end_us,
                    GArray *actions);
+/* Ends all requests at the end of the stop: those that were sent with 502, the
+ * others as not run. */
+void GwRouter_EndAll(GwRouter *r, int64_t now_us, GArray *actions);
 /* Handles timeouts and due evaluations; to be called at
  * GwRouter_NextDeadline. */
 void GwRouter_Tick(GwRouter *r, int64_t now_us, GArray *actions);
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -525,6 +525,11 @@
 /* requests.c */
 /* Frees a request whose last action has been appended. */
 void GwRequest_Finish(GwRouter *r, GwRequest *req);
+/* Abandons the current attempt, if any, and frees its slot. */
+void GwRequest_Cancel(GwRouter *r, int64_t now_us, GwRequest *req,
+                      GArray *actions);
+/* Whether an attempt is in progress or ended without an answer. */
+bool GwRequest_MayHaveRun(const GwRequest *req);
 /* Status of an answer to a request that did not run, or timed out. */
 uint16_t GwReplyReason_Status(GwReplyReason why);
 /* Appends an action for the request; the caller fills in the other fields. */
--- a/lib/router/stop.c
+++ b/lib/router/stop.c
@@ -38,6 +38,21 @@
     }
 }
 
+void
+GwRouter_EndAll(GwRouter *r, int64_t now_us, GArray *actions)
+{
+    GwRouter_FreeRemoved(r, actions);
+    GList *open = g_hash_table_get_keys(r->open);
+    for (GList *at = open; at != NULL; at = at->next) {
+        GwRequest *req = at->data;
+        GwReplyReason why = GwRequest_MayHaveRun(req) ? GW_REPLY_MAY_HAVE_RUN
+                                                      : GW_REPLY_LEAVING;
+        GwRequest_Cancel(r, now_us, req, actions);
+        GwRequest_Refuse(r, now_us, req, why, actions);
+    }
+    g_list_free(open);
+}
+
 /* Returns whether the caller or the route gives up before the entry exits, or
  * no stop has begun. */
 static bool
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -131,6 +131,7 @@
 157 unit.answer_room - no caller holds the room of all
 158 unit.edge_uploads - a server may pause while it reads an upload
 160 unit.edge_closes - the kernel gets the last answers of a process
+159 unit.edge_stop - requests open at the end of a stop are answered
 151 unit.net - the kernel delivers no call that was lost
 133 unit.router_shed - a route of low value gets its part of the slots
 134 unit.router_shed - no less urgent kind is admitted more often
--- a/tests/unit/test_edge_stop.c
+++ b/tests/unit/test_edge_stop.c
@@ -268,7 +268,31 @@
     (void)raise(SIGTERM);
     GwEdge_Run(stop.h->edge);
     cr_expect_not_null(strstr(EdgeHost_Read(other), "HTTP/1.1 503"));
-    cr_expect_str_eq(EdgeHost_Read(stop.caller), "");
+    cr_expect_not_null(strstr(EdgeHost_Read(stop.caller), "HTTP/1.1 502"));
     close(other);
     finish(&stop);
 }
+
+/* Guards against: requests that are open at the end of the grace period, and
+ * those behind them on their connection, end without an answer. */
+Test(edge_stop, requests_that_are_still_open_are_answered, .timeout = 30)
+{
+    Stop stop = start(4);
+
+    ask(&stop, "runs");
+    cr_assert(await(&stop, was_received, "runs"));
+    EdgeHost_SendRequestFor(stop.caller, "/once/", "behind", LEFT_MS);
+    EdgeHost_SendRequestFor(stop.caller, "/again/", "third", LEFT_MS);
+    EdgeHost_RunOnce(stop.h);
+    (void)raise(SIGTERM);
+    GwEdge_Run(stop.h->edge);
+    for (int i = 0; i < 100; i++) {
+        EdgeHost_RunOnce(stop.h);
+    }
+    g_string_append(stop.got, EdgeHost_Read(stop.caller));
+    cr_expect(g_str_has_prefix(stop.got->str, "HTTP/1.1 502"));
+    cr_expect_eq(count_text(stop.got, "HTTP/1.1 503"), 2, "%s", stop.got->str);
+    cr_expect_eq(count_text(stop.got, "Connection: close"), 1);
+    cr_expect_eq(EdgeHost_CountRequests(&stop.h->servers[0], "behind"), 0);
+    finish(&stop);
+}
