--- a/tests/unit/test_edge_closes.c
+++ b/tests/unit/test_edge_closes.c
@@ -261,3 +261,34 @@
     PlainCaller_Close(&caller);
     EdgeEntry_Stop(&entry);
 }
+
+#define IDLE_CALLERS 4
+
+static bool
+have_all_connected(void *ctx)
+{
+    return count_open(ctx) == IDLE_CALLERS;
+}
+
+/* Guards against: closing one of many idle connections closes another one,
+ * which the same loop visits next after it was freed. */
+Test(edge_closes, a_close_frees_no_other_connection_of_the_loop)
+{
+    EdgeEntry entry = EdgeEntry_Start();
+    GwEdge *edge = entry.edge;
+    PlainCaller callers[IDLE_CALLERS];
+
+    for (int i = 0; i < IDLE_CALLERS; i++) {
+        callers[i] = PlainCaller_Connect(&entry);
+    }
+    cr_assert(EdgeEntry_RunUntil(&entry, have_all_connected, &entry));
+    edge->settings->fd_limit = 6; /* two connections */
+    edge->is_accept_paused = true;
+    sweep_after(&entry, GW_DEFAULT_IDLE_TIMEOUT_MS + 1000);
+    cr_expect_eq(edge->counts.callers_closed[GW_CLOSE_IDLE], IDLE_CALLERS);
+    cr_expect_eq(edge->counts.callers_closed[GW_CLOSE_SLOT], 0);
+    for (int i = 0; i < IDLE_CALLERS; i++) {
+        PlainCaller_Close(&callers[i]);
+    }
+    EdgeEntry_Stop(&entry);
+}
