Graceful stop: requests that wait for room are refused at its end

A request that waited for room, with nothing before it on its connection, got no answer at the end of a stop: EndAll ends what the router knows, and it was not passed to the router yet. All callers' requests are started then, and the router refuses them.

Test: edge_room, a_waiting_request_is_refused_at_the_end_of_a_stop.

--- a/lib/edge/caller_room.c
+++ b/lib/edge/caller_room.c
@@ -205,6 +205,14 @@
     }
 }
 
+void
+GwCallers_StartAll(GwEdge *edge)
+{
+    for (GList *at = edge->callers.head; at != NULL; at = at->next) {
+        GwCaller_StartReady(at->data);
+    }
+}
+
 /* Refuses requests whose deadline passes while they wait, and measures how
  * fast room comes free. */
 void
--- a/lib/edge/stop.c
+++ b/lib/edge/stop.c
@@ -78,6 +78,7 @@
     }
 #if GW_MUTANT != 159 /* breaks: requests in progress end without an answer */
     GwRouter_EndAll(edge->router, now_us, edge->actions);
+    GwCallers_StartAll(edge); /* to be refused */
     GwEdge_RunActions(edge);
 #endif
     end_loop(edge);
--- a/tests/unit/test_edge_room.c
+++ b/tests/unit/test_edge_room.c
@@ -3,6 +3,7 @@
 #include "fakes/edge_host.h"
 
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -181,3 +182,22 @@
     close(other);
     stop(&c);
 }
+
+/* Guards against: a request that waits for room at the end of a graceful stop
+ * gets no answer. */
+Test(edge_room, a_waiting_request_is_refused_at_the_end_of_a_stop,
+     .timeout = 30)
+{
+    Ctx c = start();
+
+    c.h->edge->settings->grace_ms = 500;
+    EdgeHost_SendRequest(c.caller, "/again/", "r1");
+    run(&c);
+    (void)raise(SIGTERM);
+    GwEdge_Run(c.h->edge);
+    run(&c);
+    cr_expect(has_answer(&c));
+    cr_expect(g_str_has_prefix(c.got, "HTTP/1.1 503 "), "%s", c.got);
+    cr_expect_eq(EdgeHost_CountRequests(&c.h->servers[0], "r1"), 0);
+    stop(&c);
+}
