Router: time in a pipeline is no wait for the owner of a quota

Cause: moved the arrival of a request back by the time that it had waited, which is right for its deadlines. The quota takes the arrival for the time at which it was asked first: its patience was used up, and even a few us of parsing made a first question look like a repeated one. Only deadlines count from the arrival at the entry now.

Test: admission, time_in_a_pipeline_is_no_wait_for_the_owner (failed before).

--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -117,7 +117,7 @@
     int64_t spent_us = req->is_passed_on || !states_time(r, arrival)
                            ? 0
                            : spent_earlier_us(req->state, left_us);
-    req->arrived_us = start_us;
+    req->arrived_us = now_us;
     req->is_returning = spent_us >= RETURN_SPENT_MIN_US;
     req->objective_end_us =
         start_us + (req->is_passed_on ? arrival->objective_left_us
--- a/tests/fakes/steering.c
+++ b/tests/fakes/steering.c
@@ -345,6 +345,7 @@
         .path = path,
         .key = key,
         .left_us = left_ms * 1000,
+        .waited_us = f->arrivals_waited_us,
         .credential = f->credential,
         .is_passed_on = f->arrivals_are_passed_on,
     };
--- a/tests/fakes/steering.h
+++ b/tests/fakes/steering.h
@@ -45,6 +45,7 @@
     int64_t end_us;              /* end of the grace period; 0: not stopping */
     GString *broken;             /* violated guarantees, one per line */
     bool arrivals_are_passed_on; /* requests come from another entry */
+    int64_t arrivals_waited_us;  /* behind others on their connection */
     /* Probes wait for FakeSteering_EndProbes, instead of being answered at
      * once. */
     bool holds_probes;
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -180,6 +180,21 @@
     stop(&s);
 }
 
+/* Guards against: a request that waited behind another on its connection is
+ * refused before the owner of its quota was asked. */
+Test(admission, time_in_a_pipeline_is_no_wait_for_the_owner)
+{
+    Setup s = start(1000, 10, OTHER);
+
+    s.f->arrivals_waited_us = 1400 * MS;
+    FakeRequest *req = FakeSteering_Arrive(s.f, "/once/a", NULL, LEFT_MS);
+    GwQuotaMessage asked = next_of_kind(&s, GW_QUOTA_ASK);
+    cr_expect_eq(req->status, 0);
+    answer(&s, &asked, 1);
+    cr_expect_eq(req->sends, 1);
+    stop(&s);
+}
+
 /* Guards against: requests hang, or run without a token, while no owner
  * answers. */
 Test(admission, without_an_answer_requests_are_refused_as_not_run)
