--- a/tests/unit/test_edge_room.c
+++ b/tests/unit/test_edge_room.c
@@ -195,7 +195,6 @@
     run(&c);
     (void)raise(SIGTERM);
     GwEdge_Run(c.h->edge);
-    run(&c);
     cr_expect(has_answer(&c));
     cr_expect(g_str_has_prefix(c.got, "HTTP/1.1 503 "), "%s", c.got);
     cr_expect_eq(EdgeHost_CountRequests(&c.h->servers[0], "r1"), 0);
