--- a/review/standin-2/site.c
+++ b/review/standin-2/site.c
@@ -525,8 +525,11 @@
 
 /* ---- Upstreams ----------------------------------------------------------- */
 
-#define RUNS_MAX  65536
-#define QUEUE_MAX 12
+#define RUNS_MAX 262144
+int queue_max = 12;
+int extra_permille;
+int extra_upstreams;
+int extra_sent;
 /* An upstream that has handled an object lately works faster on it. */
 #define WARM_MAX   31
 #define WARM_SHARE 0.3
@@ -534,7 +537,9 @@
 struct Upstream_s {
     char service[32];
     char id[64];
+    int index;
     int port, slots, work_ms;
+    size_t body_bytes; /* 0: a short text */
     int running, waiting;
     uint64_t seq;
     char warm[WARM_MAX][32]; /* objects handled lately, the oldest replaced */
@@ -551,24 +556,29 @@
     Ran ran;
 } Noted;
 
-static Noted noted[RUNS_MAX];
+static Noted noted[RUNS_MAX]; /* by hash of the id */
 static int noted_count;
 static pthread_mutex_t noted_lock = PTHREAD_MUTEX_INITIALIZER;
 
 static Ran *
 note_of(const char *id)
 {
-    for (int i = noted_count - 1; i >= 0; i--) {
-        if (strcmp(noted[i].id, id) == 0) {
-            return &noted[i].ran;
+    uint32_t at = 2166136261u;
+
+    for (const char *c = id; *c != '\0'; c++) {
+        at = (at ^ (unsigned char)*c) * 16777619u;
+    }
+    for (at %= RUNS_MAX; noted[at].id[0] != '\0'; at = (at + 1) % RUNS_MAX) {
+        if (strcmp(noted[at].id, id) == 0) {
+            return &noted[at].ran;
         }
     }
-    if (noted_count == RUNS_MAX) {
-        fprintf(stderr, "too many runs\n");
+    if (++noted_count > RUNS_MAX / 2) {
+        fprintf(stderr, "too many requests\n");
         exit(2);
     }
-    snprintf(noted[noted_count].id, sizeof(noted[0].id), "%s", id);
-    return &noted[noted_count++].ran;
+    snprintf(noted[at].id, sizeof(noted[0].id), "%s", id);
+    return &noted[at].ran;
 }
 
 Ran
@@ -590,12 +600,37 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/* Belongs to no request, and so bears the id of none. */
+static bool
+send_extra(int fd)
+{
+    static const char text[] = "HTTP/1.1 503 Service Unavailable\r\n"
+                               "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                               "\r\n";
+
+    __sync_fetch_and_add(&extra_sent, 1);
+    return send_all(fd, text, sizeof(text) - 1);
+}
+
 static bool
 answer(int fd, const Upstream *u, const Request *q, int status,
        const char *fields, const char *body)
 {
     char text[2048];
-
+    size_t large = status == 200 ? u->body_bytes : 0;
+
+    if (large > 0) {
+        int n = snprintf(text, sizeof(text),
+                         "HTTP/1.1 200 X\r\nX-Attempt-Id: %s\r\n"
+                         "Keep-Alive: timeout=10\r\n"
+                         "Content-Length: %zu\r\n%s\r\n",
+                         q->id, large, fields);
+        char *bytes = malloc(large);
+        memset(bytes, 'x', large);
+        bool ok = send_all(fd, text, (size_t)n) && send_all(fd, bytes, large);
+        free(bytes);
+        return ok;
+    }
     int n = snprintf(text, sizeof(text),
                      "HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n"
                      "X-Server-Load: %d,%d,%d\r\nKeep-Alive: timeout=10\r\n"
@@ -612,7 +647,7 @@
     bool taken = true;
 
     pthread_mutex_lock(&u->lock);
-    if (u->running >= u->slots && u->waiting >= QUEUE_MAX) {
+    if (u->running >= u->slots && u->waiting >= queue_max) {
         taken = false;
     }
     else if (u->running >= u->slots) {
@@ -696,8 +731,12 @@
     Reader r = {.fd = fd};
     Request q;
     bool ok = true;
+    bool has_extra = false;
 
     while (ok && read_request(&r, &q)) {
+        if (has_extra) {
+            (void)send_extra(fd);
+        }
         int64_t until = q.left_ms >= 0 ? now_ms() + q.left_ms : INT64_MAX;
         bool in_time = true;
         pthread_mutex_lock(&noted_lock);
@@ -727,11 +766,19 @@
                 pthread_mutex_unlock(&noted_lock);
             }
         }
+        has_extra = ok && u->index < extra_upstreams &&
+                    rand() % 1000 < extra_permille;
         free(q.body);
     }
     free(r.held);
 }
 
+void
+upstream_set_body(Upstream *u, size_t bytes)
+{
+    u->body_bytes = bytes;
+}
+
 static void
 beat(Upstream *u)
 {
@@ -756,6 +803,7 @@
     u->work_ms = work_ms;
     pthread_mutex_init(&u->lock, NULL);
     pthread_cond_init(&u->freed, NULL);
+    u->index = upstream_count;
     u->port = serve_at(serve_upstream, u);
     upstreams[upstream_count++] = u;
     beat(u);
@@ -981,6 +1029,9 @@
                 sscanf(in->held, "HTTP/1.1 %d", &status);
                 char *s = strcasestr(in->held, "\r\nx-server-seal:");
                 char *i = strcasestr(in->held, "\r\nx-attempt-id:");
+                char *wait = strcasestr(in->held, "\r\nretry-after:");
+                in->retry_after_s =
+                    wait != NULL && wait < end ? atof(wait + 14) : 0;
                 *seal = s != NULL && s < end;
                 id[0] = '\0';
                 if (i != NULL && i < end) {
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -45,6 +45,15 @@
 typedef struct Upstream_s Upstream;
 Upstream *upstream_start(const char *service, const char *id, int slots,
                          int work_ms);
+/* The size of its answers' bodies; at first some tens of bytes. */
+void upstream_set_body(Upstream *u, size_t bytes);
+/* After so many in a thousand of their answers, the first `count` upstreams
+ * send additional bytes, at the point where the next response on that
+ * connection is expected: a whole message that answers no request. */
+extern int extra_permille;
+extern int extra_upstreams;
+extern int extra_sent;
+extern int queue_max;           /* requests that an upstream queues */
 void upstream_beat_all(void); /* writes the status of all, as they do */
 
 /* What happened to an attempt id at the upstreams. */
@@ -64,6 +73,7 @@
 typedef struct {
     char held[1 << 16];
     size_t len;
+    double retry_after_s; /* of the last answer; 0: none */
 } Input;
 int client_read(int fd, Input *in, int64_t until_ms, bool *seal, char id[64]);
 int directory_ask(int port, char *out, size_t size); /* status */
