--- a/review/standin-2/site.c
+++ b/review/standin-2/site.c
@@ -832,6 +832,7 @@
 /* ---- Entries ------------------------------------------------------------- */
 
 const char *grace = "6s";
+int memory_mb = 260;
 const char *more_settings = "";
 
 void
@@ -869,7 +870,7 @@
             "    \"retry_ratio\": 0.2,\n"
             "    \"retry_extra\": 64,\n"
             "    \"retry_window\": \"10s\",\n"
-            "    \"memory_mb\": 260,\n"
+            "    \"memory_mb\": %d,\n"
             "    \"fd_limit\": 4100,\n"
             "    \"link_mbps\": 1000.0,\n"
             "    \"cpu_share\": 0.2,\n"
@@ -881,7 +882,7 @@
             "    \"first_start\": true\n"
             "}\n",
             e->name, e->call, e->ready, e->directory, e->control, e->metrics,
-            e->peer, store_port, grace, more_settings);
+            e->peer, store_port, memory_mb, grace, more_settings);
     fclose(f);
 }
 
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -27,6 +27,7 @@
     int status; /* of waitpid */
 } Entry;
 extern const char *grace; /* "6s" */
+extern int memory_mb;     /* 260 */
 /* More lines of the settings, each ending with a comma; "" by default. */
 extern const char *more_settings;
 void entry_prepare(Entry *e, const char *folder, int index);
