Graceful stop: log what each open request waits for

Each request without an answer at the end of a stop has a REQUEST_OPEN line with what it waits for, STOP_DONE counts all requests without an answer, and gw_requests_open{waits} shows them at any time. No logic changes.

--- a/lib/common/log_events.h
+++ b/lib/common/log_events.h
@@ -66,6 +66,7 @@
     X(ATTEMPT_UNDELIVERED, 610, WARN, "a request was abandoned in transit") \
     X(CALLER_CLOSED, 611, INFO, "the entry closed a caller's connection") \
     X(CALLER_CUT, 612, WARN, "answers to a caller were discarded unread") \
+    X(REQUEST_OPEN, 613, INFO, "a request was open at the end of a stop") \
     /* 700: platform */ \
     X(STORE_AWAY, 700, WARN, "the platform's table is unavailable") \
     X(STORE_BACK, 701, INFO, "the platform's table is available again") \
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -249,6 +249,8 @@
 const char *GwAttemptOutcome_Name(GwAttemptOutcome outcome);
 void GwServerLink_Send(GwExchange *x, const GwRouterAction *act);
 void GwServerLink_Cancel(GwExchange *x);
+/* Whether the connection of the current attempt is being set up. */
+bool GwServerLink_IsConnecting(const GwExchange *x);
 /* Connects to check that the server is alive, and reports the result to the
  * router. */
 void GwServerLink_Probe(GwEdge *edge, GwServer *s);
--- a/lib/edge/relay.h
+++ b/lib/edge/relay.h
@@ -40,6 +40,8 @@
 
 void GwRelay_Send(GwExchange *x, const GwRouterAction *act);
 void GwRelay_Cancel(GwExchange *x);
+/* Whether the connection of the current attempt is being set up. */
+bool GwRelay_IsConnecting(const GwExchange *x);
 /* Ends the attempts whose connections are not established yet. */
 void GwRelay_AbortConnecting(GwEdge *edge);
 void GwRelay_Sweep(GwEdge *edge, int64_t now_us);
--- a/lib/edge/relay_links.c
+++ b/lib/edge/relay_links.c
@@ -225,6 +225,12 @@
     }
 }
 
+bool
+GwRelay_IsConnecting(const GwExchange *x)
+{
+    return x->relay != NULL && x->relay->connecting;
+}
+
 /* ---- Events -------------------------------------------------------------- */
 
 static void
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -202,6 +202,12 @@
     }
 }
 
+bool
+GwServerLink_IsConnecting(const GwExchange *x)
+{
+    return x->link != NULL && x->link->connecting;
+}
+
 /* Reports the server as alive and keeps the connection for the next
  * request. */
 static void
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -2,6 +2,7 @@
  * dump of the whole state. */
 #include "common/json.h"
 #include "edge/edge_internal.h"
+#include "edge/open_requests.h"
 #include "edge/shortages.h"
 
 #include <json-c/json.h>
@@ -173,6 +174,7 @@
     write_gauge(out, "gw_config_version",
                 routing != NULL ? (double)routing->version : 0);
     write_gauge(out, "gw_open_requests", GwRouter_OpenCount(edge->router));
+    GwOpenRequests_WriteMetrics(edge, out);
     write_gauge(out, "gw_caller_connections",
                 g_queue_get_length(&edge->callers));
     write_gauge(out, "gw_accept_paused_ms",
--- a/lib/edge/stop.c
+++ b/lib/edge/stop.c
@@ -1,5 +1,6 @@
 /* Graceful stop of the entry, from the signal to the end of the loop.
  * lib/router/stop.c decides which requests may still be sent to servers. */
+#include "edge/open_requests.h"
 #include "edge/relay.h"
 
 /* Part of the grace period in which new connections are accepted: callers use
@@ -21,8 +22,10 @@
 static void
 end_loop(GwEdge *edge)
 {
+    uint32_t counts[GW_WAIT_COUNT];
+
     GwLog_Event(GW_LOG_STOP_DONE, "open=%u after_ms=%" PRId64,
-                GwRouter_OpenCount(edge->router),
+                GwOpenRequests_Count(edge, counts),
                 (GwEdge_Now() - edge->stop_signal_us) / 1000);
     GwLog_Flush();
     uv_stop(&edge->loop);
@@ -76,6 +79,7 @@
         (void)uv_timer_start(timer, on_grace_end, GW_AFTER_POLL_MS, 0);
         return;
     }
+    GwOpenRequests_Log(edge);
 #if GW_MUTANT != 159 /* breaks: requests in progress end without an answer */
     GwRouter_EndAll(edge->router, now_us, edge->actions);
     GwCallers_StartAll(edge); /* to be refused */
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -449,6 +449,21 @@
     return req->server != NULL || req->peer[0] != '\0' || req->may_have_run;
 }
 
+GwRequestAwaits
+GwRequest_Awaits(const GwRequest *req)
+{
+    if (req->awaits_token) {
+        return GW_REQUEST_AWAITS_TOKEN;
+    }
+    if (req->server != NULL) {
+        return GW_REQUEST_AWAITS_SERVER;
+    }
+    if (req->peer[0] != '\0') {
+        return GW_REQUEST_AWAITS_PEER;
+    }
+    return req->is_waiting ? GW_REQUEST_AWAITS_SLOT : GW_REQUEST_AWAITS_PROBE;
+}
+
 /* ---- Timers -------------------------------------------------------------- */
 
 int64_t
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -338,6 +338,16 @@
  * request of the disconnected caller could get the slot. */
 void GwRouter_CallerDisconnected(GwRouter *r, int64_t now_us, GwRequest *req,
                                  GArray *actions);
+/* What an open request waits for. */
+typedef enum {
+    GW_REQUEST_AWAITS_TOKEN = 1, /* of its organisation's quota */
+    GW_REQUEST_AWAITS_PROBE,     /* whether a server is alive */
+    GW_REQUEST_AWAITS_SLOT,
+    GW_REQUEST_AWAITS_SERVER, /* its attempt is in progress */
+    GW_REQUEST_AWAITS_PEER    /* the same, at another entry */
+} GwRequestAwaits;
+
+GwRequestAwaits GwRequest_Awaits(const GwRequest *req);
 /* Returns the state so far of a request, for the log. */
 GwRequestSummary GwRequest_Summarize(const GwRequest *req, int64_t now_us);
 void GwRouter_DispatchPending(GwRouter *r, int64_t now_us, GArray *actions);
