Graceful stop: nothing waits anew at its end, and one walk answers all

Cause: a request can wait in several places, and the end of the stop visited their lists one after the other: the router's first, then the requests that wait for room, which it passed to the router to be refused. With organisations these first need a token that another entry grants, so they began to wait behind that visit, and the loop ended.

Why this works: once the grace period has passed the router refuses arrivals and requests for tokens, so that nothing begins to wait; and the last act of the loop walks over the callers' requests themselves, not over the lists they wait in, so that a new place to wait is covered without being named.

--- a/lib/edge/caller_room.c
+++ b/lib/edge/caller_room.c
@@ -1,6 +1,7 @@
 /* Requests of callers that wait until there is room for their answers; the
  * decision is made in answer_room.c. */
 #include "edge/callers_internal.h"
+#include "edge/open_requests.h"
 
 #include <string.h>
 
@@ -85,33 +86,11 @@
     }
 }
 
-/* Refuses a request that was not passed to the router. */
 static void
 refuse(GwExchange *x, const GwRoute *route, uint32_t retry_after_ms)
 {
-    const GwRouting *routing = GwRouter_Routing(x->edge->router);
-    uint32_t waited_ms = (uint32_t)((GwEdge_Now() - x->arrived_us) / 1000);
-    GwRouterAction reply = {
-        .kind = GW_ROUTER_REPLY,
-        .user = x,
-        .why = GW_REPLY_NO_ANSWER_ROOM,
-        .status = 503,
-        .retry_after_ms = retry_after_ms,
-        .request_summary =
-            {
-                .version = routing != NULL ? routing->version : 0,
-                .waited_ms = waited_ms,
-                .took_ms = waited_ms,
-            },
-    };
-
-    g_strlcpy(reply.request_summary.route, route->name,
-              sizeof(reply.request_summary.route));
-    x->started = true;
     x->edge->counts.refused_for_room++;
-    GwEdge_LogRequestEnd(x, GW_END_NOT_RUN, reply.status, reply.why,
-                         &reply.request_summary);
-    GwExchange_Reply(x, &reply);
+    GwExchange_Refuse(x, route->name, GW_REPLY_NO_ANSWER_ROOM, retry_after_ms);
 }
 
 /* With others waiting, each caller is granted one request at a time. */
@@ -154,14 +133,15 @@
     GwRoomRequest request = {.bytes = expected_bytes(x, route)};
     uint32_t retry_after_ms = 0;
 
-    /* At the end of a stop the router refuses what arrives. */
-    if (request.bytes == 0 || edge->end_polls > 0) {
+    if (request.bytes == 0) {
         return GW_START_NOW;
     }
     request.caller_bytes = caller_bytes(caller);
     request.bytes_ahead = bytes_ahead(caller, request.bytes);
     request.left_us = left_us(x, route);
-    switch (GwAnswerRoom_Decide(&edge->room, &request, &retry_after_ms)) {
+    GwRoomVerdict verdict =
+        GwAnswerRoom_Decide(&edge->room, &request, &retry_after_ms);
+    switch (verdict) {
     case GW_ROOM_GRANTED:
         x->room_bytes = request.bytes;
         GwAnswerRoom_Reserve(&edge->room, request.bytes);
@@ -205,14 +185,6 @@
     }
 }
 
-void
-GwCallers_StartAll(GwEdge *edge)
-{
-    for (GList *at = edge->callers.head; at != NULL; at = at->next) {
-        GwCaller_StartReady(at->data);
-    }
-}
-
 /* Refuses requests whose deadline passes while they wait, and measures how
  * fast room comes free. */
 void
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -207,8 +207,6 @@
 void GwCallers_FreeOneDisconnected(GwEdge *edge);
 /* Starts requests that wait for room; caller_room.c. */
 void GwCallers_ServeRoom(GwEdge *edge);
-/* Starts those too that have none, at the end of a stop. */
-void GwCallers_StartAll(GwEdge *edge);
 /* Time that the caller states that it waits, when it sent the request; < 0:
  * none. */
 int64_t GwExchange_TimeLeftUs(const GwExchange *x);
--- a/lib/edge/open_requests.c
+++ b/lib/edge/open_requests.c
@@ -96,6 +96,57 @@
     return sum;
 }
 
+void
+GwExchange_Refuse(GwExchange *x, const char *route, GwReplyReason why,
+                  uint32_t retry_after_ms)
+{
+    const GwRouting *routing = GwRouter_Routing(x->edge->router);
+    uint32_t waited_ms = (uint32_t)((GwEdge_Now() - x->arrived_us) / 1000);
+    GwRouterAction reply = {
+        .kind = GW_ROUTER_REPLY,
+        .user = x,
+        .why = why,
+        .status = 503,
+        .retry_after_ms = retry_after_ms,
+        .request_summary =
+            {
+                .version = routing != NULL ? routing->version : 0,
+                .waited_ms = waited_ms,
+                .took_ms = waited_ms,
+            },
+    };
+
+    g_strlcpy(reply.request_summary.route, route,
+              sizeof(reply.request_summary.route));
+    x->started = true;
+    GwEdge_LogRequestEnd(x, GW_END_NOT_RUN, reply.status, reply.why,
+                         &reply.request_summary);
+    GwExchange_Reply(x, &reply);
+}
+
+static void
+refuse_unstarted(GwCaller *caller)
+{
+    for (GList *at = caller->exchanges.head; at != NULL; at = at->next) {
+        GwExchange *x = at->data;
+        if (!x->started) {
+            GwExchange_Refuse(x, "", GW_REPLY_LEAVING, GW_STOP_RETRY_AFTER_MS);
+        }
+    }
+}
+
+/* First those that the router knows. The others wait in lists of this entry;
+ * passed to the router only now, they could begin to wait there. */
+void
+GwOpenRequests_EndAll(GwEdge *edge)
+{
+    GwRouter_EndAll(edge->router, GwEdge_Now(), edge->actions);
+    for (GList *at = edge->callers.head; at != NULL; at = at->next) {
+        refuse_unstarted(at->data);
+    }
+    GwEdge_RunActions(edge);
+}
+
 static void
 log_one(void *ctx, const GwExchange *x, GwOpenWait wait)
 {
--- a/lib/edge/open_requests.h
+++ b/lib/edge/open_requests.h
@@ -21,6 +21,12 @@
 /* Counts the open requests by what they wait for. Returns their number. */
 uint32_t GwOpenRequests_Count(const GwEdge *edge,
                               uint32_t counts[GW_WAIT_COUNT]);
+/* Refuses a request that was not passed to the router. `route`: its name, or
+ * "". */
+void GwExchange_Refuse(GwExchange *x, const char *route, GwReplyReason why,
+                       uint32_t retry_after_ms);
+/* Answers every open request, wherever it waits, at the end of a stop. */
+void GwOpenRequests_EndAll(GwEdge *edge);
 /* Writes a log line for each open request. */
 void GwOpenRequests_Log(const GwEdge *edge);
 void GwOpenRequests_WriteMetrics(const GwEdge *edge, GString *out);
--- a/lib/edge/stop.c
+++ b/lib/edge/stop.c
@@ -81,9 +81,7 @@
     }
     GwOpenRequests_Log(edge);
 #if GW_MUTANT != 159 /* breaks: requests in progress end without an answer */
-    GwRouter_EndAll(edge->router, now_us, edge->actions);
-    GwCallers_StartAll(edge); /* to be refused */
-    GwEdge_RunActions(edge);
+    GwOpenRequests_EndAll(edge);
 #endif
     end_loop(edge);
 }
--- a/lib/router/admission.c
+++ b/lib/router/admission.c
@@ -52,7 +52,9 @@
 void
 GwRequest_Admit(GwRouter *r, int64_t now_us, GwRequest *req, GArray *actions)
 {
-    GwReplyReason why = GwRequest_CheckAccess(r, now_us, req);
+    GwReplyReason why = GwRouter_HasEnded(r, now_us)
+                            ? GW_REPLY_LEAVING
+                            : GwRequest_CheckAccess(r, now_us, req);
 
     if (why != GW_REPLY_NONE) {
         GwRequest_Refuse(r, now_us, req, why, actions);
--- a/lib/router/arrivals.c
+++ b/lib/router/arrivals.c
@@ -154,6 +154,19 @@
     g_array_append_val(actions, out);
 }
 
+/* Whether the request may enter the router, where it may wait for a token, a
+ * slot, a probe or a connection. */
+static GwReplyReason
+check_entrance(const GwRouter *r, int64_t now_us, const GwArrival *arrival,
+               const GwRoute *route)
+{
+    GwReplyReason why = GwRouter_CheckArrival(r, now_us, arrival, route);
+
+    return why == GW_REPLY_NONE && GwRouter_HasEnded(r, now_us)
+               ? GW_REPLY_LEAVING
+               : why;
+}
+
 void
 GwRouter_Arrive(GwRouter *r, int64_t now_us, const GwArrival *arrival,
                 GArray *actions)
@@ -163,7 +176,7 @@
         r->routing != NULL
             ? GwRouting_Match(r->routing, arrival->host, arrival->path)
             : NULL;
-    GwReplyReason why = GwRouter_CheckArrival(r, now_us, arrival, route);
+    GwReplyReason why = check_entrance(r, now_us, arrival, route);
     if (why != GW_REPLY_NONE || route == NULL) {
         refuse_arrival(r, arrival, why, actions);
         return;
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -15,8 +15,6 @@
  * time. */
 #define SLOT_WAIT_MIN_US 50000.0
 #define SLOT_WAIT_MAX_US 3000000.0
-/* A caller refused during a stop may retry at another entry at once. */
-#define STOP_RETRY_AFTER_MS 20
 
 const char *
 GwReplyReason_Name(GwReplyReason why)
@@ -138,6 +136,9 @@
 uint32_t
 GwRouter_RetryAfterMs(GwRouter *r)
 {
+    if (r->end_us != INT64_MAX) {
+        return GW_STOP_RETRY_AFTER_MS;
+    }
     return RETRY_AFTER_MIN_MS + GwRng_Below(&r->rng, RETRY_AFTER_SPREAD_MS);
 }
 
@@ -174,8 +175,7 @@
         int64_t until_us = GwRequest_QuarantinedUntil(r, now_us, req);
         return (uint32_t)MIN((until_us - now_us) / 1000 + 1, UINT32_MAX);
     }
-    return r->end_us != INT64_MAX ? STOP_RETRY_AFTER_MS
-                                  : GwRouter_RetryAfterMs(r);
+    return GwRouter_RetryAfterMs(r);
 }
 
 void
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -351,13 +351,17 @@
 /* Returns the state so far of a request, for the log. */
 GwRequestSummary GwRequest_Summarize(const GwRequest *req, int64_t now_us);
 void GwRouter_DispatchPending(GwRouter *r, int64_t now_us, GArray *actions);
+/* Retry delay of a caller that is refused during a stop: it may retry at
+ * another entry at once. */
+#define GW_STOP_RETRY_AFTER_MS 20
+
 /* Begins a graceful stop: attempts that start from now on must end by
  * `end_us`, when the entry closes the connections of its callers. A second
  * call at the end refuses the requests that still wait. */
 void GwRouter_Stop(GwRouter *r, int64_t now_us, int64_t end_us,
                    GArray *actions);
 /* Ends all requests at the end of the stop: those that were sent with 502, the
- * others as not run. */
+ * others as not run. Requests that arrive later are refused. */
 void GwRouter_EndAll(GwRouter *r, int64_t now_us, GArray *actions);
 /* Handles timeouts and due evaluations; to be called at
  * GwRouter_NextDeadline. */
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -453,6 +453,9 @@
 bool GwRouter_IsStartPhase(const GwRouter *r, int64_t now_us);
 
 /* stop.c */
+/* Whether a graceful stop has reached its end: no request may begin to wait
+ * for anything. */
+bool GwRouter_HasEnded(const GwRouter *r, int64_t now_us);
 /* Returns the last time at which a run at the server that is expected to take
  * `run_us` may start and still end before the entry does; INT64_MAX when the
  * entry is not stopping. */
--- a/lib/router/stop.c
+++ b/lib/router/stop.c
@@ -26,7 +26,7 @@
     while (r->awaiting_probe->len > 0) {
         GwRequest_EndProbeWait(r, r->awaiting_probe->pdata[0]);
     }
-    while (now_us >= end_us && r->awaiting_token->len > 0) {
+    while (GwRouter_HasEnded(r, now_us) && r->awaiting_token->len > 0) {
         GwRequest_Refuse(r, now_us, r->awaiting_token->pdata[0],
                          GW_REPLY_LEAVING, actions);
     }
@@ -38,10 +38,20 @@
     }
 }
 
+bool
+GwRouter_HasEnded(const GwRouter *r, int64_t now_us)
+{
+#if GW_MUTANT == 161 /* breaks: requests begin to wait after the end */
+    return false;
+#endif
+    return now_us >= r->end_us;
+}
+
 void
 GwRouter_EndAll(GwRouter *r, int64_t now_us, GArray *actions)
 {
     GwRouter_FreeRemoved(r, actions);
+    r->end_us = MIN(r->end_us, now_us);
     GList *open = g_hash_table_get_keys(r->open);
     for (GList *at = open; at != NULL; at = at->next) {
         GwRequest *req = at->data;
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -271,3 +271,25 @@
     }
     stop(&s);
 }
+
+/* Guards against: a request begins to wait for a token after the end of a
+ * stop, and the process exits before it is answered. */
+Test(admission, nothing_waits_for_a_token_after_the_end_of_a_stop)
+{
+    static const struct {
+        int64_t arrives_after_ms; /* the end */
+        uint16_t status;          /* right after its arrival */
+    } cases[] = {{-100, 0}, {0, 503}, {50, 503}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Setup s = start(1000, 10, OTHER);
+        int64_t end_us = s.f->now_us + 1000 * MS;
+        GwRouter_Stop(s.f->router, s.f->now_us, end_us, s.f->actions);
+        FakeSteering_RunActions(s.f);
+        FakeSteering_Advance(s.f, (1000 + cases[i].arrives_after_ms) * MS);
+        FakeRequest *req =
+            FakeSteering_Arrive(s.f, "/again/a", NULL, 10 * LEFT_MS);
+        cr_expect_eq(req->status, cases[i].status, "case %zu", i);
+        stop(&s);
+    }
+}
