Graceful stop: a request that is still being sent is refused at the end

Change: it gets 503 with Connection: close, after the answers before it.

Test: edge_open, an_incomplete_request_is_refused_at_the_end_of_a_stop, failed before (no answer).

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -307,6 +307,16 @@
     }
 }
 
+static uint32_t
+error_retry_ms(const GwCaller *caller)
+{
+    if (caller->error_status != 503) {
+        return 0;
+    }
+    return caller->edge->is_stopping ? GW_STOP_RETRY_AFTER_MS
+                                     : OVER_BUDGET_RETRY_MS;
+}
+
 /* Sends the answers that are ready, in request order. An answer that closes
  * the connection must be the last for the data read so far: the caller would
  * resend any request already forwarded behind it. */
@@ -341,8 +351,7 @@
     caller->has_unacked_answer = true;
     if (x == NULL && caller->error_status != 0) {
         GString *out = g_string_new(NULL);
-        write_reply(out, caller->error_status,
-                    caller->error_status == 503 ? OVER_BUDGET_RETRY_MS : 0, "",
+        write_reply(out, caller->error_status, error_retry_ms(caller), "",
                     true);
         GwConn_Write(caller->conn, out);
         g_string_free(out, TRUE);
--- a/lib/edge/open_requests.c
+++ b/lib/edge/open_requests.c
@@ -135,6 +135,17 @@
     }
 }
 
+/* Unless it is told, the caller can't know that a request which it was still
+ * sending did not run. */
+static void
+refuse_incomplete(GwCaller *caller)
+{
+    if (caller->error_status == 0 && GwConn_IsInMessage(caller->conn)) {
+        caller->error_status = 503;
+        GwCaller_ScheduleFlush(caller);
+    }
+}
+
 /* First those that the router knows. The others wait in lists of this entry;
  * passed to the router only now, they could begin to wait there. */
 void
@@ -143,6 +154,7 @@
     GwRouter_EndAll(edge->router, GwEdge_Now(), edge->actions);
     for (GList *at = edge->callers.head; at != NULL; at = at->next) {
         refuse_unstarted(at->data);
+        refuse_incomplete(at->data);
     }
     GwEdge_RunActions(edge);
 }
--- a/tests/unit/test_edge_open.c
+++ b/tests/unit/test_edge_open.c
@@ -256,3 +256,26 @@
         finish(&c);
     }
 }
+
+/* Guards against: a caller that still sends a request at the end of a stop
+ * sees a closed connection and can't know that it did not run. */
+Test(edge_open, an_incomplete_request_is_refused_at_the_end_of_a_stop,
+     .timeout = 30)
+{
+    Ctx c = {.h = EdgeHost_Create(), .got = g_string_new(NULL)};
+
+    EdgeHost_AddServer(c.h, "a", 4);
+    c.caller = EdgeHost_Connect(c.h);
+    EdgeHost_SendText(c.caller, "POST /once/r0 HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: 100\r\n\r\nhalf");
+    for (int i = 0; i < 20; i++) {
+        EdgeHost_RunOnce(c.h);
+        g_usleep(200);
+    }
+    c.h->edge->settings->grace_ms = GRACE_MS;
+    (void)raise(SIGTERM);
+    GwEdge_Run(c.h->edge);
+    cr_expect(has_answer(&c));
+    cr_expect(g_str_has_prefix(c.got->str, "HTTP/1.1 503"), "%s", c.got->str);
+    finish(&c);
+}
