Server links: what precedes an answer is bounded

Reported by an operator of another system: bytes that are no answer, without end. Interim responses, answers to other requests and empty lines were not: each was dropped without being counted, so that the attempt, its connection and processor time were held for as long as the caller waits.

An attempt ends as "may have run" after 16 messages before its answer, 256 KB of their heads or 4 KB of empty lines, on connections to servers and to other entries. ANSWER_EXCESS names the bound.

Mutants 163, 164.

--- a/lib/edge/answer_bounds.c
+++ b/lib/edge/answer_bounds.c
@@ -15,6 +15,11 @@
 #define SLOW_READS_MIN   8
 #define SLOW_BYTES_PER_S 512.0
 #define LOG_PERIOD_US    INT64_C(1000000)
+/* Messages that may precede a response, and the size of their heads. */
+#define EXTRA_COUNT_MAX 16
+#define EXTRA_BYTES_MAX GW_ANSWER_HEAD_BYTES
+/* Empty lines between messages, in bytes. */
+#define PADDING_MAX_BYTES (4u << 10)
 
 void
 GwAnswerBounds_Init(GwHttpBudget *bodies, uint64_t memory_mb)
@@ -30,9 +35,34 @@
         .sent_us = now_us,
         .bytes_before = GwConn_BytesIn(conn),
         .reads_before = GwConn_ReadCount(conn),
+        .bytes_at_extra = GwConn_BytesIn(conn),
     };
 }
 
+bool
+GwAnswerMeter_AddExtra(GwAnswerMeter *m, const GwConn *conn,
+                       const GwHttpMessage *msg)
+{
+    m->extra_count++;
+    m->extra_bytes += msg->head_len;
+    m->bytes_at_extra = GwConn_BytesIn(conn);
+#if GW_MUTANT == 163 /* breaks: interim responses come without end */
+    return false;
+#endif
+    return m->extra_count > EXTRA_COUNT_MAX ||
+           m->extra_bytes > EXTRA_BYTES_MAX;
+}
+
+bool
+GwAnswerMeter_IsPadded(const GwAnswerMeter *m, const GwConn *conn)
+{
+#if GW_MUTANT == 164 /* breaks: empty lines come without end */
+    return false;
+#endif
+    return !GwConn_IsInMessage(conn) &&
+           GwConn_BytesIn(conn) - m->bytes_at_extra > PADDING_MAX_BYTES;
+}
+
 bool
 GwAnswerMeter_IsTooSlow(const GwAnswerMeter *m, const GwConn *conn,
                         int64_t now_us)
@@ -65,16 +95,30 @@
     return false;
 }
 
+static const char *
+exceeded_bound(const GwAnswerMeter *m, const GwConn *conn)
+{
+    switch (GwConn_Error(conn)) {
+    case GW_HTTP_LONG_HEAD:
+        return "head";
+    case GW_HTTP_LONG_BODY:
+        return "body";
+    case GW_HTTP_OVER_BUDGET:
+        return "memory";
+    case GW_HTTP_OK:
+    case GW_HTTP_MALFORMED:
+        break;
+    }
+    if (m->extra_count > EXTRA_COUNT_MAX || m->extra_bytes > EXTRA_BYTES_MAX) {
+        return "messages";
+    }
+    return GwAnswerMeter_IsPadded(m, conn) ? "padding" : "time";
+}
+
 void
 GwAnswerBounds_NoteExcess(GwEdge *edge, const char *sender,
                           const GwAnswerMeter *m, const GwConn *conn)
 {
-    static const char *const bounds[] = {
-        [GW_HTTP_OK] = "time",
-        [GW_HTTP_LONG_HEAD] = "head",
-        [GW_HTTP_LONG_BODY] = "body",
-        [GW_HTTP_OVER_BUDGET] = "memory",
-    };
     GwAnswerExcess *excess = &edge->excess;
     int64_t now_us = GwEdge_Now();
 
@@ -86,7 +130,7 @@
     GwLog_Event(GW_LOG_ANSWER_EXCESS,
                 "server=%s bound=%s bytes=%" PRIu64 " took_ms=%" PRId64
                 " held=%" PRIu64 " unlogged=%" PRIu64,
-                sender, bounds[GwConn_Error(conn)],
+                sender, exceeded_bound(m, conn),
                 GwConn_BytesIn(conn) - m->bytes_before,
                 (now_us - m->sent_us) / 1000, edge->bodies.responses,
                 excess->unlogged);
--- a/lib/edge/answer_bounds.h
+++ b/lib/edge/answer_bounds.h
@@ -18,6 +18,9 @@
     int64_t began_us; /* first byte of the response; 0: none yet */
     uint64_t bytes_before;
     uint64_t reads_before;
+    uint32_t extra_count;    /* messages before the response */
+    uint64_t extra_bytes;    /* of their heads */
+    uint64_t bytes_at_extra; /* received when the last of them ended */
 } GwAnswerMeter;
 
 /* Responses that exceeded a bound. */
@@ -34,6 +37,13 @@
  * One that stops arriving is not slow: the request's deadline ends it. */
 bool GwAnswerMeter_IsTooSlow(const GwAnswerMeter *m, const GwConn *conn,
                              int64_t now_us);
+/* Counts a message that came before the response: an interim response, or one
+ * that belongs to no or another request. Returns whether it was one too
+ * many. */
+bool GwAnswerMeter_AddExtra(GwAnswerMeter *m, const GwConn *conn,
+                            const GwHttpMessage *msg);
+/* Whether too many bytes arrived that begin no message. */
+bool GwAnswerMeter_IsPadded(const GwAnswerMeter *m, const GwConn *conn);
 /* Whether the connection ended because the response exceeded a bound. */
 bool GwAnswerBounds_IsExcess(const GwConn *conn);
 /* Counts a response that exceeded a bound, and logs it. `sender`: the server
--- a/lib/edge/relay_links.c
+++ b/lib/edge/relay_links.c
@@ -244,6 +244,20 @@
     GwEdge_RunActions(edge);
 }
 
+/* Ends the attempt of an answer that exceeded a bound. */
+static void
+fail_answer(GwRelayLink *link)
+{
+    GwExchange *x = link->exchange;
+    GwPassedOnEnd end = {.attempt = {.outcome = GW_ATTEMPT_LOST},
+                         .has_reached = true};
+
+    GwAnswerBounds_NoteExcess(link->edge, GwRequest_Peer(x->request),
+                              &link->meter, link->conn);
+    close_link(link);
+    report(x, &end);
+}
+
 static void
 on_message(void *owner, GwHttpMessage *msg)
 {
@@ -251,11 +265,17 @@
     GwEdge *edge = link->edge;
     GwExchange *x = link->exchange;
 
-    if (x == NULL || msg->status < 200) {
-        bool unsolicited = x == NULL;
+    if (x == NULL) {
         GwHttpMessage_Free(msg);
-        if (unsolicited) {
-            close_link(link);
+        close_link(link);
+        return;
+    }
+    if (msg->status < 200) {
+        bool is_excess = GwAnswerMeter_AddExtra(&link->meter, link->conn, msg);
+        GwHttpMessage_Free(msg);
+        if (is_excess) {
+            fail_answer(link);
+            GwEdge_RunActions(edge);
         }
         return;
     }
@@ -281,12 +301,18 @@
 on_read(void *owner)
 {
     GwRelayLink *link = owner;
+    GwEdge *edge = link->edge;
 
     if (link->exchange == NULL &&
         (GwConn_IsInMessage(link->conn) ||
          GwConn_ReadCount(link->conn) > link->reads_answered)) {
         close_link(link);
     }
+    else if (link->exchange != NULL &&
+             GwAnswerMeter_IsPadded(&link->meter, link->conn)) {
+        fail_answer(link);
+        GwEdge_RunActions(edge);
+    }
 }
 
 static void
--- a/lib/edge/server_links.c
+++ b/lib/edge/server_links.c
@@ -251,6 +251,19 @@
             GwConn_ReadCount(link->conn) > link->reads_answered);
 }
 
+/* Ends the attempt of an answer that exceeded a bound. */
+static void
+fail_answer(GwServerLink *link)
+{
+    GwExchange *x = link->exchange;
+    GwAttemptEnd end = {.outcome = GW_ATTEMPT_LOST};
+
+    GwAnswerBounds_NoteExcess(link->edge, link->pool->id, &link->meter,
+                              link->conn);
+    GwServerLink_Close(link);
+    report_attempt(x, &end);
+}
+
 /* Runs the actions that follow from an answer only after the whole read is
  * parsed: only then is it known that no data follows the answer, and that the
  * connection can carry the next request. */
@@ -263,6 +276,10 @@
     if (has_excess_bytes(link)) {
         GwServerLink_Close(link);
     }
+    else if (link->exchange != NULL &&
+             GwAnswerMeter_IsPadded(&link->meter, link->conn)) {
+        fail_answer(link);
+    }
     else if (link->exchange != NULL && link->meter.began_us == 0) {
         link->meter.began_us = GwEdge_Now();
         g_queue_push_tail_link(&edge->receiving, &link->receiving);
@@ -283,13 +300,15 @@
         GwEdge_RunActions(edge);
         return;
     }
-    if (msg->status < 200) {
-        GwHttpMessage_Free(msg);
-        return;
-    }
-    if (!GwAnswer_IsTo(edge->adapter, msg, x->msg)) {
-        link->has_stray_answer = true;
+    bool is_interim = msg->status < 200;
+    if (is_interim || !GwAnswer_IsTo(edge->adapter, msg, x->msg)) {
+        link->has_stray_answer |= !is_interim;
+        bool is_excess = GwAnswerMeter_AddExtra(&link->meter, link->conn, msg);
         GwHttpMessage_Free(msg);
+        if (is_excess) {
+            fail_answer(link);
+            GwEdge_RunActions(edge);
+        }
         return;
     }
     GwAttemptEnd end = GwAnswer_End(edge->adapter, msg, link->connect_us);
@@ -437,16 +456,10 @@
 
     for (GList *at = edge->receiving.head, *next; at != NULL; at = next) {
         GwServerLink *link = at->data;
-        GwExchange *x = link->exchange;
-        GwAttemptEnd end = {.outcome = GW_ATTEMPT_LOST};
         next = at->next;
-        if (!GwAnswerMeter_IsTooSlow(&link->meter, link->conn, seen_us)) {
-            continue;
+        if (GwAnswerMeter_IsTooSlow(&link->meter, link->conn, seen_us)) {
+            fail_answer(link);
         }
-        GwAnswerBounds_NoteExcess(edge, link->pool->id, &link->meter,
-                                  link->conn);
-        GwServerLink_Close(link);
-        report_attempt(x, &end);
     }
 }
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -20,6 +20,7 @@
  * LONG_TIMEOUT_US. */
 #define SILENCE_TIMEOUT_US 400000
 #define LONG_TIMEOUT_US    30000000
+#define ENDLESS_BYTES      (4u << 20)
 
 static GwDispatchResult
 run_until(GwDispatcher *d, const char *address, bool idempotent,
@@ -133,6 +134,33 @@
      GW_REASON_SILENT},
 };
 
+/* Guards against: heads without end are kept until the memory is used up. */
+Test(dispatch, heads_without_end_are_bounded, .timeout = 60)
+{
+    static const char *const starts[] = {"HTTP/1.1 200 OK\r\n",
+                                         "HTTP/1.1 100 Continue\r\n\r\n"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+        GString *text = g_string_new(starts[i]);
+        while (text->len < ENDLESS_BYTES) {
+            g_string_append(text,
+                            i == 0 ? "X-More: 0123456789\r\n" : starts[i]);
+        }
+        RawStep plan[RAW_CONNECTIONS_MAX][RAW_STEPS_MAX] = {
+            {{RAW_ANSWER, text->str}}};
+        RawServer *server = RawServer_Start(plan);
+        GwDispatcher *d = GwDispatcher_Create();
+        GwDispatchResult result =
+            run(d, RawServer_Address(server), false, NULL);
+        cr_expect_eq(result.outcome, GW_OUTCOME_UNKNOWN, "%s", starts[i]);
+        cr_expect_eq(result.reason, GW_REASON_BROKEN, "%s", starts[i]);
+        GwAnswer_Unref(result.answer);
+        GwDispatcher_Free(d);
+        RawServer_Stop(server);
+        g_string_free(text, TRUE);
+    }
+}
+
 /* Outcomes of a request on a new connection. A truncated answer is always
  * "unknown", never "not run". */
 Test(dispatch, request_on_a_new_connection)
--- a/tests/unit/test_http_message.c
+++ b/tests/unit/test_http_message.c
@@ -334,3 +334,43 @@
     g_ptr_array_free(received.messages, TRUE);
     GwHttpParser_Free(p);
 }
+
+#define ENDLESS_BYTES (1u << 20)
+
+/* Guards against: chunk extensions, trailers or interim heads without end are
+ * kept, or parsed for ever. */
+Test(http_message, parts_without_end_are_rejected)
+{
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    static const struct {
+        const char *name;
+        const char *begin;
+        const char *again;
+    } cases[] = {
+        {"head", "HTTP/1.1 200 OK\r\n", "A: 0123456789\r\n"},
+        {"field", "HTTP/1.1 200 OK\r\nA: ", "0123456789"},
+        {"field name", "HTTP/1.1 200 OK\r\n", "0123456789"},
+        {"reason phrase", "HTTP/1.1 200 ", "0123456789"},
+        {"chunk extension", CHUNKED "1;", "0123456789"},
+        {"chunk size", CHUNKED, "0000000000"},
+        {"trailers", CHUNKED "0\r\n", "A: 0123456789\r\n"},
+        {"trailer", CHUNKED "0\r\nA: ", "0123456789"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Received received = {0};
+        GwHttpParser *p = create_parser(&received, false);
+        size_t len = strlen(cases[i].again);
+        size_t fed = 0;
+        (void)GwHttpParser_Feed(p, cases[i].begin, strlen(cases[i].begin));
+        while (fed < ENDLESS_BYTES &&
+               GwHttpParser_Feed(p, cases[i].again, len) == GW_HTTP_OK) {
+            fed += len;
+        }
+        cr_expect_lt(fed, ENDLESS_BYTES, "%s", cases[i].name);
+        cr_expect_eq(received.messages->len, 0, "%s", cases[i].name);
+        GwHttpParser_Free(p);
+        g_ptr_array_free(received.messages, TRUE);
+    }
+#undef CHUNKED
+}
