HTTP: a status outside of 100 to 599, or 101, is no response

Callers saw, on other systems, an answer whose status was 000. Here 700 and 999 were passed on as answers, and 000 and 101 were dropped as interim responses, so that callers waited for their whole time and got 504.

Cause: the parser took any three digits for a status, and everything below 200 for interim. RFC 9110, section 15: a status is 100 to 599; 101 answers an upgrade, which is never asked for.

The parser rejects such a message as malformed, so that all connections that read responses end their attempt as "may have run" and close. godwitd checks the range of libcurl's status.

--- a/lib/http/parser.c
+++ b/lib/http/parser.c
@@ -190,6 +190,17 @@
     return coding != NULL && strcasecmp(coding, "chunked") != 0;
 }
 
+/* RFC 9110, section 15: other values are no response. 101 answers a request
+ * for an upgrade, which is never sent. */
+static bool
+is_valid_status(unsigned int status)
+{
+#if GW_MUTANT == 165 /* breaks: any number is a status */
+    return true;
+#endif
+    return status >= 100 && status <= 599 && status != 101;
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -201,7 +212,8 @@
     }
     g_string_truncate(p->name, 0);
     p->head_done = true;
-    if (has_unsupported_coding(msg)) {
+    if (has_unsupported_coding(msg) ||
+        (!p->params.requests && !is_valid_status(parser->status_code))) {
         return fail(p, GW_HTTP_MALFORMED);
     }
     bool chunked = (parser->flags & F_CHUNKED) != 0;
--- a/lib/runtime/dispatch.c
+++ b/lib/runtime/dispatch.c
@@ -273,7 +273,7 @@
     long status = 0;
     curl_easy_getinfo(connection->easy, CURLINFO_RESPONSE_CODE, &status);
     if (!response->is_head_complete || response->is_too_large ||
-        status < 200) {
+        status < 200 || status > 599) {
         return false;
     }
     return response->has_framing || status == 204 || status == 304 ||
--- a/tests/unit/test_edge_malformed.c
+++ b/tests/unit/test_edge_malformed.c
@@ -34,6 +34,16 @@
     return strstr(c->answer, "\r\n\r\n") != NULL;
 }
 
+static bool
+is_closed_by_entry(void *ctx)
+{
+    Ctx *c = ctx;
+    char byte;
+
+    return recv(c->server->conns[0].fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) ==
+           0;
+}
+
 typedef enum { BY_A_SERVER = 0, BY_A_PEER, SENDER_COUNT } Sender;
 
 static Ctx
@@ -130,3 +140,38 @@
     g_free(wide);
     g_free(link);
 }
+
+/* Guards against: bytes whose status is no valid one reach the caller as the
+ * answer, or are dropped as an interim response while the caller waits. */
+Test(edge_malformed, an_invalid_status_ends_the_attempt, .timeout = 60)
+{
+    static const struct {
+        const char *status;
+        const char *answers;
+    } cases[] = {
+        {"000 x", "HTTP/1.1 502"}, {"001 x", "HTTP/1.1 502"},
+        {"99 x", "HTTP/1.1 502"},  {"101 Switching", "HTTP/1.1 502"},
+        {"600 x", "HTTP/1.1 502"}, {"700 x", "HTTP/1.1 502"},
+        {"999 x", "HTTP/1.1 502"}, {"200 OK", "HTTP/1.1 200"},
+        {"599 x", "HTTP/1.1 599"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases) * SENDER_COUNT; i++) {
+        size_t k = i / SENDER_COUNT;
+        Sender sender = (Sender)(i % SENDER_COUNT);
+        Ctx c = start(sender);
+        char *answer = answer_with(cases[k].status, "r1");
+        send_often(&c, answer, 1);
+        cr_assert(EdgeHost_RunUntil(c.h, is_answered, &c), "%s by %d",
+                  cases[k].status, sender);
+        cr_expect(g_str_has_prefix(c.answer, cases[k].answers), "%s by %d: %s",
+                  cases[k].status, sender, c.answer);
+        if (strcmp(cases[k].answers, "HTTP/1.1 502") == 0) {
+            cr_expect(EdgeHost_RunUntil(c.h, is_closed_by_entry, &c), "%s",
+                      cases[k].status);
+        }
+        cr_expect_eq(EdgeHost_CountRequests(c.server, "r1"), 1);
+        g_free(answer);
+        finish(&c);
+    }
+}
