--- a/standins/site.sh
+++ b/standins/site.sh
@@ -181,7 +181,7 @@
 # Prints the requests that violated a guarantee or whose connection closed
 # without an answer.
 site_violations() {
-    grep -E '^(CUT|FALSE|BARE|NO|NOT|WRONG|DOUBLED|BEHIND|crossed)' \
+    grep -E '^(CUT|BROKEN|FALSE|BARE|NO|NOT|WRONG|DOUBLED|BEHIND|crossed)' \
         "$gw_dir/simulator.log"
 }
 
--- a/standins/site/caller.c
+++ b/standins/site/caller.c
@@ -284,6 +284,7 @@
         .has_retry_after = GwHttpMessage_Get(msg, "retry-after") != NULL,
         .is_closing = !msg->keep_alive || !g_queue_is_empty(&c->sent),
         .for_organisation = msg->status == 401 || msg->status == 429,
+        .is_broken_off = msg->status == 502,
     };
 
     if (msg->status == 200) {
--- a/standins/site/events.c
+++ b/standins/site/events.c
@@ -270,6 +270,17 @@
     }
 }
 
+static void
+run_long_runs(Site *site, char **words)
+{
+    uint32_t permille = (uint32_t)strtoul(words[1], NULL, 10);
+    uint32_t factor = (uint32_t)strtoul(words[2], NULL, 10);
+
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        SiteServer_SetLongRuns(site->servers[i], permille, factor);
+    }
+}
+
 static void
 run_revoke(Site *site, char **words)
 {
@@ -316,10 +327,11 @@
     {"ready", 2, run_ready},
     {"evacuate", 2, run_evacuate}, /* DOMAIN */
     {"return", 2, run_return},
-    {"config", 2, run_config},   /* IDLE MS */
-    {"faults", 2, run_faults},   /* PERMILLE */
-    {"endless", 2, run_endless}, /* see SiteEndlessFault_Parse */
-    {"reading", 2, run_reading}, /* see SiteReading_Parse */
+    {"config", 2, run_config},       /* IDLE MS */
+    {"faults", 2, run_faults},       /* PERMILLE */
+    {"long-runs", 3, run_long_runs}, /* PERMILLE FACTOR */
+    {"endless", 2, run_endless},     /* see SiteEndlessFault_Parse */
+    {"reading", 2, run_reading},     /* see SiteReading_Parse */
     {"revoke", 1, run_revoke},
     {"calm", 1, run_calm}, /* faults are over: requests are answered */
     {"end", 1, run_end},
--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -52,10 +52,11 @@
     bool is_not_cancelled; /* reached a server SITE_CANCEL_US after its end */
     LinksAtSending links;
     SiteJournal *journal;
-    bool is_disturbed; /* by a fault between sending and end */
-    bool lost_links;   /* its entry lost its links to servers meanwhile */
-    bool is_struck;    /* a server sent bytes without end as the answer */
-    guint endless;     /* 1 + index of j->endless at sending; 0: none */
+    bool is_disturbed;   /* by a fault between sending and end */
+    bool lost_links;     /* its entry lost its links to servers meanwhile */
+    bool is_struck;      /* a server sent bytes without end as the answer */
+    bool is_answer_lost; /* a server ran it and did not answer */
+    guint endless;       /* 1 + index of j->endless at sending; 0: none */
 };
 
 int64_t
@@ -323,6 +324,16 @@
     }
 }
 
+void
+SiteJournal_AnswerLost(SiteJournal *j, const char *id)
+{
+    SiteRequest *req = g_hash_table_lookup(j->requests, id);
+
+    if (req != NULL) {
+        req->is_answer_lost = true;
+    }
+}
+
 void
 SiteJournal_FaultsEnded(SiteJournal *j)
 {
@@ -430,6 +441,28 @@
     }
 }
 
+/* A request that came during a stop must not be sent to a server if its answer
+ * can't be awaited. */
+static void
+evaluate_unknown(const Evaluation *evaluation, const SiteRequest *req)
+{
+    SiteVerdict *v = evaluation->verdict;
+    const Process *process = process_of(evaluation, req);
+    int64_t over_us = (int64_t)(evaluation->grace_ms * 1000 * GRACE_SHARE);
+
+    v->unknown++;
+    if (process->term_us == 0 || process->noticed_us == INT64_MAX ||
+        req->sent_us <= process->noticed_us + SIGNAL_SLACK_US ||
+        req->ended_us < process->noticed_us + over_us) {
+        return;
+    }
+    if (req->end.is_broken_off && req->runs > 0 && !req->is_struck &&
+        !req->is_answer_lost && !req->lost_links) {
+        v->broken_off++;
+        log_request(evaluation, req, "BROKEN OFF, sent during a stop");
+    }
+}
+
 static void
 evaluate_request(const Evaluation *evaluation, const SiteRequest *req)
 {
@@ -453,7 +486,7 @@
         }
         break;
     case SITE_REQUEST_UNKNOWN:
-        v->unknown++;
+        evaluate_unknown(evaluation, req);
         break;
     case SITE_REQUEST_CLOSED:
     case SITE_REQUEST_PIPELINED:
--- a/standins/site/server.c
+++ b/standins/site/server.c
@@ -33,6 +33,8 @@
     uint32_t late;
     uint32_t misdirected;
     SiteEndlessFault endless;
+    uint32_t long_runs; /* permille of runs that take long_factor times */
+    uint32_t long_factor;
 };
 
 /* Maximum number of requests that wait for a slot; further ones are
@@ -268,6 +270,9 @@
         send_endless(conn, seal, id, body);
     }
     else if (chance(s, s->params.lose_answer)) {
+        if (s->params.journal != NULL) {
+            SiteJournal_AnswerLost(s->params.journal, id);
+        }
         GwConn_Close(conn->conn);
         end_connection(conn);
     }
@@ -309,6 +314,9 @@
     if (s->params.spread_ms > 0) {
         cold_ms += GwRng_Below(s->params.rng, s->params.spread_ms);
     }
+    if (s->long_runs > 0 && chance(s, s->long_runs)) {
+        cold_ms *= s->long_factor;
+    }
     uint32_t work_ms = warm ? cold_ms * 3 / 10 : cold_ms;
 
     if (s->params.journal != NULL) {
@@ -475,6 +483,13 @@
     s->params.refuse = permille;
 }
 
+void
+SiteServer_SetLongRuns(SiteServer *s, uint32_t permille, uint32_t factor)
+{
+    s->long_runs = permille;
+    s->long_factor = factor;
+}
+
 void
 SiteServer_SetEndless(SiteServer *s, const SiteEndlessFault *fault)
 {
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -72,6 +72,7 @@
     bool for_organisation; /* refused for its key or its quota */
     bool has_retry_after;  /* a refusal with Retry-After */
     bool is_closing;       /* the answer announces the end of the connection */
+    bool is_broken_off;    /* 502: it ran, and the entry has no answer */
 } SiteResult;
 
 typedef struct {
@@ -80,6 +81,9 @@
     uint64_t not_run;
     uint64_t unauthorized;
     uint64_t unknown;
+    /* Of these, sent after SIGTERM to the entry, ran, and broken off by the
+     * entry at the end of its stop. */
+    uint64_t broken_off;
     /* Connections closed without an answer: the sum of the next eight. */
     uint64_t lost;
     /* Sent after SIGTERM to the entry; ran, or the entry held the request for
@@ -165,6 +169,8 @@
 void SiteJournal_Endless(SiteJournal *j, const char *fault);
 /* Records that a server sends bytes without end, behind the answer or instead
  * of it. */
+/* A server discarded the answer to the request. */
+void SiteJournal_AnswerLost(SiteJournal *j, const char *id);
 void SiteJournal_Struck(SiteJournal *j, const char *id, bool is_answered);
 /* Announces the end of all faults; later requests are also counted
  * separately. */
@@ -252,6 +258,8 @@
 SiteServer *SiteServer_Create(const SiteServerParams *params);
 uint32_t SiteServer_Served(const SiteServer *s);
 void SiteServer_SetFaults(SiteServer *s, uint32_t permille);
+/* That many runs of 1000 take `factor` times as long. */
+void SiteServer_SetLongRuns(SiteServer *s, uint32_t permille, uint32_t factor);
 /* From now on, a share of the answers is replaced by bytes without end. */
 void SiteServer_SetEndless(SiteServer *s, const SiteEndlessFault *fault);
 /* Makes every object cold, as a restart does. */
--- a/standins/site/verdict.c
+++ b/standins/site/verdict.c
@@ -56,7 +56,7 @@
         {"service", v->answered == 0, false},
         {"events", v->has_invalid_event, false},
         {"links", unserved_without_links(v), true},
-        {"stops", v->cut_in_stop + v->cut_early, true},
+        {"stops", v->cut_in_stop + v->cut_early + v->broken_off, true},
         {"no-cuts", v->cut_unsignalled, true},
         {"pipelines", v->behind, true},
         {"refusals-in-stops", v->incomplete_refusals, true},
@@ -79,17 +79,18 @@
 static void
 print_stops(const SiteVerdict *v)
 {
-    (void)printf("stops: %lu cut that were sent during a stop, %lu before the "
-                 "end of the grace period, %lu by an entry without a signal, "
-                 "%lu incomplete refusals, %lu without an outcome, %lu behind "
-                 "an answer that closed; %lu cut at the end of the grace "
-                 "period, %lu by a kill, %lu crossed a close\n",
-                 (unsigned long)v->cut_in_stop, (unsigned long)v->cut_early,
-                 (unsigned long)v->cut_unsignalled,
-                 (unsigned long)v->incomplete_refusals,
-                 (unsigned long)v->no_outcome, (unsigned long)v->behind,
-                 (unsigned long)v->cut_at_grace, (unsigned long)v->killed,
-                 (unsigned long)v->crossed);
+    (void)printf(
+        "stops: %lu cut that were sent during a stop, %lu such ones "
+        "broken off at its end, %lu before the "
+        "end of the grace period, %lu by an entry without a signal, "
+        "%lu incomplete refusals, %lu without an outcome, %lu behind "
+        "an answer that closed; %lu cut at the end of the grace "
+        "period, %lu by a kill, %lu crossed a close\n",
+        (unsigned long)v->cut_in_stop, (unsigned long)v->broken_off,
+        (unsigned long)v->cut_early, (unsigned long)v->cut_unsignalled,
+        (unsigned long)v->incomplete_refusals, (unsigned long)v->no_outcome,
+        (unsigned long)v->behind, (unsigned long)v->cut_at_grace,
+        (unsigned long)v->killed, (unsigned long)v->crossed);
 }
 
 bool
