Odd rows: tests for each table; a time before 1970 is no valid one

Reported by an operator of another system: one odd entry among those of the backend servers (deeply nested, a number too large, a port out of range) ended the machines that read it, or they stopped following the list.

Tried here: not seen in the servers' table. odd_rows plays 22 rows between good ones: both neighbours are used, and so is a valid row under the same key later; an address without a host is refused in a bounded time.

In the entries' own table of quarantined requests, a time near -2^63 overflowed a subtraction (undefined; seen by the sanitizer only, a release build wraps and clamps). Such a row is skipped now.

--- a/lib/edge/quarantine_rows.c
+++ b/lib/edge/quarantine_rows.c
@@ -73,7 +73,7 @@
               g_strv_length(words) >= 3 &&
               sscanf(value, "%u %" SCNd64 " %u", &out->generation, &at_s,
                      &out->span_ms) == 3 &&
-              read_servers(words + 3, out);
+              at_s >= 0 && read_servers(words + 3, out);
     if (ok) {
         age_s = CLAMP(now_s - at_s, 0, UINT32_MAX / 1000);
         out->age_ms = (uint32_t)age_s * 1000;
