Stand-in: rows of other programs are nested, out of range and oddly keyed

The soak's `foreign` event wrote three rows; now twelve, with keys before and behind those of the servers, so that drains, configurations and recovery show whether the list is followed on behind them.

--- a/standins/site/rows.c
+++ b/standins/site/rows.c
@@ -65,32 +65,94 @@
     return text;
 }
 
+/* Nesting far above what a parser allows. */
+#define NESTED_DEEP 20000
+/* The longest key of the store. */
+#define LONG_KEY_BYTES 200
+
+typedef struct {
+    char *key;
+    char *value;
+} ForeignRow;
+
+static void
+add_foreign(GArray *rows, const char *key, char *value)
+{
+    ForeignRow row = {.key = g_strdup(key), .value = value};
+
+    g_array_append_val(rows, row);
+}
+
+static void
+clear_foreign(gpointer item)
+{
+    ForeignRow *row = item;
+
+    g_free(row->key);
+    g_free(row->value);
+}
+
+/* The row with another text in place of one of its values. */
+static char *
+with(const char *row, const char *pattern, const char *text)
+{
+    GRegex *regex = g_regex_new(pattern, 0, 0, NULL);
+    char *changed = g_regex_replace_literal(regex, row, -1, 0, text, 0, NULL);
+
+    g_regex_unref(regex);
+    return changed;
+}
+
+/* Rows that name no server. Some of their keys come before, others behind
+ * those of the servers. */
+static GArray *
+create_foreign(Site *site)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(ForeignRow));
+    char *row = write_row(site, 0, "ready");
+    char *long_key = g_strnfill(LONG_KEY_BYTES, 'z');
+    char *open = g_strnfill(NESTED_DEEP, '[');
+
+    g_array_set_clear_func(rows, clear_foreign);
+    add_foreign(rows, "other-1", without_last_member(row));
+    add_foreign(rows, "other-2", g_strdup("not JSON"));
+    add_foreign(rows, "other-3", g_strdup_printf("{\"info\":%s", open));
+    add_foreign(rows, "other-4", g_strdup("[1]"));
+    add_foreign(rows, "other-5", g_strdup(""));
+    add_foreign(rows, "server-0\n", g_strdup(row));
+    add_foreign(rows, "server-1\"\\", g_strdup("{\"status\":7}"));
+    add_foreign(rows, "z-port",
+                with(row, "127.0.0.1:[0-9]+", "127.0.0.1:70000"));
+    add_foreign(rows, "z-born",
+                with(row, "\"born\":[0-9]+", "\"born\":1e999"));
+    add_foreign(
+        rows, "z-slots",
+        with(row, "\"slots\":[0-9]+", "\"slots\":99999999999999999999999999"));
+    add_foreign(rows, "z-bytes", g_strdup("{\"info\":\"\xff\xfe\"}"));
+    add_foreign(rows, long_key, g_strdup(row));
+    g_free(open);
+    g_free(long_key);
+    g_free(row);
+    return rows;
+}
+
 void
 Site_PutForeignRows(Site *site, bool are_present)
 {
-    char *row = write_row(site, 0, "ready");
-    char *incomplete = without_last_member(row);
-    const struct {
-        const char *key;
-        const char *value;
-    } rows[] = {
-        {"other-1", incomplete},
-        {"server-0\n", row},
-        {"other-2", "not JSON"},
-    };
-
-    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    GArray *rows = create_foreign(site);
+
+    for (guint i = 0; i < rows->len; i++) {
+        const ForeignRow *row = &g_array_index(rows, ForeignRow, i);
         if (are_present) {
-            SiteStore_Put(site->store, Platform_Adapter.server_table,
-                          rows[i].key, rows[i].value);
+            SiteStore_Put(site->store, Platform_Adapter.server_table, row->key,
+                          row->value);
         }
         else {
             SiteStore_Remove(site->store, Platform_Adapter.server_table,
-                             rows[i].key);
+                             row->key);
         }
     }
-    g_free(incomplete);
-    g_free(row);
+    g_array_free(rows, TRUE);
 }
 
 void
