--- a/lib/edge/quarantine_rows.c
+++ b/lib/edge/quarantine_rows.c
@@ -66,17 +66,16 @@
 {
     char **words = g_strsplit(value, " ", -1);
     int64_t at_s = 0;
-    int64_t age_s = 0;
 
     *out = (GwSuspect){.generation = 0};
     bool ok = GwFingerprint_Parse(key, &out->fingerprint) &&
               g_strv_length(words) >= 3 &&
               sscanf(value, "%u %" SCNd64 " %u", &out->generation, &at_s,
                      &out->span_ms) == 3 &&
-              at_s >= 0 && read_servers(words + 3, out);
+              read_servers(words + 3, out);
     if (ok) {
-        age_s = CLAMP(now_s - at_s, 0, UINT32_MAX / 1000);
-        out->age_ms = (uint32_t)age_s * 1000;
+        at_s = CLAMP(at_s, now_s - UINT32_MAX / 1000, now_s);
+        out->age_ms = (uint32_t)(now_s - at_s) * 1000;
     }
     g_strfreev(words);
     return ok;
