Actions of the router: what they refer to is freed in one place

Cause: closing a caller's connection freed its requests at once, while actions of the router that name them were still queued. ASan, use after free in run_action for all three.

Change: requests and connections of callers are freed at the end of GwEdge_RunActions only; the router keeps ended requests, as removed servers, until no action is outstanding. An action whose request has ended, or whose caller has gone, is dropped and counted.

--- a/lib/edge/callers.c
+++ b/lib/edge/callers.c
@@ -12,18 +12,15 @@
 #define PIPELINE_MAX 32
 /* Retry-After of a 503 sent because the budget for bodies is used up. */
 #define OVER_BUDGET_RETRY_MS 1000
-/* Bodies up to this size are sent with their head by one call, which costs a
- * copy; larger ones are not copied. */
-#define JOINED_BODY_MAX (16u << 10)
-
 /* Bytes of a caller that wait in the kernel, where they count towards no limit
  * of this process; enough to keep a link busy between two writes. */
 #define UNSENT_MAX_BYTES (128u << 10)
 
-static void
-free_exchange(GwExchange *x)
+void
+GwExchange_Free(gpointer item)
 {
-    GwExchange_ReleaseRoom(x);
+    GwExchange *x = item;
+
     GwHttpMessage_Free(x->msg);
     GwHttpMessage_Free(x->answer);
     if (x->out != NULL) {
@@ -32,6 +29,16 @@
     g_free(x);
 }
 
+/* The request is answered, or its caller has gone. Actions of the router may
+ * still refer to it. */
+static void
+end_exchange(GwExchange *x)
+{
+    GwExchange_ReleaseRoom(x);
+    x->caller = NULL;
+    g_ptr_array_add(x->edge->ended_exchanges, x);
+}
+
 /* Logs the end of a request that has no answer yet. Otherwise there would be
  * no log line for a request queued behind others on its connection. */
 static void
@@ -75,10 +82,11 @@
             GwRouter_CallerDisconnected(edge->router, GwEdge_Now(), x->request,
                                         edge->actions);
         }
-        free_exchange(x);
+        end_exchange(x);
     }
     GwRouter_DispatchPending(edge->router, GwEdge_Now(), edge->actions);
-    g_free(caller);
+    caller->conn = NULL;
+    g_ptr_array_add(edge->ended_callers, caller);
     /* Without a free slot it would close another connection, which the loop
      * that closes this one may have to visit next. */
     if (GwCallers_HasFreeSlot(edge)) {
@@ -109,15 +117,12 @@
     return !caller->is_disconnected;
 }
 
-/* Frees a single connection per call: the slot that this releases may be
- * assigned to a request of the next disconnected caller, and an action in the
- * queue then refers to that request. */
 void
-GwCallers_FreeOneDisconnected(GwEdge *edge)
+GwCallers_CloseDisconnected(GwEdge *edge)
 {
-    GwCaller *caller = g_queue_peek_head(&edge->disconnected);
+    GwCaller *caller;
 
-    if (caller != NULL) {
+    while ((caller = g_queue_peek_head(&edge->disconnected)) != NULL) {
         GwConn_Close(caller->conn);
         GwCaller_Free(caller, GW_END_DISCONNECTED);
     }
@@ -129,47 +134,6 @@
     return g_queue_peek_tail(&caller->exchanges) == x;
 }
 
-static const char *
-status_text(uint16_t status)
-{
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    default:
-        return "Gateway Timeout";
-    }
-}
-
-static void
-write_reply(GString *out, uint16_t status, uint32_t retry_after_ms,
-            const char *fields, bool close)
-{
-    g_string_append_printf(out, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n",
-                           status, status_text(status));
-    if (retry_after_ms > 0) {
-        g_string_append_printf(out, "Retry-After: %u.%03u\r\n",
-                               retry_after_ms / 1000, retry_after_ms % 1000);
-    }
-    g_string_append(out, fields);
-    g_string_append(out, close ? "Connection: close\r\n\r\n" : "\r\n");
-}
-
 int64_t
 GwExchange_TimeLeftUs(const GwExchange *x)
 {
@@ -344,15 +308,15 @@
             GwConn_WriteOwned(caller->conn, GwHttpMessage_TakeBody(x->answer));
         }
         (void)g_queue_pop_head(&caller->exchanges);
-        free_exchange(x);
+        end_exchange(x);
         x = g_queue_peek_head(&caller->exchanges);
     }
     GwCaller_BeginIdle(caller);
     caller->has_unacked_answer = true;
     if (x == NULL && caller->error_status != 0) {
         GString *out = g_string_new(NULL);
-        write_reply(out, caller->error_status, error_retry_ms(caller), "",
-                    true);
+        GwReply_Write(out, caller->error_status, error_retry_ms(caller), "",
+                      true);
         GwConn_Write(caller->conn, out);
         g_string_free(out, TRUE);
         close = true;
@@ -554,46 +518,3 @@
         caller->is_peer = true;
     }
 }
-
-/* ---- Completed requests -------------------------------------------------- */
-
-void
-GwExchange_Reply(GwExchange *x, const GwRouterAction *act)
-{
-    char *fields = x->is_passed_on ? GwRelay_WriteEnd(act) : NULL;
-
-    x->request = NULL;
-    GwExchange_ReleaseRoom(x);
-    x->out = g_string_new(NULL);
-    write_reply(x->out, act->status, act->retry_after_ms,
-                fields != NULL ? fields : "", false);
-    g_free(fields);
-    GwCaller_ScheduleFlush(x->caller);
-}
-
-void
-GwExchange_ForwardAnswer(GwExchange *x, const GwRouterAction *act)
-{
-    static const char *const drop[] = {GW_RELAY_OUTCOME, GW_RELAY_SERVER,
-                                       NULL};
-    char *fields = x->is_passed_on ? GwRelay_WriteEnd(act) : NULL;
-    GwHttpWriteOptions how = {
-        .drop = drop,
-        .extra = fields,
-        .is_head_response = strcmp(x->msg->method, "HEAD") == 0,
-        .omits_body = x->answer->body->len > JOINED_BODY_MAX,
-    };
-
-    x->request = NULL;
-    GwExchange_ReleaseRoom(x);
-    if (act->status < 300 && !how.is_head_response) {
-        GwAnswerRoom_Learn(&x->edge->room, act->request_summary.route,
-                           x->answer->head_len + x->answer->body->len);
-    }
-    x->sends_body_apart = how.omits_body;
-    x->out =
-        g_string_sized_new(512 + (how.omits_body ? 0 : x->answer->body->len));
-    GwHttpMessage_WriteResponse(x->answer, &how, x->out);
-    g_free(fields);
-    GwCaller_ScheduleFlush(x->caller);
-}
--- a/lib/edge/callers_internal.h
+++ b/lib/edge/callers_internal.h
@@ -47,6 +47,11 @@
 /* Starts the requests that may run now. */
 void GwCaller_StartReady(GwCaller *caller);
 
+/* replies.c */
+/* Writes an answer of the entry's own, with further header lines. */
+void GwReply_Write(GString *out, uint16_t status, uint32_t retry_after_ms,
+                   const char *fields, bool close);
+
 /* caller_room.c */
 typedef enum {
     GW_START_NOW = 1,
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -197,68 +197,6 @@
     edge->has_reach_news = true;
 }
 
-static void
-run_action(GwEdge *edge, const GwRouterAction *act)
-{
-    GwExchange *x = act->user;
-
-    switch (act->kind) {
-    case GW_ROUTER_ACCEPT:
-        x->request = act->request;
-        break;
-    case GW_ROUTER_SEND:
-        /* From the configuration that admitted the request, which may be newer
-         * than the configuration at its arrival. */
-        x->idempotent = act->idempotent;
-        GwServerLink_Send(x, act);
-        break;
-    case GW_ROUTER_PASS_ON:
-        x->idempotent = act->idempotent;
-        GwRelay_Send(x, act);
-        break;
-    case GW_ROUTER_CANCEL:
-        GwServerLink_Cancel(x);
-        GwRelay_Cancel(x);
-        break;
-    case GW_ROUTER_ANSWER:
-        GwEdge_LogRequestEnd(
-            x, act->status < 500 ? GW_END_ANSWERED : GW_END_FAILED,
-            act->status, GW_REPLY_NONE, &act->request_summary);
-        GwExchange_ForwardAnswer(x, act);
-        break;
-    case GW_ROUTER_REPLY:
-        GwEdge_LogRequestEnd(x, GwRequestEnd_OfReply(act->status), act->status,
-                             act->why, &act->request_summary);
-        GwExchange_Reply(x, act);
-        break;
-    case GW_ROUTER_PROBE:
-        /* It may have left the registry since the action was appended. */
-        if (GwServer_IsListed(act->server)) {
-            GwServerLink_Probe(edge, act->server);
-        }
-        break;
-    case GW_ROUTER_DROP_SERVER:
-        GwServerLink_DropServer(edge, act->server);
-        break;
-    case GW_ROUTER_LOG_EJECTED:
-        GwLog_Event(GW_LOG_BACKEND_EJECTED, "server=%s for_ms=%u",
-                    GwServer_Id(act->server), act->left_ms);
-        break;
-    case GW_ROUTER_LOG_LEAVING:
-        GwLog_Event(GW_LOG_BACKEND_LEAVING, "server=%s",
-                    GwServer_Id(act->server));
-        break;
-    case GW_ROUTER_LOG_RESTING:
-        GwLog_Event(GW_LOG_BACKEND_RESTS, "server=%s for_ms=%u",
-                    GwServer_Id(act->server), act->left_ms);
-        break;
-    case GW_ROUTER_LOG_RECOVERED:
-        GwLog_Event(GW_LOG_BACKEND_BACK, "server=%s",
-                    GwServer_Id(act->server));
-        break;
-    }
-}
-
 /* libuv runs timers before it polls sockets. After a long turn an answer or
  * the end of a connection that arrived before the deadline may still be
  * unread, so deadlines are evaluated only after a poll. This also guarantees
@@ -280,8 +218,8 @@
     GwEdge_RunActions(edge);
 }
 
-static void
-arm_deadline(GwEdge *edge)
+void
+GwEdge_ArmDeadline(GwEdge *edge)
 {
     int64_t at_us = GwRouter_NextDeadline(edge->router);
 
@@ -299,8 +237,8 @@
 
 /* Peers learn at once what this entry doesn't reach, or reaches again. If that
  * changes more often, their next regular reports say so. */
-static void
-tell_reach(GwEdge *edge)
+void
+GwEdge_TellReach(GwEdge *edge)
 {
     int64_t now_us = GwEdge_Now();
 
@@ -313,38 +251,6 @@
     }
 }
 
-void
-GwEdge_RunActions(GwEdge *edge)
-{
-    if (edge->is_running_actions) {
-        return;
-    }
-    edge->is_running_actions = true;
-    while (edge->actions->len > 0 || edge->is_room_freed ||
-           !g_queue_is_empty(&edge->disconnected) ||
-           !g_queue_is_empty(&edge->flush_queue)) {
-        for (guint i = 0; i < edge->actions->len; i++) {
-            /* Copied: running the action may append and so move the array. */
-            GwRouterAction act =
-                g_array_index(edge->actions, GwRouterAction, i);
-            run_action(edge, &act);
-        }
-        g_array_set_size(edge->actions, 0);
-        GwCallers_FreeOneDisconnected(edge);
-        GwCaller *caller = g_queue_pop_head(&edge->flush_queue);
-        if (caller != NULL) {
-            GwCaller_Flush(caller);
-        }
-        if (edge->is_room_freed) {
-            GwCallers_ServeRoom(edge);
-        }
-    }
-    edge->is_running_actions = false;
-    tell_reach(edge);
-    GwQuotas_SendMessages(edge);
-    arm_deadline(edge);
-}
-
 /* ---- Signals and periodic work ------------------------------------------- */
 
 static void
@@ -466,6 +372,8 @@
     edge->meters = GwMeters_Create();
     edge->shortage_log = GwShortageLog_Create();
     edge->actions = g_array_new(FALSE, FALSE, sizeof(GwRouterAction));
+    edge->ended_exchanges = g_ptr_array_new_with_free_func(GwExchange_Free);
+    edge->ended_callers = g_ptr_array_new_with_free_func(g_free);
     edge->invalid_servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->router = GwRouter_Create(&settings->router, GwEdge_Now());
@@ -556,6 +464,8 @@
     GwRouter_Free(edge->router);
     g_hash_table_destroy(edge->invalid_servers);
     g_array_free(edge->actions, TRUE);
+    g_ptr_array_free(edge->ended_exchanges, TRUE);
+    g_ptr_array_free(edge->ended_callers, TRUE);
     g_ptr_array_free(edge->controls, TRUE);
     GwMeters_Free(edge->meters);
     GwAnswerRoom_Clear(&edge->room);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -51,7 +51,7 @@
 /* A caller's request, from its arrival to its answer. */
 typedef struct {
     GwEdge *edge;
-    GwCaller *caller;
+    GwCaller *caller;      /* NULL once it has gone */
     GwHttpMessage *msg;    /* the request as received */
     GwRequest *request;    /* router's state, while the request is open */
     GwServerLink *link;    /* connection of the current attempt */
@@ -97,7 +97,11 @@
     GHashTable *invalid_servers; /* key of the row -> what is wrong with it */
     GArray *actions; /* GwRouterAction; pending actions of the router */
     bool is_running_actions; /* GwEdge_RunActions is running */
-    GQueue callers;          /* GwCaller, longest idle first */
+    /* Objects that actions, lists or loops may still refer to, freed by
+     * GwEdge_RunActions. */
+    GPtrArray *ended_exchanges; /* GwExchange */
+    GPtrArray *ended_callers;   /* GwCaller */
+    GQueue callers;             /* GwCaller, longest idle first */
     GQueue idle_callers;   /* GwCaller without requests, longest idle first */
     bool is_accept_paused; /* accepting is paused at the connection limit */
     int64_t accept_paused_us; /* since when; 0: it is not */
@@ -130,7 +134,8 @@
         uint64_t dropped; /* requests received after a close */
         uint64_t callers_closed[GW_CLOSE_COUNT];
         uint64_t refused_for_room;
-        uint64_t callers_cut; /* closed with answers unacknowledged */
+        uint64_t callers_cut;   /* closed with answers unacknowledged */
+        uint64_t stale_actions; /* dropped, their request had ended */
         uint64_t connects;
         uint64_t passed_on[GW_ATTEMPT_LOST + 1]; /* by outcome */
         uint64_t taken_over; /* requests passed on to this entry */
@@ -151,7 +156,12 @@
 /* Runs the actions appended by the router and sends the answers that become
  * ready, until none are left; then arms the router's timer. Must be the last
  * call of each callback of the loop. */
-void GwEdge_RunActions(GwEdge *edge);
+void GwEdge_RunActions(GwEdge *edge); /* actions.c */
+/* Sets the timer of the router's next deadline. */
+void GwEdge_ArmDeadline(GwEdge *edge);
+/* Tells peers at once which services this entry no longer reaches, or reaches
+ * again. */
+void GwEdge_TellReach(GwEdge *edge);
 /* stop.c */
 /* Sets up the handling of the stop signals. */
 void GwEdge_InitStop(GwEdge *edge);
@@ -201,10 +211,12 @@
 void GwCallers_CloseIdle(GwEdge *edge);
 void GwCallers_CloseAll(GwEdge *edge);
 void GwCaller_Flush(GwCaller *caller); /* sends the ready answers in order */
-/* Checks the socket for a disconnect. A disconnected caller is freed later,
- * once the actions that may refer to its requests have run. */
+/* Checks the socket for a disconnect. A disconnected caller is closed later,
+ * by GwCallers_CloseDisconnected. */
 bool GwExchange_IsCallerConnected(GwExchange *x);
-void GwCallers_FreeOneDisconnected(GwEdge *edge);
+void GwCallers_CloseDisconnected(GwEdge *edge);
+/* A GDestroyNotify. */
+void GwExchange_Free(gpointer item);
 /* Starts requests that wait for room; caller_room.c. */
 void GwCallers_ServeRoom(GwEdge *edge);
 /* Time that the caller states that it waits, when it sent the request; < 0:
--- a/lib/router/requests.c
+++ b/lib/router/requests.c
@@ -117,6 +117,23 @@
     return request_summary;
 }
 
+bool
+GwRequest_IsEnded(const GwRequest *req)
+{
+    return req->is_ended;
+}
+
+void
+GwRequest_Free(gpointer item)
+{
+    GwRequest *req = item;
+
+    GwRouting_Unref(req->access_routing);
+    GwRouting_Unref(req->routing);
+    g_free(req);
+}
+
+/* Actions that are not carried out yet may refer to the request. */
 void
 GwRequest_Finish(GwRouter *r, GwRequest *req)
 {
@@ -128,9 +145,8 @@
     }
     (void)g_hash_table_remove(r->open, req);
     req->state->open--;
-    GwRouting_Unref(req->access_routing);
-    GwRouting_Unref(req->routing);
-    g_free(req);
+    req->is_ended = true;
+    g_ptr_array_add(r->ended_requests, req);
 }
 
 uint32_t
@@ -389,13 +405,15 @@
     }
 }
 
-/* Removed servers may be referred to by actions that the host has not carried
- * out yet: the host may call the router while it carries out actions. */
+/* Removed servers and ended requests may be referred to by actions that the
+ * host has not carried out yet: the host may call the router while it carries
+ * out actions. */
 void
 GwRouter_FreeRemoved(GwRouter *r, const GArray *actions)
 {
     if (actions->len == 0) {
         g_ptr_array_set_size(r->removed_servers, 0);
+        g_ptr_array_set_size(r->ended_requests, 0);
     }
 }
 
@@ -419,6 +437,9 @@
                             GArray *actions)
 {
     GwRouter_FreeRemoved(r, actions);
+    if (req->is_ended) {
+        return; /* its answer is among the actions */
+    }
     if (req->server != NULL) {
         GwRequest_ReleaseServer(r, now_us, req, false, actions);
     }
--- a/lib/router/router.c
+++ b/lib/router/router.c
@@ -88,6 +88,7 @@
     r->cross_region.at_us = now_us;
     r->placements = g_array_new(FALSE, FALSE, sizeof(GwPlacement));
     r->removed_servers = g_ptr_array_new_with_free_func(free_server);
+    r->ended_requests = g_ptr_array_new_with_free_func(GwRequest_Free);
     r->awaiting_probe = g_ptr_array_new();
     r->awaiting_token = g_ptr_array_new();
     r->quarantine = GwQuarantine_Create();
@@ -113,9 +114,7 @@
     }
 
     (void)value;
-    GwRouting_Unref(req->access_routing);
-    GwRouting_Unref(req->routing);
-    g_free(req);
+    GwRequest_Free(req);
 }
 
 void
@@ -145,6 +144,7 @@
     g_hash_table_destroy(r->services);
     g_array_free(r->placements, TRUE);
     g_ptr_array_free(r->removed_servers, TRUE);
+    g_ptr_array_free(r->ended_requests, TRUE);
     g_hash_table_destroy(r->starts);
     GwRouting_Unref(r->routing);
     g_ptr_array_free(r->awaiting_probe, TRUE);
--- a/lib/router/router.h
+++ b/lib/router/router.h
@@ -332,6 +332,9 @@
 const char *GwRequest_Organisation(const GwRequest *req);
 void GwRouter_AttemptEnded(GwRouter *r, int64_t now_us, GwRequest *req,
                            const GwAttemptEnd *end, GArray *actions);
+/* Whether the request has ended. An action of such a request other than its
+ * end, GW_ROUTER_ANSWER or GW_ROUTER_REPLY, must be dropped. */
+bool GwRequest_IsEnded(const GwRequest *req);
 /* The caller disconnected and the host abandoned the attempt. The freed
  * capacity is assigned only by GwRouter_DispatchPending, which the host calls
  * after it has reported all requests of the connection: otherwise another
--- a/lib/router/router_internal.h
+++ b/lib/router/router_internal.h
@@ -199,6 +199,7 @@
 
 struct GwRequest_s {
     void *user;
+    bool is_ended; /* in r->ended_requests, to be freed */
     GwRouting *routing;
     const GwRoute *route;
     GwRouteState *state;
@@ -274,15 +275,17 @@
     GHashTable
         *region_loads; /* region -> (server hash -> requests in flight) */
     GHashTable *evacuated;
-    GHashTable *starts;         /* server id -> GwServerStart, the latest */
-    uint64_t row_count;         /* rows that created a GwServer */
-    GHashTable *paths;          /* region -> GwPath */
-    double remote_rtt_us;       /* mean round trip to other regions */
-    GHashTable *open;           /* set of GwRequest */
-    GwQuota *quota;             /* or NULL */
-    GPtrArray *awaiting_token;  /* GwRequest, waiting for a token */
-    GPtrArray *awaiting_probe;  /* GwRequest, waiting for a probe */
-    GPtrArray *removed_servers; /* GwServer, freed in the next call */
+    GHashTable *starts;        /* server id -> GwServerStart, the latest */
+    uint64_t row_count;        /* rows that created a GwServer */
+    GHashTable *paths;         /* region -> GwPath */
+    double remote_rtt_us;      /* mean round trip to other regions */
+    GHashTable *open;          /* set of GwRequest */
+    GwQuota *quota;            /* or NULL */
+    GPtrArray *awaiting_token; /* GwRequest, waiting for a token */
+    GPtrArray *awaiting_probe; /* GwRequest, waiting for a probe */
+    /* Freed by GwRouter_FreeRemoved. */
+    GPtrArray *removed_servers; /* GwServer */
+    GPtrArray *ended_requests;  /* GwRequest */
     GArray *placements; /* GwPlacement made by this entry, oldest first */
     GwHeap deadlines;
     GwCrossRegion cross_region;
@@ -532,6 +535,8 @@
 void GwRequest_Cancel(GwRouter *r, int64_t now_us, GwRequest *req,
                       GArray *actions);
 /* Whether an attempt is in progress or ended without an answer. */
+/* A GDestroyNotify. */
+void GwRequest_Free(gpointer item);
 bool GwRequest_MayHaveRun(const GwRequest *req);
 /* Status of an answer to a request that did not run, or timed out. */
 uint16_t GwReplyReason_Status(GwReplyReason why);
--- a/tests/fakes/edge_host.h
+++ b/tests/fakes/edge_host.h
@@ -7,7 +7,7 @@
 #include "edge/edge_internal.h"
 
 #define EDGE_HOST_SERVERS_MAX 4
-#define EDGE_HOST_CONNS_MAX   64
+#define EDGE_HOST_CONNS_MAX   512
 #define EDGE_HOST_BLOCK       4
 
 /* One connection from the entry, with all bytes received. */
