--- a/standins/site/journal.c
+++ b/standins/site/journal.c
@@ -27,6 +27,7 @@
     GArray *processes;    /* Process */
     bool is_cut;          /* has no links to servers */
     int64_t links_us;     /* last change of the links */
+    int64_t worse_us;     /* last cut, also of another kind */
     int64_t disturbed_us; /* last start or signal */
 } Entry;
 
@@ -52,11 +53,12 @@
     bool is_not_cancelled; /* reached a server SITE_CANCEL_US after its end */
     LinksAtSending links;
     SiteJournal *journal;
-    bool is_disturbed;   /* by a fault between sending and end */
-    bool lost_links;     /* its entry lost its links to servers meanwhile */
-    bool is_struck;      /* a server sent bytes without end as the answer */
-    bool is_answer_lost; /* a server ran it and did not answer */
-    guint endless;       /* 1 + index of j->endless at sending; 0: none */
+    bool is_disturbed;    /* by a fault between sending and end */
+    bool lost_links;      /* its entry lost its links to servers meanwhile */
+    bool is_struck;       /* a server sent bytes without end as the answer */
+    bool links_got_worse; /* the same, or links that were cut already */
+    bool is_answer_lost;  /* a server ran it and did not answer */
+    guint endless;        /* 1 + index of j->endless at sending; 0: none */
 };
 
 int64_t
@@ -134,6 +136,9 @@
     Entry *e = entry_of(j, entry);
 
     j->links_us = j->now_us();
+    if (is_cut) {
+        e->worse_us = j->links_us;
+    }
     if (e->is_cut != is_cut) {
         e->is_cut = is_cut;
         e->links_us = j->links_us;
@@ -261,6 +266,7 @@
     req->end = *end;
     req->ended_us = j->now_us();
     req->lost_links = e->is_cut && e->links_us > req->sent_us;
+    req->links_got_worse = e->is_cut && e->worse_us > req->sent_us;
     req->is_disturbed =
         MAX(MAX(j->links_us, j->disturbed_us), e->disturbed_us) > req->sent_us;
 }
@@ -457,7 +463,7 @@
         return;
     }
     if (req->end.is_broken_off && req->runs > 0 && !req->is_struck &&
-        !req->is_answer_lost && !req->lost_links) {
+        !req->is_answer_lost && !req->links_got_worse) {
         v->broken_off++;
         log_request(evaluation, req, "BROKEN OFF, sent during a stop");
     }
