Server links: a message without an id belongs to no request that has one

Cause: GwAnswer_IsTo compared ids only where the message had one, or a status below 300. Servers repeat the id in all their answers, so a message without one proves nothing of a request that has one.

Change: both have the same id, or neither has one. All else is a stray message: neither answer, refusal nor redirection, and its limit, load, rest and leaving are not read. The true answer behind it is awaited, and the connection closed.

--- a/lib/edge/answers.c
+++ b/lib/edge/answers.c
@@ -139,8 +139,11 @@
     const char *answer_id = GwHttpMessage_Get(msg, names->request_id);
     const char *request_id = GwHttpMessage_Get(request, names->request_id);
 
-    if (answer_id == NULL) {
-        return msg->status >= 300 || request_id == NULL;
+#if GW_MUTANT ==                                                              \
+    168 /* breaks: an error without an id belongs to any request */
+    if (answer_id == NULL && msg->status >= 300) {
+        return true;
     }
-    return request_id != NULL && strcmp(answer_id, request_id) == 0;
+#endif
+    return g_strcmp0(answer_id, request_id) == 0;
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -243,8 +243,9 @@
 /* Outcome of the attempt that received the answer. */
 GwAttemptEnd GwAnswer_End(const GwAdapter *names, const GwHttpMessage *msg,
                           int64_t connect_us);
-/* Whether the answer belongs to the request. A duplicate answer to an earlier
- * request can arrive in place of the expected one. */
+/* Whether the answer belongs to the request: servers repeat its id in all their
+ * answers. Other messages say nothing of the request, of the server's load or
+ * of what it asks for. */
 bool GwAnswer_IsTo(const GwAdapter *names, const GwHttpMessage *msg,
                    const GwHttpMessage *request);
 
--- a/lib/edge/status.c
+++ b/lib/edge/status.c
@@ -143,8 +143,7 @@
             edge->counts.callers_closed[i]);
     }
     write_counter(out, "gw_callers_cut_total", edge->counts.callers_cut);
-    write_counter(out, "gw_actions_dropped_total",
-                  edge->counts.stale_actions);
+    write_counter(out, "gw_actions_dropped_total", edge->counts.stale_actions);
     write_counter(out, "gw_connects_total", edge->counts.connects);
     for (int i = GW_ATTEMPT_ANSWERED; i <= GW_ATTEMPT_LOST; i++) {
         g_string_append_printf(
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -138,6 +138,7 @@
 164 unit.edge_malformed - empty lines before an answer are bounded
 165 unit.edge_malformed - an invalid status is no answer
 167 unit.edge_freed - no action outlives its request
+168 unit.edge_malformed - a message without an id is no answer
 151 unit.net - the kernel delivers no call that was lost
 133 unit.router_shed - a route of low value gets its part of the slots
 134 unit.router_shed - no less urgent kind is admitted more often
--- a/tests/unit/test_edge_malformed.c
+++ b/tests/unit/test_edge_malformed.c
@@ -175,3 +175,48 @@
         finish(&c);
     }
 }
+
+/* Guards against: a message without an id counts as the refusal or the answer
+ * of a request that runs, which is then sent again. */
+Test(edge_malformed, a_message_without_an_id_belongs_to_no_request,
+     .timeout = 60)
+{
+    char *not_run =
+        g_strdup_printf("503 Busy\r\n%s: 1", Platform_Adapter.not_run);
+    char *sealed = g_strdup_printf("200 OK\r\n%s: 1", Platform_Adapter.seal);
+    char *leaving =
+        g_strdup_printf("500 Error\r\n%s: 1\r\n%s: 0",
+                        Platform_Adapter.leaving, Platform_Adapter.limit);
+    const char *const heads[] = {
+        not_run,     "421 Misdirected", "503 Busy",       "429 Too Many",
+        "500 Error", "404 Not Found",   "204 No Content", sealed,
+        leaving};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        Ctx c = start(BY_A_SERVER);
+        EdgeHost_AddServer(c.h, "b", 4);
+        char *text = g_strdup_printf(
+            "HTTP/1.1 %s\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n",
+            heads[i]);
+        char *answer = answer_with("200 OK", "r1");
+        send_often(&c, text, 1);
+        for (int turn = 0; turn < 50; turn++) {
+            EdgeHost_RunOnce(c.h);
+        }
+        cr_expect_not(is_answered(&c), "%s: %s", heads[i], c.answer);
+        cr_expect_eq(EdgeHost_CountRequests(&c.h->servers[1], "r1"), 0, "%s",
+                     heads[i]);
+        send_often(&c, answer, 1);
+        cr_assert(EdgeHost_RunUntil(c.h, is_answered, &c), "%s", heads[i]);
+        cr_expect(g_str_has_prefix(c.answer, "HTTP/1.1 200"), "%s: %s",
+                  heads[i], c.answer);
+        cr_expect(EdgeHost_RunUntil(c.h, is_closed_by_entry, &c), "%s",
+                  heads[i]);
+        g_free(answer);
+        g_free(text);
+        finish(&c);
+    }
+    g_free(leaving);
+    g_free(sealed);
+    g_free(not_run);
+}
