--- a/lib/edge/answers.c
+++ b/lib/edge/answers.c
@@ -139,8 +139,7 @@
     const char *answer_id = GwHttpMessage_Get(msg, names->request_id);
     const char *request_id = GwHttpMessage_Get(request, names->request_id);
 
-#if GW_MUTANT ==                                                              \
-    168 /* breaks: an error without an id belongs to any request */
+#if GW_MUTANT == 168 /* breaks: an error needs no id */
     if (answer_id == NULL && msg->status >= 300) {
         return true;
     }
